--- /dev/null
+++ b/core/consensus/types.go
@@ -0,0 +1,128 @@
+// Package consensus is a replicated log as a state machine without I/O.
+//
+// The protocol is Raft with pre-vote, check-quorum and a leader lease. The
+// caller owns a Node and gives it messages, ticks, proposals and reports of
+// what has been synced to disk. It then takes an Output, which lists as data
+// what has to be done: entries and hard state to persist, messages to send,
+// a snapshot to install and entries that are committed. Messages of an
+// Output that promise durability are held back by the Node until the caller
+// has reported the sync with Persisted.
+//
+// C is the type of the commands in the log and S the type of the state that
+// a snapshot carries. The package never looks into either.
+package consensus
+
+import "primrosedale.example/primrosedale/core/model"
+
+// NodeID identifies one life of a replica: the host and the incarnation of
+// its data folder. A host that loses its disk comes back as another NodeID,
+// so that it can never vote twice in one term.
+type NodeID struct {
+	Host        model.HostID      `json:"host"`
+	Incarnation model.Incarnation `json:"inc"`
+}
+
+// EntryKind tells commands from entries of the protocol itself.
+type EntryKind uint8
+
+// The entry kinds.
+const (
+	EntryCommand EntryKind = iota // Command is set
+	EntryNoop                     // first entry of a leader's term
+	EntryVoters                   // Voters is the new voter set
+)
+
+// Entry is one entry of the log. Entries are immutable once appended.
+type Entry[C any] struct {
+	Index   uint64    `json:"i"`
+	Term    uint64    `json:"t"`
+	Kind    EntryKind `json:"k,omitempty"`
+	Command *C        `json:"c,omitempty"`
+	Voters  []NodeID  `json:"v,omitempty"`
+}
+
+// HardState must be on disk before any message that depends on it is sent.
+type HardState struct {
+	Term uint64 `json:"term"`
+	Vote NodeID `json:"vote"`
+}
+
+// Snapshot replaces all entries up to and including Index.
+type Snapshot[S any] struct {
+	Index  uint64   `json:"index"`
+	Term   uint64   `json:"term"`
+	Voters []NodeID `json:"voters"`
+	State  S        `json:"state"`
+}
+
+// MessageKind is the kind of a protocol message.
+type MessageKind uint8
+
+// The message kinds.
+const (
+	MsgPreVote MessageKind = iota
+	MsgPreVoteReply
+	MsgVote
+	MsgVoteReply
+	MsgAppend
+	MsgAppendReply
+	MsgSnapshot
+	MsgSnapshotReply
+	MsgJoin       // a non-voter asks the leader for the log
+	MsgTimeoutNow // the leader asks a voter to take over at once
+)
+
+// Message is one protocol message.
+type Message[C, S any] struct {
+	Kind     MessageKind  `json:"kind"`
+	From     NodeID       `json:"from"`
+	To       NodeID       `json:"to"` // the incarnation may be empty in MsgJoin, when it is not known
+	Term     uint64       `json:"term"`
+	LogTerm  uint64       `json:"log_term,omitempty"` // term of the entry before Entries, or of the candidate's last entry
+	Index    uint64       `json:"index,omitempty"`    // index of the same entry; in replies, the last matching index
+	Commit   uint64       `json:"commit,omitempty"`   // commit index of the leader
+	Entries  []Entry[C]   `json:"entries,omitempty"`
+	Snapshot *Snapshot[S] `json:"snapshot,omitempty"`
+	Reject   bool         `json:"reject,omitempty"`
+	Hint     uint64       `json:"hint,omitempty"`     // in a rejected append: where to continue
+	Sent     model.Time   `json:"sent,omitempty"`     // the sender's clock, echoed in the reply for the leader lease
+	Durable  bool         `json:"durable,omitempty"`  // in MsgJoin: the non-voter has a data folder and may become a voter
+	Transfer bool         `json:"transfer,omitempty"` // in votes: the leader asked for the election, so its lease does not matter
+}
+
+// Output lists what the caller has to do, in this order: install Snapshot,
+// persist HardState and Entries in one synced write (entries replace any
+// stored entries at or after the first index), apply Committed, send
+// Messages. The caller reports the sync with Node.Persisted.
+type Output[C, S any] struct {
+	Snapshot  *Snapshot[S]
+	HardState *HardState
+	Entries   []Entry[C]
+	Committed []Entry[C]
+	Messages  []Message[C, S]
+}
+
+// Role is the part that a node plays in its term.
+type Role uint8
+
+// The roles.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+	NonVoter // receives the log and does not vote
+)
+
+// Config is fixed for the life of a Node.
+type Config struct {
+	ID                 NodeID
+	Peers              []model.HostID // hosts that may know a leader, for MsgJoin
+	Durable            bool           // whether this node has a data folder
+	ElectionTimeoutMin model.Duration
+	ElectionTimeoutMax model.Duration
+	HeartbeatInterval  model.Duration
+	MaxAppendEntries   int    // entries in one append message at most
+	MaxInflight        int    // append messages to one peer that are not yet answered
+	SnapshotEvery      uint64 // applied entries between two snapshots
+}
--- /dev/null
+++ b/core/message/message.go
@@ -0,0 +1,239 @@
+// Package message holds the messages between the system's own processes as
+// typed values. Their encoding is the concern of packages codec and transport.
+package message
+
+import (
+	"primrosedale.example/primrosedale/core/consensus"
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/problem"
+)
+
+// Log is a message of the replicated log.
+type Log = consensus.Message[fleet.Command, *fleet.State]
+
+// Message is one message. Exactly one pointer is set. The sender's host is
+// established by the connection and is not part of the message.
+type Message struct {
+	Log           *Log           `json:"log,omitempty"`
+	Renew         *Renew         `json:"renew,omitempty"`
+	Grant         *Grant         `json:"grant,omitempty"`
+	Ask           *Ask           `json:"ask,omitempty"`
+	Dispatch      *Dispatch      `json:"dispatch,omitempty"`
+	Refuse        *Refuse        `json:"refuse,omitempty"`
+	Done          *Done          `json:"done,omitempty"`
+	Settled       *Settled       `json:"settled,omitempty"`
+	Withdraw      *Withdraw      `json:"withdraw,omitempty"`
+	TargetReport  *TargetReport  `json:"target_report,omitempty"`
+	WorkerReport  *WorkerReport  `json:"worker_report,omitempty"`
+	ReportReply   *ReportReply   `json:"report_reply,omitempty"`
+	Command       *Command       `json:"command,omitempty"`
+	CommandResult *CommandResult `json:"command_result,omitempty"`
+}
+
+// Renew asks the leader for a serving lease.
+type Renew struct {
+	Term        uint64             `json:"term"` // the sender ignores grants and dispatches of smaller terms
+	Seq         uint64             `json:"seq"`
+	Incarnation model.Incarnation  `json:"inc"`
+	DataCentre  model.DataCentreID `json:"dc"`
+	Applied     uint64             `json:"applied"` // last log index applied
+	Leaving     bool               `json:"leaving,omitempty"`
+	// Forwarded lists every request that the sender has forwarded and not yet
+	// seen settled. It is complete in each Renew of a sender until the first
+	// Grant of the term; afterwards it is left out.
+	Forwarded []Forwarded `json:"forwarded,omitempty"`
+	Full      bool        `json:"full,omitempty"` // Forwarded is complete
+}
+
+// Forwarded is a request that may be running on a target.
+type Forwarded struct {
+	Request  model.RequestID   `json:"request"`
+	Attempt  int               `json:"attempt"`
+	Team     model.TeamID      `json:"team"`
+	Queue    model.QueueID     `json:"queue"`
+	Target   model.TargetID    `json:"target"`
+	Inc      model.Incarnation `json:"inc"`      // of the target
+	Deadline model.Duration    `json:"deadline"` // time left until the target must have stopped
+}
+
+// Grant is the leader's answer to a Renew. The lease runs for Duration from
+// the moment the holder sent the Renew with this Seq.
+type Grant struct {
+	Term     uint64         `json:"term"`
+	Seq      uint64         `json:"seq"`
+	Duration model.Duration `json:"duration"`
+}
+
+// Ask puts a request into its queue. It is sent again until answered; the
+// owner knows a repeated Ask by the request id.
+type Ask struct {
+	Request    model.RequestID   `json:"request"`
+	Inc        model.Incarnation `json:"inc"` // of the gateway
+	Team       model.TeamID      `json:"team"`
+	Queue      model.QueueID     `json:"queue"`
+	Idempotent bool              `json:"idempotent"`
+	Key        model.Digest      `json:"key,omitempty"`  // claim key of a non-idempotent request
+	Body       model.Digest      `json:"body,omitempty"` // of queue and body, with Key
+	Worth      float64           `json:"worth"`
+	Patience   model.Duration    `json:"patience"` // time left in which it may start
+	Attempt    int               `json:"attempt"`  // attempts that have ended
+}
+
+// Dispatch lets the gateway forward a request to a target.
+type Dispatch struct {
+	Term    uint64            `json:"term"`
+	Request model.RequestID   `json:"request"`
+	Attempt int               `json:"attempt"` // counted from 1
+	Target  model.TargetID    `json:"target"`
+	Inc     model.Incarnation `json:"inc"` // of the target
+	Address string            `json:"address"`
+	StartBy model.Duration    `json:"start_by"` // time left in which the first byte may be sent
+	MaxRun  model.Duration    `json:"max_run"`
+}
+
+// Refuse ends a request without a run, or with a stored answer.
+type Refuse struct {
+	Term    uint64           `json:"term"`
+	Request model.RequestID  `json:"request"`
+	Problem *problem.Problem `json:"problem,omitempty"`
+	Answer  *model.Answer    `json:"answer,omitempty"` // stored answer for a resend
+}
+
+// Outcome is what the gateway knows of an attempt.
+type Outcome string
+
+// The outcomes of an attempt.
+const (
+	OutcomeAnswered   Outcome = "answered"    // the whole answer was received
+	OutcomeNotStarted Outcome = "not_started" // no byte reached the target, or the target says that it did not run
+	OutcomeUnknown    Outcome = "unknown"     // the target may have run it, or may still be running it
+)
+
+// Done tells the owner how an attempt ended. It is sent again until Settled.
+type Done struct {
+	Request    model.RequestID `json:"request"`
+	Attempt    int             `json:"attempt"`
+	Outcome    Outcome         `json:"outcome"`
+	Status     int             `json:"status,omitempty"`
+	RunTime    model.Duration  `json:"run_time,omitempty"`    // from first byte sent to last byte received
+	RetryAfter model.Duration  `json:"retry_after,omitempty"` // the target's wish, positive
+	Answer     *model.Answer   `json:"answer,omitempty"`      // to store, for a claim
+	Claim      *fleet.ClaimID  `json:"claim,omitempty"`
+	Final      bool            `json:"final,omitempty"` // the gateway makes no further attempt
+}
+
+// Settled tells the gateway that the owner has recorded a Done; for a claim,
+// that the stored answer is committed.
+type Settled struct {
+	Request model.RequestID `json:"request"`
+	Attempt int             `json:"attempt"`
+}
+
+// Withdraw tells the owner that the caller has gone.
+type Withdraw struct {
+	Request model.RequestID `json:"request"`
+}
+
+// TargetState is what a target says of itself.
+type TargetState string
+
+// The target states.
+const (
+	TargetReady   TargetState = "ready"
+	TargetLeaving TargetState = "leaving" // finishes what runs and takes nothing new
+)
+
+// RunningRequest is a request that a target is running.
+type RunningRequest struct {
+	Request model.RequestID `json:"request"`
+	Team    model.TeamID    `json:"team"`
+}
+
+// TargetReport is a target's announcement of itself.
+type TargetReport struct {
+	Report  uint64           `json:"report"` // reply id, unique on the host that received it
+	Target  fleet.Target     `json:"target"`
+	Seq     uint64           `json:"seq"`   // counted by the target from 1
+	Acked   uint64           `json:"acked"` // largest Seq whose reply the target had received when it took this sample
+	State   TargetState      `json:"state"`
+	Running []RunningRequest `json:"running,omitempty"`
+}
+
+// TaskRun is the state of one task on a worker.
+type TaskRun struct {
+	Task  model.TaskID    `json:"task"`
+	Epoch uint64          `json:"epoch"`
+	Phase TaskRunPhase    `json:"phase"`
+	Usage model.Resources `json:"usage"`
+	Ran   model.Duration  `json:"ran"`
+	Note  string          `json:"note,omitempty"`
+}
+
+// TaskRunPhase is the progress of a task on a worker.
+type TaskRunPhase string
+
+// The phases of a task on a worker.
+const (
+	RunRunning  TaskRunPhase = "running"
+	RunFinished TaskRunPhase = "finished" // reported until the leader stops listing it
+	RunFailed   TaskRunPhase = "failed"
+	RunStopped  TaskRunPhase = "stopped" // by order, or at the end of its lease
+)
+
+// WorkerReport is a worker's report of itself through the platform.
+type WorkerReport struct {
+	Report     uint64             `json:"report"`
+	Worker     model.HostID       `json:"worker"`
+	Inc        model.Incarnation  `json:"inc"`
+	DataCentre model.DataCentreID `json:"dc"`
+	Rack       model.RackID       `json:"rack"`
+	Capacity   model.Resources    `json:"capacity"`
+	Image      string             `json:"image"`
+	Seq        uint64             `json:"seq"`
+	Runs       []TaskRun          `json:"runs,omitempty"`
+}
+
+// OrderKind is what a worker is told to do with a task.
+type OrderKind string
+
+// The order kinds.
+const (
+	OrderRun        OrderKind = "run" // start it if it does not run; renews its lease
+	OrderStop       OrderKind = "stop"
+	OrderCheckpoint OrderKind = "checkpoint" // save progress, then stop
+	OrderThrottle   OrderKind = "throttle"
+	OrderForget     OrderKind = "forget" // its end is recorded; stop reporting it
+)
+
+// Order is one order to a worker. An order to run is valid for Lease from the
+// moment the worker sent the report that it answers.
+type Order struct {
+	Kind    OrderKind       `json:"kind"`
+	Task    model.TaskID    `json:"task"`
+	Epoch   uint64          `json:"epoch"`
+	Command string          `json:"command,omitempty"`
+	Size    model.Resources `json:"size"`
+	MaxRun  model.Duration  `json:"max_run,omitempty"`
+	Lease   model.Duration  `json:"lease,omitempty"`
+}
+
+// ReportReply answers a TargetReport or a WorkerReport.
+type ReportReply struct {
+	Report  uint64           `json:"report"`
+	Problem *problem.Problem `json:"problem,omitempty"`
+	Orders  []Order          `json:"orders,omitempty"`
+	Reboot  bool             `json:"reboot,omitempty"` // the worker is drained: reboot to ImageWant
+	Image   string           `json:"image,omitempty"`
+}
+
+// Command submits a command of an operator or a task submitter.
+type Command struct {
+	Command fleet.Command `json:"command"` // ID is set
+}
+
+// CommandResult is the committed result of a submitted command.
+type CommandResult struct {
+	ID     model.CommandID `json:"id"`
+	Result fleet.Result    `json:"result"`
+}
--- /dev/null
+++ b/core/model/model.go
@@ -0,0 +1,80 @@
+// Package model holds the identifiers and value types that every other
+// package shares. It depends on nothing, so that decision packages and
+// traffic packages can exchange values without importing each other.
+package model
+
+// Time is a point in time in nanoseconds since the Unix epoch, read by the
+// control loop from a clock that never runs backwards within one process.
+// Times of two processes are never compared where safety depends on it.
+type Time int64
+
+// Duration is a length of time in nanoseconds.
+type Duration int64
+
+// Units of Duration.
+const (
+	Microsecond Duration = 1000
+	Millisecond          = 1000 * Microsecond
+	Second               = 1000 * Millisecond
+	Minute               = 60 * Second
+	Hour                 = 60 * Minute
+)
+
+// Add returns the time d after t.
+func (t Time) Add(d Duration) Time { return t + Time(d) }
+
+// Sub returns the duration from u to t.
+func (t Time) Sub(u Time) Duration { return Duration(t - u) }
+
+// Seconds returns d in seconds.
+func (d Duration) Seconds() float64 { return float64(d) / float64(Second) }
+
+// Identifiers. All are non-empty printable ASCII without spaces.
+type (
+	HostID       string
+	DataCentreID string
+	RackID       string
+	TeamID       string
+	QueueID      string
+	ServiceID    string
+	PoolID       string
+	TargetID     string
+	TaskID       string
+	// RequestID is unique over all gateways and restarts.
+	RequestID string
+	// CommandID identifies one submission of a command; a resend keeps it.
+	CommandID string
+	// Incarnation distinguishes two lives of one process or data folder.
+	Incarnation string
+	// Digest is a lower-case hexadecimal SHA-256.
+	Digest string
+)
+
+// Resources is an amount of what a worker offers and a task uses.
+type Resources struct {
+	MilliCPU     int64 `json:"milli_cpu"`    // thousandths of a core
+	MemoryMB     int64 `json:"memory_mb"`    // megabytes
+	Accelerators int64 `json:"accelerators"` // whole devices
+}
+
+// Add returns r + s.
+func (r Resources) Add(s Resources) Resources {
+	return Resources{r.MilliCPU + s.MilliCPU, r.MemoryMB + s.MemoryMB, r.Accelerators + s.Accelerators}
+}
+
+// Sub returns r - s.
+func (r Resources) Sub(s Resources) Resources {
+	return Resources{r.MilliCPU - s.MilliCPU, r.MemoryMB - s.MemoryMB, r.Accelerators - s.Accelerators}
+}
+
+// Fits reports whether r is at most s in every dimension.
+func (r Resources) Fits(s Resources) bool {
+	return r.MilliCPU <= s.MilliCPU && r.MemoryMB <= s.MemoryMB && r.Accelerators <= s.Accelerators
+}
+
+// Answer is a target's whole answer to a request.
+type Answer struct {
+	Status      int    `json:"status"` // HTTP status code
+	ContentType string `json:"content_type,omitempty"`
+	Body        []byte `json:"body,omitempty"`
+}
--- /dev/null
+++ b/core/problem/problem.go
@@ -0,0 +1,118 @@
+// Package problem is the closed list of error kinds that callers, task
+// submitters and operators can receive, with one table from kind to answer.
+package problem
+
+import (
+	"fmt"
+
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// Kind names one kind of error. The list is closed: every value has a row in
+// the table, which a test checks.
+type Kind string
+
+// The error kinds.
+const (
+	BadRequest          Kind = "bad_request"
+	BodyTooLarge        Kind = "body_too_large"
+	KeyMissing          Kind = "key_missing"
+	KeyRejected         Kind = "key_rejected"
+	UnknownQueue        Kind = "unknown_queue"
+	UnknownTask         Kind = "unknown_task"
+	UnknownTeam         Kind = "unknown_team"
+	Overloaded          Kind = "overloaded"
+	NoLeader            Kind = "no_leader"
+	NoLease             Kind = "no_lease"
+	PatienceExceeded    Kind = "patience_exceeded"
+	NoTarget            Kind = "no_target"
+	Stopping            Kind = "stopping"
+	KeyReused           Kind = "idempotency_key_reused"
+	InProgress          Kind = "in_progress"
+	OutcomeUnknown      Kind = "outcome_unknown"
+	AnswerNotRetained   Kind = "answer_not_retained"
+	AnswerTooLarge      Kind = "answer_too_large"
+	DeadlineExceeded    Kind = "deadline_exceeded"
+	RetriesExhausted    Kind = "retries_exhausted"
+	RevisionConflict    Kind = "revision_conflict"
+	RulesRejected       Kind = "rules_rejected"
+	UnknownKey          Kind = "unknown_key"
+	CommandUnknown      Kind = "command_outcome_unknown"
+	TaskRejected        Kind = "task_rejected"
+	AnnouncementInvalid Kind = "announcement_invalid"
+	Internal            Kind = "internal"
+)
+
+// Ran says what is known of whether the work of a refused request ran.
+type Ran string
+
+// The values of Ran.
+const (
+	RanNo      Ran = "no"
+	RanUnknown Ran = "unknown"
+	RanYes     Ran = "yes"
+)
+
+// Row is the answer that belongs to a kind.
+type Row struct {
+	Status    int    // HTTP status code
+	Title     string // one line for people
+	Retryable bool   // whether a resend of the same request can succeed
+	Ran       Ran
+}
+
+var table = map[Kind]Row{
+	BadRequest:          {400, "the request is malformed", false, RanNo},
+	BodyTooLarge:        {413, "the request body is over the limit", false, RanNo},
+	KeyMissing:          {401, "this queue needs a key", false, RanNo},
+	KeyRejected:         {403, "the key is unknown or has been withdrawn", false, RanNo},
+	UnknownQueue:        {404, "there is no such queue", false, RanNo},
+	UnknownTask:         {404, "there is no such task", false, RanNo},
+	UnknownTeam:         {404, "there is no such team", false, RanNo},
+	Overloaded:          {503, "this host holds too many requests", true, RanNo},
+	NoLeader:            {503, "no leader is known to this host", true, RanNo},
+	NoLease:             {503, "this host holds no serving lease", true, RanNo},
+	PatienceExceeded:    {503, "the request cannot start within its patience", true, RanNo},
+	NoTarget:            {503, "no target offers this service", true, RanNo},
+	Stopping:            {503, "this host is stopping", true, RanNo},
+	KeyReused:           {422, "the idempotency key was used with another request", false, RanNo},
+	InProgress:          {409, "an earlier request with this idempotency key is still running", true, RanUnknown},
+	OutcomeUnknown:      {502, "the request may have run and its outcome is not known", false, RanUnknown},
+	AnswerNotRetained:   {409, "the request ran and its answer is no longer kept", false, RanYes},
+	AnswerTooLarge:      {502, "the target's answer is over the limit", false, RanYes},
+	DeadlineExceeded:    {504, "the request did not finish within its run time", false, RanUnknown},
+	RetriesExhausted:    {502, "every attempt failed", true, RanUnknown},
+	RevisionConflict:    {409, "another configuration was accepted on the same base revision", false, RanNo},
+	RulesRejected:       {422, "the rules are not valid", false, RanNo},
+	UnknownKey:          {404, "there is no such key", false, RanNo},
+	CommandUnknown:      {504, "the command was submitted and its outcome is not known", true, RanUnknown},
+	TaskRejected:        {422, "the task cannot be accepted", false, RanNo},
+	AnnouncementInvalid: {400, "the announcement is malformed", false, RanNo},
+	Internal:            {500, "internal error", false, RanUnknown},
+}
+
+// Lookup returns the row of k. An unknown kind has the row of Internal.
+func Lookup(k Kind) Row {
+	if row, ok := table[k]; ok {
+		return row
+	}
+	return table[Internal]
+}
+
+// Kinds returns the number of kinds in the table.
+func Kinds() int { return len(table) }
+
+// Problem is one refusal.
+type Problem struct {
+	Kind       Kind           `json:"kind"`
+	Detail     string         `json:"detail,omitempty"`
+	RetryAfter model.Duration `json:"retry_after,omitempty"` // zero lets the gateway choose
+}
+
+// New returns a Problem of kind k with a formatted detail.
+func New(k Kind, format string, args ...any) *Problem {
+	return &Problem{Kind: k, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Error makes a Problem usable as an error.
+func (p *Problem) Error() string { return string(p.Kind) + ": " + p.Detail }
--- /dev/null
+++ b/core/rules/rules.go
@@ -0,0 +1,65 @@
+// Package rules holds the operators' rules as typed values: the
+// configuration that is replicated and in force on every host.
+package rules
+
+import "primrosedale.example/primrosedale/core/model"
+
+// Rules is one revision of the configuration. Values are immutable once
+// built: every change makes a new Rules.
+type Rules struct {
+	Revision    uint64                            `json:"revision"`
+	Teams       map[model.TeamID]Team             `json:"teams,omitempty"`
+	Queues      map[model.QueueID]Queue           `json:"queues,omitempty"`
+	Pools       map[model.PoolID]Pool             `json:"pools,omitempty"`
+	DataCentres map[model.DataCentreID]DataCentre `json:"data_centres,omitempty"`
+	Waves       map[string]Wave                   `json:"waves,omitempty"`
+	Objectives  map[string]Objective              `json:"objectives,omitempty"`
+	Hosts       map[model.HostID]HostPlacement    `json:"hosts,omitempty"`
+}
+
+// Team is a submitter with a share and an upper limit.
+type Team struct {
+	Share float64 `json:"share"` // percent of the fleet when everything is full, 0 to 100
+	Limit int     `json:"limit"` // running requests and tasks over the whole fleet, at least 1
+}
+
+// Queue is where callers send requests for one service.
+type Queue struct {
+	Service    model.ServiceID `json:"service"`
+	Precedence int             `json:"precedence"`          // larger goes first, 0 to 9
+	MaxRun     model.Duration  `json:"max_run"`             // longest run of one request
+	Open       bool            `json:"open,omitempty"`      // accepts requests without a key
+	Team       model.TeamID    `json:"team,omitempty"`      // team charged for requests without a key
+	Overnight  bool            `json:"overnight,omitempty"` // may wait long but must finish
+}
+
+// Pool is a group of hosts that serve the same purpose.
+type Pool struct {
+	HostsMin       int  `json:"hosts_min"`       // hosts the pool is given at least
+	UnavailableMax int  `json:"unavailable_max"` // availability budget: hosts out at one time
+	Spare          bool `json:"spare,omitempty"` // hosts that may be moved to any pool
+}
+
+// DataCentre is the operators' state of one data centre.
+type DataCentre struct {
+	Out bool `json:"out,omitempty"` // no new work may start in it
+}
+
+// Wave is a maintenance wave: every host of the pools gets the image.
+type Wave struct {
+	Pools []model.PoolID `json:"pools"`
+	Image string         `json:"image"`
+}
+
+// Objective is a service-level objective for the burn report.
+type Objective struct {
+	Team    model.TeamID    `json:"team"`
+	Service model.ServiceID `json:"service"`
+	Good    float64         `json:"good"`   // fraction of requests, 0 to 1
+	Window  model.Duration  `json:"window"` // length of the error budget
+}
+
+// HostPlacement is the operators' choice of a pool for one host.
+type HostPlacement struct {
+	Pool model.PoolID `json:"pool"`
+}
