--- /dev/null
+++ b/core/effect/effect.go
@@ -0,0 +1,143 @@
+// Package effect holds everything that the reducer can ask for, as data. The
+// control goroutine hands each effect to the part that carries it out; none
+// of those parts decides anything.
+package effect
+
+import (
+	"primrosedale.example/primrosedale/core/consensus"
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/problem"
+	"primrosedale.example/primrosedale/core/view"
+)
+
+// Effect is one of the types of this package.
+type Effect interface{ effect() }
+
+// Send passes a message to another process. It may be lost.
+type Send struct {
+	To      model.HostID
+	Message message.Message
+}
+
+// Persist writes to the data folder and syncs it. The log writer answers with
+// event.Persisted{Term, Index} or event.PersistFailed.
+type Persist struct {
+	Snapshot  *consensus.Snapshot[*fleet.State]
+	Install   bool // Snapshot came from the leader and replaces the whole log
+	HardState *consensus.HardState
+	Entries   []consensus.Entry[fleet.Command]
+	Term      uint64 // to report back
+	Index     uint64 // to report back
+}
+
+// Forward sends a held request to a target. The traffic goroutine checks the
+// lease of the published view and StartBy again before the first byte, and
+// answers with event.ForwardEnded.
+type Forward struct {
+	Request    model.RequestID
+	Attempt    int
+	Target     model.TargetID
+	Inc        model.Incarnation
+	Address    string
+	Ticket     uint64     // sequence number of a recent announcement of the target
+	StartBy    model.Time // no byte is sent after this time
+	Deadline   model.Time // the run is given up at this time
+	Claimed    bool       // the answer is to be stored: return it in ForwardEnded
+	Idempotent bool
+}
+
+// AnswerRequest ends a held request. Exactly one of Problem and Answer is set,
+// or neither: then the caller gets the answer that attempt Attempt received.
+type AnswerRequest struct {
+	Request model.RequestID
+	Attempt int
+	Problem *problem.Problem
+	Answer  *model.Answer
+}
+
+// AnswerCommand ends a submitted command.
+type AnswerCommand struct {
+	ID     model.CommandID
+	Result fleet.Result
+}
+
+// AnswerReport answers a target's or worker's report.
+type AnswerReport struct{ Reply message.ReportReply }
+
+// AnswerStatus answers a StatusRequested.
+type AnswerStatus struct {
+	Query  uint64
+	Status *view.Status
+	Task   *fleet.Task // immutable; nil if there is no such task of the team
+}
+
+// Publish replaces the view that traffic goroutines read.
+type Publish struct{ View *view.View }
+
+// Log emits a numbered log event.
+type Log struct {
+	Code    Code
+	Host    model.HostID
+	Target  model.TargetID
+	Request model.RequestID
+	Team    model.TeamID
+	Term    uint64
+	Index   uint64
+	Detail  string
+}
+
+// Code names a log event of the reducer. Package logevent gives each its
+// number, level and text.
+type Code string
+
+// The log events of the reducer.
+const (
+	LeaderElected    Code = "leader_elected"
+	LeaderLost       Code = "leader_lost"
+	LeaseLost        Code = "lease_lost"
+	LeaseRegained    Code = "lease_regained"
+	HostSilent       Code = "host_silent"
+	MemberAdded      Code = "member_added"
+	VotersChanged    Code = "voters_changed"
+	SnapshotTaken    Code = "snapshot_taken"
+	SnapshotReceived Code = "snapshot_received"
+	SyncFailed       Code = "sync_failed"
+	RulesAccepted    Code = "rules_accepted"
+	RulesRefused     Code = "rules_refused"
+	RulesInForce     Code = "rules_in_force"
+	KeyGranted       Code = "key_granted"
+	KeyWithdrawn     Code = "key_withdrawn"
+	TargetRegistered Code = "target_registered"
+	TargetSilent     Code = "target_silent"
+	TargetLeaving    Code = "target_leaving"
+	TargetRemoved    Code = "target_removed"
+	DispatchReady    Code = "dispatch_ready"
+	RequestRefused   Code = "request_refused"
+	OutcomeUnknown   Code = "outcome_unknown"
+	WorkerSeen       Code = "worker_seen"
+	WorkerSilent     Code = "worker_silent"
+	WorkerSuspect    Code = "worker_suspect"
+	TaskPlaced       Code = "task_placed"
+	TaskEnded        Code = "task_ended"
+	HostDraining     Code = "host_draining"
+	HostReturned     Code = "host_returned"
+	WaveStopped      Code = "wave_stopped"
+	Stopping         Code = "stopping"
+)
+
+// Halt ends the process: with a reason after a failure, or without one when a
+// graceful stop is complete.
+type Halt struct{ Reason string }
+
+func (Send) effect()          {}
+func (Persist) effect()       {}
+func (Forward) effect()       {}
+func (AnswerRequest) effect() {}
+func (AnswerCommand) effect() {}
+func (AnswerReport) effect()  {}
+func (AnswerStatus) effect()  {}
+func (Publish) effect()       {}
+func (Log) effect()           {}
+func (Halt) effect()          {}
--- /dev/null
+++ b/core/event/event.go
@@ -0,0 +1,102 @@
+// Package event holds everything that can happen to a process, as data. The
+// control goroutine gives each event to the reducer in one total order.
+package event
+
+import (
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// Input is one event with the time and the random number that the reducer may
+// use. A recorded sequence of Inputs replays to the same effects.
+type Input struct {
+	At    model.Time
+	Rand  uint64
+	Event Event
+}
+
+// Event is one of the types of this package.
+type Event interface{ event() }
+
+// Tick arrives every 50 ms.
+type Tick struct{}
+
+// Received is a message from another process of the cluster.
+type Received struct {
+	From    model.HostID
+	Message message.Message
+}
+
+// Persisted says that a Persist effect has been carried out and synced.
+type Persisted struct {
+	Term  uint64 // hard state of this term is on disk
+	Index uint64 // all entries up to this index are on disk
+}
+
+// PersistFailed says that the data folder can no longer be written.
+type PersistFailed struct{ Reason string }
+
+// Request is a caller's request without its body.
+type Request struct {
+	ID         model.RequestID
+	Team       model.TeamID
+	Queue      model.QueueID
+	Idempotent bool
+	Key        model.Digest // claim key of a non-idempotent request
+	Body       model.Digest // digest of queue and body, with Key
+	Worth      float64
+	Patience   model.Duration // time in which it may start
+}
+
+// RequestArrived is a request that passed the admission checks.
+type RequestArrived struct{ Request Request }
+
+// RequestAbandoned says that the caller of a request has disconnected.
+type RequestAbandoned struct{ Request model.RequestID }
+
+// ForwardEnded is the end of an attempt that a Forward effect started.
+type ForwardEnded struct {
+	Request    model.RequestID
+	Attempt    int
+	Outcome    message.Outcome
+	Status     int            // of an answered attempt
+	RunTime    model.Duration // from the first byte sent
+	RetryAfter model.Duration // positive if the target sent one
+	Answer     *model.Answer  // for a request with a claim, if small enough to store
+	TooLarge   bool           // the answer was over the limit
+	TimedOut   bool           // the run time limit passed
+}
+
+// TargetReported is an announcement that a target sent to this host.
+type TargetReported struct{ Report message.TargetReport }
+
+// WorkerReported is a report that a worker sent to this host.
+type WorkerReported struct{ Report message.WorkerReport }
+
+// CommandSubmitted is a command of an operator or a task submitter. Its ID is
+// set and stays the same when the command is submitted again.
+type CommandSubmitted struct{ Command fleet.Command }
+
+// StatusRequested asks for a Status effect.
+type StatusRequested struct {
+	Query uint64       // returned with the answer
+	Task  model.TaskID // the task to describe, or empty for the whole system
+	Team  model.TeamID // the team that asks for the task
+}
+
+// StopRequested begins the graceful stop of this process.
+type StopRequested struct{}
+
+func (Tick) event()             {}
+func (Received) event()         {}
+func (Persisted) event()        {}
+func (PersistFailed) event()    {}
+func (RequestArrived) event()   {}
+func (RequestAbandoned) event() {}
+func (ForwardEnded) event()     {}
+func (TargetReported) event()   {}
+func (WorkerReported) event()   {}
+func (CommandSubmitted) event() {}
+func (StatusRequested) event()  {}
+func (StopRequested) event()    {}
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -88,6 +88,8 @@
 	Target  model.TargetID    `json:"target"`
 	Inc     model.Incarnation `json:"inc"` // of the target
 	Address string            `json:"address"`
+	Ticket  uint64            `json:"ticket"` // Seq of a recent announcement; the target refuses an old one
+	Claimed bool              `json:"claimed,omitempty"`
 	StartBy model.Duration    `json:"start_by"` // time left in which the first byte may be sent
 	MaxRun  model.Duration    `json:"max_run"`
 }
