--- /dev/null
+++ b/core/apply.go
@@ -0,0 +1,76 @@
+package core
+
+import (
+	"primrosedale.example/primrosedale/core/consensus"
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+type (
+	logEntry    = consensus.Entry[fleet.Command]
+	logSnapshot = consensus.Snapshot[*fleet.State]
+)
+
+// Times of submitted commands.
+const (
+	commandResend  = 1000 * model.Millisecond
+	commandTimeout = 10 * model.Second
+)
+
+// apply applies one committed entry and tells the branches.
+func (s *State) apply(e *logEntry) {
+	if e.Kind == consensus.EntryVoters {
+		s.emit(effect.Log{Code: effect.VotersChanged, Index: e.Index})
+	}
+	if e.Kind != consensus.EntryCommand || e.Command == nil {
+		s.fleet.Index = e.Index
+		return
+	}
+	c := e.Command
+	result := s.fleet.Apply(e.Index, c)
+	s.answerCommand(c, result)
+	s.logCommand(c, result)
+	if s.leading != nil {
+		s.committedAsLeader(c, result)
+	}
+}
+
+// submit passes a command to the leader and keeps it until it is applied here.
+func (s *State) submit(c fleet.Command) {
+	if p := s.pending[c.ID]; p != nil {
+		return
+	}
+	p := &pendingCommand{command: c, deadline: s.now.Add(commandTimeout)}
+	s.pending[c.ID] = p
+	s.sendCommand(p)
+}
+
+// answerCommand answers a command that was submitted on this host. The result
+// is the one of its first application, so a resend gets the same answer.
+func (s *State) answerCommand(c *fleet.Command, result fleet.Result) {
+	if c.ID == "" || s.pending[c.ID] == nil {
+		return
+	}
+	delete(s.pending, c.ID)
+	s.emit(effect.AnswerCommand{ID: c.ID, Result: result})
+}
+
+func (s *State) logCommand(c *fleet.Command, result fleet.Result) {
+	l := effect.Log{Index: s.fleet.Index}
+	switch {
+	case c.ApplyRules != nil && result.Problem != nil:
+		l.Code, l.Detail = effect.RulesRefused, result.Problem.Error()
+	case c.ApplyRules != nil:
+		l.Code = effect.RulesAccepted
+	case c.GrantKey != nil && result.Problem == nil:
+		l.Code, l.Team, l.Detail = effect.KeyGranted, c.GrantKey.Team, c.GrantKey.Name
+	case c.WithdrawKey != nil && result.Problem == nil:
+		l.Code, l.Detail = effect.KeyWithdrawn, c.WithdrawKey.Name
+	case c.AddMember != nil:
+		l.Code, l.Host = effect.MemberAdded, c.AddMember.Host
+	default:
+		return
+	}
+	s.emit(l)
+}
--- /dev/null
+++ b/core/dispatch/advance.go
@@ -0,0 +1,110 @@
+package dispatch
+
+import (
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/problem"
+)
+
+type timerKind uint8
+
+const (
+	timerDeadline timerKind = iota // a waiting request's patience ends
+	timerDelay                     // a delayed request may be tried again
+	timerRun                       // a released run passes its deadline
+	timerSilent                    // a target has not announced itself
+	timerPause                     // a target's pause ends
+	timerForget                    // a silent target can run nothing any more
+)
+
+type timerID struct {
+	kind    timerKind
+	request model.RequestID
+	attempt int
+	target  model.TargetID
+}
+
+type timer struct{ at model.Time }
+
+func (a timer) before(b timer) bool { return a.at < b.at }
+
+// Advance does what is due at time env.Now.
+func (o *Owner) Advance(env Env, out *Out) {
+	o.passFence(env, out)
+	for _, host := range sortedKeys(o.byGateway) {
+		if !env.Granter.Serving(env.Now, host) {
+			o.loseGateway(env, host)
+		}
+	}
+	due := false
+	for {
+		id, t, _, ok := o.timers.Peek()
+		if !ok || t.at > env.Now {
+			break
+		}
+		o.timers.Pop()
+		o.expire(env, out, id)
+		due = true
+	}
+	o.trimEnded(env.Now)
+	if due {
+		o.pumpAll(env, out)
+	}
+}
+
+// passFence starts dispatching once no earlier lease can run unseen.
+func (o *Owner) passFence(env Env, out *Out) {
+	if o.fenced || !env.Granter.Fenced(env.Now, env.Members) {
+		return
+	}
+	o.fenced = true
+	o.fencedAt = env.Now
+	out.log(effect.Log{Code: effect.DispatchReady, Term: o.term})
+	o.pumpAll(env, out)
+}
+
+func (o *Owner) expire(env Env, out *Out, id timerID) {
+	switch id.kind {
+	case timerDeadline:
+		if r := o.requests[id.request]; r != nil {
+			o.refuse(env, out, r, o.impatience(r))
+		}
+	case timerDelay:
+		if r := o.requests[id.request]; r != nil && r.state == stateDelayed {
+			o.enqueue(env, r)
+		}
+	case timerRun:
+		o.runOverdue(env, runID{id.request, id.attempt})
+	case timerSilent:
+		if t := o.targets[id.target]; t != nil {
+			out.log(effect.Log{Code: effect.TargetSilent, Target: id.target})
+			o.refresh(env, t)
+		}
+	case timerPause:
+		if t := o.targets[id.target]; t != nil {
+			o.refresh(env, t)
+		}
+	case timerForget:
+		if t := o.targets[id.target]; t != nil {
+			out.Proposals = append(out.Proposals, fleet.Command{At: env.Now, RemoveTarget: &fleet.RemoveTarget{
+				ID: t.reg.ID, Incarnation: t.reg.Incarnation,
+			}})
+			o.armForget(env, t)
+		}
+	}
+}
+
+func (o *Owner) impatience(r *request) *problem.Problem {
+	if r.service.targets == 0 {
+		return problem.New(problem.NoTarget, "no target offers service %s", r.service.id)
+	}
+	return problem.New(problem.PatienceExceeded, "no target of service %s was free in time", r.service.id)
+}
+
+// GatewayRenewed handles a renewal of a gateway's lease.
+func (o *Owner) GatewayRenewed(env Env, host model.HostID, restarted bool) {
+	if restarted {
+		o.loseGateway(env, host)
+	}
+}
--- /dev/null
+++ b/core/dispatch/claim.go
@@ -0,0 +1,109 @@
+package dispatch
+
+import (
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/problem"
+)
+
+// AnswerStoredMax is the largest answer body, in bytes, that a claim keeps for
+// a resend.
+const AnswerStoredMax = 64 << 10
+
+func (o *Owner) proposeClaim(env Env, out *Out, r *request) {
+	out.Proposals = append(out.Proposals, fleet.Command{At: env.Now, Claim: &fleet.Claim{
+		ClaimID: r.claimID(),
+		Request: r.ask.Request,
+		Gateway: r.gateway,
+		Body:    r.ask.Body,
+	}})
+}
+
+func (o *Owner) proposeRelease(env Env, out *Out, r *request) {
+	out.Proposals = append(out.Proposals, fleet.Command{At: env.Now, Release: &fleet.Release{
+		ClaimID: r.claimID(),
+		Request: r.ask.Request,
+	}})
+}
+
+// proposeOutcome records how a claimed request ended.
+func (o *Owner) proposeOutcome(env Env, out *Out, id fleet.ClaimID, d *message.Done) {
+	c := fleet.Command{At: env.Now}
+	switch d.Outcome {
+	case message.OutcomeNotStarted:
+		c.Release = &fleet.Release{ClaimID: id, Request: d.Request}
+	case message.OutcomeAnswered:
+		c.Complete = &fleet.Complete{ClaimID: id, Request: d.Request, Status: d.Status, Answer: storable(d.Answer)}
+	default:
+		c.Complete = &fleet.Complete{ClaimID: id, Request: d.Request, Unknown: true}
+	}
+	out.Proposals = append(out.Proposals, c)
+}
+
+func storable(a *model.Answer) *model.Answer {
+	if a == nil || len(a.Body) > AnswerStoredMax {
+		return nil
+	}
+	return a
+}
+
+// claimCommitted dispatches the request that got its claim, or answers it from
+// the record of the request that holds the claim.
+func (o *Owner) claimCommitted(env Env, out *Out, c *fleet.Claim, result fleet.Result) {
+	r := o.requests[c.Request]
+	if r == nil || r.state != stateClaiming {
+		return
+	}
+	if result.Granted {
+		o.claimGranted(env, out, r)
+		return
+	}
+	o.endRun(env, r.run)
+	r.run = nil
+	o.answerFromClaim(env, out, r, result)
+	o.pump(env, out, r.service)
+}
+
+func (o *Owner) claimGranted(env Env, out *Out, r *request) {
+	r.claimed = true
+	if r.withdrew {
+		o.endRun(env, r.run)
+		o.proposeRelease(env, out, r)
+		o.forget(r)
+		o.pump(env, out, r.service)
+		return
+	}
+	t := r.run.target
+	if !o.usable(env, t) || !env.Granter.Serving(env.Now, r.gateway) {
+		o.endRun(env, r.run)
+		r.run = nil
+		o.enqueue(env, r)
+		o.pump(env, out, r.service)
+		return
+	}
+	o.dispatch(env, out, r)
+}
+
+func (o *Owner) answerFromClaim(env Env, out *Out, r *request, result fleet.Result) {
+	if result.Problem != nil {
+		o.refuse(env, out, r, result.Problem)
+		return
+	}
+	record := result.Claim
+	switch {
+	case record.State == fleet.ClaimComplete && record.Answer != nil:
+		o.forget(r)
+		out.send(r.gateway, message.Message{Refuse: &message.Refuse{
+			Term: o.term, Request: r.ask.Request, Answer: record.Answer,
+		}})
+	case record.State == fleet.ClaimComplete:
+		o.refuse(env, out, r, problem.New(problem.AnswerNotRetained, "request %s ran with status %d", record.Request, record.Status))
+	case record.State == fleet.ClaimHeld && o.requests[record.Request] != nil:
+		p := problem.New(problem.InProgress, "request %s holds the idempotency key", record.Request)
+		p.RetryAfter = model.Second
+		o.refuse(env, out, r, p)
+	default:
+		o.refuse(env, out, r, problem.New(problem.OutcomeUnknown, "request %s may have run", record.Request))
+	}
+}
--- /dev/null
+++ b/core/dispatch/request.go
@@ -0,0 +1,215 @@
+package dispatch
+
+import (
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/problem"
+)
+
+type requestState uint8
+
+const (
+	stateQueued     requestState = iota // in the queue of its service
+	stateDelayed                        // waits for its next attempt
+	stateClaiming                       // holds a slot while its claim is committed
+	stateDispatched                     // the gateway may be forwarding it
+	stateSettling                       // ended; its claim is being completed or released
+)
+
+// request is one request that a gateway holds.
+type request struct {
+	ask      message.Ask
+	gateway  model.HostID
+	service  *service
+	rank     rank
+	state    requestState
+	deadline model.Time // it may start until then
+	claimed  bool       // this request holds its claim
+	attempt  int        // the latest attempt
+	failures int        // attempts that failed
+	run      *run       // while claiming or dispatched
+	withdrew bool       // withdrawn while its claim was being committed
+	adopted  bool       // taken over from a gateway's list; its Ask is not known
+	settleAs int        // attempt to name in Settled
+}
+
+func (r *request) claimID() fleet.ClaimID { return fleet.ClaimID{Team: r.ask.Team, Key: r.ask.Key} }
+
+// Ask handles a gateway's request for a target. A repeated Ask of a dispatched
+// request means that the Dispatch may have been lost: it is sent again, and
+// the gateway ignores it or reports that it did not start the attempt.
+func (o *Owner) Ask(env Env, out *Out, from model.HostID, a *message.Ask) {
+	if r := o.requests[a.Request]; r != nil {
+		if r.state == stateDispatched && a.Attempt < r.attempt {
+			o.sendDispatch(env, out, r)
+		}
+		return
+	}
+	queue, known := o.rules.Queues[a.Queue]
+	r := &request{ask: *a, gateway: from, attempt: a.Attempt, deadline: env.Now.Add(a.Patience)}
+	if !known {
+		o.refuse(env, out, r, problem.New(problem.UnknownQueue, "there is no queue %s", a.Queue))
+		return
+	}
+	if _, known := o.rules.Teams[a.Team]; !known {
+		o.refuse(env, out, r, problem.New(problem.UnknownTeam, "there is no team %s", a.Team))
+		return
+	}
+	if p := o.tooLate(env, queue, a); p != nil {
+		o.refuse(env, out, r, p)
+		return
+	}
+	o.track(r)
+	o.enqueue(env, r)
+	o.pump(env, out, r.service)
+}
+
+func (o *Owner) track(r *request) {
+	o.requests[r.ask.Request] = r
+	held := o.byGateway[r.gateway]
+	if held == nil {
+		held = make(map[model.RequestID]*request)
+		o.byGateway[r.gateway] = held
+	}
+	held[r.ask.Request] = r
+}
+
+func (o *Owner) forget(r *request) {
+	o.unqueue(r)
+	delete(o.requests, r.ask.Request)
+	delete(o.byGateway[r.gateway], r.ask.Request)
+	o.timers.Remove(timerID{kind: timerDeadline, request: r.ask.Request})
+	o.timers.Remove(timerID{kind: timerDelay, request: r.ask.Request})
+}
+
+// refuse ends a request that waits. A claim that it holds is released, because
+// only its gateway could have started it and that gateway is waiting.
+func (o *Owner) refuse(env Env, out *Out, r *request, p *problem.Problem) {
+	if r.claimed {
+		o.proposeRelease(env, out, r)
+	}
+	o.forget(r)
+	out.send(r.gateway, message.Message{Refuse: &message.Refuse{Term: o.term, Request: r.ask.Request, Problem: p}})
+	out.log(effect.Log{Code: effect.RequestRefused, Request: r.ask.Request, Team: r.ask.Team, Detail: string(p.Kind)})
+}
+
+// Withdraw handles the end of a request that its gateway no longer holds.
+func (o *Owner) Withdraw(env Env, out *Out, w *message.Withdraw) {
+	r := o.requests[w.Request]
+	if r == nil {
+		return
+	}
+	switch r.state {
+	case stateQueued, stateDelayed:
+		if r.claimed {
+			o.proposeRelease(env, out, r)
+		}
+		o.forget(r)
+	case stateClaiming:
+		r.withdrew = true
+	case stateDispatched, stateSettling:
+		// The gateway reports an attempt that it did not start, or its end.
+	}
+}
+
+// Done handles the end of an attempt.
+func (o *Owner) Done(env Env, out *Out, from model.HostID, d *message.Done) {
+	r := o.requests[d.Request]
+	if r == nil {
+		o.doneUnknown(env, out, from, d)
+		return
+	}
+	if r.state == stateSettling {
+		return // settled when the claim's change is committed
+	}
+	if r.state != stateDispatched || r.attempt != d.Attempt {
+		if d.Attempt <= r.attempt && !d.Final {
+			o.sendSettled(out, from, d.Request, d.Attempt)
+		}
+		return
+	}
+	o.endAttempt(env, r, d)
+	switch {
+	case d.Final:
+		o.endRequest(env, out, r, d)
+	case r.adopted:
+		// Its gateway asks again, with all that is needed to queue it.
+		o.forget(r)
+		o.sendSettled(out, from, d.Request, d.Attempt)
+	default:
+		o.sendSettled(out, from, d.Request, d.Attempt)
+		o.retry(env, out, r, d)
+	}
+	o.pumpAll(env, out)
+}
+
+// endAttempt books the outcome of an attempt on its run and its target.
+func (o *Owner) endAttempt(env Env, r *request, d *message.Done) {
+	run := r.run
+	r.run = nil
+	o.learn(r.ask.Queue, d)
+	if d.Outcome == message.OutcomeUnknown {
+		o.releaseRun(env, run, env.Now)
+	} else {
+		o.endRun(env, run)
+	}
+	o.judgeTarget(env, run.target, d)
+}
+
+// endRequest ends a request whose gateway makes no further attempt.
+func (o *Owner) endRequest(env Env, out *Out, r *request, d *message.Done) {
+	claim := d.Claim
+	if claim == nil && r.claimed {
+		id := r.claimID()
+		claim = &id
+	}
+	if claim == nil || !holdsClaim(env, *claim, d.Request) {
+		o.forget(r)
+		o.sendSettled(out, r.gateway, d.Request, d.Attempt)
+		return
+	}
+	r.state = stateSettling
+	r.settleAs = d.Attempt
+	o.proposeOutcome(env, out, *claim, d)
+}
+
+// holdsClaim reports whether the request holds the claim without an outcome.
+func holdsClaim(env Env, id fleet.ClaimID, request model.RequestID) bool {
+	record := env.Fleet.Claims[id]
+	return record != nil && record.Request == request && record.State == fleet.ClaimHeld
+}
+
+// doneUnknown handles a Done of a request that this owner does not know: it
+// ended under an earlier leader, or its Settled was lost.
+func (o *Owner) doneUnknown(env Env, out *Out, from model.HostID, d *message.Done) {
+	if run := o.runs[runID{d.Request, d.Attempt}]; run != nil && d.Outcome != message.OutcomeUnknown {
+		o.endRun(env, run)
+		o.pumpAll(env, out)
+	}
+	if d.Claim == nil || !d.Final || !holdsClaim(env, *d.Claim, d.Request) {
+		o.sendSettled(out, from, d.Request, d.Attempt)
+		return
+	}
+	r := &request{
+		ask:     message.Ask{Request: d.Request, Team: d.Claim.Team, Key: d.Claim.Key},
+		gateway: from, claimed: true, attempt: d.Attempt, state: stateSettling, settleAs: d.Attempt,
+	}
+	o.track(r)
+	o.proposeOutcome(env, out, *d.Claim, d)
+}
+
+// settle tells the gateway that the change of its claim is committed.
+func (o *Owner) settle(out *Out, id model.RequestID) {
+	r := o.requests[id]
+	if r == nil || r.state != stateSettling {
+		return
+	}
+	o.forget(r)
+	o.sendSettled(out, r.gateway, id, r.settleAs)
+}
+
+func (o *Owner) sendSettled(out *Out, to model.HostID, id model.RequestID, attempt int) {
+	out.send(to, message.Message{Settled: &message.Settled{Request: id, Attempt: attempt}})
+}
--- /dev/null
+++ b/core/dispatch/retry.go
@@ -0,0 +1,80 @@
+package dispatch
+
+import (
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/problem"
+)
+
+// The retry budget of a team.
+const (
+	retryShare = 0.1 // tokens earned by each answered request
+	retryRate  = 1.0 // tokens earned in a second
+	retryBurst = 10.0
+)
+
+// retry queues a request for its next attempt, after a delay that doubles with
+// each failure. An attempt that may have run costs a token of the team's
+// budget, because only such attempts multiply the load of the targets.
+func (o *Owner) retry(env Env, out *Out, r *request, d *message.Done) {
+	r.failures++
+	if d.Outcome == message.OutcomeUnknown {
+		if r.attempt >= AttemptsMax {
+			o.refuse(env, out, r, problem.New(problem.RetriesExhausted, "%d attempts failed", r.attempt))
+			return
+		}
+		if !o.spendRetry(env, r.ask.Team) {
+			o.refuse(env, out, r, problem.New(problem.RetriesExhausted, "the retry budget of team %s is spent", r.ask.Team))
+			return
+		}
+	}
+	o.delay(env, r, backoff(r.failures))
+}
+
+// delay takes a request out of the queue for a time.
+func (o *Owner) delay(env Env, r *request, d model.Duration) {
+	o.unqueue(r)
+	r.state = stateDelayed
+	o.timers.Set(timerID{kind: timerDelay, request: r.ask.Request}, timer{at: env.Now.Add(d)}, struct{}{})
+	o.timers.Set(timerID{kind: timerDeadline, request: r.ask.Request}, timer{at: r.deadline}, struct{}{})
+}
+
+func backoff(failures int) model.Duration {
+	shift := min(max(failures-1, 0), 10)
+	return min(RetryDelayMin<<shift, RetryDelayMax)
+}
+
+func (o *Owner) spendRetry(env Env, id model.TeamID) bool {
+	t := o.team(id)
+	t.refill(env.Now)
+	if t.retryTokens < 1 {
+		return false
+	}
+	t.retryTokens--
+	return true
+}
+
+func (t *team) refill(now model.Time) {
+	if t.retryAt != 0 {
+		t.retryTokens += retryRate * now.Sub(t.retryAt).Seconds()
+	}
+	t.retryAt = now
+	t.retryTokens = min(t.retryTokens, retryBurst)
+}
+
+// judgeTarget pauses a target that failed or asked for a pause. A pause grows
+// with each failure in a row and ends with the first answer.
+func (o *Owner) judgeTarget(env Env, t *target, d *message.Done) {
+	pause := d.RetryAfter
+	if d.Outcome == message.OutcomeAnswered {
+		t.failures = 0
+	} else {
+		t.failures++
+		pause = max(pause, backoff(t.failures))
+	}
+	if pause > 0 {
+		t.paused = max(t.paused, env.Now.Add(pause))
+		o.timers.Set(timerID{kind: timerPause, target: t.reg.ID}, timer{at: t.paused}, struct{}{})
+	}
+	o.refresh(env, t)
+}
--- /dev/null
+++ b/core/dispatch/run.go
@@ -0,0 +1,133 @@
+package dispatch
+
+import (
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// runID identifies one attempt of a request.
+type runID struct {
+	request model.RequestID
+	attempt int
+}
+
+// run is one attempt that counts as running on a target.
+type run struct {
+	id       runID
+	team     *team
+	target   *target
+	deadline model.Time // the target stops work by then
+	startBy  model.Time // the gateway sends no byte after this time
+
+	// A released run has no gateway that could report its end. It ends when a
+	// report that the target sampled after evidence does not list it.
+	released bool
+	evidence model.Time
+}
+
+type endedRun struct {
+	id runID
+	at model.Time
+}
+
+// startRun counts an attempt as running.
+func (o *Owner) startRun(env Env, id runID, teamID model.TeamID, t *target, deadline model.Time) *run {
+	r := &run{id: id, team: o.team(teamID), target: t, deadline: deadline, startBy: env.Now.Add(StartBy)}
+	o.runs[id] = r
+	r.team.running++
+	t.runs[id] = r
+	o.dispatchSeq++
+	t.lastUsed = o.dispatchSeq
+	o.refresh(env, t)
+	return r
+}
+
+// endRun ends the count of an attempt.
+func (o *Owner) endRun(env Env, r *run) {
+	if o.runs[r.id] != r {
+		return
+	}
+	delete(o.runs, r.id)
+	delete(r.target.runs, r.id)
+	o.timers.Remove(timerID{kind: timerRun, request: r.id.request, attempt: r.id.attempt})
+	r.team.running--
+	o.ended[r.id] = env.Now
+	o.endedFIFO = append(o.endedFIFO, endedRun{r.id, env.Now})
+	o.refresh(env, r.target)
+}
+
+// releaseRun keeps an attempt counted without a gateway. Bytes that were sent
+// before lastSend can arrive at the target for FlightTime.
+func (o *Owner) releaseRun(env Env, r *run, lastSend model.Time) {
+	if o.runs[r.id] != r {
+		return
+	}
+	r.released = true
+	r.evidence = lastSend.Add(FlightTime)
+	o.timers.Set(timerID{kind: timerRun, request: r.id.request, attempt: r.id.attempt}, timer{at: r.deadline}, struct{}{})
+}
+
+// runOverdue handles a released run past its deadline. A silent target has
+// stopped the work by then; one that reports gives evidence of its own.
+func (o *Owner) runOverdue(env Env, id runID) {
+	r := o.runs[id]
+	if r == nil || !r.released {
+		return
+	}
+	if r.target.silent(env.Now) && env.Now >= r.evidence {
+		o.endRun(env, r)
+		return
+	}
+	o.timers.Set(timerID{kind: timerRun, request: id.request, attempt: id.attempt}, timer{at: env.Now.Add(SilentAfter)}, struct{}{})
+}
+
+// Forwarded takes over the attempts that a gateway had forwarded under an
+// earlier leader.
+func (o *Owner) Forwarded(env Env, from model.HostID, list []message.Forwarded) {
+	for _, f := range list {
+		id := runID{f.Request, f.Attempt}
+		t := o.targets[f.Target]
+		if o.requests[f.Request] != nil || t == nil || t.reg.Incarnation != f.Inc {
+			continue
+		}
+		if old := o.runs[id]; old != nil {
+			o.endRun(env, old)
+		}
+		r := &request{
+			ask:     message.Ask{Request: f.Request, Team: f.Team, Queue: f.Queue},
+			gateway: from, attempt: f.Attempt, state: stateDispatched, adopted: true,
+		}
+		r.run = o.startRun(env, id, f.Team, t, env.Now.Add(f.Deadline))
+		o.track(r)
+	}
+}
+
+// loseGateway handles the end of a gateway's lease or of its process. Waiting
+// requests are dropped; the gateway asks again when it returns. Attempts that
+// it may have forwarded stay counted until the targets show their end.
+func (o *Owner) loseGateway(env Env, host model.HostID) {
+	for _, id := range sortedKeys(o.byGateway[host]) {
+		r := o.requests[id]
+		if r.run != nil {
+			if r.state == stateClaiming {
+				o.endRun(env, r.run)
+			} else {
+				o.releaseRun(env, r.run, env.Now)
+			}
+		}
+		o.forget(r)
+	}
+	delete(o.byGateway, host)
+}
+
+// trimEnded forgets ended runs after EndedMemory.
+func (o *Owner) trimEnded(now model.Time) {
+	n := 0
+	for n < len(o.endedFIFO) && now >= o.endedFIFO[n].at.Add(EndedMemory) {
+		if o.ended[o.endedFIFO[n].id] == o.endedFIFO[n].at {
+			delete(o.ended, o.endedFIFO[n].id)
+		}
+		n++
+	}
+	o.endedFIFO = o.endedFIFO[n:]
+}
--- /dev/null
+++ b/core/dispatch/target.go
@@ -0,0 +1,320 @@
+package dispatch
+
+import (
+	"slices"
+
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/pq"
+)
+
+// localPreference is the load, as a fraction of the slots, by which a target
+// in another data centre must be emptier than one in the gateway's own. It
+// weighs the extra 1.5 ms of a request between data centres.
+const localPreference = 0.125
+
+// reportsKept is the number of reports of a target whose time of receipt is
+// remembered, to date the sample of a later report.
+const reportsKept = 8
+
+// load orders the usable targets of a service in one data centre.
+type load struct {
+	used     float64 // fraction of the slots
+	lastUsed uint64  // sequence number of the last dispatch
+	id       model.TargetID
+}
+
+func (a load) before(b load) bool {
+	if a.used != b.used {
+		return a.used < b.used
+	}
+	if a.lastUsed != b.lastUsed {
+		return a.lastUsed < b.lastUsed
+	}
+	return a.id < b.id
+}
+
+type receipt struct {
+	seq uint64
+	at  model.Time
+}
+
+// target is one registered target.
+type target struct {
+	reg       fleet.Target
+	service   *service
+	state     message.TargetState
+	seq       uint64
+	lastHeard model.Time // zero before its first report to this owner
+	receipts  []receipt
+	runs      map[runID]*run
+	lastUsed  uint64
+	failures  int        // attempts in a row that failed
+	paused    model.Time // nothing is sent before this time
+	counted   bool       // its slots are in the service's sum
+	empty     bool       // its last report listed nothing
+
+	// proven is set once a report that was sampled after the fence has shown
+	// what runs. Until then all slots count as running.
+	proven bool
+}
+
+func (o *Owner) addTarget(env Env, reg fleet.Target) *target {
+	t := &target{reg: reg, service: o.service(reg.Service), runs: make(map[runID]*run), proven: true}
+	t.service.targets++
+	o.targets[reg.ID] = t
+	o.armForget(env, t)
+	return t
+}
+
+// silent reports whether the target has not announced itself for SilentAfter.
+func (t *target) silent(now model.Time) bool {
+	return t.lastHeard == 0 || now >= t.lastHeard.Add(SilentAfter)
+}
+
+// alive reports whether the target may take new work, apart from free slots.
+func (o *Owner) alive(env Env, t *target) bool {
+	if t.state != message.TargetReady || t.silent(env.Now) || o.rules.DataCentres[t.reg.DataCentre].Out {
+		return false
+	}
+	host, known := env.Fleet.Hosts[t.reg.Host]
+	return !known || host.Phase == fleet.HostServing
+}
+
+// usable reports whether the target may take a request that holds a slot.
+func (o *Owner) usable(env Env, t *target) bool {
+	return o.alive(env, t) && env.Now >= t.paused
+}
+
+// refresh puts the target into its service's order or takes it out.
+func (o *Owner) refresh(env Env, t *target) {
+	s := t.service
+	alive := o.targets[t.reg.ID] == t && o.alive(env, t)
+	if alive != t.counted {
+		t.counted = alive
+		if alive {
+			s.slots += t.reg.Slots
+		} else {
+			s.slots -= t.reg.Slots
+		}
+	}
+	centre := s.usable[t.reg.DataCentre]
+	if !alive || env.Now < t.paused || len(t.runs) >= t.reg.Slots {
+		if centre != nil {
+			centre.Remove(t.reg.ID)
+		}
+		return
+	}
+	if centre == nil {
+		centre = pq.New[model.TargetID, load, *target](load.before)
+		s.usable[t.reg.DataCentre] = centre
+		s.centres = append(s.centres, t.reg.DataCentre)
+		slices.Sort(s.centres)
+	}
+	centre.Set(t.reg.ID, load{float64(len(t.runs)) / float64(t.reg.Slots), t.lastUsed, t.reg.ID}, t)
+}
+
+// pick returns the least loaded usable target, with a preference for the data
+// centre of the gateway, or nil.
+func (o *Owner) pick(s *service, local model.DataCentreID) *target {
+	var best *target
+	var bestLoad load
+	for _, dc := range s.centres {
+		_, l, t, ok := s.usable[dc].Peek()
+		if !ok {
+			continue
+		}
+		if dc != local {
+			l.used += localPreference
+		}
+		if best == nil || l.before(bestLoad) {
+			best, bestLoad = t, l
+		}
+	}
+	return best
+}
+
+// Report handles an announcement. It returns the reply.
+func (o *Owner) Report(env Env, out *Out, m *message.TargetReport) message.ReportReply {
+	reply := message.ReportReply{Report: m.Report}
+	t := o.targets[m.Target.ID]
+	if t == nil || t.reg != m.Target {
+		if m.State == message.TargetReady {
+			out.Proposals = append(out.Proposals, fleet.Command{At: env.Now, RegisterTarget: &fleet.RegisterTarget{Target: m.Target}})
+		}
+		return reply
+	}
+	if m.Seq <= t.seq && t.seq-m.Seq < reportsKept {
+		return reply // a repeated or late report says nothing new
+	}
+	o.heard(env, out, t, m)
+	sampled := t.sampledAfter(m.Acked)
+	o.reconcile(env, t, m, sampled)
+	if !t.proven && o.fenced && sampled >= o.fencedAt {
+		t.proven = true
+		o.unknownSlots -= t.reg.Slots
+	}
+	o.refresh(env, t)
+	if m.State == message.TargetLeaving && len(t.runs) == 0 && t.empty && t.proven {
+		out.Proposals = append(out.Proposals, fleet.Command{At: env.Now, RemoveTarget: &fleet.RemoveTarget{
+			ID: t.reg.ID, Incarnation: t.reg.Incarnation,
+		}})
+	}
+	o.pumpAll(env, out)
+	return reply
+}
+
+func (o *Owner) heard(env Env, out *Out, t *target, m *message.TargetReport) {
+	if m.State == message.TargetLeaving && t.state == message.TargetReady {
+		out.log(effect.Log{Code: effect.TargetLeaving, Target: t.reg.ID})
+	}
+	t.state = m.State
+	t.seq = m.Seq
+	t.lastHeard = env.Now
+	t.empty = len(m.Running) == 0
+	t.receipts = append(t.receipts, receipt{m.Seq, env.Now})
+	if len(t.receipts) > reportsKept {
+		t.receipts = t.receipts[1:]
+	}
+	o.timers.Set(timerID{kind: timerSilent, target: t.reg.ID}, timer{at: env.Now.Add(SilentAfter)}, struct{}{})
+	o.armForget(env, t)
+}
+
+// sampledAfter returns a time after which a report was sampled: the receipt of
+// the report whose reply the target had seen. It is zero if that is not known.
+func (t *target) sampledAfter(acked uint64) model.Time {
+	for _, r := range slices.Backward(t.receipts) {
+		if r.seq <= acked {
+			return r.at
+		}
+	}
+	return 0
+}
+
+// reconcile compares what the target lists with what is counted on it.
+func (o *Owner) reconcile(env Env, t *target, m *message.TargetReport, sampled model.Time) {
+	listed := make(map[model.RequestID]bool, len(m.Running))
+	for _, running := range m.Running {
+		listed[running.Request] = true
+		o.observe(env, t, running, sampled)
+	}
+	for _, r := range t.sortedRuns() {
+		if r.released && !listed[r.id.request] && sampled >= r.evidence {
+			o.endRun(env, r)
+		}
+	}
+}
+
+// observe counts a listed request that is not counted yet, unless the report
+// may have been sampled before its end.
+func (o *Owner) observe(env Env, t *target, running message.RunningRequest, sampled model.Time) {
+	for id := range t.runs {
+		if id.request == running.Request {
+			return
+		}
+	}
+	for attempt := 0; attempt <= AttemptsMax; attempt++ {
+		if at, ok := o.ended[runID{running.Request, attempt}]; ok && sampled < at {
+			return
+		}
+	}
+	id := runID{running.Request, 0}
+	if o.runs[id] != nil {
+		return
+	}
+	r := o.startRun(env, id, running.Team, t, env.Now.Add(o.longestRun(t.reg.Service)))
+	o.releaseRun(env, r, env.Now)
+}
+
+func (t *target) sortedRuns() []*run {
+	list := make([]*run, 0, len(t.runs))
+	for _, r := range t.runs {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b *run) int {
+		if a.id.request != b.id.request {
+			if a.id.request < b.id.request {
+				return -1
+			}
+			return 1
+		}
+		return a.id.attempt - b.id.attempt
+	})
+	return list
+}
+
+// longestRun is the longest run of any queue of a service.
+func (o *Owner) longestRun(id model.ServiceID) model.Duration {
+	longest := model.Duration(0)
+	for _, q := range o.rules.Queues {
+		if q.Service == id {
+			longest = max(longest, q.MaxRun)
+		}
+	}
+	return longest
+}
+
+// targetRegistered adapts to a registration, which may be a new life of a
+// known target: what ran in its earlier life has ended.
+func (o *Owner) targetRegistered(env Env, out *Out, reg fleet.Target) {
+	if t := o.targets[reg.ID]; t != nil {
+		if t.reg == reg {
+			return
+		}
+		restarted := t.reg.Incarnation != reg.Incarnation
+		o.dropTarget(env, t, restarted)
+		if !restarted {
+			o.carryRuns(env, t, o.addTarget(env, reg))
+			return
+		}
+	}
+	o.addTarget(env, reg)
+	out.log(effect.Log{Code: effect.TargetRegistered, Target: reg.ID})
+}
+
+// carryRuns moves the runs of a target to its changed registration.
+func (o *Owner) carryRuns(env Env, from, to *target) {
+	if !from.proven {
+		to.proven = false
+		o.unknownSlots += to.reg.Slots
+	}
+	for _, r := range from.sortedRuns() {
+		r.target = to
+		to.runs[r.id] = r
+	}
+	o.refresh(env, to)
+}
+
+func (o *Owner) dropTarget(env Env, t *target, endRuns bool) {
+	if !t.proven {
+		t.proven = true
+		o.unknownSlots -= t.reg.Slots
+	}
+	if endRuns {
+		for _, r := range t.sortedRuns() {
+			o.endRun(env, r)
+		}
+	}
+	t.service.targets--
+	delete(o.targets, t.reg.ID)
+	o.refresh(env, t)
+	o.timers.Remove(timerID{kind: timerSilent, target: t.reg.ID})
+	o.timers.Remove(timerID{kind: timerForget, target: t.reg.ID})
+	o.timers.Remove(timerID{kind: timerPause, target: t.reg.ID})
+}
+
+func (o *Owner) targetRemoved(out *Out, c *fleet.RemoveTarget) {
+	t := o.targets[c.ID]
+	if t == nil || t.reg.Incarnation != c.Incarnation {
+		return
+	}
+	o.dropTarget(Env{}, t, true)
+	out.log(effect.Log{Code: effect.TargetRemoved, Target: c.ID})
+}
+
+func (o *Owner) armForget(env Env, t *target) {
+	at := env.Now.Add(o.longestRun(t.reg.Service) + SilentAfter + ForgetMargin)
+	o.timers.Set(timerID{kind: timerForget, target: t.reg.ID}, timer{at: at}, struct{}{})
+}
--- /dev/null
+++ b/core/leader.go
@@ -0,0 +1,148 @@
+package core
+
+import (
+	"slices"
+
+	"primrosedale.example/primrosedale/core/consensus"
+	"primrosedale.example/primrosedale/core/dispatch"
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/lease"
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// lead begins or ends the leader's part. It begins only when this process
+// holds the leader lease of its term, so that the replicated state is current.
+func (s *State) lead() {
+	status := s.log.Status()
+	leads := status.Role == consensus.Leader
+	if s.leading != nil && (!leads || s.leading.term != status.Term) {
+		s.emit(effect.Log{Code: effect.LeaderLost, Term: s.leading.term})
+		s.leading = nil
+	}
+	if s.leading != nil || !leads || !s.log.HoldsLeaderLease(s.now) {
+		return
+	}
+	s.leading = &leadership{
+		term:    status.Term,
+		granter: lease.NewGranter(s.now, status.Term),
+		members: memberHosts(s.fleet),
+	}
+	s.leading.granter.ControlChanged(s.now, s.fleet.ControlIndex)
+	s.leading.owner = dispatch.New(s.env(), status.Term)
+	s.emit(effect.Log{Code: effect.LeaderElected, Term: status.Term})
+}
+
+// advanceLeader does what is due for the leader.
+func (s *State) advanceLeader() {
+	if s.leading == nil {
+		return
+	}
+	if s.leading.inForce < s.fleet.ControlIndex && s.leading.granter.InForce(s.now, s.leading.members) {
+		s.leading.inForce = s.fleet.ControlIndex
+		s.emit(effect.Log{Code: effect.RulesInForce, Index: s.fleet.ControlIndex})
+	}
+	s.asOwner(func(env dispatch.Env, out *dispatch.Out) { s.leading.owner.Advance(env, out) })
+}
+
+// asOwner lets the owner of the queues handle something and carries out what
+// it asks for.
+func (s *State) asOwner(handle func(dispatch.Env, *dispatch.Out)) {
+	var out dispatch.Out
+	handle(s.env(), &out)
+	s.emit(out.Effects...)
+	if len(out.Proposals) > 0 {
+		s.log.Propose(out.Proposals...)
+	}
+}
+
+// receiveAsLeader handles messages that only a leader acts on. Others drop
+// them: the sender tries again with the leader it learns of.
+func (s *State) receiveAsLeader(from model.HostID, m message.Message) {
+	if s.leading == nil {
+		return
+	}
+	owner := s.leading.owner
+	switch {
+	case m.Renew != nil:
+		s.renewed(from, m.Renew)
+	case m.Command != nil:
+		c := m.Command.Command
+		c.At = s.now
+		s.log.Propose(c)
+	case m.Ask != nil:
+		s.asOwner(func(env dispatch.Env, out *dispatch.Out) { owner.Ask(env, out, from, m.Ask) })
+	case m.Done != nil:
+		s.asOwner(func(env dispatch.Env, out *dispatch.Out) { owner.Done(env, out, from, m.Done) })
+	case m.Withdraw != nil:
+		s.asOwner(func(env dispatch.Env, out *dispatch.Out) { owner.Withdraw(env, out, m.Withdraw) })
+	case m.TargetReport != nil:
+		s.asOwner(func(env dispatch.Env, out *dispatch.Out) {
+			reply := owner.Report(env, out, m.TargetReport)
+			s.send(from, message.Message{ReportReply: &reply})
+		})
+	}
+}
+
+// renewed handles a Renew. A host gets its first lease only once it is a
+// member in the replicated state, so that a later leader waits for it.
+func (s *State) renewed(from model.HostID, r *message.Renew) {
+	if r.Term != s.leading.term {
+		return
+	}
+	if _, member := s.fleet.Members[from]; !member {
+		s.log.Propose(fleet.Command{At: s.now, AddMember: &fleet.AddMember{Host: from, DataCentre: r.DataCentre}})
+		return
+	}
+	earlier := s.leading.granter.Session(from)
+	restarted := earlier != nil && earlier.Incarnation != r.Incarnation
+	s.asOwner(func(env dispatch.Env, _ *dispatch.Out) {
+		s.leading.owner.GatewayRenewed(env, from, restarted)
+		s.leading.owner.Forwarded(env, from, r.Forwarded)
+	})
+	if !s.log.HoldsLeaderLease(s.now) {
+		return
+	}
+	if grant := s.leading.granter.Renewed(s.now, from, r); grant != nil {
+		s.send(from, message.Message{Grant: grant})
+	}
+}
+
+// committedAsLeader lets the leader's branches see a committed command.
+func (s *State) committedAsLeader(c *fleet.Command, result fleet.Result) {
+	s.leading.granter.ControlChanged(s.now, s.fleet.ControlIndex)
+	if c.AddMember != nil && !slices.Contains(s.leading.members, c.AddMember.Host) {
+		s.leading.members = memberHosts(s.fleet)
+	}
+	s.asOwner(func(env dispatch.Env, out *dispatch.Out) { s.leading.owner.Committed(env, out, c, result) })
+}
+
+func (s *State) sendCommand(p *pendingCommand) {
+	p.resendAt = s.now.Add(commandResend)
+	if leader, _ := s.holder.Leader(); leader != "" {
+		s.send(leader, message.Message{Command: &message.Command{Command: p.command}})
+	}
+}
+
+// resendCommands sends again what has not been applied here, and gives up
+// after the time that the submitter waits.
+func (s *State) resendCommands() {
+	for _, id := range sortedCommandIDs(s.pending) {
+		p := s.pending[id]
+		if s.now >= p.deadline {
+			delete(s.pending, id)
+		} else if s.now >= p.resendAt {
+			s.sendCommand(p)
+		}
+	}
+}
+
+func sortedCommandIDs(m map[model.CommandID]*pendingCommand) []model.CommandID {
+	ids := make([]model.CommandID, 0, len(m))
+	for id := range m {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/core/lease/granter.go
@@ -0,0 +1,117 @@
+package lease
+
+import (
+	"slices"
+
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// Session is what the leader knows of one entry host in its term.
+type Session struct {
+	Incarnation model.Incarnation
+	Applied     uint64
+	Leaving     bool
+	Reported    bool       // sent its forwarded requests in this term
+	LastRenew   model.Time // received
+	End         model.Time // the lease has ended at this time on every clock
+}
+
+// Granter grants leases for the leader of one term.
+type Granter struct {
+	term     uint64
+	began    model.Time
+	sessions map[model.HostID]*Session
+
+	// The last change of rules or keys, and whether it is in force.
+	controlIndex uint64
+	controlAt    model.Time
+	inForce      bool
+}
+
+// NewGranter returns the Granter of a term that began at time now.
+func NewGranter(now model.Time, term uint64) *Granter {
+	return &Granter{term: term, began: now, sessions: make(map[model.HostID]*Session)}
+}
+
+// ControlChanged records that a change of rules or keys was applied.
+func (g *Granter) ControlChanged(now model.Time, index uint64) {
+	if index == g.controlIndex {
+		return
+	}
+	g.controlIndex = index
+	g.controlAt = now
+	g.inForce = false
+}
+
+// Renewed handles a Renew and returns the grant, or nil if the host gets none:
+// its term is another one, it has not reported its forwarded requests yet, or
+// it lags behind a change of rules or keys.
+func (g *Granter) Renewed(now model.Time, from model.HostID, r *message.Renew) *message.Grant {
+	if r.Term != g.term {
+		return nil
+	}
+	s := g.sessions[from]
+	if s == nil || s.Incarnation != r.Incarnation {
+		next := &Session{Incarnation: r.Incarnation}
+		if s != nil {
+			next.End = s.End
+		}
+		s = next
+		g.sessions[from] = s
+	}
+	s.Applied = max(s.Applied, r.Applied)
+	s.Leaving = r.Leaving
+	s.LastRenew = now
+	s.Reported = s.Reported || r.Full
+	if !s.Reported || g.lags(now, s) {
+		return nil
+	}
+	s.End = now.Add(Duration + Margin)
+	return &message.Grant{Term: g.term, Seq: r.Seq, Duration: Duration}
+}
+
+func (g *Granter) lags(now model.Time, s *Session) bool {
+	return s.Applied < g.controlIndex && now >= g.controlAt.Add(ApplyGrace)
+}
+
+// Session returns the session of a host, or nil.
+func (g *Granter) Session(host model.HostID) *Session { return g.sessions[host] }
+
+// Serving reports whether the lease of a host may still run.
+func (g *Granter) Serving(now model.Time, host model.HostID) bool {
+	s := g.sessions[host]
+	if s == nil || !s.Reported {
+		return now < g.began.Add(Duration+Margin)
+	}
+	return now < s.End
+}
+
+// Fenced reports whether every lease that an earlier leader granted has ended
+// or belongs to a host that has reported to this one.
+func (g *Granter) Fenced(now model.Time, members []model.HostID) bool {
+	if now >= g.began.Add(Duration+Margin) {
+		return true
+	}
+	return !slices.ContainsFunc(members, func(h model.HostID) bool {
+		s := g.sessions[h]
+		return s == nil || !s.Reported
+	})
+}
+
+// InForce reports whether the last change of rules or keys is in force on
+// every member: applied there, or the host's lease has ended.
+func (g *Granter) InForce(now model.Time, members []model.HostID) bool {
+	if g.inForce {
+		return true
+	}
+	for _, h := range members {
+		s := g.sessions[h]
+		applied := s != nil && s.Applied >= g.controlIndex
+		if !applied && g.Serving(now, h) {
+			return false
+		}
+	}
+	g.inForce = true
+	return true
+}
--- /dev/null
+++ b/core/lease/holder.go
@@ -0,0 +1,114 @@
+// Package lease implements serving leases. A host may start new work only
+// while it holds a lease from the leader.
+//
+// The holder measures its lease from the moment it sent the Renew, the leader
+// from the moment it received it, and the leader adds a margin for the drift
+// of the two clocks. So the holder's lease has always ended by the time the
+// leader treats it as ended. A leader does not renew the lease of a host that
+// has not applied a change of rules or keys, so a change is in force once
+// every host has applied it or lost its lease.
+package lease
+
+import (
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// Times of the protocol.
+const (
+	Duration = 1000 * model.Millisecond // of one lease
+	Interval = 300 * model.Millisecond  // between two renewals: three in a lease
+	// Margin covers the drift of two clocks over one lease (1%) and the delay
+	// between a check of the lease and the first byte.
+	Margin = 50 * model.Millisecond
+	// ApplyGrace is how long a host may serve without having applied a change
+	// of rules or keys after the change was committed.
+	ApplyGrace = 1000 * model.Millisecond
+)
+
+// Holder is the lease of this host.
+type Holder struct {
+	incarnation model.Incarnation
+	dataCentre  model.DataCentreID
+	term        uint64
+	leader      model.HostID
+	seq         uint64
+	sent        map[uint64]model.Time // by sequence, not yet granted
+	lastSent    model.Time
+	until       model.Time
+	confirmed   bool // the leader of this term has the complete list of forwarded requests
+}
+
+// NewHolder returns a Holder without a lease.
+func NewHolder(inc model.Incarnation, dc model.DataCentreID) *Holder {
+	return &Holder{incarnation: inc, dataCentre: dc, sent: make(map[uint64]model.Time)}
+}
+
+// Follow sets the leader and its term; leader is empty when unknown. A new
+// term invalidates renewals in flight, because their grants would come from a
+// deposed leader. A lease already held keeps running: the new leader waits
+// for its end or for a Renew of its own term.
+func (h *Holder) Follow(leader model.HostID, term uint64) (changed bool) {
+	if leader == h.leader && term == h.term {
+		return false
+	}
+	h.leader = leader
+	if term != h.term {
+		h.term = term
+		h.confirmed = false
+		clear(h.sent)
+	}
+	h.lastSent = 0
+	return true
+}
+
+// Leader returns the leader, empty if unknown, and its term.
+func (h *Holder) Leader() (model.HostID, uint64) { return h.leader, h.term }
+
+// Due reports whether a Renew is to be sent now.
+func (h *Holder) Due(now model.Time) bool {
+	return h.leader != "" && now >= h.lastSent.Add(Interval)
+}
+
+// Renew returns the next renewal. The caller adds Forwarded if Full is set.
+// Sending a Renew of a new term ends the lease of the earlier term, so that
+// the new leader may rely on the list of forwarded requests.
+func (h *Holder) Renew(now model.Time, applied uint64, leaving bool) *message.Renew {
+	h.seq++
+	h.lastSent = now
+	h.sent[h.seq] = now
+	if !h.confirmed {
+		h.until = 0
+	}
+	return &message.Renew{
+		Term:        h.term,
+		Seq:         h.seq,
+		Incarnation: h.incarnation,
+		DataCentre:  h.dataCentre,
+		Applied:     applied,
+		Leaving:     leaving,
+		Full:        !h.confirmed,
+	}
+}
+
+// Granted records a grant; grants of other terms and unknown sequences are
+// ignored.
+func (h *Holder) Granted(g *message.Grant) {
+	sent, ok := h.sent[g.Seq]
+	if !ok || g.Term != h.term {
+		return
+	}
+	for seq := range h.sent {
+		if seq <= g.Seq {
+			delete(h.sent, seq)
+		}
+	}
+	h.confirmed = true
+	h.until = max(h.until, sent.Add(g.Duration))
+}
+
+// Until returns the end of the lease.
+func (h *Holder) Until() model.Time { return h.until }
+
+// Valid reports whether new work may start at time now.
+func (h *Holder) Valid(now model.Time) bool { return now < h.until }
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -15,20 +15,19 @@
 // Message is one message. Exactly one pointer is set. The sender's host is
 // established by the connection and is not part of the message.
 type Message struct {
-	Log           *Log           `json:"log,omitempty"`
-	Renew         *Renew         `json:"renew,omitempty"`
-	Grant         *Grant         `json:"grant,omitempty"`
-	Ask           *Ask           `json:"ask,omitempty"`
-	Dispatch      *Dispatch      `json:"dispatch,omitempty"`
-	Refuse        *Refuse        `json:"refuse,omitempty"`
-	Done          *Done          `json:"done,omitempty"`
-	Settled       *Settled       `json:"settled,omitempty"`
-	Withdraw      *Withdraw      `json:"withdraw,omitempty"`
-	TargetReport  *TargetReport  `json:"target_report,omitempty"`
-	WorkerReport  *WorkerReport  `json:"worker_report,omitempty"`
-	ReportReply   *ReportReply   `json:"report_reply,omitempty"`
-	Command       *Command       `json:"command,omitempty"`
-	CommandResult *CommandResult `json:"command_result,omitempty"`
+	Log          *Log          `json:"log,omitempty"`
+	Renew        *Renew        `json:"renew,omitempty"`
+	Grant        *Grant        `json:"grant,omitempty"`
+	Ask          *Ask          `json:"ask,omitempty"`
+	Dispatch     *Dispatch     `json:"dispatch,omitempty"`
+	Refuse       *Refuse       `json:"refuse,omitempty"`
+	Done         *Done         `json:"done,omitempty"`
+	Settled      *Settled      `json:"settled,omitempty"`
+	Withdraw     *Withdraw     `json:"withdraw,omitempty"`
+	TargetReport *TargetReport `json:"target_report,omitempty"`
+	WorkerReport *WorkerReport `json:"worker_report,omitempty"`
+	ReportReply  *ReportReply  `json:"report_reply,omitempty"`
+	Command      *Command      `json:"command,omitempty"`
 }
 
 // Renew asks the leader for a serving lease.
@@ -229,13 +228,8 @@
 	Image   string           `json:"image,omitempty"`
 }
 
-// Command submits a command of an operator or a task submitter.
+// Command submits a command of an operator or a task submitter. There is no
+// answer: the sender sees the result when it applies the command itself.
 type Command struct {
 	Command fleet.Command `json:"command"` // ID is set
 }
-
-// CommandResult is the committed result of a submitted command.
-type CommandResult struct {
-	ID     model.CommandID `json:"id"`
-	Result fleet.Result    `json:"result"`
-}
--- /dev/null
+++ b/core/publish.go
@@ -0,0 +1,92 @@
+package core
+
+import (
+	"slices"
+
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/event"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/view"
+)
+
+// publish replaces the view when something in it has changed.
+func (s *State) publish() {
+	leader, term := s.holder.Leader()
+	until := s.holder.Until()
+	old := s.view
+	control := s.fleet.ControlIndex
+	if old.Leader == leader && old.Term == term && old.LeaseUntil == until &&
+		old.Stopping == s.stopping && s.control == control && old.Rules == s.fleet.Rules {
+		return
+	}
+	next := &view.View{
+		Rules:      s.fleet.Rules,
+		Teams:      old.Teams,
+		Leader:     leader,
+		Term:       term,
+		Applied:    s.fleet.Index,
+		LeaseUntil: until,
+		Stopping:   s.stopping,
+	}
+	if s.control != control || next.Teams == nil {
+		next.Teams = s.teamsByKey()
+	}
+	s.control = control
+	s.view = next
+	s.out = append(s.out, effect.Publish{View: next})
+}
+
+// teamsByKey is the set of keys in force. A key stands only for a team that
+// the rules still name.
+func (s *State) teamsByKey() map[model.Digest]model.TeamID {
+	teams := make(map[model.Digest]model.TeamID, len(s.fleet.Keys))
+	for _, k := range s.fleet.Keys {
+		if _, known := s.fleet.Rules.Teams[k.Team]; known && !k.Withdrawn {
+			teams[k.Hash] = k.Team
+		}
+	}
+	return teams
+}
+
+func (s *State) answerStatus(e event.StatusRequested) {
+	answer := effect.AnswerStatus{Query: e.Query}
+	if e.Task != "" {
+		if t := s.fleet.Tasks[e.Task]; t != nil && t.Team == e.Team {
+			answer.Task = t
+		}
+	} else {
+		answer.Status = s.status()
+	}
+	s.emit(answer)
+}
+
+func (s *State) status() *view.Status {
+	log := s.log.Status()
+	leader, _ := s.holder.Leader()
+	st := &view.Status{
+		Host: s.cfg.Host, DataCentre: s.cfg.DataCentre, Role: log.Role.String(), Leader: leader,
+		Term: log.Term, Applied: s.fleet.Index, Commit: log.Commit,
+		Revision: s.fleet.Rules.Revision, RulesHash: s.fleet.RulesHash,
+		Serving: s.holder.Valid(s.now), Held: s.table.Len(),
+	}
+	for _, v := range log.Voters {
+		st.Voters = append(st.Voters, v.Host)
+	}
+	slices.Sort(st.Voters)
+	if s.leading != nil {
+		s.leaderStatus(st)
+	}
+	return st
+}
+
+func (s *State) leaderStatus(st *view.Status) {
+	for _, h := range s.leading.members {
+		host := view.HostStatus{Host: h, Serving: s.leading.granter.Serving(s.now, h)}
+		if session := s.leading.granter.Session(h); session != nil {
+			host.Applied, host.Leaving = session.Applied, session.Leaving
+		}
+		st.Hosts = append(st.Hosts, host)
+	}
+	st.InForce = s.leading.granter.InForce(s.now, s.leading.members)
+	s.leading.owner.Status(s.env(), st)
+}
--- /dev/null
+++ b/core/reduce.go
@@ -0,0 +1,204 @@
+package core
+
+import (
+	"primrosedale.example/primrosedale/core/consensus"
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/event"
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/problem"
+)
+
+// Reduce applies one event to the state and returns its effects in order.
+func Reduce(s *State, in event.Input) []effect.Effect {
+	s.now = in.At
+	s.rand = in.Rand
+	s.out = nil
+	if s.halted {
+		return nil
+	}
+	s.handle(in.Event)
+	s.settle()
+	s.publish()
+	return s.out
+}
+
+func (s *State) handle(e event.Event) {
+	switch e := e.(type) {
+	case event.Tick:
+		s.tick()
+	case event.Received:
+		s.receive(e.From, e.Message)
+	case event.Persisted:
+		s.log.Persisted(e.Term, e.Index)
+	case event.PersistFailed:
+		s.persistFailed(e.Reason)
+	case event.RequestArrived:
+		s.emit(s.table.Arrive(s.now, e.Request)...)
+	case event.RequestAbandoned:
+		s.emit(s.table.Abandon(s.now, e.Request)...)
+	case event.ForwardEnded:
+		s.emit(s.table.Ended(s.now, e)...)
+	case event.TargetReported:
+		s.report(e.Report.Report, message.Message{TargetReport: &e.Report})
+	case event.WorkerReported:
+		s.report(e.Report.Report, message.Message{WorkerReport: &e.Report})
+	case event.CommandSubmitted:
+		s.submit(e.Command)
+	case event.StatusRequested:
+		s.answerStatus(e)
+	case event.StopRequested:
+		s.stop()
+	}
+}
+
+// settle carries on until nothing is left to do at this instant: entries that
+// became committed are applied, and messages to this process are handled.
+func (s *State) settle() {
+	for {
+		s.follow()
+		s.drainLog()
+		s.lead()
+		if len(s.local) == 0 {
+			return
+		}
+		m := s.local[0]
+		s.local = s.local[1:]
+		s.receive(s.cfg.Host, m)
+	}
+}
+
+func (s *State) tick() {
+	s.log.Tick(s.now, s.rand)
+	s.follow()
+	s.lead()
+	s.renew()
+	s.emit(s.table.Advance(s.now)...)
+	s.advanceLeader()
+	s.resendCommands()
+	s.finishStop()
+}
+
+func (s *State) receive(from model.HostID, m message.Message) {
+	switch {
+	case m.Log != nil:
+		if m.Log.From.Host == from {
+			s.log.Step(s.now, s.rand, *m.Log)
+		}
+	case m.Grant != nil:
+		s.granted(m.Grant)
+	case m.Dispatch != nil:
+		s.emit(s.table.Dispatch(s.now, s.holder.Valid(s.now), m.Dispatch)...)
+	case m.Refuse != nil:
+		s.emit(s.table.Refuse(m.Refuse)...)
+	case m.Settled != nil:
+		s.emit(s.table.Settled(m.Settled)...)
+	case m.ReportReply != nil:
+		s.emit(effect.AnswerReport{Reply: *m.ReportReply})
+	default:
+		s.receiveAsLeader(from, m)
+	}
+}
+
+func (s *State) granted(g *message.Grant) {
+	serving := s.holder.Valid(s.now)
+	s.holder.Granted(g)
+	if !serving && s.holder.Valid(s.now) {
+		s.emit(effect.Log{Code: effect.LeaseRegained, Term: g.Term})
+	}
+}
+
+// follow tells the branches who leads.
+func (s *State) follow() {
+	status := s.log.Status()
+	leader := status.Leader.Host
+	if s.holder.Follow(leader, status.Term) {
+		s.emit(s.table.Follow(s.now, leader, status.Term)...)
+	}
+}
+
+// renew asks the leader for the next lease.
+func (s *State) renew() {
+	if !s.holder.Due(s.now) {
+		return
+	}
+	leader, _ := s.holder.Leader()
+	r := s.holder.Renew(s.now, s.fleet.Index, s.stopping)
+	if r.Full {
+		r.Forwarded = s.table.Forwarded(s.now)
+	}
+	s.send(leader, message.Message{Renew: r})
+}
+
+// report passes an announcement to the leader, which answers it.
+func (s *State) report(id uint64, m message.Message) {
+	leader, _ := s.holder.Leader()
+	if leader == "" {
+		s.emit(effect.AnswerReport{Reply: message.ReportReply{
+			Report: id, Problem: problem.New(problem.NoLeader, "no leader is known"),
+		}})
+		return
+	}
+	s.send(leader, m)
+}
+
+// drainLog carries out what the replicated log wants done.
+func (s *State) drainLog() {
+	for {
+		o := s.log.TakeOutput()
+		if o.Snapshot != nil {
+			s.fleet = o.Snapshot.State.Clone()
+			s.fleet.Rebuild()
+			s.emit(effect.Log{Code: effect.SnapshotReceived, Index: o.Snapshot.Index})
+		}
+		s.persist(o.Snapshot, o.HardState, o.Entries)
+		for i := range o.Committed {
+			s.apply(&o.Committed[i])
+		}
+		for i := range o.Messages {
+			s.send(o.Messages[i].To.Host, message.Message{Log: &o.Messages[i]})
+		}
+		s.takeSnapshot()
+		if len(o.Committed) == 0 && len(o.Messages) == 0 && o.HardState == nil && len(o.Entries) == 0 {
+			return
+		}
+	}
+}
+
+// persist hands a write to the log writer. A host without a data folder
+// reports it as done, since its copy of the log is volatile by design.
+func (s *State) persist(snap *logSnapshot, hs *consensus.HardState, entries []logEntry) {
+	if snap == nil && hs == nil && len(entries) == 0 {
+		return
+	}
+	status := s.log.Status()
+	if !s.cfg.Durable {
+		s.log.Persisted(status.Term, status.LastIndex)
+		return
+	}
+	s.emit(effect.Persist{
+		Snapshot: snap, Install: snap != nil, HardState: hs, Entries: entries,
+		Term: status.Term, Index: status.LastIndex,
+	})
+}
+
+func (s *State) takeSnapshot() {
+	if !s.log.WantsSnapshot() {
+		return
+	}
+	snap, ok := s.log.MakeSnapshot(s.fleet.Index, s.fleet.Clone())
+	if !ok {
+		return
+	}
+	s.log.Compact(snap)
+	s.emit(effect.Log{Code: effect.SnapshotTaken, Index: snap.Index})
+	if s.cfg.Durable {
+		status := s.log.Status()
+		s.emit(effect.Persist{Snapshot: &snap, Term: status.Term, Index: status.LastIndex})
+	}
+}
+
+func (s *State) persistFailed(reason string) {
+	s.halted = true
+	s.out = append(s.out, effect.Log{Code: effect.SyncFailed, Detail: reason}, effect.Halt{Reason: reason})
+}
--- /dev/null
+++ b/core/state.go
@@ -0,0 +1,156 @@
+// Package core is the reducer: the only place where the system decides.
+//
+// A process has one State, owned by its control goroutine. Reduce takes one
+// event with its time and random number, changes the state, and returns
+// effects as data. The branches of the reducer are packages of their own:
+// consensus (the replicated log), fleet (the replicated state), lease (who may
+// serve), gateway (requests held for callers), dispatch (the request queues),
+// placement (tasks on workers) and maintenance (hosts and pools). Reduce
+// routes events to them and their messages to each other.
+package core
+
+import (
+	"slices"
+
+	"primrosedale.example/primrosedale/core/consensus"
+	"primrosedale.example/primrosedale/core/dispatch"
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/gateway"
+	"primrosedale.example/primrosedale/core/lease"
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/view"
+)
+
+// Times of the replicated log; docs/design.md gives the reasons.
+const (
+	HeartbeatInterval  = 200 * model.Millisecond
+	ElectionTimeoutMin = 800 * model.Millisecond
+	ElectionTimeoutMax = 1200 * model.Millisecond
+	TickInterval       = 50 * model.Millisecond
+	maxAppendEntries   = 256
+	maxInflight        = 8
+	snapshotEvery      = 10_000
+)
+
+// Config is fixed for the life of a process.
+type Config struct {
+	Host        model.HostID
+	DataCentre  model.DataCentreID
+	Incarnation model.Incarnation // of the process
+	Replica     model.Incarnation // of the data folder; equals Incarnation without one
+	Durable     bool              // the process has a data folder
+	Peers       []model.HostID    // the other hosts of the cluster
+	MaxVoters   int               // hosts with a data folder
+}
+
+type logNode = consensus.Node[fleet.Command, *fleet.State]
+
+// Stored is what the data folder holds at start.
+type Stored = consensus.Stored[fleet.Command, *fleet.State]
+
+// State is the control state of one process.
+type State struct {
+	cfg     Config
+	log     *logNode
+	fleet   *fleet.State
+	holder  *lease.Holder
+	table   *gateway.Table
+	leading *leadership // nil unless this process leads
+
+	pending  map[model.CommandID]*pendingCommand
+	stopping bool
+	stopAt   model.Time
+	halted   bool
+
+	now     model.Time
+	rand    uint64
+	out     []effect.Effect
+	local   []message.Message // messages to this process itself
+	view    *view.View
+	control uint64 // ControlIndex of the view
+}
+
+// pendingCommand is a command submitted on this host and not yet applied here.
+type pendingCommand struct {
+	command  fleet.Command
+	deadline model.Time
+	resendAt model.Time
+}
+
+// leadership is the state of a leader in one term, in memory only.
+type leadership struct {
+	term    uint64
+	granter *lease.Granter
+	owner   *dispatch.Owner
+	members []model.HostID // sorted
+	inForce uint64         // the last change of rules or keys reported as in force
+}
+
+// New returns the state of a process that starts with what is stored.
+func New(cfg Config, stored Stored, now model.Time, rand uint64) (*State, error) {
+	node, err := consensus.New[fleet.Command, *fleet.State](consensus.Config{
+		ID:                 consensus.NodeID{Host: cfg.Host, Incarnation: cfg.Replica},
+		Peers:              cfg.Peers,
+		Durable:            cfg.Durable,
+		ElectionTimeoutMin: ElectionTimeoutMin,
+		ElectionTimeoutMax: ElectionTimeoutMax,
+		HeartbeatInterval:  HeartbeatInterval,
+		MaxAppendEntries:   maxAppendEntries,
+		MaxInflight:        maxInflight,
+		SnapshotEvery:      snapshotEvery,
+		MaxVoters:          cfg.MaxVoters,
+	}, stored)
+	if err != nil {
+		return nil, err
+	}
+	s := &State{
+		cfg:     cfg,
+		log:     node,
+		fleet:   fleet.New(),
+		holder:  lease.NewHolder(cfg.Incarnation, cfg.DataCentre),
+		table:   gateway.New(cfg.Incarnation),
+		pending: make(map[model.CommandID]*pendingCommand),
+		view:    &view.View{},
+	}
+	if stored.Snapshot != nil && stored.Snapshot.State != nil {
+		s.fleet = stored.Snapshot.State.Clone()
+		s.fleet.Rebuild()
+	}
+	node.Start(now, rand)
+	return s, nil
+}
+
+func (s *State) emit(effects ...effect.Effect) {
+	for _, e := range effects {
+		if send, ok := e.(effect.Send); ok && send.To == s.cfg.Host {
+			s.local = append(s.local, send.Message)
+			continue
+		}
+		s.out = append(s.out, e)
+	}
+}
+
+func (s *State) send(to model.HostID, m message.Message) {
+	s.emit(effect.Send{To: to, Message: m})
+}
+
+func (s *State) env() dispatch.Env {
+	return dispatch.Env{
+		Now:          s.now,
+		Fleet:        s.fleet,
+		Granter:      s.leading.granter,
+		Members:      s.leading.members,
+		TasksRunning: s.fleet.PlacedByTeam,
+	}
+}
+
+func memberHosts(f *fleet.State) []model.HostID {
+	hosts := make([]model.HostID, 0, len(f.Members))
+	for h := range f.Members {
+		hosts = append(hosts, h)
+	}
+	slices.Sort(hosts)
+	return hosts
+}
--- /dev/null
+++ b/core/stop.go
@@ -0,0 +1,45 @@
+package core
+
+import (
+	"primrosedale.example/primrosedale/core/consensus"
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// settleGrace is how long a stopping host waits for the owner's receipts after
+// its last caller was answered. Unsettled outcomes are found by the owner from
+// the targets' reports.
+const settleGrace = 2 * model.Second
+
+// stop begins the graceful stop: nothing new is accepted, leadership goes to
+// another replica, and the process halts when its last caller is answered.
+func (s *State) stop() {
+	if s.stopping {
+		return
+	}
+	s.stopping = true
+	s.stopAt = s.now
+	s.emit(effect.Log{Code: effect.Stopping})
+	s.table.Stop(s.now)
+	s.log.TransferLeadership(s.now)
+}
+
+// finishStop halts the process when nothing is left for it to finish.
+func (s *State) finishStop() {
+	if !s.stopping || s.halted {
+		return
+	}
+	if s.log.Status().Role == consensus.Leader && s.now < s.stopAt.Add(settleGrace) {
+		s.log.TransferLeadership(s.now)
+		return
+	}
+	if s.table.Unanswered() > 0 {
+		s.stopAt = max(s.stopAt, s.now.Add(-settleGrace/2))
+		return
+	}
+	if s.table.Len() > 0 && s.now < s.stopAt.Add(settleGrace) {
+		return
+	}
+	s.halted = true
+	s.emit(effect.Halt{})
+}
