fleet: apply commands to the replicated state

The state types had no behaviour. Apply changes the state deterministically, with indexes derived by Rebuild in place of scans, and rules.Check validates a configuration before it is accepted. Values behind pointers are replaced by changed copies, so that clones stay valid.

--- /dev/null
+++ b/core/fleet/config.go
@@ -0,0 +1,141 @@
+package fleet
+
+import (
+	"fmt"
+	"strings"
+
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/problem"
+	"primrosedale.example/primrosedale/core/rules"
+)
+
+const (
+	// acceptedKept is the number of accepted revisions whose resends get their
+	// first answer. At 390 changes a day it covers about four hours.
+	acceptedKept = 64
+	// faultsListed bounds the detail of a refusal, which is kept for resends.
+	faultsListed = 32
+)
+
+// applyRules accepts the rules if they follow the current revision and are
+// consistent in themselves and with the state.
+func (s *State) applyRules(c *ApplyRules) Result {
+	if s.wasAccepted(c.Base+1, c.Hash) {
+		return Result{Revision: c.Base + 1}
+	}
+	if c.Base != s.Rules.Revision {
+		result := refused(problem.RevisionConflict,
+			"the current revision is %d with hash %s", s.Rules.Revision, s.RulesHash)
+		result.Revision = s.Rules.Revision
+		return result
+	}
+	if faults := s.rulesFaults(c); len(faults) > 0 {
+		return refused(problem.RulesRejected, "%s", listFaults(faults))
+	}
+	s.acceptRules(c)
+	return Result{Revision: s.Rules.Revision}
+}
+
+func (s *State) wasAccepted(revision uint64, hash model.Digest) bool {
+	for _, accepted := range s.Accepted {
+		if accepted.Revision == revision {
+			return accepted.Hash == hash
+		}
+	}
+	return false
+}
+
+func (s *State) acceptRules(c *ApplyRules) {
+	s.Rules = c.Rules.Clone()
+	s.RulesHash = c.Hash
+	s.ControlIndex = s.Index
+	s.Accepted = append(s.Accepted, AcceptedRules{Revision: s.Rules.Revision, Hash: c.Hash})
+	if excess := len(s.Accepted) - acceptedKept; excess > 0 {
+		s.Accepted = append([]AcceptedRules(nil), s.Accepted[excess:]...)
+	}
+}
+
+// rulesFaults returns what is wrong with the rules of c in themselves and
+// against the current state.
+func (s *State) rulesFaults(c *ApplyRules) []rules.Fault {
+	if c.Rules == nil {
+		return []rules.Fault{{Rule: "rules", Key: "text", Found: "none", Allowed: "one set of rules"}}
+	}
+	faults := c.Rules.Check()
+	// The hash tells the winner of a revision from others, so it cannot be empty.
+	if c.Hash == "" {
+		faults = append(faults, rules.Fault{Rule: "rules", Key: "hash", Found: "none", Allowed: "a SHA-256"})
+	}
+	if c.Rules.Revision != c.Base+1 {
+		faults = append(faults, rules.Fault{
+			Rule:    "revision",
+			Key:     "revision",
+			Found:   fmt.Sprint(c.Rules.Revision),
+			Allowed: fmt.Sprint(c.Base + 1),
+		})
+	}
+	faults = append(faults, s.removedTeams(c.Rules)...)
+	faults = append(faults, s.removedPools(c.Rules)...)
+	rules.SortFaults(faults)
+	return faults
+}
+
+// removedTeams returns a fault for each team that next removes although it
+// still has unfinished tasks, claims or granted keys.
+func (s *State) removedTeams(next *rules.Rules) []rules.Fault {
+	var faults []rules.Fault
+	for team := range s.Rules.Teams {
+		if _, kept := next.Teams[team]; kept {
+			continue
+		}
+		tasks := s.index.teamTasks[team]
+		claims := s.index.teamClaims[team]
+		keys := s.index.teamKeys[team]
+		if tasks+claims+keys == 0 {
+			continue
+		}
+		faults = append(faults, rules.Fault{
+			Rule:    "team." + string(team),
+			Key:     "removed",
+			Found:   fmt.Sprintf("%d unfinished tasks, %d claims, %d granted keys", tasks, claims, keys),
+			Allowed: "none of these",
+		})
+	}
+	return faults
+}
+
+// removedPools returns a fault for each pool that next removes although hosts
+// or unfinished tasks would be left without a pool.
+func (s *State) removedPools(next *rules.Rules) []rules.Fault {
+	var faults []rules.Fault
+	for pool := range s.Rules.Pools {
+		if _, kept := next.Pools[pool]; kept {
+			continue
+		}
+		count := s.index.pools[pool]
+		tasks := s.index.poolTasks[pool]
+		if count.hosts+count.incoming+tasks == 0 {
+			continue
+		}
+		faults = append(faults, rules.Fault{
+			Rule: "pool." + string(pool),
+			Key:  "removed",
+			Found: fmt.Sprintf("%d hosts, %d hosts moving in, %d unfinished tasks",
+				count.hosts, count.incoming, tasks),
+			Allowed: "none of these",
+		})
+	}
+	return faults
+}
+
+func listFaults(faults []rules.Fault) string {
+	lines := make([]string, 0, faultsListed+1)
+	for i, fault := range faults {
+		if i == faultsListed {
+			lines = append(lines, fmt.Sprintf("and %d more", len(faults)-i))
+			break
+		}
+		lines = append(lines, fault.String())
+	}
+	return strings.Join(lines, "; ")
+}
--- a/core/fleet/state.go
+++ b/core/fleet/state.go
@@ -18,6 +18,9 @@
 	ControlIndex uint64       `json:"control_index"`
 	Rules        *rules.Rules `json:"rules"`
 	RulesHash    model.Digest `json:"rules_hash"`
+	// Accepted lists the latest accepted revisions, oldest first, so that a
+	// resend of ApplyRules gets its first answer after later revisions.
+	Accepted []AcceptedRules `json:"accepted,omitempty"`
 
 	Keys    map[string]Key                   `json:"keys"` // by name
 	Members map[model.HostID]Member          `json:"members"`
@@ -30,6 +33,15 @@
 	// ClaimList carries Claims in encoded snapshots, because the key of Claims
 	// is not a string.
 	ClaimList []*ClaimRecord `json:"claims,omitempty"`
+
+	// index is derived from the fields above by Rebuild and is not encoded.
+	index *index
+}
+
+// AcceptedRules names one accepted revision of the rules.
+type AcceptedRules struct {
+	Revision uint64       `json:"revision"`
+	Hash     model.Digest `json:"hash"`
 }
 
 // Key is a granted key. Only the hash is kept.
@@ -61,6 +73,7 @@
 	Status int           `json:"status,omitempty"`
 	Answer *model.Answer `json:"answer,omitempty"`
 	Since  model.Time    `json:"since"` // of the last change of State, for retention
+	Index  uint64        `json:"index"` // log index of the last change of State
 }
 
 // Target is a registered target. Announcements give its changing state.
@@ -151,6 +164,10 @@
 	Submitted model.Time     `json:"submitted"`
 	Placed    model.Time     `json:"placed,omitempty"`
 	Ended     model.Time     `json:"ended,omitempty"`
+	// SubmitIndex and EndIndex are the log indexes of the submission and of
+	// the end. They order tasks whose times are equal.
+	SubmitIndex uint64 `json:"submit_index"`
+	EndIndex    uint64 `json:"end_index,omitempty"`
 }
 
 // RecentResult is the result of an operator's or submitter's command, kept so
@@ -158,4 +175,5 @@
 type RecentResult struct {
 	Result Result     `json:"result"`
 	At     model.Time `json:"at"`
+	Index  uint64     `json:"index"` // log index of the first application
 }
--- a/core/problem/problem.go
+++ b/core/problem/problem.go
@@ -39,6 +39,8 @@
 	UnknownKey          Kind = "unknown_key"
 	CommandUnknown      Kind = "command_outcome_unknown"
 	TaskRejected        Kind = "task_rejected"
+	PlanRejected        Kind = "plan_rejected"
+	UnknownHost         Kind = "unknown_host"
 	AnnouncementInvalid Kind = "announcement_invalid"
 	Internal            Kind = "internal"
 )
@@ -87,6 +89,8 @@
 	UnknownKey:          {404, "there is no such key", false, RanNo},
 	CommandUnknown:      {504, "the command was submitted and its outcome is not known", true, RanUnknown},
 	TaskRejected:        {422, "the task cannot be accepted", false, RanNo},
+	PlanRejected:        {409, "the plan does not fit the current state", false, RanNo},
+	UnknownHost:         {404, "there is no such host", false, RanNo},
 	AnnouncementInvalid: {400, "the announcement is malformed", false, RanNo},
 	Internal:            {500, "internal error", false, RanUnknown},
 }
