--- /dev/null
+++ b/codec/codec.go
@@ -0,0 +1,98 @@
+// Package codec converts typed values of the system to JSON and back. It is
+// the only encoding of messages between processes and of records on disk.
+//
+// Encoding is deterministic: equal values give equal bytes, because struct
+// fields have a fixed order, map keys are sorted and claims are listed in the
+// order of team and key. Encoders only read their argument, so a value may be
+// encoded while other goroutines read it.
+//
+// Decoders never panic. They refuse input over a fixed size, unknown fields,
+// and bytes after the value. Unknown fields are refused because a replica
+// that ignored part of a command would diverge from the others.
+//
+// Strings are expected to be valid UTF-8; JSON replaces other bytes.
+package codec
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"github.com/juju/errors"
+	"primrosedale.example/primrosedale/core/consensus"
+	"primrosedale.example/primrosedale/core/fleet"
+)
+
+// The types of the replicated log of the fleet.
+type (
+	Entry    = consensus.Entry[fleet.Command]
+	Snapshot = consensus.Snapshot[*fleet.State]
+)
+
+// Largest encoded sizes in bytes. Encoders and decoders apply the same limit,
+// so that nothing is stored or sent that cannot be read back.
+const (
+	MaxCommandBytes   = 4 << 20                // a rules file, or a claim with its 64 KiB answer
+	MaxEntryBytes     = MaxCommandBytes + 4096 // a command, or a voter set
+	MaxHardStateBytes = 4096                   // term and vote
+	MaxSnapshotBytes  = 256 << 20              // the whole fleet state
+	MaxMessageBytes   = MaxSnapshotBytes + 1<<20
+)
+
+// ErrTooLarge is the cause of errors about a value over its size limit.
+const ErrTooLarge = errors.ConstError("encoded value is over the size limit")
+
+// ErrInvalid is the cause of errors about input that is not a valid value.
+const ErrInvalid = errors.ConstError("not a valid encoded value")
+
+// encode returns the JSON of v, or ErrTooLarge.
+func encode(what string, v any, limit int) ([]byte, error) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return nil, errors.Annotatef(err, "encoding %s", what)
+	}
+	if len(data) > limit {
+		return nil, errors.Annotatef(ErrTooLarge, "encoding %s: %d bytes, limit %d", what, len(data), limit)
+	}
+	return data, nil
+}
+
+// decode fills v from the single JSON object in data.
+func decode(what string, data []byte, v any, limit int) error {
+	if len(data) > limit {
+		return errors.Annotatef(ErrTooLarge, "decoding %s: %d bytes, limit %d", what, len(data), limit)
+	}
+	if !startsObject(data) {
+		return invalid(what, "a JSON object is expected")
+	}
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		return invalid(what, err.Error())
+	}
+	if _, err := dec.Token(); err != io.EOF {
+		return invalid(what, "data after the value")
+	}
+	return nil
+}
+
+// startsObject tells an object from null, which json accepts for any struct.
+func startsObject(data []byte) bool {
+	trimmed := bytes.TrimLeft(data, " \t\r\n")
+	return len(trimmed) > 0 && trimmed[0] == '{'
+}
+
+func invalid(what, detail string) error {
+	return errors.Annotatef(ErrInvalid, "decoding %s: %s", what, detail)
+}
+
+// countSet returns how many of the flags are true.
+func countSet(flags ...bool) int {
+	n := 0
+	for _, set := range flags {
+		if set {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/codec/message.go
@@ -0,0 +1,72 @@
+package codec
+
+import "primrosedale.example/primrosedale/core/message"
+
+// EncodeMessage returns the JSON of m. It fails for a message that does not
+// have exactly one of its pointers set or is over MaxMessageBytes.
+func EncodeMessage(m *message.Message) ([]byte, error) {
+	if err := checkMessage(m); err != nil {
+		return nil, err
+	}
+	return encode("message", wireMessage(m), MaxMessageBytes)
+}
+
+// DecodeMessage returns the message in data.
+func DecodeMessage(data []byte) (*message.Message, error) {
+	m := &message.Message{}
+	if err := decode("message", data, m, MaxMessageBytes); err != nil {
+		return nil, err
+	}
+	if m.Log != nil && m.Log.Snapshot != nil {
+		if err := restoreSnapshot(m.Log.Snapshot); err != nil {
+			return nil, err
+		}
+	}
+	if err := checkMessage(m); err != nil {
+		return nil, err
+	}
+	return m, nil
+}
+
+// wireMessage returns m, or a copy of it if it carries a snapshot, whose
+// state has an encoded form of its own.
+func wireMessage(m *message.Message) *message.Message {
+	if m.Log == nil || m.Log.Snapshot == nil {
+		return m
+	}
+	log := *m.Log
+	log.Snapshot = wireSnapshot(log.Snapshot)
+	return &message.Message{Log: &log}
+}
+
+func checkMessage(m *message.Message) error {
+	n := countSet(
+		m.Log != nil, m.Renew != nil, m.Grant != nil,
+		m.Ask != nil, m.Dispatch != nil, m.Refuse != nil,
+		m.Done != nil, m.Settled != nil, m.Withdraw != nil,
+		m.TargetReport != nil, m.WorkerReport != nil, m.ReportReply != nil,
+		m.Command != nil, m.CommandResult != nil,
+	)
+	if n != 1 {
+		return invalid("message", "exactly one kind must be set")
+	}
+	if m.Log != nil {
+		return checkLog(m.Log)
+	}
+	if m.Command != nil {
+		return checkCommand(&m.Command.Command)
+	}
+	return nil
+}
+
+func checkLog(log *message.Log) error {
+	if log.Snapshot != nil && log.Snapshot.State == nil {
+		return invalid("message", "the state of the snapshot is missing")
+	}
+	for i := range log.Entries {
+		if err := checkEntry(&log.Entries[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/codec/records.go
@@ -0,0 +1,132 @@
+package codec
+
+import (
+	"primrosedale.example/primrosedale/core/consensus"
+	"primrosedale.example/primrosedale/core/fleet"
+)
+
+// EncodeCommand returns the JSON of c. It fails for a command that does not
+// have exactly one of its pointers set or is over MaxCommandBytes.
+func EncodeCommand(c *fleet.Command) ([]byte, error) {
+	if err := checkCommand(c); err != nil {
+		return nil, err
+	}
+	return encode("command", c, MaxCommandBytes)
+}
+
+// DecodeCommand returns the command in data.
+func DecodeCommand(data []byte) (*fleet.Command, error) {
+	c := &fleet.Command{}
+	if err := decode("command", data, c, MaxCommandBytes); err != nil {
+		return nil, err
+	}
+	if err := checkCommand(c); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// EncodeEntry returns the JSON of e.
+func EncodeEntry(e *Entry) ([]byte, error) {
+	if err := checkEntry(e); err != nil {
+		return nil, err
+	}
+	return encode("entry", e, MaxEntryBytes)
+}
+
+// DecodeEntry returns the entry in data.
+func DecodeEntry(data []byte) (Entry, error) {
+	var e Entry
+	if err := decode("entry", data, &e, MaxEntryBytes); err != nil {
+		return Entry{}, err
+	}
+	if err := checkEntry(&e); err != nil {
+		return Entry{}, err
+	}
+	return e, nil
+}
+
+// EncodeHardState returns the JSON of h.
+func EncodeHardState(h consensus.HardState) ([]byte, error) {
+	return encode("hard state", h, MaxHardStateBytes)
+}
+
+// DecodeHardState returns the hard state in data.
+func DecodeHardState(data []byte) (consensus.HardState, error) {
+	var h consensus.HardState
+	if err := decode("hard state", data, &h, MaxHardStateBytes); err != nil {
+		return consensus.HardState{}, err
+	}
+	return h, nil
+}
+
+// EncodeSnapshot returns the JSON of s. Its state must be set.
+func EncodeSnapshot(s *Snapshot) ([]byte, error) {
+	if s.State == nil {
+		return nil, invalid("snapshot", "the state is missing")
+	}
+	return encode("snapshot", wireSnapshot(s), MaxSnapshotBytes)
+}
+
+// DecodeSnapshot returns the snapshot in data.
+func DecodeSnapshot(data []byte) (*Snapshot, error) {
+	s := &Snapshot{}
+	if err := decode("snapshot", data, s, MaxSnapshotBytes); err != nil {
+		return nil, err
+	}
+	if err := restoreSnapshot(s); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// wireSnapshot returns a copy of s with its state in encoded form.
+func wireSnapshot(s *Snapshot) *Snapshot {
+	wire := *s
+	wire.State = wireState(s.State)
+	return &wire
+}
+
+func restoreSnapshot(s *Snapshot) error {
+	if s.State == nil {
+		return invalid("snapshot", "the state is missing")
+	}
+	return restoreState(s.State)
+}
+
+// checkEntry checks that the content of e belongs to its kind.
+func checkEntry(e *Entry) error {
+	switch e.Kind {
+	case consensus.EntryCommand:
+		if e.Command == nil || len(e.Voters) > 0 {
+			return invalid("entry", "a command entry has a command and no voters")
+		}
+		return checkCommand(e.Command)
+	case consensus.EntryNoop:
+		if e.Command != nil || len(e.Voters) > 0 {
+			return invalid("entry", "a no-op entry has no content")
+		}
+	case consensus.EntryVoters:
+		if e.Command != nil || len(e.Voters) == 0 {
+			return invalid("entry", "a voters entry has voters and no command")
+		}
+	default:
+		return invalid("entry", "unknown kind")
+	}
+	return nil
+}
+
+// checkCommand checks that exactly one change is set.
+func checkCommand(c *fleet.Command) error {
+	n := countSet(
+		c.ApplyRules != nil, c.GrantKey != nil, c.WithdrawKey != nil, c.AddMember != nil,
+		c.Claim != nil, c.Complete != nil, c.Release != nil,
+		c.RegisterTarget != nil, c.RemoveTarget != nil,
+		c.ReportHost != nil, c.PlanHost != nil,
+		c.SubmitTask != nil, c.PlaceTask != nil, c.EndTask != nil, c.CancelTask != nil,
+	)
+	if n != 1 {
+		return invalid("command", "exactly one change must be set")
+	}
+	return nil
+}
