--- /dev/null
+++ b/storage/create.go
@@ -0,0 +1,144 @@
+package storage
+
+import (
+	"github.com/juju/errors"
+	"primrosedale.example/primrosedale/core/consensus"
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// firstPosition is where the log of a new cluster starts: the snapshot that
+// Init writes stands for the entry at this index.
+var firstPosition = position{Index: 1, Term: 1}
+
+// Init creates the data folder of a first voter, with a snapshot at index 1,
+// term 1 that holds the voters and an empty fleet state. It refuses a folder
+// that already holds data with ErrNotEmpty, and one in use with ErrLocked.
+func Init(dir string, id Identity, voters []consensus.NodeID) error {
+	lock, err := lockFolder(dir)
+	if err != nil {
+		return err
+	}
+	defer lock.Close()
+	return errors.Annotatef(initFolder(osFolder{dir}, id, voters), "initializing data folder %s", dir)
+}
+
+func initFolder(fs fileSystem, id Identity, voters []consensus.NodeID) error {
+	files, err := listFolder(fs)
+	if err != nil {
+		return err
+	}
+	if files.identity || (files.hasLog() && !files.pending) {
+		return ErrNotEmpty
+	}
+	snapshot, err := encodeSnapshot(&Snapshot{
+		Index:  firstPosition.Index,
+		Term:   firstPosition.Term,
+		Voters: voters,
+		State:  &fleet.State{Index: firstPosition.Index},
+	})
+	if err != nil {
+		return err
+	}
+	return createFolder(fs, files, id, snapshot)
+}
+
+// createFolder writes the files of a new folder. The identity gets its name
+// last, so that a folder with an identity is complete, and a folder that has
+// only a pending identity holds nothing of value.
+func createFolder(fs fileSystem, files contents, id Identity, snapshot *encodedSnapshot) error {
+	d := disk{fs: fs}
+	if err := d.execute(clearOperations(files)); err != nil {
+		return err
+	}
+	if err := d.execute(createOperations(id, snapshot)); err != nil {
+		return err
+	}
+	return errors.Annotate(d.rename(pendingName, identityName), "naming identity")
+}
+
+// clearOperations removes what an interrupted creation has left.
+func clearOperations(files contents) []operation {
+	var ops []operation
+	for _, number := range files.segments {
+		ops = append(ops, removeFile{name: segmentName(number)})
+	}
+	for _, index := range files.snapshots {
+		ops = append(ops, removeFile{name: snapshotName(index)})
+	}
+	return ops
+}
+
+// createOperations lists the files of a new folder, all but the final name of
+// the identity.
+func createOperations(id Identity, snapshot *encodedSnapshot) []operation {
+	l := layout{incarnation: id.Incarnation}
+	first := segment{number: 1}
+	ops := []operation{putFile{name: pendingName, payload: identityPayload(id)}}
+	if snapshot != nil {
+		ops = l.putSnapshot(ops, snapshot, false)
+		first.last = snapshot.at
+		l.hardState.Term = snapshot.at.Term
+	}
+	return append(ops, putFile{name: segmentName(first.number), payload: l.segmentHeader(first)})
+}
+
+func identityPayload(id Identity) []byte {
+	return appendInfo(nil, recordIdentity, identityInfo{
+		Format:      format,
+		Cluster:     id.Cluster,
+		Host:        id.Host,
+		Incarnation: id.Incarnation,
+	})
+}
+
+// readIdentity reads the identity file and checks whose it is.
+func readIdentity(fs fileSystem, cluster string, host model.HostID) (Identity, error) {
+	records, err := readWhole(fs, identityName)
+	if err != nil {
+		return Identity{}, err
+	}
+	var info identityInfo
+	if len(records) != 1 {
+		return Identity{}, damaged(identityName, 0, "%d records where one is expected", len(records))
+	}
+	if err := decodeInfo(records[0], recordIdentity, &info); err != nil {
+		return Identity{}, damaged(identityName, 0, "%v", err)
+	}
+	if info.Format != format {
+		return Identity{}, damaged(identityName, 0, "format %d, this program reads %d", info.Format, format)
+	}
+	if info.Cluster != cluster || info.Host != host {
+		return Identity{}, errors.Annotatef(ErrWrongIdentity, "%s names cluster %q host %q, expected cluster %q host %q",
+			identityName, info.Cluster, info.Host, cluster, host)
+	}
+	return Identity{Cluster: info.Cluster, Host: info.Host, Incarnation: info.Incarnation}, nil
+}
+
+// readWhole reads a file of exactly one frame.
+func readWhole(fs fileSystem, name string) ([]record, error) {
+	data, err := fs.ReadFile(name)
+	if err != nil {
+		return nil, errors.Annotatef(err, "reading %s", name)
+	}
+	s := scanFrames(data)
+	if s.bad != "" {
+		return nil, damaged(name, s.end, "%s", s.bad)
+	}
+	if len(s.frames) != 1 {
+		return nil, damaged(name, 0, "%d frames where one is expected", len(s.frames))
+	}
+	records, err := splitRecords(s.frames[0].payload)
+	if err != nil {
+		return nil, damaged(name, 0, "%v", err)
+	}
+	return records, nil
+}
+
+func listFolder(fs fileSystem) (contents, error) {
+	names, err := fs.List()
+	if err != nil {
+		return contents{}, errors.Annotate(err, "listing data folder")
+	}
+	return classify(names), nil
+}
--- /dev/null
+++ b/storage/layout.go
@@ -0,0 +1,239 @@
+package storage
+
+import (
+	"fmt"
+
+	"primrosedale.example/primrosedale/core/consensus"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// Sizes that shape the log, in bytes.
+const (
+	// segmentSize is the size from which the log goes on in a new segment.
+	segmentSize = 16 << 20
+	// frameTarget is the size from which a batch is split into frames that are
+	// synced one after another, to bound what one write can leave torn.
+	frameTarget = 8 << 20
+)
+
+// snapshotsKept is the number of snapshots kept: the newest, and the one to
+// fall back on if the newest cannot be read.
+const snapshotsKept = 2
+
+// segment is a segment that exists in the folder.
+type segment struct {
+	number uint64
+	last   position // last entry before the segment
+}
+
+// layout is what the reducer knows of the folder. It never looks at a file.
+type layout struct {
+	incarnation model.Incarnation
+	segments    []segment // ascending; the log is written to the last
+	size        int64     // of the last segment, in bytes
+	sequence    uint64    // of the next frame
+	last        position  // last entry of the log, or of the snapshot that replaced it
+	hardState   consensus.HardState
+	snapshots   []uint64 // indices, ascending
+
+	segmentSize int64 // threshold for a new segment, in bytes
+}
+
+// writeRequest is the event of one Store.Write, with its values encoded.
+type writeRequest struct {
+	hardState     *consensus.HardState
+	hardStateBody []byte
+	first         uint64 // index of the first entry, if any
+	entries       []encodedEntries
+	snapshot      *encodedSnapshot
+	install       bool
+}
+
+// encodedSnapshot is a snapshot in encoded form.
+type encodedSnapshot struct {
+	at   position
+	body []byte
+}
+
+// operation is one effect on the folder, executed by disk.
+type operation interface{ isOperation() }
+
+// The operations.
+type (
+	// appendFrame writes a frame at the end of the segment in use and syncs it.
+	appendFrame struct {
+		sequence uint64
+		payload  []byte
+	}
+	// putFile makes a file of one frame appear whole and durable.
+	putFile struct {
+		name     string
+		sequence uint64
+		payload  []byte
+	}
+	// useSegment makes a segment the one in use; offset is its size in bytes.
+	useSegment struct {
+		name   string
+		offset int64
+	}
+	// removeFile removes a file durably.
+	removeFile struct{ name string }
+)
+
+func (appendFrame) isOperation() {}
+func (putFile) isOperation()     {}
+func (useSegment) isOperation()  {}
+func (removeFile) isOperation()  {}
+
+func segmentName(number uint64) string { return fmt.Sprintf("wal-%020d.log", number) }
+func snapshotName(index uint64) string { return fmt.Sprintf("snap-%020d.snap", index) }
+
+// reduce decides how to store a request. Each operation is durable before the
+// next one starts. If one fails, the layout no longer describes the folder
+// and must not be used again.
+//
+// A snapshot of our own is written after the entries that it covers, so that
+// on disk the log always reaches it. An installed one is written before the
+// log is reset, so that the log never starts after the newest snapshot.
+func (l *layout) reduce(w writeRequest) ([]operation, error) {
+	if err := l.check(w); err != nil {
+		return nil, err
+	}
+	var ops []operation
+	var payload []byte
+	if w.hardState != nil {
+		l.hardState = *w.hardState
+		payload = appendRecord(payload, recordHardState, w.hardStateBody)
+	}
+	if w.install {
+		// The term reaches the disk before a snapshot of that term does.
+		ops = l.appendPayload(ops, payload)
+		ops = l.putSnapshot(ops, w.snapshot, true)
+		l.last = w.snapshot.at
+		payload = appendInfo(nil, recordReset, w.snapshot.at)
+	}
+	ops = l.appendEntries(ops, payload, w.entries)
+	if w.snapshot != nil && !w.install {
+		ops = l.putSnapshot(ops, w.snapshot, false)
+	}
+	return l.dropOld(ops), nil
+}
+
+// check reports whether the request continues the log.
+func (l *layout) check(w writeRequest) error {
+	newest := l.newestSnapshot()
+	start, end := l.last.Index, l.last.Index
+	if w.snapshot != nil && w.snapshot.at.Index < newest {
+		return invalidBatch("snapshot at index %d is older than the one at %d", w.snapshot.at.Index, newest)
+	}
+	if w.install {
+		if w.snapshot == nil {
+			return invalidBatch("there is no snapshot to install")
+		}
+		newest, start, end = w.snapshot.at.Index, w.snapshot.at.Index, w.snapshot.at.Index
+	}
+	if len(w.entries) > 0 {
+		if w.first <= newest || w.first > start+1 {
+			return invalidBatch("first entry has index %d, the log has %d to %d", w.first, newest+1, start)
+		}
+		end = w.entries[len(w.entries)-1].last.Index
+	}
+	if w.snapshot != nil && w.snapshot.at.Index > end {
+		return invalidBatch("own snapshot at index %d is after the end of the log at %d", w.snapshot.at.Index, end)
+	}
+	return nil
+}
+
+func (l *layout) newestSnapshot() uint64 {
+	if len(l.snapshots) == 0 {
+		return 0
+	}
+	return l.snapshots[len(l.snapshots)-1]
+}
+
+// appendEntries appends the payload and the runs of entries, the first run in
+// one frame with the payload.
+func (l *layout) appendEntries(ops []operation, payload []byte, runs []encodedEntries) []operation {
+	if len(runs) == 0 {
+		return l.appendPayload(ops, payload)
+	}
+	for _, run := range runs {
+		lines := run.lines
+		if len(payload) > 0 {
+			lines = append(payload, run.lines...)
+			payload = nil
+		}
+		ops = l.appendPayload(ops, lines)
+		l.last = run.last
+	}
+	return ops
+}
+
+// appendPayload appends one frame, in a new segment if the one in use is full.
+// It does nothing for an empty payload.
+func (l *layout) appendPayload(ops []operation, payload []byte) []operation {
+	if len(payload) == 0 {
+		return ops
+	}
+	if l.size >= l.segmentSize {
+		ops = l.nextSegment(ops)
+	}
+	return l.appendOne(ops, payload)
+}
+
+func (l *layout) appendOne(ops []operation, payload []byte) []operation {
+	ops = append(ops, appendFrame{sequence: l.sequence, payload: payload})
+	l.size += frameHeaderSize + int64(len(payload))
+	l.sequence++
+	return ops
+}
+
+// nextSegment creates the next segment and then seals the one in use, in this
+// order: a sealed segment always has a successor, so that a successor that is
+// missing later is known to be lost.
+func (l *layout) nextSegment(ops []operation) []operation {
+	next := segment{number: l.segments[len(l.segments)-1].number + 1, last: l.last}
+	header := l.segmentHeader(next)
+	name := segmentName(next.number)
+	ops = append(ops, putFile{name: name, sequence: l.sequence + 1, payload: header})
+	ops = l.appendOne(ops, appendRecord(nil, recordSeal, []byte("{}")))
+
+	l.segments = append(l.segments, next)
+	l.size = frameHeaderSize + int64(len(header))
+	l.sequence++
+	return append(ops, useSegment{name: name, offset: l.size})
+}
+
+// segmentHeader returns the payload of the first frame of a segment.
+func (l *layout) segmentHeader(s segment) []byte {
+	return appendInfo(nil, recordSegment, segmentInfo{
+		Incarnation: l.incarnation,
+		Number:      s.number,
+		Last:        s.last,
+		HardState:   l.hardState,
+	})
+}
+
+func (l *layout) putSnapshot(ops []operation, s *encodedSnapshot, installed bool) []operation {
+	info := snapshotInfo{Incarnation: l.incarnation, At: s.at, Installed: installed}
+	payload := appendInfo(nil, recordSnapshotInfo, info)
+	payload = appendRecord(payload, recordSnapshot, s.body)
+	if l.newestSnapshot() != s.at.Index {
+		l.snapshots = append(l.snapshots, s.at.Index)
+	}
+	return append(ops, putFile{name: snapshotName(s.at.Index), payload: payload})
+}
+
+// dropOld removes the snapshots before the last two, and the segments whose
+// entries are all covered by the older of these.
+func (l *layout) dropOld(ops []operation) []operation {
+	for len(l.snapshots) > snapshotsKept {
+		ops = append(ops, removeFile{name: snapshotName(l.snapshots[0])})
+		l.snapshots = l.snapshots[1:]
+	}
+	for len(l.snapshots) > 0 && len(l.segments) > 1 && l.segments[1].last.Index <= l.snapshots[0] {
+		ops = append(ops, removeFile{name: segmentName(l.segments[0].number)})
+		l.segments = l.segments[1:]
+	}
+	return ops
+}
--- /dev/null
+++ b/storage/load.go
@@ -0,0 +1,137 @@
+package storage
+
+import (
+	"github.com/juju/errors"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// loadedLog is the log as read from the segments.
+type loadedLog struct {
+	replay
+	tail      frame  // last valid frame
+	end       int64  // offset of the next frame in the last segment, in bytes
+	truncated int64  // bytes after end that are an unfinished write
+	bad       string // what is wrong with them
+	unused    string // segment that was created and never used, or empty
+}
+
+// scannedSegment is one segment file with its frames.
+type scannedSegment struct {
+	name string
+	scan
+}
+
+// loadLog reads all segments.
+func loadLog(fs fileSystem, numbers []uint64, incarnation model.Incarnation) (*loadedLog, error) {
+	segments, err := scanSegments(fs, numbers)
+	if err != nil {
+		return nil, err
+	}
+	log := &loadedLog{replay: replay{incarnation: incarnation}}
+	segments = log.dropUnused(segments)
+	if err := log.replaySegments(segments); err != nil {
+		return nil, err
+	}
+	last := segments[len(segments)-1]
+	if log.sealed {
+		missing := segmentName(log.segments[len(log.segments)-1].number + 1)
+		return nil, damaged(last.name, last.end, "the log continues in %s, which is missing", missing)
+	}
+	log.tail = last.frames[len(last.frames)-1]
+	log.end = last.end
+	log.truncated = last.size - last.end
+	log.bad = last.bad
+	return log, nil
+}
+
+func scanSegments(fs fileSystem, numbers []uint64) ([]scannedSegment, error) {
+	if len(numbers) == 0 {
+		return nil, damaged(segmentName(1), 0, "the folder has no segment of the log")
+	}
+	var segments []scannedSegment
+	for _, number := range numbers {
+		name := segmentName(number)
+		data, err := fs.ReadFile(name)
+		if err != nil {
+			return nil, errors.Annotatef(err, "reading %s", name)
+		}
+		s := scannedSegment{name: name, scan: scanFrames(data)}
+		if len(s.frames) == 0 {
+			// The header is synced before the file gets its name.
+			return nil, damaged(name, 0, "no valid segment header: %s", s.bad)
+		}
+		segments = append(segments, s)
+	}
+	return segments, nil
+}
+
+// dropUnused leaves out a last segment that holds only its header if the one
+// before it is not sealed: a crash came between its creation and the seal.
+func (l *loadedLog) dropUnused(segments []scannedSegment) []scannedSegment {
+	n := len(segments)
+	if n < 2 {
+		return segments
+	}
+	last, previous := segments[n-1], segments[n-2]
+	if len(last.frames) > 1 || last.bad != "" || isSealed(previous.scan) {
+		return segments
+	}
+	l.unused = last.name
+	return segments[:n-1]
+}
+
+func isSealed(s scan) bool {
+	payload := s.frames[len(s.frames)-1].payload
+	return s.bad == "" && len(payload) > 0 && recordKind(payload[0]) == recordSeal
+}
+
+func (l *loadedLog) replaySegments(segments []scannedSegment) error {
+	var sequence uint64
+	for i, s := range segments {
+		if err := checkDamage(s, i == len(segments)-1); err != nil {
+			return err
+		}
+		for _, f := range s.frames {
+			first := i == 0 && f.offset == 0
+			if !first && f.sequence != sequence+1 {
+				return damaged(s.name, f.offset, "frame has sequence number %d, expected %d", f.sequence, sequence+1)
+			}
+			sequence = f.sequence
+			if err := l.applyPayload(f.payload); err != nil {
+				return damaged(s.name, f.offset, "%v", err)
+			}
+		}
+	}
+	return nil
+}
+
+// checkDamage accepts a bad frame only as the very last of the log.
+func checkDamage(s scannedSegment, last bool) error {
+	switch {
+	case s.bad == "":
+		return nil
+	case s.next >= 0:
+		return damaged(s.name, s.end, "%s, and a valid frame follows at byte %d", s.bad, s.next)
+	case !last:
+		return damaged(s.name, s.end, "%s, and the log goes on in later segments", s.bad)
+	}
+	return nil
+}
+
+// layout returns the state of the reducer for the loaded folder.
+func (l *loadedLog) layout(chosen chosenSnapshot) layout {
+	out := layout{
+		incarnation: l.incarnation,
+		segments:    l.segments,
+		size:        l.end,
+		sequence:    l.tail.sequence + 1,
+		last:        l.last(),
+		hardState:   l.hardState,
+		snapshots:   chosen.kept,
+		segmentSize: segmentSize,
+	}
+	if chosen.reset != nil {
+		out.last = *chosen.reset
+	}
+	return out
+}
--- /dev/null
+++ b/storage/names.go
@@ -0,0 +1,60 @@
+package storage
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Names of the files of a folder other than segments and snapshots.
+const (
+	identityName = "identity"
+	// pendingName is the identity of a folder whose creation is under way. Its
+	// rename to identityName is the last step of the creation.
+	pendingName     = "identity.new"
+	temporarySuffix = ".tmp"
+	damagedSuffix   = ".damaged"
+)
+
+// contents are the files of a folder by use.
+type contents struct {
+	identity  bool
+	pending   bool
+	segments  []uint64 // numbers, ascending
+	snapshots []uint64 // indices, ascending
+	temporary []string
+}
+
+// hasLog reports whether there is any segment or snapshot.
+func (c contents) hasLog() bool { return len(c.segments)+len(c.snapshots) > 0 }
+
+// classify sorts the names of a folder. Names of no known form are ignored.
+func classify(names []string) contents {
+	var c contents
+	for _, name := range names {
+		var number uint64
+		switch {
+		case name == identityName:
+			c.identity = true
+		case name == pendingName:
+			c.pending = true
+		case strings.HasSuffix(name, temporarySuffix):
+			c.temporary = append(c.temporary, name)
+		case parseName(name, "wal-%020d.log", &number):
+			c.segments = append(c.segments, number)
+		case parseName(name, "snap-%020d.snap", &number):
+			c.snapshots = append(c.snapshots, number)
+		}
+	}
+	slices.Sort(c.segments)
+	slices.Sort(c.snapshots)
+	return c
+}
+
+// parseName reads the number from a name of exactly this form.
+func parseName(name, form string, number *uint64) bool {
+	if _, err := fmt.Sscanf(name, form, number); err != nil {
+		return false
+	}
+	return fmt.Sprintf(form, *number) == name
+}
--- /dev/null
+++ b/storage/open.go
@@ -0,0 +1,146 @@
+package storage
+
+import (
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// Open opens the data folder of a replica and returns its content. An empty
+// folder gets a new incarnation and holds no voters. The cause of an error is
+// ErrLocked, ErrWrongIdentity, ErrDamaged, or the error of the file system.
+func Open(dir string, cluster string, host model.HostID, newIncarnation func() model.Incarnation, lg zerolog.Logger) (*Store, Loaded, error) {
+	lock, err := lockFolder(dir)
+	if err != nil {
+		return nil, Loaded{}, err
+	}
+	o := opener{fs: osFolder{dir}, cluster: cluster, host: host, newIncarnation: newIncarnation, lg: lg}
+	s, loaded, err := o.open()
+	if err != nil {
+		_ = lock.Close()
+		return nil, Loaded{}, errors.Annotatef(err, "opening data folder %s", dir)
+	}
+	s.lock = lock
+	return s, loaded, nil
+}
+
+// opener holds the arguments of Open.
+type opener struct {
+	fs             fileSystem
+	cluster        string
+	host           model.HostID
+	newIncarnation func() model.Incarnation
+	lg             zerolog.Logger
+}
+
+func (o *opener) open() (*Store, Loaded, error) {
+	files, err := o.prepare()
+	if err != nil {
+		return nil, Loaded{}, err
+	}
+	id, err := readIdentity(o.fs, o.cluster, o.host)
+	if err != nil {
+		return nil, Loaded{}, err
+	}
+	log, err := loadLog(o.fs, files.segments, id.Incarnation)
+	if err != nil {
+		return nil, Loaded{}, err
+	}
+	chosen, err := chooseSnapshot(o.fs, files.snapshots, log)
+	if err != nil {
+		return nil, Loaded{}, err
+	}
+	s, err := o.repair(files, log, chosen)
+	if err != nil {
+		return nil, Loaded{}, err
+	}
+	return s, Loaded{
+		Identity:  id,
+		HardState: log.hardState,
+		Snapshot:  chosen.snapshot,
+		Entries:   chosen.entries,
+		Truncated: log.truncated,
+	}, nil
+}
+
+// prepare creates the folder's files if it has none and lists them.
+func (o *opener) prepare() (contents, error) {
+	files, err := listFolder(o.fs)
+	if err != nil {
+		return contents{}, err
+	}
+	if files.identity {
+		return files, nil
+	}
+	if files.hasLog() && !files.pending {
+		return contents{}, damaged(identityName, 0, "the file is missing and the folder is not empty")
+	}
+	id := Identity{Cluster: o.cluster, Host: o.host, Incarnation: o.newIncarnation()}
+	if err := createFolder(o.fs, files, id, nil); err != nil {
+		return contents{}, errors.Annotate(err, "creating files")
+	}
+	return listFolder(o.fs)
+}
+
+// repair makes the folder agree with what was loaded: it removes what a crash
+// has left, and makes sure that everything loaded is durable.
+func (o *opener) repair(files contents, log *loadedLog, chosen chosenSnapshot) (*Store, error) {
+	s := &Store{disk: disk{fs: o.fs}, layout: log.layout(chosen)}
+	if err := o.removeLeftovers(&s.disk, files, log, chosen); err != nil {
+		return nil, err
+	}
+	name := segmentName(log.segments[len(log.segments)-1].number)
+	if err := s.disk.use(useSegment{name: name, offset: log.end}); err != nil {
+		return nil, errors.Annotatef(err, "opening %s", name)
+	}
+	if err := o.finishTail(&s.disk, name, log); err != nil {
+		_ = s.disk.log.Close()
+		return nil, errors.Annotatef(err, "repairing %s", name)
+	}
+	if chosen.reset != nil {
+		payload := appendInfo(nil, recordReset, *chosen.reset)
+		if err := s.disk.execute(s.layout.appendOne(nil, payload)); err != nil {
+			_ = s.disk.log.Close()
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func (o *opener) removeLeftovers(d *disk, files contents, log *loadedLog, chosen chosenSnapshot) error {
+	var ops []operation
+	for _, name := range files.temporary {
+		ops = append(ops, removeFile{name: name})
+	}
+	if log.unused != "" {
+		ops = append(ops, removeFile{name: log.unused})
+	}
+	if err := d.execute(ops); err != nil {
+		return err
+	}
+	if chosen.damaged != "" {
+		o.lg.Warn().Err(chosen.damage).Str("file", chosen.damaged).
+			Msg("newest snapshot is damaged; the one before it and the log are used")
+		if err := d.rename(chosen.damaged, chosen.damaged+damagedSuffix); err != nil {
+			return errors.Annotatef(err, "renaming %s", chosen.damaged)
+		}
+	}
+	// A rename seen now may not have been synced by the process that made it.
+	return errors.Annotate(o.fs.SyncDir(), "syncing data folder")
+}
+
+// finishTail truncates an unfinished write and makes the last frame durable.
+// The frame may have been read from the page cache after its sync failed or
+// was never called; the kernel then holds it as clean, and only writing it
+// again makes a sync meaningful. All frames before it are known to be synced.
+func (o *opener) finishTail(d *disk, name string, log *loadedLog) error {
+	if log.truncated > 0 {
+		o.lg.Warn().Str("file", name).Int64("offset", log.end).Int64("bytes", log.truncated).
+			Str("found", log.bad).Msg("unfinished write at the end of the log is truncated")
+		if err := d.log.Truncate(log.end); err != nil {
+			return errors.Annotate(err, "truncating")
+		}
+	}
+	tail := log.tail
+	return writeSynced(d.log, encodeFrame(tail.sequence, tail.payload), tail.offset)
+}
--- /dev/null
+++ b/storage/snapshot.go
@@ -0,0 +1,101 @@
+package storage
+
+import (
+	"github.com/juju/errors"
+	"primrosedale.example/primrosedale/codec"
+)
+
+// chosenSnapshot is the snapshot that the replica starts from.
+type chosenSnapshot struct {
+	snapshot *Snapshot // nil: the log starts at index 1
+	entries  []Entry   // of the log, after the snapshot
+	kept     []uint64  // indices of the snapshots that remain in the folder
+	reset    *position // where the log must be reset to: an install was not finished
+	damaged  string    // name of a newer snapshot that cannot be read, or empty
+	damage   error     // what is wrong with it
+}
+
+// chooseSnapshot reads the newest snapshot, or the one before it if the
+// newest is damaged and the log covers the difference.
+func chooseSnapshot(fs fileSystem, indices []uint64, log *loadedLog) (chosenSnapshot, error) {
+	if len(indices) == 0 {
+		return chooseOlder(fs, nil, 0, log)
+	}
+	newest := indices[len(indices)-1]
+	snapshot, info, err := readSnapshot(fs, newest, log)
+	if errors.Is(err, ErrDamaged) {
+		chosen, olderErr := chooseOlder(fs, indices[:len(indices)-1], newest, log)
+		if olderErr != nil {
+			return chosenSnapshot{}, errors.Annotatef(err, "no older snapshot replaces it (%v)", olderErr)
+		}
+		chosen.damaged = snapshotName(newest)
+		chosen.damage = err
+		return chosen, nil
+	}
+	if err != nil {
+		return chosenSnapshot{}, err
+	}
+	chosen := chosenSnapshot{snapshot: snapshot, kept: indices}
+	switch {
+	case log.covers(info.At):
+		chosen.entries = log.after(newest)
+	case info.Installed && newest > log.base.Index:
+		chosen.reset = &info.At
+	default:
+		return chosenSnapshot{}, uncovered(newest, log)
+	}
+	return chosen, nil
+}
+
+// chooseOlder starts from the last of the indices, or from an empty state if
+// there is none. The log must cover everything from there to index upTo.
+func chooseOlder(fs fileSystem, indices []uint64, upTo uint64, log *loadedLog) (chosenSnapshot, error) {
+	chosen := chosenSnapshot{kept: indices}
+	var at position
+	if len(indices) > 0 {
+		snapshot, info, err := readSnapshot(fs, indices[len(indices)-1], log)
+		if err != nil {
+			return chosenSnapshot{}, err
+		}
+		chosen.snapshot, at = snapshot, info.At
+	}
+	if !log.covers(at) || log.last().Index < upTo {
+		return chosenSnapshot{}, uncovered(at.Index, log)
+	}
+	chosen.entries = log.after(at.Index)
+	return chosen, nil
+}
+
+func uncovered(index uint64, log *loadedLog) error {
+	name := snapshotName(index)
+	if index == 0 {
+		name = "no snapshot"
+	}
+	return damaged(name, 0, "the log after index %d is not complete, it holds the entries %d to %d",
+		index, log.base.Index+1, log.last().Index)
+}
+
+// readSnapshot reads and checks the snapshot file of an index.
+func readSnapshot(fs fileSystem, index uint64, log *loadedLog) (*Snapshot, snapshotInfo, error) {
+	var info snapshotInfo
+	name := snapshotName(index)
+	records, err := readWhole(fs, name)
+	if err != nil {
+		return nil, info, err
+	}
+	if len(records) != 2 || records[1].kind != recordSnapshot {
+		return nil, info, damaged(name, 0, "not the records of a snapshot")
+	}
+	if err := decodeInfo(records[0], recordSnapshotInfo, &info); err != nil {
+		return nil, info, damaged(name, 0, "%v", err)
+	}
+	snapshot, err := codec.DecodeSnapshot(records[1].body)
+	if err != nil {
+		return nil, info, damaged(name, 0, "%v", err)
+	}
+	at := position{snapshot.Index, snapshot.Term}
+	if info.Incarnation != log.incarnation || info.At != at || at.Index != index {
+		return nil, info, damaged(name, 0, "the content is of incarnation %q and index %d", info.Incarnation, at.Index)
+	}
+	return snapshot, info, nil
+}
--- /dev/null
+++ b/storage/store.go
@@ -0,0 +1,145 @@
+package storage
+
+import (
+	"os"
+
+	"github.com/juju/errors"
+	"primrosedale.example/primrosedale/codec"
+	"primrosedale.example/primrosedale/core/consensus"
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// Entry is an entry of the fleet's log.
+type Entry = consensus.Entry[fleet.Command]
+
+// Snapshot is a snapshot of the fleet's state.
+type Snapshot = consensus.Snapshot[*fleet.State]
+
+// Identity is what a data folder belongs to.
+type Identity struct {
+	Cluster     string
+	Host        model.HostID
+	Incarnation model.Incarnation
+}
+
+// Loaded is the content of a data folder when it was opened.
+type Loaded struct {
+	Identity  Identity
+	HardState consensus.HardState
+	Snapshot  *Snapshot // nil if there is none
+	Entries   []Entry   // those after Snapshot
+	Truncated int64     // bytes of an unfinished write that were cut off the log
+}
+
+// Batch is what one Write makes durable. Zero fields are left out.
+type Batch struct {
+	// Snapshot is of our own, at or before the end of the log, and only lets
+	// older segments go. With Install, it came from the leader and replaces
+	// the whole log; Entries then start right after it.
+	Snapshot  *Snapshot
+	Install   bool
+	HardState *consensus.HardState
+	// Entries are consecutive. They replace all stored entries at and after
+	// the first of them, which must not be covered by a snapshot.
+	Entries []Entry
+}
+
+// Store is an open data folder. It is used by one goroutine.
+type Store struct {
+	lock   *os.File
+	layout layout
+	disk   disk
+	err    error // of the first Write that failed
+}
+
+// Write makes the batch durable. After an error, every later Write returns
+// the same error, as what is on disk is then no longer known. The cause is
+// ErrInvalidBatch for a batch that does not continue the log, ErrClosed after
+// Close, an error of package codec, or the error of the file system.
+func (s *Store) Write(b Batch) error {
+	if s.err != nil {
+		return s.err
+	}
+	s.err = s.write(b)
+	return s.err
+}
+
+func (s *Store) write(b Batch) error {
+	request, err := encodeBatch(b)
+	if err != nil {
+		return errors.Annotate(err, "encoding batch")
+	}
+	ops, err := s.layout.reduce(request)
+	if err != nil {
+		return err
+	}
+	return s.disk.execute(ops)
+}
+
+// Close ends the log with an empty frame, unless a Write has failed, and
+// gives up the folder. It returns the first error of closing.
+func (s *Store) Close() error {
+	var err error
+	if s.err == nil {
+		err = s.disk.execute(s.layout.appendOne(nil, nil))
+		s.err = ErrClosed
+	}
+	if s.disk.log != nil {
+		err = firstError(err, s.disk.log.Close())
+		s.disk.log = nil
+	}
+	if s.lock != nil {
+		err = firstError(err, s.lock.Close())
+		s.lock = nil
+	}
+	return errors.Annotate(err, "closing data folder")
+}
+
+func firstError(a, b error) error {
+	if a != nil {
+		return a
+	}
+	return b
+}
+
+// encodeBatch turns a batch into the event of the reducer.
+func encodeBatch(b Batch) (writeRequest, error) {
+	w := writeRequest{hardState: b.HardState, install: b.Install}
+	var err error
+	if b.HardState != nil {
+		if w.hardStateBody, err = codec.EncodeHardState(*b.HardState); err != nil {
+			return w, err
+		}
+	}
+	if len(b.Entries) > 0 {
+		if err = checkConsecutive(b.Entries); err != nil {
+			return w, err
+		}
+		w.first = b.Entries[0].Index
+		if w.entries, err = encodeEntries(b.Entries, frameTarget); err != nil {
+			return w, err
+		}
+	}
+	if b.Snapshot != nil {
+		w.snapshot, err = encodeSnapshot(b.Snapshot)
+	}
+	return w, err
+}
+
+func encodeSnapshot(s *Snapshot) (*encodedSnapshot, error) {
+	body, err := codec.EncodeSnapshot(s)
+	if err != nil {
+		return nil, err
+	}
+	return &encodedSnapshot{at: position{s.Index, s.Term}, body: body}, nil
+}
+
+func checkConsecutive(entries []Entry) error {
+	for i := range entries {
+		if want := entries[0].Index + uint64(i); entries[i].Index != want {
+			return invalidBatch("entry %d of the batch has index %d, expected %d", i, entries[i].Index, want)
+		}
+	}
+	return nil
+}
