--- /dev/null
+++ b/core/consensus/election.go
@@ -0,0 +1,236 @@
+package consensus
+
+import "primrosedale.example/primrosedale/core/model"
+
+// resetElectionTimer draws a new election timeout from now.
+func (n *Node[C, S]) resetElectionTimer() {
+	spread := uint64(n.cfg.ElectionTimeoutMax - n.cfg.ElectionTimeoutMin)
+	n.deadline = n.now.Add(n.cfg.ElectionTimeoutMin + model.Duration(n.rand%spread))
+}
+
+// resetRetryTimer draws the time until a campaign without result is repeated.
+// It is shorter than the election timeout, because no leader has been heard
+// for that long already; the spread keeps candidates apart.
+func (n *Node[C, S]) resetRetryTimer() {
+	spread := uint64(n.cfg.ElectionTimeoutMin / 2)
+	n.deadline = n.now.Add(n.cfg.HeartbeatInterval + model.Duration(n.rand%spread))
+}
+
+func (n *Node[C, S]) tickElection() {
+	if n.now >= n.deadline {
+		n.preCampaign()
+	}
+}
+
+// preCampaign asks for pre-votes, which change no state on either side.
+func (n *Node[C, S]) preCampaign() {
+	n.role = PreCandidate
+	n.leader = NodeID{}
+	n.votes = map[NodeID]bool{}
+	n.resetRetryTimer()
+	n.askVoters(func(to NodeID) {
+		n.send(n.voteRequest(MsgPreVote, to, n.term+1, false))
+	})
+	n.recordVote(n.cfg.ID)
+}
+
+// campaign starts a new term with a vote for itself.
+func (n *Node[C, S]) campaign(transfer bool) {
+	n.setTerm(n.term + 1)
+	n.role = Candidate
+	n.setVote(n.cfg.ID)
+	n.votes = map[NodeID]bool{}
+	n.resetRetryTimer()
+	n.askVoters(func(to NodeID) {
+		// The request waits for the log that it describes: a candidate that
+		// restarts with a shorter log must not be given votes for this one.
+		n.sendDurable(n.log.lastIndex(), n.voteRequest(MsgVote, to, n.term, transfer))
+	})
+}
+
+func (n *Node[C, S]) askVoters(ask func(to NodeID)) {
+	for _, id := range n.membership().voters {
+		if id != n.cfg.ID {
+			ask(id)
+		}
+	}
+}
+
+func (n *Node[C, S]) voteRequest(kind MessageKind, to NodeID, term uint64, transfer bool) Message[C, S] {
+	return Message[C, S]{
+		Kind:     kind,
+		To:       to,
+		Term:     term,
+		Index:    n.log.lastIndex(),
+		LogTerm:  n.log.lastTerm(),
+		Transfer: transfer,
+	}
+}
+
+// recordVote counts a vote or pre-vote and acts on a majority.
+func (n *Node[C, S]) recordVote(from NodeID) {
+	n.votes[from] = true
+	if !n.membership().hasQuorum(func(id NodeID) bool { return n.votes[id] }) {
+		return
+	}
+	if n.role == PreCandidate {
+		n.campaign(false)
+		return
+	}
+	n.becomeLeader()
+}
+
+// protectsLeader reports whether votes are ignored because a leader was heard
+// within the shortest election timeout. The leader lease depends on it.
+func (n *Node[C, S]) protectsLeader(m Message[C, S]) bool {
+	if m.Transfer {
+		return false
+	}
+	return n.role == Leader || n.now < n.lastHeard.Add(n.cfg.ElectionTimeoutMin)
+}
+
+// mayVote is false on a volatile node, which would forget its votes.
+func (n *Node[C, S]) mayVote() bool {
+	return n.cfg.Durable
+}
+
+func (n *Node[C, S]) handlePreVote(m Message[C, S]) bool {
+	if !n.mayVote() {
+		return false
+	}
+	if n.protectsLeader(m) {
+		return true
+	}
+	reply := Message[C, S]{Kind: MsgPreVoteReply, To: m.From, Term: m.Term}
+	if m.Term <= n.term || !n.log.upToDate(m.Index, m.LogTerm) {
+		reply.Reject = true
+		reply.Term = n.term
+	}
+	n.sendDurable(0, reply)
+	return true
+}
+
+func (n *Node[C, S]) handlePreVoteReply(m Message[C, S]) bool {
+	if m.Reject {
+		n.observeTerm(m.Term)
+		return true
+	}
+	if n.role == PreCandidate && m.Term == n.term+1 {
+		n.recordVote(m.From)
+	}
+	return true
+}
+
+func (n *Node[C, S]) handleVote(m Message[C, S]) bool {
+	if !n.mayVote() {
+		return false
+	}
+	if n.protectsLeader(m) {
+		return true
+	}
+	n.observeTerm(m.Term)
+	if n.canGrant(m) {
+		if n.voteIsAmbiguous(m) {
+			return true
+		}
+		n.setVote(m.From)
+		n.resetElectionTimer()
+		n.sendDurable(0, Message[C, S]{Kind: MsgVoteReply, To: m.From})
+		return true
+	}
+	n.sendDurable(0, Message[C, S]{Kind: MsgVoteReply, To: m.From, Reject: true})
+	return true
+}
+
+func (n *Node[C, S]) canGrant(m Message[C, S]) bool {
+	if m.Term < n.term || n.role == Leader {
+		return false
+	}
+	free := n.vote == NodeID{} || n.vote == m.From
+	return free && n.log.upToDate(m.Index, m.LogTerm)
+}
+
+// voteIsAmbiguous reports whether a report of a write already in flight in
+// this term would be taken for the write of the vote.
+func (n *Node[C, S]) voteIsAmbiguous(m Message[C, S]) bool {
+	if n.vote == m.From || n.disk.hardTerm != n.term {
+		return false
+	}
+	return n.disk.inFlight()
+}
+
+func (n *Node[C, S]) handleVoteReply(m Message[C, S]) bool {
+	if m.Term > n.term {
+		n.observeTerm(m.Term)
+		return m.Reject
+	}
+	if n.role == Candidate && m.Term == n.term && !m.Reject {
+		n.recordVote(m.From)
+	}
+	return true
+}
+
+// handleTimeoutNow campaigns at once on the wish of the leader.
+func (n *Node[C, S]) handleTimeoutNow(m Message[C, S]) bool {
+	if m.Term != n.term || n.role != Follower || n.leader != m.From {
+		return false
+	}
+	n.campaign(true)
+	return true
+}
+
+// observeTerm moves to a later term as a follower without a leader.
+func (n *Node[C, S]) observeTerm(term uint64) {
+	if term <= n.term {
+		return
+	}
+	n.setTerm(term)
+	n.becomeFollower()
+}
+
+func (n *Node[C, S]) setTerm(term uint64) {
+	n.term = term
+	n.vote = NodeID{}
+	n.leader = NodeID{}
+	n.disk.hardChanged = true
+	// Promises of an earlier term may concern entries that a new leader
+	// replaces before they are on disk.
+	n.held = nil
+}
+
+func (n *Node[C, S]) setVote(id NodeID) {
+	if n.vote == id {
+		return
+	}
+	n.vote = id
+	n.disk.hardChanged = true
+}
+
+// becomeFollower ends a campaign or leadership within the current term.
+func (n *Node[C, S]) becomeFollower() {
+	if n.leader == n.cfg.ID {
+		n.leader = NodeID{}
+	}
+	n.role = n.restingRole()
+	n.leading = leadership{}
+	n.votes = nil
+	n.resetElectionTimer()
+}
+
+// restingRole is the role of a node that neither campaigns nor leads.
+func (n *Node[C, S]) restingRole() Role {
+	if n.membership().has(n.cfg.ID) && n.cfg.Durable {
+		return Follower
+	}
+	return NonVoter
+}
+
+// hearLeader records a message from the leader of the current term.
+func (n *Node[C, S]) hearLeader(leader NodeID) {
+	if n.role == PreCandidate || n.role == Candidate {
+		n.becomeFollower()
+	}
+	n.leader = leader
+	n.lastHeard = n.now
+	n.resetElectionTimer()
+}
--- /dev/null
+++ b/core/consensus/lease.go
@@ -0,0 +1,42 @@
+package consensus
+
+import (
+	"slices"
+
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// HoldsLeaderLease reports whether no other node can lead at now: this node
+// leads, the no-op of its term is committed, and a majority of the voters
+// acknowledged a heartbeat that was sent within the shortest election
+// timeout, less a tenth for clocks of different rates. The result holds for
+// the moment now only.
+func (n *Node[C, S]) HoldsLeaderLease(now model.Time) bool {
+	if !n.noopCommitted() || n.leading.transfer.sent {
+		return false
+	}
+	duration := n.cfg.ElectionTimeoutMin - n.cfg.ElectionTimeoutMin/10
+	return now < n.quorumAck(now).Add(duration)
+}
+
+// quorumAck returns the latest time t such that a majority of the voters has
+// acknowledged a message sent at t or later. The leader acknowledges at once.
+func (n *Node[C, S]) quorumAck(now model.Time) model.Time {
+	voters := n.membership().voters
+	acks := make([]model.Time, 0, len(voters))
+	for _, id := range voters {
+		acks = append(acks, n.ackOf(id, now))
+	}
+	slices.Sort(acks)
+	return acks[(len(acks)-1)/2]
+}
+
+func (n *Node[C, S]) ackOf(id NodeID, now model.Time) model.Time {
+	if id == n.cfg.ID {
+		return now
+	}
+	if p := n.peer(id); p != nil {
+		return p.lastAck
+	}
+	return 0
+}
--- /dev/null
+++ b/core/consensus/membership.go
@@ -0,0 +1,234 @@
+package consensus
+
+import (
+	"slices"
+
+	"primrosedale.example/primrosedale/core/model"
+)
+
+const (
+	// learnerTimeout is the silence after which the leader forgets a node
+	// that is not a voter.
+	learnerTimeout = 10 * model.Second
+	// catchUpEntries is the number of entries by which a non-voter may lag
+	// when it becomes a voter, so that it does not delay commits for long.
+	catchUpEntries = 64
+)
+
+// membership is a voter set and the identities that left it, as of an entry.
+// Its slices are never modified.
+type membership struct {
+	index   uint64
+	voters  []NodeID // in the order in which they were added
+	retired []NodeID
+}
+
+func (m membership) has(id NodeID) bool {
+	return slices.Contains(m.voters, id)
+}
+
+// hasQuorum reports whether has holds for a majority of the voters.
+func (m membership) hasQuorum(has func(NodeID) bool) bool {
+	count := 0
+	for _, id := range m.voters {
+		if has(id) {
+			count++
+		}
+	}
+	return count > len(m.voters)/2
+}
+
+// next returns the membership after an entry with a new voter set.
+func (m membership) next(index uint64, voters []NodeID) membership {
+	retired := slices.Clone(m.retired)
+	for _, id := range m.voters {
+		if !slices.Contains(voters, id) {
+			retired = append(retired, id)
+		}
+	}
+	return membership{index: index, voters: voters, retired: retired}
+}
+
+// superseded returns the earlier of two identities of one host.
+func (m membership) superseded() (NodeID, bool) {
+	for i, id := range m.voters {
+		for _, later := range m.voters[i+1:] {
+			if later.Host == id.Host {
+				return id, true
+			}
+		}
+	}
+	return NodeID{}, false
+}
+
+func (m membership) hasHost(host model.HostID) bool {
+	return slices.ContainsFunc(m.voters, func(id NodeID) bool { return id.Host == host })
+}
+
+// membership returns the voter set in effect, which may be uncommitted.
+func (n *Node[C, S]) membership() membership {
+	return n.memberships[len(n.memberships)-1]
+}
+
+// membershipAt returns the membership as of index.
+func (n *Node[C, S]) membershipAt(index uint64) (membership, bool) {
+	for i := len(n.memberships) - 1; i >= 0; i-- {
+		if n.memberships[i].index <= index {
+			return n.memberships[i], true
+		}
+	}
+	return membership{}, false
+}
+
+// isRetired reports whether a committed entry removed this identity.
+func (n *Node[C, S]) isRetired() bool {
+	m, ok := n.membershipAt(n.log.commit)
+	return ok && slices.Contains(m.retired, n.cfg.ID)
+}
+
+// appendEntry appends one entry; a voter set takes effect at once.
+func (n *Node[C, S]) appendEntry(e Entry[C]) {
+	n.log.append(e)
+	if e.Kind != EntryVoters {
+		return
+	}
+	n.memberships = append(n.memberships, n.membership().next(e.Index, e.Voters))
+	n.membershipChanged()
+}
+
+// truncateLog drops entries that are not committed, and their voter sets.
+func (n *Node[C, S]) truncateLog(index uint64) {
+	n.log.truncate(index)
+	n.disk.truncate(index)
+	before := len(n.memberships)
+	for n.membership().index >= index {
+		n.memberships = n.memberships[:len(n.memberships)-1]
+	}
+	if len(n.memberships) < before {
+		n.membershipChanged()
+	}
+}
+
+func (n *Node[C, S]) forgetMembershipsBefore(index uint64) {
+	first := 0
+	for first+1 < len(n.memberships) && n.memberships[first+1].index <= index {
+		first++
+	}
+	n.memberships = slices.Clone(n.memberships[first:])
+}
+
+// membershipChanged adapts the role, or the peers of a leader.
+func (n *Node[C, S]) membershipChanged() {
+	if n.role == Leader {
+		n.updatePeers()
+		return
+	}
+	if resting := n.restingRole(); resting == NonVoter || n.role == NonVoter {
+		n.becomeFollower()
+	}
+}
+
+// afterCommit acts on voter sets that have become committed.
+func (n *Node[C, S]) afterCommit() {
+	if n.role == Leader && n.isRetired() {
+		n.becomeFollower()
+	}
+}
+
+// changeVoters proposes the next change of the voter set, if one is due.
+func (n *Node[C, S]) changeVoters() {
+	current := n.membership()
+	if current.index > n.log.commit || !n.noopCommitted() || n.leading.transfer.active() {
+		return
+	}
+	if old, ok := current.superseded(); ok {
+		n.proposeVoters(without(current.voters, old))
+		return
+	}
+	for _, p := range n.leading.peers {
+		if n.isEligible(p, current) {
+			n.proposeVoters(append(slices.Clone(current.voters), p.id))
+			return
+		}
+	}
+}
+
+func (n *Node[C, S]) proposeVoters(voters []NodeID) {
+	n.propose(Entry[C]{Kind: EntryVoters, Voters: voters})
+}
+
+func without(ids []NodeID, id NodeID) []NodeID {
+	return slices.DeleteFunc(slices.Clone(ids), func(other NodeID) bool { return other == id })
+}
+
+// isEligible reports whether a non-voter may be added to the voter set.
+func (n *Node[C, S]) isEligible(p *progress, current membership) bool {
+	if current.has(p.id) || !p.durable || slices.Contains(current.retired, p.id) {
+		return false
+	}
+	if p.match < n.leading.noop || p.match+catchUpEntries < n.log.lastIndex() {
+		return false
+	}
+	if n.now.Sub(p.lastHeard) > n.cfg.ElectionTimeoutMin {
+		return false
+	}
+	return current.hasHost(p.id.Host) || len(current.voters) < n.cfg.MaxVoters
+}
+
+// joining is the search of a non-voter for a leader.
+type joining struct {
+	next   int // index into Config.Peers
+	lastAt model.Time
+}
+
+// tickNonVoter asks one peer after another for the log while no leader is
+// heard. A retired identity does not ask.
+func (n *Node[C, S]) tickNonVoter() {
+	if n.isRetired() || len(n.cfg.Peers) == 0 {
+		return
+	}
+	heard := n.leader != NodeID{} && n.now.Sub(n.lastHeard) < n.cfg.ElectionTimeoutMin/2
+	if heard || n.now.Sub(n.joining.lastAt) < n.cfg.HeartbeatInterval/4 {
+		return
+	}
+	n.joining.lastAt = n.now
+	host := n.cfg.Peers[n.joining.next%len(n.cfg.Peers)]
+	n.joining.next++
+	if host == n.cfg.ID.Host {
+		return
+	}
+	n.send(Message[C, S]{
+		Kind:    MsgJoin,
+		To:      NodeID{Host: host},
+		Index:   n.disk.persistedIndex,
+		Durable: n.cfg.Durable,
+	})
+}
+
+// handleJoin starts or renews the replication to a non-voter.
+func (n *Node[C, S]) handleJoin(m Message[C, S]) bool {
+	if n.role != Leader {
+		return true
+	}
+	current := n.membership()
+	if current.has(m.From) || slices.Contains(current.retired, m.From) {
+		return false
+	}
+	p := n.peer(m.From)
+	if p == nil || m.Index < p.match {
+		n.removePeer(m.From)
+		p = n.addPeer(m.From)
+		p.next = min(m.Index, n.log.lastIndex()) + 1
+	}
+	p.durable = m.Durable
+	p.lastHeard = n.now
+	return true
+}
+
+// forgetSilentLearners drops non-voters that have not been heard for long.
+func (n *Node[C, S]) forgetSilentLearners() {
+	current := n.membership()
+	n.leading.peers = slices.DeleteFunc(n.leading.peers, func(p *progress) bool {
+		return !current.has(p.id) && n.now.Sub(p.lastHeard) > learnerTimeout
+	})
+}
--- /dev/null
+++ b/core/consensus/replication.go
@@ -0,0 +1,303 @@
+package consensus
+
+import (
+	"slices"
+
+	"primrosedale.example/primrosedale/core/model"
+)
+
+const (
+	// resendHeartbeats is the number of heartbeat intervals after which an
+	// append without an answer counts as lost.
+	resendHeartbeats = 2
+	// snapshotResend is the same for a snapshot, which takes longer to send
+	// and to write.
+	snapshotResend = 2 * model.Second
+)
+
+// sendHeartbeats sends an empty append to every peer. It refers to the index
+// known to match, so that it is accepted whatever else is under way.
+func (n *Node[C, S]) sendHeartbeats() {
+	n.leading.heartbeatAt = n.now
+	for _, p := range n.leading.peers {
+		index := p.match
+		term, ok := n.log.term(index)
+		if !ok {
+			index, term = 0, 0
+		}
+		n.send(Message[C, S]{
+			Kind:    MsgAppend,
+			To:      p.id,
+			Index:   index,
+			LogTerm: term,
+			Commit:  min(n.log.commit, index),
+			Sent:    n.now,
+		})
+	}
+}
+
+// sendAppends sends what each peer lacks, within the limits of flow control.
+func (n *Node[C, S]) sendAppends() {
+	if n.role != Leader {
+		return
+	}
+	for _, p := range n.leading.peers {
+		n.sendAppendsTo(p)
+	}
+}
+
+func (n *Node[C, S]) sendAppendsTo(p *progress) {
+	for !p.isPaused(n.cfg.MaxInflight) {
+		if p.state == stateReplicate && p.next > n.log.lastIndex() {
+			return
+		}
+		prevTerm, ok := n.log.term(p.next - 1)
+		if !ok || p.next <= n.log.prevIndex {
+			n.sendSnapshot(p)
+			return
+		}
+		n.sendAppend(p, prevTerm)
+	}
+}
+
+func (n *Node[C, S]) sendAppend(p *progress, prevTerm uint64) {
+	last := min(n.log.lastIndex(), p.next+uint64(n.cfg.MaxAppendEntries)-1)
+	n.send(Message[C, S]{
+		Kind:    MsgAppend,
+		To:      p.id,
+		Index:   p.next - 1,
+		LogTerm: prevTerm,
+		Commit:  n.log.commit,
+		Entries: n.log.slice(p.next, last),
+		Sent:    n.now,
+	})
+	p.sent(last, n.now)
+}
+
+func (n *Node[C, S]) sendSnapshot(p *progress) {
+	p.state = stateSnapshot
+	p.sentAt = n.now
+	n.send(Message[C, S]{Kind: MsgSnapshot, To: p.id, Snapshot: n.snapshot, Sent: n.now})
+}
+
+// retryUnanswered goes back to what is known of a peer when an answer is
+// overdue.
+func (n *Node[C, S]) retryUnanswered() {
+	for _, p := range n.leading.peers {
+		silence := n.now.Sub(p.sentAt)
+		switch {
+		case p.state == stateSnapshot && silence >= snapshotResend:
+			p.probe(p.match + 1)
+		case p.state == stateReplicate && len(p.inflight) > 0 && silence >= resendHeartbeats*n.cfg.HeartbeatInterval:
+			p.probe(p.match + 1)
+		case p.state == stateProbe && len(p.inflight) > 0 && silence >= resendHeartbeats*n.cfg.HeartbeatInterval:
+			p.probe(p.next)
+		}
+	}
+}
+
+// acceptLeader checks the term of a message that only a leader sends. It
+// returns false when the sender is not the leader of the current term.
+func (n *Node[C, S]) acceptLeader(m Message[C, S]) bool {
+	n.observeTerm(m.Term)
+	if n.role == Leader || (n.leader != NodeID{} && n.leader != m.From) {
+		return false
+	}
+	n.hearLeader(m.From)
+	return true
+}
+
+// refuseOldLeader tells a leader of an earlier term about the current one.
+func (n *Node[C, S]) refuseOldLeader(m Message[C, S]) bool {
+	n.sendDurable(0, Message[C, S]{Kind: MsgAppendReply, To: m.From, Index: m.Index, Reject: true})
+	return true
+}
+
+func (n *Node[C, S]) handleAppend(m Message[C, S]) bool {
+	if m.Term < n.term {
+		return n.refuseOldLeader(m)
+	}
+	if n.contradictsCommitted(m) || !n.acceptLeader(m) {
+		return false
+	}
+	if m.Index > n.log.commit && !n.log.matches(m.Index, m.LogTerm) {
+		n.rejectAppend(m)
+		return true
+	}
+	n.acceptEntries(m)
+	return true
+}
+
+// contradictsCommitted reports whether an append has another term for an
+// entry that is committed, which no leader sends.
+func (n *Node[C, S]) contradictsCommitted(m Message[C, S]) bool {
+	if n.contradicts(m.Index, m.LogTerm) {
+		return true
+	}
+	for _, e := range m.Entries {
+		if n.contradicts(e.Index, e.Term) {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *Node[C, S]) contradicts(index, term uint64) bool {
+	if index > n.log.commit || index < n.log.prevIndex {
+		return false
+	}
+	return !n.log.matches(index, term)
+}
+
+// rejectAppend answers with the last index at which the logs may match: it
+// skips entries of terms later than the leader's at that point.
+func (n *Node[C, S]) rejectAppend(m Message[C, S]) {
+	hint := max(n.log.lastAtMost(m.Index-1, m.LogTerm), n.log.commit)
+	term, _ := n.log.term(hint)
+	n.sendDurable(0, Message[C, S]{
+		Kind:    MsgAppendReply,
+		To:      m.From,
+		Index:   m.Index,
+		LogTerm: term,
+		Hint:    hint,
+		Reject:  true,
+		Sent:    m.Sent,
+	})
+}
+
+// acceptEntries stores the entries of an append whose predecessor matches.
+func (n *Node[C, S]) acceptEntries(m Message[C, S]) {
+	fresh := n.firstNew(m.Entries)
+	if len(fresh) > 0 {
+		first := fresh[0].Index
+		if first <= n.disk.takenIndex && n.disk.inFlight() {
+			return // the entries would replace entries being written
+		}
+		if first <= n.log.lastIndex() {
+			n.truncateLog(first)
+		}
+		for _, e := range fresh {
+			n.appendEntry(e)
+		}
+	}
+	last := m.Index + uint64(len(m.Entries))
+	n.commitTo(min(m.Commit, last))
+	n.sendDurable(last, Message[C, S]{Kind: MsgAppendReply, To: m.From, Index: last, Sent: m.Sent})
+}
+
+// firstNew returns the entries from the first one on that the log lacks or
+// holds with another term.
+func (n *Node[C, S]) firstNew(entries []Entry[C]) []Entry[C] {
+	for i, e := range entries {
+		if e.Index <= n.log.prevIndex || n.log.matches(e.Index, e.Term) {
+			continue
+		}
+		return entries[i:]
+	}
+	return nil
+}
+
+func (n *Node[C, S]) commitTo(index uint64) {
+	index = min(index, n.log.lastIndex())
+	if index <= n.log.commit {
+		return
+	}
+	n.log.commit = index
+	n.afterCommit()
+}
+
+// replyFrom does what all replies to a leader have in common. It returns nil
+// when the reply is of no further use.
+func (n *Node[C, S]) replyFrom(m Message[C, S]) *progress {
+	n.observeTerm(m.Term)
+	if n.role != Leader || m.Term != n.term {
+		return nil
+	}
+	p := n.peer(m.From)
+	if p == nil {
+		return nil
+	}
+	p.lastHeard = n.now
+	p.lastAck = max(p.lastAck, m.Sent)
+	return p
+}
+
+func (n *Node[C, S]) handleAppendReply(m Message[C, S]) bool {
+	p := n.replyFrom(m)
+	if p == nil {
+		return true
+	}
+	if m.Index > n.log.lastIndex() {
+		return false
+	}
+	if m.Reject {
+		n.backOff(p, m)
+		return true
+	}
+	if p.acknowledge(m.Index, n.now) {
+		n.afterAcknowledge()
+	}
+	return true
+}
+
+// backOff continues before an append that was rejected. Rejections of appends
+// that are no longer the latest are ignored.
+func (n *Node[C, S]) backOff(p *progress, m Message[C, S]) {
+	if m.Index <= p.match || p.state == stateSnapshot {
+		return
+	}
+	if p.state == stateReplicate {
+		p.probe(p.match + 1)
+		return
+	}
+	if m.Index != p.next-1 {
+		return
+	}
+	hint := n.log.lastAtMost(min(m.Hint, m.Index-1), m.LogTerm)
+	p.probe(hint + 1)
+}
+
+// afterAcknowledge acts on a higher match of a peer.
+func (n *Node[C, S]) afterAcknowledge() {
+	n.maybeCommit()
+	if n.role != Leader {
+		return
+	}
+	n.continueTransfer()
+	n.changeVoters()
+}
+
+// maybeCommit commits what a majority has on disk. Only entries of the
+// leader's own term are counted; earlier ones are committed with them.
+func (n *Node[C, S]) maybeCommit() {
+	index := n.quorumMatch()
+	if index <= n.log.commit {
+		return
+	}
+	if term, _ := n.log.term(index); term != n.term {
+		return
+	}
+	n.commitTo(index)
+}
+
+// quorumMatch returns the highest index that a majority of the voters has on
+// disk.
+func (n *Node[C, S]) quorumMatch() uint64 {
+	voters := n.membership().voters
+	matches := make([]uint64, 0, len(voters))
+	for _, id := range voters {
+		matches = append(matches, n.matchOf(id))
+	}
+	slices.Sort(matches)
+	return matches[(len(matches)-1)/2]
+}
+
+func (n *Node[C, S]) matchOf(id NodeID) uint64 {
+	if id == n.cfg.ID {
+		return n.disk.persistedIndex
+	}
+	if p := n.peer(id); p != nil {
+		return p.match
+	}
+	return 0
+}
--- /dev/null
+++ b/core/consensus/status.go
@@ -0,0 +1,52 @@
+package consensus
+
+import "primrosedale.example/primrosedale/core/model"
+
+// Status is a copy of what a node knows, for views and metrics.
+type Status struct {
+	Role      Role
+	Term      uint64
+	Leader    NodeID // empty if unknown
+	Commit    uint64
+	Applied   uint64 // last index handed out in Output.Committed
+	Persisted uint64 // last index on disk
+	LastIndex uint64
+	Voters    []NodeID
+	Retired   bool         // a committed entry removed this identity
+	Peers     []PeerStatus // of a leader
+	Ignored   uint64       // messages that were malformed, impossible or not for this node
+}
+
+// PeerStatus is what a leader knows of a peer.
+type PeerStatus struct {
+	ID        NodeID
+	Voter     bool
+	Match     uint64     // highest index known to be on the peer's disk
+	LastHeard model.Time // by the leader's clock
+}
+
+// Status returns the state of the node.
+func (n *Node[C, S]) Status() Status {
+	current := n.membership()
+	s := Status{
+		Role:      n.role,
+		Term:      n.term,
+		Leader:    n.leader,
+		Commit:    n.log.commit,
+		Applied:   n.log.applied,
+		Persisted: n.disk.persistedIndex,
+		LastIndex: n.log.lastIndex(),
+		Voters:    current.voters,
+		Retired:   n.isRetired(),
+		Ignored:   n.ignored,
+	}
+	for _, p := range n.leading.peers {
+		s.Peers = append(s.Peers, PeerStatus{
+			ID:        p.id,
+			Voter:     current.has(p.id),
+			Match:     p.match,
+			LastHeard: p.lastHeard,
+		})
+	}
+	return s
+}
--- a/core/consensus/types.go
+++ b/core/consensus/types.go
@@ -1,15 +1,3 @@
-// Package consensus is a replicated log as a state machine without I/O.
-//
-// The protocol is Raft with pre-vote, check-quorum and a leader lease. The
-// caller owns a Node and gives it messages, ticks, proposals and reports of
-// what has been synced to disk. It then takes an Output, which lists as data
-// what has to be done: entries and hard state to persist, messages to send,
-// a snapshot to install and entries that are committed. Messages of an
-// Output that promise durability are held back by the Node until the caller
-// has reported the sync with Persisted.
-//
-// C is the type of the commands in the log and S the type of the state that
-// a snapshot carries. The package never looks into either.
 package consensus
 
 import "primrosedale.example/primrosedale/core/model"
@@ -52,7 +40,18 @@
 	Index  uint64   `json:"index"`
 	Term   uint64   `json:"term"`
 	Voters []NodeID `json:"voters"`
-	State  S        `json:"state"`
+	// Retired lists identities that have left the voter set. They never join
+	// again.
+	Retired []NodeID `json:"retired,omitempty"`
+	State   S        `json:"state"`
+}
+
+// Stored is what a node reads from its data folder before it starts. A zero
+// Stored is an empty data folder: the node is a non-voter that joins.
+type Stored[C, S any] struct {
+	HardState HardState
+	Snapshot  *Snapshot[S]
+	Entries   []Entry[C]
 }
 
 // MessageKind is the kind of a protocol message.
@@ -79,7 +78,7 @@
 	To       NodeID       `json:"to"` // the incarnation may be empty in MsgJoin, when it is not known
 	Term     uint64       `json:"term"`
 	LogTerm  uint64       `json:"log_term,omitempty"` // term of the entry before Entries, or of the candidate's last entry
-	Index    uint64       `json:"index,omitempty"`    // index of the same entry; in replies, the last matching index
+	Index    uint64       `json:"index,omitempty"`    // index of the same entry; in replies, the last matching index, or the index that was rejected; in MsgJoin, the sender's last index
 	Commit   uint64       `json:"commit,omitempty"`   // commit index of the leader
 	Entries  []Entry[C]   `json:"entries,omitempty"`
 	Snapshot *Snapshot[S] `json:"snapshot,omitempty"`
@@ -93,7 +92,8 @@
 // Output lists what the caller has to do, in this order: install Snapshot,
 // persist HardState and Entries in one synced write (entries replace any
 // stored entries at or after the first index), apply Committed, send
-// Messages. The caller reports the sync with Node.Persisted.
+// Messages. The caller reports the sync with Node.Persisted. Slices are
+// shared with the Node and must not be modified.
 type Output[C, S any] struct {
 	Snapshot  *Snapshot[S]
 	HardState *HardState
@@ -111,7 +111,7 @@
 	PreCandidate
 	Candidate
 	Leader
-	NonVoter // receives the log and does not vote
+	NonVoter // receives the log and never campaigns
 )
 
 // Config is fixed for the life of a Node.
@@ -124,5 +124,6 @@
 	HeartbeatInterval  model.Duration
 	MaxAppendEntries   int    // entries in one append message at most
 	MaxInflight        int    // append messages to one peer that are not yet answered
-	SnapshotEvery      uint64 // applied entries between two snapshots
+	SnapshotEvery      uint64 // applied entries between two snapshots; 0 for none
+	MaxVoters          int    // the leader adds durable non-voters of new hosts while there are fewer voters
 }
