--- /dev/null
+++ b/rulesfile/filefault/filefault.go
@@ -0,0 +1,61 @@
+// Package filefault describes faults in TOML files that people edit. Every
+// fault names the file, the line, the key, what was found and what is
+// allowed, so that the file can be corrected without another document.
+package filefault
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Error is one fault in one file.
+type Error struct {
+	File    string
+	Line    int    // counted from 1
+	Key     string // rule or key at fault; "syntax" if none could be read
+	Found   string
+	Allowed string
+}
+
+// Error returns "FILE:LINE: KEY: found X, allowed Y".
+func (e Error) Error() string {
+	return fmt.Sprintf("%s:%d: %s: found %s, allowed %s", e.File, e.Line, e.Key, e.Found, e.Allowed)
+}
+
+// Errors is every fault of one file, in the order of lines.
+type Errors []Error
+
+// Error returns one fault a line.
+func (es Errors) Error() string {
+	lines := make([]string, len(es))
+	for i, e := range es {
+		lines[i] = e.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Sort orders the faults by line, then by key. Faults of one line and key
+// keep their order.
+func (es Errors) Sort() {
+	slices.SortStableFunc(es, func(a, b Error) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Key, b.Key))
+	})
+}
+
+// Has reports whether a fault of the line and key is already recorded.
+func (es Errors) Has(line int, key string) bool {
+	return slices.ContainsFunc(es, func(e Error) bool {
+		return e.Line == line && e.Key == key
+	})
+}
+
+// AsError returns the faults as an error, or nil if there are none. A nil
+// Errors in an error interface would not compare equal to nil.
+func (es Errors) AsError() error {
+	if len(es) == 0 {
+		return nil
+	}
+	return es
+}
--- /dev/null
+++ b/rulesfile/format.go
@@ -0,0 +1,127 @@
+package rulesfile
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/rules"
+	"primrosedale.example/primrosedale/rulesfile/filefault"
+)
+
+// entry is one rule as text: Rule is its name in messages.
+type entry struct {
+	rule  string
+	key   string // as written in the file
+	value string
+}
+
+// Format writes r as a rules file. The order of rules depends on their names
+// only. Comments are not part of the replicated rules: every line has the
+// comment "restored from revision N".
+func Format(r *rules.Rules) []byte {
+	var text strings.Builder
+	for _, e := range entries(r) {
+		fmt.Fprintf(&text, "%s = %s  # restored from revision %d\n", e.key, e.value, r.Revision)
+	}
+	return []byte(text.String())
+}
+
+// entries returns the rules of r by kind, then by name.
+func entries(r *rules.Rules) []entry {
+	list := []entry{{revisionKind, revisionKind, strconv.FormatUint(r.Revision, 10)}}
+	list = appendEntries(list, "team", r.Teams, teamText)
+	list = appendEntries(list, "queue", r.Queues, queueText)
+	list = appendEntries(list, "pool", r.Pools, poolText)
+	list = appendEntries(list, "datacentre", r.DataCentres, dataCentreText)
+	list = appendEntries(list, "wave", r.Waves, waveText)
+	list = appendEntries(list, "objective", r.Objectives, objectiveText)
+	list = appendEntries(list, "host", r.Hosts, hostText)
+	return list
+}
+
+func appendEntries[K ~string, V any](list []entry, kind string, m map[K]V, text func(V) []string) []entry {
+	for _, name := range slices.Sorted(maps.Keys(m)) {
+		list = append(list, entry{
+			rule:  kind + "." + string(name),
+			key:   kind + "." + keyText(string(name)),
+			value: "{ " + strings.Join(text(m[name]), ", ") + " }",
+		})
+	}
+	return list
+}
+
+// keyText returns a name as a part of a dotted key.
+func keyText(name string) string {
+	if strings.Contains(name, ".") {
+		return strconv.Quote(name)
+	}
+	return name
+}
+
+func teamText(t rules.Team) []string {
+	return []string{
+		"share = " + filefault.FormatNumber(t.Share),
+		"limit = " + strconv.Itoa(t.Limit),
+	}
+}
+
+func queueText(q rules.Queue) []string {
+	text := []string{
+		"service = " + strconv.Quote(string(q.Service)),
+		"precedence = " + strconv.Itoa(q.Precedence),
+		"max_run_s = " + filefault.FormatNumber(q.MaxRun.Seconds()),
+	}
+	if q.Open {
+		text = append(text, "open = true")
+	}
+	if q.Team != "" {
+		text = append(text, "team = "+strconv.Quote(string(q.Team)))
+	}
+	if q.Overnight {
+		text = append(text, "overnight = true")
+	}
+	return text
+}
+
+func poolText(p rules.Pool) []string {
+	text := []string{
+		"hosts_min = " + strconv.Itoa(p.HostsMin),
+		"unavailable_max = " + strconv.Itoa(p.UnavailableMax),
+	}
+	if p.Spare {
+		text = append(text, "spare = true")
+	}
+	return text
+}
+
+func dataCentreText(d rules.DataCentre) []string {
+	return []string{"out = " + strconv.FormatBool(d.Out)}
+}
+
+func waveText(w rules.Wave) []string {
+	pools := make([]string, len(w.Pools))
+	for i, pool := range w.Pools {
+		pools[i] = strconv.Quote(string(pool))
+	}
+	return []string{
+		"pools = [" + strings.Join(pools, ", ") + "]",
+		"image = " + strconv.Quote(w.Image),
+	}
+}
+
+func objectiveText(o rules.Objective) []string {
+	return []string{
+		"team = " + strconv.Quote(string(o.Team)),
+		"service = " + strconv.Quote(string(o.Service)),
+		"good = " + filefault.FormatNumber(o.Good),
+		"window_h = " + strconv.FormatInt(int64(o.Window/model.Hour), 10),
+	}
+}
+
+func hostText(h rules.HostPlacement) []string {
+	return []string{"pool = " + strconv.Quote(string(h.Pool))}
+}
--- /dev/null
+++ b/rulesfile/scan.go
@@ -0,0 +1,150 @@
+package rulesfile
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+
+	"primrosedale.example/primrosedale/rulesfile/filefault"
+)
+
+// maxSpread bounds how many lines are joined to find out whether a line that
+// is no complete statement starts a rule spread over several lines. It keeps
+// the time to read a faulty file linear in its length.
+const maxSpread = 16
+
+// statement is one `key = value` of the file.
+type statement struct {
+	line    int // first line, counted from 1
+	lines   int // number of lines it is spread over
+	key     []string
+	value   any // as decoded by go-toml
+	comment string
+}
+
+// scan splits the text into statements. Each line is parsed by itself, so
+// that a syntax error in one line does not hide the faults of those after it.
+func scan(text []byte, p *parser) {
+	lines := bytes.SplitAfter(text, []byte("\n"))
+	for i := 0; i < len(lines); {
+		i += scanAt(lines, i, p)
+	}
+}
+
+// scanAt reads the statement that starts at line index i and returns the
+// number of lines it takes.
+func scanAt(lines [][]byte, i int, p *parser) int {
+	line := i + 1
+	first := parseChunk(lines[i])
+	if first.err == nil {
+		handle(first, line, 1, p)
+		return 1
+	}
+	for n := 2; n <= maxSpread && i+n <= len(lines); n++ {
+		joined := parseChunk(bytes.Join(lines[i:i+n], nil))
+		if joined.err == nil {
+			handle(joined, line, n, p)
+			return n
+		}
+	}
+	p.syntax(line, first.err.Error(), "a line of TOML: KIND.NAME = { ... }  # NAME")
+	return 1
+}
+
+// chunk is what one or more joined lines contain.
+type chunk struct {
+	header  string // of a [table] or [[list]], empty otherwise
+	key     []string
+	value   any
+	comment string
+	err     error
+}
+
+func handle(c chunk, line, lines int, p *parser) {
+	switch {
+	case c.header != "":
+		p.inTable = true
+		p.nameless = true
+		p.fault(line, c.header, "a table header", "one line for each rule: KIND.NAME = { ... }  # NAME")
+	case c.key != nil:
+		p.rule(statement{line, lines, c.key, c.value, c.comment})
+	}
+}
+
+// errNotOne is reported for joined lines that hold more than one statement:
+// each of them is to be read by itself.
+var errNotOne = errors.New("several statements")
+
+func parseChunk(text []byte) chunk {
+	var c chunk
+	// The parser requires that no capacity is left after its input.
+	text = bytes.Clone(text)
+	tree := unstable.Parser{KeepComments: true}
+	tree.Reset(text[:len(text):len(text)])
+	for count := 0; tree.NextExpression(); {
+		node := tree.Expression()
+		if node.Kind == unstable.Comment {
+			continue
+		}
+		if count++; count > 1 {
+			return chunk{err: errNotOne}
+		}
+		c.read(node)
+	}
+	if err := tree.Error(); err != nil {
+		return chunk{err: err}
+	}
+	if c.key != nil {
+		c.value, c.err = decodeValue(text, c.key)
+	}
+	return c
+}
+
+// read takes key and comment from the tree; the value comes from decodeValue.
+func (c *chunk) read(node *unstable.Node) {
+	var key []string
+	for it := node.Key(); it.Next(); {
+		if it.Node().Kind == unstable.Key {
+			key = append(key, string(it.Node().Data))
+		}
+	}
+	if node.Kind == unstable.KeyValue {
+		c.key = key
+	} else {
+		c.header = joinKey(key)
+	}
+	if next := node.Next(); next.Valid() && next.Kind == unstable.Comment {
+		c.comment = strings.TrimSpace(strings.TrimPrefix(string(next.Data), "#"))
+	}
+}
+
+// decodeValue returns the value of the only statement of text, whose key is
+// given. It also finds faults that the tree does not show, such as a
+// repeated key in an inline table.
+func decodeValue(text []byte, key []string) (any, error) {
+	var root map[string]any
+	if err := toml.Unmarshal(text, &root); err != nil {
+		return nil, err
+	}
+	var value any = root
+	for _, part := range key {
+		value = value.(map[string]any)[part]
+	}
+	return value, nil
+}
+
+// joinKey returns a dotted key for messages. Parts that are no identifiers
+// are quoted.
+func joinKey(key []string) string {
+	parts := make([]string, len(key))
+	for i, part := range key {
+		parts[i] = part
+		if !filefault.IsIdentifier(part) {
+			parts[i] = filefault.Quote(part)
+		}
+	}
+	return strings.Join(parts, ".")
+}
