--- /dev/null
+++ b/logevent/ids.go
@@ -0,0 +1,100 @@
+package logevent
+
+// ID is the number of a log event. Numbers are never reused for another
+// event, since operators' alerts refer to them.
+type ID int
+
+// Process.
+const (
+	ProcessStarted   ID = 100
+	ProcessStopping  ID = 101
+	ProcessStopped   ID = 102
+	SettingsLoaded   ID = 110
+	SettingsWarning  ID = 111
+	SettingsRefused  ID = 112
+	ControlQueueFull ID = 120
+	JournalError     ID = 121
+	InternalError    ID = 190
+	UnknownEvent     ID = 191
+)
+
+// Replicated log and storage.
+const (
+	LeaderElected     ID = 200
+	LeaderLost        ID = 201
+	TermChanged       ID = 202
+	MemberAdded       ID = 210
+	ReplicaJoined     ID = 211
+	ReplicaReplaced   ID = 212
+	SnapshotWritten   ID = 220
+	SnapshotInstalled ID = 221
+	LogTailTruncated  ID = 230
+	DataFolderRefused ID = 231
+	SyncFailed        ID = 232
+)
+
+// Leases and hosts.
+const (
+	LeaseLost     ID = 300
+	LeaseRegained ID = 301
+	HostCutOff    ID = 310
+	HostReturned  ID = 311
+)
+
+// Configuration and keys.
+const (
+	RulesAccepted ID = 400
+	RulesRefused  ID = 401
+	RulesInForce  ID = 402
+	KeyGranted    ID = 410
+	KeyWithdrawn  ID = 411
+	KeyRejected   ID = 412
+)
+
+// Connections between processes.
+const (
+	PeerConnected        ID = 500
+	PeerDisconnected     ID = 501
+	ClusterRefused       ID = 510
+	PeerMessageMalformed ID = 511
+	TLSRefused           ID = 512
+)
+
+// Targets and workers.
+const (
+	TargetRegistered    ID = 600
+	TargetSilent        ID = 601
+	TargetLeaving       ID = 602
+	TargetRemoved       ID = 603
+	TargetReturned      ID = 604
+	AnnouncementRefused ID = 610
+	WorkerSeen          ID = 620
+	WorkerSilent        ID = 621
+	WorkerQuarantined   ID = 622
+	WorkerReleased      ID = 623
+)
+
+// Tasks and maintenance.
+const (
+	TaskPlaced    ID = 700
+	TaskLost      ID = 701
+	TaskFailed    ID = 702
+	TaskRefused   ID = 703
+	DrainStarted  ID = 710
+	DrainEnded    ID = 711
+	HostMoved     ID = 712
+	WaveStep      ID = 720
+	WaveStopped   ID = 721
+	WaveEnded     ID = 722
+	DataCentreOut ID = 730
+	DataCentreIn  ID = 731
+)
+
+// Requests.
+const (
+	QueueFull        ID = 800
+	RequestRefused   ID = 801
+	OutcomeUnknown   ID = 810
+	ClaimUnknown     ID = 811
+	RetryBudgetSpent ID = 820
+)
