--- /dev/null
+++ b/core/consensus/role.go
@@ -0,0 +1,17 @@
+package consensus
+
+// String returns the role's usual name.
+func (r Role) String() string {
+	switch r {
+	case Follower:
+		return "follower"
+	case PreCandidate:
+		return "pre-candidate"
+	case Candidate:
+		return "candidate"
+	case Leader:
+		return "leader"
+	default:
+		return "non-voter"
+	}
+}
