gateway, platform, operator: serve callers, announcements and operators

The traffic side reads the published view, posts events over the bounded queue and carries out effects. It decides nothing but admission.

Control gains PostWait next to Post: the end of an attempt must reach the reducer even when the queue is full, and a retry loop would poll.

Not measured yet; the packages compile and pass go vet.

--- /dev/null
+++ b/gateway/attempt.go
@@ -0,0 +1,175 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"time"
+
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/event"
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/gateway/reply"
+)
+
+// The headers between gateways and targets.
+const (
+	TeamHeader        = "Primrosedale-Team"
+	AttemptHeader     = "Primrosedale-Attempt"
+	DeadlineHeader    = "Primrosedale-Deadline" // seconds left
+	IncarnationHeader = "Primrosedale-Target-Incarnation"
+	TicketHeader      = "Primrosedale-Ticket"
+	// RanHeader with the value "no" in an answer says that the target did not
+	// run the request.
+	RanHeader = "Primrosedale-Ran"
+)
+
+// maxDrained bounds what is read of an answer that is not passed on, in
+// bytes, to keep its connection usable.
+const maxDrained = 64 << 10
+
+// runAttempt makes one attempt and posts its end exactly once.
+func (s *Server) runAttempt(h *held, e effect.Forward) {
+	left := time.Duration(e.Deadline.Sub(s.control.Now()))
+	ctx, cancel := context.WithTimeout(s.ctx, left)
+	defer cancel()
+	g := &guard{
+		allowed: func() bool { return s.mayStart(e) },
+		now:     s.control.Now,
+	}
+	ended := s.exchange(ctx, h, e, g)
+	if first := g.first.Load(); first != 0 && ended.Outcome != message.OutcomeNotStarted {
+		ended.RunTime = s.control.Now().Sub(model.Time(first))
+	}
+	s.postEnded(ended)
+}
+
+// mayStart is the last check before the first byte.
+func (s *Server) mayStart(e effect.Forward) bool {
+	now := s.control.Now()
+	return now <= e.StartBy && now < e.Deadline && s.control.View().Serving(now)
+}
+
+// exchange sends the request and reads the whole answer.
+func (s *Server) exchange(ctx context.Context, h *held, e effect.Forward, g *guard) event.ForwardEnded {
+	ended := event.ForwardEnded{Request: e.Request, Attempt: e.Attempt}
+	response, err := s.transport.RoundTrip(s.newRequest(ctx, h, e, g))
+	if err != nil {
+		if g.seal() {
+			ended.Outcome = message.OutcomeNotStarted
+			return ended
+		}
+		return unknown(ctx, ended)
+	}
+	defer response.Body.Close()
+	ended.RetryAfter = parseRetryAfter(response.Header, s.control.Now())
+	if response.Header.Get(RanHeader) == "no" {
+		io.CopyN(io.Discard, response.Body, maxDrained)
+		ended.Outcome = message.OutcomeNotStarted
+		return ended
+	}
+	return s.readAnswer(ctx, h, e, response, ended)
+}
+
+// readAnswer reads the answer to its end. An answer over the limit is read on
+// and discarded, so that its end says that the target has finished.
+func (s *Server) readAnswer(ctx context.Context, h *held, e effect.Forward, response *http.Response, ended event.ForwardEnded) event.ForwardEnded {
+	if !hasVerifiableEnd(response) {
+		return unknown(ctx, ended)
+	}
+	body, err := readUpTo(response.Body, s.cfg.MaxAnswer+1, response.ContentLength)
+	ended.TooLarge = int64(len(body)) > s.cfg.MaxAnswer
+	if err == nil && ended.TooLarge {
+		_, err = io.Copy(io.Discard, response.Body)
+	}
+	if err != nil {
+		return unknown(ctx, ended)
+	}
+	ended.Outcome = message.OutcomeAnswered
+	ended.Status = response.StatusCode
+	if ended.TooLarge {
+		h.keep(e.Attempt, received{tooLarge: true})
+		return ended
+	}
+	answer := &model.Answer{
+		Status:      response.StatusCode,
+		ContentType: response.Header.Get("Content-Type"),
+		Body:        body,
+	}
+	h.keep(e.Attempt, received{answer: answer})
+	if e.Claimed && len(body) <= maxStoredAnswer {
+		ended.Answer = answer
+	}
+	return ended
+}
+
+// hasVerifiableEnd reports whether a truncated body would be noticed. A body
+// that ends with the connection does not show truncation.
+func hasVerifiableEnd(response *http.Response) bool {
+	if response.StatusCode < http.StatusOK {
+		return false
+	}
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
+
+// readUpTo reads r to its end or up to limit bytes.
+func readUpTo(r io.Reader, limit, length int64) ([]byte, error) {
+	var buffer bytes.Buffer
+	if length > 0 && length < limit {
+		buffer.Grow(int(length) + bytes.MinRead)
+	}
+	_, err := buffer.ReadFrom(io.LimitReader(r, limit))
+	return buffer.Bytes(), err
+}
+
+func unknown(ctx context.Context, ended event.ForwardEnded) event.ForwardEnded {
+	ended.Outcome = message.OutcomeUnknown
+	ended.TimedOut = ctx.Err() == context.DeadlineExceeded
+	return ended
+}
+
+// newRequest builds the request to the target. The seconds left are set when
+// the connection is there, so that a slow connect does not move the deadline
+// on the target.
+func (s *Server) newRequest(ctx context.Context, h *held, e effect.Forward, g *guard) *http.Request {
+	header := make(http.Header, 9)
+	request := &http.Request{
+		Method: http.MethodPost,
+		URL:    &url.URL{Scheme: "http", Host: e.Address, Path: "/run/" + string(h.queue)},
+		Host:   e.Address,
+		Header: header,
+		Body:   http.NoBody,
+		Proto:  "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	if len(h.body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(h.body))
+		request.ContentLength = int64(len(h.body))
+	}
+	setIfAny(header, "Content-Type", h.contentType)
+	setIfAny(header, traceparentHeader, h.traceparent)
+	setIfAny(header, reply.RequestIDHeader, string(h.id))
+	setIfAny(header, TeamHeader, string(h.team))
+	setIfAny(header, IncarnationHeader, string(e.Inc))
+	header.Set(AttemptHeader, strconv.Itoa(e.Attempt))
+	header.Set(TicketHeader, strconv.FormatUint(e.Ticket, 10))
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		header.Set(DeadlineHeader, formatSeconds(e.Deadline.Sub(s.control.Now())))
+		info.Conn.(*guardedConn).guard.Store(g)
+	}}
+	return request.WithContext(httptrace.WithClientTrace(ctx, trace))
+}
+
+func setIfAny(header http.Header, name, value string) {
+	if value != "" {
+		header.Set(name, value)
+	}
+}
+
+func formatSeconds(d model.Duration) string {
+	return strconv.FormatFloat(max(d.Seconds(), 0), 'f', 3, 64)
+}
--- /dev/null
+++ b/gateway/server.go
@@ -0,0 +1,196 @@
+// Package gateway serves callers and task submitters over HTTP. It holds each
+// request while the owner of its queue decides, forwards it when told to, and
+// passes the whole answer on. It decides nothing itself but admission by the
+// published view.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+
+	"github.com/rs/zerolog"
+	goji "goji.io"
+	"goji.io/pat"
+
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/event"
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/view"
+	"primrosedale.example/primrosedale/gateway/pending"
+)
+
+// Control is the control goroutine as the gateway sees it.
+type Control interface {
+	// View returns the last published view, never nil.
+	View() *view.View
+	// Post hands over an event without blocking. It reports false if the
+	// bounded queue is full.
+	Post(e event.Event) bool
+	// PostWait hands over an event and waits while the queue is full. It
+	// reports false if ctx ended first. The control goroutine never calls it.
+	PostWait(ctx context.Context, e event.Event) bool
+	// Now reads the process clock.
+	Now() model.Time
+	// Rand returns a random number.
+	Rand() uint64
+}
+
+// The default limits.
+const (
+	DefaultMaxBody   = 1 << 20 // bytes of a request body
+	DefaultMaxAnswer = 8 << 20 // bytes of a target's answer
+	DefaultMaxHeld   = 1024    // requests held at one time
+	// DefaultIdlePerTarget keeps the idle connections of 9 gateways and the 8
+	// slots of a target within its 64 connections: 9 * 6 + 8 = 62.
+	DefaultIdlePerTarget = 6
+	// maxStoredAnswer is the largest answer kept with a claim, in bytes.
+	maxStoredAnswer = 64 << 10
+)
+
+// Config holds the settings of a Server. Zero limits have the defaults.
+type Config struct {
+	Host          model.HostID      // part of request ids
+	Incarnation   model.Incarnation // part of request ids; new at each process start
+	MaxBody       int64             // bytes
+	MaxAnswer     int64             // bytes
+	MaxHeld       int64             // requests
+	IdlePerTarget int               // connections
+}
+
+func (c Config) withDefaults() Config {
+	if c.MaxBody == 0 {
+		c.MaxBody = DefaultMaxBody
+	}
+	if c.MaxAnswer == 0 {
+		c.MaxAnswer = DefaultMaxAnswer
+	}
+	if c.MaxHeld == 0 {
+		c.MaxHeld = DefaultMaxHeld
+	}
+	if c.IdlePerTarget == 0 {
+		c.IdlePerTarget = DefaultIdlePerTarget
+	}
+	return c
+}
+
+// Server holds the requests of this host's callers.
+type Server struct {
+	cfg       Config
+	control   Control
+	log       zerolog.Logger
+	transport *http.Transport
+
+	requests sync.Map // model.RequestID to *held
+	held     atomic.Int64
+	counter  atomic.Uint64
+	attempts sync.WaitGroup
+
+	commands pending.Table[model.CommandID, fleet.Result]
+	statuses pending.Table[uint64, effect.AnswerStatus]
+	queries  *pending.Sequence
+
+	ctx    context.Context // ends when the process gives up what is left
+	cancel context.CancelFunc
+}
+
+// New returns a Server. Close releases its connections.
+func New(cfg Config, c Control, log zerolog.Logger) *Server {
+	cfg = cfg.withDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Server{
+		cfg:       cfg,
+		control:   c,
+		log:       log,
+		transport: newTransport(cfg.IdlePerTarget),
+		queries:   pending.NewSequence(c.Rand()),
+		ctx:       ctx,
+		cancel:    cancel,
+	}
+}
+
+// Handler returns the handler of the caller's listener.
+func (s *Server) Handler() http.Handler {
+	mux := goji.NewMux()
+	mux.HandleFunc(pat.Post("/v1/queues/:queue/requests"), s.serveRequest)
+	mux.HandleFunc(pat.Post("/v1/tasks"), s.submitTask)
+	mux.HandleFunc(pat.Get("/v1/tasks/:id"), s.showTask)
+	mux.HandleFunc(pat.Delete("/v1/tasks/:id"), s.cancelTask)
+	return mux
+}
+
+// Held returns the number of requests held for callers.
+func (s *Server) Held() int64 { return s.held.Load() }
+
+// Forward starts an attempt. The control goroutine calls it; it does not
+// block. Every call leads to exactly one event.ForwardEnded.
+func (s *Server) Forward(e effect.Forward) {
+	found, ok := s.requests.Load(e.Request)
+	if !ok {
+		s.attempts.Go(func() { s.postEnded(notStarted(e)) })
+		return
+	}
+	h := found.(*held)
+	h.forwards.Add(1)
+	s.attempts.Go(func() { s.runAttempt(h, e) })
+}
+
+// Answer ends a held request. The control goroutine calls it; it does not
+// block. A request whose caller has gone is ignored.
+func (s *Server) Answer(e effect.AnswerRequest) {
+	found, ok := s.requests.Load(e.Request)
+	if !ok {
+		return
+	}
+	select {
+	case found.(*held).answer <- e:
+	default: // answered already
+	}
+}
+
+// AnswerCommand delivers the result of a submitted command. It does not block
+// and ignores commands of others.
+func (s *Server) AnswerCommand(e effect.AnswerCommand) {
+	s.commands.Deliver(e.ID, e.Result)
+}
+
+// AnswerStatus delivers the answer to a status query. It does not block and
+// ignores queries of others.
+func (s *Server) AnswerStatus(e effect.AnswerStatus) {
+	s.statuses.Deliver(e.Query, e)
+}
+
+// Close gives up what is left, waits for attempts to end, and closes the
+// connections to targets. The graceful stop is complete before it is called.
+func (s *Server) Close() {
+	s.cancel()
+	s.attempts.Wait()
+	s.transport.CloseIdleConnections()
+}
+
+// nextID returns a request id that is unique over all gateways and restarts.
+func (s *Server) nextID() model.RequestID {
+	id := make([]byte, 0, 64)
+	id = append(id, s.cfg.Host...)
+	id = append(id, '-')
+	id = append(id, s.cfg.Incarnation...)
+	id = append(id, '-')
+	id = strconv.AppendUint(id, s.counter.Add(1), 10)
+	return model.RequestID(id)
+}
+
+func (s *Server) postEnded(e event.ForwardEnded) {
+	countAttempt(e)
+	if !s.control.PostWait(s.ctx, e) {
+		s.log.Warn().Str("request", string(e.Request)).Int("attempt", e.Attempt).
+			Str("outcome", string(e.Outcome)).Msg("end of attempt not recorded: process is stopping")
+	}
+}
+
+func notStarted(e effect.Forward) event.ForwardEnded {
+	return event.ForwardEnded{Request: e.Request, Attempt: e.Attempt, Outcome: message.OutcomeNotStarted}
+}
--- /dev/null
+++ b/gateway/tasks.go
@@ -0,0 +1,195 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"goji.io/pat"
+
+	"primrosedale.example/primrosedale/core/event"
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/problem"
+	"primrosedale.example/primrosedale/gateway/pending"
+	"primrosedale.example/primrosedale/gateway/reply"
+)
+
+// The limits of the task interface.
+const (
+	maxTaskBody    = 64 << 10 // bytes
+	commandTimeout = 10 * time.Second
+	statusTimeout  = 2 * time.Second
+	taskIDDigits   = 32 // hexadecimal digits of a digest
+	maxPrecedence  = 9
+)
+
+// taskBody is a task as submitters declare it.
+type taskBody struct {
+	Pool         model.PoolID `json:"pool"`
+	Command      string       `json:"command"`
+	MilliCPU     int64        `json:"milli_cpu"`
+	MemoryMB     int64        `json:"memory_mb"`
+	Accelerators int64        `json:"accelerators"`
+	RunTime      float64      `json:"run_time_s"`
+	MaxRun       float64      `json:"max_run_s"`
+	Precedence   int          `json:"precedence"`
+	Idempotent   bool         `json:"idempotent"`
+}
+
+// maxTaskSeconds bounds the run times of a task: 30 days.
+const maxTaskSeconds = 30 * 24 * 3600
+
+// spec checks the form of b. Whether the pool exists is for the reducer.
+func (b taskBody) spec() (fleet.TaskSpec, *problem.Problem) {
+	var none fleet.TaskSpec
+	switch {
+	case !reply.IsIdentifier(string(b.Pool)):
+		return none, problem.New(problem.BadRequest, "pool is %q, an identifier is expected", string(b.Pool))
+	case b.Command == "":
+		return none, problem.New(problem.BadRequest, "command is empty")
+	case b.MilliCPU < 0 || b.MemoryMB < 0 || b.Accelerators < 0:
+		return none, problem.New(problem.BadRequest, "milli_cpu, memory_mb and accelerators must not be negative")
+	case b.RunTime < 0 || b.RunTime > maxTaskSeconds:
+		return none, problem.New(problem.BadRequest, "run_time_s is %g, allowed is 0 to %d", b.RunTime, maxTaskSeconds)
+	case b.MaxRun <= 0 || b.MaxRun > maxTaskSeconds:
+		return none, problem.New(problem.BadRequest, "max_run_s is %g, allowed is more than 0 up to %d", b.MaxRun, maxTaskSeconds)
+	case b.Precedence < 0 || b.Precedence > maxPrecedence:
+		return none, problem.New(problem.BadRequest, "precedence is %d, allowed is 0 to %d", b.Precedence, maxPrecedence)
+	}
+	return fleet.TaskSpec{
+		Pool:       b.Pool,
+		Command:    b.Command,
+		Size:       model.Resources{MilliCPU: b.MilliCPU, MemoryMB: b.MemoryMB, Accelerators: b.Accelerators},
+		RunTime:    model.Duration(b.RunTime * float64(model.Second)),
+		MaxRun:     model.Duration(b.MaxRun * float64(model.Second)),
+		Precedence: b.Precedence,
+		Idempotent: b.Idempotent,
+	}, nil
+}
+
+// taskAnswer answers a submission or a cancellation.
+type taskAnswer struct {
+	Task model.TaskID `json:"task"`
+}
+
+func (s *Server) submitTask(w http.ResponseWriter, r *http.Request) {
+	team, p := s.submitter(r)
+	if p != nil {
+		s.refuse(w, p, "")
+		return
+	}
+	key, p := taskKey(r.Header)
+	if p != nil {
+		s.refuse(w, p, "")
+		return
+	}
+	var body taskBody
+	if p := reply.Decode(w, r, maxTaskBody, problem.BadRequest, &body); p != nil {
+		s.refuse(w, p, "")
+		return
+	}
+	spec, p := body.spec()
+	if p != nil {
+		s.refuse(w, p, "")
+		return
+	}
+	id := submitID(team, key)
+	submit := &fleet.SubmitTask{Task: taskIDOf(id), Team: team, Spec: spec}
+	s.runCommand(w, r, http.StatusAccepted, submit.Task, fleet.Command{ID: id, SubmitTask: submit})
+}
+
+func (s *Server) cancelTask(w http.ResponseWriter, r *http.Request) {
+	team, p := s.submitter(r)
+	if p != nil {
+		s.refuse(w, p, "")
+		return
+	}
+	key, p := taskKey(r.Header)
+	if p != nil {
+		s.refuse(w, p, "")
+		return
+	}
+	task := model.TaskID(pat.Param(r, "id"))
+	cancel := &fleet.CancelTask{Task: task, Team: team}
+	id := cancelID(team, task, key)
+	s.runCommand(w, r, http.StatusAccepted, task, fleet.Command{ID: id, CancelTask: cancel})
+}
+
+// runCommand submits a command and writes its result.
+func (s *Server) runCommand(w http.ResponseWriter, r *http.Request, status int, task model.TaskID, command fleet.Command) {
+	e := event.CommandSubmitted{Command: command}
+	result, outcome := s.commands.Await(r.Context(), s.control, command.ID, e, commandTimeout)
+	switch {
+	case outcome == pending.QueueFull:
+		s.refuse(w, problem.New(problem.Overloaded, ""), "")
+	case outcome == pending.TimedOut:
+		s.refuse(w, problem.New(problem.CommandUnknown, "no result within %s", commandTimeout), "")
+	case result.Problem != nil:
+		s.refuse(w, result.Problem, "")
+	default:
+		if result.Task != "" {
+			task = result.Task
+		}
+		reply.JSON(w, status, taskAnswer{Task: task})
+	}
+}
+
+func (s *Server) showTask(w http.ResponseWriter, r *http.Request) {
+	team, p := s.submitter(r)
+	if p != nil {
+		s.refuse(w, p, "")
+		return
+	}
+	query := s.queries.Next()
+	e := event.StatusRequested{Query: query, Task: model.TaskID(pat.Param(r, "id")), Team: team}
+	answer, outcome := s.statuses.Await(r.Context(), s.control, query, e, statusTimeout)
+	switch {
+	case outcome != pending.Delivered:
+		s.refuse(w, problem.New(problem.Overloaded, "no status within %s", statusTimeout), "")
+	case answer.Task == nil:
+		s.refuse(w, problem.New(problem.UnknownTask, ""), "")
+	default:
+		reply.JSON(w, http.StatusOK, answer.Task)
+	}
+}
+
+// submitter returns the team of the key sent with r.
+func (s *Server) submitter(r *http.Request) (model.TeamID, *problem.Problem) {
+	key, p := reply.BearerDigest(r)
+	if p != nil {
+		return "", p
+	}
+	v := s.control.View()
+	if p := s.checkServing(v); p != nil {
+		return "", p
+	}
+	return teamOfKey(v, key)
+}
+
+func taskKey(header http.Header) (string, *problem.Problem) {
+	parsed, p := parseWishes(http.Header{idempotencyKeyHeader: header[idempotencyKeyHeader]})
+	return parsed.idempotencyKey, p
+}
+
+// submitID returns the command id of a submission: the same for a resend with
+// the same key of the same team, else a new one.
+func submitID(team model.TeamID, key string) model.CommandID {
+	if key == "" {
+		return model.CommandID("task-" + uuid.NewString())
+	}
+	return model.CommandID("task-" + string(reply.Digest([]byte(team), []byte(key))))
+}
+
+func cancelID(team model.TeamID, task model.TaskID, key string) model.CommandID {
+	if key == "" {
+		return model.CommandID("cancel-" + uuid.NewString())
+	}
+	return model.CommandID("cancel-" + string(reply.Digest([]byte(team), []byte(task), []byte(key))))
+}
+
+// taskIDOf derives the task id from the submission, so that a resend names
+// the same task.
+func taskIDOf(id model.CommandID) model.TaskID {
+	return model.TaskID("t-" + string(reply.Digest([]byte(id)))[:taskIDDigits])
+}
--- /dev/null
+++ b/operator/changes.go
@@ -0,0 +1,148 @@
+package operator
+
+import (
+	"net/http"
+
+	"goji.io/pat"
+
+	"primrosedale.example/primrosedale/core/event"
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/problem"
+	"primrosedale.example/primrosedale/core/rules"
+	"primrosedale.example/primrosedale/gateway/pending"
+	"primrosedale.example/primrosedale/gateway/reply"
+)
+
+// The limits of bodies, in bytes.
+const (
+	maxRulesBody = 1 << 20
+	maxKeyBody   = 4 << 10
+)
+
+// statusTries bounds how often the status is read again when a change of the
+// rules falls between the status and the view.
+const statusTries = 3
+
+// RulesAnswer is the body of GET /v1/rules.
+type RulesAnswer struct {
+	Revision uint64       `json:"revision"`
+	Hash     model.Digest `json:"hash"`
+	Rules    *rules.Rules `json:"rules"`
+}
+
+// RulesChange is the body of POST /v1/rules. A resend keeps the ID.
+type RulesChange struct {
+	Base  uint64          `json:"base"` // revision that the change replaces
+	Hash  model.Digest    `json:"hash"` // of the rules file's text
+	Rules *rules.Rules    `json:"rules"`
+	ID    model.CommandID `json:"id"`
+}
+
+// KeyGrant is the body of POST /v1/keys. A resend keeps the ID.
+type KeyGrant struct {
+	Name string          `json:"name"`
+	Team model.TeamID    `json:"team"`
+	Hash model.Digest    `json:"hash"` // of the key
+	ID   model.CommandID `json:"id"`
+}
+
+// ChangeAnswer is the body of the answer to an accepted change.
+type ChangeAnswer struct {
+	Result fleet.Result `json:"result"`
+}
+
+// showRules answers with rules and hash of one revision.
+func (s *Server) showRules(w http.ResponseWriter, r *http.Request) {
+	for range statusTries {
+		status, p := s.status(r.Context())
+		if p != nil {
+			s.refuse(w, p)
+			return
+		}
+		found := s.control.View().Rules
+		if found == nil {
+			reply.JSON(w, http.StatusOK, RulesAnswer{Rules: &rules.Rules{}})
+			return
+		}
+		if found.Revision == status.Revision {
+			reply.JSON(w, http.StatusOK, RulesAnswer{found.Revision, status.RulesHash, found})
+			return
+		}
+	}
+	s.refuse(w, problem.New(problem.Overloaded, "the rules are changing"))
+}
+
+func (s *Server) applyRules(w http.ResponseWriter, r *http.Request) {
+	var body RulesChange
+	if p := reply.Decode(w, r, maxRulesBody, problem.BadRequest, &body); p != nil {
+		s.refuse(w, p)
+		return
+	}
+	switch {
+	case body.Rules == nil:
+		s.refuse(w, problem.New(problem.BadRequest, "rules is missing"))
+		return
+	case !reply.IsDigest(string(body.Hash)):
+		s.refuse(w, badHash(body.Hash))
+		return
+	}
+	s.run(w, r, fleet.Command{
+		ID:         body.ID,
+		ApplyRules: &fleet.ApplyRules{Base: body.Base, Hash: body.Hash, Rules: body.Rules},
+	})
+}
+
+func (s *Server) grantKey(w http.ResponseWriter, r *http.Request) {
+	var body KeyGrant
+	if p := reply.Decode(w, r, maxKeyBody, problem.BadRequest, &body); p != nil {
+		s.refuse(w, p)
+		return
+	}
+	switch {
+	case !reply.IsIdentifier(body.Name):
+		s.refuse(w, problem.New(problem.BadRequest, "name is %q, an identifier is expected", body.Name))
+		return
+	case !reply.IsIdentifier(string(body.Team)):
+		s.refuse(w, problem.New(problem.BadRequest, "team is %q, an identifier is expected", string(body.Team)))
+		return
+	case !reply.IsDigest(string(body.Hash)):
+		s.refuse(w, badHash(body.Hash))
+		return
+	}
+	s.run(w, r, fleet.Command{
+		ID:       body.ID,
+		GrantKey: &fleet.GrantKey{Name: body.Name, Hash: body.Hash, Team: body.Team},
+	})
+}
+
+func (s *Server) withdrawKey(w http.ResponseWriter, r *http.Request) {
+	s.run(w, r, fleet.Command{
+		ID:          model.CommandID(r.URL.Query().Get("id")),
+		WithdrawKey: &fleet.WithdrawKey{Name: pat.Param(r, "name")},
+	})
+}
+
+// run submits a command and writes its result.
+func (s *Server) run(w http.ResponseWriter, r *http.Request, command fleet.Command) {
+	if !reply.IsIdentifier(string(command.ID)) {
+		s.refuse(w, problem.New(problem.BadRequest, "id is %q, an identifier that a resend keeps is expected", string(command.ID)))
+		return
+	}
+	e := event.CommandSubmitted{Command: command}
+	result, outcome := s.commands.Await(r.Context(), s.control, command.ID, e, commandTimeout)
+	switch {
+	case outcome == pending.QueueFull:
+		s.refuse(w, problem.New(problem.Overloaded, ""))
+	case outcome == pending.TimedOut:
+		s.refuse(w, problem.New(problem.CommandUnknown, "no result within %s, send it again with the same id", commandTimeout))
+	case result.Problem != nil:
+		s.refuse(w, result.Problem)
+	default:
+		reply.JSON(w, http.StatusOK, ChangeAnswer{Result: result})
+	}
+}
+
+func badHash(hash model.Digest) *problem.Problem {
+	return problem.New(problem.BadRequest, "hash is %q, a lower-case hexadecimal SHA-256 is expected", string(hash))
+}
