daemon: assemble a process; control loop and transport

Cause: the branches of the reducer need a process around them. Change: the control goroutine, jsonrpc2 connections between processes, the log writer that shares one sync among waiting writes, TLS with reload, and the daemon that joins storage, HTTP interfaces and the reducer. Result: go build ./... passes; not yet run.

--- /dev/null
+++ b/cmd/primrosedaled/main.go
@@ -0,0 +1,127 @@
+// Command primrosedaled is one process of the system.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+	"gopkg.in/tomb.v2"
+
+	"primrosedale.example/primrosedale/daemon"
+	"primrosedale.example/primrosedale/devcluster"
+	"primrosedale.example/primrosedale/logevent"
+	"primrosedale.example/primrosedale/settings"
+)
+
+// The exit codes, described in docs/operators/exit-codes.md.
+const (
+	exitOK       = 0
+	exitFailed   = 1 // the process had to stop
+	exitUsage    = 2 // the command line is wrong
+	exitSettings = 3 // the settings or the data folder are refused
+)
+
+const help = `
+examples:
+  primrosedaled dev
+  primrosedaled init --settings /etc/primrosedale/entry-1.toml
+  primrosedaled run  --settings /etc/primrosedale/entry-1.toml`
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	var path string
+	var folder string
+	parser := flaggy.NewParser("primrosedaled")
+	parser.Description = "One process of the primrosedale fleet capacity and maintenance manager."
+	parser.AdditionalHelpAppend = help
+	parser.ShowHelpOnUnexpected = true
+	runCommand := flaggy.NewSubcommand("run")
+	runCommand.Description = "run this host's process"
+	runCommand.String(&path, "s", "settings", "settings file (TOML)")
+	initCommand := flaggy.NewSubcommand("init")
+	initCommand.Description = "create the data folder of a first replica; once for each, never to replace a lost disk"
+	initCommand.String(&path, "s", "settings", "settings file (TOML)")
+	devCommand := flaggy.NewSubcommand("dev")
+	devCommand.Description = "run a whole system on loopback with stand-in targets and workers"
+	devCommand.String(&folder, "d", "data", "folder for the replicas' data (default: a temporary one)")
+	for _, c := range []*flaggy.Subcommand{runCommand, initCommand, devCommand} {
+		parser.AttachSubcommand(c, 1)
+	}
+	if err := parser.Parse(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	switch {
+	case runCommand.Used:
+		return runDaemon(path)
+	case initCommand.Used:
+		return initFolder(path)
+	case devCommand.Used:
+		return runDev(folder)
+	}
+	parser.ShowHelp()
+	return exitUsage
+}
+
+// stopContext ends at the first SIGTERM or SIGINT.
+func stopContext() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+}
+
+func runDaemon(path string) int {
+	s, err := settings.Load(path)
+	if err != nil {
+		return refuse(err)
+	}
+	log, err := logevent.New(logevent.Options{
+		Out: os.Stderr, Format: logevent.Format(s.Log.Format), Level: s.Log.Level,
+	})
+	if err != nil {
+		return refuse(err)
+	}
+	d, err := daemon.New(s, log)
+	if err != nil {
+		return refuse(err)
+	}
+	stop, cancel := stopContext()
+	defer cancel()
+	if err := d.Run(&tomb.Tomb{}, stop); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+func initFolder(path string) int {
+	s, err := settings.Load(path)
+	if err != nil {
+		return refuse(err)
+	}
+	if err := daemon.Init(s); err != nil {
+		return refuse(err)
+	}
+	fmt.Printf("created %s for host %s of cluster %s\n", s.DataFolder, s.Host, s.Cluster)
+	return exitOK
+}
+
+func runDev(folder string) int {
+	stop, cancel := stopContext()
+	defer cancel()
+	if err := devcluster.Run(stop, devcluster.Options{Folder: folder, Out: os.Stdout, Log: os.Stderr}); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+func refuse(err error) int {
+	fmt.Fprintln(os.Stderr, err)
+	return exitSettings
+}
--- a/codec/message.go
+++ b/codec/message.go
@@ -45,7 +45,7 @@
 		m.Ask != nil, m.Dispatch != nil, m.Refuse != nil,
 		m.Done != nil, m.Settled != nil, m.Withdraw != nil,
 		m.TargetReport != nil, m.WorkerReport != nil, m.ReportReply != nil,
-		m.Command != nil, m.CommandResult != nil,
+		m.Command != nil,
 	)
 	if n != 1 {
 		return invalid("message", "exactly one kind must be set")
--- /dev/null
+++ b/control/loop.go
@@ -0,0 +1,168 @@
+// Package control runs the control goroutine: the one goroutine of a process
+// that owns the control state. It takes events from a bounded queue and a
+// ticker, gives them to the reducer, and hands the effects to executors.
+// Traffic goroutines read the published view and post events; they share no
+// lock with the control goroutine.
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"gopkg.in/tomb.v2"
+
+	"primrosedale.example/primrosedale/core"
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/event"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/view"
+)
+
+// queueSize is the number of events that may wait for the control goroutine.
+const queueSize = 4096
+
+// admissionSize is the number of waiting events at which new work is refused.
+// The rest of the queue is kept for the outcomes of work that was accepted.
+const admissionSize = queueSize * 3 / 4
+
+// Executor carries out effects. Its methods are called on the control
+// goroutine and must not block.
+type Executor interface {
+	Execute(e effect.Effect)
+}
+
+// Recorder keeps a journal of the inputs.
+type Recorder interface {
+	Record(in event.Input, effects []effect.Effect)
+}
+
+// Loop is the control goroutine of a process.
+type Loop struct {
+	queue    chan event.Event
+	view     atomic.Pointer[view.View]
+	began    time.Time
+	beganAt  model.Time
+	state    *core.State
+	executor Executor
+	recorder Recorder
+	halted   chan struct{}
+	reason   string // why the process halted, set before halted is closed
+}
+
+var (
+	eventSeconds = metrics.NewHistogram("primrosedale_control_event_seconds")
+	eventsTotal  = metrics.NewCounter("primrosedale_control_events_total")
+	refusedTotal = metrics.NewCounter("primrosedale_control_events_refused_total")
+)
+
+// New returns a Loop. Start must be called before events are handled; events
+// may be posted earlier.
+func New() *Loop {
+	l := &Loop{
+		queue:  make(chan event.Event, queueSize),
+		began:  time.Now(),
+		halted: make(chan struct{}),
+	}
+	l.beganAt = model.Time(l.began.UnixNano())
+	l.view.Store(&view.View{})
+	return l
+}
+
+// Start gives the Loop its state, executor and optional recorder.
+func (l *Loop) Start(s *core.State, x Executor, r Recorder) {
+	l.state, l.executor, l.recorder = s, x, r
+}
+
+// Now reads the process clock: the wall clock at start plus the monotonic
+// time since, so that it never runs backwards.
+func (l *Loop) Now() model.Time { return l.beganAt.Add(model.Duration(time.Since(l.began))) }
+
+// Rand returns a random number.
+func (l *Loop) Rand() uint64 { return rand.Uint64() }
+
+// View returns the last published view, never nil.
+func (l *Loop) View() *view.View { return l.view.Load() }
+
+// Halted is closed when the reducer has halted the process.
+func (l *Loop) Halted() <-chan struct{} { return l.halted }
+
+// Reason returns why the process halted, empty after a graceful stop. It may
+// be called once Halted is closed.
+func (l *Loop) Reason() string { return l.reason }
+
+// Post hands over new work without blocking. It reports false if the queue is
+// too full to accept more.
+func (l *Loop) Post(e event.Event) bool {
+	if len(l.queue) >= admissionSize {
+		refusedTotal.Inc()
+		return false
+	}
+	select {
+	case l.queue <- e:
+		return true
+	default:
+		refusedTotal.Inc()
+		return false
+	}
+}
+
+// PostWait hands over an event and waits while the queue is full. It reports
+// false if ctx or the process ended first. The control goroutine must not call
+// it.
+func (l *Loop) PostWait(ctx context.Context, e event.Event) bool {
+	select {
+	case l.queue <- e:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-l.halted:
+		return false
+	}
+}
+
+// Run handles events until the process halts or t is dying.
+func (l *Loop) Run(t *tomb.Tomb) error {
+	ticker := time.NewTicker(time.Duration(core.TickInterval))
+	defer ticker.Stop()
+	for {
+		select {
+		case e := <-l.queue:
+			l.handle(e)
+		case <-ticker.C:
+			l.handle(event.Tick{})
+		case <-l.halted:
+			return nil
+		case <-t.Dying():
+			return nil
+		}
+	}
+}
+
+func (l *Loop) handle(e event.Event) {
+	began := time.Now()
+	in := event.Input{At: l.Now(), Rand: l.Rand(), Event: e}
+	effects := core.Reduce(l.state, in)
+	if l.recorder != nil {
+		l.recorder.Record(in, effects)
+	}
+	for _, f := range effects {
+		l.execute(f)
+	}
+	eventsTotal.Inc()
+	eventSeconds.UpdateDuration(began)
+}
+
+func (l *Loop) execute(f effect.Effect) {
+	switch f := f.(type) {
+	case effect.Publish:
+		l.view.Store(f.View)
+	case effect.Halt:
+		l.reason = f.Reason
+		close(l.halted)
+	default:
+		l.executor.Execute(f)
+	}
+}
--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -28,7 +28,7 @@
 	Install   bool // Snapshot came from the leader and replaces the whole log
 	HardState *consensus.HardState
 	Entries   []consensus.Entry[fleet.Command]
-	Term      uint64 // to report back
+	Term      uint64 // to report back; 0 for a snapshot of our own, which needs no report
 	Index     uint64 // to report back
 }
 
--- a/core/reduce.go
+++ b/core/reduce.go
@@ -193,8 +193,7 @@
 	s.log.Compact(snap)
 	s.emit(effect.Log{Code: effect.SnapshotTaken, Index: snap.Index})
 	if s.cfg.Durable {
-		status := s.log.Status()
-		s.emit(effect.Persist{Snapshot: &snap, Term: status.Term, Index: status.LastIndex})
+		s.emit(effect.Persist{Snapshot: &snap})
 	}
 }
 
--- /dev/null
+++ b/daemon/executor.go
@@ -0,0 +1,105 @@
+package daemon
+
+import (
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/gateway"
+	"primrosedale.example/primrosedale/logevent"
+	"primrosedale.example/primrosedale/operator"
+	"primrosedale.example/primrosedale/platform"
+	"primrosedale.example/primrosedale/transport"
+)
+
+// executor hands each effect to the part that carries it out.
+type executor struct {
+	transport *transport.Transport
+	writer    *logWriter // nil without a data folder
+	gateway   *gateway.Server
+	platform  *platform.Server
+	operator  *operator.Server
+	log       logevent.Logger
+}
+
+// Execute implements control.Executor.
+func (x *executor) Execute(e effect.Effect) {
+	switch e := e.(type) {
+	case effect.Send:
+		x.transport.Send(e)
+	case effect.Persist:
+		x.writer.persist(e)
+	case effect.Forward:
+		x.gateway.Forward(e)
+	case effect.AnswerRequest:
+		x.gateway.Answer(e)
+	case effect.AnswerCommand:
+		x.gateway.AnswerCommand(e)
+		x.operator.AnswerCommand(e)
+	case effect.AnswerStatus:
+		x.gateway.AnswerStatus(e)
+		x.operator.AnswerStatus(e)
+	case effect.AnswerReport:
+		x.platform.AnswerReport(e)
+	case effect.Log:
+		x.emit(e)
+	}
+}
+
+// eventIDs gives each log event of the reducer its number.
+var eventIDs = map[effect.Code]logevent.ID{
+	effect.LeaderElected:    logevent.LeaderElected,
+	effect.LeaderLost:       logevent.LeaderLost,
+	effect.LeaseLost:        logevent.LeaseLost,
+	effect.LeaseRegained:    logevent.LeaseRegained,
+	effect.HostSilent:       logevent.HostCutOff,
+	effect.MemberAdded:      logevent.MemberAdded,
+	effect.VotersChanged:    logevent.ReplicaJoined,
+	effect.SnapshotTaken:    logevent.SnapshotWritten,
+	effect.SnapshotReceived: logevent.SnapshotInstalled,
+	effect.SyncFailed:       logevent.SyncFailed,
+	effect.RulesAccepted:    logevent.RulesAccepted,
+	effect.RulesRefused:     logevent.RulesRefused,
+	effect.RulesInForce:     logevent.RulesInForce,
+	effect.KeyGranted:       logevent.KeyGranted,
+	effect.KeyWithdrawn:     logevent.KeyWithdrawn,
+	effect.TargetRegistered: logevent.TargetRegistered,
+	effect.TargetSilent:     logevent.TargetSilent,
+	effect.TargetLeaving:    logevent.TargetLeaving,
+	effect.TargetRemoved:    logevent.TargetRemoved,
+	effect.DispatchReady:    logevent.LeaseRegained,
+	effect.RequestRefused:   logevent.RequestRefused,
+	effect.OutcomeUnknown:   logevent.OutcomeUnknown,
+	effect.WorkerSeen:       logevent.WorkerSeen,
+	effect.WorkerSilent:     logevent.WorkerSilent,
+	effect.WorkerSuspect:    logevent.WorkerQuarantined,
+	effect.TaskPlaced:       logevent.TaskPlaced,
+	effect.TaskEnded:        logevent.TaskFailed,
+	effect.HostDraining:     logevent.DrainStarted,
+	effect.HostReturned:     logevent.DrainEnded,
+	effect.WaveStopped:      logevent.WaveStopped,
+	effect.Stopping:         logevent.ProcessStopping,
+}
+
+func (x *executor) emit(e effect.Log) {
+	var fields []logevent.Field
+	if e.Host != "" {
+		fields = append(fields, logevent.Host(e.Host))
+	}
+	if e.Target != "" {
+		fields = append(fields, logevent.Target(e.Target))
+	}
+	if e.Request != "" {
+		fields = append(fields, logevent.Request(e.Request))
+	}
+	if e.Team != "" {
+		fields = append(fields, logevent.Team(e.Team))
+	}
+	if e.Term != 0 {
+		fields = append(fields, logevent.Term(e.Term))
+	}
+	if e.Index != 0 {
+		fields = append(fields, logevent.Index(e.Index))
+	}
+	if e.Detail != "" {
+		fields = append(fields, logevent.Str(logevent.NameReason, e.Detail))
+	}
+	x.log.Emit(eventIDs[e.Code], fields...)
+}
--- /dev/null
+++ b/devcluster/cluster.go
@@ -0,0 +1,146 @@
+// Package devcluster runs a whole system in one process on loopback: replicas,
+// followers, targets and workers. It serves the dev command and tests.
+package devcluster
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"path/filepath"
+
+	"github.com/juju/errors"
+	"gopkg.in/tomb.v2"
+
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/daemon"
+	"primrosedale.example/primrosedale/logevent"
+	"primrosedale.example/primrosedale/settings"
+)
+
+const (
+	clusterName = "dev"
+	// heldRequests bounds the requests that one host of the cluster holds.
+	heldRequests = 4096
+)
+
+// centres are the data centres of the development cluster.
+var centres = []model.DataCentreID{"west", "east", "north"}
+
+// Layout returns the settings of a cluster on free loopback ports: replicas
+// hosts with a data folder below folder, then followers hosts without one,
+// spread over three data centres.
+func Layout(folder string, replicas, followers int) ([]*settings.Settings, error) {
+	total := replicas + followers
+	ports, err := freePorts(4 * total)
+	if err != nil {
+		return nil, err
+	}
+	peers := make([]settings.Peer, total)
+	for i := range peers {
+		peers[i] = settings.Peer{
+			Host:       model.HostID(fmt.Sprintf("entry-%d", i+1)),
+			DataCentre: centres[i%len(centres)],
+			Address:    ports[4*i],
+			Replica:    i < replicas,
+		}
+	}
+	list := make([]*settings.Settings, total)
+	for i, p := range peers {
+		s := &settings.Settings{
+			Cluster: clusterName, Host: p.Host, DataCentre: p.DataCentre, Peers: peers,
+			Listen: settings.Listen{
+				Peers: ports[4*i], Callers: ports[4*i+1], Platform: ports[4*i+2], Operators: ports[4*i+3],
+			},
+			Log:    settings.Log{Level: "info", Format: settings.FormatConsole},
+			TLS:    settings.TLS{Mode: settings.ModePlain},
+			Limits: settings.Limits{BodyBytes: 1 << 20, AnswerBytes: 8 << 20, HeldRequests: heldRequests},
+		}
+		if p.Replica {
+			s.DataFolder = filepath.Join(folder, string(p.Host))
+		}
+		list[i] = s
+	}
+	return list, nil
+}
+
+// freePorts returns loopback addresses that were free when it looked.
+func freePorts(n int) ([]netip.AddrPort, error) {
+	var ports []netip.AddrPort
+	for len(ports) < n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Annotate(err, "looking for a free port")
+		}
+		defer l.Close() // held until all are found, so that they differ
+		ports = append(ports, netip.MustParseAddrPort(l.Addr().String()))
+	}
+	return ports, nil
+}
+
+// Cluster is a set of running daemons.
+type Cluster struct {
+	Settings []*settings.Settings
+	running  tomb.Tomb
+	stop     context.CancelFunc
+}
+
+// Start creates the data folders that do not exist yet and runs a daemon for
+// each of the settings. Their log lines go to log.
+func Start(list []*settings.Settings, log io.Writer, create bool) (*Cluster, error) {
+	if create {
+		for _, s := range list {
+			if !s.IsReplica() {
+				continue
+			}
+			if err := daemon.Init(s); err != nil {
+				return nil, err
+			}
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &Cluster{Settings: list, stop: cancel}
+	daemons, err := build(list, log)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	c.running.Go(func() error {
+		for _, d := range daemons {
+			c.running.Go(func() error { return d.Run(&c.running, ctx) })
+		}
+		return nil
+	})
+	return c, nil
+}
+
+func build(list []*settings.Settings, out io.Writer) ([]*daemon.Daemon, error) {
+	var daemons []*daemon.Daemon
+	for _, s := range list {
+		log, err := logevent.New(logevent.Options{
+			Out: out, Format: logevent.Format(s.Log.Format), Level: s.Log.Level,
+		})
+		if err != nil {
+			return nil, err
+		}
+		d, err := daemon.New(s, log)
+		if err != nil {
+			return nil, errors.Annotatef(err, "starting host %s", s.Host)
+		}
+		daemons = append(daemons, d)
+	}
+	return daemons, nil
+}
+
+// Stop stops all daemons gracefully and waits for them.
+func (c *Cluster) Stop() error {
+	c.stop()
+	return c.running.Wait()
+}
+
+// Dead is closed when every daemon has ended.
+func (c *Cluster) Dead() <-chan struct{} { return c.running.Dead() }
+
+// Err returns why a daemon ended.
+func (c *Cluster) Err() error { return c.running.Err() }
--- /dev/null
+++ b/transport/hello.go
@@ -0,0 +1,50 @@
+// Package transport carries messages between the processes of a cluster, as
+// JSON-RPC 2.0 over TCP. Each process sends on connections that it dialled and
+// receives on connections that it accepted. A message may be lost when a
+// connection fails or a peer is slow; messages of one connection arrive in
+// order and at most once.
+package transport
+
+import (
+	"github.com/juju/errors"
+
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// The JSON-RPC methods.
+const (
+	methodHello   = "hello"   // call: the first of each connection
+	methodMessage = "message" // notification
+)
+
+// version is the version of the protocol between processes.
+const version = 1
+
+// hello introduces the dialling process.
+type hello struct {
+	Version     int               `json:"version"`
+	Cluster     string            `json:"cluster"`
+	Host        model.HostID      `json:"host"`
+	To          model.HostID      `json:"to"` // the host that the sender means to reach
+	Incarnation model.Incarnation `json:"incarnation"`
+}
+
+// helloReply accepts a connection.
+type helloReply struct {
+	Host model.HostID `json:"host"`
+}
+
+// check reports why a connection is refused, or nil.
+func (h hello) check(own Config) error {
+	switch {
+	case h.Version != version:
+		return errors.Errorf("protocol version %d, this host speaks %d", h.Version, version)
+	case h.Cluster != own.Cluster:
+		return errors.Errorf("a process of cluster %q", h.Cluster)
+	case h.To != own.Host:
+		return errors.Errorf("a connection meant for host %q", h.To)
+	case own.Peers[h.Host] == "":
+		return errors.Errorf("host %q is not in the settings", h.Host)
+	}
+	return nil
+}
--- /dev/null
+++ b/transport/receiver.go
@@ -0,0 +1,94 @@
+package transport
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"net"
+
+	"github.com/juju/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"primrosedale.example/primrosedale/codec"
+	"primrosedale.example/primrosedale/core/event"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/logevent"
+)
+
+// receive reads messages from an accepted connection until it ends.
+func (t *Transport) receive(ctx context.Context, c net.Conn) {
+	if t.cfg.TLSServer != nil {
+		secured := tls.Server(c, t.cfg.TLSServer)
+		hs, cancel := context.WithTimeout(ctx, helloTimeout)
+		err := secured.HandshakeContext(hs)
+		cancel()
+		if err != nil {
+			t.log.Emit(logevent.TLSRefused, logevent.Str(logevent.NameAddress, c.RemoteAddr().String()), logevent.Err(err))
+			_ = c.Close()
+			return
+		}
+		c = secured
+	}
+	r := &receiver{t: t, address: c.RemoteAddr().String()}
+	stream := jsonrpc2.NewPlainObjectStream(countedConn{c})
+	conn := jsonrpc2.NewConn(ctx, stream, r)
+	select {
+	case <-conn.DisconnectNotify():
+	case <-ctx.Done():
+	}
+	_ = conn.Close()
+}
+
+// receiver handles the messages of one accepted connection, in order.
+type receiver struct {
+	t       *Transport
+	address string
+	from    model.HostID // empty until the hello was accepted
+}
+
+// Handle implements jsonrpc2.Handler.
+func (r *receiver) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	var err error
+	switch {
+	case req.Params == nil:
+		err = errors.New("a request without parameters")
+	case req.Method == methodHello && !req.Notif && r.from == "":
+		err = r.hello(ctx, conn, req)
+	case req.Method == methodMessage && req.Notif && r.from != "":
+		err = r.message(*req.Params)
+	default:
+		err = errors.Errorf("unexpected method %q", req.Method)
+	}
+	if err != nil {
+		r.t.log.Emit(logevent.PeerMessageMalformed, logevent.Host(r.from),
+			logevent.Str(logevent.NameAddress, r.address), logevent.Err(err))
+		_ = conn.Close()
+	}
+}
+
+func (r *receiver) hello(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) error {
+	var h hello
+	if err := json.Unmarshal(*req.Params, &h); err != nil {
+		return errors.Annotate(err, "decoding hello")
+	}
+	if err := h.check(r.t.cfg); err != nil {
+		r.t.log.Emit(logevent.ClusterRefused, logevent.Str(logevent.NameAddress, r.address),
+			logevent.Str(logevent.NameCluster, h.Cluster), logevent.Err(err))
+		refusal := &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: err.Error()}
+		_ = conn.ReplyWithError(ctx, req.ID, refusal)
+		return err
+	}
+	r.from = h.Host
+	return conn.Reply(ctx, req.ID, helloReply{Host: r.t.cfg.Host})
+}
+
+func (r *receiver) message(params json.RawMessage) error {
+	m, err := codec.DecodeMessage(params)
+	if err != nil {
+		return err
+	}
+	if !r.t.control.Post(event.Received{From: r.from, Message: *m}) {
+		droppedTotal.Inc()
+	}
+	return nil
+}
--- /dev/null
+++ b/transport/sender.go
@@ -0,0 +1,146 @@
+package transport
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sourcegraph/jsonrpc2"
+	"gopkg.in/tomb.v2"
+
+	"primrosedale.example/primrosedale/codec"
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/logevent"
+)
+
+// peer is the sending side of the connection to one host.
+type peer struct {
+	t       *Transport
+	host    model.HostID
+	address string
+	queue   chan message.Message
+}
+
+func newPeer(t *Transport, host model.HostID, address string) *peer {
+	return &peer{t: t, host: host, address: address, queue: make(chan message.Message, queueSize)}
+}
+
+// run keeps a connection to the peer and writes the queued messages to it.
+func (p *peer) run(tb *tomb.Tomb) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	tb.Go(func() error {
+		<-tb.Dying()
+		cancel()
+		return nil
+	})
+	delay := redialMin
+	for tb.Alive() {
+		conn, err := p.dial(ctx)
+		if err == nil {
+			delay = redialMin
+			p.t.log.Emit(logevent.PeerConnected, logevent.Host(p.host))
+			p.write(ctx, conn)
+			p.t.log.Emit(logevent.PeerDisconnected, logevent.Host(p.host))
+		}
+		if !wait(ctx, delay) {
+			return nil
+		}
+		delay = min(2*delay, redialMax)
+		p.discard()
+	}
+	return nil
+}
+
+// discard drops messages that waited while the peer could not be reached: the
+// protocols above repeat what still matters.
+func (p *peer) discard() {
+	for {
+		select {
+		case <-p.queue:
+			droppedTotal.Inc()
+		default:
+			return
+		}
+	}
+}
+
+func (p *peer) dial(ctx context.Context) (*jsonrpc2.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	raw, err := d.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "dialling host %s", p.host)
+	}
+	if p.t.cfg.TLSClient != nil {
+		raw = tls.Client(raw, p.t.cfg.TLSClient)
+	}
+	stream := jsonrpc2.NewPlainObjectStream(countedConn{raw})
+	conn := jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(refuseAll))
+	if err := p.introduce(ctx, conn); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+func (p *peer) introduce(ctx context.Context, conn *jsonrpc2.Conn) error {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	cfg := p.t.cfg
+	var reply helloReply
+	h := hello{Version: version, Cluster: cfg.Cluster, Host: cfg.Host, To: p.host, Incarnation: cfg.Incarnation}
+	if err := conn.Call(ctx, methodHello, h, &reply); err != nil {
+		return errors.Annotatef(err, "introducing this process to host %s", p.host)
+	}
+	if reply.Host != p.host {
+		return errors.Errorf("address %s belongs to host %q, not %q", p.address, reply.Host, p.host)
+	}
+	return nil
+}
+
+// write sends queued messages until the connection fails or ctx ends.
+func (p *peer) write(ctx context.Context, conn *jsonrpc2.Conn) {
+	defer conn.Close()
+	for {
+		select {
+		case m := <-p.queue:
+			if err := p.writeOne(ctx, conn, &m); err != nil {
+				return
+			}
+		case <-conn.DisconnectNotify():
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (p *peer) writeOne(ctx context.Context, conn *jsonrpc2.Conn, m *message.Message) error {
+	data, err := codec.EncodeMessage(m)
+	if err != nil {
+		droppedTotal.Inc()
+		p.t.log.Emit(logevent.InternalError, logevent.Host(p.host), logevent.Err(err))
+		return nil
+	}
+	return conn.Notify(ctx, methodMessage, json.RawMessage(data))
+}
+
+// refuseAll answers requests on a connection that only sends.
+func refuseAll(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this side only sends"}
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
