--- /dev/null
+++ b/standin/run.go
@@ -0,0 +1,156 @@
+package standin
+
+import (
+	"time"
+
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/platform"
+)
+
+// run is one placement of a task on a worker. Worker.mu guards it.
+type run struct {
+	phase message.TaskRunPhase
+	size  model.Resources
+	note  string
+	begun time.Time
+	ended time.Time
+	work  *time.Timer // ends the task
+	lease *time.Timer // stops the task when its lease has ended
+	limit *time.Timer // stops the task at its longest run time
+
+	remaining time.Duration // work left when resumed was set
+	resumed   time.Time
+	throttled bool
+}
+
+func (r *run) describe(id RunID) platform.TaskRun {
+	until := time.Now()
+	if r.phase != message.RunRunning {
+		until = r.ended
+	}
+	usage := model.Resources{}
+	if r.phase == message.RunRunning {
+		usage = r.size
+	}
+	return platform.TaskRun{
+		Task:  id.Task,
+		Epoch: id.Epoch,
+		Phase: r.phase,
+		Usage: usage,
+		RanMS: until.Sub(r.begun).Milliseconds(),
+		Note:  r.note,
+	}
+}
+
+// halt stops the timers of r.
+func (r *run) halt() {
+	for _, timer := range []*time.Timer{r.work, r.lease, r.limit} {
+		if timer != nil {
+			timer.Stop()
+		}
+	}
+}
+
+// end records the end of a running task. It does nothing if it has ended.
+func (r *run) end(phase message.TaskRunPhase, note string) {
+	if r.phase != message.RunRunning {
+		return
+	}
+	r.phase = phase
+	r.note = note
+	r.ended = time.Now()
+	r.halt()
+}
+
+// carryOut does what an order says. mu is held.
+func (w *Worker) carryOut(order platform.Order, sent time.Time) {
+	id := RunID{order.Task, order.Epoch}
+	if order.Kind == message.OrderRun {
+		w.startOrRenew(id, order, sent)
+		return
+	}
+	r, ok := w.runs[id]
+	if !ok {
+		return
+	}
+	switch order.Kind {
+	case message.OrderStop:
+		r.end(message.RunStopped, "stopped by order")
+	case message.OrderCheckpoint:
+		w.checkpoint(id, r)
+	case message.OrderThrottle:
+		w.throttle(r)
+	case message.OrderForget:
+		r.halt()
+		delete(w.runs, id)
+	}
+}
+
+// startOrRenew starts a task or renews its lease. mu is held.
+func (w *Worker) startOrRenew(id RunID, order platform.Order, sent time.Time) {
+	left := time.Until(sent.Add(time.Duration(order.LeaseMS) * time.Millisecond))
+	if left <= 0 {
+		return // the lease ended while the reply was on its way
+	}
+	if r, ok := w.runs[id]; ok {
+		if r.phase == message.RunRunning {
+			r.lease.Reset(left)
+		}
+		return
+	}
+	w.begin(id, order, left)
+}
+
+func (w *Worker) begin(id RunID, order platform.Order, left time.Duration) {
+	w.begun[id]++
+	r := &run{phase: message.RunRunning, size: order.Size, begun: time.Now()}
+	w.runs[id] = r
+	if w.mode == FailsAll {
+		r.end(message.RunFailed, "this worker fails every task")
+		return
+	}
+	duration := w.cfg.Duration(id.Task, order.Command) - w.progress[id.Task]
+	if w.mode == Slow {
+		duration *= slowFactor
+	}
+	w.resume(r, max(duration, 0))
+	r.lease = time.AfterFunc(left, func() { w.endRun(r, message.RunStopped, "lease ended") })
+	if order.MaxRunMS > 0 {
+		limit := time.Duration(order.MaxRunMS) * time.Millisecond
+		r.limit = time.AfterFunc(limit, func() { w.endRun(r, message.RunFailed, "longest run time passed") })
+	}
+}
+
+// resume lets r work for the duration from now on. mu is held.
+func (w *Worker) resume(r *run, remaining time.Duration) {
+	r.remaining = remaining
+	r.resumed = time.Now()
+	r.work = time.AfterFunc(remaining, func() { w.endRun(r, message.RunFinished, "") })
+}
+
+func (w *Worker) endRun(r *run, phase message.TaskRunPhase, note string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r.end(phase, note)
+}
+
+// checkpoint saves the progress of a task and stops it. mu is held.
+func (w *Worker) checkpoint(id RunID, r *run) {
+	if r.phase != message.RunRunning {
+		return
+	}
+	w.progress[id.Task] += time.Since(r.begun)
+	r.end(message.RunStopped, "checkpoint saved")
+}
+
+// throttle halves the pace of a task once. mu is held.
+func (w *Worker) throttle(r *run) {
+	if r.phase != message.RunRunning || r.throttled {
+		return
+	}
+	r.throttled = true
+	if r.work.Stop() {
+		w.resume(r, 2*max(r.remaining-time.Since(r.resumed), 0))
+	}
+}
--- /dev/null
+++ b/standin/target.go
@@ -0,0 +1,276 @@
+// Package standin holds stand-ins for what lives outside the system: targets,
+// workers and callers. They serve tests and the dev command only. Their counts
+// are independent of the system's books.
+package standin
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/platform"
+)
+
+const (
+	// DefaultInterval is the time between two announcements.
+	DefaultInterval = 500 * time.Millisecond
+	// announceTimeout is over the 2 s in which a host answers.
+	announceTimeout = 3 * time.Second
+	// ticketAge is the age at which a target refuses a ticket.
+	ticketAge = 3 * time.Second
+)
+
+// Work runs one request and returns the answer. It must end when ctx does,
+// which is at the request's deadline.
+type Work func(ctx context.Context, body []byte) model.Answer
+
+// Echo answers with the body after the duration.
+func Echo(duration time.Duration) Work {
+	return func(ctx context.Context, body []byte) model.Answer {
+		if !sleep(ctx, duration) {
+			return model.Answer{Status: http.StatusGatewayTimeout}
+		}
+		return model.Answer{Status: http.StatusOK, ContentType: "application/octet-stream", Body: body}
+	}
+}
+
+// sleep waits for d and reports false if ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// TargetConfig holds the settings of a Target. Zero numbers have defaults.
+type TargetConfig struct {
+	ID          model.TargetID
+	Service     model.ServiceID
+	DataCentre  model.DataCentreID
+	Host        model.HostID
+	Slots       int           // default 8
+	Connections int           // default 64
+	Interval    time.Duration // between announcements, default 500 ms
+	Work        Work          // default Echo(0)
+	// Platforms lists the host:port of the platform interfaces, used in turn.
+	// An empty list announces to nobody and accepts every ticket.
+	Platforms []string
+}
+
+func (c TargetConfig) withDefaults() TargetConfig {
+	if c.Slots == 0 {
+		c.Slots = 8
+	}
+	if c.Connections == 0 {
+		c.Connections = 64
+	}
+	if c.Interval == 0 {
+		c.Interval = DefaultInterval
+	}
+	if c.Work == nil {
+		c.Work = Echo(0)
+	}
+	return c
+}
+
+// Target is a stand-in for a target instance.
+type Target struct {
+	cfg         TargetConfig
+	incarnation model.Incarnation
+	address     string
+	server      *http.Server
+	announcer   *announcer
+
+	ctx    context.Context // ends when the target stops
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+
+	mu      sync.Mutex
+	state   message.TargetState
+	seq     uint64
+	sent    map[uint64]time.Time // send times of recent announcements
+	running map[runKey]platform.RunningRequest
+	idle    chan struct{} // closed when leaving and nothing runs
+	books   targetBooks
+}
+
+// runKey tells two attempts of a request apart.
+type runKey struct {
+	request model.RequestID
+	attempt string
+}
+
+// StartTarget starts a target on a free port of 127.0.0.1.
+func StartTarget(cfg TargetConfig) (*Target, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Annotate(err, "listen")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cfg = cfg.withDefaults()
+	t := &Target{
+		cfg:         cfg,
+		incarnation: model.Incarnation(uuid.NewString()),
+		address:     listener.Addr().String(),
+		announcer:   newAnnouncer(cfg.Platforms, "/platform/v1/targets/"+string(cfg.ID)),
+		ctx:         ctx,
+		cancel:      cancel,
+		state:       message.TargetReady,
+		sent:        make(map[uint64]time.Time),
+		running:     make(map[runKey]platform.RunningRequest),
+		idle:        make(chan struct{}),
+		books:       newTargetBooks(),
+	}
+	t.server = &http.Server{Handler: http.HandlerFunc(t.serve)}
+	t.done.Go(func() { t.server.Serve(listener) })
+	if len(cfg.Platforms) > 0 {
+		t.done.Go(t.announceLoop)
+	}
+	return t, nil
+}
+
+// Address returns the IP:port of the target.
+func (t *Target) Address() string { return t.address }
+
+// Incarnation returns the incarnation of this life of the target.
+func (t *Target) Incarnation() model.Incarnation { return t.incarnation }
+
+// Leave announces that the target is leaving, waits until nothing runs and
+// the last announcement has been answered, and stops. It returns an error if
+// ctx ends first; the target then goes on leaving.
+func (t *Target) Leave(ctx context.Context) error {
+	t.mu.Lock()
+	if t.state == message.TargetReady {
+		t.state = message.TargetLeaving
+		t.closeIfIdle()
+	}
+	t.mu.Unlock()
+	if err := t.announceUntilAnswered(ctx); err != nil {
+		return err
+	}
+	// Requests dispatched before the announcement are refused by serve.
+	select {
+	case <-t.idle:
+	case <-ctx.Done():
+		return errors.Annotate(ctx.Err(), "wait for running requests")
+	}
+	if err := t.announceUntilAnswered(ctx); err != nil {
+		return err
+	}
+	t.Stop()
+	return nil
+}
+
+// announceUntilAnswered announces the present state until a host has answered.
+func (t *Target) announceUntilAnswered(ctx context.Context) error {
+	if len(t.cfg.Platforms) == 0 {
+		return nil
+	}
+	for !t.announce(ctx) {
+		if !sleep(ctx, t.cfg.Interval) {
+			return errors.Annotate(ctx.Err(), "announce leaving")
+		}
+	}
+	return nil
+}
+
+// Stop ends the target at once and cuts what runs.
+func (t *Target) Stop() {
+	t.cancel()
+	t.server.Close()
+	t.done.Wait()
+	t.announcer.close()
+}
+
+func (t *Target) announceLoop() {
+	ticker := time.NewTicker(t.cfg.Interval)
+	defer ticker.Stop()
+	for {
+		t.announce(t.ctx)
+		select {
+		case <-ticker.C:
+		case <-t.ctx.Done():
+			return
+		}
+	}
+}
+
+// announce sends one announcement and reports whether it was answered.
+func (t *Target) announce(ctx context.Context) bool {
+	body := t.sample()
+	var answer platform.Reply
+	if err := t.announcer.put(ctx, body, &answer); err != nil {
+		t.books.announceFailed(err)
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.books.acked = max(t.books.acked, answer.Acked)
+	return true
+}
+
+// sample takes one announcement of the present state. The acknowledged
+// sequence and the running list belong to one moment.
+func (t *Target) sample() platform.TargetAnnouncement {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.seq++
+	t.sent[t.seq] = time.Now()
+	t.dropOldTickets()
+	running := make([]platform.RunningRequest, 0, len(t.running))
+	for _, r := range t.running {
+		running = append(running, r)
+	}
+	return platform.TargetAnnouncement{
+		Address:     t.address,
+		Service:     t.cfg.Service,
+		DataCentre:  t.cfg.DataCentre,
+		Host:        t.cfg.Host,
+		Slots:       t.cfg.Slots,
+		Connections: t.cfg.Connections,
+		Incarnation: t.incarnation,
+		Sequence:    t.seq,
+		Acked:       t.books.acked,
+		State:       t.state,
+		Running:     running,
+	}
+}
+
+func (t *Target) dropOldTickets() {
+	for seq, at := range t.sent {
+		if time.Since(at) > ticketAge {
+			delete(t.sent, seq)
+		}
+	}
+}
+
+// closeIfIdle closes idle once the target is leaving and runs nothing. mu is
+// held.
+func (t *Target) closeIfIdle() {
+	if t.state != message.TargetLeaving || len(t.running) > 0 {
+		return
+	}
+	select {
+	case <-t.idle:
+	default:
+		close(t.idle)
+	}
+}
+
+// queueOf returns the queue named in the path /run/{queue}.
+func queueOf(path string) (string, bool) { return strings.CutPrefix(path, "/run/") }
--- /dev/null
+++ b/standin/target_run.go
@@ -0,0 +1,190 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"maps"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/gateway"
+	"primrosedale.example/primrosedale/gateway/reply"
+	"primrosedale.example/primrosedale/platform"
+)
+
+// targetBooks is what a target knows that it did.
+type targetBooks struct {
+	acked    uint64 // largest sequence answered; guarded by Target.mu
+	runs     map[model.RequestID]int
+	refused  map[string]int // by reason
+	teams    map[model.TeamID]int
+	teamsMax map[model.TeamID]int
+	maximum  int
+
+	mu           sync.Mutex
+	announceErr  error
+	announceErrs int
+}
+
+func newTargetBooks() targetBooks {
+	return targetBooks{
+		runs:     make(map[model.RequestID]int),
+		refused:  make(map[string]int),
+		teams:    make(map[model.TeamID]int),
+		teamsMax: make(map[model.TeamID]int),
+	}
+}
+
+func (b *targetBooks) announceFailed(err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.announceErr = err
+	b.announceErrs++
+}
+
+// TargetCounts is what a target counted by itself.
+type TargetCounts struct {
+	Runs         map[model.RequestID]int // runs begun, by request
+	Refused      map[string]int          // by reason
+	TeamsMax     map[model.TeamID]int    // most concurrent runs, by team
+	Max          int                     // most concurrent runs
+	Running      int
+	Acked        uint64
+	AnnounceErr  error // the last one
+	AnnounceErrs int
+}
+
+// Counts returns a copy of the target's counts.
+func (t *Target) Counts() TargetCounts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.books.mu.Lock()
+	defer t.books.mu.Unlock()
+	return TargetCounts{
+		Runs:         maps.Clone(t.books.runs),
+		Refused:      maps.Clone(t.books.refused),
+		TeamsMax:     maps.Clone(t.books.teamsMax),
+		Max:          t.books.maximum,
+		Running:      len(t.running),
+		Acked:        t.books.acked,
+		AnnounceErr:  t.books.announceErr,
+		AnnounceErrs: t.books.announceErrs,
+	}
+}
+
+// serve runs one request, or refuses it as not run.
+func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
+	if _, ok := queueOf(r.URL.Path); !ok || r.Method != http.MethodPost {
+		http.NotFound(w, r)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // the connection is broken
+	}
+	request := platform.RunningRequest{
+		Request: model.RequestID(r.Header.Get(reply.RequestIDHeader)),
+		Team:    model.TeamID(r.Header.Get(gateway.TeamHeader)),
+	}
+	key := runKey{request.Request, r.Header.Get(gateway.AttemptHeader)}
+	if reason := t.begin(r.Header, key, request); reason != "" {
+		w.Header().Set(gateway.RanHeader, "no")
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	// The run goes on when its gateway disconnects, as a real one would.
+	ctx, cancel := t.runContext(r.Header)
+	defer cancel()
+	answer := t.cfg.Work(ctx, body)
+	t.end(key, request)
+	writeAnswer(w, answer)
+}
+
+func writeAnswer(w http.ResponseWriter, answer model.Answer) {
+	if answer.ContentType != "" {
+		w.Header().Set("Content-Type", answer.ContentType)
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	w.WriteHeader(answer.Status)
+	w.Write(answer.Body)
+}
+
+// runContext ends at the deadline that the gateway passed on.
+func (t *Target) runContext(header http.Header) (context.Context, context.CancelFunc) {
+	seconds, err := strconv.ParseFloat(header.Get(gateway.DeadlineHeader), 64)
+	if err != nil {
+		return context.WithCancel(t.ctx)
+	}
+	return context.WithTimeout(t.ctx, time.Duration(seconds*float64(time.Second)))
+}
+
+// begin takes a slot, or returns why the request is refused.
+func (t *Target) begin(header http.Header, key runKey, request platform.RunningRequest) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	reason := t.refusal(header, key)
+	if reason != "" {
+		t.books.refused[reason]++
+		return reason
+	}
+	t.running[key] = request
+	t.books.runs[request.Request]++
+	t.books.maximum = max(t.books.maximum, len(t.running))
+	t.books.teams[request.Team]++
+	t.books.teamsMax[request.Team] = max(t.books.teamsMax[request.Team], t.books.teams[request.Team])
+	return ""
+}
+
+// The reasons for which a target refuses a request.
+const (
+	RefusedIncarnation = "other incarnation"
+	RefusedTicket      = "old ticket"
+	RefusedLeaving     = "leaving"
+	RefusedSlots       = "no free slot"
+	RefusedDuplicate   = "attempt is running"
+)
+
+func (t *Target) refusal(header http.Header, key runKey) string {
+	if header.Get(gateway.IncarnationHeader) != string(t.incarnation) {
+		return RefusedIncarnation
+	}
+	if !t.ticketHolds(header.Get(gateway.TicketHeader)) {
+		return RefusedTicket
+	}
+	if t.state == message.TargetLeaving {
+		return RefusedLeaving
+	}
+	if len(t.running) >= t.cfg.Slots {
+		return RefusedSlots
+	}
+	if _, ok := t.running[key]; ok {
+		return RefusedDuplicate
+	}
+	return ""
+}
+
+// ticketHolds reports whether the ticket is the sequence of an announcement
+// that this target sent less than ticketAge ago by its own clock.
+func (t *Target) ticketHolds(value string) bool {
+	if len(t.cfg.Platforms) == 0 {
+		return true
+	}
+	ticket, err := strconv.ParseUint(value, 10, 64)
+	if err != nil {
+		return false
+	}
+	at, ok := t.sent[ticket]
+	return ok && time.Since(at) <= ticketAge
+}
+
+func (t *Target) end(key runKey, request platform.RunningRequest) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.running, key)
+	t.books.teams[request.Team]--
+	t.closeIfIdle()
+}
--- /dev/null
+++ b/standin/worker.go
@@ -0,0 +1,225 @@
+package standin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/platform"
+)
+
+// Mode is a way in which a worker fails.
+type Mode int
+
+// The modes of a worker.
+const (
+	Healthy  Mode = iota
+	FailsAll      // every task fails at once
+	Slow          // tasks run ten times as long
+	Silent        // reports nothing; leases end by themselves
+)
+
+const slowFactor = 10
+
+// WorkerConfig holds the settings of a Worker. Zero values have defaults.
+type WorkerConfig struct {
+	ID         model.HostID
+	DataCentre model.DataCentreID
+	Rack       model.RackID
+	Capacity   model.Resources // default 64 cores, 256 GB
+	Image      string
+	Interval   time.Duration // between reports, default 500 ms
+	Mode       Mode
+	Platforms  []string // host:port of the platform interfaces, used in turn
+	// Duration returns the true run time of a task. The default is 1 s.
+	Duration func(task model.TaskID, command string) time.Duration
+	// Rebooted is called when the worker is told to reboot, if set.
+	Rebooted func(image string)
+}
+
+func (c WorkerConfig) withDefaults() WorkerConfig {
+	if c.Capacity == (model.Resources{}) {
+		c.Capacity = model.Resources{MilliCPU: 64_000, MemoryMB: 256_000}
+	}
+	if c.Interval == 0 {
+		c.Interval = DefaultInterval
+	}
+	if c.Duration == nil {
+		c.Duration = func(model.TaskID, string) time.Duration { return time.Second }
+	}
+	return c
+}
+
+// RunID is one placement of a task.
+type RunID struct {
+	Task  model.TaskID
+	Epoch uint64
+}
+
+// Worker is a stand-in for a worker host.
+type Worker struct {
+	cfg       WorkerConfig
+	announcer *announcer
+	ctx       context.Context
+	cancel    context.CancelFunc
+	done      sync.WaitGroup
+
+	mu          sync.Mutex
+	incarnation model.Incarnation
+	mode        Mode
+	image       string
+	seq         uint64
+	runs        map[RunID]*run
+	begun       map[RunID]int
+	progress    map[model.TaskID]time.Duration // saved by checkpoints
+	lastErr     error
+}
+
+// StartWorker starts a worker that reports until Stop.
+func StartWorker(cfg WorkerConfig) *Worker {
+	cfg = cfg.withDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &Worker{
+		cfg:         cfg,
+		announcer:   newAnnouncer(cfg.Platforms, "/platform/v1/workers/"+string(cfg.ID)),
+		ctx:         ctx,
+		cancel:      cancel,
+		incarnation: model.Incarnation(uuid.NewString()),
+		mode:        cfg.Mode,
+		image:       cfg.Image,
+		runs:        make(map[RunID]*run),
+		begun:       make(map[RunID]int),
+		progress:    make(map[model.TaskID]time.Duration),
+	}
+	w.done.Go(w.reportLoop)
+	return w
+}
+
+// SetMode changes how the worker fails from now on.
+func (w *Worker) SetMode(mode Mode) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.mode = mode
+}
+
+// Stop ends the worker and every run on it.
+func (w *Worker) Stop() {
+	w.cancel()
+	w.done.Wait()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range w.runs {
+		r.halt()
+	}
+	w.announcer.close()
+}
+
+// Begun returns how often each placement was begun.
+func (w *Worker) Begun() map[RunID]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	begun := make(map[RunID]int, len(w.begun))
+	for id, count := range w.begun {
+		begun[id] = count
+	}
+	return begun
+}
+
+// Running returns the number of tasks that run at this moment.
+func (w *Worker) Running() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	running := 0
+	for _, r := range w.runs {
+		if r.phase == message.RunRunning {
+			running++
+		}
+	}
+	return running
+}
+
+// LastError returns the error of the last report that failed, or nil.
+func (w *Worker) LastError() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lastErr
+}
+
+func (w *Worker) reportLoop() {
+	ticker := time.NewTicker(w.cfg.Interval)
+	defer ticker.Stop()
+	for {
+		w.report()
+		select {
+		case <-ticker.C:
+		case <-w.ctx.Done():
+			return
+		}
+	}
+}
+
+// report sends one report and carries out the orders of its reply. Leases run
+// from the moment before the report was sent.
+func (w *Worker) report() {
+	body, silent := w.sample()
+	if silent || len(w.cfg.Platforms) == 0 {
+		return
+	}
+	sent := time.Now()
+	var answer platform.Reply
+	err := w.announcer.put(w.ctx, body, &answer)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err != nil {
+		w.lastErr = err
+		return
+	}
+	for _, order := range answer.Orders {
+		w.carryOut(order, sent)
+	}
+	if answer.Reboot {
+		w.reboot(answer.Image)
+	}
+}
+
+func (w *Worker) sample() (body platform.WorkerAnnouncement, silent bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.seq++
+	runs := make([]platform.TaskRun, 0, len(w.runs))
+	for id, r := range w.runs {
+		runs = append(runs, r.describe(id))
+	}
+	return platform.WorkerAnnouncement{
+		Incarnation: w.incarnation,
+		DataCentre:  w.cfg.DataCentre,
+		Rack:        w.cfg.Rack,
+		Capacity:    w.cfg.Capacity,
+		Image:       w.image,
+		Sequence:    w.seq,
+		Runs:        runs,
+	}, w.mode == Silent
+}
+
+// reboot ends every run and begins a new life with the image. mu is held.
+func (w *Worker) reboot(image string) {
+	if image == w.image {
+		return // the reply overlapped with the reboot
+	}
+	for _, r := range w.runs {
+		r.halt()
+	}
+	w.runs = make(map[RunID]*run)
+	w.incarnation = model.Incarnation(uuid.NewString())
+	w.seq = 0
+	if image != "" {
+		w.image = image
+	}
+	if w.cfg.Rebooted != nil {
+		w.cfg.Rebooted(w.image)
+	}
+}
