--- a/rulesfile/scan.go
+++ b/rulesfile/scan.go
@@ -50,10 +50,14 @@
 			return n
 		}
 	}
-	p.syntax(line, first.err.Error(), "a line of TOML: KIND.NAME = { ... }  # NAME")
+	p.syntax(line, notTOML(first.err), "one line of TOML: KIND.NAME = { ... }  # NAME")
 	return 1
 }
 
+func notTOML(err error) string {
+	return "text that is not TOML (" + strings.TrimPrefix(err.Error(), "toml: ") + ")"
+}
+
 // chunk is what one or more joined lines contain.
 type chunk struct {
 	header  string // of a [table] or [[list]], empty otherwise
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -66,8 +66,8 @@
 	if errors.As(err, &decode) {
 		line, _ = decode.Position()
 	}
-	found := strings.TrimPrefix(err.Error(), "toml: ")
-	p.errors = Errors{{File: p.name, Line: line, Key: "syntax", Found: found, Allowed: "TOML"}}
+	found := "text that is not TOML (" + strings.TrimPrefix(err.Error(), "toml: ") + ")"
+	p.errors = Errors{{File: p.name, Line: line, Key: "syntax", Found: found, Allowed: "TOML 1.0"}}
 }
 
 func (p *parser) read(t *filefault.Table) {
