--- /dev/null
+++ b/devcluster/run.go
@@ -0,0 +1,202 @@
+package devcluster
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/operator/client"
+	"primrosedale.example/primrosedale/rulesfile"
+	"primrosedale.example/primrosedale/settings"
+	"primrosedale.example/primrosedale/standin"
+)
+
+// The size of the development system.
+const (
+	devReplicas  = 3
+	devFollowers = 2
+	devTargets   = 4
+	devRunTime   = 20 * time.Millisecond
+	startTimeout = 20 * time.Second
+	statusPause  = 100 * time.Millisecond
+	leaveTimeout = 5 * time.Second
+	devTeam      = "press"
+	devQueue     = "proofs"
+	devService   = "render"
+	devKeyName   = "dev"
+	devRulesName = "dev rules"
+)
+
+// devRules is the first revision of the development system's rules.
+const devRules = `revision = 1                                                       # dev command
+team.press    = { share = 50, limit = 20 }                         # dev command
+team.archive  = { share = 30, limit = 10 }                         # dev command
+queue.proofs  = { service = "render", precedence = 2, max_run_s = 30 } # dev command
+queue.public  = { service = "render", open = true, team = "archive" }  # dev command
+pool.press    = { hosts_min = 1, unavailable_max = 1, spare = true }   # dev command
+`
+
+// Options are the options of Run.
+type Options struct {
+	Folder string    // for the replicas' data; empty for a temporary one
+	Out    io.Writer // for what a person needs
+	Log    io.Writer // for log lines
+}
+
+// Run runs the development system until stop ends, then stops it gracefully.
+func Run(stop context.Context, o Options) error {
+	folder, clean, err := dataFolder(o.Folder)
+	if err != nil {
+		return err
+	}
+	defer clean()
+	list, err := Layout(folder, devReplicas, devFollowers)
+	if err != nil {
+		return err
+	}
+	c, err := Start(list, o.Log, true)
+	if err != nil {
+		return err
+	}
+	outside, err := StartOutside(list, devTargets, standin.Echo(devRunTime))
+	if err != nil {
+		return errors.Wrap(err, c.Stop())
+	}
+	defer outside.Stop()
+	key, err := c.Prepare(stop, devRulesName, devRules)
+	if err != nil {
+		_ = c.Stop()
+		return err
+	}
+	explain(o.Out, list, key)
+	select {
+	case <-stop.Done():
+	case <-c.Dead():
+	}
+	fmt.Fprintln(o.Out, "stopping")
+	return c.Stop()
+}
+
+func dataFolder(folder string) (string, func(), error) {
+	if folder != "" {
+		return folder, func() {}, nil
+	}
+	folder, err := os.MkdirTemp("", "primrosedale-dev-")
+	return folder, func() { _ = os.RemoveAll(folder) }, errors.Annotate(err, "making a temporary folder")
+}
+
+// Prepare waits for a leader, applies the rules and grants a key for the
+// development team. It returns the key.
+func (c *Cluster) Prepare(ctx context.Context, name, text string) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	operators := client.New(c.OperatorAddresses(), nil)
+	if err := waitForService(ctx, operators); err != nil {
+		return "", err
+	}
+	file, err := rulesfile.Parse(name, []byte(text))
+	if err != nil {
+		return "", err
+	}
+	if _, err := operators.Apply(ctx, file); err != nil {
+		return "", errors.Annotate(err, "applying the rules")
+	}
+	key, err := operators.GrantKey(ctx, devKeyName, devTeam)
+	return key, errors.Annotate(err, "granting a key")
+}
+
+// OperatorAddresses returns the operator addresses of all hosts.
+func (c *Cluster) OperatorAddresses() []string {
+	return addresses(c.Settings, func(l settings.Listen) string { return l.Operators.String() })
+}
+
+// waitForService returns when every host holds a serving lease.
+func waitForService(ctx context.Context, operators *client.Client) error {
+	for {
+		serving := 0
+		list := operators.StatusOfAll(ctx)
+		for _, s := range list {
+			if s != nil && s.Serving {
+				serving++
+			}
+		}
+		if serving == len(list) {
+			return nil
+		}
+		select {
+		case <-time.After(statusPause):
+		case <-ctx.Done():
+			return errors.Errorf("only %d of %d hosts serve", serving, len(list))
+		}
+	}
+}
+
+func addresses(list []*settings.Settings, pick func(settings.Listen) string) []string {
+	var out []string
+	for _, s := range list {
+		out = append(out, pick(s.Listen))
+	}
+	return out
+}
+
+// Outside is what lives outside the system: targets and workers.
+type Outside struct {
+	Targets []*standin.Target
+}
+
+// StartOutside starts n targets that do the work.
+func StartOutside(list []*settings.Settings, n int, work standin.Work) (*Outside, error) {
+	platforms := addresses(list, func(l settings.Listen) string { return l.Platform.String() })
+	o := &Outside{}
+	for i := range n {
+		t, err := standin.StartTarget(standin.TargetConfig{
+			ID:         model.TargetID(fmt.Sprintf("render-%d", i+1)),
+			Service:    devService,
+			DataCentre: centres[i%len(centres)],
+			Host:       model.HostID(fmt.Sprintf("render-host-%d", i+1)),
+			Work:       work,
+			Platforms:  platforms,
+		})
+		if err != nil {
+			o.Stop()
+			return nil, errors.Annotate(err, "starting a target")
+		}
+		o.Targets = append(o.Targets, t)
+	}
+	return o, nil
+}
+
+// Stop lets the targets leave, and ends those that do not in time.
+func (o *Outside) Stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	for _, t := range o.Targets {
+		_ = t.Leave(ctx)
+		t.Stop()
+	}
+}
+
+func explain(out io.Writer, list []*settings.Settings, key string) {
+	fmt.Fprintf(out, "%d hosts are running (%d with a data folder), %d targets announce themselves.\n\n",
+		len(list), devReplicas, devTargets)
+	for _, s := range list {
+		fmt.Fprintf(out, "  %-8s %-6s callers %s  operators %s\n", s.Host, s.DataCentre, s.Listen.Callers, s.Listen.Operators)
+	}
+	fmt.Fprintf(out, `
+Send a request:
+
+  curl -i -H 'Authorization: Bearer %s' --data 'ode to a library' \
+    http://%s/v1/queues/%s/requests
+
+See the state:
+
+  primrosedalectl status --address %s
+
+Stop with Ctrl-C.
+`, key, list[len(list)-1].Listen.Callers, devQueue, list[0].Listen.Operators)
+}
--- /dev/null
+++ b/operator/client/client.go
@@ -0,0 +1,211 @@
+// Package client calls the operator interface of an entry host.
+package client
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/tls"
+	"encoding/base64"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/problem"
+	"primrosedale.example/primrosedale/core/view"
+	"primrosedale.example/primrosedale/operator"
+	"primrosedale.example/primrosedale/rulesfile"
+)
+
+const (
+	requestTimeout = 15 * time.Second
+	answerLimit    = 8 << 20
+	// keyBytes is the size of a key before its encoding.
+	keyBytes = 32
+	// sends bounds how often a change is sent when its answer is lost. Each
+	// resend carries the same id, so that the change is made once.
+	sends       = 4
+	resendDelay = 500 * time.Millisecond
+)
+
+// Client calls one entry host after another until one answers.
+type Client struct {
+	bases []string
+	http  *http.Client
+}
+
+// New returns a Client for the operator addresses (IP:port). A nil TLS
+// configuration means plain HTTP.
+func New(addresses []string, tlsConfig *tls.Config) *Client {
+	scheme := "http://"
+	if tlsConfig != nil {
+		scheme = "https://"
+	}
+	c := &Client{http: &http.Client{
+		Timeout:   requestTimeout,
+		Transport: &http.Transport{TLSClientConfig: tlsConfig},
+	}}
+	for _, a := range addresses {
+		c.bases = append(c.bases, scheme+a)
+	}
+	return c
+}
+
+// Refusal is an answer of the system that is not a success.
+type Refusal struct {
+	Status int          `json:"status"`
+	Kind   problem.Kind `json:"kind"`
+	Detail string       `json:"detail"`
+	Ran    problem.Ran  `json:"ran"`
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return string(r.Kind) + ": " + r.Detail }
+
+// Status returns what one host knows of the system. The leader knows most: if
+// another host answers, the leader it names is not asked.
+func (c *Client) Status(ctx context.Context) (*view.Status, error) {
+	var s view.Status
+	return &s, c.try(ctx, http.MethodGet, "/v1/status", nil, &s)
+}
+
+// StatusOfAll returns what each address knows; a host that does not answer has
+// nil.
+func (c *Client) StatusOfAll(ctx context.Context) []*view.Status {
+	list := make([]*view.Status, len(c.bases))
+	for i, base := range c.bases {
+		var s view.Status
+		if c.call(ctx, base, http.MethodGet, "/v1/status", nil, &s) == nil {
+			list[i] = &s
+		}
+	}
+	return list
+}
+
+// Rules returns the rules in force on the host that answers.
+func (c *Client) Rules(ctx context.Context) (*operator.RulesAnswer, error) {
+	var a operator.RulesAnswer
+	return &a, c.try(ctx, http.MethodGet, "/v1/rules", nil, &a)
+}
+
+// Apply submits a rules file whose revision follows base. A lost answer is
+// asked for again with the same id.
+func (c *Client) Apply(ctx context.Context, f *rulesfile.File) (*operator.ChangeAnswer, error) {
+	var a operator.ChangeAnswer
+	return &a, c.change(ctx, http.MethodPost, "/v1/rules", operator.RulesChange{
+		Base: f.Rules.Revision - 1, Hash: f.Hash, Rules: f.Rules, ID: newID(),
+	}, &a)
+}
+
+// GrantKey makes a new key for a team and returns it. The key is not stored
+// anywhere in clear and cannot be shown again.
+func (c *Client) GrantKey(ctx context.Context, name string, team model.TeamID) (string, error) {
+	raw := make([]byte, keyBytes)
+	if _, err := rand.Read(raw); err != nil {
+		return "", errors.Annotate(err, "making a key")
+	}
+	key := base64.RawURLEncoding.EncodeToString(raw)
+	sum := sha256.Sum256([]byte(key))
+	var a operator.ChangeAnswer
+	err := c.change(ctx, http.MethodPost, "/v1/keys", operator.KeyGrant{
+		Name: name, Team: team, Hash: model.Digest(hex.EncodeToString(sum[:])), ID: newID(),
+	}, &a)
+	return key, err
+}
+
+// WithdrawKey ends the key of this name.
+func (c *Client) WithdrawKey(ctx context.Context, name string) error {
+	var a operator.ChangeAnswer
+	path := "/v1/keys/" + url.PathEscape(name) + "?id=" + string(newID())
+	return c.change(ctx, http.MethodDelete, path, nil, &a)
+}
+
+func newID() model.CommandID { return model.CommandID(uuid.NewString()) }
+
+// change sends a change until its outcome is known or the sends are used up.
+func (c *Client) change(ctx context.Context, method, path string, body, answer any) error {
+	var err error
+	for range sends {
+		err = c.try(ctx, method, path, body, answer)
+		if !outcomeOpen(err) {
+			return err
+		}
+		select {
+		case <-time.After(resendDelay):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return err
+}
+
+// outcomeOpen reports whether sending the same change again can tell more.
+func outcomeOpen(err error) bool {
+	if err == nil {
+		return false
+	}
+	var refusal *Refusal
+	if errors.As(err, &refusal) {
+		return problem.Lookup(refusal.Kind).Retryable
+	}
+	return true
+}
+
+// try asks one host after another until one answers.
+func (c *Client) try(ctx context.Context, method, path string, body, answer any) error {
+	err := errors.New("no address was given")
+	for _, base := range c.bases {
+		err = c.call(ctx, base, method, path, body, answer)
+		if !outcomeOpen(err) {
+			return err
+		}
+	}
+	return err
+}
+
+func (c *Client) call(ctx context.Context, base, method, path string, body, answer any) error {
+	var reader io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return errors.Annotate(err, "encoding the request")
+		}
+		reader = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, base+path, reader)
+	if err != nil {
+		return errors.Annotate(err, "building the request")
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return errors.Annotatef(err, "asking %s", base)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, answerLimit))
+	if err != nil {
+		return errors.Annotatef(err, "reading the answer of %s", base)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return refusalOf(resp.StatusCode, data)
+	}
+	return errors.Annotatef(json.Unmarshal(data, answer), "decoding the answer of %s", base)
+}
+
+func refusalOf(status int, data []byte) error {
+	r := &Refusal{}
+	if err := json.Unmarshal(data, r); err != nil || r.Kind == "" {
+		return errors.Errorf("status %d without a problem document", status)
+	}
+	return r
+}
