ctl: add primrosedalectl; check rules with one set of limits

Cause: rulesfile and core/rules each had their own limits of run time, window and references, so a file could pass check and be refused by the system.

--- /dev/null
+++ b/ctl/command.go
@@ -0,0 +1,150 @@
+// Package ctl implements the operators' command line, primrosedalectl.
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/integrii/flaggy"
+	"github.com/juju/errors"
+
+	"primrosedale.example/primrosedale/operator/client"
+	"primrosedale.example/primrosedale/rulesfile"
+)
+
+// The exit codes, described in docs/operators/exit-codes.md.
+const (
+	ExitOK          = 0
+	ExitFailed      = 1 // no host answered, or its answer could not be read
+	ExitUsage       = 2 // the command line is wrong
+	ExitRefused     = 3 // the system refused the change
+	ExitFaults      = 4 // the rules file has faults
+	ExitDifferent   = 5 // diff found differences
+	ExitOutcomeOpen = 6 // the change was sent and its outcome is not known
+)
+
+const (
+	outputTable = "table"
+	outputJSON  = "json"
+)
+
+// AddressVariable is the environment variable with the default of --address.
+const AddressVariable = "PRIMROSEDALE_ADDRESS"
+
+// Program is one run of the command line.
+type Program struct {
+	Args   []string // without the program's name
+	Out    io.Writer
+	Err    io.Writer
+	Getenv func(string) string
+
+	address     string
+	output      string
+	certificate string
+	key         string
+	authority   string
+}
+
+// failure is an error with the exit code that belongs to it.
+type failure struct {
+	code int
+	err  error
+}
+
+func (f *failure) Error() string { return f.err.Error() }
+
+// action is what a subcommand does.
+type action struct {
+	command *flaggy.Subcommand
+	run     func(context.Context) error
+}
+
+// Run carries out the command line and returns the exit code.
+func (p *Program) Run(ctx context.Context) int {
+	parser, actions := p.parser()
+	if err := parser.ParseArgs(p.Args); err != nil {
+		fmt.Fprintln(p.Err, err)
+		return ExitUsage
+	}
+	if p.output != outputTable && p.output != outputJSON {
+		fmt.Fprintf(p.Err, "--output is %q, allowed are %s and %s\n", p.output, outputTable, outputJSON)
+		return ExitUsage
+	}
+	for _, a := range actions {
+		if a.command.Used {
+			return p.report(a.run(ctx))
+		}
+	}
+	parser.ShowHelp()
+	return ExitUsage
+}
+
+// report writes an error and returns its exit code.
+func (p *Program) report(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	code := exitCode(err)
+	if p.output == outputJSON {
+		p.writeJSON(map[string]any{"error": describe(err), "exit_code": code})
+	} else {
+		fmt.Fprintln(p.Err, err)
+	}
+	return code
+}
+
+func exitCode(err error) int {
+	var f *failure
+	var refusal *client.Refusal
+	var faults rulesfile.Errors
+	switch {
+	case errors.As(err, &f):
+		return f.code
+	case errors.As(err, &faults):
+		return ExitFaults
+	case errors.As(err, &refusal) && refusal.Ran == "unknown":
+		return ExitOutcomeOpen
+	case errors.As(err, &refusal):
+		return ExitRefused
+	default:
+		return ExitFailed
+	}
+}
+
+// describe returns the form of an error for JSON output.
+func describe(err error) any {
+	var refusal *client.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	var faults rulesfile.Errors
+	if errors.As(err, &faults) {
+		return faults
+	}
+	return err.Error()
+}
+
+// client returns a client of the addresses on the command line.
+func (p *Program) client() (*client.Client, error) {
+	address := p.address
+	if address == "" {
+		address = p.Getenv(AddressVariable)
+	}
+	if address == "" {
+		return nil, &failure{ExitUsage, errors.Errorf("give --address or set %s to the operator addresses (IP:port, separated by commas)", AddressVariable)}
+	}
+	tlsConfig, err := client.LoadTLS(p.certificate, p.key, p.authority)
+	if err != nil {
+		return nil, &failure{ExitUsage, err}
+	}
+	return client.New(strings.Split(address, ","), tlsConfig), nil
+}
+
+func (p *Program) writeJSON(v any) {
+	encoder := json.NewEncoder(p.Out)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(v)
+}
--- /dev/null
+++ b/ctl/parser.go
@@ -0,0 +1,68 @@
+package ctl
+
+import (
+	"context"
+
+	"github.com/integrii/flaggy"
+
+	"primrosedale.example/primrosedale/core/model"
+)
+
+const examples = `
+examples:
+  primrosedalectl check rules.toml
+  primrosedalectl diff rules.toml --address 127.0.0.1:8301
+  primrosedalectl apply rules.toml --address 127.0.0.1:8301,127.0.0.2:8301
+  primrosedalectl key grant press-desk press --address 127.0.0.1:8301
+  primrosedalectl key withdraw press-desk --address 127.0.0.1:8301
+  primrosedalectl status --address 127.0.0.1:8301 --output json
+
+exit codes: 0 done, 1 no answer, 2 usage, 3 refused, 4 faults in the rules,
+5 the rules differ (diff), 6 outcome not known`
+
+// parser describes the command line.
+func (p *Program) parser() (*flaggy.Parser, []action) {
+	parser := flaggy.NewParser("primrosedalectl")
+	parser.Description = "Operates a primrosedale system."
+	parser.AdditionalHelpAppend = examples
+	p.output = outputTable
+	parser.String(&p.address, "a", "address", "operator addresses, IP:port, separated by commas (default: $"+AddressVariable+")")
+	parser.String(&p.output, "o", "output", "table or json")
+	parser.String(&p.certificate, "", "certificate", "client certificate, PEM, where the system uses mutual TLS")
+	parser.String(&p.key, "", "key", "key of the client certificate, PEM")
+	parser.String(&p.authority, "", "authority", "certificate authority of the system, PEM")
+
+	var file, name, team string
+	check := subcommand("check", "read a rules file and list every fault; asks no host")
+	check.AddPositionalValue(&file, "FILE", 1, true, "rules file")
+	diff := subcommand("diff", "compare a rules file with the rules in force; exit code 5 if they differ")
+	diff.AddPositionalValue(&file, "FILE", 1, true, "rules file")
+	apply := subcommand("apply", "put a rules file in force; its revision must follow the one in force")
+	apply.AddPositionalValue(&file, "FILE", 1, true, "rules file")
+	status := subcommand("status", "show hosts, targets, teams, queues and pools")
+	key := subcommand("key", "grant or withdraw a team's key")
+	grant := subcommand("grant", "make a key for a team; it is shown once")
+	grant.AddPositionalValue(&name, "NAME", 1, true, "name of the key, unique")
+	grant.AddPositionalValue(&team, "TEAM", 2, true, "team that the key stands for")
+	withdraw := subcommand("withdraw", "end a key; every host refuses it within seconds")
+	withdraw.AddPositionalValue(&name, "NAME", 1, true, "name of the key")
+	key.AttachSubcommand(grant, 1)
+	key.AttachSubcommand(withdraw, 1)
+	for _, c := range []*flaggy.Subcommand{check, diff, apply, key, status} {
+		parser.AttachSubcommand(c, 1)
+	}
+	return parser, []action{
+		{check, func(context.Context) error { return p.check(file) }},
+		{diff, func(ctx context.Context) error { return p.diff(ctx, file) }},
+		{apply, func(ctx context.Context) error { return p.apply(ctx, file) }},
+		{grant, func(ctx context.Context) error { return p.grant(ctx, name, model.TeamID(team)) }},
+		{withdraw, func(ctx context.Context) error { return p.withdraw(ctx, name) }},
+		{status, p.status},
+	}
+}
+
+func subcommand(name, description string) *flaggy.Subcommand {
+	c := flaggy.NewSubcommand(name)
+	c.Description = description
+	return c
+}
--- /dev/null
+++ b/ctl/rules.go
@@ -0,0 +1,150 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"text/tabwriter"
+
+	"github.com/juju/errors"
+
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/rulesfile"
+)
+
+// readRules reads and checks a rules file.
+func readRules(path string) (*rulesfile.File, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &failure{ExitUsage, errors.Annotate(err, "reading the rules file")}
+	}
+	file, err := rulesfile.Parse(path, text)
+	if err != nil {
+		return nil, err
+	}
+	if faults := file.Rules.Check(); len(faults) > 0 {
+		return nil, file.Locate(faults)
+	}
+	return file, nil
+}
+
+type checked struct {
+	Revision uint64       `json:"revision"`
+	Hash     model.Digest `json:"hash"`
+	Rules    int          `json:"rules"`
+}
+
+func (p *Program) check(path string) error {
+	file, err := readRules(path)
+	if err != nil {
+		return err
+	}
+	result := checked{file.Rules.Revision, file.Hash, len(file.Lines)}
+	if p.output == outputJSON {
+		p.writeJSON(result)
+		return nil
+	}
+	fmt.Fprintf(p.Out, "%s: revision %d, %d rules, no faults\n", path, result.Revision, result.Rules)
+	return nil
+}
+
+type difference struct {
+	InForce uint64             `json:"in_force"`
+	File    uint64             `json:"file"`
+	Changes []rulesfile.Change `json:"changes"`
+}
+
+func (p *Program) diff(ctx context.Context, path string) error {
+	file, err := readRules(path)
+	if err != nil {
+		return err
+	}
+	c, err := p.client()
+	if err != nil {
+		return err
+	}
+	current, err := c.Rules(ctx)
+	if err != nil {
+		return err
+	}
+	d := difference{current.Revision, file.Rules.Revision, rulesfile.Diff(current.Rules, file.Rules)}
+	p.writeDifference(d)
+	if len(d.Changes) > 0 {
+		return &failure{ExitDifferent, errors.Errorf("%d rules differ", len(d.Changes))}
+	}
+	return nil
+}
+
+func (p *Program) writeDifference(d difference) {
+	if p.output == outputJSON {
+		p.writeJSON(d)
+		return
+	}
+	fmt.Fprintf(p.Out, "in force: revision %d, file: revision %d\n", d.InForce, d.File)
+	w := tabwriter.NewWriter(p.Out, 0, 8, 2, ' ', 0)
+	for _, c := range d.Changes {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", c.Op, c.Rule, c.From, c.To)
+	}
+	_ = w.Flush()
+}
+
+func (p *Program) apply(ctx context.Context, path string) error {
+	file, err := readRules(path)
+	if err != nil {
+		return err
+	}
+	c, err := p.client()
+	if err != nil {
+		return err
+	}
+	answer, err := c.Apply(ctx, file)
+	if err != nil {
+		return err
+	}
+	if p.output == outputJSON {
+		p.writeJSON(answer.Result)
+		return nil
+	}
+	fmt.Fprintf(p.Out, "revision %d is accepted (hash %.12s)\n", answer.Result.Revision, file.Hash)
+	return nil
+}
+
+type granted struct {
+	Name string       `json:"name"`
+	Team model.TeamID `json:"team"`
+	Key  string       `json:"key"`
+}
+
+func (p *Program) grant(ctx context.Context, name string, team model.TeamID) error {
+	c, err := p.client()
+	if err != nil {
+		return err
+	}
+	key, err := c.GrantKey(ctx, name, team)
+	if err != nil {
+		return err
+	}
+	if p.output == outputJSON {
+		p.writeJSON(granted{name, team, key})
+		return nil
+	}
+	fmt.Fprintf(p.Out, "%s\n", key)
+	fmt.Fprintf(p.Err, "This is the only time that key %q of team %s is shown.\n", name, team)
+	return nil
+}
+
+func (p *Program) withdraw(ctx context.Context, name string) error {
+	c, err := p.client()
+	if err != nil {
+		return err
+	}
+	if err := c.WithdrawKey(ctx, name); err != nil {
+		return err
+	}
+	if p.output == outputJSON {
+		p.writeJSON(map[string]string{"withdrawn": name})
+		return nil
+	}
+	fmt.Fprintf(p.Out, "key %q is withdrawn\n", name)
+	return nil
+}
--- a/rulesfile/kinds.go
+++ b/rulesfile/kinds.go
@@ -18,17 +18,17 @@
 const (
 	maxLimit       = 1_000_000 // running requests and tasks of one team
 	maxPrecedence  = 9
-	defaultMaxRunS = 60      // seconds
-	minMaxRunS     = 0.001   // seconds
-	maxMaxRunS     = 604_800 // seconds, one week
-	maxHosts       = 100_000 // hosts of one pool
-	maxWindowH     = 8_784   // hours, one leap year
-	maxImage       = 128     // bytes of an image name
+	defaultMaxRunS = 60                                  // seconds
+	minMaxRunS     = rules.MinMaxRun / model.Second      // seconds
+	maxMaxRunS     = rules.MaxMaxRun / model.Second      // seconds
+	maxHosts       = 100_000                             // hosts of one pool
+	maxWindowH     = int64(rules.MaxWindow / model.Hour) // hours
+	maxImage       = 128                                 // bytes of an image name
 )
 
 var (
 	shareInterval  = filefault.Interval{Min: 0, Max: 100}
-	maxRunInterval = filefault.Interval{Min: minMaxRunS, Max: maxMaxRunS}
+	maxRunInterval = filefault.Interval{Min: float64(minMaxRunS), Max: float64(maxMaxRunS)}
 	// An objective of 1 has no error budget to divide by.
 	goodInterval = filefault.Interval{Min: 0, Max: 1, Open: true}
 )
--- a/rulesfile/parse.go
+++ b/rulesfile/parse.go
@@ -98,7 +98,7 @@
 	if p.nameless {
 		return
 	}
-	for _, e := range p.file.Locate(check(p.file.Rules)) {
+	for _, e := range p.file.Locate(p.file.Rules.Check()) {
 		if !p.errors.Has(e.Line, e.Key) {
 			p.errors = append(p.errors, e)
 		}
