--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"primrosedale.example/primrosedale/core"
 	"primrosedale.example/primrosedale/core/event"
 	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/view"
 	"primrosedale.example/primrosedale/gateway"
 	"primrosedale.example/primrosedale/logevent"
 	"primrosedale.example/primrosedale/operator"
@@ -114,6 +115,9 @@
 	return d.listen(tlsServer)
 }
 
+// View returns what the control goroutine published last, never nil.
+func (d *Daemon) View() *view.View { return d.loop.View() }
+
 func newIncarnation() model.Incarnation { return model.Incarnation(uuid.NewString()) }
 
 // openStore reads the data folder, if the host has one.
--- a/devcluster/cluster.go
+++ b/devcluster/cluster.go
@@ -82,6 +82,7 @@
 // Cluster is a set of running daemons.
 type Cluster struct {
 	Settings []*settings.Settings
+	daemons  []*daemon.Daemon
 	running  tomb.Tomb
 	stop     context.CancelFunc
 }
@@ -106,6 +107,7 @@
 		cancel()
 		return nil, err
 	}
+	c.daemons = daemons
 	c.running.Go(func() error {
 		for _, d := range daemons {
 			c.running.Go(func() error { return d.Run(&c.running, ctx) })
