rulesfile: bound the time and the answer for a faulty file

A trial with 1 MiB of lines that are not TOML took 20 s and gave 524,288 faults: every faulty line was joined with up to 15 that follow, though joining can only help where the parser ran out of text. Lines are now joined only then, the parser's memory is used again, lookups among faults use a set, and at most 1,000 faults are reported with the number left out. TestManyFaultsAreBounded guards it (go test ./rulesfile).

--- a/rulesfile/check.go
+++ b/rulesfile/check.go
@@ -37,12 +37,16 @@
 
 // references collects the names that no rule declares.
 type references struct {
-	rules  *rules.Rules
-	faults []Fault
+	rules    *rules.Rules
+	services map[model.ServiceID]bool // offered by a queue; services have no rule
+	faults   []Fault
 }
 
 func checkReferences(r *rules.Rules) []Fault {
-	c := &references{rules: r}
+	c := &references{rules: r, services: map[model.ServiceID]bool{}}
+	for _, queue := range r.Queues {
+		c.services[queue.Service] = true
+	}
 	for _, id := range slices.Sorted(maps.Keys(r.Queues)) {
 		c.team("queue."+string(id), r.Queues[id].Team)
 	}
@@ -73,14 +77,8 @@
 	}
 }
 
-// service checks that a queue offers the service: services have no rule.
 func (c *references) service(rule string, id model.ServiceID) {
-	for _, queue := range c.rules.Queues {
-		if queue.Service == id {
-			return
-		}
-	}
-	if id != "" {
+	if !c.services[id] && id != "" {
 		c.unknown(rule, "service", "unknown service "+string(id), "the service of a queue")
 	}
 }
--- a/rulesfile/filefault/filefault.go
+++ b/rulesfile/filefault/filefault.go
@@ -44,13 +44,42 @@
 	})
 }
 
-// Has reports whether a fault of the line and key is already recorded.
-func (es Errors) Has(line int, key string) bool {
-	return slices.ContainsFunc(es, func(e Error) bool {
-		return e.Line == line && e.Key == key
+// MaxErrors bounds the faults reported for one file, so that the answer to a
+// file of another kind stays readable and small.
+const MaxErrors = 1000
+
+// Limited returns at most MaxErrors faults and, if there are more, one that
+// states how many are left out.
+func (es Errors) Limited() Errors {
+	if len(es) <= MaxErrors {
+		return es
+	}
+	last := es[MaxErrors]
+	return append(es[:MaxErrors:MaxErrors], Error{
+		File: last.File, Line: last.Line, Key: "further faults",
+		Found: fmt.Sprintf("%d more", len(es)-MaxErrors), Allowed: "none",
 	})
 }
 
+// Merge returns the faults with those of more whose line and key have none
+// yet: a value that could not be read causes faults in later checks.
+func (es Errors) Merge(more Errors) Errors {
+	type place struct {
+		line int
+		key  string
+	}
+	known := map[place]bool{}
+	for _, e := range es {
+		known[place{e.Line, e.Key}] = true
+	}
+	for _, e := range more {
+		if !known[place{e.Line, e.Key}] {
+			es = append(es, e)
+		}
+	}
+	return es
+}
+
 // AsError returns the faults as an error, or nil if there are none. A nil
 // Errors in an error interface would not compare equal to nil.
 func (es Errors) AsError() error {
--- a/rulesfile/filefault/table.go
+++ b/rulesfile/filefault/table.go
@@ -143,14 +143,16 @@
 		return nil
 	}
 	var texts []string
+	seen := map[string]bool{}
 	for _, item := range list {
 		text, ok := item.(string)
 		switch {
 		case !ok || !valid(text):
 			t.report(key, Describe(item), allowed)
-		case slices.Contains(texts, text):
+		case seen[text]:
 			t.report(key, Describe(item)+" twice", "each entry once")
 		default:
+			seen[text] = true
 			texts = append(texts, text)
 		}
 	}
--- a/rulesfile/parse.go
+++ b/rulesfile/parse.go
@@ -10,6 +10,8 @@
 	"math"
 	"strconv"
 
+	"github.com/pelletier/go-toml/v2/unstable"
+
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/rules"
 	"primrosedale.example/primrosedale/rulesfile/filefault"
@@ -41,7 +43,8 @@
 }
 
 // Parse reads the text of a rules file. The name is used in faults only. The
-// error is of type Errors and contains every fault found.
+// error is of type Errors and contains every fault found, up to
+// filefault.MaxErrors.
 func Parse(name string, text []byte) (*File, error) {
 	p := &parser{
 		file: &File{
@@ -60,7 +63,7 @@
 	p.requireRevision()
 	p.checkRules()
 	p.errors.Sort()
-	if err := p.errors.AsError(); err != nil {
+	if err := p.errors.Limited().AsError(); err != nil {
 		return nil, err
 	}
 	return p.file, nil
@@ -69,6 +72,7 @@
 // parser collects the rules and faults of one file.
 type parser struct {
 	file   *File
+	tree   unstable.Parser // used again for each line to save allocations
 	errors Errors
 	// nameless is set once a line was read whose rule is not known. The
 	// references of other rules may then point to it and are not checked.
@@ -98,11 +102,7 @@
 	if p.nameless {
 		return
 	}
-	for _, e := range p.file.Locate(check(p.file.Rules)) {
-		if !p.errors.Has(e.Line, e.Key) {
-			p.errors = append(p.errors, e)
-		}
-	}
+	p.errors = p.errors.Merge(p.file.Locate(check(p.file.Rules)))
 }
 
 // rule adds one rule that was read from a line.
--- a/rulesfile/parse_test.go
+++ b/rulesfile/parse_test.go
@@ -192,3 +192,13 @@
 		require.Len(t, file.Rules.Hosts, 50, path)
 	}
 }
+
+// Guards against time or an answer out of proportion to a file of another
+// kind: 1 MiB of these lines once took 20 s and gave 524,288 faults.
+func TestManyFaultsAreBounded(t *testing.T) {
+	_, err := Parse("f", []byte(strings.Repeat("{\n", MaxBytes/2)))
+	var faults Errors
+	require.ErrorAs(t, err, &faults)
+	require.Len(t, faults, 1001)
+	require.Equal(t, "f:1001: further faults: found 523288 more, allowed none", faults[1000].Error())
+}
--- a/rulesfile/scan.go
+++ b/rulesfile/scan.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"slices"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
@@ -12,8 +13,8 @@
 )
 
 // maxSpread bounds how many lines are joined to find out whether a line that
-// is no complete statement starts a rule spread over several lines. It keeps
-// the time to read a faulty file linear in its length.
+// is no complete statement starts a rule spread over several lines. Together
+// with incomplete it keeps the time to read a faulty file linear in its length.
 const maxSpread = 16
 
 // statement is one `key = value` of the file.
@@ -38,17 +39,17 @@
 // number of lines it takes.
 func scanAt(lines [][]byte, i int, p *parser) int {
 	line := i + 1
-	first := parseChunk(lines[i])
-	if first.err == nil {
-		handle(first, line, 1, p)
-		return 1
-	}
-	for n := 2; n <= maxSpread && i+n <= len(lines); n++ {
-		joined := parseChunk(bytes.Join(lines[i:i+n], nil))
+	first := parseChunk(&p.tree, lines[i])
+	joined := first
+	for n := 1; ; n++ {
 		if joined.err == nil {
 			handle(joined, line, n, p)
 			return n
 		}
+		if !joined.incomplete || n == maxSpread || i+n == len(lines) {
+			break
+		}
+		joined = parseChunk(&p.tree, bytes.Join(lines[i:i+n+1], nil))
 	}
 	p.syntax(line, notTOML(first.err), "one line of TOML: KIND.NAME = { ... }  # NAME")
 	return 1
@@ -65,6 +66,9 @@
 	value   any
 	comment string
 	err     error
+	// incomplete is set if the error is at the end of the text, so that
+	// further lines can complete the statement.
+	incomplete bool
 }
 
 func handle(c chunk, line, lines int, p *parser) {
@@ -82,12 +86,12 @@
 // each of them is to be read by itself.
 var errNotOne = errors.New("several statements")
 
-func parseChunk(text []byte) chunk {
+func parseChunk(tree *unstable.Parser, text []byte) chunk {
 	var c chunk
 	// The parser requires that no capacity is left after its input.
-	text = bytes.Clone(text)
-	tree := unstable.Parser{KeepComments: true}
-	tree.Reset(text[:len(text):len(text)])
+	text = slices.Clip(bytes.Clone(text))
+	tree.KeepComments = true
+	tree.Reset(text)
 	for count := 0; tree.NextExpression(); {
 		node := tree.Expression()
 		if node.Kind == unstable.Comment {
@@ -99,7 +103,7 @@
 		c.read(node)
 	}
 	if err := tree.Error(); err != nil {
-		return chunk{err: err}
+		return chunk{err: err, incomplete: atEnd(text, err)}
 	}
 	if c.key != nil {
 		c.value, c.err = decodeValue(text, c.key)
@@ -107,6 +111,17 @@
 	return c
 }
 
+// atEnd reports whether the parser ran out of text. The place of its error
+// is a subslice of the text, so the capacities give the offset.
+func atEnd(text []byte, err error) bool {
+	var place *unstable.ParserError
+	if !errors.As(err, &place) {
+		return false
+	}
+	offset := cap(text) - cap(place.Highlight)
+	return offset+len(place.Highlight) >= len(text)
+}
+
 // read takes key and comment from the tree; the value comes from decodeValue.
 func (c *chunk) read(node *unstable.Node) {
 	var key []string
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -40,7 +40,7 @@
 	p.read(filefault.NewTable(values, p.fault))
 	p.check()
 	p.errors.Sort()
-	if err := p.errors.AsError(); err != nil {
+	if err := p.errors.Limited().AsError(); err != nil {
 		return nil, err
 	}
 	return p.settings, nil
