rulesfile: check rules with core/rules

core/rules now has Check, so Parse maps its faults through Locate instead of its own check of references, and takes the bounds of run times and windows from there. A fault of all rules of a kind is tied to the first. logevent gets events for codes of the reducer that had no entry of their own: dispatch ready, voters changed, task ended, host in service.

--- a/logevent/ids.go
+++ b/logevent/ids.go
@@ -23,9 +23,11 @@
 	LeaderElected     ID = 200
 	LeaderLost        ID = 201
 	TermChanged       ID = 202
+	DispatchReady     ID = 203
 	MemberAdded       ID = 210
 	ReplicaJoined     ID = 211
 	ReplicaReplaced   ID = 212
+	VotersChanged     ID = 213
 	SnapshotWritten   ID = 220
 	SnapshotInstalled ID = 221
 	LogTailTruncated  ID = 230
@@ -80,9 +82,11 @@
 	TaskLost      ID = 701
 	TaskFailed    ID = 702
 	TaskRefused   ID = 703
+	TaskEnded     ID = 704
 	DrainStarted  ID = 710
 	DrainEnded    ID = 711
 	HostMoved     ID = 712
+	HostInService ID = 713
 	WaveStep      ID = 720
 	WaveStopped   ID = 721
 	WaveEnded     ID = 722
--- a/rulesfile/format_test.go
+++ b/rulesfile/format_test.go
@@ -43,7 +43,7 @@
 	q := rules.Queue{
 		Service:    named[model.ServiceID]().Draw(t, "service"),
 		Precedence: rapid.IntRange(0, 9).Draw(t, "precedence"),
-		MaxRun:     model.Duration(rapid.Int64Range(1, maxMaxRunS*1000).Draw(t, "max_run")) * model.Millisecond,
+		MaxRun:     model.Duration(rapid.Int64Range(1000, int64(rules.MaxMaxRun/model.Millisecond)).Draw(t, "max_run")) * model.Millisecond,
 		Overnight:  rapid.Bool().Draw(t, "overnight"),
 	}
 	if len(teams) > 0 && rapid.Bool().Draw(t, "open") {
@@ -56,7 +56,8 @@
 func drawRules(t *rapid.T) *rules.Rules {
 	r := &rules.Rules{Revision: rapid.Uint64Range(1, 1<<63-1).Draw(t, "revision")}
 	r.Teams = mapOf[model.TeamID](t, "teams", func(t *rapid.T) rules.Team {
-		return rules.Team{Share: rapid.Float64Range(0, 100).Draw(t, "share"), Limit: rapid.IntRange(1, maxLimit).Draw(t, "limit")}
+		// mapOf draws at most 4 teams, and shares add up to at most 100.
+		return rules.Team{Share: rapid.Float64Range(0, 25).Draw(t, "share"), Limit: rapid.IntRange(1, maxLimit).Draw(t, "limit")}
 	})
 	r.Queues = mapOf[model.QueueID](t, "queues", func(t *rapid.T) rules.Queue { return drawQueue(t, r.Teams) })
 	r.Pools = mapOf[model.PoolID](t, "pools", func(t *rapid.T) rules.Pool {
--- a/rulesfile/kinds.go
+++ b/rulesfile/kinds.go
@@ -13,22 +13,23 @@
 // kindList names the rule kinds in messages.
 const kindList = "revision, team, queue, pool, datacentre, wave, objective, host"
 
-// Bounds of the values in rules. The upper ones lie far above the design
-// size (design 2.6) and catch slips of the hand.
+// Bounds of the values in rules that core/rules leaves open. They lie far
+// above the design size (design 2.6) and catch slips of the hand.
 const (
-	maxLimit       = 1_000_000 // running requests and tasks of one team
-	maxPrecedence  = 9
-	defaultMaxRunS = 60      // seconds
-	minMaxRunS     = 0.001   // seconds
-	maxMaxRunS     = 604_800 // seconds, one week
-	maxHosts       = 100_000 // hosts of one pool
-	maxWindowH     = 8_784   // hours, one leap year
-	maxImage       = 128     // bytes of an image name
+	maxLimit = 1_000_000 // running requests and tasks of one team
+	maxHosts = 100_000   // hosts of one pool
+	maxImage = 128       // bytes of an image name
+)
+
+const (
+	defaultMaxRunS = 60 // seconds
+	minWindowH     = int64(rules.MinWindow / model.Hour)
+	maxWindowH     = int64(rules.MaxWindow / model.Hour)
 )
 
 var (
-	shareInterval  = filefault.Interval{Min: 0, Max: 100}
-	maxRunInterval = filefault.Interval{Min: minMaxRunS, Max: maxMaxRunS}
+	shareInterval  = filefault.Interval{Min: 0, Max: rules.MaxShare}
+	maxRunInterval = filefault.Interval{Min: rules.MinMaxRun.Seconds(), Max: rules.MaxMaxRun.Seconds()}
 	// An objective of 1 has no error budget to divide by.
 	goodInterval = filefault.Interval{Min: 0, Max: 1, Open: true}
 )
@@ -78,7 +79,7 @@
 	t.Require("service")
 	put(&r.Queues, model.QueueID(name), rules.Queue{
 		Service:    model.ServiceID(identifier(t, "service")),
-		Precedence: int(t.Int("precedence", 0, 0, maxPrecedence)),
+		Precedence: int(t.Int("precedence", 0, 0, rules.MaxPrecedence)),
 		MaxRun:     seconds(t.Number("max_run_s", defaultMaxRunS, maxRunInterval)),
 		Open:       t.Bool("open", false),
 		Team:       model.TeamID(identifier(t, "team")),
@@ -118,7 +119,7 @@
 		Team:    model.TeamID(identifier(t, "team")),
 		Service: model.ServiceID(identifier(t, "service")),
 		Good:    t.Number("good", 0, goodInterval),
-		Window:  model.Duration(t.Int("window_h", 1, 1, maxWindowH)) * model.Hour,
+		Window:  model.Duration(t.Int("window_h", 1, minWindowH, maxWindowH)) * model.Hour,
 	})
 }
 
--- a/rulesfile/parse.go
+++ b/rulesfile/parse.go
@@ -102,7 +102,7 @@
 	if p.nameless {
 		return
 	}
-	p.errors = p.errors.Merge(p.file.Locate(check(p.file.Rules)))
+	p.errors = p.errors.Merge(p.file.Locate(p.file.Rules.Check()))
 }
 
 // rule adds one rule that was read from a line.
--- a/rulesfile/parse_test.go
+++ b/rulesfile/parse_test.go
@@ -75,10 +75,10 @@
 		"limit too small":   {`team.x = { share = 1, limit = 0 } # a`, "team.x.limit: found 0, allowed a whole number from 1 to 1000000"},
 		"limit a fraction":  {`team.x = { share = 1, limit = 1.5 } # a`, "team.x.limit: found 1.5, allowed a whole number from 1 to 1000000"},
 		"precedence":        {`queue.x = { service = "render", precedence = 10 } # a`, "queue.x.precedence: found 10, allowed a whole number from 0 to 9"},
-		"run time":          {`queue.x = { service = "render", max_run_s = 0 } # a`, "queue.x.max_run_s: found 0, allowed a number from 0.001 to 604800"},
+		"run time":          {`queue.x = { service = "render", max_run_s = 0 } # a`, "queue.x.max_run_s: found 0, allowed a number from 1 to 43200"},
 		"truth value":       {`datacentre.x = { out = 1 } # a`, "datacentre.x.out: found 1, allowed true or false"},
 		"good":              {`objective.x = { team = "press", service = "render", good = 1, window_h = 1 } # a`, "objective.x.good: found 1, allowed a number over 0 and under 1"},
-		"window":            {`objective.x = { team = "press", service = "render", good = 0.9, window_h = 0 } # a`, "objective.x.window_h: found 0, allowed a whole number from 1 to 8784"},
+		"window":            {`objective.x = { team = "press", service = "render", good = 0.9, window_h = 0 } # a`, "objective.x.window_h: found 0, allowed a whole number from 1 to 2160"},
 		"empty list":        {`wave.x = { pools = [], image = "i" } # a`, "wave.x.pools: found a list of 0, allowed a list of at least one of: " + identifier},
 		"repeated pool":     {`wave.x = { pools = ["render", "render"], image = "i" } # a`, `wave.x.pools: found "render" twice, allowed each entry once`},
 		"image":             {`wave.x = { pools = ["render"], image = "a b" } # a`, `wave.x.image: found "a b", allowed a name of 1 to 128 printable ASCII characters without spaces`},
@@ -90,10 +90,11 @@
 		"value identifier":  {`host.x = { pool = "" } # a`, `host.x.pool: found "", allowed ` + identifier},
 		"no name":           {`team = { share = 1, limit = 1 } # a`, "team: found a key of 1 parts, allowed team.NAME = { ... }"},
 		"spread dotted key": {`team.x.share = 1 # a`, "team.x.share: found a key of 3 parts, allowed team.NAME = { ... }"},
-		"unknown team":      {`queue.x = { service = "render", open = true, team = "x" } # a`, "queue.x.team: found unknown team x, allowed a team with a rule of its own"},
-		"unknown service":   {`objective.x = { team = "press", service = "x", good = 0.9, window_h = 1 } # a`, "objective.x.service: found unknown service x, allowed the service of a queue"},
-		"unknown pool":      {`host.x = { pool = "x" } # a`, "host.x.pool: found unknown pool x, allowed a pool with a rule of its own"},
-		"unknown wave pool": {`wave.x = { pools = ["x"], image = "i" } # a`, "wave.x.pools: found unknown pool x, allowed a pool with a rule of its own"},
+		"open without team": {`queue.x = { service = "render", open = true } # a`, "queue.x.team: found none, allowed a team, because the queue is open"},
+		"unknown team":      {`queue.x = { service = "render", open = true, team = "x" } # a`, `queue.x.team: found "x", allowed a team of the rules`},
+		"unknown service":   {`objective.x = { team = "press", service = "x", good = 0.9, window_h = 1 } # a`, `objective.x.service: found "x", allowed the service of a queue`},
+		"unknown pool":      {`host.x = { pool = "x" } # a`, `host.x.pool: found "x", allowed a pool of the rules`},
+		"unknown wave pool": {`wave.x = { pools = ["x"], image = "i" } # a`, `wave.x.pools: found "x", allowed a pool of the rules`},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -162,13 +163,15 @@
 func TestLocate(t *testing.T) {
 	file, err := Parse("f", []byte(base))
 	require.NoError(t, err)
-	located := file.Locate([]Fault{
+	located := file.Locate([]rules.Fault{
 		{Rule: "pool.render", Key: "hosts_min", Found: "12", Allowed: "at most 10"},
 		{Rule: "team.press", Found: "a", Allowed: "b"},
+		{Rule: "team", Key: "share", Found: "101 in total", Allowed: "100"},
 		{Rule: "pool.gone", Found: "c", Allowed: "d"},
 	})
 	require.EqualError(t, located, "f:1: pool.gone: found c, allowed d\n"+
 		"f:2: team.press: found a, allowed b\n"+
+		"f:2: team.share: found 101 in total, allowed 100\n"+
 		"f:4: pool.render.hosts_min: found 12, allowed at most 10")
 }
 
