rulesfile, logevent: test faults of consequence and shared fields

Mutations in a scratch copy showed that no test noticed faults reported for keys under a table header or for names that could not be read, the line of a sum of shares, and loggers that share the room of a slice.

--- a/logevent/logevent_test.go
+++ b/logevent/logevent_test.go
@@ -120,8 +120,8 @@
 
 // Guards against loggers of one origin that write into each other's fields.
 func TestWithDoesNotShareFields(t *testing.T) {
-	logger, out := newLogger(t, JSON, "info")
-	base := logger.With(Term(1), Index(2), Revision(3))
+	fields := make([]Field, 1, 4) // has room into which both could write
+	base, out := newLogger(t, JSON, "info", fields...)
 	first, second := base.With(Host("a")), base.With(Host("b"))
 	first.Emit(ProcessStarted)
 	require.Contains(t, out.String(), `"host":"a"`)
--- a/rulesfile/parse_test.go
+++ b/rulesfile/parse_test.go
@@ -175,6 +175,25 @@
 		"f:4: pool.render.hosts_min: found 12, allowed at most 10")
 }
 
+// Guards against faults that follow from a line that could not be read: keys
+// under a table header, and references to a rule whose name is not known.
+func TestNoFaultsOfConsequence(t *testing.T) {
+	text := base + "host.h = { pool = \"p\" } # a\npool p = {} # a\n[team.x]\nshare = 1\n"
+	_, err := Parse("f", []byte(text))
+	var faults Errors
+	require.ErrorAs(t, err, &faults)
+	require.Len(t, faults, 2)
+	require.Equal(t, 6, faults[0].Line)
+	require.Equal(t, "team.x", faults[1].Key)
+}
+
+// Guards against a sum of shares over 100 that is reported without the place
+// of the teams.
+func TestSumOfShares(t *testing.T) {
+	_, err := Parse("f", []byte(base+"team.a = { share = 70, limit = 1 } # a\nteam.b = { share = 10, limit = 1 } # a\n"))
+	require.EqualError(t, err, "f:2: team.share: found 110 in total, allowed at most 100 in total")
+}
+
 // Guards against examples that fall behind the format, and checks that they
 // have the size of the deployments they stand for.
 func TestExamples(t *testing.T) {
