--- a/rulesfile/check.go
+++ b/rulesfile/check.go
@@ -1,11 +1,5 @@
 package rulesfile
 
-<<<<<<< HEAD
-import "primrosedale.example/primrosedale/core/rules"
-
-// Locate ties faults to the file's lines. A fault of a rule that the file
-// does not contain is tied to line 1.
-=======
 import (
 	"strings"
 
@@ -15,7 +9,6 @@
 // Locate ties faults of the rules to the file's lines. A fault of all rules
 // of a kind, such as the sum of shares, is tied to the first of them, and a
 // fault of a rule that the file does not contain to line 1.
->>>>>>> rulesfile
 func (f *File) Locate(faults []rules.Fault) Errors {
 	var located Errors
 	for _, fault := range faults {
@@ -30,8 +23,6 @@
 	located.Sort()
 	return located
 }
-<<<<<<< HEAD
-=======
 
 func (f *File) lineOf(rule string) int {
 	if line, ok := f.Lines[rule]; ok {
@@ -48,4 +39,3 @@
 	}
 	return max(1, first)
 }
->>>>>>> rulesfile
--- a/rulesfile/format_test.go
+++ b/rulesfile/format_test.go
@@ -43,11 +43,7 @@
 	q := rules.Queue{
 		Service:    named[model.ServiceID]().Draw(t, "service"),
 		Precedence: rapid.IntRange(0, 9).Draw(t, "precedence"),
-<<<<<<< HEAD
-		MaxRun:     model.Duration(rapid.Int64Range(1000, int64(maxMaxRunS)*1000).Draw(t, "max_run")) * model.Millisecond,
-=======
 		MaxRun:     model.Duration(rapid.Int64Range(1000, int64(rules.MaxMaxRun/model.Millisecond)).Draw(t, "max_run")) * model.Millisecond,
->>>>>>> rulesfile
 		Overnight:  rapid.Bool().Draw(t, "overnight"),
 	}
 	if len(teams) > 0 && rapid.Bool().Draw(t, "open") {
@@ -60,10 +56,7 @@
 func drawRules(t *rapid.T) *rules.Rules {
 	r := &rules.Rules{Revision: rapid.Uint64Range(1, 1<<63-1).Draw(t, "revision")}
 	r.Teams = mapOf[model.TeamID](t, "teams", func(t *rapid.T) rules.Team {
-<<<<<<< HEAD
-=======
 		// mapOf draws at most 4 teams, and shares add up to at most 100.
->>>>>>> rulesfile
 		return rules.Team{Share: rapid.Float64Range(0, 25).Draw(t, "share"), Limit: rapid.IntRange(1, maxLimit).Draw(t, "limit")}
 	})
 	r.Queues = mapOf[model.QueueID](t, "queues", func(t *rapid.T) rules.Queue { return drawQueue(t, r.Teams) })
--- a/rulesfile/kinds.go
+++ b/rulesfile/kinds.go
@@ -16,21 +16,6 @@
 // Bounds of the values in rules that core/rules leaves open. They lie far
 // above the design size (design 2.6) and catch slips of the hand.
 const (
-<<<<<<< HEAD
-	maxLimit       = 1_000_000 // running requests and tasks of one team
-	maxPrecedence  = 9
-	defaultMaxRunS = 60                                  // seconds
-	minMaxRunS     = rules.MinMaxRun / model.Second      // seconds
-	maxMaxRunS     = rules.MaxMaxRun / model.Second      // seconds
-	maxHosts       = 100_000                             // hosts of one pool
-	maxWindowH     = int64(rules.MaxWindow / model.Hour) // hours
-	maxImage       = 128                                 // bytes of an image name
-)
-
-var (
-	shareInterval  = filefault.Interval{Min: 0, Max: 100}
-	maxRunInterval = filefault.Interval{Min: float64(minMaxRunS), Max: float64(maxMaxRunS)}
-=======
 	maxLimit = 1_000_000 // running requests and tasks of one team
 	maxHosts = 100_000   // hosts of one pool
 	maxImage = 128       // bytes of an image name
@@ -45,7 +30,6 @@
 var (
 	shareInterval  = filefault.Interval{Min: 0, Max: rules.MaxShare}
 	maxRunInterval = filefault.Interval{Min: rules.MinMaxRun.Seconds(), Max: rules.MaxMaxRun.Seconds()}
->>>>>>> rulesfile
 	// An objective of 1 has no error budget to divide by.
 	goodInterval = filefault.Interval{Min: 0, Max: 1, Open: true}
 )
--- a/rulesfile/parse.go
+++ b/rulesfile/parse.go
@@ -102,15 +102,7 @@
 	if p.nameless {
 		return
 	}
-<<<<<<< HEAD
-	for _, e := range p.file.Locate(p.file.Rules.Check()) {
-		if !p.errors.Has(e.Line, e.Key) {
-			p.errors = append(p.errors, e)
-		}
-	}
-=======
 	p.errors = p.errors.Merge(p.file.Locate(p.file.Rules.Check()))
->>>>>>> rulesfile
 }
 
 // rule adds one rule that was read from a line.
--- a/rulesfile/parse_test.go
+++ b/rulesfile/parse_test.go
@@ -90,18 +90,11 @@
 		"value identifier":  {`host.x = { pool = "" } # a`, `host.x.pool: found "", allowed ` + identifier},
 		"no name":           {`team = { share = 1, limit = 1 } # a`, "team: found a key of 1 parts, allowed team.NAME = { ... }"},
 		"spread dotted key": {`team.x.share = 1 # a`, "team.x.share: found a key of 3 parts, allowed team.NAME = { ... }"},
-<<<<<<< HEAD
-		"unknown team":      {`queue.x = { service = "render", open = true, team = "x" } # a`, "queue.x.team: found \"x\", allowed a team of the rules"},
-		"unknown service":   {`objective.x = { team = "press", service = "x", good = 0.9, window_h = 1 } # a`, "objective.x.service: found \"x\", allowed the service of a queue"},
-		"unknown pool":      {`host.x = { pool = "x" } # a`, "host.x.pool: found \"x\", allowed a pool of the rules"},
-		"unknown wave pool": {`wave.x = { pools = ["x"], image = "i" } # a`, "wave.x.pools: found \"x\", allowed a pool of the rules"},
-=======
 		"open without team": {`queue.x = { service = "render", open = true } # a`, "queue.x.team: found none, allowed a team, because the queue is open"},
 		"unknown team":      {`queue.x = { service = "render", open = true, team = "x" } # a`, `queue.x.team: found "x", allowed a team of the rules`},
 		"unknown service":   {`objective.x = { team = "press", service = "x", good = 0.9, window_h = 1 } # a`, `objective.x.service: found "x", allowed the service of a queue`},
 		"unknown pool":      {`host.x = { pool = "x" } # a`, `host.x.pool: found "x", allowed a pool of the rules`},
 		"unknown wave pool": {`wave.x = { pools = ["x"], image = "i" } # a`, `wave.x.pools: found "x", allowed a pool of the rules`},
->>>>>>> rulesfile
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
