--- a/storage/damage_test.go
+++ b/storage/damage_test.go
@@ -227,3 +227,49 @@
 		})
 	}
 }
+
+func spoil(d []byte) []byte { d[len(d)/2] ^= 1; return d }
+
+// Guards against segments that are removed too early for the older snapshot
+// to stand in for the newest, and against a folder that is unusable afterwards.
+func TestDamagedNewestSnapshotIsReplacedByTheOlder(t *testing.T) {
+	m := initMem(t)
+	s, _, err := openMem(m, smallLimits)
+	require.NoError(t, err)
+	for i := uint64(2); i < 100; i += 2 {
+		write(t, s, Batch{Entries: claimEntries(i, 1, 2)})
+		if i%20 == 0 {
+			write(t, s, Batch{Snapshot: snapshotAt(i, 1)})
+		}
+	}
+	m = damagedCopy(m, snapshotName(80), spoil)
+	for range 2 { // the second time from the repaired folder
+		var loaded Loaded
+		s, loaded, err = openMem(m, smallLimits)
+		require.NoError(t, err)
+		require.EqualValues(t, 60, loaded.Snapshot.Index)
+		require.Equal(t, claimEntries(61, 1, 39), loaded.Entries)
+	}
+	require.Contains(t, m.names, snapshotName(80)+damagedSuffix)
+	write(t, s, Batch{Entries: claimEntries(100, 1, 1), Snapshot: snapshotAt(100, 1)})
+	_, loaded, err := openMem(m.restart(), smallLimits)
+	require.NoError(t, err)
+	require.EqualValues(t, 100, loaded.Snapshot.Index)
+
+	both := damagedCopy(damagedCopy(m, snapshotName(100), spoil), snapshotName(60), spoil)
+	_, _, err = openMem(both, smallLimits)
+	require.ErrorIs(t, err, ErrDamaged)
+}
+
+// Guards against an older snapshot that is used across an install, where the
+// log does not lead from one to the other.
+func TestDamagedInstalledSnapshotIsRefused(t *testing.T) {
+	m := initMem(t)
+	s, _, err := openMem(m, defaultLimits)
+	require.NoError(t, err)
+	write(t, s, Batch{Entries: claimEntries(2, 1, 3)})
+	write(t, s, Batch{Install: true, Snapshot: snapshotAt(50, 2), Entries: claimEntries(51, 2, 2)})
+	_, _, err = openMem(damagedCopy(m, snapshotName(50), spoil), defaultLimits)
+	require.ErrorIs(t, err, ErrDamaged)
+	require.Contains(t, err.Error(), snapshotName(50))
+}
--- a/storage/doc.go
+++ b/storage/doc.go
@@ -5,8 +5,8 @@
 // # Structure
 //
 // A Batch to write is an event. The function (*layout).reduce decides what to
-// do about it and returns a list of operations as data; package-private type
-// disk executes them in order and decides nothing. Recovery is a reducer too:
+// do about it and returns a list of operations as data; the type disk executes
+// them in order and decides nothing. Recovery is a reducer too:
 // (*replay).apply folds the records of the log, one by one, into the state
 // that the log describes.
 //
@@ -34,8 +34,13 @@
 //     and nothing more is written. A failed sync says nothing about what is on
 //     disk, so it is never tried again.
 //   - A Write that did not return nil may be recovered by the next Open in
-//     whole, not at all, or, if it is over 8 MiB, up to a boundary between two
-//     of its entries. Recovered content is synced again before Open returns.
+//     whole, not at all, or up to one of these steps, which are synced in this
+//     order: each 8 MiB of entries; for an install, the hard state, the
+//     snapshot (entries after it are kept if the log had the same entry at its
+//     index), the reset of the log with the new entries; for a snapshot of our
+//     own, the entries, the snapshot.
+//   - What Open returns is durable. The last frame is written again, because a
+//     failed sync leaves content in the page cache that is not on disk.
 //   - A bad frame at the end of the last segment, with no valid frame after
 //     it, is the write that was under way at a crash, and is truncated. Any
 //     other damage makes Open fail with an error that names the file, the
