--- a/codec/codec_test.go
+++ b/codec/codec_test.go
@@ -20,7 +20,8 @@
 
 // drawState draws a fleet state of any content that the system can build.
 func drawState(t *rapid.T) *fleet.State {
-	s := &fleet.State{Index: rapid.Uint64().Draw(t, "index"), Claims: map[fleet.ClaimID]*fleet.ClaimRecord{}}
+	s := emptyState()
+	s.Index = rapid.Uint64().Draw(t, "index")
 	s.Keys = rapid.Make[map[string]fleet.Key]().Draw(t, "keys")
 	s.Hosts = rapid.Make[map[model.HostID]fleet.Host]().Draw(t, "hosts")
 	s.Targets = rapid.Make[map[model.TargetID]fleet.Target]().Draw(t, "targets")
@@ -32,6 +33,17 @@
 		}
 		s.Claims[record.ClaimID] = &record
 	}
+	for _, task := range s.Tasks {
+		if len(task.FailedOn) == 0 {
+			task.FailedOn = nil
+		}
+	}
+	return s
+}
+
+// emptyState returns a state as decoders return it.
+func emptyState() *fleet.State {
+	s := &fleet.State{Claims: map[fleet.ClaimID]*fleet.ClaimRecord{}}
 	fillMaps(s)
 	return s
 }
@@ -47,11 +59,7 @@
 		require.Equal(t, before, fmt.Sprintf("%#v", *want.State))
 		got, err := DecodeSnapshot(data)
 		require.NoError(t, err)
-		again, err := EncodeSnapshot(got)
-		require.NoError(t, err)
-		require.Equal(t, string(data), string(again))
-		require.Equal(t, want.State.Claims, got.State.Claims)
-		require.Nil(t, got.State.ClaimList)
+		require.Equal(t, want, got)
 	})
 }
 
@@ -63,7 +71,7 @@
 		m := &message.Message{}
 		setPointer(reflect.ValueOf(m).Elem().Field(i))
 		if m.Log != nil {
-			m.Log.Snapshot = &Snapshot{State: &fleet.State{}}
+			m.Log.Snapshot = &Snapshot{State: emptyState()}
 			m.Log.Entries = []Entry{{Index: 1, Kind: consensus.EntryNoop}}
 		}
 		if m.Command != nil {
@@ -73,22 +81,18 @@
 		require.NoError(t, err)
 		got, err := DecodeMessage(data)
 		require.NoError(t, err)
-		again, err := EncodeMessage(got)
-		require.NoError(t, err)
-		require.Equal(t, string(data), string(again))
+		require.Equal(t, m, got)
 	}
 	for i := range reflect.TypeFor[fleet.Command]().NumField() {
 		c := &fleet.Command{ID: "c", At: 5}
-		field := reflect.ValueOf(c).Elem().Field(i)
-		if field.Kind() != reflect.Pointer {
-			continue
+		if field := reflect.ValueOf(c).Elem().Field(i); field.Kind() == reflect.Pointer {
+			setPointer(field)
+			data, err := EncodeEntry(&Entry{Index: 3, Term: 2, Command: c})
+			require.NoError(t, err)
+			got, err := DecodeEntry(data)
+			require.NoError(t, err)
+			require.Equal(t, c, got.Command)
 		}
-		setPointer(field)
-		data, err := EncodeEntry(&Entry{Index: 3, Term: 2, Command: c})
-		require.NoError(t, err)
-		got, err := DecodeEntry(data)
-		require.NoError(t, err)
-		require.Equal(t, c, got.Command)
 	}
 }
 
