--- a/storage/damage_test.go
+++ b/storage/damage_test.go
@@ -1,7 +1,6 @@
 package storage
 
 import (
-	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -37,6 +36,14 @@
 	return m
 }
 
+// openNew returns a new first voter's folder and its open store.
+func openNew(t *testing.T, lim limits) (*memFolder, *Store) {
+	m := initMem(t)
+	s, _, err := openMem(m, lim)
+	require.NoError(t, err)
+	return m, s
+}
+
 func snapshotAt(index, term uint64) *Snapshot {
 	state := &fleet.State{Index: index, Keys: map[string]fleet.Key{fmt.Sprint("key-", index): {Team: "press"}}}
 	return &Snapshot{Index: index, Term: term, Voters: testVoters, State: state}
@@ -59,9 +66,7 @@
 // sampleFolder has three segments and two snapshots, and was not closed. The
 // second result is the offset of the last frame in the last segment.
 func sampleFolder(t *testing.T) (*memFolder, string, int64) {
-	m := initMem(t)
-	s, _, err := openMem(m, smallLimits)
-	require.NoError(t, err)
+	m, s := openNew(t, smallLimits)
 	for i := uint64(2); i < 18; i += 2 {
 		write(t, s, Batch{HardState: &consensus.HardState{Term: i}, Entries: claimEntries(i, i, 2)})
 	}
@@ -75,9 +80,7 @@
 
 // Guards against a torn tail that loses synced records or keeps others.
 func TestEveryTruncationRecoversTheSyncedPrefix(t *testing.T) {
-	m := initMem(t)
-	s, _, err := openMem(m, defaultLimits)
-	require.NoError(t, err)
+	m, s := openNew(t, defaultLimits)
 	ends := []int64{s.disk.offset}
 	for i := range 4 {
 		write(t, s, Batch{Entries: claimEntries(uint64(2+3*i), 1, 3)})
@@ -141,9 +144,7 @@
 // Guards against damage to a synced batch that passes for a torn write after
 // a planned stop.
 func TestDamageBeforeACleanCloseIsRefused(t *testing.T) {
-	m := initMem(t)
-	s, _, err := openMem(m, defaultLimits)
-	require.NoError(t, err)
+	m, s := openNew(t, defaultLimits)
 	start := s.disk.offset
 	write(t, s, Batch{Entries: claimEntries(2, 1, 2)})
 	end := s.disk.offset
@@ -179,9 +180,7 @@
 // Guards against part of a large torn batch that is taken for damage of
 // synced records, and against the reverse.
 func TestHoleInALargeBatch(t *testing.T) {
-	m := initMem(t)
-	s, _, err := openMem(m, defaultLimits)
-	require.NoError(t, err)
+	m, s := openNew(t, defaultLimits)
 	first := s.disk.offset
 	write(t, s, Batch{Entries: claimEntries(2, 1, 64)})
 	second := s.disk.offset
@@ -210,14 +209,11 @@
 	}
 	for name, inject := range faults {
 		t.Run(name, func(t *testing.T) {
-			m := initMem(t)
-			s, _, err := openMem(m, defaultLimits)
-			require.NoError(t, err)
+			m, s := openNew(t, defaultLimits)
 			write(t, s, Batch{Entries: claimEntries(2, 1, 2)})
 			inject(m)
 			first := s.Write(Batch{Entries: claimEntries(4, 1, 2)})
-			require.Error(t, first)
-			require.True(t, errors.Is(first, m.fault))
+			require.ErrorIs(t, first, m.fault)
 			m.failAt = 0
 			changes := m.changes
 			require.Equal(t, first, s.Write(Batch{Entries: claimEntries(4, 1, 2)}))
@@ -233,9 +229,7 @@
 // Guards against segments that are removed too early for the older snapshot
 // to stand in for the newest, and against a folder that is unusable afterwards.
 func TestDamagedNewestSnapshotIsReplacedByTheOlder(t *testing.T) {
-	m := initMem(t)
-	s, _, err := openMem(m, smallLimits)
-	require.NoError(t, err)
+	m, s := openNew(t, smallLimits)
 	for i := uint64(2); i < 100; i += 2 {
 		write(t, s, Batch{Entries: claimEntries(i, 1, 2)})
 		if i%20 == 0 {
@@ -244,9 +238,9 @@
 	}
 	m = damagedCopy(m, snapshotName(80), spoil)
 	for range 2 { // the second time from the repaired folder
-		var loaded Loaded
-		s, loaded, err = openMem(m, smallLimits)
+		opened, loaded, err := openMem(m, smallLimits)
 		require.NoError(t, err)
+		s = opened
 		require.EqualValues(t, 60, loaded.Snapshot.Index)
 		require.Equal(t, claimEntries(61, 1, 39), loaded.Entries)
 	}
@@ -264,12 +258,10 @@
 // Guards against an older snapshot that is used across an install, where the
 // log does not lead from one to the other.
 func TestDamagedInstalledSnapshotIsRefused(t *testing.T) {
-	m := initMem(t)
-	s, _, err := openMem(m, defaultLimits)
-	require.NoError(t, err)
+	m, s := openNew(t, defaultLimits)
 	write(t, s, Batch{Entries: claimEntries(2, 1, 3)})
 	write(t, s, Batch{Install: true, Snapshot: snapshotAt(50, 2), Entries: claimEntries(51, 2, 2)})
-	_, _, err = openMem(damagedCopy(m, snapshotName(50), spoil), defaultLimits)
+	_, _, err := openMem(damagedCopy(m, snapshotName(50), spoil), defaultLimits)
 	require.ErrorIs(t, err, ErrDamaged)
 	require.Contains(t, err.Error(), snapshotName(50))
 }
--- a/storage/store_test.go
+++ b/storage/store_test.go
@@ -104,8 +104,7 @@
 	}
 	for name, b := range bad {
 		t.Run(name, func(t *testing.T) {
-			s, _, err := openMem(initMem(t), defaultLimits)
-			require.NoError(t, err)
+			_, s := openNew(t, defaultLimits)
 			write(t, s, Batch{Entries: claimEntries(2, 1, 5), Snapshot: snapshotAt(4, 1)})
 			require.Error(t, s.Write(b))
 		})
@@ -114,9 +113,7 @@
 
 // Guards against a folder that grows without bound.
 func TestOldFilesAreRemoved(t *testing.T) {
-	m := initMem(t)
-	s, _, err := openMem(m, smallLimits)
-	require.NoError(t, err)
+	m, s := openNew(t, smallLimits)
 	for i := uint64(2); i < 200; i += 2 {
 		write(t, s, Batch{Entries: claimEntries(i, 1, 2), Snapshot: snapshotAt(i, 1)})
 	}
