--- a/storage/open.go
+++ b/storage/open.go
@@ -14,7 +14,7 @@
 	if err != nil {
 		return nil, Loaded{}, err
 	}
-	o := opener{fs: osFolder{dir}, cluster: cluster, host: host, newIncarnation: newIncarnation, lg: lg}
+	o := opener{fs: osFolder{dir}, cluster: cluster, host: host, newIncarnation: newIncarnation, lg: lg, limits: defaultLimits}
 	s, loaded, err := o.open()
 	if err != nil {
 		_ = lock.Close()
@@ -31,6 +31,7 @@
 	host           model.HostID
 	newIncarnation func() model.Incarnation
 	lg             zerolog.Logger
+	limits         limits
 }
 
 func (o *opener) open() (*Store, Loaded, error) {
@@ -85,7 +86,7 @@
 // repair makes the folder agree with what was loaded: it removes what a crash
 // has left, and makes sure that everything loaded is durable.
 func (o *opener) repair(files contents, log *loadedLog, chosen chosenSnapshot) (*Store, error) {
-	s := &Store{disk: disk{fs: o.fs}, layout: log.layout(chosen)}
+	s := &Store{disk: disk{fs: o.fs}, layout: log.layout(chosen, o.limits), frameTarget: o.limits.frameTarget}
 	if err := o.removeLeftovers(&s.disk, files, log, chosen); err != nil {
 		return nil, err
 	}
@@ -129,10 +130,10 @@
 	return errors.Annotate(o.fs.SyncDir(), "syncing data folder")
 }
 
-// finishTail truncates an unfinished write and makes the last frame durable.
-// The frame may have been read from the page cache after its sync failed or
-// was never called; the kernel then holds it as clean, and only writing it
-// again makes a sync meaningful. All frames before it are known to be synced.
+// finishTail truncates an unfinished write and makes the last frames durable.
+// A frame may have been read from the page cache after its sync failed or was
+// never called; the kernel then holds it as clean, and only writing it again
+// makes a sync meaningful.
 func (o *opener) finishTail(d *disk, name string, log *loadedLog) error {
 	if log.truncated > 0 {
 		o.lg.Warn().Str("file", name).Int64("offset", log.end).Int64("bytes", log.truncated).
@@ -141,6 +142,19 @@
 			return errors.Annotate(err, "truncating")
 		}
 	}
-	tail := log.tail
-	return writeSynced(d.log, encodeFrame(tail.sequence, tail.payload), tail.offset)
+	for _, f := range log.unsure {
+		if err := o.rewrite(f); err != nil {
+			return errors.Annotatef(err, "rewriting the last frame of %s", f.name)
+		}
+	}
+	return nil
+}
+
+func (o *opener) rewrite(unsure unsureFrame) error {
+	f, err := o.fs.Open(unsure.name)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	err = writeSynced(f, encodeFrame(unsure.sequence, unsure.payload), unsure.offset)
+	return firstError(err, f.Close())
 }
