--- a/core/fleet/apply_test.go
+++ b/core/fleet/apply_test.go
@@ -267,3 +267,26 @@
 	f.apply("", Command{RemoveTarget: &RemoveTarget{ID: "x", Incarnation: "i2"}})
 	require.Empty(t, f.Targets)
 }
+
+// Guards against a clone that shares what either side changes afterwards.
+func TestCloneIsIndependent(t *testing.T) {
+	f := newFixture(t)
+	f.applyRules("", 1, "hash2", nil)
+	f.applyRules("", 2, "hash3", nil)
+	clone := &fixture{State: f.Clone(), t: t}
+	f.applyRules("", 3, "hash4", nil)
+	clone.applyRules("", 3, "other", nil)
+	require.EqualValues(t, "hash4", f.Accepted[3].Hash)
+	require.EqualValues(t, "other", clone.Accepted[3].Hash)
+}
+
+// Guards against refusals of unbounded length, which are kept for resends.
+func TestRefusalIsBounded(t *testing.T) {
+	f := newFixture(t)
+	result := f.applyRules(problem.RulesRejected, 1, "hash2", func(r *rules.Rules) {
+		for i := range faultsListed + 7 {
+			r.Pools[model.PoolID(fmt.Sprint("p", i))] = rules.Pool{HostsMin: -1}
+		}
+	})
+	require.Regexp(t, `; and 7 more$`, result.Problem.Detail)
+}
