--- a/core/fleet/apply_test.go
+++ b/core/fleet/apply_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 
@@ -280,6 +281,29 @@
 	require.EqualValues(t, "other", clone.Accepted[3].Hash)
 }
 
+// Guards, with the race detector, against an encoding that reads what Apply
+// writes.
+func TestCloneIsEncodedConcurrently(t *testing.T) {
+	f := newFixture(t)
+	id := ClaimID{"press", "key"}
+	f.apply("", Command{Claim: &Claim{ClaimID: id, Request: "r"}})
+	f.apply("", submit("t1", "press", "a"))
+	clone := f.Clone()
+	encoded := make(chan error, 1)
+	go func() {
+		_, err := json.Marshal(clone)
+		encoded <- err
+	}()
+	f.applyRules("", 1, "hash2", nil)
+	f.apply("", Command{Complete: &Complete{ClaimID: id, Request: "r"}})
+	for epoch := range uint64(3) {
+		f.place("", "t1", "h1")
+		f.end("", "t1", epoch+1, OutcomeFailed)
+	}
+	f.plan("", "h1", HostDrain, "b", "")
+	require.NoError(t, <-encoded)
+}
+
 // Guards against refusals of unbounded length, which are kept for resends.
 func TestRefusalIsBounded(t *testing.T) {
 	f := newFixture(t)
