--- a/core/fleet/apply_test.go
+++ b/core/fleet/apply_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 
@@ -267,3 +268,49 @@
 	f.apply("", Command{RemoveTarget: &RemoveTarget{ID: "x", Incarnation: "i2"}})
 	require.Empty(t, f.Targets)
 }
+
+// Guards against a clone that shares what either side changes afterwards.
+func TestCloneIsIndependent(t *testing.T) {
+	f := newFixture(t)
+	f.applyRules("", 1, "hash2", nil)
+	f.applyRules("", 2, "hash3", nil)
+	clone := &fixture{State: f.Clone(), t: t}
+	f.applyRules("", 3, "hash4", nil)
+	clone.applyRules("", 3, "other", nil)
+	require.EqualValues(t, "hash4", f.Accepted[3].Hash)
+	require.EqualValues(t, "other", clone.Accepted[3].Hash)
+}
+
+// Guards, with the race detector, against an encoding that reads what Apply
+// writes.
+func TestCloneIsEncodedConcurrently(t *testing.T) {
+	f := newFixture(t)
+	id := ClaimID{"press", "key"}
+	f.apply("", Command{Claim: &Claim{ClaimID: id, Request: "r"}})
+	f.apply("", submit("t1", "press", "a"))
+	clone := f.Clone()
+	encoded := make(chan error, 1)
+	go func() {
+		_, err := json.Marshal(clone)
+		encoded <- err
+	}()
+	f.applyRules("", 1, "hash2", nil)
+	f.apply("", Command{Complete: &Complete{ClaimID: id, Request: "r"}})
+	for epoch := range uint64(3) {
+		f.place("", "t1", "h1")
+		f.end("", "t1", epoch+1, OutcomeFailed)
+	}
+	f.plan("", "h1", HostDrain, "b", "")
+	require.NoError(t, <-encoded)
+}
+
+// Guards against refusals of unbounded length, which are kept for resends.
+func TestRefusalIsBounded(t *testing.T) {
+	f := newFixture(t)
+	result := f.applyRules(problem.RulesRejected, 1, "hash2", func(r *rules.Rules) {
+		for i := range faultsListed + 7 {
+			r.Pools[model.PoolID(fmt.Sprint("p", i))] = rules.Pool{HostsMin: -1}
+		}
+	})
+	require.Regexp(t, `; and 7 more$`, result.Problem.Detail)
+}
