fleet: bound stored answers, run non-idempotent tasks at most once

Change: the oldest answers are dropped over 48 MiB while their claims stay; phaseAfter ends a non-idempotent task whose run began. The tests that used a non-idempotent task as one that may run again now use an idempotent one, and the table has a row for each of both.

--- a/core/fleet/apply_test.go
+++ b/core/fleet/apply_test.go
@@ -287,7 +287,7 @@
 	f := newFixture(t)
 	id := ClaimID{"press", "key"}
 	f.apply("", Command{Claim: &Claim{ClaimID: id, Request: "r"}})
-	f.apply("", submit("t1", "press", "a"))
+	f.apply("", idempotent(submit("t1", "press", "a")))
 	clone := f.Clone()
 	encoded := make(chan error, 1)
 	go func() {
--- a/core/fleet/claims.go
+++ b/core/fleet/claims.go
@@ -11,6 +11,11 @@
 // MaxStoredAnswer is the largest answer body kept for resends, in bytes.
 const MaxStoredAnswer = 64 << 10
 
+// MaxStoredAnswers bounds the bodies of all stored answers together, in bytes.
+// A host may use 256 MB for control, and a snapshot holds them once more in
+// base64 while it is written.
+const MaxStoredAnswers = 48 << 20
+
 // HeldClaims returns the claims that may be running, oldest first.
 func (s *State) HeldClaims() []*ClaimRecord {
 	held := make([]*ClaimRecord, 0, len(s.index.heldClaims))
--- a/core/fleet/index.go
+++ b/core/fleet/index.go
@@ -18,6 +18,8 @@
 	teamClaims  counter[model.TeamID] // held and ended claims
 	heldClaims  map[ClaimID]struct{}
 	endedClaims fifo[ClaimID]
+	answers     fifo[ClaimID] // ended claims with a stored answer
+	answerBytes int           // of the bodies of stored answers
 
 	recent fifo[model.CommandID]
 
@@ -155,6 +157,17 @@
 	} else {
 		x.endedClaims.push(record.ClaimID)
 	}
+	if record.Answer != nil {
+		x.answers.push(record.ClaimID)
+		x.answerBytes += len(record.Answer.Body)
+	}
+}
+
+// removeAnswer takes the oldest stored answer, which is record's, out of the
+// count.
+func (x *index) removeAnswer(record *ClaimRecord) {
+	x.answers.pop()
+	x.answerBytes -= len(record.Answer.Body)
 }
 
 // removeClaim removes a held claim. Ended claims leave through retention only.
--- a/core/fleet/property_test.go
+++ b/core/fleet/property_test.go
@@ -280,6 +280,7 @@
 	c := *x
 	c.recent = fifo[model.CommandID]{items: append([]model.CommandID{}, x.recent.pending()...)}
 	c.endedClaims = fifo[ClaimID]{items: append([]ClaimID{}, x.endedClaims.pending()...)}
+	c.answers = fifo[ClaimID]{items: append([]ClaimID{}, x.answers.pending()...)}
 	c.endedTasks = fifo[model.TaskID]{items: append([]model.TaskID{}, x.endedTasks.pending()...)}
 	return c
 }
--- a/core/fleet/retention.go
+++ b/core/fleet/retention.go
@@ -34,6 +34,11 @@
 			break
 		}
 	}
+	for range removalsPerPass {
+		if !s.dropAnswer() {
+			break
+		}
+	}
 	for range removalsPerPass {
 		if !s.dropTask() {
 			break
@@ -68,11 +73,31 @@
 		return false
 	}
 	s.index.teamClaims.add(record.Team, -1)
+	if record.Answer != nil {
+		s.index.removeAnswer(record)
+	}
 	delete(s.Claims, id)
 	queue.pop()
 	return true
 }
 
+// dropAnswer removes the oldest stored answer if they are too large together.
+// The claim stays, so that a resend still learns that its request ran.
+func (s *State) dropAnswer() bool {
+	if s.index.answerBytes <= MaxStoredAnswers {
+		return false
+	}
+	id, ok := s.index.answers.front()
+	if !ok {
+		return false
+	}
+	record := *s.Claims[id]
+	s.index.removeAnswer(&record)
+	record.Answer = nil
+	s.Claims[id] = &record
+	return true
+}
+
 // dropTask removes the oldest ended task if it is past its retention.
 func (s *State) dropTask() bool {
 	queue := &s.index.endedTasks
--- a/core/fleet/tasks.go
+++ b/core/fleet/tasks.go
@@ -138,14 +138,20 @@
 	case OutcomeFinished:
 		return TaskFinished, true
 	case OutcomeFailed:
-		if len(task.FailedOn) >= failuresOfTask {
+		if !task.Spec.Idempotent || len(task.FailedOn) >= failuresOfTask {
 			return TaskFailed, true
 		}
 	case OutcomeLost:
 		if !task.Spec.Idempotent {
 			return TaskUnknown, true
 		}
-	case OutcomeNotStarted, OutcomeStopped:
+	case OutcomeStopped:
+		// A stopped run may have had effects; only an idempotent task may run
+		// again, so the others end here.
+		if !task.Spec.Idempotent && !task.Cancel {
+			return TaskUnknown, true
+		}
+	case OutcomeNotStarted:
 	default:
 		return "", false
 	}
--- a/core/fleet/work_test.go
+++ b/core/fleet/work_test.go
@@ -161,11 +161,13 @@
 	}{
 		{"finished", OutcomeFinished, false, false, TaskFinished},
 		{"finished before cancel", OutcomeFinished, false, true, TaskFinished},
-		{"failed", OutcomeFailed, false, false, TaskQueued},
-		{"failed after cancel", OutcomeFailed, false, true, TaskCancelled},
+		{"failed", OutcomeFailed, false, false, TaskFailed},
+		{"failed idempotent", OutcomeFailed, true, false, TaskQueued},
+		{"failed idempotent after cancel", OutcomeFailed, true, true, TaskCancelled},
 		{"not started", OutcomeNotStarted, false, false, TaskQueued},
 		{"not started after cancel", OutcomeNotStarted, false, true, TaskCancelled},
-		{"stopped", OutcomeStopped, false, false, TaskQueued},
+		{"stopped", OutcomeStopped, false, false, TaskUnknown},
+		{"stopped idempotent", OutcomeStopped, true, false, TaskQueued},
 		{"stopped after cancel", OutcomeStopped, false, true, TaskCancelled},
 		{"lost", OutcomeLost, false, false, TaskUnknown},
 		{"lost after cancel", OutcomeLost, false, true, TaskUnknown},
@@ -197,11 +199,16 @@
 	}
 }
 
+func idempotent(c Command) Command {
+	c.SubmitTask.Spec.Idempotent = true
+	return c
+}
+
 // Guards against a bad task that runs for ever, and against one bad worker
 // that fails it for good.
 func TestTaskFailsOnDistinctWorkers(t *testing.T) {
 	f := newFixture(t)
-	f.apply("", submit("t1", "press", "a"))
+	f.apply("", idempotent(submit("t1", "press", "a")))
 	for i, worker := range []model.HostID{"h1", "h1", "h2", "h3"} {
 		require.Equal(t, TaskQueued, f.Tasks["t1"].Phase)
 		f.place("", "t1", worker)
@@ -223,7 +230,7 @@
 		return ids
 	}
 	for _, task := range []model.TaskID{"t1", "t2", "urgent", "t3"} {
-		c := submit(task, "press", "a")
+		c := idempotent(submit(task, "press", "a"))
 		if task == "urgent" {
 			c.SubmitTask.Spec.Precedence = 9
 		}
