consensus: add seeded schedule tests and let unconfirmed voters join

A node whose addition to the voter set was appended but lost with its leader believed itself a voter: it sent pre-votes for ever and the new leader did not know it. Such a node now sends MsgJoin like a non-voter while it hears no leader.

--- /dev/null
+++ b/core/consensus/cluster_test.go
@@ -0,0 +1,377 @@
+package consensus
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// simState is the state that the simulated nodes replicate: a digest of the
+// sequence of applied commands.
+type simState struct {
+	Index  uint64
+	Digest uint64
+}
+
+func (s simState) apply(e Entry[int]) simState {
+	s.Index = e.Index
+	if e.Kind == EntryCommand {
+		s.Digest = s.Digest*1099511628211 + uint64(*e.Command) + 1
+	}
+	return s
+}
+
+type (
+	simMessage = Message[int, simState]
+	simOutput  = Output[int, simState]
+)
+
+const simStep = 10 * model.Millisecond
+
+func simConfig(id NodeID, peers []model.HostID, durable bool) Config {
+	return Config{
+		ID:                 id,
+		Peers:              peers,
+		Durable:            durable,
+		ElectionTimeoutMin: 800 * model.Millisecond,
+		ElectionTimeoutMax: 1200 * model.Millisecond,
+		HeartbeatInterval:  200 * model.Millisecond,
+		MaxAppendEntries:   4,
+		MaxInflight:        3,
+		SnapshotEvery:      40,
+	}
+}
+
+// simDisk is what is synced, and the writes that are not.
+type simDisk struct {
+	stored Stored[int, simState]
+	queue  []simOutput
+}
+
+func (d *simDisk) write(out simOutput) {
+	if out.Snapshot != nil {
+		d.stored.Snapshot = out.Snapshot
+		d.stored.Entries = nil
+	}
+	if out.HardState != nil {
+		d.stored.HardState = *out.HardState
+	}
+	if len(out.Entries) == 0 {
+		return
+	}
+	kept := d.stored.Entries
+	for len(kept) > 0 && kept[len(kept)-1].Index >= out.Entries[0].Index {
+		kept = kept[:len(kept)-1]
+	}
+	d.stored.Entries = append(kept, out.Entries...)
+}
+
+// compact stores a snapshot and drops entries long before it.
+func (d *simDisk) compact(snap Snapshot[simState]) {
+	d.stored.Snapshot = &snap
+	for len(d.stored.Entries) > 0 && d.stored.Entries[0].Index+5 <= snap.Index {
+		d.stored.Entries = d.stored.Entries[1:]
+	}
+}
+
+func (d *simDisk) lastIndex() uint64 {
+	if len(d.stored.Entries) > 0 {
+		return d.stored.Entries[len(d.stored.Entries)-1].Index
+	}
+	if d.stored.Snapshot != nil {
+		return d.stored.Snapshot.Index
+	}
+	return 0
+}
+
+// sync writes the first count queued outputs and returns the report.
+func (d *simDisk) sync(count int) (term, index uint64) {
+	for _, out := range d.queue[:count] {
+		d.write(out)
+	}
+	d.queue = d.queue[count:]
+	return d.stored.HardState.Term, d.lastIndex()
+}
+
+// simHost is a host with at most one running node.
+type simHost struct {
+	name      model.HostID
+	durable   bool
+	life      int // counts incarnations
+	id        NodeID
+	node      *Node[int, simState]
+	disk      simDisk
+	state     simState
+	rate      float64 // of its clock
+	offset    model.Time
+	up        bool
+	upAt      model.Time    // restart, while it is down
+	frozen    model.Time    // end of a freeze
+	inbox     []*simMessage // received while frozen
+	syncAt    model.Time    // end of the write under way
+	nextTick  model.Time
+	seenTerm  uint64
+	seenIndex uint64 // commit index already checked
+}
+
+// clock returns the host's own time at the true time now.
+func (h *simHost) clock(now model.Time) model.Time {
+	return h.offset + model.Time(float64(now)*h.rate)
+}
+
+// faults are the chances of one schedule, per message or per step.
+type faults struct {
+	drop, duplicate, delay                  float64 // per message
+	cut, crash, loseDisk, freeze, slow, ask float64 // per step
+}
+
+// simulation runs one seeded schedule over a fake network.
+type simulation struct {
+	t       testing.TB
+	rng     *rand.Rand
+	now     model.Time
+	hosts   []*simHost
+	byName  map[model.HostID]*simHost
+	flights map[model.Time][]*simMessage   // by time of arrival, in whole steps
+	cut     map[[2]model.HostID]model.Time // end of a cut, by sender and receiver
+	faults  faults
+	command int
+	check   *checker
+}
+
+func newSimulation(t testing.TB, seed uint64) *simulation {
+	s := &simulation{
+		t:       t,
+		rng:     rand.New(rand.NewPCG(seed, 7)),
+		now:     model.Time(model.Hour),
+		byName:  map[model.HostID]*simHost{},
+		flights: map[model.Time][]*simMessage{},
+		cut:     map[[2]model.HostID]model.Time{},
+		check:   newChecker(),
+	}
+	durable := 3 + s.rng.IntN(3)
+	var voters []NodeID
+	for i := range durable + 2 {
+		h := &simHost{
+			name:    model.HostID(fmt.Sprintf("h%d", i)),
+			durable: i < durable,
+			rate:    0.99 + 0.02*s.rng.Float64(),
+			offset:  model.Time(s.rng.Int64N(int64(model.Hour))),
+		}
+		s.hosts = append(s.hosts, h)
+		s.byName[h.name] = h
+		s.newLife(h)
+		if h.durable {
+			voters = append(voters, h.id)
+		}
+	}
+	for _, h := range s.hosts {
+		if h.durable {
+			h.disk.stored = Bootstrap[int, simState](voters)
+		}
+		s.boot(h)
+	}
+	s.faults = s.drawFaults()
+	return s
+}
+
+func (s *simulation) drawFaults() faults {
+	r := s.rng.Float64
+	return faults{
+		drop: 0.2 * r() * r(), duplicate: 0.1 * r(), delay: 0.3 * r(),
+		cut: 0.008 * r(), crash: 0.008 * r(), loseDisk: 0.002 * r(), freeze: 0.008 * r(), slow: r(), ask: 0.05 + 0.3*r(),
+	}
+}
+
+func (s *simulation) newLife(h *simHost) {
+	h.life++
+	h.id = NodeID{Host: h.name, Incarnation: model.Incarnation(fmt.Sprint(h.life))}
+	h.disk = simDisk{}
+}
+
+// boot starts a node from what is synced.
+func (s *simulation) boot(h *simHost) {
+	var peers []model.HostID
+	for _, other := range s.hosts {
+		if other.durable {
+			peers = append(peers, other.name)
+		}
+	}
+	if len(peers) == 0 || h.durable {
+		peers = s.allNames()
+	}
+	node, err := New(simConfig(h.id, peers, h.durable), h.disk.stored)
+	if err != nil {
+		s.fail("boot %v: %v", h.id, err)
+	}
+	node.kept = 10
+	h.inbox = nil
+	h.node = node
+	h.state = simState{}
+	if snap := h.disk.stored.Snapshot; snap != nil {
+		h.state = snap.State
+	}
+	h.up = true
+	h.seenTerm, h.seenIndex = 0, 0
+	h.nextTick = s.now
+	node.Start(h.clock(s.now), s.rng.Uint64())
+}
+
+func (s *simulation) allNames() []model.HostID {
+	var names []model.HostID
+	for _, h := range s.hosts {
+		names = append(names, h.name)
+	}
+	return names
+}
+
+func (s *simulation) fail(format string, args ...any) {
+	s.t.Helper()
+	s.t.Fatalf(format, args...)
+}
+
+// step advances the true time by one simStep.
+func (s *simulation) step() {
+	s.now = s.now.Add(simStep)
+	s.deliver()
+	for _, h := range s.hosts {
+		s.runHost(h)
+	}
+	s.check.leases(s)
+}
+
+func (s *simulation) runHost(h *simHost) {
+	if !h.up {
+		if s.now >= h.upAt {
+			s.boot(h)
+		}
+		return
+	}
+	if s.now < h.frozen {
+		return
+	}
+	s.thaw(h)
+	if len(h.disk.queue) > 0 && s.now >= h.syncAt {
+		s.sync(h)
+	}
+	if s.now >= h.nextTick {
+		h.nextTick = s.now.Add(50 * model.Millisecond)
+		h.node.Tick(h.clock(s.now), s.rng.Uint64())
+		s.drain(h)
+	}
+}
+
+// sync completes one write of one or more outputs.
+func (s *simulation) sync(h *simHost) {
+	term, index := h.disk.sync(1 + s.rng.IntN(len(h.disk.queue)))
+	h.syncAt = s.now.Add(s.syncTime())
+	h.node.Persisted(term, index)
+	s.drain(h)
+}
+
+func (s *simulation) syncTime() model.Duration {
+	if s.rng.Float64() < 0.02*s.faults.slow {
+		return model.Duration(s.rng.Int64N(int64(model.Second)))
+	}
+	return model.Duration(s.rng.Int64N(int64(20 * model.Millisecond)))
+}
+
+// drain does what the node's output asks for, and checks the invariants.
+func (s *simulation) drain(h *simHost) {
+	out := h.node.TakeOutput()
+	s.check.node(s, h)
+	if out.Snapshot != nil {
+		h.state = out.Snapshot.State
+	}
+	s.check.entries(s, h, out)
+	for _, e := range out.Committed {
+		h.state = h.state.apply(e)
+		s.check.applied(s, h, e)
+	}
+	if out.Snapshot != nil || out.HardState != nil || len(out.Entries) > 0 {
+		s.persist(h, out)
+	}
+	for _, m := range out.Messages {
+		s.post(m)
+	}
+	if h.node.WantsSnapshot() {
+		s.compact(h)
+	}
+}
+
+func (s *simulation) persist(h *simHost, out simOutput) {
+	h.disk.queue = append(h.disk.queue, out)
+	if len(h.disk.queue) == 1 {
+		h.syncAt = s.now.Add(s.syncTime())
+	}
+	if h.durable {
+		return
+	}
+	term, index := h.disk.sync(len(h.disk.queue))
+	h.node.Persisted(term, index)
+	s.drain(h)
+}
+
+func (s *simulation) compact(h *simHost) {
+	snap, ok := h.node.MakeSnapshot(h.state.Index, h.state)
+	if !ok {
+		return
+	}
+	h.disk.compact(snap)
+	h.node.Compact(snap)
+}
+
+func (s *simulation) post(m simMessage) {
+	if s.now < s.cut[[2]model.HostID{m.From.Host, m.To.Host}] || s.rng.Float64() < s.faults.drop {
+		return
+	}
+	s.fly(&m)
+	if s.rng.Float64() < s.faults.duplicate {
+		s.fly(&m)
+	}
+}
+
+func (s *simulation) fly(m *simMessage) {
+	steps := 1 + s.latency()/simStep
+	at := s.now.Add(steps * simStep)
+	s.flights[at] = append(s.flights[at], m)
+}
+
+func (s *simulation) latency() model.Duration {
+	if s.rng.Float64() < s.faults.delay*s.faults.delay {
+		return model.Duration(s.rng.Int64N(int64(2 * model.Second)))
+	}
+	return model.Duration(s.rng.Int64N(int64(20 * model.Millisecond)))
+}
+
+// deliver hands over the messages that arrive now, in random order.
+func (s *simulation) deliver() {
+	due := s.flights[s.now]
+	delete(s.flights, s.now)
+	s.rng.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	for _, m := range due {
+		h := s.byName[m.To.Host]
+		switch {
+		case !h.up:
+		case s.now < h.frozen:
+			h.inbox = append(h.inbox, m)
+		default:
+			s.receive(h, m)
+		}
+	}
+}
+
+func (s *simulation) receive(h *simHost, m *simMessage) {
+	h.node.Step(h.clock(s.now), s.rng.Uint64(), *m)
+	s.drain(h)
+}
+
+func (s *simulation) thaw(h *simHost) {
+	waiting := h.inbox
+	h.inbox = nil
+	for _, m := range waiting {
+		s.receive(h, m)
+	}
+}
--- a/core/consensus/election.go
+++ b/core/consensus/election.go
@@ -20,6 +20,9 @@
 	if n.now >= n.deadline {
 		n.preCampaign()
 	}
+	if n.role == PreCandidate && n.isUnconfirmed() {
+		n.askToJoin()
+	}
 }
 
 // preCampaign asks for pre-votes, which change no state on either side.
--- a/core/consensus/membership.go
+++ b/core/consensus/membership.go
@@ -181,14 +181,26 @@
 	lastAt model.Time
 }
 
-// tickNonVoter asks one peer after another for the log while no leader is
-// heard. A retired identity does not ask.
+// tickNonVoter looks for a leader while none is heard. A retired identity
+// does not.
 func (n *Node[C, S]) tickNonVoter() {
-	if n.isRetired() || len(n.cfg.Peers) == 0 {
-		return
-	}
 	heard := n.leader != NodeID{} && n.now.Sub(n.lastHeard) < n.cfg.ElectionTimeoutMin/2
-	if heard || n.now.Sub(n.joining.lastAt) < n.cfg.HeartbeatInterval/4 {
+	if !heard && !n.isRetired() {
+		n.askToJoin()
+	}
+}
+
+// isUnconfirmed reports whether this voter does not know its membership to be
+// committed. If the entry was lost with its leader, the present leader does
+// not know of this node, which then has to join like a non-voter.
+func (n *Node[C, S]) isUnconfirmed() bool {
+	m, ok := n.membershipAt(n.log.commit)
+	return !ok || !m.has(n.cfg.ID)
+}
+
+// askToJoin asks one peer after another for the log.
+func (n *Node[C, S]) askToJoin() {
+	if len(n.cfg.Peers) == 0 || n.now.Sub(n.joining.lastAt) < n.cfg.HeartbeatInterval/4 {
 		return
 	}
 	n.joining.lastAt = n.now
@@ -211,7 +223,10 @@
 		return true
 	}
 	current := n.membership()
-	if current.has(m.From) || slices.Contains(current.retired, m.From) {
+	if current.has(m.From) {
+		return true
+	}
+	if slices.Contains(current.retired, m.From) {
 		return false
 	}
 	p := n.peer(m.From)
--- /dev/null
+++ b/core/consensus/schedule_test.go
@@ -0,0 +1,216 @@
+package consensus
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+)
+
+const (
+	disturbedSteps = 3000
+	healingSteps   = 3000 // 30 s
+)
+
+var (
+	scheduleSeed  = flag.Uint64("consensus.seed", 0, "run only the schedule of this seed")
+	scheduleCount = flag.Int("consensus.seeds", 320, "number of schedules")
+)
+
+// checker holds the invariants of the Raft paper (figure 3) and of the leader
+// lease, over all nodes of a schedule.
+type checker struct {
+	leaders   map[uint64]NodeID       // by term: election safety
+	highest   uint64                  // highest term that had a leader
+	log       map[[2]uint64]logRecord // by index and term: log matching
+	committed map[uint64]commitRecord // by index
+	last      uint64                  // highest committed index
+	states    map[uint64]simState     // by index: state machine safety
+	leased    int                     // steps in which some leader held the lease
+}
+
+// commitRecord is a committed entry. A leader of term t must have what was
+// committed in terms before t; a candidate may win an earlier term late.
+type commitRecord struct {
+	term uint64 // of the entry
+	in   uint64 // term of the first node that knew of the commit, its leader
+}
+
+type logRecord struct {
+	prevTerm uint64
+	kind     EntryKind
+	command  int
+}
+
+func newChecker() *checker {
+	return &checker{
+		leaders:   map[uint64]NodeID{},
+		log:       map[[2]uint64]logRecord{},
+		committed: map[uint64]commitRecord{},
+		states:    map[uint64]simState{},
+	}
+}
+
+// node checks a node after each event.
+func (c *checker) node(s *simulation, h *simHost) {
+	c.leader(s, h)
+	c.commits(s, h)
+}
+
+// leader checks election safety and leader completeness.
+func (c *checker) leader(s *simulation, h *simHost) {
+	n := h.node
+	if n.role != Leader || n.term == h.seenTerm {
+		return
+	}
+	h.seenTerm = n.term
+	if other, ok := c.leaders[n.term]; ok && other != h.id {
+		s.fail("election safety: %v and %v lead term %d", other, h.id, n.term)
+	}
+	c.leaders[n.term] = h.id
+	c.highest = max(c.highest, n.term)
+	for index := n.log.prevIndex + 1; index <= c.last; index++ {
+		known := c.committed[index]
+		if known.in < n.term && !n.log.matches(index, known.term) {
+			s.fail("leader completeness: %v leads term %d without entry %d of term %d, committed in term %d",
+				h.id, n.term, index, known.term, known.in)
+		}
+	}
+}
+
+// commits checks that a committed entry is the same everywhere and for good.
+func (c *checker) commits(s *simulation, h *simHost) {
+	l := &h.node.log
+	for index := max(h.seenIndex, l.prevIndex) + 1; index <= l.commit; index++ {
+		term, _ := l.term(index)
+		known, ok := c.committed[index]
+		if ok && known.term != term {
+			s.fail("committed entry %d changed from term %d to %d on %v", index, known.term, term, h.id)
+		}
+		if !ok {
+			c.committed[index] = commitRecord{term: term, in: h.node.term}
+		}
+		c.last = max(c.last, index)
+	}
+	if l.commit < h.seenIndex {
+		s.fail("commit index of %v fell from %d to %d", h.id, h.seenIndex, l.commit)
+	}
+	h.seenIndex = l.commit
+}
+
+// entries checks log matching. Equal entries have equal predecessors, so by
+// induction logs that share an entry are equal up to it.
+func (c *checker) entries(s *simulation, h *simHost, out simOutput) {
+	for _, e := range out.Entries {
+		prevTerm, _ := h.node.log.term(e.Index - 1)
+		record := logRecord{prevTerm: prevTerm, kind: e.Kind}
+		if e.Command != nil {
+			record.command = *e.Command
+		}
+		key := [2]uint64{e.Index, e.Term}
+		if known, ok := c.log[key]; ok && known != record {
+			s.fail("log matching: entry %d of term %d is %+v on %v, %+v elsewhere", e.Index, e.Term, record, h.id, known)
+		}
+		c.log[key] = record
+	}
+}
+
+// applied checks that all nodes apply the same sequence, without gaps.
+func (c *checker) applied(s *simulation, h *simHost, e Entry[int]) {
+	if known, ok := c.states[e.Index]; ok && known != h.state {
+		s.fail("state of %v after entry %d is %+v, %+v elsewhere", h.id, e.Index, h.state, known)
+	}
+	c.states[e.Index] = h.state
+}
+
+// leases checks that at most one node holds the lease, frozen nodes included,
+// and that no later leader exists meanwhile.
+func (c *checker) leases(s *simulation) {
+	var holder *simHost
+	for _, h := range s.hosts {
+		if !h.up || !h.node.HoldsLeaderLease(h.clock(s.now)) {
+			continue
+		}
+		if holder != nil {
+			s.fail("leases: %v and %v hold the leader lease", holder.id, h.id)
+		}
+		holder = h
+		if h.node.term < c.highest {
+			s.fail("leases: %v holds the lease of term %d, term %d has a leader", h.id, h.node.term, c.highest)
+		}
+	}
+	if holder != nil {
+		c.leased++
+	}
+}
+
+func runSchedule(t testing.TB, seed uint64) *simulation {
+	s := newSimulation(t, seed)
+	for range disturbedSteps {
+		s.step()
+		s.disturb()
+	}
+	s.heal()
+	for range healingSteps {
+		s.step()
+		if s.settled() {
+			break
+		}
+	}
+	if !s.settled() {
+		s.fail("no progress after healing: %s", s.describe())
+	}
+	before := s.check.last
+	s.propose()
+	for range 100 {
+		s.step()
+	}
+	if s.check.last <= before || !s.settled() {
+		s.fail("a command after healing is not applied everywhere: %s", s.describe())
+	}
+	return s
+}
+
+func (s *simulation) describe() string {
+	text := ""
+	for _, h := range s.hosts {
+		text += fmt.Sprintf("\n%v up=%v %+v", h.id, h.up, h.node.Status())
+	}
+	return text
+}
+
+// TestSchedules guards against any violation of the protocol's invariants
+// under lost, late, repeated and reordered messages, one-way cuts, crashes
+// with loss of unsynced writes, lost disks, freezes and clock drift. A single
+// seed is run with -consensus.seed or CONSENSUS_SEED.
+func TestSchedules(t *testing.T) {
+	seeds := make([]uint64, 0, *scheduleCount)
+	for i := range *scheduleCount {
+		seeds = append(seeds, uint64(i+1))
+	}
+	if one := chosenSeed(t); one != 0 {
+		seeds = []uint64{one}
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			s := runSchedule(t, seed)
+			if s.check.last < 20 {
+				t.Errorf("only %d entries were committed: the schedule tests nothing", s.check.last)
+			}
+		})
+	}
+}
+
+func chosenSeed(t *testing.T) uint64 {
+	text := os.Getenv("CONSENSUS_SEED")
+	if text == "" {
+		return *scheduleSeed
+	}
+	seed, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		t.Fatalf("CONSENSUS_SEED: %v", err)
+	}
+	return seed
+}
