consensus: remove a lost voter before its replacement is added

A host between the two changes is a vacancy, known from the retired identities, and may be filled whatever MaxVoters is. An identity that is still heard is not replaced.

--- a/core/consensus/doc.go
+++ b/core/consensus/doc.go
@@ -51,7 +51,7 @@
 // before it and the no-op of the leader's term are committed. A node that is
 // not in the voter set sends MsgJoin to its peers until a leader replicates
 // to it. If it is durable and has caught up, it replaces the earlier identity
-// of its host (added first, then the earlier one is removed), or is added
+// of its host (which is removed first, then the new one is added), or is added
 // while there are fewer than MaxVoters. Identities that left the voter set
 // are retired for good. A durable non-voter answers votes, since a candidate
 // may know of its membership before it does; a volatile one never does.
--- a/core/consensus/membership.go
+++ b/core/consensus/membership.go
@@ -49,20 +49,29 @@
 	return membership{index: index, voters: voters, retired: retired}
 }
 
-// superseded returns the earlier of two identities of one host.
-func (m membership) superseded() (NodeID, bool) {
-	for i, id := range m.voters {
-		for _, later := range m.voters[i+1:] {
-			if later.Host == id.Host {
-				return id, true
-			}
-		}
+func (m membership) hasHost(host model.HostID) bool {
+	return slices.ContainsFunc(m.voters, func(id NodeID) bool { return id.Host == host })
+}
+
+// identityOf returns the voter of a host.
+func (m membership) identityOf(host model.HostID) (NodeID, bool) {
+	i := slices.IndexFunc(m.voters, func(id NodeID) bool { return id.Host == host })
+	if i < 0 {
+		return NodeID{}, false
 	}
-	return NodeID{}, false
+	return m.voters[i], true
 }
 
-func (m membership) hasHost(host model.HostID) bool {
-	return slices.ContainsFunc(m.voters, func(id NodeID) bool { return id.Host == host })
+// vacancies returns the hosts whose earlier identity left the voter set and
+// whose later one is not yet in it.
+func (m membership) vacancies() []model.HostID {
+	var hosts []model.HostID
+	for _, id := range m.retired {
+		if !m.hasHost(id.Host) && !slices.Contains(hosts, id.Host) {
+			hosts = append(hosts, id.Host)
+		}
+	}
+	return hosts
 }
 
 // membership returns the voter set in effect, which may be uncommitted.
@@ -141,27 +150,19 @@
 	if current.index > n.log.commit || !n.noopCommitted() || n.leading.transfer.active() {
 		return
 	}
-	if old, ok := current.superseded(); ok {
-		n.proposeVoters(without(current.voters, old))
-		return
-	}
 	for _, p := range n.leading.peers {
-		if n.isEligible(p, current) {
-			n.proposeVoters(append(slices.Clone(current.voters), p.id))
+		if !n.isEligible(p, current) {
+			continue
+		}
+		if voters, ok := n.votersWith(p, current); ok {
+			n.propose(Entry[C]{Kind: EntryVoters, Voters: voters})
 			return
 		}
 	}
 }
 
-func (n *Node[C, S]) proposeVoters(voters []NodeID) {
-	n.propose(Entry[C]{Kind: EntryVoters, Voters: voters})
-}
-
-func without(ids []NodeID, id NodeID) []NodeID {
-	return slices.DeleteFunc(slices.Clone(ids), func(other NodeID) bool { return other == id })
-}
-
-// isEligible reports whether a non-voter may be added to the voter set.
+// isEligible reports whether a non-voter has what a voter needs: it is
+// durable, heard, and has caught up in the current term.
 func (n *Node[C, S]) isEligible(p *progress, current membership) bool {
 	if current.has(p.id) || !p.durable || slices.Contains(current.retired, p.id) {
 		return false
@@ -169,10 +170,35 @@
 	if p.match < n.leading.noop || p.match+catchUpEntries < n.log.lastIndex() {
 		return false
 	}
-	if n.now.Sub(p.lastHeard) > n.cfg.ElectionTimeoutMin {
-		return false
+	return n.now.Sub(p.lastHeard) <= n.cfg.ElectionTimeoutMin
+}
+
+// votersWith returns the next voter set on the way to one with an eligible
+// non-voter. The earlier identity of its host is removed before the non-voter
+// is added. In the other order a new identity that is lost at once leaves, of
+// three voters, two out of four, which is no majority any more.
+func (n *Node[C, S]) votersWith(p *progress, current membership) ([]NodeID, bool) {
+	if old, ok := current.identityOf(p.id.Host); ok {
+		return without(current.voters, old), n.isSilent(old)
 	}
-	return current.hasHost(p.id.Host) || len(current.voters) < n.cfg.MaxVoters
+	vacancies := current.vacancies()
+	isNew := !slices.Contains(vacancies, p.id.Host)
+	if isNew && len(current.voters)+len(vacancies) >= n.cfg.MaxVoters {
+		return nil, false
+	}
+	return append(slices.Clone(current.voters), p.id), true
+}
+
+// isSilent reports whether a voter is not heard any more. An identity that is
+// still heard is not replaced, so that two processes that run for one host by
+// mistake do not replace each other.
+func (n *Node[C, S]) isSilent(id NodeID) bool {
+	p := n.peer(id)
+	return p != nil && n.now.Sub(p.lastHeard) > n.cfg.ElectionTimeoutMin
+}
+
+func without(ids []NodeID, id NodeID) []NodeID {
+	return slices.DeleteFunc(slices.Clone(ids), func(other NodeID) bool { return other == id })
 }
 
 // joining is the search of a non-voter for a leader.
