--- /dev/null
+++ b/core/consensus/bench_test.go
@@ -0,0 +1,38 @@
+package consensus
+
+import (
+	"testing"
+
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// BenchmarkLeaderAppend measures a leader of three voters and six followers:
+// one proposal, its sync, the answers of all peers, and the outputs.
+func BenchmarkLeaderAppend(b *testing.B) {
+	n, now := newLeader(b)
+	n.cfg.MaxAppendEntries = 64
+	n.cfg.MaxInflight = 16
+	var peers []NodeID
+	for _, host := range []model.HostID{"d", "e", "f", "g", "h", "i"} {
+		id := NodeID{Host: host, Incarnation: "1"}
+		peers = append(peers, id)
+		join(n, now, id, false)
+	}
+	peers = append(peers, idB, idC)
+	n.Step(now, 0, appended(idB, 2, now))
+	settle(n)
+	b.ReportAllocs()
+	for b.Loop() {
+		index, _ := n.Propose("x")
+		n.TakeOutput()
+		n.Persisted(2, index)
+		for _, id := range peers {
+			n.Step(now, 0, appended(id, index, now))
+			n.TakeOutput()
+		}
+		if index%10_000 == 0 {
+			snap, _ := n.MakeSnapshot(index, "state")
+			n.Compact(snap)
+		}
+	}
+}
--- /dev/null
+++ b/core/consensus/election_test.go
@@ -0,0 +1,162 @@
+package consensus
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// TestVote guards against votes that break election safety or leader
+// completeness, and against votes that disturb a leader that is heard.
+func TestVote(t *testing.T) {
+	const free = 800 * ms // since the start; earlier a leader may be heard elsewhere
+	vote := testMessage{Kind: MsgVote, From: idB, To: idA, Term: 2, Index: 1, LogTerm: 1}
+	tests := []struct {
+		name   string
+		change func(*testMessage)
+		after  model.Duration
+		reply  bool
+		reject bool
+	}{
+		{"grants a first vote", func(*testMessage) {}, free, true, false},
+		{"ignores a vote after a recent start", func(*testMessage) {}, free - 1, false, false},
+		{"grants a transfer at any time", func(m *testMessage) { m.Transfer = true }, 10 * ms, true, false},
+		{"rejects a shorter log", func(m *testMessage) { m.Index = 0 }, free, true, true},
+		{"rejects an earlier last term", func(m *testMessage) { m.Index, m.LogTerm = 9, 0 }, free, true, true},
+		{"answers pre-votes", func(m *testMessage) { m.Kind = MsgPreVote }, free, true, false},
+		{"ignores pre-votes after a recent start", func(m *testMessage) { m.Kind = MsgPreVote }, free - 1, false, false},
+		{"rejects pre-votes of its own term", func(m *testMessage) { m.Kind, m.Term = MsgPreVote, 1 }, free, true, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			n := newVoter(t)
+			m := vote
+			test.change(&m)
+			n.Step(startAt.Add(test.after), 0, m)
+			replies := settle(n)
+			if !test.reply {
+				require.Empty(t, replies)
+				require.Equal(t, uint64(1), n.Status().Term, "an ignored vote must not raise the term")
+				return
+			}
+			require.Len(t, replies, 1)
+			require.Equal(t, test.reject, replies[0].Reject)
+		})
+	}
+}
+
+// TestSecondVote guards against two votes in one term, also over a restart.
+func TestSecondVote(t *testing.T) {
+	now := startAt.Add(800 * ms)
+	n := newVoter(t)
+	n.Step(now, 0, testMessage{Kind: MsgVote, From: idB, To: idA, Term: 2, Index: 1, LogTerm: 1})
+	out := n.TakeOutput()
+	require.Equal(t, HardState{Term: 2, Vote: idB}, *out.HardState)
+
+	stored := Bootstrap[string, string]([]NodeID{idA, idB, idC})
+	stored.HardState = *out.HardState
+	n = startNode(t, testConfig(idA), stored)
+	n.Step(now, 0, testMessage{Kind: MsgVote, From: idC, To: idA, Term: 2, Index: 1, LogTerm: 1})
+	replies := settle(n)
+	require.Len(t, replies, 1)
+	require.True(t, replies[0].Reject)
+}
+
+// TestVoteWaitsForSync guards against promises that a crash would undo.
+func TestVoteWaitsForSync(t *testing.T) {
+	n := newVoter(t)
+	n.Step(startAt.Add(800*ms), 0, testMessage{Kind: MsgVote, From: idB, To: idA, Term: 2, Index: 1, LogTerm: 1})
+	require.Empty(t, n.TakeOutput().Messages)
+	n.Persisted(1, 1)
+	require.Empty(t, n.TakeOutput().Messages, "a report of the earlier term does not cover the vote")
+	n.Persisted(2, 0)
+	require.Equal(t, []MessageKind{MsgVoteReply}, kinds(n.TakeOutput().Messages))
+}
+
+// TestAmbiguousVote guards against a vote that is sent after the report of an
+// earlier write of the same term.
+func TestAmbiguousVote(t *testing.T) {
+	now := startAt.Add(800 * ms)
+	n := newVoter(t)
+	n.Step(now, 0, testMessage{Kind: MsgVote, From: idB, To: idA, Term: 2})
+	require.Equal(t, HardState{Term: 2}, *n.TakeOutput().HardState)
+	vote := testMessage{Kind: MsgVote, From: idC, To: idA, Term: 2, Index: 1, LogTerm: 1}
+	n.Step(now, 0, vote)
+	n.Persisted(2, 1)
+	require.Nil(t, n.TakeOutput().HardState, "the vote waits until nothing is in flight")
+	n.Step(now, 0, vote)
+	require.Equal(t, HardState{Term: 2, Vote: idC}, *n.TakeOutput().HardState)
+	n.Persisted(2, 1)
+	require.Len(t, n.TakeOutput().Messages, 1)
+}
+
+// TestCampaign guards against elections without a pre-vote majority and
+// against counting the candidate's own vote before it is on disk.
+func TestCampaign(t *testing.T) {
+	n := newVoter(t)
+	n.Tick(startAt.Add(799*ms), 0)
+	require.Empty(t, settle(n))
+	now := startAt.Add(800 * ms)
+	n.Tick(now, 0)
+	require.Equal(t, []MessageKind{MsgPreVote, MsgPreVote}, kinds(settle(n)))
+	require.Equal(t, uint64(1), n.Status().Term)
+
+	n.Step(now, 0, testMessage{Kind: MsgPreVoteReply, From: idC, To: idA, Term: 2})
+	require.Equal(t, Candidate, n.Status().Role)
+	require.Empty(t, n.TakeOutput().Messages, "requests wait for the sync")
+	n.Step(now, 0, testMessage{Kind: MsgVoteReply, From: idC, To: idA, Term: 2})
+	require.Equal(t, Candidate, n.Status().Role, "its own vote is not on disk")
+	n.Persisted(2, 1)
+	require.Equal(t, Leader, n.Status().Role)
+}
+
+// TestLosesCampaign guards against a candidate that ignores an elected leader
+// or a later term.
+func TestLosesCampaign(t *testing.T) {
+	tests := []struct {
+		name string
+		m    testMessage
+		term uint64
+	}{
+		{"leader of the term", appendFrom(1, 1, 1), 1},
+		{"rejection with a later term", testMessage{Kind: MsgPreVoteReply, From: idB, To: idA, Term: 5, Reject: true}, 5},
+		{"leader of a later term", appendFrom(7, 1, 1), 7},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			n := newVoter(t)
+			n.Tick(startAt.Add(800*ms), 0)
+			require.Equal(t, PreCandidate, n.Status().Role)
+			n.Step(startAt.Add(801*ms), 0, test.m)
+			require.Equal(t, Follower, n.Status().Role)
+			require.Equal(t, test.term, n.Status().Term)
+		})
+	}
+}
+
+// TestVolatileNeverVotes guards against a vote that is forgotten.
+func TestVolatileNeverVotes(t *testing.T) {
+	cfg := testConfig(idD)
+	cfg.Durable = false
+	n := startNode(t, cfg, Stored[string, string]{})
+	n.Step(startAt.Add(10000*ms), 0, testMessage{Kind: MsgVote, From: idB, To: idD, Term: 2, Index: 1, LogTerm: 1})
+	require.Empty(t, settle(n))
+	require.Equal(t, uint64(1), n.Status().Ignored)
+}
+
+// TestTimeoutNow guards against campaigns on the word of a former leader.
+func TestTimeoutNow(t *testing.T) {
+	n := newVoter(t)
+	n.Step(startAt, 0, appendFrom(2, 1, 1))
+	settle(n)
+	n.Step(startAt, 0, testMessage{Kind: MsgTimeoutNow, From: idC, To: idA, Term: 2})
+	n.Step(startAt, 0, testMessage{Kind: MsgTimeoutNow, From: idB, To: idA, Term: 1})
+	require.Equal(t, Follower, n.Status().Role)
+	n.Step(startAt, 0, testMessage{Kind: MsgTimeoutNow, From: idB, To: idA, Term: 2})
+	require.Equal(t, Candidate, n.Status().Role)
+	for _, m := range settle(n) {
+		require.True(t, m.Transfer)
+	}
+}
--- /dev/null
+++ b/core/consensus/leader_test.go
@@ -0,0 +1,106 @@
+package consensus
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestLease guards against a lease without a majority, beyond its time, or
+// kept while another node is asked to take over.
+func TestLease(t *testing.T) {
+	n, now := newLeader(t)
+	require.True(t, n.HoldsLeaderLease(now))
+	require.True(t, n.HoldsLeaderLease(now.Add(719*ms)))
+	require.False(t, n.HoldsLeaderLease(now.Add(720*ms)), "800 ms less 10%")
+
+	later := now.Add(500 * ms)
+	n.Step(later, 0, appended(idB, 2, now.Add(200*ms)))
+	require.True(t, n.HoldsLeaderLease(now.Add(919*ms)))
+	require.False(t, n.HoldsLeaderLease(now.Add(920*ms)), "the lease counts from the time of sending")
+
+	require.True(t, n.TransferLeadership(later))
+	require.False(t, n.HoldsLeaderLease(later))
+	require.Len(t, only(settle(n), MsgTimeoutNow, idB), 1)
+}
+
+// TestLeaseNeedsNoop guards against a leader that serves before it knows what
+// was committed before its term.
+func TestLeaseNeedsNoop(t *testing.T) {
+	n, now := newLeader(t)
+	n.leading.noop = 3
+	require.False(t, n.HoldsLeaderLease(now))
+}
+
+// TestCheckQuorum guards against a leader that stays alone.
+func TestCheckQuorum(t *testing.T) {
+	n, now := newLeader(t)
+	n.Step(now.Add(300*ms), 0, appended(idC, 2, now))
+	n.Tick(now.Add(1499*ms), 0)
+	require.Equal(t, Leader, n.Status().Role)
+	n.Tick(now.Add(1500*ms), 0)
+	require.Equal(t, Follower, n.Status().Role)
+	_, ok := n.Propose("x")
+	require.False(t, ok)
+}
+
+// TestTransferWaits guards against a transfer to a voter that lags, and
+// against proposals that it would have to catch up with.
+func TestTransferWaits(t *testing.T) {
+	n, now := newLeader(t)
+	_, ok := n.Propose("x")
+	require.True(t, ok)
+	require.True(t, n.TransferLeadership(now))
+	require.Empty(t, only(settle(n), MsgTimeoutNow, idC))
+	_, ok = n.Propose("y")
+	require.False(t, ok)
+	n.Step(now, 0, appended(idC, 3, now))
+	require.Len(t, only(settle(n), MsgTimeoutNow, idC), 1)
+}
+
+// TestTransferWithoutResult guards against a leader without lease that never
+// steps down, and against one that never accepts proposals again.
+func TestTransferWithoutResult(t *testing.T) {
+	for _, sent := range []bool{true, false} {
+		n, now := newLeader(t)
+		if !sent {
+			n.Propose("x")
+		}
+		n.TransferLeadership(now)
+		later := now.Add(1200 * ms)
+		n.Step(later, 0, appended(idB, 1, now))
+		n.Tick(later, 0)
+		require.Equal(t, !sent, n.Status().Role == Leader)
+	}
+}
+
+// TestCommitOwnTerm guards against committing entries of an earlier term by
+// counting (figure 8 of the Raft paper).
+func TestCommitOwnTerm(t *testing.T) {
+	stored := Bootstrap[string, string]([]NodeID{idA, idB, idC})
+	stored.Entries = append(stored.Entries, command(2, 1))
+	n := startNode(t, testConfig(idA), stored)
+	now := elect(t, n)
+	n.Step(now, 0, appended(idB, 2, now))
+	n.Step(now, 0, appended(idC, 2, now))
+	require.Equal(t, uint64(0), n.Status().Commit)
+	n.Step(now, 0, appended(idB, 3, now))
+	require.Equal(t, uint64(3), n.Status().Commit)
+}
+
+// TestLeaderCountsSynced guards against counting entries that are not on the
+// leader's disk.
+func TestLeaderCountsSynced(t *testing.T) {
+	n, now := newLeader(t)
+	first, ok := n.Propose("x", "y")
+	require.True(t, ok)
+	require.Equal(t, uint64(3), first)
+	require.Len(t, n.TakeOutput().Entries, 2)
+	n.Step(now, 0, appended(idC, 4, now))
+	require.Equal(t, uint64(2), n.Status().Commit)
+	n.Persisted(2, 3)
+	require.Equal(t, uint64(3), n.Status().Commit)
+	n.Persisted(2, 4)
+	require.Len(t, n.TakeOutput().Committed, 2)
+	require.Empty(t, n.TakeOutput().Committed, "handed out once")
+}
--- /dev/null
+++ b/core/consensus/membership_test.go
@@ -0,0 +1,171 @@
+package consensus
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/model"
+)
+
+func joinFrom(id NodeID, durable bool) testMessage {
+	return testMessage{Kind: MsgJoin, From: id, To: NodeID{Host: "a"}, Durable: durable}
+}
+
+// join makes a node a caught-up non-voter of the leader n.
+func join(n *testNode, now model.Time, id NodeID, durable bool) {
+	n.Step(now, 0, joinFrom(id, durable))
+	settle(n)
+	n.Step(now, 0, appended(id, n.Status().LastIndex, now))
+}
+
+// TestReplaceVoter guards against a replacement in one step, without the
+// commit of the step before, or that needs the lost identity.
+func TestReplaceVoter(t *testing.T) {
+	n, now := newLeader(t)
+	now = now.Add(900 * ms) // B is silent
+	n.Step(now, 0, appended(idC, 2, now))
+	join(n, now, idB2, true)
+	require.Equal(t, []NodeID{idA, idC}, n.Status().Voters)
+	n.Tick(now, 0)
+	settle(n)
+	n.Step(now, 0, appended(idB2, 3, now))
+	require.Equal(t, []NodeID{idA, idC}, n.Status().Voters, "the removal is not committed")
+	n.Step(now, 0, appended(idC, 3, now))
+	require.Equal(t, []NodeID{idA, idC, idB2}, n.Status().Voters)
+	settle(n)
+	require.Equal(t, uint64(3), n.Status().Commit)
+	n.Step(now, 0, appended(idB2, 4, now))
+	require.Equal(t, uint64(4), n.Status().Commit)
+
+	n.Step(now, 0, joinFrom(idB, true))
+	require.Equal(t, uint64(1), n.Status().Ignored, "a retired identity never returns")
+}
+
+// TestEligibility guards against voters that are volatile, too many, behind,
+// or a second process of a voter's host.
+func TestEligibility(t *testing.T) {
+	tests := []struct {
+		name      string
+		id        NodeID
+		durable   bool
+		maxVoters int
+		caughtUp  bool
+		added     bool
+	}{
+		{"room for a voter", idD, true, 4, true, true},
+		{"no room", idD, true, 3, true, false},
+		{"volatile", idD, false, 4, true, false},
+		{"behind", idD, true, 4, false, false},
+		{"the earlier identity is heard", NodeID{Host: "c", Incarnation: "2"}, true, 4, true, false},
+		{"the leader's own host", NodeID{Host: "a", Incarnation: "2"}, true, 4, true, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			n, now := newLeader(t)
+			n.cfg.MaxVoters = test.maxVoters
+			n.Step(now, 0, joinFrom(test.id, test.durable))
+			if test.caughtUp {
+				join(n, now, test.id, test.durable)
+			}
+			n.Tick(now, 0)
+			require.Equal(t, test.added, len(n.Status().Voters) == 4)
+		})
+	}
+}
+
+// TestVacancy guards against giving the place of a host that is being
+// replaced to another host, and against leaving it empty.
+func TestVacancy(t *testing.T) {
+	m := membership{voters: []NodeID{idA, idB, idC}}
+	m = m.next(5, []NodeID{idA, idC})
+	require.Equal(t, []model.HostID{"b"}, m.vacancies())
+	n, now := newLeader(t)
+	n.memberships = []membership{m}
+	n.log.commit = 5
+	d, b := &progress{id: idD, lastHeard: now}, &progress{id: idB2, lastHeard: now}
+	_, ok := n.votersWith(d, m)
+	require.False(t, ok)
+	voters, ok := n.votersWith(b, m)
+	require.True(t, ok)
+	require.Equal(t, []NodeID{idA, idC, idB2}, voters)
+	require.Empty(t, m.next(6, voters).vacancies())
+}
+
+// TestRemovedVoter guards against a removed voter that campaigns, answers or
+// joins again.
+func TestRemovedVoter(t *testing.T) {
+	n := newVoter(t)
+	removal := Entry[string]{Index: 2, Term: 2, Kind: EntryVoters, Voters: []NodeID{idB, idC}}
+	n.Step(startAt, 0, appendFrom(2, 1, 1, removal))
+	settle(n)
+	require.Equal(t, NonVoter, n.Status().Role)
+	require.False(t, n.Status().Retired)
+	m := appendFrom(2, 2, 2)
+	m.Commit = 2
+	n.Step(startAt, 0, m)
+	settle(n)
+	require.True(t, n.Status().Retired)
+	n.Tick(startAt.Add(10000*ms), 0)
+	n.Step(startAt.Add(10000*ms), 0, testMessage{Kind: MsgVote, From: idB, To: idA, Term: 9, Index: 9, LogTerm: 9})
+	require.Empty(t, settle(n))
+}
+
+// TestTruncatedMembership guards against a voter set that outlives its entry:
+// it takes effect when appended and ends when replaced.
+func TestTruncatedMembership(t *testing.T) {
+	n := newVoter(t)
+	n.Step(startAt, 0, appendFrom(2, 1, 1, Entry[string]{Index: 2, Term: 2, Kind: EntryVoters, Voters: []NodeID{idB, idC}}))
+	settle(n)
+	require.Equal(t, NonVoter, n.Status().Role)
+	n.Step(startAt, 0, appendFrom(3, 1, 1, command(2, 3)))
+	settle(n)
+	n.Step(startAt, 0, appendFrom(3, 1, 1, command(2, 3)))
+	settle(n)
+	require.Equal(t, Follower, n.Status().Role)
+	require.Equal(t, []NodeID{idA, idB, idC}, n.Status().Voters)
+}
+
+// TestLeaderLeaves guards against a leader outside its own voter set.
+func TestLeaderLeaves(t *testing.T) {
+	n, now := newLeader(t)
+	n.propose(Entry[string]{Kind: EntryVoters, Voters: []NodeID{idB, idC}})
+	settle(n)
+	n.Step(now, 0, appended(idB, 3, now))
+	require.Equal(t, Leader, n.Status().Role, "not committed")
+	n.Step(now, 0, appended(idC, 3, now))
+	require.Equal(t, NonVoter, n.Status().Role)
+}
+
+// TestJoinRotation guards against a non-voter that asks only one peer, or
+// goes on asking a leader that it hears.
+func TestJoinRotation(t *testing.T) {
+	n := startNode(t, testConfig(idD), Stored[string, string]{})
+	var asked []model.HostID
+	for i := range 4 {
+		n.Tick(startAt.Add(model.Duration(i)*50*ms), 0)
+		for _, m := range settle(n) {
+			require.Equal(t, MsgJoin, m.Kind)
+			asked = append(asked, m.To.Host)
+		}
+	}
+	require.Equal(t, []model.HostID{"a", "b", "c", "a"}, asked)
+	n.Step(startAt, 0, testMessage{Kind: MsgAppend, From: idB, To: idD, Term: 2})
+	settle(n)
+	n.Tick(startAt.Add(399*ms), 0)
+	require.Empty(t, settle(n))
+	n.Tick(startAt.Add(550*ms), 0)
+	require.Len(t, settle(n), 1)
+}
+
+// TestLearnerForgotten guards against replicating to nodes that are gone.
+func TestLearnerForgotten(t *testing.T) {
+	n, now := newLeader(t)
+	join(n, now, idD, false)
+	require.Len(t, n.Status().Peers, 3)
+	later := now.Add(10*model.Second + 1)
+	n.Step(later, 0, appended(idC, 2, now))
+	n.Tick(later, 0)
+	require.Equal(t, Leader, n.Status().Role)
+	require.Len(t, n.Status().Peers, 2)
+}
--- /dev/null
+++ b/core/consensus/replication_test.go
@@ -0,0 +1,193 @@
+package consensus
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// follower returns node A that follows B in term 3 with entries 1 to 4, of
+// terms 1, 1, 2 and 2, all on disk.
+func follower(t *testing.T) *testNode {
+	stored := Bootstrap[string, string]([]NodeID{idA, idB, idC})
+	stored.HardState.Term = 3
+	stored.Entries = append(stored.Entries, command(2, 1), command(3, 2), command(4, 2))
+	return startNode(t, testConfig(idA), stored)
+}
+
+// TestAppend guards against wrong answers of a follower, which make the
+// leader commit what is not stored or never find the matching entry.
+func TestAppend(t *testing.T) {
+	tests := []struct {
+		name   string
+		m      testMessage
+		reject bool
+		index  uint64 // of the reply
+		hint   uint64
+		last   uint64 // index afterwards
+	}{
+		{"heartbeat", appendFrom(3, 0, 0), false, 0, 0, 4},
+		{"next entry", appendFrom(3, 4, 2, command(5, 3)), false, 5, 0, 5},
+		{"repeated entry", appendFrom(3, 2, 1, command(3, 2)), false, 3, 0, 4},
+		{"conflicting entry", appendFrom(3, 2, 1, command(3, 3)), false, 3, 0, 3},
+		{"gap", appendFrom(3, 9, 3, command(10, 3)), true, 9, 4, 4},
+		{"other term before", appendFrom(3, 4, 3), true, 4, 3, 4},
+		{"skips a whole term", appendFrom(3, 4, 1), true, 4, 2, 4},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			n := follower(t)
+			n.Step(startAt, 0, test.m)
+			replies := settle(n)
+			require.Len(t, replies, 1)
+			require.Equal(t, test.reject, replies[0].Reject)
+			require.Equal(t, test.index, replies[0].Index)
+			require.Equal(t, test.hint, replies[0].Hint)
+			require.Equal(t, test.last, n.Status().LastIndex)
+		})
+	}
+}
+
+// TestAppendWaitsForSync guards against acknowledging entries not on disk,
+// and against doing so after another leader has replaced them.
+func TestAppendWaitsForSync(t *testing.T) {
+	n := follower(t)
+	n.Step(startAt, 0, appendFrom(3, 4, 2, command(5, 3)))
+	require.Empty(t, n.TakeOutput().Messages)
+	n.Persisted(3, 4)
+	require.Empty(t, n.TakeOutput().Messages)
+	n.Step(startAt, 0, testMessage{Kind: MsgAppend, From: idC, To: idA, Term: 4, Index: 4, LogTerm: 2, Entries: []Entry[string]{command(5, 4)}})
+	require.Equal(t, uint64(3), n.log.lastTerm(), "entry 5 of term 3 is being written")
+	n.TakeOutput()
+	n.Persisted(4, 5)
+	require.Empty(t, n.TakeOutput().Messages, "the promise of term 3 is void")
+}
+
+// TestReplaceWhileWriting guards against taking the report of a replaced
+// entry for that of its replacement.
+func TestReplaceWhileWriting(t *testing.T) {
+	n := follower(t)
+	n.Step(startAt, 0, appendFrom(3, 4, 2, command(5, 3)))
+	n.TakeOutput()
+	replace := testMessage{Kind: MsgAppend, From: idC, To: idA, Term: 4, Index: 4, LogTerm: 2, Entries: []Entry[string]{command(5, 4)}}
+	n.Step(startAt, 0, replace)
+	n.TakeOutput()
+	n.Persisted(3, 5)
+	n.Persisted(4, 5)
+	n.Step(startAt, 0, replace)
+	require.Len(t, n.TakeOutput().Entries, 1)
+	require.Equal(t, uint64(4), n.Status().Persisted)
+	n.Persisted(4, 5)
+	replies := n.TakeOutput().Messages
+	require.Equal(t, uint64(5), replies[len(replies)-1].Index)
+}
+
+// TestCommitOnlyMatched guards against committing entries that the leader did
+// not vouch for, and against applying entries not on disk.
+func TestCommitOnlyMatched(t *testing.T) {
+	n := follower(t)
+	m := appendFrom(3, 2, 1)
+	m.Commit = 4
+	n.Step(startAt, 0, m)
+	require.Equal(t, uint64(2), n.Status().Commit)
+	m = appendFrom(3, 4, 2, command(5, 3))
+	m.Commit = 5
+	n.Step(startAt, 0, m)
+	require.Len(t, n.TakeOutput().Committed, 4)
+	n.Persisted(3, 5)
+	require.Len(t, n.TakeOutput().Committed, 1)
+}
+
+// TestFlowControl guards against unbounded traffic to a slow peer.
+func TestFlowControl(t *testing.T) {
+	n, now := newLeader(t)
+	n.Propose(make([]string, 30)...)
+	appends := only(settle(n), MsgAppend, idC)
+	require.Len(t, appends, 3, "MaxInflight")
+	require.Len(t, appends[0].Entries, 4, "MaxAppendEntries")
+	require.Empty(t, only(settle(n), MsgAppend, idC))
+	n.Step(now, 0, appended(idC, 6, now))
+	appends = only(settle(n), MsgAppend, idC)
+	require.Len(t, appends, 1)
+	require.Equal(t, uint64(14), appends[0].Index)
+}
+
+// TestResend guards against a peer that waits for a lost append for ever.
+func TestResend(t *testing.T) {
+	n, now := newLeader(t)
+	n.Propose("x")
+	settle(n)
+	n.Tick(now.Add(399*ms), 0)
+	for _, m := range only(settle(n), MsgAppend, idC) {
+		require.Empty(t, m.Entries)
+	}
+	n.Tick(now.Add(400*ms), 0)
+	messages := only(settle(n), MsgAppend, idC)
+	require.Len(t, messages[len(messages)-1].Entries, 1)
+}
+
+// TestBackOff guards against a leader that does not find the matching entry,
+// or follows rejections that are out of date.
+func TestBackOff(t *testing.T) {
+	n, now := newLeader(t)
+	b := n.peer(idB)
+	require.Equal(t, uint64(2), b.next)
+	reject := testMessage{Kind: MsgAppendReply, From: idB, To: idA, Term: 2, Index: 1, Reject: true, Sent: now}
+	stale := reject
+	stale.Index = 2
+	n.Step(now, 0, stale)
+	require.Equal(t, uint64(2), b.next)
+	n.Step(now, 0, reject)
+	require.Equal(t, uint64(1), b.next)
+	appends := only(settle(n), MsgAppend, idB)
+	require.Len(t, appends[0].Entries, 2)
+	n.Step(now, 0, appended(idB, 2, now))
+	require.Equal(t, stateReplicate, b.state)
+	n.Step(now, 0, reject)
+	require.Equal(t, uint64(3), b.next, "a rejection below the match is out of date")
+}
+
+// TestSnapshotToPeer guards against a peer that needs compacted entries, a
+// lost snapshot and a snapshot acknowledged before it is on disk.
+func TestSnapshotToPeer(t *testing.T) {
+	n, now := newLeader(t)
+	n.kept = 0
+	snap, ok := n.MakeSnapshot(2, "state")
+	require.True(t, ok)
+	require.Equal(t, []NodeID{idA, idB, idC}, snap.Voters)
+	n.Compact(snap)
+	n.Step(now, 0, testMessage{Kind: MsgAppendReply, From: idB, To: idA, Term: 2, Index: 1, Reject: true})
+	sent := only(settle(n), MsgSnapshot, idB)
+	require.Len(t, sent, 1)
+	n.Step(now.Add(1900*ms), 0, appended(idC, 2, now))
+	n.Tick(now.Add(2000*ms), 0)
+	require.Len(t, only(settle(n), MsgSnapshot, idB), 1, "sent again")
+
+	b := startNode(t, testConfig(idB), Stored[string, string]{})
+	b.Step(startAt, 0, sent[0])
+	out := b.TakeOutput()
+	require.Equal(t, "state", out.Snapshot.State)
+	require.Empty(t, out.Messages)
+	b.Persisted(2, 2)
+	replies := b.TakeOutput().Messages
+	require.Equal(t, []MessageKind{MsgSnapshotReply}, kinds(replies))
+	require.Equal(t, Follower, b.Status().Role)
+	n.Step(now.Add(2000*ms), 0, replies[0])
+	require.Equal(t, uint64(2), n.peer(idB).match)
+	require.Equal(t, stateReplicate, n.peer(idB).state)
+}
+
+// TestOldLeader guards against a leader that never learns of a later term.
+func TestOldLeader(t *testing.T) {
+	n := follower(t)
+	n.Step(startAt, 0, appendFrom(2, 4, 2))
+	replies := settle(n)
+	require.Len(t, replies, 1)
+	require.Equal(t, uint64(3), replies[0].Term)
+	require.True(t, replies[0].Reject)
+
+	l, now := newLeader(t)
+	l.Step(now, 0, testMessage{Kind: MsgAppendReply, From: idB, To: idA, Term: 3, Reject: true})
+	require.Equal(t, Follower, l.Status().Role)
+	require.Equal(t, uint64(3), l.Status().Term)
+}
