consensus: avoid split votes and keep messages that wait for a write

Two pre-candidates that met both campaigned, and a vote that arrived while the term itself was being written was dropped. Now one of the pre-candidates yields without refusing the other, the vote waits for the write, and a failed campaign is repeated after one to two heartbeats.

Rejected: refusing the other's pre-vote, which lets a candidate that cannot win block one that can.

--- a/core/consensus/doc.go
+++ b/core/consensus/doc.go
@@ -19,8 +19,9 @@
 //
 // Elections. A voter that hears nothing from a leader for its randomised
 // election timeout first asks for pre-votes, which change no state, and
-// campaigns only when a majority would vote for it. A voter ignores votes and
-// pre-votes within ElectionTimeoutMin of hearing from a leader, unless the
+// campaigns only when a majority would vote for it. Of two pre-candidates that
+// meet, one yields, so that they do not split the votes. A voter ignores votes
+// and pre-votes within ElectionTimeoutMin of hearing from a leader, unless the
 // leader asked for the election (Transfer). Starting counts as hearing from a
 // leader, since an acknowledgement may have preceded the restart. A leader
 // that hears no majority for ElectionTimeoutMax steps down.
@@ -36,9 +37,10 @@
 // covers them. The candidate's own vote and the leader's own entries count
 // from then on as well, and Committed contains only entries that are on this
 // node's disk. A report names only a term and an index, so the node never
-// puts two different writes of one name in flight: it ignores messages that
-// need a second vote write in a term, or that replace entries being written,
-// until the earlier writes are reported. The sender repeats them.
+// puts two different writes of one name in flight: a message that needs a
+// second vote write in a term, or that replaces entries being written, waits
+// until the earlier writes are reported. Only the latest such message is kept;
+// the senders repeat the others.
 //
 // Replication. A peer starts in a probing state with one append in flight.
 // Once its log matches it is sent up to MaxInflight appends without waiting.
--- a/core/consensus/durability.go
+++ b/core/consensus/durability.go
@@ -83,6 +83,7 @@
 func (n *Node[C, S]) Persisted(term, index uint64) {
 	n.disk.report(term, index)
 	n.releaseHeld()
+	n.handleDeferred()
 	if n.role == Candidate && n.disk.hardOnDisk() {
 		n.recordVote(n.cfg.ID)
 	}
@@ -91,6 +92,16 @@
 	}
 }
 
+// handleDeferred handles the message that had to wait for a write.
+func (n *Node[C, S]) handleDeferred() {
+	if n.deferred == nil || n.disk.inFlight() {
+		return
+	}
+	m := *n.deferred
+	n.deferred = nil
+	n.handle(m)
+}
+
 // TakeOutput returns everything that has come up since the last call.
 func (n *Node[C, S]) TakeOutput() Output[C, S] {
 	n.sendAppends()
--- a/core/consensus/election.go
+++ b/core/consensus/election.go
@@ -12,7 +12,7 @@
 // It is shorter than the election timeout, because no leader has been heard
 // for that long already; the spread keeps candidates apart.
 func (n *Node[C, S]) resetRetryTimer() {
-	spread := uint64(n.cfg.ElectionTimeoutMin / 2)
+	spread := uint64(n.cfg.HeartbeatInterval)
 	n.deadline = n.now.Add(n.cfg.HeartbeatInterval + model.Duration(n.rand%spread))
 }
 
@@ -110,9 +110,22 @@
 		reply.Term = n.term
 	}
 	n.sendDurable(0, reply)
+	if n.role == PreCandidate && !reply.Reject && n.yieldsTo(m) {
+		n.becomeFollower()
+		n.resetRetryTimer()
+	}
 	return true
 }
 
+// yieldsTo breaks the tie between two pre-candidates, who would otherwise
+// both campaign and split the votes.
+func (n *Node[C, S]) yieldsTo(m Message[C, S]) bool {
+	if m.Index != n.log.lastIndex() || m.LogTerm != n.log.lastTerm() {
+		return true // its log is longer, as it was not rejected
+	}
+	return m.From.Host > n.cfg.ID.Host
+}
+
 func (n *Node[C, S]) handlePreVoteReply(m Message[C, S]) bool {
 	if m.Reject {
 		n.observeTerm(m.Term)
@@ -134,6 +147,7 @@
 	n.observeTerm(m.Term)
 	if n.canGrant(m) {
 		if n.voteIsAmbiguous(m) {
+			n.deferred = &m
 			return true
 		}
 		n.setVote(m.From)
--- a/core/consensus/election_test.go
+++ b/core/consensus/election_test.go
@@ -82,14 +82,40 @@
 	n := newVoter(t)
 	n.Step(now, 0, testMessage{Kind: MsgVote, From: idB, To: idA, Term: 2})
 	require.Equal(t, HardState{Term: 2}, *n.TakeOutput().HardState)
-	vote := testMessage{Kind: MsgVote, From: idC, To: idA, Term: 2, Index: 1, LogTerm: 1}
-	n.Step(now, 0, vote)
-	n.Persisted(2, 1)
+	n.Step(now, 0, testMessage{Kind: MsgVote, From: idC, To: idA, Term: 2, Index: 1, LogTerm: 1})
 	require.Nil(t, n.TakeOutput().HardState, "the vote waits until nothing is in flight")
-	n.Step(now, 0, vote)
+	n.Persisted(2, 1)
 	require.Equal(t, HardState{Term: 2, Vote: idC}, *n.TakeOutput().HardState)
+	require.Empty(t, only(n.messages, MsgVoteReply, idC))
 	n.Persisted(2, 1)
-	require.Len(t, n.TakeOutput().Messages, 1)
+	require.Len(t, only(n.TakeOutput().Messages, MsgVoteReply, idC), 1)
+}
+
+// TestYield guards against two pre-candidates that split the votes, and
+// against both of them giving up.
+func TestYield(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		from   NodeID
+		index  uint64
+		yields bool
+	}{
+		{"to the later host", idB, 1, true},
+		{"not to the earlier host", NodeID{Host: "0", Incarnation: "1"}, 1, false},
+		{"to the longer log", NodeID{Host: "0", Incarnation: "1"}, 2, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			n := newVoter(t)
+			now := startAt.Add(800 * ms)
+			n.Tick(now, 0)
+			settle(n)
+			n.Step(now, 0, testMessage{Kind: MsgPreVote, From: test.from, To: idA, Term: 2, Index: test.index, LogTerm: 1})
+			require.False(t, settle(n)[0].Reject, "the other may always win")
+			require.Equal(t, test.yields, n.Status().Role == Follower)
+			n.Tick(now.Add(400*ms), 0)
+			require.Equal(t, PreCandidate, n.Status().Role, "it tries again soon")
+		})
+	}
 }
 
 // TestCampaign guards against elections without a pre-vote majority and
--- /dev/null
+++ b/core/consensus/failover_test.go
@@ -0,0 +1,41 @@
+package consensus
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// TestFailover guards against elections that take so long that, with the
+// fence of 1.2 s after them, a lost leader stops the system for 3 s.
+func TestFailover(t *testing.T) {
+	const limit = 1800 * ms
+	var worst model.Duration
+	for seed := range uint64(300) {
+		s := newSimulation(t, seed)
+		s.heal()
+		leader := s.awaitLease()
+		require.NotNil(t, leader)
+		lost := s.now
+		s.crash(leader)
+		leader.upAt = s.now.Add(model.Hour)
+		require.NotNil(t, s.awaitLease(), "seed %d", seed)
+		took := s.now.Sub(lost)
+		require.LessOrEqual(t, took, limit, "seed %d", seed)
+		worst = max(worst, took)
+	}
+	t.Logf("worst time from the loss of a leader to the next lease: %.2f s", worst.Seconds())
+}
+
+// awaitLease runs until some node holds the leader lease, or for 10 s.
+func (s *simulation) awaitLease() *simHost {
+	for range 1000 {
+		s.step()
+		if h := s.leaseHolder(); h != nil {
+			return h
+		}
+	}
+	return nil
+}
--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -41,6 +41,7 @@
 	joining joining
 
 	disk     durability
+	deferred *Message[C, S] // latest message that waits for the writes in flight
 	held     []heldMessage[C, S]
 	messages []Message[C, S]
 	install  *Snapshot[S] // to be handed out
--- a/core/consensus/replication.go
+++ b/core/consensus/replication.go
@@ -171,7 +171,8 @@
 	if len(fresh) > 0 {
 		first := fresh[0].Index
 		if first <= n.disk.takenIndex && n.disk.inFlight() {
-			return // the entries would replace entries being written
+			n.deferred = &m // the entries would replace entries being written
+			return
 		}
 		if first <= n.log.lastIndex() {
 			n.truncateLog(first)
--- a/core/consensus/replication_test.go
+++ b/core/consensus/replication_test.go
@@ -71,10 +71,10 @@
 	n.TakeOutput()
 	replace := testMessage{Kind: MsgAppend, From: idC, To: idA, Term: 4, Index: 4, LogTerm: 2, Entries: []Entry[string]{command(5, 4)}}
 	n.Step(startAt, 0, replace)
-	n.TakeOutput()
+	require.Empty(t, n.TakeOutput().Entries)
 	n.Persisted(3, 5)
+	require.Empty(t, n.TakeOutput().Entries, "the hard state of term 4 is being written")
 	n.Persisted(4, 5)
-	n.Step(startAt, 0, replace)
 	require.Len(t, n.TakeOutput().Entries, 1)
 	require.Equal(t, uint64(4), n.Status().Persisted)
 	n.Persisted(4, 5)
--- a/core/consensus/snapshot.go
+++ b/core/consensus/snapshot.go
@@ -15,7 +15,8 @@
 	case n.log.matches(snap.Index, snap.Term):
 		n.commitTo(snap.Index)
 	case n.disk.inFlight():
-		return true // the snapshot would replace entries being written
+		n.deferred = &m // the snapshot would replace entries being written
+		return true
 	default:
 		n.installSnapshot(snap)
 	}
