--- a/core/consensus/election_test.go
+++ b/core/consensus/election_test.go
@@ -138,6 +138,22 @@
 	require.Equal(t, Leader, n.Status().Role)
 }
 
+// TestVoteRequestWaitsForLog guards against a candidate that restarts with a
+// shorter log than the one it was given votes for.
+func TestVoteRequestWaitsForLog(t *testing.T) {
+	n := newVoter(t)
+	n.Step(startAt, 0, appendFrom(2, 1, 1, command(2, 2)))
+	settle(n)
+	n.Step(startAt, 0, appendFrom(2, 2, 2, command(3, 2)))
+	n.TakeOutput()
+	n.Step(startAt, 0, testMessage{Kind: MsgTimeoutNow, From: idB, To: idA, Term: 2})
+	n.TakeOutput()
+	n.Persisted(3, 2)
+	require.Empty(t, n.TakeOutput().Messages, "entry 3 is not on disk")
+	n.Persisted(3, 3)
+	require.Equal(t, []MessageKind{MsgVote, MsgVote}, kinds(n.TakeOutput().Messages))
+}
+
 // TestLosesCampaign guards against a candidate that ignores an elected leader
 // or a later term.
 func TestLosesCampaign(t *testing.T) {
--- a/core/consensus/membership_test.go
+++ b/core/consensus/membership_test.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -158,6 +159,34 @@
 	require.Len(t, settle(n), 1)
 }
 
+// TestUnconfirmedVoterJoins guards against a node whose addition was lost with
+// its leader: its own log says that it votes, and no leader knows it.
+func TestUnconfirmedVoterJoins(t *testing.T) {
+	for _, committed := range []uint64{1, 2} {
+		n := startNode(t, testConfig(idD), Stored[string, string]{})
+		first := Entry[string]{Index: 1, Term: 1, Kind: EntryVoters, Voters: []NodeID{idA, idB, idC}}
+		added := Entry[string]{Index: 2, Term: 2, Kind: EntryVoters, Voters: []NodeID{idA, idB, idC, idD}}
+		m := appendFrom(2, 0, 0, first, added)
+		m.To = idD
+		m.Commit = committed
+		n.Step(startAt, 0, m)
+		settle(n)
+		n.Tick(startAt.Add(800*ms), 0)
+		require.Equal(t, PreCandidate, n.Status().Role)
+		require.Equal(t, committed == 1, slices.Contains(kinds(settle(n)), MsgJoin))
+	}
+}
+
+// TestNonVoterVotes guards against an election that needs the vote of a node
+// that has not yet received the entry that adds it.
+func TestNonVoterVotes(t *testing.T) {
+	n := startNode(t, testConfig(idD), Stored[string, string]{})
+	n.Step(startAt.Add(800*ms), 0, testMessage{Kind: MsgVote, From: idB, To: idD, Term: 2, Index: 1, LogTerm: 1})
+	replies := settle(n)
+	require.Len(t, replies, 1)
+	require.False(t, replies[0].Reject)
+}
+
 // TestLearnerForgotten guards against replicating to nodes that are gone.
 func TestLearnerForgotten(t *testing.T) {
 	n, now := newLeader(t)
--- a/core/consensus/replication_test.go
+++ b/core/consensus/replication_test.go
@@ -177,6 +177,24 @@
 	require.Equal(t, stateReplicate, n.peer(idB).state)
 }
 
+// TestSnapshotWhileWriting guards against taking the report of an entry for
+// that of the snapshot that replaces it.
+func TestSnapshotWhileWriting(t *testing.T) {
+	n := follower(t)
+	n.Step(startAt, 0, appendFrom(3, 4, 2, command(5, 3)))
+	n.TakeOutput()
+	snap := &Snapshot[string]{Index: 5, Term: 2, Voters: []NodeID{idA, idB, idC}}
+	n.Step(startAt, 0, testMessage{Kind: MsgSnapshot, From: idC, To: idA, Term: 4, Snapshot: snap})
+	require.Nil(t, n.TakeOutput().Snapshot)
+	n.Persisted(3, 5)
+	require.Nil(t, n.TakeOutput().Snapshot)
+	n.Persisted(4, 5)
+	require.NotNil(t, n.TakeOutput().Snapshot)
+	require.Equal(t, uint64(0), n.Status().Persisted)
+	n.Persisted(4, 5)
+	require.Equal(t, []MessageKind{MsgSnapshotReply}, kinds(n.TakeOutput().Messages))
+}
+
 // TestOldLeader guards against a leader that never learns of a later term.
 func TestOldLeader(t *testing.T) {
 	n := follower(t)
