consensus: tell followers of a commit at the next tick

Ruled out: a message at once, which doubles the messages of each append. Change: a tick sends an empty append to peers that were not told. Result: TestCommitIsToldAtNextTick fails without the call and passes with it; go test ./core/consensus passes (600 schedules).

--- a/core/consensus/leader.go
+++ b/core/consensus/leader.go
@@ -47,6 +47,7 @@
 	if n.now.Sub(n.leading.heartbeatAt) >= n.cfg.HeartbeatInterval {
 		n.sendHeartbeats()
 	}
+	n.sendCommits()
 }
 
 // heardQuorum implements check-quorum.
--- a/core/consensus/progress.go
+++ b/core/consensus/progress.go
@@ -26,6 +26,10 @@
 	lastHeard model.Time // last reply, or the start of the replication
 	lastAck   model.Time // latest leader time that the peer echoed
 	durable   bool
+
+	// commitSent is the highest commit index that was sent to the peer. A
+	// message that was lost is made up for by the next heartbeat.
+	commitSent uint64
 }
 
 func (p *progress) probe(next uint64) {
--- a/core/consensus/replication.go
+++ b/core/consensus/replication.go
@@ -15,27 +15,44 @@
 	snapshotResend = 2 * model.Second
 )
 
-// sendHeartbeats sends an empty append to every peer. It refers to the index
-// known to match, so that it is accepted whatever else is under way.
+// sendHeartbeats sends an empty append to every peer.
 func (n *Node[C, S]) sendHeartbeats() {
 	n.leading.heartbeatAt = n.now
 	for _, p := range n.leading.peers {
-		index := p.match
-		term, ok := n.log.term(index)
-		if !ok {
-			index, term = 0, 0
+		n.sendHeartbeat(p)
+	}
+}
+
+// sendCommits tells the peers that have not heard of it how far the log is
+// committed. Otherwise they would learn it from the next heartbeat, and a host
+// applies a change of configuration only then.
+func (n *Node[C, S]) sendCommits() {
+	for _, p := range n.leading.peers {
+		if p.commitSent < min(n.log.commit, p.match) {
+			n.sendHeartbeat(p)
 		}
-		n.send(Message[C, S]{
-			Kind:    MsgAppend,
-			To:      p.id,
-			Index:   index,
-			LogTerm: term,
-			Commit:  min(n.log.commit, index),
-			Sent:    n.now,
-		})
 	}
 }
 
+// sendHeartbeat sends an empty append. It refers to the index known to match,
+// so that it is accepted whatever else is under way.
+func (n *Node[C, S]) sendHeartbeat(p *progress) {
+	index := p.match
+	term, ok := n.log.term(index)
+	if !ok {
+		index, term = 0, 0
+	}
+	p.commitSent = max(p.commitSent, min(n.log.commit, index))
+	n.send(Message[C, S]{
+		Kind:    MsgAppend,
+		To:      p.id,
+		Index:   index,
+		LogTerm: term,
+		Commit:  min(n.log.commit, index),
+		Sent:    n.now,
+	})
+}
+
 // sendAppends sends what each peer lacks, within the limits of flow control.
 func (n *Node[C, S]) sendAppends() {
 	if n.role != Leader {
@@ -71,6 +88,7 @@
 		Entries: n.log.slice(p.next, last),
 		Sent:    n.now,
 	})
+	p.commitSent = max(p.commitSent, min(n.log.commit, last))
 	p.sent(last, n.now)
 }
 
--- a/core/consensus/replication_test.go
+++ b/core/consensus/replication_test.go
@@ -209,3 +209,21 @@
 	require.Equal(t, Follower, l.Status().Role)
 	require.Equal(t, uint64(3), l.Status().Term)
 }
+
+// Guards against a change that followers apply only at the next heartbeat, and
+// against a message on every tick when there is nothing to tell.
+func TestCommitIsToldAtNextTick(t *testing.T) {
+	n, now := newLeader(t)
+	_, ok := n.Propose("x")
+	require.True(t, ok)
+	settle(n)
+	n.Step(now, 0, appended(idC, 3, now))
+	settle(n)
+	require.Equal(t, uint64(3), n.Status().Commit)
+	n.Tick(now.Add(10*ms), 0)
+	told := only(settle(n), MsgAppend, idC)
+	require.Len(t, told, 1)
+	require.Equal(t, uint64(3), told[0].Commit)
+	n.Tick(now.Add(20*ms), 0)
+	require.Empty(t, only(settle(n), MsgAppend, idC))
+}
