gateway: bound the memory of held bodies, test the end of the process

1024 held bodies of 1 MiB would exceed an entry host's memory, so their bytes are bounded too (128 MiB).

go test -tags testify_yaml_fail -race -count=5 ./gateway/... ./platform ./operator ./standin: pass.

--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -200,6 +201,17 @@
 		response, _ = b.post(t, "public", "", http.Header{})
 		assert.Equal(t, 200, response.StatusCode)
 	})
+	t.Run("held bytes", func(t *testing.T) {
+		b := newBench(t, Config{MaxBody: 10, MaxHeldBytes: 15}, answerAll)
+		release, ok := b.server.reserve(-1)
+		require.True(t, ok)
+		response, body := b.post(t, "public", "123456", http.Header{})
+		requireRefusal(t, response, body, problem.Overloaded)
+		release()
+		response, _ = b.post(t, "public", "1234567890", http.Header{})
+		assert.Equal(t, 200, response.StatusCode, "a body at the limit is accepted")
+		require.Eventually(t, func() bool { return b.server.heldBytes.Load() == 0 }, waitFor, time.Millisecond)
+	})
 	t.Run("control queue", func(t *testing.T) {
 		busy, release := make(chan struct{}, 1), make(chan struct{})
 		b := newBench(t, Config{}, func(*Server, event.Event) {
--- a/gateway/held.go
+++ b/gateway/held.go
@@ -60,12 +60,12 @@
 // serveRequest holds one request of a caller until its answer is known.
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
 	id := s.nextID()
-	if s.held.Add(1) > s.cfg.MaxHeld {
-		s.held.Add(-1)
+	release, ok := s.reserve(r.ContentLength)
+	defer release()
+	if !ok {
 		s.refuse(w, problem.New(problem.Overloaded, ""), id)
 		return
 	}
-	defer s.held.Add(-1)
 	h, request, p := s.accept(w, r, id)
 	if p != nil {
 		s.refuse(w, p, id)
@@ -80,6 +80,21 @@
 	s.await(w, r, h)
 }
 
+// reserve takes the place and the memory of one request. A body without a
+// declared length is counted with the largest that is accepted.
+func (s *Server) reserve(length int64) (release func(), ok bool) {
+	if length < 0 || length > s.cfg.MaxBody {
+		length = s.cfg.MaxBody
+	}
+	requests := s.held.Add(1)
+	bytes := s.heldBytes.Add(length)
+	release = func() {
+		s.held.Add(-1)
+		s.heldBytes.Add(-length)
+	}
+	return release, requests <= s.cfg.MaxHeld && bytes <= s.cfg.MaxHeldBytes
+}
+
 // accept makes the admission checks. The view is read again after the body,
 // because a key can be withdrawn while a slow caller sends it.
 func (s *Server) accept(w http.ResponseWriter, r *http.Request, id model.RequestID) (*held, event.Request, *problem.Problem) {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -45,6 +45,9 @@
 	DefaultMaxBody   = 1 << 20 // bytes of a request body
 	DefaultMaxAnswer = 8 << 20 // bytes of a target's answer
 	DefaultMaxHeld   = 1024    // requests held at one time
+	// DefaultMaxHeldBytes bounds the bodies of held requests. 1024 bodies of
+	// 1 MiB would be more memory than an entry host has to spare.
+	DefaultMaxHeldBytes = 128 << 20
 	// DefaultIdlePerTarget keeps the idle connections of 9 gateways and the 8
 	// slots of a target within its 64 connections: 9 * 6 + 8 = 62.
 	DefaultIdlePerTarget = 6
@@ -59,6 +62,7 @@
 	MaxBody       int64             // bytes
 	MaxAnswer     int64             // bytes
 	MaxHeld       int64             // requests
+	MaxHeldBytes  int64             // bytes of the bodies of held requests
 	IdlePerTarget int               // connections
 }
 
@@ -72,6 +76,9 @@
 	if c.MaxHeld == 0 {
 		c.MaxHeld = DefaultMaxHeld
 	}
+	if c.MaxHeldBytes == 0 {
+		c.MaxHeldBytes = DefaultMaxHeldBytes
+	}
 	if c.IdlePerTarget == 0 {
 		c.IdlePerTarget = DefaultIdlePerTarget
 	}
@@ -85,10 +92,11 @@
 	log       zerolog.Logger
 	transport *http.Transport
 
-	requests sync.Map // model.RequestID to *held
-	held     atomic.Int64
-	counter  atomic.Uint64
-	attempts sync.WaitGroup
+	requests  sync.Map // model.RequestID to *held
+	held      atomic.Int64
+	heldBytes atomic.Int64
+	counter   atomic.Uint64
+	attempts  sync.WaitGroup
 
 	commands pending.Table[model.CommandID, fleet.Result]
 	statuses pending.Table[uint64, effect.AnswerStatus]
--- /dev/null
+++ b/gateway/stop_test.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"primrosedale.example/primrosedale/core/event"
+	"primrosedale.example/primrosedale/core/problem"
+)
+
+// Guards against a false "not run" at the end of the process: a held request
+// is refused as not run only if no attempt was made for it.
+func TestCloseAnswersTruthfully(t *testing.T) {
+	cases := []struct {
+		queue string
+		kind  problem.Kind
+	}{
+		{"proofs", problem.Stopping},
+		{"public", problem.OutcomeUnknown},
+	}
+	for _, c := range cases {
+		t.Run(c.queue, func(t *testing.T) {
+			ready := make(chan struct{}, 1)
+			address := rawTarget(t, func(_ *net.TCPConn, reader *bufio.Reader) {
+				readRequest(reader)
+				ready <- struct{}{}
+				io.Copy(io.Discard, reader)
+			})
+			var b *bench
+			b = newBench(t, Config{}, func(s *Server, e event.Event) {
+				arrived, ok := e.(event.RequestArrived)
+				if ok && arrived.Request.Queue == "proofs" {
+					ready <- struct{}{} // an owner that does not dispatch it
+					return
+				}
+				forwardTo(b.control.Now, address)(s, e)
+			})
+			closed := make(chan struct{})
+			go func() {
+				defer close(closed)
+				<-ready
+				b.server.Close()
+			}()
+			response, body := b.post(t, c.queue, "x", withKey(pressKey))
+			requireRefusal(t, response, body, c.kind)
+			<-closed
+		})
+	}
+}
+
+// Guards against bytes that reach a target long after they were sent.
+func TestUserTimeoutIsSet(t *testing.T) {
+	address := rawTarget(t, func(_ *net.TCPConn, reader *bufio.Reader) { io.Copy(io.Discard, reader) })
+	conn, err := newTransport(1).DialContext(context.Background(), "tcp", address)
+	require.NoError(t, err)
+	defer conn.Close()
+	var value int
+	raw, err := conn.(*guardedConn).Conn.(syscall.Conn).SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		value, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+	}))
+	require.NoError(t, err)
+	assert.Equal(t, userTimeout, time.Duration(value)*time.Millisecond)
+	_, err = conn.Write([]byte("x"))
+	assert.ErrorIs(t, err, errNoAttempt, "a connection writes for an attempt only")
+}
+
+// Guards against idle connections of nine gateways that fill a target.
+func TestIdleConnectionsFitTarget(t *testing.T) {
+	const gateways, slots, connections = 9, 8, 64
+	transport := newTransport(Config{}.withDefaults().IdlePerTarget)
+	assert.LessOrEqual(t, gateways*transport.MaxIdleConnsPerHost+slots, connections)
+}
