standin: let a leaving target finish its answers

Leave stopped the server when no work ran, which could cut an answer that was being written: TestTargetRefusesAndLeaves hung in one of 20 runs under load. Leave now shuts the server down gracefully before it stops.

--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"primrosedale.example/primrosedale/core/event"
+	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/problem"
 )
 
@@ -75,6 +76,21 @@
 	assert.ErrorIs(t, err, errNoAttempt, "a connection writes for an attempt only")
 }
 
+// Guards against a first byte on a kept connection that the target has closed.
+func TestNoByteOnClosedConnection(t *testing.T) {
+	address := rawTarget(t, func(*net.TCPConn, *bufio.Reader) {}) // closes at once
+	conn, err := newTransport(1).DialContext(context.Background(), "tcp", address)
+	require.NoError(t, err)
+	defer conn.Close()
+	guarded := conn.(*guardedConn)
+	require.Eventually(t, guarded.peerClosed, waitFor, time.Millisecond)
+	g := &guard{allowed: func() bool { return true }, now: func() model.Time { return 1 }}
+	guarded.guard.Store(g)
+	_, err = conn.Write([]byte("x"))
+	assert.ErrorIs(t, err, errPeerClosed)
+	assert.True(t, g.seal(), "the attempt is known not to have started")
+}
+
 // Guards against idle connections of nine gateways that fill a target.
 func TestIdleConnectionsFitTarget(t *testing.T) {
 	const gateways, slots, connections = 9, 8, 64
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -119,6 +119,7 @@
 	refused("r0", "999999", target.Incarnation(), RefusedTicket)
 	first := make(chan string)
 	go func() {
+		defer close(first) // a failed request fails the test instead of hanging it
 		_, body := runOn(t, target, "r1", "1", target.Incarnation())
 		first <- body
 	}()
--- a/standin/target.go
+++ b/standin/target.go
@@ -172,6 +172,10 @@
 	if err := t.announceUntilAnswered(ctx); err != nil {
 		return err
 	}
+	// Work that has ended may still be writing its answer.
+	if err := t.server.Shutdown(ctx); err != nil {
+		return errors.Annotate(err, "wait for answers")
+	}
 	t.Stop()
 	return nil
 }
