--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -12,8 +12,8 @@
 
 	"github.com/google/uuid"
 	"github.com/juju/errors"
-	"github.com/rs/zerolog"
 	"gopkg.in/tomb.v2"
+	"primrosedale.example/primrosedale/logevent"
 
 	"primrosedale.example/primrosedale/control"
 	"primrosedale.example/primrosedale/core"
@@ -102,9 +102,9 @@
 	d.gateway = gateway.New(gateway.Config{
 		Host: s.Host, Incarnation: inc, MaxBody: s.Limits.BodyBytes,
 		MaxAnswer: s.Limits.AnswerBytes, MaxHeld: int64(s.Limits.HeldRequests),
-	}, d.loop, zerolog.Nop())
-	d.platform = platform.New(d.loop, zerolog.Nop())
-	d.operator = operator.New(operator.Config{}, d.loop, zerolog.Nop())
+	}, d.loop, d.log)
+	d.platform = platform.New(d.loop, d.log)
+	d.operator = operator.New(operator.Config{}, d.loop, d.log)
 	if d.store != nil {
 		d.writer = newLogWriter(d.store, d.loop, d.log)
 	}
@@ -125,14 +125,11 @@
 	if !cfg.Durable {
 		return core.Stored{}, nil
 	}
-	store, loaded, err := storage.Open(d.settings.DataFolder, d.settings.Cluster, cfg.Host, newIncarnation, zerolog.Nop())
+	store, loaded, err := storage.Open(d.settings.DataFolder, d.settings.Cluster, cfg.Host, newIncarnation, d.log)
 	if err != nil {
 		d.log.Emit(logevent.DataFolderRefused, logevent.Err(err))
 		return core.Stored{}, err
 	}
-	if loaded.Truncated > 0 {
-		d.log.Emit(logevent.LogTailTruncated, logevent.Int(logevent.NameBytes, loaded.Truncated))
-	}
 	d.store = store
 	cfg.Replica = loaded.Identity.Incarnation
 	return core.Stored{HardState: loaded.HardState, Snapshot: loaded.Snapshot, Entries: loaded.Entries}, nil
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -11,8 +11,8 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+	"primrosedale.example/primrosedale/logevent"
 
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/event"
@@ -130,7 +130,7 @@
 	t.Helper()
 	c := newFakeControl(64)
 	cfg.Host, cfg.Incarnation = "gw1", "life1"
-	b := &bench{control: c, server: New(cfg, c, zerolog.Nop())}
+	b := &bench{control: c, server: New(cfg, c, logevent.Logger{})}
 	stop, stopped := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(stopped)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -11,9 +11,9 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/rs/zerolog"
 	goji "goji.io"
 	"goji.io/pat"
+	"primrosedale.example/primrosedale/logevent"
 
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/event"
@@ -89,7 +89,7 @@
 type Server struct {
 	cfg       Config
 	control   Control
-	log       zerolog.Logger
+	log       logevent.Logger
 	transport *http.Transport
 
 	requests  sync.Map // model.RequestID to *held
@@ -107,7 +107,7 @@
 }
 
 // New returns a Server. Close releases its connections.
-func New(cfg Config, c Control, log zerolog.Logger) *Server {
+func New(cfg Config, c Control, log logevent.Logger) *Server {
 	cfg = cfg.withDefaults()
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Server{
@@ -194,8 +194,8 @@
 func (s *Server) postEnded(e event.ForwardEnded) {
 	countAttempt(e)
 	if !s.control.PostWait(s.ctx, e) {
-		s.log.Warn().Str("request", string(e.Request)).Int("attempt", e.Attempt).
-			Str("outcome", string(e.Outcome)).Msg("end of attempt not recorded: process is stopping")
+		s.log.Emit(logevent.OutcomeNotRecorded, logevent.Request(e.Request),
+			logevent.Int(logevent.NameAttempt, int64(e.Attempt)), logevent.Str(logevent.NameStatus, string(e.Outcome)))
 	}
 }
 
--- a/logevent/ids.go
+++ b/logevent/ids.go
@@ -31,6 +31,7 @@
 	SnapshotWritten   ID = 220
 	SnapshotInstalled ID = 221
 	LogTailTruncated  ID = 230
+	SnapshotDamaged   ID = 233
 	DataFolderRefused ID = 231
 	SyncFailed        ID = 232
 )
@@ -96,9 +97,10 @@
 
 // Requests.
 const (
-	QueueFull        ID = 800
-	RequestRefused   ID = 801
-	OutcomeUnknown   ID = 810
-	ClaimUnknown     ID = 811
-	RetryBudgetSpent ID = 820
+	QueueFull          ID = 800
+	RequestRefused     ID = 801
+	OutcomeUnknown     ID = 810
+	ClaimUnknown       ID = 811
+	OutcomeNotRecorded ID = 812
+	RetryBudgetSpent   ID = 820
 )
--- a/operator/server.go
+++ b/operator/server.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/rs/zerolog"
 	goji "goji.io"
 	"goji.io/pat"
+	"primrosedale.example/primrosedale/logevent"
 
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/event"
@@ -53,14 +53,14 @@
 type Server struct {
 	cfg      Config
 	control  Control
-	log      zerolog.Logger
+	log      logevent.Logger
 	commands pending.Table[model.CommandID, fleet.Result]
 	statuses pending.Table[uint64, effect.AnswerStatus]
 	queries  *pending.Sequence
 }
 
 // New returns a Server.
-func New(cfg Config, c Control, log zerolog.Logger) *Server {
+func New(cfg Config, c Control, log logevent.Logger) *Server {
 	return &Server{cfg: cfg, control: c, log: log, queries: pending.NewSequence(c.Rand())}
 }
 
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -7,9 +7,9 @@
 	"strings"
 	"testing"
 
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"primrosedale.example/primrosedale/logevent"
 
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/event"
@@ -55,7 +55,7 @@
 
 func newFake() *fakeControl {
 	c := &fakeControl{view: view.View{LeaseUntil: 11, Rules: &rules.Rules{Revision: 4}}, status: view.Status{Host: "gw1", Revision: 4, RulesHash: hash}}
-	c.server = New(Config{Token: reply.Digest([]byte(token))}, c, zerolog.Nop())
+	c.server = New(Config{Token: reply.Digest([]byte(token))}, c, logevent.Logger{})
 	return c
 }
 
--- a/storage/bench_test.go
+++ b/storage/bench_test.go
@@ -7,11 +7,11 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 	"primrosedale.example/primrosedale/core/consensus"
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/logevent"
 )
 
 const sampleDigest = "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"
@@ -42,7 +42,7 @@
 var testVoters = []consensus.NodeID{{Host: "host-1", Incarnation: "inc-1"}}
 
 func openReal(tb testing.TB, dir string) (*Store, Loaded) {
-	s, loaded, err := Open(dir, "cluster-1", "host-1", firstIncarnation, zerolog.Nop())
+	s, loaded, err := Open(dir, "cluster-1", "host-1", firstIncarnation, logevent.Logger{})
 	require.NoError(tb, err)
 	return s, loaded
 }
--- a/storage/damage_test.go
+++ b/storage/damage_test.go
@@ -7,10 +7,10 @@
 	"strings"
 	"testing"
 
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 	"primrosedale.example/primrosedale/core/consensus"
 	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/logevent"
 )
 
 // smallLimits make a few entries fill a segment.
@@ -19,7 +19,7 @@
 func openMem(m *memFolder, lim limits) (*Store, Loaded, error) {
 	o := opener{
 		fs: m, cluster: "cluster-1", host: "host-1",
-		newIncarnation: firstIncarnation, lg: zerolog.Nop(), limits: lim,
+		newIncarnation: firstIncarnation, lg: logevent.Logger{}, limits: lim,
 	}
 	return o.open()
 }
--- a/storage/open.go
+++ b/storage/open.go
@@ -2,14 +2,14 @@
 
 import (
 	"github.com/juju/errors"
-	"github.com/rs/zerolog"
 	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/logevent"
 )
 
 // Open opens the data folder of a replica and returns its content. An empty
 // folder gets a new incarnation and holds no voters. The cause of an error is
 // ErrLocked, ErrWrongIdentity, ErrDamaged, or the error of the file system.
-func Open(dir string, cluster string, host model.HostID, newIncarnation func() model.Incarnation, lg zerolog.Logger) (*Store, Loaded, error) {
+func Open(dir string, cluster string, host model.HostID, newIncarnation func() model.Incarnation, lg logevent.Logger) (*Store, Loaded, error) {
 	lock, err := lockFolder(dir)
 	if err != nil {
 		return nil, Loaded{}, err
@@ -30,7 +30,7 @@
 	cluster        string
 	host           model.HostID
 	newIncarnation func() model.Incarnation
-	lg             zerolog.Logger
+	lg             logevent.Logger
 	limits         limits
 }
 
@@ -120,8 +120,7 @@
 		return err
 	}
 	if chosen.damaged != "" {
-		o.lg.Warn().Err(chosen.damage).Str("file", chosen.damaged).
-			Msg("newest snapshot is damaged; the one before it and the log are used")
+		o.lg.Emit(logevent.SnapshotDamaged, logevent.Str(logevent.NameFile, chosen.damaged), logevent.Err(chosen.damage))
 		if err := d.rename(chosen.damaged, chosen.damaged+damagedSuffix); err != nil {
 			return errors.Annotatef(err, "renaming %s", chosen.damaged)
 		}
--- a/storage/store_test.go
+++ b/storage/store_test.go
@@ -5,10 +5,10 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 	"primrosedale.example/primrosedale/core/consensus"
 	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/logevent"
 )
 
 var testIdentity = Identity{Cluster: "cluster-1", Host: "host-1", Incarnation: "inc-1"}
@@ -35,7 +35,7 @@
 	calls := 0
 	incarnation := func() model.Incarnation { calls++; return "inc-new" }
 	for range 2 {
-		s, loaded, err := Open(dir, "cluster-1", "host-1", incarnation, zerolog.Nop())
+		s, loaded, err := Open(dir, "cluster-1", "host-1", incarnation, logevent.Logger{})
 		require.NoError(t, err)
 		require.Equal(t, model.Incarnation("inc-new"), loaded.Identity.Incarnation)
 		require.Nil(t, loaded.Snapshot)
@@ -70,13 +70,13 @@
 func TestFolderBelongsToOneProcessOfOneHost(t *testing.T) {
 	dir := t.TempDir()
 	s, _ := openReal(t, dir)
-	_, _, err := Open(dir, "cluster-1", "host-1", firstIncarnation, zerolog.Nop())
+	_, _, err := Open(dir, "cluster-1", "host-1", firstIncarnation, logevent.Logger{})
 	require.ErrorIs(t, err, ErrLocked)
 	require.ErrorIs(t, Init(dir, testIdentity, testVoters), ErrLocked)
 	require.NoError(t, s.Close())
-	_, _, err = Open(dir, "cluster-2", "host-1", firstIncarnation, zerolog.Nop())
+	_, _, err = Open(dir, "cluster-2", "host-1", firstIncarnation, logevent.Logger{})
 	require.ErrorIs(t, err, ErrWrongIdentity)
-	_, _, err = Open(dir, "cluster-1", "host-2", firstIncarnation, zerolog.Nop())
+	_, _, err = Open(dir, "cluster-1", "host-2", firstIncarnation, logevent.Logger{})
 	require.ErrorIs(t, err, ErrWrongIdentity)
 }
 
