--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,7 +13,6 @@
 	"github.com/google/uuid"
 	"github.com/juju/errors"
 	"gopkg.in/tomb.v2"
-	"primrosedale.example/primrosedale/logevent"
 
 	"primrosedale.example/primrosedale/control"
 	"primrosedale.example/primrosedale/core"
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -85,15 +85,15 @@
 	{LogTailTruncated, "log_tail_truncated", zerolog.WarnLevel,
 		"records that were not synced were cut from the end of the log",
 		"Nothing after a power loss or crash. Otherwise check the disk."},
-	{SnapshotDamaged, "snapshot_damaged", zerolog.WarnLevel,
-		"the newest snapshot is damaged; the older one and the log are used",
-		"Check the disk. Replace the host if it happens again."},
 	{DataFolderRefused, "data_folder_refused", zerolog.ErrorLevel,
 		"the data folder is damaged and the process does not start",
 		"Check the disk at the file and offset named. Replace the disk or empty the folder, so that the host joins as a new member."},
 	{SyncFailed, "sync_failed", zerolog.ErrorLevel,
 		"a write could not be synced and the process stops",
 		"Replace the disk or free space, empty the data folder and start the process, so that the host joins as a new member."},
+	{SnapshotDamaged, "snapshot_damaged", zerolog.WarnLevel,
+		"the newest snapshot is damaged; the older one and the log are used",
+		"Check the disk. Replace the host if it happens again."},
 }}
 
 var leasesAndHostsArea = area{"Leases and hosts", []Entry{
--- a/storage/open.go
+++ b/storage/open.go
@@ -135,8 +135,9 @@
 // makes a sync meaningful.
 func (o *opener) finishTail(d *disk, name string, log *loadedLog) error {
 	if log.truncated > 0 {
-		o.lg.Warn().Str("file", name).Int64("offset", log.end).Int64("bytes", log.truncated).
-			Str("found", log.bad).Msg("unfinished write at the end of the log is truncated")
+		o.lg.Emit(logevent.LogTailTruncated, logevent.Str(logevent.NameFile, name),
+			logevent.Int(logevent.NameOffset, log.end), logevent.Int(logevent.NameBytes, log.truncated),
+			logevent.Str(logevent.NameReason, log.bad))
 		if err := d.log.Truncate(log.end); err != nil {
 			return errors.Annotate(err, "truncating")
 		}
