core: add a property test of the reducer under faults

Several States run in virtual time against fake networks, disks, targets, callers and operators. One seed decides the whole schedule. The checks use the fakes' own books.

--- /dev/null
+++ b/core/property_test.go
@@ -0,0 +1,63 @@
+package core
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// Environment variables of the property test.
+const (
+	seedVariable  = "SIM_SEED"  // run this seed only, with its whole trace
+	seedsVariable = "SIM_SEEDS" // number of seeds to run
+	seedsDefault  = 200
+	traceKept     = 40 // lines of the trace shown for a failure
+)
+
+// Guards against a decision that breaks an invariant of the design when
+// messages, disks, hosts, targets, callers and operators misbehave together.
+func TestInvariantsUnderFaults(t *testing.T) {
+	if value := os.Getenv(seedVariable); value != "" {
+		seed, err := strconv.ParseUint(value, 10, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		simulate(t, seed, true)
+		return
+	}
+	seeds := seedsDefault
+	if value := os.Getenv(seedsVariable); value != "" {
+		seeds, _ = strconv.Atoi(value)
+	}
+	for seed := 1; seed <= seeds; seed++ {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			t.Parallel()
+			simulate(t, uint64(seed), false)
+		})
+	}
+}
+
+func simulate(t *testing.T, seed uint64, verbose bool) {
+	w := newWorld(t, seed)
+	w.verbose = verbose
+	w.build()
+	w.operators()
+	w.callers()
+	w.injectFaults()
+	w.every(50*ms, func() {
+		for _, h := range w.hosts {
+			w.checkServing(h)
+		}
+	})
+	w.run()
+	if w.failure == "" {
+		w.checkCalm()
+		w.checkQuiet()
+	}
+	if w.failure != "" {
+		last := w.trace[max(0, len(w.trace)-traceKept):]
+		t.Errorf("%s=%d at %.3f s: %s\n%s", seedVariable, seed, float64(w.now)/float64(second), w.failure, strings.Join(last, "\n"))
+	}
+}
--- /dev/null
+++ b/core/sim_host_test.go
@@ -0,0 +1,294 @@
+package core
+
+import (
+	"fmt"
+	"slices"
+
+	"primrosedale.example/primrosedale/core/consensus"
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/event"
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/view"
+)
+
+// host is one simulated machine of the system.
+type host struct {
+	w       *world
+	id      model.HostID
+	dc      model.DataCentreID
+	durable bool
+	offset  instant
+	ppm     int64 // rate of the clock, in parts per million off the true rate
+
+	up       bool
+	life     int
+	frozen   bool
+	backlog  []event.Event
+	state    *State
+	view     *view.View
+	revision uint64 // largest published in this life
+	reports  uint64
+	replies  map[uint64]func(message.ReportReply)
+	disk     disk
+}
+
+// disk keeps what was synced. Writes in flight are lost in a crash, except for
+// a prefix that may have reached the disk unreported.
+type disk struct {
+	stored  Stored
+	pending []effect.Persist
+	busy    bool
+}
+
+func (d *disk) write(p effect.Persist) {
+	if p.Snapshot != nil {
+		d.stored.Snapshot = p.Snapshot
+		if p.Install {
+			d.stored.Entries = nil
+		}
+	}
+	if p.HardState != nil {
+		d.stored.HardState = *p.HardState
+	}
+	if len(p.Entries) == 0 {
+		return
+	}
+	first := p.Entries[0].Index
+	keep := slices.IndexFunc(d.stored.Entries, func(e consensus.Entry[fleet.Command]) bool { return e.Index >= first })
+	if keep < 0 {
+		keep = len(d.stored.Entries)
+	}
+	d.stored.Entries = append(d.stored.Entries[:keep:keep], p.Entries...)
+}
+
+// local is the host's clock at true time t, and true its inverse.
+func (h *host) local(t instant) model.Time {
+	return model.Time(h.offset + t + t/1_000_000*h.ppm)
+}
+
+func (h *host) true(t model.Time) instant {
+	return (int64(t)-h.offset)/(1_000_000+h.ppm)*1_000_000 + 1
+}
+
+func (h *host) now() model.Time { return h.local(h.w.now) }
+
+func (h *host) start() {
+	w := h.w
+	h.life++
+	h.up, h.frozen, h.backlog = true, false, nil
+	h.view, h.revision = &view.View{}, 0
+	h.replies = make(map[uint64]func(message.ReportReply))
+	inc := model.Incarnation(fmt.Sprintf("%s-%d", h.id, h.life))
+	cfg := Config{Host: h.id, DataCentre: h.dc, Incarnation: inc, Replica: inc, Durable: h.durable, MaxVoters: 3}
+	if h.durable {
+		cfg.Replica = "disk"
+	} else {
+		h.disk = disk{}
+	}
+	for _, o := range w.hosts {
+		if o != h {
+			cfg.Peers = append(cfg.Peers, o.id)
+		}
+	}
+	stored := h.disk.stored
+	stored.Entries = slices.Clone(stored.Entries)
+	s, err := New(cfg, stored, h.now(), w.rng.Uint64())
+	if err != nil {
+		w.fail("host %s does not start: %v", h.id, err)
+		return
+	}
+	h.state = s
+	w.note("%s starts life %d", h.id, h.life)
+	h.tick(h.life)
+}
+
+func (h *host) tick(life int) {
+	if h.life != life || !h.up {
+		return
+	}
+	if !h.frozen {
+		h.handle(event.Tick{})
+	}
+	h.w.after(50*ms, func() { h.tick(life) })
+}
+
+// post hands an event to the host if the process that it is for still lives.
+func (h *host) post(life int, e event.Event) {
+	if h.life != life || !h.up {
+		return
+	}
+	if h.frozen {
+		h.backlog = append(h.backlog, e)
+		return
+	}
+	h.handle(e)
+}
+
+func (h *host) handle(e event.Event) {
+	w := h.w
+	effects := Reduce(h.state, event.Input{At: h.now(), Rand: w.rng.Uint64(), Event: e})
+	w.observe(h)
+	life := h.life
+	for _, f := range effects {
+		if h.life != life || !h.up {
+			return
+		}
+		h.execute(f)
+	}
+}
+
+func (h *host) execute(f effect.Effect) {
+	w, life := h.w, h.life
+	switch f := f.(type) {
+	case effect.Send:
+		to := w.host(f.To)
+		if !to.up {
+			return
+		}
+		toLife := to.life
+		w.transmit(h.id, f.To, func() { to.post(toLife, event.Received{From: h.id, Message: f.Message}) })
+	case effect.Persist:
+		h.disk.pending = append(h.disk.pending, f)
+		h.sync(life)
+	case effect.Forward:
+		h.forward(f)
+	case effect.AnswerRequest:
+		w.answered(h, f)
+	case effect.AnswerCommand:
+		w.commandAnswered(h, f)
+	case effect.AnswerReport:
+		if reply := h.replies[f.Reply.Report]; reply != nil {
+			delete(h.replies, f.Reply.Report)
+			reply(f.Reply)
+		}
+	case effect.Publish:
+		h.view = f.View
+		w.published(h)
+	case effect.Log:
+		w.note("%s log %s %s %s %s term=%d index=%d", h.id, f.Code, f.Target, f.Request, f.Detail, f.Term, f.Index)
+	case effect.Halt:
+		w.halted(h, f)
+	}
+}
+
+func (h *host) sync(life int) {
+	w := h.w
+	if h.disk.busy || len(h.disk.pending) == 0 {
+		return
+	}
+	h.disk.busy = true
+	lag := w.between(ms/2, 4*ms)
+	if w.faults() && w.chance(0.01) {
+		lag = w.between(4*ms, 500*ms)
+	}
+	w.after(lag, func() {
+		if h.life != life || !h.up {
+			return
+		}
+		h.disk.busy = false
+		n := 1 + w.rng.IntN(len(h.disk.pending))
+		var done event.Persisted
+		for _, p := range h.disk.pending[:n] {
+			h.disk.write(p)
+			if p.Term != 0 {
+				done = event.Persisted{Term: p.Term, Index: p.Index}
+			}
+		}
+		h.disk.pending = h.disk.pending[n:]
+		h.sync(life)
+		if done.Term != 0 {
+			h.post(life, done)
+		}
+	})
+}
+
+// crash ends the process. Its messages on the way may still arrive.
+func (h *host) crash() {
+	if !h.up {
+		return
+	}
+	h.w.note("%s crashes", h.id)
+	h.stopped()
+	if n := len(h.disk.pending); n > 0 {
+		for _, p := range h.disk.pending[:h.w.rng.IntN(n+1)] {
+			h.disk.write(p)
+		}
+	}
+	h.disk.pending, h.disk.busy = nil, false
+}
+
+func (h *host) stopped() {
+	h.up = false
+	h.frozen = false
+	h.backlog = nil
+	h.view = &view.View{}
+	for pair, l := range h.w.links {
+		if pair[0] == h.id || pair[1] == h.id {
+			delete(h.w.links, pair)
+			_ = l
+		}
+	}
+}
+
+func (h *host) restartAfter(d instant) {
+	life := h.life
+	h.w.after(d, func() {
+		if h.life == life && !h.up {
+			h.start()
+		}
+	})
+}
+
+func (h *host) freeze(d instant) {
+	life := h.life
+	if !h.up || h.frozen {
+		return
+	}
+	h.w.note("%s freezes for %d ms", h.id, d/ms)
+	h.frozen = true
+	h.w.after(d, func() { h.thaw(life) })
+}
+
+func (h *host) thaw(life int) {
+	if h.life != life || !h.frozen {
+		return
+	}
+	h.w.note("%s thaws", h.id)
+	h.frozen = false
+	for len(h.backlog) > 0 && h.up && !h.frozen && h.life == life {
+		e := h.backlog[0]
+		h.backlog = h.backlog[1:]
+		h.handle(e)
+	}
+}
+
+func (h *host) serving() bool { return h.up && !h.frozen && h.view.Serving(h.now()) }
+
+// forward is the traffic side of one attempt.
+func (h *host) forward(f effect.Forward) {
+	w, life := h.w, h.life
+	lag := w.between(0, ms)
+	if w.faults() && w.chance(0.02) {
+		lag = w.between(ms, 1500*ms)
+	}
+	w.after(lag, func() { h.send(life, f) })
+}
+
+func (h *host) send(life int, f effect.Forward) {
+	w := h.w
+	if h.life != life || !h.up {
+		return
+	}
+	if h.frozen {
+		w.after(20*ms, func() { h.send(life, f) })
+		return
+	}
+	now := h.now()
+	if now > f.StartBy || now >= f.Deadline || !h.view.Serving(now) {
+		h.post(life, event.ForwardEnded{Request: f.Request, Attempt: f.Attempt, Outcome: message.OutcomeNotStarted})
+		return
+	}
+	w.firstByte(h, f)
+}
