lease: give each change of rules its own grace; lead: apply first

Cause: ApplyGrace ran from the latest change only, so changes closer than 1 s let a host serve with old rules without end; and a new leader gave every host one more grace, so that a restarted host served with no rules at all. A leader also began with the state that its own disk had reached, while the other voters had committed more. Ruled out: a fault of the log (the hosts apply the same entries later). Change: each change has its own grace; a new leader requires its last change at once and begins when it has applied what was committed.

--- a/core/leader.go
+++ b/core/leader.go
@@ -13,7 +13,8 @@
 )
 
 // lead begins or ends the leader's part. It begins only when this process
-// holds the leader lease of its term, so that the replicated state is current.
+// holds the leader lease of its term and has applied all that was committed
+// then: the other voters can commit entries that this one is still writing.
 func (s *State) lead() {
 	status := s.log.Status()
 	leads := status.Role == consensus.Leader
@@ -24,12 +25,17 @@
 	if s.leading != nil || !leads || !s.log.HoldsLeaderLease(s.now) {
 		return
 	}
+	if s.leadTerm != status.Term {
+		s.leadTerm, s.leadFrom = status.Term, status.Commit
+	}
+	if s.fleet.Index < s.leadFrom {
+		return
+	}
 	s.leading = &leadership{
 		term:    status.Term,
-		granter: lease.NewGranter(s.now, status.Term),
+		granter: lease.NewGranter(s.now, status.Term, s.fleet.ControlIndex),
 		members: memberHosts(s.fleet),
 	}
-	s.leading.granter.ControlChanged(s.now, s.fleet.ControlIndex)
 	s.leading.owner = dispatch.New(s.env(), status.Term)
 	s.emit(effect.Log{Code: effect.LeaderElected, Term: status.Term})
 }
--- a/core/lease/granter.go
+++ b/core/lease/granter.go
@@ -23,15 +23,30 @@
 	began    model.Time
 	sessions map[model.HostID]*Session
 
+	// required is the last change of rules or keys that a host must have
+	// applied to get a lease; recent are the later ones, within ApplyGrace.
+	required uint64
+	recent   []change
+
 	// The last change of rules or keys, and whether it is in force.
 	controlIndex uint64
-	controlAt    model.Time
 	inForce      bool
 }
 
-// NewGranter returns the Granter of a term that began at time now.
-func NewGranter(now model.Time, term uint64) *Granter {
-	return &Granter{term: term, began: now, sessions: make(map[model.HostID]*Session)}
+// change is a change of rules or keys and the time at which it was applied.
+type change struct {
+	index uint64
+	at    model.Time
+}
+
+// NewGranter returns the Granter of a term that began at time now. control is
+// the index of the last change of rules or keys at that time. Its age is not
+// known, so a host gets no lease before it has applied it.
+func NewGranter(now model.Time, term uint64, control uint64) *Granter {
+	return &Granter{
+		term: term, began: now, sessions: make(map[model.HostID]*Session),
+		required: control, controlIndex: control,
+	}
 }
 
 // ControlChanged records that a change of rules or keys was applied.
@@ -40,7 +55,7 @@
 		return
 	}
 	g.controlIndex = index
-	g.controlAt = now
+	g.recent = append(g.recent, change{index, now})
 	g.inForce = false
 }
 
@@ -71,8 +86,15 @@
 	return &message.Grant{Term: g.term, Seq: r.Seq, Duration: Duration}
 }
 
+// lags reports whether the host lacks a change whose grace has ended. Each
+// change has its own grace: with one grace for the latest change only, a host
+// would keep its lease for as long as changes go on.
 func (g *Granter) lags(now model.Time, s *Session) bool {
-	return s.Applied < g.controlIndex && now >= g.controlAt.Add(ApplyGrace)
+	for len(g.recent) > 0 && now >= g.recent[0].at.Add(ApplyGrace) {
+		g.required = g.recent[0].index
+		g.recent = g.recent[1:]
+	}
+	return s.Applied < g.required
 }
 
 // Session returns the session of a host, or nil.
--- a/core/state.go
+++ b/core/state.go
@@ -59,6 +59,9 @@
 	table   *gateway.Table
 	leading *leadership // nil unless this process leads
 
+	leadTerm uint64 // the last term in which this process held the leader lease
+	leadFrom uint64 // index to apply before it acts as the leader of leadTerm
+
 	pending  map[model.CommandID]*pendingCommand
 	stopping bool
 	stopAt   model.Time
