core: date commands by the replicated clock, not by the leader's own

Cause: fleet keeps claims for 10 minutes by Command.At, which was the wall clock of whoever led. A new leader whose clock is ahead made all claims expire, and a resend ran again. Ruled out: a lost Complete (the record was committed and then retired). Change: the leader continues fleet.State.Now by the time that it has led.

--- a/core/leader.go
+++ b/core/leader.go
@@ -35,6 +35,11 @@
 		term:    status.Term,
 		granter: lease.NewGranter(s.now, status.Term, s.fleet.ControlIndex),
 		members: memberHosts(s.fleet),
+		began:   s.now,
+		clock:   s.fleet.Now,
+	}
+	if s.leading.clock == 0 {
+		s.leading.clock = s.now
 	}
 	s.leading.owner = dispatch.New(s.env(), status.Term)
 	s.emit(effect.Log{Code: effect.LeaderElected, Term: status.Term})
@@ -58,9 +63,22 @@
 	var out dispatch.Out
 	handle(s.env(), &out)
 	s.emit(out.Effects...)
-	if len(out.Proposals) > 0 {
-		s.log.Propose(out.Proposals...)
+	s.propose(out.Proposals...)
+}
+
+// propose dates the commands and appends them to the log. The date continues
+// the replicated clock, fleet.State.Now, by the time that this process has led:
+// the clocks of two hosts may differ by any amount, and retention of claims
+// must not depend on whose clock is ahead. Time without a leader is not counted.
+func (s *State) propose(commands ...fleet.Command) {
+	if len(commands) == 0 {
+		return
+	}
+	at := s.leading.clock.Add(s.now.Sub(s.leading.began))
+	for i := range commands {
+		commands[i].At = at
 	}
+	s.log.Propose(commands...)
 }
 
 // receiveAsLeader handles messages that only a leader acts on. Others drop
@@ -74,9 +92,7 @@
 	case m.Renew != nil:
 		s.renewed(from, m.Renew)
 	case m.Command != nil:
-		c := m.Command.Command
-		c.At = s.now
-		s.log.Propose(c)
+		s.propose(m.Command.Command)
 	case m.Ask != nil:
 		s.asOwner(func(env dispatch.Env, out *dispatch.Out) { owner.Ask(env, out, from, m.Ask) })
 	case m.Done != nil:
@@ -98,7 +114,7 @@
 		return
 	}
 	if _, member := s.fleet.Members[from]; !member {
-		s.log.Propose(fleet.Command{At: s.now, AddMember: &fleet.AddMember{Host: from, DataCentre: r.DataCentre}})
+		s.propose(fleet.Command{AddMember: &fleet.AddMember{Host: from, DataCentre: r.DataCentre}})
 		return
 	}
 	earlier := s.leading.granter.Session(from)
--- a/core/state.go
+++ b/core/state.go
@@ -88,7 +88,9 @@
 	granter *lease.Granter
 	owner   *dispatch.Owner
 	members []model.HostID // sorted
-	inForce uint64         // the last change of rules or keys reported as in force
+	began   model.Time
+	clock   model.Time // fleet.State.Now when the term began
+	inForce uint64     // the last change of rules or keys reported as in force
 }
 
 // New returns the state of a process that starts with what is stored.
