core: make the end of each request known to its owner

Causes, by reading and by the property test: Withdraw was sent once, and ignored for a dispatched request; a Dispatch refused by the gateway was reported once; a second attempt of the same number overwrote the count of the first; a final Done of an earlier attempt was not settled; the time to start counted from the arrival of the Dispatch; a changed registration of a target cleared its unknown slots and its report history; a late report of an earlier life of a target ended the runs of the present one; a Dispatch meant for an earlier life of a gateway released its claim; proposals during a hand-over were dropped; a refusal of the owner released a claim that a late Ask had brought back; waiting requests outlived their key; the retry budget was never earned. Ruled out: a fault of the target's books (each start is listed in its reports). Change: Withdraw is repeated until Settled and releases the claim; attempts that were not started count as ended; StartBy counts from a Renew of the gateway; Dispatch names the gateway's life; a new life of a target proves that it is alive; replies and forwards carry the owner's term, so that a target refuses requests of an earlier owner; runs end by evidence also while their gateway lives; waiting requests of a withdrawn key are refused.

--- a/core/dispatch/advance.go
+++ b/core/dispatch/advance.go
@@ -15,6 +15,7 @@
 	timerRun                       // a released run passes its deadline
 	timerSilent                    // a target has not announced itself
 	timerPause                     // a target's pause ends
+	timerLost                      // a dispatched request was never reported ended
 	timerForget                    // a silent target can run nothing any more
 )
 
@@ -32,12 +33,13 @@
 // Advance does what is due at time env.Now.
 func (o *Owner) Advance(env Env, out *Out) {
 	o.passFence(env, out)
+	due := false
 	for _, host := range sortedKeys(o.byGateway) {
 		if !env.Granter.Serving(env.Now, host) {
 			o.loseGateway(env, host)
+			due = true
 		}
 	}
-	due := false
 	for {
 		id, t, _, ok := o.timers.Peek()
 		if !ok || t.at > env.Now {
@@ -68,12 +70,17 @@
 	switch id.kind {
 	case timerDeadline:
 		if r := o.requests[id.request]; r != nil {
-			o.refuse(env, out, r, o.impatience(r))
+			o.refuse(out, r, o.impatience(r))
 		}
 	case timerDelay:
 		if r := o.requests[id.request]; r != nil && r.state == stateDelayed {
 			o.enqueue(env, r)
 		}
+	case timerLost:
+		if r := o.requests[id.request]; r != nil && r.state == stateDispatched {
+			o.releaseRun(env, r.run, env.Now)
+			o.forget(r)
+		}
 	case timerRun:
 		o.runOverdue(env, runID{id.request, id.attempt})
 	case timerSilent:
@@ -103,8 +110,9 @@
 }
 
 // GatewayRenewed handles a renewal of a gateway's lease.
-func (o *Owner) GatewayRenewed(env Env, host model.HostID, restarted bool) {
+func (o *Owner) GatewayRenewed(env Env, out *Out, host model.HostID, restarted bool) {
 	if restarted {
 		o.loseGateway(env, host)
+		o.pumpAll(env, out)
 	}
 }
--- a/core/dispatch/claim.go
+++ b/core/dispatch/claim.go
@@ -61,6 +61,12 @@
 	}
 	o.endRun(env, r.run)
 	r.run = nil
+	if r.withdrew {
+		o.forget(r)
+		o.sendSettled(out, r.gateway, &message.Done{Request: c.Request, Attempt: r.settleAs, Final: true})
+		o.pump(env, out, r.service)
+		return
+	}
 	o.answerFromClaim(env, out, r, result)
 	o.pump(env, out, r.service)
 }
@@ -69,13 +75,14 @@
 	r.claimed = true
 	if r.withdrew {
 		o.endRun(env, r.run)
+		r.run = nil
+		r.state = stateSettling
 		o.proposeRelease(env, out, r)
-		o.forget(r)
 		o.pump(env, out, r.service)
 		return
 	}
 	t := r.run.target
-	if !o.usable(env, t) || !env.Granter.Serving(env.Now, r.gateway) {
+	if o.runs[r.run.id] != r.run || !o.usable(env, t) || !o.serves(env, r.gateway) {
 		o.endRun(env, r.run)
 		r.run = nil
 		o.enqueue(env, r)
@@ -87,7 +94,7 @@
 
 func (o *Owner) answerFromClaim(env Env, out *Out, r *request, result fleet.Result) {
 	if result.Problem != nil {
-		o.refuse(env, out, r, result.Problem)
+		o.refuse(out, r, result.Problem)
 		return
 	}
 	record := result.Claim
@@ -98,12 +105,12 @@
 			Term: o.term, Request: r.ask.Request, Answer: record.Answer,
 		}})
 	case record.State == fleet.ClaimComplete:
-		o.refuse(env, out, r, problem.New(problem.AnswerNotRetained, "request %s ran with status %d", record.Request, record.Status))
+		o.refuse(out, r, problem.New(problem.AnswerNotRetained, "request %s ran with status %d", record.Request, record.Status))
 	case record.State == fleet.ClaimHeld && o.requests[record.Request] != nil:
 		p := problem.New(problem.InProgress, "request %s holds the idempotency key", record.Request)
 		p.RetryAfter = model.Second
-		o.refuse(env, out, r, p)
+		o.refuse(out, r, p)
 	default:
-		o.refuse(env, out, r, problem.New(problem.OutcomeUnknown, "request %s may have run", record.Request))
+		o.refuse(out, r, problem.New(problem.OutcomeUnknown, "request %s may have run", record.Request))
 	}
 }
--- a/core/dispatch/owner.go
+++ b/core/dispatch/owner.go
@@ -33,12 +33,18 @@
 	// FlightTime bounds how long bytes sent to a target can still arrive: the
 	// TCP user timeout of the connection.
 	FlightTime = 2000 * model.Millisecond
+	// ClockMargin covers the difference of two clocks over the times above: 1%
+	// of up to 4 s, rounded up.
+	ClockMargin = 50 * model.Millisecond
 	// SilentAfter is the time without an announcement after which a target
 	// gets nothing new.
 	SilentAfter = 2000 * model.Millisecond
 	// ForgetMargin is added to the longest run of a silent target's service
 	// before the target is forgotten.
 	ForgetMargin = 10 * model.Second
+	// LostAfter is how long after the deadline of a dispatched request its
+	// gateway, which repeats each report every 500 ms, may take to report it.
+	LostAfter = 5 * model.Second
 	// RetryDelayMin and RetryDelayMax bound the exponential delay before the
 	// next attempt of a request, and before the next use of a failing target.
 	RetryDelayMin = 50 * model.Millisecond
@@ -88,7 +94,7 @@
 	teams     map[model.TeamID]*team
 	queues    map[model.QueueID]*queueStats
 	timers    *pq.Queue[timerID, timer, struct{}]
-	ended     map[runID]model.Time
+	ended     map[model.RequestID]model.Time // end of the latest run
 	endedFIFO []endedRun
 
 	// unknownSlots is the bound on requests that may run on targets that have
@@ -111,7 +117,7 @@
 		teams:     make(map[model.TeamID]*team),
 		queues:    make(map[model.QueueID]*queueStats),
 		timers:    pq.New[timerID, timer, struct{}](timer.before),
-		ended:     make(map[runID]model.Time),
+		ended:     make(map[model.RequestID]model.Time),
 	}
 	o.rules = env.Fleet.Rules
 	for _, id := range sortedKeys(env.Fleet.Targets) {
@@ -182,9 +188,9 @@
 		_, team := o.rules.Teams[r.ask.Team]
 		switch {
 		case !known:
-			o.refuse(env, out, r, problem.New(problem.UnknownQueue, "queue %s was removed", r.ask.Queue))
+			o.refuse(out, r, problem.New(problem.UnknownQueue, "queue %s was removed", r.ask.Queue))
 		case !team:
-			o.refuse(env, out, r, problem.New(problem.UnknownTeam, "team %s was removed", r.ask.Team))
+			o.refuse(out, r, problem.New(problem.UnknownTeam, "team %s was removed", r.ask.Team))
 		case r.state == stateQueued && (queue.Service != r.service.id || queue.Precedence != r.rank.precedence):
 			o.unqueue(r)
 			o.enqueue(env, r)
@@ -205,7 +211,7 @@
 	case c.RegisterTarget != nil:
 		o.targetRegistered(env, out, c.RegisterTarget.Target)
 	case c.RemoveTarget != nil:
-		o.targetRemoved(out, c.RemoveTarget)
+		o.targetRemoved(env, out, c.RemoveTarget)
 	case c.ApplyRules != nil && result.Problem == nil, c.PlanHost != nil, c.ReportHost != nil:
 		o.FleetChanged(env, out)
 	case c.EndTask != nil:
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -156,7 +156,7 @@
 		if r == nil {
 			return
 		}
-		if !env.Granter.Serving(env.Now, r.gateway) {
+		if !o.serves(env, r.gateway) {
 			o.delay(env, r, RetryDelayMin)
 			continue
 		}
@@ -174,11 +174,20 @@
 	}
 }
 
+// serves reports whether a gateway may start requests: it holds a lease of this
+// term, to which a dispatch can refer.
+func (o *Owner) serves(env Env, gateway model.HostID) bool {
+	return env.Granter.Session(gateway) != nil && env.Granter.Serving(env.Now, gateway)
+}
+
 // start gives a request its slot, and dispatches it once it holds its claim.
 func (o *Owner) start(env Env, out *Out, r *request, t *target) {
 	o.unqueue(r)
 	o.timers.Remove(timerID{kind: timerDeadline, request: r.ask.Request})
 	r.attempt++
+	for o.runs[runID{r.ask.Request, r.attempt}] != nil {
+		r.attempt++ // an attempt from before its gateway's lease ended
+	}
 	deadline := env.Now.Add(StartBy + o.rules.Queues[r.ask.Queue].MaxRun)
 	r.run = o.startRun(env, runID{r.ask.Request, r.attempt}, r.ask.Team, t, deadline)
 	if r.ask.Idempotent || r.claimed {
@@ -194,15 +203,26 @@
 	r.state = stateDispatched
 	r.run.startBy = env.Now.Add(StartBy)
 	r.run.deadline = r.run.startBy.Add(o.rules.Queues[r.ask.Queue].MaxRun)
+	o.armLost(r)
 	o.sendDispatch(env, out, r)
 }
 
+// armLost sets the time by which the gateway has reported the end of a
+// dispatched request, even if its messages were lost for a while.
+func (o *Owner) armLost(r *request) {
+	o.timers.Set(timerID{kind: timerLost, request: r.ask.Request}, timer{at: r.run.deadline.Add(LostAfter)}, struct{}{})
+}
+
 func (o *Owner) sendDispatch(env Env, out *Out, r *request) {
 	t := r.run.target
+	session := env.Granter.Session(r.gateway)
+	if session == nil {
+		return
+	}
 	out.send(r.gateway, message.Message{Dispatch: &message.Dispatch{
-		Term: o.term, Request: r.ask.Request, Attempt: r.attempt,
+		Term: o.term, Request: r.ask.Request, Gateway: r.ask.Inc, Attempt: r.attempt,
 		Target: t.reg.ID, Inc: t.reg.Incarnation, Address: t.reg.Address, Ticket: t.seq,
-		Claimed: r.claimed, StartBy: r.run.startBy.Sub(env.Now), MaxRun: o.rules.Queues[r.ask.Queue].MaxRun,
+		Claimed: r.claimed, Renewal: session.LastSeq, StartBy: r.run.startBy.Sub(session.LastRenew), MaxRun: o.rules.Queues[r.ask.Queue].MaxRun,
 	}})
 }
 
--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -41,6 +41,9 @@
 // request means that the Dispatch may have been lost: it is sent again, and
 // the gateway ignores it or reports that it did not start the attempt.
 func (o *Owner) Ask(env Env, out *Out, from model.HostID, a *message.Ask) {
+	if s := env.Granter.Session(from); s == nil || s.Incarnation != a.Inc {
+		return // a process life that has ended, or has not renewed yet
+	}
 	if r := o.requests[a.Request]; r != nil {
 		if r.state == stateDispatched && a.Attempt < r.attempt {
 			o.sendDispatch(env, out, r)
@@ -50,15 +53,15 @@
 	queue, known := o.rules.Queues[a.Queue]
 	r := &request{ask: *a, gateway: from, attempt: a.Attempt, deadline: env.Now.Add(a.Patience)}
 	if !known {
-		o.refuse(env, out, r, problem.New(problem.UnknownQueue, "there is no queue %s", a.Queue))
+		o.refuse(out, r, problem.New(problem.UnknownQueue, "there is no queue %s", a.Queue))
 		return
 	}
 	if _, known := o.rules.Teams[a.Team]; !known {
-		o.refuse(env, out, r, problem.New(problem.UnknownTeam, "there is no team %s", a.Team))
+		o.refuse(out, r, problem.New(problem.UnknownTeam, "there is no team %s", a.Team))
 		return
 	}
 	if p := o.tooLate(env, queue, a); p != nil {
-		o.refuse(env, out, r, p)
+		o.refuse(out, r, p)
 		return
 	}
 	o.track(r)
@@ -80,56 +83,67 @@
 	o.unqueue(r)
 	delete(o.requests, r.ask.Request)
 	delete(o.byGateway[r.gateway], r.ask.Request)
+	o.dropTimers(r)
+}
+
+func (o *Owner) dropTimers(r *request) {
 	o.timers.Remove(timerID{kind: timerDeadline, request: r.ask.Request})
 	o.timers.Remove(timerID{kind: timerDelay, request: r.ask.Request})
+	o.timers.Remove(timerID{kind: timerLost, request: r.ask.Request})
 }
 
-// refuse ends a request that waits. A claim that it holds is released, because
-// only its gateway could have started it and that gateway is waiting.
-func (o *Owner) refuse(env Env, out *Out, r *request, p *problem.Problem) {
-	if r.claimed {
-		o.proposeRelease(env, out, r)
-	}
+// refuse ends a request that waits. A claim that it may hold is released when
+// its gateway withdraws it: a late Ask can bring back a request here that its
+// gateway has started.
+func (o *Owner) refuse(out *Out, r *request, p *problem.Problem) {
 	o.forget(r)
 	out.send(r.gateway, message.Message{Refuse: &message.Refuse{Term: o.term, Request: r.ask.Request, Problem: p}})
 	out.log(effect.Log{Code: effect.RequestRefused, Request: r.ask.Request, Team: r.ask.Team, Detail: string(p.Kind)})
 }
 
-// Withdraw handles the end of a request that its gateway no longer holds.
-func (o *Owner) Withdraw(env Env, out *Out, w *message.Withdraw) {
+// Withdraw handles the end of a request that its gateway starts no more.
+func (o *Owner) Withdraw(env Env, out *Out, from model.HostID, w *message.Withdraw) {
 	r := o.requests[w.Request]
 	if r == nil {
-		return
+		r = &request{ask: message.Ask{Request: w.Request}, gateway: from}
+		o.track(r)
 	}
-	switch r.state {
-	case stateQueued, stateDelayed:
-		if r.claimed {
-			o.proposeRelease(env, out, r)
-		}
-		o.forget(r)
-	case stateClaiming:
-		r.withdrew = true
-	case stateDispatched, stateSettling:
-		// The gateway reports an attempt that it did not start, or its end.
+	switch {
+	case r.state == stateSettling:
+		return
+	case r.state == stateClaiming:
+		r.withdrew, r.settleAs = true, w.Attempt
+		return
+	case r.run != nil && r.attempt > w.Attempt:
+		o.endRun(env, r.run)
+	case r.run != nil:
+		o.releaseRun(env, r.run, env.Now)
 	}
+	r.run = nil
+	o.endRequest(env, out, r, &message.Done{
+		Request: w.Request, Attempt: w.Attempt, Outcome: message.OutcomeNotStarted, Claim: w.Claim, Final: true,
+	})
+	o.pumpAll(env, out)
 }
 
 // Done handles the end of an attempt.
 func (o *Owner) Done(env Env, out *Out, from model.HostID, d *message.Done) {
 	r := o.requests[d.Request]
-	if r == nil {
+	switch {
+	case r == nil:
 		o.doneUnknown(env, out, from, d)
-		return
-	}
-	if r.state == stateSettling {
+	case r.state == stateSettling:
 		return // settled when the claim's change is committed
+	case r.state != stateDispatched || r.attempt != d.Attempt:
+		o.doneEarlier(env, out, r, d)
+	default:
+		o.doneCurrent(env, out, r, d)
 	}
-	if r.state != stateDispatched || r.attempt != d.Attempt {
-		if d.Attempt <= r.attempt && !d.Final {
-			o.sendSettled(out, from, d.Request, d.Attempt)
-		}
-		return
-	}
+	o.pumpAll(env, out)
+}
+
+// doneCurrent handles the end of the attempt that was dispatched last.
+func (o *Owner) doneCurrent(env Env, out *Out, r *request, d *message.Done) {
 	o.endAttempt(env, r, d)
 	switch {
 	case d.Final:
@@ -137,12 +151,30 @@
 	case r.adopted:
 		// Its gateway asks again, with all that is needed to queue it.
 		o.forget(r)
-		o.sendSettled(out, from, d.Request, d.Attempt)
+		o.sendSettled(out, r.gateway, d)
 	default:
-		o.sendSettled(out, from, d.Request, d.Attempt)
+		o.sendSettled(out, r.gateway, d)
 		o.retry(env, out, r, d)
 	}
-	o.pumpAll(env, out)
+}
+
+// doneEarlier handles the end of an attempt that is not the current one: the
+// request was dropped with its gateway's lease and asked for again, or the
+// message is a repeated one.
+func (o *Owner) doneEarlier(env Env, out *Out, r *request, d *message.Done) {
+	if run := o.runs[runID{d.Request, d.Attempt}]; run != nil && run != r.run {
+		o.endOrRelease(env, run, d)
+	}
+	if !d.Final {
+		o.sendSettled(out, r.gateway, d)
+		return
+	}
+	// The gateway starts no attempt after a final one.
+	if r.run != nil {
+		o.endRun(env, r.run)
+		r.run = nil
+	}
+	o.endRequest(env, out, r, d)
 }
 
 // endAttempt books the outcome of an attempt on its run and its target.
@@ -150,12 +182,22 @@
 	run := r.run
 	r.run = nil
 	o.learn(r.ask.Queue, d)
+	if d.Outcome == message.OutcomeAnswered {
+		o.earnRetry(env, r.ask.Team)
+	}
+	o.endOrRelease(env, run, d)
+	if !d.Untried {
+		o.judgeTarget(env, run.target, d)
+	}
+}
+
+// endOrRelease ends a run whose end is known, and releases it otherwise.
+func (o *Owner) endOrRelease(env Env, run *run, d *message.Done) {
 	if d.Outcome == message.OutcomeUnknown {
 		o.releaseRun(env, run, env.Now)
-	} else {
-		o.endRun(env, run)
+		return
 	}
-	o.judgeTarget(env, run.target, d)
+	o.endRun(env, run)
 }
 
 // endRequest ends a request whose gateway makes no further attempt.
@@ -167,9 +209,11 @@
 	}
 	if claim == nil || !holdsClaim(env, *claim, d.Request) {
 		o.forget(r)
-		o.sendSettled(out, r.gateway, d.Request, d.Attempt)
+		o.sendSettled(out, r.gateway, d)
 		return
 	}
+	o.unqueue(r)
+	o.dropTimers(r)
 	r.state = stateSettling
 	r.settleAs = d.Attempt
 	o.proposeOutcome(env, out, *claim, d)
@@ -184,12 +228,11 @@
 // doneUnknown handles a Done of a request that this owner does not know: it
 // ended under an earlier leader, or its Settled was lost.
 func (o *Owner) doneUnknown(env Env, out *Out, from model.HostID, d *message.Done) {
-	if run := o.runs[runID{d.Request, d.Attempt}]; run != nil && d.Outcome != message.OutcomeUnknown {
-		o.endRun(env, run)
-		o.pumpAll(env, out)
+	if run := o.runs[runID{d.Request, d.Attempt}]; run != nil {
+		o.endOrRelease(env, run, d)
 	}
 	if d.Claim == nil || !d.Final || !holdsClaim(env, *d.Claim, d.Request) {
-		o.sendSettled(out, from, d.Request, d.Attempt)
+		o.sendSettled(out, from, d)
 		return
 	}
 	r := &request{
@@ -207,9 +250,9 @@
 		return
 	}
 	o.forget(r)
-	o.sendSettled(out, r.gateway, id, r.settleAs)
+	o.sendSettled(out, r.gateway, &message.Done{Request: id, Attempt: r.settleAs, Final: true})
 }
 
-func (o *Owner) sendSettled(out *Out, to model.HostID, id model.RequestID, attempt int) {
-	out.send(to, message.Message{Settled: &message.Settled{Request: id, Attempt: attempt}})
+func (o *Owner) sendSettled(out *Out, to model.HostID, d *message.Done) {
+	out.send(to, message.Message{Settled: &message.Settled{Request: d.Request, Attempt: d.Attempt, Final: d.Final}})
 }
--- a/core/dispatch/retry.go
+++ b/core/dispatch/retry.go
@@ -20,11 +20,11 @@
 	r.failures++
 	if d.Outcome == message.OutcomeUnknown {
 		if r.attempt >= AttemptsMax {
-			o.refuse(env, out, r, problem.New(problem.RetriesExhausted, "%d attempts failed", r.attempt))
+			o.refuse(out, r, problem.New(problem.RetriesExhausted, "%d attempts failed", r.attempt))
 			return
 		}
 		if !o.spendRetry(env, r.ask.Team) {
-			o.refuse(env, out, r, problem.New(problem.RetriesExhausted, "the retry budget of team %s is spent", r.ask.Team))
+			o.refuse(out, r, problem.New(problem.RetriesExhausted, "the retry budget of team %s is spent", r.ask.Team))
 			return
 		}
 	}
@@ -54,6 +54,13 @@
 	return true
 }
 
+// earnRetry adds to the budget for an answered request.
+func (o *Owner) earnRetry(env Env, id model.TeamID) {
+	t := o.team(id)
+	t.retryTokens += retryShare
+	t.refill(env.Now)
+}
+
 func (t *team) refill(now model.Time) {
 	if t.retryAt != 0 {
 		t.retryTokens += retryRate * now.Sub(t.retryAt).Seconds()
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -17,7 +17,7 @@
 	team     *team
 	target   *target
 	deadline model.Time // the target stops work by then
-	startBy  model.Time // the gateway sends no byte after this time
+	startBy  model.Time // the gateway sends no byte after this time; zero until it is told to start
 
 	// A released run has no gateway that could report its end. It ends when a
 	// report that the target sampled after evidence does not list it.
@@ -26,13 +26,13 @@
 }
 
 type endedRun struct {
-	id runID
+	id model.RequestID
 	at model.Time
 }
 
 // startRun counts an attempt as running.
 func (o *Owner) startRun(env Env, id runID, teamID model.TeamID, t *target, deadline model.Time) *run {
-	r := &run{id: id, team: o.team(teamID), target: t, deadline: deadline, startBy: env.Now.Add(StartBy)}
+	r := &run{id: id, team: o.team(teamID), target: t, deadline: deadline}
 	o.runs[id] = r
 	r.team.running++
 	t.runs[id] = r
@@ -51,20 +51,30 @@
 	delete(r.target.runs, r.id)
 	o.timers.Remove(timerID{kind: timerRun, request: r.id.request, attempt: r.id.attempt})
 	r.team.running--
-	o.ended[r.id] = env.Now
-	o.endedFIFO = append(o.endedFIFO, endedRun{r.id, env.Now})
+	o.ended[r.id.request] = env.Now
+	o.endedFIFO = append(o.endedFIFO, endedRun{r.id.request, env.Now})
 	o.refresh(env, r.target)
 }
 
+// mayEnd reports whether a report that was sampled at this time or later and
+// does not list the run shows its end.
+func (r *run) mayEnd(sampled model.Time) bool {
+	if r.released {
+		return sampled >= r.evidence
+	}
+	return r.startBy != 0 && sampled >= r.startBy.Add(FlightTime+ClockMargin)
+}
+
 // releaseRun keeps an attempt counted without a gateway. Bytes that were sent
-// before lastSend can arrive at the target for FlightTime.
+// before lastSend can arrive at the target for FlightTime, and so can those of a
+// gateway that regains its lease within the time to start.
 func (o *Owner) releaseRun(env Env, r *run, lastSend model.Time) {
 	if o.runs[r.id] != r {
 		return
 	}
 	r.released = true
-	r.evidence = lastSend.Add(FlightTime)
-	o.timers.Set(timerID{kind: timerRun, request: r.id.request, attempt: r.id.attempt}, timer{at: r.deadline}, struct{}{})
+	r.evidence = max(lastSend, r.startBy).Add(FlightTime + ClockMargin)
+	o.timers.Set(timerID{kind: timerRun, request: r.id.request, attempt: r.id.attempt}, timer{at: r.deadline.Add(FlightTime + ClockMargin)}, struct{}{})
 }
 
 // runOverdue handles a released run past its deadline. A silent target has
@@ -97,8 +107,13 @@
 			ask:     message.Ask{Request: f.Request, Team: f.Team, Queue: f.Queue},
 			gateway: from, attempt: f.Attempt, state: stateDispatched, adopted: true,
 		}
+		if seen := o.runs[runID{f.Request, 0}]; seen != nil && seen.target == t {
+			o.endRun(env, seen) // listed by the target before
+		}
 		r.run = o.startRun(env, id, f.Team, t, env.Now.Add(f.Deadline))
+		r.run.startBy = env.Now
 		o.track(r)
+		o.armLost(r)
 	}
 }
 
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -36,6 +36,12 @@
 	return a.id < b.id
 }
 
+// heir is another incarnation that announces itself as a registered target.
+type heir struct {
+	inc      model.Incarnation
+	answered []uint64 // sequence numbers of its latest reports
+}
+
 type receipt struct {
 	seq uint64
 	at  model.Time
@@ -50,6 +56,7 @@
 	lastHeard model.Time // zero before its first report to this owner
 	receipts  []receipt
 	runs      map[runID]*run
+	heir      heir
 	lastUsed  uint64
 	failures  int        // attempts in a row that failed
 	paused    model.Time // nothing is sent before this time
@@ -138,17 +145,17 @@
 
 // Report handles an announcement. It returns the reply.
 func (o *Owner) Report(env Env, out *Out, m *message.TargetReport) message.ReportReply {
-	reply := message.ReportReply{Report: m.Report}
+	reply := message.ReportReply{Report: m.Report, Term: o.term}
 	t := o.targets[m.Target.ID]
+	if t != nil && t.reg.Incarnation == m.Target.Incarnation && m.Seq <= t.seq {
+		return reply // a repeated or late report says nothing new
+	}
 	if t == nil || t.reg != m.Target {
-		if m.State == message.TargetReady {
-			out.Proposals = append(out.Proposals, fleet.Command{At: env.Now, RegisterTarget: &fleet.RegisterTarget{Target: m.Target}})
+		if m.State == message.TargetReady && t.replacedBy(m) {
+			out.Proposals = append(out.Proposals, fleet.Command{RegisterTarget: &fleet.RegisterTarget{Target: m.Target}})
 		}
 		return reply
 	}
-	if m.Seq <= t.seq && t.seq-m.Seq < reportsKept {
-		return reply // a repeated or late report says nothing new
-	}
 	o.heard(env, out, t, m)
 	sampled := t.sampledAfter(m.Acked)
 	o.reconcile(env, t, m, sampled)
@@ -166,6 +173,25 @@
 	return reply
 }
 
+// replacedBy reports whether the target may be registered anew as m describes
+// it. Another incarnation must prove that it is alive, by acknowledging a reply
+// of this owner: a late report of an earlier life would end what the present one
+// runs.
+func (t *target) replacedBy(m *message.TargetReport) bool {
+	if t == nil || t.reg.Incarnation == m.Target.Incarnation {
+		return true
+	}
+	if t.heir.inc != m.Target.Incarnation {
+		t.heir = heir{inc: m.Target.Incarnation}
+	}
+	alive := slices.Contains(t.heir.answered, m.Acked)
+	t.heir.answered = append(t.heir.answered, m.Seq)
+	if len(t.heir.answered) > reportsKept {
+		t.heir.answered = t.heir.answered[1:]
+	}
+	return alive
+}
+
 func (o *Owner) heard(env Env, out *Out, t *target, m *message.TargetReport) {
 	if m.State == message.TargetLeaving && t.state == message.TargetReady {
 		out.log(effect.Log{Code: effect.TargetLeaving, Target: t.reg.ID})
@@ -184,9 +210,11 @@
 
 // sampledAfter returns a time after which a report was sampled: the receipt of
 // the report whose reply the target had seen. It is zero if that is not known.
+// A larger sequence does not do: an earlier owner may have answered it before
+// this one received a smaller sequence that was late.
 func (t *target) sampledAfter(acked uint64) model.Time {
 	for _, r := range slices.Backward(t.receipts) {
-		if r.seq <= acked {
+		if r.seq == acked {
 			return r.at
 		}
 	}
@@ -201,7 +229,7 @@
 		o.observe(env, t, running, sampled)
 	}
 	for _, r := range t.sortedRuns() {
-		if r.released && !listed[r.id.request] && sampled >= r.evidence {
+		if !listed[r.id.request] && r.mayEnd(sampled) {
 			o.endRun(env, r)
 		}
 	}
@@ -215,10 +243,8 @@
 			return
 		}
 	}
-	for attempt := 0; attempt <= AttemptsMax; attempt++ {
-		if at, ok := o.ended[runID{running.Request, attempt}]; ok && sampled < at {
-			return
-		}
+	if at, ok := o.ended[running.Request]; ok && sampled < at {
+		return
 	}
 	id := runID{running.Request, 0}
 	if o.runs[id] != nil {
@@ -263,28 +289,36 @@
 		if t.reg == reg {
 			return
 		}
-		restarted := t.reg.Incarnation != reg.Incarnation
-		o.dropTarget(env, t, restarted)
-		if !restarted {
-			o.carryRuns(env, t, o.addTarget(env, reg))
+		if t.reg.Incarnation == reg.Incarnation {
+			o.changeTarget(env, out, t, reg)
 			return
 		}
+		o.dropTarget(env, t, true)
 	}
 	o.addTarget(env, reg)
 	out.log(effect.Log{Code: effect.TargetRegistered, Target: reg.ID})
 }
 
-// carryRuns moves the runs of a target to its changed registration.
-func (o *Owner) carryRuns(env Env, from, to *target) {
-	if !from.proven {
+// changeTarget adapts to a changed registration of the same life, which goes on
+// running what it runs.
+func (o *Owner) changeTarget(env Env, out *Out, from *target, reg fleet.Target) {
+	proven := from.proven
+	o.dropTarget(env, from, false)
+	to := o.addTarget(env, reg)
+	if !proven {
 		to.proven = false
-		o.unknownSlots += to.reg.Slots
+		o.unknownSlots += reg.Slots
 	}
-	for _, r := range from.sortedRuns() {
+	to.state, to.seq, to.lastHeard, to.receipts = from.state, from.seq, from.lastHeard, from.receipts
+	to.lastUsed, to.failures, to.paused, to.empty = from.lastUsed, from.failures, from.paused, from.empty
+	to.runs = from.runs
+	for _, r := range to.runs {
 		r.target = to
-		to.runs[r.id] = r
 	}
+	o.timers.Set(timerID{kind: timerSilent, target: reg.ID}, timer{at: to.lastHeard.Add(SilentAfter)}, struct{}{})
+	o.timers.Set(timerID{kind: timerPause, target: reg.ID}, timer{at: max(env.Now, to.paused)}, struct{}{})
 	o.refresh(env, to)
+	o.pumpAll(env, out)
 }
 
 func (o *Owner) dropTarget(env Env, t *target, endRuns bool) {
@@ -305,12 +339,13 @@
 	o.timers.Remove(timerID{kind: timerPause, target: t.reg.ID})
 }
 
-func (o *Owner) targetRemoved(out *Out, c *fleet.RemoveTarget) {
+func (o *Owner) targetRemoved(env Env, out *Out, c *fleet.RemoveTarget) {
 	t := o.targets[c.ID]
 	if t == nil || t.reg.Incarnation != c.Incarnation {
 		return
 	}
-	o.dropTarget(Env{}, t, true)
+	o.dropTarget(env, t, true)
+	o.pumpAll(env, out)
 	out.log(effect.Log{Code: effect.TargetRemoved, Target: c.ID})
 }
 
--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -42,6 +42,7 @@
 	Inc        model.Incarnation
 	Address    string
 	Ticket     uint64     // sequence number of a recent announcement of the target
+	Term       uint64     // of the owner; the target refuses a smaller one than it was told
 	StartBy    model.Time // no byte is sent after this time
 	Deadline   model.Time // the run is given up at this time
 	Claimed    bool       // the answer is to be stored: return it in ForwardEnded
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -42,6 +42,7 @@
 	ID         model.RequestID
 	Team       model.TeamID
 	Queue      model.QueueID
+	Bearer     model.Digest // hash of the caller's key; empty on an open queue
 	Idempotent bool
 	Key        model.Digest // claim key of a non-idempotent request
 	Body       model.Digest // digest of queue and body, with Key
--- a/core/gateway/table.go
+++ b/core/gateway/table.go
@@ -55,6 +55,7 @@
 	waiting   phase = iota // for a Dispatch or a Refuse
 	forwarded              // an attempt is running
 	settling               // the last attempt has ended; waiting for Settled
+	withdrawn              // no attempt follows; waiting for Settled
 )
 
 type held struct {
@@ -129,6 +130,29 @@
 	return t.ask(now, h)
 }
 
+// KeysChanged refuses the waiting requests whose key no longer stands for their
+// team. keys are the keys in force.
+func (t *Table) KeysChanged(now model.Time, keys map[model.Digest]model.TeamID) []effect.Effect {
+	var out []effect.Effect
+	for _, id := range t.sortedIDs() {
+		h := t.held[id]
+		if h.phase != waiting || h.req.Bearer == "" || keys[h.req.Bearer] == h.req.Team {
+			continue
+		}
+		p := problem.New(problem.KeyRejected, "the key was withdrawn while the request waited")
+		out = append(out, t.answer(h, effect.AnswerRequest{Request: id, Problem: h.truthful(p)})...)
+		out = append(out, t.withdraw(now, h)...)
+	}
+	return out
+}
+
+// withdraw ends a waiting request at the owner.
+func (t *Table) withdraw(now model.Time, h *held) []effect.Effect {
+	h.phase = withdrawn
+	h.done = nil
+	return t.resend(now, h)
+}
+
 // Abandon handles the disconnect of a caller. A waiting request is withdrawn;
 // a running one is completed, because its target may be in the middle of it.
 func (t *Table) Abandon(now model.Time, id model.RequestID) []effect.Effect {
@@ -141,8 +165,7 @@
 	if h.phase != waiting {
 		return nil
 	}
-	t.remove(h)
-	return t.sendOwner(message.Message{Withdraw: &message.Withdraw{Request: id}})
+	return t.withdraw(now, h)
 }
 
 // Follow sets the owner and its term. Requests that wait ask the new owner,
@@ -179,25 +202,30 @@
 	return list
 }
 
-// Dispatch handles the owner's permission to forward a request. serving says
-// whether this host holds a lease. An attempt that is not started is reported
-// back, so that the owner frees the slot.
-func (t *Table) Dispatch(now model.Time, serving bool, d *message.Dispatch) []effect.Effect {
-	if d.Term != t.term {
+// Dispatch handles the owner's permission to forward a request until startBy. An
+// attempt that is not started is reported back, so that the owner frees the
+// slot; it counts as ended, so that a repeated message does not start it later.
+func (t *Table) Dispatch(now, startBy model.Time, d *message.Dispatch) []effect.Effect {
+	if d.Term != t.term || d.Gateway != t.inc {
 		return nil
 	}
 	h := t.held[d.Request]
 	if h == nil {
-		return t.sendOwner(notStarted(d, true))
+		return t.sendOwner(message.Message{Done: &message.Done{
+			Request: d.Request, Attempt: d.Attempt, Outcome: message.OutcomeNotStarted, Untried: true, Final: true,
+		}})
 	}
 	if h.attempt >= d.Attempt {
 		return nil // a repeated message: this attempt has begun or ended
 	}
-	if h.phase != waiting {
-		return nil
+	switch h.phase {
+	case forwarded:
+		return nil // its end tells the owner which attempt ran
+	case settling, withdrawn:
+		return t.resend(now, h)
 	}
-	if !serving || d.StartBy <= 0 {
-		return t.sendOwner(notStarted(d, false))
+	if now >= startBy {
+		return t.expired(now, h, d)
 	}
 	h.phase = forwarded
 	h.attempt = d.Attempt
@@ -210,29 +238,39 @@
 	t.due.Remove(d.Request)
 	return []effect.Effect{effect.Forward{
 		Request: d.Request, Attempt: d.Attempt, Target: d.Target, Inc: d.Inc, Address: d.Address,
-		Ticket: d.Ticket, StartBy: now.Add(d.StartBy), Deadline: h.runUntil,
+		Ticket: d.Ticket, Term: d.Term, StartBy: startBy, Deadline: h.runUntil,
 		Claimed: d.Claimed, Idempotent: h.req.Idempotent,
 	}}
 }
 
-func notStarted(d *message.Dispatch, final bool) message.Message {
-	return message.Message{Done: &message.Done{
-		Request: d.Request, Attempt: d.Attempt, Outcome: message.OutcomeNotStarted, Final: final,
-	}}
+// expired ends an attempt whose time to start has passed.
+func (t *Table) expired(now model.Time, h *held, d *message.Dispatch) []effect.Effect {
+	h.attempt, h.ended = d.Attempt, d.Attempt
+	h.done = &message.Done{
+		Request: d.Request, Attempt: d.Attempt, Outcome: message.OutcomeNotStarted, Untried: true,
+	}
+	t.schedule(h, now)
+	return t.sendOwner(message.Message{Done: h.done})
 }
 
 // Refuse handles the owner's end of a waiting request: a refusal, or the
-// stored answer of an earlier run of the same claim.
-func (t *Table) Refuse(r *message.Refuse) []effect.Effect {
+// stored answer of an earlier run of the same claim. A request that may hold a
+// claim is withdrawn as well: only its gateway knows that it has not started.
+func (t *Table) Refuse(now model.Time, r *message.Refuse) []effect.Effect {
 	h := t.held[r.Request]
 	if h == nil || h.phase != waiting || r.Term != t.term {
 		return nil
 	}
-	t.remove(h)
-	if r.Answer != nil {
-		return []effect.Effect{effect.AnswerRequest{Request: r.Request, Answer: r.Answer}}
+	a := effect.AnswerRequest{Request: r.Request, Answer: r.Answer}
+	if r.Answer == nil {
+		a.Problem = h.truthful(r.Problem)
+	}
+	out := t.answer(h, a)
+	if h.req.Idempotent {
+		t.remove(h)
+		return out
 	}
-	return refuse(r.Request, h.truthful(r.Problem))
+	return append(out, t.withdraw(now, h)...)
 }
 
 // truthful replaces a refusal that says "not run" when an attempt may have run.
@@ -254,9 +292,7 @@
 		Request: e.Request, Attempt: e.Attempt, Outcome: e.Outcome, Status: e.Status,
 		RunTime: e.RunTime, RetryAfter: e.RetryAfter, Answer: e.Answer,
 	}
-	if !h.req.Idempotent {
-		h.done.Claim = &fleet.ClaimID{Team: h.req.Team, Key: h.req.Key}
-	}
+	h.done.Claim = h.claim()
 	if e.Outcome == message.OutcomeUnknown {
 		h.mayRan = true
 	}
@@ -276,6 +312,14 @@
 	return append(out, t.sendOwner(message.Message{Done: h.done})...)
 }
 
+// claim names the claim that the request may hold, or is nil.
+func (h *held) claim() *fleet.ClaimID {
+	if h.req.Idempotent {
+		return nil
+	}
+	return &fleet.ClaimID{Team: h.req.Team, Key: h.req.Key}
+}
+
 // mayRetry reports whether the owner may choose another attempt.
 func (h *held) mayRetry(now model.Time, e event.ForwardEnded) bool {
 	if h.gone || e.TooLarge || e.TimedOut || now >= h.deadline {
@@ -315,6 +359,9 @@
 		h.done = nil
 		return nil
 	}
+	if !s.Final {
+		return nil // for an attempt before the request was withdrawn
+	}
 	t.remove(h)
 	return t.answer(h, effect.AnswerRequest{Request: s.Request, Attempt: s.Attempt})
 }
@@ -336,9 +383,8 @@
 func (t *Table) advance(now model.Time, h *held) []effect.Effect {
 	switch {
 	case h.phase == waiting && now >= h.deadline.Add(OwnerGrace):
-		t.remove(h)
-		out := t.sendOwner(message.Message{Withdraw: &message.Withdraw{Request: h.req.ID}})
-		return append(out, t.answer(h, effect.AnswerRequest{Request: h.req.ID, Problem: h.truthful(t.lateness(h))})...)
+		out := t.answer(h, effect.AnswerRequest{Request: h.req.ID, Problem: h.truthful(t.lateness(h))})
+		return append(out, t.withdraw(now, h)...)
 	case h.phase == settling && !h.answered && now >= h.answerBy:
 		out := t.answer(h, effect.AnswerRequest{Request: h.req.ID, Attempt: h.ended})
 		return append(out, t.resend(now, h)...)
@@ -366,6 +412,10 @@
 	if h.phase == waiting {
 		return append(out, t.ask(now, h)...)
 	}
+	if h.phase == withdrawn {
+		w := &message.Withdraw{Request: h.req.ID, Attempt: h.ended, Claim: h.claim()}
+		out = t.sendOwner(message.Message{Withdraw: w})
+	}
 	t.schedule(h, now)
 	return out
 }
@@ -406,7 +456,7 @@
 	at := now.Add(ResendInterval)
 	if h.phase == waiting {
 		at = min(at, h.deadline.Add(OwnerGrace))
-	} else if !h.answered {
+	} else if h.phase == settling && !h.answered {
 		at = min(at, h.answerBy)
 	}
 	t.due.Set(h.req.ID, due{at, h.req.ID}, h)
--- a/core/leader.go
+++ b/core/leader.go
@@ -50,6 +50,7 @@
 	if s.leading == nil {
 		return
 	}
+	s.propose()
 	if s.leading.inForce < s.fleet.ControlIndex && s.leading.granter.InForce(s.now, s.leading.members) {
 		s.leading.inForce = s.fleet.ControlIndex
 		s.emit(effect.Log{Code: effect.RulesInForce, Index: s.fleet.ControlIndex})
@@ -70,15 +71,17 @@
 // the replicated clock, fleet.State.Now, by the time that this process has led:
 // the clocks of two hosts may differ by any amount, and retention of claims
 // must not depend on whose clock is ahead. Time without a leader is not counted.
+// While the leadership is being handed over, the log takes no commands: they
+// wait for the hand-over to fail or for the end of the term.
 func (s *State) propose(commands ...fleet.Command) {
-	if len(commands) == 0 {
-		return
-	}
 	at := s.leading.clock.Add(s.now.Sub(s.leading.began))
 	for i := range commands {
 		commands[i].At = at
 	}
-	s.log.Propose(commands...)
+	s.leading.unsent = append(s.leading.unsent, commands...)
+	if _, ok := s.log.Propose(s.leading.unsent...); ok {
+		s.leading.unsent = nil
+	}
 }
 
 // receiveAsLeader handles messages that only a leader acts on. Others drop
@@ -98,7 +101,7 @@
 	case m.Done != nil:
 		s.asOwner(func(env dispatch.Env, out *dispatch.Out) { owner.Done(env, out, from, m.Done) })
 	case m.Withdraw != nil:
-		s.asOwner(func(env dispatch.Env, out *dispatch.Out) { owner.Withdraw(env, out, m.Withdraw) })
+		s.asOwner(func(env dispatch.Env, out *dispatch.Out) { owner.Withdraw(env, out, from, m.Withdraw) })
 	case m.TargetReport != nil:
 		s.asOwner(func(env dispatch.Env, out *dispatch.Out) {
 			reply := owner.Report(env, out, m.TargetReport)
@@ -110,7 +113,7 @@
 // renewed handles a Renew. A host gets its first lease only once it is a
 // member in the replicated state, so that a later leader waits for it.
 func (s *State) renewed(from model.HostID, r *message.Renew) {
-	if r.Term != s.leading.term {
+	if r.Term != s.leading.term || s.leading.granter.Outdated(from, r.Incarnation) {
 		return
 	}
 	if _, member := s.fleet.Members[from]; !member {
@@ -119,8 +122,8 @@
 	}
 	earlier := s.leading.granter.Session(from)
 	restarted := earlier != nil && earlier.Incarnation != r.Incarnation
-	s.asOwner(func(env dispatch.Env, _ *dispatch.Out) {
-		s.leading.owner.GatewayRenewed(env, from, restarted)
+	s.asOwner(func(env dispatch.Env, out *dispatch.Out) {
+		s.leading.owner.GatewayRenewed(env, out, from, restarted)
 		s.leading.owner.Forwarded(env, from, r.Forwarded)
 	})
 	if !s.log.HoldsLeaderLease(s.now) {
--- a/core/lease/granter.go
+++ b/core/lease/granter.go
@@ -14,6 +14,8 @@
 	Leaving     bool
 	Reported    bool       // sent its forwarded requests in this term
 	LastRenew   model.Time // received
+	LastSeq     uint64     // of the same Renew
+	earlier     []model.Incarnation
 	End         model.Time // the lease has ended at this time on every clock
 }
 
@@ -71,13 +73,16 @@
 		next := &Session{Incarnation: r.Incarnation}
 		if s != nil {
 			next.End = s.End
+			next.earlier = append(s.earlier, s.Incarnation)
 		}
 		s = next
 		g.sessions[from] = s
 	}
 	s.Applied = max(s.Applied, r.Applied)
 	s.Leaving = r.Leaving
-	s.LastRenew = now
+	if r.Seq > s.LastSeq {
+		s.LastSeq, s.LastRenew = r.Seq, now
+	}
 	s.Reported = s.Reported || r.Full
 	if !s.Reported || g.lags(now, s) {
 		return nil
@@ -86,6 +91,13 @@
 	return &message.Grant{Term: g.term, Seq: r.Seq, Duration: Duration}
 }
 
+// Outdated reports whether a Renew comes from an earlier life of its host: it
+// was overtaken by one of the present life on another connection.
+func (g *Granter) Outdated(from model.HostID, inc model.Incarnation) bool {
+	s := g.sessions[from]
+	return s != nil && slices.Contains(s.earlier, inc)
+}
+
 // lags reports whether the host lacks a change whose grace has ended. Each
 // change has its own grace: with one grace for the latest change only, a host
 // would keep its lease for as long as changes go on.
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -26,6 +26,15 @@
 	ApplyGrace = 1000 * model.Millisecond
 )
 
+// renewalsKept is the number of renewals whose time is kept for dispatches that
+// refer to them: 2.4 s, which is over the time in which a dispatch is valid.
+const renewalsKept = 8
+
+type renewal struct {
+	seq uint64
+	at  model.Time
+}
+
 // Holder is the lease of this host.
 type Holder struct {
 	incarnation model.Incarnation
@@ -34,6 +43,7 @@
 	leader      model.HostID
 	seq         uint64
 	sent        map[uint64]model.Time // by sequence, not yet granted
+	recent      [renewalsKept]renewal // by sequence, modulo its length
 	lastSent    model.Time
 	until       model.Time
 	confirmed   bool // the leader of this term has the complete list of forwarded requests
@@ -77,6 +87,7 @@
 	h.seq++
 	h.lastSent = now
 	h.sent[h.seq] = now
+	h.recent[h.seq%renewalsKept] = renewal{h.seq, now}
 	if !h.confirmed {
 		h.until = 0
 	}
@@ -107,6 +118,12 @@
 	h.until = max(h.until, sent.Add(g.Duration))
 }
 
+// Sent returns when the Renew with this sequence was sent, if that was recent.
+func (h *Holder) Sent(seq uint64) (model.Time, bool) {
+	r := h.recent[seq%renewalsKept]
+	return r.at, seq != 0 && r.seq == seq
+}
+
 // Until returns the end of the lease.
 func (h *Holder) Until() model.Time { return h.until }
 
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -83,14 +83,19 @@
 type Dispatch struct {
 	Term    uint64            `json:"term"`
 	Request model.RequestID   `json:"request"`
-	Attempt int               `json:"attempt"` // counted from 1
+	Gateway model.Incarnation `json:"gateway"` // process life that asked; another life ignores the message
+	Attempt int               `json:"attempt"` // counted from 1; larger than all earlier ones of the request
 	Target  model.TargetID    `json:"target"`
 	Inc     model.Incarnation `json:"inc"` // of the target
 	Address string            `json:"address"`
 	Ticket  uint64            `json:"ticket"` // Seq of a recent announcement; the target refuses an old one
 	Claimed bool              `json:"claimed,omitempty"`
-	StartBy model.Duration    `json:"start_by"` // time left in which the first byte may be sent
-	MaxRun  model.Duration    `json:"max_run"`
+	// The first byte may be sent until StartBy after the gateway sent the Renew
+	// with the sequence number Renewal. Counted from the arrival of this message
+	// instead, a message that is late would move the end of the start.
+	Renewal uint64         `json:"renewal"`
+	StartBy model.Duration `json:"start_by"`
+	MaxRun  model.Duration `json:"max_run"`
 }
 
 // Refuse ends a request without a run, or with a stored answer.
@@ -121,19 +126,24 @@
 	RetryAfter model.Duration  `json:"retry_after,omitempty"` // the target's wish, positive
 	Answer     *model.Answer   `json:"answer,omitempty"`      // to store, for a claim
 	Claim      *fleet.ClaimID  `json:"claim,omitempty"`
-	Final      bool            `json:"final,omitempty"` // the gateway makes no further attempt
+	Untried    bool            `json:"untried,omitempty"` // the gateway did not try the target
+	Final      bool            `json:"final,omitempty"`   // the gateway makes no further attempt
 }
 
-// Settled tells the gateway that the owner has recorded a Done; for a claim,
-// that the stored answer is committed.
+// Settled tells the gateway that the owner has recorded a Done or a Withdraw;
+// for a claim, that its end is committed.
 type Settled struct {
 	Request model.RequestID `json:"request"`
 	Attempt int             `json:"attempt"`
+	Final   bool            `json:"final,omitempty"` // answers a final Done or a Withdraw
 }
 
-// Withdraw tells the owner that the caller has gone.
+// Withdraw tells the owner that the gateway starts no attempt after Attempt: the
+// caller has gone, or has been refused. It is sent again until Settled.
 type Withdraw struct {
 	Request model.RequestID `json:"request"`
+	Attempt int             `json:"attempt"`         // the last attempt that ended, 0 for none
+	Claim   *fleet.ClaimID  `json:"claim,omitempty"` // to release, if the request holds it
 }
 
 // TargetState is what a target says of itself.
@@ -222,6 +232,7 @@
 // ReportReply answers a TargetReport or a WorkerReport.
 type ReportReply struct {
 	Report  uint64           `json:"report"`
+	Term    uint64           `json:"term,omitempty"` // a target refuses requests of smaller terms from now on
 	Problem *problem.Problem `json:"problem,omitempty"`
 	Orders  []Order          `json:"orders,omitempty"`
 	Reboot  bool             `json:"reboot,omitempty"` // the worker is drained: reboot to ImageWant
--- a/core/publish.go
+++ b/core/publish.go
@@ -21,21 +21,27 @@
 	}
 	next := &view.View{
 		Rules:      s.fleet.Rules,
-		Teams:      old.Teams,
+		Teams:      s.keys,
 		Leader:     leader,
 		Term:       term,
 		Applied:    s.fleet.Index,
 		LeaseUntil: until,
 		Stopping:   s.stopping,
 	}
-	if s.control != control || next.Teams == nil {
-		next.Teams = s.teamsByKey()
-	}
 	s.control = control
 	s.view = next
 	s.out = append(s.out, effect.Publish{View: next})
 }
 
+// enforceKeys ends waiting requests whose key is no longer in force.
+func (s *State) enforceKeys() {
+	if s.keys != nil && s.keysAt == s.fleet.ControlIndex {
+		return
+	}
+	s.keys, s.keysAt = s.teamsByKey(), s.fleet.ControlIndex
+	s.emit(s.table.KeysChanged(s.now, s.keys)...)
+}
+
 // teamsByKey is the set of keys in force. A key stands only for a team that
 // the rules still name.
 func (s *State) teamsByKey() map[model.Digest]model.TeamID {
--- a/core/reduce.go
+++ b/core/reduce.go
@@ -58,6 +58,7 @@
 	for {
 		s.follow()
 		s.drainLog()
+		s.enforceKeys()
 		s.lead()
 		if len(s.local) == 0 {
 			return
@@ -88,9 +89,9 @@
 	case m.Grant != nil:
 		s.granted(m.Grant)
 	case m.Dispatch != nil:
-		s.emit(s.table.Dispatch(s.now, s.holder.Valid(s.now), m.Dispatch)...)
+		s.emit(s.table.Dispatch(s.now, s.startBy(m.Dispatch), m.Dispatch)...)
 	case m.Refuse != nil:
-		s.emit(s.table.Refuse(m.Refuse)...)
+		s.emit(s.table.Refuse(s.now, m.Refuse)...)
 	case m.Settled != nil:
 		s.emit(s.table.Settled(m.Settled)...)
 	case m.ReportReply != nil:
@@ -100,6 +101,16 @@
 	}
 }
 
+// startBy returns the last moment at which a dispatched request may start here,
+// or zero if it may not.
+func (s *State) startBy(d *message.Dispatch) model.Time {
+	sent, known := s.holder.Sent(d.Renewal)
+	if !known || !s.holder.Valid(s.now) {
+		return 0
+	}
+	return sent.Add(d.StartBy)
+}
+
 func (s *State) granted(g *message.Grant) {
 	serving := s.holder.Valid(s.now)
 	s.holder.Granted(g)
--- a/core/state.go
+++ b/core/state.go
@@ -73,6 +73,9 @@
 	local   []message.Message // messages to this process itself
 	view    *view.View
 	control uint64 // ControlIndex of the view
+
+	keys   map[model.Digest]model.TeamID // keys in force
+	keysAt uint64                        // ControlIndex of keys
 }
 
 // pendingCommand is a command submitted on this host and not yet applied here.
@@ -89,8 +92,9 @@
 	owner   *dispatch.Owner
 	members []model.HostID // sorted
 	began   model.Time
-	clock   model.Time // fleet.State.Now when the term began
-	inForce uint64     // the last change of rules or keys reported as in force
+	clock   model.Time      // fleet.State.Now when the term began
+	unsent  []fleet.Command // proposed while the log took no commands
+	inForce uint64          // the last change of rules or keys reported as in force
 }
 
 // New returns the state of a process that starts with what is stored.
