--- a/core/property_test.go
+++ b/core/property_test.go
@@ -56,6 +56,7 @@
 		w.checkCalm()
 		w.checkQuiet()
 	}
+	w.report()
 	if w.failure != "" {
 		last := w.trace[max(0, len(w.trace)-traceKept):]
 		t.Errorf("%s=%d at %.3f s: %s\n%s", seedVariable, seed, float64(w.now)/float64(second), w.failure, strings.Join(last, "\n"))
--- a/core/sim_caller_test.go
+++ b/core/sim_caller_test.go
@@ -67,7 +67,7 @@
 
 // callers send requests until callsEnd: steadily, with bursts of each queue.
 func (w *world) callers() {
-	w.every(120*ms, func() {
+	w.every(50*ms, func() {
 		if w.now > 3*second && w.now < callsEnd {
 			w.call(pickOne(w, queues))
 		}
--- a/core/sim_check_test.go
+++ b/core/sim_check_test.go
@@ -269,3 +269,21 @@
 		w.fail("%d leaders after the faults", leaders)
 	}
 }
+
+// report logs what the run did, so that a run that does nothing is noticed.
+func (w *world) report() {
+	answered, refused, claims := 0, make(map[problem.Kind]int), 0
+	for _, c := range w.books.order {
+		switch {
+		case c.problem != nil:
+			refused[c.problem.Kind]++
+		case c.answers > 0:
+			answered++
+		}
+		if c.starts > 0 && !c.idempotent {
+			claims++
+		}
+	}
+	w.t.Logf("%d requests: %d answered, %d claims run, refused %v; %d revisions, %d keys withdrawn",
+		len(w.books.order), answered, claims, refused, len(w.books.accepted), len(w.books.withdrawn))
+}
--- a/core/sim_faults_test.go
+++ b/core/sim_faults_test.go
@@ -55,7 +55,7 @@
 
 // injectFaults breaks things until faultsEnd and then makes them whole.
 func (w *world) injectFaults() {
-	w.every(faultSpacing, func() {
+	w.every(faultSpacing/instant(1+w.rng.IntN(2)), func() {
 		if w.now > faultsBegin && w.faults() {
 			w.fault()
 		}
@@ -158,7 +158,7 @@
 	if list := w.liveTargets(); len(list) > 0 {
 		t := pickOne(w, list)
 		t.die()
-		w.after(w.between(100*ms, 4*second), t.start)
+		w.after(w.between(100*ms, 4*second), t.restart)
 	}
 }
 
@@ -174,7 +174,7 @@
 	w.after(w.between(4500*ms, 6*second), func() {
 		if t.life == life && t.up {
 			t.die()
-			w.after(w.between(100*ms, 2*second), t.start)
+			w.after(w.between(100*ms, 2*second), t.restart)
 		}
 	})
 }
--- a/core/sim_host_test.go
+++ b/core/sim_host_test.go
@@ -180,7 +180,7 @@
 	}
 	h.disk.busy = true
 	lag := w.between(ms/2, 4*ms)
-	if w.faults() && w.chance(0.01) {
+	if w.mishap(0.01) {
 		lag = w.between(4*ms, 500*ms)
 	}
 	w.after(lag, func() {
@@ -270,7 +270,7 @@
 func (h *host) forward(f effect.Forward) {
 	w, life := h.w, h.life
 	lag := w.between(0, ms)
-	if w.faults() && w.chance(0.02) {
+	if w.mishap(0.02) {
 		lag = w.between(ms, 1500*ms)
 	}
 	w.after(lag, func() { h.send(life, f) })
--- a/core/sim_target_test.go
+++ b/core/sim_target_test.go
@@ -50,6 +50,12 @@
 	t.announce(t.life)
 }
 
+func (t *target) restart() {
+	if !t.up {
+		t.start()
+	}
+}
+
 // die ends the target and all that it runs.
 func (t *target) die() {
 	t.w.note("target %s dies", t.reg.ID)
@@ -90,10 +96,10 @@
 func (t *target) deliver(life int, report message.TargetReport, delay instant) {
 	w := t.w
 	h := pickOne(w, w.hosts)
-	if w.faults() && w.chance(0.02) {
+	if w.mishap(0.02) {
 		return
 	}
-	if w.faults() && w.chance(0.03) {
+	if w.mishap(0.03) {
 		delay = w.between(5*ms, 900*ms)
 	}
 	w.after(delay, func() {
@@ -154,10 +160,10 @@
 	life := h.life
 	x := &exchange{w: w, h: h, life: life, f: f, began: w.now}
 	flight := w.between(ms/2, 3*ms)
-	if w.faults() && w.chance(0.02) {
+	if w.mishap(0.02) {
 		flight = w.between(3*ms, flightMax)
 	}
-	if w.faults() && w.chance(0.01) {
+	if w.mishap(0.01) {
 		w.after(w.between(ms, 300*ms), func() { x.end(message.OutcomeUnknown, false) }) // the connection breaks
 	}
 	w.at(h.true(f.Deadline), func() { x.end(message.OutcomeUnknown, true) })
@@ -201,7 +207,7 @@
 		}
 		w.books.finished[c.id]++
 		back := w.between(ms/2, 3*ms)
-		if w.faults() && w.chance(0.01) {
+		if w.mishap(0.01) {
 			return // the answer is lost
 		}
 		answer := &model.Answer{Status: 200, Body: []byte(c.claimText())}
--- a/core/sim_world_test.go
+++ b/core/sim_world_test.go
@@ -72,6 +72,8 @@
 	trace   []string
 	verbose bool
 	failure string
+
+	roughness float64 // factor for the probability of small mishaps
 }
 
 func newWorld(t *testing.T, seed uint64) *world {
@@ -81,6 +83,7 @@
 		cut:   make(map[[2]model.HostID]bool),
 		books: newBooks(),
 	}
+	w.roughness = []float64{0.3, 1, 1, 4, 12}[w.rng.IntN(5)]
 	return w
 }
 
@@ -115,6 +118,12 @@
 // chance is true with the probability p.
 func (w *world) chance(p float64) bool { return w.rng.Float64() < p }
 
+// mishap is true now and then until the faults end, with a probability that
+// grows with the roughness of the run.
+func (w *world) mishap(p float64) bool {
+	return w.faults() && w.chance(min(p*w.roughness, 0.5))
+}
+
 func (w *world) between(low, high instant) instant {
 	if high <= low {
 		return low
@@ -182,11 +191,11 @@
 		l = &link{}
 		w.links[pair] = l
 	}
-	if w.faults() && w.chance(0.002) {
+	if w.mishap(0.002) {
 		l = w.replaceLink(pair, l)
 	}
 	delay := w.between(ms/2, 3*ms)
-	if w.faults() && w.chance(0.01) {
+	if w.mishap(0.01) {
 		delay = w.between(3*ms, 400*ms)
 	}
 	due := w.now + delay
