--- a/core/property_test.go
+++ b/core/property_test.go
@@ -54,6 +54,7 @@
 	w.run()
 	if w.failure == "" {
 		w.checkCalm()
+		w.checkAnswered()
 		w.checkQuiet()
 	}
 	w.report()
--- a/core/sim_check_test.go
+++ b/core/sim_check_test.go
@@ -171,6 +171,14 @@
 	}
 }
 
+// checkLeaving: a target gets nothing new some time after the leader has taken
+// its announcement that it leaves.
+func (w *world) checkLeaving(t *target, f effect.Forward) {
+	if t.leaving && t.told != 0 && f.Inc == t.reg.Incarnation && w.now > t.told+changeBound {
+		w.fail("%s comes to %s, leaving for %d ms", f.Request, t.reg.ID, (w.now-t.told)/ms)
+	}
+}
+
 // answered checks the answer that a caller gets.
 func (w *world) answered(h *host, f effect.AnswerRequest) {
 	c := w.books.calls[f.Request]
@@ -240,6 +248,15 @@
 	}
 }
 
+// checkAnswered: every caller that is still connected got its answer.
+func (w *world) checkAnswered() {
+	for _, c := range w.books.order {
+		if c.answers == 0 && !c.abandoned && c.host.life == c.life {
+			w.fail("%s of %.3f s got no answer", c.id, float64(c.sent)/float64(second))
+		}
+	}
+}
+
 // checkQuiet: nothing is left of requests that have ended.
 func (w *world) checkQuiet() {
 	leaders := 0
