gateway: check the key again before a further attempt

Cause: an attempt that was not started put its request back into the queue without a look at the key, which had been withdrawn during the attempt.

--- a/core/gateway/table.go
+++ b/core/gateway/table.go
@@ -40,6 +40,7 @@
 	leader   model.HostID
 	term     uint64
 	stopping bool
+	keys     map[model.Digest]model.TeamID // in force
 	held     map[model.RequestID]*held
 	due      *pq.Queue[model.RequestID, due, *held]
 }
@@ -126,6 +127,9 @@
 		return nil
 	}
 	h := &held{req: r, deadline: now.Add(r.Patience)}
+	if !t.keyHolds(h) {
+		return refuse(r.ID, keyRejected())
+	}
 	t.held[r.ID] = h
 	return t.ask(now, h)
 }
@@ -133,19 +137,28 @@
 // KeysChanged refuses the waiting requests whose key no longer stands for their
 // team. keys are the keys in force.
 func (t *Table) KeysChanged(now model.Time, keys map[model.Digest]model.TeamID) []effect.Effect {
+	t.keys = keys
 	var out []effect.Effect
 	for _, id := range t.sortedIDs() {
 		h := t.held[id]
-		if h.phase != waiting || h.req.Bearer == "" || keys[h.req.Bearer] == h.req.Team {
+		if h.phase != waiting || t.keyHolds(h) {
 			continue
 		}
-		p := problem.New(problem.KeyRejected, "the key was withdrawn while the request waited")
-		out = append(out, t.answer(h, effect.AnswerRequest{Request: id, Problem: h.truthful(p)})...)
+		out = append(out, t.answer(h, effect.AnswerRequest{Request: id, Problem: h.truthful(keyRejected())})...)
 		out = append(out, t.withdraw(now, h)...)
 	}
 	return out
 }
 
+// keyHolds reports whether the caller's key still stands for the team.
+func (t *Table) keyHolds(h *held) bool {
+	return h.req.Bearer == "" || t.keys[h.req.Bearer] == h.req.Team
+}
+
+func keyRejected() *problem.Problem {
+	return problem.New(problem.KeyRejected, "the key was withdrawn before the request started")
+}
+
 // withdraw ends a waiting request at the owner.
 func (t *Table) withdraw(now model.Time, h *held) []effect.Effect {
 	h.phase = withdrawn
@@ -298,14 +311,14 @@
 	}
 	var out []effect.Effect
 	switch {
-	case h.mayRetry(now, e):
+	case h.mayRetry(now, e) && t.keyHolds(h):
 		h.phase = waiting
 	case e.Outcome == message.OutcomeAnswered && !h.req.Idempotent && !e.TooLarge:
 		h.phase = settling
 		h.answerBy = now.Add(SettleTimeout)
 	default:
 		h.phase = settling
-		out = t.answer(h, ending(h, e))
+		out = t.answer(h, t.ending(h, e))
 	}
 	h.done.Final = h.phase == settling
 	t.schedule(h, now)
@@ -332,13 +345,15 @@
 }
 
 // ending is the caller's answer after the last attempt.
-func ending(h *held, e event.ForwardEnded) effect.AnswerRequest {
+func (t *Table) ending(h *held, e event.ForwardEnded) effect.AnswerRequest {
 	a := effect.AnswerRequest{Request: e.Request}
 	switch {
 	case e.TooLarge:
 		a.Problem = problem.New(problem.AnswerTooLarge, "the answer of target %s is over the limit", h.run.Target)
 	case e.Outcome == message.OutcomeAnswered:
 		a.Attempt = e.Attempt
+	case e.Outcome == message.OutcomeNotStarted && !t.keyHolds(h):
+		a.Problem = h.truthful(keyRejected())
 	case e.Outcome == message.OutcomeNotStarted:
 		a.Problem = h.truthful(problem.New(problem.PatienceExceeded, "target %s did not start the request", h.run.Target))
 	case e.TimedOut:
