--- a/core/sim_caller_test.go
+++ b/core/sim_caller_test.go
@@ -116,6 +116,11 @@
 		patience = w.between(50*ms, 12*second)
 	}
 	w.note("%s gets %s of %s on %s %s", h.id, c.id, c.team, c.queue, c.key)
+	if _, known := h.view.Rules.Queues[c.queue]; !known {
+		w.note("%s has no queue %s", h.id, c.queue)
+		c.answers, c.abandoned = 0, true
+		return
+	}
 	h.post(h.life, event.RequestArrived{Request: event.Request{
 		ID: c.id, Team: c.team, Queue: c.queue, Bearer: c.bearer, Idempotent: c.idempotent, Key: c.key, Body: c.body,
 		Worth: float64(w.rng.IntN(8)), Patience: model.Duration(patience),
@@ -222,6 +227,8 @@
 		if w.chance(0.6) {
 			team := pickOne(w, teams)
 			next.Teams[team] = rules.Team{Share: 30, Limit: 1 + w.rng.IntN(fullLimit)}
+		} else if w.chance(0.2) {
+			toggleQueue(next, "index")
 		} else {
 			dc := pickOne(w, centres)
 			next.DataCentres[dc] = rules.DataCentre{Out: !next.DataCentres[dc].Out}
@@ -230,6 +237,15 @@
 	}
 }
 
+// toggleQueue removes a queue or brings it back.
+func toggleQueue(r *rules.Rules, id model.QueueID) {
+	if _, there := r.Queues[id]; there {
+		delete(r.Queues, id)
+		return
+	}
+	r.Queues[id] = firstRules().Queues[id]
+}
+
 // restoreRules brings back the first rules after the faults.
 func (w *world) restoreRules() {
 	if w.now < faultsEnd || w.now > faultsEnd+4*second {
--- a/core/sim_check_test.go
+++ b/core/sim_check_test.go
@@ -83,6 +83,9 @@
 			s += string(dc) + " out "
 		}
 	}
+	if _, ok := r.Queues["index"]; !ok {
+		s += "no index"
+	}
 	return s
 }
 
--- a/core/sim_faults_test.go
+++ b/core/sim_faults_test.go
@@ -46,6 +46,7 @@
 		if h.durable {
 			h.disk.stored = consensus.Bootstrap[fleet.Command, *fleet.State](voters)
 		}
+		h.disk.identity = "disk"
 		h.start()
 	}
 	for _, t := range w.targets {
@@ -60,6 +61,11 @@
 			w.fault()
 		}
 	})
+	// One disk only: the entries that it held are on one other disk, until the
+	// new member has them.
+	if w.chance(0.3) {
+		w.at(w.between(faultsBegin, faultsEnd-10*second), pickOne(w, w.hosts[:voterCount]).loseDisk)
+	}
 	w.at(faultsEnd, w.heal)
 }
 
--- a/core/sim_host_test.go
+++ b/core/sim_host_test.go
@@ -37,9 +37,10 @@
 // disk keeps what was synced. Writes in flight are lost in a crash, except for
 // a prefix that may have reached the disk unreported.
 type disk struct {
-	stored  Stored
-	pending []effect.Persist
-	busy    bool
+	identity model.Incarnation
+	stored   Stored
+	pending  []effect.Persist
+	busy     bool
 }
 
 func (d *disk) write(p effect.Persist) {
@@ -81,9 +82,9 @@
 	h.view, h.revision = &view.View{}, 0
 	h.replies = make(map[uint64]func(message.ReportReply))
 	inc := model.Incarnation(fmt.Sprintf("%s-%d", h.id, h.life))
-	cfg := Config{Host: h.id, DataCentre: h.dc, Incarnation: inc, Replica: inc, Durable: h.durable, MaxVoters: 3}
+	cfg := Config{Host: h.id, DataCentre: h.dc, Incarnation: inc, Replica: inc, Durable: h.durable, MaxVoters: voterCount, SnapshotEvery: 100}
 	if h.durable {
-		cfg.Replica = "disk"
+		cfg.Replica = h.disk.identity
 	} else {
 		h.disk = disk{}
 	}
@@ -219,6 +220,14 @@
 	h.disk.pending, h.disk.busy = nil, false
 }
 
+// loseDisk replaces the data folder by an empty one of another identity.
+func (h *host) loseDisk() {
+	h.crash()
+	h.w.note("%s loses its disk", h.id)
+	h.disk = disk{identity: model.Incarnation(h.w.next("disk"))}
+	h.restartAfter(h.w.between(100*ms, 3*second))
+}
+
 func (h *host) stopped() {
 	h.up = false
 	h.frozen = false
--- a/core/state.go
+++ b/core/state.go
@@ -10,6 +10,7 @@
 package core
 
 import (
+	"cmp"
 	"slices"
 
 	"primrosedale.example/primrosedale/core/consensus"
@@ -43,6 +44,9 @@
 	Durable     bool              // the process has a data folder
 	Peers       []model.HostID    // the other hosts of the cluster
 	MaxVoters   int               // hosts with a data folder
+	// SnapshotEvery is the number of applied entries between two snapshots; zero
+	// stands for the default of 10,000.
+	SnapshotEvery uint64
 }
 
 type logNode = consensus.Node[fleet.Command, *fleet.State]
@@ -108,7 +112,7 @@
 		HeartbeatInterval:  HeartbeatInterval,
 		MaxAppendEntries:   maxAppendEntries,
 		MaxInflight:        maxInflight,
-		SnapshotEvery:      snapshotEvery,
+		SnapshotEvery:      cmp.Or(cfg.SnapshotEvery, snapshotEvery),
 		MaxVoters:          cfg.MaxVoters,
 	}, stored)
 	if err != nil {
