--- a/core/sim_caller_test.go
+++ b/core/sim_caller_test.go
@@ -21,7 +21,7 @@
 const fullLimit = 8 // of each team, in calm
 
 func firstRules() *rules.Rules {
-	const maxRun = 2 * model.Second
+	const maxRun = 3 * model.Second
 	r := &rules.Rules{
 		Revision:    1,
 		Teams:       map[model.TeamID]rules.Team{},
@@ -72,6 +72,11 @@
 			w.call(pickOne(w, queues))
 		}
 	})
+	w.every(30*ms, func() {
+		if w.now > 3*second && w.faults() {
+			w.call(pickOne(w, queues)) // more than the limits allow
+		}
+	})
 	w.every(5*second, func() {
 		if w.now < 3*second || !w.faults() {
 			return
@@ -224,9 +229,9 @@
 	for range n {
 		next := h.view.Rules.Clone()
 		next.Revision++
-		if w.chance(0.6) {
+		if w.chance(0.75) {
 			team := pickOne(w, teams)
-			next.Teams[team] = rules.Team{Share: 30, Limit: 1 + w.rng.IntN(fullLimit)}
+			next.Teams[team] = rules.Team{Share: 30, Limit: 1 + w.rng.IntN(fullLimit/2)}
 		} else if w.chance(0.2) {
 			toggleQueue(next, "index")
 		} else {
--- a/core/sim_target_test.go
+++ b/core/sim_target_test.go
@@ -197,8 +197,8 @@
 	t.order = append(t.order, key)
 	w.began(t, x, c)
 	run := w.between(10*ms, 300*ms)
-	if w.chance(0.05) {
-		run = w.between(300*ms, 2500*ms)
+	if w.chance(0.05) || w.faults() && w.chance(w.longRuns) {
+		run = w.between(300*ms, 3300*ms)
 	}
 	finished := run < left
 	w.after(min(run, left), func() {
--- a/core/sim_world_test.go
+++ b/core/sim_world_test.go
@@ -73,6 +73,7 @@
 	verbose bool
 	failure string
 
+	longRuns  float64 // share of runs that outlast a change of leader
 	roughness float64 // factor for the probability of small mishaps
 }
 
@@ -84,6 +85,7 @@
 		books: newBooks(),
 	}
 	w.roughness = []float64{0.3, 1, 1, 4, 12}[w.rng.IntN(5)]
+	w.longRuns = []float64{0, 0.1, 0.4}[w.rng.IntN(3)]
 	return w
 }
 
