dispatch: order waiting teams in a queue for each service

Cause: each dispatch looked at every team of the service, and each report looked at every queue for its longest run. Change: teams under their limit are in an indexed queue by precedence, use of their share and rank; a change of their running work moves them in it. The property test sends resends in calm, which must get the stored answer, and breaks connections while bytes are in flight.

--- a/core/dispatch/advance.go
+++ b/core/dispatch/advance.go
@@ -70,7 +70,7 @@
 	switch id.kind {
 	case timerDeadline:
 		if r := o.requests[id.request]; r != nil {
-			o.refuse(out, r, o.impatience(r))
+			o.refuse(env, out, r, o.impatience(r))
 		}
 	case timerDelay:
 		if r := o.requests[id.request]; r != nil && r.state == stateDelayed {
@@ -79,7 +79,7 @@
 	case timerLost:
 		if r := o.requests[id.request]; r != nil && r.state == stateDispatched {
 			o.releaseRun(env, r.run, env.Now)
-			o.forget(r)
+			o.forget(env, r)
 		}
 	case timerRun:
 		o.runOverdue(env, runID{id.request, id.attempt})
--- a/core/dispatch/claim.go
+++ b/core/dispatch/claim.go
@@ -62,7 +62,7 @@
 	o.endRun(env, r.run)
 	r.run = nil
 	if r.withdrew {
-		o.forget(r)
+		o.forget(env, r)
 		o.sendSettled(out, r.gateway, &message.Done{Request: c.Request, Attempt: r.settleAs, Final: true})
 		o.pump(env, out, r.service)
 		return
@@ -94,23 +94,23 @@
 
 func (o *Owner) answerFromClaim(env Env, out *Out, r *request, result fleet.Result) {
 	if result.Problem != nil {
-		o.refuse(out, r, result.Problem)
+		o.refuse(env, out, r, result.Problem)
 		return
 	}
 	record := result.Claim
 	switch {
 	case record.State == fleet.ClaimComplete && record.Answer != nil:
-		o.forget(r)
+		o.forget(env, r)
 		out.send(r.gateway, message.Message{Refuse: &message.Refuse{
 			Term: o.term, Request: r.ask.Request, Answer: record.Answer,
 		}})
 	case record.State == fleet.ClaimComplete:
-		o.refuse(out, r, problem.New(problem.AnswerNotRetained, "request %s ran with status %d", record.Request, record.Status))
+		o.refuse(env, out, r, problem.New(problem.AnswerNotRetained, "request %s ran with status %d", record.Request, record.Status))
 	case record.State == fleet.ClaimHeld && o.requests[record.Request] != nil:
 		p := problem.New(problem.InProgress, "request %s holds the idempotency key", record.Request)
 		p.RetryAfter = model.Second
-		o.refuse(out, r, p)
+		o.refuse(env, out, r, p)
 	default:
-		o.refuse(out, r, problem.New(problem.OutcomeUnknown, "request %s may have run", record.Request))
+		o.refuse(env, out, r, problem.New(problem.OutcomeUnknown, "request %s may have run", record.Request))
 	}
 }
--- a/core/dispatch/owner.go
+++ b/core/dispatch/owner.go
@@ -16,6 +16,9 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
+
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/lease"
@@ -90,6 +93,7 @@
 	byGateway map[model.HostID]map[model.RequestID]*request
 	runs      map[runID]*run
 	services  map[model.ServiceID]*service
+	ordered   []*service // all, by id
 	targets   map[model.TargetID]*target
 	teams     map[model.TeamID]*team
 	queues    map[model.QueueID]*queueStats
@@ -155,21 +159,22 @@
 	if s == nil {
 		s = newService(id)
 		o.services[id] = s
+		o.ordered = append(o.ordered, s)
+		slices.SortFunc(o.ordered, func(a, b *service) int { return cmp.Compare(a.id, b.id) })
+		s.longest = o.longestRun(id)
 	}
 	return s
 }
 
-// underLimit reports whether the team may have one more running request.
-func (o *Owner) underLimit(env Env, id model.TeamID) bool {
-	limit := o.rules.Teams[id].Limit
-	return o.RequestsRunning(id)+env.TasksRunning(id) < limit
-}
-
 // FleetChanged adapts to a change of rules, hosts or targets.
 func (o *Owner) FleetChanged(env Env, out *Out) {
 	if o.rules != env.Fleet.Rules {
 		o.rules = env.Fleet.Rules
+		for _, s := range o.ordered {
+			s.longest = o.longestRun(s.id)
+		}
 		o.refuseOrphans(env, out)
+		o.orderTeams(env)
 	}
 	for _, id := range sortedKeys(o.targets) {
 		o.refresh(env, o.targets[id])
@@ -188,11 +193,11 @@
 		_, team := o.rules.Teams[r.ask.Team]
 		switch {
 		case !known:
-			o.refuse(out, r, problem.New(problem.UnknownQueue, "queue %s was removed", r.ask.Queue))
+			o.refuse(env, out, r, problem.New(problem.UnknownQueue, "queue %s was removed", r.ask.Queue))
 		case !team:
-			o.refuse(out, r, problem.New(problem.UnknownTeam, "team %s was removed", r.ask.Team))
+			o.refuse(env, out, r, problem.New(problem.UnknownTeam, "team %s was removed", r.ask.Team))
 		case r.state == stateQueued && (queue.Service != r.service.id || queue.Precedence != r.rank.precedence):
-			o.unqueue(r)
+			o.unqueue(env, r)
 			o.enqueue(env, r)
 		}
 	}
@@ -205,9 +210,9 @@
 	case c.Claim != nil:
 		o.claimCommitted(env, out, c.Claim, result)
 	case c.Complete != nil:
-		o.settle(out, c.Complete.Request)
+		o.settle(env, out, c.Complete.Request)
 	case c.Release != nil:
-		o.settle(out, c.Release.Request)
+		o.settle(env, out, c.Release.Request)
 	case c.RegisterTarget != nil:
 		o.targetRegistered(env, out, c.RegisterTarget.Target)
 	case c.RemoveTarget != nil:
@@ -215,6 +220,7 @@
 	case c.ApplyRules != nil && result.Problem == nil, c.PlanHost != nil, c.ReportHost != nil:
 		o.FleetChanged(env, out)
 	case c.EndTask != nil:
+		o.orderTeams(env)
 		o.pumpAll(env, out)
 	}
 }
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -49,12 +49,13 @@
 type service struct {
 	id      model.ServiceID
 	waiting map[model.TeamID]*pq.Queue[model.RequestID, rank, *request]
-	teams   []model.TeamID // keys of waiting, sorted
-	length  [10]int        // waiting requests by precedence
+	ready   *pq.Queue[model.TeamID, turn, *request] // first waiting request of each team under its limit
+	length  [10]int                                 // waiting requests by precedence
 	usable  map[model.DataCentreID]*pq.Queue[model.TargetID, load, *target]
 	centres []model.DataCentreID // keys of usable, sorted
 	slots   int                  // of usable or full targets
 	targets int                  // registered
+	longest model.Duration       // longest run of its queues
 }
 
 // queueStats is what is learned of one queue.
@@ -66,7 +67,8 @@
 // team is one team's use of the fleet's targets.
 type team struct {
 	id          model.TeamID
-	running     int // requests that count as running
+	running     int        // requests that count as running
+	services    []*service // in which it has a queue
 	retryTokens float64
 	retryAt     model.Time // of the last refill
 }
@@ -75,6 +77,7 @@
 	return &service{
 		id:      id,
 		waiting: make(map[model.TeamID]*pq.Queue[model.RequestID, rank, *request]),
+		ready:   pq.New[model.TeamID, turn, *request](turn.before),
 		usable:  make(map[model.DataCentreID]*pq.Queue[model.TargetID, load, *target]),
 	}
 }
@@ -91,10 +94,11 @@
 	if q == nil {
 		q = pq.New[model.RequestID, rank, *request](rank.before)
 		s.waiting[r.ask.Team] = q
-		s.teams = append(s.teams, r.ask.Team)
-		slices.Sort(s.teams)
+		t := o.team(r.ask.Team)
+		t.services = append(t.services, s)
 	}
 	q.Set(r.ask.Request, r.rank, r)
+	o.orderIn(env, s, r.ask.Team)
 	s.length[r.rank.precedence]++
 	o.timers.Set(timerID{kind: timerDeadline, request: r.ask.Request}, timer{at: r.deadline}, struct{}{})
 }
@@ -102,60 +106,30 @@
 func clampPrecedence(p int) int { return min(max(p, 0), 9) }
 
 // unqueue takes a request out of the queue if it is in it.
-func (o *Owner) unqueue(r *request) {
+func (o *Owner) unqueue(env Env, r *request) {
 	if r.service == nil || r.service.waiting[r.ask.Team] == nil {
 		return
 	}
 	if r.service.waiting[r.ask.Team].Remove(r.ask.Request) {
 		r.service.length[r.rank.precedence]--
+		o.orderIn(env, r.service, r.ask.Team)
 	}
 }
 
-// next returns the waiting request that goes first: of the teams under their
-// limit, the highest precedence, then the team with the least running work for
-// its share, then the request's own rank.
-func (o *Owner) next(env Env, s *service) *request {
-	var best *request
-	var bestUse float64
-	for _, id := range s.teams {
-		_, _, r, ok := s.waiting[id].Peek()
-		if !ok || !o.underLimit(env, id) {
-			continue
-		}
-		use := o.useOfShare(id)
-		if best == nil || r.goesBefore(best, use, bestUse) {
-			best, bestUse = r, use
-		}
-	}
-	return best
-}
-
-func (r *request) goesBefore(other *request, use, otherUse float64) bool {
-	if r.rank.precedence != other.rank.precedence {
-		return r.rank.precedence > other.rank.precedence
-	}
-	if use != otherUse {
-		return use < otherUse
-	}
-	return r.rank.before(other.rank)
-}
-
-// useOfShare is the team's running requests in proportion to its share.
-func (o *Owner) useOfShare(id model.TeamID) float64 {
-	share := max(o.rules.Teams[id].Share, 0.1)
-	return float64(o.team(id).running) / share
-}
-
 // pump dispatches requests of a service as long as one may start.
 func (o *Owner) pump(env Env, out *Out, s *service) {
 	if s == nil || !o.fenced {
 		return
 	}
 	for {
-		r := o.next(env, s)
-		if r == nil {
+		_, _, r, ok := s.ready.Peek()
+		if !ok {
 			return
 		}
+		if !o.underLimit(env, r.ask.Team) {
+			s.ready.Remove(r.ask.Team) // tasks were placed since
+			continue
+		}
 		if !o.serves(env, r.gateway) {
 			o.delay(env, r, RetryDelayMin)
 			continue
@@ -169,8 +143,8 @@
 }
 
 func (o *Owner) pumpAll(env Env, out *Out) {
-	for _, id := range sortedKeys(o.services) {
-		o.pump(env, out, o.services[id])
+	for _, s := range o.ordered {
+		o.pump(env, out, s)
 	}
 }
 
@@ -182,7 +156,7 @@
 
 // start gives a request its slot, and dispatches it once it holds its claim.
 func (o *Owner) start(env Env, out *Out, r *request, t *target) {
-	o.unqueue(r)
+	o.unqueue(env, r)
 	o.timers.Remove(timerID{kind: timerDeadline, request: r.ask.Request})
 	r.attempt++
 	for o.runs[runID{r.ask.Request, r.attempt}] != nil {
--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -53,15 +53,15 @@
 	queue, known := o.rules.Queues[a.Queue]
 	r := &request{ask: *a, gateway: from, attempt: a.Attempt, deadline: env.Now.Add(a.Patience)}
 	if !known {
-		o.refuse(out, r, problem.New(problem.UnknownQueue, "there is no queue %s", a.Queue))
+		o.refuse(env, out, r, problem.New(problem.UnknownQueue, "there is no queue %s", a.Queue))
 		return
 	}
 	if _, known := o.rules.Teams[a.Team]; !known {
-		o.refuse(out, r, problem.New(problem.UnknownTeam, "there is no team %s", a.Team))
+		o.refuse(env, out, r, problem.New(problem.UnknownTeam, "there is no team %s", a.Team))
 		return
 	}
 	if p := o.tooLate(env, queue, a); p != nil {
-		o.refuse(out, r, p)
+		o.refuse(env, out, r, p)
 		return
 	}
 	o.track(r)
@@ -79,8 +79,8 @@
 	held[r.ask.Request] = r
 }
 
-func (o *Owner) forget(r *request) {
-	o.unqueue(r)
+func (o *Owner) forget(env Env, r *request) {
+	o.unqueue(env, r)
 	delete(o.requests, r.ask.Request)
 	delete(o.byGateway[r.gateway], r.ask.Request)
 	o.dropTimers(r)
@@ -95,8 +95,8 @@
 // refuse ends a request that waits. A claim that it may hold is released when
 // its gateway withdraws it: a late Ask can bring back a request here that its
 // gateway has started.
-func (o *Owner) refuse(out *Out, r *request, p *problem.Problem) {
-	o.forget(r)
+func (o *Owner) refuse(env Env, out *Out, r *request, p *problem.Problem) {
+	o.forget(env, r)
 	out.send(r.gateway, message.Message{Refuse: &message.Refuse{Term: o.term, Request: r.ask.Request, Problem: p}})
 	out.log(effect.Log{Code: effect.RequestRefused, Request: r.ask.Request, Team: r.ask.Team, Detail: string(p.Kind)})
 }
@@ -150,7 +150,7 @@
 		o.endRequest(env, out, r, d)
 	case r.adopted:
 		// Its gateway asks again, with all that is needed to queue it.
-		o.forget(r)
+		o.forget(env, r)
 		o.sendSettled(out, r.gateway, d)
 	default:
 		o.sendSettled(out, r.gateway, d)
@@ -208,11 +208,11 @@
 		claim = &id
 	}
 	if claim == nil || !holdsClaim(env, *claim, d.Request) {
-		o.forget(r)
+		o.forget(env, r)
 		o.sendSettled(out, r.gateway, d)
 		return
 	}
-	o.unqueue(r)
+	o.unqueue(env, r)
 	o.dropTimers(r)
 	r.state = stateSettling
 	r.settleAs = d.Attempt
@@ -244,12 +244,12 @@
 }
 
 // settle tells the gateway that the change of its claim is committed.
-func (o *Owner) settle(out *Out, id model.RequestID) {
+func (o *Owner) settle(env Env, out *Out, id model.RequestID) {
 	r := o.requests[id]
 	if r == nil || r.state != stateSettling {
 		return
 	}
-	o.forget(r)
+	o.forget(env, r)
 	o.sendSettled(out, r.gateway, &message.Done{Request: id, Attempt: r.settleAs, Final: true})
 }
 
--- a/core/dispatch/retry.go
+++ b/core/dispatch/retry.go
@@ -20,11 +20,11 @@
 	r.failures++
 	if d.Outcome == message.OutcomeUnknown {
 		if r.attempt >= AttemptsMax {
-			o.refuse(out, r, problem.New(problem.RetriesExhausted, "%d attempts failed", r.attempt))
+			o.refuse(env, out, r, problem.New(problem.RetriesExhausted, "%d attempts failed", r.attempt))
 			return
 		}
 		if !o.spendRetry(env, r.ask.Team) {
-			o.refuse(out, r, problem.New(problem.RetriesExhausted, "the retry budget of team %s is spent", r.ask.Team))
+			o.refuse(env, out, r, problem.New(problem.RetriesExhausted, "the retry budget of team %s is spent", r.ask.Team))
 			return
 		}
 	}
@@ -33,7 +33,7 @@
 
 // delay takes a request out of the queue for a time.
 func (o *Owner) delay(env Env, r *request, d model.Duration) {
-	o.unqueue(r)
+	o.unqueue(env, r)
 	r.state = stateDelayed
 	o.timers.Set(timerID{kind: timerDelay, request: r.ask.Request}, timer{at: env.Now.Add(d)}, struct{}{})
 	o.timers.Set(timerID{kind: timerDeadline, request: r.ask.Request}, timer{at: r.deadline}, struct{}{})
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -35,6 +35,7 @@
 	r := &run{id: id, team: o.team(teamID), target: t, deadline: deadline}
 	o.runs[id] = r
 	r.team.running++
+	o.orderTeam(env, r.team)
 	t.runs[id] = r
 	o.dispatchSeq++
 	t.lastUsed = o.dispatchSeq
@@ -51,6 +52,7 @@
 	delete(r.target.runs, r.id)
 	o.timers.Remove(timerID{kind: timerRun, request: r.id.request, attempt: r.id.attempt})
 	r.team.running--
+	o.orderTeam(env, r.team)
 	o.ended[r.id.request] = env.Now
 	o.endedFIFO = append(o.endedFIFO, endedRun{r.id.request, env.Now})
 	o.refresh(env, r.target)
@@ -130,7 +132,7 @@
 				o.releaseRun(env, r.run, env.Now)
 			}
 		}
-		o.forget(r)
+		o.forget(env, r)
 	}
 	delete(o.byGateway, host)
 }
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -161,7 +161,7 @@
 	o.reconcile(env, t, m, sampled)
 	if !t.proven && o.fenced && sampled >= o.fencedAt {
 		t.proven = true
-		o.unknownSlots -= t.reg.Slots
+		o.knowSlots(env, -t.reg.Slots)
 	}
 	o.refresh(env, t)
 	if m.State == message.TargetLeaving && len(t.runs) == 0 && t.empty && t.proven {
@@ -250,7 +250,7 @@
 	if o.runs[id] != nil {
 		return
 	}
-	r := o.startRun(env, id, running.Team, t, env.Now.Add(o.longestRun(t.reg.Service)))
+	r := o.startRun(env, id, running.Team, t, env.Now.Add(t.service.longest))
 	o.releaseRun(env, r, env.Now)
 }
 
@@ -307,7 +307,7 @@
 	to := o.addTarget(env, reg)
 	if !proven {
 		to.proven = false
-		o.unknownSlots += reg.Slots
+		o.knowSlots(env, reg.Slots)
 	}
 	to.state, to.seq, to.lastHeard, to.receipts = from.state, from.seq, from.lastHeard, from.receipts
 	to.lastUsed, to.failures, to.paused, to.empty = from.lastUsed, from.failures, from.paused, from.empty
@@ -324,7 +324,7 @@
 func (o *Owner) dropTarget(env Env, t *target, endRuns bool) {
 	if !t.proven {
 		t.proven = true
-		o.unknownSlots -= t.reg.Slots
+		o.knowSlots(env, -t.reg.Slots)
 	}
 	if endRuns {
 		for _, r := range t.sortedRuns() {
@@ -350,6 +350,6 @@
 }
 
 func (o *Owner) armForget(env Env, t *target) {
-	at := env.Now.Add(o.longestRun(t.reg.Service) + SilentAfter + ForgetMargin)
+	at := env.Now.Add(t.service.longest + SilentAfter + ForgetMargin)
 	o.timers.Set(timerID{kind: timerForget, target: t.reg.ID}, timer{at: at}, struct{}{})
 }
--- a/core/sim_caller_test.go
+++ b/core/sim_caller_test.go
@@ -61,6 +61,7 @@
 	notRun     bool
 	abandoned  bool
 	resends    int
+	settled    bool // a resend of a request that was answered in calm
 }
 
 func (c *call) claimText() string { return string(c.team) + "/" + string(c.key) }
@@ -133,7 +134,7 @@
 	if w.faults() && w.chance(0.05) {
 		w.after(w.between(0, 2*second), func() { w.abandon(c) })
 	}
-	if !c.idempotent && w.faults() && w.chance(0.3) {
+	if !c.idempotent && w.chance(0.3) {
 		w.after(w.between(50*ms, 3*second), func() { w.resend(c) })
 	}
 }
@@ -153,7 +154,8 @@
 		return
 	}
 	again := &call{queue: c.queue, team: c.team, key: c.key, body: c.body, bearer: c.bearer, resends: c.resends + 1}
-	if w.chance(0.05) {
+	again.settled = c.sent > faultsEnd && c.answers > 0 && c.problem == nil
+	if w.faults() && w.chance(0.05) {
 		again.body = "other body"
 	}
 	w.send(again)
--- a/core/sim_check_test.go
+++ b/core/sim_check_test.go
@@ -245,6 +245,9 @@
 		if c.answers != 1 || took > 5*second {
 			w.fail("%s of %.3f s was answered %d times after %d ms", c.id, float64(c.sent)/float64(second), c.answers, took/ms)
 		}
+		if c.settled && c.problem != nil {
+			w.fail("%s, a resend of an answered request, was refused: %v", c.id, c.problem)
+		}
 		if c.sent > faultsEnd+5*second && c.problem != nil && !slices.Contains(excused, c.problem.Kind) {
 			w.fail("%s of %.3f s was refused in calm: %v", c.id, float64(c.sent)/float64(second), c.problem)
 		}
--- a/core/sim_target_test.go
+++ b/core/sim_target_test.go
@@ -166,8 +166,8 @@
 	if w.mishap(0.02) {
 		flight = w.between(3*ms, flightMax)
 	}
-	if w.mishap(0.01) {
-		w.after(w.between(ms, 300*ms), func() { x.end(message.OutcomeUnknown, false) }) // the connection breaks
+	if w.mishap(0.01) || flight > 100*ms && w.chance(0.5) {
+		w.after(w.between(ms, max(flight, 300*ms)), func() { x.end(message.OutcomeUnknown, false) }) // the connection breaks
 	}
 	w.at(h.true(f.Deadline), func() { x.end(message.OutcomeUnknown, true) })
 	left := int64(f.Deadline.Sub(h.now()))
