--- a/core/dispatch/advance.go
+++ b/core/dispatch/advance.go
@@ -16,6 +16,7 @@
 	timerSilent                    // a target has not announced itself
 	timerPause                     // a target's pause ends
 	timerLost                      // a dispatched request was never reported ended
+	timerSweep                     // held claims are looked at
 	timerForget                    // a silent target can run nothing any more
 )
 
@@ -62,6 +63,7 @@
 	}
 	o.fenced = true
 	o.fencedAt = env.Now
+	o.timers.Set(timerID{kind: timerSweep}, timer{at: env.Now.Add(ClaimSweep)}, struct{}{})
 	out.log(effect.Log{Code: effect.DispatchReady, Term: o.term})
 	o.pumpAll(env, out)
 }
@@ -81,6 +83,8 @@
 			o.releaseRun(env, r.run, env.Now)
 			o.forget(env, r)
 		}
+	case timerSweep:
+		o.sweepClaims(env, out)
 	case timerRun:
 		o.runOverdue(env, runID{id.request, id.attempt})
 	case timerSilent:
@@ -94,7 +98,7 @@
 		}
 	case timerForget:
 		if t := o.targets[id.target]; t != nil {
-			out.Proposals = append(out.Proposals, fleet.Command{At: env.Now, RemoveTarget: &fleet.RemoveTarget{
+			out.Proposals = append(out.Proposals, fleet.Command{RemoveTarget: &fleet.RemoveTarget{
 				ID: t.reg.ID, Incarnation: t.reg.Incarnation,
 			}})
 			o.armForget(env, t)
--- a/core/dispatch/claim.go
+++ b/core/dispatch/claim.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
@@ -11,8 +12,34 @@
 // a resend.
 const AnswerStoredMax = 64 << 10
 
+// ClaimSweep is the interval between two looks at the claims that are held. A
+// gateway repeats its messages every 500 ms, so a claim whose request is unknown
+// in two looks in a row has lost its gateway.
+const ClaimSweep = 5 * model.Second
+
+// sweepClaims ends the claims that no gateway will end. Their requests may have
+// run, so a resend is told that the outcome is unknown.
+func (o *Owner) sweepClaims(env Env, out *Out) {
+	o.timers.Set(timerID{kind: timerSweep}, timer{at: env.Now.Add(ClaimSweep)}, struct{}{})
+	orphans := make(map[fleet.ClaimID]model.RequestID)
+	for _, c := range env.Fleet.HeldClaims() {
+		if o.requests[c.Request] != nil {
+			continue
+		}
+		if o.orphans[c.ClaimID] != c.Request {
+			orphans[c.ClaimID] = c.Request
+			continue
+		}
+		out.log(effect.Log{Code: effect.OutcomeUnknown, Request: c.Request, Team: c.Team})
+		out.Proposals = append(out.Proposals, fleet.Command{Complete: &fleet.Complete{
+			ClaimID: c.ClaimID, Request: c.Request, Unknown: true,
+		}})
+	}
+	o.orphans = orphans
+}
+
 func (o *Owner) proposeClaim(env Env, out *Out, r *request) {
-	out.Proposals = append(out.Proposals, fleet.Command{At: env.Now, Claim: &fleet.Claim{
+	out.Proposals = append(out.Proposals, fleet.Command{Claim: &fleet.Claim{
 		ClaimID: r.claimID(),
 		Request: r.ask.Request,
 		Gateway: r.gateway,
@@ -21,7 +48,7 @@
 }
 
 func (o *Owner) proposeRelease(env Env, out *Out, r *request) {
-	out.Proposals = append(out.Proposals, fleet.Command{At: env.Now, Release: &fleet.Release{
+	out.Proposals = append(out.Proposals, fleet.Command{Release: &fleet.Release{
 		ClaimID: r.claimID(),
 		Request: r.ask.Request,
 	}})
@@ -29,7 +56,7 @@
 
 // proposeOutcome records how a claimed request ended.
 func (o *Owner) proposeOutcome(env Env, out *Out, id fleet.ClaimID, d *message.Done) {
-	c := fleet.Command{At: env.Now}
+	c := fleet.Command{}
 	switch d.Outcome {
 	case message.OutcomeNotStarted:
 		c.Release = &fleet.Release{ClaimID: id, Request: d.Request}
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -165,7 +165,7 @@
 	}
 	o.refresh(env, t)
 	if m.State == message.TargetLeaving && len(t.runs) == 0 && t.empty && t.proven {
-		out.Proposals = append(out.Proposals, fleet.Command{At: env.Now, RemoveTarget: &fleet.RemoveTarget{
+		out.Proposals = append(out.Proposals, fleet.Command{RemoveTarget: &fleet.RemoveTarget{
 			ID: t.reg.ID, Incarnation: t.reg.Incarnation,
 		}})
 	}
--- a/core/gateway/table.go
+++ b/core/gateway/table.go
@@ -12,7 +12,6 @@
 
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/event"
-	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/pq"
@@ -134,53 +133,6 @@
 	return t.ask(now, h)
 }
 
-// KeysChanged refuses the waiting requests whose key no longer stands for their
-// team. keys are the keys in force.
-func (t *Table) KeysChanged(now model.Time, keys map[model.Digest]model.TeamID) []effect.Effect {
-	t.keys = keys
-	var out []effect.Effect
-	for _, id := range t.sortedIDs() {
-		h := t.held[id]
-		if h.phase != waiting || t.keyHolds(h) {
-			continue
-		}
-		out = append(out, t.answer(h, effect.AnswerRequest{Request: id, Problem: h.truthful(keyRejected())})...)
-		out = append(out, t.withdraw(now, h)...)
-	}
-	return out
-}
-
-// keyHolds reports whether the caller's key still stands for the team.
-func (t *Table) keyHolds(h *held) bool {
-	return h.req.Bearer == "" || t.keys[h.req.Bearer] == h.req.Team
-}
-
-func keyRejected() *problem.Problem {
-	return problem.New(problem.KeyRejected, "the key was withdrawn before the request started")
-}
-
-// withdraw ends a waiting request at the owner.
-func (t *Table) withdraw(now model.Time, h *held) []effect.Effect {
-	h.phase = withdrawn
-	h.done = nil
-	return t.resend(now, h)
-}
-
-// Abandon handles the disconnect of a caller. A waiting request is withdrawn;
-// a running one is completed, because its target may be in the middle of it.
-func (t *Table) Abandon(now model.Time, id model.RequestID) []effect.Effect {
-	h := t.held[id]
-	if h == nil || h.answered {
-		return nil
-	}
-	h.gone = true
-	h.answered = true
-	if h.phase != waiting {
-		return nil
-	}
-	return t.withdraw(now, h)
-}
-
 // Follow sets the owner and its term. Requests that wait ask the new owner,
 // and outcomes that the old owner has not settled are reported again.
 func (t *Table) Follow(now model.Time, leader model.HostID, term uint64) []effect.Effect {
@@ -215,172 +167,6 @@
 	return list
 }
 
-// Dispatch handles the owner's permission to forward a request until startBy. An
-// attempt that is not started is reported back, so that the owner frees the
-// slot; it counts as ended, so that a repeated message does not start it later.
-func (t *Table) Dispatch(now, startBy model.Time, d *message.Dispatch) []effect.Effect {
-	if d.Term != t.term || d.Gateway != t.inc {
-		return nil
-	}
-	h := t.held[d.Request]
-	if h == nil {
-		return t.sendOwner(message.Message{Done: &message.Done{
-			Request: d.Request, Attempt: d.Attempt, Outcome: message.OutcomeNotStarted, Untried: true, Final: true,
-		}})
-	}
-	if h.attempt >= d.Attempt {
-		return nil // a repeated message: this attempt has begun or ended
-	}
-	switch h.phase {
-	case forwarded:
-		return nil // its end tells the owner which attempt ran
-	case settling, withdrawn:
-		return t.resend(now, h)
-	}
-	if now >= startBy {
-		return t.expired(now, h, d)
-	}
-	h.phase = forwarded
-	h.attempt = d.Attempt
-	h.done = nil
-	h.runUntil = now.Add(d.MaxRun)
-	h.run = message.Forwarded{
-		Request: d.Request, Attempt: d.Attempt, Team: h.req.Team, Queue: h.req.Queue,
-		Target: d.Target, Inc: d.Inc,
-	}
-	t.due.Remove(d.Request)
-	return []effect.Effect{effect.Forward{
-		Request: d.Request, Attempt: d.Attempt, Target: d.Target, Inc: d.Inc, Address: d.Address,
-		Ticket: d.Ticket, Term: d.Term, StartBy: startBy, Deadline: h.runUntil,
-		Claimed: d.Claimed, Idempotent: h.req.Idempotent,
-	}}
-}
-
-// expired ends an attempt whose time to start has passed.
-func (t *Table) expired(now model.Time, h *held, d *message.Dispatch) []effect.Effect {
-	h.attempt, h.ended = d.Attempt, d.Attempt
-	h.done = &message.Done{
-		Request: d.Request, Attempt: d.Attempt, Outcome: message.OutcomeNotStarted, Untried: true,
-	}
-	t.schedule(h, now)
-	return t.sendOwner(message.Message{Done: h.done})
-}
-
-// Refuse handles the owner's end of a waiting request: a refusal, or the
-// stored answer of an earlier run of the same claim. A request that may hold a
-// claim is withdrawn as well: only its gateway knows that it has not started.
-func (t *Table) Refuse(now model.Time, r *message.Refuse) []effect.Effect {
-	h := t.held[r.Request]
-	if h == nil || h.phase != waiting || r.Term != t.term {
-		return nil
-	}
-	a := effect.AnswerRequest{Request: r.Request, Answer: r.Answer}
-	if r.Answer == nil {
-		a.Problem = h.truthful(r.Problem)
-	}
-	out := t.answer(h, a)
-	if h.req.Idempotent {
-		t.remove(h)
-		return out
-	}
-	return append(out, t.withdraw(now, h)...)
-}
-
-// truthful replaces a refusal that says "not run" when an attempt may have run.
-func (h *held) truthful(p *problem.Problem) *problem.Problem {
-	if !h.mayRan || problem.Lookup(p.Kind).Ran != problem.RanNo {
-		return p
-	}
-	return problem.New(problem.RetriesExhausted, "%d attempts were made; then %s", h.attempt, p.Kind)
-}
-
-// Ended handles the end of a forwarded attempt.
-func (t *Table) Ended(now model.Time, e event.ForwardEnded) []effect.Effect {
-	h := t.held[e.Request]
-	if h == nil || h.phase != forwarded || h.attempt != e.Attempt {
-		return nil
-	}
-	h.ended = e.Attempt
-	h.done = &message.Done{
-		Request: e.Request, Attempt: e.Attempt, Outcome: e.Outcome, Status: e.Status,
-		RunTime: e.RunTime, RetryAfter: e.RetryAfter, Answer: e.Answer,
-	}
-	h.done.Claim = h.claim()
-	if e.Outcome == message.OutcomeUnknown {
-		h.mayRan = true
-	}
-	var out []effect.Effect
-	switch {
-	case h.mayRetry(now, e) && t.keyHolds(h):
-		h.phase = waiting
-	case e.Outcome == message.OutcomeAnswered && !h.req.Idempotent && !e.TooLarge:
-		h.phase = settling
-		h.answerBy = now.Add(SettleTimeout)
-	default:
-		h.phase = settling
-		out = t.answer(h, t.ending(h, e))
-	}
-	h.done.Final = h.phase == settling
-	t.schedule(h, now)
-	return append(out, t.sendOwner(message.Message{Done: h.done})...)
-}
-
-// claim names the claim that the request may hold, or is nil.
-func (h *held) claim() *fleet.ClaimID {
-	if h.req.Idempotent {
-		return nil
-	}
-	return &fleet.ClaimID{Team: h.req.Team, Key: h.req.Key}
-}
-
-// mayRetry reports whether the owner may choose another attempt.
-func (h *held) mayRetry(now model.Time, e event.ForwardEnded) bool {
-	if h.gone || e.TooLarge || e.TimedOut || now >= h.deadline {
-		return false
-	}
-	if e.Outcome == message.OutcomeNotStarted {
-		return true
-	}
-	return e.Outcome == message.OutcomeUnknown && h.req.Idempotent
-}
-
-// ending is the caller's answer after the last attempt.
-func (t *Table) ending(h *held, e event.ForwardEnded) effect.AnswerRequest {
-	a := effect.AnswerRequest{Request: e.Request}
-	switch {
-	case e.TooLarge:
-		a.Problem = problem.New(problem.AnswerTooLarge, "the answer of target %s is over the limit", h.run.Target)
-	case e.Outcome == message.OutcomeAnswered:
-		a.Attempt = e.Attempt
-	case e.Outcome == message.OutcomeNotStarted && !t.keyHolds(h):
-		a.Problem = h.truthful(keyRejected())
-	case e.Outcome == message.OutcomeNotStarted:
-		a.Problem = h.truthful(problem.New(problem.PatienceExceeded, "target %s did not start the request", h.run.Target))
-	case e.TimedOut:
-		a.Problem = problem.New(problem.DeadlineExceeded, "target %s did not answer within the run time", h.run.Target)
-	default:
-		a.Problem = problem.New(problem.OutcomeUnknown, "the connection to target %s failed", h.run.Target)
-	}
-	return a
-}
-
-// Settled handles the owner's receipt for a Done.
-func (t *Table) Settled(s *message.Settled) []effect.Effect {
-	h := t.held[s.Request]
-	if h == nil || h.phase == forwarded || h.ended != s.Attempt {
-		return nil
-	}
-	if h.phase == waiting {
-		h.done = nil
-		return nil
-	}
-	if !s.Final {
-		return nil // for an attempt before the request was withdrawn
-	}
-	t.remove(h)
-	return t.answer(h, effect.AnswerRequest{Request: s.Request, Attempt: s.Attempt})
-}
-
 // Advance does what is due: repeated messages and refusals for lack of an
 // owner.
 func (t *Table) Advance(now model.Time) []effect.Effect {
@@ -490,7 +276,3 @@
 	slices.Sort(ids)
 	return ids
 }
-
-func refuse(id model.RequestID, p *problem.Problem) []effect.Effect {
-	return []effect.Effect{effect.AnswerRequest{Request: id, Problem: p}}
-}
--- a/core/sim_check_test.go
+++ b/core/sim_check_test.go
@@ -274,6 +274,9 @@
 			continue
 		}
 		leaders++
+		if held := h.state.fleet.HeldClaims(); len(held) != 0 {
+			w.fail("%d claims are held without a request: %v", len(held), held[0])
+		}
 		o := h.state.leading.owner
 		var st view.Status
 		o.Status(h.state.env(), &st)
