gateway: keep the end of the last attempt while a request is withdrawn; add table tests

Cause: a request that was withdrawn forgot its last attempt with an unknown outcome, which the next leader then did not count until its target reported. Found by TestForwardedListsWhatMayRun. Change: the Done stays until it is settled. The property test isolates a leader that has work.

--- a/core/gateway/attempt.go
+++ b/core/gateway/attempt.go
@@ -136,12 +136,12 @@
 	if h == nil || h.phase == forwarded || h.ended != s.Attempt {
 		return nil
 	}
-	if h.phase == waiting {
-		h.done = nil
+	if h.phase == waiting || h.phase == withdrawn && !s.Final {
+		h.done = nil // the attempt is settled, the request goes on or is withdrawn
 		return nil
 	}
 	if !s.Final {
-		return nil // for an attempt before the request was withdrawn
+		return nil
 	}
 	t.remove(h)
 	return t.answer(h, effect.AnswerRequest{Request: s.Request, Attempt: s.Attempt})
--- a/core/gateway/refuse.go
+++ b/core/gateway/refuse.go
@@ -32,10 +32,10 @@
 	return problem.New(problem.KeyRejected, "the key was withdrawn before the request started")
 }
 
-// withdraw ends a waiting request at the owner.
+// withdraw ends a waiting request at the owner. The end of its last attempt
+// stays known until it is settled: the attempt may still run.
 func (t *Table) withdraw(now model.Time, h *held) []effect.Effect {
 	h.phase = withdrawn
-	h.done = nil
 	return t.resend(now, h)
 }
 
--- /dev/null
+++ b/core/lease/lease_test.go
@@ -0,0 +1,190 @@
+package lease_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/lease"
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+const (
+	ms    = model.Millisecond
+	start = model.Time(1_000_000 * model.Second)
+)
+
+func at(d model.Duration) model.Time { return start.Add(d) }
+
+// Guards against a lease that is measured from anything but the sending of its
+// Renew, or that a grant of another leader or of a lost Renew extends.
+func TestHolderTakesOnlyItsOwnGrants(t *testing.T) {
+	cases := []struct {
+		name  string
+		grant message.Grant
+		until model.Time
+	}{
+		{"of the renewal", message.Grant{Term: 3, Seq: 1, Duration: lease.Duration}, at(lease.Duration)},
+		{"of another term", message.Grant{Term: 2, Seq: 1, Duration: lease.Duration}, 0},
+		{"of an unknown renewal", message.Grant{Term: 3, Seq: 2, Duration: lease.Duration}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := lease.NewHolder("life", "west")
+			h.Follow("leader", 3)
+			r := h.Renew(start, 7, false)
+			require.True(t, r.Full)
+			require.EqualValues(t, 1, r.Seq)
+			h.Granted(&c.grant)
+			require.Equal(t, c.until, h.Until())
+			require.Equal(t, c.until != 0, h.Valid(at(lease.Duration-1)))
+			require.False(t, h.Valid(at(lease.Duration)))
+		})
+	}
+}
+
+// Guards against a host that serves under the old leader after it has told the
+// new one what it had forwarded.
+func TestRenewOfNewTermEndsEarlierLease(t *testing.T) {
+	h := lease.NewHolder("life", "west")
+	h.Follow("old", 1)
+	h.Renew(start, 0, false)
+	h.Granted(&message.Grant{Term: 1, Seq: 1, Duration: lease.Duration})
+	require.True(t, h.Follow("new", 2))
+	require.True(t, h.Valid(at(10*ms)), "the lease runs until the new leader is asked")
+	require.True(t, h.Renew(at(10*ms), 0, false).Full)
+	require.False(t, h.Valid(at(10*ms)))
+	h.Granted(&message.Grant{Term: 1, Seq: 1, Duration: lease.Duration})
+	require.False(t, h.Valid(at(10*ms)))
+}
+
+// Guards against a dispatch that is dated by a Renew which the host no longer
+// remembers, or never sent.
+func TestSentKnowsRecentRenewalsOnly(t *testing.T) {
+	h := lease.NewHolder("life", "west")
+	h.Follow("leader", 1)
+	for i := range 9 {
+		h.Renew(at(model.Duration(i)*lease.Interval), 0, false)
+	}
+	for seq, known := range map[uint64]bool{0: false, 1: false, 2: true, 9: true, 10: false} {
+		sent, ok := h.Sent(seq)
+		require.Equal(t, known, ok, "renewal %d", seq)
+		if ok {
+			require.Equal(t, at(model.Duration(seq-1)*lease.Interval), sent)
+		}
+	}
+}
+
+type controlChange struct {
+	index uint64
+	at    model.Duration
+}
+
+// Guards against a host that keeps its lease while it lags: after a restart,
+// under a new leader, or because later changes renew the grace of earlier ones.
+func TestGranterRefusesHostThatLags(t *testing.T) {
+	cases := []struct {
+		name    string
+		initial uint64
+		changes []controlChange
+		applied uint64
+		at      model.Duration
+		granted bool
+	}{
+		{"has all", 5, nil, 5, 0, true},
+		{"lags at the start of the term", 5, nil, 4, 0, false},
+		{"within the grace", 5, []controlChange{{6, 0}}, 5, 999 * ms, true},
+		{"after the grace", 5, []controlChange{{6, 0}}, 5, 1000 * ms, false},
+		{"a later change has its own grace", 5, []controlChange{{6, 0}, {7, 900 * ms}}, 6, 1500 * ms, true},
+		{"a later change does not extend the first", 5, []controlChange{{6, 0}, {7, 900 * ms}}, 5, 1000 * ms, false},
+		{"ahead of the changes", 5, []controlChange{{6, 0}}, 9, 5000 * ms, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := lease.NewGranter(start, 4, c.initial)
+			for _, change := range c.changes {
+				g.ControlChanged(at(change.at), change.index)
+			}
+			r := &message.Renew{Term: 4, Seq: 1, Incarnation: "life", Applied: c.applied, Full: true}
+			grant := g.Renewed(at(c.at), "host", r)
+			require.Equal(t, c.granted, grant != nil)
+		})
+	}
+}
+
+// Guards against a lease for a host whose running requests are not known, or
+// that follows another leader.
+func TestGranterWantsListAndTerm(t *testing.T) {
+	cases := []struct {
+		name    string
+		renew   message.Renew
+		granted bool
+	}{
+		{"complete list", message.Renew{Term: 4, Full: true}, true},
+		{"no list", message.Renew{Term: 4}, false},
+		{"other term", message.Renew{Term: 3, Full: true}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := lease.NewGranter(start, 4, 0)
+			require.Equal(t, c.granted, g.Renewed(start, "host", &c.renew) != nil)
+		})
+	}
+}
+
+// Guards against dispatching while a lease of an earlier leader may still run.
+func TestFenceWaitsForReportsOrTime(t *testing.T) {
+	members := []model.HostID{"a", "b"}
+	full := func(g *lease.Granter, host model.HostID) {
+		g.Renewed(start, host, &message.Renew{Term: 4, Seq: 1, Full: true})
+	}
+	cases := []struct {
+		name     string
+		reported []model.HostID
+		at       model.Duration
+		fenced   bool
+	}{
+		{"nobody reported", nil, 0, false},
+		{"one did not report", []model.HostID{"a"}, lease.Duration, false},
+		{"all reported", members, 0, true},
+		{"earlier leases ended", nil, lease.Duration + lease.Margin, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := lease.NewGranter(start, 4, 0)
+			for _, host := range c.reported {
+				full(g, host)
+			}
+			require.Equal(t, c.fenced, g.Fenced(at(c.at), members))
+		})
+	}
+}
+
+// Guards against calling a change in force while a host may serve without it.
+func TestInForceWhenAppliedOrLeaseEnded(t *testing.T) {
+	g := lease.NewGranter(start, 4, 0)
+	renew := func(host model.HostID, seq, applied uint64, now model.Duration) {
+		g.Renewed(at(now), host, &message.Renew{Term: 4, Seq: seq, Applied: applied, Full: true})
+	}
+	members := []model.HostID{"a", "b"}
+	renew("a", 1, 0, 0)
+	renew("b", 1, 0, 0)
+	g.ControlChanged(at(10*ms), 8)
+	require.False(t, g.InForce(at(20*ms), members))
+	renew("a", 2, 8, 300*ms)
+	require.False(t, g.InForce(at(300*ms), members), "b serves without the change")
+	require.True(t, g.InForce(at(lease.Duration+lease.Margin), members), "the lease of b has ended")
+}
+
+// Guards against a late Renew of a process that has restarted: it would make
+// the leader drop the requests of the present one.
+func TestOutdatedLifeIsRecognized(t *testing.T) {
+	g := lease.NewGranter(start, 4, 0)
+	g.Renewed(start, "host", &message.Renew{Term: 4, Seq: 9, Incarnation: "first", Full: true})
+	require.False(t, g.Outdated("host", "second"))
+	g.Renewed(start, "host", &message.Renew{Term: 4, Seq: 1, Incarnation: "second", Full: true})
+	require.True(t, g.Outdated("host", "first"))
+	require.False(t, g.Outdated("host", "second"))
+	require.EqualValues(t, 1, g.Session("host").LastSeq)
+}
--- a/core/sim_caller_test.go
+++ b/core/sim_caller_test.go
@@ -89,7 +89,9 @@
 	})
 }
 
-func (w *world) call(queue model.QueueID) {
+func (w *world) call(queue model.QueueID) { w.callAt(pickOne(w, w.hosts), queue) }
+
+func (w *world) callAt(h *host, queue model.QueueID) {
 	c := &call{queue: queue, idempotent: w.chance(0.5)}
 	if queue == "open" {
 		c.team = "public"
@@ -101,12 +103,11 @@
 		c.key = model.Digest(w.next("key"))
 		c.body = "body"
 	}
-	w.send(c)
+	w.send(h, c)
 }
 
-// send passes a request to some host, which admits it by its view.
-func (w *world) send(c *call) {
-	h := pickOne(w, w.hosts)
+// send passes a request to a host, which admits it by its view.
+func (w *world) send(h *host, c *call) {
 	if !h.serving() || h.view.Stopping {
 		return
 	}
@@ -158,7 +159,7 @@
 	if w.faults() && w.chance(0.05) {
 		again.body = "other body"
 	}
-	w.send(again)
+	w.send(pickOne(w, w.hosts), again)
 }
 
 // operators change rules and keys.
--- a/core/sim_faults_test.go
+++ b/core/sim_faults_test.go
@@ -71,7 +71,7 @@
 
 func (w *world) fault() {
 	h := pickOne(w, w.hosts)
-	switch w.rng.IntN(14) {
+	switch w.rng.IntN(16) {
 	case 0:
 		w.cutOneWay(h, pickOne(w, w.hosts))
 	case 1, 2:
@@ -97,6 +97,8 @@
 		w.changeTarget()
 	case 13:
 		w.crashSeveral()
+	case 14, 15:
+		w.isolateBusyLeader()
 	}
 }
 
@@ -133,6 +135,19 @@
 	}
 }
 
+// isolateBusyLeader cuts the leader off and lets it have requests of its own,
+// which it can start until its lease ends.
+func (w *world) isolateBusyLeader() {
+	l := w.leader()
+	if l == nil {
+		return
+	}
+	for range 30 {
+		w.after(w.between(0, 2*second), func() { w.callAt(l, pickOne(w, queues)) })
+	}
+	w.isolate(l, true)
+}
+
 func (w *world) cutOneWay(a, b *host) {
 	w.cutFor(w.between(300*ms, 4*second), a.id, b.id)
 }
