--- a/core/dispatch/claim.go
+++ b/core/dispatch/claim.go
@@ -124,8 +124,16 @@
 		o.refuse(env, out, r, result.Problem)
 		return
 	}
-	record := result.Claim
+	o.answerFromRecord(env, out, r, result.Claim)
+}
+
+// answerFromRecord answers a resend from the record of the request that holds
+// the claim. A resend that is told so on its arrival takes no slot and waits in
+// no queue.
+func (o *Owner) answerFromRecord(env Env, out *Out, r *request, record *fleet.ClaimRecord) {
 	switch {
+	case record.Body != r.ask.Body:
+		o.refuse(env, out, r, problem.New(problem.KeyReused, "the key was used for another queue or body"))
 	case record.State == fleet.ClaimComplete && record.Answer != nil:
 		o.forget(env, r)
 		out.send(r.gateway, message.Message{Refuse: &message.Refuse{
--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -60,6 +60,10 @@
 		o.refuse(env, out, r, problem.New(problem.UnknownTeam, "there is no team %s", a.Team))
 		return
 	}
+	if record := env.Fleet.Claims[r.claimID()]; !a.Idempotent && record != nil && record.Request != a.Request {
+		o.answerFromRecord(env, out, r, record)
+		return
+	}
 	if p := o.tooLate(env, queue, a); p != nil {
 		o.refuse(env, out, r, p)
 		return
