--- a/core/lease/granter.go
+++ b/core/lease/granter.go
@@ -14,6 +14,8 @@
 	Leaving     bool
 	Reported    bool       // sent its forwarded requests in this term
 	LastRenew   model.Time // received
+	LastSeq     uint64     // of the same Renew
+	earlier     []model.Incarnation
 	End         model.Time // the lease has ended at this time on every clock
 }
 
@@ -23,15 +25,30 @@
 	began    model.Time
 	sessions map[model.HostID]*Session
 
+	// required is the last change of rules or keys that a host must have
+	// applied to get a lease; recent are the later ones, within ApplyGrace.
+	required uint64
+	recent   []change
+
 	// The last change of rules or keys, and whether it is in force.
 	controlIndex uint64
-	controlAt    model.Time
 	inForce      bool
 }
 
-// NewGranter returns the Granter of a term that began at time now.
-func NewGranter(now model.Time, term uint64) *Granter {
-	return &Granter{term: term, began: now, sessions: make(map[model.HostID]*Session)}
+// change is a change of rules or keys and the time at which it was applied.
+type change struct {
+	index uint64
+	at    model.Time
+}
+
+// NewGranter returns the Granter of a term that began at time now. control is
+// the index of the last change of rules or keys at that time. Its age is not
+// known, so a host gets no lease before it has applied it.
+func NewGranter(now model.Time, term uint64, control uint64) *Granter {
+	return &Granter{
+		term: term, began: now, sessions: make(map[model.HostID]*Session),
+		required: control, controlIndex: control,
+	}
 }
 
 // ControlChanged records that a change of rules or keys was applied.
@@ -40,7 +57,7 @@
 		return
 	}
 	g.controlIndex = index
-	g.controlAt = now
+	g.recent = append(g.recent, change{index, now})
 	g.inForce = false
 }
 
@@ -56,13 +73,16 @@
 		next := &Session{Incarnation: r.Incarnation}
 		if s != nil {
 			next.End = s.End
+			next.earlier = append(s.earlier, s.Incarnation)
 		}
 		s = next
 		g.sessions[from] = s
 	}
 	s.Applied = max(s.Applied, r.Applied)
 	s.Leaving = r.Leaving
-	s.LastRenew = now
+	if r.Seq > s.LastSeq {
+		s.LastSeq, s.LastRenew = r.Seq, now
+	}
 	s.Reported = s.Reported || r.Full
 	if !s.Reported || g.lags(now, s) {
 		return nil
@@ -71,8 +91,22 @@
 	return &message.Grant{Term: g.term, Seq: r.Seq, Duration: Duration}
 }
 
+// Outdated reports whether a Renew comes from an earlier life of its host: it
+// was overtaken by one of the present life on another connection.
+func (g *Granter) Outdated(from model.HostID, inc model.Incarnation) bool {
+	s := g.sessions[from]
+	return s != nil && slices.Contains(s.earlier, inc)
+}
+
+// lags reports whether the host lacks a change whose grace has ended. Each
+// change has its own grace: with one grace for the latest change only, a host
+// would keep its lease for as long as changes go on.
 func (g *Granter) lags(now model.Time, s *Session) bool {
-	return s.Applied < g.controlIndex && now >= g.controlAt.Add(ApplyGrace)
+	for len(g.recent) > 0 && now >= g.recent[0].at.Add(ApplyGrace) {
+		g.required = g.recent[0].index
+		g.recent = g.recent[1:]
+	}
+	return s.Applied < g.required
 }
 
 // Session returns the session of a host, or nil.
--- a/core/state.go
+++ b/core/state.go
@@ -10,6 +10,7 @@
 package core
 
 import (
+	"cmp"
 	"slices"
 
 	"primrosedale.example/primrosedale/core/consensus"
@@ -43,6 +44,9 @@
 	Durable     bool              // the process has a data folder
 	Peers       []model.HostID    // the other hosts of the cluster
 	MaxVoters   int               // hosts with a data folder
+	// SnapshotEvery is the number of applied entries between two snapshots; zero
+	// stands for the default of 10,000.
+	SnapshotEvery uint64
 }
 
 type logNode = consensus.Node[fleet.Command, *fleet.State]
@@ -59,6 +63,9 @@
 	table   *gateway.Table
 	leading *leadership // nil unless this process leads
 
+	leadTerm uint64 // the last term in which this process held the leader lease
+	leadFrom uint64 // index to apply before it acts as the leader of leadTerm
+
 	pending  map[model.CommandID]*pendingCommand
 	stopping bool
 	stopAt   model.Time
@@ -70,6 +77,9 @@
 	local   []message.Message // messages to this process itself
 	view    *view.View
 	control uint64 // ControlIndex of the view
+
+	keys   map[model.Digest]model.TeamID // keys in force
+	keysAt uint64                        // ControlIndex of keys
 }
 
 // pendingCommand is a command submitted on this host and not yet applied here.
@@ -85,7 +95,10 @@
 	granter *lease.Granter
 	owner   *dispatch.Owner
 	members []model.HostID // sorted
-	inForce uint64         // the last change of rules or keys reported as in force
+	began   model.Time
+	clock   model.Time      // fleet.State.Now when the term began
+	unsent  []fleet.Command // proposed while the log took no commands
+	inForce uint64          // the last change of rules or keys reported as in force
 }
 
 // New returns the state of a process that starts with what is stored.
@@ -99,7 +112,7 @@
 		HeartbeatInterval:  HeartbeatInterval,
 		MaxAppendEntries:   maxAppendEntries,
 		MaxInflight:        maxInflight,
-		SnapshotEvery:      snapshotEvery,
+		SnapshotEvery:      cmp.Or(cfg.SnapshotEvery, snapshotEvery),
 		MaxVoters:          cfg.MaxVoters,
 	}, stored)
 	if err != nil {
