placement, maintenance: place tasks on workers; plan waves and moves

The leader had no branch for workers: reports were dropped and tasks stayed queued. The two branches join the reducer like dispatch.

fleet records the incarnation of the worker in each placement, because a new leader could otherwise order a non-idempotent run again on a restarted worker. It records the start of a reboot, so that a new leader can tell how long a host has been away, and counts tasks by phase for the status.

--- a/core/fleet/command.go
+++ b/core/fleet/command.go
@@ -144,8 +144,9 @@
 
 // PlaceTask gives a task to a worker under the next lease epoch.
 type PlaceTask struct {
-	Task   model.TaskID `json:"task"`
-	Worker model.HostID `json:"worker"`
+	Task   model.TaskID      `json:"task"`
+	Worker model.HostID      `json:"worker"`
+	Inc    model.Incarnation `json:"inc,omitempty"` // of the worker
 }
 
 // EndTask records the end of one run of a task.
--- a/core/fleet/hosts.go
+++ b/core/fleet/hosts.go
@@ -113,7 +113,12 @@
 func (s *State) rebootHost(c *PlanHost, host Host) Result {
 	switch host.Phase {
 	case HostRebooting:
-		return Result{} // a resend
+		// A resend, or the rules want another image since.
+		if host.ImageWant != c.Image {
+			host.ImageWant = c.Image
+			s.setHost(c.Host, host)
+		}
+		return Result{}
 	case HostServing:
 		return refused(problem.PlanRejected, "host %s is not draining", c.Host)
 	}
@@ -121,6 +126,7 @@
 		return refused(problem.PlanRejected, "host %s still has %d tasks", c.Host, n)
 	}
 	host.Phase = HostRebooting
+	host.RebootSince = s.Now
 	s.setHost(c.Host, host)
 	return Result{}
 }
@@ -147,6 +153,7 @@
 	host.MoveTo = ""
 	host.ImageWant = ""
 	host.DrainSince = 0
+	host.RebootSince = 0
 	s.setHost(c.Host, host)
 	return Result{}
 }
--- a/core/fleet/index.go
+++ b/core/fleet/index.go
@@ -27,6 +27,7 @@
 	teamTasks  counter[model.TeamID] // queued and placed
 	poolTasks  counter[model.PoolID] // queued and placed
 	endedTasks fifo[model.TaskID]
+	phases     counter[TaskPhase]
 
 	pools map[model.PoolID]poolCount
 }
@@ -60,6 +61,7 @@
 		placed:     make(counter[model.TeamID]),
 		teamTasks:  make(counter[model.TeamID]),
 		poolTasks:  make(counter[model.PoolID]),
+		phases:     make(counter[TaskPhase]),
 		pools:      make(map[model.PoolID]poolCount),
 	}
 }
@@ -127,6 +129,10 @@
 	return tasks
 }
 
+// TasksByPhase returns the number of known tasks in each phase. Ended tasks
+// count until their retention has passed.
+func (s *State) TasksByPhase() map[TaskPhase]int { return maps.Clone(s.index.phases) }
+
 // HostsIn returns the number of hosts of a pool.
 func (s *State) HostsIn(pool model.PoolID) int { return s.index.pools[pool].hosts }
 
@@ -190,6 +196,7 @@
 }
 
 func (x *index) addTask(task *Task) {
+	x.phases.add(task.Phase, 1)
 	switch task.Phase {
 	case TaskQueued:
 		x.countUnfinished(task, 1)
@@ -214,6 +221,7 @@
 // removeTask removes an unfinished task. Ended tasks leave through retention
 // only.
 func (x *index) removeTask(task *Task) {
+	x.phases.add(task.Phase, -1)
 	x.countUnfinished(task, -1)
 	switch task.Phase {
 	case TaskQueued:
--- a/core/fleet/retention.go
+++ b/core/fleet/retention.go
@@ -83,6 +83,7 @@
 	if queue.len() <= TaskMax && !s.past(s.Tasks[id].Ended, TaskRetention) {
 		return false
 	}
+	s.index.phases.add(s.Tasks[id].Phase, -1)
 	delete(s.Tasks, id)
 	queue.pop()
 	return true
--- a/core/fleet/state.go
+++ b/core/fleet/state.go
@@ -111,6 +111,9 @@
 	ImageWant  string             `json:"image_want,omitempty"`
 	Up         bool               `json:"up"`
 	DrainSince model.Time         `json:"drain_since,omitempty"`
+	// RebootSince is when the reboot was ordered, so that a later leader can
+	// tell how long the host has been away.
+	RebootSince model.Time `json:"reboot_since,omitempty"`
 }
 
 // TaskSpec is what a submitter declares of a task. Declared sizes and run
@@ -152,18 +155,21 @@
 
 // Task is one task and its history.
 type Task struct {
-	ID        model.TaskID   `json:"id"`
-	Team      model.TeamID   `json:"team"`
-	Spec      TaskSpec       `json:"spec"`
-	Phase     TaskPhase      `json:"phase"`
-	Worker    model.HostID   `json:"worker,omitempty"`
-	Epoch     uint64         `json:"epoch"` // grows by one with each placement
-	Cancel    bool           `json:"cancel,omitempty"`
-	FailedOn  []model.HostID `json:"failed_on,omitempty"` // distinct workers
-	Detail    string         `json:"detail,omitempty"`
-	Submitted model.Time     `json:"submitted"`
-	Placed    model.Time     `json:"placed,omitempty"`
-	Ended     model.Time     `json:"ended,omitempty"`
+	ID     model.TaskID `json:"id"`
+	Team   model.TeamID `json:"team"`
+	Spec   TaskSpec     `json:"spec"`
+	Phase  TaskPhase    `json:"phase"`
+	Worker model.HostID `json:"worker,omitempty"`
+	// WorkerInc is the life of the worker that the run was given to. A worker
+	// of another incarnation no longer runs it and must not start it.
+	WorkerInc model.Incarnation `json:"worker_inc,omitempty"`
+	Epoch     uint64            `json:"epoch"` // grows by one with each placement
+	Cancel    bool              `json:"cancel,omitempty"`
+	FailedOn  []model.HostID    `json:"failed_on,omitempty"` // distinct workers
+	Detail    string            `json:"detail,omitempty"`
+	Submitted model.Time        `json:"submitted"`
+	Placed    model.Time        `json:"placed,omitempty"`
+	Ended     model.Time        `json:"ended,omitempty"`
 	// SubmitIndex and EndIndex are the log indexes of the submission and of
 	// the end. They order tasks whose times are equal.
 	SubmitIndex uint64 `json:"submit_index"`
--- a/core/fleet/tasks.go
+++ b/core/fleet/tasks.go
@@ -78,6 +78,7 @@
 	placed := *task
 	placed.Phase = TaskPlaced
 	placed.Worker = c.Worker
+	placed.WorkerInc = c.Inc
 	placed.Epoch++
 	placed.Placed = s.Now
 	s.setTask(&placed)
@@ -161,6 +162,7 @@
 	task.Phase = phase
 	if phase == TaskQueued {
 		task.Worker = ""
+		task.WorkerInc = ""
 		task.Placed = 0
 	} else {
 		task.Ended = s.Now
--- a/core/leader.go
+++ b/core/leader.go
@@ -8,8 +8,10 @@
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/lease"
+	"primrosedale.example/primrosedale/core/maintenance"
 	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/placement"
 )
 
 // lead begins or ends the leader's part. It begins only when this process
@@ -31,6 +33,8 @@
 	}
 	s.leading.granter.ControlChanged(s.now, s.fleet.ControlIndex)
 	s.leading.owner = dispatch.New(s.env(), status.Term)
+	s.leading.placer = placement.New(s.placementEnv())
+	s.leading.planner = maintenance.New(s.maintenanceEnv())
 	s.emit(effect.Log{Code: effect.LeaderElected, Term: status.Term})
 }
 
@@ -44,6 +48,8 @@
 		s.emit(effect.Log{Code: effect.RulesInForce, Index: s.fleet.ControlIndex})
 	}
 	s.asOwner(func(env dispatch.Env, out *dispatch.Out) { s.leading.owner.Advance(env, out) })
+	s.asPlacer(func(env placement.Env, out *placement.Out) { s.leading.placer.Advance(env, out) })
+	s.asPlanner(func(env maintenance.Env, out *maintenance.Out) { s.leading.planner.Advance(env, out) })
 }
 
 // asOwner lets the owner of the queues handle something and carries out what
@@ -82,6 +88,11 @@
 			reply := owner.Report(env, out, m.TargetReport)
 			s.send(from, message.Message{ReportReply: &reply})
 		})
+	case m.WorkerReport != nil:
+		s.asPlacer(func(env placement.Env, out *placement.Out) {
+			reply := s.leading.placer.Report(env, out, m.WorkerReport)
+			s.send(from, message.Message{ReportReply: &reply})
+		})
 	}
 }
 
@@ -116,6 +127,8 @@
 		s.leading.members = memberHosts(s.fleet)
 	}
 	s.asOwner(func(env dispatch.Env, out *dispatch.Out) { s.leading.owner.Committed(env, out, c, result) })
+	s.asPlacer(func(env placement.Env, out *placement.Out) { s.leading.placer.Committed(env, out, c, result) })
+	s.asPlanner(func(env maintenance.Env, out *maintenance.Out) { s.leading.planner.Committed(env, out, c, result) })
 }
 
 func (s *State) sendCommand(p *pendingCommand) {
--- /dev/null
+++ b/core/maintenance/examine.go
@@ -0,0 +1,180 @@
+package maintenance
+
+import (
+	"fmt"
+
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// Reasons given in plans and log lines.
+const (
+	reasonRules    = "placed by the rules"
+	reasonMinimum  = "pool below its minimum"
+	reasonDrained  = "drained"
+	reasonBack     = "back"
+	reasonGivenUp  = "drain given up"
+	reasonObsolete = "plan no longer wanted"
+)
+
+// examine takes the next step for a host, if there is one.
+func (p *Planner) examine(env Env, out *Out, id model.HostID) {
+	h := p.hosts[id]
+	if h == nil || !h.known || h.proposed || env.Now < h.notUntil {
+		return
+	}
+	switch h.state.Phase {
+	case fleet.HostServing:
+		p.examineServing(env, out, id, h)
+	case fleet.HostDraining:
+		p.examineDraining(env, out, id, h)
+	case fleet.HostRebooting:
+		p.examineRebooting(env, out, id, h)
+	}
+}
+
+// examineServing begins the move that the rules ask for, or the step of a wave.
+func (p *Planner) examineServing(env Env, out *Out, id model.HostID, h *host) {
+	if !h.state.Up || p.rounds == 0 {
+		return // the harm that waves have done is known after one round
+	}
+	if want, ok := p.rules.Hosts[id]; ok && want.Pool != h.state.Pool {
+		p.move(env, out, id, h, want.Pool, reasonRules)
+		return
+	}
+	name, ok := p.waves[h.state.Pool]
+	if !ok || p.stopped[name] {
+		return
+	}
+	if image := p.rules.Waves[name].Image; h.state.Image != image && p.hasBudget(env, h.state.Pool) {
+		p.drain(env, out, id, h, fleet.PlanHost{Image: image, Reason: "wave " + name})
+	}
+}
+
+// move begins a move. The host gets the image of the wave of its new pool on
+// the way, which saves it a second drain.
+func (p *Planner) move(env Env, out *Out, id model.HostID, h *host, to model.PoolID, reason string) bool {
+	if h.moved != 0 && env.Now < h.moved.Add(MoveInterval) || !p.hasBudget(env, h.state.Pool) {
+		return false
+	}
+	plan := fleet.PlanHost{Pool: to, Reason: reason}
+	if name, ok := p.waves[to]; ok && !p.stopped[name] && p.rules.Waves[name].Image != h.state.Image {
+		plan.Image = p.rules.Waves[name].Image
+	}
+	p.drain(env, out, id, h, plan)
+	return true
+}
+
+// hasBudget reports whether one more host of the pool may leave service. The
+// same is checked again when the drain is applied.
+func (p *Planner) hasBudget(env Env, id model.PoolID) bool {
+	rule, ok := p.rules.Pools[id]
+	if !ok {
+		return true // hosts without a pool have no budget
+	}
+	return env.Fleet.UnavailableIn(id)+p.pool(id).drains < rule.UnavailableMax
+}
+
+func (p *Planner) drain(env Env, out *Out, id model.HostID, h *host, plan fleet.PlanHost) {
+	h.leaves = true
+	p.pool(h.state.Pool).drains++
+	if plan.Pool != "" {
+		p.pool(plan.Pool).donated++
+	}
+	plan.Action = fleet.HostDrain
+	p.propose(env, out, id, h, plan)
+}
+
+func (p *Planner) propose(env Env, out *Out, id model.HostID, h *host, plan fleet.PlanHost) {
+	h.proposed = true
+	plan.Host = id
+	out.Proposals = append(out.Proposals, fleet.Command{At: env.Now, PlanHost: &plan})
+}
+
+// examineDraining reboots a host that is drained, and gives up a drain that
+// takes too long or is no longer wanted.
+func (p *Planner) examineDraining(env Env, out *Out, id model.HostID, h *host) {
+	switch {
+	case !p.wanted(h):
+		p.propose(env, out, id, h, fleet.PlanHost{Action: fleet.HostReturn, Reason: reasonObsolete})
+	case len(env.Fleet.PlacedOn(id)) == 0 && !env.Busy(id):
+		p.propose(env, out, id, h, fleet.PlanHost{
+			Action: fleet.HostReboot, Pool: h.state.MoveTo, Image: h.state.ImageWant, Reason: reasonDrained,
+		})
+	case env.Now.Sub(h.state.DrainSince) >= DrainMax:
+		h.notUntil = env.Now.Add(DrainPause)
+		p.propose(env, out, id, h, fleet.PlanHost{Action: fleet.HostReturn, Reason: reasonGivenUp})
+	}
+}
+
+// wanted reports whether the plan of a draining host still has a purpose.
+func (p *Planner) wanted(h *host) bool {
+	if h.state.MoveTo != "" {
+		return true
+	}
+	name, ok := p.waves[h.state.Pool]
+	return ok && !p.stopped[name] && p.rules.Waves[name].Image == h.state.ImageWant
+}
+
+// examineRebooting returns a host to service that has come back as wanted, and
+// counts one that has not as harm.
+func (p *Planner) examineRebooting(env Env, out *Out, id model.HostID, h *host) {
+	s := &h.state
+	if image, changed := p.changedImage(h); changed {
+		p.propose(env, out, id, h, fleet.PlanHost{
+			Action: fleet.HostReboot, Pool: s.MoveTo, Image: image, Reason: reasonObsolete,
+		})
+		return
+	}
+	if s.Up && (s.ImageWant == "" || s.Image == s.ImageWant) {
+		p.propose(env, out, id, h, fleet.PlanHost{
+			Action: fleet.HostReturn, Pool: s.MoveTo, Image: s.ImageWant, Reason: reasonBack,
+		})
+		return
+	}
+	if env.Now.Sub(s.RebootSince) >= ReturnMax {
+		p.harm(out, id, h)
+	}
+}
+
+// changedImage returns the image that a rebooting host must have instead of the
+// one of its plan, if the rules have changed since. Otherwise a host would wait
+// for ever for the image of a wave that was withdrawn because it fails.
+func (p *Planner) changedImage(h *host) (string, bool) {
+	if h.state.ImageWant == "" {
+		return "", false
+	}
+	image := ""
+	if name, ok := p.waves[h.nextPool()]; ok {
+		image = p.rules.Waves[name].Image
+	}
+	return image, image != h.state.ImageWant
+}
+
+// nextPool returns the pool that the host serves in after its plan.
+func (h *host) nextPool() model.PoolID {
+	if h.state.MoveTo != "" {
+		return h.state.MoveTo
+	}
+	return h.state.Pool
+}
+
+// harm counts a host that did not come back against the wave whose image it
+// was to get.
+func (p *Planner) harm(out *Out, id model.HostID, h *host) {
+	image := h.state.ImageWant
+	name, ok := p.waves[h.nextPool()]
+	if !ok || p.rules.Waves[name].Image != image {
+		return
+	}
+	if p.harmed[name] == nil {
+		p.harmed[name] = make(map[model.HostID]bool)
+	}
+	p.harmed[name][id] = true
+	if n := len(p.harmed[name]); n >= harmMax && !p.stopped[name] {
+		p.stopped[name] = true
+		out.log(effect.Log{Code: effect.WaveStopped, Host: id, Detail: fmt.Sprintf(
+			"wave %s: %d hosts did not come back with image %s within 10 minutes", name, n, image)})
+	}
+}
--- /dev/null
+++ b/core/placement/placer.go
@@ -0,0 +1,205 @@
+// Package placement decides which task runs on which worker and when. It gives
+// workers their orders and tells from their reports how runs have ended.
+//
+// A Placer lives for one term of the leader. It starts from the replicated
+// state, so that it knows every queued and every placed task, and learns from
+// reports which workers are alive. A run is bound to one incarnation of a
+// worker and to the epoch of its placement. It may run only under a lease that
+// each order to run renews. A run counts until a report has shown its end, or
+// until the last lease that any leader may have granted for it has ended.
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/pq"
+	"primrosedale.example/primrosedale/core/rules"
+)
+
+// Times and counts of the policy.
+const (
+	// Lease is how long an order to run lets a task run, measured by the worker
+	// from the moment it sent the report that the order answers.
+	Lease = 5 * model.Second
+	// LeaseMargin is added before a lease counts as ended. It covers clocks
+	// whose rates differ by 1% over the lease, with room for pauses of the
+	// worker between its clock and the stop of the task.
+	LeaseMargin = 500 * model.Millisecond
+	// QuietAfter is the time without a report after which a worker gets no new
+	// task: four reports.
+	QuietAfter = 2 * model.Second
+	// limitRetry is the pause before a team at its limit is tried again. The
+	// end of a request frees a unit without an event of this package.
+	limitRetry = 200 * model.Millisecond
+	// lostRetry is the pause before the loss of a worker is proposed again.
+	lostRetry = model.Second
+	// refusedDelay is the pause before a refused placement is tried again.
+	refusedDelay = 500 * model.Millisecond
+	// misfitDelayMin and misfitDelayMax bound the pause before a task that fits
+	// no worker is tried again.
+	misfitDelayMin = 500 * model.Millisecond
+	misfitDelayMax = 4 * model.Second
+	// failDelayMin and failDelayMax bound the pause before a failed task is
+	// tried again, so that a bad task does not occupy a pool.
+	failDelayMin = model.Second
+	failDelayMax = 5 * model.Minute
+	// misfitsPerPump and placementsPerPump bound the work of one tick.
+	misfitsPerPump    = 8
+	placementsPerPump = 64
+)
+
+// Env is what the placer may read while it handles an event.
+type Env struct {
+	Now   model.Time
+	Fleet *fleet.State
+	// MayGrant is true while no other leader can exist, so that a later leader
+	// can bound the leases granted before its term.
+	MayGrant bool
+	// Ready is true once RequestsRunning bounds the requests of earlier terms.
+	Ready bool
+	// RequestsRunning returns the running requests of a team.
+	RequestsRunning func(model.TeamID) int
+}
+
+// Out collects what the placer asks for.
+type Out struct {
+	Effects   []effect.Effect
+	Proposals []fleet.Command
+}
+
+func (o *Out) log(e effect.Log) { o.Effects = append(o.Effects, e) }
+
+func (o *Out) propose(c fleet.Command) { o.Proposals = append(o.Proposals, c) }
+
+// Placer holds what the leader knows of workers and unfinished tasks.
+type Placer struct {
+	began   model.Time
+	rules   *rules.Rules
+	workers map[model.HostID]*worker
+	pools   map[model.PoolID]*pool
+	teams   map[model.TeamID]*team
+	records map[model.TaskID]*record
+	crowds  map[domain]int        // tasks on workers
+	limited map[model.TeamID]bool // teams at their limit
+	retryAt model.Time            // when limited teams are tried again
+	sizes   *sizes
+	timers  *pq.Queue[timerID, timer, struct{}]
+}
+
+// team is what counts for one team over all pools.
+type team struct {
+	pending int // placements that are proposed and not yet committed
+}
+
+// New returns the placer of a term that begins at env.Now.
+func New(env Env) *Placer {
+	p := &Placer{
+		began:   env.Now,
+		rules:   env.Fleet.Rules,
+		workers: make(map[model.HostID]*worker),
+		pools:   make(map[model.PoolID]*pool),
+		teams:   make(map[model.TeamID]*team),
+		records: make(map[model.TaskID]*record),
+		crowds:  make(map[domain]int),
+		limited: make(map[model.TeamID]bool),
+		sizes:   newSizes(),
+		timers:  pq.New[timerID, timer, struct{}](timer.before),
+	}
+	for _, id := range sortedKeys(env.Fleet.Hosts) {
+		p.hostChanged(env, id)
+	}
+	for _, id := range sortedKeys(env.Fleet.Tasks) {
+		p.refreshTask(env, id)
+	}
+	for _, r := range p.records {
+		// An earlier leader may have ordered the run until the term began.
+		r.ordered = true
+		r.lastOrder = env.Now
+	}
+	return p
+}
+
+// PendingByTeam returns the placements of a team that are proposed and not yet
+// committed.
+func (p *Placer) PendingByTeam(id model.TeamID) int {
+	if t := p.teams[id]; t != nil {
+		return t.pending
+	}
+	return 0
+}
+
+// Committed handles a command that has been applied, with its result.
+func (p *Placer) Committed(env Env, out *Out, c *fleet.Command, result fleet.Result) {
+	switch {
+	case c.ApplyRules != nil && result.Problem == nil:
+		p.rulesChanged(env)
+	case c.ReportHost != nil:
+		p.hostReported(env, c.ReportHost.Host)
+	case c.PlanHost != nil:
+		p.hostChanged(env, c.PlanHost.Host)
+	case c.SubmitTask != nil:
+		p.refreshTask(env, c.SubmitTask.Task)
+	case c.CancelTask != nil:
+		p.refreshTask(env, c.CancelTask.Task)
+	case c.PlaceTask != nil:
+		p.placeCommitted(env, out, c.PlaceTask, result)
+	case c.EndTask != nil:
+		p.endCommitted(env, out, c.EndTask)
+	}
+}
+
+// NotProposed takes back what the placer asked for and the log did not accept.
+func (p *Placer) NotProposed(env Env, commands []fleet.Command) {
+	for i := range commands {
+		c := &commands[i]
+		switch {
+		case c.ReportHost != nil:
+			p.worker(c.ReportHost.Host).reporting = false
+		case c.PlaceTask != nil:
+			p.unplace(env, c.PlaceTask.Task, refusedDelay)
+		case c.EndTask != nil:
+			if r := p.records[c.EndTask.Task]; r != nil {
+				r.ending = false
+			}
+		}
+	}
+}
+
+func (p *Placer) rulesChanged(env Env) {
+	p.rules = env.Fleet.Rules
+	for _, id := range sortedKeys(p.workers) {
+		p.refreshWorker(env, p.workers[id])
+	}
+	p.retryLimited(env)
+}
+
+func (p *Placer) pool(id model.PoolID) *pool {
+	q := p.pools[id]
+	if q == nil {
+		q = newPool(id)
+		p.pools[id] = q
+	}
+	return q
+}
+
+func (p *Placer) team(id model.TeamID) *team {
+	t := p.teams[id]
+	if t == nil {
+		t = &team{}
+		p.teams[id] = t
+	}
+	return t
+}
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/core/placement/queue.go
@@ -0,0 +1,198 @@
+package placement
+
+import (
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/pq"
+)
+
+// taskRank orders the queued tasks of one team in one pool.
+type taskRank struct {
+	precedence  int
+	submitIndex uint64
+}
+
+func (a taskRank) before(b taskRank) bool {
+	if a.precedence != b.precedence {
+		return a.precedence > b.precedence
+	}
+	return a.submitIndex < b.submitIndex
+}
+
+// teamRank orders the teams of one pool: by the precedence of their next task,
+// then by running work for their share.
+type teamRank struct {
+	precedence int
+	load       float64
+	id         model.TeamID
+}
+
+func (a teamRank) before(b teamRank) bool {
+	if a.precedence != b.precedence {
+		return a.precedence > b.precedence
+	}
+	if a.load != b.load {
+		return a.load < b.load
+	}
+	return a.id < b.id
+}
+
+type teamQueue struct {
+	team  model.TeamID
+	pool  *pool
+	tasks *pq.Queue[model.TaskID, taskRank, *record]
+}
+
+// pool holds the queued tasks and usable workers of one pool.
+type pool struct {
+	id          model.PoolID
+	queues      map[model.TeamID]*teamQueue
+	order       *pq.Queue[model.TeamID, teamRank, *teamQueue] // teams under their limit with tasks to place
+	plain       fitTree
+	accelerated fitTree
+	largest     model.Resources // largest capacity of a worker seen, by resource
+	dirty       bool            // something changed since no task could be placed
+}
+
+func newPool(id model.PoolID) *pool {
+	return &pool{
+		id:     id,
+		queues: make(map[model.TeamID]*teamQueue),
+		order:  pq.New[model.TeamID, teamRank, *teamQueue](teamRank.before),
+	}
+}
+
+func (q *pool) treeOf(capacity model.Resources) *fitTree {
+	if capacity.Accelerators > 0 {
+		return &q.accelerated
+	}
+	return &q.plain
+}
+
+func (q *pool) sawCapacity(capacity model.Resources) {
+	q.largest = larger(q.largest, capacity)
+}
+
+// enqueue puts a queued task into the queue of its team.
+func (p *Placer) enqueue(env Env, r *record) {
+	q := p.pool(r.task.Spec.Pool)
+	tq := q.queues[r.task.Team]
+	if tq == nil {
+		tq = &teamQueue{team: r.task.Team, pool: q, tasks: pq.New[model.TaskID, taskRank, *record](taskRank.before)}
+		q.queues[r.task.Team] = tq
+	}
+	r.queue = tq
+	tq.tasks.Set(r.task.ID, taskRank{r.task.Spec.Precedence, r.task.SubmitIndex}, r)
+	q.dirty = true
+	p.rankTeam(env, tq)
+}
+
+func (p *Placer) unqueue(r *record) {
+	if r.queue == nil {
+		return
+	}
+	tq := r.queue
+	r.queue = nil
+	tq.tasks.Remove(r.task.ID)
+	if tq.tasks.Len() == 0 {
+		tq.pool.order.Remove(tq.team)
+		delete(tq.pool.queues, tq.team)
+	}
+}
+
+// rankTeam puts a team into the order of a pool, or notes that it is at its
+// limit.
+func (p *Placer) rankTeam(env Env, tq *teamQueue) {
+	_, first, _, ok := tq.tasks.Peek()
+	if !ok {
+		return
+	}
+	running := p.running(env, tq.team)
+	rule := p.rules.Teams[tq.team]
+	if running >= rule.Limit {
+		tq.pool.order.Remove(tq.team)
+		p.limited[tq.team] = true
+		return
+	}
+	tq.pool.order.Set(tq.team, teamRank{first.precedence, loadOf(running, rule.Share), tq.team}, tq)
+}
+
+// running returns the running units of a team over the whole fleet.
+func (p *Placer) running(env Env, id model.TeamID) int {
+	return env.Fleet.PlacedByTeam(id) + p.PendingByTeam(id) + env.RequestsRunning(id)
+}
+
+// minShare stands for a share of zero, whose teams come after all others.
+const minShare = 0.01
+
+func loadOf(running int, share float64) float64 {
+	return float64(running) / max(share, minShare)
+}
+
+// retryLimited ranks the teams again that were at their limit.
+func (p *Placer) retryLimited(env Env) {
+	p.retryAt = env.Now.Add(limitRetry)
+	teams := sortedKeys(p.limited)
+	clear(p.limited)
+	for _, id := range teams {
+		for _, pid := range sortedKeys(p.pools) {
+			if tq := p.pools[pid].queues[id]; tq != nil {
+				p.rankTeam(env, tq)
+				tq.pool.dirty = true
+			}
+		}
+	}
+}
+
+// pump proposes placements for the first tasks of a pool. It stops after some
+// that fit no worker, and goes on at the next tick, so that one event has
+// bounded work and tasks that cannot run do not hold up the others.
+func (p *Placer) pump(env Env, out *Out, q *pool) {
+	misfits := 0
+	for range placementsPerPump {
+		r := p.nextTask(env, q)
+		if r == nil {
+			q.dirty = false
+			return
+		}
+		if w := p.choose(q, r); w != nil {
+			p.propose(env, out, r, w)
+			continue
+		}
+		p.delay(env, r, backoff(misfitDelayMin, misfitDelayMax, r.misfits))
+		r.misfits++
+		if misfits++; misfits >= misfitsPerPump {
+			return
+		}
+	}
+}
+
+// nextTask returns the first task of the first team that is under its limit.
+// Loads change without notice to each pool, so the head is ranked again until
+// it stays the head.
+func (p *Placer) nextTask(env Env, q *pool) *record {
+	for {
+		id, rank, tq, ok := q.order.Peek()
+		if !ok {
+			return nil
+		}
+		p.rankTeam(env, tq)
+		if again, now, _, ok := q.order.Peek(); ok && again == id && now == rank {
+			_, _, r, _ := tq.tasks.Peek()
+			return r
+		}
+	}
+}
+
+// propose proposes to place a task. It counts as running from now on.
+func (p *Placer) propose(env Env, out *Out, r *record, w *worker) {
+	tq := r.queue
+	p.unqueue(r)
+	r.pending = true
+	p.team(r.task.Team).pending++
+	p.attach(env, r, w)
+	p.rankTeam(env, tq)
+	out.propose(fleet.Command{At: env.Now, PlaceTask: &fleet.PlaceTask{
+		Task: r.task.ID, Worker: w.id, Inc: w.inc,
+	}})
+}
--- /dev/null
+++ b/core/placement/size.go
@@ -0,0 +1,144 @@
+package placement
+
+import (
+	"strings"
+
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+const (
+	// samplesNeeded is the number of runs after which learned sizes replace
+	// declared ones.
+	samplesNeeded = 3
+	// peakDecay is the weight with which a smaller run lowers the peak.
+	peakDecay = 0.1
+	// errorWeight is the weight of a new sample in the mean error.
+	errorWeight = 0.25
+	// errorHeadroom is the number of mean errors added to the peak.
+	errorHeadroom = 2.0
+	// sizesMax bounds the kinds of task whose sizes are remembered; the oldest
+	// kind is forgotten first.
+	sizesMax = 4096
+)
+
+// sizeKey is a kind of task: tasks of one team that run the same program.
+type sizeKey struct {
+	team    model.TeamID
+	program string
+}
+
+// sizeKeyOf takes the first word of the command for the program.
+func sizeKeyOf(t *fleet.Task) sizeKey {
+	program, _, _ := strings.Cut(t.Spec.Command, " ")
+	return sizeKey{t.Team, program}
+}
+
+// sizes are the learned real sizes of tasks.
+type sizes struct {
+	kinds map[sizeKey]*kind
+	order []sizeKey // by first sample
+}
+
+// kind is what runs of one kind have used.
+type kind struct {
+	samples     int
+	cpu, memory estimate
+}
+
+// estimate follows the peaks of one resource.
+type estimate struct{ peak, err float64 }
+
+func newSizes() *sizes { return &sizes{kinds: make(map[sizeKey]*kind)} }
+
+// learn adds the peak of one run. Accelerators are whole devices that a run
+// holds whether or not it uses them, so their declared number stays.
+func (s *sizes) learn(key sizeKey, peak model.Resources) {
+	k := s.kinds[key]
+	if k == nil {
+		if len(s.order) >= sizesMax {
+			delete(s.kinds, s.order[0])
+			s.order = s.order[1:]
+		}
+		k = &kind{}
+		s.kinds[key] = k
+		s.order = append(s.order, key)
+	}
+	k.cpu.add(float64(peak.MilliCPU), k.samples == 0)
+	k.memory.add(float64(peak.MemoryMB), k.samples == 0)
+	k.samples++
+}
+
+func (e *estimate) add(sample float64, first bool) {
+	if first {
+		e.peak = sample
+		return
+	}
+	miss := sample - e.peak
+	if miss < 0 {
+		e.peak += peakDecay * miss
+		miss = -miss
+	} else {
+		e.peak = sample
+	}
+	e.err += errorWeight * (miss - e.err)
+}
+
+func (e *estimate) value() int64 { return int64(e.peak + errorHeadroom*e.err + 0.5) }
+
+// size returns the size to reserve for a task of the kind.
+func (s *sizes) size(key sizeKey, declared model.Resources) model.Resources {
+	k := s.kinds[key]
+	if k == nil {
+		return declared
+	}
+	learned := model.Resources{
+		MilliCPU: max(k.cpu.value(), 1), MemoryMB: k.memory.value(), Accelerators: declared.Accelerators,
+	}
+	if k.samples < samplesNeeded {
+		return larger(learned, declared)
+	}
+	return learned
+}
+
+// larger returns the larger amount of each resource.
+func larger(a, b model.Resources) model.Resources {
+	return model.Resources{
+		MilliCPU:     max(a.MilliCPU, b.MilliCPU),
+		MemoryMB:     max(a.MemoryMB, b.MemoryMB),
+		Accelerators: max(a.Accelerators, b.Accelerators),
+	}
+}
+
+// need returns what a task takes of a worker. Sizes are hints that are often
+// far too large, so that one above the largest worker asks for that whole
+// worker; a number of accelerators is a real demand and stays.
+func (p *Placer) need(t *fleet.Task) model.Resources {
+	size := p.sizes.size(sizeKeyOf(t), t.Spec.Size)
+	if largest := p.pool(t.Spec.Pool).largest; largest.MilliCPU > 0 {
+		size.MilliCPU = min(size.MilliCPU, largest.MilliCPU)
+		size.MemoryMB = min(size.MemoryMB, largest.MemoryMB)
+	}
+	return size
+}
+
+// observe takes in the reported usage of a run. Its worker never counts less
+// than that as taken.
+func (p *Placer) observe(env Env, r *record, usage model.Resources) {
+	peak := larger(r.peak, usage)
+	if peak == r.peak {
+		return
+	}
+	r.peak = peak
+	if amount := larger(r.reserved, peak); amount != r.reserved {
+		p.reserve(env, r, amount)
+	}
+}
+
+// learn adds the peak of a run that has ended. Reports lag, so a short run may
+// have shown no usage at all.
+func (p *Placer) learn(r *record) {
+	if r.peak.MilliCPU > 0 || r.peak.MemoryMB > 0 {
+		p.sizes.learn(sizeKeyOf(r.task), r.peak)
+	}
+}
--- /dev/null
+++ b/core/placement/timers.go
@@ -0,0 +1,80 @@
+package placement
+
+import "primrosedale.example/primrosedale/core/model"
+
+type timerKind uint8
+
+const (
+	timerQuiet   timerKind = iota // a worker has not reported for QuietAfter
+	timerLost                     // the leases of a silent worker have ended
+	timerTrial                    // a quarantine ends
+	timerDelayed                  // a task may be tried again
+)
+
+type timerID struct {
+	kind timerKind
+	host model.HostID
+	task model.TaskID
+}
+
+// timer orders due times; kind and name make the order of equal times total.
+type timer struct {
+	at model.Time
+	id timerID
+}
+
+func (a timer) before(b timer) bool {
+	if a.at != b.at {
+		return a.at < b.at
+	}
+	if a.id.kind != b.id.kind {
+		return a.id.kind < b.id.kind
+	}
+	if a.id.host != b.id.host {
+		return a.id.host < b.id.host
+	}
+	return a.id.task < b.id.task
+}
+
+func (p *Placer) arm(id timerID, at model.Time) {
+	p.timers.Set(id, timer{at, id}, struct{}{})
+}
+
+// Advance does what is due at time env.Now and places queued tasks.
+func (p *Placer) Advance(env Env, out *Out) {
+	for {
+		id, t, _, ok := p.timers.Peek()
+		if !ok || t.at > env.Now {
+			break
+		}
+		p.timers.Pop()
+		p.expire(env, out, id)
+	}
+	if env.Now >= p.retryAt {
+		p.retryLimited(env)
+	}
+	if !env.Ready || !env.MayGrant {
+		return
+	}
+	for _, id := range sortedKeys(p.pools) {
+		if q := p.pools[id]; q.dirty {
+			p.pump(env, out, q)
+		}
+	}
+}
+
+func (p *Placer) expire(env Env, out *Out, id timerID) {
+	switch id.kind {
+	case timerQuiet:
+		p.refreshWorker(env, p.workers[id.host])
+	case timerTrial:
+		p.refreshWorker(env, p.workers[id.host])
+	case timerLost:
+		p.workerLost(env, out, p.workers[id.host])
+	case timerDelayed:
+		if r := p.records[id.task]; r != nil && r.delayed {
+			r.delayed = false
+			p.enqueue(env, r)
+		}
+	}
+}
--- /dev/null
+++ b/core/placement/worker.go
@@ -0,0 +1,177 @@
+package placement
+
+import (
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// worker is one host as its reports and the replicated state show it.
+type worker struct {
+	id        model.HostID
+	host      fleet.Host
+	known     bool // host is in the replicated state
+	reporting bool // a ReportHost is proposed
+
+	heard     bool // reported in this term
+	lastHeard model.Time
+	inc       model.Incarnation
+	seq       uint64
+	next      model.Incarnation // an incarnation that has reported once
+	nextSeq   uint64
+
+	runs     map[model.TaskID]*record // placed, or proposed to be
+	reserved model.Resources          // of runs
+	stray    model.Resources          // used by runs that are not placed on it
+	evidence evidence
+
+	node *fitNode // its place among the usable workers of its pool, or nil
+	tree *fitTree
+}
+
+func (p *Placer) worker(id model.HostID) *worker {
+	w := p.workers[id]
+	if w == nil {
+		w = &worker{id: id, runs: make(map[model.TaskID]*record)}
+		w.evidence.reset()
+		p.workers[id] = w
+	}
+	return w
+}
+
+// leasesEnd returns when every lease that any leader may have granted to the
+// worker has ended.
+func (p *Placer) leasesEnd(w *worker) model.Time {
+	return max(w.lastHeard, p.began).Add(Lease + LeaseMargin)
+}
+
+// hostChanged takes over the replicated state of a host.
+func (p *Placer) hostChanged(env Env, id model.HostID) {
+	host, ok := env.Fleet.Hosts[id]
+	if !ok {
+		return
+	}
+	w := p.worker(id)
+	w.host = host
+	w.known = true
+	if host.Up && !p.timers.Has(timerID{kind: timerLost, host: id}) {
+		p.armLost(env, w)
+	}
+	p.refreshWorker(env, w)
+}
+
+func (p *Placer) hostReported(env Env, id model.HostID) {
+	p.worker(id).reporting = false
+	p.hostChanged(env, id)
+}
+
+func (p *Placer) armLost(env Env, w *worker) {
+	p.arm(timerID{kind: timerLost, host: w.id}, max(p.leasesEnd(w), env.Now))
+}
+
+// usable reports whether the worker may be given a new task.
+func (p *Placer) usable(env Env, w *worker) bool {
+	switch {
+	case !w.known || !w.host.Up || w.host.Phase != fleet.HostServing:
+		return false
+	case !w.heard || env.Now >= w.lastHeard.Add(QuietAfter) || w.next != "":
+		return false
+	case p.rules.DataCentres[w.host.DataCentre].Out:
+		return false
+	}
+	return w.evidence.allows(env.Now, len(w.runs))
+}
+
+// mayStart reports whether a task that is placed on the worker may be started.
+func (p *Placer) mayStart(w *worker) bool {
+	return w.host.Phase == fleet.HostServing && !p.rules.DataCentres[w.host.DataCentre].Out
+}
+
+func (w *worker) free() model.Resources {
+	return w.host.Capacity.Sub(w.reserved).Sub(w.stray)
+}
+
+// refreshWorker puts the worker into the order of its pool or takes it out.
+func (p *Placer) refreshWorker(env Env, w *worker) {
+	if w.node != nil {
+		w.tree.remove(w.node)
+		w.node, w.tree = nil, nil
+	}
+	if !p.usable(env, w) {
+		return
+	}
+	q := p.pool(w.host.Pool)
+	q.sawCapacity(w.host.Capacity)
+	q.dirty = true
+	w.tree = q.treeOf(w.host.Capacity)
+	w.node = w.tree.insert(w)
+}
+
+// reserve changes what the run takes of its worker.
+func (p *Placer) reserve(env Env, r *record, amount model.Resources) {
+	w := r.worker
+	w.reserved = w.reserved.Sub(r.reserved).Add(amount)
+	r.reserved = amount
+	p.refreshWorker(env, w)
+}
+
+// accept decides whether a report is news of the worker's present life. A new
+// incarnation is believed at its second report with none of the present one in
+// between, because a delayed report of an earlier life must not end the tasks
+// of the present one.
+func (w *worker) accept(m *message.WorkerReport) bool {
+	switch {
+	case !w.heard || m.Inc == w.inc:
+		if w.heard && m.Seq <= w.seq {
+			return false
+		}
+	case m.Inc != w.next:
+		w.next, w.nextSeq = m.Inc, m.Seq
+		return false
+	case m.Seq <= w.nextSeq:
+		return false
+	}
+	w.inc, w.seq, w.next, w.nextSeq = m.Inc, m.Seq, "", 0
+	return true
+}
+
+// describe proposes what the platform says of the host, if it has changed.
+func (p *Placer) describe(env Env, out *Out, w *worker, m *message.WorkerReport) {
+	h := w.host
+	changed := !w.known || !h.Up || h.DataCentre != m.DataCentre || h.Rack != m.Rack ||
+		h.Capacity != m.Capacity || h.Image != m.Image
+	if !changed || w.reporting {
+		return
+	}
+	w.reporting = true
+	if !w.known || !h.Up {
+		out.log(effect.Log{Code: effect.WorkerSeen, Host: w.id})
+	}
+	out.propose(fleet.Command{At: env.Now, ReportHost: &fleet.ReportHost{
+		Host: w.id, DataCentre: m.DataCentre, Rack: m.Rack, Capacity: m.Capacity, Image: m.Image, Up: true,
+	}})
+}
+
+// workerLost ends the runs of a worker whose leases have ended.
+func (p *Placer) workerLost(env Env, out *Out, w *worker) {
+	if end := p.leasesEnd(w); env.Now < end {
+		p.arm(timerID{kind: timerLost, host: w.id}, end)
+		return
+	}
+	if !w.host.Up && len(w.runs) == 0 {
+		return
+	}
+	if w.known && w.host.Up && !w.reporting {
+		w.reporting = true
+		out.log(effect.Log{Code: effect.WorkerSilent, Host: w.id})
+		h := w.host
+		out.propose(fleet.Command{At: env.Now, ReportHost: &fleet.ReportHost{
+			Host: w.id, DataCentre: h.DataCentre, Rack: h.Rack, Capacity: h.Capacity, Image: h.Image,
+		}})
+	}
+	for _, id := range sortedKeys(w.runs) {
+		p.runLost(env, out, w.runs[id])
+	}
+	p.arm(timerID{kind: timerLost, host: w.id}, env.Now.Add(lostRetry))
+}
--- a/core/publish.go
+++ b/core/publish.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"maps"
 	"slices"
 
 	"primrosedale.example/primrosedale/core/effect"
@@ -68,6 +69,7 @@
 		Term: log.Term, Applied: s.fleet.Index, Commit: log.Commit,
 		Revision: s.fleet.Rules.Revision, RulesHash: s.fleet.RulesHash,
 		Serving: s.holder.Valid(s.now), Held: s.table.Len(),
+		Tasks: s.fleet.TasksByPhase(), Pools: s.poolStatus(),
 	}
 	for _, v := range log.Voters {
 		st.Voters = append(st.Voters, v.Host)
@@ -79,6 +81,18 @@
 	return st
 }
 
+func (s *State) poolStatus() []view.PoolStatus {
+	ids := slices.Sorted(maps.Keys(s.fleet.Rules.Pools))
+	pools := make([]view.PoolStatus, 0, len(ids))
+	for _, id := range ids {
+		pools = append(pools, view.PoolStatus{
+			Pool: id, Hosts: s.fleet.HostsIn(id), Unavailable: s.fleet.UnavailableIn(id),
+			Budget: s.fleet.Rules.Pools[id].UnavailableMax,
+		})
+	}
+	return pools
+}
+
 func (s *State) leaderStatus(st *view.Status) {
 	for _, h := range s.leading.members {
 		host := view.HostStatus{Host: h, Serving: s.leading.granter.Serving(s.now, h)}
--- a/core/state.go
+++ b/core/state.go
@@ -18,8 +18,10 @@
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/gateway"
 	"primrosedale.example/primrosedale/core/lease"
+	"primrosedale.example/primrosedale/core/maintenance"
 	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/placement"
 	"primrosedale.example/primrosedale/core/view"
 )
 
@@ -84,6 +86,8 @@
 	term    uint64
 	granter *lease.Granter
 	owner   *dispatch.Owner
+	placer  *placement.Placer
+	planner *maintenance.Planner
 	members []model.HostID // sorted
 	inForce uint64         // the last change of rules or keys reported as in force
 }
@@ -142,10 +146,19 @@
 		Fleet:        s.fleet,
 		Granter:      s.leading.granter,
 		Members:      s.leading.members,
-		TasksRunning: s.fleet.PlacedByTeam,
+		TasksRunning: s.tasksRunning,
 	}
 }
 
+// tasksRunning counts the tasks of a team on workers, with those proposed.
+func (s *State) tasksRunning(team model.TeamID) int {
+	n := s.fleet.PlacedByTeam(team)
+	if s.leading.placer != nil {
+		n += s.leading.placer.PendingByTeam(team)
+	}
+	return n
+}
+
 func memberHosts(f *fleet.State) []model.HostID {
 	hosts := make([]model.HostID, 0, len(f.Members))
 	for h := range f.Members {
--- /dev/null
+++ b/core/workers.go
@@ -0,0 +1,53 @@
+package core
+
+import (
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/maintenance"
+	"primrosedale.example/primrosedale/core/placement"
+)
+
+func (s *State) placementEnv() placement.Env {
+	return placement.Env{
+		Now:             s.now,
+		Fleet:           s.fleet,
+		MayGrant:        s.log.HoldsLeaderLease(s.now),
+		Ready:           s.leading.owner.Ready(),
+		RequestsRunning: s.leading.owner.RequestsRunning,
+	}
+}
+
+func (s *State) maintenanceEnv() maintenance.Env {
+	return maintenance.Env{Now: s.now, Fleet: s.fleet, Busy: s.leading.owner.HostBusy}
+}
+
+// asPlacer lets the placer handle something and carries out what it asks for.
+func (s *State) asPlacer(handle func(placement.Env, *placement.Out)) {
+	var out placement.Out
+	env := s.placementEnv()
+	handle(env, &out)
+	if !s.carryOut(out.Effects, out.Proposals) {
+		s.leading.placer.NotProposed(env, out.Proposals)
+	}
+}
+
+// asPlanner lets the planner handle something and carries out what it asks for.
+func (s *State) asPlanner(handle func(maintenance.Env, *maintenance.Out)) {
+	var out maintenance.Out
+	env := s.maintenanceEnv()
+	handle(env, &out)
+	if !s.carryOut(out.Effects, out.Proposals) {
+		s.leading.planner.NotProposed(env, out.Proposals)
+	}
+}
+
+// carryOut reports false if the log did not accept the proposals, as during a
+// transfer of the leadership, which may fail and leave this process leading.
+func (s *State) carryOut(effects []effect.Effect, proposals []fleet.Command) bool {
+	s.emit(effects...)
+	if len(proposals) == 0 {
+		return true
+	}
+	_, ok := s.log.Propose(proposals...)
+	return ok
+}
