--- a/core/fleet/command.go
+++ b/core/fleet/command.go
@@ -119,9 +119,10 @@
 
 // The host actions.
 const (
-	HostDrain  HostAction = "drain"  // no new work; counts as unavailable
-	HostReboot HostAction = "reboot" // drained: the platform may reboot it
-	HostReturn HostAction = "return" // back in service, in pool Pool
+	HostDrain    HostAction = "drain"    // no new work; counts as unavailable
+	HostReboot   HostAction = "reboot"   // drained: the platform may reboot it
+	HostRetarget HostAction = "retarget" // rebooting: Image replaces the wanted one; empty for any
+	HostReturn   HostAction = "return"   // back in service, in pool Pool
 )
 
 // PlanHost is one step of a move or of a maintenance wave. It is checked
--- a/core/fleet/hosts.go
+++ b/core/fleet/hosts.go
@@ -55,6 +55,8 @@
 		return s.drainHost(c, host)
 	case HostReboot:
 		return s.rebootHost(c, host)
+	case HostRetarget:
+		return s.retargetHost(c, host)
 	case HostReturn:
 		return s.returnHost(c, host)
 	}
@@ -113,12 +115,7 @@
 func (s *State) rebootHost(c *PlanHost, host Host) Result {
 	switch host.Phase {
 	case HostRebooting:
-		// A resend, or the rules want another image since.
-		if host.ImageWant != c.Image {
-			host.ImageWant = c.Image
-			s.setHost(c.Host, host)
-		}
-		return Result{}
+		return Result{} // a resend
 	case HostServing:
 		return refused(problem.PlanRejected, "host %s is not draining", c.Host)
 	}
@@ -131,6 +128,20 @@
 	return Result{}
 }
 
+// retargetHost changes the image that a rebooting host must come back with.
+// Without it a host would wait for the image of a wave that was withdrawn.
+func (s *State) retargetHost(c *PlanHost, host Host) Result {
+	if host.Phase != HostRebooting {
+		return refused(problem.PlanRejected, "host %s is not rebooting", c.Host)
+	}
+	if host.ImageWant != c.Image {
+		host.ImageWant = c.Image
+		host.RebootSince = s.Now
+		s.setHost(c.Host, host)
+	}
+	return Result{}
+}
+
 // returnHost puts a host back in service. A host that was not rebooted stays
 // in its pool: its drain is cancelled.
 func (s *State) returnHost(c *PlanHost, host Host) Result {
--- a/core/maintenance/examine.go
+++ b/core/maintenance/examine.go
@@ -123,7 +123,7 @@
 	s := &h.state
 	if image, changed := p.changedImage(h); changed {
 		p.propose(env, out, id, h, fleet.PlanHost{
-			Action: fleet.HostReboot, Pool: s.MoveTo, Image: image, Reason: reasonObsolete,
+			Action: fleet.HostRetarget, Pool: s.MoveTo, Image: image, Reason: reasonObsolete,
 		})
 		return
 	}
