--- /dev/null
+++ b/core/placement/property_test.go
@@ -0,0 +1,61 @@
+package placement_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/rules"
+)
+
+// Guards against a task on two workers, a team above its limit, a pool below
+// its budget, a start in a data centre that is out, a second run of a task that
+// is not idempotent, and work or plans that never end, while leaders, workers
+// and the log fail.
+func TestPlacementAndMaintenanceUnderFaults(t *testing.T) {
+	seeds := uint64(60)
+	if testing.Short() {
+		seeds = 10
+	}
+	seen := map[string]int{}
+	for seed := range seeds {
+		s := newSim(t, seed)
+		for range 20 * 10 {
+			s.step()
+		}
+		s.submit(60, true)
+		s.submit(15, false)
+		for range 20 * 60 {
+			s.step()
+		}
+		s.changeRules(func(r *rules.Rules) {
+			r.Waves = map[string]rules.Wave{"kernel": {Pools: []model.PoolID{"a", "b"}, Image: "k9"}}
+		})
+		for range 20 * 180 {
+			s.step()
+		}
+		s.calm = true
+		s.setOut("west", false)
+		for step := 0; !s.settled(); step++ {
+			require.Less(t, step, 20*3600*2, "seed %d: work or plans do not end: %s", seed, s.unsettled())
+			s.step()
+		}
+		for id, task := range s.fleet.Tasks {
+			if task.Spec.Idempotent {
+				require.Equal(t, fleet.TaskFinished, task.Phase, "seed %d: %s: %+v", seed, id, task)
+			}
+		}
+		for what, n := range s.seen {
+			seen[what] += n
+		}
+	}
+	for _, what := range []string{
+		"end finished", "end failed", "end lost", "end stopped", "end not_started",
+		"plan drain", "plan reboot", "plan return", "move", "refused", "fail-over",
+	} {
+		require.Positive(t, seen[what], what)
+	}
+	t.Log(seen)
+}
--- /dev/null
+++ b/core/placement/sim_test.go
@@ -0,0 +1,359 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/maintenance"
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/placement"
+	"primrosedale.example/primrosedale/core/rules"
+)
+
+const simTick = 50 * model.Millisecond
+
+// sim drives placement and maintenance on a real fleet state with workers and
+// a log that loses, delays and repeats what it is given.
+type sim struct {
+	t     require.TestingT
+	seed  uint64
+	src   rand.Source
+	rand  *rand.Rand
+	now   model.Time
+	calm  bool // no more faults
+	fleet *fleet.State
+
+	placer   *placement.Placer // nil between leaders
+	planner  *maintenance.Planner
+	leaderAt model.Time // when the next leader begins
+	log      []fleet.Command
+	applyAt  model.Time
+
+	workers  []*simWorker
+	requests map[model.TeamID]int
+	outSince map[model.DataCentreID]model.Time
+
+	work       map[model.TaskID]model.Duration
+	real       map[model.TaskID]model.Resources
+	begins     map[model.TaskID]int
+	failedRuns map[model.TaskID]int
+	seen       map[string]int // how often something happened, to show that the test reaches it
+}
+
+func newSim(t require.TestingT, seed uint64) *sim {
+	src := rand.NewPCG(seed, 1)
+	s := &sim{
+		t: t, seed: seed, src: src, rand: rand.New(src), now: model.Time(model.Hour), fleet: fleet.New(),
+		requests: map[model.TeamID]int{}, outSince: map[model.DataCentreID]model.Time{},
+		work: map[model.TaskID]model.Duration{}, real: map[model.TaskID]model.Resources{},
+		begins: map[model.TaskID]int{}, failedRuns: map[model.TaskID]int{},
+		seen: map[string]int{},
+	}
+	r := &rules.Rules{
+		Teams: map[model.TeamID]rules.Team{"press": {Share: 60, Limit: 9}, "archive": {Share: 30, Limit: 4}},
+		Pools: map[model.PoolID]rules.Pool{
+			"a": {HostsMin: 5, UnavailableMax: 2}, "b": {HostsMin: 3, UnavailableMax: 1},
+			"spare": {UnavailableMax: 2, Spare: true},
+		},
+		Hosts: map[model.HostID]rules.HostPlacement{},
+	}
+	for i := range 12 {
+		w := &simWorker{
+			id: model.HostID(fmt.Sprintf("w%02d", i)), dc: []model.DataCentreID{"west", "east"}[i%2],
+			rack: model.RackID(fmt.Sprint("r", i/4)), rate: 0.99 + 0.02*s.rand.Float64(),
+		}
+		w.bad = i == 3
+		w.restart()
+		s.workers = append(s.workers, w)
+		if i < 9 {
+			r.Hosts[w.id] = rules.HostPlacement{Pool: []model.PoolID{"a", "a", "b"}[i%3]}
+		}
+	}
+	s.setRules(r)
+	return s
+}
+
+func (s *sim) chance(p float64) bool { return s.rand.Float64() < p }
+
+func (s *sim) upTo(d model.Duration) model.Duration {
+	return model.Duration(s.rand.Int64N(int64(d) + 1))
+}
+
+func (s *sim) setRules(r *rules.Rules) {
+	base := s.fleet.Rules.Revision
+	r.Revision = base + 1
+	s.apply(fleet.Command{ApplyRules: &fleet.ApplyRules{Base: base, Hash: model.Digest(fmt.Sprint(base)), Rules: r}})
+}
+
+func (s *sim) changeRules(change func(*rules.Rules)) {
+	r := s.fleet.Rules.Clone()
+	change(r)
+	s.setRules(r)
+}
+
+func (s *sim) setOut(dc model.DataCentreID, out bool) {
+	s.changeRules(func(r *rules.Rules) {
+		r.DataCentres = map[model.DataCentreID]rules.DataCentre{dc: {Out: out}}
+	})
+	delete(s.outSince, dc)
+	if out {
+		s.outSince[dc] = s.now
+	}
+}
+
+func (s *sim) submit(n int, idempotent bool) {
+	for range n {
+		id := model.TaskID(fmt.Sprintf("t%d", len(s.work)))
+		s.work[id] = model.Second + s.upTo(20*model.Second)
+		s.real[id] = model.Resources{MilliCPU: 500 + s.rand.Int64N(3000), MemoryMB: 1000 + s.rand.Int64N(8000)}
+		s.apply(fleet.Command{At: s.now, SubmitTask: &fleet.SubmitTask{
+			Task: id, Team: []model.TeamID{"press", "archive"}[s.rand.IntN(2)], Spec: fleet.TaskSpec{
+				Pool: []model.PoolID{"a", "b"}[s.rand.IntN(2)], Command: fmt.Sprint("program-", s.rand.IntN(4), " ", id),
+				Size:   model.Resources{MilliCPU: 200 + s.rand.Int64N(12000), MemoryMB: 500 + s.rand.Int64N(20000)},
+				MaxRun: model.Minute, Precedence: s.rand.IntN(3), Idempotent: idempotent,
+			},
+		}})
+	}
+}
+
+func (s *sim) placementEnv() placement.Env {
+	return placement.Env{
+		Now: s.now, Fleet: s.fleet, MayGrant: true, Ready: true,
+		RequestsRunning: func(id model.TeamID) int { return s.requests[id] },
+	}
+}
+
+func (s *sim) maintenanceEnv() maintenance.Env {
+	return maintenance.Env{Now: s.now, Fleet: s.fleet, Busy: func(model.HostID) bool { return false }}
+}
+
+// lead calls both branches of the leader. At times the log accepts nothing.
+func (s *sim) lead(place func(placement.Env, *placement.Out), plan func(maintenance.Env, *maintenance.Out)) {
+	var a placement.Out
+	var b maintenance.Out
+	place(s.placementEnv(), &a)
+	plan(s.maintenanceEnv(), &b)
+	if !s.calm && s.chance(0.02) {
+		s.placer.NotProposed(s.placementEnv(), a.Proposals)
+		s.planner.NotProposed(s.maintenanceEnv(), b.Proposals)
+		return
+	}
+	for _, c := range append(a.Proposals, b.Proposals...) {
+		s.log = append(s.log, c)
+		if !s.calm && s.chance(0.03) {
+			s.log = append(s.log, c)
+		}
+	}
+}
+
+func (s *sim) apply(c fleet.Command) {
+	result := s.fleet.Apply(s.fleet.Index+1, &c)
+	s.count(&c, result)
+	if s.placer != nil {
+		s.lead(
+			func(env placement.Env, out *placement.Out) { s.placer.Committed(env, out, &c, result) },
+			func(env maintenance.Env, out *maintenance.Out) { s.planner.Committed(env, out, &c, result) },
+		)
+	}
+	s.check()
+}
+
+func (s *sim) count(c *fleet.Command, result fleet.Result) {
+	switch {
+	case result.Problem != nil:
+		s.seen["refused"]++
+	case c.EndTask != nil:
+		s.seen["end "+string(c.EndTask.Outcome)]++
+	case c.PlanHost != nil:
+		s.seen["plan "+string(c.PlanHost.Action)]++
+		if c.PlanHost.Action == fleet.HostReturn && c.PlanHost.Pool != "" {
+			s.seen["move"]++
+		}
+	}
+}
+
+// commit applies what is due of the log.
+func (s *sim) commit() {
+	if s.now < s.applyAt {
+		return
+	}
+	due := s.log
+	s.log = nil
+	for _, c := range due {
+		s.apply(c)
+	}
+	if !s.calm {
+		s.applyAt = s.now.Add(s.upTo(400 * model.Millisecond))
+	}
+}
+
+// failOver replaces the leader; a first part of the log survives.
+func (s *sim) failOver() {
+	s.placer, s.planner = nil, nil
+	s.seen["fail-over"]++
+	for _, c := range s.log[:s.rand.IntN(len(s.log)+1)] {
+		s.apply(c)
+	}
+	s.log = nil
+	s.leaderAt = s.now.Add(500*model.Millisecond + s.upTo(3*model.Second))
+}
+
+func (s *sim) step() {
+	s.now = s.now.Add(simTick)
+	if s.placer == nil && s.now >= s.leaderAt {
+		s.placer = placement.New(s.placementEnv())
+		s.planner = maintenance.New(s.maintenanceEnv())
+	}
+	for _, w := range s.workers {
+		w.step(s)
+		s.talk(w)
+	}
+	s.commit()
+	if s.placer != nil {
+		s.lead(s.placer.Advance, s.planner.Advance)
+		s.moveRequests()
+	}
+	if !s.calm {
+		s.faults()
+	}
+	s.check()
+}
+
+// talk lets a worker report and get its reply; both may be lost or late.
+func (s *sim) talk(w *simWorker) {
+	if s.now < w.nextAt || s.now < w.downTo || s.now < w.silentTo {
+		return
+	}
+	if w.newImage != "" {
+		w.image, w.newImage = w.newImage, ""
+	}
+	w.nextAt = s.now.Add(450*model.Millisecond + s.upTo(100*model.Millisecond))
+	m := w.report(s)
+	if s.placer == nil || !s.calm && s.chance(0.05) {
+		return
+	}
+	var reply message.ReportReply
+	deliver := func(env placement.Env, out *placement.Out) { reply = s.placer.Report(env, out, &m) }
+	s.lead(deliver, func(maintenance.Env, *maintenance.Out) {})
+	// The worker sent the report up to 200 ms before the leader handled it.
+	sent := s.now.Add(-s.upTo(200 * model.Millisecond))
+	if s.calm || !s.chance(0.05) {
+		w.carryOut(s, reply, sent)
+	}
+	if !s.calm && s.chance(0.05) {
+		s.lead(deliver, func(maintenance.Env, *maintenance.Out) {}) // a duplicate
+	}
+}
+
+// moveRequests starts and ends requests as dispatch does, within the limits.
+func (s *sim) moveRequests() {
+	for _, id := range []model.TeamID{"archive", "press"} {
+		used := s.fleet.PlacedByTeam(id) + s.placer.PendingByTeam(id) + s.requests[id]
+		if s.requests[id] > 0 && (s.calm || s.chance(0.1)) {
+			s.requests[id]--
+		} else if !s.calm && used < s.fleet.Rules.Teams[id].Limit && s.chance(0.02) {
+			s.requests[id]++
+		}
+	}
+}
+
+func (s *sim) faults() {
+	w := s.workers[s.rand.IntN(len(s.workers))]
+	switch {
+	case s.chance(0.002):
+		s.failOver()
+	case s.chance(0.002):
+		w.silentTo = s.now.Add(s.upTo(15 * model.Second))
+	case s.chance(0.002):
+		w.restart()
+		w.downTo = s.now.Add(s.upTo(10 * model.Second))
+	case s.chance(0.001):
+		w.downTo = s.now.Add(30*model.Second + s.upTo(2*model.Minute))
+		w.restart()
+	case s.chance(0.001):
+		s.setOut("west", len(s.outSince) == 0)
+	}
+}
+
+// begun checks the start of a run.
+func (s *sim) begun(w *simWorker, id model.TaskID) {
+	s.begins[id]++
+	if since, out := s.outSince[w.dc]; out {
+		require.Less(s.t, s.now.Sub(since), 3*model.Second, "seed %d: %s starts on %s, which is out", s.seed, id, w.id)
+	}
+	if !s.fleet.Tasks[id].Spec.Idempotent {
+		require.LessOrEqual(s.t, s.begins[id], 1+s.failedRuns[id], "seed %d: %s runs twice", s.seed, id)
+	}
+}
+
+// check checks what must hold at every moment.
+func (s *sim) check() {
+	on := map[model.TaskID]model.HostID{}
+	for _, w := range s.workers {
+		for id, r := range w.runs {
+			if r.phase == message.RunRunning && s.now < r.until {
+				require.Empty(s.t, on[id.task], "seed %d: %s runs on %s and %s", s.seed, id.task, on[id.task], w.id)
+				on[id.task] = w.id
+			}
+		}
+	}
+	for id, team := range s.fleet.Rules.Teams {
+		running := 0
+		for task := range on {
+			if s.fleet.Tasks[task].Team == id {
+				running++
+			}
+		}
+		running = max(running, s.fleet.PlacedByTeam(id))
+		require.LessOrEqual(s.t, running+s.requests[id], team.Limit, "seed %d: team %s", s.seed, id)
+	}
+	s.checkPools()
+}
+
+func (s *sim) checkPools() {
+	planned := map[model.PoolID]int{}
+	for id, h := range s.fleet.Hosts {
+		require.Contains(s.t, s.fleet.Rules.Pools, h.Pool, "seed %d: host %s", s.seed, id)
+		if h.Phase != fleet.HostServing {
+			planned[h.Pool]++
+		}
+	}
+	total := 0
+	for id, pool := range s.fleet.Rules.Pools {
+		total += s.fleet.HostsIn(id)
+		require.LessOrEqual(s.t, planned[id], pool.UnavailableMax, "seed %d: pool %s", s.seed, id)
+	}
+	require.Equal(s.t, len(s.fleet.Hosts), total, "seed %d: hosts of all pools", s.seed)
+}
+
+// settled reports whether all work and all plans have come to an end.
+func (s *sim) settled() bool {
+	for _, task := range s.fleet.Tasks {
+		if task.Phase == fleet.TaskQueued || task.Phase == fleet.TaskPlaced {
+			return false
+		}
+	}
+	for _, w := range s.workers {
+		h := s.fleet.Hosts[w.id]
+		inWave := slices.Contains(s.fleet.Rules.Waves["kernel"].Pools, h.Pool)
+		if h.Phase != fleet.HostServing || !h.Up || inWave && h.Image != "k9" {
+			return false
+		}
+	}
+	return true
+}
+
+// unsettled names one thing that has not come to an end.
+func (s *sim) unsettled() string {
+	for _, task := range s.fleet.Tasks {
+		if task.Phase == fleet.TaskQueued || task.Phase == fleet.TaskPlaced {
+			return fmt.Sprintf("%+v", *task)
+		}
+	}
+	return fmt.Sprintf("%+v", s.fleet.Hosts)
+}
--- /dev/null
+++ b/core/placement/sim_worker_test.go
@@ -0,0 +1,129 @@
+package placement_test
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+type runID struct {
+	task  model.TaskID
+	epoch uint64
+}
+
+// simRun is one run on a simulated worker.
+type simRun struct {
+	phase message.TaskRunPhase
+	ends  model.Time // when its work is done
+	until model.Time // when its lease ends, by the simulation's clock
+	limit model.Time // when its longest run time has passed
+	begun model.Time
+	size  model.Resources
+}
+
+// simWorker keeps the rules of a worker: it runs a task only under a lease,
+// lists every run until told to forget it, and reports one at a time.
+type simWorker struct {
+	id       model.HostID
+	dc       model.DataCentreID
+	rack     model.RackID
+	rate     float64 // of its clock against the leader's
+	bad      bool    // fails every task
+	stuck    bool    // never comes back from a reboot to a new image
+	life     int
+	image    string
+	seq      uint64
+	runs     map[runID]*simRun
+	silentTo model.Time // cut off until then
+	downTo   model.Time // not running until then
+	nextAt   model.Time
+	newImage string
+}
+
+func (w *simWorker) inc() model.Incarnation {
+	return model.Incarnation(fmt.Sprintf("%s-%d", w.id, w.life))
+}
+
+// restart begins a new life, in which nothing of the earlier one runs.
+func (w *simWorker) restart() {
+	w.life++
+	w.seq = 0
+	w.runs = make(map[runID]*simRun)
+}
+
+// step ends runs whose work, lease or longest run time is over.
+func (w *simWorker) step(s *sim) {
+	for id, r := range w.runs {
+		if r.phase != message.RunRunning {
+			continue
+		}
+		switch {
+		case s.now >= r.until:
+			r.phase = message.RunStopped
+		case s.now >= r.limit || w.bad:
+			r.phase = message.RunFailed
+			s.failedRuns[id.task]++
+		case s.now >= r.ends:
+			r.phase = message.RunFinished
+		}
+	}
+}
+
+func (w *simWorker) report(s *sim) message.WorkerReport {
+	w.seq++
+	m := message.WorkerReport{
+		Worker: w.id, Inc: w.inc(), DataCentre: w.dc, Rack: w.rack, Image: w.image, Seq: w.seq,
+		Capacity: model.Resources{MilliCPU: 8000, MemoryMB: 32000},
+	}
+	for id, r := range w.runs {
+		usage := model.Resources{}
+		if r.phase == message.RunRunning && s.now > r.begun.Add(model.Second) {
+			usage = r.size
+		}
+		m.Runs = append(m.Runs, message.TaskRun{
+			Task: id.task, Epoch: id.epoch, Phase: r.phase, Usage: usage, Ran: s.now.Sub(r.begun),
+		})
+	}
+	slices.SortFunc(m.Runs, func(a, b message.TaskRun) int { return cmp.Compare(a.Task, b.Task) })
+	return m
+}
+
+// carryOut obeys the orders of a reply to a report that was sent at sent.
+func (w *simWorker) carryOut(s *sim, reply message.ReportReply, sent model.Time) {
+	for _, o := range reply.Orders {
+		id := runID{o.Task, o.Epoch}
+		r := w.runs[id]
+		until := sent.Add(model.Duration(float64(o.Lease) * w.rate))
+		switch {
+		case o.Kind == message.OrderRun && r == nil && s.now < until:
+			w.begin(s, id, o, until)
+		case r == nil:
+		case o.Kind == message.OrderRun && r.phase == message.RunRunning:
+			r.until = max(r.until, until)
+		case o.Kind == message.OrderForget:
+			delete(w.runs, id)
+		case r.phase == message.RunRunning:
+			r.phase = message.RunStopped
+		}
+	}
+	if reply.Reboot && reply.Image != w.image {
+		w.newImage = reply.Image
+		w.restart()
+		w.downTo = s.now.Add(model.Duration(5+rand.New(s.src).IntN(15)) * model.Second)
+		if w.stuck {
+			w.downTo = s.now.Add(24 * model.Hour)
+		}
+	}
+}
+
+func (w *simWorker) begin(s *sim, id runID, o message.Order, until model.Time) {
+	w.runs[id] = &simRun{
+		phase: message.RunRunning, begun: s.now, until: until,
+		ends: s.now.Add(s.work[id.task]), limit: s.now.Add(o.MaxRun), size: s.real[id.task],
+	}
+	s.begun(w, id.task)
+}
