devcluster: run stand-in workers in the dev command and in a test of tasks

Hosts that report before the first rules have no pool; the planner moves them to the first spare one.

--- a/core/maintenance/examine.go
+++ b/core/maintenance/examine.go
@@ -39,8 +39,8 @@
 	if !h.state.Up || p.rounds == 0 {
 		return // the harm that waves have done is known after one round
 	}
-	if want, ok := p.rules.Hosts[id]; ok && want.Pool != h.state.Pool {
-		p.move(env, out, id, h, want.Pool, reasonRules)
+	if want := p.poolWanted(id, h); want != h.state.Pool {
+		p.move(env, out, id, h, want, reasonRules)
 		return
 	}
 	name, ok := p.waves[h.state.Pool]
@@ -52,6 +52,23 @@
 	}
 }
 
+// poolWanted returns the pool that the rules place a host in. A host that
+// reported before there were rules has no pool and goes to the first spare one.
+func (p *Planner) poolWanted(id model.HostID, h *host) model.PoolID {
+	if placement, ok := p.rules.Hosts[id]; ok {
+		return placement.Pool
+	}
+	if _, ok := p.rules.Pools[h.state.Pool]; ok {
+		return h.state.Pool
+	}
+	for _, pool := range sortedKeys(p.rules.Pools) {
+		if p.rules.Pools[pool].Spare {
+			return pool
+		}
+	}
+	return h.state.Pool
+}
+
 // move begins a move. The host gets the image of the wave of its new pool on
 // the way, which saves it a second drain.
 func (p *Planner) move(env Env, out *Out, id model.HostID, h *host, to model.PoolID, reason string) bool {
--- a/devcluster/run.go
+++ b/devcluster/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -21,6 +22,8 @@
 	devReplicas  = 3
 	devFollowers = 2
 	devTargets   = 4
+	devWorkers   = 6
+	devRackSize  = 2 // workers of one rack
 	devRunTime   = 20 * time.Millisecond
 	startTimeout = 20 * time.Second
 	statusPause  = 100 * time.Millisecond
@@ -41,6 +44,9 @@
 pool.press    = { hosts_min = 1, unavailable_max = 1, spare = true }   # dev command
 `
 
+// devTask is a task that the development system can run.
+const devTask = `{"pool":"press","command":"sleep 5s","milli_cpu":1000,"memory_mb":500,"max_run_s":60,"idempotent":true}`
+
 // Options are the options of Run.
 type Options struct {
 	Folder string    // for the replicas' data; empty for a temporary one
@@ -68,6 +74,7 @@
 		return errors.Wrap(err, c.Stop())
 	}
 	defer outside.Stop()
+	outside.StartWorkers(devWorkers, devTaskTime)
 	key, err := c.Prepare(stop, devRulesName, devRules)
 	if err != nil {
 		_ = c.Stop()
@@ -82,6 +89,16 @@
 	return c.Stop()
 }
 
+// devTaskTime makes a task of the command "sleep 5s" take 5 s; others take 1 s.
+func devTaskTime(_ model.TaskID, command string) time.Duration {
+	if word, ok := strings.CutPrefix(command, "sleep "); ok {
+		if d, err := time.ParseDuration(word); err == nil && d > 0 {
+			return d
+		}
+	}
+	return time.Second
+}
+
 func dataFolder(folder string) (string, func(), error) {
 	if folder != "" {
 		return folder, func() {}, nil
@@ -147,12 +164,15 @@
 // Outside is what lives outside the system: targets and workers.
 type Outside struct {
 	Targets []*standin.Target
+	Workers []*standin.Worker
+
+	platforms []string
 }
 
 // StartOutside starts n targets that do the work.
 func StartOutside(list []*settings.Settings, n int, work standin.Work) (*Outside, error) {
 	platforms := addresses(list, func(l settings.Listen) string { return l.Platform.String() })
-	o := &Outside{}
+	o := &Outside{platforms: platforms}
 	for i := range n {
 		t, err := standin.StartTarget(standin.TargetConfig{
 			ID:         model.TargetID(fmt.Sprintf("render-%d", i+1)),
@@ -171,6 +191,19 @@
 	return o, nil
 }
 
+// StartWorkers starts n workers whose tasks take the time that runTime returns.
+func (o *Outside) StartWorkers(n int, runTime func(model.TaskID, string) time.Duration) {
+	for i := range n {
+		o.Workers = append(o.Workers, standin.StartWorker(standin.WorkerConfig{
+			ID:         model.HostID(fmt.Sprintf("worker-%d", i+1)),
+			DataCentre: centres[i/devRackSize%len(centres)],
+			Rack:       model.RackID(fmt.Sprintf("rack-%d", i/devRackSize+1)),
+			Platforms:  o.platforms,
+			Duration:   runTime,
+		}))
+	}
+}
+
 // Stop lets the targets leave, and ends those that do not in time.
 func (o *Outside) Stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
@@ -179,24 +212,33 @@
 		_ = t.Leave(ctx)
 		t.Stop()
 	}
+	for _, w := range o.Workers {
+		w.Stop()
+	}
 }
 
 func explain(out io.Writer, list []*settings.Settings, key string) {
-	fmt.Fprintf(out, "%d hosts are running (%d with a data folder), %d targets announce themselves.\n\n",
-		len(list), devReplicas, devTargets)
+	fmt.Fprintf(out, "%d hosts are running (%d with a data folder), %d targets and %d workers announce themselves.\n\n",
+		len(list), devReplicas, devTargets, devWorkers)
 	for _, s := range list {
 		fmt.Fprintf(out, "  %-8s %-6s callers %s  operators %s\n", s.Host, s.DataCentre, s.Listen.Callers, s.Listen.Operators)
 	}
+	callers := list[len(list)-1].Listen.Callers
 	fmt.Fprintf(out, `
 Send a request:
 
   curl -i -H 'Authorization: Bearer %s' --data 'ode to a library' \
     http://%s/v1/queues/%s/requests
 
+Submit a task:
+
+  curl -i -H 'Authorization: Bearer %s' --data '%s' \
+    http://%s/v1/tasks
+
 See the state:
 
   primrosedalectl status --address %s
 
 Stop with Ctrl-C.
-`, key, list[len(list)-1].Listen.Callers, devQueue, list[0].Listen.Operators)
+`, key, callers, devQueue, key, devTask, callers, list[0].Listen.Operators)
 }
--- /dev/null
+++ b/devcluster/workers_test.go
@@ -0,0 +1,123 @@
+package devcluster
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/operator/client"
+	"primrosedale.example/primrosedale/standin"
+)
+
+// taskClient submits tasks to one host of a cluster.
+type taskClient struct {
+	t    *testing.T
+	base string
+	key  string
+}
+
+func (c taskClient) call(method, path, body string, want int, answer any) {
+	c.t.Helper()
+	r, err := http.NewRequest(method, c.base+path, bytes.NewBufferString(body))
+	require.NoError(c.t, err)
+	r.Header.Set("Authorization", "Bearer "+c.key)
+	response, err := http.DefaultClient.Do(r)
+	require.NoError(c.t, err)
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	require.NoError(c.t, err)
+	require.Equal(c.t, want, response.StatusCode, "%s", content)
+	require.NoError(c.t, json.Unmarshal(content, answer))
+}
+
+// awaitKey returns once the host has applied the grant of the key.
+func (c taskClient) awaitKey() {
+	c.t.Helper()
+	require.Eventually(c.t, func() bool {
+		r, err := http.NewRequest(http.MethodGet, c.base+"/v1/tasks/none", http.NoBody)
+		require.NoError(c.t, err)
+		r.Header.Set("Authorization", "Bearer "+c.key)
+		response, err := http.DefaultClient.Do(r)
+		require.NoError(c.t, err)
+		defer response.Body.Close()
+		return response.StatusCode == http.StatusNotFound
+	}, 5*time.Second, 20*time.Millisecond, "the key is not in force")
+}
+
+func (c taskClient) submit(command string) model.TaskID {
+	c.t.Helper()
+	var answer struct {
+		Task model.TaskID `json:"task"`
+	}
+	body := `{"pool":"press","command":"` + command + `","milli_cpu":1000,"memory_mb":500,"max_run_s":60,"idempotent":true}`
+	c.call(http.MethodPost, "/v1/tasks", body, http.StatusAccepted, &answer)
+	return answer.Task
+}
+
+// await returns the task once done is true of it.
+func (c taskClient) await(id model.TaskID, done func(fleet.Task) bool) fleet.Task {
+	c.t.Helper()
+	var task fleet.Task
+	require.Eventually(c.t, func() bool {
+		task = fleet.Task{}
+		c.call(http.MethodGet, "/v1/tasks/"+string(id), "", http.StatusOK, &task)
+		return done(task)
+	}, 30*time.Second, 50*time.Millisecond, "task %s", id)
+	return task
+}
+
+func inPhase(phase fleet.TaskPhase) func(fleet.Task) bool {
+	return func(t fleet.Task) bool { return t.Phase == phase }
+}
+
+// Guards against tasks that stay queued, cannot be cancelled or are lost with
+// their worker, on real daemons with the stand-in worker.
+func TestTasksOnWorkers(t *testing.T) {
+	list, err := Layout(t.TempDir(), devReplicas, 1)
+	require.NoError(t, err)
+	cluster, err := Start(list, io.Discard, true)
+	require.NoError(t, err)
+	defer func() { require.NoError(t, cluster.Stop()) }()
+	outside, err := StartOutside(list, 1, standin.Echo(devRunTime))
+	require.NoError(t, err)
+	defer outside.Stop()
+	outside.StartWorkers(4, devTaskTime)
+	key, err := cluster.Prepare(context.Background(), devRulesName, devRules)
+	require.NoError(t, err)
+	c := taskClient{t, "http://" + list[3].Listen.Callers.String(), key}
+
+	c.awaitKey()
+	finished := c.await(c.submit("sleep 1s"), inPhase(fleet.TaskFinished))
+	require.EqualValues(t, 1, finished.Epoch)
+
+	cancelled := c.submit("sleep 50s")
+	c.await(cancelled, inPhase(fleet.TaskPlaced))
+	c.call(http.MethodDelete, "/v1/tasks/"+string(cancelled), "", http.StatusAccepted, &struct{}{})
+	c.await(cancelled, inPhase(fleet.TaskCancelled))
+
+	moved := c.submit("sleep 3s")
+	first := c.await(moved, inPhase(fleet.TaskPlaced))
+	for i, w := range outside.Workers {
+		if first.Worker == model.HostID([]string{"worker-1", "worker-2", "worker-3", "worker-4"}[i]) {
+			w.SetMode(standin.Silent)
+		}
+	}
+	last := c.await(moved, inPhase(fleet.TaskFinished))
+	require.EqualValues(t, 2, last.Epoch)
+	require.NotEqual(t, first.Worker, last.Worker)
+
+	status, err := client.New(cluster.OperatorAddresses(), nil).Status(context.Background())
+	require.NoError(t, err)
+	require.Equal(t, map[fleet.TaskPhase]int{fleet.TaskFinished: 2, fleet.TaskCancelled: 1}, status.Tasks)
+	require.Len(t, status.Pools, 1)
+	require.Equal(t, 4, status.Pools[0].Hosts)
+	require.Equal(t, 1, status.Pools[0].Unavailable)
+}
