--- /dev/null
+++ b/core/placement/policy_test.go
@@ -0,0 +1,158 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// Guards against a team above its limit, counting requests and placements that
+// are not yet committed, and against a limit that is not lifted again.
+func TestTeamLimit(t *testing.T) {
+	f := newFixture(t, 4)
+	f.requests = 1
+	for i := range 3 {
+		f.submit(model.TaskID(fmt.Sprint("t", i)), func(c *fleet.SubmitTask) { c.Team = "archive" })
+	}
+	f.hold = true
+	f.after(model.Second)
+	require.Len(t, f.held, 1)
+	require.Equal(t, 1, f.p.PendingByTeam("archive"))
+	f.requests = 0
+	f.after(model.Second)
+	require.Len(t, f.held, 2)
+	f.p.NotProposed(f.env(), f.held)
+	require.Equal(t, 0, f.p.PendingByTeam("archive"))
+	f.hold = false
+	f.report("w0")
+	f.after(model.Second)
+	require.Equal(t, 2, f.fleet.PlacedByTeam("archive"))
+}
+
+// Guards against a wrong order of the queue: precedence first, then the team
+// with the least running work for its share.
+func TestQueueOrder(t *testing.T) {
+	f := newFixture(t, 1)
+	whole := func(team model.TeamID, precedence int) func(*fleet.SubmitTask) {
+		return func(c *fleet.SubmitTask) {
+			c.Team, c.Spec.Precedence = team, precedence
+			c.Spec.Size.MilliCPU = capacity.MilliCPU
+		}
+	}
+	f.submit("busy", func(c *fleet.SubmitTask) { c.Spec.Size.MilliCPU = 1 })
+	f.after(50 * model.Millisecond)
+	f.submit("press-1", whole("press", 1))
+	f.submit("archive-1", whole("archive", 1))
+	f.submit("press-5", whole("press", 5))
+	for _, want := range []model.TaskID{"press-5", "archive-1", "press-1"} {
+		for _, r := range f.p.workers["w0"].runs {
+			f.report("w0", f.run(r.task.ID, message.RunFinished))
+		}
+		for range 10 {
+			f.after(500 * model.Millisecond)
+			f.report("w0")
+		}
+		require.Equal(t, fleet.TaskPlaced, f.task(want).Phase, want)
+	}
+}
+
+// Guards against tasks of one team that share a rack while others are free, and
+// against tasks on a worker that is quiet, draining or in an outage.
+func TestChoiceOfWorker(t *testing.T) {
+	f := newFixture(t, 8)
+	f.setOut("east") // w4 to w7
+	f.apply(fleet.Command{PlanHost: &fleet.PlanHost{Host: "w3", Action: fleet.HostDrain}})
+	f.submit("t0", nil)
+	f.submit("t1", nil)
+	f.after(50 * model.Millisecond)
+	a, b := f.task("t0").Worker, f.task("t1").Worker
+	require.Contains(t, []model.HostID{"w0", "w1"}, min(a, b))
+	require.Equal(t, model.HostID("w2"), max(a, b))
+	f.after(QuietAfter)
+	f.submit("t2", nil)
+	f.after(model.Second)
+	require.Equal(t, fleet.TaskQueued, f.task("t2").Phase)
+}
+
+// Guards against work that waits behind tasks that fit no worker.
+func TestMisfitsDoNotBlock(t *testing.T) {
+	f := newFixture(t, 1)
+	for i := range 50 {
+		f.submit(model.TaskID(fmt.Sprint("never", i)), func(c *fleet.SubmitTask) {
+			c.Spec.Size.Accelerators, c.Spec.Precedence = 1, 9
+		})
+	}
+	f.submit("t", nil)
+	for range 4 {
+		f.after(400 * model.Millisecond)
+		f.report("w0")
+	}
+	require.Equal(t, fleet.TaskPlaced, f.task("t").Phase)
+}
+
+// Guards against a worker that fails everything and keeps getting tasks, and
+// against a quarantine that never ends.
+func TestQuarantine(t *testing.T) {
+	f := newFixture(t, 1)
+	fail := func(id model.TaskID, program string) {
+		f.submit(id, func(c *fleet.SubmitTask) { c.Spec.Command = program })
+		f.after(50 * model.Millisecond)
+		f.report("w0")
+		require.Equal(t, fleet.TaskPlaced, f.task(id).Phase)
+		f.report("w0", f.run(id, message.RunFailed))
+		f.apply(fleet.Command{CancelTask: &fleet.CancelTask{Task: id, Team: "press"}})
+	}
+	wait := func(d model.Duration) {
+		for end := f.now.Add(d); f.now < end; {
+			f.after(500 * model.Millisecond)
+			f.report("w0")
+		}
+	}
+	fail("t0", "p0")
+	fail("t1", "p1")
+	fail("t2", "p2")
+	f.submit("next", nil)
+	wait(quarantineMin - model.Second)
+	require.Equal(t, fleet.TaskQueued, f.task("next").Phase)
+	wait(6 * model.Second)
+	require.Equal(t, fleet.TaskPlaced, f.task("next").Phase)
+	f.submit("second", nil)
+	wait(6 * model.Second)
+	require.Equal(t, fleet.TaskQueued, f.task("second").Phase, "one trial at a time")
+	f.report("w0", f.run("next", message.RunFailed))
+	require.Empty(t, f.task("next").FailedOn, "no evidence against the task")
+	wait(2*quarantineMin - 2*model.Second)
+	require.Zero(t, f.fleet.PlacedByTeam("press"), "the second quarantine is longer")
+	wait(8 * model.Second)
+	require.Equal(t, 1, f.fleet.PlacedByTeam("press"))
+}
+
+// Guards against declared sizes that stay in use although runs need more or
+// less, and against a worker whose observed use is not counted.
+func TestLearnedSizes(t *testing.T) {
+	f := newFixture(t, 1)
+	huge := func(c *fleet.SubmitTask) { c.Spec.Size = model.Resources{MilliCPU: 90_000, MemoryMB: 900_000} }
+	for i := range samplesNeeded {
+		id := model.TaskID(fmt.Sprint("t", i))
+		f.submit(id, huge)
+		f.after(50 * model.Millisecond)
+		running := f.run(id, message.RunRunning)
+		running.Usage = model.Resources{MilliCPU: 2000, MemoryMB: 4000}
+		f.report("w0", running)
+		f.report("w0", f.run(id, message.RunFinished))
+	}
+	for i := range 5 {
+		f.submit(model.TaskID(fmt.Sprint("u", i)), huge)
+	}
+	f.after(50 * model.Millisecond)
+	require.Equal(t, 4, f.fleet.PlacedByTeam("press"))
+	growing := f.run("u0", message.RunRunning)
+	growing.Usage = model.Resources{MilliCPU: 7000, MemoryMB: 4000}
+	f.report("w0", growing)
+	require.Equal(t, capacity.MilliCPU-7000-3*2000, f.p.workers["w0"].free().MilliCPU)
+}
