--- /dev/null
+++ b/core/maintenance/planner_test.go
@@ -0,0 +1,280 @@
+package maintenance
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/rules"
+)
+
+// fixture is a planner on a fleet state to which its proposals are applied at
+// once.
+type fixture struct {
+	t     *testing.T
+	now   model.Time
+	fleet *fleet.State
+	p     *Planner
+	busy  map[model.HostID]bool
+	logs  []effect.Code
+	// away holds hosts that do not come back from a reboot.
+	away map[model.HostID]bool
+}
+
+// newFixture returns pool "a" with six hosts of three racks, and a spare pool
+// with two hosts.
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{
+		t: t, now: model.Time(model.Hour), fleet: fleet.New(),
+		busy: map[model.HostID]bool{}, away: map[model.HostID]bool{},
+	}
+	f.setRules(func(r *rules.Rules) {
+		r.Teams = map[model.TeamID]rules.Team{"press": {Limit: 10}}
+		r.Pools = map[model.PoolID]rules.Pool{
+			"a": {HostsMin: 6, UnavailableMax: 2}, "b": {UnavailableMax: 1}, "spare": {UnavailableMax: 1, Spare: true},
+		}
+		r.Hosts = map[model.HostID]rules.HostPlacement{}
+		for i := range 6 {
+			r.Hosts[hostName(i)] = rules.HostPlacement{Pool: "a"}
+		}
+	})
+	for i := range 8 {
+		f.host(hostName(i), "k8", true)
+	}
+	f.p = New(f.env())
+	return f
+}
+
+func hostName(i int) model.HostID { return model.HostID(fmt.Sprintf("h%d", i)) }
+
+func (f *fixture) env() Env {
+	return Env{Now: f.now, Fleet: f.fleet, Busy: func(id model.HostID) bool { return f.busy[id] }}
+}
+
+func (f *fixture) setRules(change func(*rules.Rules)) {
+	r := f.fleet.Rules.Clone()
+	change(r)
+	r.Revision++
+	c := fleet.Command{ApplyRules: &fleet.ApplyRules{Base: r.Revision - 1, Hash: "h", Rules: r}}
+	require.Nil(f.t, f.apply(c).Problem)
+}
+
+func (f *fixture) wave(image string) {
+	f.setRules(func(r *rules.Rules) {
+		r.Waves = map[string]rules.Wave{"w": {Pools: []model.PoolID{"a"}, Image: image}}
+	})
+}
+
+// host reports a host; its rack is that of two neighbours.
+func (f *fixture) host(id model.HostID, image string, up bool) {
+	rack := model.RackID(fmt.Sprint("r", (id[1]-'0')/2))
+	f.apply(fleet.Command{ReportHost: &fleet.ReportHost{Host: id, DataCentre: "west", Rack: rack, Image: image, Up: up}})
+}
+
+func (f *fixture) apply(c fleet.Command) fleet.Result {
+	c.At = f.now
+	result := f.fleet.Apply(f.fleet.Index+1, &c)
+	if f.p != nil {
+		f.do(func(env Env, out *Out) { f.p.Committed(env, out, &c, result) })
+	}
+	return result
+}
+
+func (f *fixture) do(handle func(Env, *Out)) {
+	var out Out
+	handle(f.env(), &out)
+	for _, e := range out.Effects {
+		f.logs = append(f.logs, e.(effect.Log).Code)
+	}
+	for _, c := range out.Proposals {
+		f.apply(c)
+	}
+}
+
+// after advances the time. Rebooting hosts come back with the wanted image
+// within a second, apart from those that are away.
+func (f *fixture) after(d model.Duration) {
+	for end := f.now.Add(d); f.now < end; {
+		f.now = f.now.Add(model.Second)
+		f.do(f.p.Advance)
+		for _, id := range sortedKeys(f.fleet.Hosts) {
+			h := f.fleet.Hosts[id]
+			switch {
+			case h.Phase != fleet.HostRebooting:
+			case f.away[id] && h.Up:
+				f.host(id, h.Image, false)
+			case !f.away[id] && h.ImageWant != h.Image && h.ImageWant != "":
+				f.host(id, h.ImageWant, true)
+			}
+		}
+	}
+}
+
+// in returns the hosts of a phase, sorted.
+func (f *fixture) in(phase fleet.HostPhase) []model.HostID {
+	var list []model.HostID
+	for _, id := range sortedKeys(f.fleet.Hosts) {
+		if f.fleet.Hosts[id].Phase == phase {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+func (f *fixture) images() map[string]int {
+	images := map[string]int{}
+	for _, h := range f.fleet.Hosts {
+		images[h.Image]++
+	}
+	return images
+}
+
+// Guards against a wave that exceeds its budget, drains one rack at one time,
+// reboots a host that still works, or leaves hosts out.
+func TestWave(t *testing.T) {
+	f := newFixture(t)
+	f.setRules(func(r *rules.Rules) { r.Pools["a"] = rules.Pool{UnavailableMax: 2} })
+	for i := range 6 {
+		f.busy[hostName(i)] = true
+	}
+	f.wave("k9")
+	f.after(10 * model.Second)
+	require.Equal(t, []model.HostID{"h0", "h2"}, f.in(fleet.HostDraining))
+	f.host("h5", "k8", false) // an unplanned loss while the budget is used up
+	f.busy = map[model.HostID]bool{}
+	f.after(model.Minute)
+	require.Equal(t, map[string]int{"k9": 5, "k8": 3}, f.images())
+	f.host("h5", "k8", true)
+	f.after(model.Minute)
+	require.Equal(t, map[string]int{"k9": 6, "k8": 2}, f.images())
+	require.Len(t, f.in(fleet.HostServing), 8)
+}
+
+// Guards against a drain that never ends, and one that starts again at once.
+func TestDrainIsGivenUp(t *testing.T) {
+	f := newFixture(t)
+	f.busy["h0"] = true
+	f.wave("k9")
+	f.after(DrainMax - model.Minute)
+	require.Equal(t, []model.HostID{"h0"}, f.in(fleet.HostDraining))
+	f.after(2 * model.Minute)
+	require.Empty(t, f.in(fleet.HostDraining))
+	f.after(DrainPause - 2*model.Minute)
+	require.Empty(t, f.in(fleet.HostDraining))
+	f.busy["h0"] = false
+	f.after(2 * model.Minute)
+	require.Equal(t, map[string]int{"k9": 6, "k8": 2}, f.images())
+}
+
+// Guards against a wave that goes on although hosts do not come back, a stop
+// that a new leader forgets, and hosts that are stuck once the wave is gone.
+func TestWaveStopsAfterHarm(t *testing.T) {
+	f := newFixture(t)
+	f.away["h0"], f.away["h2"] = true, true
+	f.setRules(func(r *rules.Rules) { r.Pools["a"] = rules.Pool{HostsMin: 1, UnavailableMax: 3} })
+	f.busy["h1"] = true // keeps the third place of the budget until the harm is seen
+	f.busy["h3"], f.busy["h4"], f.busy["h5"] = true, true, true
+	f.wave("k9")
+	f.after(ReturnMax + model.Minute)
+	require.Contains(t, f.logs, effect.WaveStopped)
+	f.busy = map[model.HostID]bool{}
+	f.p = New(f.env())
+	f.after(model.Minute)
+	require.Equal(t, map[string]int{"k8": 8}, f.images())
+	require.Equal(t, []model.HostID{"h0", "h2"}, f.in(fleet.HostRebooting))
+	f.away = map[model.HostID]bool{}
+	f.host("h0", "k8", true)
+	f.host("h2", "k8", true)
+	f.setRules(func(r *rules.Rules) { r.Waves = nil })
+	f.after(model.Minute)
+	require.Len(t, f.in(fleet.HostServing), 8)
+}
+
+// Guards against a plan that a fail-over leaves half done.
+func TestNewLeaderContinues(t *testing.T) {
+	for _, phase := range []fleet.HostPhase{fleet.HostDraining, fleet.HostRebooting} {
+		f := newFixture(t)
+		f.apply(fleet.Command{PlanHost: &fleet.PlanHost{Host: "h0", Action: fleet.HostDrain, Pool: "b", Image: "k9"}})
+		if phase == fleet.HostRebooting {
+			f.p = nil
+			f.apply(fleet.Command{PlanHost: &fleet.PlanHost{Host: "h0", Action: fleet.HostReboot}})
+		}
+		f.setRules(func(r *rules.Rules) {
+			r.Hosts["h0"] = rules.HostPlacement{Pool: "b"}
+			r.Pools["a"] = rules.Pool{UnavailableMax: 2}
+			r.Waves = map[string]rules.Wave{"w": {Pools: []model.PoolID{"b"}, Image: "k9"}}
+		})
+		f.p = New(f.env())
+		f.after(10 * model.Second)
+		require.Equal(t, fleet.HostServing, f.fleet.Hosts["h0"].Phase)
+		require.EqualValues(t, "b", f.fleet.Hosts["h0"].Pool)
+		require.Equal(t, "k9", f.fleet.Hosts["h0"].Image)
+	}
+}
+
+// Guards against a move for a host that is away for a moment, a move that comes
+// too late or never, and more moves than are needed.
+func TestPoolBelowMinimumGetsSpareHost(t *testing.T) {
+	f := newFixture(t)
+	f.after(model.Minute)
+	f.host("h1", "k8", false)
+	f.after(MissingFor - 5*model.Second)
+	f.host("h1", "k8", true)
+	f.after(model.Minute)
+	require.Equal(t, 6, f.fleet.HostsIn("a"))
+	f.host("h1", "k8", false)
+	f.after(MissingFor + 10*model.Second)
+	require.Equal(t, 7, f.fleet.HostsIn("a"))
+	require.Equal(t, 1, f.fleet.HostsIn("spare"))
+	f.host("h1", "k8", true)
+	f.after(10 * model.Minute)
+	require.Equal(t, 7, f.fleet.HostsIn("a"))
+}
+
+// Guards against a host that is moved again and again as the rules change, and
+// against a host without a pool.
+func TestMovesByRules(t *testing.T) {
+	f := newFixture(t)
+	place := func(id model.HostID, pool model.PoolID) {
+		f.setRules(func(r *rules.Rules) { r.Hosts[id] = rules.HostPlacement{Pool: pool} })
+	}
+	f.after(5 * model.Second)
+	place("h7", "b")
+	f.after(5 * model.Second)
+	require.EqualValues(t, "b", f.fleet.Hosts["h7"].Pool)
+	place("h7", "spare")
+	f.after(MoveInterval - 10*model.Second)
+	require.EqualValues(t, "b", f.fleet.Hosts["h7"].Pool)
+	f.after(model.Minute)
+	require.EqualValues(t, "spare", f.fleet.Hosts["h7"].Pool)
+
+	f.setRules(func(r *rules.Rules) { r.Pools["spare"] = rules.Pool{UnavailableMax: 1} })
+	f.host("h9", "k8", true)
+	require.Empty(t, f.fleet.Hosts["h9"].Pool)
+	f.setRules(func(r *rules.Rules) { r.Pools["spare"] = rules.Pool{UnavailableMax: 1, Spare: true} })
+	f.after(10 * model.Second)
+	require.EqualValues(t, "spare", f.fleet.Hosts["h9"].Pool)
+}
+
+// Guards against hosts of one rack that follow each other.
+func TestOrderAlternatesRacks(t *testing.T) {
+	f := newFixture(t)
+	f.after(model.Second)
+	racks := func() []model.RackID {
+		var list []model.RackID
+		for _, id := range f.p.order {
+			list = append(list, f.fleet.Hosts[id].Rack)
+		}
+		return list
+	}()
+	require.Len(t, racks, 8)
+	require.False(t, slices.Equal(racks, slices.Sorted(slices.Values(racks))), "%v", racks)
+	for i := range racks[1:] {
+		require.NotEqual(t, racks[i], racks[i+1], "%v", racks)
+	}
+}
