--- a/core/fleet/hosts.go
+++ b/core/fleet/hosts.go
@@ -158,6 +158,7 @@
 		}
 		if host.MoveTo != "" {
 			host.Pool = host.MoveTo
+			host.MovedAt = s.Now
 		}
 	}
 	host.Phase = HostServing
--- a/core/fleet/state.go
+++ b/core/fleet/state.go
@@ -111,6 +111,9 @@
 	ImageWant  string             `json:"image_want,omitempty"`
 	Up         bool               `json:"up"`
 	DrainSince model.Time         `json:"drain_since,omitempty"`
+	// MovedAt is when the host joined its pool by a move, so that a later leader
+	// does not move it again at once.
+	MovedAt model.Time `json:"moved_at,omitempty"`
 	// RebootSince is when the reboot was ordered, so that a later leader can
 	// tell how long the host has been away.
 	RebootSince model.Time `json:"reboot_since,omitempty"`
--- a/core/maintenance/examine.go
+++ b/core/maintenance/examine.go
@@ -72,7 +72,7 @@
 // move begins a move. The host gets the image of the wave of its new pool on
 // the way, which saves it a second drain.
 func (p *Planner) move(env Env, out *Out, id model.HostID, h *host, to model.PoolID, reason string) bool {
-	if h.moved != 0 && env.Now < h.moved.Add(MoveInterval) || !p.hasBudget(env, h.state.Pool) {
+	if h.movedLately(env.Now) || !p.hasBudget(env, h.state.Pool) {
 		return false
 	}
 	plan := fleet.PlanHost{Pool: to, Reason: reason}
@@ -83,6 +83,10 @@
 	return true
 }
 
+func (h *host) movedLately(now model.Time) bool {
+	return h.state.MovedAt != 0 && now < h.state.MovedAt.Add(MoveInterval)
+}
+
 // hasBudget reports whether one more host of the pool may leave service. The
 // same is checked again when the drain is applied.
 func (p *Planner) hasBudget(env Env, id model.PoolID) bool {
--- a/core/maintenance/planner.go
+++ b/core/maintenance/planner.go
@@ -80,7 +80,6 @@
 	proposed bool       // a step is proposed
 	leaves   bool       // the proposed step takes it out of service
 	notUntil model.Time // no step before this time
-	moved    model.Time // its last move in this term; zero for none
 }
 
 // pool counts the hosts of one pool.
@@ -155,9 +154,6 @@
 		h.notUntil = max(h.notUntil, env.Now.Add(refusedDelay))
 		return
 	}
-	if before.Pool != h.state.Pool {
-		h.moved = env.Now
-	}
 	switch {
 	case before.Phase == h.state.Phase:
 	case h.state.Phase == fleet.HostDraining:
--- a/core/maintenance/pools.go
+++ b/core/maintenance/pools.go
@@ -65,7 +65,7 @@
 	if _, bound := p.rules.Hosts[id]; bound {
 		return false // the rules place it where it is
 	}
-	if h.proposed || env.Now < h.notUntil || h.moved != 0 && env.Now < h.moved.Add(MoveInterval) {
+	if h.proposed || env.Now < h.notUntil || h.movedLately(env.Now) {
 		return false
 	}
 	return p.keepsMinimum(env, h.state.Pool) && p.hasBudget(env, h.state.Pool)
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -111,9 +111,14 @@
 	}
 	for _, id := range sortedKeys(env.Fleet.Hosts) {
 		p.hostChanged(env, id)
+		for _, task := range env.Fleet.PlacedOn(id) {
+			p.refreshTask(env, task.ID)
+		}
 	}
-	for _, id := range sortedKeys(env.Fleet.Tasks) {
-		p.refreshTask(env, id)
+	for _, id := range sortedKeys(env.Fleet.Rules.Pools) {
+		for task := range env.Fleet.QueuedIn(id) {
+			p.refreshTask(env, task.ID)
+		}
 	}
 	for _, r := range p.records {
 		// An earlier leader may have ordered the run until the term began.
--- a/core/placement/policy_test.go
+++ b/core/placement/policy_test.go
@@ -156,3 +156,28 @@
 	f.report("w0", growing)
 	require.Equal(t, capacity.MilliCPU-7000-3*2000, f.p.workers["w0"].free().MilliCPU)
 }
+
+// Guards against a large task that small ones keep from running for ever.
+func TestLargeTaskIsNotStarved(t *testing.T) {
+	f := newFixture(t, 1)
+	n := 0
+	for f.now < model.Time(model.Hour+3*model.Minute) {
+		for ; f.fleet.QueuedCount("a") < 4; n++ {
+			f.submit(model.TaskID(fmt.Sprint("s", n)), func(c *fleet.SubmitTask) { c.Spec.Command, c.Spec.Precedence = "small", 1 })
+		}
+		if n == 4 {
+			f.submit("large", func(c *fleet.SubmitTask) { c.Spec.Command, c.Spec.Size = "large", capacity })
+		}
+		f.after(500 * model.Millisecond)
+		var runs []message.TaskRun
+		for i, id := range sortedKeys(f.p.workers["w0"].runs) {
+			phase := message.RunRunning
+			if i == 0 {
+				phase = message.RunFinished // one of eight ends at a time
+			}
+			runs = append(runs, f.run(id, phase))
+		}
+		f.report("w0", runs...)
+	}
+	require.Equal(t, fleet.TaskFinished, f.task("large").Phase)
+}
--- a/core/placement/queue.go
+++ b/core/placement/queue.go
@@ -51,7 +51,8 @@
 	plain       fitTree
 	accelerated fitTree
 	largest     model.Resources // largest capacity of a worker seen, by resource
-	dirty       bool            // something changed since no task could be placed
+	hold        *hold
+	dirty       bool // something changed since no task could be placed
 }
 
 func newPool(id model.PoolID) *pool {
@@ -148,6 +149,7 @@
 // that fit no worker, and goes on at the next tick, so that one event has
 // bounded work and tasks that cannot run do not hold up the others.
 func (p *Placer) pump(env Env, out *Out, q *pool) {
+	p.useHold(env, out, q)
 	misfits := 0
 	for range placementsPerPump {
 		r := p.nextTask(env, q)
@@ -159,6 +161,7 @@
 			p.propose(env, out, r, w)
 			continue
 		}
+		p.holdFor(env, q, r)
 		p.delay(env, r, backoff(misfitDelayMin, misfitDelayMax, r.misfits))
 		r.misfits++
 		if misfits++; misfits >= misfitsPerPump {
@@ -186,12 +189,14 @@
 
 // propose proposes to place a task. It counts as running from now on.
 func (p *Placer) propose(env Env, out *Out, r *record, w *worker) {
-	tq := r.queue
+	tq := r.queue // nil for a task that a worker was held for
 	p.unqueue(r)
 	r.pending = true
 	p.team(r.task.Team).pending++
 	p.attach(env, r, w)
-	p.rankTeam(env, tq)
+	if tq != nil {
+		p.rankTeam(env, tq)
+	}
 	out.propose(fleet.Command{At: env.Now, PlaceTask: &fleet.PlaceTask{
 		Task: r.task.ID, Worker: w.id, Inc: w.inc,
 	}})
--- a/core/placement/timers.go
+++ b/core/placement/timers.go
@@ -57,7 +57,7 @@
 		return
 	}
 	for _, id := range sortedKeys(p.pools) {
-		if q := p.pools[id]; q.dirty {
+		if q := p.pools[id]; q.dirty || q.hold != nil {
 			p.pump(env, out, q)
 		}
 	}
--- a/core/placement/worker.go
+++ b/core/placement/worker.go
@@ -26,6 +26,7 @@
 	stray    model.Resources          // used by runs that are not placed on it
 	evidence evidence
 
+	held bool     // kept free for one task
 	node *fitNode // its place among the usable workers of its pool, or nil
 	tree *fitTree
 }
@@ -104,6 +105,9 @@
 	q := p.pool(w.host.Pool)
 	q.sawCapacity(w.host.Capacity)
 	q.dirty = true
+	if w.held {
+		return
+	}
 	w.tree = q.treeOf(w.host.Capacity)
 	w.node = w.tree.insert(w)
 }
