--- a/core/placement/sim_test.go
+++ b/core/placement/sim_test.go
@@ -153,8 +153,17 @@
 }
 
 func (s *sim) apply(c fleet.Command) {
+	var before fleet.Host
+	if c.PlanHost != nil {
+		before = s.fleet.Hosts[c.PlanHost.Host]
+	}
 	result := s.fleet.Apply(s.fleet.Index+1, &c)
 	s.count(&c, result)
+	if c.PlanHost != nil && before.Phase == fleet.HostServing && s.fleet.Hosts[c.PlanHost.Host].Phase == fleet.HostDraining {
+		// Lost hosts use up the budget too.
+		require.LessOrEqual(s.t, s.fleet.UnavailableIn(before.Pool), s.fleet.Rules.Pools[before.Pool].UnavailableMax,
+			"seed %d: drain of %s", s.seed, c.PlanHost.Host)
+	}
 	if s.placer != nil {
 		s.lead(
 			func(env placement.Env, out *placement.Out) { s.placer.Committed(env, out, &c, result) },
@@ -186,6 +195,9 @@
 	due := s.log
 	s.log = nil
 	for _, c := range due {
+		if c.PlanHost != nil && !s.calm && s.chance(0.2) {
+			s.loseBefore()
+		}
 		s.apply(c)
 	}
 	if !s.calm {
@@ -193,6 +205,17 @@
 	}
 }
 
+// loseBefore reports a host as lost after a plan was made and before it is
+// applied, for as long as the host sends no report.
+func (s *sim) loseBefore() {
+	w := s.workers[s.rand.IntN(len(s.workers))]
+	if h, ok := s.fleet.Hosts[w.id]; ok {
+		s.apply(fleet.Command{At: s.now, ReportHost: &fleet.ReportHost{
+			Host: w.id, DataCentre: h.DataCentre, Rack: h.Rack, Capacity: h.Capacity, Image: h.Image,
+		}})
+	}
+}
+
 // failOver replaces the leader; a first part of the log survives.
 func (s *sim) failOver() {
 	s.placer, s.planner = nil, nil
