placement, maintenance: follow capacities and hosts that leave a pool

A declared size is cut to the largest worker that is up in the pool, no longer to the largest ever seen. A host that has not come back from a reboot within ten minutes counts as missing, so that its pool gets a spare one.

--- a/core/maintenance/examine.go
+++ b/core/maintenance/examine.go
@@ -155,6 +155,9 @@
 		return
 	}
 	if env.Now.Sub(s.RebootSince) >= ReturnMax {
+		p.count(h, -1)
+		h.gone = true // its pool lacks a host from now on
+		p.count(h, 1)
 		p.harm(out, id, h)
 	}
 }
--- a/core/maintenance/planner.go
+++ b/core/maintenance/planner.go
@@ -77,6 +77,7 @@
 type host struct {
 	state    fleet.Host
 	known    bool       // state is set
+	gone     bool       // has not come back from a reboot within ReturnMax
 	proposed bool       // a step is proposed
 	leaves   bool       // the proposed step takes it out of service
 	notUntil model.Time // no step before this time
@@ -85,7 +86,7 @@
 // pool counts the hosts of one pool.
 type pool struct {
 	drains  int // proposed drains that are not yet committed
-	lost    int // not up, without a plan
+	lost    int // not up without a plan, or gone
 	leaving int // that move to another pool
 	joining int // of other pools, that move to this one
 	donated int // proposed moves to this pool that are not yet committed
@@ -232,6 +233,7 @@
 	}
 	h.state = state
 	h.known = true
+	h.gone = h.gone && state.Phase == fleet.HostRebooting
 	p.count(h, 1)
 }
 
@@ -240,7 +242,7 @@
 		return
 	}
 	s := &h.state
-	if s.Phase == fleet.HostServing && !s.Up {
+	if s.Phase == fleet.HostServing && !s.Up || h.gone {
 		p.pool(s.Pool).lost += n
 	}
 	if s.MoveTo != "" {
--- a/core/maintenance/planner_test.go
+++ b/core/maintenance/planner_test.go
@@ -236,6 +236,18 @@
 	require.Equal(t, 7, f.fleet.HostsIn("a"))
 }
 
+// Guards against a pool that goes on without a host that never came back.
+func TestGoneHostIsReplaced(t *testing.T) {
+	f := newFixture(t)
+	f.away["h0"] = true
+	f.wave("k9")
+	f.after(ReturnMax - model.Minute)
+	require.Equal(t, 6, f.fleet.HostsIn("a"))
+	f.after(3 * model.Minute)
+	require.Equal(t, 7, f.fleet.HostsIn("a"))
+	require.Equal(t, []model.HostID{"h0"}, f.in(fleet.HostRebooting))
+}
+
 // Guards against a host that is moved again and again as the rules change, and
 // against a host without a pool.
 func TestMovesByRules(t *testing.T) {
--- a/core/placement/queue.go
+++ b/core/placement/queue.go
@@ -50,16 +50,18 @@
 	order       *pq.Queue[model.TeamID, teamRank, *teamQueue] // teams under their limit with tasks to place
 	plain       fitTree
 	accelerated fitTree
-	largest     model.Resources // largest capacity of a worker seen, by resource
+	capacities  map[model.Resources]int // number of workers that are up, by capacity
+	largest     model.Resources         // of capacities, by resource
 	hold        *hold
 	dirty       bool // something changed since no task could be placed
 }
 
 func newPool(id model.PoolID) *pool {
 	return &pool{
-		id:     id,
-		queues: make(map[model.TeamID]*teamQueue),
-		order:  pq.New[model.TeamID, teamRank, *teamQueue](teamRank.before),
+		id:         id,
+		queues:     make(map[model.TeamID]*teamQueue),
+		capacities: make(map[model.Resources]int),
+		order:      pq.New[model.TeamID, teamRank, *teamQueue](teamRank.before),
 	}
 }
 
@@ -70,8 +72,16 @@
 	return &q.plain
 }
 
-func (q *pool) sawCapacity(capacity model.Resources) {
-	q.largest = larger(q.largest, capacity)
+// countCapacity adds n to the workers of this capacity. Pools have few distinct
+// capacities, so that the largest is found again each time.
+func (q *pool) countCapacity(capacity model.Resources, n int) {
+	if q.capacities[capacity] += n; q.capacities[capacity] == 0 {
+		delete(q.capacities, capacity)
+	}
+	q.largest = model.Resources{}
+	for c := range q.capacities {
+		q.largest = larger(q.largest, c)
+	}
 }
 
 // enqueue puts a queued task into the queue of its team.
--- a/core/placement/worker.go
+++ b/core/placement/worker.go
@@ -54,8 +54,14 @@
 		return
 	}
 	w := p.worker(id)
+	if w.known && w.host.Up {
+		p.pool(w.host.Pool).countCapacity(w.host.Capacity, -1)
+	}
 	w.host = host
 	w.known = true
+	if host.Up {
+		p.pool(host.Pool).countCapacity(host.Capacity, 1)
+	}
 	if host.Up && !p.timers.Has(timerID{kind: timerLost, host: id}) {
 		p.armLost(env, w)
 	}
@@ -103,7 +109,6 @@
 		return
 	}
 	q := p.pool(w.host.Pool)
-	q.sawCapacity(w.host.Capacity)
 	q.dirty = true
 	if w.held {
 		return
@@ -168,8 +173,10 @@
 	}
 	if w.known && w.host.Up && !w.reporting {
 		w.reporting = true
-		out.log(effect.Log{Code: effect.WorkerSilent, Host: w.id})
 		h := w.host
+		if h.Phase != fleet.HostRebooting {
+			out.log(effect.Log{Code: effect.WorkerSilent, Host: w.id})
+		}
 		out.propose(fleet.Command{At: env.Now, ReportHost: &fleet.ReportHost{
 			Host: w.id, DataCentre: h.DataCentre, Rack: h.Rack, Capacity: h.Capacity, Image: h.Image,
 		}})
