--- a/core/maintenance/planner.go
+++ b/core/maintenance/planner.go
@@ -69,6 +69,8 @@
 	cursor int
 	rounds int // complete passes over order
 
+	donateAt model.Time // no search for a spare host before this time
+
 	harmed  map[string]map[model.HostID]bool // hosts that did not come back, by wave
 	stopped map[string]bool                  // waves that did harm
 }
@@ -93,7 +95,6 @@
 
 	short      bool // has fewer hosts than its minimum
 	shortSince model.Time
-	retryAt    model.Time // no search for a spare host before this time
 }
 
 // New returns the planner of a term that begins at env.Now.
--- a/core/maintenance/pools.go
+++ b/core/maintenance/pools.go
@@ -14,8 +14,8 @@
 	}
 	for _, id := range sortedKeys(p.rules.Pools) {
 		q := p.pool(id)
-		missing := p.rules.Pools[id].HostsMin - p.have(env, id, q)
-		if missing <= 0 {
+		// Spare pools would exchange their hosts.
+		if rule := p.rules.Pools[id]; rule.Spare || p.have(env, id, q) >= rule.HostsMin {
 			q.short = false
 			continue
 		}
@@ -23,11 +23,12 @@
 			q.short = true
 			q.shortSince = env.Now
 		}
-		if env.Now.Sub(q.shortSince) < MissingFor || env.Now < q.retryAt {
+		if env.Now.Sub(q.shortSince) < MissingFor || env.Now < p.donateAt {
 			continue
 		}
+		// A host that one pool cannot have, no other pool can have either.
 		if !p.donate(env, out, id) {
-			q.retryAt = env.Now.Add(refusedDelay)
+			p.donateAt = env.Now.Add(refusedDelay)
 		}
 	}
 }
@@ -41,9 +42,6 @@
 // donate begins the move of a host from a spare pool: the one with the fewest
 // tasks. It reports false if there is none.
 func (p *Planner) donate(env Env, out *Out, to model.PoolID) bool {
-	if p.rules.Pools[to].Spare {
-		return false // spare pools would exchange their hosts
-	}
 	var best model.HostID
 	fewest := 0
 	for _, id := range p.order {
--- a/core/placement/property_test.go
+++ b/core/placement/property_test.go
@@ -59,3 +59,20 @@
 	}
 	t.Log(seen)
 }
+
+// Guards against decisions that depend on the order of a map, so that a
+// recorded journal would not replay to the same effects.
+func TestSameInputsGiveSameDecisions(t *testing.T) {
+	var states [2]*fleet.State
+	for i := range states {
+		s := newSim(t, 7)
+		s.submit(60, true)
+		for range 20 * 90 {
+			s.step()
+		}
+		states[i] = s.fleet
+	}
+	require.Equal(t, states[0].Index, states[1].Index)
+	require.Equal(t, states[0].Tasks, states[1].Tasks)
+	require.Equal(t, states[0].Hosts, states[1].Hosts)
+}
