--- a/devcluster/run.go
+++ b/devcluster/run.go
@@ -74,7 +74,7 @@
 		return errors.Wrap(err, c.Stop())
 	}
 	defer outside.Stop()
-	outside.StartWorkers(devWorkers, devTaskTime)
+	outside.StartWorkers(devWorkers, nil)
 	key, err := c.Prepare(stop, devRulesName, devRules)
 	if err != nil {
 		_ = c.Stop()
@@ -191,16 +191,21 @@
 	return o, nil
 }
 
-// StartWorkers starts n workers whose tasks take the time that runTime returns.
-func (o *Outside) StartWorkers(n int, runTime func(model.TaskID, string) time.Duration) {
+// StartWorkers starts n workers. Their settings are passed to change first,
+// unless it is nil.
+func (o *Outside) StartWorkers(n int, change func(*standin.WorkerConfig)) {
 	for i := range n {
-		o.Workers = append(o.Workers, standin.StartWorker(standin.WorkerConfig{
+		cfg := standin.WorkerConfig{
 			ID:         model.HostID(fmt.Sprintf("worker-%d", i+1)),
 			DataCentre: centres[i/devRackSize%len(centres)],
 			Rack:       model.RackID(fmt.Sprintf("rack-%d", i/devRackSize+1)),
 			Platforms:  o.platforms,
-			Duration:   runTime,
-		}))
+			Duration:   devTaskTime,
+		}
+		if change != nil {
+			change(&cfg)
+		}
+		o.Workers = append(o.Workers, standin.StartWorker(cfg))
 	}
 }
 
--- a/devcluster/workers_test.go
+++ b/devcluster/workers_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/operator/client"
+	"primrosedale.example/primrosedale/rulesfile"
 	"primrosedale.example/primrosedale/standin"
 )
 
@@ -78,23 +80,29 @@
 	return func(t fleet.Task) bool { return t.Phase == phase }
 }
 
-// Guards against tasks that stay queued, cannot be cancelled or are lost with
-// their worker, on real daemons with the stand-in worker.
-func TestTasksOnWorkers(t *testing.T) {
+// startSystem starts a cluster with four workers and returns it with a client
+// whose key is in force.
+func startSystem(t *testing.T, change func(*standin.WorkerConfig)) (*Cluster, *Outside, taskClient) {
 	list, err := Layout(t.TempDir(), devReplicas, 1)
 	require.NoError(t, err)
 	cluster, err := Start(list, io.Discard, true)
 	require.NoError(t, err)
-	defer func() { require.NoError(t, cluster.Stop()) }()
+	t.Cleanup(func() { require.NoError(t, cluster.Stop()) })
 	outside, err := StartOutside(list, 1, standin.Echo(devRunTime))
 	require.NoError(t, err)
-	defer outside.Stop()
-	outside.StartWorkers(4, devTaskTime)
+	t.Cleanup(outside.Stop)
+	outside.StartWorkers(4, change)
 	key, err := cluster.Prepare(context.Background(), devRulesName, devRules)
 	require.NoError(t, err)
 	c := taskClient{t, "http://" + list[3].Listen.Callers.String(), key}
-
 	c.awaitKey()
+	return cluster, outside, c
+}
+
+// Guards against tasks that stay queued, cannot be cancelled or are lost with
+// their worker, on real daemons with the stand-in worker.
+func TestTasksOnWorkers(t *testing.T) {
+	cluster, outside, c := startSystem(t, nil)
 	finished := c.await(c.submit("sleep 1s"), inPhase(fleet.TaskFinished))
 	require.EqualValues(t, 1, finished.Epoch)
 
@@ -121,3 +129,31 @@
 	require.Equal(t, 4, status.Pools[0].Hosts)
 	require.Equal(t, 1, status.Pools[0].Unavailable)
 }
+
+// Guards against a wave whose reboots do not reach the workers, or that stops a
+// task for good.
+func TestWaveRebootsWorkers(t *testing.T) {
+	rebooted := make(chan string, 8)
+	cluster, _, c := startSystem(t, func(cfg *standin.WorkerConfig) {
+		cfg.Image = "k8"
+		cfg.Rebooted = func(image string) { rebooted <- image }
+	})
+	task := c.submit("sleep 1s")
+	text := strings.Replace(devRules, "revision = 1", "revision = 2", 1) +
+		"wave.kernel = { pools = [\"press\"], image = \"k9\" } # test\n"
+	file, err := rulesfile.Parse("wave", []byte(text))
+	require.NoError(t, err)
+	_, err = client.New(cluster.OperatorAddresses(), nil).Apply(context.Background(), file)
+	require.NoError(t, err)
+	for count := 0; count < 4; {
+		select {
+		case image := <-rebooted:
+			if image == "k9" {
+				count++
+			}
+		case <-time.After(30 * time.Second):
+			t.Fatalf("%d of 4 workers were rebooted", count)
+		}
+	}
+	c.await(task, inPhase(fleet.TaskFinished))
+}
