--- a/core/fleet/command.go
+++ b/core/fleet/command.go
@@ -119,9 +119,10 @@
 
 // The host actions.
 const (
-	HostDrain  HostAction = "drain"  // no new work; counts as unavailable
-	HostReboot HostAction = "reboot" // drained: the platform may reboot it
-	HostReturn HostAction = "return" // back in service, in pool Pool
+	HostDrain    HostAction = "drain"    // no new work; counts as unavailable
+	HostReboot   HostAction = "reboot"   // drained: the platform may reboot it
+	HostRetarget HostAction = "retarget" // rebooting: Image replaces the wanted one; empty for any
+	HostReturn   HostAction = "return"   // back in service, in pool Pool
 )
 
 // PlanHost is one step of a move or of a maintenance wave. It is checked
@@ -144,8 +145,9 @@
 
 // PlaceTask gives a task to a worker under the next lease epoch.
 type PlaceTask struct {
-	Task   model.TaskID `json:"task"`
-	Worker model.HostID `json:"worker"`
+	Task   model.TaskID      `json:"task"`
+	Worker model.HostID      `json:"worker"`
+	Inc    model.Incarnation `json:"inc,omitempty"` // of the worker
 }
 
 // EndTask records the end of one run of a task.
