ctl, cmd: give each subcommand examples and exit codes; report progress

A change whose connection broke had the exit code of a host that never got it; it now has that of an open outcome. dev waited 5 s for its targets to tell stopped hosts that they leave.

--- a/cmd/primrosedaled/main.go
+++ b/cmd/primrosedaled/main.go
@@ -25,11 +25,20 @@
 	exitSettings = 3 // the settings or the data folder are refused
 )
 
-const help = `
-examples:
-  primrosedaled dev
-  primrosedaled init --settings /etc/primrosedale/entry-1.toml
-  primrosedaled run  --settings /etc/primrosedale/entry-1.toml`
+const exitCodes = `
+exit codes: 0 stopped or done, 1 had to stop, 2 usage, 3 settings or data
+folder refused (docs/operators/exit-codes.md)`
+
+// The examples of the subcommands.
+const (
+	runExample  = "  primrosedaled run --settings /etc/primrosedale/entry-1.toml\n"
+	initExample = "  primrosedaled init --settings /etc/primrosedale/entry-1.toml\n"
+	devExample  = "  primrosedaled dev\n  primrosedaled dev --data /tmp/new-folder\n"
+)
+
+func helpEnd(examples string) string {
+	return "\nexamples:\n" + examples + exitCodes
+}
 
 func main() {
 	os.Exit(run())
@@ -40,17 +49,20 @@
 	var folder string
 	parser := flaggy.NewParser("primrosedaled")
 	parser.Description = "One process of the primrosedale fleet capacity and maintenance manager."
-	parser.AdditionalHelpAppend = help
+	parser.AdditionalHelpAppend = helpEnd(devExample + initExample + runExample)
 	parser.ShowHelpOnUnexpected = true
 	runCommand := flaggy.NewSubcommand("run")
 	runCommand.Description = "run this host's process"
+	runCommand.AdditionalHelpAppend = helpEnd(runExample)
 	runCommand.String(&path, "s", "settings", "settings file (TOML)")
 	initCommand := flaggy.NewSubcommand("init")
 	initCommand.Description = "create the data folder of a first replica; once for each, never to replace a lost disk"
+	initCommand.AdditionalHelpAppend = helpEnd(initExample)
 	initCommand.String(&path, "s", "settings", "settings file (TOML)")
 	devCommand := flaggy.NewSubcommand("dev")
 	devCommand.Description = "run a whole system on loopback with stand-in targets and workers"
-	devCommand.String(&folder, "d", "data", "folder for the replicas' data (default: a temporary one)")
+	devCommand.AdditionalHelpAppend = helpEnd(devExample)
+	devCommand.String(&folder, "d", "data", "new folder for the replicas' data (default: a temporary one)")
 	for _, c := range []*flaggy.Subcommand{runCommand, initCommand, devCommand} {
 		parser.AttachSubcommand(c, 1)
 	}
@@ -58,6 +70,10 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
+	if (runCommand.Used || initCommand.Used) && path == "" {
+		fmt.Fprintln(os.Stderr, "give --settings FILE")
+		return exitUsage
+	}
 	switch {
 	case runCommand.Used:
 		return runDaemon(path)
--- a/ctl/command.go
+++ b/ctl/command.go
@@ -88,9 +88,12 @@
 		return ExitOK
 	}
 	code := exitCode(err)
-	if p.output == outputJSON {
+	switch {
+	case p.output == outputJSON && code == ExitDifferent:
+		// The differences are on the output already, as its only document.
+	case p.output == outputJSON:
 		p.writeJSON(map[string]any{"error": describe(err), "exit_code": code})
-	} else {
+	default:
 		fmt.Fprintln(p.Err, err)
 	}
 	return code
@@ -122,11 +125,28 @@
 	}
 	var faults rulesfile.Errors
 	if errors.As(err, &faults) {
-		return faults
+		return describeFaults(faults)
 	}
 	return err.Error()
 }
 
+// fault is the JSON form of one fault in a rules file.
+type fault struct {
+	File    string `json:"file"`
+	Line    int    `json:"line"`
+	Key     string `json:"key"`
+	Found   string `json:"found"`
+	Allowed string `json:"allowed"`
+}
+
+func describeFaults(list rulesfile.Errors) []fault {
+	var out []fault
+	for _, f := range list {
+		out = append(out, fault{File: f.File, Line: f.Line, Key: f.Key, Found: f.Found, Allowed: f.Allowed})
+	}
+	return out
+}
+
 // client returns a client of the addresses on the command line.
 func (p *Program) client() (*client.Client, error) {
 	address := p.address
--- a/ctl/parser.go
+++ b/ctl/parser.go
@@ -8,23 +8,11 @@
 	"primrosedale.example/primrosedale/core/model"
 )
 
-const examples = `
-examples:
-  primrosedalectl check rules.toml
-  primrosedalectl diff rules.toml --address 127.0.0.1:8301
-  primrosedalectl apply rules.toml --address 127.0.0.1:8301,127.0.0.2:8301
-  primrosedalectl key grant press-desk press --address 127.0.0.1:8301
-  primrosedalectl key withdraw press-desk --address 127.0.0.1:8301
-  primrosedalectl status --address 127.0.0.1:8301 --output json
-
-exit codes: 0 done, 1 no answer, 2 usage, 3 refused, 4 faults in the rules,
-5 the rules differ (diff), 6 outcome not known`
-
 // parser describes the command line.
 func (p *Program) parser() (*flaggy.Parser, []action) {
 	parser := flaggy.NewParser("primrosedalectl")
 	parser.Description = "Operates a primrosedale system."
-	parser.AdditionalHelpAppend = examples
+	parser.AdditionalHelpAppend = helpEnd(checkExample + diffExample + applyExample + grantExample + withdrawExample + statusExample)
 	p.output = outputTable
 	parser.String(&p.address, "a", "address", "operator addresses, IP:port, separated by commas (default: $"+AddressVariable+")")
 	parser.String(&p.output, "o", "output", "table or json")
@@ -33,18 +21,18 @@
 	parser.String(&p.authority, "", "authority", "certificate authority of the system, PEM")
 
 	var file, name, team string
-	check := subcommand("check", "read a rules file and list every fault; asks no host")
+	check := subcommand("check", "read a rules file and list every fault; asks no host", checkExample)
 	check.AddPositionalValue(&file, "FILE", 1, true, "rules file")
-	diff := subcommand("diff", "compare a rules file with the rules in force; exit code 5 if they differ")
+	diff := subcommand("diff", "compare a rules file with the rules in force; exit code 5 if they differ", diffExample)
 	diff.AddPositionalValue(&file, "FILE", 1, true, "rules file")
-	apply := subcommand("apply", "put a rules file in force; its revision must follow the one in force")
+	apply := subcommand("apply", "put a rules file in force; its revision must follow the one in force", applyExample)
 	apply.AddPositionalValue(&file, "FILE", 1, true, "rules file")
-	status := subcommand("status", "show hosts, targets, teams, queues and pools")
-	key := subcommand("key", "grant or withdraw a team's key")
-	grant := subcommand("grant", "make a key for a team; it is shown once")
+	status := subcommand("status", "show hosts, targets, teams, queues and pools", statusExample)
+	key := subcommand("key", "grant or withdraw a team's key", grantExample+withdrawExample)
+	grant := subcommand("grant", "make a key for a team; it is shown once", grantExample)
 	grant.AddPositionalValue(&name, "NAME", 1, true, "name of the key, unique")
 	grant.AddPositionalValue(&team, "TEAM", 2, true, "team that the key stands for")
-	withdraw := subcommand("withdraw", "end a key; every host refuses it within seconds")
+	withdraw := subcommand("withdraw", "end a key; every host refuses it within seconds", withdrawExample)
 	withdraw.AddPositionalValue(&name, "NAME", 1, true, "name of the key")
 	key.AttachSubcommand(grant, 1)
 	key.AttachSubcommand(withdraw, 1)
@@ -61,8 +49,9 @@
 	}
 }
 
-func subcommand(name, description string) *flaggy.Subcommand {
+func subcommand(name, description, examples string) *flaggy.Subcommand {
 	c := flaggy.NewSubcommand(name)
 	c.Description = description
+	c.AdditionalHelpAppend = helpEnd(examples)
 	return c
 }
--- /dev/null
+++ b/ctl/progress.go
@@ -0,0 +1,35 @@
+package ctl
+
+import (
+	"fmt"
+	"time"
+)
+
+// The times at which a long call reports that it still waits.
+const (
+	progressStart = time.Second
+	progressEvery = 2 * time.Second
+)
+
+// withProgress calls f. In table mode it says on the error output, from the
+// first second on, what the call waits for.
+func (p *Program) withProgress(waitingFor string, f func() error) error {
+	if p.output != outputTable {
+		return f()
+	}
+	done := make(chan error, 1)
+	go func() { done <- f() }()
+	start := time.Now()
+	timer := time.NewTimer(progressStart)
+	defer timer.Stop()
+	for {
+		select {
+		case err := <-done:
+			return err
+		case <-timer.C:
+			waited := time.Since(start).Round(time.Second)
+			fmt.Fprintf(p.Err, "waiting for %s (%s)\n", waitingFor, waited)
+			timer.Reset(progressEvery)
+		}
+	}
+}
--- a/ctl/rules.go
+++ b/ctl/rules.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"text/tabwriter"
 
 	"github.com/juju/errors"
 
 	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/operator"
+	"primrosedale.example/primrosedale/operator/client"
 	"primrosedale.example/primrosedale/rulesfile"
 )
 
@@ -63,7 +66,11 @@
 	if err != nil {
 		return err
 	}
-	current, err := c.Rules(ctx)
+	var current *operator.RulesAnswer
+	err = p.withProgress("the rules in force", func() (err error) {
+		current, err = c.Rules(ctx)
+		return err
+	})
 	if err != nil {
 		return err
 	}
@@ -81,6 +88,10 @@
 		return
 	}
 	fmt.Fprintf(p.Out, "in force: revision %d, file: revision %d\n", d.InForce, d.File)
+	if len(d.Changes) == 0 {
+		fmt.Fprintln(p.Out, "no rules differ")
+		return
+	}
 	w := tabwriter.NewWriter(p.Out, 0, 8, 2, ' ', 0)
 	for _, c := range d.Changes {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", c.Op, c.Rule, c.From, c.To)
@@ -97,7 +108,12 @@
 	if err != nil {
 		return err
 	}
-	answer, err := c.Apply(ctx, file)
+	var answer *operator.ChangeAnswer
+	waiting := fmt.Sprintf("a majority to accept revision %d", file.Rules.Revision)
+	err = p.change(waiting, func() (err error) {
+		answer, err = c.Apply(ctx, file)
+		return err
+	})
 	if err != nil {
 		return err
 	}
@@ -109,6 +125,22 @@
 	return nil
 }
 
+// change sends a change. An error after the change may have reached a host has
+// the exit code of an open outcome: only a failure to connect proves that the
+// host has not got it.
+func (p *Program) change(waitingFor string, send func() error) error {
+	err := p.withProgress(waitingFor, send)
+	var refusal *client.Refusal
+	var network *net.OpError
+	switch {
+	case err == nil || errors.As(err, &refusal):
+		return err
+	case errors.As(err, &network) && network.Op == "dial":
+		return err
+	}
+	return &failure{ExitOutcomeOpen, err}
+}
+
 type granted struct {
 	Name string       `json:"name"`
 	Team model.TeamID `json:"team"`
@@ -120,7 +152,11 @@
 	if err != nil {
 		return err
 	}
-	key, err := c.GrantKey(ctx, name, team)
+	var key string
+	err = p.change("a majority to accept the key", func() (err error) {
+		key, err = c.GrantKey(ctx, name, team)
+		return err
+	})
 	if err != nil {
 		return err
 	}
@@ -138,7 +174,8 @@
 	if err != nil {
 		return err
 	}
-	if err := c.WithdrawKey(ctx, name); err != nil {
+	err = p.change("a majority to accept the end of the key", func() error { return c.WithdrawKey(ctx, name) })
+	if err != nil {
 		return err
 	}
 	if p.output == outputJSON {
--- a/ctl/status.go
+++ b/ctl/status.go
@@ -17,7 +17,11 @@
 	if err != nil {
 		return err
 	}
-	best := leaderOf(c.StatusOfAll(ctx))
+	var best *view.Status
+	_ = p.withProgress("the hosts to answer", func() error {
+		best = leaderOf(c.StatusOfAll(ctx))
+		return nil
+	})
 	if best == nil {
 		return errors.New("no host answered")
 	}
--- a/devcluster/run.go
+++ b/devcluster/run.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		return errors.Wrap(err, c.Stop())
 	}
-	defer outside.Stop()
+	defer outside.end()
 	outside.StartWorkers(devWorkers, nil)
 	key, err := c.Prepare(stop, devRulesName, devRules)
 	if err != nil {
@@ -222,6 +222,17 @@
 	}
 }
 
+// end stops targets and workers without their leave, which no host is left to
+// record once the cluster has stopped.
+func (o *Outside) end() {
+	for _, t := range o.Targets {
+		t.Stop()
+	}
+	for _, w := range o.Workers {
+		w.Stop()
+	}
+}
+
 func explain(out io.Writer, list []*settings.Settings, key string) {
 	fmt.Fprintf(out, "%d hosts are running (%d with a data folder), %d targets and %d workers announce themselves.\n\n",
 		len(list), devReplicas, devTargets, devWorkers)
@@ -229,6 +240,7 @@
 		fmt.Fprintf(out, "  %-8s %-6s callers %s  operators %s\n", s.Host, s.DataCentre, s.Listen.Callers, s.Listen.Operators)
 	}
 	callers := list[len(list)-1].Listen.Callers
+	operators := addresses(list, func(l settings.Listen) string { return l.Operators.String() })
 	fmt.Fprintf(out, `
 Send a request:
 
@@ -245,5 +257,5 @@
   primrosedalectl status --address %s
 
 Stop with Ctrl-C.
-`, key, callers, devQueue, key, devTask, callers, list[0].Listen.Operators)
+`, key, callers, devQueue, key, devTask, callers, strings.Join(operators, ","))
 }
