--- a/ctl/progress.go
+++ b/ctl/progress.go
@@ -8,7 +8,7 @@
 // The times at which a long call reports that it still waits.
 const (
 	progressStart = time.Second
-	progressEvery = 2 * time.Second
+	progressEvery = 5 * time.Second
 )
 
 // withProgress calls f. In table mode it says on the error output, from the
--- a/ctl/rules.go
+++ b/ctl/rules.go
@@ -110,7 +110,7 @@
 	}
 	var answer *operator.ChangeAnswer
 	waiting := fmt.Sprintf("a majority to accept revision %d", file.Rules.Revision)
-	err = p.change(waiting, func() (err error) {
+	err = p.change(waiting, applyAdvice, func() (err error) {
 		answer, err = c.Apply(ctx, file)
 		return err
 	})
@@ -125,11 +125,26 @@
 	return nil
 }
 
-// change sends a change. An error after the change may have reached a host has
-// the exit code of an open outcome: only a failure to connect proves that the
-// host has not got it.
-func (p *Program) change(waitingFor string, send func() error) error {
-	err := p.withProgress(waitingFor, send)
+// What to do about a change whose outcome is open.
+const (
+	applyAdvice    = "Run the same command again: an accepted file is accepted once."
+	grantAdvice    = "The key may exist and was not shown: withdraw it, then grant a new one."
+	withdrawAdvice = "Run the same command again: withdrawing a key twice does no harm."
+)
+
+// change sends a change and, if its outcome is open, says what to do.
+func (p *Program) change(waitingFor, advice string, send func() error) error {
+	err := markOpen(p.withProgress(waitingFor, send))
+	if err != nil && exitCode(err) == ExitOutcomeOpen && p.output == outputTable {
+		fmt.Fprintln(p.Err, advice)
+	}
+	return err
+}
+
+// markOpen gives an error after the change may have reached a host the exit
+// code of an open outcome. Only a failure to connect proves that the host has
+// not got it.
+func markOpen(err error) error {
 	var refusal *client.Refusal
 	var network *net.OpError
 	switch {
@@ -153,7 +168,7 @@
 		return err
 	}
 	var key string
-	err = p.change("a majority to accept the key", func() (err error) {
+	err = p.change("a majority to accept the key", grantAdvice, func() (err error) {
 		key, err = c.GrantKey(ctx, name, team)
 		return err
 	})
@@ -174,7 +189,7 @@
 	if err != nil {
 		return err
 	}
-	err = p.change("a majority to accept the end of the key", func() error { return c.WithdrawKey(ctx, name) })
+	err = p.change("a majority to accept the end of the key", withdrawAdvice, func() error { return c.WithdrawKey(ctx, name) })
 	if err != nil {
 		return err
 	}
