--- a/core/sim_target_test.go
+++ b/core/sim_target_test.go
@@ -35,7 +35,6 @@
 
 type running struct {
 	call *call
-	stop bool
 }
 
 func (t *target) start() {
