proof: run the built processes behind a fault-injecting proxy

The promises of docs/design.md 2.1 need separate processes with faults between them. The harness builds primrosedaled, gives each host a loopback address of its own, and puts a toxiproxy link into each direction of each pair. A ledger counts by the targets themselves.

--- /dev/null
+++ b/proof/host_test.go
@@ -0,0 +1,131 @@
+package proof
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/view"
+)
+
+const (
+	// startLimit bounds the time in which a process or a cluster is ready.
+	startLimit = 20 * time.Second
+	// stopLimit bounds a graceful stop; the longest request deadline is 10 s.
+	stopLimit   = 20 * time.Second
+	statusLimit = 500 * time.Millisecond
+	tailBytes   = 3000
+)
+
+// host is one process, or the place of one that is down.
+type host struct {
+	s       *system
+	name    string
+	centre  model.DataCentreID
+	replica bool
+	ip      netip.Addr
+	cmd     *exec.Cmd
+	done    chan struct{} // closed when the process has ended
+}
+
+// command prepares a run of the program. The kernel ends the process if the
+// test binary dies.
+func (h *host) command(verb string) *exec.Cmd {
+	c := exec.Command(binary, verb, "--settings", h.settings())
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	return c
+}
+
+// init creates the data folder of a first replica.
+func (h *host) init() {
+	out, err := h.command("init").CombinedOutput()
+	require.NoError(h.s.t, err, string(out))
+}
+
+func (h *host) start() {
+	log, err := os.OpenFile(h.log(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	require.NoError(h.s.t, err)
+	defer log.Close()
+	c, done := h.command("run"), make(chan struct{})
+	c.Stderr, c.Stdout = log, log
+	require.NoError(h.s.t, c.Start())
+	h.cmd, h.done = c, done
+	go func() {
+		_ = c.Wait() // the state is read by exited
+		close(done)
+	}()
+}
+
+func (h *host) signal(sig syscall.Signal) {
+	if h.cmd != nil {
+		_ = h.cmd.Process.Signal(sig) // an ended process has no use for it
+	}
+}
+
+func (h *host) freeze() { h.signal(syscall.SIGSTOP) }
+func (h *host) thaw()   { h.signal(syscall.SIGCONT) }
+
+// kill ends the process at once and waits until the kernel has reaped it.
+func (h *host) kill() {
+	h.signal(syscall.SIGKILL)
+	if h.cmd != nil {
+		<-h.done
+		h.cmd = nil
+	}
+}
+
+// stop ends the process gracefully and returns its exit code and the time.
+func (h *host) stop() (int, time.Duration) {
+	began := time.Now()
+	h.signal(syscall.SIGTERM)
+	eventually(h.s.t, stopLimit, h.name+" ends after SIGTERM", func() bool { return isClosed(h.done) })
+	code := h.cmd.ProcessState.ExitCode()
+	h.cmd = nil
+	return code, time.Since(began)
+}
+
+func isClosed(c chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+func (h *host) loseDisk() { require.NoError(h.s.t, os.RemoveAll(h.data())) }
+
+var statusClient = &http.Client{Timeout: statusLimit, Transport: &http.Transport{DisableKeepAlives: true}}
+
+// status is what the host knows, or nil if it does not answer in time.
+func (h *host) status() *view.Status {
+	response, err := statusClient.Get("http://" + h.address(operatorPort) + "/v1/status")
+	if err != nil {
+		return nil
+	}
+	defer response.Body.Close()
+	var s view.Status
+	if response.StatusCode != http.StatusOK || json.NewDecoder(response.Body).Decode(&s) != nil {
+		return nil
+	}
+	return &s
+}
+
+func (h *host) serving() bool {
+	s := h.status()
+	return s != nil && s.Serving
+}
+
+func (h *host) tail() string {
+	text, _ := os.ReadFile(h.log())
+	text = text[max(0, len(text)-tailBytes):]
+	return strings.TrimSpace(string(text))
+}
--- /dev/null
+++ b/proof/ledger_test.go
@@ -0,0 +1,96 @@
+package proof
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"maps"
+	"sync"
+	"time"
+
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/standin"
+)
+
+// ledger counts by the targets themselves, over all of them.
+type ledger struct {
+	mu      sync.Mutex
+	starts  []start
+	runs    map[string]int // by request key
+	running map[string]int // by team
+	most    map[string]int // most concurrent runs, by team
+}
+
+// start is the start of one run.
+type start struct {
+	key, team, target string
+	centre            model.DataCentreID
+	at                time.Time
+}
+
+func newLedger() *ledger {
+	return &ledger{runs: map[string]int{}, running: map[string]int{}, most: map[string]int{}}
+}
+
+// record wraps the work of a target. The body names the request's key and
+// team, as request.body writes them.
+func (l *ledger) record(target string, centre model.DataCentreID, work standin.Work) standin.Work {
+	return func(ctx context.Context, body []byte) model.Answer {
+		var key, team string
+		if _, err := fmt.Fscan(bytes.NewReader(body), &key, &team); err != nil {
+			return model.Answer{Status: 500, Body: []byte(err.Error())}
+		}
+		l.begin(start{key, team, target, centre, time.Now()})
+		defer l.end(team)
+		return work(ctx, body)
+	}
+}
+
+func (l *ledger) begin(s start) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.starts = append(l.starts, s)
+	l.runs[s.key]++
+	l.running[s.team]++
+	l.most[s.team] = max(l.most[s.team], l.running[s.team])
+}
+
+func (l *ledger) end(team string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.running[team]--
+}
+
+// counts returns copies of the runs by key and of the most concurrent runs by
+// team.
+func (l *ledger) counts() (runs, most map[string]int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.runs), maps.Clone(l.most)
+}
+
+// count returns the number of starts that match.
+func (l *ledger) count(match func(start) bool) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, s := range l.starts {
+		if match(s) {
+			n++
+		}
+	}
+	return n
+}
+
+// last returns the time of the last start that matches, zero if none.
+func (l *ledger) last(match func(start) bool) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var at time.Time
+	for _, s := range l.starts {
+		if match(s) && s.at.After(at) {
+			at = s.at
+		}
+	}
+	return at
+}
--- /dev/null
+++ b/proof/links_test.go
@@ -0,0 +1,87 @@
+package proof
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/Shopify/toxiproxy"
+	"github.com/stretchr/testify/require"
+)
+
+// link is the proxy through which one host dials another. Processes send on
+// connections that they dialled, so a link carries the messages of one
+// direction of a pair.
+type link struct {
+	t     testing.TB
+	proxy *toxiproxy.Proxy
+}
+
+func newLink(t testing.TB, name, listen, upstream string) *link {
+	p := toxiproxy.NewProxy()
+	p.Name, p.Listen, p.Upstream = name, listen, upstream
+	require.NoError(t, p.Start())
+	return &link{t, p}
+}
+
+// cut drops what the link carries, without closing its connections.
+func (l *link) cut() {
+	l.toxic("upstream", "timeout", `{"timeout":0}`)
+	l.toxic("downstream", "timeout", `{"timeout":0}`)
+}
+
+// delay holds each message back. Connections and order are kept.
+func (l *link) delay(d time.Duration) {
+	l.toxic("upstream", "latency", fmt.Sprintf(`{"latency":%d,"jitter":0}`, d.Milliseconds()))
+}
+
+func (l *link) toxic(stream, kind, attributes string) {
+	l.t.Helper()
+	text := fmt.Sprintf(`{"name":%q,"type":%q,"stream":%q,"toxicity":1,"attributes":%s}`, kind+stream, kind, stream, attributes)
+	_, err := l.proxy.Toxics.AddToxicJson(strings.NewReader(text))
+	require.NoError(l.t, err)
+}
+
+// heal ends cuts and delays.
+func (l *link) heal() { l.proxy.Toxics.ResetToxics() }
+
+// reset closes the connections of the link. New ones can be made at once.
+func (l *link) reset() {
+	l.proxy.Stop()
+	require.NoError(l.t, l.proxy.Start())
+}
+
+// pair is the link from one host to another, by index.
+type pair struct{ from, to int }
+
+// cutOff cuts every link from and to the host.
+func (s *system) cutOff(i int) { s.eachLink(i, (*link).cut) }
+
+// rejoin heals every link from and to the host.
+func (s *system) rejoin(i int) { s.eachLink(i, (*link).heal) }
+
+func (s *system) eachLink(i int, do func(*link)) {
+	for p, l := range s.links {
+		if p.from == i || p.to == i {
+			do(l)
+		}
+	}
+}
+
+// from and to call do for the links of one direction of the host.
+func (s *system) from(i int, do func(*link)) {
+	for p, l := range s.links {
+		if p.from == i {
+			do(l)
+		}
+	}
+}
+
+func (s *system) to(i int, do func(*link)) {
+	for p, l := range s.links {
+		if p.to == i {
+			do(l)
+		}
+	}
+}
--- /dev/null
+++ b/proof/load_test.go
@@ -0,0 +1,237 @@
+package proof
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/problem"
+)
+
+const (
+	requestLimit = 20 * time.Second // of one attempt of a caller
+	resendPause  = 50 * time.Millisecond
+)
+
+// request is one piece of work of a caller. A caller of package standin can't
+// be used because the body must name the team for the ledger.
+type request struct {
+	key, team, queue string
+	nonIdempotent    bool
+	size             int
+}
+
+func (r request) body() []byte {
+	body := fmt.Appendf(nil, "%s %s %s ", r.key, r.team, r.queue)
+	for len(body) < r.size {
+		body = append(body, byte('a'+len(body)%26))
+	}
+	return body
+}
+
+// outcome is how one request ended.
+type outcome struct {
+	request
+	host        int // of the last attempt
+	sent, ended time.Time
+	attempts    int
+	answered    bool // with its own body, byte for byte
+	wrong       bool // with anything else
+	ran         problem.Ran
+	kind        problem.Kind
+	err         error // the connection broke or no answer came in time
+	hung        bool  // no answer came in time
+}
+
+// notRun reports whether the caller knows that the request did not run.
+func (o outcome) notRun() bool { return o.ran == problem.RanNo }
+
+// callers keeps connections to the entry hosts.
+var callers = &http.Client{Timeout: requestLimit, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+
+// send makes one attempt.
+func (s *system) send(i int, r request) outcome {
+	o := outcome{request: r, host: i, sent: time.Now(), attempts: 1, ran: problem.RanUnknown}
+	url := "http://" + s.hosts[i].address(callerPort) + "/v1/queues/" + r.queue + "/requests"
+	body := r.body()
+	call, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(body))
+	require.NoError(s.t, err)
+	call.GetBody = nil // the client must not resend by itself
+	if key := s.keys[r.team]; key != "" {
+		call.Header.Set("Authorization", "Bearer "+key)
+	}
+	if r.nonIdempotent {
+		call.Header.Set("Idempotency-Key", r.key)
+	}
+	response, err := callers.Do(call)
+	if err == nil {
+		defer response.Body.Close()
+		var content []byte
+		if content, err = io.ReadAll(response.Body); err == nil {
+			o.read(response, content, body)
+		}
+	}
+	o.ended = time.Now()
+	o.failed(err)
+	return o
+}
+
+func (o *outcome) read(response *http.Response, content, own []byte) {
+	if response.Header.Get("Content-Type") != "application/problem+json" {
+		o.answered = response.StatusCode == http.StatusOK && bytes.Equal(content, own)
+		o.wrong = !o.answered
+		return
+	}
+	var refusal struct {
+		Kind problem.Kind `json:"kind"`
+		Ran  problem.Ran  `json:"ran"`
+	}
+	if json.Unmarshal(content, &refusal) == nil {
+		o.kind, o.ran = refusal.Kind, refusal.Ran
+	}
+}
+
+func (o *outcome) failed(err error) {
+	if err == nil {
+		return
+	}
+	o.err = err
+	var op *net.OpError
+	var timeout net.Error
+	switch {
+	case errors.As(err, &op) && op.Op == "dial":
+		o.ran = problem.RanNo // no connection, so nothing was sent
+	case errors.As(err, &timeout) && timeout.Timeout():
+		o.hung = true
+	}
+}
+
+// load is a bounded stream of requests.
+type load struct {
+	rate    int // requests a second
+	count   int // at most
+	hosts   []int
+	resends int // to the next host after each answer that says not run
+	next    func(i int) request
+}
+
+// stream is a load that runs.
+type stream struct {
+	s      *system
+	load   load
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+	mu     sync.Mutex
+	ended  []outcome
+}
+
+func (s *system) startLoad(l load) *stream {
+	ctx, cancel := context.WithCancel(context.Background())
+	st := &stream{s: s, load: l, cancel: cancel}
+	s.t.Cleanup(cancel)
+	st.done.Go(func() { st.run(ctx) })
+	return st
+}
+
+func (st *stream) run(ctx context.Context) {
+	ticker := time.NewTicker(time.Second / time.Duration(st.load.rate))
+	defer ticker.Stop()
+	for i := range st.load.count {
+		st.done.Go(func() { st.one(i) })
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (st *stream) one(i int) {
+	r := st.load.next(i)
+	var o outcome
+	first := time.Now()
+	for attempt := range st.load.resends + 1 {
+		o = st.s.send(st.load.hosts[(i+attempt)%len(st.load.hosts)], r)
+		o.attempts = attempt + 1
+		if !o.notRun() || attempt == st.load.resends {
+			break
+		}
+		time.Sleep(resendPause) // a caller waits before it sends again
+	}
+	o.sent = first
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.ended = append(st.ended, o)
+}
+
+// stop ends the stream and returns every outcome.
+func (st *stream) stop() []outcome {
+	st.cancel()
+	return st.wait()
+}
+
+// wait waits for all requests of the stream.
+func (st *stream) wait() []outcome {
+	st.done.Wait()
+	return st.ended
+}
+
+// tally is what a proof records.
+type tally struct {
+	sent, answered, refused, unknown, wrong, runTwice, lost, falselyRefused int
+	kinds                                                                   map[problem.Kind]int
+}
+
+func (s *system) tally(outcomes []outcome) tally {
+	runs, _ := s.ledger.counts()
+	c := tally{sent: len(outcomes), kinds: map[problem.Kind]int{}}
+	for _, o := range outcomes {
+		switch {
+		case o.answered:
+			c.answered++
+		case o.wrong:
+			c.wrong++
+		case o.notRun():
+			c.refused++
+		default:
+			c.unknown++
+		}
+		if o.kind != "" {
+			c.kinds[o.kind]++
+		}
+		if o.nonIdempotent && runs[o.key] > 1 {
+			c.runTwice++
+		}
+		if o.hung || (o.answered && runs[o.key] == 0) {
+			c.lost++
+		}
+		if o.notRun() && !o.answered && runs[o.key] > 0 {
+			c.falselyRefused++
+		}
+	}
+	return c
+}
+
+// check fails the test if an answer was untrue, a request hung or ran twice.
+func (c tally) check(t testing.TB) {
+	t.Helper()
+	t.Logf("sent %d, answered %d, refused not run %d, outcome unknown %d, wrong answers %d, run twice %d, lost %d, run but refused as not run %d, refusals %v",
+		c.sent, c.answered, c.refused, c.unknown, c.wrong, c.runTwice, c.lost, c.falselyRefused, c.kinds)
+	require.Zero(t, c.wrong, "wrong answers")
+	require.Zero(t, c.runTwice, "run twice")
+	require.Zero(t, c.lost, "lost")
+	require.Zero(t, c.falselyRefused, "run but refused as not run")
+}
+
+func newKey() string { return uuid.NewString() }
