--- /dev/null
+++ b/proof/config_test.go
@@ -0,0 +1,285 @@
+package proof
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/problem"
+	"primrosedale.example/primrosedale/operator"
+	"primrosedale.example/primrosedale/operator/client"
+	"primrosedale.example/primrosedale/rulesfile"
+	"primrosedale.example/primrosedale/standin"
+)
+
+// inForceLimit is the promise of design 2.1, points 3 and 11.
+const inForceLimit = 3 * time.Second
+
+// marked is a rules file that differs from others of its revision.
+func (s *system) marked(revision uint64, mark string) *rulesfile.File {
+	return s.file(revision, fmt.Sprintf("team.%s = { share = 0, limit = 1 }", mark))
+}
+
+// apply submits a file to the given hosts and must be accepted.
+func (s *system) apply(f *rulesfile.File, hosts ...int) {
+	s.t.Helper()
+	_, err := s.operators(hosts...).Apply(context.Background(), f)
+	require.NoError(s.t, err)
+}
+
+// waitInForce waits until each host has applied the file.
+func (s *system) waitInForce(f *rulesfile.File, hosts ...int) {
+	s.t.Helper()
+	for _, i := range hosts {
+		eventually(s.t, startLimit, fmt.Sprintf("%s has revision %d", s.hosts[i].name, f.Rules.Revision), func() bool {
+			st := s.hosts[i].status()
+			return st != nil && st.Revision == f.Rules.Revision && st.RulesHash == f.Hash && st.Serving
+		})
+	}
+}
+
+// Guards against two operators who both believe that their change of one
+// revision is in force, and against a resend that changes anything.
+func TestEqualBaseRevisions(t *testing.T) {
+	s := startSystem(t, 3, 2)
+	const rounds = 10
+	s.apply(s.file(1))
+	for round := range uint64(rounds) {
+		files := []*rulesfile.File{s.marked(round+2, "left"), s.marked(round+2, "right")}
+		errs := make([]error, len(files))
+		var both sync.WaitGroup
+		for i, f := range files {
+			both.Go(func() {
+				_, errs[i] = s.operators(int(round)%5, i).Apply(context.Background(), f)
+			})
+		}
+		both.Wait()
+		winner, loser := 0, 1
+		if errs[winner] != nil {
+			winner, loser = 1, 0
+		}
+		require.NoError(t, errs[winner])
+		var refusal *client.Refusal
+		require.True(t, errors.As(errs[loser], &refusal), "%v", errs[loser])
+		require.Equal(t, problem.RevisionConflict, refusal.Kind)
+		require.Contains(t, refusal.Detail, fmt.Sprintf("%d with hash %s", round+2, files[winner].Hash))
+		s.apply(files[winner], 4) // a resend with an ID of its own
+		_, err := s.operators(3).Apply(context.Background(), files[loser])
+		require.ErrorContains(t, err, string(problem.RevisionConflict))
+	}
+	t.Logf("%d rounds: one winner each, %d losers told revision and hash of the winner, %d resends got the first answer", rounds, rounds, rounds)
+}
+
+// Guards against a resend after a lost answer that is applied a second time or
+// reverts what was accepted since.
+func TestResendAfterLostAnswer(t *testing.T) {
+	s := startSystem(t, 3, 2)
+	s.apply(s.file(1))
+	f := s.marked(2, "first")
+	change := operator.RulesChange{Base: 1, Hash: f.Hash, Rules: f.Rules, ID: model.CommandID(newKey())}
+	follower := s.except(0, 1, 2)[0]
+	s.cutOff(follower)
+	require.Error(t, s.post(follower, change, time.Second), "the answer is lost")
+	s.rejoin(follower)
+	require.NoError(t, s.post(0, change, 10*time.Second))
+	next := s.marked(3, "second")
+	s.apply(next)
+	require.NoError(t, s.post(1, change, 10*time.Second), "a resend gets the first answer")
+	require.NoError(t, s.post(follower, change, 10*time.Second))
+	s.waitInForce(next, s.all()...)
+}
+
+// post sends a change once.
+func (s *system) post(i int, change operator.RulesChange, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	var answer operator.ChangeAnswer
+	return exchange(ctx, http.MethodPost, "http://"+s.hosts[i].address(operatorPort)+"/v1/rules", change, &answer)
+}
+
+// Guards against a host that goes on serving under an old configuration: one
+// is cut off, one frozen, one hears the others late.
+func TestInForceEverywhere(t *testing.T) {
+	s := startSystem(t, 3, 2)
+	s.prepare(3, standin.Echo(5*time.Millisecond))
+	leader := s.leader()
+	rest := s.except(leader)
+	cut, frozen, late := rest[1], rest[2], rest[3]
+	var worst time.Duration
+	for round := range uint64(3) {
+		revision := 2 * (round + 1)
+		name := fmt.Sprintf("open%d", revision)
+		s.apply(s.file(revision, `queue.`+name+` = { service = "render", open = true, team = "archive", max_run_s = 10 }`))
+		next := func(int) request { return request{key: newKey(), team: "archive", queue: name} }
+		eventually(t, startLimit, "the queue is open", func() bool { return s.send(leader, next(0)).answered })
+		st := s.startLoad(load{rate: 200, count: 2000, hosts: s.all(), next: next})
+		s.cutOff(cut)
+		s.hosts[frozen].freeze()
+		s.to(late, func(l *link) { l.delay(700 * time.Millisecond) })
+		closed := s.file(revision + 1)
+		s.apply(closed, leader)
+		answered := time.Now()
+		worst = max(worst, s.timeInForce(revision+1, answered, s.except(frozen)))
+		// The frozen host goes on at a moment when its lease has ended.
+		time.Sleep(time.Until(answered.Add(inForceLimit)))
+		s.hosts[frozen].thaw()
+		probe := s.send(frozen, next(0))
+		require.False(t, probe.answered, "the frozen host serves under the old revision")
+		st.cancel()
+		s.rejoin(cut)
+		s.to(late, (*link).heal)
+		outcomes := st.wait()
+		s.waitInForce(closed, s.all()...)
+		s.tally(outcomes).check(t)
+		last := s.ledger.last(func(start) bool { return true }).Sub(answered)
+		require.Less(t, last, inForceLimit, "start of a request of the removed queue")
+		t.Logf("round %d: in force after %s, last start of a request of the removed queue after %s", round, worst, last)
+	}
+	require.Less(t, worst, inForceLimit)
+	t.Logf("in force on every host, or the host serves nothing, within %s of the operator's answer", worst)
+}
+
+// timeInForce returns how long after the answer the last host either had the
+// revision or served nothing.
+func (s *system) timeInForce(revision uint64, answered time.Time, hosts []int) time.Duration {
+	times := make([]time.Duration, len(s.hosts))
+	var all sync.WaitGroup
+	for _, i := range hosts {
+		all.Go(func() {
+			for time.Since(answered) < startLimit {
+				asked := time.Now()
+				st := s.hosts[i].status()
+				if st != nil && (st.Revision >= revision || !st.Serving) {
+					times[i] = asked.Sub(answered)
+					return
+				}
+				time.Sleep(pollPause)
+			}
+			times[i] = startLimit
+		})
+	}
+	all.Wait()
+	worst := time.Duration(0)
+	for _, d := range times {
+		worst = max(worst, d)
+	}
+	return worst
+}
+
+// Guards against a replica whose folder is replaced by an old copy and that
+// then brings back an old configuration or never catches up.
+func TestOldDiskReturns(t *testing.T) {
+	s := startSystem(t, 3, 2)
+	s.apply(s.file(1))
+	old := s.except(s.leader())[0]
+	require.True(t, s.hosts[old].replica)
+	s.hosts[old].kill()
+	saved := s.hosts[old].data() + ".saved"
+	require.NoError(t, os.CopyFS(saved, os.DirFS(s.hosts[old].data())))
+	s.hosts[old].start()
+	s.waitServing(old)
+	var last *rulesfile.File
+	for revision := uint64(2); revision <= 30; revision++ {
+		last = s.marked(revision, "late")
+		s.apply(last)
+	}
+	s.waitInForce(last, s.all()...)
+	s.hosts[old].kill()
+	s.hosts[old].loseDisk()
+	require.NoError(t, os.CopyFS(s.hosts[old].data(), os.DirFS(saved)))
+	s.hosts[old].start()
+	s.waitInForce(last, s.all()...)
+	// Its promises before the copy count for nothing, so the others must keep
+	// the configuration whoever leads next.
+	s.hosts[s.leader()].kill()
+	up := s.running()
+	s.leader(up...)
+	s.waitInForce(last, up...)
+	_, err := s.operators(up...).Apply(context.Background(), s.marked(5, "stale"))
+	require.ErrorContains(t, err, string(problem.RevisionConflict))
+}
+
+// running returns the indices of the hosts whose process was started.
+func (s *system) running() []int {
+	var list []int
+	for i, h := range s.hosts {
+		if h.cmd != nil {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// Guards against an accepted change that is lost because a replica with a new
+// disk votes as if it still had what it promised to keep. The changes are on
+// two replicas only; one of them loses its disk, then the other goes.
+func TestSecondReplicaLostAfterRepair(t *testing.T) {
+	for _, repaired := range []bool{false, true} {
+		t.Run(fmt.Sprintf("repaired=%t", repaired), func(t *testing.T) { secondLoss(t, repaired) })
+	}
+}
+
+func secondLoss(t *testing.T, repaired bool) {
+	s := startSystem(t, 3, 2)
+	s.apply(s.file(1))
+	leader := s.leader()
+	others := s.except(leader, 3, 4)
+	behind, broken := others[0], others[1]
+	s.cutOff(behind)
+	var last *rulesfile.File
+	for revision := uint64(2); revision <= 10; revision++ {
+		last = s.marked(revision, "kept")
+		s.apply(last, leader)
+	}
+	s.hosts[broken].kill()
+	s.hosts[broken].loseDisk()
+	if repaired {
+		s.rejoin(behind)
+		s.hosts[broken].start()
+		s.waitInForce(last, s.all()...)
+		s.hosts[leader].kill()
+		s.leader(behind, broken)
+		s.waitInForce(last, s.running()...)
+		s.apply(s.marked(11, "after"), s.running()...)
+		return
+	}
+	s.hosts[leader].kill()
+	s.rejoin(behind)
+	s.hosts[broken].start()
+	// No majority of the voters is left: nothing may lead or serve.
+	eventually(t, inForceLimit, "the earlier lease ends", func() bool { return !s.hosts[behind].serving() })
+	stays(t, 4*time.Second, "no host serves without the only copy", func() bool {
+		return !s.hosts[behind].serving() && !s.hosts[broken].serving()
+	})
+	s.hosts[leader].start()
+	s.waitInForce(last, s.all()...)
+	s.apply(s.marked(11, "after"))
+}
+
+// Guards against changes that are lost or reverted when every process is
+// killed after hundreds of them.
+func TestRestartAfter500Changes(t *testing.T) {
+	s := startSystem(t, 3, 2)
+	var last *rulesfile.File
+	for revision := uint64(1); revision <= 500; revision++ {
+		last = s.marked(revision, fmt.Sprintf("mark%d", revision))
+		s.apply(last)
+	}
+	for _, h := range s.hosts {
+		h.kill()
+	}
+	began := time.Now()
+	for _, h := range s.hosts {
+		h.start()
+	}
+	s.waitInForce(last, s.all()...)
+	t.Logf("500 changes; all 5 processes killed; every host serves revision 500 %s after the restart", time.Since(began))
+}
--- a/proof/host_test.go
+++ b/proof/host_test.go
@@ -1,7 +1,11 @@
 package proof
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
+	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 	"os"
@@ -119,6 +123,31 @@
 	return &s
 }
 
+// exchange sends one operator request and decodes its answer.
+func exchange(ctx context.Context, method, url string, body, answer any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d: %s", response.StatusCode, content)
+	}
+	return json.Unmarshal(content, answer)
+}
+
 func (h *host) serving() bool {
 	s := h.status()
 	return s != nil && s.Serving
--- a/proof/load_test.go
+++ b/proof/load_test.go
@@ -20,7 +20,10 @@
 )
 
 const (
-	requestLimit = 20 * time.Second // of one attempt of a caller
+	// requestLimit is over the sum of patience and the queues' longest run,
+	// 10 s each: a request without an answer by then is lost.
+	requestLimit = 25 * time.Second
+	patience     = "10" // seconds
 	resendPause  = 50 * time.Millisecond
 )
 
@@ -67,6 +70,7 @@
 	body := r.body()
 	call, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(body))
 	require.NoError(s.t, err)
+	call.Header.Set("Primrosedale-Patience", patience)
 	call.GetBody = nil // the client must not resend by itself
 	if key := s.keys[r.team]; key != "" {
 		call.Header.Set("Authorization", "Bearer "+key)
--- /dev/null
+++ b/proof/stale_test.go
@@ -0,0 +1,70 @@
+package proof
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/problem"
+	"primrosedale.example/primrosedale/standin"
+)
+
+// Guards against a leader that accepts changes or grants leases after the
+// others have another leader. A one-way cut is the hard case: the leader
+// either hears everything and reaches nobody, or reaches all and hears nobody.
+func TestStaleLeader(t *testing.T) {
+	cuts := map[string]func(*system, int){
+		"hears but is not heard": func(s *system, i int) { s.from(i, (*link).cut) },
+		"is heard but is deaf":   func(s *system, i int) { s.to(i, (*link).cut) },
+		"cut off":                func(s *system, i int) { s.cutOff(i) },
+	}
+	for name, cut := range cuts {
+		t.Run(name, func(t *testing.T) { staleLeader(t, cut) })
+	}
+}
+
+func staleLeader(t *testing.T, cut func(*system, int)) {
+	s := startSystem(t, 3, 2)
+	s.prepare(3, standin.Echo(5*time.Millisecond))
+	stale := s.leader()
+	rest := s.except(stale)
+	st := s.startLoad(load{rate: 100, count: 1000, hosts: s.all(), next: mixed})
+	cut(s, stale)
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), inForceLimit)
+	defer cancel()
+	own := s.marked(2, "stale")
+	answer := make(chan error, 1)
+	go func() {
+		_, err := s.operators(stale).Apply(ctx, own)
+		answer <- err
+	}()
+	next := s.marked(2, "next")
+	_, err := s.operators(rest...).Apply(context.Background(), next)
+	accepted := time.Since(began)
+	if err != nil {
+		// The stale leader was heard: its successor committed its entry, and
+		// the change counts although its operator has no answer.
+		require.ErrorContains(t, err, string(own.Hash))
+		next = s.marked(3, "next")
+		s.apply(next, rest...)
+	}
+	eventually(t, inForceLimit, "the stale leader serves nothing", func() bool { return !s.hosts[stale].serving() })
+	served := time.Since(began)
+	r := mixed(0)
+	refused := s.send(stale, r)
+	require.Contains(t, []problem.Kind{problem.NoLease, problem.NoLeader}, refused.kind, "%+v", refused)
+	s.waitInForce(next, rest...)
+	revision := s.hosts[stale].status()
+	require.NotNil(t, revision)
+	require.EqualValues(t, 1, revision.Revision, "the stale leader applied a change")
+	require.Error(t, <-answer, "the stale leader accepted a change")
+	s.rejoin(stale)
+	s.waitInForce(next, s.all()...)
+	c := s.tally(st.wait())
+	c.check(t)
+	s.checkLimits()
+	t.Logf("the others accepted a change %s after the cut; the stale leader was seen serving nothing by %s", accepted, served)
+}
--- a/proof/system_test.go
+++ b/proof/system_test.go
@@ -102,6 +102,11 @@
 }
 
 func (s *system) close() {
+	if s.t.Failed() {
+		for _, h := range s.hosts {
+			s.t.Logf("last log lines of %s:\n%s", h.name, h.tail())
+		}
+	}
 	for _, target := range s.targets {
 		target.Stop()
 	}
@@ -111,11 +116,6 @@
 	for _, l := range s.links {
 		l.proxy.Stop()
 	}
-	if s.t.Failed() {
-		for _, h := range s.hosts {
-			s.t.Logf("last log lines of %s:\n%s", h.name, h.tail())
-		}
-	}
 }
 
 // operators returns a client of the hosts' operator interfaces, all hosts if
