--- /dev/null
+++ b/proof/history_test.go
@@ -0,0 +1,178 @@
+package proof
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/problem"
+	"primrosedale.example/primrosedale/operator/client"
+)
+
+var seed = flag.Uint64("seed", 0, "seed of the faults of TestHistoriesAreLinearizable, 0 for a new one")
+
+// change is the input of one operation of an operator.
+type change struct {
+	base uint64
+	hash model.Digest
+}
+
+// result is its output.
+type result struct {
+	unknown bool // no answer: it may have been accepted, then or later
+	ok      bool
+	current change // of a conflict: the revision in force, as base, and its hash
+}
+
+// register is the configuration: the hash of each accepted revision.
+type register struct {
+	revision uint64
+	hashes   string // of the revisions, in order
+	last     model.Digest
+}
+
+// configuration is the sequential model. A resend of an accepted change gets
+// its first answer.
+var configuration = porcupine.Model{
+	Init: func() any { return register{} },
+	Step: func(state, input, output any) (bool, any) {
+		s, in, out := state.(register), input.(change), output.(result)
+		if s.revision == in.base {
+			next := register{s.revision + 1, s.hashes + string(in.hash), in.hash}
+			return out.ok || out.unknown, next
+		}
+		if s.revision > in.base {
+			at := int(in.base) * len(in.hash)
+			if s.hashes[at:at+len(in.hash)] == string(in.hash) {
+				return out.ok || out.unknown, s
+			}
+		}
+		conflict := !out.ok && out.current == change{s.revision, s.last}
+		return conflict || out.unknown, s
+	},
+	DescribeOperation: func(in, out any) string { return fmt.Sprintf("%+v -> %+v", in, out) },
+}
+
+// Guards against configurations that are lost, reverted or accepted twice
+// while the leader is killed, cut off one way and frozen.
+func TestHistoriesAreLinearizable(t *testing.T) {
+	const (
+		clients    = 5
+		operations = 60 // of each client
+	)
+	if *seed == 0 {
+		*seed = uint64(time.Now().UnixNano())
+	}
+	t.Logf("seed %d", *seed)
+	s := startSystem(t, 3, 2)
+	began := time.Now()
+	histories := make([][]porcupine.Operation, clients)
+	var all sync.WaitGroup
+	for c := range clients {
+		all.Go(func() { histories[c] = s.operate(c, operations, began) })
+	}
+	faults := s.injectFaults(rand.New(rand.NewPCG(*seed, 1)), 4)
+	all.Wait()
+	var history []porcupine.Operation
+	ok, conflicts, unknown := 0, 0, 0
+	for _, h := range histories {
+		for _, op := range h {
+			switch out := op.Output.(result); {
+			case out.ok:
+				ok++
+			case out.unknown:
+				unknown++
+			default:
+				conflicts++
+			}
+		}
+		history = append(history, h...)
+	}
+	verdict := porcupine.CheckOperationsTimeout(configuration, history, 30*time.Second)
+	t.Logf("faults %v; %d operations: %d accepted, %d conflicts, %d without an answer; %s", faults, len(history), ok, conflicts, unknown, verdict)
+	require.Equal(t, porcupine.Ok, verdict)
+	require.Greater(t, ok, 20, "the faults left too little to check")
+}
+
+// operate submits changes one after another. Each change of a client has the
+// revision after the last one that the client heard of.
+func (s *system) operate(c, operations int, began time.Time) []porcupine.Operation {
+	var history []porcupine.Operation
+	known := uint64(0)
+	for i := range operations {
+		f := s.marked(known+1, fmt.Sprintf("client%d-%d", c, i))
+		op := porcupine.Operation{ClientId: c, Input: change{known, f.Hash}, Call: int64(time.Since(began))}
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		_, err := s.operators((c+i)%len(s.hosts)).Apply(ctx, f)
+		cancel()
+		op.Return = int64(time.Since(began))
+		out := outputOf(err)
+		switch {
+		case out.unknown:
+			op.Return = math.MaxInt64
+		case out.ok:
+			known++
+		default:
+			known = out.current.base
+		}
+		op.Output = out
+		history = append(history, op)
+	}
+	return history
+}
+
+func outputOf(err error) result {
+	var refusal *client.Refusal
+	switch {
+	case err == nil:
+		return result{ok: true}
+	case errors.As(err, &refusal) && refusal.Kind == problem.RevisionConflict:
+		var current change
+		_, scanned := fmt.Sscanf(refusal.Detail, "the current revision is %d with hash %s", &current.base, &current.hash)
+		return result{unknown: scanned != nil, current: current}
+	default:
+		return result{unknown: true}
+	}
+}
+
+// injectFaults makes n faults of the leader and ends each.
+func (s *system) injectFaults(random *rand.Rand, n int) []string {
+	var names []string
+	for range n {
+		leader := s.leader()
+		switch random.IntN(4) {
+		case 0:
+			names = append(names, "leader killed")
+			s.hosts[leader].kill()
+			s.leader(s.except(leader)...)
+			s.hosts[leader].start()
+		case 1:
+			names = append(names, "leader not heard")
+			s.from(leader, (*link).cut)
+			s.leader(s.except(leader)...)
+			s.rejoin(leader)
+		case 2:
+			names = append(names, "leader deaf")
+			s.to(leader, (*link).cut)
+			s.leader(s.except(leader)...)
+			s.rejoin(leader)
+		default:
+			names = append(names, "leader frozen")
+			s.hosts[leader].freeze()
+			s.leader(s.except(leader)...)
+			s.hosts[leader].thaw()
+		}
+		s.waitServing()
+	}
+	return names
+}
--- a/proof/ledger_test.go
+++ b/proof/ledger_test.go
@@ -94,3 +94,14 @@
 	}
 	return at
 }
+
+// times returns the times of all starts, in order.
+func (l *ledger) times() []time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	times := make([]time.Time, 0, len(l.starts))
+	for _, s := range l.starts {
+		times = append(times, s.at)
+	}
+	return times
+}
--- /dev/null
+++ b/proof/stop_test.go
@@ -0,0 +1,86 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/standin"
+)
+
+// resends is enough for a caller to outlast a change of the leader.
+const resends = 100
+
+// Guards against a planned stop of a process that cuts off a request, refuses
+// one that ran, or takes the service down.
+func TestRollingRestart(t *testing.T) {
+	s := startSystem(t, 3, 2)
+	s.prepare(3, standin.Echo(100*time.Millisecond))
+	st := s.startLoad(load{rate: 80, count: 4000, hosts: s.all(), resends: resends, next: mixed})
+	for _, h := range s.hosts {
+		code, took := h.stop()
+		require.Zero(t, code, "exit code of %s", h.name)
+		h.start()
+		s.waitServing()
+		t.Logf("%s ended %s after SIGTERM", h.name, took)
+	}
+	s.checkNoneCutOff(st.stop())
+}
+
+// checkNoneCutOff checks that every request was answered at last.
+func (s *system) checkNoneCutOff(outcomes []outcome) {
+	s.t.Helper()
+	c := s.tally(outcomes)
+	c.check(s.t)
+	s.checkLimits()
+	for _, o := range outcomes {
+		if !o.answered {
+			s.t.Logf("not answered: %+v", o)
+		}
+	}
+	require.Zero(s.t, c.unknown, "requests cut off")
+	require.Zero(s.t, c.refused, "requests refused everywhere")
+}
+
+// Guards against requests that are cut off or refused while each target is
+// drained and replaced.
+func TestDrainOfTargets(t *testing.T) {
+	s := startSystem(t, 3, 2)
+	s.prepare(3, standin.Echo(100*time.Millisecond))
+	st := s.startLoad(load{rate: 80, count: 2000, hosts: s.all(), next: mixed})
+	ctx, cancel := context.WithTimeout(context.Background(), startLimit)
+	defer cancel()
+	for i, old := range s.targets[:3] {
+		s.addTarget(fmt.Sprintf("render-new-%d", i), centres[i%len(centres)], standin.Echo(100*time.Millisecond))
+		seen := len(s.ledger.times())
+		eventually(t, startLimit, "work goes on", func() bool { return len(s.ledger.times()) > seen+100 })
+		began := time.Now()
+		require.NoError(t, old.Leave(ctx))
+		t.Logf("%s drained in %s", old.id, time.Since(began))
+	}
+	s.checkNoneCutOff(st.stop())
+}
+
+// Guards against a stop that hangs or loses requests because no leader is
+// there to settle them: the leader is killed at the moment of the stop.
+func TestStopDuringFailOver(t *testing.T) {
+	s := startSystem(t, 3, 2)
+	s.prepare(3, standin.Echo(100*time.Millisecond))
+	leader := s.leader()
+	stopped := s.except(leader, 0, 1, 2)[0]
+	// The callers use hosts that are not killed.
+	st := s.startLoad(load{rate: 80, count: 1000, hosts: s.except(leader), resends: resends, next: mixed})
+	eventually(t, startLimit, "work runs", func() bool { return len(s.ledger.times()) > 50 })
+	s.hosts[leader].kill()
+	code, took := s.hosts[stopped].stop()
+	require.Zero(t, code)
+	s.leader(s.running()...)
+	s.hosts[stopped].start()
+	s.hosts[leader].start()
+	s.waitServing()
+	t.Logf("the stop during the fail-over took %s", took)
+	s.checkNoneCutOff(st.stop())
+}
