consensus: send fewer heartbeats to non-voters; shorten incarnations

Cause: a follower at rest exchanged 2.8 KB/s with its peers, over the 2 KB/s allowed to a node for control; heartbeats were most of it, and each message carried two UUIDs of 36 characters. Ruled out: a longer heartbeat for voters, which would slow fail-over.

--- a/core/consensus/leader.go
+++ b/core/consensus/leader.go
@@ -7,6 +7,7 @@
 	peers       []*progress // in the order in which they were added
 	noop        uint64      // index of the first entry of the term
 	heartbeatAt model.Time  // last heartbeat
+	heartbeats  int         // rounds of heartbeats sent
 	transfer    transfer
 }
 
--- a/core/consensus/membership.go
+++ b/core/consensus/membership.go
@@ -210,7 +210,7 @@
 // tickNonVoter looks for a leader while none is heard. A retired identity
 // does not.
 func (n *Node[C, S]) tickNonVoter() {
-	heard := n.leader != NodeID{} && n.now.Sub(n.lastHeard) < n.cfg.ElectionTimeoutMin/2
+	heard := n.leader != NodeID{} && n.now.Sub(n.lastHeard) < n.cfg.ElectionTimeoutMin
 	if !heard && !n.isRetired() {
 		n.askToJoin()
 	}
--- a/core/consensus/replication.go
+++ b/core/consensus/replication.go
@@ -7,6 +7,10 @@
 )
 
 const (
+	// learnerHeartbeats is the number of heartbeat intervals between two
+	// heartbeats to a non-voter. Non-voters take no part in elections, and
+	// heartbeats are most of the traffic of a host at rest.
+	learnerHeartbeats = 3
 	// resendHeartbeats is the number of heartbeat intervals after which an
 	// append without an answer counts as lost.
 	resendHeartbeats = 2
@@ -15,11 +19,17 @@
 	snapshotResend = 2 * model.Second
 )
 
-// sendHeartbeats sends an empty append to every peer.
+// sendHeartbeats sends an empty append to every voter, and at every
+// learnerHeartbeats-th time to the others.
 func (n *Node[C, S]) sendHeartbeats() {
 	n.leading.heartbeatAt = n.now
+	n.leading.heartbeats++
+	everyone := n.leading.heartbeats%learnerHeartbeats == 1
+	current := n.membership()
 	for _, p := range n.leading.peers {
-		n.sendHeartbeat(p)
+		if everyone || current.has(p.id) {
+			n.sendHeartbeat(p)
+		}
 	}
 }
 
--- a/core/consensus/replication_test.go
+++ b/core/consensus/replication_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/model"
 )
 
 // follower returns node A that follows B in term 3 with entries 1 to 4, of
@@ -227,3 +229,30 @@
 	n.Tick(now.Add(20*ms), 0)
 	require.Empty(t, only(settle(n), MsgAppend, idC))
 }
+
+// Guards against non-voters that cost as much traffic as voters at rest, and
+// against ones that hear too little and ask to join again.
+func TestHeartbeatsToNonVoters(t *testing.T) {
+	n, now := newLeader(t)
+	n.Step(now, 0, testMessage{Kind: MsgJoin, From: idD, To: idA})
+	settle(n)
+	voter, learner, longest := 0, 0, model.Duration(0)
+	heard := now
+	for i := range 60 {
+		at := now.Add(model.Duration(i+1) * 50 * ms)
+		for _, id := range []NodeID{idB, idC, idD} {
+			n.Step(at, 0, appended(id, 2, at))
+		}
+		n.Tick(at, 0)
+		messages := settle(n)
+		voter += len(only(messages, MsgAppend, idC))
+		if got := len(only(messages, MsgAppend, idD)); got > 0 {
+			learner += got
+			longest = max(longest, at.Sub(heard))
+			heard = at
+		}
+	}
+	require.GreaterOrEqual(t, voter, 14)
+	require.LessOrEqual(t, learner, 6)
+	require.Less(t, longest, n.cfg.ElectionTimeoutMin)
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -6,11 +6,12 @@
 import (
 	"context"
 	"crypto/tls"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/juju/errors"
 	"gopkg.in/tomb.v2"
 
@@ -117,7 +118,12 @@
 // View returns what the control goroutine published last, never nil.
 func (d *Daemon) View() *view.View { return d.loop.View() }
 
-func newIncarnation() model.Incarnation { return model.Incarnation(uuid.NewString()) }
+// newIncarnation returns 64 random bits. They only have to differ between the
+// lives of one host, and every message carries them, so that a full UUID would
+// be most of a heartbeat.
+func newIncarnation() model.Incarnation {
+	return model.Incarnation(strconv.FormatUint(rand.Uint64(), 36))
+}
 
 // openStore reads the data folder, if the host has one.
 func (d *Daemon) openStore(cfg *core.Config) (core.Stored, error) {
