--- a/ctl/help.go
+++ b/ctl/help.go
@@ -1,22 +1,38 @@
 package ctl
 
-// exitCodes ends the help of every subcommand.
+import "strings"
+
+// exitCodes ends every help text.
 const exitCodes = `
 exit codes: 0 done, 1 no answer, 2 usage, 3 refused, 4 faults in the rules,
-5 the rules differ (diff), 6 outcome not known
+5 the rules or a replay differ (diff, replay), 6 outcome not known
 (docs/operators/exit-codes.md)`
 
-// The examples of the subcommands.
-const (
-	checkExample    = "  primrosedalectl check rules.toml\n"
-	diffExample     = "  primrosedalectl diff rules.toml --address 127.0.0.1:8301\n"
-	applyExample    = "  primrosedalectl apply rules.toml --address 127.0.0.1:8301,127.0.0.2:8301\n"
-	grantExample    = "  primrosedalectl key grant press-desk press --address 127.0.0.1:8301\n"
-	withdrawExample = "  primrosedalectl key withdraw press-desk --address 127.0.0.1:8301\n"
-	statusExample   = "  primrosedalectl status --address 127.0.0.1:8301,127.0.0.2:8301 --output json\n"
-)
+// example is a command line of one subcommand.
+type example struct{ command, line string }
+
+// examples has at least one entry for each subcommand.
+var examples = []example{
+	{"check", "primrosedalectl check rules.toml"},
+	{"diff", "primrosedalectl diff rules.toml --address 127.0.0.1:8301"},
+	{"apply", "primrosedalectl apply rules.toml --address 127.0.0.1:8301,127.0.0.2:8301"},
+	{"grant", "primrosedalectl key grant press-desk press --address 127.0.0.1:8301"},
+	{"withdraw", "primrosedalectl key withdraw press-desk --address 127.0.0.1:8301"},
+	{"status", "primrosedalectl status --address 127.0.0.1:8301,127.0.0.2:8301 --output json"},
+	{"report", "primrosedalectl report --address 127.0.0.1:8301 --html burn.html"},
+	{"replay", "primrosedalectl replay traces/vakoas-bursts.toml --expect traces/vakoas-bursts.outcomes.toml"},
+}
 
-// helpEnd returns the end of a help text: examples and exit codes.
-func helpEnd(examples string) string {
-	return "\nexamples:\n" + examples + exitCodes
+// helpEnd returns the end of the help text of subcommands: their examples and
+// the exit codes.
+func helpEnd(commands ...string) string {
+	text := "\nexamples:\n"
+	for _, command := range commands {
+		for _, e := range examples {
+			if e.command == command {
+				text += "  " + e.line + "\n"
+			}
+		}
+	}
+	return strings.TrimSuffix(text, "\n") + "\n" + exitCodes
 }
--- a/ctl/parser.go
+++ b/ctl/parser.go
@@ -12,7 +12,6 @@
 func (p *Program) parser() (*flaggy.Parser, []action) {
 	parser := flaggy.NewParser("primrosedalectl")
 	parser.Description = "Operates a primrosedale system."
-	parser.AdditionalHelpAppend = helpEnd(checkExample + diffExample + applyExample + grantExample + withdrawExample + statusExample)
 	p.output = outputTable
 	parser.String(&p.address, "a", "address", "operator addresses, IP:port, separated by commas (default: $"+AddressVariable+")")
 	parser.String(&p.output, "o", "output", "table or json")
@@ -21,24 +20,28 @@
 	parser.String(&p.authority, "", "authority", "certificate authority of the system, PEM")
 
 	var file, name, team string
-	check := subcommand("check", "read a rules file and list every fault; asks no host", checkExample)
+	check := subcommand("check", "read a rules file and list every fault; asks no host")
 	check.AddPositionalValue(&file, "FILE", 1, true, "rules file")
-	diff := subcommand("diff", "compare a rules file with the rules in force; exit code 5 if they differ", diffExample)
+	diff := subcommand("diff", "compare a rules file with the rules in force; exit code 5 if they differ")
 	diff.AddPositionalValue(&file, "FILE", 1, true, "rules file")
-	apply := subcommand("apply", "put a rules file in force; its revision must follow the one in force", applyExample)
+	apply := subcommand("apply", "put a rules file in force; its revision must follow the one in force")
 	apply.AddPositionalValue(&file, "FILE", 1, true, "rules file")
-	status := subcommand("status", "show hosts, targets, teams, queues and pools", statusExample)
-	key := subcommand("key", "grant or withdraw a team's key", grantExample+withdrawExample)
-	grant := subcommand("grant", "make a key for a team; it is shown once", grantExample)
+	status := subcommand("status", "show hosts, targets, teams, queues and pools")
+	key := subcommand("key", "grant or withdraw a team's key")
+	grant := subcommand("grant", "make a key for a team; it is shown once")
 	grant.AddPositionalValue(&name, "NAME", 1, true, "name of the key, unique")
 	grant.AddPositionalValue(&team, "TEAM", 2, true, "team that the key stands for")
-	withdraw := subcommand("withdraw", "end a key; every host refuses it within seconds", withdrawExample)
+	withdraw := subcommand("withdraw", "end a key; every host refuses it within seconds")
 	withdraw.AddPositionalValue(&name, "NAME", 1, true, "name of the key")
 	key.AttachSubcommand(grant, 1)
 	key.AttachSubcommand(withdraw, 1)
+	var names []string
 	for _, c := range []*flaggy.Subcommand{check, diff, apply, key, status} {
 		parser.AttachSubcommand(c, 1)
+		names = append(names, c.Name)
 	}
+	parser.AdditionalHelpAppend = helpEnd(append(names, grant.Name, withdraw.Name)...)
+	key.AdditionalHelpAppend = helpEnd(grant.Name, withdraw.Name)
 	return parser, []action{
 		{check, func(context.Context) error { return p.check(file) }},
 		{diff, func(ctx context.Context) error { return p.diff(ctx, file) }},
@@ -49,9 +52,9 @@
 	}
 }
 
-func subcommand(name, description, examples string) *flaggy.Subcommand {
+func subcommand(name, description string) *flaggy.Subcommand {
 	c := flaggy.NewSubcommand(name)
 	c.Description = description
-	c.AdditionalHelpAppend = helpEnd(examples)
+	c.AdditionalHelpAppend = helpEnd(name)
 	return c
 }
