--- /dev/null
+++ b/core/burn.go
@@ -0,0 +1,80 @@
+package core
+
+import (
+	"primrosedale.example/primrosedale/core/burn"
+	"primrosedale.example/primrosedale/core/dispatch"
+	"primrosedale.example/primrosedale/core/event"
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/rules"
+)
+
+// countedWork is the work that the objectives of one revision name.
+type countedWork struct {
+	rules *rules.Rules
+	keys  burn.Keys
+}
+
+// countEnds counts the requests that ended with this event, and forgets the
+// counts that the replicated state holds.
+func (s *State) countEnds() {
+	for _, end := range s.table.TakeEnds() {
+		s.countBurn(end.Team, end.Queue, end.Cause, 1)
+	}
+	if !s.burn.Waiting() {
+		return
+	}
+	s.burn.Recorded(s.fleet.Burn.Recorded(burn.Process{Host: s.cfg.Host, Incarnation: s.cfg.Incarnation}))
+}
+
+// countRefusals counts the requests that the traffic side refused.
+func (s *State) countRefusals(list []event.Refusal) {
+	for _, r := range list {
+		s.countBurn(r.Team, r.Queue, burn.OfProblem(r.Kind), r.Count)
+	}
+}
+
+func (s *State) countBurn(team model.TeamID, queue model.QueueID, cause burn.Cause, n uint64) {
+	if s.burnFor.rules != s.fleet.Rules {
+		s.burnFor = countedWork{s.fleet.Rules, burn.KeysOf(s.fleet.Rules)}
+	}
+	key := burn.Key{Team: team, Service: s.fleet.Rules.Queues[queue].Service}
+	if s.burnFor.keys.Has(key) {
+		s.burn.Count(key, cause, n)
+	}
+}
+
+// recordBurn proposes the counts that the leader has received.
+func (s *State) recordBurn() {
+	if !s.log.HoldsLeaderLease(s.now) {
+		return
+	}
+	record := s.leading.burn.Due(s.now, &s.fleet.Burn)
+	if record == nil {
+		return
+	}
+	s.asOwner(func(_ dispatch.Env, out *dispatch.Out) {
+		out.Proposals = append(out.Proposals, fleet.Command{At: s.now, RecordBurn: &fleet.RecordBurn{Record: *record}})
+	})
+}
+
+// sendLastCounts passes on the counts of a process that is about to end. If
+// the message is lost, they are lost with the process.
+func (s *State) sendLastCounts() {
+	leader, term := s.holder.Leader()
+	if leader == "" || leader == s.cfg.Host {
+		return
+	}
+	s.countEnds()
+	r := s.holder.Renew(s.now, s.fleet.Index, true)
+	if r.Full {
+		r.Forwarded = s.table.Forwarded(s.now)
+	}
+	r.Burn = s.burn.Last(s.now, term)
+	s.send(leader, message.Message{Renew: r})
+}
+
+func (s *State) burnSource() *burn.Source {
+	return &burn.Source{Now: s.now, Rules: s.fleet.Rules, History: s.fleet.Burn}
+}
--- /dev/null
+++ b/core/burn/collector.go
@@ -0,0 +1,83 @@
+package burn
+
+import (
+	"cmp"
+	"slices"
+
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// RecordInterval is the shortest time between two Records of one leader.
+const RecordInterval = 10 * model.Second
+
+// Process is one life of one host's process.
+type Process struct {
+	Host        model.HostID      `json:"host"`
+	Incarnation model.Incarnation `json:"inc"`
+}
+
+// Delivery is the batches of one process, ascending.
+type Delivery struct {
+	Process
+	Batches []Batch `json:"batches"`
+}
+
+// Leader names a leader and its term.
+type Leader struct {
+	Host model.HostID `json:"host"`
+	Term uint64       `json:"term"`
+}
+
+// Record is what has changed since the leader's last Record.
+type Record struct {
+	// Time is the leader's wall clock. Counts belong to its minute and hour.
+	Time       model.Time `json:"time"`
+	Leader     Leader     `json:"leader"`
+	Deliveries []Delivery `json:"deliveries,omitempty"`
+}
+
+// Collector gathers what hosts have sent to the leader of one term.
+type Collector struct {
+	leader     Leader
+	held       map[Process][]Batch
+	proposedAt model.Time
+}
+
+// NewCollector returns the Collector of a leader's term.
+func NewCollector(leader Leader) *Collector {
+	return &Collector{leader: leader, held: make(map[Process][]Batch)}
+}
+
+// Received takes a process's batches. They replace earlier ones, because a
+// process sends all that are not recorded.
+func (c *Collector) Received(from Process, batches []Batch) {
+	held := c.held[from]
+	if len(batches) == 0 || len(held) > 0 && held[len(held)-1].Seq > batches[len(batches)-1].Seq {
+		return // an older message
+	}
+	c.held[from] = batches
+}
+
+// Due returns the Record to propose now, or nil: one is returned at most every
+// RecordInterval, and only if h lacks a batch or the change of leader.
+func (c *Collector) Due(now model.Time, h *History) *Record {
+	if c.proposedAt != 0 && now < c.proposedAt.Add(RecordInterval) {
+		return nil
+	}
+	record := &Record{Time: now, Leader: c.leader}
+	for process, batches := range c.held {
+		if batches = h.missing(process, batches); len(batches) == 0 {
+			delete(c.held, process)
+			continue
+		}
+		record.Deliveries = append(record.Deliveries, Delivery{process, batches})
+	}
+	if len(record.Deliveries) == 0 && h.Leader.Term >= c.leader.Term {
+		return nil
+	}
+	slices.SortFunc(record.Deliveries, func(a, b Delivery) int {
+		return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	c.proposedAt = now
+	return record
+}
--- /dev/null
+++ b/core/burn/counts.go
@@ -0,0 +1,166 @@
+// Package burn keeps the service-level accounts of the fleet: how much work
+// of each objective was good, what spent its error budget, and what happened
+// to the fleet meanwhile.
+//
+// Each host counts the requests that end on it (Sender) and passes the counts
+// to the leader in numbered batches. The leader collects them (Collector) and
+// proposes a Record. Every replica adds the Record to its History, which
+// remembers the last batch of each process, so that a batch is added once
+// however often it is sent or proposed. A process knows from its own copy of
+// the History which of its batches need not be sent again.
+//
+// Only requests are counted. Tasks name a pool and not a service, so no
+// objective covers them.
+package burn
+
+import (
+	"cmp"
+
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/problem"
+	"primrosedale.example/primrosedale/core/rules"
+)
+
+// Cause is how one request counts at its end.
+type Cause string
+
+// The causes. All but Good and NotCounted spend the error budget.
+const (
+	NotCounted Cause = ""        // the caller's own fault
+	Good       Cause = "good"    // answered whole, in time, without a server error
+	Refused    Cause = "refused" // not run: the system could not take it
+	Late       Cause = "late"    // not started within its patience
+	Lost       Cause = "lost"    // every attempt failed, or its answer was not kept
+	Unknown    Cause = "unknown" // it may have run
+	Failed     Cause = "failed"  // a server error, or no whole answer in its run time
+)
+
+// BadCauses are the causes that spend the error budget, in report order.
+var BadCauses = []Cause{Refused, Late, Lost, Unknown, Failed}
+
+// serverError is the first HTTP status code that is not the caller's fault.
+const serverError = 500
+
+// OfAnswer returns how a request counts that got a whole answer. late says
+// that it was started after its patience.
+func OfAnswer(status int, late bool) Cause {
+	switch {
+	case status >= serverError:
+		return Failed
+	case late:
+		return Late
+	default:
+		return Good
+	}
+}
+
+// OfProblem returns how a request counts that ended with a problem. A resend
+// that meets its first request still running is not counted, because the first
+// request counts at its own end.
+func OfProblem(kind problem.Kind) Cause {
+	switch kind {
+	case problem.Overloaded, problem.NoLeader, problem.NoLease, problem.NoTarget, problem.Stopping:
+		return Refused
+	case problem.PatienceExceeded:
+		return Late
+	case problem.RetriesExhausted, problem.AnswerNotRetained:
+		return Lost
+	case problem.OutcomeUnknown, problem.CommandUnknown:
+		return Unknown
+	case problem.DeadlineExceeded, problem.AnswerTooLarge, problem.Internal:
+		return Failed
+	default:
+		return NotCounted
+	}
+}
+
+// Key names the work that objectives are about.
+type Key struct {
+	Team    model.TeamID    `json:"team"`
+	Service model.ServiceID `json:"service"`
+}
+
+func (k Key) compare(other Key) int {
+	return cmp.Or(cmp.Compare(k.Team, other.Team), cmp.Compare(k.Service, other.Service))
+}
+
+// Counts counts ended requests by cause.
+type Counts struct {
+	Good    uint64 `json:"good,omitempty"`
+	Refused uint64 `json:"refused,omitempty"`
+	Late    uint64 `json:"late,omitempty"`
+	Lost    uint64 `json:"lost,omitempty"`
+	Unknown uint64 `json:"unknown,omitempty"`
+	Failed  uint64 `json:"failed,omitempty"`
+}
+
+// Of returns the number of requests that ended for this cause.
+func (c Counts) Of(cause Cause) uint64 {
+	if field := c.field(cause); field != nil {
+		return *field
+	}
+	return 0
+}
+
+// Bad returns the number of requests that spent error budget.
+func (c Counts) Bad() uint64 { return c.Refused + c.Late + c.Lost + c.Unknown + c.Failed }
+
+// Total returns the number of requests.
+func (c Counts) Total() uint64 { return c.Good + c.Bad() }
+
+// Plus returns the sum of c and d.
+func (c Counts) Plus(d Counts) Counts {
+	return Counts{
+		Good:    c.Good + d.Good,
+		Refused: c.Refused + d.Refused,
+		Late:    c.Late + d.Late,
+		Lost:    c.Lost + d.Lost,
+		Unknown: c.Unknown + d.Unknown,
+		Failed:  c.Failed + d.Failed,
+	}
+}
+
+// count adds n requests that ended for this cause.
+func (c *Counts) count(cause Cause, n uint64) {
+	if field := c.field(cause); field != nil {
+		*field += n
+	}
+}
+
+// field returns where a cause is counted, nil for NotCounted.
+func (c *Counts) field(cause Cause) *uint64 {
+	switch cause {
+	case Good:
+		return &c.Good
+	case Refused:
+		return &c.Refused
+	case Late:
+		return &c.Late
+	case Lost:
+		return &c.Lost
+	case Unknown:
+		return &c.Unknown
+	case Failed:
+		return &c.Failed
+	default:
+		return nil
+	}
+}
+
+// Keys is a set of keys.
+type Keys map[Key]struct{}
+
+// KeysOf returns the keys that the objectives of r name.
+func KeysOf(r *rules.Rules) Keys {
+	keys := make(Keys, len(r.Objectives))
+	for _, o := range r.Objectives {
+		keys[Key{o.Team, o.Service}] = struct{}{}
+	}
+	return keys
+}
+
+// Has reports whether key is in the set.
+func (k Keys) Has(key Key) bool {
+	_, ok := k[key]
+	return ok
+}
--- /dev/null
+++ b/core/burn/event.go
@@ -0,0 +1,90 @@
+package burn
+
+import (
+	"slices"
+
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// EventKind is what happened to the fleet.
+type EventKind string
+
+// The event kinds.
+const (
+	CentreOut     EventKind = "data_centre_out"  // taken out of service by operators
+	CentreIn      EventKind = "data_centre_in"   // brought back by operators
+	CentreLost    EventKind = "data_centre_lost" // none of its hosts is up
+	CentreBack    EventKind = "data_centre_back" // a host of a lost one is up again
+	WaveBegun     EventKind = "wave_begun"       // ordered by operators
+	WaveStopped   EventKind = "wave_stopped"     // removed or changed before its end
+	WaveEnded     EventKind = "wave_ended"       // every host of its pools has the image
+	LeaderChanged EventKind = "leader_changed"
+	HostsLost     EventKind = "hosts_lost" // down outside of a planned reboot
+)
+
+const (
+	// EventsMax bounds the events that are kept.
+	EventsMax = 512
+	// mergeTime is the time in which changes of leader, and lost hosts of one
+	// data centre, are one event, so that many do not push out the others.
+	mergeTime = 10 * model.Minute
+)
+
+// Event is one thing that happened to the fleet.
+type Event struct {
+	At    model.Time `json:"at"` // wall clock
+	Kind  EventKind  `json:"kind"`
+	Name  string     `json:"name"`            // data centre, wave or leader
+	Count int        `json:"count,omitempty"` // hosts lost, changes of leader
+}
+
+// Note adds an event, or counts it with an earlier one of a short time ago.
+func (h *History) Note(e Event) {
+	h.Events = slices.Clone(h.Events)
+	if i := h.mergeable(e); i >= 0 {
+		h.Events[i].Count += e.Count
+		if e.Kind == LeaderChanged {
+			h.Events[i].Name = e.Name
+		}
+		return
+	}
+	h.Events = append(h.Events, e)
+	if excess := len(h.Events) - EventsMax; excess > 0 {
+		h.Events = slices.Delete(h.Events, 0, excess)
+	}
+}
+
+// mergeable returns the index of the event that e is counted with, or -1.
+func (h *History) mergeable(e Event) int {
+	if e.Kind != LeaderChanged && e.Kind != HostsLost {
+		return -1
+	}
+	for i := len(h.Events) - 1; i >= 0; i-- {
+		old := h.Events[i]
+		if old.Kind == e.Kind && (old.Name == e.Name || e.Kind == LeaderChanged) {
+			if e.At.Sub(old.At) <= mergeTime {
+				return i
+			}
+			return -1
+		}
+	}
+	return -1
+}
+
+// HostUp notes that hosts of a data centre went down or came up: lost is the
+// number that went down unplanned, up the number that are up now, and known
+// the number of its hosts.
+func (h *History) HostUp(at model.Time, centre model.DataCentreID, lost, up, known int) {
+	if lost > 0 {
+		h.Note(Event{At: at, Kind: HostsLost, Name: string(centre), Count: lost})
+	}
+	i, down := slices.BinarySearch(h.Down, centre)
+	switch {
+	case !down && up == 0 && known > 1 && lost > 0:
+		h.Down = slices.Insert(slices.Clone(h.Down), i, centre)
+		h.Note(Event{At: at, Kind: CentreLost, Name: string(centre)})
+	case down && up > 0:
+		h.Down = slices.Delete(slices.Clone(h.Down), i, i+1)
+		h.Note(Event{At: at, Kind: CentreBack, Name: string(centre)})
+	}
+}
--- /dev/null
+++ b/core/burn/history.go
@@ -0,0 +1,175 @@
+package burn
+
+import (
+	"slices"
+
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// Bounds of the History.
+const (
+	// SeriesMax bounds the keys: more than one for each of 34 teams with three
+	// services. A full series takes about 130 KB.
+	SeriesMax = 128
+	// livesKept is the number of process lives remembered per host, so that a
+	// late batch of an earlier life is not added twice.
+	livesKept = 4
+	// livesMax bounds the lives of all hosts.
+	livesMax = 256
+)
+
+// Life is the last recorded batch of one process.
+type Life struct {
+	Process
+	Seq uint64 `json:"seq"`
+}
+
+// History is the replicated account of the fleet. Its slices are replaced and
+// never changed, so that a copy of the struct is a snapshot.
+type History struct {
+	// Time is the wall clock of the last Record, and Clock the replicated clock
+	// when it was applied. Together they give the wall clock of other commands.
+	Time  model.Time `json:"time,omitempty"`
+	Clock model.Time `json:"clock,omitempty"`
+
+	Leader Leader               `json:"leader"`
+	Lives  []Life               `json:"lives,omitempty"`  // in order of their first batch
+	Series []Series             `json:"series,omitempty"` // by key
+	Events []Event              `json:"events,omitempty"` // in the order they were recorded
+	Ended  []string             `json:"ended,omitempty"`  // waves of the rules that have ended
+	Down   []model.DataCentreID `json:"down,omitempty"`   // data centres without a host up
+}
+
+// Add adds a Record that is applied when the replicated clock shows clock.
+// Counts of keys that are not wanted are dropped.
+func (h *History) Add(r *Record, clock model.Time, wanted Keys) {
+	h.Time, h.Clock = r.Time, clock
+	if r.Leader.Term > h.Leader.Term {
+		h.Leader = r.Leader
+		h.Note(Event{At: r.Time, Kind: LeaderChanged, Name: string(r.Leader.Host), Count: 1})
+	}
+	sums := make(map[Key]Counts)
+	for _, d := range r.Deliveries {
+		h.deliver(sums, d)
+	}
+	h.Series = slices.Clone(h.Series)
+	for key, counts := range sums {
+		if wanted.Has(key) {
+			h.addCounts(r.Time, key, counts)
+		}
+	}
+	h.retain(wanted)
+}
+
+// Wall returns the wall clock that belongs to a time of the replicated clock.
+func (h *History) Wall(clock model.Time) model.Time {
+	if h.Time == 0 {
+		return clock
+	}
+	return h.Time.Add(clock.Sub(h.Clock))
+}
+
+// Recorded returns the number of the last batch added of a process, 0 if none.
+func (h *History) Recorded(p Process) uint64 {
+	for _, life := range h.Lives {
+		if life.Process == p {
+			return life.Seq
+		}
+	}
+	return 0
+}
+
+// missing returns the batches that have not been added yet.
+func (h *History) missing(p Process, batches []Batch) []Batch {
+	recorded := h.Recorded(p)
+	i := slices.IndexFunc(batches, func(b Batch) bool { return b.Seq > recorded })
+	if i < 0 {
+		return nil
+	}
+	return batches[i:]
+}
+
+// deliver adds the batches of one process that are new to the sums.
+func (h *History) deliver(sums map[Key]Counts, d Delivery) {
+	batches := h.missing(d.Process, d.Batches)
+	if len(batches) == 0 {
+		return
+	}
+	for _, b := range batches {
+		for _, e := range b.Entries {
+			sums[e.Key] = sums[e.Key].Plus(e.Counts)
+		}
+	}
+	h.setRecorded(d.Process, batches[len(batches)-1].Seq)
+}
+
+func (h *History) addCounts(at model.Time, key Key, counts Counts) {
+	i, found := h.search(key)
+	if !found {
+		h.Series = slices.Insert(h.Series, i, Series{Key: key})
+	}
+	h.Series[i] = h.Series[i].plus(at, counts)
+}
+
+// retain drops series so that at most SeriesMax are left: first those that no
+// objective names, then those with the oldest counts.
+func (h *History) retain(wanted Keys) {
+	for len(h.Series) > SeriesMax {
+		drop := 0
+		for i := range h.Series {
+			if h.staler(i, drop, wanted) {
+				drop = i
+			}
+		}
+		h.Series = slices.Delete(h.Series, drop, drop+1)
+	}
+}
+
+func (h *History) staler(i, j int, wanted Keys) bool {
+	if a, b := wanted.Has(h.Series[i].Key), wanted.Has(h.Series[j].Key); a != b {
+		return b
+	}
+	return h.Series[i].Hour.Start < h.Series[j].Hour.Start
+}
+
+func (h *History) search(key Key) (int, bool) {
+	return slices.BinarySearchFunc(h.Series, key, func(s Series, k Key) int { return s.compare(k) })
+}
+
+// Of returns the series of a key, empty if it has none.
+func (h *History) Of(key Key) Series {
+	if i, found := h.search(key); found {
+		return h.Series[i]
+	}
+	return Series{Key: key}
+}
+
+func (h *History) setRecorded(p Process, seq uint64) {
+	h.Lives = slices.Clone(h.Lives)
+	for i := range h.Lives {
+		if h.Lives[i].Process == p {
+			h.Lives[i].Seq = seq
+			return
+		}
+	}
+	h.Lives = append(h.Lives, Life{p, seq})
+	h.forgetLife(func(l Life) bool { return l.Host == p.Host }, livesKept)
+	h.forgetLife(func(Life) bool { return true }, livesMax)
+}
+
+// forgetLife drops the oldest of the lives that match if they are over the
+// limit.
+func (h *History) forgetLife(match func(Life) bool, limit int) {
+	n, first := 0, -1
+	for i, l := range h.Lives {
+		if match(l) {
+			n++
+			if first < 0 {
+				first = i
+			}
+		}
+	}
+	if n > limit {
+		h.Lives = slices.Delete(h.Lives, first, first+1)
+	}
+}
--- /dev/null
+++ b/core/burn/period.go
@@ -0,0 +1,76 @@
+package burn
+
+import "primrosedale.example/primrosedale/core/model"
+
+// PeriodKind is the kind of a Period.
+type PeriodKind string
+
+// The period kinds.
+const (
+	PeriodWave       PeriodKind = "wave"
+	PeriodCentreOut  PeriodKind = "data_centre_out"
+	PeriodCentreLost PeriodKind = "data_centre_lost"
+	PeriodHostsLost  PeriodKind = "hosts_lost"
+	PeriodLeader     PeriodKind = "leader_changed"
+)
+
+// Period is a time in which something was the case that can explain bad work.
+type Period struct {
+	Kind  PeriodKind `json:"kind"`
+	Name  string     `json:"name"`
+	From  model.Time `json:"from,omitempty"`  // 0: its begin is no longer known
+	Until model.Time `json:"until,omitempty"` // 0: it goes on
+	// Stopped says that operators ended a wave before its last host.
+	Stopped bool `json:"stopped,omitempty"`
+	Count   int  `json:"count,omitempty"` // hosts lost, changes of leader
+}
+
+// begins and ends give the kind of period that an event begins or ends.
+var (
+	begins = map[EventKind]PeriodKind{
+		WaveBegun: PeriodWave, CentreOut: PeriodCentreOut, CentreLost: PeriodCentreLost,
+		HostsLost: PeriodHostsLost, LeaderChanged: PeriodLeader,
+	}
+	ends = map[EventKind]PeriodKind{
+		WaveStopped: PeriodWave, WaveEnded: PeriodWave, CentreIn: PeriodCentreOut, CentreBack: PeriodCentreLost,
+	}
+)
+
+// periods pairs the begins and ends of events, in order of their begin, and
+// returns those that reach into the time after from.
+func periods(events []Event, from model.Time) []Period {
+	var all []Period
+	for _, e := range events {
+		if kind, ok := begins[e.Kind]; ok {
+			p := Period{Kind: kind, Name: e.Name, From: e.At, Count: e.Count}
+			if kind == PeriodHostsLost || kind == PeriodLeader {
+				p.Until = e.At // a moment
+			}
+			all = append(all, p)
+			continue
+		}
+		i := openPeriod(all, ends[e.Kind], e.Name)
+		if i < 0 {
+			all = append(all, Period{Kind: ends[e.Kind], Name: e.Name})
+			i = len(all) - 1
+		}
+		all[i].Until = e.At
+		all[i].Stopped = e.Kind == WaveStopped
+	}
+	out := []Period{}
+	for _, p := range all {
+		if p.Until == 0 || p.Until > from {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+func openPeriod(list []Period, kind PeriodKind, name string) int {
+	for i := len(list) - 1; i >= 0; i-- {
+		if list[i].Kind == kind && list[i].Name == name && list[i].Until == 0 {
+			return i
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/core/burn/sender.go
@@ -0,0 +1,109 @@
+package burn
+
+import (
+	"maps"
+	"slices"
+
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// Times and sizes of the protocol.
+const (
+	// SealInterval is the time in which a host gathers counts for one batch. A
+	// host that crashes loses the counts of about this time.
+	SealInterval = 5 * model.Second
+	// ResendInterval is the time after which unrecorded batches are sent again.
+	ResendInterval = 5 * model.Second
+	// sealedMax bounds the batches that wait to be recorded. While there is no
+	// leader, further counts gather in the open batch.
+	sealedMax = 8
+)
+
+// Entry is the counts of one key.
+type Entry struct {
+	Key
+	Counts
+}
+
+// Batch is a numbered part of one process's counts. It never changes once it
+// has a number.
+type Batch struct {
+	Seq     uint64  `json:"seq"` // counted by the process from 1
+	Entries []Entry `json:"entries,omitempty"`
+}
+
+// Sender is the counts of this process that are not recorded yet.
+type Sender struct {
+	seq      uint64
+	open     map[Key]Counts
+	sealed   []Batch
+	sealedAt model.Time
+	sentAt   model.Time
+	sentTerm uint64
+}
+
+// NewSender returns a Sender without counts.
+func NewSender() *Sender { return &Sender{open: make(map[Key]Counts)} }
+
+// Count adds n ended requests.
+func (s *Sender) Count(key Key, cause Cause, n uint64) {
+	if cause == NotCounted || n == 0 {
+		return
+	}
+	counts := s.open[key]
+	counts.count(cause, n)
+	s.open[key] = counts
+}
+
+// Waiting reports whether a batch waits to be recorded.
+func (s *Sender) Waiting() bool { return len(s.sealed) > 0 }
+
+// Recorded forgets the batches up to this number.
+func (s *Sender) Recorded(seq uint64) {
+	keep := slices.IndexFunc(s.sealed, func(b Batch) bool { return b.Seq > seq })
+	if keep < 0 {
+		keep = len(s.sealed)
+	}
+	s.sealed = s.sealed[keep:]
+}
+
+// Due returns the batches to send to the leader of this term now: all that are
+// not recorded, in ascending order, or none if they were sent a short time ago.
+func (s *Sender) Due(now model.Time, term uint64) []Batch {
+	fresh := false
+	if now >= s.sealedAt.Add(SealInterval) && len(s.sealed) < sealedMax {
+		fresh = s.seal(now)
+	}
+	if !fresh && term == s.sentTerm && now < s.sentAt.Add(ResendInterval) {
+		return nil
+	}
+	return s.send(now, term)
+}
+
+// Last returns all batches, with the open counts in the last one. It is for
+// the last message of a process that stops.
+func (s *Sender) Last(now model.Time, term uint64) []Batch {
+	s.seal(now)
+	return s.send(now, term)
+}
+
+func (s *Sender) send(now model.Time, term uint64) []Batch {
+	s.sentAt, s.sentTerm = now, term
+	return slices.Clone(s.sealed)
+}
+
+// seal closes the open batch. It reports false if that is empty.
+func (s *Sender) seal(now model.Time) bool {
+	if len(s.open) == 0 {
+		return false
+	}
+	s.seq++
+	batch := Batch{Seq: s.seq}
+	for _, key := range slices.SortedFunc(maps.Keys(s.open), Key.compare) {
+		batch.Entries = append(batch.Entries, Entry{key, s.open[key]})
+	}
+	clear(s.open)
+	s.sealed = append(s.sealed, batch)
+	s.sealedAt = now
+	return true
+}
--- /dev/null
+++ b/core/burn/series.go
@@ -0,0 +1,101 @@
+package burn
+
+import (
+	"slices"
+
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// Resolutions and bounds of the buckets.
+const (
+	Fine      = model.Minute
+	FineMax   = 120 // buckets: 2 hours
+	Coarse    = model.Hour
+	CoarseMax = 90 * 24 // buckets: 90 days
+)
+
+// Bucket is the counts of one minute or hour.
+type Bucket struct {
+	Start model.Time `json:"start"`
+	Counts
+}
+
+// Series is the history of one key. Empty buckets are left out. Buckets are
+// dropped by their number and not by their age, so that a leader whose clock
+// is far ahead does not empty the history.
+type Series struct {
+	Key
+	Minutes []Bucket `json:"minutes,omitempty"` // ascending
+	Hours   []Bucket `json:"hours,omitempty"`   // ascending, before Hour
+	// Hour is the latest hour. It is kept apart from Hours, so that Hours is
+	// copied once an hour and not with each Record.
+	Hour Bucket `json:"hour"`
+}
+
+// plus returns s with counts added at this time. The buckets of s stay as they
+// are, because snapshots share them.
+func (s Series) plus(at model.Time, counts Counts) Series {
+	s.Minutes = addBucket(s.Minutes, start(at, Fine), counts, FineMax)
+	hour := start(at, Coarse)
+	if hour > s.Hour.Start {
+		if s.Hour.Start != 0 {
+			s.Hours = addBucket(s.Hours, s.Hour.Start, s.Hour.Counts, CoarseMax-1)
+		}
+		s.Hour = Bucket{Start: hour}
+	}
+	if hour < s.Hour.Start {
+		s.Hours = addBucket(s.Hours, hour, counts, CoarseMax-1)
+		return s
+	}
+	s.Hour.Counts = s.Hour.Plus(counts)
+	return s
+}
+
+// start returns the start of the bucket that holds this time.
+func start(at model.Time, width model.Duration) model.Time { return at - at%model.Time(width) }
+
+// addBucket returns a copy of list with counts added to the bucket that begins
+// at this time, and the oldest buckets dropped that are over the limit.
+func addBucket(list []Bucket, at model.Time, counts Counts, limit int) []Bucket {
+	i, found := slices.BinarySearchFunc(list, at, func(b Bucket, t model.Time) int { return int(b.Start - t) })
+	next := make([]Bucket, 0, len(list)+1)
+	next = append(next, list[:i]...)
+	bucket := Bucket{Start: at}
+	if found {
+		bucket = list[i]
+		list = list[i+1:]
+	} else {
+		list = list[i:]
+	}
+	bucket.Counts = bucket.Plus(counts)
+	next = append(append(next, bucket), list...)
+	return next[max(0, len(next)-limit):]
+}
+
+// buckets returns the buckets that reach into the time d before now, and their
+// width: minutes if d is under two hours, otherwise hours.
+func (s Series) buckets(now model.Time, d model.Duration) ([]Bucket, model.Duration) {
+	list, width := s.Minutes, Fine
+	if d >= FineMax*Fine {
+		// A time that begins within a minute reaches into one bucket more than
+		// it has minutes, so the minutes kept cover a little less than 2 hours.
+		list, width = append(slices.Clip(s.Hours), s.Hour), Coarse
+	}
+	first := now.Add(-d)
+	i := slices.IndexFunc(list, func(b Bucket) bool { return b.Start.Add(width) > first })
+	if i < 0 {
+		return nil, width
+	}
+	return list[i:], width
+}
+
+// Sum returns the counts of the time d before now, to the whole minute under
+// two hours and to the whole hour from there.
+func (s Series) Sum(now model.Time, d model.Duration) Counts {
+	var sum Counts
+	list, _ := s.buckets(now, d)
+	for _, b := range list {
+		sum = sum.Plus(b.Counts)
+	}
+	return sum
+}
--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -4,6 +4,7 @@
 package effect
 
 import (
+	"primrosedale.example/primrosedale/core/burn"
 	"primrosedale.example/primrosedale/core/consensus"
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/message"
@@ -71,6 +72,7 @@
 	Query  uint64
 	Status *view.Status
 	Task   *fleet.Task // immutable; nil if there is no such task of the team
+	Burn   *burn.Source
 }
 
 // Publish replaces the view that traffic goroutines read.
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -6,6 +6,7 @@
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/problem"
 )
 
 // Input is one event with the time and the random number that the reducer may
@@ -68,6 +69,18 @@
 	TimedOut   bool           // the run time limit passed
 }
 
+// RequestsRefused counts requests that were refused before they became a
+// RequestArrived.
+type RequestsRefused struct{ Refusals []Refusal }
+
+// Refusal counts refused requests of one team, queue and kind.
+type Refusal struct {
+	Team  model.TeamID
+	Queue model.QueueID
+	Kind  problem.Kind
+	Count uint64
+}
+
 // TargetReported is an announcement that a target sent to this host.
 type TargetReported struct{ Report message.TargetReport }
 
@@ -83,6 +96,7 @@
 	Query uint64       // returned with the answer
 	Task  model.TaskID // the task to describe, or empty for the whole system
 	Team  model.TeamID // the team that asks for the task
+	Burn  bool         // ask for the source of the burn report instead
 }
 
 // StopRequested begins the graceful stop of this process.
@@ -95,6 +109,7 @@
 func (RequestArrived) event()   {}
 func (RequestAbandoned) event() {}
 func (ForwardEnded) event()     {}
+func (RequestsRefused) event()  {}
 func (TargetReported) event()   {}
 func (WorkerReported) event()   {}
 func (CommandSubmitted) event() {}
--- a/core/fleet/apply.go
+++ b/core/fleet/apply.go
@@ -75,6 +75,8 @@
 		return s.endTask(c.EndTask)
 	case c.CancelTask != nil:
 		return s.cancelTask(c.CancelTask)
+	case c.RecordBurn != nil:
+		return s.recordBurn(c.RecordBurn)
 	}
 	return refused(problem.BadRequest, "the command is empty")
 }
--- a/core/fleet/command.go
+++ b/core/fleet/command.go
@@ -32,6 +32,7 @@
 	PlaceTask      *PlaceTask      `json:"place_task,omitempty"`
 	EndTask        *EndTask        `json:"end_task,omitempty"`
 	CancelTask     *CancelTask     `json:"cancel_task,omitempty"`
+	RecordBurn     *RecordBurn     `json:"record_burn,omitempty"`
 }
 
 // ApplyRules replaces the configuration if Base is the current revision.
--- a/core/fleet/config.go
+++ b/core/fleet/config.go
@@ -46,6 +46,7 @@
 }
 
 func (s *State) acceptRules(c *ApplyRules) {
+	earlier := s.Rules
 	s.Rules = c.Rules.Clone()
 	s.RulesHash = c.Hash
 	s.ControlIndex = s.Index
@@ -53,6 +54,7 @@
 	if excess := len(s.Accepted) - acceptedKept; excess > 0 {
 		s.Accepted = append([]AcceptedRules(nil), s.Accepted[excess:]...)
 	}
+	s.noteRules(earlier)
 }
 
 // rulesFaults returns what is wrong with the rules of c in themselves and
--- a/core/fleet/hosts.go
+++ b/core/fleet/hosts.go
@@ -160,9 +160,11 @@
 }
 
 func (s *State) setHost(id model.HostID, host Host) {
-	if earlier, ok := s.Hosts[id]; ok {
+	earlier, ok := s.Hosts[id]
+	if ok {
 		s.index.removeHost(earlier)
 	}
 	s.Hosts[id] = host
 	s.index.addHost(host)
+	s.noteHost(earlier, host)
 }
--- a/core/fleet/state.go
+++ b/core/fleet/state.go
@@ -4,6 +4,7 @@
 package fleet
 
 import (
+	"primrosedale.example/primrosedale/core/burn"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/rules"
 )
@@ -30,6 +31,8 @@
 	Tasks   map[model.TaskID]*Task           `json:"tasks"`
 	Recent  map[model.CommandID]RecentResult `json:"recent"` // results kept for resends
 
+	Burn burn.History `json:"burn"` // counts of ended requests, and what happened to the fleet
+
 	// ClaimList carries Claims in encoded snapshots, because the key of Claims
 	// is not a string.
 	ClaimList []*ClaimRecord `json:"claims,omitempty"`
--- /dev/null
+++ b/core/gateway/burn.go
@@ -0,0 +1,38 @@
+package gateway
+
+import (
+	"primrosedale.example/primrosedale/core/burn"
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// End is the end of one request whose caller was waiting.
+type End struct {
+	Team  model.TeamID
+	Queue model.QueueID
+	Cause burn.Cause
+}
+
+// TakeEnds returns the ends since the last call. Requests whose caller has
+// gone have none.
+func (t *Table) TakeEnds() []End {
+	ends := t.ends
+	t.ends = nil
+	return ends
+}
+
+// countEnd notes how a request ends that is answered with a.
+func (t *Table) countEnd(h *held, a effect.AnswerRequest) {
+	cause := burn.Failed
+	switch {
+	case a.Problem != nil:
+		cause = burn.OfProblem(a.Problem.Kind)
+	case a.Answer != nil:
+		cause = burn.OfAnswer(a.Answer.Status, false)
+	case h.done != nil:
+		cause = burn.OfAnswer(h.done.Status, h.late)
+	}
+	if cause != burn.NotCounted {
+		t.ends = append(t.ends, End{Team: h.req.Team, Queue: h.req.Queue, Cause: cause})
+	}
+}
--- a/core/gateway/table.go
+++ b/core/gateway/table.go
@@ -42,6 +42,7 @@
 	stopping bool
 	held     map[model.RequestID]*held
 	due      *pq.Queue[model.RequestID, due, *held]
+	ends     []End // not yet taken
 }
 
 type due struct {
@@ -66,6 +67,7 @@
 	mayRan   bool       // an attempt ended with an unknown outcome
 	answered bool       // the caller has its answer, or has gone
 	gone     bool       // the caller has gone
+	late     bool       // the latest attempt began after the deadline
 	run      message.Forwarded
 	runUntil model.Time // deadline of the running attempt
 	done     *message.Done
@@ -119,7 +121,8 @@
 // Arrive accepts a request and asks the owner for a target.
 func (t *Table) Arrive(now model.Time, r event.Request) []effect.Effect {
 	if t.stopping {
-		return refuse(r.ID, problem.New(problem.Stopping, "the host is stopping"))
+		h := &held{req: r}
+		return t.answer(h, effect.AnswerRequest{Request: r.ID, Problem: problem.New(problem.Stopping, "the host is stopping")})
 	}
 	if t.held[r.ID] != nil {
 		return nil
@@ -202,6 +205,7 @@
 	h.phase = forwarded
 	h.attempt = d.Attempt
 	h.done = nil
+	h.late = now > h.deadline
 	h.runUntil = now.Add(d.MaxRun)
 	h.run = message.Forwarded{
 		Request: d.Request, Attempt: d.Attempt, Team: h.req.Team, Queue: h.req.Queue,
@@ -230,9 +234,9 @@
 	}
 	t.remove(h)
 	if r.Answer != nil {
-		return []effect.Effect{effect.AnswerRequest{Request: r.Request, Answer: r.Answer}}
+		return t.answer(h, effect.AnswerRequest{Request: r.Request, Answer: r.Answer})
 	}
-	return refuse(r.Request, h.truthful(r.Problem))
+	return t.answer(h, effect.AnswerRequest{Request: r.Request, Problem: h.truthful(r.Problem)})
 }
 
 // truthful replaces a refusal that says "not run" when an attempt may have run.
@@ -387,6 +391,7 @@
 		return nil
 	}
 	h.answered = true
+	t.countEnd(h, a)
 	return []effect.Effect{a}
 }
 
@@ -425,7 +430,3 @@
 	slices.Sort(ids)
 	return ids
 }
-
-func refuse(id model.RequestID, p *problem.Problem) []effect.Effect {
-	return []effect.Effect{effect.AnswerRequest{Request: id, Problem: p}}
-}
--- a/core/leader.go
+++ b/core/leader.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"primrosedale.example/primrosedale/core/burn"
 	"primrosedale.example/primrosedale/core/consensus"
 	"primrosedale.example/primrosedale/core/dispatch"
 	"primrosedale.example/primrosedale/core/effect"
@@ -28,6 +29,7 @@
 		term:    status.Term,
 		granter: lease.NewGranter(s.now, status.Term),
 		members: memberHosts(s.fleet),
+		burn:    burn.NewCollector(burn.Leader{Host: s.cfg.Host, Term: status.Term}),
 	}
 	s.leading.granter.ControlChanged(s.now, s.fleet.ControlIndex)
 	s.leading.owner = dispatch.New(s.env(), status.Term)
@@ -44,6 +46,7 @@
 		s.emit(effect.Log{Code: effect.RulesInForce, Index: s.fleet.ControlIndex})
 	}
 	s.asOwner(func(env dispatch.Env, out *dispatch.Out) { s.leading.owner.Advance(env, out) })
+	s.recordBurn()
 }
 
 // asOwner lets the owner of the queues handle something and carries out what
@@ -95,6 +98,7 @@
 		s.log.Propose(fleet.Command{At: s.now, AddMember: &fleet.AddMember{Host: from, DataCentre: r.DataCentre}})
 		return
 	}
+	s.leading.burn.Received(burn.Process{Host: from, Incarnation: r.Incarnation}, r.Burn)
 	earlier := s.leading.granter.Session(from)
 	restarted := earlier != nil && earlier.Incarnation != r.Incarnation
 	s.asOwner(func(env dispatch.Env, _ *dispatch.Out) {
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -3,6 +3,7 @@
 package message
 
 import (
+	"primrosedale.example/primrosedale/core/burn"
 	"primrosedale.example/primrosedale/core/consensus"
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/model"
@@ -43,6 +44,8 @@
 	// Grant of the term; afterwards it is left out.
 	Forwarded []Forwarded `json:"forwarded,omitempty"`
 	Full      bool        `json:"full,omitempty"` // Forwarded is complete
+	// Burn is all counts of ended requests that are not recorded, or nothing.
+	Burn []burn.Batch `json:"burn,omitempty"`
 }
 
 // Forwarded is a request that may be running on a target.
--- a/core/reduce.go
+++ b/core/reduce.go
@@ -19,6 +19,7 @@
 	}
 	s.handle(in.Event)
 	s.settle()
+	s.countEnds()
 	s.publish()
 	return s.out
 }
@@ -39,6 +40,8 @@
 		s.emit(s.table.Abandon(s.now, e.Request)...)
 	case event.ForwardEnded:
 		s.emit(s.table.Ended(s.now, e)...)
+	case event.RequestsRefused:
+		s.countRefusals(e.Refusals)
 	case event.TargetReported:
 		s.report(e.Report.Report, message.Message{TargetReport: &e.Report})
 	case event.WorkerReported:
@@ -127,6 +130,7 @@
 	if r.Full {
 		r.Forwarded = s.table.Forwarded(s.now)
 	}
+	r.Burn = s.burn.Due(s.now, r.Term)
 	s.send(leader, message.Message{Renew: r})
 }
 
--- a/core/state.go
+++ b/core/state.go
@@ -12,6 +12,7 @@
 import (
 	"slices"
 
+	"primrosedale.example/primrosedale/core/burn"
 	"primrosedale.example/primrosedale/core/consensus"
 	"primrosedale.example/primrosedale/core/dispatch"
 	"primrosedale.example/primrosedale/core/effect"
@@ -58,6 +59,8 @@
 	holder  *lease.Holder
 	table   *gateway.Table
 	leading *leadership // nil unless this process leads
+	burn    *burn.Sender
+	burnFor countedWork // what is counted under the rules of this host
 
 	pending  map[model.CommandID]*pendingCommand
 	stopping bool
@@ -85,7 +88,8 @@
 	granter *lease.Granter
 	owner   *dispatch.Owner
 	members []model.HostID // sorted
-	inForce uint64         // the last change of rules or keys reported as in force
+	burn    *burn.Collector
+	inForce uint64 // the last change of rules or keys reported as in force
 }
 
 // New returns the state of a process that starts with what is stored.
@@ -111,6 +115,7 @@
 		fleet:   fleet.New(),
 		holder:  lease.NewHolder(cfg.Incarnation, cfg.DataCentre),
 		table:   gateway.New(cfg.Incarnation),
+		burn:    burn.NewSender(),
 		pending: make(map[model.CommandID]*pendingCommand),
 		view:    &view.View{},
 	}
--- a/core/stop.go
+++ b/core/stop.go
@@ -40,6 +40,7 @@
 	if s.table.Len() > 0 && s.now < s.stopAt.Add(settleGrace) {
 		return
 	}
+	s.sendLastCounts()
 	s.halted = true
 	s.emit(effect.Halt{})
 }
--- a/ctl/parser.go
+++ b/ctl/parser.go
@@ -16,6 +16,7 @@
   primrosedalectl key grant press-desk press --address 127.0.0.1:8301
   primrosedalectl key withdraw press-desk --address 127.0.0.1:8301
   primrosedalectl status --address 127.0.0.1:8301 --output json
+  primrosedalectl report --address 127.0.0.1:8301 --html burn.html
 
 exit codes: 0 done, 1 no answer, 2 usage, 3 refused, 4 faults in the rules,
 5 the rules differ (diff), 6 outcome not known`
@@ -32,7 +33,7 @@
 	parser.String(&p.key, "", "key", "key of the client certificate, PEM")
 	parser.String(&p.authority, "", "authority", "certificate authority of the system, PEM")
 
-	var file, name, team string
+	var file, name, team, page string
 	check := subcommand("check", "read a rules file and list every fault; asks no host")
 	check.AddPositionalValue(&file, "FILE", 1, true, "rules file")
 	diff := subcommand("diff", "compare a rules file with the rules in force; exit code 5 if they differ")
@@ -40,6 +41,8 @@
 	apply := subcommand("apply", "put a rules file in force; its revision must follow the one in force")
 	apply.AddPositionalValue(&file, "FILE", 1, true, "rules file")
 	status := subcommand("status", "show hosts, targets, teams, queues and pools")
+	report := subcommand("report", "show how much of each objective's error budget is spent, and on what")
+	report.String(&page, "", "html", "also write the report to this file as one HTML page")
 	key := subcommand("key", "grant or withdraw a team's key")
 	grant := subcommand("grant", "make a key for a team; it is shown once")
 	grant.AddPositionalValue(&name, "NAME", 1, true, "name of the key, unique")
@@ -48,7 +51,7 @@
 	withdraw.AddPositionalValue(&name, "NAME", 1, true, "name of the key")
 	key.AttachSubcommand(grant, 1)
 	key.AttachSubcommand(withdraw, 1)
-	for _, c := range []*flaggy.Subcommand{check, diff, apply, key, status} {
+	for _, c := range []*flaggy.Subcommand{check, diff, apply, key, status, report} {
 		parser.AttachSubcommand(c, 1)
 	}
 	return parser, []action{
@@ -58,6 +61,7 @@
 		{grant, func(ctx context.Context) error { return p.grant(ctx, name, model.TeamID(team)) }},
 		{withdraw, func(ctx context.Context) error { return p.withdraw(ctx, name) }},
 		{status, p.status},
+		{report, func(ctx context.Context) error { return p.burnReport(ctx, page) }},
 	}
 }
 
--- a/gateway/held.go
+++ b/gateway/held.go
@@ -63,17 +63,20 @@
 	release, ok := s.reserve(r.ContentLength)
 	defer release()
 	if !ok {
+		s.refusals.count(s, r, problem.Overloaded)
 		s.refuse(w, problem.New(problem.Overloaded, ""), id)
 		return
 	}
 	h, request, p := s.accept(w, r, id)
 	if p != nil {
+		s.refusals.count(s, r, p.Kind)
 		s.refuse(w, p, id)
 		return
 	}
 	s.requests.Store(id, h)
 	defer s.requests.Delete(id)
 	if !s.control.Post(event.RequestArrived{Request: request}) {
+		s.refusals.count(s, r, problem.Overloaded)
 		s.refuse(w, problem.New(problem.Overloaded, ""), id)
 		return
 	}
--- /dev/null
+++ b/gateway/refusals.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"goji.io/pat"
+
+	"primrosedale.example/primrosedale/core/burn"
+	"primrosedale.example/primrosedale/core/event"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/problem"
+	"primrosedale.example/primrosedale/gateway/reply"
+)
+
+// refusalDelay is the time in which refusals gather before they are counted. A
+// host refuses on the traffic side when it is overloaded, and an event for each
+// refusal would add to the load.
+const refusalDelay = time.Second
+
+type refusalKey struct {
+	team  model.TeamID
+	queue model.QueueID
+	kind  problem.Kind
+}
+
+// refusals counts the requests that were refused before the reducer saw them.
+// Only traffic goroutines take the lock.
+type refusals struct {
+	mu     sync.Mutex
+	counts map[refusalKey]uint64
+}
+
+// count counts a refusal that spends error budget. A request without a key in
+// force, or for a queue that does not exist, belongs to no team.
+func (f *refusals) count(s *Server, r *http.Request, kind problem.Kind) {
+	if burn.OfProblem(kind) == burn.NotCounted {
+		return
+	}
+	queue := model.QueueID(pat.Param(r, "queue"))
+	digest, p := reply.BearerDigest(r)
+	if p != nil {
+		return
+	}
+	team, p := teamOfQueue(s.control.View(), queue, digest)
+	if p != nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.counts) == 0 {
+		f.counts = make(map[refusalKey]uint64)
+		time.AfterFunc(refusalDelay, func() { f.post(s) })
+	}
+	f.counts[refusalKey{team, queue, kind}]++
+}
+
+// post hands the counts to the reducer.
+func (f *refusals) post(s *Server) {
+	f.mu.Lock()
+	counts := f.counts
+	f.counts = nil
+	f.mu.Unlock()
+	var e event.RequestsRefused
+	for key, n := range counts {
+		e.Refusals = append(e.Refusals, event.Refusal{Team: key.team, Queue: key.queue, Kind: key.kind, Count: n})
+	}
+	if !s.control.PostWait(s.ctx, e) {
+		s.log.Warn().Int("kinds", len(e.Refusals)).Msg("refusals not counted: process is stopping")
+	}
+}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -97,6 +97,7 @@
 	heldBytes atomic.Int64
 	counter   atomic.Uint64
 	attempts  sync.WaitGroup
+	refusals  refusals
 
 	commands pending.Table[model.CommandID, fleet.Result]
 	statuses pending.Table[uint64, effect.AnswerStatus]
--- a/operator/client/client.go
+++ b/operator/client/client.go
@@ -18,6 +18,7 @@
 	"github.com/google/uuid"
 	"github.com/juju/errors"
 
+	"primrosedale.example/primrosedale/core/burn"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/problem"
 	"primrosedale.example/primrosedale/core/view"
@@ -96,6 +97,12 @@
 	return &a, c.try(ctx, http.MethodGet, "/v1/rules", nil, &a)
 }
 
+// Report returns the burn report of the host that answers. Every host has it.
+func (c *Client) Report(ctx context.Context) (*burn.Report, error) {
+	var r burn.Report
+	return &r, c.try(ctx, http.MethodGet, "/v1/report", nil, &r)
+}
+
 // Apply submits a rules file whose revision follows base. A lost answer is
 // asked for again with the same id.
 func (c *Client) Apply(ctx context.Context, f *rulesfile.File) (*operator.ChangeAnswer, error) {
--- a/operator/server.go
+++ b/operator/server.go
@@ -72,6 +72,7 @@
 	mux.HandleFunc(pat.Get("/readyz"), s.readyz)
 	mux.HandleFunc(pat.Get("/metrics"), s.metrics)
 	mux.HandleFunc(pat.Get("/v1/status"), s.authorized(s.showStatus))
+	mux.HandleFunc(pat.Get("/v1/report"), s.authorized(s.showReport))
 	mux.HandleFunc(pat.Get("/v1/rules"), s.authorized(s.showRules))
 	mux.HandleFunc(pat.Post("/v1/rules"), s.authorized(s.applyRules))
 	mux.HandleFunc(pat.Post("/v1/keys"), s.authorized(s.grantKey))
--- /dev/null
+++ b/report/html.go
@@ -0,0 +1,79 @@
+package report
+
+import (
+	_ "embed"
+	"fmt"
+	"html/template"
+	"io"
+
+	"primrosedale.example/primrosedale/core/burn"
+)
+
+//go:embed page.html
+var pageText string
+
+var pageTemplate = template.Must(template.New("page").Funcs(template.FuncMap{
+	"time": timeText, "period": periodText, "until": untilText,
+}).Parse(pageText))
+
+// page is what the template shows.
+type page struct {
+	Headline Headline
+	At       string
+	Recorded string
+	Revision uint64
+	Rows     []row
+	Periods  []burn.Period // newest first
+	Notes    []string
+}
+
+// row is one objective, with all values as text.
+type row struct {
+	Name, Team, Service string
+	State               burn.State
+	StateText           string
+	Wanted, Good        string
+	Requests            uint64
+	BudgetLeft          string
+	Filled              string // of the budget bar, in percent
+	BurnShort, BurnLong string
+	HotShort, HotLong   bool
+	Window              string
+	SpentOn             string
+	Plot                *plot // nil without work
+}
+
+// HTML writes the report as one page that refers to nothing outside of it. It
+// returns the error of out.
+func HTML(out io.Writer, r *burn.Report) error {
+	p := page{
+		Headline: headline(r),
+		At:       fullTimeText(r.At),
+		Recorded: fullTimeText(r.Recorded),
+		Revision: r.Revision,
+		Notes:    notes,
+	}
+	for _, l := range worstFirst(r.Lines) {
+		p.Rows = append(p.Rows, newRow(l, r))
+	}
+	for i := len(r.Periods) - 1; i >= 0; i-- {
+		p.Periods = append(p.Periods, r.Periods[i])
+	}
+	return pageTemplate.Execute(out, p)
+}
+
+func newRow(l burn.Line, r *burn.Report) row {
+	return row{
+		Name: l.Name, Team: string(l.Team), Service: string(l.Service),
+		State: l.State, StateText: stateTexts[l.State],
+		Wanted: percent(l.Wanted, l.Wanted), Good: percent(l.Good, l.Wanted),
+		Requests:   l.Counts.Total(),
+		BudgetLeft: budgetText(l.BudgetLeft),
+		Filled:     fmt.Sprintf("%.0f", 100*min(1, max(0, l.BudgetLeft))),
+		BurnShort:  burnText(l.BurnShort), BurnLong: burnText(l.BurnLong),
+		HotShort: l.BurnShort > 1, HotLong: l.BurnLong > 1,
+		Window:  windowText(l.Window),
+		SpentOn: spentOn(l.Counts),
+		Plot:    newPlot(l, r),
+	}
+}
--- /dev/null
+++ b/report/plot.go
@@ -0,0 +1,169 @@
+package report
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"primrosedale.example/primrosedale/core/burn"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// The measures of a plot, in SVG units.
+const (
+	plotWidth  = 900
+	plotHeight = 190
+	plotLeft   = 52  // axis labels
+	plotRight  = 812 // label of the last value
+	plotTop    = 30  // names of periods
+	plotBottom = 164 // times
+	bandMin    = 3   // the shortest band that can be seen
+	nameWidth  = 6.2 // of one character, about
+	lowest     = -1  // budget left at the lower end at most
+	markLength = 14
+	timeTicks  = 6
+)
+
+// plot is the budget left of one objective over its window, as the template
+// draws it.
+type plot struct {
+	Width, Height, Left, Right, Top, Bottom int
+	Inner                                   int // height between Top and Bottom
+	MarkTop                                 int // upper end of marks
+	Title                                   string
+	Line                                    string // path of the budget left
+	Bands                                   []band
+	Marks                                   []mark
+	Levels                                  []label
+	Times                                   []label
+	Zero                                    string
+	End                                     label
+	Over                                    bool // the budget is overspent
+}
+
+// band is a wave or a time without a data centre.
+type band struct {
+	X, Width string
+	Kind     burn.PeriodKind
+	Name     string
+	NameX    string // empty if there is no room for the name
+	Title    string
+}
+
+// mark is a moment: hosts lost, or a change of leader.
+type mark struct {
+	X     string
+	Kind  burn.PeriodKind
+	Title string
+}
+
+type label struct{ X, Y, Text string }
+
+// scale maps times and budgets to SVG units.
+type scale struct {
+	from, until model.Time
+	low         float64
+}
+
+func (s scale) x(t model.Time) float64 {
+	t = min(max(t, s.from), s.until)
+	return plotLeft + (plotRight-plotLeft)*float64(t-s.from)/float64(s.until-s.from)
+}
+
+func (s scale) y(left float64) float64 {
+	left = max(left, s.low)
+	return plotTop + (plotBottom-plotTop)*(1-left)/(1-s.low)
+}
+
+func units(v float64) string { return fmt.Sprintf("%.1f", v) }
+
+// newPlot draws an objective, or returns nil if there is nothing to draw.
+func newPlot(l burn.Line, r *burn.Report) *plot {
+	if len(l.Points) == 0 {
+		return nil
+	}
+	s := scale{from: r.At.Add(-l.Window), until: r.At, low: max(lowest, min(-0.1, l.BudgetLeft*1.1))}
+	p := &plot{
+		Width: plotWidth, Height: plotHeight,
+		Left: plotLeft, Right: plotRight, Top: plotTop, Bottom: plotBottom,
+		Inner: plotBottom - plotTop, MarkTop: plotBottom - markLength,
+		Title: fmt.Sprintf("Budget left of %s over %s", l.Name, windowText(l.Window)),
+		Line:  path(l.Points, s),
+		Zero:  units(s.y(0)),
+		End:   label{units(plotRight + 6), units(s.y(l.BudgetLeft) + 4), fmt.Sprintf("%.0f%%", l.BudgetLeft*100)},
+		Over:  l.BudgetLeft < 0,
+	}
+	p.levels(s)
+	p.times(s)
+	p.periods(s, r.Periods)
+	return p
+}
+
+// path draws steps: the budget is spent in the bucket that ends at each point.
+func path(points []burn.Point, s scale) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "M%s,%s", units(s.x(points[0].At)), units(s.y(points[0].Left)))
+	for _, p := range points[1:] {
+		fmt.Fprintf(&b, "H%sV%s", units(s.x(p.At)), units(s.y(p.Left)))
+	}
+	fmt.Fprintf(&b, "H%s", units(plotRight))
+	return b.String()
+}
+
+func (p *plot) levels(s scale) {
+	for _, left := range []float64{1, 0.5, 0, -0.5, -1} {
+		if left >= s.low {
+			p.Levels = append(p.Levels, label{units(plotLeft - 6), units(s.y(left)), fmt.Sprintf("%.0f%%", left*100)})
+		}
+	}
+}
+
+func (p *plot) times(s scale) {
+	format := "15:04"
+	if s.until.Sub(s.from) > 24*model.Hour {
+		format = "2 Jan"
+	}
+	for i := range timeTicks + 1 {
+		at := s.from + (s.until-s.from)*model.Time(i)/timeTicks
+		text := time.Unix(0, int64(at)).UTC().Format(format)
+		p.Times = append(p.Times, label{units(s.x(at)), units(plotBottom + 16), text})
+	}
+}
+
+// periods marks what happened in the window. Names are left out where an
+// earlier name takes the room; the title of each band has it as well.
+func (p *plot) periods(s scale, list []burn.Period) {
+	free := float64(plotLeft)
+	for _, e := range list {
+		until := e.Until
+		if until == 0 {
+			until = s.until
+		}
+		if until < s.from || e.From > s.until {
+			continue
+		}
+		title := fmt.Sprintf("%s, %s %s", periodText(e), timeText(e.From), untilText(e))
+		if e.Kind == burn.PeriodHostsLost || e.Kind == burn.PeriodLeader {
+			p.Marks = append(p.Marks, mark{units(s.x(e.From)), e.Kind, title})
+			continue
+		}
+		x, end := s.x(e.From), s.x(until)
+		b := band{X: units(x), Width: units(max(bandMin, end-x)), Kind: e.Kind, Name: bandName(e), Title: title}
+		nameX := min(x, plotRight-nameWidth*float64(len(b.Name)))
+		if nameX >= free {
+			b.NameX = units(nameX)
+			free = nameX + nameWidth*float64(len(b.Name)+1)
+		}
+		p.Bands = append(p.Bands, b)
+	}
+}
+
+func bandName(p burn.Period) string {
+	switch p.Kind {
+	case burn.PeriodCentreOut:
+		return p.Name + " out"
+	case burn.PeriodCentreLost:
+		return p.Name + " lost"
+	}
+	return p.Name
+}
--- /dev/null
+++ b/report/words.go
@@ -0,0 +1,216 @@
+// Package report renders the burn report as a table for terminals and as one
+// self-contained HTML page.
+package report
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"primrosedale.example/primrosedale/core/burn"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// Headline is the answer at the top of a report.
+type Headline struct {
+	Answer string // yes, no, or that there is nothing to judge
+	Detail []string
+	State  burn.State
+}
+
+// headline answers whether every team's work was carried on time.
+func headline(r *burn.Report) Headline {
+	missed := withState(r, burn.Missed)
+	risk := withState(r, burn.AtRisk)
+	idle := withState(r, burn.NoWork)
+	h := Headline{State: burn.Met}
+	switch {
+	case len(r.Lines) == 0:
+		return Headline{Answer: "No objective is set.", State: burn.NoWork}
+	case len(idle) == len(r.Lines):
+		return Headline{Answer: "No work was counted yet.", State: burn.NoWork}
+	case len(missed) > 0:
+		h.Answer, h.State = "No.", burn.Missed
+	default:
+		h.Answer = "Yes."
+	}
+	for _, l := range missed {
+		h.Detail = append(h.Detail, fmt.Sprintf("%s: %s of its work was good, %s was wanted over %s; most of the rest was %s.",
+			l.Name, percent(l.Good, l.Wanted), percent(l.Wanted, l.Wanted), windowText(l.Window), causeText(l.Main)))
+	}
+	if len(risk) > 0 {
+		h.State = worse(h.State, burn.AtRisk)
+		h.Detail = append(h.Detail, "At risk, because the budget is burning faster than it lasts: "+names(risk)+".")
+	}
+	if len(idle) > 0 {
+		h.Detail = append(h.Detail, "Without work in the window: "+names(idle)+".")
+	}
+	return h
+}
+
+func withState(r *burn.Report, state burn.State) []burn.Line {
+	var out []burn.Line
+	for _, l := range worstFirst(r.Lines) {
+		if l.State == state {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+func names(lines []burn.Line) string {
+	var out []string
+	for _, l := range lines {
+		out = append(out, l.Name)
+	}
+	return strings.Join(out, ", ")
+}
+
+var severity = map[burn.State]int{burn.Missed: 3, burn.AtRisk: 2, burn.Met: 1, burn.NoWork: 0}
+
+func worse(a, b burn.State) burn.State {
+	if severity[a] >= severity[b] {
+		return a
+	}
+	return b
+}
+
+// worstFirst returns the lines in the order in which they need attention.
+func worstFirst(lines []burn.Line) []burn.Line {
+	return slices.SortedStableFunc(slices.Values(lines), func(a, b burn.Line) int {
+		if d := severity[b.State] - severity[a.State]; d != 0 {
+			return d
+		}
+		switch {
+		case a.BudgetLeft < b.BudgetLeft:
+			return -1
+		case a.BudgetLeft > b.BudgetLeft:
+			return 1
+		}
+		return 0
+	})
+}
+
+var stateTexts = map[burn.State]string{
+	burn.Met: "met", burn.AtRisk: "at risk", burn.Missed: "missed", burn.NoWork: "no work",
+}
+
+func causeText(c burn.Cause) string {
+	if c == burn.Unknown {
+		return "of unknown outcome"
+	}
+	return string(c)
+}
+
+// spentOn lists what spent the budget, largest first.
+func spentOn(c burn.Counts) string {
+	causes := slices.SortedStableFunc(slices.Values(burn.BadCauses), func(a, b burn.Cause) int {
+		return int(c.Of(b)) - int(c.Of(a))
+	})
+	var out []string
+	for _, cause := range causes {
+		if n := c.Of(cause); n > 0 {
+			out = append(out, fmt.Sprintf("%d %s", n, causeText(cause)))
+		}
+	}
+	if len(out) == 0 {
+		return "nothing"
+	}
+	return strings.Join(out, ", ")
+}
+
+// percent returns a fraction with enough digits to tell it from the objective
+// that it is compared with: two digits of the part that may be bad. It cuts
+// instead of rounding, so that a missed objective never looks met.
+func percent(fraction, objective float64) string {
+	digits := 1
+	for bad := (1 - objective) * 100; bad < 0.9 && digits < 6; bad *= 10 {
+		digits++
+	}
+	scale := 1.0
+	for range digits {
+		scale *= 10
+	}
+	cut := float64(int64(fraction*100*scale+1e-6)) / scale
+	return fmt.Sprintf("%.*f%%", digits, cut)
+}
+
+// budgetText returns the budget left; below zero it says how much too much was
+// spent.
+func budgetText(left float64) string {
+	if left < 0 {
+		return fmt.Sprintf("overspent by %.0f%%", max(1, -left*100))
+	}
+	return fmt.Sprintf("%.0f%%", left*100)
+}
+
+func burnText(rate float64) string { return fmt.Sprintf("%.1f×", rate) }
+
+func windowText(d model.Duration) string {
+	hours := int(d / model.Hour)
+	if hours%24 == 0 && hours > 24 {
+		return fmt.Sprintf("%d days", hours/24)
+	}
+	return fmt.Sprintf("%d h", hours)
+}
+
+func timeText(t model.Time) string {
+	if t == 0 {
+		return "earlier"
+	}
+	return time.Unix(0, int64(t)).UTC().Format("2 Jan 15:04")
+}
+
+func fullTimeText(t model.Time) string {
+	if t == 0 {
+		return "never"
+	}
+	return time.Unix(0, int64(t)).UTC().Format("2 January 2006 15:04:05 UTC")
+}
+
+// periodText describes a period in one line.
+func periodText(p burn.Period) string {
+	switch p.Kind {
+	case burn.PeriodWave:
+		text := "wave " + p.Name
+		if p.Stopped {
+			text += " (stopped)"
+		}
+		return text
+	case burn.PeriodCentreOut:
+		return "data centre " + p.Name + " taken out of service"
+	case burn.PeriodCentreLost:
+		return "data centre " + p.Name + " lost"
+	case burn.PeriodHostsLost:
+		return fmt.Sprintf("%s lost in data centre %s", plural(p.Count, "host"), p.Name)
+	case burn.PeriodLeader:
+		return fmt.Sprintf("%s of leader, to %s", plural(p.Count, "change"), p.Name)
+	}
+	return string(p.Kind) + " " + p.Name
+}
+
+func plural(n int, noun string) string {
+	if n == 1 {
+		return "1 " + noun
+	}
+	return fmt.Sprintf("%d %ss", n, noun)
+}
+
+func untilText(p burn.Period) string {
+	switch {
+	case p.Until == 0:
+		return "still"
+	case p.Until == p.From:
+		return ""
+	}
+	return timeText(p.Until)
+}
+
+// notes says what the figures cover.
+var notes = []string{
+	"A request is good if it was answered whole, was started within its patience and got no server error. Each counts once, at its end.",
+	"Refusals that are the caller's own fault, requests whose caller went away, and tasks are not counted.",
+	"A host that crashes loses the counts that it had not yet passed on: about the last 5 seconds, up to 20 if the leader is lost with it. Counts appear here after up to 20 seconds.",
+	"Burn 1.0× spends the error budget exactly within the window. The plots show the budget of the work of the whole window, and how bad work has spent it.",
+}
