--- /dev/null
+++ b/core/burn/counts_test.go
@@ -0,0 +1,48 @@
+package burn
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/problem"
+)
+
+// Guards against an error kind that nobody has assigned to a cause: a new kind
+// in the closed list makes this test fail until it is listed here.
+func TestEveryProblemHasACause(t *testing.T) {
+	want := map[problem.Kind]Cause{
+		problem.BadRequest: NotCounted, problem.BodyTooLarge: NotCounted, problem.KeyMissing: NotCounted,
+		problem.KeyRejected: NotCounted, problem.UnknownQueue: NotCounted, problem.UnknownTask: NotCounted,
+		problem.UnknownTeam: NotCounted, problem.KeyReused: NotCounted, problem.InProgress: NotCounted,
+		problem.RevisionConflict: NotCounted, problem.RulesRejected: NotCounted, problem.UnknownKey: NotCounted,
+		problem.TaskRejected: NotCounted, problem.PlanRejected: NotCounted, problem.UnknownHost: NotCounted,
+		problem.AnnouncementInvalid: NotCounted,
+		problem.Overloaded:          Refused, problem.NoLeader: Refused, problem.NoLease: Refused,
+		problem.NoTarget: Refused, problem.Stopping: Refused,
+		problem.PatienceExceeded: Late,
+		problem.RetriesExhausted: Lost, problem.AnswerNotRetained: Lost,
+		problem.OutcomeUnknown: Unknown, problem.CommandUnknown: Unknown,
+		problem.DeadlineExceeded: Failed, problem.AnswerTooLarge: Failed, problem.Internal: Failed,
+	}
+	require.Len(t, want, problem.Kinds())
+	for kind, cause := range want {
+		require.Equal(t, cause, OfProblem(kind), kind)
+	}
+}
+
+// Guards against counting a caller's error as ours, and a server error or a
+// late start as good.
+func TestCauseOfAnswer(t *testing.T) {
+	cases := []struct {
+		status int
+		late   bool
+		want   Cause
+	}{
+		{200, false, Good}, {404, false, Good}, {499, false, Good},
+		{200, true, Late}, {500, false, Failed}, {503, true, Failed},
+	}
+	for _, c := range cases {
+		require.Equal(t, c.want, OfAnswer(c.status, c.late), c)
+	}
+}
--- a/core/fleet/burn.go
+++ b/core/fleet/burn.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 
@@ -66,8 +65,7 @@
 	s.noteEndedWaves()
 }
 
-// noteEndedWaves notes the waves whose last host has the image. It looks at
-// all hosts, so it is called only when a host has finished a step of a wave.
+// noteEndedWaves notes the waves whose last host has the image.
 func (s *State) noteEndedWaves() {
 	for _, name := range slices.Sorted(maps.Keys(s.Rules.Waves)) {
 		if !slices.Contains(s.Burn.Ended, name) && s.waveDone(s.Rules.Waves[name]) {
@@ -78,47 +76,61 @@
 }
 
 func (s *State) waveDone(w rules.Wave) bool {
-	hosts := 0
-	for _, host := range s.Hosts {
-		if !slices.Contains(w.Pools, host.Pool) {
-			continue
-		}
-		if host.Phase != HostServing || host.Image != w.Image {
-			return false
-		}
-		hosts++
+	hosts, done := 0, 0
+	for _, pool := range w.Pools {
+		hosts += s.index.pools[pool].hosts
+		done += s.index.images[poolImage{pool, w.Image}]
 	}
-	return hosts > 0
+	return hosts > 0 && hosts == done
 }
 
 // noteHost notes what the change of one host means for the fleet.
 func (s *State) noteHost(earlier, host Host) {
 	if earlier.Up != host.Up {
-		s.noteUp(earlier, host)
+		s.noteUp(host)
 	}
-	returned := earlier.Phase != HostServing && host.Phase == HostServing
-	if returned || earlier.Image != host.Image {
+	if earlier.Phase != host.Phase || earlier.Image != host.Image {
 		s.noteEndedWaves()
 	}
 }
 
-// noteUp notes hosts that are lost, and data centres that are lost or back. It
-// looks at all hosts; a host goes down or comes up a few dozen times a day.
-func (s *State) noteUp(earlier, host Host) {
+// noteUp notes hosts that are lost, and data centres that are lost or back.
+func (s *State) noteUp(host Host) {
 	lost := 0
 	if !host.Up && host.Phase != HostRebooting {
 		lost = 1
 	}
-	centre := cmp.Or(host.DataCentre, earlier.DataCentre)
-	up, known := 0, 0
-	for _, h := range s.Hosts {
-		if h.DataCentre != centre {
-			continue
-		}
-		known++
-		if h.Up {
-			up++
-		}
+	up, known := s.index.up[host.DataCentre], s.index.known[host.DataCentre]
+	s.Burn.HostUp(s.Burn.Wall(s.Now), host.DataCentre, lost, up, known)
+}
+
+type poolImage struct {
+	pool  model.PoolID
+	image string
+}
+
+// hostCounts is the part of the index that shows the end of a wave and the
+// loss of a data centre without a scan of all hosts.
+type hostCounts struct {
+	images counter[poolImage]          // hosts in service with an image
+	known  counter[model.DataCentreID] // hosts
+	up     counter[model.DataCentreID] // hosts that are up
+}
+
+func newHostCounts() hostCounts {
+	return hostCounts{
+		images: make(counter[poolImage]),
+		known:  make(counter[model.DataCentreID]),
+		up:     make(counter[model.DataCentreID]),
+	}
+}
+
+func (c *hostCounts) count(host Host, n int) {
+	c.known.add(host.DataCentre, n)
+	if host.Up {
+		c.up.add(host.DataCentre, n)
+	}
+	if host.Phase == HostServing {
+		c.images.add(poolImage{host.Pool, host.Image}, n)
 	}
-	s.Burn.HostUp(s.Burn.Wall(s.Now), centre, lost, up, known)
 }
--- a/core/fleet/index.go
+++ b/core/fleet/index.go
@@ -31,6 +31,7 @@
 	endedTasks fifo[model.TaskID]
 
 	pools map[model.PoolID]poolCount
+	hostCounts
 }
 
 // poolCount counts the hosts of one pool.
@@ -63,6 +64,7 @@
 		teamTasks:  make(counter[model.TeamID]),
 		poolTasks:  make(counter[model.PoolID]),
 		pools:      make(map[model.PoolID]poolCount),
+		hostCounts: newHostCounts(),
 	}
 }
 
@@ -187,6 +189,7 @@
 		count.unavailable += n
 	}
 	x.setPool(host.Pool, count)
+	x.hostCounts.count(host, n)
 	if host.MoveTo != "" {
 		count = x.pools[host.MoveTo]
 		count.incoming += n
--- a/report/html.go
+++ b/report/html.go
@@ -33,9 +33,9 @@
 	State               burn.State
 	StateText           string
 	Wanted, Good        string
-	Requests            uint64
+	Requests            string
 	BudgetLeft          string
-	Filled              string // of the budget bar, in percent
+	Filled              string // of the budget bar, in percent; empty without work
 	BurnShort, BurnLong string
 	HotShort, HotLong   bool
 	Window              string
@@ -43,6 +43,9 @@
 	Plot                *plot // nil without work
 }
 
+// noValue stands for a figure of an objective without work.
+const noValue = "\u2013"
+
 // HTML writes the report as one page that refers to nothing outside of it. It
 // returns the error of out.
 func HTML(out io.Writer, r *burn.Report) error {
@@ -63,11 +66,11 @@
 }
 
 func newRow(l burn.Line, r *burn.Report) row {
-	return row{
+	out := row{
 		Name: l.Name, Team: string(l.Team), Service: string(l.Service),
 		State: l.State, StateText: stateTexts[l.State],
 		Wanted: percent(l.Wanted, l.Wanted), Good: percent(l.Good, l.Wanted),
-		Requests:   l.Counts.Total(),
+		Requests:   countText(l.Counts.Total()),
 		BudgetLeft: budgetText(l.BudgetLeft),
 		Filled:     fmt.Sprintf("%.0f", 100*min(1, max(0, l.BudgetLeft))),
 		BurnShort:  burnText(l.BurnShort), BurnLong: burnText(l.BurnLong),
@@ -76,4 +79,8 @@
 		SpentOn: spentOn(l.Counts),
 		Plot:    newPlot(l, r),
 	}
+	if l.State == burn.NoWork {
+		out.Good, out.BudgetLeft, out.Filled = noValue, noValue, ""
+	}
+	return out
 }
--- a/report/plot.go
+++ b/report/plot.go
@@ -12,14 +12,16 @@
 // The measures of a plot, in SVG units.
 const (
 	plotWidth  = 900
-	plotHeight = 190
+	plotHeight = 204
 	plotLeft   = 52  // axis labels
 	plotRight  = 812 // label of the last value
-	plotTop    = 30  // names of periods
-	plotBottom = 164 // times
+	plotTop    = 44  // two lines of names of periods
+	plotBottom = 178 // times
 	bandMin    = 3   // the shortest band that can be seen
 	nameWidth  = 6.2 // of one character, about
-	lowest     = -1  // budget left at the lower end at most
+	nameTop    = 20  // base of the first line of names
+	nameHeight = 15
+	lowest     = -1 // budget left at the lower end at most
 	markLength = 14
 	timeTicks  = 6
 )
@@ -47,6 +49,7 @@
 	Kind     burn.PeriodKind
 	Name     string
 	NameX    string // empty if there is no room for the name
+	NameY    string
 	Title    string
 }
 
@@ -120,8 +123,11 @@
 
 func (p *plot) times(s scale) {
 	format := "15:04"
-	if s.until.Sub(s.from) > 24*model.Hour {
+	switch window := s.until.Sub(s.from); {
+	case window > 7*24*model.Hour:
 		format = "2 Jan"
+	case window > 24*model.Hour:
+		format = "2 Jan 15:04"
 	}
 	for i := range timeTicks + 1 {
 		at := s.from + (s.until-s.from)*model.Time(i)/timeTicks
@@ -133,7 +139,7 @@
 // periods marks what happened in the window. Names are left out where an
 // earlier name takes the room; the title of each band has it as well.
 func (p *plot) periods(s scale, list []burn.Period) {
-	free := float64(plotLeft)
+	free := [2]float64{plotLeft, plotLeft} // on each line of names
 	for _, e := range list {
 		until := e.Until
 		if until == 0 {
@@ -150,9 +156,12 @@
 		x, end := s.x(e.From), s.x(until)
 		b := band{X: units(x), Width: units(max(bandMin, end-x)), Kind: e.Kind, Name: bandName(e), Title: title}
 		nameX := min(x, plotRight-nameWidth*float64(len(b.Name)))
-		if nameX >= free {
-			b.NameX = units(nameX)
-			free = nameX + nameWidth*float64(len(b.Name)+1)
+		for i := range free {
+			if nameX >= free[i] {
+				b.NameX, b.NameY = units(nameX), units(nameTop+nameHeight*float64(i))
+				free[i] = nameX + nameWidth*float64(len(b.Name)+1)
+				break
+			}
 		}
 		p.Bands = append(p.Bands, b)
 	}
--- a/report/words.go
+++ b/report/words.go
@@ -31,9 +31,10 @@
 	case len(idle) == len(r.Lines):
 		return Headline{Answer: "No work was counted yet.", State: burn.NoWork}
 	case len(missed) > 0:
-		h.Answer, h.State = "No.", burn.Missed
+		h.State = burn.Missed
+		h.Answer = fmt.Sprintf("No: %d of %s missed.", len(missed), plural(len(r.Lines), "objective"))
 	default:
-		h.Answer = "Yes."
+		h.Answer = "Yes: no objective was missed."
 	}
 	for _, l := range missed {
 		h.Detail = append(h.Detail, fmt.Sprintf("%s: %s of its work was good, %s was wanted over %s; most of the rest was %s.",
@@ -111,7 +112,7 @@
 	var out []string
 	for _, cause := range causes {
 		if n := c.Of(cause); n > 0 {
-			out = append(out, fmt.Sprintf("%d %s", n, causeText(cause)))
+			out = append(out, countText(n)+" "+causeText(cause))
 		}
 	}
 	if len(out) == 0 {
@@ -145,6 +146,15 @@
 	return fmt.Sprintf("%.0f%%", left*100)
 }
 
+// countText groups the digits of a number in threes.
+func countText(n uint64) string {
+	text := fmt.Sprint(n)
+	for i := len(text) - 3; i > 0; i -= 3 {
+		text = text[:i] + " " + text[i:]
+	}
+	return text
+}
+
 func burnText(rate float64) string { return fmt.Sprintf("%.1f×", rate) }
 
 func windowText(d model.Duration) string {
