--- /dev/null
+++ b/devcluster/report_test.go
@@ -0,0 +1,146 @@
+package devcluster
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/burn"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/ctl"
+	"primrosedale.example/primrosedale/operator/client"
+	"primrosedale.example/primrosedale/rulesfile"
+)
+
+const (
+	objectiveRule = `objective.press-render = { team = "press", service = "render", good = 0.9, window_h = 24 } # test` + "\n"
+	reportTimeout = 60 * time.Second
+	reportPause   = 200 * time.Millisecond
+)
+
+// failOnWord answers requests that say so with a server error.
+func failOnWord(_ context.Context, body []byte) model.Answer {
+	if bytes.Contains(body, []byte("fail")) {
+		return model.Answer{Status: http.StatusInternalServerError}
+	}
+	return model.Answer{Status: http.StatusOK, Body: body}
+}
+
+func send(t *testing.T, c *Cluster, host int, key, body string, want int) {
+	t.Helper()
+	req := callerRequest(c, host, key, "")
+	req.Body, req.ContentLength = io.NopCloser(strings.NewReader(body)), int64(len(body))
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	require.Equal(t, want, resp.StatusCode, body)
+}
+
+// awaitReport asks every host until each has counted this many requests.
+func awaitReport(t *testing.T, c *Cluster, total uint64) *burn.Report {
+	t.Helper()
+	var report *burn.Report
+	for _, address := range c.OperatorAddresses() {
+		operators := client.New([]string{address}, nil)
+		require.Eventually(t, func() bool {
+			r, err := operators.Report(context.Background())
+			if err != nil || len(r.Lines) != 1 {
+				return false
+			}
+			report = r
+			return r.Lines[0].Counts.Total() >= total
+		}, reportTimeout, reportPause, address)
+	}
+	return report
+}
+
+// Guards against requests that are not counted, or counted twice, on the way
+// from several gateways to the report of each host, and against a report that
+// forgets them when the whole system restarts.
+func TestReportCountsGoodAndBadWork(t *testing.T) {
+	list, err := Layout(t.TempDir(), devReplicas, devFollowers)
+	require.NoError(t, err)
+	c, err := Start(list, io.Discard, true)
+	require.NoError(t, err)
+	stopped := false
+	defer func() {
+		if !stopped {
+			require.NoError(t, c.Stop())
+		}
+	}()
+	outside, err := StartOutside(list, devTargets, failOnWord)
+	require.NoError(t, err)
+	defer outside.Stop()
+	key, err := c.Prepare(context.Background(), devRulesName, devRules+objectiveRule)
+	require.NoError(t, err)
+
+	want := burn.Counts{}
+	for host := range list {
+		for range 4 {
+			send(t, c, host, key, "good", http.StatusOK)
+			want.Good++
+		}
+		send(t, c, host, key, "fail", http.StatusInternalServerError)
+		want.Failed++
+		send(t, c, host, "wrong key", "good", http.StatusForbidden)
+	}
+	outRule := `datacentre.west = { out = true } # test` + "\n"
+	text := strings.Replace(devRules, "revision = 1 ", "revision = 2 ", 1) + objectiveRule + outRule
+	file, err := rulesfile.Parse(devRulesName, []byte(text))
+	require.NoError(t, err)
+	_, err = client.New(c.OperatorAddresses(), nil).Apply(context.Background(), file)
+	require.NoError(t, err)
+
+	r := awaitReport(t, c, want.Total())
+	checkReport(t, r, want)
+	checkCommand(t, c)
+
+	require.NoError(t, c.Stop())
+	stopped = true
+	again, err := Start(list, io.Discard, false)
+	require.NoError(t, err)
+	defer func() { require.NoError(t, again.Stop()) }()
+	restarted := awaitReport(t, again, want.Total())
+	require.Equal(t, want, restarted.Lines[0].Counts)
+}
+
+func checkReport(t *testing.T, r *burn.Report, want burn.Counts) {
+	t.Helper()
+	line := r.Lines[0]
+	require.Equal(t, want, line.Counts)
+	require.Equal(t, burn.Missed, line.State)
+	require.Equal(t, burn.Failed, line.Main)
+	require.InDelta(t, -1, line.BudgetLeft, 1e-9) // 2 of 10 bad, 1 of 10 allowed
+	require.InDelta(t, 2, line.BurnShort, 1e-9)
+	require.False(t, r.OnTime)
+	var kinds []burn.PeriodKind
+	for _, p := range r.Periods {
+		kinds = append(kinds, p.Kind)
+	}
+	require.Contains(t, kinds, burn.PeriodCentreOut)
+	require.Contains(t, kinds, burn.PeriodLeader)
+}
+
+// checkCommand runs primrosedalectl report.
+func checkCommand(t *testing.T, c *Cluster) {
+	t.Helper()
+	page := filepath.Join(t.TempDir(), "burn.html")
+	var out, errs bytes.Buffer
+	program := ctl.Program{
+		Args: []string{"report", "--address", c.OperatorAddresses()[0], "--html", page},
+		Out:  &out, Err: &errs, Getenv: os.Getenv,
+	}
+	require.Equal(t, ctl.ExitOK, program.Run(context.Background()), errs.String())
+	require.Contains(t, out.String(), "No: 1 of 1 objective missed.")
+	written, err := os.ReadFile(page)
+	require.NoError(t, err)
+	require.Contains(t, string(written), "press-render")
+}
--- /dev/null
+++ b/gateway/refusals_test.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/event"
+	"primrosedale.example/primrosedale/core/problem"
+	"primrosedale.example/primrosedale/core/view"
+)
+
+// Guards against refusals that spend no budget because the reducer never sees
+// their requests, and against strangers who spend a team's budget.
+func TestRefusalsBeforeTheReducerAreCounted(t *testing.T) {
+	control := newFakeControl(16)
+	server := New(Config{Host: "gw1", Incarnation: "i1"}, control, zerolog.Nop())
+	defer server.Close()
+	control.change(func(v *view.View) { v.LeaseUntil = 0 })
+	refuse := func(queue, key string) {
+		request := httptest.NewRequest(http.MethodPost, "/v1/queues/"+queue+"/requests", nil)
+		if key != "" {
+			request.Header.Set("Authorization", "Bearer "+key)
+		}
+		recorder := httptest.NewRecorder()
+		server.Handler().ServeHTTP(recorder, request)
+		require.GreaterOrEqual(t, recorder.Code, 400)
+	}
+	refuse("proofs", pressKey)
+	refuse("proofs", pressKey)
+	refuse("proofs", "stranger")
+	refuse("proofs", "")
+	refuse("nowhere", pressKey)
+	got := <-control.events
+	require.Equal(t, event.RequestsRefused{Refusals: []event.Refusal{
+		{Team: "press", Queue: "proofs", Kind: problem.NoLease, Count: 2},
+	}}, got)
+}
