burn: record one sum per interval instead of each host's batches

With nine hosts and 30 keys, the batches of all hosts would make every RecordBurn several times as large. The Record now holds one sum and the numbers of the batches in it; it is applied only if it continues the last batch of every process it names, else the leader proposes the rest again.

--- a/core/burn.go
+++ b/core/burn.go
@@ -16,16 +16,18 @@
 	keys  burn.Keys
 }
 
-// countEnds counts the requests that ended with this event, and forgets the
-// counts that the replicated state holds.
+// countEnds counts the requests that ended with this event.
 func (s *State) countEnds() {
 	for _, end := range s.table.TakeEnds() {
 		s.countBurn(end.Team, end.Queue, end.Cause, 1)
 	}
-	if !s.burn.Waiting() {
-		return
-	}
+}
+
+// dueCounts returns the counts to send with a Renew. Those that the replicated
+// state of this host holds are forgotten.
+func (s *State) dueCounts(term uint64) []burn.Batch {
 	s.burn.Recorded(s.fleet.Burn.Recorded(burn.Process{Host: s.cfg.Host, Incarnation: s.cfg.Incarnation}))
+	return s.burn.Due(s.now, term)
 }
 
 // countRefusals counts the requests that the traffic side refused.
--- a/core/burn/collector.go
+++ b/core/burn/collector.go
@@ -16,10 +16,12 @@
 	Incarnation model.Incarnation `json:"inc"`
 }
 
-// Delivery is the batches of one process, ascending.
-type Delivery struct {
+// Advance says that a Record holds the batches of a process after From up to
+// To.
+type Advance struct {
 	Process
-	Batches []Batch `json:"batches"`
+	From uint64 `json:"from"`
+	To   uint64 `json:"to"`
 }
 
 // Leader names a leader and its term.
@@ -31,9 +33,12 @@
 // Record is what has changed since the leader's last Record.
 type Record struct {
 	// Time is the leader's wall clock. Counts belong to its minute and hour.
-	Time       model.Time `json:"time"`
-	Leader     Leader     `json:"leader"`
-	Deliveries []Delivery `json:"deliveries,omitempty"`
+	Time   model.Time `json:"time"`
+	Leader Leader     `json:"leader"`
+	// Entries is the sum of the batches that Advances names. Single batches would
+	// make the log grow with the number of hosts.
+	Advances []Advance `json:"advances,omitempty"` // by process
+	Entries  []Entry   `json:"entries,omitempty"`  // by key
 }
 
 // Collector gathers what hosts have sent to the leader of one term.
@@ -65,17 +70,20 @@
 		return nil
 	}
 	record := &Record{Time: now, Leader: c.leader}
+	sums := make(tally)
 	for process, batches := range c.held {
 		if batches = h.missing(process, batches); len(batches) == 0 {
 			delete(c.held, process)
 			continue
 		}
-		record.Deliveries = append(record.Deliveries, Delivery{process, batches})
+		record.Advances = append(record.Advances, Advance{process, h.Recorded(process), batches[len(batches)-1].Seq})
+		sums.add(batches)
 	}
-	if len(record.Deliveries) == 0 && h.Leader.Term >= c.leader.Term {
+	if len(record.Advances) == 0 && h.Leader.Term >= c.leader.Term {
 		return nil
 	}
-	slices.SortFunc(record.Deliveries, func(a, b Delivery) int {
+	record.Entries = sums.entries()
+	slices.SortFunc(record.Advances, func(a, b Advance) int {
 		return cmp.Or(cmp.Compare(a.Host, b.Host), cmp.Compare(a.Incarnation, b.Incarnation))
 	})
 	c.proposedAt = now
--- a/core/burn/counts.go
+++ b/core/burn/counts.go
@@ -4,8 +4,8 @@
 //
 // Each host counts the requests that end on it (Sender) and passes the counts
 // to the leader in numbered batches. The leader collects them (Collector) and
-// proposes a Record. Every replica adds the Record to its History, which
-// remembers the last batch of each process, so that a batch is added once
+// proposes their sum as a Record. Every replica adds the Record to its History,
+// which remembers the last batch of each process, so that a batch is added once
 // however often it is sent or proposed. A process knows from its own copy of
 // the History which of its batches need not be sent again.
 //
--- a/core/burn/history.go
+++ b/core/burn/history.go
@@ -40,25 +40,33 @@
 	Down   []model.DataCentreID `json:"down,omitempty"`   // data centres without a host up
 }
 
-// Add adds a Record that is applied when the replicated clock shows clock.
-// Counts of keys that are not wanted are dropped.
-func (h *History) Add(r *Record, clock model.Time, wanted Keys) {
+// Add adds a Record that is applied when the replicated clock shows clock, and
+// reports whether its counts were added. Counts of keys that are not wanted
+// are dropped. Counts are added only if the Record continues the last batch of
+// every process it names: otherwise another Record with some of them was
+// applied first, and the leader proposes the rest again.
+func (h *History) Add(r *Record, clock model.Time, wanted Keys) bool {
 	h.Time, h.Clock = r.Time, clock
 	if r.Leader.Term > h.Leader.Term {
 		h.Leader = r.Leader
 		h.Note(Event{At: r.Time, Kind: LeaderChanged, Name: string(r.Leader.Host), Count: 1})
 	}
-	sums := make(map[Key]Counts)
-	for _, d := range r.Deliveries {
-		h.deliver(sums, d)
+	for _, a := range r.Advances {
+		if h.Recorded(a.Process) != a.From {
+			return false
+		}
+	}
+	for _, a := range r.Advances {
+		h.setRecorded(a.Process, a.To)
 	}
 	h.Series = slices.Clone(h.Series)
-	for key, counts := range sums {
-		if wanted.Has(key) {
-			h.addCounts(r.Time, key, counts)
+	for _, e := range r.Entries {
+		if wanted.Has(e.Key) {
+			h.addCounts(r.Time, e.Key, e.Counts)
 		}
 	}
 	h.retain(wanted)
+	return true
 }
 
 // Wall returns the wall clock that belongs to a time of the replicated clock.
@@ -89,20 +97,6 @@
 	return batches[i:]
 }
 
-// deliver adds the batches of one process that are new to the sums.
-func (h *History) deliver(sums map[Key]Counts, d Delivery) {
-	batches := h.missing(d.Process, d.Batches)
-	if len(batches) == 0 {
-		return
-	}
-	for _, b := range batches {
-		for _, e := range b.Entries {
-			sums[e.Key] = sums[e.Key].Plus(e.Counts)
-		}
-	}
-	h.setRecorded(d.Process, batches[len(batches)-1].Seq)
-}
-
 func (h *History) addCounts(at model.Time, key Key, counts Counts) {
 	i, found := h.search(key)
 	if !found {
--- a/core/burn/history_test.go
+++ b/core/burn/history_test.go
@@ -88,25 +88,32 @@
 			}
 		}
 		require.Equal(t, counted, history.Of(key).Sum(now, 90*day).Total())
+		for _, p := range hosts {
+			senders[p].Recorded(history.Recorded(p))
+			require.Empty(t, senders[p].Due(now.Add(ResendInterval), term), "recorded batches are not sent again")
+		}
 	})
 }
 
+func recordOf(at model.Time, p Process, from, to uint64, entries ...Entry) *Record {
+	return &Record{Time: at, Advances: []Advance{{p, from, to}}, Entries: entries}
+}
+
 // Guards against a late batch of an earlier process life that is added again
 // after its successor has sent batches.
 func TestEarlierLifeIsRemembered(t *testing.T) {
 	var h History
-	add := func(inc model.Incarnation, seq uint64) {
-		h.Add(&Record{Time: epoch, Deliveries: []Delivery{{Process{"a", inc}, []Batch{
-			{Seq: seq, Entries: []Entry{{key, Counts{Good: 1}}}},
-		}}}}, epoch, Keys{key: {}})
+	add := func(inc model.Incarnation, from, to uint64) bool {
+		return h.Add(recordOf(epoch, Process{"a", inc}, from, to, Entry{key, Counts{Good: 1}}), epoch, Keys{key: {}})
 	}
-	add("1", 5)
-	add("2", 1)
-	add("1", 5)
-	add("1", 4)
+	require.True(t, add("1", 0, 5))
+	require.True(t, add("2", 0, 1))
+	require.False(t, add("1", 0, 5))
+	require.False(t, add("1", 3, 6))
+	require.False(t, add("2", 2, 3))
 	require.Equal(t, uint64(2), h.Of(key).Sum(epoch, day).Good)
 	for i := range 2 * livesMax {
-		add(model.Incarnation(fmt.Sprint("x", i)), 1)
+		add(model.Incarnation(fmt.Sprint("x", i)), 0, 1)
 	}
 	require.Len(t, h.Lives, livesKept)
 }
@@ -139,12 +146,11 @@
 		var all []request
 		now := epoch
 		for i := range rapid.IntRange(1, 150).Draw(t, "records") {
-			now = now.Add(model.Duration(rapid.Int64Range(-int64(model.Minute), int64(20*model.Minute)).Draw(t, "step")))
+			now = now.Add(model.Duration(rapid.Int64Range(-int64(2*model.Hour), int64(3*model.Hour)).Draw(t, "step")))
 			c := Counts{Good: rapid.Uint64Range(0, 9).Draw(t, "good"), Late: rapid.Uint64Range(0, 2).Draw(t, "late")}
 			all = append(all, request{now, c})
-			h.Add(&Record{Time: now, Deliveries: []Delivery{{Process{"a", "1"}, []Batch{
-				{Seq: uint64(i + 1), Entries: []Entry{{key, c}, {Key{"not", "wanted"}, c}}},
-			}}}}, now, Keys{key: {}})
+			n := uint64(i)
+			h.Add(recordOf(now, Process{"a", "1"}, n, n+1, Entry{key, c}, Entry{Key{"not", "wanted"}, c}), now, Keys{key: {}})
 		}
 		for _, r := range all {
 			now = max(now, r.at)
@@ -189,8 +195,8 @@
 	for i := range SeriesMax + 20 {
 		k := Key{model.TeamID(fmt.Sprint("t", i)), "render"}
 		wanted[k] = struct{}{}
-		h.Add(&Record{Time: epoch.Add(model.Duration(i) * model.Hour), Deliveries: []Delivery{{Process{"a", "1"},
-			[]Batch{{Seq: uint64(i + 1), Entries: []Entry{{k, Counts{Good: 1}}}}}}}}, epoch, wanted)
+		at, n := epoch.Add(model.Duration(i)*model.Hour), uint64(i)
+		h.Add(recordOf(at, Process{"a", "1"}, n, n+1, Entry{k, Counts{Good: 1}}), epoch, wanted)
 	}
 	require.Len(t, h.Series, SeriesMax)
 	require.Empty(t, h.Of(Key{"t0", "render"}).Minutes, "the oldest series goes first")
--- a/core/burn/sender.go
+++ b/core/burn/sender.go
@@ -25,6 +25,26 @@
 	Counts
 }
 
+// tally is counts by key.
+type tally map[Key]Counts
+
+func (t tally) add(batches []Batch) {
+	for _, b := range batches {
+		for _, e := range b.Entries {
+			t[e.Key] = t[e.Key].Plus(e.Counts)
+		}
+	}
+}
+
+// entries returns the tally sorted by key.
+func (t tally) entries() []Entry {
+	var out []Entry
+	for _, key := range slices.SortedFunc(maps.Keys(t), Key.compare) {
+		out = append(out, Entry{key, t[key]})
+	}
+	return out
+}
+
 // Batch is a numbered part of one process's counts. It never changes once it
 // has a number.
 type Batch struct {
@@ -35,7 +55,7 @@
 // Sender is the counts of this process that are not recorded yet.
 type Sender struct {
 	seq      uint64
-	open     map[Key]Counts
+	open     tally
 	sealed   []Batch
 	sealedAt model.Time
 	sentAt   model.Time
@@ -43,7 +63,7 @@
 }
 
 // NewSender returns a Sender without counts.
-func NewSender() *Sender { return &Sender{open: make(map[Key]Counts)} }
+func NewSender() *Sender { return &Sender{open: make(tally)} }
 
 // Count adds n ended requests.
 func (s *Sender) Count(key Key, cause Cause, n uint64) {
@@ -55,9 +75,6 @@
 	s.open[key] = counts
 }
 
-// Waiting reports whether a batch waits to be recorded.
-func (s *Sender) Waiting() bool { return len(s.sealed) > 0 }
-
 // Recorded forgets the batches up to this number.
 func (s *Sender) Recorded(seq uint64) {
 	keep := slices.IndexFunc(s.sealed, func(b Batch) bool { return b.Seq > seq })
@@ -98,12 +115,8 @@
 		return false
 	}
 	s.seq++
-	batch := Batch{Seq: s.seq}
-	for _, key := range slices.SortedFunc(maps.Keys(s.open), Key.compare) {
-		batch.Entries = append(batch.Entries, Entry{key, s.open[key]})
-	}
+	s.sealed = append(s.sealed, Batch{Seq: s.seq, Entries: s.open.entries()})
 	clear(s.open)
-	s.sealed = append(s.sealed, batch)
 	s.sealedAt = now
 	return true
 }
--- a/core/fleet/burn_test.go
+++ b/core/fleet/burn_test.go
@@ -72,10 +72,8 @@
 	key := burn.Key{Team: "press", Service: "render"}
 	record := Command{RecordBurn: &RecordBurn{Record: burn.Record{
 		Time: wall, Leader: burn.Leader{Host: "a", Term: 3},
-		Deliveries: []burn.Delivery{{
-			Process: burn.Process{Host: "a", Incarnation: "1"},
-			Batches: []burn.Batch{{Seq: 1, Entries: []burn.Entry{{Key: key, Counts: burn.Counts{Good: 3, Lost: 1}}}}},
-		}},
+		Advances: []burn.Advance{{Process: burn.Process{Host: "a", Incarnation: "1"}, To: 1}},
+		Entries:  []burn.Entry{{Key: key, Counts: burn.Counts{Good: 3, Lost: 1}}},
 	}}}
 	f.apply("", record)
 	f.apply("", record)
--- a/core/reduce.go
+++ b/core/reduce.go
@@ -130,7 +130,7 @@
 	if r.Full {
 		r.Forwarded = s.table.Forwarded(s.now)
 	}
-	r.Burn = s.burn.Due(s.now, r.Term)
+	r.Burn = s.dueCounts(r.Term)
 	s.send(leader, message.Message{Renew: r})
 }
 
--- /dev/null
+++ b/operator/report_test.go
@@ -0,0 +1,28 @@
+package operator
+
+import (
+	"encoding/json"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/burn"
+)
+
+// Guards against a report that strangers can read, or that is empty because
+// the answer of another query was taken for it.
+func TestReportNeedsTheTokenAndIsComplete(t *testing.T) {
+	c := newFake()
+	status, _ := c.do(t, http.MethodGet, "/v1/report", "", "")
+	require.Equal(t, http.StatusUnauthorized, status)
+	status, body := c.do(t, http.MethodGet, "/v1/report", "", token)
+	require.Equal(t, http.StatusOK, status)
+	var r burn.Report
+	require.NoError(t, json.Unmarshal([]byte(body), &r))
+	require.Equal(t, uint64(4), r.Revision)
+	require.True(t, r.OnTime)
+	c.full = true
+	status, _ = c.do(t, http.MethodGet, "/v1/report", "", token)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+}
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"primrosedale.example/primrosedale/core/burn"
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/event"
 	"primrosedale.example/primrosedale/core/fleet"
@@ -48,7 +49,11 @@
 		c.commands = append(c.commands, e.Command)
 		c.server.AnswerCommand(effect.AnswerCommand{ID: e.Command.ID, Result: c.result})
 	case event.StatusRequested:
-		c.server.AnswerStatus(effect.AnswerStatus{Query: e.Query, Status: &c.status})
+		answer := effect.AnswerStatus{Query: e.Query, Status: &c.status}
+		if e.Burn {
+			answer.Burn = &burn.Source{Now: c.Now(), Rules: c.view.Rules}
+		}
+		c.server.AnswerStatus(answer)
 	}
 	return true
 }
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -57,14 +57,13 @@
 		case d <= model.Hour:
 			orders = burn.Counts{Good: 200, Failed: 2}
 		}
-		h.Add(&burn.Record{Time: now.Add(-d), Leader: h.Leader, Deliveries: []burn.Delivery{{
-			Process: burn.Process{Host: "entry-1", Incarnation: "1"},
-			Batches: []burn.Batch{{Seq: seq, Entries: []burn.Entry{
-				{Key: burn.Key{Team: "press", Service: "render"}, Counts: press},
-				{Key: burn.Key{Team: "orders", Service: "sync"}, Counts: orders},
-				{Key: burn.Key{Team: "archive", Service: "index"}, Counts: burn.Counts{Good: 400, Late: uint64(d/model.Hour) % 7}},
-			}}},
-		}}}, 0, burn.KeysOf(r))
+		h.Add(&burn.Record{Time: now.Add(-d), Leader: h.Leader, Advances: []burn.Advance{
+			{Process: burn.Process{Host: "entry-1", Incarnation: "1"}, From: seq - 1, To: seq},
+		}, Entries: []burn.Entry{
+			{Key: burn.Key{Team: "press", Service: "render"}, Counts: press},
+			{Key: burn.Key{Team: "orders", Service: "sync"}, Counts: orders},
+			{Key: burn.Key{Team: "archive", Service: "index"}, Counts: burn.Counts{Good: 400, Late: uint64(d/model.Hour) % 7}},
+		}}, 0, burn.KeysOf(r))
 	}
 	source := burn.Source{Now: now, Rules: r, History: h}
 	return source.Report()
--- a/report/words.go
+++ b/report/words.go
@@ -221,6 +221,6 @@
 var notes = []string{
 	"A request is good if it was answered whole, was started within its patience and got no server error. Each counts once, at its end.",
 	"Refusals that are the caller's own fault, requests whose caller went away, and tasks are not counted.",
-	"A host that crashes loses the counts that it had not yet passed on: about the last 5 seconds, up to 20 if the leader is lost with it. Counts appear here after up to 20 seconds.",
+	"A host that crashes loses the counts that it had not yet passed on: about the last 5 seconds, up to 20 if the leader is lost with it, and all since the last leader if there is none. The requests that it held are not counted. Counts appear here after up to 20 seconds.",
 	"Burn 1.0× spends the error budget exactly within the window. The plots show the budget of the work of the whole window, and how bad work has spent it.",
 }
