--- a/core/gateway/burn_test.go
+++ b/core/gateway/burn_test.go
@@ -17,11 +17,6 @@
 // Guards against an end of a request that is not counted, is counted twice, or
 // spends the budget for the wrong cause.
 func TestEachEndCountsOnce(t *testing.T) {
-	forward := func(table *Table, at model.Time, attempt int) {
-		table.Dispatch(at, true, &message.Dispatch{
-			Term: 1, Request: "r", Attempt: attempt, Target: "t", StartBy: model.Second, MaxRun: model.Minute,
-		})
-	}
 	ended := func(table *Table, at model.Time, e event.ForwardEnded) {
 		e.Request = "r"
 		table.Ended(at, e)
@@ -38,7 +33,7 @@
 	tooLarge := event.ForwardEnded{Attempt: 1, Outcome: message.OutcomeAnswered, Status: 200, TooLarge: true}
 	notStarted := event.ForwardEnded{Attempt: 1, Outcome: message.OutcomeNotStarted}
 	refused := func(kind problem.Kind) func(*Table) {
-		return func(t *Table) { t.Refuse(&message.Refuse{Term: 1, Request: "r", Problem: problem.New(kind, "")}) }
+		return func(t *Table) { refuseWith(t, &message.Refuse{Problem: problem.New(kind, "")}) }
 	}
 	after := func(start model.Time, e event.ForwardEnded) func(*Table) {
 		return func(t *Table) {
@@ -63,7 +58,7 @@
 		"refused, key reused":  {refused(problem.KeyReused), burn.NotCounted},
 		"refused, queue gone":  {refused(problem.UnknownQueue), burn.NotCounted},
 		"in progress":          {refused(problem.InProgress), burn.NotCounted},
-		"stored answer":        {func(t *Table) { t.Refuse(&message.Refuse{Term: 1, Request: "r", Answer: &model.Answer{Status: 200}}) }, burn.Good},
+		"stored answer":        {func(t *Table) { refuseWith(t, &message.Refuse{Answer: &model.Answer{Status: 200}}) }, burn.Good},
 		"caller gone, waiting": {func(t *Table) { t.Abandon(1, "r"); t.Advance(past.Add(model.Hour)) }, burn.NotCounted},
 		"caller gone, running": {func(table *Table) {
 			forward(table, 1, 1)
@@ -99,7 +94,7 @@
 		table.Arrive(0, event.Request{ID: "r", Team: "press", Queue: "proofs", Idempotent: idempotent, Patience: patience})
 		forward(table, 1, 1)
 		table.Ended(2, withRequest(unknown))
-		table.Refuse(&message.Refuse{Term: 1, Request: "r", Problem: problem.New(problem.PatienceExceeded, "")})
+		refuseWith(table, &message.Refuse{Problem: problem.New(problem.PatienceExceeded, "")})
 		checkEnds(t, table, "connection lost", want)
 	}
 	table := New("inc")
@@ -108,6 +103,19 @@
 	checkEnds(t, table, "stopping", burn.Refused)
 }
 
+// forward lets the request start an attempt.
+func forward(table *Table, at model.Time, attempt int) {
+	table.Dispatch(at, true, &message.Dispatch{
+		Term: 1, Request: "r", Attempt: attempt, Target: "t", StartBy: model.Second, MaxRun: model.Minute,
+	})
+}
+
+// refuseWith gives the request the owner's refusal.
+func refuseWith(table *Table, r *message.Refuse) {
+	r.Term, r.Request = 1, "r"
+	table.Refuse(r)
+}
+
 func withRequest(e event.ForwardEnded) event.ForwardEnded {
 	e.Request = "r"
 	return e
