--- a/report/html.go
+++ b/report/html.go
@@ -43,9 +43,6 @@
 	Plot                *plot // nil without work
 }
 
-// noValue stands for a figure of an objective without work.
-const noValue = "\u2013"
-
 // HTML writes the report as one page that refers to nothing outside of it. It
 // returns the error of out.
 func HTML(out io.Writer, r *burn.Report) error {
@@ -66,12 +63,13 @@
 }
 
 func newRow(l burn.Line, r *burn.Report) row {
+	good, left := figures(l)
 	out := row{
 		Name: l.Name, Team: string(l.Team), Service: string(l.Service),
 		State: l.State, StateText: stateTexts[l.State],
-		Wanted: percent(l.Wanted, l.Wanted), Good: percent(l.Good, l.Wanted),
+		Wanted: percent(l.Wanted, l.Wanted), Good: good,
 		Requests:   countText(l.Counts.Total()),
-		BudgetLeft: budgetText(l.BudgetLeft),
+		BudgetLeft: left,
 		Filled:     fmt.Sprintf("%.0f", 100*min(1, max(0, l.BudgetLeft))),
 		BurnShort:  burnText(l.BurnShort), BurnLong: burnText(l.BurnLong),
 		HotShort: l.BurnShort > 1, HotLong: l.BurnLong > 1,
@@ -80,7 +78,7 @@
 		Plot:    newPlot(l, r),
 	}
 	if l.State == burn.NoWork {
-		out.Good, out.BudgetLeft, out.Filled = noValue, noValue, ""
+		out.Filled = ""
 	}
 	return out
 }
--- a/report/words.go
+++ b/report/words.go
@@ -146,6 +146,17 @@
 	return fmt.Sprintf("%.0f%%", left*100)
 }
 
+// noValue stands for a figure of an objective without work.
+const noValue = "\u2013"
+
+// figures returns the good fraction and the budget left of a line.
+func figures(l burn.Line) (good, left string) {
+	if l.State == burn.NoWork {
+		return noValue, noValue
+	}
+	return percent(l.Good, l.Wanted), budgetText(l.BudgetLeft)
+}
+
 // countText groups the digits of a number in threes.
 func countText(n uint64) string {
 	text := fmt.Sprint(n)
