devcluster: wait for the key on every host before the report test sends

The test sent its first request to a host that had not applied the key yet and got 403 in 1 of 3, then 3 of 8 runs (go test -race -run Report ./devcluster). A key is in force within 3 s, not at once. The test waits until each host has applied it; what it checks is unchanged.

--- a/devcluster/report_test.go
+++ b/devcluster/report_test.go
@@ -44,6 +44,26 @@
 	require.Equal(t, want, resp.StatusCode, body)
 }
 
+// awaitApplied returns when every host has applied what any host had applied
+// at the start, such as the key that Prepare granted through one of them.
+func awaitApplied(t *testing.T, c *Cluster) {
+	t.Helper()
+	operators := client.New(c.OperatorAddresses(), nil)
+	var latest uint64
+	for _, s := range operators.StatusOfAll(context.Background()) {
+		require.NotNil(t, s)
+		latest = max(latest, s.Applied)
+	}
+	require.Eventually(t, func() bool {
+		for _, s := range operators.StatusOfAll(context.Background()) {
+			if s == nil || s.Applied < latest {
+				return false
+			}
+		}
+		return true
+	}, reportTimeout, reportPause)
+}
+
 // awaitReport asks every host until each has counted this many requests.
 func awaitReport(t *testing.T, c *Cluster, total uint64) *burn.Report {
 	t.Helper()
@@ -82,6 +102,8 @@
 	key, err := c.Prepare(context.Background(), devRulesName, devRules+objectiveRule)
 	require.NoError(t, err)
 
+	awaitApplied(t, c)
+
 	want := burn.Counts{}
 	for host := range list {
 		for range 4 {
