--- a/core/gateway/table.go
+++ b/core/gateway/table.go
@@ -42,6 +42,7 @@
 	keys     map[model.Digest]model.TeamID // in force
 	held     map[model.RequestID]*held
 	due      *pq.Queue[model.RequestID, due, *held]
+	ends     []End // not yet taken
 }
 
 type due struct {
@@ -67,6 +68,7 @@
 	mayRan   bool       // an attempt ended with an unknown outcome
 	answered bool       // the caller has its answer, or has gone
 	gone     bool       // the caller has gone
+	late     bool       // the latest attempt began after the deadline
 	run      message.Forwarded
 	runUntil model.Time // deadline of the running attempt
 	done     *message.Done
@@ -120,7 +122,8 @@
 // Arrive accepts a request and asks the owner for a target.
 func (t *Table) Arrive(now model.Time, r event.Request) []effect.Effect {
 	if t.stopping {
-		return refuse(r.ID, problem.New(problem.Stopping, "the host is stopping"))
+		h := &held{req: r}
+		return t.answer(h, effect.AnswerRequest{Request: r.ID, Problem: problem.New(problem.Stopping, "the host is stopping")})
 	}
 	if t.held[r.ID] != nil {
 		return nil
@@ -238,6 +241,7 @@
 		return nil
 	}
 	h.answered = true
+	t.countEnd(h, a)
 	return []effect.Effect{a}
 }
 
--- a/core/leader.go
+++ b/core/leader.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"primrosedale.example/primrosedale/core/burn"
 	"primrosedale.example/primrosedale/core/consensus"
 	"primrosedale.example/primrosedale/core/dispatch"
 	"primrosedale.example/primrosedale/core/effect"
@@ -37,6 +38,7 @@
 		term:    status.Term,
 		granter: lease.NewGranter(s.now, status.Term, s.fleet.ControlIndex),
 		members: memberHosts(s.fleet),
+		burn:    burn.NewCollector(burn.Leader{Host: s.cfg.Host, Term: status.Term}),
 		began:   s.now,
 		clock:   s.fleet.Now,
 	}
@@ -62,6 +64,7 @@
 	s.asOwner(func(env dispatch.Env, out *dispatch.Out) { s.leading.owner.Advance(env, out) })
 	s.asPlacer(func(env placement.Env, out *placement.Out) { s.leading.placer.Advance(env, out) })
 	s.asPlanner(func(env maintenance.Env, out *maintenance.Out) { s.leading.planner.Advance(env, out) })
+	s.recordBurn()
 }
 
 // asOwner lets the owner of the queues handle something and carries out what
@@ -131,6 +134,7 @@
 		s.propose(fleet.Command{AddMember: &fleet.AddMember{Host: from, DataCentre: r.DataCentre}})
 		return
 	}
+	s.leading.burn.Received(burn.Process{Host: from, Incarnation: r.Incarnation}, r.Burn)
 	earlier := s.leading.granter.Session(from)
 	restarted := earlier != nil && earlier.Incarnation != r.Incarnation
 	s.asOwner(func(env dispatch.Env, out *dispatch.Out) {
