--- /dev/null
+++ b/core/failover_test.go
@@ -0,0 +1,57 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	failOverSeeds = 40
+	failOverBound = 3 * second
+	killAt        = 10 * second
+)
+
+// Guards against a fail-over that takes longer than the design allows. The
+// limits are smaller than the slots that a new leader does not know about, so
+// that it must hear from the targets before it starts anything.
+func TestFailOverTime(t *testing.T) {
+	var worst instant
+	for seed := uint64(1); seed <= failOverSeeds; seed++ {
+		gap := failOver(t, seed)
+		worst = max(worst, gap)
+	}
+	t.Logf("worst time without new work over %d leader kills: %d ms", failOverSeeds, worst/ms)
+}
+
+// failOver kills a leader under load and returns the longest time without a
+// start.
+func failOver(t *testing.T, seed uint64) instant {
+	w := newWorld(t, seed)
+	w.roughness, w.longRuns = 0, 0
+	w.build()
+	w.operators()
+	w.ops.quiet = true
+	w.callers()
+	w.at(killAt, func() {
+		l := w.leader()
+		require.NotNil(t, l)
+		l.crash()
+		l.restartAfter(w.between(100*ms, 5*second))
+	})
+	w.at(killAt+10*second, func() { w.queue = nil })
+	w.run()
+	require.Empty(t, w.failure, fmt.Sprintf("%s=%d", seedVariable, seed))
+	var gap instant
+	last := killAt - second
+	for _, at := range w.books.starts {
+		if at < last {
+			continue
+		}
+		gap, last = max(gap, at-last), at
+	}
+	require.Greater(t, last, killAt+8*second, "work goes on after the kill")
+	require.Less(t, gap, failOverBound, "%s=%d", seedVariable, seed)
+	return gap
+}
--- a/core/gateway/table.go
+++ b/core/gateway/table.go
@@ -142,6 +142,13 @@
 	if !changed || leader == "" {
 		return nil
 	}
+	return t.Resend(now)
+}
+
+// Resend sends again what the owner has not answered. It is called as well when
+// an owner grants its first lease: what came earlier may have found it not yet
+// ready.
+func (t *Table) Resend(now model.Time) []effect.Effect {
 	var out []effect.Effect
 	for _, id := range t.sortedIDs() {
 		out = append(out, t.resend(now, t.held[id])...)
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -103,19 +103,21 @@
 }
 
 // Granted records a grant; grants of other terms and unknown sequences are
-// ignored.
-func (h *Holder) Granted(g *message.Grant) {
+// ignored. It reports whether the grant is the first of its term.
+func (h *Holder) Granted(g *message.Grant) (first bool) {
 	sent, ok := h.sent[g.Seq]
 	if !ok || g.Term != h.term {
-		return
+		return false
 	}
 	for seq := range h.sent {
 		if seq <= g.Seq {
 			delete(h.sent, seq)
 		}
 	}
+	first = !h.confirmed
 	h.confirmed = true
 	h.until = max(h.until, sent.Add(g.Duration))
+	return first
 }
 
 // Sent returns when the Renew with this sequence was sent, if that was recent.
--- a/core/reduce.go
+++ b/core/reduce.go
@@ -113,7 +113,9 @@
 
 func (s *State) granted(g *message.Grant) {
 	serving := s.holder.Valid(s.now)
-	s.holder.Granted(g)
+	if s.holder.Granted(g) {
+		s.emit(s.table.Resend(s.now)...)
+	}
 	if !serving && s.holder.Valid(s.now) {
 		s.emit(effect.Log{Code: effect.LeaseRegained, Term: g.Term})
 	}
--- a/core/sim_caller_test.go
+++ b/core/sim_caller_test.go
@@ -164,6 +164,7 @@
 
 // operators change rules and keys.
 type operators struct {
+	quiet    bool // no changes after the first rules and keys
 	keys     []grantedKey
 	commands map[model.CommandID]*effectiveRules
 }
@@ -194,12 +195,12 @@
 		}
 	})
 	w.every(1500*ms, func() {
-		if w.now > 4*second && w.faults() {
+		if w.now > 4*second && w.faults() && !w.ops.quiet {
 			w.changeRules()
 		}
 	})
 	w.every(4*second, func() {
-		if w.now > 6*second && w.faults() {
+		if w.now > 6*second && w.faults() && !w.ops.quiet {
 			w.changeKeys()
 		}
 	})
--- a/core/sim_check_test.go
+++ b/core/sim_check_test.go
@@ -22,6 +22,7 @@
 	received  map[string]bool // whole answers at the gateway, by request and attempt
 	accepted  []acceptedRules // by revision, from 1
 	withdrawn map[model.Digest]instant
+	starts    []instant // on all targets
 }
 
 type acceptedRules struct {
@@ -160,6 +161,7 @@
 	w.note("target %s starts %s attempt %d team %s for %s", t.reg.ID, c.id, x.f.Attempt, c.team, x.h.id)
 	w.books.running[c.team]++
 	c.starts++
+	w.books.starts = append(w.books.starts, w.now)
 	if n, limit := w.books.running[c.team], w.limit(c.team); n > limit {
 		w.fail("team %s runs %d with limit %d after the start of %s", c.team, n, limit, c.id)
 	}
