dispatch: take a target as proven when it knows the owner's term

Cause: a new leader waited for a report sampled after its fence. Ruled out: a longer wait for all targets (2 s more for each fail-over). A target that knows the owner's term is proven. Of one that knows none, the sample must be later than the fence by the flight time.

--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -159,7 +159,7 @@
 	o.heard(env, out, t, m)
 	sampled := t.sampledAfter(m.Acked)
 	o.reconcile(env, t, m, sampled)
-	if !t.proven && o.fenced && sampled >= o.fencedAt {
+	if !t.proven && o.proves(m, sampled) {
 		t.proven = true
 		o.knowSlots(env, -t.reg.Slots)
 	}
@@ -173,6 +173,17 @@
 	return reply
 }
 
+// proves reports whether nothing of an earlier owner can run on the target but
+// what this report lists. A target that knows the term of this owner refuses
+// what is still on its way. Of another one, the report must have been sampled
+// when no more bytes could arrive that were sent under an earlier lease.
+func (o *Owner) proves(m *message.TargetReport, sampled model.Time) bool {
+	if m.Term == o.term {
+		return true
+	}
+	return o.fenced && sampled >= o.fencedAt.Add(FlightTime+ClockMargin)
+}
+
 // replacedBy reports whether the target may be registered anew as m describes
 // it. Another incarnation must prove that it is alive, by acknowledging a reply
 // of this owner: a late report of an earlier life would end what the present one
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -163,10 +163,14 @@
 
 // TargetReport is a target's announcement of itself.
 type TargetReport struct {
-	Report  uint64           `json:"report"` // reply id, unique on the host that received it
-	Target  fleet.Target     `json:"target"`
-	Seq     uint64           `json:"seq"`   // counted by the target from 1
-	Acked   uint64           `json:"acked"` // largest Seq whose reply the target had received when it took this sample
+	Report uint64       `json:"report"` // reply id, unique on the host that received it
+	Target fleet.Target `json:"target"`
+	Seq    uint64       `json:"seq"`   // counted by the target from 1
+	Acked  uint64       `json:"acked"` // largest Seq whose reply the target had received when it took this sample
+	// Term is the largest term of the replies that the target had received when
+	// it took this sample: it refuses requests of smaller terms. Zero is a target
+	// that refuses none.
+	Term    uint64           `json:"term,omitempty"`
 	State   TargetState      `json:"state"`
 	Running []RunningRequest `json:"running,omitempty"`
 }
