--- a/core/failover_test.go
+++ b/core/failover_test.go
@@ -29,7 +29,7 @@
 // start.
 func failOver(t *testing.T, seed uint64) instant {
 	w := newWorld(t, seed)
-	w.roughness, w.longRuns = 0, 0
+	w.roughness, w.longRuns, w.termless = 0, 0, false
 	w.build()
 	w.operators()
 	w.ops.quiet = true
--- a/core/sim_target_test.go
+++ b/core/sim_target_test.go
@@ -33,10 +33,7 @@
 	order   []string // keys of running, in order of start
 }
 
-type running struct {
-	call *call
-	stop bool
-}
+type running struct{ call *call }
 
 func (t *target) start() {
 	t.life++
@@ -130,10 +127,10 @@
 	})
 }
 
-// learn takes the term of a reply. A new one is announced at once, since its
+// learn takes the term of a reply, unless the targets of this run know none. A new one is announced at once, since its
 // owner waits for that.
 func (t *target) learn(life int, term uint64) {
-	if term > t.term {
+	if term > t.term && !t.w.termless {
 		t.term = term
 		t.tell(life)
 	}
--- a/core/sim_world_test.go
+++ b/core/sim_world_test.go
@@ -74,6 +74,7 @@
 	failure string
 
 	longRuns  float64 // share of runs that outlast a change of leader
+	termless  bool    // the targets refuse no earlier terms
 	roughness float64 // factor for the probability of small mishaps
 }
 
@@ -85,6 +86,7 @@
 		books: newBooks(),
 	}
 	w.roughness = []float64{0.3, 1, 1, 4, 12}[w.rng.IntN(5)]
+	w.termless = w.chance(0.3)
 	w.longRuns = []float64{0, 0.1, 0.4}[w.rng.IntN(3)]
 	return w
 }
