--- a/core/dispatch/owner.go
+++ b/core/dispatch/owner.go
@@ -6,13 +6,14 @@
 // the requests they hold and list those they have forwarded; targets list what
 // they run. Nothing is dispatched until the fence has passed: every earlier
 // serving lease has ended or belongs to a host that has reported. A registered
-// target counts all its slots as running, for every team, until a report that
-// it sampled after the fence has replaced that bound.
+// target counts all its slots as running, for every team, until it knows the
+// owner's term, or until a report that it sampled after the fence and the flight
+// time has replaced that bound.
 //
 // A request counts as running from its dispatch (or the proposal of its claim)
 // until its end is known: from the gateway that had the whole answer or did
 // not start it, or from a report that the target sampled after the last moment
-// at which the request could have started.
+// at which the request could have reached it.
 package dispatch
 
 import (
