core: date the proposals of placement and maintenance by the replicated clock

Cause: placement and maintenance proposed with the wall clock of the leader. One such command moves fleet.State.Now, and with it the retention of claims, to the clock that is furthest ahead; and a drain, whose start is in replicated time, was measured against the wall clock. Ruled out: changing fleet, which cannot know whose clock is right. Change: carryOut dates what it proposes; the planner gets the replicated time. The property test places no tasks, so it does not cover this.

--- a/core/leader.go
+++ b/core/leader.go
@@ -73,17 +73,26 @@
 	s.propose(out.Proposals...)
 }
 
-// propose dates the commands and appends them to the log. The date continues
-// the replicated clock, fleet.State.Now, by the time that this process has led:
-// the clocks of two hosts may differ by any amount, and retention of claims
-// must not depend on whose clock is ahead. Time without a leader is not counted.
-// While the leadership is being handed over, the log takes no commands: they
-// wait for the hand-over to fail or for the end of the term.
-func (s *State) propose(commands ...fleet.Command) {
-	at := s.leading.clock.Add(s.now.Sub(s.leading.began))
+// replicatedNow continues the replicated clock, fleet.State.Now, by the time that
+// this process has led. The clocks of two hosts may differ by any amount, and
+// what is measured across leaders, such as the retention of claims, must not
+// depend on whose clock is ahead. Time without a leader is not counted.
+func (s *State) replicatedNow() model.Time {
+	return s.leading.clock.Add(s.now.Sub(s.leading.began))
+}
+
+// date sets the time of commands that are about to be proposed.
+func (s *State) date(commands []fleet.Command) {
 	for i := range commands {
-		commands[i].At = at
+		commands[i].At = s.replicatedNow()
 	}
+}
+
+// propose dates the commands and appends them to the log. While the leadership
+// is being handed over, the log takes no commands: they wait for the hand-over
+// to fail or for the end of the term.
+func (s *State) propose(commands ...fleet.Command) {
+	s.date(commands)
 	s.leading.unsent = append(s.leading.unsent, commands...)
 	if _, ok := s.log.Propose(s.leading.unsent...); ok {
 		s.leading.unsent = nil
--- a/core/workers.go
+++ b/core/workers.go
@@ -18,7 +18,8 @@
 }
 
 func (s *State) maintenanceEnv() maintenance.Env {
-	return maintenance.Env{Now: s.now, Fleet: s.fleet, Busy: s.leading.owner.HostBusy}
+	// Drains are measured from a replicated time, across changes of leader.
+	return maintenance.Env{Now: s.replicatedNow(), Fleet: s.fleet, Busy: s.leading.owner.HostBusy}
 }
 
 // asPlacer lets the placer handle something and carries out what it asks for.
@@ -48,6 +49,7 @@
 	if len(proposals) == 0 {
 		return true
 	}
+	s.date(proposals)
 	_, ok := s.log.Propose(proposals...)
 	return ok
 }
