--- a/core/gateway/attempt.go
+++ b/core/gateway/attempt.go
@@ -37,6 +37,7 @@
 	h.phase = forwarded
 	h.attempt = d.Attempt
 	h.done = nil
+	h.late = now > h.deadline
 	h.runUntil = now.Add(d.MaxRun)
 	h.run = message.Forwarded{
 		Request: d.Request, Attempt: d.Attempt, Team: h.req.Team, Queue: h.req.Queue,
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -3,6 +3,7 @@
 package message
 
 import (
+	"primrosedale.example/primrosedale/core/burn"
 	"primrosedale.example/primrosedale/core/consensus"
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/model"
@@ -43,6 +44,8 @@
 	// Grant of the term; afterwards it is left out.
 	Forwarded []Forwarded `json:"forwarded,omitempty"`
 	Full      bool        `json:"full,omitempty"` // Forwarded is complete
+	// Burn is all counts of ended requests that are not recorded, or nothing.
+	Burn []burn.Batch `json:"burn,omitempty"`
 }
 
 // Forwarded is a request that may be running on a target.
@@ -163,10 +166,14 @@
 
 // TargetReport is a target's announcement of itself.
 type TargetReport struct {
-	Report  uint64           `json:"report"` // reply id, unique on the host that received it
-	Target  fleet.Target     `json:"target"`
-	Seq     uint64           `json:"seq"`   // counted by the target from 1
-	Acked   uint64           `json:"acked"` // largest Seq whose reply the target had received when it took this sample
+	Report uint64       `json:"report"` // reply id, unique on the host that received it
+	Target fleet.Target `json:"target"`
+	Seq    uint64       `json:"seq"`   // counted by the target from 1
+	Acked  uint64       `json:"acked"` // largest Seq whose reply the target had received when it took this sample
+	// Term is the largest term of the replies that the target had received when
+	// it took this sample: it refuses requests of smaller terms. Zero is a target
+	// that refuses none.
+	Term    uint64           `json:"term,omitempty"`
 	State   TargetState      `json:"state"`
 	Running []RunningRequest `json:"running,omitempty"`
 }
--- a/core/state.go
+++ b/core/state.go
@@ -13,6 +13,7 @@
 	"cmp"
 	"slices"
 
+	"primrosedale.example/primrosedale/core/burn"
 	"primrosedale.example/primrosedale/core/consensus"
 	"primrosedale.example/primrosedale/core/dispatch"
 	"primrosedale.example/primrosedale/core/effect"
@@ -64,6 +65,8 @@
 	holder  *lease.Holder
 	table   *gateway.Table
 	leading *leadership // nil unless this process leads
+	burn    *burn.Sender
+	burnFor countedWork // what is counted under the rules of this host
 
 	leadTerm uint64 // the last term in which this process held the leader lease
 	leadFrom uint64 // index to apply before it acts as the leader of leadTerm
@@ -103,6 +106,7 @@
 	clock   model.Time      // fleet.State.Now when the term began
 	unsent  []fleet.Command // proposed while the log took no commands
 	inForce uint64          // the last change of rules or keys reported as in force
+	burn    *burn.Collector
 }
 
 // New returns the state of a process that starts with what is stored.
@@ -128,6 +132,7 @@
 		fleet:   fleet.New(),
 		holder:  lease.NewHolder(cfg.Incarnation, cfg.DataCentre),
 		table:   gateway.New(cfg.Incarnation),
+		burn:    burn.NewSender(),
 		pending: make(map[model.CommandID]*pendingCommand),
 		view:    &view.View{},
 	}
