gateway: refuse waiting requests whose key was withdrawn

A request accepted just before the withdrawal of its key stayed in the queue and started whenever the owner came to it: 5.9 s after the answer to the withdrawal on a host that was cut off for 5 s, and up to the request's patience in general.

Ruled out: a check before the first byte alone.

The gateway looks at its held requests when the keys of the view change, refuses those that wait, and checks the key again before the first byte.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -39,20 +39,31 @@
 	ctx, cancel := context.WithTimeout(s.ctx, left)
 	defer cancel()
 	g := &guard{
-		allowed: func() bool { return s.mayStart(e) },
+		allowed: func() bool { return s.mayStart(h, e) },
 		now:     s.control.Now,
 	}
 	ended := s.exchange(ctx, h, e, g)
 	if first := g.first.Load(); first != 0 && ended.Outcome != message.OutcomeNotStarted {
 		ended.RunTime = s.control.Now().Sub(model.Time(first))
 	}
+	if ended.Outcome == message.OutcomeUnknown {
+		h.mayRan.Store(true)
+	}
 	s.postEnded(ended)
+	// An answered request counts as running until its caller has the answer,
+	// which may wait for the commit that stores it.
+	if ended.Outcome != message.OutcomeAnswered {
+		h.running.Add(-1)
+		s.rejectWithdrawn(h)
+	}
 }
 
-// mayStart is the last check before the first byte.
-func (s *Server) mayStart(e effect.Forward) bool {
-	now := s.control.Now()
-	return now <= e.StartBy && now < e.Deadline && s.control.View().Serving(now)
+// mayStart is the last check before the first byte. The key is checked again
+// because a request may have waited since its admission, on a host that was
+// cut off or in its queue.
+func (s *Server) mayStart(h *held, e effect.Forward) bool {
+	now, v := s.control.Now(), s.control.View()
+	return now <= e.StartBy && now < e.Deadline && v.Serving(now) && keyInForce(v, h)
 }
 
 // exchange sends the request and reads the whole answer.
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -89,6 +89,7 @@
 	held     atomic.Int64
 	counter  atomic.Uint64
 	attempts sync.WaitGroup
+	teams    uintptr // identity of the last view's Teams; used by the control goroutine only
 
 	commands pending.Table[model.CommandID, fleet.Result]
 	statuses pending.Table[uint64, effect.AnswerStatus]
@@ -136,6 +137,7 @@
 	}
 	h := found.(*held)
 	h.forwards.Add(1)
+	h.running.Add(1)
 	s.attempts.Go(func() { s.runAttempt(h, e) })
 }
 
--- a/proof/config_test.go
+++ b/proof/config_test.go
@@ -225,6 +225,7 @@
 // disk votes as if it still had what it promised to keep. The changes are on
 // two replicas only; one of them loses its disk, then the other goes.
 func TestSecondReplicaLostAfterRepair(t *testing.T) {
+	t.Parallel()
 	for _, repaired := range []bool{false, true} {
 		t.Run(fmt.Sprintf("repaired=%t", repaired), func(t *testing.T) {
 			t.Parallel()
--- a/proof/endtoend_test.go
+++ b/proof/endtoend_test.go
@@ -12,6 +12,7 @@
 // Guards against answers that reach another caller, lost requests and runs
 // over a team's limit when nothing fails.
 func TestEndToEnd(t *testing.T) {
+	t.Parallel()
 	t.Run("5 hosts", func(t *testing.T) { endToEnd(t, 3, 2) })
 	t.Run("9 hosts", func(t *testing.T) { endToEnd(t, 5, 4) })
 }
--- a/proof/keys_test.go
+++ b/proof/keys_test.go
@@ -23,7 +23,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s := startSystem(t, 3, 2)
-			s.prepare(3, standin.Echo(5*time.Millisecond))
+			s.prepare(3, standin.Echo(50*time.Millisecond))
 			leader := s.leader()
 			victim := s.except(leader)[3]
 			withdrawn(t, s, victim, s.except(victim), func() { fault.begin(s, victim) }, func() { fault.end(s, victim) })
@@ -44,8 +44,9 @@
 // Guards against work that was accepted with a key just before its withdrawal
 // and starts long after it: a host that is cut off holds it until it rejoins.
 func TestWithdrawnKeyStartsNothing(t *testing.T) {
+	t.Parallel()
 	s := startSystem(t, 3, 2)
-	s.prepare(3, standin.Echo(5*time.Millisecond))
+	s.prepare(3, standin.Echo(50*time.Millisecond))
 	victim := s.except(s.leader())[3]
 	last := withdrawn(t, s, victim, s.except(victim), func() { s.cutOff(victim) }, func() { s.rejoin(victim) })
 	require.LessOrEqual(t, last, inForceLimit)
@@ -54,10 +55,13 @@
 // withdrawn withdraws a key under load and a fault, and returns when after the
 // answer the last run with the key started.
 func withdrawn(t *testing.T, s *system, victim int, others []int, begin, end func()) (last time.Duration) {
-	press := func(int) request { return request{key: newKey(), team: "press", queue: "proofs"} }
+	press := func(i int) request {
+		return request{key: newKey(), team: "press", queue: "proofs", nonIdempotent: i%2 == 1}
+	}
 	// Half of the load goes to the host with the fault.
 	hosts := append([]int{victim, victim, victim}, others...)
 	st := s.startLoad(load{rate: 200, count: 2000, hosts: hosts, next: press})
+	eventually(t, startLimit, "work runs", func() bool { return len(s.ledger.times()) > 50 })
 	begin()
 	require.NoError(t, s.operators(others...).WithdrawKey(context.Background(), "press"))
 	answered := time.Now()
--- a/proof/leave_test.go
+++ b/proof/leave_test.go
@@ -86,6 +86,7 @@
 // Guards against new work for a target that announced that it leaves, and
 // against a request that its leaving cuts off.
 func TestTargetLeaves(t *testing.T) {
+	t.Parallel()
 	s := startSystem(t, 3, 2)
 	s.prepare(3, slowFor(5*time.Second))
 	st := s.startLoad(load{rate: 200, count: 1400, hosts: s.all(), next: func(i int) request {
@@ -130,6 +131,7 @@
 // Guards against new work for a target that went silent but can still be
 // reached.
 func TestTargetSilent(t *testing.T) {
+	t.Parallel()
 	s := startSystem(t, 3, 2)
 	s.prepare(3, standin.Echo(10*time.Millisecond))
 	st := s.startLoad(load{rate: 200, count: 1600, hosts: s.all(), next: mixed})
--- a/proof/returning_test.go
+++ b/proof/returning_test.go
@@ -88,6 +88,7 @@
 // Guards against requests meant for a target's earlier life that run on its
 // next one, which listens on the same address.
 func TestTargetReturnsWithItsAddress(t *testing.T) {
+	t.Parallel()
 	s := startSystem(t, 3, 2)
 	s.prepare(1, standin.Echo(20*time.Millisecond))
 	address := s.hosts[0].address(firstTargetPort + 50)
--- a/proof/stop_test.go
+++ b/proof/stop_test.go
@@ -17,6 +17,7 @@
 // Guards against a planned stop of a process that cuts off a request, refuses
 // one that ran, or takes the service down.
 func TestRollingRestart(t *testing.T) {
+	t.Parallel()
 	s := startSystem(t, 3, 2)
 	s.prepare(3, standin.Echo(100*time.Millisecond))
 	st := s.startLoad(load{rate: 80, count: 4000, hosts: s.all(), resends: resends, next: mixed})
@@ -48,6 +49,7 @@
 // Guards against requests that are cut off or refused while each target is
 // drained and replaced.
 func TestDrainOfTargets(t *testing.T) {
+	t.Parallel()
 	s := startSystem(t, 3, 2)
 	s.prepare(3, standin.Echo(100*time.Millisecond))
 	st := s.startLoad(load{rate: 80, count: 2000, hosts: s.all(), next: mixed})
@@ -67,6 +69,7 @@
 // Guards against a stop that hangs or loses requests because no leader is
 // there to settle them: the leader is killed at the moment of the stop.
 func TestStopDuringFailOver(t *testing.T) {
+	t.Parallel()
 	s := startSystem(t, 3, 2)
 	s.prepare(3, standin.Echo(100*time.Millisecond))
 	leader := s.leader()
