--- a/core/dispatch/retry.go
+++ b/core/dispatch/retry.go
@@ -33,7 +33,7 @@
 
 // delay takes a request out of the queue for a time.
 func (o *Owner) delay(env Env, r *request, d model.Duration) {
-	o.unqueue(r)
+	o.unqueue(env, r)
 	r.state = stateDelayed
 	o.timers.Set(timerID{kind: timerDelay, request: r.ask.Request}, timer{at: env.Now.Add(d)}, struct{}{})
 	o.timers.Set(timerID{kind: timerDeadline, request: r.ask.Request}, timer{at: r.deadline}, struct{}{})
@@ -54,6 +54,13 @@
 	return true
 }
 
+// earnRetry adds to the budget for an answered request.
+func (o *Owner) earnRetry(env Env, id model.TeamID) {
+	t := o.team(id)
+	t.retryTokens += retryShare
+	t.refill(env.Now)
+}
+
 func (t *team) refill(now model.Time) {
 	if t.retryAt != 0 {
 		t.retryTokens += retryRate * now.Sub(t.retryAt).Seconds()
--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -4,6 +4,7 @@
 package effect
 
 import (
+	"primrosedale.example/primrosedale/core/burn"
 	"primrosedale.example/primrosedale/core/consensus"
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/message"
@@ -42,6 +43,7 @@
 	Inc        model.Incarnation
 	Address    string
 	Ticket     uint64     // sequence number of a recent announcement of the target
+	Term       uint64     // of the owner; the target refuses a smaller one than it was told
 	StartBy    model.Time // no byte is sent after this time
 	Deadline   model.Time // the run is given up at this time
 	Claimed    bool       // the answer is to be stored: return it in ForwardEnded
@@ -71,6 +73,7 @@
 	Query  uint64
 	Status *view.Status
 	Task   *fleet.Task // immutable; nil if there is no such task of the team
+	Burn   *burn.Source
 }
 
 // Publish replaces the view that traffic goroutines read.
--- a/core/fleet/state.go
+++ b/core/fleet/state.go
@@ -4,6 +4,7 @@
 package fleet
 
 import (
+	"primrosedale.example/primrosedale/core/burn"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/rules"
 )
@@ -30,6 +31,8 @@
 	Tasks   map[model.TaskID]*Task           `json:"tasks"`
 	Recent  map[model.CommandID]RecentResult `json:"recent"` // results kept for resends
 
+	Burn burn.History `json:"burn"` // counts of ended requests, and what happened to the fleet
+
 	// ClaimList carries Claims in encoded snapshots, because the key of Claims
 	// is not a string.
 	ClaimList []*ClaimRecord `json:"claims,omitempty"`
@@ -111,6 +114,12 @@
 	ImageWant  string             `json:"image_want,omitempty"`
 	Up         bool               `json:"up"`
 	DrainSince model.Time         `json:"drain_since,omitempty"`
+	// MovedAt is when the host joined its pool by a move, so that a later leader
+	// does not move it again at once.
+	MovedAt model.Time `json:"moved_at,omitempty"`
+	// RebootSince is when the reboot was ordered, so that a later leader can
+	// tell how long the host has been away.
+	RebootSince model.Time `json:"reboot_since,omitempty"`
 }
 
 // TaskSpec is what a submitter declares of a task. Declared sizes and run
@@ -152,18 +161,21 @@
 
 // Task is one task and its history.
 type Task struct {
-	ID        model.TaskID   `json:"id"`
-	Team      model.TeamID   `json:"team"`
-	Spec      TaskSpec       `json:"spec"`
-	Phase     TaskPhase      `json:"phase"`
-	Worker    model.HostID   `json:"worker,omitempty"`
-	Epoch     uint64         `json:"epoch"` // grows by one with each placement
-	Cancel    bool           `json:"cancel,omitempty"`
-	FailedOn  []model.HostID `json:"failed_on,omitempty"` // distinct workers
-	Detail    string         `json:"detail,omitempty"`
-	Submitted model.Time     `json:"submitted"`
-	Placed    model.Time     `json:"placed,omitempty"`
-	Ended     model.Time     `json:"ended,omitempty"`
+	ID     model.TaskID `json:"id"`
+	Team   model.TeamID `json:"team"`
+	Spec   TaskSpec     `json:"spec"`
+	Phase  TaskPhase    `json:"phase"`
+	Worker model.HostID `json:"worker,omitempty"`
+	// WorkerInc is the life of the worker that the run was given to. A worker
+	// of another incarnation no longer runs it and must not start it.
+	WorkerInc model.Incarnation `json:"worker_inc,omitempty"`
+	Epoch     uint64            `json:"epoch"` // grows by one with each placement
+	Cancel    bool              `json:"cancel,omitempty"`
+	FailedOn  []model.HostID    `json:"failed_on,omitempty"` // distinct workers
+	Detail    string            `json:"detail,omitempty"`
+	Submitted model.Time        `json:"submitted"`
+	Placed    model.Time        `json:"placed,omitempty"`
+	Ended     model.Time        `json:"ended,omitempty"`
 	// SubmitIndex and EndIndex are the log indexes of the submission and of
 	// the end. They order tasks whose times are equal.
 	SubmitIndex uint64 `json:"submit_index"`
--- a/core/gateway/table.go
+++ b/core/gateway/table.go
@@ -12,7 +12,6 @@
 
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/event"
-	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/pq"
@@ -40,8 +39,10 @@
 	leader   model.HostID
 	term     uint64
 	stopping bool
+	keys     map[model.Digest]model.TeamID // in force
 	held     map[model.RequestID]*held
 	due      *pq.Queue[model.RequestID, due, *held]
+	ends     []End // not yet taken
 }
 
 type due struct {
@@ -55,6 +56,7 @@
 	waiting   phase = iota // for a Dispatch or a Refuse
 	forwarded              // an attempt is running
 	settling               // the last attempt has ended; waiting for Settled
+	withdrawn              // no attempt follows; waiting for Settled
 )
 
 type held struct {
@@ -66,6 +68,7 @@
 	mayRan   bool       // an attempt ended with an unknown outcome
 	answered bool       // the caller has its answer, or has gone
 	gone     bool       // the caller has gone
+	late     bool       // the latest attempt began after the deadline
 	run      message.Forwarded
 	runUntil model.Time // deadline of the running attempt
 	done     *message.Done
@@ -119,32 +122,20 @@
 // Arrive accepts a request and asks the owner for a target.
 func (t *Table) Arrive(now model.Time, r event.Request) []effect.Effect {
 	if t.stopping {
-		return refuse(r.ID, problem.New(problem.Stopping, "the host is stopping"))
+		h := &held{req: r}
+		return t.answer(h, effect.AnswerRequest{Request: r.ID, Problem: problem.New(problem.Stopping, "the host is stopping")})
 	}
 	if t.held[r.ID] != nil {
 		return nil
 	}
 	h := &held{req: r, deadline: now.Add(r.Patience)}
+	if !t.keyHolds(h) {
+		return refuse(r.ID, keyRejected())
+	}
 	t.held[r.ID] = h
 	return t.ask(now, h)
 }
 
-// Abandon handles the disconnect of a caller. A waiting request is withdrawn;
-// a running one is completed, because its target may be in the middle of it.
-func (t *Table) Abandon(now model.Time, id model.RequestID) []effect.Effect {
-	h := t.held[id]
-	if h == nil || h.answered {
-		return nil
-	}
-	h.gone = true
-	h.answered = true
-	if h.phase != waiting {
-		return nil
-	}
-	t.remove(h)
-	return t.sendOwner(message.Message{Withdraw: &message.Withdraw{Request: id}})
-}
-
 // Follow sets the owner and its term. Requests that wait ask the new owner,
 // and outcomes that the old owner has not settled are reported again.
 func (t *Table) Follow(now model.Time, leader model.HostID, term uint64) []effect.Effect {
@@ -154,6 +145,13 @@
 	if !changed || leader == "" {
 		return nil
 	}
+	return t.Resend(now)
+}
+
+// Resend sends again what the owner has not answered. It is called as well when
+// an owner grants its first lease: what came earlier may have found it not yet
+// ready.
+func (t *Table) Resend(now model.Time) []effect.Effect {
 	var out []effect.Effect
 	for _, id := range t.sortedIDs() {
 		out = append(out, t.resend(now, t.held[id])...)
@@ -179,146 +177,6 @@
 	return list
 }
 
-// Dispatch handles the owner's permission to forward a request. serving says
-// whether this host holds a lease. An attempt that is not started is reported
-// back, so that the owner frees the slot.
-func (t *Table) Dispatch(now model.Time, serving bool, d *message.Dispatch) []effect.Effect {
-	if d.Term != t.term {
-		return nil
-	}
-	h := t.held[d.Request]
-	if h == nil {
-		return t.sendOwner(notStarted(d, true))
-	}
-	if h.attempt >= d.Attempt {
-		return nil // a repeated message: this attempt has begun or ended
-	}
-	if h.phase != waiting {
-		return nil
-	}
-	if !serving || d.StartBy <= 0 {
-		return t.sendOwner(notStarted(d, false))
-	}
-	h.phase = forwarded
-	h.attempt = d.Attempt
-	h.done = nil
-	h.runUntil = now.Add(d.MaxRun)
-	h.run = message.Forwarded{
-		Request: d.Request, Attempt: d.Attempt, Team: h.req.Team, Queue: h.req.Queue,
-		Target: d.Target, Inc: d.Inc,
-	}
-	t.due.Remove(d.Request)
-	return []effect.Effect{effect.Forward{
-		Request: d.Request, Attempt: d.Attempt, Target: d.Target, Inc: d.Inc, Address: d.Address,
-		Ticket: d.Ticket, StartBy: now.Add(d.StartBy), Deadline: h.runUntil,
-		Claimed: d.Claimed, Idempotent: h.req.Idempotent,
-	}}
-}
-
-func notStarted(d *message.Dispatch, final bool) message.Message {
-	return message.Message{Done: &message.Done{
-		Request: d.Request, Attempt: d.Attempt, Outcome: message.OutcomeNotStarted, Final: final,
-	}}
-}
-
-// Refuse handles the owner's end of a waiting request: a refusal, or the
-// stored answer of an earlier run of the same claim.
-func (t *Table) Refuse(r *message.Refuse) []effect.Effect {
-	h := t.held[r.Request]
-	if h == nil || h.phase != waiting || r.Term != t.term {
-		return nil
-	}
-	t.remove(h)
-	if r.Answer != nil {
-		return []effect.Effect{effect.AnswerRequest{Request: r.Request, Answer: r.Answer}}
-	}
-	return refuse(r.Request, h.truthful(r.Problem))
-}
-
-// truthful replaces a refusal that says "not run" when an attempt may have run.
-func (h *held) truthful(p *problem.Problem) *problem.Problem {
-	if !h.mayRan || problem.Lookup(p.Kind).Ran != problem.RanNo {
-		return p
-	}
-	return problem.New(problem.RetriesExhausted, "%d attempts were made; then %s", h.attempt, p.Kind)
-}
-
-// Ended handles the end of a forwarded attempt.
-func (t *Table) Ended(now model.Time, e event.ForwardEnded) []effect.Effect {
-	h := t.held[e.Request]
-	if h == nil || h.phase != forwarded || h.attempt != e.Attempt {
-		return nil
-	}
-	h.ended = e.Attempt
-	h.done = &message.Done{
-		Request: e.Request, Attempt: e.Attempt, Outcome: e.Outcome, Status: e.Status,
-		RunTime: e.RunTime, RetryAfter: e.RetryAfter, Answer: e.Answer,
-	}
-	if !h.req.Idempotent {
-		h.done.Claim = &fleet.ClaimID{Team: h.req.Team, Key: h.req.Key}
-	}
-	if e.Outcome == message.OutcomeUnknown {
-		h.mayRan = true
-	}
-	var out []effect.Effect
-	switch {
-	case h.mayRetry(now, e):
-		h.phase = waiting
-	case e.Outcome == message.OutcomeAnswered && !h.req.Idempotent && !e.TooLarge:
-		h.phase = settling
-		h.answerBy = now.Add(SettleTimeout)
-	default:
-		h.phase = settling
-		out = t.answer(h, ending(h, e))
-	}
-	h.done.Final = h.phase == settling
-	t.schedule(h, now)
-	return append(out, t.sendOwner(message.Message{Done: h.done})...)
-}
-
-// mayRetry reports whether the owner may choose another attempt.
-func (h *held) mayRetry(now model.Time, e event.ForwardEnded) bool {
-	if h.gone || e.TooLarge || e.TimedOut || now >= h.deadline {
-		return false
-	}
-	if e.Outcome == message.OutcomeNotStarted {
-		return true
-	}
-	return e.Outcome == message.OutcomeUnknown && h.req.Idempotent
-}
-
-// ending is the caller's answer after the last attempt.
-func ending(h *held, e event.ForwardEnded) effect.AnswerRequest {
-	a := effect.AnswerRequest{Request: e.Request}
-	switch {
-	case e.TooLarge:
-		a.Problem = problem.New(problem.AnswerTooLarge, "the answer of target %s is over the limit", h.run.Target)
-	case e.Outcome == message.OutcomeAnswered:
-		a.Attempt = e.Attempt
-	case e.Outcome == message.OutcomeNotStarted:
-		a.Problem = h.truthful(problem.New(problem.PatienceExceeded, "target %s did not start the request", h.run.Target))
-	case e.TimedOut:
-		a.Problem = problem.New(problem.DeadlineExceeded, "target %s did not answer within the run time", h.run.Target)
-	default:
-		a.Problem = problem.New(problem.OutcomeUnknown, "the connection to target %s failed", h.run.Target)
-	}
-	return a
-}
-
-// Settled handles the owner's receipt for a Done.
-func (t *Table) Settled(s *message.Settled) []effect.Effect {
-	h := t.held[s.Request]
-	if h == nil || h.phase == forwarded || h.ended != s.Attempt {
-		return nil
-	}
-	if h.phase == waiting {
-		h.done = nil
-		return nil
-	}
-	t.remove(h)
-	return t.answer(h, effect.AnswerRequest{Request: s.Request, Attempt: s.Attempt})
-}
-
 // Advance does what is due: repeated messages and refusals for lack of an
 // owner.
 func (t *Table) Advance(now model.Time) []effect.Effect {
@@ -336,9 +194,8 @@
 func (t *Table) advance(now model.Time, h *held) []effect.Effect {
 	switch {
 	case h.phase == waiting && now >= h.deadline.Add(OwnerGrace):
-		t.remove(h)
-		out := t.sendOwner(message.Message{Withdraw: &message.Withdraw{Request: h.req.ID}})
-		return append(out, t.answer(h, effect.AnswerRequest{Request: h.req.ID, Problem: h.truthful(t.lateness(h))})...)
+		out := t.answer(h, effect.AnswerRequest{Request: h.req.ID, Problem: h.truthful(t.lateness(h))})
+		return append(out, t.withdraw(now, h)...)
 	case h.phase == settling && !h.answered && now >= h.answerBy:
 		out := t.answer(h, effect.AnswerRequest{Request: h.req.ID, Attempt: h.ended})
 		return append(out, t.resend(now, h)...)
@@ -366,6 +223,10 @@
 	if h.phase == waiting {
 		return append(out, t.ask(now, h)...)
 	}
+	if h.phase == withdrawn {
+		w := &message.Withdraw{Request: h.req.ID, Attempt: h.ended, Claim: h.claim()}
+		out = t.sendOwner(message.Message{Withdraw: w})
+	}
 	t.schedule(h, now)
 	return out
 }
@@ -387,6 +248,7 @@
 		return nil
 	}
 	h.answered = true
+	t.countEnd(h, a)
 	return []effect.Effect{a}
 }
 
@@ -406,7 +268,7 @@
 	at := now.Add(ResendInterval)
 	if h.phase == waiting {
 		at = min(at, h.deadline.Add(OwnerGrace))
-	} else if !h.answered {
+	} else if h.phase == settling && !h.answered {
 		at = min(at, h.answerBy)
 	}
 	t.due.Set(h.req.ID, due{at, h.req.ID}, h)
@@ -425,7 +287,3 @@
 	slices.Sort(ids)
 	return ids
 }
-
-func refuse(id model.RequestID, p *problem.Problem) []effect.Effect {
-	return []effect.Effect{effect.AnswerRequest{Request: id, Problem: p}}
-}
--- a/core/leader.go
+++ b/core/leader.go
@@ -3,17 +3,21 @@
 import (
 	"slices"
 
+	"primrosedale.example/primrosedale/core/burn"
 	"primrosedale.example/primrosedale/core/consensus"
 	"primrosedale.example/primrosedale/core/dispatch"
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/lease"
+	"primrosedale.example/primrosedale/core/maintenance"
 	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/placement"
 )
 
 // lead begins or ends the leader's part. It begins only when this process
-// holds the leader lease of its term, so that the replicated state is current.
+// holds the leader lease of its term and has applied all that was committed
+// then: the other voters can commit entries that this one is still writing.
 func (s *State) lead() {
 	status := s.log.Status()
 	leads := status.Role == consensus.Leader
@@ -24,13 +28,26 @@
 	if s.leading != nil || !leads || !s.log.HoldsLeaderLease(s.now) {
 		return
 	}
+	if s.leadTerm != status.Term {
+		s.leadTerm, s.leadFrom = status.Term, status.Commit
+	}
+	if s.fleet.Index < s.leadFrom {
+		return
+	}
 	s.leading = &leadership{
 		term:    status.Term,
-		granter: lease.NewGranter(s.now, status.Term),
+		granter: lease.NewGranter(s.now, status.Term, s.fleet.ControlIndex),
 		members: memberHosts(s.fleet),
+		burn:    burn.NewCollector(burn.Leader{Host: s.cfg.Host, Term: status.Term}),
+		began:   s.now,
+		clock:   s.fleet.Now,
+	}
+	if s.leading.clock == 0 {
+		s.leading.clock = s.now
 	}
-	s.leading.granter.ControlChanged(s.now, s.fleet.ControlIndex)
 	s.leading.owner = dispatch.New(s.env(), status.Term)
+	s.leading.placer = placement.New(s.placementEnv())
+	s.leading.planner = maintenance.New(s.maintenanceEnv())
 	s.emit(effect.Log{Code: effect.LeaderElected, Term: status.Term})
 }
 
@@ -39,11 +56,15 @@
 	if s.leading == nil {
 		return
 	}
+	s.propose()
 	if s.leading.inForce < s.fleet.ControlIndex && s.leading.granter.InForce(s.now, s.leading.members) {
 		s.leading.inForce = s.fleet.ControlIndex
 		s.emit(effect.Log{Code: effect.RulesInForce, Index: s.fleet.ControlIndex})
 	}
 	s.asOwner(func(env dispatch.Env, out *dispatch.Out) { s.leading.owner.Advance(env, out) })
+	s.asPlacer(func(env placement.Env, out *placement.Out) { s.leading.placer.Advance(env, out) })
+	s.asPlanner(func(env maintenance.Env, out *maintenance.Out) { s.leading.planner.Advance(env, out) })
+	s.recordBurn()
 }
 
 // asOwner lets the owner of the queues handle something and carries out what
@@ -52,8 +73,32 @@
 	var out dispatch.Out
 	handle(s.env(), &out)
 	s.emit(out.Effects...)
-	if len(out.Proposals) > 0 {
-		s.log.Propose(out.Proposals...)
+	s.propose(out.Proposals...)
+}
+
+// replicatedNow continues the replicated clock, fleet.State.Now, by the time that
+// this process has led. The clocks of two hosts may differ by any amount, and
+// what is measured across leaders, such as the retention of claims, must not
+// depend on whose clock is ahead. Time without a leader is not counted.
+func (s *State) replicatedNow() model.Time {
+	return s.leading.clock.Add(s.now.Sub(s.leading.began))
+}
+
+// date sets the time of commands that are about to be proposed.
+func (s *State) date(commands []fleet.Command) {
+	for i := range commands {
+		commands[i].At = s.replicatedNow()
+	}
+}
+
+// propose dates the commands and appends them to the log. While the leadership
+// is being handed over, the log takes no commands: they wait for the hand-over
+// to fail or for the end of the term.
+func (s *State) propose(commands ...fleet.Command) {
+	s.date(commands)
+	s.leading.unsent = append(s.leading.unsent, commands...)
+	if _, ok := s.log.Propose(s.leading.unsent...); ok {
+		s.leading.unsent = nil
 	}
 }
 
@@ -68,37 +113,41 @@
 	case m.Renew != nil:
 		s.renewed(from, m.Renew)
 	case m.Command != nil:
-		c := m.Command.Command
-		c.At = s.now
-		s.log.Propose(c)
+		s.propose(m.Command.Command)
 	case m.Ask != nil:
 		s.asOwner(func(env dispatch.Env, out *dispatch.Out) { owner.Ask(env, out, from, m.Ask) })
 	case m.Done != nil:
 		s.asOwner(func(env dispatch.Env, out *dispatch.Out) { owner.Done(env, out, from, m.Done) })
 	case m.Withdraw != nil:
-		s.asOwner(func(env dispatch.Env, out *dispatch.Out) { owner.Withdraw(env, out, m.Withdraw) })
+		s.asOwner(func(env dispatch.Env, out *dispatch.Out) { owner.Withdraw(env, out, from, m.Withdraw) })
 	case m.TargetReport != nil:
 		s.asOwner(func(env dispatch.Env, out *dispatch.Out) {
 			reply := owner.Report(env, out, m.TargetReport)
 			s.send(from, message.Message{ReportReply: &reply})
 		})
+	case m.WorkerReport != nil:
+		s.asPlacer(func(env placement.Env, out *placement.Out) {
+			reply := s.leading.placer.Report(env, out, m.WorkerReport)
+			s.send(from, message.Message{ReportReply: &reply})
+		})
 	}
 }
 
 // renewed handles a Renew. A host gets its first lease only once it is a
 // member in the replicated state, so that a later leader waits for it.
 func (s *State) renewed(from model.HostID, r *message.Renew) {
-	if r.Term != s.leading.term {
+	if r.Term != s.leading.term || s.leading.granter.Outdated(from, r.Incarnation) {
 		return
 	}
 	if _, member := s.fleet.Members[from]; !member {
-		s.log.Propose(fleet.Command{At: s.now, AddMember: &fleet.AddMember{Host: from, DataCentre: r.DataCentre}})
+		s.propose(fleet.Command{AddMember: &fleet.AddMember{Host: from, DataCentre: r.DataCentre}})
 		return
 	}
+	s.leading.burn.Received(burn.Process{Host: from, Incarnation: r.Incarnation}, r.Burn)
 	earlier := s.leading.granter.Session(from)
 	restarted := earlier != nil && earlier.Incarnation != r.Incarnation
-	s.asOwner(func(env dispatch.Env, _ *dispatch.Out) {
-		s.leading.owner.GatewayRenewed(env, from, restarted)
+	s.asOwner(func(env dispatch.Env, out *dispatch.Out) {
+		s.leading.owner.GatewayRenewed(env, out, from, restarted)
 		s.leading.owner.Forwarded(env, from, r.Forwarded)
 	})
 	if !s.log.HoldsLeaderLease(s.now) {
@@ -116,6 +165,8 @@
 		s.leading.members = memberHosts(s.fleet)
 	}
 	s.asOwner(func(env dispatch.Env, out *dispatch.Out) { s.leading.owner.Committed(env, out, c, result) })
+	s.asPlacer(func(env placement.Env, out *placement.Out) { s.leading.placer.Committed(env, out, c, result) })
+	s.asPlanner(func(env maintenance.Env, out *maintenance.Out) { s.leading.planner.Committed(env, out, c, result) })
 }
 
 func (s *State) sendCommand(p *pendingCommand) {
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -3,6 +3,7 @@
 package message
 
 import (
+	"primrosedale.example/primrosedale/core/burn"
 	"primrosedale.example/primrosedale/core/consensus"
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/model"
@@ -43,6 +44,8 @@
 	// Grant of the term; afterwards it is left out.
 	Forwarded []Forwarded `json:"forwarded,omitempty"`
 	Full      bool        `json:"full,omitempty"` // Forwarded is complete
+	// Burn is all counts of ended requests that are not recorded, or nothing.
+	Burn []burn.Batch `json:"burn,omitempty"`
 }
 
 // Forwarded is a request that may be running on a target.
@@ -83,14 +86,19 @@
 type Dispatch struct {
 	Term    uint64            `json:"term"`
 	Request model.RequestID   `json:"request"`
-	Attempt int               `json:"attempt"` // counted from 1
+	Gateway model.Incarnation `json:"gateway"` // process life that asked; another life ignores the message
+	Attempt int               `json:"attempt"` // counted from 1; larger than all earlier ones of the request
 	Target  model.TargetID    `json:"target"`
 	Inc     model.Incarnation `json:"inc"` // of the target
 	Address string            `json:"address"`
 	Ticket  uint64            `json:"ticket"` // Seq of a recent announcement; the target refuses an old one
 	Claimed bool              `json:"claimed,omitempty"`
-	StartBy model.Duration    `json:"start_by"` // time left in which the first byte may be sent
-	MaxRun  model.Duration    `json:"max_run"`
+	// The first byte may be sent until StartBy after the gateway sent the Renew
+	// with the sequence number Renewal. Counted from the arrival of this message
+	// instead, a message that is late would move the end of the start.
+	Renewal uint64         `json:"renewal"`
+	StartBy model.Duration `json:"start_by"`
+	MaxRun  model.Duration `json:"max_run"`
 }
 
 // Refuse ends a request without a run, or with a stored answer.
@@ -121,19 +129,24 @@
 	RetryAfter model.Duration  `json:"retry_after,omitempty"` // the target's wish, positive
 	Answer     *model.Answer   `json:"answer,omitempty"`      // to store, for a claim
 	Claim      *fleet.ClaimID  `json:"claim,omitempty"`
-	Final      bool            `json:"final,omitempty"` // the gateway makes no further attempt
+	Untried    bool            `json:"untried,omitempty"` // the gateway did not try the target
+	Final      bool            `json:"final,omitempty"`   // the gateway makes no further attempt
 }
 
-// Settled tells the gateway that the owner has recorded a Done; for a claim,
-// that the stored answer is committed.
+// Settled tells the gateway that the owner has recorded a Done or a Withdraw;
+// for a claim, that its end is committed.
 type Settled struct {
 	Request model.RequestID `json:"request"`
 	Attempt int             `json:"attempt"`
+	Final   bool            `json:"final,omitempty"` // answers a final Done or a Withdraw
 }
 
-// Withdraw tells the owner that the caller has gone.
+// Withdraw tells the owner that the gateway starts no attempt after Attempt: the
+// caller has gone, or has been refused. It is sent again until Settled.
 type Withdraw struct {
 	Request model.RequestID `json:"request"`
+	Attempt int             `json:"attempt"`         // the last attempt that ended, 0 for none
+	Claim   *fleet.ClaimID  `json:"claim,omitempty"` // to release, if the request holds it
 }
 
 // TargetState is what a target says of itself.
@@ -153,10 +166,14 @@
 
 // TargetReport is a target's announcement of itself.
 type TargetReport struct {
-	Report  uint64           `json:"report"` // reply id, unique on the host that received it
-	Target  fleet.Target     `json:"target"`
-	Seq     uint64           `json:"seq"`   // counted by the target from 1
-	Acked   uint64           `json:"acked"` // largest Seq whose reply the target had received when it took this sample
+	Report uint64       `json:"report"` // reply id, unique on the host that received it
+	Target fleet.Target `json:"target"`
+	Seq    uint64       `json:"seq"`   // counted by the target from 1
+	Acked  uint64       `json:"acked"` // largest Seq whose reply the target had received when it took this sample
+	// Term is the largest term of the replies that the target had received when
+	// it took this sample: it refuses requests of smaller terms. Zero is a target
+	// that refuses none.
+	Term    uint64           `json:"term,omitempty"`
 	State   TargetState      `json:"state"`
 	Running []RunningRequest `json:"running,omitempty"`
 }
@@ -222,6 +239,7 @@
 // ReportReply answers a TargetReport or a WorkerReport.
 type ReportReply struct {
 	Report  uint64           `json:"report"`
+	Term    uint64           `json:"term,omitempty"` // a target refuses requests of smaller terms from now on
 	Problem *problem.Problem `json:"problem,omitempty"`
 	Orders  []Order          `json:"orders,omitempty"`
 	Reboot  bool             `json:"reboot,omitempty"` // the worker is drained: reboot to ImageWant
--- a/core/reduce.go
+++ b/core/reduce.go
@@ -19,6 +19,7 @@
 	}
 	s.handle(in.Event)
 	s.settle()
+	s.countEnds()
 	s.publish()
 	return s.out
 }
@@ -39,6 +40,8 @@
 		s.emit(s.table.Abandon(s.now, e.Request)...)
 	case event.ForwardEnded:
 		s.emit(s.table.Ended(s.now, e)...)
+	case event.RequestsRefused:
+		s.countRefusals(e.Refusals)
 	case event.TargetReported:
 		s.report(e.Report.Report, message.Message{TargetReport: &e.Report})
 	case event.WorkerReported:
@@ -58,6 +61,7 @@
 	for {
 		s.follow()
 		s.drainLog()
+		s.enforceKeys()
 		s.lead()
 		if len(s.local) == 0 {
 			return
@@ -88,9 +92,9 @@
 	case m.Grant != nil:
 		s.granted(m.Grant)
 	case m.Dispatch != nil:
-		s.emit(s.table.Dispatch(s.now, s.holder.Valid(s.now), m.Dispatch)...)
+		s.emit(s.table.Dispatch(s.now, s.startBy(m.Dispatch), m.Dispatch)...)
 	case m.Refuse != nil:
-		s.emit(s.table.Refuse(m.Refuse)...)
+		s.emit(s.table.Refuse(s.now, m.Refuse)...)
 	case m.Settled != nil:
 		s.emit(s.table.Settled(m.Settled)...)
 	case m.ReportReply != nil:
@@ -100,9 +104,21 @@
 	}
 }
 
+// startBy returns the last moment at which a dispatched request may start here,
+// or zero if it may not.
+func (s *State) startBy(d *message.Dispatch) model.Time {
+	sent, known := s.holder.Sent(d.Renewal)
+	if !known || !s.holder.Valid(s.now) {
+		return 0
+	}
+	return sent.Add(d.StartBy)
+}
+
 func (s *State) granted(g *message.Grant) {
 	serving := s.holder.Valid(s.now)
-	s.holder.Granted(g)
+	if s.holder.Granted(g) {
+		s.emit(s.table.Resend(s.now)...)
+	}
 	if !serving && s.holder.Valid(s.now) {
 		s.emit(effect.Log{Code: effect.LeaseRegained, Term: g.Term})
 	}
@@ -127,6 +143,7 @@
 	if r.Full {
 		r.Forwarded = s.table.Forwarded(s.now)
 	}
+	r.Burn = s.dueCounts(r.Term)
 	s.send(leader, message.Message{Renew: r})
 }
 
--- a/gateway/held.go
+++ b/gateway/held.go
@@ -66,14 +66,16 @@
 // serveRequest holds one request of a caller until its answer is known.
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
 	id := s.nextID()
-	if s.held.Add(1) > s.cfg.MaxHeld {
-		s.held.Add(-1)
+	release, ok := s.reserve(r.ContentLength)
+	defer release()
+	if !ok {
+		s.refusals.count(s, r, problem.Overloaded)
 		s.refuse(w, problem.New(problem.Overloaded, ""), id)
 		return
 	}
-	defer s.held.Add(-1)
 	h, request, p := s.accept(w, r, id)
 	if p != nil {
+		s.refusals.count(s, r, p.Kind)
 		s.refuse(w, p, id)
 		return
 	}
@@ -81,16 +83,33 @@
 	defer s.requests.Delete(id)
 	// A key withdrawn between accept and Store was missed by rejectWithdrawn.
 	if !keyInForce(s.control.View(), h) {
+		s.refusals.count(s, r, problem.KeyRejected)
 		s.refuse(w, problem.New(problem.KeyRejected, ""), id)
 		return
 	}
 	if !s.control.Post(event.RequestArrived{Request: request}) {
+		s.refusals.count(s, r, problem.Overloaded)
 		s.refuse(w, problem.New(problem.Overloaded, ""), id)
 		return
 	}
 	s.await(w, r, h)
 }
 
+// reserve takes the place and the memory of one request. A body without a
+// declared length is counted with the largest that is accepted.
+func (s *Server) reserve(length int64) (release func(), ok bool) {
+	if length < 0 || length > s.cfg.MaxBody {
+		length = s.cfg.MaxBody
+	}
+	requests := s.held.Add(1)
+	bytes := s.heldBytes.Add(length)
+	release = func() {
+		s.held.Add(-1)
+		s.heldBytes.Add(-length)
+	}
+	return release, requests <= s.cfg.MaxHeld && bytes <= s.cfg.MaxHeldBytes
+}
+
 // accept makes the admission checks. The view is read again after the body,
 // because a key can be withdrawn while a slow caller sends it.
 func (s *Server) accept(w http.ResponseWriter, r *http.Request, id model.RequestID) (*held, event.Request, *problem.Problem) {
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -91,6 +91,9 @@
 	{SyncFailed, "sync_failed", zerolog.ErrorLevel,
 		"a write could not be synced and the process stops",
 		"Replace the disk or free space, empty the data folder and start the process, so that the host joins as a new member."},
+	{SnapshotDamaged, "snapshot_damaged", zerolog.WarnLevel,
+		"the newest snapshot is damaged; the older one and the log are used",
+		"Check the disk. Replace the host if it happens again."},
 }}
 
 var leasesAndHostsArea = area{"Leases and hosts", []Entry{
@@ -232,12 +235,18 @@
 	{RequestRefused, "request_refused", zerolog.DebugLevel,
 		"a request was refused",
 		"Nothing. The caller has the kind of the problem."},
+	{RefusalsNotCounted, "refusals_not_counted", zerolog.WarnLevel,
+		"refusals of the last second are missing in the burn report, because the process is stopping",
+		"Nothing."},
 	{OutcomeUnknown, "outcome_unknown", zerolog.WarnLevel,
 		"a request may have run and its outcome is not known",
 		"Have the team check its effect before it sends the request with a new idempotency key."},
 	{ClaimUnknown, "claim_unknown", zerolog.WarnLevel,
 		"a claim was made and its gateway is lost, so its outcome is not known",
 		"Have the team check its effect before it sends the request with a new idempotency key."},
+	{OutcomeNotRecorded, "outcome_not_recorded", zerolog.WarnLevel,
+		"an attempt ended while the process was stopping and its end was not recorded",
+		"Nothing. Its target's reports show the end."},
 	{RetryBudgetSpent, "retry_budget_spent", zerolog.WarnLevel,
 		"a team's retry budget is spent and failed requests are not retried",
 		"Find out why the team's targets fail."},
--- a/operator/server.go
+++ b/operator/server.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/rs/zerolog"
 	goji "goji.io"
 	"goji.io/pat"
+	"primrosedale.example/primrosedale/logevent"
 
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/event"
@@ -53,14 +53,14 @@
 type Server struct {
 	cfg      Config
 	control  Control
-	log      zerolog.Logger
+	log      logevent.Logger
 	commands pending.Table[model.CommandID, fleet.Result]
 	statuses pending.Table[uint64, effect.AnswerStatus]
 	queries  *pending.Sequence
 }
 
 // New returns a Server.
-func New(cfg Config, c Control, log zerolog.Logger) *Server {
+func New(cfg Config, c Control, log logevent.Logger) *Server {
 	return &Server{cfg: cfg, control: c, log: log, queries: pending.NewSequence(c.Rand())}
 }
 
@@ -72,6 +72,7 @@
 	mux.HandleFunc(pat.Get("/readyz"), s.readyz)
 	mux.HandleFunc(pat.Get("/metrics"), s.metrics)
 	mux.HandleFunc(pat.Get("/v1/status"), s.authorized(s.showStatus))
+	mux.HandleFunc(pat.Get("/v1/report"), s.authorized(s.showReport))
 	mux.HandleFunc(pat.Get("/v1/rules"), s.authorized(s.showRules))
 	mux.HandleFunc(pat.Post("/v1/rules"), s.authorized(s.applyRules))
 	mux.HandleFunc(pat.Post("/v1/keys"), s.authorized(s.grantKey))
