gateway: close the connections of callers while the host stops

A process that ended closed idle connections on which a caller had just sent a request: 1 of 706 requests had no answer in a rolling restart of 5 hosts (go test -race ./proof, TestRollingRestart, whole package). The answers of a stopping host now carry Connection: close. A host that holds nothing still ends within 10 to 50 ms, so a request sent in that moment can meet a closed connection.

proof: the repaired replica must vote before the leader is killed; without that two of three replicas are out and no leader is possible.

--- a/gateway/held.go
+++ b/gateway/held.go
@@ -178,6 +178,7 @@
 
 func (s *Server) writeAnswer(w http.ResponseWriter, id model.RequestID, answer *model.Answer) {
 	countAnswered()
+	s.closeIfStopping(w)
 	header := w.Header()
 	header.Set(reply.RequestIDHeader, string(id))
 	header["Content-Type"] = nil // no guess when the target sent none
@@ -199,6 +200,16 @@
 
 func (s *Server) refuse(w http.ResponseWriter, p *problem.Problem, id model.RequestID) {
 	countRefused(p.Kind)
+	s.closeIfStopping(w)
 	w.Header().Set(reply.RequestIDHeader, string(id))
 	reply.Problem(w, p, id, s.control.Rand())
 }
+
+// closeIfStopping tells a caller of a stopping host not to use its connection
+// again. Otherwise the end of the process closes a connection on which a
+// request may be on its way, whose caller cannot know that it did not run.
+func (s *Server) closeIfStopping(w http.ResponseWriter) {
+	if s.control.View().Stopping {
+		w.Header().Set("Connection", "close")
+	}
+}
--- a/proof/config_test.go
+++ b/proof/config_test.go
@@ -252,6 +252,10 @@
 		s.rejoin(behind)
 		s.hosts[broken].start()
 		s.waitInForce(last, s.all()...)
+		eventually(t, startLimit, "the repaired replica votes", func() bool {
+			status := s.hosts[broken].status()
+			return status != nil && status.Role == "follower"
+		})
 		s.hosts[leader].kill()
 		s.leader(behind, broken)
 		s.waitInForce(last, s.running()...)
