--- a/proof/stop_test.go
+++ b/proof/stop_test.go
@@ -39,7 +39,7 @@
 	s.checkLimits()
 	for _, o := range outcomes {
 		if !o.answered {
-			s.t.Logf("not answered: %+v", o)
+			s.t.Logf("not answered by %s after %s: %s %v", s.hosts[o.host].name, o.ended.Sub(o.sent), o.kind, o.err)
 		}
 	}
 	require.Zero(s.t, c.unknown, "requests cut off")
