--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -24,6 +24,10 @@
 	DeadlineHeader    = "Primrosedale-Deadline" // seconds left
 	IncarnationHeader = "Primrosedale-Target-Incarnation"
 	TicketHeader      = "Primrosedale-Ticket"
+	// TermHeader is the term of the owner that dispatched the request. A target
+	// refuses a smaller term than it was told, so that requests of an earlier
+	// owner cannot start after a new one has counted what runs.
+	TermHeader = "Primrosedale-Term"
 	// RanHeader with the value "no" in an answer says that the target did not
 	// run the request.
 	RanHeader = "Primrosedale-Ran"
@@ -137,7 +141,7 @@
 // the connection is there, so that a slow connect does not move the deadline
 // on the target.
 func (s *Server) newRequest(ctx context.Context, h *held, e effect.Forward, g *guard) *http.Request {
-	header := make(http.Header, 9)
+	header := make(http.Header, 10)
 	request := &http.Request{
 		Method: http.MethodPost,
 		URL:    &url.URL{Scheme: "http", Host: e.Address, Path: "/run/" + string(h.queue)},
@@ -157,6 +161,7 @@
 	setIfAny(header, IncarnationHeader, string(e.Inc))
 	header.Set(AttemptHeader, strconv.Itoa(e.Attempt))
 	header.Set(TicketHeader, strconv.FormatUint(e.Ticket, 10))
+	header.Set(TermHeader, strconv.FormatUint(e.Term, 10))
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		header.Set(DeadlineHeader, formatSeconds(e.Deadline.Sub(s.control.Now())))
 		info.Conn.(*guardedConn).guard.Store(g)
