standin, consensus, gateway: use the owner's term, rewind old folders, spare targets

Change: the stand-in remembers the largest term, refuses smaller ones and announces a new one at once; the leader lowers what it knows of such a replica and sends the entries again; ForwardEnded.Untried says that an attempt tells nothing of its target.

--- a/core/consensus/replication.go
+++ b/core/consensus/replication.go
@@ -272,7 +272,11 @@
 // backOff continues before an append that was rejected. Rejections of appends
 // that are no longer the latest are ignored.
 func (n *Node[C, S]) backOff(p *progress, m Message[C, S]) {
-	if m.Index <= p.match || p.state == stateSnapshot {
+	if m.Index < p.match || p.state == stateSnapshot {
+		return
+	}
+	if m.Index == p.match {
+		n.rewind(p, m)
 		return
 	}
 	if p.state == stateReplicate {
@@ -286,6 +290,18 @@
 	p.probe(hint + 1)
 }
 
+// rewind continues at the end of a log that is shorter than what its node has
+// acknowledged: its data folder was replaced by an older copy. The entries are
+// sent again. What the node voted for in the meantime is not known, so a
+// restored folder is safe only while a majority of the other voters is intact.
+func (n *Node[C, S]) rewind(p *progress, m Message[C, S]) {
+	if m.Hint >= p.match {
+		return
+	}
+	p.match = n.log.lastAtMost(m.Hint, m.LogTerm)
+	p.probe(p.match + 1)
+}
+
 // afterAcknowledge acts on a higher match of a peer.
 func (n *Node[C, S]) afterAcknowledge() {
 	n.maybeCommit()
--- a/core/consensus/replication_test.go
+++ b/core/consensus/replication_test.go
@@ -256,3 +256,18 @@
 	require.LessOrEqual(t, learner, 6)
 	require.Less(t, longest, n.cfg.ElectionTimeoutMin)
 }
+
+// Guards against a replica that never catches up after its data folder was
+// replaced by an older copy.
+func TestOlderCopyOfFolder(t *testing.T) {
+	n, now := newLeader(t)
+	n.Propose("x", "y")
+	settle(n)
+	n.Step(now, 0, appended(idC, 4, now))
+	settle(n)
+	n.Step(now, 0, testMessage{Kind: MsgAppendReply, From: idC, To: idA, Term: 2, Index: 4, LogTerm: 1, Hint: 1, Reject: true, Sent: now})
+	sent := only(settle(n), MsgAppend, idC)
+	require.NotEmpty(t, sent)
+	require.Equal(t, uint64(1), sent[0].Index)
+	require.Equal(t, uint64(4), n.Status().Commit, "what is committed stays committed")
+}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -62,6 +62,7 @@
 	Request    model.RequestID
 	Attempt    int
 	Outcome    message.Outcome
+	Untried    bool           // not started by this host's own choice: it says nothing of the target
 	Status     int            // of an answered attempt
 	RunTime    model.Duration // from the first byte sent
 	RetryAfter model.Duration // positive if the target sent one
--- a/core/gateway/attempt.go
+++ b/core/gateway/attempt.go
@@ -70,7 +70,7 @@
 	h.ended = e.Attempt
 	h.done = &message.Done{
 		Request: e.Request, Attempt: e.Attempt, Outcome: e.Outcome, Status: e.Status,
-		RunTime: e.RunTime, RetryAfter: e.RetryAfter, Answer: e.Answer,
+		RunTime: e.RunTime, RetryAfter: e.RetryAfter, Answer: e.Answer, Untried: e.Untried,
 	}
 	h.done.Claim = h.claim()
 	if e.Outcome == message.OutcomeUnknown {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"time"
 
+	"github.com/juju/errors"
+
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/event"
 	"primrosedale.example/primrosedale/core/message"
@@ -66,6 +68,7 @@
 	if err != nil {
 		if g.seal() {
 			ended.Outcome = message.OutcomeNotStarted
+			ended.Untried = errors.Is(err, errNotAllowed)
 			return ended
 		}
 		return unknown(ctx, ended)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -201,5 +201,5 @@
 }
 
 func notStarted(e effect.Forward) event.ForwardEnded {
-	return event.ForwardEnded{Request: e.Request, Attempt: e.Attempt, Outcome: message.OutcomeNotStarted}
+	return event.ForwardEnded{Request: e.Request, Attempt: e.Attempt, Outcome: message.OutcomeNotStarted, Untried: true}
 }
--- a/standin/target.go
+++ b/standin/target.go
@@ -103,6 +103,7 @@
 	mu      sync.Mutex
 	state   message.TargetState
 	seq     uint64
+	term    uint64               // largest term in a reply
 	sent    map[uint64]time.Time // send times of recent announcements
 	running map[runKey]platform.RunningRequest
 	idle    chan struct{} // closed when leaving and nothing runs
@@ -205,7 +206,10 @@
 	ticker := time.NewTicker(t.cfg.Interval)
 	defer ticker.Stop()
 	for {
-		t.announce(t.ctx)
+		known := t.knownTerm()
+		if t.announce(t.ctx) && t.knownTerm() > known {
+			continue // a new owner waits to hear that its term is known
+		}
 		select {
 		case <-ticker.C:
 		case <-t.ctx.Done():
@@ -214,6 +218,12 @@
 	}
 }
 
+func (t *Target) knownTerm() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.term
+}
+
 // announce sends one announcement and reports whether it was answered.
 func (t *Target) announce(ctx context.Context) bool {
 	body := t.sample()
@@ -225,6 +235,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.books.acked = max(t.books.acked, answer.Acked)
+	t.term = max(t.term, answer.Term)
 	return true
 }
 
@@ -250,6 +261,7 @@
 		Incarnation: t.incarnation,
 		Sequence:    t.seq,
 		Acked:       t.books.acked,
+		Term:        t.term,
 		State:       t.state,
 		Running:     running,
 	}
--- a/standin/target_run.go
+++ b/standin/target_run.go
@@ -143,6 +143,7 @@
 const (
 	RefusedIncarnation = "other incarnation"
 	RefusedTicket      = "old ticket"
+	RefusedTerm        = "earlier term"
 	RefusedLeaving     = "leaving"
 	RefusedSlots       = "no free slot"
 	RefusedDuplicate   = "attempt is running"
@@ -155,6 +156,9 @@
 	if !t.ticketHolds(header.Get(gateway.TicketHeader)) {
 		return RefusedTicket
 	}
+	if t.isEarlierTerm(header.Get(gateway.TermHeader)) {
+		return RefusedTerm
+	}
 	if t.state == message.TargetLeaving {
 		return RefusedLeaving
 	}
@@ -181,6 +185,16 @@
 	return ok && time.Since(at) <= ticketAge
 }
 
+// isEarlierTerm reports whether a request comes from an owner before the one
+// that this target was last told of.
+func (t *Target) isEarlierTerm(value string) bool {
+	if t.term == 0 {
+		return false
+	}
+	term, err := strconv.ParseUint(value, 10, 64)
+	return err != nil || term < t.term
+}
+
 func (t *Target) end(key runKey, request platform.RunningRequest) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
