--- a/control/loop.go
+++ b/control/loop.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -34,9 +35,16 @@
 	Execute(e effect.Effect)
 }
 
-// Recorder keeps a journal of the inputs.
+// checkpointEvery is the number of inputs between two states in a journal. A
+// state costs some milliseconds with 100,000 claims.
+const checkpointEvery = 4096
+
+// Recorder keeps a journal of the inputs. Its methods are called on the
+// control goroutine and must not block.
 type Recorder interface {
 	Record(in event.Input, effects []effect.Effect)
+	// Checkpoint records the state after the last input.
+	Checkpoint(state core.Inspection)
 }
 
 // Loop is the control goroutine of a process.
@@ -48,6 +56,7 @@
 	state    *core.State
 	executor Executor
 	recorder Recorder
+	recorded int // inputs
 	halted   chan struct{}
 	reason   string // why the process halted, set before halted is closed
 }
@@ -146,7 +155,7 @@
 	in := event.Input{At: l.Now(), Rand: l.Rand(), Event: e}
 	effects := core.Reduce(l.state, in)
 	if l.recorder != nil {
-		l.recorder.Record(in, effects)
+		l.record(in, effects)
 	}
 	for _, f := range effects {
 		l.execute(f)
@@ -155,6 +164,20 @@
 	eventSeconds.UpdateDuration(began)
 }
 
+// record passes an input to the recorder, and the state at every
+// checkpointEvery inputs and at the end.
+func (l *Loop) record(in event.Input, effects []effect.Effect) {
+	l.recorder.Record(in, effects)
+	l.recorded++
+	halts := slices.ContainsFunc(effects, func(e effect.Effect) bool {
+		_, ok := e.(effect.Halt)
+		return ok
+	})
+	if halts || l.recorded%checkpointEvery == 0 {
+		l.recorder.Checkpoint(l.state.Inspect())
+	}
+}
+
 func (l *Loop) execute(f effect.Effect) {
 	switch f := f.(type) {
 	case effect.Publish:
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/view"
 	"primrosedale.example/primrosedale/gateway"
+	"primrosedale.example/primrosedale/journal"
 	"primrosedale.example/primrosedale/logevent"
 	"primrosedale.example/primrosedale/operator"
 	"primrosedale.example/primrosedale/platform"
@@ -42,6 +43,7 @@
 	loop     *control.Loop
 	store    *storage.Store // nil without a data folder
 	writer   *logWriter
+	journal  *journal.Recorder // nil without the setting record
 	gateway  *gateway.Server
 	platform *platform.Server
 	operator *operator.Server
@@ -87,7 +89,11 @@
 	if err != nil {
 		return err
 	}
-	state, err := core.New(cfg, stored, d.loop.Now(), d.loop.Rand())
+	now, rand := d.loop.Now(), d.loop.Rand()
+	if d.journal, err = d.openJournal(cfg, stored, now, rand); err != nil {
+		return err
+	}
+	state, err := core.New(cfg, stored, now, rand)
 	if err != nil {
 		return errors.Annotate(err, "starting from the stored state")
 	}
@@ -111,7 +117,7 @@
 	d.loop.Start(state, &executor{
 		transport: d.peers, writer: d.writer, gateway: d.gateway,
 		platform: d.platform, operator: d.operator, log: d.log,
-	}, nil)
+	}, d.recorder())
 	return d.listen(tlsServer)
 }
 
@@ -180,6 +186,9 @@
 		if d.writer != nil {
 			parts.Go(func() error { return d.writer.run(&parts) })
 		}
+		if d.journal != nil {
+			parts.Go(func() error { return d.journal.Run(&parts) })
+		}
 		d.peers.Run(&parts)
 		parts.Go(func() error { return d.peers.Serve(&parts, d.peerSide) })
 		for _, s := range d.servers {
@@ -244,6 +253,9 @@
 	for _, s := range d.servers {
 		_ = s.listener.Close()
 	}
+	if d.journal != nil {
+		_ = d.journal.Close() // a second close has no effect
+	}
 	if d.store != nil {
 		_ = d.store.Close()
 	}
--- /dev/null
+++ b/daemon/journal.go
@@ -0,0 +1,28 @@
+package daemon
+
+import (
+	"primrosedale.example/primrosedale/control"
+	"primrosedale.example/primrosedale/core"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/journal"
+	"primrosedale.example/primrosedale/logevent"
+)
+
+// openJournal starts the journal that the settings ask for. It returns nil if
+// they ask for none.
+func (d *Daemon) openJournal(cfg core.Config, stored core.Stored, now model.Time, rand uint64) (*journal.Recorder, error) {
+	if d.settings.Record == "" {
+		return nil, nil
+	}
+	return journal.Open(d.settings.Record, cfg, stored, now, rand, func(err error) {
+		d.log.Emit(logevent.JournalError, logevent.Err(err))
+	})
+}
+
+// recorder returns the journal, or a nil interface without one.
+func (d *Daemon) recorder() control.Recorder {
+	if d.journal == nil {
+		return nil
+	}
+	return d.journal
+}
--- /dev/null
+++ b/journal/events.go
@@ -0,0 +1,136 @@
+package journal
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/juju/errors"
+
+	"primrosedale.example/primrosedale/codec"
+	"primrosedale.example/primrosedale/core/event"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// Kind names an event type.
+type Kind string
+
+// The kinds, one for each type of package event.
+const (
+	KindTick      Kind = "tick"
+	KindReceived  Kind = "received"
+	KindPersisted Kind = "persisted"
+	KindFailed    Kind = "persist_failed"
+	KindArrived   Kind = "request_arrived"
+	KindAbandoned Kind = "request_abandoned"
+	KindEnded     Kind = "forward_ended"
+	KindTarget    Kind = "target_reported"
+	KindWorker    Kind = "worker_reported"
+	KindCommand   Kind = "command_submitted"
+	KindStatus    Kind = "status_requested"
+	KindStop      Kind = "stop_requested"
+)
+
+// received is the encoded form of event.Received.
+type received struct {
+	From    model.HostID
+	Message json.RawMessage // in the encoding of package codec
+}
+
+// encodeEvent returns the kind of an event and its content.
+func encodeEvent(e event.Event) (Kind, json.RawMessage, error) {
+	switch e := e.(type) {
+	case event.Tick:
+		return KindTick, nil, nil
+	case event.StopRequested:
+		return KindStop, nil, nil
+	case event.Received:
+		m, err := codec.EncodeMessage(&e.Message)
+		if err != nil {
+			return "", nil, err
+		}
+		return marshalled(KindReceived, received{e.From, m})
+	case event.Persisted:
+		return marshalled(KindPersisted, e)
+	case event.PersistFailed:
+		return marshalled(KindFailed, e)
+	case event.RequestArrived:
+		return marshalled(KindArrived, e)
+	case event.RequestAbandoned:
+		return marshalled(KindAbandoned, e)
+	case event.ForwardEnded:
+		return marshalled(KindEnded, e)
+	case event.TargetReported:
+		return marshalled(KindTarget, e)
+	case event.WorkerReported:
+		return marshalled(KindWorker, e)
+	case event.CommandSubmitted:
+		return marshalled(KindCommand, e)
+	case event.StatusRequested:
+		return marshalled(KindStatus, e)
+	default:
+		return "", nil, errors.NotSupportedf("event %T", e)
+	}
+}
+
+func marshalled(k Kind, v any) (Kind, json.RawMessage, error) {
+	data, err := json.Marshal(v)
+	return k, data, errors.Annotatef(err, "encoding event %s", k)
+}
+
+// decodeEvent returns the event of a recorded input.
+func decodeEvent(in *Input) (event.Event, error) {
+	switch in.Kind {
+	case KindTick:
+		return event.Tick{}, nil
+	case KindStop:
+		return event.StopRequested{}, nil
+	case KindReceived:
+		return decodeReceived(in)
+	case KindPersisted:
+		return decodeAs[event.Persisted](in)
+	case KindFailed:
+		return decodeAs[event.PersistFailed](in)
+	case KindArrived:
+		return decodeAs[event.RequestArrived](in)
+	case KindAbandoned:
+		return decodeAs[event.RequestAbandoned](in)
+	case KindEnded:
+		return decodeAs[event.ForwardEnded](in)
+	case KindTarget:
+		return decodeAs[event.TargetReported](in)
+	case KindWorker:
+		return decodeAs[event.WorkerReported](in)
+	case KindCommand:
+		return decodeAs[event.CommandSubmitted](in)
+	case KindStatus:
+		return decodeAs[event.StatusRequested](in)
+	default:
+		return nil, errors.NotSupportedf("event kind %q", in.Kind)
+	}
+}
+
+func decodeReceived(in *Input) (event.Event, error) {
+	var r received
+	if err := strict(in.Event, &r); err != nil {
+		return nil, err
+	}
+	m, err := codec.DecodeMessage(r.Message)
+	if err != nil {
+		return nil, err
+	}
+	return event.Received{From: r.From, Message: *m}, nil
+}
+
+func decodeAs[E event.Event](in *Input) (event.Event, error) {
+	var e E
+	err := strict(in.Event, &e)
+	return e, errors.Annotatef(err, "decoding event %s", in.Kind)
+}
+
+// strict decodes one JSON value and refuses unknown fields: a field that a
+// reader ignores would make its replay differ.
+func strict(data []byte, v any) error {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	return errors.Trace(dec.Decode(v))
+}
--- /dev/null
+++ b/journal/journal_test.go
@@ -0,0 +1,137 @@
+package journal
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"gopkg.in/tomb.v2"
+
+	"primrosedale.example/primrosedale/core"
+	"primrosedale.example/primrosedale/core/consensus"
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/event"
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+const ticks = 100
+
+var config = core.Config{Host: "a", DataCentre: "west", Incarnation: "1", Replica: "1", Durable: true, MaxVoters: 1}
+
+// recordRun records a process that becomes leader of its own cluster.
+func recordRun(t *testing.T, path string) {
+	t.Helper()
+	stored := consensus.Bootstrap[fleet.Command, *fleet.State]([]consensus.NodeID{{Host: "a", Incarnation: "1"}})
+	s, err := core.New(config, stored, 1, 7)
+	require.NoError(t, err)
+	r, err := Open(path, config, stored, 1, 7, func(err error) { t.Error(err) })
+	require.NoError(t, err)
+	pending := []event.Event{}
+	for i := range ticks {
+		pending = append(pending, event.Tick{})
+		for len(pending) > 0 {
+			in := event.Input{At: model.Time(i+1) * model.Time(core.TickInterval), Rand: uint64(i), Event: pending[0]}
+			pending = pending[1:]
+			effects := core.Reduce(s, in)
+			r.Record(in, effects)
+			for _, e := range effects {
+				if p, ok := e.(effect.Persist); ok {
+					pending = append(pending, event.Persisted{Term: p.Term, Index: p.Index})
+				}
+			}
+		}
+	}
+	r.Checkpoint(s.Inspect())
+	finish(t, r)
+}
+
+func finish(t *testing.T, r *Recorder) {
+	t.Helper()
+	var life tomb.Tomb
+	life.Go(func() error { return r.Run(&life) })
+	life.Kill(nil)
+	require.NoError(t, life.Wait())
+}
+
+func read(t *testing.T, path string) []byte {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	require.NoError(t, err)
+	return text
+}
+
+// Guards against a replay that passes a journal whose effects differ, and
+// against one that cannot say where.
+func TestVerifyNamesTheFirstDifference(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "journal")
+	recordRun(t, path)
+	text := read(t, path)
+	require.True(t, IsJournal(text))
+	report, err := Verify(bytes.NewReader(text))
+	require.NoError(t, err)
+	require.Nil(t, report.First)
+	require.Equal(t, 1, report.States)
+
+	lines := strings.Split(string(text), "\n")
+	for i, line := range lines {
+		if at := strings.Index(line, `"Publish `); at >= 0 {
+			lines[i] = line[:at+9] + strings.Repeat("0", 32) + line[at+9+32:]
+			report, err = Verify(strings.NewReader(strings.Join(lines, "\n")))
+			require.NoError(t, err)
+			require.NotNil(t, report.First)
+			require.Equal(t, i+1, report.First.Line)
+			require.Contains(t, report.First.What, "effect")
+			require.NotEmpty(t, report.First.Content)
+			return
+		}
+	}
+	t.Fatal("the journal holds no published view")
+}
+
+// Guards against a journal that is unreadable after its process was killed in
+// the middle of a line, and against damage that passes as such an end.
+func TestVerifyAcceptsOnlyTheCutEndOfARun(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "journal")
+	recordRun(t, path)
+	whole := len(read(t, path))
+	require.NoError(t, os.Truncate(path, int64(whole-10)))
+	report, err := Verify(bytes.NewReader(read(t, path)))
+	require.NoError(t, err)
+	require.Equal(t, 1, report.Torn)
+
+	recordRun(t, path)
+	text := read(t, path)
+	report, err = Verify(bytes.NewReader(text))
+	require.NoError(t, err)
+	require.Equal(t, 2, report.Runs)
+	require.Equal(t, 1, report.Torn)
+
+	damaged := bytes.Replace(text, []byte(`"kind":"tick"`), []byte(`"kind";"tick"`), 1)
+	_, err = Verify(bytes.NewReader(damaged))
+	require.Error(t, err)
+}
+
+// Guards against a slow disk that blocks the control goroutine, and against a
+// journal with a gap: what was queued before the overflow is kept, the rest is
+// not recorded, and the reason is reported.
+func TestRecorderThatIsBehindCloses(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "journal")
+	stored := consensus.Bootstrap[fleet.Command, *fleet.State]([]consensus.NodeID{{Host: "a", Incarnation: "1"}})
+	var reason error
+	r, err := Open(path, config, stored, 1, 7, func(err error) { reason = err })
+	require.NoError(t, err)
+	for range 2 * queueSize { // nothing reads the queue yet
+		r.Record(event.Input{At: 2, Event: event.Tick{}}, nil)
+	}
+	var life tomb.Tomb
+	life.Go(func() error { return r.Run(&life) })
+	require.NoError(t, life.Wait())
+	require.ErrorIs(t, reason, ErrBehind)
+	report, err := Verify(bytes.NewReader(read(t, path)))
+	require.NoError(t, err)
+	require.Equal(t, queueSize, report.Inputs)
+}
--- /dev/null
+++ b/journal/verify.go
@@ -0,0 +1,227 @@
+package journal
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"primrosedale.example/primrosedale/codec"
+	"primrosedale.example/primrosedale/core"
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/event"
+)
+
+// Report is the result of a replay.
+type Report struct {
+	Runs    int         `json:"runs"`
+	Inputs  int         `json:"inputs"`
+	Effects int         `json:"effects"`
+	States  int         `json:"states"` // whole states that were compared
+	Torn    int         `json:"torn"`   // runs that end in the middle of a line
+	First   *Difference `json:"first_difference,omitempty"`
+}
+
+// Difference is where a replay first departs from the journal.
+type Difference struct {
+	Line     int    `json:"line"`
+	Input    int    `json:"input"` // counted from 1 within its run
+	Kind     Kind   `json:"kind"`
+	What     string `json:"what"`
+	Recorded string `json:"recorded"`
+	Replayed string `json:"replayed"`
+	Content  string `json:"content,omitempty"` // the replayed effect or state
+}
+
+func (d *Difference) String() string {
+	return fmt.Sprintf("line %d, input %d (%s): %s: recorded %s, replayed %s", d.Line, d.Input, d.Kind, d.What, d.Recorded, d.Replayed)
+}
+
+// contentShown bounds the content of a Difference, in bytes.
+const contentShown = 4096
+
+// verifier replays the runs of one journal.
+type verifier struct {
+	report Report
+	state  *core.State
+	line   int
+	input  int // of the run
+	kind   Kind
+	cut    error // of the last line, if it could not be decoded
+}
+
+// Verify replays a journal. It stops at the first difference. An error means
+// that the journal cannot be read or does not follow the schema.
+func Verify(in io.Reader) (Report, error) {
+	v := &verifier{}
+	reader := bufio.NewReaderSize(in, 1<<20)
+	for v.report.First == nil {
+		line, err := reader.ReadBytes('\n')
+		if err == io.EOF {
+			if len(line) > 0 {
+				v.report.Torn++
+			}
+			break
+		}
+		if err != nil {
+			return v.report, errors.Annotate(err, "reading the journal")
+		}
+		v.line++
+		if err := v.take(line); err != nil {
+			return v.report, errors.Annotatef(err, "line %d", v.line)
+		}
+	}
+	if v.cut != nil {
+		return v.report, errors.Annotatef(v.cut, "line %d", v.line)
+	}
+	if v.report.Runs == 0 {
+		return v.report, errors.New("the journal holds no start record")
+	}
+	return v.report, nil
+}
+
+func (v *verifier) take(line []byte) error {
+	if len(line) > MaxRecordBytes {
+		return errors.Errorf("%d bytes, at most %d are allowed", len(line), MaxRecordBytes)
+	}
+	var record Record
+	err := strict(line, &record)
+	if v.cut != nil && (err != nil || record.Start == nil) {
+		return v.cut
+	}
+	if err != nil {
+		// The last line of a killed run is cut. The start of the next run must
+		// follow it.
+		v.cut = err
+		return nil
+	}
+	switch {
+	case record.Start != nil:
+		if v.cut != nil {
+			v.cut = nil
+			v.report.Torn++
+		}
+		return v.start(record.Start)
+	case v.state == nil:
+		return errors.New("a start record is expected")
+	case record.Input != nil:
+		return v.replay(record.Input)
+	case record.State != nil:
+		return v.compareState(record.State)
+	default:
+		return errors.New("the record is empty")
+	}
+}
+
+func (v *verifier) start(s *Start) error {
+	if s.Version != Version {
+		return errors.NotSupportedf("journal version %d", s.Version)
+	}
+	stored, err := s.Stored.decode()
+	if err != nil {
+		return err
+	}
+	v.state, err = core.New(s.config(), stored, s.At, s.Rand)
+	v.report.Runs++
+	v.input = 0
+	return errors.Annotate(err, "starting from the recorded state")
+}
+
+func (s *Stored) decode() (core.Stored, error) {
+	var stored core.Stored
+	var err error
+	if stored.HardState, err = codec.DecodeHardState(s.HardState); err != nil {
+		return stored, err
+	}
+	if s.Snapshot != nil {
+		if stored.Snapshot, err = codec.DecodeSnapshot(s.Snapshot); err != nil {
+			return stored, err
+		}
+	}
+	for _, data := range s.Entries {
+		entry, err := codec.DecodeEntry(data)
+		if err != nil {
+			return stored, err
+		}
+		stored.Entries = append(stored.Entries, entry)
+	}
+	return stored, nil
+}
+
+func (v *verifier) replay(in *Input) error {
+	e, err := decodeEvent(in)
+	if err != nil {
+		return err
+	}
+	v.report.Inputs++
+	v.input++
+	v.kind = in.Kind
+	effects := core.Reduce(v.state, event.Input{At: in.At, Rand: in.Rand, Event: e})
+	digests, err := digestEffects(effects)
+	if err != nil {
+		return err
+	}
+	v.report.Effects += len(digests)
+	v.compareEffects(in.Effects, digests, effects)
+	return nil
+}
+
+// compareEffects names the first effect that differs.
+func (v *verifier) compareEffects(recorded, replayed []Digest, effects []effect.Effect) {
+	for i := range max(len(recorded), len(replayed)) {
+		a, b := digestAt(recorded, i), digestAt(replayed, i)
+		if a == b {
+			continue
+		}
+		d := v.difference(fmt.Sprintf("effect %d of %d", i+1, len(recorded)), a, b)
+		if i < len(effects) {
+			content, _ := encodeEffect(effects[i])
+			d.Content = cut(string(content))
+		}
+		return
+	}
+}
+
+func digestAt(list []Digest, i int) Digest {
+	if i < len(list) {
+		return list[i]
+	}
+	return "none"
+}
+
+func (v *verifier) compareState(recorded *State) error {
+	inspection := v.state.Inspect()
+	state, err := digestState(inspection)
+	if err != nil {
+		return err
+	}
+	v.report.States++
+	if state.Fleet != recorded.Fleet {
+		content, _ := encodeFleet(inspection.Fleet)
+		v.difference("replicated state", recorded.Fleet, state.Fleet).Content = cut(string(content))
+	} else if state.Status != recorded.Status {
+		v.difference("status", recorded.Status, state.Status)
+	}
+	return nil
+}
+
+func (v *verifier) difference(what string, recorded, replayed Digest) *Difference {
+	v.report.First = &Difference{
+		Line: v.line, Input: v.input, Kind: v.kind, What: what,
+		Recorded: string(recorded), Replayed: string(replayed),
+	}
+	return v.report.First
+}
+
+func cut(s string) string {
+	if len(s) <= contentShown {
+		return s
+	}
+	return strings.ToValidUTF8(s[:contentShown], "") + "..."
+}
+
+// IsJournal reports whether a text begins like a journal.
+func IsJournal(head []byte) bool { return bytes.HasPrefix(head, []byte(`{"start":`)) }
