--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -124,8 +124,11 @@
 	var reason error
 	r, err := Open(path, config, stored, 1, 7, func(err error) { reason = err })
 	require.NoError(t, err)
+	s, err := core.New(config, stored, 1, 7)
+	require.NoError(t, err)
 	for range 2 * queueSize { // nothing reads the queue yet
-		r.Record(event.Input{At: 2, Event: event.Tick{}}, nil)
+		in := event.Input{At: 2, Event: event.Tick{}}
+		r.Record(in, core.Reduce(s, in))
 	}
 	var life tomb.Tomb
 	life.Go(func() error { return r.Run(&life) })
