dispatch: separate the policy of the queues from their bookkeeping

Replays compare the present policy with a baseline: first come first served with static shares. Decisions of the present policy are unchanged.

--- a/core/dispatch/owner.go
+++ b/core/dispatch/owner.go
@@ -59,6 +59,7 @@
 	// TasksRunning returns the running tasks of a team, including placements
 	// that are proposed and not yet committed.
 	TasksRunning func(model.TeamID) int
+	Policy       PolicyName
 }
 
 // Out collects what the owner asks for.
@@ -76,6 +77,7 @@
 // Owner holds the queues, the targets' use and the running requests.
 type Owner struct {
 	term      uint64
+	policy    policy
 	began     model.Time
 	fenced    bool
 	fencedAt  model.Time
@@ -102,6 +104,7 @@
 func New(env Env, term uint64) *Owner {
 	o := &Owner{
 		term:      term,
+		policy:    policyNamed(env.Policy),
 		began:     env.Now,
 		requests:  make(map[model.RequestID]*request),
 		byGateway: make(map[model.HostID]map[model.RequestID]*request),
--- /dev/null
+++ b/core/dispatch/policy.go
@@ -0,0 +1,120 @@
+package dispatch
+
+import (
+	"math"
+
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/rules"
+)
+
+// PolicyName names a policy. The empty name is PolicyShares.
+type PolicyName string
+
+// The policies. Processes use PolicyShares; the others are kept to compare
+// with in replays.
+const (
+	PolicyShares PolicyName = "shares"
+	PolicyStatic PolicyName = "static"
+)
+
+// Policies returns the names of all policies.
+func Policies() []PolicyName { return []PolicyName{PolicyShares, PolicyStatic} }
+
+// policy decides the order of waiting requests and which are refused early. It
+// holds no state, so that a leader change cannot lose any.
+type policy interface {
+	// key places a request among those of its team, service and precedence.
+	key(q rules.Queue, r *request) model.Time
+	// within reports whether a goes before b of the same team and service.
+	within(a, b rank) bool
+	// among reports whether the first request of one team goes before that of
+	// another team.
+	among(a, b candidate) bool
+	// mayStart reports whether a team below its upper limit may run one more.
+	mayStart(u teamUse) bool
+	// tooLate reports whether a request is refused at its arrival.
+	tooLate(l queueLoad) bool
+}
+
+// candidate is the first waiting request of a team.
+type candidate struct {
+	request *request
+	use     teamUse
+}
+
+// teamUse is what a team holds of the fleet.
+type teamUse struct {
+	running int
+	share   float64 // percent
+	slots   int     // usable slots of the whole fleet
+}
+
+// ofShare is the running work in proportion to the share.
+func (u teamUse) ofShare() float64 { return float64(u.running) / max(u.share, shareMin) }
+
+// shareMin is the share that a team without one counts with, so that its
+// requests run when nobody else waits.
+const shareMin = 0.1
+
+// queueLoad is what is known of a service when a request arrives.
+type queueLoad struct {
+	patience model.Duration
+	wait     model.Duration // expected, by the learned run times
+}
+
+func policyNamed(name PolicyName) policy {
+	if name == PolicyStatic {
+		return staticPolicy{}
+	}
+	return sharesPolicy{}
+}
+
+// sharesPolicy is the policy of docs/design.md 6.9.
+type sharesPolicy struct{}
+
+func (sharesPolicy) key(_ rules.Queue, r *request) model.Time {
+	bonus := model.Duration(math.Log2(1+max(0, r.ask.Worth)) * float64(worthBonus))
+	return r.deadline.Add(-bonus)
+}
+
+func (sharesPolicy) within(a, b rank) bool { return a.before(b) }
+
+func (sharesPolicy) among(a, b candidate) bool {
+	return a.request.goesBefore(b.request, a.use.ofShare(), b.use.ofShare())
+}
+
+func (sharesPolicy) mayStart(teamUse) bool { return true }
+
+func (sharesPolicy) tooLate(l queueLoad) bool {
+	return float64(l.wait) > earlyMargin*float64(l.patience)
+}
+
+// staticPolicy serves requests in the order of their arrival. Each team has a
+// fixed part of the fleet, which is not lent, and nothing is refused early.
+type staticPolicy struct{}
+
+func (staticPolicy) key(_ rules.Queue, r *request) model.Time { return r.arrived }
+
+func (staticPolicy) within(a, b rank) bool {
+	if a.key != b.key {
+		return a.key < b.key
+	}
+	return a.id < b.id
+}
+
+func (p staticPolicy) among(a, b candidate) bool { return p.within(a.request.rank, b.request.rank) }
+
+func (staticPolicy) mayStart(u teamUse) bool {
+	return float64(u.running) < math.Ceil(u.share/100*float64(u.slots))
+}
+
+func (staticPolicy) tooLate(queueLoad) bool { return false }
+
+// use returns what a team holds of the fleet.
+func (o *Owner) use(id model.TeamID) teamUse {
+	u := teamUse{running: o.team(id).running, share: o.rules.Teams[id].Share}
+	for _, s := range o.services {
+		u.slots += s.slots
+	}
+	return u
+}
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 
 	"primrosedale.example/primrosedale/core/message"
@@ -85,11 +84,10 @@
 	s := o.service(queue.Service)
 	r.service = s
 	r.state = stateQueued
-	bonus := model.Duration(math.Log2(1+max(0, r.ask.Worth)) * float64(worthBonus))
-	r.rank = rank{clampPrecedence(queue.Precedence), r.deadline.Add(-bonus), r.ask.Request}
+	r.rank = rank{clampPrecedence(queue.Precedence), o.policy.key(queue, r), r.ask.Request}
 	q := s.waiting[r.ask.Team]
 	if q == nil {
-		q = pq.New[model.RequestID, rank, *request](rank.before)
+		q = pq.New[model.RequestID, rank, *request](o.policy.within)
 		s.waiting[r.ask.Team] = q
 		s.teams = append(s.teams, r.ask.Team)
 		slices.Sort(s.teams)
@@ -115,19 +113,18 @@
 // limit, the highest precedence, then the team with the least running work for
 // its share, then the request's own rank.
 func (o *Owner) next(env Env, s *service) *request {
-	var best *request
-	var bestUse float64
+	var best candidate
 	for _, id := range s.teams {
 		_, _, r, ok := s.waiting[id].Peek()
 		if !ok || !o.underLimit(env, id) {
 			continue
 		}
-		use := o.useOfShare(id)
-		if best == nil || r.goesBefore(best, use, bestUse) {
-			best, bestUse = r, use
+		c := candidate{r, o.use(id)}
+		if o.policy.mayStart(c.use) && (best.request == nil || o.policy.among(c, best)) {
+			best = c
 		}
 	}
-	return best
+	return best.request
 }
 
 func (r *request) goesBefore(other *request, use, otherUse float64) bool {
@@ -140,12 +137,6 @@
 	return r.rank.before(other.rank)
 }
 
-// useOfShare is the team's running requests in proportion to its share.
-func (o *Owner) useOfShare(id model.TeamID) float64 {
-	share := max(o.rules.Teams[id].Share, 0.1)
-	return float64(o.team(id).running) / share
-}
-
 // pump dispatches requests of a service as long as one may start.
 func (o *Owner) pump(env Env, out *Out, s *service) {
 	if s == nil || !o.fenced {
@@ -233,7 +224,7 @@
 		ahead += s.length[p]
 	}
 	wait := model.Duration(float64(stats.mean) * float64(ahead) / float64(s.slots))
-	if float64(wait) <= earlyMargin*float64(a.Patience) {
+	if !o.policy.tooLate(queueLoad{a.Patience, wait}) {
 		return nil
 	}
 	p := problem.New(problem.PatienceExceeded, "%d requests wait and the expected wait is %.1f s", ahead, wait.Seconds())
--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -25,6 +25,7 @@
 	service  *service
 	rank     rank
 	state    requestState
+	arrived  model.Time
 	deadline model.Time // it may start until then
 	claimed  bool       // this request holds its claim
 	attempt  int        // the latest attempt
@@ -48,7 +49,7 @@
 		return
 	}
 	queue, known := o.rules.Queues[a.Queue]
-	r := &request{ask: *a, gateway: from, attempt: a.Attempt, deadline: env.Now.Add(a.Patience)}
+	r := &request{ask: *a, gateway: from, attempt: a.Attempt, arrived: env.Now, deadline: env.Now.Add(a.Patience)}
 	if !known {
 		o.refuse(env, out, r, problem.New(problem.UnknownQueue, "there is no queue %s", a.Queue))
 		return
--- a/core/state.go
+++ b/core/state.go
@@ -38,11 +38,12 @@
 type Config struct {
 	Host        model.HostID
 	DataCentre  model.DataCentreID
-	Incarnation model.Incarnation // of the process
-	Replica     model.Incarnation // of the data folder; equals Incarnation without one
-	Durable     bool              // the process has a data folder
-	Peers       []model.HostID    // the other hosts of the cluster
-	MaxVoters   int               // hosts with a data folder
+	Incarnation model.Incarnation   // of the process
+	Replica     model.Incarnation   // of the data folder; equals Incarnation without one
+	Durable     bool                // the process has a data folder
+	Peers       []model.HostID      // the other hosts of the cluster
+	MaxVoters   int                 // hosts with a data folder
+	Policy      dispatch.PolicyName // order of requests; empty for the usual one
 }
 
 type logNode = consensus.Node[fleet.Command, *fleet.State]
@@ -143,6 +144,7 @@
 		Granter:      s.leading.granter,
 		Members:      s.leading.members,
 		TasksRunning: s.fleet.PlacedByTeam,
+		Policy:       s.cfg.Policy,
 	}
 }
 
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -17,6 +17,7 @@
 	"encoding/json"
 
 	"primrosedale.example/primrosedale/core"
+	"primrosedale.example/primrosedale/core/dispatch"
 	"primrosedale.example/primrosedale/core/model"
 )
 
@@ -35,18 +36,18 @@
 
 // Start begins one run of a process.
 type Start struct {
-	Version     int                `json:"version"`
-	Host        model.HostID       `json:"host"`
-	DataCentre  model.DataCentreID `json:"dc"`
-	Incarnation model.Incarnation  `json:"inc"`
-	Replica     model.Incarnation  `json:"replica"`
-	Durable     bool               `json:"durable,omitempty"`
-	Peers       []model.HostID     `json:"peers,omitempty"`
-	MaxVoters   int                `json:"max_voters,omitempty"`
-	Policy      string             `json:"policy,omitempty"`
-	At          model.Time         `json:"at"`
-	Rand        uint64             `json:"rand"`
-	Stored      Stored             `json:"stored"`
+	Version     int                 `json:"version"`
+	Host        model.HostID        `json:"host"`
+	DataCentre  model.DataCentreID  `json:"dc"`
+	Incarnation model.Incarnation   `json:"inc"`
+	Replica     model.Incarnation   `json:"replica"`
+	Durable     bool                `json:"durable,omitempty"`
+	Peers       []model.HostID      `json:"peers,omitempty"`
+	MaxVoters   int                 `json:"max_voters,omitempty"`
+	Policy      dispatch.PolicyName `json:"policy,omitempty"`
+	At          model.Time          `json:"at"`
+	Rand        uint64              `json:"rand"`
+	Stored      Stored              `json:"stored"`
 }
 
 // Stored is what the data folder held at the start, in the encoding of package
@@ -80,6 +81,6 @@
 func (s *Start) config() core.Config {
 	return core.Config{
 		Host: s.Host, DataCentre: s.DataCentre, Incarnation: s.Incarnation, Replica: s.Replica,
-		Durable: s.Durable, Peers: s.Peers, MaxVoters: s.MaxVoters,
+		Durable: s.Durable, Peers: s.Peers, MaxVoters: s.MaxVoters, Policy: s.Policy,
 	}
 }
--- a/journal/recorder.go
+++ b/journal/recorder.go
@@ -110,7 +110,7 @@
 func newStart(cfg core.Config, stored core.Stored, now model.Time, rand uint64) (*Start, error) {
 	start := &Start{
 		Version: Version, Host: cfg.Host, DataCentre: cfg.DataCentre, Incarnation: cfg.Incarnation,
-		Replica: cfg.Replica, Durable: cfg.Durable, Peers: cfg.Peers, MaxVoters: cfg.MaxVoters,
+		Replica: cfg.Replica, Durable: cfg.Durable, Peers: cfg.Peers, MaxVoters: cfg.MaxVoters, Policy: cfg.Policy,
 		At: now, Rand: rand,
 	}
 	var err error
