--- a/core/inspect.go
+++ b/core/inspect.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"primrosedale.example/primrosedale/core/dispatch"
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/view"
 )
@@ -17,3 +18,6 @@
 func (s *State) Inspect() Inspection {
 	return Inspection{Fleet: s.fleet.Clone(), Status: s.status()}
 }
+
+// Policy returns the name of the policy that the process was started with.
+func (s *State) Policy() dispatch.PolicyName { return s.cfg.Policy }
--- a/ctl/parser.go
+++ b/ctl/parser.go
@@ -16,9 +16,10 @@
   primrosedalectl key grant press-desk press --address 127.0.0.1:8301
   primrosedalectl key withdraw press-desk --address 127.0.0.1:8301
   primrosedalectl status --address 127.0.0.1:8301 --output json
+  primrosedalectl replay traces/vakoas-bursts.toml --expect traces/vakoas-bursts.outcomes.toml
 
 exit codes: 0 done, 1 no answer, 2 usage, 3 refused, 4 faults in the rules,
-5 the rules differ (diff), 6 outcome not known`
+5 the rules differ (diff) or a replay does, 6 outcome not known`
 
 // parser describes the command line.
 func (p *Program) parser() (*flaggy.Parser, []action) {
@@ -40,6 +41,13 @@
 	apply := subcommand("apply", "put a rules file in force; its revision must follow the one in force")
 	apply.AddPositionalValue(&file, "FILE", 1, true, "rules file")
 	status := subcommand("status", "show hosts, targets, teams, queues and pools")
+	var o replayOptions
+	replays := subcommand("replay", "replay a journal, a trace or trace settings; exit code 5 if it differs or leaves the bounds")
+	replays.AddPositionalValue(&o.file, "FILE", 1, true, "journal, trace or trace settings")
+	replays.String(&o.expect, "e", "expect", "outcomes file with bounds")
+	replays.String(&o.policy, "", "policy", "shares (default) or static")
+	replays.String(&o.plots, "", "plots", "folder for plots")
+	replays.String(&o.write, "", "write", "write the trace to this file and do not replay it")
 	key := subcommand("key", "grant or withdraw a team's key")
 	grant := subcommand("grant", "make a key for a team; it is shown once")
 	grant.AddPositionalValue(&name, "NAME", 1, true, "name of the key, unique")
@@ -48,7 +56,7 @@
 	withdraw.AddPositionalValue(&name, "NAME", 1, true, "name of the key")
 	key.AttachSubcommand(grant, 1)
 	key.AttachSubcommand(withdraw, 1)
-	for _, c := range []*flaggy.Subcommand{check, diff, apply, key, status} {
+	for _, c := range []*flaggy.Subcommand{check, diff, apply, key, status, replays} {
 		parser.AttachSubcommand(c, 1)
 	}
 	return parser, []action{
@@ -58,6 +66,7 @@
 		{grant, func(ctx context.Context) error { return p.grant(ctx, name, model.TeamID(team)) }},
 		{withdraw, func(ctx context.Context) error { return p.withdraw(ctx, name) }},
 		{status, p.status},
+		{replays, func(context.Context) error { return p.replay(o) }},
 	}
 }
 
--- /dev/null
+++ b/ctl/replay.go
@@ -0,0 +1,193 @@
+package ctl
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/juju/errors"
+
+	"primrosedale.example/primrosedale/core/dispatch"
+	"primrosedale.example/primrosedale/journal"
+	"primrosedale.example/primrosedale/replay"
+	"primrosedale.example/primrosedale/replay/tracegen"
+)
+
+// replayOptions are the options of the subcommand replay.
+type replayOptions struct {
+	file   string
+	expect string
+	policy string
+	plots  string
+	write  string
+}
+
+// replay replays a journal, a trace, or the trace of a settings file.
+func (p *Program) replay(o replayOptions) error {
+	file, err := os.Open(o.file)
+	if err != nil {
+		return &failure{ExitUsage, errors.Annotate(err, "opening what to replay")}
+	}
+	defer file.Close()
+	reader := bufio.NewReader(file)
+	head, err := reader.Peek(16)
+	if err != nil && err != io.EOF {
+		return errors.Annotate(err, "reading what to replay")
+	}
+	switch {
+	case journal.IsJournal(head):
+		return p.replayJournal(reader)
+	case replay.IsTrace(head):
+		trace, err := replay.Read(reader)
+		if err != nil {
+			return &failure{ExitFaults, err}
+		}
+		return p.replayTrace(trace, o)
+	case strings.HasSuffix(o.file, ".toml"):
+		trace, err := tracegen.Load(o.file)
+		if err != nil {
+			return &failure{ExitFaults, err}
+		}
+		return p.replayTrace(trace, o)
+	default:
+		return &failure{ExitUsage, errors.Errorf("%s is no journal, no trace and no trace settings", o.file)}
+	}
+}
+
+func (p *Program) replayJournal(in io.Reader) error {
+	report, err := journal.Verify(in)
+	if err != nil {
+		return &failure{ExitFaults, err}
+	}
+	if p.output == outputJSON {
+		p.writeJSON(report)
+	} else {
+		fmt.Fprintf(p.Out, "%d runs, %d inputs, %d effects, %d states, %d cut ends\n",
+			report.Runs, report.Inputs, report.Effects, report.States, report.Torn)
+	}
+	if report.First != nil {
+		return &failure{ExitDifferent, errors.Errorf("the replay differs at %s\n%s", report.First, report.First.Content)}
+	}
+	return nil
+}
+
+// replayed is the JSON output of a replayed trace.
+type replayed struct {
+	*replay.Result
+	Verdicts []replay.Verdict `json:"verdicts,omitempty"`
+}
+
+func (p *Program) replayTrace(trace *replay.Trace, o replayOptions) error {
+	if o.write != "" {
+		return writeTrace(trace, o.write)
+	}
+	policy, err := policyOf(o.policy)
+	if err != nil {
+		return err
+	}
+	result, err := replay.Run(trace, replay.Options{Policy: policy})
+	if err != nil {
+		return &failure{ExitFaults, err}
+	}
+	outcomes := &replay.Outcomes{}
+	if o.expect != "" {
+		if outcomes, err = readOutcomes(o.expect); err != nil {
+			return err
+		}
+	}
+	verdicts, err := outcomes.Check(result)
+	if err != nil {
+		return &failure{ExitFaults, err}
+	}
+	if o.plots != "" {
+		if err := replay.Plot(result, o.plots); err != nil {
+			return err
+		}
+	}
+	if p.output == outputJSON {
+		p.writeJSON(replayed{result, verdicts})
+	} else {
+		p.writeResult(result, verdicts)
+	}
+	return failedVerdicts(verdicts)
+}
+
+func policyOf(name string) (dispatch.PolicyName, error) {
+	for _, known := range dispatch.Policies() {
+		if name == "" || string(known) == name {
+			return known, nil
+		}
+	}
+	return "", &failure{ExitUsage, errors.Errorf("--policy is %q, allowed are %v", name, dispatch.Policies())}
+}
+
+func readOutcomes(path string) (*replay.Outcomes, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &failure{ExitUsage, errors.Annotate(err, "reading the outcomes")}
+	}
+	outcomes, err := replay.ParseOutcomes(text)
+	if err != nil {
+		return nil, &failure{ExitFaults, err}
+	}
+	return outcomes, nil
+}
+
+func writeTrace(trace *replay.Trace, path string) error {
+	var buffer bytes.Buffer
+	if err := trace.Write(&buffer); err != nil {
+		return err
+	}
+	return errors.Annotate(os.WriteFile(path, buffer.Bytes(), 0o644), "writing the trace")
+}
+
+func failedVerdicts(list []replay.Verdict) error {
+	var failed []string
+	for _, v := range list {
+		if !v.OK {
+			failed = append(failed, v.Name)
+		}
+	}
+	if len(failed) == 0 {
+		return nil
+	}
+	return &failure{ExitDifferent, errors.Errorf("outside the bounds: %s", strings.Join(failed, ", "))}
+}
+
+func (p *Program) writeResult(r *replay.Result, verdicts []replay.Verdict) {
+	allowed := make(map[string]replay.Verdict)
+	for _, v := range verdicts {
+		allowed[v.Name] = v
+	}
+	fmt.Fprintf(p.Out, "%s, seed %d, policy %s: %d requests, %d inputs\n\n", r.Trace, r.Seed, r.Policy, r.Requests, r.Inputs)
+	w := tabwriter.NewWriter(p.Out, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, "MEASURE\tVALUE\tALLOWED\t")
+	for _, m := range r.Measures {
+		value := fmt.Sprintf("%.4f", m.Value)
+		if m.None != "" {
+			value = "not measured: " + m.None
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", m.Name, value, allowed[m.Name].Allowed, mark(allowed, m.Name))
+	}
+	fmt.Fprintln(w, "\nINVARIANT\tVIOLATIONS\tALLOWED\t")
+	for _, c := range r.Invariants {
+		fmt.Fprintf(w, "%s\t%d\t%s\t%s\n", c.Name, c.Count, allowed[c.Name].Allowed, mark(allowed, c.Name))
+	}
+	fmt.Fprintln(w, "\nREFUSED AS\tREQUESTS")
+	for _, kind := range r.RefusalKinds() {
+		fmt.Fprintf(w, "%s\t%d\n", kind, r.Refusals[kind])
+	}
+	_ = w.Flush()
+}
+
+// mark flags a verdict that failed.
+func mark(verdicts map[string]replay.Verdict, name string) string {
+	if v, ok := verdicts[name]; ok && !v.OK {
+		return "OUTSIDE"
+	}
+	return ""
+}
--- /dev/null
+++ b/replay/engine.go
@@ -0,0 +1,269 @@
+package replay
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"github.com/juju/errors"
+
+	"primrosedale.example/primrosedale/core"
+	"primrosedale.example/primrosedale/core/consensus"
+	"primrosedale.example/primrosedale/core/dispatch"
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/event"
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/pq"
+	"primrosedale.example/primrosedale/core/rules"
+)
+
+// Times of a replay.
+const (
+	// warmUp passes before the trace begins: the election, the rules and the
+	// first announcements.
+	warmUp = 4 * model.Second
+	// drainMax bounds the time after the last event in which held requests
+	// must be answered.
+	drainMax = 10 * model.Minute
+	// hop is the time of a message between gateway and target.
+	hop = model.Millisecond
+	// reportInterval is the time between two announcements or reports.
+	reportInterval = 500 * model.Millisecond
+	sampleInterval = 100 * model.Millisecond
+	epoch          = model.Time(1_800_000_000 * model.Second)
+)
+
+const (
+	entryHost    model.HostID       = "entry-1"
+	entryCentre  model.DataCentreID = "entry"
+	rulesCommand                    = "rules-%d"
+)
+
+// Options are the choices of a replay that are not part of the trace.
+type Options struct {
+	Policy dispatch.PolicyName
+}
+
+// moment orders the calendar: by time, then in the order of scheduling.
+type moment struct {
+	at  model.Time
+	seq uint64
+}
+
+func (a moment) before(b moment) bool {
+	if a.at != b.at {
+		return a.at < b.at
+	}
+	return a.seq < b.seq
+}
+
+// engine runs one trace.
+type engine struct {
+	trace    *Trace
+	state    *core.State
+	rand     *rand.Rand
+	now      model.Time
+	began    model.Time // of the trace
+	calendar *pq.Queue[uint64, moment, func()]
+	seq      uint64
+	events   []event.Event // for the reducer, at this instant
+	reports  map[uint64]func(effect.AnswerReport)
+	reportID uint64
+	targets  map[model.TargetID]*target
+	order    []*target // in order of appearance
+	workers  map[model.HostID]*worker
+	rules    *rules.Rules // accepted last
+	rulesSeq int
+	books    *books
+	halted   string
+}
+
+// Run replays a trace and returns what happened in it.
+func Run(t *Trace, o Options) (*Result, error) {
+	e, err := newEngine(t, o)
+	if err != nil {
+		return nil, err
+	}
+	if err := e.applyText(t.Header.Rules); err != nil {
+		return nil, err
+	}
+	for i := range t.Events {
+		ev := &t.Events[i]
+		e.advance(e.began.Add(ev.At.Duration()))
+		if err := e.outside(ev); err != nil {
+			return nil, errors.Annotatef(err, "event at %g ms", ev.At)
+		}
+		e.drain()
+	}
+	e.finish()
+	if e.halted != "" {
+		return nil, errors.Errorf("the process halted: %s", e.halted)
+	}
+	return measure(e), nil
+}
+
+func newEngine(t *Trace, o Options) (*engine, error) {
+	e := &engine{
+		trace:    t,
+		rand:     rand.New(rand.NewPCG(t.Header.Seed, 1)),
+		now:      epoch,
+		began:    epoch.Add(warmUp),
+		calendar: pq.New[uint64, moment, func()](moment.before),
+		reports:  make(map[uint64]func(effect.AnswerReport)),
+		targets:  make(map[model.TargetID]*target),
+		workers:  make(map[model.HostID]*worker),
+		rules:    &rules.Rules{},
+		books:    newBooks(),
+	}
+	id := consensus.NodeID{Host: entryHost, Incarnation: "1"}
+	cfg := core.Config{
+		Host: entryHost, DataCentre: entryCentre, Incarnation: "1", Replica: "1",
+		Durable: true, MaxVoters: 1, Policy: o.Policy,
+	}
+	stored := consensus.Bootstrap[fleet.Command, *fleet.State]([]consensus.NodeID{id})
+	state, err := core.New(cfg, stored, e.now, e.rand.Uint64())
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	e.state = state
+	e.every(core.TickInterval, func() { e.post(event.Tick{}) })
+	e.every(sampleInterval, e.sample)
+	e.advance(epoch.Add(warmUp / 2)) // past the election
+	return e, nil
+}
+
+// at schedules f.
+func (e *engine) at(t model.Time, f func()) {
+	e.seq++
+	e.calendar.Set(e.seq, moment{max(t, e.now), e.seq}, f)
+}
+
+func (e *engine) after(d model.Duration, f func()) { e.at(e.now.Add(d), f) }
+
+// every calls f at each interval from the next one on.
+func (e *engine) every(d model.Duration, f func()) {
+	e.after(d, func() {
+		f()
+		e.every(d, f)
+	})
+}
+
+// advance lets everything happen that is due until t.
+func (e *engine) advance(t model.Time) {
+	for {
+		_, m, f, ok := e.calendar.Peek()
+		if !ok || m.at > t {
+			break
+		}
+		e.calendar.Pop()
+		e.now = m.at
+		f()
+		e.drain()
+	}
+	e.now = max(e.now, t)
+}
+
+// post gives an event to the reducer after those that already wait.
+func (e *engine) post(ev event.Event) { e.events = append(e.events, ev) }
+
+// drain lets the reducer take the waiting events and carries out its effects.
+func (e *engine) drain() {
+	for len(e.events) > 0 {
+		ev := e.events[0]
+		e.events = e.events[1:]
+		effects := core.Reduce(e.state, event.Input{At: e.now, Rand: e.rand.Uint64(), Event: ev})
+		e.books.Inputs++
+		for _, f := range effects {
+			e.execute(f)
+		}
+	}
+}
+
+func (e *engine) execute(f effect.Effect) {
+	switch f := f.(type) {
+	case effect.Persist:
+		if f.Term != 0 {
+			e.post(event.Persisted{Term: f.Term, Index: f.Index})
+		}
+	case effect.Forward:
+		e.forward(f)
+	case effect.AnswerRequest:
+		e.answered(f)
+	case effect.AnswerReport:
+		if take := e.reports[f.Reply.Report]; take != nil {
+			delete(e.reports, f.Reply.Report)
+			take(f)
+		}
+	case effect.AnswerCommand:
+		e.commandAnswered(f)
+	case effect.Halt:
+		e.halted = f.Reason
+	}
+}
+
+// report returns the id of a new report whose answer goes to take.
+func (e *engine) report(take func(effect.AnswerReport)) uint64 {
+	e.reportID++
+	e.reports[e.reportID] = take
+	return e.reportID
+}
+
+// finish lets the held requests end after the last event.
+func (e *engine) finish() {
+	e.advance(e.began.Add(e.trace.Header.Length.Duration()))
+	end := e.now.Add(drainMax)
+	for e.now < end && e.books.unanswered > 0 {
+		e.advance(e.now.Add(model.Second))
+	}
+}
+
+// outside carries out one event of the trace.
+func (e *engine) outside(ev *Event) error {
+	switch {
+	case ev.Arrive != nil:
+		return e.arrive(ev.Arrive)
+	case ev.Abandon != nil:
+		e.abandon(model.RequestID(ev.Abandon.ID))
+	case ev.Target != nil:
+		return e.changeTarget(ev.Target)
+	case ev.Worker != nil:
+		e.changeWorker(ev.Worker)
+	case ev.Task != nil:
+		e.submitTask(ev.Task)
+	case ev.CancelTask != nil:
+		e.cancelTask(model.TaskID(ev.CancelTask.ID))
+	case ev.Centre != nil:
+		e.changeCentre(ev.Centre)
+	case ev.Operators != nil:
+		return e.changeRules(ev.Operators)
+	default:
+		return errors.New("the event is empty")
+	}
+	return nil
+}
+
+// changeCentre loses or returns all targets and workers of a data centre.
+func (e *engine) changeCentre(c *Centre) {
+	e.books.Centres = append(e.books.Centres, centreChange{e.now, c.ID, c.Lost})
+	for _, t := range e.order {
+		if t.reg.DataCentre != c.ID {
+			continue
+		}
+		if c.Lost {
+			t.end(TargetLost)
+		} else if t.state == TargetLost {
+			t.start()
+		}
+	}
+	for _, id := range sortedKeys(e.workers) {
+		if w := e.workers[id]; w.DataCentre == c.ID {
+			w.setLost(c.Lost)
+		}
+	}
+}
+
+func (e *engine) command(c fleet.Command, format string, args ...any) {
+	c.ID = model.CommandID(fmt.Sprintf(format, args...))
+	c.At = e.now
+	e.post(event.CommandSubmitted{Command: c})
+}
--- /dev/null
+++ b/replay/measure.go
@@ -0,0 +1,196 @@
+package replay
+
+import (
+	"slices"
+
+	"primrosedale.example/primrosedale/core/dispatch"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/problem"
+)
+
+// The measures, by their names in outcome files.
+const (
+	MeasureLateness       = "lateness"        // fraction of requests that started or were refused late
+	MeasureStartedLate    = "started_late"    // fraction of requests that started after their patience
+	MeasureRefusedLate    = "refused_late"    // fraction refused after more than half their patience
+	MeasureInTime         = "in_time"         // fraction started in time and answered
+	MeasureWorthInTime    = "worth_in_time"   // the same, weighted by worth
+	MeasureOvernight      = "overnight"       // fraction of overnight requests that were answered
+	MeasureShareDistance  = "share_distance"  // percentage points, mean while everything is full
+	MeasureFullSeconds    = "full_seconds"    // time in which everything is full
+	MeasureUse            = "slots_used"      // fraction of the slots that ran work that was answered
+	MeasureCentreWork     = "centre_work"     // fraction of the most possible work over a loss and return
+	MeasureTasksFinished  = "tasks_finished"  // fraction of the tasks that can run
+	MeasureIdleBuffer     = "idle_buffer"     // mean hosts that idle beyond need
+	MeasureHostMoves      = "host_moves"      // moves between pools
+	MeasureRollOutSeconds = "rollout_seconds" // from the start of a wave to its end
+)
+
+// lateRefusal is the part of its patience after which a refused request was
+// refused late: its caller has lost that time.
+const lateRefusal = 0.5
+
+// Measure is one figure, or the reason why there is none.
+type Measure struct {
+	Name  string  `json:"name"`
+	Value float64 `json:"value"`
+	None  string  `json:"not_measured,omitempty"`
+}
+
+// Count is the violations of an invariant.
+type Count struct {
+	Name  string `json:"name"`
+	Count int    `json:"count"`
+}
+
+// Result is what a replay found.
+type Result struct {
+	Trace      string              `json:"trace"`
+	Seed       uint64              `json:"seed"`
+	Policy     dispatch.PolicyName `json:"policy"`
+	Inputs     int                 `json:"inputs"`
+	Requests   int                 `json:"requests"`
+	Refusals   map[string]int      `json:"refusals"` // by kind
+	Measures   []Measure           `json:"measures"`
+	Invariants []Count             `json:"invariants"`
+	Refused    []string            `json:"refused_changes,omitempty"`
+	Series     *Series             `json:"-"` // for plots
+}
+
+// Measure returns the measure of a name.
+func (r *Result) Measure(name string) (Measure, bool) {
+	i := slices.IndexFunc(r.Measures, func(m Measure) bool { return m.Name == name })
+	if i < 0 {
+		return Measure{}, false
+	}
+	return r.Measures[i], true
+}
+
+// measure computes the figures of a finished replay.
+func measure(e *engine) *Result {
+	b := e.books
+	b.checkEnd()
+	r := &Result{
+		Trace: e.trace.Header.Name, Seed: e.trace.Header.Seed, Policy: policyName(e.state.Policy()),
+		Inputs: b.Inputs, Requests: len(b.order), Refusals: make(map[string]int), Refused: b.Refused,
+	}
+	for _, q := range b.order {
+		if q.kind != "" {
+			r.Refusals[string(q.kind)]++
+		}
+	}
+	r.measureRequests(b)
+	r.measureFleet(e)
+	r.measureTasks(b)
+	for _, name := range []string{InvariantTeamLimit, InvariantAtMostOnce, InvariantCentreOut, InvariantLeaving,
+		InvariantNotRun, InvariantAnswers, InvariantOperators, InvariantOvercommits} {
+		r.Invariants = append(r.Invariants, Count{name, b.violations[name]})
+	}
+	r.Series = newSeries(e)
+	return r
+}
+
+func (r *Result) add(name string, value float64) {
+	r.Measures = append(r.Measures, Measure{Name: name, Value: value})
+}
+
+func (r *Result) none(name, reason string) {
+	r.Measures = append(r.Measures, Measure{Name: name, None: reason})
+}
+
+// ratio adds a fraction, if there is anything to take it of.
+func (r *Result) ratio(name string, part, whole float64, reason string) {
+	if whole == 0 {
+		r.none(name, reason)
+		return
+	}
+	r.add(name, part/whole)
+}
+
+func (r *Result) measureRequests(b *books) {
+	var all, startedLate, refusedLate, inTime, worth, worthInTime, overnight, overnightDone float64
+	for _, q := range b.order {
+		if q.abandoned != 0 {
+			continue
+		}
+		all++
+		worth += q.Worth
+		if q.began > q.latest() {
+			startedLate++
+		}
+		if q.refusedLate() {
+			refusedLate++
+		}
+		if q.done() && q.began <= q.latest() {
+			inTime++
+			worthInTime += q.Worth
+		}
+		if q.overnight {
+			overnight++
+			if q.done() {
+				overnightDone++
+			}
+		}
+	}
+	const empty = "no request that was not abandoned"
+	r.ratio(MeasureLateness, startedLate+refusedLate, all, empty)
+	r.ratio(MeasureStartedLate, startedLate, all, empty)
+	r.ratio(MeasureRefusedLate, refusedLate, all, empty)
+	r.ratio(MeasureInTime, inTime, all, empty)
+	r.ratio(MeasureWorthInTime, worthInTime, worth, empty)
+	r.ratio(MeasureOvernight, overnightDone, overnight, "no overnight request")
+}
+
+// refusedLate reports whether a request that never started was refused after
+// more than half its patience.
+func (q *request) refusedLate() bool {
+	if q.kind == "" || q.starts > 0 || problem.Lookup(q.kind).Ran != problem.RanNo {
+		return false
+	}
+	return float64(q.answered.Sub(q.arrived)) > lateRefusal*float64(q.Patience.Duration())
+}
+
+func (r *Result) measureFleet(e *engine) {
+	b := e.books
+	var full int
+	var distance, slots float64
+	for i := range b.samples {
+		s := &b.samples[i]
+		slots += float64(s.slots())
+		if s.full() {
+			full++
+			distance += s.shareDistance()
+		}
+	}
+	r.ratio(MeasureShareDistance, distance, float64(full), "never was everything full")
+	r.add(MeasureFullSeconds, float64(full)*sampleInterval.Seconds())
+	whole := window{e.began, e.began.Add(e.trace.Header.Length.Duration())}
+	r.ratio(MeasureUse, b.completed(whole).Seconds(), slots*sampleInterval.Seconds(), "no slots")
+	if w, ok := e.lossWindow(); ok {
+		r.ratio(MeasureCentreWork, b.completed(w).Seconds(), b.mostPossible(w).Seconds(), "no work in the window")
+	} else {
+		r.none(MeasureCentreWork, "no data centre leaves and returns")
+	}
+	for _, name := range []string{MeasureIdleBuffer, MeasureHostMoves, MeasureRollOutSeconds} {
+		r.none(name, "the reducer of this tree plans no hosts yet")
+	}
+}
+
+func (r *Result) measureTasks(b *books) {
+	var can, finished float64
+	for _, t := range b.tasks {
+		if !t.NeverRuns {
+			can++
+			if t.finished {
+				finished++
+			}
+		}
+	}
+	r.ratio(MeasureTasksFinished, finished, can, "no task")
+}
+
+// seconds returns a time of the trace in seconds.
+func (e *engine) seconds(t model.Time) float64 { return t.Sub(e.began).Seconds() }
+
+// RefusalKinds returns the kinds of refusals in order.
+func (r *Result) RefusalKinds() []string { return sortedKeys(r.Refusals) }
--- /dev/null
+++ b/replay/operators.go
@@ -0,0 +1,68 @@
+package replay
+
+import (
+	"fmt"
+
+	"github.com/juju/errors"
+
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/rules"
+	"primrosedale.example/primrosedale/rulesfile"
+)
+
+// changeRules carries out what operators do.
+func (e *engine) changeRules(c *RulesChange) error {
+	if c.Rules != "" {
+		return e.applyText(c.Rules)
+	}
+	next := e.rules.Clone()
+	if next.DataCentres == nil {
+		next.DataCentres = make(map[model.DataCentreID]rules.DataCentre)
+	}
+	next.DataCentres[c.Centre] = rules.DataCentre{Out: c.Out}
+	e.books.Centres = append(e.books.Centres, centreChange{e.now, c.Centre, c.Out})
+	e.applyRules(next, rulesfile.Hash(fmt.Appendf(nil, "%s %t %d", c.Centre, c.Out, e.rulesSeq)))
+	return nil
+}
+
+// applyText applies a rules file. Its revision is set to follow the one in
+// force, so that a file of the examples can be used as it is.
+func (e *engine) applyText(text string) error {
+	file, err := rulesfile.Parse("trace", []byte(text))
+	if err != nil {
+		return errors.Annotate(err, "reading the rules of the trace")
+	}
+	e.applyRules(file.Rules.Clone(), file.Hash)
+	return nil
+}
+
+func (e *engine) applyRules(next *rules.Rules, hash model.Digest) {
+	base := e.rules.Revision
+	next.Revision = base + 1
+	e.rulesSeq++
+	e.rules = next
+	e.command(fleet.Command{ApplyRules: &fleet.ApplyRules{Base: base, Hash: hash, Rules: next}}, rulesCommand, e.rulesSeq)
+	e.drain()
+}
+
+// commandAnswered notes the outcome of a change.
+func (e *engine) commandAnswered(f effect.AnswerCommand) {
+	if f.Result.Problem != nil {
+		e.books.Refused = append(e.books.Refused, fmt.Sprintf("%s: %s", f.ID, f.Result.Problem))
+	}
+}
+
+// outSince returns since when operators have taken a data centre out, or zero.
+func (e *engine) outSince(id model.DataCentreID) model.Time {
+	if !e.rules.DataCentres[id].Out {
+		return 0
+	}
+	for i := len(e.books.Centres) - 1; i >= 0; i-- {
+		if c := e.books.Centres[i]; c.id == id && c.lost {
+			return c.at
+		}
+	}
+	return e.began
+}
--- /dev/null
+++ b/replay/share.go
@@ -0,0 +1,179 @@
+package replay
+
+import (
+	"math"
+
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// shareDistance returns, in percentage points of the fleet, the mean over
+// teams of the distance between what they run and what they are entitled to.
+func (s *sample) shareDistance() float64 {
+	running := make(map[model.TeamID]float64)
+	for u, n := range s.running {
+		running[u.team] += float64(n)
+	}
+	entitled := s.entitlements()
+	sum := 0.0
+	for _, team := range sortedKeys(entitled) {
+		sum += math.Abs(running[team] - entitled[team])
+	}
+	return 100 * sum / float64(len(entitled)) / float64(s.slots())
+}
+
+// entitlements divides the slots among the teams that have demand: in
+// proportion to their shares, as far as their demand, their limits and the
+// services that can do their work allow (weighted max-min fairness). What a
+// team cannot use is lent to the others in the same proportion.
+func (s *sample) entitlements() map[model.TeamID]float64 {
+	m := newShareModel(s)
+	fixed := make([]float64, len(m.teams)) // -1 while the level may still rise
+	for i := range fixed {
+		fixed[i] = -1
+	}
+	for range m.teams {
+		level := m.highestLevel(fixed)
+		if !m.freeze(fixed, level) {
+			break
+		}
+	}
+	entitled := make(map[model.TeamID]float64, len(m.teams))
+	for i, team := range m.teams {
+		entitled[team] = max(fixed[i], 0)
+	}
+	return entitled
+}
+
+// shareModel is the division problem of one sample.
+type shareModel struct {
+	teams    []model.TeamID
+	weight   []float64
+	ceiling  []float64   // demand, at most the limit
+	demand   [][]float64 // by team and service
+	capacity []float64
+}
+
+func newShareModel(s *sample) *shareModel {
+	m := &shareModel{}
+	services := sortedKeys(s.capacity)
+	for _, service := range services {
+		m.capacity = append(m.capacity, float64(s.capacity[service]))
+	}
+	for _, team := range sortedKeys(s.shares) {
+		row := make([]float64, len(services))
+		total := 0.0
+		for i, service := range services {
+			row[i] = float64(s.demand[use{team, service}])
+			total += row[i]
+		}
+		m.teams = append(m.teams, team)
+		m.weight = append(m.weight, max(s.shares[team], 0.1))
+		m.ceiling = append(m.ceiling, min(total, float64(s.limits[team])))
+		m.demand = append(m.demand, row)
+	}
+	return m
+}
+
+// amounts returns what each team gets when the level per weight is reached.
+func (m *shareModel) amounts(fixed []float64, level float64) []float64 {
+	x := make([]float64, len(m.teams))
+	for i := range x {
+		x[i] = fixed[i]
+		if fixed[i] < 0 {
+			x[i] = min(level*m.weight[i], m.ceiling[i])
+		}
+	}
+	return x
+}
+
+// slack is the tolerance of feasibility, in slots.
+const slack = 1e-6
+
+// highestLevel returns the highest feasible level, by bisection.
+func (m *shareModel) highestLevel(fixed []float64) float64 {
+	low, high := 0.0, 1.0
+	for i := range m.teams {
+		high = max(high, m.ceiling[i]/m.weight[i])
+	}
+	if m.feasible(m.amounts(fixed, high)) {
+		return high
+	}
+	for range 40 {
+		middle := (low + high) / 2
+		if m.feasible(m.amounts(fixed, middle)) {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	return low
+}
+
+// freeze fixes the teams that cannot get more than at this level. It reports
+// whether any team is left.
+func (m *shareModel) freeze(fixed []float64, level float64) bool {
+	x := m.amounts(fixed, level)
+	left := false
+	for i := range m.teams {
+		if fixed[i] >= 0 {
+			continue
+		}
+		more := append([]float64(nil), x...)
+		more[i] += 0.01
+		if x[i] >= m.ceiling[i] || !m.feasible(more) {
+			fixed[i] = x[i]
+		} else {
+			left = true
+		}
+	}
+	return left
+}
+
+// feasible reports whether the services can give each team its amount: a
+// maximum flow from teams through services, by augmenting paths.
+func (m *shareModel) feasible(x []float64) bool {
+	flow := make([][]float64, len(m.teams))
+	free := append([]float64(nil), m.capacity...)
+	for i := range m.teams {
+		flow[i] = make([]float64, len(free))
+	}
+	for i := range m.teams {
+		for need := x[i]; need > slack; {
+			sent := m.augment(flow, free, i, need, make([]bool, len(free)))
+			if sent <= 0 {
+				return false
+			}
+			need -= sent
+		}
+	}
+	return true
+}
+
+// augment sends up to need from team i to a service with room, moving the
+// flow of other teams to other services if that makes room.
+func (m *shareModel) augment(flow [][]float64, free []float64, i int, need float64, seen []bool) float64 {
+	for j := range free {
+		room := min(need, m.demand[i][j]-flow[i][j])
+		if seen[j] || room <= slack {
+			continue
+		}
+		seen[j] = true
+		if free[j] > slack {
+			sent := min(room, free[j])
+			flow[i][j] += sent
+			free[j] -= sent
+			return sent
+		}
+		for k := range m.teams {
+			if k == i || flow[k][j] <= slack {
+				continue
+			}
+			if sent := m.augment(flow, free, k, min(room, flow[k][j]), seen); sent > 0 {
+				flow[k][j] -= sent
+				flow[i][j] += sent
+				return sent
+			}
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/replay/target.go
@@ -0,0 +1,205 @@
+package replay
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+
+	"github.com/juju/errors"
+
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/event"
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// Times after which a gateway notices that a target is gone.
+const (
+	resetNoticed = model.Millisecond
+	lossNoticed  = 2 * model.Second // TCP user timeout
+)
+
+// target is a fake target.
+type target struct {
+	e       *engine
+	reg     fleet.Target
+	state   TargetState
+	life    int
+	slow    float64
+	fault   Fault
+	retry   model.Duration
+	seq     uint64
+	acked   uint64
+	leftAt  model.Time // since when it says that it is leaving
+	running map[model.RequestID]*run
+}
+
+// run is one run on a target.
+type run struct {
+	request *request
+	attempt int
+	target  *target
+	began   model.Time
+	ended   model.Time // zero while it runs
+	good    bool       // its answer went back whole
+}
+
+// changeTarget starts or changes a target.
+func (e *engine) changeTarget(c *Target) error {
+	t := e.targets[c.ID]
+	if t == nil {
+		if c.Service == "" || c.Slots < 1 {
+			return errors.Errorf("the first event of target %s does not describe it", c.ID)
+		}
+		t = &target{e: e, state: TargetCrashed, running: make(map[model.RequestID]*run), reg: fleet.Target{
+			ID: c.ID, Address: fmt.Sprintf("127.1.0.1:%d", 1024+len(e.order)), Service: c.Service,
+			Host: c.Host, DataCentre: c.DataCentre, Slots: c.Slots, Connections: c.Connections,
+		}}
+		e.targets[c.ID] = t
+		e.order = append(e.order, t)
+	}
+	t.slow = c.Slow
+	if t.slow == 0 {
+		t.slow = 1
+	}
+	t.fault, t.retry = c.Fault, c.RetryAfter.Duration()
+	up := t.state == TargetReady || t.state == TargetLeaving
+	switch {
+	case c.State == TargetReady && !up:
+		t.start()
+	case c.State == TargetLeaving && t.state == TargetReady:
+		t.state, t.leftAt = TargetLeaving, e.now
+	case c.State == TargetCrashed || c.State == TargetLost:
+		t.end(c.State)
+	}
+	return nil
+}
+
+// start begins a new life of the target.
+func (t *target) start() {
+	t.life++
+	t.state, t.seq, t.acked = TargetReady, 0, 0
+	t.reg.Incarnation = model.Incarnation(fmt.Sprintf("%s/%d", t.reg.ID, t.life))
+	t.announceAgain(t.life)
+}
+
+// end ends the process of the target, or its connection to all others.
+func (t *target) end(state TargetState) {
+	t.state = state
+	noticed := resetNoticed
+	if state == TargetLost {
+		noticed = lossNoticed
+	}
+	for _, id := range t.runningIDs() {
+		r := t.running[id]
+		delete(t.running, id)
+		t.e.runEnded(r, false)
+		t.e.forwardEnded(noticed, r, event.ForwardEnded{Outcome: message.OutcomeUnknown})
+	}
+}
+
+func (t *target) runningIDs() []model.RequestID {
+	ids := make([]model.RequestID, 0, len(t.running))
+	for id := range t.running {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// announceAgain announces the target at each interval of one life.
+func (t *target) announceAgain(life int) {
+	if t.life != life || t.state == TargetCrashed || t.state == TargetLost {
+		return
+	}
+	if t.state == TargetLeaving && len(t.running) == 0 && t.e.now > t.leftAt.Add(5*reportInterval) {
+		t.state = TargetCrashed // it has said often enough that nothing runs
+		return
+	}
+	t.seq++
+	seq := t.seq
+	report := message.TargetReport{Target: t.reg, Seq: seq, Acked: t.acked, State: message.TargetReady}
+	if t.state == TargetLeaving {
+		report.State = message.TargetLeaving
+	}
+	for _, id := range t.runningIDs() {
+		report.Running = append(report.Running, message.RunningRequest{Request: id, Team: t.running[id].request.Team})
+	}
+	report.Report = t.e.report(func(effect.AnswerReport) {
+		if t.life == life {
+			t.acked = max(t.acked, seq)
+		}
+	})
+	t.e.post(event.TargetReported{Report: report})
+	t.e.after(reportInterval, func() { t.announceAgain(life) })
+}
+
+// forward carries out a Forward effect.
+func (e *engine) forward(f effect.Forward) {
+	r := e.books.requests[f.Request]
+	t := e.targets[f.Target]
+	run := &run{request: r, attempt: f.Attempt, target: t}
+	notStarted := event.ForwardEnded{Outcome: message.OutcomeNotStarted}
+	switch t.state {
+	case TargetCrashed:
+		e.forwardEnded(resetNoticed, run, notStarted)
+	case TargetLost:
+		e.forwardEnded(f.StartBy.Sub(e.now), run, notStarted)
+	default:
+		e.after(hop, func() { t.receive(f, run) })
+	}
+}
+
+// receive starts a request on the target or refuses it as not run.
+func (t *target) receive(f effect.Forward, r *run) {
+	ended := event.ForwardEnded{Outcome: message.OutcomeNotStarted}
+	switch {
+	case t.fault == FaultRefuse:
+		ended.RetryAfter = t.retry
+	case t.fault == FaultBusy:
+		ended = event.ForwardEnded{Outcome: message.OutcomeAnswered, Status: http.StatusServiceUnavailable, RetryAfter: t.retry}
+	case t.e.now > f.StartBy || f.Inc != t.reg.Incarnation || t.state != TargetReady:
+	case len(t.running) >= t.reg.Slots:
+		t.e.books.Overcommits++
+	default:
+		t.begin(f, r)
+		return
+	}
+	t.e.forwardEnded(hop, r, ended)
+}
+
+func (t *target) begin(f effect.Forward, r *run) {
+	t.running[f.Request] = r
+	t.e.runBegan(r)
+	need := model.Duration(float64(r.request.Run.Duration()) * t.slow)
+	ended := event.ForwardEnded{Outcome: message.OutcomeAnswered, Status: http.StatusOK, RunTime: need}
+	switch {
+	case t.fault == FaultDrop:
+		need /= 2
+		ended = event.ForwardEnded{Outcome: message.OutcomeUnknown}
+	case t.e.now.Add(need) > f.Deadline:
+		need = f.Deadline.Sub(t.e.now)
+		ended = event.ForwardEnded{Outcome: message.OutcomeUnknown, TimedOut: true}
+	}
+	t.e.after(need, func() {
+		if t.running[f.Request] != r {
+			return // it ended with its target
+		}
+		delete(t.running, f.Request)
+		t.e.runEnded(r, ended.Outcome == message.OutcomeAnswered)
+		t.e.forwardEnded(hop, r, ended)
+	})
+}
+
+// forwardEnded tells the reducer how an attempt ended, after a time.
+func (e *engine) forwardEnded(d model.Duration, r *run, ended event.ForwardEnded) {
+	ended.Request, ended.Attempt = r.request.ID, r.attempt
+	if ended.Outcome == message.OutcomeAnswered {
+		r.request.status = ended.Status
+		if !r.request.Idempotent {
+			ended.Answer = &model.Answer{Status: ended.Status}
+		}
+	}
+	e.after(d, func() { e.post(ended) })
+}
--- /dev/null
+++ b/replay/tracegen/scenarios.go
@@ -0,0 +1,161 @@
+package tracegen
+
+import (
+	"fmt"
+	"strings"
+
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/replay"
+)
+
+// scenarios are the kinds of traces.
+var scenarios = map[string]func(*writer){
+	"bursts":        (*writer).bursts,
+	"centre":        (*writer).centreLoss,
+	"full":          (*writer).everythingFull,
+	"cancellations": (*writer).cancellations,
+	"faults":        (*writer).faultyTargets,
+	"overnight":     (*writer).overnightWork,
+}
+
+// Loads, as parts of the slots.
+const (
+	usualLoad  = 0.7
+	strongLoad = 0.8
+	heavyLoad  = 0.95 // exceeds what is left without one data centre
+	fullLoad   = 1.6
+)
+
+// bursts lets each queue in turn burst beyond its service's capacity and then
+// fall to almost nothing.
+func (w *writer) bursts() {
+	w.fleet()
+	w.arrivals(w.inTurn(usualLoad, 4, 4, 2))
+}
+
+// centreLoss loses a data centre without notice, has the operators take it
+// out, and brings it back: once by loss, once by the operators alone.
+func (w *writer) centreLoss() {
+	w.fleet()
+	w.arrivals(steady(heavyLoad))
+	lost, planned := w.deployment.centres[0], w.deployment.centres[1]
+	w.add(10, replay.Event{Centre: &replay.Centre{ID: lost, Lost: true}})
+	w.add(13, replay.Event{Operators: &replay.RulesChange{Centre: lost, Out: true}})
+	w.add(24, replay.Event{Centre: &replay.Centre{ID: lost}})
+	w.add(26, replay.Event{Operators: &replay.RulesChange{Centre: lost}})
+	w.add(32, replay.Event{Operators: &replay.RulesChange{Centre: planned, Out: true}})
+	w.add(40, replay.Event{Operators: &replay.RulesChange{Centre: planned}})
+}
+
+// everythingFull gives every team more work than its services can do.
+func (w *writer) everythingFull() {
+	w.fleet()
+	w.arrivals(steady(fullLoad))
+}
+
+// Cancellations: the part of the callers that leave at once, and how far back
+// their requests go.
+const (
+	cancelledPart  = 0.6
+	cancelledSince = 6.0 // seconds
+)
+
+// cancellations lets most callers of the last seconds leave together, twice.
+func (w *writer) cancellations() {
+	w.fleet()
+	w.arrivals(steady(1.1))
+	for _, at := range []float64{12, 24} {
+		for _, e := range w.trace.Events {
+			if e.Arrive == nil || e.At > seconds(at) || e.At < seconds(at-cancelledSince) {
+				continue
+			}
+			if w.rand.Float64() < cancelledPart {
+				spread := w.rand.Float64() / 5
+				w.add(at+spread, replay.Event{Abandon: &replay.Abandon{ID: string(e.Arrive.ID)}})
+			}
+		}
+	}
+}
+
+// faultyTargets makes some targets of each service slow or failing for a time.
+func (w *writer) faultyTargets() {
+	w.fleet()
+	w.arrivals(steady(usualLoad))
+	faults := []replay.Target{
+		{State: replay.TargetReady, Slow: 5},
+		{State: replay.TargetReady, Fault: replay.FaultRefuse, RetryAfter: seconds(2)},
+		{State: replay.TargetReady, Fault: replay.FaultDrop},
+		{State: replay.TargetReady, Fault: replay.FaultRefuse},
+		{State: replay.TargetCrashed},
+		{State: replay.TargetLeaving},
+	}
+	n := 0
+	for _, s := range w.deployment.services {
+		for i := range (s.targets + 5) / 6 {
+			fault := faults[n%len(faults)]
+			fault.ID = targetID(s.id, i)
+			w.add(8+float64(n)/4, replay.Event{Target: &fault})
+			w.add(24+float64(n)/4, replay.Event{Target: &replay.Target{ID: fault.ID, State: replay.TargetReady}})
+			n++
+		}
+	}
+}
+
+// overnightWork puts the overnight queue on the targets of the urgent one, and
+// has urgent work burst over it.
+func (w *writer) overnightWork() {
+	d := &w.deployment
+	was, shared := string(d.overnight), string(d.shared)
+	w.trace.Header.Rules = strings.ReplaceAll(w.trace.Header.Rules,
+		fmt.Sprintf("service = %q", was), fmt.Sprintf("service = %q", shared))
+	w.trace.Header.Rules = dropObjectives(w.trace.Header.Rules)
+	w.moveOvernight()
+	w.fleet()
+	base := w.inTurn(strongLoad, 4, 3, 2)
+	w.arrivals(func(q int, at float64) float64 {
+		if d.queues[q].service != model.ServiceID(shared) || at > w.seconds-10 && d.queues[q].patience > 20 {
+			return 0
+		}
+		return base(q, at)
+	})
+}
+
+// moveOvernight gives the targets and the work of the overnight service to the
+// shared one.
+func (w *writer) moveOvernight() {
+	d := &w.deployment
+	was, is := w.slotsOf(d.overnight), w.slotsOf(d.shared)
+	var services []service
+	for _, s := range d.services {
+		if s.id == d.shared {
+			s.targets += int(was) / slots
+		}
+		if s.id != d.overnight {
+			services = append(services, s)
+		}
+	}
+	d.services = services
+	queues := append([]queue(nil), d.queues...)
+	for i := range queues {
+		switch queues[i].service {
+		case d.overnight:
+			queues[i].service = d.shared
+			queues[i].load *= was / (was + is)
+		case d.shared:
+			queues[i].load *= is / (was + is)
+		}
+	}
+	d.queues = queues
+}
+
+// dropObjectives removes the objectives, which may name a service that is no
+// longer there.
+func dropObjectives(rules string) string {
+	var kept []string
+	for _, line := range strings.Split(rules, "\n") {
+		if !strings.HasPrefix(line, "objective.") {
+			kept = append(kept, line)
+		}
+	}
+	return strings.Join(kept, "\n")
+}
--- /dev/null
+++ b/replay/tracegen/tracegen.go
@@ -0,0 +1,103 @@
+// Package tracegen writes seeded traces at the sizes of the two deployments.
+// The same settings always give the same trace.
+package tracegen
+
+import (
+	"math"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/juju/errors"
+	"github.com/pelletier/go-toml/v2"
+
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/replay"
+)
+
+// Settings say which trace to write.
+type Settings struct {
+	Deployment string  `toml:"deployment"`
+	Scenario   string  `toml:"scenario"`
+	Seed       uint64  `toml:"seed"`
+	Seconds    float64 `toml:"seconds"`
+	Rules      string  `toml:"rules"` // path of the rules file, relative to the settings
+}
+
+// Load reads trace settings and writes their trace.
+func Load(path string) (*replay.Trace, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Annotate(err, "reading trace settings")
+	}
+	var s Settings
+	if err := toml.Unmarshal(text, &s); err != nil {
+		return nil, errors.Annotatef(err, "trace settings %s", path)
+	}
+	rules, err := os.ReadFile(filepath.Join(filepath.Dir(path), s.Rules))
+	if err != nil {
+		return nil, errors.Annotate(err, "reading the rules of a trace")
+	}
+	t, err := Generate(s, string(rules))
+	return t, errors.Annotatef(err, "trace settings %s", path)
+}
+
+// Generate writes a trace under the rules.
+func Generate(s Settings, rules string) (*replay.Trace, error) {
+	d, ok := deployments[s.Deployment]
+	if !ok {
+		return nil, errors.NotFoundf("deployment %q", s.Deployment)
+	}
+	write, ok := scenarios[s.Scenario]
+	if !ok {
+		return nil, errors.NotFoundf("scenario %q", s.Scenario)
+	}
+	if s.Seconds <= 0 {
+		return nil, errors.NotValidf("%g seconds", s.Seconds)
+	}
+	w := &writer{
+		deployment: d, seconds: s.Seconds, rand: rand.New(rand.NewPCG(s.Seed, 0)),
+		trace: &replay.Trace{Header: replay.Header{
+			Version: replay.Version, Name: s.Deployment + "-" + s.Scenario, Seed: s.Seed,
+			Length: seconds(s.Seconds), Rules: rules,
+		}},
+	}
+	write(w)
+	slices.SortStableFunc(w.trace.Events, func(a, b replay.Event) int {
+		switch {
+		case a.At < b.At:
+			return -1
+		case a.At > b.At:
+			return 1
+		default:
+			return 0
+		}
+	})
+	return w.trace, nil
+}
+
+func seconds(s float64) replay.Millis { return replay.Millis(math.Round(s*1e6) / 1e3) }
+
+// writer collects the events of one trace.
+type writer struct {
+	deployment deployment
+	seconds    float64
+	rand       *rand.Rand
+	trace      *replay.Trace
+	requests   int
+}
+
+func (w *writer) add(at float64, e replay.Event) {
+	e.At = seconds(at)
+	w.trace.Events = append(w.trace.Events, e)
+}
+
+// centre returns the data centre of the i-th target of a service.
+func (d deployment) centre(i int) model.DataCentreID { return d.centres[i%len(d.centres)] }
+
+// lognormal returns a value of the given mean whose logarithm has the
+// standard deviation spread.
+func (w *writer) lognormal(mean, spread float64) float64 {
+	return mean * math.Exp(w.rand.NormFloat64()*spread-spread*spread/2)
+}
