--- a/ctl/replay.go
+++ b/ctl/replay.go
@@ -24,6 +24,7 @@
 	policy string
 	plots  string
 	write  string
+	seed   uint64
 }
 
 // replay replays a journal, a trace, or the trace of a settings file.
@@ -48,7 +49,7 @@
 		}
 		return p.replayTrace(trace, o)
 	case strings.HasSuffix(o.file, ".toml"):
-		trace, err := tracegen.Load(o.file)
+		trace, err := tracegen.Load(o.file, o.seed)
 		if err != nil {
 			return &failure{ExitFaults, err}
 		}
--- /dev/null
+++ b/replay/figures_test.go
@@ -0,0 +1,96 @@
+package replay
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// Guards against shares that are not lent, or lent past a limit or to a team
+// whose services are full.
+func TestEntitlements(t *testing.T) {
+	s := &sample{
+		capacity: map[model.ServiceID]int{"x": 100, "y": 50},
+		shares:   map[model.TeamID]float64{"a": 60, "b": 20, "c": 20},
+		limits:   map[model.TeamID]int{"a": 1000, "b": 1000, "c": 30},
+		demand:   map[use]int{{"a", "x"}: 10, {"b", "x"}: 500, {"c", "y"}: 500, {"a", "y"}: 500},
+	}
+	got := s.entitlements()
+	// c gets 20/80 of y besides a; a has 10 on x, the rest of x goes to b.
+	require.InDelta(t, 90, got["b"], 0.1)
+	require.InDelta(t, 15, got["c"], 0.1)
+	require.InDelta(t, 45, got["a"], 0.1)
+	s.demand[use{"a", "y"}] = 0
+	got = s.entitlements()
+	require.InDelta(t, 30, got["c"], 0.1, "the limit of c")
+}
+
+// Guards against an optimum that a real order could exceed: no work outside
+// the jobs' times and slots counts, and all of it does when there is room.
+func TestMostPossibleIsABound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 4).Draw(t, "slots")
+		b := newBooks()
+		w := window{from: 0, until: model.Time(10 * model.Second)}
+		for at := w.from; at < w.until; at = at.Add(sampleInterval) {
+			b.samples = append(b.samples, sample{at: at, capacity: map[model.ServiceID]int{"s": slots}})
+		}
+		work := model.Duration(0)
+		at := model.Time(0)
+		for range rapid.IntRange(0, 30).Draw(t, "jobs") {
+			at = at.Add(model.Duration(rapid.IntRange(0, 800).Draw(t, "gap")) * model.Millisecond)
+			a := &Arrive{Run: Millis(rapid.IntRange(1, 4000).Draw(t, "run")), Patience: Millis(rapid.IntRange(1, 5000).Draw(t, "patience"))}
+			b.order = append(b.order, &request{Arrive: a, service: "s", arrived: at})
+			if at < w.until {
+				work += a.Run.Duration()
+			}
+		}
+		free := make([]model.Time, slots) // first come first served on real slots
+		for _, r := range b.order {
+			slot := 0
+			for i := range free {
+				if free[i] < free[slot] {
+					slot = i
+				}
+			}
+			if start := max(free[slot], r.arrived); start <= r.latest() {
+				free[slot] = start.Add(r.Run.Duration())
+				r.runs = append(r.runs, &run{request: r, began: start, ended: free[slot], good: true})
+			}
+		}
+		// Samples are sampleInterval apart, so one of them on each slot is the
+		// resolution of the bound.
+		bound := b.mostPossible(w)
+		require.LessOrEqual(t, b.completed(w), bound+model.Duration(slots)*sampleInterval)
+		require.LessOrEqual(t, bound, work)
+		require.LessOrEqual(t, bound, model.Duration(slots)*w.until.Sub(w.from))
+	})
+}
+
+// Guards against an outcomes file whose misspelt name is never checked.
+func TestOutcomes(t *testing.T) {
+	r := &Result{Measures: []Measure{{Name: "x", Value: 2}, {Name: "y", None: "no"}}, Invariants: []Count{{"i", 1}}}
+	check := func(text string) (map[string]bool, error) {
+		o, err := ParseOutcomes([]byte(text))
+		require.NoError(t, err)
+		list, err := o.Check(r)
+		got := make(map[string]bool)
+		for _, v := range list {
+			got[v.Name] = v.OK
+		}
+		return got, err
+	}
+	got, err := check("[measure]\nx = { min = 1, max = 2 }\ny = { min = 0 }\n")
+	require.NoError(t, err)
+	require.Equal(t, map[string]bool{"x": true, "y": false, "i": false}, got)
+	got, err = check("[measure]\nx = { max = 1.9 }\n[invariant]\ni = 1\n")
+	require.NoError(t, err)
+	require.Equal(t, map[string]bool{"x": false, "i": true}, got)
+	_, err = check("[measure]\nz = { max = 1 }\n")
+	require.Error(t, err)
+	_, err = check("[invariant]\nz = 1\n")
+	require.Error(t, err)
+}
--- a/replay/measure.go
+++ b/replay/measure.go
@@ -17,6 +17,7 @@
 	MeasureWorthInTime    = "worth_in_time"   // the same, weighted by worth
 	MeasureOvernight      = "overnight"       // fraction of overnight requests that were answered
 	MeasureShareDistance  = "share_distance"  // percentage points, mean while everything is full
+	MeasureShareWorst     = "share_worst"     // the same for the team that is farthest from its share
 	MeasureFullSeconds    = "full_seconds"    // time in which everything is full
 	MeasureUse            = "slots_used"      // fraction of the slots that ran work that was answered
 	MeasureCentreWork     = "centre_work"     // fraction of the most possible work over a loss and return
@@ -153,16 +154,19 @@
 func (r *Result) measureFleet(e *engine) {
 	b := e.books
 	var full int
-	var distance, slots float64
+	var distance, worst, slots float64
 	for i := range b.samples {
 		s := &b.samples[i]
 		slots += float64(s.slots())
 		if s.full() {
 			full++
-			distance += s.shareDistance()
+			mean, largest := s.shareDistance()
+			distance += mean
+			worst += largest
 		}
 	}
 	r.ratio(MeasureShareDistance, distance, float64(full), "never was everything full")
+	r.ratio(MeasureShareWorst, worst, float64(full), "never was everything full")
 	r.add(MeasureFullSeconds, float64(full)*sampleInterval.Seconds())
 	whole := window{e.began, e.began.Add(e.trace.Header.Length.Duration())}
 	r.ratio(MeasureUse, b.completed(whole).Seconds(), slots*sampleInterval.Seconds(), "no slots")
--- a/replay/sample.go
+++ b/replay/sample.go
@@ -6,11 +6,6 @@
 	"primrosedale.example/primrosedale/core/model"
 )
 
-// fullFraction is the fraction of the slots of every service that must be
-// taken for everything to count as full. A slot is free for the time of two
-// messages between two runs, so 1 is not reached.
-const fullFraction = 0.95
-
 // sample is the use of the fleet at one time.
 type sample struct {
 	at       model.Time
@@ -62,21 +57,18 @@
 	return n
 }
 
-// full reports whether the slots of every service are taken and work waits.
+// full reports whether every service has more work than slots. It looks at the
+// demand and not at the use, so that a policy that leaves slots idle is
+// measured in the same periods as one that does not.
 func (s *sample) full() bool {
-	running, demand := make(map[model.ServiceID]int), 0
-	total := 0
-	for u, n := range s.running {
-		running[u.service] += n
-		total += n
-	}
-	for _, n := range s.demand {
-		demand += n
+	demand := make(map[model.ServiceID]int)
+	for u, n := range s.demand {
+		demand[u.service] += n
 	}
 	for service, slots := range s.capacity {
-		if float64(running[service]) < fullFraction*float64(slots) {
+		if demand[service] < slots {
 			return false
 		}
 	}
-	return total > 0 && demand > total
+	return s.slots() > 0
 }
--- a/replay/share.go
+++ b/replay/share.go
@@ -7,18 +7,20 @@
 )
 
 // shareDistance returns, in percentage points of the fleet, the mean over
-// teams of the distance between what they run and what they are entitled to.
-func (s *sample) shareDistance() float64 {
+// teams of the distance between what they run and what they are entitled to,
+// and the largest of these distances.
+func (s *sample) shareDistance() (mean, largest float64) {
 	running := make(map[model.TeamID]float64)
 	for u, n := range s.running {
 		running[u.team] += float64(n)
 	}
 	entitled := s.entitlements()
-	sum := 0.0
 	for _, team := range sortedKeys(entitled) {
-		sum += math.Abs(running[team] - entitled[team])
+		distance := 100 * math.Abs(running[team]-entitled[team]) / float64(s.slots())
+		mean += distance / float64(len(entitled))
+		largest = max(largest, distance)
 	}
-	return 100 * sum / float64(len(entitled)) / float64(s.slots())
+	return mean, largest
 }
 
 // entitlements divides the slots among the teams that have demand: in
--- a/replay/tracegen/deployments.go
+++ b/replay/tracegen/deployments.go
@@ -16,6 +16,7 @@
 	// overnight names the service whose targets also take overnight work in
 	// the scenario of that name, and the one that it replaces.
 	shared, overnight model.ServiceID
+	lender            model.TeamID // whose share is lent in the scenario lending
 }
 
 // service is a number of targets.
@@ -59,7 +60,7 @@
 			{"order-sync", "orders", "orders", 1, 0.5, 0.4, 3, 8, false},
 			{"catalogue", "press", "catalogue", 1, 0.5, 0.4, 2, 1, true},
 		},
-		shared: "render", overnight: "index",
+		shared: "render", overnight: "index", lender: "kreol",
 	},
 	"ulaanbaatar": {
 		centres: []model.DataCentreID{"bayangol", "chingeltei", "khan-uul", "sukhbaatar"},
@@ -77,6 +78,6 @@
 			{"reports", "reporting", "report", 0.6, 1, 0.5, 8, 1, true},
 			{"outages", "reporting", "report", 0.4, 0.4, 0.4, 2, 2, true},
 		},
-		shared: "dispatch", overnight: "study",
+		shared: "dispatch", overnight: "study", lender: "heat",
 	},
 }
--- a/replay/tracegen/scenarios.go
+++ b/replay/tracegen/scenarios.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"strings"
 
-	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/replay"
 )
 
@@ -16,14 +15,14 @@
 	"cancellations": (*writer).cancellations,
 	"faults":        (*writer).faultyTargets,
 	"overnight":     (*writer).overnightWork,
+	"lending":       (*writer).lending,
 }
 
 // Loads, as parts of the slots.
 const (
-	usualLoad  = 0.7
-	strongLoad = 0.8
-	heavyLoad  = 0.95 // exceeds what is left without one data centre
-	fullLoad   = 1.6
+	usualLoad = 0.7
+	heavyLoad = 0.95 // exceeds what is left without one data centre
+	fullLoad  = 1.6
 )
 
 // bursts lets each queue in turn burst beyond its service's capacity and then
@@ -53,6 +52,25 @@
 	w.arrivals(steady(fullLoad))
 }
 
+// The period in which a team with a large share sends nothing, in seconds.
+const (
+	idleFrom  = 12
+	idleUntil = 22
+)
+
+// lending gives every team more work than its services can do, but for a time
+// in which one team sends nothing: its share is lent and then taken back.
+func (w *writer) lending() {
+	w.fleet()
+	idle := w.deployment.lender
+	w.arrivals(func(q int, at float64) float64 {
+		if w.deployment.queues[q].team == idle && at >= idleFrom && at < idleUntil {
+			return 0
+		}
+		return fullLoad
+	})
+}
+
 // Cancellations: the part of the callers that leave at once, and how far back
 // their requests go.
 const (
@@ -101,8 +119,16 @@
 	}
 }
 
-// overnightWork puts the overnight queue on the targets of the urgent one, and
-// has urgent work burst over it.
+// The urgent load of the overnight scenario, which lasts until the night.
+const (
+	urgentLoad = 1.05
+	nightLoad  = 0.3
+	nightLasts = 20.0 // seconds
+)
+
+// overnightWork puts the overnight queue on the targets of the urgent one.
+// Urgent work alone could fill them until the night; most overnight requests
+// cannot wait that long.
 func (w *writer) overnightWork() {
 	d := &w.deployment
 	was, shared := string(d.overnight), string(d.shared)
@@ -111,20 +137,34 @@
 	w.trace.Header.Rules = dropObjectives(w.trace.Header.Rules)
 	w.moveOvernight()
 	w.fleet()
-	base := w.inTurn(strongLoad, 4, 3, 2)
 	w.arrivals(func(q int, at float64) float64 {
-		if d.queues[q].service != model.ServiceID(shared) || at > w.seconds-10 && d.queues[q].patience > 20 {
+		night := at >= w.seconds-nightLasts
+		switch {
+		case string(d.queues[q].service) != shared || at >= w.seconds-nightLasts/2:
+			return 0
+		case d.queues[q].patience >= overnightPatience && !night:
+			return 1
+		case d.queues[q].patience >= overnightPatience:
 			return 0
+		case night:
+			return nightLoad
+		default:
+			return urgentLoad
 		}
-		return base(q, at)
 	})
 }
 
+// overnightPatience tells overnight queues from urgent ones, in seconds.
+const overnightPatience = 30
+
+// overnightPart is the part of the shared slots that overnight work needs.
+const overnightPart = 0.15
+
 // moveOvernight gives the targets and the work of the overnight service to the
 // shared one.
 func (w *writer) moveOvernight() {
 	d := &w.deployment
-	was, is := w.slotsOf(d.overnight), w.slotsOf(d.shared)
+	was := w.slotsOf(d.overnight)
 	var services []service
 	for _, s := range d.services {
 		if s.id == d.shared {
@@ -137,12 +177,10 @@
 	d.services = services
 	queues := append([]queue(nil), d.queues...)
 	for i := range queues {
-		switch queues[i].service {
-		case d.overnight:
+		if queues[i].service == d.overnight {
 			queues[i].service = d.shared
-			queues[i].load *= was / (was + is)
-		case d.shared:
-			queues[i].load *= is / (was + is)
+			queues[i].load = overnightPart
+			queues[i].patience = overnightPatience
 		}
 	}
 	d.queues = queues
--- a/replay/tracegen/tracegen.go
+++ b/replay/tracegen/tracegen.go
@@ -25,8 +25,9 @@
 	Rules      string  `toml:"rules"` // path of the rules file, relative to the settings
 }
 
-// Load reads trace settings and writes their trace.
-func Load(path string) (*replay.Trace, error) {
+// Load reads trace settings and writes their trace. A seed other than 0
+// replaces that of the settings.
+func Load(path string, seed uint64) (*replay.Trace, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, errors.Annotate(err, "reading trace settings")
@@ -35,6 +36,9 @@
 	if err := toml.Unmarshal(text, &s); err != nil {
 		return nil, errors.Annotatef(err, "trace settings %s", path)
 	}
+	if seed != 0 {
+		s.Seed = seed
+	}
 	rules, err := os.ReadFile(filepath.Join(filepath.Dir(path), s.Rules))
 	if err != nil {
 		return nil, errors.Annotate(err, "reading the rules of a trace")
