dispatch: predict the wait of each team and refuse early by it

Cause: the wait was predicted from all requests of a service over all its slots. A team at its share gets fewer, so its requests were admitted and then refused at the end of their patience. Change: the work ahead of a request in its team's lane (order-statistic tree, core/rankset) over the slots that the team holds in the service. A request is refused at arrival if that exceeds 0.75 of its patience; the last of a lane is refused later if it exceeds the patience that is left. Overnight work is never refused early.

--- a/core/dispatch/advance.go
+++ b/core/dispatch/advance.go
@@ -48,6 +48,7 @@
 		due = true
 	}
 	o.trimEnded(env.Now)
+	o.trimQueues(env, out)
 	if due {
 		o.pumpAll(env, out)
 	}
--- /dev/null
+++ b/core/dispatch/lane.go
@@ -0,0 +1,91 @@
+package dispatch
+
+import (
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/problem"
+	"primrosedale.example/primrosedale/core/rankset"
+)
+
+// lane is what one team has in one service. The work that waits ahead of a
+// request, divided by the slots that the team holds there, is the time until
+// it starts: that number of slots already reflects shares, limits, precedence
+// and lost capacity.
+type lane struct {
+	waiting *rankset.Set[rank] // weighted by the expected run time
+	running int
+}
+
+func (o *Owner) lane(s *service, team model.TeamID) *lane {
+	l := s.lanes[team]
+	if l == nil {
+		l = &lane{waiting: rankset.New(o.policy.within)}
+		s.lanes[team] = l
+	}
+	return l
+}
+
+// join puts a request into its lane.
+func (l *lane) join(o *Owner, r *request) {
+	weight := int64(1)
+	if stats := o.queues[r.ask.Queue]; stats != nil {
+		weight += int64(stats.mean)
+	}
+	l.waiting.Insert(r.rank, weight, hash(string(r.ask.Request)))
+}
+
+// wait is the expected time until a request of this rank starts.
+func (l *lane) wait(r rank) model.Duration {
+	return model.Duration(l.waiting.Before(r)) / model.Duration(max(l.running, 1))
+}
+
+// hash is FNV-1a. The tree of a lane is balanced by it, the same in every
+// replay.
+func hash(s string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := range len(s) {
+		h = (h ^ uint64(s[i])) * 1099511628211
+	}
+	return h
+}
+
+// trimQueues refuses waiting requests that can no longer start in time,
+// because capacity was lost or more urgent requests came. It takes the last
+// of each lane: they have lost the least by waiting.
+func (o *Owner) trimQueues(env Env, out *Out) {
+	if !o.fenced {
+		return
+	}
+	for _, id := range sortedKeys(o.services) {
+		s := o.services[id]
+		for _, team := range s.teams {
+			o.trim(env, out, s.lanes[team])
+		}
+	}
+}
+
+func (o *Owner) trim(env Env, out *Out, l *lane) {
+	for {
+		last, ok := l.waiting.Last()
+		if !ok {
+			return
+		}
+		r := o.requests[last.id]
+		load := queueLoad{patience: r.deadline.Sub(env.Now), wait: l.wait(last), overnight: o.rules.Queues[r.ask.Queue].Overnight}
+		if !o.learned(r.ask.Queue) || !o.policy.hopeless(load) {
+			return
+		}
+		o.refuse(env, out, r, o.cannotStart(r.service, load))
+	}
+}
+
+// learned reports whether enough run times of a queue are known.
+func (o *Owner) learned(id model.QueueID) bool {
+	stats := o.queues[id]
+	return stats != nil && stats.samples >= samplesMin
+}
+
+func (o *Owner) cannotStart(s *service, l queueLoad) *problem.Problem {
+	p := problem.New(problem.PatienceExceeded, "the expected wait for service %s is %.1f s", s.id, l.wait.Seconds())
+	p.RetryAfter = min(max(l.wait-l.patience, model.Second), 30*model.Second)
+	return p
+}
--- a/core/dispatch/policy.go
+++ b/core/dispatch/policy.go
@@ -34,6 +34,9 @@
 	mayStart(u teamUse) bool
 	// tooLate reports whether a request is refused at its arrival.
 	tooLate(l queueLoad) bool
+	// hopeless reports whether a waiting request is refused before its patience
+	// ends.
+	hopeless(l queueLoad) bool
 }
 
 // candidate is the first waiting request of a team.
@@ -56,10 +59,11 @@
 // requests run when nobody else waits.
 const shareMin = 0.1
 
-// queueLoad is what is known of a service when a request arrives.
+// queueLoad is what is expected of a waiting or arriving request.
 type queueLoad struct {
-	patience model.Duration
-	wait     model.Duration // expected, by the learned run times
+	patience  model.Duration // that is left
+	wait      model.Duration // expected, by the learned run times
+	overnight bool
 }
 
 func policyNamed(name PolicyName) policy {
@@ -85,8 +89,14 @@
 
 func (sharesPolicy) mayStart(teamUse) bool { return true }
 
-func (sharesPolicy) tooLate(l queueLoad) bool {
-	return float64(l.wait) > earlyMargin*float64(l.patience)
+func (sharesPolicy) tooLate(l queueLoad) bool { return l.exceeds(admitMargin) }
+
+func (sharesPolicy) hopeless(l queueLoad) bool { return l.exceeds(keepMargin) }
+
+// exceeds reports whether the wait takes more than a part of the patience.
+// Overnight work is not refused early: the load may fall before its end.
+func (l queueLoad) exceeds(margin float64) bool {
+	return !l.overnight && float64(l.wait) > margin*float64(l.patience)
 }
 
 // staticPolicy serves requests in the order of their arrival. Each team has a
@@ -110,6 +120,8 @@
 
 func (staticPolicy) tooLate(queueLoad) bool { return false }
 
+func (staticPolicy) hopeless(queueLoad) bool { return false }
+
 // use returns what a team holds of the fleet.
 func (o *Owner) use(id model.TeamID) teamUse {
 	u := teamUse{running: o.team(id).running, share: o.rules.Teams[id].Share}
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -21,9 +21,12 @@
 	samplesMin = 20
 	// runTimeWeight is the weight of a new sample in the mean run time.
 	runTimeWeight = 0.1
-	// earlyMargin is the factor by which the expected wait must exceed the
-	// patience for an early refusal, since run times vary around their mean.
-	earlyMargin = 1.5
+	// admitMargin and keepMargin are the parts of the patience that the
+	// expected wait may take, at arrival and later. The first is smaller, so
+	// that a request that was admitted is rarely refused later; a queue that is
+	// shorter than the patience still keeps every slot busy.
+	admitMargin = 0.75
+	keepMargin  = 1.0
 )
 
 // rank orders the waiting requests of one team for one service. It does not
@@ -49,7 +52,7 @@
 	id      model.ServiceID
 	waiting map[model.TeamID]*pq.Queue[model.RequestID, rank, *request]
 	teams   []model.TeamID // keys of waiting, sorted
-	length  [10]int        // waiting requests by precedence
+	lanes   map[model.TeamID]*lane
 	usable  map[model.DataCentreID]*pq.Queue[model.TargetID, load, *target]
 	centres []model.DataCentreID // keys of usable, sorted
 	slots   int                  // of usable or full targets
@@ -74,6 +77,7 @@
 	return &service{
 		id:      id,
 		waiting: make(map[model.TeamID]*pq.Queue[model.RequestID, rank, *request]),
+		lanes:   make(map[model.TeamID]*lane),
 		usable:  make(map[model.DataCentreID]*pq.Queue[model.TargetID, load, *target]),
 	}
 }
@@ -84,7 +88,7 @@
 	s := o.service(queue.Service)
 	r.service = s
 	r.state = stateQueued
-	r.rank = rank{clampPrecedence(queue.Precedence), o.policy.key(queue, r), r.ask.Request}
+	r.rank = o.rank(queue, r)
 	q := s.waiting[r.ask.Team]
 	if q == nil {
 		q = pq.New[model.RequestID, rank, *request](o.policy.within)
@@ -93,7 +97,7 @@
 		slices.Sort(s.teams)
 	}
 	q.Set(r.ask.Request, r.rank, r)
-	s.length[r.rank.precedence]++
+	o.lane(s, r.ask.Team).join(o, r)
 	o.timers.Set(timerID{kind: timerDeadline, request: r.ask.Request}, timer{at: r.deadline}, struct{}{})
 }
 
@@ -105,7 +109,7 @@
 		return
 	}
 	if r.service.waiting[r.ask.Team].Remove(r.ask.Request) {
-		r.service.length[r.rank.precedence]--
+		o.lane(r.service, r.ask.Team).waiting.Remove(r.rank)
 	}
 }
 
@@ -211,25 +215,27 @@
 	s.mean += model.Duration(runTimeWeight * float64(d.RunTime-s.mean))
 }
 
-// tooLate refuses a request that cannot start within its patience, by the mean
-// run time and the requests that go before it. A refusal at once lets the
-// caller act; a refusal at the end of its patience wastes that time.
-func (o *Owner) tooLate(env Env, queue rules.Queue, a *message.Ask) *problem.Problem {
-	s, stats := o.services[queue.Service], o.queues[a.Queue]
-	if s == nil || stats == nil || stats.samples < samplesMin || s.slots == 0 || !o.fenced {
+// tooLate refuses a request that cannot start within its patience, by the
+// learned run times of the requests that go before it. A refusal at once lets
+// the caller act; a refusal at the end of its patience wastes that time.
+func (o *Owner) tooLate(env Env, queue rules.Queue, r *request) *problem.Problem {
+	s := o.services[queue.Service]
+	if s == nil || !o.learned(r.ask.Queue) || s.slots == 0 || !o.fenced {
 		return nil
 	}
-	ahead := 0
-	for p := clampPrecedence(queue.Precedence); p < len(s.length); p++ {
-		ahead += s.length[p]
+	load := queueLoad{
+		patience:  r.ask.Patience,
+		wait:      o.lane(s, r.ask.Team).wait(o.rank(queue, r)),
+		overnight: queue.Overnight,
 	}
-	wait := model.Duration(float64(stats.mean) * float64(ahead) / float64(s.slots))
-	if !o.policy.tooLate(queueLoad{a.Patience, wait}) {
+	if !o.policy.tooLate(load) {
 		return nil
 	}
-	p := problem.New(problem.PatienceExceeded, "%d requests wait and the expected wait is %.1f s", ahead, wait.Seconds())
-	p.RetryAfter = min(max(wait-a.Patience, model.Second), 30*model.Second)
-	return p
+	return o.cannotStart(s, load)
+}
+
+func (o *Owner) rank(queue rules.Queue, r *request) rank {
+	return rank{clampPrecedence(queue.Precedence), o.policy.key(queue, r), r.ask.Request}
 }
 
 // sortedKeys returns the keys of m in order, so that iteration is the same in
--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -58,7 +58,7 @@
 		o.refuse(env, out, r, problem.New(problem.UnknownTeam, "there is no team %s", a.Team))
 		return
 	}
-	if p := o.tooLate(env, queue, a); p != nil {
+	if p := o.tooLate(env, queue, r); p != nil {
 		o.refuse(env, out, r, p)
 		return
 	}
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -16,6 +16,7 @@
 	id       runID
 	team     *team
 	target   *target
+	lane     *lane
 	deadline model.Time // the target stops work by then
 	startBy  model.Time // the gateway sends no byte after this time
 
@@ -35,6 +36,8 @@
 	r := &run{id: id, team: o.team(teamID), target: t, deadline: deadline, startBy: env.Now.Add(StartBy)}
 	o.runs[id] = r
 	r.team.running++
+	r.lane = o.lane(t.service, teamID)
+	r.lane.running++
 	t.runs[id] = r
 	o.dispatchSeq++
 	t.lastUsed = o.dispatchSeq
@@ -51,6 +54,7 @@
 	delete(r.target.runs, r.id)
 	o.timers.Remove(timerID{kind: timerRun, request: r.id.request, attempt: r.id.attempt})
 	r.team.running--
+	r.lane.running--
 	o.ended[r.id] = env.Now
 	o.endedFIFO = append(o.endedFIFO, endedRun{r.id, env.Now})
 	o.refresh(env, r.target)
