dispatch: refuse a request whose patience has ended instead of starting it

Cause: patience was checked only on ticks, 50 ms apart, so a slot that became free in between went to a request that was already too late. What is left starts within the two messages after the decision.

--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -151,6 +151,10 @@
 		if r == nil {
 			return
 		}
+		if env.Now >= r.deadline {
+			o.refuse(env, out, r, o.impatience(r))
+			continue
+		}
 		if !env.Granter.Serving(env.Now, r.gateway) {
 			o.delay(env, r, RetryDelayMin)
 			continue
