dispatch: predict the wait of each precedence of a team by itself

Cause: requests of a lower precedence were admitted by the slots of the whole team, and then overtaken by later requests of a higher one. Change: a lane is a team's work of one precedence in one service; the slots it holds fall when a higher precedence takes them, and the expected wait grows.

--- a/core/dispatch/lane.go
+++ b/core/dispatch/lane.go
@@ -6,20 +6,27 @@
 	"primrosedale.example/primrosedale/core/rankset"
 )
 
-// lane is what one team has in one service. The work that waits ahead of a
-// request, divided by the slots that the team holds there, is the time until
-// it starts: that number of slots already reflects shares, limits, precedence
-// and lost capacity.
+// lane is what one team has in one service at one precedence. The work that
+// waits ahead of a request, divided by the slots that the lane holds, is the
+// time until it starts: that number of slots already reflects shares, limits,
+// lost capacity and work of higher precedence.
 type lane struct {
 	waiting *rankset.Set[rank] // weighted by the expected run time
 	running int
 }
 
-func (o *Owner) lane(s *service, team model.TeamID) *lane {
-	l := s.lanes[team]
+// laneID names a lane of a service.
+type laneID struct {
+	team       model.TeamID
+	precedence int
+}
+
+func (o *Owner) lane(s *service, team model.TeamID, precedence int) *lane {
+	id := laneID{team, precedence}
+	l := s.lanes[id]
 	if l == nil {
 		l = &lane{waiting: rankset.New(o.policy.within)}
-		s.lanes[team] = l
+		s.lanes[id] = l
 	}
 	return l
 }
@@ -58,7 +65,11 @@
 	for _, id := range sortedKeys(o.services) {
 		s := o.services[id]
 		for _, team := range s.teams {
-			o.trim(env, out, s.lanes[team])
+			for precedence := range precedences {
+				if l := s.lanes[laneID{team, precedence}]; l != nil {
+					o.trim(env, out, l)
+				}
+			}
 		}
 	}
 }
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -52,7 +52,7 @@
 	id      model.ServiceID
 	waiting map[model.TeamID]*pq.Queue[model.RequestID, rank, *request]
 	teams   []model.TeamID // keys of waiting, sorted
-	lanes   map[model.TeamID]*lane
+	lanes   map[laneID]*lane
 	usable  map[model.DataCentreID]*pq.Queue[model.TargetID, load, *target]
 	centres []model.DataCentreID // keys of usable, sorted
 	slots   int                  // of usable or full targets
@@ -77,7 +77,7 @@
 	return &service{
 		id:      id,
 		waiting: make(map[model.TeamID]*pq.Queue[model.RequestID, rank, *request]),
-		lanes:   make(map[model.TeamID]*lane),
+		lanes:   make(map[laneID]*lane),
 		usable:  make(map[model.DataCentreID]*pq.Queue[model.TargetID, load, *target]),
 	}
 }
@@ -97,11 +97,14 @@
 		slices.Sort(s.teams)
 	}
 	q.Set(r.ask.Request, r.rank, r)
-	o.lane(s, r.ask.Team).join(o, r)
+	o.lane(s, r.ask.Team, r.rank.precedence).join(o, r)
 	o.timers.Set(timerID{kind: timerDeadline, request: r.ask.Request}, timer{at: r.deadline}, struct{}{})
 }
 
-func clampPrecedence(p int) int { return min(max(p, 0), 9) }
+// precedences is the number of values of a precedence.
+const precedences = 10
+
+func clampPrecedence(p int) int { return min(max(p, 0), precedences-1) }
 
 // unqueue takes a request out of the queue if it is in it.
 func (o *Owner) unqueue(r *request) {
@@ -109,7 +112,7 @@
 		return
 	}
 	if r.service.waiting[r.ask.Team].Remove(r.ask.Request) {
-		o.lane(r.service, r.ask.Team).waiting.Remove(r.rank)
+		o.lane(r.service, r.ask.Team, r.rank.precedence).waiting.Remove(r.rank)
 	}
 }
 
@@ -227,9 +230,10 @@
 	if s == nil || !o.learned(r.ask.Queue) || s.slots == 0 || !o.fenced {
 		return nil
 	}
+	place := o.rank(queue, r)
 	load := queueLoad{
 		patience:  r.ask.Patience,
-		wait:      o.lane(s, r.ask.Team).wait(o.rank(queue, r)),
+		wait:      o.lane(s, r.ask.Team, place.precedence).wait(place),
 		overnight: queue.Overnight,
 	}
 	if !o.policy.tooLate(load) {
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -36,7 +36,7 @@
 	r := &run{id: id, team: o.team(teamID), target: t, deadline: deadline, startBy: env.Now.Add(StartBy)}
 	o.runs[id] = r
 	r.team.running++
-	r.lane = o.lane(t.service, teamID)
+	r.lane = o.laneOfRun(id.request, t.service, teamID)
 	r.lane.running++
 	t.runs[id] = r
 	o.dispatchSeq++
@@ -45,6 +45,16 @@
 	return r
 }
 
+// laneOfRun returns the lane of a request. The precedence of one that is only
+// known from a gateway's or target's list counts as the lowest.
+func (o *Owner) laneOfRun(id model.RequestID, s *service, team model.TeamID) *lane {
+	precedence := 0
+	if r := o.requests[id]; r != nil {
+		precedence = r.rank.precedence
+	}
+	return o.lane(s, team, precedence)
+}
+
 // endRun ends the count of an attempt.
 func (o *Owner) endRun(env Env, r *run) {
 	if o.runs[r.id] != r {
