dispatch: let worth decide who is admitted, not who overtakes

Later requests overtook admitted ones, which were then refused at the end of their patience. Change: the order is by latest start only.

--- a/core/dispatch/lane.go
+++ b/core/dispatch/lane.go
@@ -13,6 +13,7 @@
 type lane struct {
 	waiting *rankset.Set[rank] // weighted by the expected run time
 	running int
+	worth   float64 // mean of the requests that arrived
 }
 
 // laneID names a lane of a service.
@@ -40,6 +41,19 @@
 	l.waiting.Insert(r.rank, weight, hash(string(r.ask.Request)))
 }
 
+// relativeWorth takes the worth of an arriving request into the mean and
+// returns it as a multiple of the mean.
+func (l *lane) relativeWorth(worth float64) float64 {
+	if l.worth == 0 {
+		l.worth = worth
+	}
+	l.worth += worthWeight * (worth - l.worth)
+	if l.worth <= 0 {
+		return 1
+	}
+	return worth / l.worth
+}
+
 // wait is the expected time until a request of this rank starts.
 func (l *lane) wait(r rank) model.Duration {
 	return model.Duration(l.waiting.Before(r)) / model.Duration(max(l.running, 1))
--- a/core/dispatch/policy.go
+++ b/core/dispatch/policy.go
@@ -63,6 +63,7 @@
 type queueLoad struct {
 	patience  model.Duration // that is left
 	wait      model.Duration // expected, by the learned run times
+	worth     float64        // of an arriving request, as a multiple of the mean
 	overnight bool
 }
 
@@ -73,12 +74,14 @@
 	return sharesPolicy{}
 }
 
-// sharesPolicy is the policy of docs/design.md 6.9.
+// sharesPolicy is the policy of docs/design.md 6.9. Requests of a team start in
+// the order of their latest starts. Worth decides which are admitted to a
+// queue that is too long, not their order in it: an order by worth lets later
+// requests overtake admitted ones, which are then refused late.
 type sharesPolicy struct{}
 
 func (sharesPolicy) key(_ rules.Queue, r *request) model.Time {
-	bonus := model.Duration(math.Log2(1+max(0, r.ask.Worth)) * float64(worthBonus))
-	return r.deadline.Add(-bonus)
+	return r.deadline
 }
 
 func (sharesPolicy) within(a, b rank) bool { return a.before(b) }
@@ -89,7 +92,9 @@
 
 func (sharesPolicy) mayStart(teamUse) bool { return true }
 
-func (sharesPolicy) tooLate(l queueLoad) bool { return l.exceeds(admitMargin) }
+func (sharesPolicy) tooLate(l queueLoad) bool {
+	return l.exceeds(min(max(admitMargin*l.worth, admitMin), admitMax))
+}
 
 func (sharesPolicy) hopeless(l queueLoad) bool { return l.exceeds(keepMargin) }
 
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -13,27 +13,32 @@
 
 // Parameters of the queue order and of early refusal.
 const (
-	// worthBonus brings a request forward by this time for each doubling of
-	// its worth.
-	worthBonus = 2 * model.Second
 	// samplesMin is the number of run times that must be known before a request
 	// is refused early on their strength.
 	samplesMin = 20
 	// runTimeWeight is the weight of a new sample in the mean run time.
 	runTimeWeight = 0.1
-	// admitMargin and keepMargin are the parts of the patience that the
-	// expected wait may take, at arrival and later. The first is smaller, so
+	// admitMargin is the part of the patience that the expected wait of an
+	// arriving request of mean worth may take. It grows and shrinks in
+	// proportion to the worth, between admitMin and admitMax, so that a full
+	// queue admits what is worth most. The sum stays below the patience, so
 	// that a request that was admitted is rarely refused later; a queue that is
 	// shorter than the patience still keeps every slot busy.
-	admitMargin = 0.75
-	keepMargin  = 1.0
+	admitMargin = 0.7
+	admitMin    = 0.1
+	admitMax    = 0.85
+	// keepMargin is the part of the patience left that the expected wait of a
+	// waiting request may take.
+	keepMargin = 1.0
+	// worthWeight is the weight of a new request in the mean worth.
+	worthWeight = 0.05
 )
 
 // rank orders the waiting requests of one team for one service. It does not
 // change while a request waits.
 type rank struct {
 	precedence int
-	key        model.Time // the latest start, brought forward by worth
+	key        model.Time // the policy's, smaller goes first
 	id         model.RequestID
 }
 
@@ -231,9 +236,11 @@
 		return nil
 	}
 	place := o.rank(queue, r)
+	l := o.lane(s, r.ask.Team, place.precedence)
 	load := queueLoad{
 		patience:  r.ask.Patience,
-		wait:      o.lane(s, r.ask.Team, place.precedence).wait(place),
+		wait:      l.wait(place),
+		worth:     l.relativeWorth(r.ask.Worth),
 		overnight: queue.Overnight,
 	}
 	if !o.policy.tooLate(load) {
