dispatch: predict waits of queues that have not run yet

Cause: a queue that gets no slots has no run times of its own, so nothing was refused early in it: its requests all waited until their patience ended. Change: the mean run time of the service stands in until 20 of the queue's own are known.

--- a/core/dispatch/lane.go
+++ b/core/dispatch/lane.go
@@ -34,11 +34,7 @@
 
 // join puts a request into its lane.
 func (l *lane) join(o *Owner, r *request) {
-	weight := int64(1)
-	if stats := o.queues[r.ask.Queue]; stats != nil {
-		weight += int64(stats.mean)
-	}
-	l.waiting.Insert(r.rank, weight, hash(string(r.ask.Request)))
+	l.waiting.Insert(r.rank, int64(o.expectedRun(r.service, r.ask.Queue)), hash(string(r.ask.Request)))
 }
 
 // relativeWorth takes the worth of an arriving request into the mean and
@@ -96,19 +92,13 @@
 		}
 		r := o.requests[last.id]
 		load := queueLoad{patience: r.deadline.Sub(env.Now), wait: l.wait(last), overnight: o.rules.Queues[r.ask.Queue].Overnight}
-		if !o.learned(r.ask.Queue) || !o.policy.hopeless(load) {
+		if !o.learned(r.service, r.ask.Queue) || !o.policy.hopeless(load) {
 			return
 		}
 		o.refuse(env, out, r, o.cannotStart(r.service, load))
 	}
 }
 
-// learned reports whether enough run times of a queue are known.
-func (o *Owner) learned(id model.QueueID) bool {
-	stats := o.queues[id]
-	return stats != nil && stats.samples >= samplesMin
-}
-
 func (o *Owner) cannotStart(s *service, l queueLoad) *problem.Problem {
 	p := problem.New(problem.PatienceExceeded, "the expected wait for service %s is %.1f s", s.id, l.wait.Seconds())
 	p.RetryAfter = min(max(l.wait-l.patience, model.Second), 30*model.Second)
--- /dev/null
+++ b/core/dispatch/learn.go
@@ -0,0 +1,58 @@
+package dispatch
+
+import (
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+const (
+	// samplesMin is the number of run times that must be known before a request
+	// is refused early on their strength.
+	samplesMin = 20
+	// runTimeWeight is the weight of a new sample in the mean run time.
+	runTimeWeight = 0.1
+)
+
+// queueStats is what is learned of one queue, or of all queues of a service.
+type queueStats struct {
+	samples int
+	mean    model.Duration // run time
+}
+
+func (s *queueStats) learn(runTime model.Duration) {
+	if s.samples == 0 {
+		s.mean = runTime
+	}
+	s.samples++
+	s.mean += model.Duration(runTimeWeight * float64(runTime-s.mean))
+}
+
+// learn updates the mean run time of a queue and of its service.
+func (o *Owner) learn(id model.QueueID, s *service, d *message.Done) {
+	if d.Outcome != message.OutcomeAnswered {
+		return
+	}
+	stats := o.queues[id]
+	if stats == nil {
+		stats = &queueStats{}
+		o.queues[id] = stats
+	}
+	stats.learn(d.RunTime)
+	s.runs.learn(d.RunTime)
+}
+
+// learned reports whether enough run times are known to predict a wait. A
+// queue that gets no slots never learns its own, so those of its service
+// stand in for them.
+func (o *Owner) learned(s *service, id model.QueueID) bool {
+	stats := o.queues[id]
+	return s.runs.samples >= samplesMin || stats != nil && stats.samples >= samplesMin
+}
+
+// expectedRun is the expected run time of a request, zero if nothing is known.
+func (o *Owner) expectedRun(s *service, id model.QueueID) model.Duration {
+	if stats := o.queues[id]; stats != nil && stats.samples >= samplesMin {
+		return stats.mean
+	}
+	return s.runs.mean
+}
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -13,11 +13,6 @@
 
 // Parameters of the queue order and of early refusal.
 const (
-	// samplesMin is the number of run times that must be known before a request
-	// is refused early on their strength.
-	samplesMin = 20
-	// runTimeWeight is the weight of a new sample in the mean run time.
-	runTimeWeight = 0.1
 	// admitMargin is the part of the patience that the expected wait of an
 	// arriving request of mean worth may take. It grows and shrinks in
 	// proportion to the worth, between admitMin and admitMax, so that a full
@@ -62,12 +57,7 @@
 	centres []model.DataCentreID // keys of usable, sorted
 	slots   int                  // of usable or full targets
 	targets int                  // registered
-}
-
-// queueStats is what is learned of one queue.
-type queueStats struct {
-	samples int
-	mean    model.Duration // run time
+	runs    queueStats           // of all its queues
 }
 
 // team is one team's use of the fleet's targets.
@@ -213,26 +203,12 @@
 	}})
 }
 
-// learn updates the mean run time of a queue.
-func (o *Owner) learn(id model.QueueID, d *message.Done) {
-	if d.Outcome != message.OutcomeAnswered {
-		return
-	}
-	s := o.queues[id]
-	if s == nil {
-		s = &queueStats{mean: d.RunTime}
-		o.queues[id] = s
-	}
-	s.samples++
-	s.mean += model.Duration(runTimeWeight * float64(d.RunTime-s.mean))
-}
-
 // tooLate refuses a request that cannot start within its patience, by the
 // learned run times of the requests that go before it. A refusal at once lets
 // the caller act; a refusal at the end of its patience wastes that time.
 func (o *Owner) tooLate(env Env, queue rules.Queue, r *request) *problem.Problem {
 	s := o.services[queue.Service]
-	if s == nil || !o.learned(r.ask.Queue) || s.slots == 0 || !o.fenced {
+	if s == nil || !o.learned(s, r.ask.Queue) || s.slots == 0 || !o.fenced {
 		return nil
 	}
 	place := o.rank(queue, r)
--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -150,7 +150,7 @@
 func (o *Owner) endAttempt(env Env, r *request, d *message.Done) {
 	run := r.run
 	r.run = nil
-	o.learn(r.ask.Queue, d)
+	o.learn(r.ask.Queue, run.target.service, d)
 	if d.Outcome == message.OutcomeUnknown {
 		o.releaseRun(env, run, env.Now)
 	} else {
