--- a/replay/figures_test.go
+++ b/replay/figures_test.go
@@ -36,7 +36,9 @@
 		b := newBooks()
 		w := window{from: 0, until: model.Time(10 * model.Second)}
 		for at := w.from; at < w.until; at = at.Add(sampleInterval) {
-			b.samples = append(b.samples, sample{at: at, capacity: map[model.ServiceID]int{"s": slots}})
+			b.samples = append(b.samples, sample{at: at,
+				capacity: map[model.ServiceID]int{"s": slots}, limits: map[model.TeamID]int{"": slots},
+			})
 		}
 		work := model.Duration(0)
 		at := model.Time(0)
--- a/replay/optimum.go
+++ b/replay/optimum.go
@@ -49,24 +49,39 @@
 
 // mostPossible bounds from above the work that any order could complete in the
 // window, given what was running and waiting at its start. Each service is
-// one divisible server with the slots that were there at each sample; it
-// always works on the request whose time ends first. Work may be split and
-// moved at will, and what is done of a request counts even if it is not
-// finished, so no real order does more.
+// one divisible server with the slots that were there at each sample, but no
+// more than the limits of the teams with work in it add up to; it always works
+// on the request whose time ends first. Work may be split and moved at will,
+// and what is done of a request counts even if it is not finished, so no real
+// order does more.
 func (b *books) mostPossible(w window) model.Duration {
 	jobs := make(map[model.ServiceID][]job)
+	teams := make(map[model.ServiceID]map[model.TeamID]bool)
 	for _, r := range b.order {
 		if j, ok := r.job(w); ok {
 			jobs[r.service] = append(jobs[r.service], j)
+			if teams[r.service] == nil {
+				teams[r.service] = make(map[model.TeamID]bool)
+			}
+			teams[r.service][r.Team] = true
 		}
 	}
 	total := model.Duration(0)
 	for _, service := range sortedKeys(jobs) {
-		total += b.earliestFirst(w, service, jobs[service])
+		total += b.earliestFirst(w, service, jobs[service], teams[service])
 	}
 	return total
 }
 
+// allowed is how many slots of a service the teams' limits allow to be used.
+func (s *sample) allowed(service model.ServiceID, teams map[model.TeamID]bool) int {
+	limits := 0
+	for team := range teams {
+		limits += s.limits[team]
+	}
+	return min(s.capacity[service], limits)
+}
+
 // job returns the work of a request that is possible within the window.
 func (r *request) job(w window) (job, bool) {
 	need := r.Run.Duration()
@@ -95,7 +110,7 @@
 
 // earliestFirst returns the work that the service could do on the jobs, which
 // are in the order of their arrival.
-func (b *books) earliestFirst(w window, service model.ServiceID, jobs []job) model.Duration {
+func (b *books) earliestFirst(w window, service model.ServiceID, jobs []job, teams map[model.TeamID]bool) model.Duration {
 	waiting := pq.New[int, model.Time, *job](func(a, b model.Time) bool { return a < b })
 	total, next := model.Duration(0), 0
 	for _, s := range b.samples {
@@ -106,7 +121,7 @@
 			waiting.Set(next, jobs[next].until, &jobs[next])
 			next++
 		}
-		can := sampleInterval * model.Duration(s.capacity[service])
+		can := sampleInterval * model.Duration(s.allowed(service, teams))
 		for can > 0 {
 			key, until, j, ok := waiting.Peek()
 			if !ok {
