dispatch: age overnight work so that it finishes

Cause: overnight work gave way to work of higher precedence until its patience ended: with an urgent load above the capacity 38% of it was refused. Change: after half of its patience an overnight request has the highest precedence.

--- a/core/dispatch/advance.go
+++ b/core/dispatch/advance.go
@@ -12,6 +12,7 @@
 const (
 	timerDeadline timerKind = iota // a waiting request's patience ends
 	timerDelay                     // a delayed request may be tried again
+	timerAge                       // a waiting request gets the highest precedence
 	timerRun                       // a released run passes its deadline
 	timerSilent                    // a target has not announced itself
 	timerPause                     // a target's pause ends
@@ -75,6 +76,8 @@
 		if r := o.requests[id.request]; r != nil && r.state == stateDelayed {
 			o.enqueue(env, r)
 		}
+	case timerAge:
+		o.age(env, id.request)
 	case timerRun:
 		o.runOverdue(env, runID{id.request, id.attempt})
 	case timerSilent:
--- a/core/dispatch/owner.go
+++ b/core/dispatch/owner.go
@@ -188,7 +188,7 @@
 			o.refuse(env, out, r, problem.New(problem.UnknownQueue, "queue %s was removed", r.ask.Queue))
 		case !team:
 			o.refuse(env, out, r, problem.New(problem.UnknownTeam, "team %s was removed", r.ask.Team))
-		case r.state == stateQueued && (queue.Service != r.service.id || queue.Precedence != r.rank.precedence):
+		case r.state == stateQueued && (queue.Service != r.service.id || o.rank(env, queue, r) != r.rank):
 			o.unqueue(r)
 			o.enqueue(env, r)
 		}
--- a/core/dispatch/policy.go
+++ b/core/dispatch/policy.go
@@ -25,6 +25,9 @@
 type policy interface {
 	// key places a request among those of its team, service and precedence.
 	key(q rules.Queue, r *request) model.Time
+	// agesAt is the time from which a request has the highest precedence, or
+	// zero for never.
+	agesAt(q rules.Queue, r *request) model.Time
 	// within reports whether a goes before b of the same team and service.
 	within(a, b rank) bool
 	// among reports whether the first request of one team goes before that of
@@ -84,6 +87,17 @@
 	return r.deadline
 }
 
+// agesAfter is the part of its patience for which overnight work gives way to
+// work of higher precedence. The rest is for the work that ages with it.
+const agesAfter = 0.5
+
+func (sharesPolicy) agesAt(q rules.Queue, r *request) model.Time {
+	if !q.Overnight {
+		return 0
+	}
+	return r.arrived.Add(model.Duration(agesAfter * float64(r.deadline.Sub(r.arrived))))
+}
+
 func (sharesPolicy) within(a, b rank) bool { return a.before(b) }
 
 func (sharesPolicy) among(a, b candidate) bool {
@@ -110,6 +124,8 @@
 
 func (staticPolicy) key(_ rules.Queue, r *request) model.Time { return r.arrived }
 
+func (staticPolicy) agesAt(rules.Queue, *request) model.Time { return 0 }
+
 func (staticPolicy) within(a, b rank) bool {
 	if a.key != b.key {
 		return a.key < b.key
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -83,7 +83,7 @@
 	s := o.service(queue.Service)
 	r.service = s
 	r.state = stateQueued
-	r.rank = o.rank(queue, r)
+	r.rank = o.rank(env, queue, r)
 	q := s.waiting[r.ask.Team]
 	if q == nil {
 		q = pq.New[model.RequestID, rank, *request](o.policy.within)
@@ -94,6 +94,17 @@
 	q.Set(r.ask.Request, r.rank, r)
 	o.lane(s, r.ask.Team, r.rank.precedence).join(o, r)
 	o.timers.Set(timerID{kind: timerDeadline, request: r.ask.Request}, timer{at: r.deadline}, struct{}{})
+	if at := o.policy.agesAt(queue, r); at > env.Now {
+		o.timers.Set(timerID{kind: timerAge, request: r.ask.Request}, timer{at: at}, struct{}{})
+	}
+}
+
+// age moves a waiting request to the highest precedence.
+func (o *Owner) age(env Env, id model.RequestID) {
+	if r := o.requests[id]; r != nil && r.state == stateQueued {
+		o.unqueue(r)
+		o.enqueue(env, r)
+	}
 }
 
 // precedences is the number of values of a precedence.
@@ -211,7 +222,7 @@
 	if s == nil || !o.learned(s, r.ask.Queue) || s.slots == 0 || !o.fenced {
 		return nil
 	}
-	place := o.rank(queue, r)
+	place := o.rank(env, queue, r)
 	l := o.lane(s, r.ask.Team, place.precedence)
 	load := queueLoad{
 		patience:  r.ask.Patience,
@@ -225,8 +236,12 @@
 	return o.cannotStart(s, load)
 }
 
-func (o *Owner) rank(queue rules.Queue, r *request) rank {
-	return rank{clampPrecedence(queue.Precedence), o.policy.key(queue, r), r.ask.Request}
+func (o *Owner) rank(env Env, queue rules.Queue, r *request) rank {
+	precedence := clampPrecedence(queue.Precedence)
+	if at := o.policy.agesAt(queue, r); at != 0 && env.Now >= at {
+		precedence = precedences - 1
+	}
+	return rank{precedence, o.policy.key(queue, r), r.ask.Request}
 }
 
 // sortedKeys returns the keys of m in order, so that iteration is the same in
--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -83,6 +83,7 @@
 	delete(o.byGateway[r.gateway], r.ask.Request)
 	o.timers.Remove(timerID{kind: timerDeadline, request: r.ask.Request})
 	o.timers.Remove(timerID{kind: timerDelay, request: r.ask.Request})
+	o.timers.Remove(timerID{kind: timerAge, request: r.ask.Request})
 }
 
 // refuse ends a request that waits. A claim that it holds is released, because
