--- a/replay/books.go
+++ b/replay/books.go
@@ -41,6 +41,7 @@
 	arrived    model.Time
 	began      model.Time // first start on a target, or zero
 	starts     int
+	forwards   int
 	running    *run
 	runs       []*run
 	answered   model.Time
--- a/replay/measure.go
+++ b/replay/measure.go
@@ -15,6 +15,7 @@
 	MeasureRefusedLate    = "refused_late"    // fraction refused after more than half their patience
 	MeasureInTime         = "in_time"         // fraction started in time and answered
 	MeasureWorthInTime    = "worth_in_time"   // the same, weighted by worth
+	MeasureAttempts       = "attempts"        // forwards for each request that was forwarded
 	MeasureOvernight      = "overnight"       // fraction of overnight requests that were answered
 	MeasureShareDistance  = "share_distance"  // percentage points, mean while everything is full
 	MeasureShareWorst     = "share_worst"     // the same for the team that is farthest from its share
@@ -109,8 +110,13 @@
 }
 
 func (r *Result) measureRequests(b *books) {
+	var forwarded, attempts float64
 	var all, startedLate, refusedLate, inTime, worth, worthInTime, overnight, overnightDone float64
 	for _, q := range b.order {
+		if q.forwards > 0 {
+			forwarded++
+			attempts += float64(q.forwards)
+		}
 		if q.abandoned != 0 {
 			continue
 		}
@@ -139,6 +145,7 @@
 	r.ratio(MeasureRefusedLate, refusedLate, all, empty)
 	r.ratio(MeasureInTime, inTime, all, empty)
 	r.ratio(MeasureWorthInTime, worthInTime, worth, empty)
+	r.ratio(MeasureAttempts, attempts, forwarded, "no request was forwarded")
 	r.ratio(MeasureOvernight, overnightDone, overnight, "no overnight request")
 }
 
--- a/replay/target.go
+++ b/replay/target.go
@@ -139,6 +139,7 @@
 func (e *engine) forward(f effect.Forward) {
 	r := e.books.requests[f.Request]
 	t := e.targets[f.Target]
+	r.forwards++
 	run := &run{request: r, attempt: f.Attempt, target: t}
 	notStarted := event.ForwardEnded{Outcome: message.OutcomeNotStarted}
 	switch t.state {
--- a/replay/tracegen/scenarios.go
+++ b/replay/tracegen/scenarios.go
@@ -16,6 +16,7 @@
 	"faults":        (*writer).faultyTargets,
 	"overnight":     (*writer).overnightWork,
 	"lending":       (*writer).lending,
+	"refusals":      (*writer).refusingTargets,
 }
 
 // Loads, as parts of the slots.
@@ -119,6 +120,23 @@
 	}
 }
 
+// refusingTargets makes a third of the targets of each service refuse all that
+// they get for a time, half of these with a Retry-After.
+func (w *writer) refusingTargets() {
+	w.fleet()
+	w.arrivals(steady(usualLoad))
+	for _, s := range w.deployment.services {
+		for i := range s.targets / 3 {
+			fault := &replay.Target{ID: targetID(s.id, i), State: replay.TargetReady, Fault: replay.FaultRefuse}
+			if i%2 == 0 {
+				fault.RetryAfter = seconds(2)
+			}
+			w.add(10, replay.Event{Target: fault})
+			w.add(20, replay.Event{Target: &replay.Target{ID: fault.ID, State: replay.TargetReady}})
+		}
+	}
+}
+
 // The urgent load of the overnight scenario, which lasts until the night.
 const (
 	urgentLoad = 1.05
