--- a/core/dispatch/retry.go
+++ b/core/dispatch/retry.go
@@ -65,7 +65,7 @@
 // judgeTarget pauses a target that failed or asked for a pause. A pause grows
 // with each failure in a row and ends with the first answer.
 func (o *Owner) judgeTarget(env Env, t *target, d *message.Done) {
-	pause := model.Duration(0)
+	pause := d.RetryAfter
 	if d.Outcome == message.OutcomeAnswered {
 		t.failures = 0
 	} else {
