dispatch: let teams earn retries by their answered requests

Cause: docs/design.md 6.10 gives a team retries for 10% of its recent requests, but the tokens were only earned by time and capped at 10. When a data centre was lost, idempotent requests beyond the tenth of a team were given up. Change: each answered request earns a tenth of a retry; a team can save up as many as its upper limit, which is what it can lose at one time.

--- a/core/dispatch/owner.go
+++ b/core/dispatch/owner.go
@@ -141,7 +141,7 @@
 func (o *Owner) team(id model.TeamID) *team {
 	t := o.teams[id]
 	if t == nil {
-		t = &team{id: id, retryTokens: retryBurst}
+		t = &team{id: id, retryTokens: retryFirst}
 		o.teams[id] = t
 	}
 	return t
--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -152,6 +152,9 @@
 	run := r.run
 	r.run = nil
 	o.learn(r.ask.Queue, run.target.service, d)
+	if d.Outcome == message.OutcomeAnswered {
+		o.earnRetry(env, r.ask.Team, 1)
+	}
 	if d.Outcome == message.OutcomeUnknown {
 		o.releaseRun(env, run, env.Now)
 	} else {
--- a/core/dispatch/retry.go
+++ b/core/dispatch/retry.go
@@ -6,11 +6,12 @@
 	"primrosedale.example/primrosedale/core/problem"
 )
 
-// The retry budget of a team.
+// The retry budget of a team. It holds at most the team's upper limit, which
+// is the number of running requests that it can lose at one time.
 const (
-	retryShare = 0.1 // tokens earned by each answered request
-	retryRate  = 1.0 // tokens earned in a second
-	retryBurst = 10.0
+	retryShare = 0.1  // tokens earned by each answered request
+	retryRate  = 1.0  // tokens earned in a second
+	retryFirst = 10.0 // tokens of a new team
 )
 
 // retry queues a request for its next attempt, after a delay that doubles with
@@ -45,8 +46,8 @@
 }
 
 func (o *Owner) spendRetry(env Env, id model.TeamID) bool {
+	o.earnRetry(env, id, 0)
 	t := o.team(id)
-	t.refill(env.Now)
 	if t.retryTokens < 1 {
 		return false
 	}
@@ -54,12 +55,15 @@
 	return true
 }
 
-func (t *team) refill(now model.Time) {
+// earnRetry adds tokens for the time that has passed and for answered requests.
+func (o *Owner) earnRetry(env Env, id model.TeamID, answered int) {
+	t := o.team(id)
+	t.retryTokens += retryShare * float64(answered)
 	if t.retryAt != 0 {
-		t.retryTokens += retryRate * now.Sub(t.retryAt).Seconds()
+		t.retryTokens += retryRate * env.Now.Sub(t.retryAt).Seconds()
 	}
-	t.retryAt = now
-	t.retryTokens = min(t.retryTokens, retryBurst)
+	t.retryAt = env.Now
+	t.retryTokens = min(t.retryTokens, max(retryFirst, float64(o.rules.Teams[id].Limit)))
 }
 
 // judgeTarget pauses a target that failed or asked for a pause. A pause grows
