--- a/core/dispatch/policy.go
+++ b/core/dispatch/policy.go
@@ -107,7 +107,7 @@
 func (sharesPolicy) mayStart(teamUse) bool { return true }
 
 func (sharesPolicy) tooLate(l queueLoad) bool {
-	return l.exceeds(min(max(admitMargin+admitSlope*(l.worth-1), admitMin), admitMax))
+	return l.exceeds(min(max(admitMargin*l.worth, admitMin), admitMax))
 }
 
 func (sharesPolicy) hopeless(l queueLoad) bool { return l.exceeds(keepMargin) }
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -19,10 +19,9 @@
 	// queue admits what is worth most. The sum stays below the patience, so
 	// that a request that was admitted is rarely refused later; a queue that is
 	// shorter than the patience still keeps every slot busy.
-	admitMargin = 0.8
-	admitSlope  = 0.7
-	admitMin    = 0.4
-	admitMax    = 0.95
+	admitMargin = 0.7
+	admitMin    = 0.1
+	admitMax    = 0.85
 	// keepMargin is the part of the patience left that the expected wait of a
 	// waiting request may take.
 	keepMargin = 1.0
