--- a/core/dispatch/advance.go
+++ b/core/dispatch/advance.go
@@ -16,6 +16,8 @@
 	timerRun                       // a released run passes its deadline
 	timerSilent                    // a target has not announced itself
 	timerPause                     // a target's pause ends
+	timerLost                      // a dispatched request was never reported ended
+	timerSweep                     // held claims are looked at
 	timerForget                    // a silent target can run nothing any more
 )
 
@@ -33,12 +35,13 @@
 // Advance does what is due at time env.Now.
 func (o *Owner) Advance(env Env, out *Out) {
 	o.passFence(env, out)
+	due := false
 	for _, host := range sortedKeys(o.byGateway) {
 		if !env.Granter.Serving(env.Now, host) {
 			o.loseGateway(env, host)
+			due = true
 		}
 	}
-	due := false
 	for {
 		id, t, _, ok := o.timers.Peek()
 		if !ok || t.at > env.Now {
@@ -62,6 +65,7 @@
 	}
 	o.fenced = true
 	o.fencedAt = env.Now
+	o.timers.Set(timerID{kind: timerSweep}, timer{at: env.Now.Add(ClaimSweep)}, struct{}{})
 	out.log(effect.Log{Code: effect.DispatchReady, Term: o.term})
 	o.pumpAll(env, out)
 }
@@ -78,6 +82,13 @@
 		}
 	case timerAge:
 		o.age(env, id.request)
+	case timerLost:
+		if r := o.requests[id.request]; r != nil && r.state == stateDispatched {
+			o.releaseRun(env, r.run, env.Now)
+			o.forget(env, r)
+		}
+	case timerSweep:
+		o.sweepClaims(env, out)
 	case timerRun:
 		o.runOverdue(env, runID{id.request, id.attempt})
 	case timerSilent:
@@ -91,7 +102,7 @@
 		}
 	case timerForget:
 		if t := o.targets[id.target]; t != nil {
-			out.Proposals = append(out.Proposals, fleet.Command{At: env.Now, RemoveTarget: &fleet.RemoveTarget{
+			out.Proposals = append(out.Proposals, fleet.Command{RemoveTarget: &fleet.RemoveTarget{
 				ID: t.reg.ID, Incarnation: t.reg.Incarnation,
 			}})
 			o.armForget(env, t)
@@ -107,8 +118,9 @@
 }
 
 // GatewayRenewed handles a renewal of a gateway's lease.
-func (o *Owner) GatewayRenewed(env Env, host model.HostID, restarted bool) {
+func (o *Owner) GatewayRenewed(env Env, out *Out, host model.HostID, restarted bool) {
 	if restarted {
 		o.loseGateway(env, host)
+		o.pumpAll(env, out)
 	}
 }
--- a/core/dispatch/lane.go
+++ b/core/dispatch/lane.go
@@ -1,6 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
+
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/problem"
 	"primrosedale.example/primrosedale/core/rankset"
@@ -22,12 +25,18 @@
 	precedence int
 }
 
+func (a laneID) compare(b laneID) int {
+	return cmp.Or(cmp.Compare(a.team, b.team), cmp.Compare(a.precedence, b.precedence))
+}
+
 func (o *Owner) lane(s *service, team model.TeamID, precedence int) *lane {
 	id := laneID{team, precedence}
 	l := s.lanes[id]
 	if l == nil {
 		l = &lane{waiting: rankset.New(o.policy.within)}
 		s.lanes[id] = l
+		s.laneIDs = append(s.laneIDs, id)
+		slices.SortFunc(s.laneIDs, laneID.compare)
 	}
 	return l
 }
@@ -72,14 +81,9 @@
 	if !o.fenced {
 		return
 	}
-	for _, id := range sortedKeys(o.services) {
-		s := o.services[id]
-		for _, team := range s.teams {
-			for precedence := range precedences {
-				if l := s.lanes[laneID{team, precedence}]; l != nil {
-					o.trim(env, out, l)
-				}
-			}
+	for _, s := range o.ordered {
+		for _, id := range s.laneIDs {
+			o.trim(env, out, s.lanes[id])
 		}
 	}
 }
--- a/core/dispatch/policy.go
+++ b/core/dispatch/policy.go
@@ -32,7 +32,7 @@
 	within(a, b rank) bool
 	// among reports whether the first request of one team goes before that of
 	// another team.
-	among(a, b candidate) bool
+	among(a, b turn) bool
 	// mayStart reports whether a team below its upper limit may run one more.
 	mayStart(u teamUse) bool
 	// tooLate reports whether a request is refused at its arrival.
@@ -42,12 +42,6 @@
 	hopeless(l queueLoad) bool
 }
 
-// candidate is the first waiting request of a team.
-type candidate struct {
-	request *request
-	use     teamUse
-}
-
 // teamUse is what a team holds of the fleet.
 type teamUse struct {
 	running int
@@ -55,13 +49,6 @@
 	slots   int     // usable slots of the whole fleet
 }
 
-// ofShare is the running work in proportion to the share.
-func (u teamUse) ofShare() float64 { return float64(u.running) / max(u.share, shareMin) }
-
-// shareMin is the share that a team without one counts with, so that its
-// requests run when nobody else waits.
-const shareMin = 0.1
-
 // queueLoad is what is expected of a waiting or arriving request.
 type queueLoad struct {
 	patience  model.Duration // that is left
@@ -77,14 +64,23 @@
 	return sharesPolicy{}
 }
 
+// worthPart is the largest part of its patience by which a request goes
+// forward for its worth, reached at worthDoublings doublings. It is small: an
+// order by worth lets later requests overtake admitted ones, which are then
+// refused late.
+const (
+	worthPart      = 0.25
+	worthDoublings = 10
+)
+
 // sharesPolicy is the policy of docs/design.md 6.9. Requests of a team start in
-// the order of their latest starts. Worth decides which are admitted to a
-// queue that is too long, not their order in it: an order by worth lets later
-// requests overtake admitted ones, which are then refused late.
+// the order of their latest starts, brought forward a little by their worth.
+// Worth mostly decides which are admitted to a queue that is too long.
 type sharesPolicy struct{}
 
 func (sharesPolicy) key(_ rules.Queue, r *request) model.Time {
-	return r.deadline
+	part := worthPart * min(1, math.Log2(1+max(0, r.ask.Worth))/worthDoublings)
+	return r.deadline.Add(-model.Duration(part * float64(r.deadline.Sub(r.arrived))))
 }
 
 // agesAfter is the part of its patience for which overnight work gives way to
@@ -100,9 +96,7 @@
 
 func (sharesPolicy) within(a, b rank) bool { return a.before(b) }
 
-func (sharesPolicy) among(a, b candidate) bool {
-	return a.request.goesBefore(b.request, a.use.ofShare(), b.use.ofShare())
-}
+func (sharesPolicy) among(a, b turn) bool { return a.before(b) }
 
 func (sharesPolicy) mayStart(teamUse) bool { return true }
 
@@ -133,7 +127,7 @@
 	return a.id < b.id
 }
 
-func (p staticPolicy) among(a, b candidate) bool { return p.within(a.request.rank, b.request.rank) }
+func (p staticPolicy) among(a, b turn) bool { return p.within(a.rank, b.rank) }
 
 func (staticPolicy) mayStart(u teamUse) bool {
 	return float64(u.running) < math.Ceil(u.share/100*float64(u.slots))
@@ -146,7 +140,7 @@
 // use returns what a team holds of the fleet.
 func (o *Owner) use(id model.TeamID) teamUse {
 	u := teamUse{running: o.team(id).running, share: o.rules.Teams[id].Share}
-	for _, s := range o.services {
+	for _, s := range o.ordered {
 		u.slots += s.slots
 	}
 	return u
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -51,28 +51,32 @@
 type service struct {
 	id      model.ServiceID
 	waiting map[model.TeamID]*pq.Queue[model.RequestID, rank, *request]
-	teams   []model.TeamID // keys of waiting, sorted
+	ready   *pq.Queue[model.TeamID, turn, *request] // first waiting request of each team under its limit
 	lanes   map[laneID]*lane
+	laneIDs []laneID // keys of lanes, sorted
 	usable  map[model.DataCentreID]*pq.Queue[model.TargetID, load, *target]
 	centres []model.DataCentreID // keys of usable, sorted
 	slots   int                  // of usable or full targets
 	targets int                  // registered
 	runs    queueStats           // of all its queues
+	longest model.Duration       // longest run of its queues
 }
 
 // team is one team's use of the fleet's targets.
 type team struct {
 	id          model.TeamID
-	running     int // requests that count as running
+	running     int        // requests that count as running
+	services    []*service // in which it has a queue
 	retryTokens float64
 	retryAt     model.Time // of the last refill
 }
 
-func newService(id model.ServiceID) *service {
+func newService(id model.ServiceID, p policy) *service {
 	return &service{
 		id:      id,
 		waiting: make(map[model.TeamID]*pq.Queue[model.RequestID, rank, *request]),
 		lanes:   make(map[laneID]*lane),
+		ready:   pq.New[model.TeamID, turn, *request](p.among),
 		usable:  make(map[model.DataCentreID]*pq.Queue[model.TargetID, load, *target]),
 	}
 }
@@ -88,10 +92,11 @@
 	if q == nil {
 		q = pq.New[model.RequestID, rank, *request](o.policy.within)
 		s.waiting[r.ask.Team] = q
-		s.teams = append(s.teams, r.ask.Team)
-		slices.Sort(s.teams)
+		t := o.team(r.ask.Team)
+		t.services = append(t.services, s)
 	}
 	q.Set(r.ask.Request, r.rank, r)
+	o.orderIn(env, s, r.ask.Team)
 	o.lane(s, r.ask.Team, r.rank.precedence).join(o, r)
 	o.timers.Set(timerID{kind: timerDeadline, request: r.ask.Request}, timer{at: r.deadline}, struct{}{})
 	if at := o.policy.agesAt(queue, r); at > env.Now {
@@ -102,7 +107,7 @@
 // age moves a waiting request to the highest precedence.
 func (o *Owner) age(env Env, id model.RequestID) {
 	if r := o.requests[id]; r != nil && r.state == stateQueued {
-		o.unqueue(r)
+		o.unqueue(env, r)
 		o.enqueue(env, r)
 	}
 }
@@ -113,58 +118,35 @@
 func clampPrecedence(p int) int { return min(max(p, 0), precedences-1) }
 
 // unqueue takes a request out of the queue if it is in it.
-func (o *Owner) unqueue(r *request) {
+func (o *Owner) unqueue(env Env, r *request) {
 	if r.service == nil || r.service.waiting[r.ask.Team] == nil {
 		return
 	}
 	if r.service.waiting[r.ask.Team].Remove(r.ask.Request) {
 		o.lane(r.service, r.ask.Team, r.rank.precedence).waiting.Remove(r.rank)
+		o.orderIn(env, r.service, r.ask.Team)
 	}
 }
 
-// next returns the waiting request that goes first: of the teams under their
-// limit, the highest precedence, then the team with the least running work for
-// its share, then the request's own rank.
-func (o *Owner) next(env Env, s *service) *request {
-	var best candidate
-	for _, id := range s.teams {
-		_, _, r, ok := s.waiting[id].Peek()
-		if !ok || !o.underLimit(env, id) {
-			continue
-		}
-		c := candidate{r, o.use(id)}
-		if o.policy.mayStart(c.use) && (best.request == nil || o.policy.among(c, best)) {
-			best = c
-		}
-	}
-	return best.request
-}
-
-func (r *request) goesBefore(other *request, use, otherUse float64) bool {
-	if r.rank.precedence != other.rank.precedence {
-		return r.rank.precedence > other.rank.precedence
-	}
-	if use != otherUse {
-		return use < otherUse
-	}
-	return r.rank.before(other.rank)
-}
-
 // pump dispatches requests of a service as long as one may start.
 func (o *Owner) pump(env Env, out *Out, s *service) {
 	if s == nil || !o.fenced {
 		return
 	}
 	for {
-		r := o.next(env, s)
-		if r == nil {
+		_, _, r, ok := s.ready.Peek()
+		if !ok {
 			return
 		}
+		if !o.underLimit(env, r.ask.Team) || !o.policy.mayStart(o.use(r.ask.Team)) {
+			s.ready.Remove(r.ask.Team) // until its running work changes
+			continue
+		}
 		if env.Now >= r.deadline {
 			o.refuse(env, out, r, o.impatience(r))
 			continue
 		}
-		if !env.Granter.Serving(env.Now, r.gateway) {
+		if !o.serves(env, r.gateway) {
 			o.delay(env, r, RetryDelayMin)
 			continue
 		}
@@ -177,16 +159,25 @@
 }
 
 func (o *Owner) pumpAll(env Env, out *Out) {
-	for _, id := range sortedKeys(o.services) {
-		o.pump(env, out, o.services[id])
+	for _, s := range o.ordered {
+		o.pump(env, out, s)
 	}
 }
 
+// serves reports whether a gateway may start requests: it holds a lease of this
+// term, to which a dispatch can refer.
+func (o *Owner) serves(env Env, gateway model.HostID) bool {
+	return env.Granter.Session(gateway) != nil && env.Granter.Serving(env.Now, gateway)
+}
+
 // start gives a request its slot, and dispatches it once it holds its claim.
 func (o *Owner) start(env Env, out *Out, r *request, t *target) {
-	o.unqueue(r)
+	o.unqueue(env, r)
 	o.timers.Remove(timerID{kind: timerDeadline, request: r.ask.Request})
 	r.attempt++
+	for o.runs[runID{r.ask.Request, r.attempt}] != nil {
+		r.attempt++ // an attempt from before its gateway's lease ended
+	}
 	deadline := env.Now.Add(StartBy + o.rules.Queues[r.ask.Queue].MaxRun)
 	r.run = o.startRun(env, runID{r.ask.Request, r.attempt}, r.ask.Team, t, deadline)
 	if r.ask.Idempotent || r.claimed {
@@ -202,15 +193,26 @@
 	r.state = stateDispatched
 	r.run.startBy = env.Now.Add(StartBy)
 	r.run.deadline = r.run.startBy.Add(o.rules.Queues[r.ask.Queue].MaxRun)
+	o.armLost(r)
 	o.sendDispatch(env, out, r)
 }
 
+// armLost sets the time by which the gateway has reported the end of a
+// dispatched request, even if its messages were lost for a while.
+func (o *Owner) armLost(r *request) {
+	o.timers.Set(timerID{kind: timerLost, request: r.ask.Request}, timer{at: r.run.deadline.Add(LostAfter)}, struct{}{})
+}
+
 func (o *Owner) sendDispatch(env Env, out *Out, r *request) {
 	t := r.run.target
+	session := env.Granter.Session(r.gateway)
+	if session == nil {
+		return
+	}
 	out.send(r.gateway, message.Message{Dispatch: &message.Dispatch{
-		Term: o.term, Request: r.ask.Request, Attempt: r.attempt,
+		Term: o.term, Request: r.ask.Request, Gateway: r.ask.Inc, Attempt: r.attempt,
 		Target: t.reg.ID, Inc: t.reg.Incarnation, Address: t.reg.Address, Ticket: t.seq,
-		Claimed: r.claimed, StartBy: r.run.startBy.Sub(env.Now), MaxRun: o.rules.Queues[r.ask.Queue].MaxRun,
+		Claimed: r.claimed, Renewal: session.LastSeq, StartBy: r.run.startBy.Sub(session.LastRenew), MaxRun: o.rules.Queues[r.ask.Queue].MaxRun,
 	}})
 }
 
--- a/core/dispatch/retry.go
+++ b/core/dispatch/retry.go
@@ -11,7 +11,7 @@
 const (
 	retryShare = 0.1  // tokens earned by each answered request
 	retryRate  = 1.0  // tokens earned in a second
-	retryFirst = 10.0 // tokens of a new team
+	retryBurst = 10.0 // tokens of a new team
 )
 
 // retry queues a request for its next attempt, after a delay that doubles with
@@ -34,7 +34,7 @@
 
 // delay takes a request out of the queue for a time.
 func (o *Owner) delay(env Env, r *request, d model.Duration) {
-	o.unqueue(r)
+	o.unqueue(env, r)
 	r.state = stateDelayed
 	o.timers.Set(timerID{kind: timerDelay, request: r.ask.Request}, timer{at: env.Now.Add(d)}, struct{}{})
 	o.timers.Set(timerID{kind: timerDeadline, request: r.ask.Request}, timer{at: r.deadline}, struct{}{})
@@ -63,7 +63,7 @@
 		t.retryTokens += retryRate * env.Now.Sub(t.retryAt).Seconds()
 	}
 	t.retryAt = env.Now
-	t.retryTokens = min(t.retryTokens, max(retryFirst, float64(o.rules.Teams[id].Limit)))
+	t.retryTokens = min(t.retryTokens, max(retryBurst, float64(o.rules.Teams[id].Limit)))
 }
 
 // judgeTarget pauses a target that failed or asked for a pause. A pause grows
--- a/core/publish.go
+++ b/core/publish.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"maps"
 	"slices"
 
 	"primrosedale.example/primrosedale/core/effect"
@@ -21,21 +22,27 @@
 	}
 	next := &view.View{
 		Rules:      s.fleet.Rules,
-		Teams:      old.Teams,
+		Teams:      s.keys,
 		Leader:     leader,
 		Term:       term,
 		Applied:    s.fleet.Index,
 		LeaseUntil: until,
 		Stopping:   s.stopping,
 	}
-	if s.control != control || next.Teams == nil {
-		next.Teams = s.teamsByKey()
-	}
 	s.control = control
 	s.view = next
 	s.out = append(s.out, effect.Publish{View: next})
 }
 
+// enforceKeys ends waiting requests whose key is no longer in force.
+func (s *State) enforceKeys() {
+	if s.keys != nil && s.keysAt == s.fleet.ControlIndex {
+		return
+	}
+	s.keys, s.keysAt = s.teamsByKey(), s.fleet.ControlIndex
+	s.emit(s.table.KeysChanged(s.now, s.keys)...)
+}
+
 // teamsByKey is the set of keys in force. A key stands only for a team that
 // the rules still name.
 func (s *State) teamsByKey() map[model.Digest]model.TeamID {
@@ -68,6 +75,7 @@
 		Term: log.Term, Applied: s.fleet.Index, Commit: log.Commit,
 		Revision: s.fleet.Rules.Revision, RulesHash: s.fleet.RulesHash,
 		Serving: s.holder.Valid(s.now), Held: s.table.Len(),
+		Tasks: s.fleet.TasksByPhase(), Pools: s.poolStatus(),
 	}
 	for _, v := range log.Voters {
 		st.Voters = append(st.Voters, v.Host)
@@ -79,6 +87,18 @@
 	return st
 }
 
+func (s *State) poolStatus() []view.PoolStatus {
+	ids := slices.Sorted(maps.Keys(s.fleet.Rules.Pools))
+	pools := make([]view.PoolStatus, 0, len(ids))
+	for _, id := range ids {
+		pools = append(pools, view.PoolStatus{
+			Pool: id, Hosts: s.fleet.HostsIn(id), Unavailable: s.fleet.UnavailableIn(id),
+			Budget: s.fleet.Rules.Pools[id].UnavailableMax,
+		})
+	}
+	return pools
+}
+
 func (s *State) leaderStatus(st *view.Status) {
 	for _, h := range s.leading.members {
 		host := view.HostStatus{Host: h, Serving: s.leading.granter.Serving(s.now, h)}
--- a/core/state.go
+++ b/core/state.go
@@ -10,6 +10,7 @@
 package core
 
 import (
+	"cmp"
 	"slices"
 
 	"primrosedale.example/primrosedale/core/consensus"
@@ -18,8 +19,10 @@
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/gateway"
 	"primrosedale.example/primrosedale/core/lease"
+	"primrosedale.example/primrosedale/core/maintenance"
 	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/placement"
 	"primrosedale.example/primrosedale/core/view"
 )
 
@@ -38,12 +41,16 @@
 type Config struct {
 	Host        model.HostID
 	DataCentre  model.DataCentreID
-	Incarnation model.Incarnation   // of the process
-	Replica     model.Incarnation   // of the data folder; equals Incarnation without one
-	Durable     bool                // the process has a data folder
-	Peers       []model.HostID      // the other hosts of the cluster
-	MaxVoters   int                 // hosts with a data folder
-	Policy      dispatch.PolicyName // order of requests; empty for the usual one
+	Incarnation model.Incarnation // of the process
+	Replica     model.Incarnation // of the data folder; equals Incarnation without one
+	Durable     bool              // the process has a data folder
+	Peers       []model.HostID    // the other hosts of the cluster
+	MaxVoters   int               // hosts with a data folder
+	// SnapshotEvery is the number of applied entries between two snapshots; zero
+	// stands for the default of 10,000.
+	SnapshotEvery uint64
+	// Policy orders the requests; empty stands for the default.
+	Policy dispatch.PolicyName
 }
 
 type logNode = consensus.Node[fleet.Command, *fleet.State]
@@ -60,6 +67,9 @@
 	table   *gateway.Table
 	leading *leadership // nil unless this process leads
 
+	leadTerm uint64 // the last term in which this process held the leader lease
+	leadFrom uint64 // index to apply before it acts as the leader of leadTerm
+
 	pending  map[model.CommandID]*pendingCommand
 	stopping bool
 	stopAt   model.Time
@@ -71,6 +81,9 @@
 	local   []message.Message // messages to this process itself
 	view    *view.View
 	control uint64 // ControlIndex of the view
+
+	keys   map[model.Digest]model.TeamID // keys in force
+	keysAt uint64                        // ControlIndex of keys
 }
 
 // pendingCommand is a command submitted on this host and not yet applied here.
@@ -85,8 +98,13 @@
 	term    uint64
 	granter *lease.Granter
 	owner   *dispatch.Owner
+	placer  *placement.Placer
+	planner *maintenance.Planner
 	members []model.HostID // sorted
-	inForce uint64         // the last change of rules or keys reported as in force
+	began   model.Time
+	clock   model.Time      // fleet.State.Now when the term began
+	unsent  []fleet.Command // proposed while the log took no commands
+	inForce uint64          // the last change of rules or keys reported as in force
 }
 
 // New returns the state of a process that starts with what is stored.
@@ -100,7 +118,7 @@
 		HeartbeatInterval:  HeartbeatInterval,
 		MaxAppendEntries:   maxAppendEntries,
 		MaxInflight:        maxInflight,
-		SnapshotEvery:      snapshotEvery,
+		SnapshotEvery:      cmp.Or(cfg.SnapshotEvery, snapshotEvery),
 		MaxVoters:          cfg.MaxVoters,
 	}, stored)
 	if err != nil {
@@ -143,11 +161,20 @@
 		Fleet:        s.fleet,
 		Granter:      s.leading.granter,
 		Members:      s.leading.members,
-		TasksRunning: s.fleet.PlacedByTeam,
+		TasksRunning: s.tasksRunning,
 		Policy:       s.cfg.Policy,
 	}
 }
 
+// tasksRunning counts the tasks of a team on workers, with those proposed.
+func (s *State) tasksRunning(team model.TeamID) int {
+	n := s.fleet.PlacedByTeam(team)
+	if s.leading.placer != nil {
+		n += s.leading.placer.PendingByTeam(team)
+	}
+	return n
+}
+
 func memberHosts(f *fleet.State) []model.HostID {
 	hosts := make([]model.HostID, 0, len(f.Members))
 	for h := range f.Members {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -11,9 +11,9 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/rs/zerolog"
 	goji "goji.io"
 	"goji.io/pat"
+	"primrosedale.example/primrosedale/logevent"
 
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/event"
@@ -45,6 +45,9 @@
 	DefaultMaxBody   = 1 << 20 // bytes of a request body
 	DefaultMaxAnswer = 8 << 20 // bytes of a target's answer
 	DefaultMaxHeld   = 1024    // requests held at one time
+	// DefaultMaxHeldBytes bounds the bodies of held requests. 1024 bodies of
+	// 1 MiB would be more memory than an entry host has to spare.
+	DefaultMaxHeldBytes = 128 << 20
 	// DefaultIdlePerTarget keeps the idle connections of 9 gateways and the 8
 	// slots of a target within its 64 connections: 9 * 6 + 8 = 62.
 	DefaultIdlePerTarget = 6
@@ -59,6 +62,7 @@
 	MaxBody       int64             // bytes
 	MaxAnswer     int64             // bytes
 	MaxHeld       int64             // requests
+	MaxHeldBytes  int64             // bytes of the bodies of held requests
 	IdlePerTarget int               // connections
 }
 
@@ -72,6 +76,9 @@
 	if c.MaxHeld == 0 {
 		c.MaxHeld = DefaultMaxHeld
 	}
+	if c.MaxHeldBytes == 0 {
+		c.MaxHeldBytes = DefaultMaxHeldBytes
+	}
 	if c.IdlePerTarget == 0 {
 		c.IdlePerTarget = DefaultIdlePerTarget
 	}
@@ -82,13 +89,14 @@
 type Server struct {
 	cfg       Config
 	control   Control
-	log       zerolog.Logger
+	log       logevent.Logger
 	transport *http.Transport
 
-	requests sync.Map // model.RequestID to *held
-	held     atomic.Int64
-	counter  atomic.Uint64
-	attempts sync.WaitGroup
+	requests  sync.Map // model.RequestID to *held
+	held      atomic.Int64
+	heldBytes atomic.Int64
+	counter   atomic.Uint64
+	attempts  sync.WaitGroup
 
 	commands pending.Table[model.CommandID, fleet.Result]
 	statuses pending.Table[uint64, effect.AnswerStatus]
@@ -99,7 +107,7 @@
 }
 
 // New returns a Server. Close releases its connections.
-func New(cfg Config, c Control, log zerolog.Logger) *Server {
+func New(cfg Config, c Control, log logevent.Logger) *Server {
 	cfg = cfg.withDefaults()
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Server{
@@ -186,8 +194,8 @@
 func (s *Server) postEnded(e event.ForwardEnded) {
 	countAttempt(e)
 	if !s.control.PostWait(s.ctx, e) {
-		s.log.Warn().Str("request", string(e.Request)).Int("attempt", e.Attempt).
-			Str("outcome", string(e.Outcome)).Msg("end of attempt not recorded: process is stopping")
+		s.log.Emit(logevent.OutcomeNotRecorded, logevent.Request(e.Request),
+			logevent.Int(logevent.NameAttempt, int64(e.Attempt)), logevent.Str(logevent.NameStatus, string(e.Outcome)))
 	}
 }
 
