--- a/core/dispatch/policy.go
+++ b/core/dispatch/policy.go
@@ -101,7 +101,7 @@
 func (sharesPolicy) mayStart(teamUse) bool { return true }
 
 func (sharesPolicy) tooLate(l queueLoad) bool {
-	return l.exceeds(min(max(admitMargin*l.worth, admitMin), admitMax))
+	return l.exceeds(min(max(admitMargin+admitSlope*(l.worth-1), admitMin), admitMax))
 }
 
 func (sharesPolicy) hopeless(l queueLoad) bool { return l.exceeds(keepMargin) }
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -14,14 +14,14 @@
 // Parameters of the queue order and of early refusal.
 const (
 	// admitMargin is the part of the patience that the expected wait of an
-	// arriving request of mean worth may take. It grows and shrinks in
-	// proportion to the worth, between admitMin and admitMax, so that a full
-	// queue admits what is worth most. The sum stays below the patience, so
-	// that a request that was admitted is rarely refused later; a queue that is
-	// shorter than the patience still keeps every slot busy.
-	admitMargin = 0.7
-	admitMin    = 0.1
-	admitMax    = 0.85
+	// arriving request of mean worth may take. It changes by admitSlope for each
+	// mean of worth above or below, between admitMin and admitMax, so that a
+	// full queue admits what is worth most. It stays below the patience, so that
+	// a request that was admitted is rarely refused later.
+	admitMargin = 0.85
+	admitSlope  = 0.6
+	admitMin    = 0.5
+	admitMax    = 0.95
 	// keepMargin is the part of the patience left that the expected wait of a
 	// waiting request may take.
 	keepMargin = 1.0
