--- a/replay/books.go
+++ b/replay/books.go
@@ -60,8 +60,9 @@
 
 type taskBook struct {
 	Task
-	starts   int
-	finished bool
+	starts    int
+	finished  bool
+	cancelled bool
 }
 
 // centreChange is the loss or return of a data centre, or its being taken out
@@ -94,6 +95,7 @@
 	demand      map[use]int          // waiting and running requests
 	violations  map[string]int
 	samples     []sample
+	hosts       *hostBooks
 }
 
 func newBooks() *books {
@@ -101,6 +103,7 @@
 		requests: make(map[model.RequestID]*request), keys: make(map[string]int),
 		tasks: make(map[model.TaskID]*taskBook), running: make(map[use]int),
 		teams: make(map[model.TeamID]int), demand: make(map[use]int), violations: make(map[string]int),
+		hosts: newHostBooks(),
 	}
 }
 
@@ -186,14 +189,19 @@
 	b.running[q.use()]++
 	b.teams[q.Team]++
 	e.checkLimit(q.Team)
-	if out := e.outSince(r.target.reg.DataCentre); out != 0 && e.now > out.Add(outGrace) {
-		b.violations[InvariantCentreOut]++
-	}
+	e.checkCentre(r.target.reg.DataCentre)
 	if t := r.target; t.state == TargetLeaving && e.now > t.leftAt.Add(leaveGrace) {
 		b.violations[InvariantLeaving]++
 	}
 }
 
+// checkCentre counts a start in a data centre that is out.
+func (e *engine) checkCentre(id model.DataCentreID) {
+	if out := e.outSince(id); out != 0 && e.now > out.Add(outGrace) {
+		e.books.violations[InvariantCentreOut]++
+	}
+}
+
 func (e *engine) checkLimit(team model.TeamID) {
 	if e.books.teams[team]+e.tasksRunning(team) > e.rules.Teams[team].Limit {
 		e.books.violations[InvariantTeamLimit]++
@@ -212,7 +220,8 @@
 	}
 }
 
-func (e *engine) taskBegan(_ *worker, t *taskBook) {
+func (e *engine) taskBegan(w *worker, t *taskBook) {
+	e.checkCentre(w.DataCentre)
 	t.starts++
 	if !t.Idempotent && t.starts > 1 {
 		e.books.violations[InvariantAtMostOnce]++
--- a/replay/engine.go
+++ b/replay/engine.go
@@ -128,6 +128,7 @@
 	e.state = state
 	e.every(core.TickInterval, func() { e.post(event.Tick{}) })
 	e.every(sampleInterval, e.sample)
+	e.every(hostInterval, e.lookAtHosts)
 	e.advance(epoch.Add(warmUp / 2)) // past the election
 	return e, nil
 }
--- a/replay/trace.go
+++ b/replay/trace.go
@@ -133,6 +133,7 @@
 	ID           model.TaskID    `json:"id"`
 	Team         model.TeamID    `json:"team"`
 	Pool         model.PoolID    `json:"pool"`
+	Program      string          `json:"program"`
 	DeclaredSize model.Resources `json:"declared_size"`
 	DeclaredRun  Millis          `json:"declared_run"`
 	Size         model.Resources `json:"size"`
--- a/replay/tracegen/scenarios.go
+++ b/replay/tracegen/scenarios.go
@@ -17,6 +17,7 @@
 	"overnight":     (*writer).overnightWork,
 	"lending":       (*writer).lending,
 	"refusals":      (*writer).refusingTargets,
+	"tasks":         (*writer).tasks,
 }
 
 // Loads, as parts of the slots.
--- a/replay/tracegen/tracegen.go
+++ b/replay/tracegen/tracegen.go
@@ -13,7 +13,9 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/rules"
 	"primrosedale.example/primrosedale/replay"
+	"primrosedale.example/primrosedale/rulesfile"
 )
 
 // Settings say which trace to write.
@@ -48,7 +50,7 @@
 }
 
 // Generate writes a trace under the rules.
-func Generate(s Settings, rules string) (*replay.Trace, error) {
+func Generate(s Settings, text string) (*replay.Trace, error) {
 	d, ok := deployments[s.Deployment]
 	if !ok {
 		return nil, errors.NotFoundf("deployment %q", s.Deployment)
@@ -60,11 +62,16 @@
 	if s.Seconds <= 0 {
 		return nil, errors.NotValidf("%g seconds", s.Seconds)
 	}
+	file, err := rulesfile.Parse("rules of the trace", []byte(text))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
 	w := &writer{
+		rules:      file.Rules,
 		deployment: d, seconds: s.Seconds, rand: rand.New(rand.NewPCG(s.Seed, 0)),
 		trace: &replay.Trace{Header: replay.Header{
 			Version: replay.Version, Name: s.Deployment + "-" + s.Scenario, Seed: s.Seed,
-			Length: seconds(s.Seconds), Rules: rules,
+			Length: seconds(s.Seconds), Rules: text,
 		}},
 	}
 	write(w)
@@ -88,6 +95,7 @@
 	deployment deployment
 	seconds    float64
 	rand       *rand.Rand
+	rules      *rules.Rules
 	trace      *replay.Trace
 	requests   int
 }
--- /dev/null
+++ b/replay/tracegen/traces_test.go
@@ -0,0 +1,75 @@
+package tracegen_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/replay"
+	"primrosedale.example/primrosedale/replay/tracegen"
+)
+
+const folder = "../../traces"
+
+// Guards against a change of the reducer that breaks an invariant or makes a
+// measure of either deployment worse than its bound.
+func TestTracesKeepTheirOutcomes(t *testing.T) {
+	files, err := filepath.Glob(filepath.Join(folder, "*.outcomes.toml"))
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		name := strings.TrimSuffix(filepath.Base(file), ".outcomes.toml")
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			text, err := os.ReadFile(file)
+			require.NoError(t, err)
+			outcomes, err := replay.ParseOutcomes(text)
+			require.NoError(t, err)
+			trace, err := tracegen.Load(filepath.Join(folder, name+".toml"), 0)
+			require.NoError(t, err)
+			result, err := replay.Run(trace, replay.Options{})
+			require.NoError(t, err)
+			verdicts, err := outcomes.Check(result)
+			require.NoError(t, err)
+			for _, v := range verdicts {
+				m, _ := result.Measure(v.Name)
+				require.True(t, v.OK, "%s is %v %s, allowed is %s", v.Name, m.Value, m.None, v.Allowed)
+			}
+		})
+	}
+}
+
+// Guards against a trace or a replay that differs from run to run: tasks touch
+// the largest part of the reducer.
+func TestTasksReplayTheSame(t *testing.T) {
+	t.Parallel()
+	var results []*replay.Result
+	for range 2 {
+		trace, err := tracegen.Load(filepath.Join(folder, "ulaanbaatar-tasks.toml"), 7)
+		require.NoError(t, err)
+		result, err := replay.Run(trace, replay.Options{})
+		require.NoError(t, err)
+		results = append(results, result)
+	}
+	require.Equal(t, results[0], results[1])
+}
+
+// Guards against bursts that never exceed the capacity of their service, which
+// would test nothing.
+func TestBurstsExceedTheirService(t *testing.T) {
+	trace, err := tracegen.Load(filepath.Join(folder, "vakoas-bursts.toml"), 0)
+	require.NoError(t, err)
+	bySecond := make(map[int]float64) // seconds of work that arrive for the typesetting service
+	highest := 0.0
+	for _, e := range trace.Events {
+		if e.Arrive != nil && e.Arrive.Queue == "typesetting" {
+			second := int(e.At / 1000)
+			bySecond[second] += float64(e.Arrive.Run) / 1000
+			highest = max(highest, bySecond[second])
+		}
+	}
+	require.Greater(t, highest, 1.5*12*8, "12 targets with 8 slots")
+}
--- a/replay/worker.go
+++ b/replay/worker.go
@@ -1,6 +1,8 @@
 package replay
 
 import (
+	"cmp"
+	"fmt"
 	"slices"
 
 	"primrosedale.example/primrosedale/core/effect"
@@ -65,7 +67,7 @@
 	w.seq++
 	sent := w.e.now
 	report := message.WorkerReport{
-		Worker: w.ID, Inc: model.Incarnation(string(w.ID) + "/" + string(rune('a'+life%26))), DataCentre: w.DataCentre,
+		Worker: w.ID, Inc: model.Incarnation(fmt.Sprintf("%s/%d", w.ID, life)), DataCentre: w.DataCentre,
 		Rack: w.Rack, Capacity: w.Capacity, Image: w.Image, Seq: w.seq, Runs: w.runs(),
 	}
 	report.Report = w.e.report(func(f effect.AnswerReport) {
@@ -160,13 +162,14 @@
 func (e *engine) submitTask(t *Task) {
 	e.books.tasks[t.ID] = &taskBook{Task: *t}
 	e.command(fleet.Command{SubmitTask: &fleet.SubmitTask{Task: t.ID, Team: t.Team, Spec: fleet.TaskSpec{
-		Pool: t.Pool, Command: "run", Size: t.DeclaredSize, RunTime: t.DeclaredRun.Duration(),
+		Pool: t.Pool, Command: cmp.Or(t.Program, "run"), Size: t.DeclaredSize, RunTime: t.DeclaredRun.Duration(),
 		MaxRun: t.MaxRun.Duration(), Precedence: t.Precedence, Idempotent: t.Idempotent,
 	}}}, "submit-%s", t.ID)
 }
 
 func (e *engine) cancelTask(id model.TaskID) {
 	if t := e.books.tasks[id]; t != nil {
+		t.cancelled = !t.finished
 		e.command(fleet.Command{CancelTask: &fleet.CancelTask{Task: id, Team: t.Team}}, "cancel-%s", id)
 	}
 }
