--- a/core/dispatch/audit.go
+++ b/core/dispatch/audit.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "fmt"
+import (
+	"fmt"
+
+	"primrosedale.example/primrosedale/core/model"
+)
 
 // Audit compares the owner's counts with the runs that they stand for. It
 // returns an error that names the first difference. Tests call it after each
@@ -18,9 +22,35 @@
 			return fmt.Errorf("team %s counts %d running and has %d runs", id, t.running, byTeam[t])
 		}
 	}
+	if err := o.auditLanes(); err != nil {
+		return err
+	}
 	return o.auditTargets()
 }
 
+// auditLanes compares the lanes with the queues and runs that they count.
+func (o *Owner) auditLanes() error {
+	running := make(map[*lane]int)
+	for _, r := range o.runs {
+		running[r.lane]++
+	}
+	for _, s := range o.ordered {
+		waiting := make(map[model.TeamID]int)
+		for id, l := range s.lanes {
+			waiting[id.team] += l.waiting.Len()
+			if l.running != running[l] {
+				return fmt.Errorf("lane %v of %s counts %d running and has %d runs", id, s.id, l.running, running[l])
+			}
+		}
+		for _, team := range sortedKeys(s.waiting) {
+			if q := s.waiting[team]; q.Len() != waiting[team] {
+				return fmt.Errorf("team %s waits for %s with %d requests, %d are in its lanes", team, s.id, q.Len(), waiting[team])
+			}
+		}
+	}
+	return nil
+}
+
 func (o *Owner) auditTargets() error {
 	runs, unknown := 0, 0
 	for _, id := range sortedKeys(o.targets) {
