--- a/ctl/parser.go
+++ b/ctl/parser.go
@@ -48,6 +48,7 @@
 	replays.String(&o.policy, "", "policy", "shares (default) or static")
 	replays.String(&o.plots, "", "plots", "folder for plots")
 	replays.UInt64(&o.seed, "", "seed", "seed of trace settings, in place of their own")
+	replays.String(&o.record, "", "record", "write the inputs of the trace's replay to this journal")
 	replays.String(&o.write, "", "write", "write the trace to this file and do not replay it")
 	key := subcommand("key", "grant or withdraw a team's key")
 	grant := subcommand("grant", "make a key for a team; it is shown once")
--- a/ctl/replay.go
+++ b/ctl/replay.go
@@ -24,6 +24,7 @@
 	policy string
 	plots  string
 	write  string
+	record string
 	seed   uint64
 }
 
@@ -90,7 +91,7 @@
 	if err != nil {
 		return err
 	}
-	result, err := replay.Run(trace, replay.Options{Policy: policy})
+	result, err := replay.Run(trace, replay.Options{Policy: policy, Record: o.record})
 	if err != nil {
 		return &failure{ExitFaults, err}
 	}
--- a/daemon/journal.go
+++ b/daemon/journal.go
@@ -14,9 +14,13 @@
 	if d.settings.Record == "" {
 		return nil, nil
 	}
-	return journal.Open(d.settings.Record, cfg, stored, now, rand, func(err error) {
+	w, err := journal.Create(d.settings.Record, cfg, stored, now, rand)
+	if err != nil {
+		return nil, err
+	}
+	return journal.NewRecorder(w, func(err error) {
 		d.log.Emit(logevent.JournalError, logevent.Err(err))
-	})
+	}), nil
 }
 
 // recorder returns the journal, or a nil interface without one.
--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -28,8 +28,9 @@
 	stored := consensus.Bootstrap[fleet.Command, *fleet.State]([]consensus.NodeID{{Host: "a", Incarnation: "1"}})
 	s, err := core.New(config, stored, 1, 7)
 	require.NoError(t, err)
-	r, err := Open(path, config, stored, 1, 7, func(err error) { t.Error(err) })
+	w, err := Create(path, config, stored, 1, 7)
 	require.NoError(t, err)
+	r := NewRecorder(w, func(err error) { t.Error(err) })
 	pending := []event.Event{}
 	for i := range ticks {
 		pending = append(pending, event.Tick{})
@@ -122,8 +123,9 @@
 	path := filepath.Join(t.TempDir(), "journal")
 	stored := consensus.Bootstrap[fleet.Command, *fleet.State]([]consensus.NodeID{{Host: "a", Incarnation: "1"}})
 	var reason error
-	r, err := Open(path, config, stored, 1, 7, func(err error) { reason = err })
+	w, err := Create(path, config, stored, 1, 7)
 	require.NoError(t, err)
+	r := NewRecorder(w, func(err error) { reason = err })
 	s, err := core.New(config, stored, 1, 7)
 	require.NoError(t, err)
 	for range 2 * queueSize { // nothing reads the queue yet
--- a/journal/recorder.go
+++ b/journal/recorder.go
@@ -1,38 +1,23 @@
 package journal
 
 import (
-	"bufio"
-	"encoding/json"
-	"io"
-	"os"
 	"sync/atomic"
 
 	"github.com/juju/errors"
 	"gopkg.in/tomb.v2"
 
-	"primrosedale.example/primrosedale/codec"
 	"primrosedale.example/primrosedale/core"
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/event"
-	"primrosedale.example/primrosedale/core/model"
 )
 
-const (
-	// queueSize is the number of inputs that may wait to be written. At the
-	// design load of some thousand inputs a second it covers a stall of the
-	// disk of about a second.
-	queueSize = 8192
-	// MaxBytes is the size at which a journal is closed, so that a forgotten
-	// setting does not fill the disk of the replicated log.
-	MaxBytes = 1 << 30
-	fileMode = 0o600
-)
+// queueSize is the number of inputs that may wait to be written. At the design
+// load of some thousand inputs a second it covers a stall of the disk of about
+// a second.
+const queueSize = 8192
 
-// The reasons why a journal is closed.
-const (
-	ErrBehind = errors.ConstError("the journal cannot keep up with the inputs")
-	ErrFull   = errors.ConstError("the journal has reached its largest size")
-)
+// ErrBehind says that a journal was closed because its queue was full.
+const ErrBehind = errors.ConstError("the journal cannot keep up with the inputs")
 
 // item is one input with its effects, or the state after an input.
 type item struct {
@@ -48,90 +33,21 @@
 	behind chan struct{} // closed by the control goroutine when it had to drop an input
 	closed atomic.Bool   // nothing more is recorded
 	failed func(error)
-
-	file    io.WriteCloser
-	out     *bufio.Writer
-	written int64 // bytes
+	writer *Writer
 }
 
-// Open appends a run to the journal at path. Run must be called to write it.
-// failed is called once, on the goroutine of Run, if the journal is closed
+// NewRecorder returns a Recorder of the journal. Run must be called to write
+// it. failed is called once, on the goroutine of Run, if the journal is closed
 // early.
-func Open(path string, cfg core.Config, stored core.Stored, now model.Time, rand uint64, failed func(error)) (*Recorder, error) {
-	file, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR|os.O_APPEND, fileMode)
-	if err != nil {
-		return nil, errors.Annotate(err, "opening the journal")
-	}
-	r := newRecorder(file, failed)
-	if err = r.begin(file, cfg, stored, now, rand); err != nil {
-		_ = file.Close()
-		return nil, errors.Annotatef(err, "starting the journal %s", path)
-	}
-	return r, nil
-}
-
-func newRecorder(file io.WriteCloser, failed func(error)) *Recorder {
+func NewRecorder(w *Writer, failed func(error)) *Recorder {
 	return &Recorder{
 		queue:  make(chan item, queueSize),
 		behind: make(chan struct{}),
 		failed: failed,
-		file:   file,
-		out:    bufio.NewWriterSize(file, 64<<10),
+		writer: w,
 	}
 }
 
-// begin writes the start record, on a line of its own even if an earlier run
-// was killed in the middle of a line.
-func (r *Recorder) begin(file *os.File, cfg core.Config, stored core.Stored, now model.Time, rand uint64) error {
-	info, err := file.Stat()
-	if err != nil {
-		return errors.Trace(err)
-	}
-	r.written = info.Size()
-	if r.written > 0 {
-		last := make([]byte, 1)
-		if _, err := file.ReadAt(last, r.written-1); err != nil {
-			return errors.Trace(err)
-		}
-		if last[0] != '\n' {
-			_ = r.out.WriteByte('\n')
-		}
-	}
-	start, err := newStart(cfg, stored, now, rand)
-	if err != nil {
-		return err
-	}
-	if err := r.write(Record{Start: start}); err != nil {
-		return err
-	}
-	return errors.Trace(r.out.Flush())
-}
-
-func newStart(cfg core.Config, stored core.Stored, now model.Time, rand uint64) (*Start, error) {
-	start := &Start{
-		Version: Version, Host: cfg.Host, DataCentre: cfg.DataCentre, Incarnation: cfg.Incarnation,
-		Replica: cfg.Replica, Durable: cfg.Durable, Peers: cfg.Peers, MaxVoters: cfg.MaxVoters, Policy: cfg.Policy, SnapshotEvery: cfg.SnapshotEvery,
-		At: now, Rand: rand,
-	}
-	var err error
-	if start.Stored.HardState, err = codec.EncodeHardState(stored.HardState); err != nil {
-		return nil, err
-	}
-	if stored.Snapshot != nil {
-		if start.Stored.Snapshot, err = codec.EncodeSnapshot(stored.Snapshot); err != nil {
-			return nil, err
-		}
-	}
-	for i := range stored.Entries {
-		entry, err := codec.EncodeEntry(&stored.Entries[i])
-		if err != nil {
-			return nil, err
-		}
-		start.Stored.Entries = append(start.Stored.Entries, entry)
-	}
-	return start, nil
-}
-
 // Record implements control.Recorder.
 func (r *Recorder) Record(in event.Input, effects []effect.Effect) {
 	r.put(item{in: in, effects: effects})
@@ -157,7 +73,7 @@
 // Run writes the journal until t is dying, then writes what waits and closes
 // the file.
 func (r *Recorder) Run(t *tomb.Tomb) error {
-	defer r.file.Close()
+	defer r.writer.Close()
 	err := r.run(t)
 	r.closed.Store(true)
 	if err != nil {
@@ -169,7 +85,7 @@
 // Close closes the file of a Recorder that is not run.
 func (r *Recorder) Close() error {
 	r.closed.Store(true)
-	return errors.Trace(r.file.Close())
+	return r.writer.Close()
 }
 
 func (r *Recorder) run(t *tomb.Tomb) error {
@@ -206,40 +122,14 @@
 				return err
 			}
 		default:
-			return errors.Trace(r.out.Flush())
+			return r.writer.Flush()
 		}
 	}
 }
 
 func (r *Recorder) writeItem(i item) error {
 	if i.state != nil {
-		state, err := digestState(*i.state)
-		if err != nil {
-			return err
-		}
-		return r.write(Record{State: state})
-	}
-	kind, content, err := encodeEvent(i.in.Event)
-	if err != nil {
-		return err
-	}
-	effects, err := digestEffects(i.effects)
-	if err != nil {
-		return err
-	}
-	return r.write(Record{Input: &Input{At: i.in.At, Rand: i.in.Rand, Kind: kind, Event: content, Effects: effects}})
-}
-
-func (r *Recorder) write(record Record) error {
-	line, err := json.Marshal(record)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	if r.written += int64(len(line)) + 1; r.written > MaxBytes {
-		return ErrFull
-	}
-	if _, err := r.out.Write(line); err != nil {
-		return errors.Trace(err)
+		return r.writer.Checkpoint(*i.state)
 	}
-	return errors.Trace(r.out.WriteByte('\n'))
+	return r.writer.Record(i.in, i.effects)
 }
--- a/replay/engine.go
+++ b/replay/engine.go
@@ -15,6 +15,7 @@
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/pq"
 	"primrosedale.example/primrosedale/core/rules"
+	"primrosedale.example/primrosedale/journal"
 )
 
 // Times of a replay.
@@ -42,8 +43,12 @@
 // Options are the choices of a replay that are not part of the trace.
 type Options struct {
 	Policy dispatch.PolicyName
+	Record string // path of a journal of the inputs, or empty
 }
 
+// checkpointEvery is the number of inputs between two states in a journal.
+const checkpointEvery = 4096
+
 // moment orders the calendar: by time, then in the order of scheduling.
 type moment struct {
 	at  model.Time
@@ -76,6 +81,8 @@
 	rulesSeq int
 	books    *books
 	halted   string
+	journal  *journal.Writer // nil unless the inputs are recorded
+	failed   error           // of the journal
 }
 
 // Run replays a trace and returns what happened in it.
@@ -96,6 +103,9 @@
 		e.drain()
 	}
 	e.finish()
+	if err := e.closeJournal(); err != nil {
+		return nil, err
+	}
 	if e.halted != "" {
 		return nil, errors.Errorf("the process halted: %s", e.halted)
 	}
@@ -121,11 +131,17 @@
 		Durable: true, MaxVoters: 1, Policy: o.Policy,
 	}
 	stored := consensus.Bootstrap[fleet.Command, *fleet.State]([]consensus.NodeID{id})
-	state, err := core.New(cfg, stored, e.now, e.rand.Uint64())
+	seed := e.rand.Uint64()
+	state, err := core.New(cfg, stored, e.now, seed)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	e.state = state
+	if o.Record != "" {
+		if e.journal, err = journal.Create(o.Record, cfg, stored, e.now, seed); err != nil {
+			return nil, err
+		}
+	}
 	e.every(core.TickInterval, func() { e.post(event.Tick{}) })
 	e.every(sampleInterval, e.sample)
 	e.every(hostInterval, e.lookAtHosts)
@@ -172,14 +188,41 @@
 	for len(e.events) > 0 {
 		ev := e.events[0]
 		e.events = e.events[1:]
-		effects := core.Reduce(e.state, event.Input{At: e.now, Rand: e.rand.Uint64(), Event: ev})
+		in := event.Input{At: e.now, Rand: e.rand.Uint64(), Event: ev}
+		effects := core.Reduce(e.state, in)
 		e.books.Inputs++
+		e.record(in, effects)
 		for _, f := range effects {
 			e.execute(f)
 		}
 	}
 }
 
+// record writes an input to the journal. The first error is reported at the
+// end of the replay.
+func (e *engine) record(in event.Input, effects []effect.Effect) {
+	if e.journal == nil || e.failed != nil {
+		return
+	}
+	e.failed = e.journal.Record(in, effects)
+	if e.failed == nil && e.books.Inputs%checkpointEvery == 0 {
+		e.failed = e.journal.Checkpoint(e.state.Inspect())
+	}
+}
+
+func (e *engine) closeJournal() error {
+	if e.journal == nil {
+		return nil
+	}
+	if e.failed == nil {
+		e.failed = e.journal.Checkpoint(e.state.Inspect())
+	}
+	if err := e.journal.Close(); e.failed == nil {
+		e.failed = err
+	}
+	return errors.Annotate(e.failed, "recording the replay")
+}
+
 func (e *engine) execute(f effect.Effect) {
 	switch f := f.(type) {
 	case effect.Persist:
--- a/replay/tracegen/traces_test.go
+++ b/replay/tracegen/traces_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"primrosedale.example/primrosedale/journal"
 	"primrosedale.example/primrosedale/replay"
 	"primrosedale.example/primrosedale/replay/tracegen"
 )
@@ -42,19 +43,28 @@
 	}
 }
 
-// Guards against a trace or a replay that differs from run to run: tasks touch
-// the largest part of the reducer.
-func TestTasksReplayTheSame(t *testing.T) {
-	t.Parallel()
-	var results []*replay.Result
-	for range 2 {
-		trace, err := tracegen.Load(filepath.Join(folder, "ulaanbaatar-tasks.toml"), 7)
-		require.NoError(t, err)
-		result, err := replay.Run(trace, replay.Options{})
-		require.NoError(t, err)
-		results = append(results, result)
+// Guards against decisions on tasks, hosts and claims that depend on anything
+// but the inputs, such as the order of a map: the journal of each replay gives
+// the same effects and states byte for byte.
+func TestJournalsOfTracesReplay(t *testing.T) {
+	for _, name := range []string{"ulaanbaatar-tasks", "ulaanbaatar-centre", "vakoas-faults"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			trace, err := tracegen.Load(filepath.Join(folder, name+".toml"), 7)
+			require.NoError(t, err)
+			path := filepath.Join(t.TempDir(), "journal")
+			_, err = replay.Run(trace, replay.Options{Record: path})
+			require.NoError(t, err)
+			file, err := os.Open(path)
+			require.NoError(t, err)
+			defer file.Close()
+			report, err := journal.Verify(file)
+			require.NoError(t, err)
+			require.Nil(t, report.First, "%s", report.First)
+			require.Greater(t, report.Inputs, 10_000)
+			require.Greater(t, report.States, 2)
+		})
 	}
-	require.Equal(t, results[0], results[1])
 }
 
 // Guards against bursts that never exceed the capacity of their service, which
