--- a/core/dispatch/lane.go
+++ b/core/dispatch/lane.go
@@ -16,8 +16,6 @@
 type lane struct {
 	waiting *rankset.Set[rank] // weighted by the expected run time
 	running int
-	held    float64 // slots held lately, at time heldAt
-	heldAt  model.Time
 	worth   float64 // mean of the requests that arrived
 }
 
@@ -61,27 +59,9 @@
 	return worth / l.worth
 }
 
-// heldFor is the time in which slots that a lane held lately count less and
-// less. A pause of a target is shorter than that.
-const heldFor = model.Second
-
-// slots returns the slots that the lane can expect: those that it holds, or
-// most of those that it held lately.
-func (l *lane) slots(now model.Time) float64 {
-	left := max(0, 1-float64(now.Sub(l.heldAt))/float64(heldFor))
-	return max(float64(l.running), l.held*left, 1)
-}
-
-// count changes the number of slots that the lane holds.
-func (l *lane) count(now model.Time, change int) {
-	l.held = l.slots(now)
-	l.heldAt = now
-	l.running += change
-}
-
 // wait is the expected time until a request of this rank starts.
-func (l *lane) wait(now model.Time, r rank) model.Duration {
-	return model.Duration(float64(l.waiting.Before(r)) / l.slots(now))
+func (l *lane) wait(r rank) model.Duration {
+	return model.Duration(l.waiting.Before(r)) / model.Duration(max(l.running, 1))
 }
 
 // hash is FNV-1a. The tree of a lane is balanced by it, the same in every
@@ -115,7 +95,7 @@
 			return
 		}
 		r := o.requests[last.id]
-		load := queueLoad{patience: r.deadline.Sub(env.Now), wait: l.wait(env.Now, last), overnight: o.rules.Queues[r.ask.Queue].Overnight}
+		load := queueLoad{patience: r.deadline.Sub(env.Now), wait: l.wait(last), overnight: o.rules.Queues[r.ask.Queue].Overnight}
 		if !o.learned(r.service, r.ask.Queue) || !o.policy.hopeless(load) {
 			return
 		}
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -228,7 +228,7 @@
 	l := o.lane(s, r.ask.Team, place.precedence)
 	load := queueLoad{
 		patience:  r.ask.Patience,
-		wait:      l.wait(env.Now, place),
+		wait:      l.wait(place),
 		worth:     l.relativeWorth(r.ask.Worth),
 		overnight: queue.Overnight,
 	}
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -37,7 +37,7 @@
 	o.runs[id] = r
 	r.team.running++
 	r.lane = o.laneOfRun(id.request, t.service, teamID)
-	r.lane.count(env.Now, 1)
+	r.lane.running++
 	o.orderTeam(env, r.team)
 	t.runs[id] = r
 	o.dispatchSeq++
@@ -65,7 +65,7 @@
 	delete(r.target.runs, r.id)
 	o.timers.Remove(timerID{kind: timerRun, request: r.id.request, attempt: r.id.attempt})
 	r.team.running--
-	r.lane.count(env.Now, -1)
+	r.lane.running--
 	o.orderTeam(env, r.team)
 	o.ended[r.id.request] = env.Now
 	o.endedFIFO = append(o.endedFIFO, endedRun{r.id.request, env.Now})
