--- a/core/fleet/index.go
+++ b/core/fleet/index.go
@@ -32,6 +32,7 @@
 	phases     counter[TaskPhase]
 
 	pools map[model.PoolID]poolCount
+	hostCounts
 }
 
 // poolCount counts the hosts of one pool.
@@ -65,6 +66,7 @@
 		poolTasks:  make(counter[model.PoolID]),
 		phases:     make(counter[TaskPhase]),
 		pools:      make(map[model.PoolID]poolCount),
+		hostCounts: newHostCounts(),
 	}
 }
 
@@ -193,6 +195,7 @@
 		count.unavailable += n
 	}
 	x.setPool(host.Pool, count)
+	x.hostCounts.count(host, n)
 	if host.MoveTo != "" {
 		count = x.pools[host.MoveTo]
 		count.incoming += n
--- a/ctl/parser.go
+++ b/ctl/parser.go
@@ -17,6 +17,7 @@
   primrosedalectl key withdraw press-desk --address 127.0.0.1:8301
   primrosedalectl status --address 127.0.0.1:8301 --output json
   primrosedalectl replay traces/vakoas-bursts.toml --expect traces/vakoas-bursts.outcomes.toml
+  primrosedalectl report --address 127.0.0.1:8301 --html burn.html
 
 exit codes: 0 done, 1 no answer, 2 usage, 3 refused, 4 faults in the rules,
 5 the rules differ (diff) or a replay does, 6 outcome not known`
@@ -33,7 +34,7 @@
 	parser.String(&p.key, "", "key", "key of the client certificate, PEM")
 	parser.String(&p.authority, "", "authority", "certificate authority of the system, PEM")
 
-	var file, name, team string
+	var file, name, team, page string
 	check := subcommand("check", "read a rules file and list every fault; asks no host")
 	check.AddPositionalValue(&file, "FILE", 1, true, "rules file")
 	diff := subcommand("diff", "compare a rules file with the rules in force; exit code 5 if they differ")
@@ -50,6 +51,8 @@
 	replays.UInt64(&o.seed, "", "seed", "seed of trace settings, in place of their own")
 	replays.String(&o.record, "", "record", "write the inputs of the trace's replay to this journal")
 	replays.String(&o.write, "", "write", "write the trace to this file and do not replay it")
+	report := subcommand("report", "show how much of each objective's error budget is spent, and on what")
+	report.String(&page, "", "html", "also write the report to this file as one HTML page")
 	key := subcommand("key", "grant or withdraw a team's key")
 	grant := subcommand("grant", "make a key for a team; it is shown once")
 	grant.AddPositionalValue(&name, "NAME", 1, true, "name of the key, unique")
@@ -58,7 +61,7 @@
 	withdraw.AddPositionalValue(&name, "NAME", 1, true, "name of the key")
 	key.AttachSubcommand(grant, 1)
 	key.AttachSubcommand(withdraw, 1)
-	for _, c := range []*flaggy.Subcommand{check, diff, apply, key, status, replays} {
+	for _, c := range []*flaggy.Subcommand{check, diff, apply, key, status, report, replays} {
 		parser.AttachSubcommand(c, 1)
 	}
 	return parser, []action{
@@ -69,6 +72,7 @@
 		{withdraw, func(ctx context.Context) error { return p.withdraw(ctx, name) }},
 		{status, p.status},
 		{replays, func(context.Context) error { return p.replay(o) }},
+		{report, func(ctx context.Context) error { return p.burnReport(ctx, page) }},
 	}
 }
 
--- a/journal/daemon_test.go
+++ b/journal/daemon_test.go
@@ -43,7 +43,7 @@
 
 func start(t *testing.T, s *settings.Settings) *process {
 	t.Helper()
-	log, err := logevent.New(logevent.Options{Out: io.Discard, Format: logevent.JSON, Level: "error"})
+	log, err := logevent.New(logevent.Options{Out: t.Output(), Format: logevent.JSON, Level: "error"})
 	require.NoError(t, err)
 	d, err := daemon.New(s, log)
 	require.NoError(t, err)
--- a/journal/events.go
+++ b/journal/events.go
@@ -23,6 +23,7 @@
 	KindArrived   Kind = "request_arrived"
 	KindAbandoned Kind = "request_abandoned"
 	KindEnded     Kind = "forward_ended"
+	KindRefused   Kind = "requests_refused"
 	KindTarget    Kind = "target_reported"
 	KindWorker    Kind = "worker_reported"
 	KindCommand   Kind = "command_submitted"
@@ -59,6 +60,8 @@
 		return marshalled(KindAbandoned, e)
 	case event.ForwardEnded:
 		return marshalled(KindEnded, e)
+	case event.RequestsRefused:
+		return marshalled(KindRefused, e)
 	case event.TargetReported:
 		return marshalled(KindTarget, e)
 	case event.WorkerReported:
@@ -96,6 +99,8 @@
 		return decodeAs[event.RequestAbandoned](in)
 	case KindEnded:
 		return decodeAs[event.ForwardEnded](in)
+	case KindRefused:
+		return decodeAs[event.RequestsRefused](in)
 	case KindTarget:
 		return decodeAs[event.TargetReported](in)
 	case KindWorker:
--- /dev/null
+++ b/journal/schema_test.go
@@ -0,0 +1,73 @@
+package journal
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"reflect"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core"
+	"primrosedale.example/primrosedale/core/consensus"
+	"primrosedale.example/primrosedale/core/event"
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/problem"
+)
+
+// everyEvent holds one value of each event type.
+var everyEvent = []event.Event{
+	event.Tick{}, event.StopRequested{}, event.Persisted{Term: 1, Index: 2}, event.PersistFailed{Reason: "disk"},
+	event.Received{From: "b", Message: message.Message{Withdraw: &message.Withdraw{Request: "r"}}},
+	event.RequestArrived{Request: event.Request{ID: "r", Worth: 0.1, Patience: 5}}, event.RequestAbandoned{Request: "r"},
+	event.ForwardEnded{Request: "r", Attempt: 2, Answer: &model.Answer{Status: 200, Body: []byte("x")}},
+	event.RequestsRefused{Refusals: []event.Refusal{{Team: "a", Kind: problem.Overloaded, Count: 3}}},
+	event.TargetReported{Report: message.TargetReport{Seq: 4}}, event.WorkerReported{Report: message.WorkerReport{Seq: 5}},
+	event.CommandSubmitted{Command: fleet.Command{ID: "c", WithdrawKey: &fleet.WithdrawKey{Name: "k"}}},
+	event.StatusRequested{Query: 6},
+}
+
+// Guards against an event type that the journal does not know: the journal of
+// a process would close at the first one.
+func TestEveryEventHasAKind(t *testing.T) {
+	file, err := parser.ParseFile(token.NewFileSet(), "../core/event/event.go", nil, 0)
+	require.NoError(t, err)
+	known := make(map[string]bool)
+	for _, e := range everyEvent {
+		known[reflect.TypeOf(e).Name()] = true
+		kind, content, err := encodeEvent(e)
+		require.NoError(t, err)
+		decoded, err := decodeEvent(&Input{Kind: kind, Event: content})
+		require.NoError(t, err)
+		require.Equal(t, e, decoded)
+	}
+	for _, d := range file.Decls {
+		if f, ok := d.(*ast.FuncDecl); ok && f.Name.Name == "event" {
+			name := f.Recv.List[0].Type.(*ast.Ident).Name
+			require.True(t, known[name], "event %s is not tested", name)
+		}
+	}
+}
+
+// Guards against a field of the configuration that the start record leaves out:
+// the replay would run with another one.
+func TestStartHoldsTheWholeConfiguration(t *testing.T) {
+	cfg := core.Config{
+		Host: "a", DataCentre: "west", Incarnation: "1", Replica: "2", Durable: true,
+		Peers: []model.HostID{"b"}, MaxVoters: 3, SnapshotEvery: 4, Policy: "static",
+	}
+	fields := reflect.ValueOf(cfg)
+	for i := range fields.NumField() {
+		require.False(t, fields.Field(i).IsZero(), "field %s is not tested", fields.Type().Field(i).Name)
+	}
+	stored := consensus.Bootstrap[fleet.Command, *fleet.State]([]consensus.NodeID{{Host: "a", Incarnation: "2"}})
+	start, err := newStart(cfg, stored, 1, 2)
+	require.NoError(t, err)
+	require.Equal(t, cfg, start.config())
+	decoded, err := start.Stored.decode()
+	require.NoError(t, err)
+	require.Equal(t, stored, decoded)
+}
--- a/logevent/ids.go
+++ b/logevent/ids.go
@@ -99,6 +99,7 @@
 const (
 	QueueFull          ID = 800
 	RequestRefused     ID = 801
+	RefusalsNotCounted ID = 802
 	OutcomeUnknown     ID = 810
 	ClaimUnknown       ID = 811
 	OutcomeNotRecorded ID = 812
