--- a/core/dispatch/owner.go
+++ b/core/dispatch/owner.go
@@ -69,6 +69,7 @@
 	// TasksRunning returns the running tasks of a team, including placements
 	// that are proposed and not yet committed.
 	TasksRunning func(model.TeamID) int
+	Policy       PolicyName
 }
 
 // Out collects what the owner asks for.
@@ -86,6 +87,7 @@
 // Owner holds the queues, the targets' use and the running requests.
 type Owner struct {
 	term      uint64
+	policy    policy
 	began     model.Time
 	fenced    bool
 	fencedAt  model.Time
@@ -114,6 +116,7 @@
 func New(env Env, term uint64) *Owner {
 	o := &Owner{
 		term:      term,
+		policy:    policyNamed(env.Policy),
 		began:     env.Now,
 		requests:  make(map[model.RequestID]*request),
 		byGateway: make(map[model.HostID]map[model.RequestID]*request),
@@ -159,7 +162,7 @@
 func (o *Owner) service(id model.ServiceID) *service {
 	s := o.services[id]
 	if s == nil {
-		s = newService(id)
+		s = newService(id, o.policy)
 		o.services[id] = s
 		o.ordered = append(o.ordered, s)
 		slices.SortFunc(o.ordered, func(a, b *service) int { return cmp.Compare(a.id, b.id) })
@@ -198,7 +201,7 @@
 			o.refuse(env, out, r, problem.New(problem.UnknownQueue, "queue %s was removed", r.ask.Queue))
 		case !team:
 			o.refuse(env, out, r, problem.New(problem.UnknownTeam, "team %s was removed", r.ask.Team))
-		case r.state == stateQueued && (queue.Service != r.service.id || queue.Precedence != r.rank.precedence):
+		case r.state == stateQueued && (queue.Service != r.service.id || o.rank(env, queue, r) != r.rank):
 			o.unqueue(env, r)
 			o.enqueue(env, r)
 		}
--- a/core/dispatch/owner_test.go
+++ b/core/dispatch/owner_test.go
@@ -245,7 +245,9 @@
 				f.end(dispatched[0], message.OutcomeAnswered, true)
 			}
 			for i := range c.waiting {
-				f.ask(askOf(100+i, "press", "proofs"))
+				a := askOf(100+i, "press", "proofs")
+				a.Patience = c.patience
+				f.ask(a)
 			}
 			f.take()
 			a := askOf(999, "press", "proofs")
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 
 	"primrosedale.example/primrosedale/core/message"
@@ -14,24 +13,27 @@
 
 // Parameters of the queue order and of early refusal.
 const (
-	// worthBonus brings a request forward by this time for each doubling of
-	// its worth.
-	worthBonus = 2 * model.Second
-	// samplesMin is the number of run times that must be known before a request
-	// is refused early on their strength.
-	samplesMin = 20
-	// runTimeWeight is the weight of a new sample in the mean run time.
-	runTimeWeight = 0.1
-	// earlyMargin is the factor by which the expected wait must exceed the
-	// patience for an early refusal, since run times vary around their mean.
-	earlyMargin = 1.5
+	// admitMargin is the part of the patience that the expected wait of an
+	// arriving request of mean worth may take. It changes by admitSlope for each
+	// mean of worth above or below, between admitMin and admitMax, so that a
+	// full queue admits what is worth most. It stays below the patience, so that
+	// a request that was admitted is rarely refused later.
+	admitMargin = 0.85
+	admitSlope  = 0.6
+	admitMin    = 0.5
+	admitMax    = 0.95
+	// keepMargin is the part of the patience left that the expected wait of a
+	// waiting request may take.
+	keepMargin = 1.0
+	// worthWeight is the weight of a new request in the mean worth.
+	worthWeight = 0.05
 )
 
 // rank orders the waiting requests of one team for one service. It does not
 // change while a request waits.
 type rank struct {
 	precedence int
-	key        model.Time // the latest start, brought forward by worth
+	key        model.Time // the policy's, smaller goes first
 	id         model.RequestID
 }
 
@@ -50,20 +52,16 @@
 	id      model.ServiceID
 	waiting map[model.TeamID]*pq.Queue[model.RequestID, rank, *request]
 	ready   *pq.Queue[model.TeamID, turn, *request] // first waiting request of each team under its limit
-	length  [10]int                                 // waiting requests by precedence
+	lanes   map[laneID]*lane
+	laneIDs []laneID // keys of lanes, sorted
 	usable  map[model.DataCentreID]*pq.Queue[model.TargetID, load, *target]
 	centres []model.DataCentreID // keys of usable, sorted
 	slots   int                  // of usable or full targets
 	targets int                  // registered
+	runs    queueStats           // of all its queues
 	longest model.Duration       // longest run of its queues
 }
 
-// queueStats is what is learned of one queue.
-type queueStats struct {
-	samples int
-	mean    model.Duration // run time
-}
-
 // team is one team's use of the fleet's targets.
 type team struct {
 	id          model.TeamID
@@ -73,11 +71,12 @@
 	retryAt     model.Time // of the last refill
 }
 
-func newService(id model.ServiceID) *service {
+func newService(id model.ServiceID, p policy) *service {
 	return &service{
 		id:      id,
 		waiting: make(map[model.TeamID]*pq.Queue[model.RequestID, rank, *request]),
-		ready:   pq.New[model.TeamID, turn, *request](turn.before),
+		lanes:   make(map[laneID]*lane),
+		ready:   pq.New[model.TeamID, turn, *request](p.among),
 		usable:  make(map[model.DataCentreID]*pq.Queue[model.TargetID, load, *target]),
 	}
 }
@@ -88,22 +87,35 @@
 	s := o.service(queue.Service)
 	r.service = s
 	r.state = stateQueued
-	bonus := model.Duration(math.Log2(1+max(0, r.ask.Worth)) * float64(worthBonus))
-	r.rank = rank{clampPrecedence(queue.Precedence), r.deadline.Add(-bonus), r.ask.Request}
+	r.rank = o.rank(env, queue, r)
 	q := s.waiting[r.ask.Team]
 	if q == nil {
-		q = pq.New[model.RequestID, rank, *request](rank.before)
+		q = pq.New[model.RequestID, rank, *request](o.policy.within)
 		s.waiting[r.ask.Team] = q
 		t := o.team(r.ask.Team)
 		t.services = append(t.services, s)
 	}
 	q.Set(r.ask.Request, r.rank, r)
 	o.orderIn(env, s, r.ask.Team)
-	s.length[r.rank.precedence]++
+	o.lane(s, r.ask.Team, r.rank.precedence).join(o, r)
 	o.timers.Set(timerID{kind: timerDeadline, request: r.ask.Request}, timer{at: r.deadline}, struct{}{})
+	if at := o.policy.agesAt(queue, r); at > env.Now {
+		o.timers.Set(timerID{kind: timerAge, request: r.ask.Request}, timer{at: at}, struct{}{})
+	}
 }
 
-func clampPrecedence(p int) int { return min(max(p, 0), 9) }
+// age moves a waiting request to the highest precedence.
+func (o *Owner) age(env Env, id model.RequestID) {
+	if r := o.requests[id]; r != nil && r.state == stateQueued {
+		o.unqueue(env, r)
+		o.enqueue(env, r)
+	}
+}
+
+// precedences is the number of values of a precedence.
+const precedences = 10
+
+func clampPrecedence(p int) int { return min(max(p, 0), precedences-1) }
 
 // unqueue takes a request out of the queue if it is in it.
 func (o *Owner) unqueue(env Env, r *request) {
@@ -111,7 +123,7 @@
 		return
 	}
 	if r.service.waiting[r.ask.Team].Remove(r.ask.Request) {
-		r.service.length[r.rank.precedence]--
+		o.lane(r.service, r.ask.Team, r.rank.precedence).waiting.Remove(r.rank)
 		o.orderIn(env, r.service, r.ask.Team)
 	}
 }
@@ -126,8 +138,12 @@
 		if !ok {
 			return
 		}
-		if !o.underLimit(env, r.ask.Team) {
-			s.ready.Remove(r.ask.Team) // tasks were placed since
+		if !o.underLimit(env, r.ask.Team) || !o.policy.mayStart(o.use(r.ask.Team)) {
+			s.ready.Remove(r.ask.Team) // until its running work changes
+			continue
+		}
+		if env.Now >= r.deadline {
+			o.refuse(env, out, r, o.impatience(r))
 			continue
 		}
 		if !o.serves(env, r.gateway) {
@@ -200,39 +216,34 @@
 	}})
 }
 
-// learn updates the mean run time of a queue.
-func (o *Owner) learn(id model.QueueID, d *message.Done) {
-	if d.Outcome != message.OutcomeAnswered {
-		return
-	}
-	s := o.queues[id]
-	if s == nil {
-		s = &queueStats{mean: d.RunTime}
-		o.queues[id] = s
-	}
-	s.samples++
-	s.mean += model.Duration(runTimeWeight * float64(d.RunTime-s.mean))
-}
-
-// tooLate refuses a request that cannot start within its patience, by the mean
-// run time and the requests that go before it. A refusal at once lets the
-// caller act; a refusal at the end of its patience wastes that time.
-func (o *Owner) tooLate(env Env, queue rules.Queue, a *message.Ask) *problem.Problem {
-	s, stats := o.services[queue.Service], o.queues[a.Queue]
-	if s == nil || stats == nil || stats.samples < samplesMin || s.slots == 0 || !o.fenced {
+// tooLate refuses a request that cannot start within its patience, by the
+// learned run times of the requests that go before it. A refusal at once lets
+// the caller act; a refusal at the end of its patience wastes that time.
+func (o *Owner) tooLate(env Env, queue rules.Queue, r *request) *problem.Problem {
+	s := o.services[queue.Service]
+	if s == nil || !o.learned(s, r.ask.Queue) || s.slots == 0 || !o.fenced {
 		return nil
 	}
-	ahead := 0
-	for p := clampPrecedence(queue.Precedence); p < len(s.length); p++ {
-		ahead += s.length[p]
+	place := o.rank(env, queue, r)
+	l := o.lane(s, r.ask.Team, place.precedence)
+	load := queueLoad{
+		patience:  r.ask.Patience,
+		wait:      l.wait(place),
+		worth:     l.relativeWorth(r.ask.Worth),
+		overnight: queue.Overnight,
 	}
-	wait := model.Duration(float64(stats.mean) * float64(ahead) / float64(s.slots))
-	if float64(wait) <= earlyMargin*float64(a.Patience) {
+	if !o.policy.tooLate(load) {
 		return nil
 	}
-	p := problem.New(problem.PatienceExceeded, "%d requests wait and the expected wait is %.1f s", ahead, wait.Seconds())
-	p.RetryAfter = min(max(wait-a.Patience, model.Second), 30*model.Second)
-	return p
+	return o.cannotStart(s, load)
+}
+
+func (o *Owner) rank(env Env, queue rules.Queue, r *request) rank {
+	precedence := clampPrecedence(queue.Precedence)
+	if at := o.policy.agesAt(queue, r); at != 0 && env.Now >= at {
+		precedence = precedences - 1
+	}
+	return rank{precedence, o.policy.key(queue, r), r.ask.Request}
 }
 
 // sortedKeys returns the keys of m in order, so that iteration is the same in
--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -25,6 +25,7 @@
 	service  *service
 	rank     rank
 	state    requestState
+	arrived  model.Time
 	deadline model.Time // it may start until then
 	claimed  bool       // this request holds its claim
 	attempt  int        // the latest attempt
@@ -51,7 +52,7 @@
 		return
 	}
 	queue, known := o.rules.Queues[a.Queue]
-	r := &request{ask: *a, gateway: from, attempt: a.Attempt, deadline: env.Now.Add(a.Patience)}
+	r := &request{ask: *a, gateway: from, attempt: a.Attempt, arrived: env.Now, deadline: env.Now.Add(a.Patience)}
 	if !known {
 		o.refuse(env, out, r, problem.New(problem.UnknownQueue, "there is no queue %s", a.Queue))
 		return
@@ -64,7 +65,7 @@
 		o.answerFromRecord(env, out, r, record)
 		return
 	}
-	if p := o.tooLate(env, queue, a); p != nil {
+	if p := o.tooLate(env, queue, r); p != nil {
 		o.refuse(env, out, r, p)
 		return
 	}
@@ -93,6 +94,7 @@
 func (o *Owner) dropTimers(r *request) {
 	o.timers.Remove(timerID{kind: timerDeadline, request: r.ask.Request})
 	o.timers.Remove(timerID{kind: timerDelay, request: r.ask.Request})
+	o.timers.Remove(timerID{kind: timerAge, request: r.ask.Request})
 	o.timers.Remove(timerID{kind: timerLost, request: r.ask.Request})
 }
 
@@ -185,9 +187,9 @@
 func (o *Owner) endAttempt(env Env, r *request, d *message.Done) {
 	run := r.run
 	r.run = nil
-	o.learn(r.ask.Queue, d)
+	o.learn(r.ask.Queue, run.target.service, d)
 	if d.Outcome == message.OutcomeAnswered {
-		o.earnRetry(env, r.ask.Team)
+		o.earnRetry(env, r.ask.Team, 1)
 	}
 	o.endOrRelease(env, run, d)
 	if !d.Untried {
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -16,6 +16,7 @@
 	id       runID
 	team     *team
 	target   *target
+	lane     *lane
 	deadline model.Time // the target stops work by then
 	startBy  model.Time // the gateway sends no byte after this time; zero until it is told to start
 
@@ -35,6 +36,8 @@
 	r := &run{id: id, team: o.team(teamID), target: t, deadline: deadline}
 	o.runs[id] = r
 	r.team.running++
+	r.lane = o.laneOfRun(id.request, t.service, teamID)
+	r.lane.running++
 	o.orderTeam(env, r.team)
 	t.runs[id] = r
 	o.dispatchSeq++
@@ -43,6 +46,16 @@
 	return r
 }
 
+// laneOfRun returns the lane of a request. The precedence of one that is only
+// known from a gateway's or target's list counts as the lowest.
+func (o *Owner) laneOfRun(id model.RequestID, s *service, team model.TeamID) *lane {
+	precedence := 0
+	if r := o.requests[id]; r != nil {
+		precedence = r.rank.precedence
+	}
+	return o.lane(s, team, precedence)
+}
+
 // endRun ends the count of an attempt.
 func (o *Owner) endRun(env Env, r *run) {
 	if o.runs[r.id] != r {
@@ -52,6 +65,7 @@
 	delete(r.target.runs, r.id)
 	o.timers.Remove(timerID{kind: timerRun, request: r.id.request, attempt: r.id.attempt})
 	r.team.running--
+	r.lane.running--
 	o.orderTeam(env, r.team)
 	o.ended[r.id.request] = env.Now
 	o.endedFIFO = append(o.endedFIFO, endedRun{r.id.request, env.Now})
--- a/core/state.go
+++ b/core/state.go
@@ -50,6 +50,8 @@
 	// SnapshotEvery is the number of applied entries between two snapshots; zero
 	// stands for the default of 10,000.
 	SnapshotEvery uint64
+	// Policy orders the requests; empty stands for the default.
+	Policy dispatch.PolicyName
 }
 
 type logNode = consensus.Node[fleet.Command, *fleet.State]
@@ -165,6 +167,7 @@
 		Granter:      s.leading.granter,
 		Members:      s.leading.members,
 		TasksRunning: s.tasksRunning,
+		Policy:       s.cfg.Policy,
 	}
 }
 
--- a/ctl/parser.go
+++ b/ctl/parser.go
@@ -27,6 +27,15 @@
 	apply := subcommand("apply", "put a rules file in force; its revision must follow the one in force")
 	apply.AddPositionalValue(&file, "FILE", 1, true, "rules file")
 	status := subcommand("status", "show hosts, targets, teams, queues and pools")
+	var o replayOptions
+	replays := subcommand("replay", "replay a journal, a trace or trace settings; exit code 5 if it differs or leaves the bounds")
+	replays.AddPositionalValue(&o.file, "FILE", 1, true, "journal, trace or trace settings")
+	replays.String(&o.expect, "e", "expect", "outcomes file with bounds")
+	replays.String(&o.policy, "", "policy", "shares (default) or static")
+	replays.String(&o.plots, "", "plots", "folder for plots")
+	replays.UInt64(&o.seed, "", "seed", "seed of trace settings, in place of their own")
+	replays.String(&o.record, "", "record", "write the inputs of the trace's replay to this journal")
+	replays.String(&o.write, "", "write", "write the trace to this file and do not replay it")
 	report := subcommand("report", "show how much of each objective's error budget is spent, and on what")
 	report.String(&page, "", "html", "also write the report to this file as one HTML page")
 	key := subcommand("key", "grant or withdraw a team's key")
@@ -38,7 +47,7 @@
 	key.AttachSubcommand(grant, 1)
 	key.AttachSubcommand(withdraw, 1)
 	var names []string
-	for _, c := range []*flaggy.Subcommand{check, diff, apply, key, status, report} {
+	for _, c := range []*flaggy.Subcommand{check, diff, apply, key, status, report, replays} {
 		parser.AttachSubcommand(c, 1)
 		names = append(names, c.Name)
 	}
@@ -51,6 +60,7 @@
 		{grant, func(ctx context.Context) error { return p.grant(ctx, name, model.TeamID(team)) }},
 		{withdraw, func(ctx context.Context) error { return p.withdraw(ctx, name) }},
 		{status, p.status},
+		{replays, func(context.Context) error { return p.replay(o) }},
 		{report, func(ctx context.Context) error { return p.burnReport(ctx, page) }},
 	}
 }
--- /dev/null
+++ b/replay/sample.go
@@ -0,0 +1,74 @@
+package replay
+
+import (
+	"maps"
+
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// sample is the use of the fleet at one time.
+type sample struct {
+	at       model.Time
+	capacity map[model.ServiceID]int // slots that could run work
+	running  map[use]int
+	demand   map[use]int
+	limits   map[model.TeamID]int
+	shares   map[model.TeamID]float64
+}
+
+// sample notes the use of the fleet while the trace lasts.
+func (e *engine) sample() {
+	if e.now < e.began || e.now > e.began.Add(e.trace.Header.Length.Duration()) {
+		return
+	}
+	s := sample{
+		at: e.now, capacity: make(map[model.ServiceID]int),
+		running: maps.Clone(e.books.running), demand: maps.Clone(e.books.demand),
+		limits: make(map[model.TeamID]int), shares: make(map[model.TeamID]float64),
+	}
+	for _, t := range e.order {
+		s.capacity[t.reg.Service] += e.slots(t)
+	}
+	for id, team := range e.rules.Teams {
+		s.limits[id], s.shares[id] = team.Limit, team.Share
+	}
+	e.books.samples = append(e.books.samples, s)
+}
+
+// slots returns how many slots of a target could run work now.
+func (e *engine) slots(t *target) int {
+	switch {
+	case t.state == TargetCrashed || t.state == TargetLost:
+		return 0
+	case t.state == TargetLeaving || e.rules.DataCentres[t.reg.DataCentre].Out:
+		return len(t.running)
+	case t.fault != FaultNone:
+		return 0
+	default:
+		return t.reg.Slots
+	}
+}
+
+func (s *sample) slots() int {
+	n := 0
+	for _, c := range s.capacity {
+		n += c
+	}
+	return n
+}
+
+// full reports whether every service has more work than slots. It looks at the
+// demand and not at the use, so that a policy that leaves slots idle is
+// measured in the same periods as one that does not.
+func (s *sample) full() bool {
+	demand := make(map[model.ServiceID]int)
+	for u, n := range s.demand {
+		demand[u.service] += n
+	}
+	for service, slots := range s.capacity {
+		if demand[service] < slots {
+			return false
+		}
+	}
+	return s.slots() > 0
+}
