--- a/standin/target.go
+++ b/standin/target.go
@@ -24,6 +24,9 @@
 	DefaultInterval = 500 * time.Millisecond
 	// announceTimeout is over the 2 s in which a host answers.
 	announceTimeout = 3 * time.Second
+	// retryPause is the time before an announcement that was not answered is
+	// made to the next host.
+	retryPause = 50 * time.Millisecond
 	// ticketAge is the age at which a target refuses a ticket.
 	ticketAge = 3 * time.Second
 )
@@ -207,9 +210,13 @@
 	defer ticker.Stop()
 	for {
 		known := t.knownTerm()
-		if t.announce(t.ctx) && t.knownTerm() > known {
+		answered := t.announce(t.ctx)
+		if answered && t.knownTerm() > known {
 			continue // a new owner waits to hear that its term is known
 		}
+		if !answered && sleep(t.ctx, retryPause) {
+			continue // the next host may know the leader
+		}
 		select {
 		case <-ticker.C:
 		case <-t.ctx.Done():
