--- a/core/dispatch/owner.go
+++ b/core/dispatch/owner.go
@@ -16,6 +16,9 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
+
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/lease"
@@ -33,12 +36,18 @@
 	// FlightTime bounds how long bytes sent to a target can still arrive: the
 	// TCP user timeout of the connection.
 	FlightTime = 2000 * model.Millisecond
+	// ClockMargin covers the difference of two clocks over the times above: 1%
+	// of up to 4 s, rounded up.
+	ClockMargin = 50 * model.Millisecond
 	// SilentAfter is the time without an announcement after which a target
 	// gets nothing new.
 	SilentAfter = 2000 * model.Millisecond
 	// ForgetMargin is added to the longest run of a silent target's service
 	// before the target is forgotten.
 	ForgetMargin = 10 * model.Second
+	// LostAfter is how long after the deadline of a dispatched request its
+	// gateway, which repeats each report every 500 ms, may take to report it.
+	LostAfter = 5 * model.Second
 	// RetryDelayMin and RetryDelayMax bound the exponential delay before the
 	// next attempt of a request, and before the next use of a failing target.
 	RetryDelayMin = 50 * model.Millisecond
@@ -84,12 +93,14 @@
 	byGateway map[model.HostID]map[model.RequestID]*request
 	runs      map[runID]*run
 	services  map[model.ServiceID]*service
+	ordered   []*service // all, by id
 	targets   map[model.TargetID]*target
 	teams     map[model.TeamID]*team
 	queues    map[model.QueueID]*queueStats
 	timers    *pq.Queue[timerID, timer, struct{}]
-	ended     map[runID]model.Time
+	ended     map[model.RequestID]model.Time // end of the latest run
 	endedFIFO []endedRun
+	orphans   map[fleet.ClaimID]model.RequestID // held claims without a request at the last sweep
 
 	// unknownSlots is the bound on requests that may run on targets that have
 	// not reported since the fence.
@@ -111,7 +122,7 @@
 		teams:     make(map[model.TeamID]*team),
 		queues:    make(map[model.QueueID]*queueStats),
 		timers:    pq.New[timerID, timer, struct{}](timer.before),
-		ended:     make(map[runID]model.Time),
+		ended:     make(map[model.RequestID]model.Time),
 	}
 	o.rules = env.Fleet.Rules
 	for _, id := range sortedKeys(env.Fleet.Targets) {
@@ -149,21 +160,22 @@
 	if s == nil {
 		s = newService(id)
 		o.services[id] = s
+		o.ordered = append(o.ordered, s)
+		slices.SortFunc(o.ordered, func(a, b *service) int { return cmp.Compare(a.id, b.id) })
+		s.longest = o.longestRun(id)
 	}
 	return s
 }
 
-// underLimit reports whether the team may have one more running request.
-func (o *Owner) underLimit(env Env, id model.TeamID) bool {
-	limit := o.rules.Teams[id].Limit
-	return o.RequestsRunning(id)+env.TasksRunning(id) < limit
-}
-
 // FleetChanged adapts to a change of rules, hosts or targets.
 func (o *Owner) FleetChanged(env Env, out *Out) {
 	if o.rules != env.Fleet.Rules {
 		o.rules = env.Fleet.Rules
+		for _, s := range o.ordered {
+			s.longest = o.longestRun(s.id)
+		}
 		o.refuseOrphans(env, out)
+		o.orderTeams(env)
 	}
 	for _, id := range sortedKeys(o.targets) {
 		o.refresh(env, o.targets[id])
@@ -186,7 +198,7 @@
 		case !team:
 			o.refuse(env, out, r, problem.New(problem.UnknownTeam, "team %s was removed", r.ask.Team))
 		case r.state == stateQueued && (queue.Service != r.service.id || queue.Precedence != r.rank.precedence):
-			o.unqueue(r)
+			o.unqueue(env, r)
 			o.enqueue(env, r)
 		}
 	}
@@ -199,16 +211,17 @@
 	case c.Claim != nil:
 		o.claimCommitted(env, out, c.Claim, result)
 	case c.Complete != nil:
-		o.settle(out, c.Complete.Request)
+		o.settle(env, out, c.Complete.Request)
 	case c.Release != nil:
-		o.settle(out, c.Release.Request)
+		o.settle(env, out, c.Release.Request)
 	case c.RegisterTarget != nil:
 		o.targetRegistered(env, out, c.RegisterTarget.Target)
 	case c.RemoveTarget != nil:
-		o.targetRemoved(out, c.RemoveTarget)
+		o.targetRemoved(env, out, c.RemoveTarget)
 	case c.ApplyRules != nil && result.Problem == nil, c.PlanHost != nil, c.ReportHost != nil:
 		o.FleetChanged(env, out)
 	case c.EndTask != nil:
+		o.orderTeams(env)
 		o.pumpAll(env, out)
 	}
 }
--- a/core/fleet/hosts.go
+++ b/core/fleet/hosts.go
@@ -55,6 +55,8 @@
 		return s.drainHost(c, host)
 	case HostReboot:
 		return s.rebootHost(c, host)
+	case HostRetarget:
+		return s.retargetHost(c, host)
 	case HostReturn:
 		return s.returnHost(c, host)
 	}
@@ -121,10 +123,25 @@
 		return refused(problem.PlanRejected, "host %s still has %d tasks", c.Host, n)
 	}
 	host.Phase = HostRebooting
+	host.RebootSince = s.Now
 	s.setHost(c.Host, host)
 	return Result{}
 }
 
+// retargetHost changes the image that a rebooting host must come back with.
+// Without it a host would wait for the image of a wave that was withdrawn.
+func (s *State) retargetHost(c *PlanHost, host Host) Result {
+	if host.Phase != HostRebooting {
+		return refused(problem.PlanRejected, "host %s is not rebooting", c.Host)
+	}
+	if host.ImageWant != c.Image {
+		host.ImageWant = c.Image
+		host.RebootSince = s.Now
+		s.setHost(c.Host, host)
+	}
+	return Result{}
+}
+
 // returnHost puts a host back in service. A host that was not rebooted stays
 // in its pool: its drain is cancelled.
 func (s *State) returnHost(c *PlanHost, host Host) Result {
@@ -141,12 +158,14 @@
 		}
 		if host.MoveTo != "" {
 			host.Pool = host.MoveTo
+			host.MovedAt = s.Now
 		}
 	}
 	host.Phase = HostServing
 	host.MoveTo = ""
 	host.ImageWant = ""
 	host.DrainSince = 0
+	host.RebootSince = 0
 	s.setHost(c.Host, host)
 	return Result{}
 }
--- a/core/fleet/tasks.go
+++ b/core/fleet/tasks.go
@@ -78,6 +78,7 @@
 	placed := *task
 	placed.Phase = TaskPlaced
 	placed.Worker = c.Worker
+	placed.WorkerInc = c.Inc
 	placed.Epoch++
 	placed.Placed = s.Now
 	s.setTask(&placed)
@@ -138,14 +139,20 @@
 	case OutcomeFinished:
 		return TaskFinished, true
 	case OutcomeFailed:
-		if len(task.FailedOn) >= failuresOfTask {
+		if !task.Spec.Idempotent || len(task.FailedOn) >= failuresOfTask {
 			return TaskFailed, true
 		}
 	case OutcomeLost:
 		if !task.Spec.Idempotent {
 			return TaskUnknown, true
 		}
-	case OutcomeNotStarted, OutcomeStopped:
+	case OutcomeStopped:
+		// A stopped run may have had effects; only an idempotent task may run
+		// again, so the others end here.
+		if !task.Spec.Idempotent && !task.Cancel {
+			return TaskUnknown, true
+		}
+	case OutcomeNotStarted:
 	default:
 		return "", false
 	}
@@ -161,6 +168,7 @@
 	task.Phase = phase
 	if phase == TaskQueued {
 		task.Worker = ""
+		task.WorkerInc = ""
 		task.Placed = 0
 	} else {
 		task.Ended = s.Now
