proof: check at most once through lost answers and killed processes

Requests are sent through one entry host and sent again through the others while the first runs, after its gateway, the leader or the whole group is killed, cut off or frozen. The stand-in target can wrap its handler; the stand-in worker keeps a history of runs and takes time to reboot, for the proofs that follow.

--- /dev/null
+++ b/proof/book_test.go
@@ -0,0 +1,215 @@
+package proof
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/problem"
+	"primrosedale.example/primrosedale/standin"
+)
+
+// book is what the targets themselves know of runs beyond the ledger: the
+// answers that they produced, and how many runs of the team each start made.
+type book struct {
+	mu       sync.Mutex
+	produced map[string][][]byte // by request key
+	running  map[string]int      // by team
+	starts   []teamStart
+}
+
+// teamStart is the start of a run of a team.
+type teamStart struct {
+	team    string
+	at      time.Time
+	running int // runs of the team over all targets, this one included
+}
+
+func newBook() *book { return &book{produced: map[string][][]byte{}, running: map[string]int{}} }
+
+// unique answers with the body and a mark of the run after the time that
+// runTime returns for the body. Two runs of one request have different answers.
+func (b *book) unique(runTime func(body []byte) time.Duration) standin.Work {
+	return func(ctx context.Context, body []byte) model.Answer {
+		var key, team string
+		if _, err := fmt.Fscan(bytes.NewReader(body), &key, &team); err != nil {
+			return model.Answer{Status: http.StatusInternalServerError, Body: []byte(err.Error())}
+		}
+		b.begin(team)
+		defer b.end(team)
+		answer := standin.Echo(runTime(body))(ctx, body)
+		if answer.Status == http.StatusOK {
+			answer.Body = fmt.Appendf(bytes.Clone(body), " run %s", uuid.NewString())
+			b.produce(key, answer.Body)
+		}
+		return answer
+	}
+}
+
+func always(d time.Duration) func([]byte) time.Duration {
+	return func([]byte) time.Duration { return d }
+}
+
+func (b *book) begin(team string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.running[team]++
+	b.starts = append(b.starts, teamStart{team, time.Now(), b.running[team]})
+}
+
+func (b *book) end(team string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.running[team]--
+}
+
+func (b *book) produce(key string, answer []byte) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.produced[key] = append(b.produced[key], answer)
+}
+
+// isAnswerOf reports whether a run of the request produced these bytes.
+func (b *book) isAnswerOf(key string, content []byte) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, answer := range b.produced[key] {
+		if bytes.Equal(answer, content) {
+			return true
+		}
+	}
+	return false
+}
+
+// mostAfter returns the most runs of the team that a start after at made.
+func (b *book) mostAfter(team string, at time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	most := 0
+	for _, s := range b.starts {
+		if s.team == team && s.at.After(at) {
+			most = max(most, s.running)
+		}
+	}
+	return most
+}
+
+// quiet reports whether nothing runs and nothing has started for d.
+func (b *book) quiet(d time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, n := range b.running {
+		if n > 0 {
+			return false
+		}
+	}
+	return len(b.starts) == 0 || time.Since(b.starts[len(b.starts)-1].at) > d
+}
+
+// quietTime is over the patience of a request that is queued again after a
+// failed attempt and the largest delay between two attempts.
+const quietTime = 2 * time.Second
+
+func (b *book) waitQuiet(t testing.TB) {
+	t.Helper()
+	eventually(t, requestLimit, "everything is quiet", func() bool { return b.quiet(quietTime) })
+}
+
+// answer is what a caller got for one attempt, with its bytes.
+type answer struct {
+	outcome
+	content []byte
+}
+
+// call makes one attempt and keeps the answer's bytes. The end of ctx breaks
+// the connection.
+func (s *system) call(ctx context.Context, i int, r request) answer {
+	a := answer{outcome: outcome{request: r, host: i, sent: time.Now(), attempts: 1, ran: problem.RanUnknown}}
+	url := "http://" + s.hosts[i].address(callerPort) + "/v1/queues/" + r.queue + "/requests"
+	call, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(r.body()))
+	require.NoError(s.t, err)
+	call.Header.Set("Primrosedale-Patience", patience)
+	call.GetBody = nil // the client must not resend by itself
+	if key := s.keys[r.team]; key != "" {
+		call.Header.Set("Authorization", "Bearer "+key)
+	}
+	if r.nonIdempotent {
+		call.Header.Set("Idempotency-Key", r.key)
+	}
+	response, err := callers.Do(call)
+	if err == nil {
+		defer response.Body.Close()
+		if a.content, err = io.ReadAll(response.Body); err == nil {
+			a.read(response, a.content, nil)
+			a.answered = response.StatusCode == http.StatusOK && a.kind == ""
+			a.wrong = !a.answered && a.kind == ""
+		}
+	}
+	a.ended = time.Now()
+	a.failed(err)
+	return a
+}
+
+// report is the line of figures that each proof prints.
+type report struct {
+	faults, sent, answered, refused, unknown, wrong, runTwice, lost, falselyRefused int
+	kinds                                                                           map[problem.Kind]int
+}
+
+// count adds an answer. resent says that the request was sent before, so that
+// a refusal says nothing about its earlier runs.
+func (p *report) count(s *system, b *book, a answer, resent bool) {
+	if p.kinds == nil {
+		p.kinds = map[problem.Kind]int{}
+	}
+	runs, _ := s.ledger.counts()
+	p.sent++
+	switch {
+	case a.answered && b.isAnswerOf(a.key, a.content):
+		p.answered++
+	case a.answered || a.wrong:
+		p.wrong++
+	case a.notRun():
+		p.refused++
+	default:
+		p.unknown++
+	}
+	if a.kind != "" {
+		p.kinds[a.kind]++
+	}
+	if a.hung || a.answered && runs[a.key] == 0 {
+		p.lost++
+	}
+	if a.notRun() && !a.answered && !resent && runs[a.key] > 0 {
+		p.falselyRefused++
+	}
+}
+
+// countTwice counts the non-idempotent requests that ran more than once.
+func (p *report) countTwice(s *system, list []request) {
+	runs, _ := s.ledger.counts()
+	for _, r := range list {
+		if r.nonIdempotent && runs[r.key] > 1 {
+			p.runTwice++
+		}
+	}
+}
+
+func (p *report) check(t testing.TB) {
+	t.Helper()
+	t.Logf("faults injected %d, requests sent %d, answered %d, refused not run %d, outcome unknown %d, wrong answers %d, run twice %d, lost %d, run but refused as not run %d, refusals %v",
+		p.faults, p.sent, p.answered, p.refused, p.unknown, p.wrong, p.runTwice, p.lost, p.falselyRefused, p.kinds)
+	require.Zero(t, p.runTwice, "run twice")
+	require.Zero(t, p.wrong, "wrong answers")
+	require.Zero(t, p.lost, "lost")
+	require.Zero(t, p.falselyRefused, "run but refused as not run")
+}
--- /dev/null
+++ b/proof/once_test.go
@@ -0,0 +1,231 @@
+package proof
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/problem"
+)
+
+const (
+	// onceRunTime leaves time for the fault while every request runs.
+	onceRunTime = 2 * time.Second
+	settleLimit = 25 * time.Second
+)
+
+// onceCase is one fault of TestAtMostOnce.
+type onceCase struct {
+	name string
+	// atEnd injects the fault after the answers, else while the requests run.
+	atEnd  bool
+	inject func(*once)
+	// stored says that each resend must end with the stored answer.
+	stored bool
+}
+
+// busyFactor is how many requests are sent for each that can run, so that the
+// fault also meets requests that wait and that are about to start.
+const busyFactor = 2
+
+// once is the state of one case: non-idempotent requests sent through one
+// entry host and sent again through the others.
+type once struct {
+	*system
+	book     *book
+	gateway  int
+	leader   int
+	cancel   context.CancelFunc // ends the callers' connections
+	requests []request
+	report   report
+	first    []answer
+}
+
+// Guards against a second run of a request that is sent again through another
+// host after its answer was lost, and against a resend that gets other bytes.
+func TestAtMostOnce(t *testing.T) {
+	cases := []onceCase{
+		{"answer lost", false, (*once).loseAnswers, true},
+		{"gateway killed", false, func(o *once) { o.kill(o.gateway) }, false},
+		{"leader killed", false, func(o *once) { o.kill(o.leader) }, true},
+		{"gateway cut off", false, (*once).cutGateway, false},
+		{"gateway frozen", false, (*once).freezeGateway, false},
+		{"group killed while running", false, (*once).restartGroup, false},
+		{"group killed after the answers", true, (*once).restartGroup, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			atMostOnce(t, c)
+		})
+	}
+}
+
+func (o *once) loseAnswers() {
+	o.report.faults += len(o.requests)
+	o.cancel()
+}
+
+func (o *once) kill(i int) {
+	o.report.faults++
+	o.hosts[i].kill()
+}
+
+func (o *once) cutGateway() {
+	o.report.faults++
+	o.cutOff(o.gateway)
+	eventually(o.t, startLimit, "its lease ends", func() bool { return !o.hosts[o.gateway].serving() })
+}
+
+func (o *once) freezeGateway() {
+	o.report.faults++
+	o.hosts[o.gateway].freeze()
+	eventually(o.t, startLimit, "its lease ends", func() bool { return !o.servingAt(o.leader, o.gateway) })
+}
+
+// servingAt reports whether the lease of a host may still run by the leader's
+// account.
+func (s *system) servingAt(leader, host int) bool {
+	status := s.hosts[leader].status()
+	for i := 0; status != nil && i < len(status.Hosts); i++ {
+		if string(status.Hosts[i].Host) == s.hosts[host].name {
+			return status.Hosts[i].Serving
+		}
+	}
+	return status == nil
+}
+
+func (o *once) restartGroup() {
+	for i := range o.hosts {
+		o.kill(i)
+	}
+	for _, h := range o.hosts {
+		h.start()
+	}
+	o.waitServing()
+}
+
+func atMostOnce(t *testing.T, c onceCase) {
+	o := &once{system: startSystem(t, 3, 2), book: newBook()}
+	o.prepare(3, o.book.unique(always(onceRunTime)))
+	o.leader = o.leaderOf()
+	o.gateway = o.except(o.leader, 0, 1, 2)[0]
+	done := o.sendAll()
+	o.waitBusy()
+	if c.atEnd {
+		done.Wait()
+	}
+	c.inject(o)
+	others := o.othersRunning()
+	o.resendOnce(others)
+	o.rejoin(o.gateway)
+	o.hosts[o.gateway].thaw()
+	done.Wait()
+	last := o.resendUntilSettled(others)
+	for _, h := range o.hosts {
+		if h.cmd == nil {
+			h.start()
+		}
+	}
+	o.waitServing()
+	final := o.resendUntilSettled(o.all())
+	o.book.waitQuiet(t)
+	o.report.countTwice(o.system, o.requests)
+	o.report.check(t)
+	for key, got := range final {
+		require.Equal(t, last[key].answered, got.answered, "%+v then %+v", last[key], got)
+		require.True(t, got.answered || !c.stored, "no stored answer: %+v", got)
+	}
+}
+
+// leaderOf is the leader; the embedded system's method has the name of the field.
+func (o *once) leaderOf() int { return o.system.leader() }
+
+func (o *once) othersRunning() []int {
+	var list []int
+	for _, i := range o.running() {
+		if i != o.gateway {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// sendAll sends as many requests as the limits let run at one time.
+func (o *once) sendAll() *sync.WaitGroup {
+	ctx, cancel := context.WithCancel(context.Background())
+	o.cancel = cancel
+	o.t.Cleanup(cancel)
+	for _, team := range teams {
+		for i := range busyFactor * limits[team] {
+			o.requests = append(o.requests, request{key: newKey(), team: team, queue: "proofs", nonIdempotent: true, size: 500 * i})
+		}
+	}
+	o.first = make([]answer, len(o.requests))
+	var done sync.WaitGroup
+	for i, r := range o.requests {
+		done.Go(func() { o.first[i] = o.call(ctx, o.gateway, r) })
+	}
+	return &done
+}
+
+func (o *once) waitBusy() {
+	eventually(o.t, startLimit, "as many run as the limits allow", func() bool {
+		runs, _ := o.ledger.counts()
+		return busyFactor*len(runs) >= len(o.requests)
+	})
+}
+
+// resendOnce sends each request through each host at the same moment.
+func (o *once) resendOnce(hosts []int) map[string]answer {
+	answers := make([]answer, len(o.requests)*len(hosts))
+	var all sync.WaitGroup
+	for i, r := range o.requests {
+		for j, h := range hosts {
+			all.Go(func() { answers[i*len(hosts)+j] = o.call(context.Background(), h, r) })
+		}
+	}
+	all.Wait()
+	last := map[string]answer{}
+	for _, a := range answers {
+		o.report.count(o.system, o.book, a, true)
+		if earlier, ok := last[a.key]; ok && earlier.answered && a.answered {
+			require.True(o.t, bytes.Equal(earlier.content, a.content), "two answers of %s", a.key)
+		}
+		if !settled(last[a.key]) {
+			last[a.key] = a
+		}
+	}
+	return last
+}
+
+// settled reports whether a resend got its final answer.
+func settled(a answer) bool { return a.answered || a.kind == problem.OutcomeUnknown }
+
+// resendUntilSettled sends each request through each host until each has a
+// final answer, and returns one answer of each.
+func (o *once) resendUntilSettled(hosts []int) map[string]answer {
+	var last map[string]answer
+	eventually(o.t, settleLimit, "every resend has a final answer", func() bool {
+		time.Sleep(resendPause) // a caller waits before it sends again
+		last = o.resendOnce(hosts)
+		return !slices.ContainsFunc(o.requests, func(r request) bool { return !settled(last[r.key]) })
+	})
+	for i, a := range o.first {
+		got := last[o.requests[i].key]
+		if a.answered && got.answered {
+			require.Equal(o.t, string(a.content), string(got.content), "the stored answer has other bytes")
+		}
+	}
+	return last
+}
+
+func (a answer) String() string {
+	return fmt.Sprintf("%s of %s through host %d: answered %t, kind %q, ran %q, error %v", a.key, a.team, a.host, a.answered, a.kind, a.ran, a.err)
+}
--- a/standin/run.go
+++ b/standin/run.go
@@ -10,6 +10,7 @@
 
 // run is one placement of a task on a worker. Worker.mu guards it.
 type run struct {
+	id    RunID
 	phase message.TaskRunPhase
 	size  model.Resources
 	note  string
@@ -63,6 +64,25 @@
 	r.halt()
 }
 
+// RunRecord is one run that a worker began.
+type RunRecord struct {
+	RunID
+	Phase message.TaskRunPhase
+	Begun time.Time
+	Ended time.Time // zero while it runs
+}
+
+// History returns every run that the worker began, in order.
+func (w *Worker) History() []RunRecord {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	list := make([]RunRecord, 0, len(w.history))
+	for _, r := range w.history {
+		list = append(list, RunRecord{RunID: r.id, Phase: r.phase, Begun: r.begun, Ended: r.ended})
+	}
+	return list
+}
+
 // carryOut does what an order says. mu is held.
 func (w *Worker) carryOut(order platform.Order, sent time.Time) {
 	id := RunID{order.Task, order.Epoch}
@@ -104,8 +124,9 @@
 
 func (w *Worker) begin(id RunID, order platform.Order, left time.Duration) {
 	w.begun[id]++
-	r := &run{phase: message.RunRunning, size: order.Size, begun: time.Now()}
+	r := &run{id: id, phase: message.RunRunning, size: order.Size, begun: time.Now()}
 	w.runs[id] = r
+	w.history = append(w.history, r)
 	if w.mode == FailsAll {
 		r.end(message.RunFailed, "this worker fails every task")
 		return
--- a/standin/target.go
+++ b/standin/target.go
@@ -67,6 +67,9 @@
 	Connections int           // default 64
 	Interval    time.Duration // between announcements, default 500 ms
 	Work        Work          // default Echo(0)
+	// Middleware wraps the handler of requests, if set. Tests use it to break
+	// connections and answers.
+	Middleware func(http.Handler) http.Handler
 	// Platforms lists the host:port of the platform interfaces, used in turn.
 	// An empty list announces to nobody and accepts every ticket.
 	Platforms []string
@@ -137,6 +140,9 @@
 		books:       newTargetBooks(),
 	}
 	t.server = &http.Server{Handler: http.HandlerFunc(t.serve)}
+	if cfg.Middleware != nil {
+		t.server.Handler = cfg.Middleware(t.server.Handler)
+	}
 	t.done.Go(func() { t.server.Serve(listener) })
 	if len(cfg.Platforms) > 0 {
 		t.done.Go(t.announceLoop)
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -37,8 +37,13 @@
 	Platforms  []string // host:port of the platform interfaces, used in turn
 	// Duration returns the true run time of a task. The default is 1 s.
 	Duration func(task model.TaskID, command string) time.Duration
-	// Rebooted is called when the worker is told to reboot, if set.
+	// Rebooted is called when the worker begins to reboot, if set.
 	Rebooted func(image string)
+	// RebootTime is how long the worker reports nothing while it reboots.
+	RebootTime time.Duration
+	// Returned is called when the first report after a reboot is answered, if
+	// set.
+	Returned func()
 }
 
 func (c WorkerConfig) withDefaults() WorkerConfig {
@@ -76,6 +81,9 @@
 	runs        map[RunID]*run
 	begun       map[RunID]int
 	progress    map[model.TaskID]time.Duration // saved by checkpoints
+	history     []*run                         // every run begun, in order
+	downUntil   time.Time
+	returning   bool // no report was answered since the last reboot
 	lastErr     error
 }
 
@@ -113,7 +121,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, r := range w.runs {
-		r.halt()
+		r.end(message.RunStopped, "worker stopped")
 	}
 	w.announcer.close()
 }
@@ -178,10 +186,17 @@
 		w.lastErr = err
 		return
 	}
+	if w.returning {
+		w.returning = false
+		if w.cfg.Returned != nil {
+			w.cfg.Returned()
+		}
+	}
 	for _, order := range answer.Orders {
 		w.carryOut(order, sent)
 	}
-	if answer.Reboot {
+	// An equal image means that the reply overlapped with the reboot.
+	if answer.Reboot && answer.Image != w.image {
 		w.reboot(answer.Image)
 	}
 }
@@ -202,20 +217,33 @@
 		Image:       w.image,
 		Sequence:    w.seq,
 		Runs:        runs,
-	}, w.mode == Silent
+	}, w.mode == Silent || time.Now().Before(w.downUntil)
+}
+
+// Reboot begins a new life with the same image, as after a crash.
+func (w *Worker) Reboot() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.reboot(w.image)
+}
+
+// Image returns the image that the worker runs.
+func (w *Worker) Image() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.image
 }
 
 // reboot ends every run and begins a new life with the image. mu is held.
 func (w *Worker) reboot(image string) {
-	if image == w.image {
-		return // the reply overlapped with the reboot
-	}
 	for _, r := range w.runs {
-		r.halt()
+		r.end(message.RunStopped, "worker rebooted")
 	}
 	w.runs = make(map[RunID]*run)
 	w.incarnation = model.Incarnation(uuid.NewString())
 	w.seq = 0
+	w.downUntil = time.Now().Add(w.cfg.RebootTime)
+	w.returning = true
 	if image != "" {
 		w.image = image
 	}
