--- a/proof/book_test.go
+++ b/proof/book_test.go
@@ -36,9 +36,20 @@
 
 func newBook() *book { return &book{produced: map[string][][]byte{}, running: map[string]int{}} }
 
-// unique answers with the body and a mark of the run after the time that
-// runTime returns for the body. Two runs of one request have different answers.
+// echo answers with the body after the time that runTime returns for it.
+func (b *book) echo(runTime func(body []byte) time.Duration) standin.Work {
+	return b.work(runTime, func(body []byte) []byte { return body })
+}
+
+// unique adds a mark of the run, so that two runs of one request have different
+// answers.
 func (b *book) unique(runTime func(body []byte) time.Duration) standin.Work {
+	return b.work(runTime, func(body []byte) []byte {
+		return fmt.Appendf(bytes.Clone(body), " run %s", uuid.NewString())
+	})
+}
+
+func (b *book) work(runTime func(body []byte) time.Duration, answerTo func([]byte) []byte) standin.Work {
 	return func(ctx context.Context, body []byte) model.Answer {
 		var key, team string
 		if _, err := fmt.Fscan(bytes.NewReader(body), &key, &team); err != nil {
@@ -48,9 +59,11 @@
 		defer b.end(team)
 		answer := standin.Echo(runTime(body))(ctx, body)
 		if answer.Status == http.StatusOK {
-			answer.Body = fmt.Appendf(bytes.Clone(body), " run %s", uuid.NewString())
-			b.produce(key, answer.Body)
+			answer.Body = answerTo(body)
+		} else {
+			answer.Body = fmt.Appendf(nil, "deadline of %s", key)
 		}
+		b.produce(key, answer.Body)
 		return answer
 	}
 }
@@ -174,10 +187,11 @@
 	runs, _ := s.ledger.counts()
 	p.sent++
 	switch {
-	case a.answered && b.isAnswerOf(a.key, a.content):
+	case (a.answered || a.wrong) && b.isAnswerOf(a.key, a.content):
 		p.answered++
 	case a.answered || a.wrong:
 		p.wrong++
+		s.t.Logf("wrong answer of %d bytes, the request has %d: %v", len(a.content), len(a.body()), a)
 	case a.notRun():
 		p.refused++
 	default:
@@ -186,11 +200,12 @@
 	if a.kind != "" {
 		p.kinds[a.kind]++
 	}
-	if a.hung || a.answered && runs[a.key] == 0 {
+	if a.hung || (a.answered || a.wrong) && runs[a.key] == 0 {
 		p.lost++
 	}
-	if a.notRun() && !a.answered && !resent && runs[a.key] > 0 {
+	if a.notRun() && !resent && runs[a.key] > 0 {
 		p.falselyRefused++
+		s.t.Logf("refused as not run after %d runs: %v", runs[a.key], a)
 	}
 }
 
