--- /dev/null
+++ b/proof/task_test.go
@@ -0,0 +1,173 @@
+package proof
+
+import (
+	"testing"
+	"time"
+
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// taskRules puts every worker into one pool.
+const taskRules = `pool.press = { hosts_min = 1, unavailable_max = 1, spare = true }`
+
+// startTasks runs a system with workers of one pool.
+func startTasks(t *testing.T, count int) (*system, *workers) {
+	s := startSystem(t, 3, 2)
+	s.prepare(0, nil)
+	f := s.file(2, taskRules)
+	s.apply(f)
+	s.waitInForce(f, s.all()...)
+	w := s.newWorkers()
+	for i := range count {
+		w.addWorker("worker-"+string(rune('a'+i)), nil)
+	}
+	eventually(t, startLimit, "the workers are known", func() bool {
+		st := s.hosts[s.leader()].status()
+		return st != nil && len(st.Pools) == 1 && st.Pools[0].Hosts == count && st.Pools[0].Unavailable == 0
+	})
+	return s, w
+}
+
+// on returns the worker that runs the task by its own books.
+func (f *workers) on(id model.TaskID) *worker {
+	for _, w := range f.list {
+		for _, r := range w.History() {
+			if r.Task == id && r.Ended.IsZero() {
+				return w
+			}
+		}
+	}
+	return nil
+}
+
+// awaitRunning waits until a worker runs the task and returns it.
+func (f *workers) awaitRunning(k task) *worker {
+	f.s.t.Helper()
+	var w *worker
+	eventually(f.s.t, startLimit, "the task runs", func() bool {
+		w = f.on(k.id)
+		return w != nil
+	})
+	return w
+}
+
+// Guards against a task that runs on two workers at one time, or a
+// non-idempotent one that runs again, after its worker was cut off. The worker
+// goes on until its lease ends and then comes back with its books.
+func TestTaskWorkerCutOff(t *testing.T) {
+	cuts := map[string]func(*link){
+		"cut off":              (*link).cut,
+		"reports are lost":     func(l *link) { l.toxic("upstream", "timeout", `{"timeout":0}`) },
+		"orders are lost":      func(l *link) { l.toxic("downstream", "timeout", `{"timeout":0}`) },
+		"orders are 2 s later": func(l *link) { l.toxic("downstream", "latency", `{"latency":2000,"jitter":0}`) },
+	}
+	for name, cut := range cuts {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			workerCutOff(t, cut)
+		})
+	}
+}
+
+func workerCutOff(t *testing.T, cut func(*link)) {
+	s, f := startTasks(t, 4)
+	var tasks []task
+	for i := range 8 {
+		// The run time is over the lease, so that the lease cuts a run short.
+		tasks = append(tasks, s.submit(teams[i%len(teams)], "press", "sleep 7s", i%2 == 0))
+	}
+	for _, k := range tasks {
+		f.awaitRunning(k)
+	}
+	// A worker that runs at least one task of each kind goes first.
+	victims := map[*worker]bool{}
+	for _, k := range tasks[len(tasks)-2:] {
+		if w := f.on(k.id); w != nil {
+			victims[w] = true
+		}
+	}
+	for w := range victims {
+		for _, l := range w.links {
+			cut(l)
+		}
+	}
+	for _, k := range tasks {
+		s.awaitTask(k, 2*taskLease+leaseMargin+startLimit, fleet.TaskFinished, fleet.TaskUnknown)
+	}
+	for w := range victims {
+		for _, l := range w.links {
+			l.heal()
+		}
+	}
+	f.awaitIdle()
+	f.checkRuns(tasks, len(victims))
+}
+
+// awaitIdle waits until no worker has run anything for a while, so that a late
+// second run would be seen.
+func (f *workers) awaitIdle() {
+	var idle time.Time
+	eventually(f.s.t, startLimit, "the workers are idle", func() bool {
+		for _, w := range f.list {
+			if w.Running() > 0 {
+				idle = time.Time{}
+				return false
+			}
+		}
+		if idle.IsZero() {
+			idle = time.Now()
+		}
+		return time.Since(idle) > quietTime
+	})
+}
+
+// Guards against tasks that are lost or started a second time when the leader
+// is killed while they are submitted, placed and running.
+func TestTasksThroughLeaderKills(t *testing.T) {
+	t.Parallel()
+	s, f := startTasks(t, 4)
+	var tasks []task
+	const rounds, perRound = 3, 8
+	for round := range rounds {
+		for i := range perRound {
+			tasks = append(tasks, s.submit(teams[i%len(teams)], "press", "sleep 1500ms", (i+round)%2 == 0, s.running()...))
+		}
+		leader := s.leader()
+		s.hosts[leader].kill()
+		tasks = append(tasks, s.submit("press", "press", "sleep 1s", round%2 == 0, s.running()...))
+		s.leader(s.running()...)
+		s.hosts[leader].start()
+		s.waitServing()
+	}
+	for _, k := range tasks {
+		s.awaitTask(k, 2*startLimit, fleet.TaskFinished, fleet.TaskUnknown)
+	}
+	f.awaitIdle()
+	f.checkRuns(tasks, rounds)
+}
+
+// Guards against tasks that are lost or run twice when every process is killed
+// and started again from disk while they run.
+func TestTasksThroughGroupRestart(t *testing.T) {
+	t.Parallel()
+	s, f := startTasks(t, 4)
+	var tasks []task
+	for i := range 10 {
+		k := s.submit(teams[i%len(teams)], "press", "sleep 8s", i%2 == 0)
+		f.awaitRunning(k)
+		tasks = append(tasks, k)
+	}
+	for _, h := range s.hosts {
+		h.kill()
+	}
+	for _, h := range s.hosts {
+		h.start()
+	}
+	s.waitServing()
+	for _, k := range tasks {
+		s.awaitTask(k, 2*startLimit, fleet.TaskFinished, fleet.TaskUnknown)
+	}
+	f.awaitIdle()
+	f.checkRuns(tasks, len(s.hosts))
+}
--- /dev/null
+++ b/proof/wave_test.go
@@ -0,0 +1,327 @@
+package proof
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/problem"
+	"primrosedale.example/primrosedale/core/view"
+	"primrosedale.example/primrosedale/operator/client"
+	"primrosedale.example/primrosedale/rulesfile"
+)
+
+// The pools of the wave proofs.
+const (
+	pressHosts, pressBudget     = 5, 2
+	archiveHosts, archiveBudget = 4, 1
+	waveLimit                   = 60 * time.Second
+	// lossKnown is the time after which a lost worker counts as unavailable:
+	// its lease and the commit of its loss.
+	lossKnown = taskLease + leaseMargin
+)
+
+var budgets = map[string]int{"press": pressBudget, "archive": archiveBudget}
+
+// poolLines are the rules of pools and hosts, without moved hosts.
+func poolLines(pools map[string]string, extra ...string) []string {
+	lines := []string{
+		fmt.Sprintf("pool.press = { hosts_min = 1, unavailable_max = %d }", pressBudget),
+		fmt.Sprintf("pool.archive = { hosts_min = 1, unavailable_max = %d }", archiveBudget),
+	}
+	for _, id := range sortedNames(pools) {
+		lines = append(lines, fmt.Sprintf("host.%s = { pool = %q }", id, pools[id]))
+	}
+	return append(lines, extra...)
+}
+
+func sortedNames(pools map[string]string) []string {
+	var names []string
+	for id := range pools {
+		names = append(names, id)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// startPools runs a system whose workers are in two pools.
+func startPools(t *testing.T) (*system, *workers) {
+	s := startSystem(t, 3, 2)
+	s.prepare(0, nil)
+	f := s.newWorkers()
+	for i := range pressHosts + archiveHosts {
+		pool := "press"
+		if i >= pressHosts {
+			pool = "archive"
+		}
+		f.pools[fmt.Sprintf("worker-%d", i+1)] = pool
+	}
+	file := s.file(2, poolLines(f.pools)...)
+	s.apply(file)
+	s.waitInForce(file, s.all()...)
+	for _, id := range sortedNames(f.pools) {
+		f.addWorker(id, nil)
+	}
+	f.awaitPools(map[string]int{"press": pressHosts, "archive": archiveHosts})
+	return s, f
+}
+
+// awaitPools waits until every host knows these pools with all workers in
+// service.
+func (f *workers) awaitPools(want map[string]int) {
+	f.s.t.Helper()
+	for _, i := range f.s.all() {
+		eventually(f.s.t, waveLimit, f.s.hosts[i].name+" knows the pools", func() bool {
+			st := f.s.hosts[i].status()
+			return st != nil && len(st.Pools) == len(want) && !slices.ContainsFunc(st.Pools, func(p view.PoolStatus) bool {
+				return p.Hosts != want[string(p.Pool)] || p.Unavailable != 0
+			})
+		})
+	}
+}
+
+// poolWatch asks every host for its status all the time and checks that each
+// worker counts in exactly one pool.
+type poolWatch struct {
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+	mu      sync.Mutex
+	answers int
+	wrong   []string
+}
+
+func (f *workers) watchPools(revision uint64) *poolWatch {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.s.t.Cleanup(cancel)
+	w := &poolWatch{cancel: cancel}
+	for _, h := range f.s.hosts {
+		w.done.Go(func() {
+			for ctx.Err() == nil {
+				w.look(h, revision, len(f.list))
+				time.Sleep(pollPause)
+			}
+		})
+	}
+	return w
+}
+
+func (w *poolWatch) look(h *host, revision uint64, total int) {
+	st := h.status()
+	if st == nil || st.Revision < revision {
+		return // it is down, or still replays its log
+	}
+	hosts := 0
+	for _, p := range st.Pools {
+		hosts += p.Hosts
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.answers++
+	if hosts != total {
+		w.wrong = append(w.wrong, fmt.Sprintf("%s at index %d: %+v", h.name, st.Applied, st.Pools))
+	}
+}
+
+func (w *poolWatch) check(t testing.TB) {
+	t.Helper()
+	w.cancel()
+	w.done.Wait()
+	t.Logf("%d status answers, each worker in exactly one pool in all but %d", w.answers, len(w.wrong))
+	require.Positive(t, w.answers)
+	require.Empty(t, w.wrong, "workers in no pool or in two")
+}
+
+// checkBudgets checks every planned reboot by the workers' own books. A lost
+// worker counts from lossKnown after its loss on.
+func (f *workers) checkBudgets(lostAt time.Time) {
+	f.s.t.Helper()
+	most, late := map[string]int{}, 0
+	for _, r := range f.reboots() {
+		most[r.pool] = max(most[r.pool], r.planned)
+		if !lostAt.IsZero() && r.at.After(lostAt.Add(lossKnown)) {
+			late++
+			require.LessOrEqual(f.s.t, r.down, budgets[r.pool], "a drain while a lost worker counts: %+v", r)
+		}
+	}
+	f.s.t.Logf("planned reboots %d (%d of them after the loss was known); most workers down by plan %v, budgets %v", len(f.reboots()), late, most, budgets)
+	for pool, n := range most {
+		require.LessOrEqual(f.s.t, n, budgets[pool], pool)
+	}
+}
+
+// awaitImage waits until every worker that is not left out runs the image.
+func (f *workers) awaitImage(image string, leftOut ...*worker) {
+	f.s.t.Helper()
+	eventually(f.s.t, waveLimit, "every worker runs image "+image, func() bool {
+		return len(f.downNow()) == len(leftOut) && !slices.ContainsFunc(f.list, func(w *worker) bool {
+			return !slices.Contains(leftOut, w) && w.Image() != image
+		})
+	})
+}
+
+// Guards against a pool that falls below its budget, a worker in two pools and
+// a wave that never ends, when two operators start waves over the same pool at
+// one moment, a worker of the pool is lost in the middle, and the leader is
+// killed between a decision to drain and the reboot.
+func TestWavesThroughLosses(t *testing.T) {
+	t.Parallel()
+	s, f := startPools(t)
+	watch := f.watchPools(2)
+	// A task that drains slowly holds the first reboots back.
+	var tasks []task
+	for i := range 4 {
+		tasks = append(tasks, s.submit("press", "press", "sleep 3s", i%2 == 0))
+	}
+	for _, k := range tasks {
+		f.awaitRunning(k)
+	}
+	s.overlappingWaves(f)
+	eventually(t, startLimit, "a drain is decided", func() bool { return s.unavailable("press") > 0 })
+	leader := s.leader()
+	before := len(f.reboots())
+	s.hosts[leader].kill()
+	eventually(t, startLimit, "a worker of the pool reboots", func() bool {
+		return slices.ContainsFunc(f.reboots()[before:], func(r reboot) bool { return r.pool == "press" })
+	})
+	var lost *worker
+	eventually(t, startLimit, "a worker of the pool is up", func() bool {
+		for _, w := range f.list[:pressHosts] {
+			if !slices.Contains(f.downNow(), w.id) {
+				lost = w
+				return true
+			}
+		}
+		return false
+	})
+	f.lose(lost)
+	lostAt := time.Now()
+	s.hosts[leader].start()
+	f.awaitImage("k10", lost)
+	f.find(lost)
+	f.awaitImage("k10")
+	f.awaitPools(map[string]int{"press": pressHosts, "archive": archiveHosts})
+	count := len(f.reboots())
+	stays(t, quietTime, "no worker reboots after the waves", func() bool { return len(f.reboots()) == count })
+	watch.check(t)
+	f.checkBudgets(lostAt)
+	for _, k := range tasks {
+		s.awaitTask(k, startLimit, fleet.TaskFinished, fleet.TaskUnknown)
+	}
+	f.checkRuns(tasks, 2)
+}
+
+// unavailable is the number of workers of the pool that are out of service,
+// as the leader knows them.
+func (s *system) unavailable(pool string) int {
+	if st := s.hosts[s.leader()].status(); st != nil {
+		for _, p := range st.Pools {
+			if string(p.Pool) == pool {
+				return p.Unavailable
+			}
+		}
+	}
+	return 0
+}
+
+// overlappingWaves lets two operators start waves on one base revision. The one
+// who loses takes over the change of the other and submits again.
+func (s *system) overlappingWaves(f *workers) {
+	s.t.Helper()
+	first := `wave.first = { pools = ["press"], image = "k9" }`
+	second := `wave.second = { pools = ["press", "archive"], image = "k10" }`
+	files := []*rulesfile.File{s.file(3, poolLines(f.pools, first)...), s.file(3, poolLines(f.pools, second)...)}
+	errs := make([]error, len(files))
+	var both sync.WaitGroup
+	for i, file := range files {
+		both.Go(func() { _, errs[i] = s.operators(i+1).Apply(context.Background(), file) })
+	}
+	both.Wait()
+	require.NotEqual(s.t, errs[0] == nil, errs[1] == nil, "one of two changes of a revision wins: %v", errs)
+	var refusal *client.Refusal
+	require.True(s.t, errors.As(errors.Join(errs...), &refusal), "%v", errs)
+	require.Equal(s.t, problem.RevisionConflict, refusal.Kind)
+	s.apply(s.file(4, poolLines(f.pools, first, second)...))
+}
+
+// Guards against a host that ends in no pool, in two, or in the old one, when
+// its move is interrupted: the leader is killed while it drains, the worker
+// reboots by itself, and the operator sends the change again.
+func TestMoveThroughLosses(t *testing.T) {
+	for _, image := range []string{"", "k9"} {
+		t.Run("image "+image, func(t *testing.T) {
+			t.Parallel()
+			moveThroughLosses(t, image)
+		})
+	}
+}
+
+func moveThroughLosses(t *testing.T, image string) {
+	s, f := startPools(t)
+	watch := f.watchPools(2)
+	moved := f.list[0]
+	var tasks []task
+	for range 6 {
+		tasks = append(tasks, s.submit("press", "press", "sleep 4s", false))
+	}
+	for _, k := range tasks {
+		f.awaitRunning(k)
+	}
+	pools := map[string]string{}
+	for id, pool := range f.pools {
+		pools[id] = pool
+	}
+	pools[moved.id] = "archive"
+	var extra []string
+	if image != "" {
+		extra = append(extra, fmt.Sprintf(`wave.kernel = { pools = ["archive"], image = %q }`, image))
+	}
+	file := s.file(3, poolLines(pools, extra...)...)
+	s.apply(file)
+	eventually(t, startLimit, "the move is decided", func() bool { return s.unavailable("press") > 0 })
+	leader := s.leader()
+	s.hosts[leader].kill()
+	f.crash(moved)
+	up := s.running()
+	s.apply(file, up...) // a resend
+	s.leader(up...)
+	s.apply(file, up[0])
+	s.hosts[leader].start()
+	f.awaitPools(map[string]int{"press": pressHosts - 1, "archive": archiveHosts + 1})
+	s.apply(file)
+	if image != "" {
+		eventually(t, waveLimit, "the pool runs the image", func() bool {
+			return moved.Image() == image && !slices.ContainsFunc(f.list[pressHosts:], func(w *worker) bool { return w.Image() != image })
+		})
+		f.awaitPools(map[string]int{"press": pressHosts - 1, "archive": archiveHosts + 1})
+	}
+	stays(t, quietTime, "the move has ended", func() bool { return s.unavailable("press") == 0 })
+	watch.check(t)
+	f.checkBudgets(time.Time{})
+	planned := 0
+	for _, r := range f.reboots() {
+		if r.worker == moved.id {
+			planned++
+		}
+	}
+	t.Logf("planned reboots of the moved worker %d, by itself 1", planned)
+	require.Equal(t, 1, planned, "a move is drain, reboot, join")
+	for _, k := range tasks {
+		s.awaitTask(k, startLimit, fleet.TaskFinished, fleet.TaskUnknown)
+	}
+	f.checkRuns(tasks, 2)
+}
+
+// crash reboots a worker that nobody planned to reboot.
+func (f *workers) crash(w *worker) {
+	f.mu.Lock()
+	f.crashed[w.id] = true
+	f.mu.Unlock()
+	w.Reboot()
+}
