--- a/proof/task_test.go
+++ b/proof/task_test.go
@@ -171,3 +171,45 @@
 	f.awaitIdle()
 	f.checkRuns(tasks, len(s.hosts))
 }
+
+// Guards against a second run of a non-idempotent task whose worker goes at the
+// same moment as the leader that had it started: the next leader never hears of
+// the run.
+func TestTaskWorkerAndLeaderLost(t *testing.T) {
+	losses := map[string]func(*worker){
+		"worker cut off": func(w *worker) {
+			for _, l := range w.links {
+				l.cut()
+			}
+		},
+		"worker reboots": func(w *worker) { w.Reboot() },
+	}
+	for name, lose := range losses {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, f := startTasks(t, 3)
+			var tasks []task
+			for i := range 6 {
+				tasks = append(tasks, s.submit(teams[i%len(teams)], "press", "sleep 8s", i%2 == 0))
+			}
+			for _, k := range tasks {
+				f.awaitRunning(k)
+			}
+			leader := s.leader()
+			s.hosts[leader].kill()
+			lost := map[*worker]bool{}
+			for _, k := range tasks[:2] { // one of each kind
+				if w := f.on(k.id); w != nil && !lost[w] {
+					lost[w] = true
+					lose(w)
+				}
+			}
+			s.leader(s.running()...)
+			for _, k := range tasks {
+				s.awaitTask(k, 2*startLimit, fleet.TaskFinished, fleet.TaskUnknown)
+			}
+			f.awaitIdle()
+			f.checkRuns(tasks, 1+len(lost))
+		})
+	}
+}
