placement: take tasks off a worker that does not start them

Cause: a worker whose reports arrive but whose orders are lost counts as usable. A task placed on it was ordered again at each report and stayed placed for ever; a task that its lease had stopped went back to it, because it had the most room.

Ruled out: the lease (the run is not listed, so no lease runs), the loss of the worker (it reports). Ending the run at once would be wrong, because the last order can still be on its way; it is void after its lease.

Change: a run that is ordered for StartMax (5 s) and not reported gets no further order, ends as not started when the last order is void, and its worker is in quarantine until a trial. TestQuarantine reported no runs for a trial that was running, which is now a worker that does not start it; it reports them.

--- a/core/placement/evidence.go
+++ b/core/placement/evidence.go
@@ -46,6 +46,23 @@
 			return false
 		}
 	}
-	e.until = now.Add(backoff(quarantineMin, quarantineMax, e.trials))
+	e.quarantine(now)
 	return true
 }
+
+// unresponsive takes in that the worker does not start what it is ordered to,
+// and reports whether a quarantine begins.
+func (e *evidence) unresponsive(now model.Time) bool {
+	if e.suspect() {
+		if now < e.until {
+			return false
+		}
+		e.trials++
+	}
+	e.quarantine(now)
+	return true
+}
+
+func (e *evidence) quarantine(now model.Time) {
+	e.until = now.Add(backoff(quarantineMin, quarantineMax, e.trials))
+}
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -29,6 +29,10 @@
 	// whose rates differ by 1% over the lease, with room for pauses of the
 	// worker between its clock and the stop of the task.
 	LeaseMargin = 500 * model.Millisecond
+	// StartMax is how long a worker that reports may take to start a run that it
+	// was ordered to start: ten reports. One that does not hear its orders would
+	// otherwise hold its tasks for ever.
+	StartMax = 5 * model.Second
 	// QuietAfter is the time without a report after which a worker gets no new
 	// task: four reports.
 	QuietAfter = 2 * model.Second
--- a/core/placement/policy_test.go
+++ b/core/placement/policy_test.go
@@ -110,7 +110,14 @@
 	wait := func(d model.Duration) {
 		for end := f.now.Add(d); f.now < end; {
 			f.after(500 * model.Millisecond)
-			f.report("w0")
+			// A worker that did not report its runs would be held unresponsive.
+			var runs []message.TaskRun
+			for _, id := range []model.TaskID{"next", "second"} {
+				if t := f.fleet.Tasks[id]; t != nil && t.Phase == fleet.TaskPlaced {
+					runs = append(runs, f.run(id, message.RunRunning))
+				}
+			}
+			f.report("w0", runs...)
 		}
 	}
 	fail("t0", "p0")
@@ -132,6 +139,31 @@
 	require.Equal(t, 1, f.fleet.PlacedByTeam("press"))
 }
 
+// Guards against tasks that a worker holds for ever because it reports but does
+// not hear its orders, and against new tasks for such a worker.
+func TestUnresponsiveWorker(t *testing.T) {
+	f := newFixture(t, 1)
+	f.submit("t0", nil)
+	wait := func(d model.Duration) {
+		for end := f.now.Add(d); f.now < end; {
+			f.after(500 * model.Millisecond)
+			f.report("w0")
+		}
+	}
+	wait(StartMax - model.Second)
+	require.Equal(t, fleet.TaskPlaced, f.task("t0").Phase)
+	wait(Lease)
+	require.Equal(t, fleet.TaskPlaced, f.task("t0").Phase, "the last order may still be on its way")
+	wait(LeaseMargin + 2*model.Second)
+	require.Equal(t, fleet.TaskQueued, f.task("t0").Phase)
+	require.Empty(t, f.task("t0").FailedOn, "no evidence against the task")
+	wait(quarantineMin - 2*Lease)
+	require.Equal(t, fleet.TaskQueued, f.task("t0").Phase, "the worker gets no task before its trial")
+	require.EqualValues(t, 1, f.task("t0").Epoch)
+	wait(2 * Lease)
+	require.EqualValues(t, 2, f.task("t0").Epoch, "the trial")
+}
+
 // Guards against declared sizes that stay in use although runs need more or
 // less, and against a worker whose observed use is not counted.
 func TestLearnedSizes(t *testing.T) {
--- a/core/placement/record.go
+++ b/core/placement/record.go
@@ -24,6 +24,7 @@
 	peak      model.Resources // largest usage reported of this run
 	ordered   bool            // an order to run may have been sent
 	lastOrder model.Time      // of the last order to run
+	waitsFrom model.Time      // first order of a run that is not reported yet; zero if none
 	ending    bool            // its end is proposed
 	failed    bool            // its run has failed
 	near      [2]domain       // where it counts in Placer.crowds
@@ -99,7 +100,7 @@
 	}
 	r.peak = model.Resources{}
 	r.delayed = false
-	r.ordered, r.lastOrder, r.ending = false, 0, false
+	r.ordered, r.lastOrder, r.waitsFrom, r.ending = false, 0, 0, false
 }
 
 // delay keeps a queued task out of its queue for a while.
@@ -204,8 +205,7 @@
 		r.failed = true
 		suspect := w.evidence.suspect()
 		if w.evidence.failed(env.Now, sizeKeyOf(r.task)) {
-			out.log(effect.Log{Code: effect.WorkerSuspect, Host: w.id})
-			p.arm(timerID{kind: timerTrial, host: w.id}, w.evidence.until)
+			p.quarantined(env, out, w)
 		}
 		p.refreshWorker(env, w)
 		if suspect && len(r.task.FailedOn) == 0 {
--- a/core/placement/report.go
+++ b/core/placement/report.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
@@ -101,6 +102,7 @@
 // handleRun handles a run that is placed on the worker and reported by it.
 func (p *Placer) handleRun(env Env, out *Out, w *worker, r *record, run *message.TaskRun) []message.Order {
 	p.observe(env, r, run.Usage)
+	r.waitsFrom = 0
 	if run.Phase != message.RunRunning {
 		p.runEnded(env, out, w, r, run)
 		return nil
@@ -138,7 +140,7 @@
 		p.runLost(env, out, r)
 		return nil
 	}
-	if !r.task.Cancel && p.mayStart(w) {
+	if !r.task.Cancel && p.mayStart(w) && !p.startOverdue(env, out, w, r) {
 		return []message.Order{p.orderRun(env, r)}
 	}
 	// An order to start that is still on its way is void after its lease.
@@ -147,3 +149,25 @@
 	}
 	return nil
 }
+
+// startOverdue reports whether the worker has been ordered to start the run for
+// StartMax without doing so. It then gets no new task for a while.
+func (p *Placer) startOverdue(env Env, out *Out, w *worker, r *record) bool {
+	if r.waitsFrom == 0 {
+		r.waitsFrom = env.Now
+	}
+	if env.Now < r.waitsFrom.Add(StartMax) {
+		return false
+	}
+	if w.evidence.unresponsive(env.Now) {
+		p.quarantined(env, out, w)
+		p.refreshWorker(env, w)
+	}
+	return true
+}
+
+// quarantined reports a quarantine that begins, and arms its end.
+func (p *Placer) quarantined(env Env, out *Out, w *worker) {
+	out.log(effect.Log{Code: effect.WorkerSuspect, Host: w.id})
+	p.arm(timerID{kind: timerTrial, host: w.id}, w.evidence.until)
+}
