fleet: return a host only after it has rebooted

Cause: the end of a reboot was shown by the wanted image alone. A move that keeps the image was returned in the tick after its reboot was ordered: the worker joined the other pool without a reboot, or rebooted while it counted as in service, outside every budget.

Ruled out: waiting until the host was reported down, because a fast reboot ends before its loss is noticed.

Change: a host's report carries its incarnation, which is new at each boot. The order to reboot records it, and the host returns with another one only. A worker is told to reboot only in the life that was ordered to, or with the wrong image. The stand-in worker reboots whenever it is told to, unless the reply is for an earlier life.

--- a/core/fleet/command.go
+++ b/core/fleet/command.go
@@ -111,6 +111,7 @@
 	Rack       model.RackID       `json:"rack,omitempty"`
 	Capacity   model.Resources    `json:"capacity"`
 	Image      string             `json:"image,omitempty"`
+	Inc        model.Incarnation  `json:"inc,omitempty"` // its life: new at each boot
 	Up         bool               `json:"up"`
 }
 
--- a/core/fleet/hosts.go
+++ b/core/fleet/hosts.go
@@ -25,6 +25,7 @@
 	host.Rack = c.Rack
 	host.Capacity = c.Capacity
 	host.Image = c.Image
+	host.Inc = c.Inc
 	host.Up = c.Up
 	s.setHost(c.Host, host)
 	return Result{}
@@ -124,6 +125,7 @@
 	}
 	host.Phase = HostRebooting
 	host.RebootSince = s.Now
+	host.RebootInc = host.Inc
 	s.setHost(c.Host, host)
 	return Result{}
 }
@@ -152,6 +154,9 @@
 		if !host.Up {
 			return refused(problem.PlanRejected, "host %s is not up", c.Host)
 		}
+		if !host.Rebooted() {
+			return refused(problem.PlanRejected, "host %s has not rebooted", c.Host)
+		}
 		if host.ImageWant != "" && host.Image != host.ImageWant {
 			return refused(problem.PlanRejected, "host %s has image %q, wanted %q",
 				c.Host, host.Image, host.ImageWant)
@@ -166,6 +171,7 @@
 	host.ImageWant = ""
 	host.DrainSince = 0
 	host.RebootSince = 0
+	host.RebootInc = ""
 	s.setHost(c.Host, host)
 	return Result{}
 }
--- a/core/fleet/state.go
+++ b/core/fleet/state.go
@@ -117,8 +117,17 @@
 	// RebootSince is when the reboot was ordered, so that a later leader can
 	// tell how long the host has been away.
 	RebootSince model.Time `json:"reboot_since,omitempty"`
+	// Inc is the life of the host that reported last, and RebootInc the one that
+	// was ordered to reboot. A host returns with another life only: the image
+	// shows no reboot when a move keeps it.
+	Inc       model.Incarnation `json:"inc,omitempty"`
+	RebootInc model.Incarnation `json:"reboot_inc,omitempty"`
 }
 
+// Rebooted reports whether a rebooting host has begun another life. A host whose
+// life was not known when it was ordered to reboot counts as rebooted.
+func (h *Host) Rebooted() bool { return h.RebootInc == "" || h.Inc != h.RebootInc }
+
 // TaskSpec is what a submitter declares of a task. Declared sizes and run
 // times are hints and are often far off.
 type TaskSpec struct {
--- a/core/fleet/work_test.go
+++ b/core/fleet/work_test.go
@@ -95,6 +95,27 @@
 	require.Equal(t, Host{DataCentre: "west", Pool: "a", Up: true}, f.Hosts["h1"])
 }
 
+// Guards against a host that joins another pool before it has rebooted. A move
+// keeps the image, so that only another life shows the reboot.
+func TestReturnNeedsReboot(t *testing.T) {
+	f := newFixture(t)
+	alive := func(inc model.Incarnation, up bool) {
+		f.apply("", Command{ReportHost: &ReportHost{Host: "h1", DataCentre: "west", Up: up, Image: "k8", Inc: inc}})
+	}
+	alive("life-1", true)
+	f.plan("", "h1", HostDrain, "b", "")
+	f.plan("", "h1", HostReboot, "b", "")
+	f.plan(problem.PlanRejected, "h1", HostReturn, "b", "")
+	alive("life-1", false)
+	alive("life-1", true)
+	f.plan(problem.PlanRejected, "h1", HostReturn, "b", "")
+	require.EqualValues(t, "a", f.Hosts["h1"].Pool)
+	alive("life-2", true)
+	f.plan("", "h1", HostReturn, "b", "")
+	require.EqualValues(t, "b", f.Hosts["h1"].Pool)
+	require.Empty(t, f.Hosts["h1"].RebootInc)
+}
+
 // Guards against tasks that are accepted but can never be placed.
 func TestSubmitTask(t *testing.T) {
 	f := newFixture(t)
--- a/core/maintenance/examine.go
+++ b/core/maintenance/examine.go
@@ -148,7 +148,7 @@
 		})
 		return
 	}
-	if s.Up && (s.ImageWant == "" || s.Image == s.ImageWant) {
+	if s.Up && s.Rebooted() && (s.ImageWant == "" || s.Image == s.ImageWant) {
 		p.propose(env, out, id, h, fleet.PlanHost{
 			Action: fleet.HostReturn, Pool: s.MoveTo, Image: s.ImageWant, Reason: reasonBack,
 		})
--- a/core/placement/report.go
+++ b/core/placement/report.go
@@ -42,7 +42,7 @@
 			reply.Orders = append(reply.Orders, p.unlisted(env, out, w, r)...)
 		}
 	}
-	if w.host.Phase == fleet.HostRebooting {
+	if w.mustReboot(m) {
 		reply.Reboot = true
 		reply.Image = w.host.ImageWant
 		if reply.Image == "" {
--- a/core/placement/worker.go
+++ b/core/placement/worker.go
@@ -149,7 +149,7 @@
 func (p *Placer) describe(env Env, out *Out, w *worker, m *message.WorkerReport) {
 	h := w.host
 	changed := !w.known || !h.Up || h.DataCentre != m.DataCentre || h.Rack != m.Rack ||
-		h.Capacity != m.Capacity || h.Image != m.Image
+		h.Capacity != m.Capacity || h.Image != m.Image || h.Inc != m.Inc
 	if !changed || w.reporting {
 		return
 	}
@@ -158,7 +158,8 @@
 		out.log(effect.Log{Code: effect.WorkerSeen, Host: w.id})
 	}
 	out.propose(fleet.Command{At: env.Now, ReportHost: &fleet.ReportHost{
-		Host: w.id, DataCentre: m.DataCentre, Rack: m.Rack, Capacity: m.Capacity, Image: m.Image, Up: true,
+		Host: w.id, DataCentre: m.DataCentre, Rack: m.Rack, Capacity: m.Capacity, Image: m.Image,
+		Inc: m.Inc, Up: true,
 	}})
 }
 
@@ -179,6 +180,7 @@
 		}
 		out.propose(fleet.Command{At: env.Now, ReportHost: &fleet.ReportHost{
 			Host: w.id, DataCentre: h.DataCentre, Rack: h.Rack, Capacity: h.Capacity, Image: h.Image,
+			Inc: h.Inc,
 		}})
 	}
 	for _, id := range sortedKeys(w.runs) {
@@ -186,3 +188,14 @@
 	}
 	p.arm(timerID{kind: timerLost, host: w.id}, env.Now.Add(lostRetry))
 }
+
+// mustReboot reports whether the life of the host that sent the report is to
+// end: it was ordered to reboot, or came back with another image than wanted.
+func (w *worker) mustReboot(m *message.WorkerReport) bool {
+	h := &w.host
+	if h.Phase != fleet.HostRebooting {
+		return false
+	}
+	wrongImage := h.ImageWant != "" && m.Image != h.ImageWant
+	return wrongImage || h.RebootInc == "" || m.Inc == h.RebootInc
+}
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -176,7 +176,7 @@
 		"a worker sends no reports",
 		"Check the worker. Its tasks are placed again once its lease has ended."},
 	{WorkerQuarantined, "worker_quarantined", zerolog.WarnLevel,
-		"a worker gets no tasks because distinct tasks failed on it",
+		"a worker gets no tasks because distinct tasks failed on it or it does not start them",
 		"Examine the worker and replace or reboot it."},
 	{WorkerReleased, "worker_released", zerolog.InfoLevel,
 		"a worker in quarantine gets tasks again",
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -195,8 +195,8 @@
 	for _, order := range answer.Orders {
 		w.carryOut(order, sent)
 	}
-	// An equal image means that the reply overlapped with the reboot.
-	if answer.Reboot && answer.Image != w.image {
+	// The reply may be for a life that has ended in the meantime.
+	if answer.Reboot && body.Incarnation == w.incarnation {
 		w.reboot(answer.Image)
 	}
 }
