--- a/proof/wave_test.go
+++ b/proof/wave_test.go
@@ -16,6 +16,7 @@
 	"primrosedale.example/primrosedale/core/view"
 	"primrosedale.example/primrosedale/operator/client"
 	"primrosedale.example/primrosedale/rulesfile"
+	"primrosedale.example/primrosedale/standin"
 )
 
 // The pools of the wave proofs.
@@ -23,6 +24,8 @@
 	pressHosts, pressBudget     = 5, 2
 	archiveHosts, archiveBudget = 4, 1
 	waveLimit                   = 60 * time.Second
+	// longReboot keeps a wave going until the loss of a worker is known.
+	longReboot = 3 * time.Second
 	// lossKnown is the time after which a lost worker counts as unavailable:
 	// its lease and the commit of its loss.
 	lossKnown = taskLease + leaseMargin
@@ -52,7 +55,7 @@
 }
 
 // startPools runs a system whose workers are in two pools.
-func startPools(t *testing.T) (*system, *workers) {
+func startPools(t *testing.T, reboot time.Duration) (*system, *workers) {
 	s := startSystem(t, 3, 2)
 	s.prepare(0, nil)
 	f := s.newWorkers()
@@ -67,7 +70,7 @@
 	s.apply(file)
 	s.waitInForce(file, s.all()...)
 	for _, id := range sortedNames(f.pools) {
-		f.addWorker(id, nil)
+		f.addWorker(id, func(cfg *standin.WorkerConfig) { cfg.RebootTime = reboot })
 	}
 	f.awaitPools(map[string]int{"press": pressHosts, "archive": archiveHosts})
 	return s, f
@@ -140,7 +143,7 @@
 
 // checkBudgets checks every planned reboot by the workers' own books. A lost
 // worker counts from lossKnown after its loss on.
-func (f *workers) checkBudgets(lostAt time.Time) {
+func (f *workers) checkBudgets(lostAt time.Time) int {
 	f.s.t.Helper()
 	most, late := map[string]int{}, 0
 	for _, r := range f.reboots() {
@@ -154,6 +157,7 @@
 	for pool, n := range most {
 		require.LessOrEqual(f.s.t, n, budgets[pool], pool)
 	}
+	return late
 }
 
 // awaitImage waits until every worker that is not left out runs the image.
@@ -172,7 +176,7 @@
 // killed between a decision to drain and the reboot.
 func TestWavesThroughLosses(t *testing.T) {
 	t.Parallel()
-	s, f := startPools(t)
+	s, f := startPools(t, longReboot)
 	watch := f.watchPools(2)
 	// A task that drains slowly holds the first reboots back.
 	var tasks []task
@@ -210,7 +214,7 @@
 	count := len(f.reboots())
 	stays(t, quietTime, "no worker reboots after the waves", func() bool { return len(f.reboots()) == count })
 	watch.check(t)
-	f.checkBudgets(lostAt)
+	require.Positive(t, f.checkBudgets(lostAt), "the wave ended before the loss was known")
 	for _, k := range tasks {
 		s.awaitTask(k, startLimit, fleet.TaskFinished, fleet.TaskUnknown)
 	}
@@ -263,7 +267,7 @@
 }
 
 func moveThroughLosses(t *testing.T, image string) {
-	s, f := startPools(t)
+	s, f := startPools(t, rebootTime)
 	watch := f.watchPools(2)
 	moved := f.list[0]
 	var tasks []task
--- a/proof/workers_test.go
+++ b/proof/workers_test.go
@@ -26,7 +26,7 @@
 
 const (
 	oldImage   = "k8"
-	rebootTime = 1500 * time.Millisecond
+	rebootTime = 700 * time.Millisecond
 	// taskLease is the lease of a task on a worker, design 6.4.
 	taskLease = 5 * time.Second
 	// leaseMargin is added to the lease for the clock, and for the time in which
