--- a/proof/capacity_test.go
+++ b/proof/capacity_test.go
@@ -71,8 +71,8 @@
 		s.tally(st.stop()).check(b)
 	}
 	require.Equal(b, leader, s.leader(), "the leader changed during the measurement")
-	report(b, "leader", before[leader:leader+1], after[leader:leader+1])
-	report(b, "follower", before[len(before)-followers:], after[len(after)-followers:])
+	reportCost(b, "leader", before[leader:leader+1], after[leader:leader+1])
+	reportCost(b, "follower", before[len(before)-followers:], after[len(after)-followers:])
 }
 
 // outside starts targets and workers that announce themselves to all hosts.
@@ -127,8 +127,8 @@
 	return values
 }
 
-// report gives the mean of the hosts of one role.
-func report(b *testing.B, role string, before, after []cost) {
+// reportCost gives the mean of the hosts of one role.
+func reportCost(b *testing.B, role string, before, after []cost) {
 	var sum cost
 	for i := range after {
 		sum.cpu += after[i].cpu - before[i].cpu
