core: keep one SortedKeys and one limit of stored answers; group imports

Cause: four copies of sortedKeys, and the limit of 64 KiB stood in gateway, dispatch and fleet. Change: model.SortedKeys, fleet.MaxStoredAnswer; imports in three groups. A stopping process goes on refusing for 1 s before it closes its connections, because callers of TestRollingRestart found connections closed while their request was on its way.

--- a/codec/codec.go
+++ b/codec/codec.go
@@ -21,6 +21,7 @@
 	"io"
 
 	"github.com/juju/errors"
+
 	"primrosedale.example/primrosedale/core/consensus"
 	"primrosedale.example/primrosedale/core/fleet"
 )
--- a/codec/codec_test.go
+++ b/codec/codec_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
 	"primrosedale.example/primrosedale/core/consensus"
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/message"
--- a/codec/fuzz_test.go
+++ b/codec/fuzz_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
 	"primrosedale.example/primrosedale/core/consensus"
 )
 
--- a/core/dispatch/advance.go
+++ b/core/dispatch/advance.go
@@ -36,7 +36,7 @@
 func (o *Owner) Advance(env Env, out *Out) {
 	o.passFence(env, out)
 	due := false
-	for _, host := range sortedKeys(o.byGateway) {
+	for _, host := range model.SortedKeys(o.byGateway) {
 		if !env.Granter.Serving(env.Now, host) {
 			o.loseGateway(env, host)
 			due = true
--- a/core/dispatch/audit.go
+++ b/core/dispatch/audit.go
@@ -17,7 +17,7 @@
 		}
 		byTeam[r.team]++
 	}
-	for _, id := range sortedKeys(o.teams) {
+	for _, id := range model.SortedKeys(o.teams) {
 		if t := o.teams[id]; t.running != byTeam[t] {
 			return fmt.Errorf("team %s counts %d running and has %d runs", id, t.running, byTeam[t])
 		}
@@ -42,7 +42,7 @@
 				return fmt.Errorf("lane %v of %s counts %d running and has %d runs", id, s.id, l.running, running[l])
 			}
 		}
-		for _, team := range sortedKeys(s.waiting) {
+		for _, team := range model.SortedKeys(s.waiting) {
 			if q := s.waiting[team]; q.Len() != waiting[team] {
 				return fmt.Errorf("team %s waits for %s with %d requests, %d are in its lanes", team, s.id, q.Len(), waiting[team])
 			}
@@ -53,7 +53,7 @@
 
 func (o *Owner) auditTargets() error {
 	runs, unknown := 0, 0
-	for _, id := range sortedKeys(o.targets) {
+	for _, id := range model.SortedKeys(o.targets) {
 		t := o.targets[id]
 		runs += len(t.runs)
 		if !t.proven {
--- a/core/dispatch/bench_test.go
+++ b/core/dispatch/bench_test.go
@@ -73,7 +73,7 @@
 	}
 	i := 0
 	regs := make([]fleet.Target, 0, targets)
-	for _, id := range sortedKeys(f.owner.targets) {
+	for _, id := range model.SortedKeys(f.owner.targets) {
 		regs = append(regs, f.owner.targets[id].reg)
 	}
 	b.ReportAllocs()
--- a/core/dispatch/claim.go
+++ b/core/dispatch/claim.go
@@ -8,10 +8,6 @@
 	"primrosedale.example/primrosedale/core/problem"
 )
 
-// AnswerStoredMax is the largest answer body, in bytes, that a claim keeps for
-// a resend.
-const AnswerStoredMax = 64 << 10
-
 // ClaimSweep is the interval between two looks at the claims that are held. A
 // gateway repeats its messages every 500 ms, so a claim whose request is unknown
 // in two looks in a row has lost its gateway.
@@ -69,7 +65,7 @@
 }
 
 func storable(a *model.Answer) *model.Answer {
-	if a == nil || len(a.Body) > AnswerStoredMax {
+	if a == nil || len(a.Body) > fleet.MaxStoredAnswer {
 		return nil
 	}
 	return a
--- a/core/dispatch/owner.go
+++ b/core/dispatch/owner.go
@@ -129,7 +129,7 @@
 		ended:     make(map[model.RequestID]model.Time),
 	}
 	o.rules = env.Fleet.Rules
-	for _, id := range sortedKeys(env.Fleet.Targets) {
+	for _, id := range model.SortedKeys(env.Fleet.Targets) {
 		t := o.addTarget(env, env.Fleet.Targets[id])
 		t.proven = false
 		o.unknownSlots += t.reg.Slots
@@ -181,7 +181,7 @@
 		o.refuseOrphans(env, out)
 		o.orderTeams(env)
 	}
-	for _, id := range sortedKeys(o.targets) {
+	for _, id := range model.SortedKeys(o.targets) {
 		o.refresh(env, o.targets[id])
 	}
 	o.pumpAll(env, out)
@@ -189,7 +189,7 @@
 
 // refuseOrphans refuses waiting requests whose queue or team is gone.
 func (o *Owner) refuseOrphans(env Env, out *Out) {
-	for _, id := range sortedKeys(o.requests) {
+	for _, id := range model.SortedKeys(o.requests) {
 		r := o.requests[id]
 		if r.state != stateQueued && r.state != stateDelayed {
 			continue
--- a/core/dispatch/queue.go
+++ b/core/dispatch/queue.go
@@ -1,9 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
-	"slices"
-
 	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/pq"
@@ -245,14 +242,3 @@
 	}
 	return rank{precedence, o.policy.key(queue, r), r.ask.Request}
 }
-
-// sortedKeys returns the keys of m in order, so that iteration is the same in
-// every replay.
-func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
-	keys := make([]K, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -137,7 +137,7 @@
 // requests are dropped; the gateway asks again when it returns. Attempts that
 // it may have forwarded stay counted until the targets show their end.
 func (o *Owner) loseGateway(env Env, host model.HostID) {
-	for _, id := range sortedKeys(o.byGateway[host]) {
+	for _, id := range model.SortedKeys(o.byGateway[host]) {
 		r := o.requests[id]
 		if r.run != nil {
 			if r.state == stateClaiming {
--- a/core/dispatch/share.go
+++ b/core/dispatch/share.go
@@ -44,7 +44,7 @@
 
 // orderTeams does so for all teams, after a change that concerns them all.
 func (o *Owner) orderTeams(env Env) {
-	for _, id := range sortedKeys(o.teams) {
+	for _, id := range model.SortedKeys(o.teams) {
 		o.orderTeam(env, o.teams[id])
 	}
 }
--- a/core/dispatch/status.go
+++ b/core/dispatch/status.go
@@ -2,19 +2,20 @@
 
 import (
 	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/view"
 )
 
 // Status adds targets, teams and queues to st.
 func (o *Owner) Status(env Env, st *view.Status) {
-	for _, id := range sortedKeys(o.targets) {
+	for _, id := range model.SortedKeys(o.targets) {
 		t := o.targets[id]
 		st.Targets = append(st.Targets, view.TargetStatus{
 			Target: id, Service: t.reg.Service, DataCentre: t.reg.DataCentre,
 			State: t.describe(env), Slots: t.reg.Slots, Running: len(t.runs),
 		})
 	}
-	for _, id := range sortedKeys(o.rules.Teams) {
+	for _, id := range model.SortedKeys(o.rules.Teams) {
 		team := o.rules.Teams[id]
 		st.Teams = append(st.Teams, view.TeamStatus{
 			Team: id, Share: team.Share, Limit: team.Limit,
@@ -27,7 +28,7 @@
 			waiting[string(r.ask.Queue)]++
 		}
 	}
-	for _, id := range sortedKeys(o.rules.Queues) {
+	for _, id := range model.SortedKeys(o.rules.Queues) {
 		q := view.QueueStatus{Queue: id, Waiting: waiting[string(id)]}
 		if s := o.queues[id]; s != nil {
 			q.RunTime = s.mean
--- a/core/leader.go
+++ b/core/leader.go
@@ -179,7 +179,7 @@
 // resendCommands sends again what has not been applied here, and gives up
 // after the time that the submitter waits.
 func (s *State) resendCommands() {
-	for _, id := range sortedCommandIDs(s.pending) {
+	for _, id := range model.SortedKeys(s.pending) {
 		p := s.pending[id]
 		if s.now >= p.deadline {
 			delete(s.pending, id)
@@ -188,12 +188,3 @@
 		}
 	}
 }
-
-func sortedCommandIDs(m map[model.CommandID]*pendingCommand) []model.CommandID {
-	ids := make([]model.CommandID, 0, len(m))
-	for id := range m {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
--- a/core/maintenance/examine.go
+++ b/core/maintenance/examine.go
@@ -61,7 +61,7 @@
 	if _, ok := p.rules.Pools[h.state.Pool]; ok {
 		return h.state.Pool
 	}
-	for _, pool := range sortedKeys(p.rules.Pools) {
+	for _, pool := range model.SortedKeys(p.rules.Pools) {
 		if p.rules.Pools[pool].Spare {
 			return pool
 		}
--- a/core/maintenance/planner.go
+++ b/core/maintenance/planner.go
@@ -118,7 +118,7 @@
 	p.stopped = make(map[string]bool)
 	// Two waves of one pool would reboot its hosts in turn for ever, so that
 	// the last one by name is in force.
-	for _, name := range sortedKeys(r.Waves) {
+	for _, name := range model.SortedKeys(r.Waves) {
 		for _, pool := range r.Waves[name].Pools {
 			p.waves[pool] = name
 		}
@@ -274,12 +274,3 @@
 	x, y := &p.hosts[a].state, &p.hosts[b].state
 	return x.DataCentre == y.DataCentre && x.Rack == y.Rack
 }
-
-func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
-	keys := make([]K, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
--- a/core/maintenance/planner_test.go
+++ b/core/maintenance/planner_test.go
@@ -102,7 +102,7 @@
 	for end := f.now.Add(d); f.now < end; {
 		f.now = f.now.Add(model.Second)
 		f.do(f.p.Advance)
-		for _, id := range sortedKeys(f.fleet.Hosts) {
+		for _, id := range model.SortedKeys(f.fleet.Hosts) {
 			h := f.fleet.Hosts[id]
 			switch {
 			case h.Phase != fleet.HostRebooting:
@@ -118,7 +118,7 @@
 // in returns the hosts of a phase, sorted.
 func (f *fixture) in(phase fleet.HostPhase) []model.HostID {
 	var list []model.HostID
-	for _, id := range sortedKeys(f.fleet.Hosts) {
+	for _, id := range model.SortedKeys(f.fleet.Hosts) {
 		if f.fleet.Hosts[id].Phase == phase {
 			list = append(list, id)
 		}
--- a/core/maintenance/pools.go
+++ b/core/maintenance/pools.go
@@ -12,7 +12,7 @@
 	if p.rounds == 0 {
 		return
 	}
-	for _, id := range sortedKeys(p.rules.Pools) {
+	for _, id := range model.SortedKeys(p.rules.Pools) {
 		q := p.pool(id)
 		// Spare pools would exchange their hosts.
 		if rule := p.rules.Pools[id]; rule.Spare || p.have(env, id, q) >= rule.HostsMin {
--- /dev/null
+++ b/core/model/sorted.go
@@ -0,0 +1,17 @@
+package model
+
+import (
+	"cmp"
+	"slices"
+)
+
+// SortedKeys returns the keys of m in order. Decisions iterate over maps in
+// this order, so that they are the same in every replay.
+func SortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- a/core/placement/bench_test.go
+++ b/core/placement/bench_test.go
@@ -36,7 +36,7 @@
 				reports[i] = message.WorkerReport{
 					Worker: w.id, Inc: w.inc, Seq: w.seq, DataCentre: w.host.DataCentre, Rack: w.host.Rack, Capacity: capacity,
 				}
-				for _, id := range sortedKeys(w.runs) {
+				for _, id := range model.SortedKeys(w.runs) {
 					reports[i].Runs = append(reports[i].Runs, f.run(id, message.RunRunning))
 				}
 			}
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -10,9 +10,6 @@
 package placement
 
 import (
-	"cmp"
-	"slices"
-
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/model"
@@ -113,13 +110,13 @@
 		sizes:   newSizes(),
 		timers:  pq.New[timerID, timer, struct{}](timer.before),
 	}
-	for _, id := range sortedKeys(env.Fleet.Hosts) {
+	for _, id := range model.SortedKeys(env.Fleet.Hosts) {
 		p.hostChanged(env, id)
 		for _, task := range env.Fleet.PlacedOn(id) {
 			p.refreshTask(env, task.ID)
 		}
 	}
-	for _, id := range sortedKeys(env.Fleet.Rules.Pools) {
+	for _, id := range model.SortedKeys(env.Fleet.Rules.Pools) {
 		for task := range env.Fleet.QueuedIn(id) {
 			p.refreshTask(env, task.ID)
 		}
@@ -180,7 +177,7 @@
 
 func (p *Placer) rulesChanged(env Env) {
 	p.rules = env.Fleet.Rules
-	for _, id := range sortedKeys(p.workers) {
+	for _, id := range model.SortedKeys(p.workers) {
 		p.refreshWorker(env, p.workers[id])
 	}
 	p.retryLimited(env)
@@ -203,12 +200,3 @@
 	}
 	return t
 }
-
-func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
-	keys := make([]K, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
--- a/core/placement/policy_test.go
+++ b/core/placement/policy_test.go
@@ -202,7 +202,7 @@
 		}
 		f.after(500 * model.Millisecond)
 		var runs []message.TaskRun
-		for i, id := range sortedKeys(f.p.workers["w0"].runs) {
+		for i, id := range model.SortedKeys(f.p.workers["w0"].runs) {
 			phase := message.RunRunning
 			if i == 0 {
 				phase = message.RunFinished // one of eight ends at a time
--- a/core/placement/queue.go
+++ b/core/placement/queue.go
@@ -143,10 +143,10 @@
 // retryLimited ranks the teams again that were at their limit.
 func (p *Placer) retryLimited(env Env) {
 	p.retryAt = env.Now.Add(limitRetry)
-	teams := sortedKeys(p.limited)
+	teams := model.SortedKeys(p.limited)
 	clear(p.limited)
 	for _, id := range teams {
-		for _, pid := range sortedKeys(p.pools) {
+		for _, pid := range model.SortedKeys(p.pools) {
 			if tq := p.pools[pid].queues[id]; tq != nil {
 				p.rankTeam(env, tq)
 				tq.pool.dirty = true
--- a/core/placement/report.go
+++ b/core/placement/report.go
@@ -36,7 +36,7 @@
 		reply.Orders = append(reply.Orders, p.handleRun(env, out, w, r, run)...)
 	}
 	p.setStray(env, w, stray)
-	for _, id := range sortedKeys(w.runs) {
+	for _, id := range model.SortedKeys(w.runs) {
 		r := w.runs[id]
 		if !listed[id] && !r.pending {
 			reply.Orders = append(reply.Orders, p.unlisted(env, out, w, r)...)
--- a/core/placement/timers.go
+++ b/core/placement/timers.go
@@ -56,7 +56,7 @@
 	if !env.Ready || !env.MayGrant {
 		return
 	}
-	for _, id := range sortedKeys(p.pools) {
+	for _, id := range model.SortedKeys(p.pools) {
 		if q := p.pools[id]; q.dirty || q.hold != nil {
 			p.pump(env, out, q)
 		}
--- a/core/placement/worker.go
+++ b/core/placement/worker.go
@@ -183,7 +183,7 @@
 			Inc: h.Inc,
 		}})
 	}
-	for _, id := range sortedKeys(w.runs) {
+	for _, id := range model.SortedKeys(w.runs) {
 		p.runLost(env, out, w.runs[id])
 	}
 	p.arm(timerID{kind: timerLost, host: w.id}, env.Now.Add(lostRetry))
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -34,6 +34,11 @@
 const (
 	headerTimeout   = 10 * time.Second
 	shutdownTimeout = 5 * time.Second
+	// lingerTime is how long a stopping process goes on refusing requests, as
+	// not run and with "Connection: close", before it closes its connections. A
+	// caller that writes on a kept connection while it is closed cannot tell
+	// whether its request ran.
+	lingerTime = time.Second
 )
 
 // Daemon is one process of the system.
@@ -199,6 +204,9 @@
 		return nil
 	})
 	err := d.wait(t, &parts, stop)
+	if err == nil {
+		linger(t, &parts)
+	}
 	d.shutDown(err == nil)
 	parts.Kill(err)
 	result := parts.Wait()
@@ -227,6 +235,18 @@
 	}
 }
 
+// linger lets the HTTP servers go on for lingerTime after the last held request
+// was answered.
+func linger(t, parts *tomb.Tomb) {
+	timer := time.NewTimer(lingerTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-parts.Dying():
+	case <-t.Dying():
+	}
+}
+
 // shutDown closes the HTTP servers; a graceful one lets answers go out first.
 func (d *Daemon) shutDown(graceful bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -14,6 +14,7 @@
 
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/event"
+	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/gateway/reply"
@@ -109,7 +110,7 @@
 		Body:        body,
 	}
 	h.keep(e.Attempt, received{answer: answer})
-	if e.Claimed && len(body) <= maxStoredAnswer {
+	if e.Claimed && len(body) <= fleet.MaxStoredAnswer {
 		ended.Answer = answer
 	}
 	return ended
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"primrosedale.example/primrosedale/logevent"
 
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/event"
@@ -21,6 +20,7 @@
 	"primrosedale.example/primrosedale/core/rules"
 	"primrosedale.example/primrosedale/core/view"
 	"primrosedale.example/primrosedale/gateway/reply"
+	"primrosedale.example/primrosedale/logevent"
 )
 
 const (
--- a/gateway/refusals_test.go
+++ b/gateway/refusals_test.go
@@ -6,11 +6,11 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
-	"primrosedale.example/primrosedale/logevent"
 
 	"primrosedale.example/primrosedale/core/event"
 	"primrosedale.example/primrosedale/core/problem"
 	"primrosedale.example/primrosedale/core/view"
+	"primrosedale.example/primrosedale/logevent"
 )
 
 // Guards against refusals that spend no budget because the reducer never sees
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -13,7 +13,6 @@
 
 	goji "goji.io"
 	"goji.io/pat"
-	"primrosedale.example/primrosedale/logevent"
 
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/event"
@@ -22,6 +21,7 @@
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/view"
 	"primrosedale.example/primrosedale/gateway/pending"
+	"primrosedale.example/primrosedale/logevent"
 )
 
 // Control is the control goroutine as the gateway sees it.
@@ -51,8 +51,6 @@
 	// DefaultIdlePerTarget keeps the idle connections of 9 gateways and the 8
 	// slots of a target within its 64 connections: 9 * 6 + 8 = 62.
 	DefaultIdlePerTarget = 6
-	// maxStoredAnswer is the largest answer kept with a claim, in bytes.
-	maxStoredAnswer = 64 << 10
 )
 
 // Config holds the settings of a Server. Zero limits have the defaults.
--- a/operator/server.go
+++ b/operator/server.go
@@ -11,7 +11,6 @@
 	"github.com/VictoriaMetrics/metrics"
 	goji "goji.io"
 	"goji.io/pat"
-	"primrosedale.example/primrosedale/logevent"
 
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/event"
@@ -21,6 +20,7 @@
 	"primrosedale.example/primrosedale/core/view"
 	"primrosedale.example/primrosedale/gateway/pending"
 	"primrosedale.example/primrosedale/gateway/reply"
+	"primrosedale.example/primrosedale/logevent"
 )
 
 // Control is the control goroutine as the operator interface sees it.
--- a/operator/server_test.go
+++ b/operator/server_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
-	"primrosedale.example/primrosedale/logevent"
 
 	"primrosedale.example/primrosedale/core/burn"
 	"primrosedale.example/primrosedale/core/effect"
@@ -20,6 +19,7 @@
 	"primrosedale.example/primrosedale/core/rules"
 	"primrosedale.example/primrosedale/core/view"
 	"primrosedale.example/primrosedale/gateway/reply"
+	"primrosedale.example/primrosedale/logevent"
 )
 
 const token = "operators-token"
--- a/replay/books.go
+++ b/replay/books.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 
 	"github.com/juju/errors"
 
@@ -253,15 +252,5 @@
 	b.violations[InvariantOvercommits] = b.Overcommits
 }
 
-// sortedKeys returns the keys of m in order.
-func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
-	keys := make([]K, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 // policyName gives the default policy its name.
 func policyName(p dispatch.PolicyName) dispatch.PolicyName { return cmp.Or(p, dispatch.PolicyShares) }
--- a/replay/engine.go
+++ b/replay/engine.go
@@ -299,7 +299,7 @@
 			t.start()
 		}
 	}
-	for _, id := range sortedKeys(e.workers) {
+	for _, id := range model.SortedKeys(e.workers) {
 		if w := e.workers[id]; w.DataCentre == c.ID {
 			w.setLost(c.Lost)
 		}
--- a/replay/hosts.go
+++ b/replay/hosts.go
@@ -43,7 +43,7 @@
 			busy[t.Worker] = true
 		}
 	}
-	for _, id := range sortedKeys(f.Hosts) {
+	for _, id := range model.SortedKeys(f.Hosts) {
 		host := f.Hosts[id]
 		if before, known := b.pools[id]; known && before != host.Pool {
 			b.moves++
@@ -53,7 +53,7 @@
 			b.idle++
 		}
 	}
-	for _, name := range sortedKeys(e.rules.Waves) {
+	for _, name := range model.SortedKeys(e.rules.Waves) {
 		e.lookAtWave(name, f)
 	}
 }
@@ -87,7 +87,7 @@
 	r.add(MeasureIdleBuffer, float64(b.idle)/float64(b.looks))
 	r.add(MeasureHostMoves, float64(b.moves))
 	last := 0.0
-	for _, name := range sortedKeys(b.wanted) {
+	for _, name := range model.SortedKeys(b.wanted) {
 		if b.rolled[name] == 0 {
 			r.none(MeasureRollOutSeconds, fmt.Sprintf("wave %s ended with %d of %d hosts to do", name, b.pending[name], b.wanted[name]))
 			return
--- a/replay/measure.go
+++ b/replay/measure.go
@@ -202,4 +202,4 @@
 func (e *engine) seconds(t model.Time) float64 { return t.Sub(e.began).Seconds() }
 
 // RefusalKinds returns the kinds of refusals in order.
-func (r *Result) RefusalKinds() []string { return sortedKeys(r.Refusals) }
+func (r *Result) RefusalKinds() []string { return model.SortedKeys(r.Refusals) }
--- a/replay/optimum.go
+++ b/replay/optimum.go
@@ -67,7 +67,7 @@
 		}
 	}
 	total := model.Duration(0)
-	for _, service := range sortedKeys(jobs) {
+	for _, service := range model.SortedKeys(jobs) {
 		total += b.earliestFirst(w, service, jobs[service], teams[service])
 	}
 	return total
--- a/replay/outcomes.go
+++ b/replay/outcomes.go
@@ -6,6 +6,8 @@
 
 	"github.com/juju/errors"
 	"github.com/pelletier/go-toml/v2"
+
+	"primrosedale.example/primrosedale/core/model"
 )
 
 // Outcomes are the bounds that a replay must keep. Invariants that are not
@@ -39,7 +41,7 @@
 // that the result does not have.
 func (o *Outcomes) Check(r *Result) ([]Verdict, error) {
 	var list []Verdict
-	for _, name := range sortedKeys(o.Measure) {
+	for _, name := range model.SortedKeys(o.Measure) {
 		m, known := r.Measure(name)
 		if !known {
 			return nil, errors.NotFoundf("measure %q of the outcomes", name)
@@ -48,7 +50,7 @@
 		ok := m.None == "" && (b.Min == nil || m.Value >= *b.Min) && (b.Max == nil || m.Value <= *b.Max)
 		list = append(list, Verdict{name, b.String(), ok})
 	}
-	for _, name := range sortedKeys(o.Invariant) {
+	for _, name := range model.SortedKeys(o.Invariant) {
 		if !slices.ContainsFunc(r.Invariants, func(c Count) bool { return c.Name == name }) {
 			return nil, errors.NotFoundf("invariant %q of the outcomes", name)
 		}
--- a/replay/plot.go
+++ b/replay/plot.go
@@ -49,7 +49,7 @@
 	p.Y.Label.Text = title
 	p.Y.Min = 0
 	p.Legend.Top = true
-	for i, team := range sortedKeys(values) {
+	for i, team := range model.SortedKeys(values) {
 		points := make(plotter.XYs, len(values[team]))
 		for j, v := range values[team] {
 			points[j] = plotter.XY{X: r.Series.Seconds[j], Y: v}
--- a/replay/share.go
+++ b/replay/share.go
@@ -15,7 +15,7 @@
 		running[u.team] += float64(n)
 	}
 	entitled := s.entitlements()
-	for _, team := range sortedKeys(entitled) {
+	for _, team := range model.SortedKeys(entitled) {
 		distance := 100 * math.Abs(running[team]-entitled[team]) / float64(s.slots())
 		mean += distance / float64(len(entitled))
 		largest = max(largest, distance)
@@ -57,11 +57,11 @@
 
 func newShareModel(s *sample) *shareModel {
 	m := &shareModel{}
-	services := sortedKeys(s.capacity)
+	services := model.SortedKeys(s.capacity)
 	for _, service := range services {
 		m.capacity = append(m.capacity, float64(s.capacity[service]))
 	}
-	for _, team := range sortedKeys(s.shares) {
+	for _, team := range model.SortedKeys(s.shares) {
 		row := make([]float64, len(services))
 		total := 0.0
 		for i, service := range services {
--- a/storage/bench_test.go
+++ b/storage/bench_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
 	"primrosedale.example/primrosedale/core/consensus"
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/model"
--- a/storage/damage_test.go
+++ b/storage/damage_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
 	"primrosedale.example/primrosedale/core/consensus"
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/logevent"
--- a/storage/encode.go
+++ b/storage/encode.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"github.com/juju/errors"
+
 	"primrosedale.example/primrosedale/codec"
 )
 
--- a/storage/model_test.go
+++ b/storage/model_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
 	"primrosedale.example/primrosedale/core/consensus"
 )
 
--- a/storage/open.go
+++ b/storage/open.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/juju/errors"
+
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/logevent"
 )
--- a/storage/record.go
+++ b/storage/record.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 
 	"github.com/juju/errors"
+
 	"primrosedale.example/primrosedale/core/consensus"
 	"primrosedale.example/primrosedale/core/model"
 )
--- a/storage/replay.go
+++ b/storage/replay.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/juju/errors"
+
 	"primrosedale.example/primrosedale/codec"
 	"primrosedale.example/primrosedale/core/consensus"
 	"primrosedale.example/primrosedale/core/model"
--- a/storage/store.go
+++ b/storage/store.go
@@ -4,6 +4,7 @@
 	"os"
 
 	"github.com/juju/errors"
+
 	"primrosedale.example/primrosedale/core/consensus"
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/model"
--- a/storage/store_test.go
+++ b/storage/store_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
 	"primrosedale.example/primrosedale/core/consensus"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/logevent"
