core, client, ctl: log lost leases, keep open outcomes, show data centres out

Cause: the newcomer's read found events of the catalogue that nothing emitted (a lost lease, an entry host cut off, the settings read), the submitters' commands in the file of the leader, a client that let a later host hide the open outcome of an earlier one (exit 1 or 3 for a change that may have been made), and a status without the data centres that are out. Result: TestLostLeasesAreLogged is new; the row "the answer is lost and the next host is down" of ctl's exit codes passes now; the packages' tests pass.

--- a/cmd/primrosedaled/main.go
+++ b/cmd/primrosedaled/main.go
@@ -102,6 +102,10 @@
 	if err != nil {
 		return refuse(err)
 	}
+	log.Emit(logevent.SettingsLoaded, logevent.Str(logevent.NameFile, path))
+	for _, warning := range s.Warnings {
+		log.Emit(logevent.SettingsWarning, logevent.Str(logevent.NameReason, warning))
+	}
 	d, err := daemon.New(s, log)
 	if err != nil {
 		return refuse(err)
--- a/core/apply.go
+++ b/core/apply.go
@@ -4,7 +4,6 @@
 	"primrosedale.example/primrosedale/core/consensus"
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/fleet"
-	"primrosedale.example/primrosedale/core/model"
 )
 
 type (
@@ -12,12 +11,6 @@
 	logSnapshot = consensus.Snapshot[*fleet.State]
 )
 
-// Times of submitted commands.
-const (
-	commandResend  = 1000 * model.Millisecond
-	commandTimeout = 10 * model.Second
-)
-
 // apply applies one committed entry and tells the branches.
 func (s *State) apply(e *logEntry) {
 	if e.Kind == consensus.EntryVoters {
@@ -36,26 +29,6 @@
 	}
 }
 
-// submit passes a command to the leader and keeps it until it is applied here.
-func (s *State) submit(c fleet.Command) {
-	if p := s.pending[c.ID]; p != nil {
-		return
-	}
-	p := &pendingCommand{command: c, deadline: s.now.Add(commandTimeout)}
-	s.pending[c.ID] = p
-	s.sendCommand(p)
-}
-
-// answerCommand answers a command that was submitted on this host. The result
-// is the one of its first application, so a resend gets the same answer.
-func (s *State) answerCommand(c *fleet.Command, result fleet.Result) {
-	if c.ID == "" || s.pending[c.ID] == nil {
-		return
-	}
-	delete(s.pending, c.ID)
-	s.emit(effect.AnswerCommand{ID: c.ID, Result: result})
-}
-
 func (s *State) logCommand(c *fleet.Command, result fleet.Result) {
 	l := effect.Log{Index: s.fleet.Index}
 	switch {
--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -102,6 +102,7 @@
 	LeaseLost        Code = "lease_lost"
 	LeaseRegained    Code = "lease_regained"
 	HostSilent       Code = "host_silent"
+	HostBack         Code = "host_back"
 	MemberAdded      Code = "member_added"
 	VotersChanged    Code = "voters_changed"
 	SnapshotTaken    Code = "snapshot_taken"
--- a/core/leader.go
+++ b/core/leader.go
@@ -39,6 +39,7 @@
 		granter: lease.NewGranter(s.now, status.Term, s.fleet.ControlIndex),
 		members: memberHosts(s.fleet),
 		burn:    burn.NewCollector(burn.Leader{Host: s.cfg.Host, Term: status.Term}),
+		silent:  make(map[model.HostID]bool),
 		began:   s.now,
 		clock:   s.fleet.Now,
 	}
@@ -57,6 +58,7 @@
 		return
 	}
 	s.propose()
+	s.noteHosts()
 	if s.leading.inForce < s.fleet.ControlIndex && s.leading.granter.InForce(s.now, s.leading.members) {
 		s.leading.inForce = s.fleet.ControlIndex
 		s.emit(effect.Log{Code: effect.RulesInForce, Index: s.fleet.ControlIndex})
@@ -168,23 +170,3 @@
 	s.asPlacer(func(env placement.Env, out *placement.Out) { s.leading.placer.Committed(env, out, c, result) })
 	s.asPlanner(func(env maintenance.Env, out *maintenance.Out) { s.leading.planner.Committed(env, out, c, result) })
 }
-
-func (s *State) sendCommand(p *pendingCommand) {
-	p.resendAt = s.now.Add(commandResend)
-	if leader, _ := s.holder.Leader(); leader != "" {
-		s.send(leader, message.Message{Command: &message.Command{Command: p.command}})
-	}
-}
-
-// resendCommands sends again what has not been applied here, and gives up
-// after the time that the submitter waits.
-func (s *State) resendCommands() {
-	for _, id := range model.SortedKeys(s.pending) {
-		p := s.pending[id]
-		if s.now >= p.deadline {
-			delete(s.pending, id)
-		} else if s.now >= p.resendAt {
-			s.sendCommand(p)
-		}
-	}
-}
--- /dev/null
+++ b/core/notices_test.go
@@ -0,0 +1,43 @@
+package core
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/lease"
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// Guards against a lease or an entry host that is lost without a line in the
+// log, and against a line at each tick.
+func TestLostLeasesAreLogged(t *testing.T) {
+	s := &State{holder: lease.NewHolder("life", "west"), now: 1}
+	codes := func() []effect.Code {
+		var list []effect.Code
+		for _, e := range s.out {
+			list = append(list, e.(effect.Log).Code)
+		}
+		s.out = nil
+		return list
+	}
+	s.holder.Follow("leader", 1)
+	renew := s.holder.Renew(s.now, 0, false)
+	s.holder.Granted(&message.Grant{Term: 1, Seq: renew.Seq, Duration: lease.Duration})
+	s.noteLease()
+	s.noteLease()
+	require.Equal(t, []effect.Code{effect.LeaseRegained}, codes())
+	s.leading = &leadership{
+		granter: lease.NewGranter(s.now, 1, 0), members: []model.HostID{"a"}, silent: map[model.HostID]bool{},
+	}
+	s.noteHosts()
+	require.Empty(t, codes())
+	s.now = s.now.Add(2 * lease.Duration)
+	s.noteLease()
+	s.noteHosts()
+	s.noteLease()
+	s.noteHosts()
+	require.Equal(t, []effect.Code{effect.LeaseLost, effect.HostSilent}, codes())
+}
--- a/core/publish.go
+++ b/core/publish.go
@@ -83,6 +83,11 @@
 		st.Voters = append(st.Voters, v.Host)
 	}
 	slices.Sort(st.Voters)
+	for _, dc := range model.SortedKeys(s.fleet.Rules.DataCentres) {
+		if s.fleet.Rules.DataCentres[dc].Out {
+			st.Out = append(st.Out, dc)
+		}
+	}
 	if s.leading != nil {
 		s.leaderStatus(st)
 	}
--- a/core/reduce.go
+++ b/core/reduce.go
@@ -76,6 +76,7 @@
 	s.log.Tick(s.now, s.rand)
 	s.follow()
 	s.lead()
+	s.noteLease()
 	s.renew()
 	s.emit(s.table.Advance(s.now)...)
 	s.advanceLeader()
@@ -115,13 +116,10 @@
 }
 
 func (s *State) granted(g *message.Grant) {
-	serving := s.holder.Valid(s.now)
 	if s.holder.Granted(g) {
 		s.emit(s.table.Resend(s.now)...)
 	}
-	if !serving && s.holder.Valid(s.now) {
-		s.emit(effect.Log{Code: effect.LeaseRegained, Term: g.Term})
-	}
+	s.noteLease()
 }
 
 // follow tells the branches who leads.
--- a/core/state.go
+++ b/core/state.go
@@ -74,6 +74,7 @@
 	leadFrom uint64 // index to apply before it acts as the leader of leadTerm
 
 	pending  map[model.CommandID]*pendingCommand
+	serving  bool // the last lease event said that this host serves
 	stopping bool
 	stopAt   model.Time
 	halted   bool
@@ -103,7 +104,8 @@
 	owner   *dispatch.Owner
 	placer  *placement.Placer
 	planner *maintenance.Planner
-	members []model.HostID // sorted
+	members []model.HostID        // sorted
+	silent  map[model.HostID]bool // members whose lease has ended
 	began   model.Time
 	clock   model.Time      // fleet.State.Now when the term began
 	unsent  []fleet.Command // proposed while the log took no commands
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -37,11 +37,12 @@
 	InForce    bool                    `json:"in_force"` // every host has applied the revision or lost its lease; known on the leader
 	Serving    bool                    `json:"serving"`
 	Voters     []model.HostID          `json:"voters"`
-	Hosts      []HostStatus            `json:"entry_hosts,omitempty"` // known on the leader
-	Targets    []TargetStatus          `json:"targets,omitempty"`     // known on the leader
-	Teams      []TeamStatus            `json:"teams,omitempty"`       // known on the leader
-	Queues     []QueueStatus           `json:"queues,omitempty"`      // known on the leader
-	Held       int                     `json:"held"`                  // requests held for callers of this host
+	Out        []model.DataCentreID    `json:"data_centres_out,omitempty"` // taken out of service by the rules
+	Hosts      []HostStatus            `json:"entry_hosts,omitempty"`      // known on the leader
+	Targets    []TargetStatus          `json:"targets,omitempty"`          // known on the leader
+	Teams      []TeamStatus            `json:"teams,omitempty"`            // known on the leader
+	Queues     []QueueStatus           `json:"queues,omitempty"`           // known on the leader
+	Held       int                     `json:"held"`                       // requests held for callers of this host
 	Tasks      map[fleet.TaskPhase]int `json:"tasks,omitempty"`
 	Pools      []PoolStatus            `json:"pools,omitempty"`
 }
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -178,6 +178,7 @@
 		{"half a TLS configuration", host(closed), ExitUsage, []string{"status", "--certificate", "x.pem"}},
 		{"faults", "", ExitFaults, []string{"check", faulty}},
 		{"the answer is lost", host(silent), ExitOutcomeOpen, []string{"apply", rules}},
+		{"the answer is lost and the next host is down", host(silent) + "," + host(closed), ExitOutcomeOpen, []string{"apply", rules}},
 		{"the outcome is open", host(open), ExitOutcomeOpen, []string{"key", "withdraw", "desk"}},
 	} {
 		got := runProgram(test.address, test.args...)
--- a/ctl/rules.go
+++ b/ctl/rules.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"text/tabwriter"
 
@@ -142,15 +141,10 @@
 }
 
 // markOpen gives an error after the change may have reached a host the exit
-// code of an open outcome. Only a failure to connect proves that the host has
-// not got it.
+// code of an open outcome.
 func markOpen(err error) error {
 	var refusal *client.Refusal
-	var network *net.OpError
-	switch {
-	case err == nil || errors.As(err, &refusal):
-		return err
-	case errors.As(err, &network) && network.Op == "dial":
+	if err == nil || errors.As(err, &refusal) || !client.MayHaveRun(err) {
 		return err
 	}
 	return &failure{ExitOutcomeOpen, err}
--- a/ctl/status.go
+++ b/ctl/status.go
@@ -53,6 +53,9 @@
 func (p *Program) writeStatus(s *view.Status) {
 	fmt.Fprintf(p.Out, "host %s (%s), %s of term %d, leader %s\n", s.Host, s.DataCentre, s.Role, s.Term, orNone(string(s.Leader)))
 	fmt.Fprintf(p.Out, "rules revision %d%s, applied index %d, %d requests held here\n", s.Revision, inForce(s), s.Applied, s.Held)
+	if len(s.Out) > 0 {
+		fmt.Fprintf(p.Out, "data centres out of service: %v\n", s.Out)
+	}
 	if s.Leader == "" {
 		fmt.Fprintln(p.Out, "No leader is known to this host: without one, no work starts and no change is accepted.")
 		return
--- a/daemon/executor.go
+++ b/daemon/executor.go
@@ -50,6 +50,7 @@
 	effect.LeaseLost:        logevent.LeaseLost,
 	effect.LeaseRegained:    logevent.LeaseRegained,
 	effect.HostSilent:       logevent.HostCutOff,
+	effect.HostBack:         logevent.HostReturned,
 	effect.MemberAdded:      logevent.MemberAdded,
 	effect.VotersChanged:    logevent.VotersChanged,
 	effect.SnapshotTaken:    logevent.SnapshotWritten,
--- a/operator/client/client.go
+++ b/operator/client/client.go
@@ -11,6 +11,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -139,21 +140,48 @@
 
 // change sends a change until its outcome is known or the sends are used up.
 func (c *Client) change(ctx context.Context, method, path string, body, answer any) error {
-	var err error
+	var open, err error
 	for range sends {
 		err = c.try(ctx, method, path, body, answer)
 		if !outcomeOpen(err) {
 			return err
 		}
+		open = keepOpen(open, err)
 		select {
 		case <-time.After(resendDelay):
 		case <-ctx.Done():
-			return ctx.Err()
+			return keepOpen(open, ctx.Err())
 		}
 	}
+	return keepOpen(open, err)
+}
+
+// keepOpen returns the error that tells more of a change that several hosts
+// were asked for: one after which it may have been made, if there is any.
+func keepOpen(open, err error) error {
+	if open != nil && MayHaveRun(open) {
+		return open
+	}
 	return err
 }
 
+// MayHaveRun reports whether a change may have been made whose request ended
+// with err. Only a failure to connect, or a refusal that says so, proves that
+// it was not.
+func MayHaveRun(err error) bool {
+	var refusal *Refusal
+	var network *net.OpError
+	switch {
+	case err == nil:
+		return true
+	case errors.As(err, &refusal):
+		return refusal.Ran != problem.RanNo
+	case errors.As(err, &network):
+		return network.Op != "dial"
+	}
+	return true
+}
+
 // outcomeOpen reports whether sending the same change again can tell more.
 func outcomeOpen(err error) bool {
 	if err == nil {
@@ -168,14 +196,16 @@
 
 // try asks one host after another until one answers.
 func (c *Client) try(ctx context.Context, method, path string, body, answer any) error {
+	var open error
 	err := errors.New("no address was given")
 	for _, base := range c.bases {
 		err = c.call(ctx, base, method, path, body, answer)
 		if !outcomeOpen(err) {
 			return err
 		}
+		open = keepOpen(open, err)
 	}
-	return err
+	return keepOpen(open, err)
 }
 
 func (c *Client) call(ctx context.Context, base, method, path string, body, answer any) error {
