gateway, dispatch, proof: shorten the way of a request

Cause: reading one request from the HTTP handler to its answer, two places sent the reader back: gateway.authorize was a wrapper whose name hid that teamFor runs twice, before and after the body; Owner.Ask had four refusals in a row. Two functions of proof built the same HTTP request. Change: admit calls teamFor; Owner.unknownNames; system.newCall. No behaviour changes and no check is touched.

--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -51,21 +51,16 @@
 		}
 		return
 	}
-	queue, known := o.rules.Queues[a.Queue]
 	r := &request{ask: *a, gateway: from, attempt: a.Attempt, arrived: env.Now, deadline: env.Now.Add(a.Patience)}
-	if !known {
-		o.refuse(env, out, r, problem.New(problem.UnknownQueue, "there is no queue %s", a.Queue))
-		return
-	}
-	if _, known := o.rules.Teams[a.Team]; !known {
-		o.refuse(env, out, r, problem.New(problem.UnknownTeam, "there is no team %s", a.Team))
+	if p := o.unknownNames(a); p != nil {
+		o.refuse(env, out, r, p)
 		return
 	}
 	if record := env.Fleet.Claims[r.claimID()]; !a.Idempotent && record != nil && record.Request != a.Request {
 		o.answerFromRecord(env, out, r, record)
 		return
 	}
-	if p := o.tooLate(env, queue, r); p != nil {
+	if p := o.tooLate(env, o.rules.Queues[a.Queue], r); p != nil {
 		o.refuse(env, out, r, p)
 		return
 	}
@@ -74,6 +69,17 @@
 	o.pump(env, out, r.service)
 }
 
+// unknownNames refuses a request whose queue or team the rules do not name.
+func (o *Owner) unknownNames(a *message.Ask) *problem.Problem {
+	if _, known := o.rules.Queues[a.Queue]; !known {
+		return problem.New(problem.UnknownQueue, "there is no queue %s", a.Queue)
+	}
+	if _, known := o.rules.Teams[a.Team]; !known {
+		return problem.New(problem.UnknownTeam, "there is no team %s", a.Team)
+	}
+	return nil
+}
+
 func (o *Owner) track(r *request) {
 	o.requests[r.ask.Request] = r
 	held := o.byGateway[r.gateway]
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -71,19 +71,16 @@
 	if a.key, p = reply.BearerDigest(r); p != nil {
 		return a, p
 	}
-	if p = s.authorize(a); p != nil {
+	if _, p = s.teamFor(a); p != nil {
 		return a, p
 	}
 	a.wishes, p = parseWishes(r.Header)
 	return a, p
 }
 
-func (s *Server) authorize(a admission) *problem.Problem {
-	_, p := s.teamFor(a)
-	return p
-}
-
-// teamFor checks the admission against the view of this moment.
+// teamFor checks the admission against the view of this moment and returns the
+// team that the request is charged to. It is called before and after the body
+// is read.
 func (s *Server) teamFor(a admission) (model.TeamID, *problem.Problem) {
 	v := s.control.View()
 	if p := s.checkServing(v); p != nil {
--- a/proof/book_test.go
+++ b/proof/book_test.go
@@ -147,18 +147,7 @@
 // the connection.
 func (s *system) call(ctx context.Context, i int, r request) answer {
 	a := answer{outcome: outcome{request: r, host: i, sent: time.Now(), attempts: 1, ran: problem.RanUnknown}}
-	url := "http://" + s.hosts[i].address(callerPort) + "/v1/queues/" + r.queue + "/requests"
-	call, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(r.body()))
-	require.NoError(s.t, err)
-	call.Header.Set("Primrosedale-Patience", patience)
-	call.GetBody = nil // the client must not resend by itself
-	if key := s.keys[r.team]; key != "" {
-		call.Header.Set("Authorization", "Bearer "+key)
-	}
-	if r.nonIdempotent {
-		call.Header.Set("Idempotency-Key", r.key)
-	}
-	response, err := callers.Do(call)
+	response, err := callers.Do(s.newCall(ctx, i, r, r.body()))
 	if err == nil {
 		defer response.Body.Close()
 		if a.content, err = io.ReadAll(response.Body); err == nil {
--- a/proof/load_test.go
+++ b/proof/load_test.go
@@ -63,12 +63,10 @@
 // callers keeps connections to the entry hosts.
 var callers = &http.Client{Timeout: requestLimit, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 
-// send makes one attempt.
-func (s *system) send(i int, r request) outcome {
-	o := outcome{request: r, host: i, sent: time.Now(), attempts: 1, ran: problem.RanUnknown}
+// newCall returns the HTTP request of one attempt through a host.
+func (s *system) newCall(ctx context.Context, i int, r request, body []byte) *http.Request {
 	url := "http://" + s.hosts[i].address(callerPort) + "/v1/queues/" + r.queue + "/requests"
-	body := r.body()
-	call, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(body))
+	call, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	require.NoError(s.t, err)
 	call.Header.Set("Primrosedale-Patience", patience)
 	call.GetBody = nil // the client must not resend by itself
@@ -78,7 +76,14 @@
 	if r.nonIdempotent {
 		call.Header.Set("Idempotency-Key", r.key)
 	}
-	response, err := callers.Do(call)
+	return call
+}
+
+// send makes one attempt.
+func (s *system) send(i int, r request) outcome {
+	o := outcome{request: r, host: i, sent: time.Now(), attempts: 1, ran: problem.RanUnknown}
+	body := r.body()
+	response, err := callers.Do(s.newCall(context.Background(), i, r, body))
 	if err == nil {
 		defer response.Body.Close()
 		var content []byte
