drain, daemon: end idle connections with an answer that says not run

Cause: at the end of a graceful stop http.Server.Shutdown closes idle kept connections. A request that is on its way on one of them meets EOF, and its caller cannot tell whether it ran.

Ruled out: a longer time of refusing with 'Connection: close', because a connection that is idle for all of that time keeps the race; a socket filter that drops new handshakes, because the kernel here answers 'operation not supported'.

Change: package drain tracks the callers' connections. An idle one is ended with a whole 408 answer of the new kind connection_closing (ran: no) and the end of the writing side; what still arrives is discarded and never run. Busy ones are left to their handlers, and connections in the backlog are accepted before the listening socket is closed.

--- a/core/problem/problem.go
+++ b/core/problem/problem.go
@@ -27,6 +27,7 @@
 	PatienceExceeded    Kind = "patience_exceeded"
 	NoTarget            Kind = "no_target"
 	Stopping            Kind = "stopping"
+	ConnectionClosing   Kind = "connection_closing"
 	KeyReused           Kind = "idempotency_key_reused"
 	InProgress          Kind = "in_progress"
 	OutcomeUnknown      Kind = "outcome_unknown"
@@ -77,6 +78,7 @@
 	PatienceExceeded:    {503, "the request cannot start within its patience", true, RanNo},
 	NoTarget:            {503, "no target offers this service", true, RanNo},
 	Stopping:            {503, "this host is stopping", true, RanNo},
+	ConnectionClosing:   {408, "this host is stopping and has read no request on this connection", true, RanNo},
 	KeyReused:           {422, "the idempotency key was used with another request", false, RanNo},
 	InProgress:          {409, "an earlier request with this idempotency key is still running", true, RanUnknown},
 	OutcomeUnknown:      {502, "the request may have run and its outcome is not known", false, RanUnknown},
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"primrosedale.example/primrosedale/core/event"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/view"
+	"primrosedale.example/primrosedale/drain"
 	"primrosedale.example/primrosedale/gateway"
 	"primrosedale.example/primrosedale/journal"
 	"primrosedale.example/primrosedale/logevent"
@@ -35,9 +36,8 @@
 	headerTimeout   = 10 * time.Second
 	shutdownTimeout = 5 * time.Second
 	// lingerTime is how long a stopping process goes on refusing requests, as
-	// not run and with "Connection: close", before it closes its connections. A
-	// caller that writes on a kept connection while it is closed cannot tell
-	// whether its request ran.
+	// not run and with "Connection: close", before it drains its connections, so
+	// that the load balancer notices that it is not ready.
 	lingerTime = time.Second
 )
 
@@ -54,6 +54,7 @@
 	operator *operator.Server
 	peers    *transport.Transport
 	servers  []*server
+	callers  *drain.Listener
 	peerSide net.Listener
 }
 
@@ -159,29 +160,37 @@
 	if d.peerSide, err = net.Listen("tcp", listen.Peers.String()); err != nil {
 		return errors.Annotate(err, "listening for peers")
 	}
-	for _, l := range []struct {
-		address string
-		handler http.Handler
-		tls     *tls.Config
-	}{
-		{listen.Callers.String(), d.gateway.Handler(), nil},
-		{listen.Platform.String(), d.platform.Handler(), nil},
-		{listen.Operators.String(), d.operator.Handler(), operatorTLS},
-	} {
-		listener, err := net.Listen("tcp", l.address)
-		if err != nil {
-			return errors.Annotatef(err, "listening on %s", l.address)
-		}
-		if l.tls != nil {
-			listener = tls.NewListener(listener, l.tls)
-		}
-		d.servers = append(d.servers, &server{listener, &http.Server{
-			Handler: l.handler, ReadHeaderTimeout: headerTimeout,
-		}})
+	callers, err := d.addServer(listen.Callers.String(), d.gateway.Handler())
+	if err != nil {
+		return err
+	}
+	d.callers = drain.NewListener(callers.listener, d.gateway.Farewell)
+	d.callers.Attach(callers.http)
+	callers.listener = d.callers
+	if _, err := d.addServer(listen.Platform.String(), d.platform.Handler()); err != nil {
+		return err
+	}
+	operators, err := d.addServer(listen.Operators.String(), d.operator.Handler())
+	if err != nil {
+		return err
+	}
+	if operatorTLS != nil {
+		operators.listener = tls.NewListener(operators.listener, operatorTLS)
 	}
 	return nil
 }
 
+// addServer opens a listener with an HTTP server.
+func (d *Daemon) addServer(address string, handler http.Handler) (*server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "listening on %s", address)
+	}
+	s := &server{listener, &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}}
+	d.servers = append(d.servers, s)
+	return s, nil
+}
+
 // Run runs the process until the reducer halts it or t is killed. Cancel stop
 // to begin a graceful stop.
 func (d *Daemon) Run(t *tomb.Tomb, stop context.Context) error {
@@ -247,10 +256,16 @@
 	}
 }
 
-// shutDown closes the HTTP servers; a graceful one lets answers go out first.
+// shutDown closes the HTTP servers; a graceful one drains the callers'
+// connections and lets answers go out first.
 func (d *Daemon) shutDown(graceful bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
+	if graceful {
+		if err := d.callers.Drain(ctx); err != nil {
+			d.log.Emit(logevent.ConnectionsCut, logevent.Err(err))
+		}
+	}
 	for _, s := range d.servers {
 		if graceful {
 			_ = s.http.Shutdown(ctx)
@@ -262,8 +277,8 @@
 
 func serve(s *server) error {
 	err := s.http.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil // the listener is closed at the end only
 	}
 	return errors.Annotatef(err, "serving on %s", s.listener.Addr())
 }
--- /dev/null
+++ b/drain/conn.go
@@ -0,0 +1,92 @@
+package drain
+
+import (
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+// state is what is known of a connection.
+type state int32
+
+const (
+	stateNew   state = iota // no byte has arrived yet
+	stateIdle               // the last request was answered, no byte of a next one has arrived
+	stateBusy               // a byte of a request has arrived
+	stateEnded              // the farewell is the answer to whatever arrives
+)
+
+// conn is one connection of a caller. The states exclude each other: a byte that
+// arrives makes it busy, or is discarded because it has ended.
+type conn struct {
+	net.Conn
+	listener *Listener
+	state    atomic.Int32
+}
+
+// Read returns what arrives, or io.EOF after the farewell.
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if n == 0 || c.begin() {
+			return n, err
+		}
+		if err != nil {
+			return 0, io.EOF
+		}
+	}
+}
+
+// begin makes the connection busy. It reports false if it has ended.
+func (c *conn) begin() bool {
+	for {
+		s := state(c.state.Load())
+		switch {
+		case s == stateBusy:
+			return true
+		case s == stateEnded:
+			return false
+		case c.state.CompareAndSwap(int32(s), int32(stateBusy)):
+			return true
+		}
+	}
+}
+
+// idle notes that the last request was answered.
+func (c *conn) idle() {
+	c.state.CompareAndSwap(int32(stateBusy), int32(stateIdle))
+	if c.listener.isDraining() {
+		c.end(stateIdle)
+	}
+}
+
+// end sends the farewell if the connection is in the given state, and lets the
+// server's goroutine discard what still arrives. It does not block: the farewell
+// fits the empty send buffer, and the deadline holds for the case that it does
+// not.
+func (c *conn) end(in state) {
+	if !c.state.CompareAndSwap(int32(in), int32(stateEnded)) {
+		return
+	}
+	_ = c.Conn.SetDeadline(time.Now().Add(discardTime))
+	_, _ = c.Conn.Write(c.listener.farewell()) // a caller that has gone needs no answer
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+	}
+}
+
+// SetReadDeadline keeps the deadline of the farewell: the server sets deadlines
+// of its own before it reads.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	if state(c.state.Load()) == stateEnded {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Close ends the connection.
+func (c *conn) Close() error {
+	defer c.listener.remove(c)
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/drain/drain.go
@@ -0,0 +1,180 @@
+// Package drain ends the kept connections of an HTTP server without cutting off
+// a request.
+//
+// A server that closes an idle connection cannot know whether a request is on
+// its way on it. The caller of such a request sees the connection end and cannot
+// tell whether the request ran. A Listener therefore ends an idle connection
+// with a farewell: a whole answer that says the request was not run, then the
+// end of its writing side. What still arrives is read and discarded until the
+// caller closes, so that no reset overtakes the farewell. RFC 9110, 15.5.9
+// gives status 408 this meaning.
+//
+// A connection on which a byte of a request has arrived is left to its handler,
+// which answers with "Connection: close".
+//
+// Connections that the kernel has accepted and the server has not are taken
+// before the listening socket is closed.
+package drain
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Times of a drain.
+const (
+	// firstByteTime is how long a connection without any request yet is left
+	// open: its caller has just connected and is about to send.
+	firstByteTime = time.Second
+	// discardTime bounds the wait for a caller to close after the farewell.
+	discardTime = 2 * time.Second
+)
+
+// Listener wraps the listener of an HTTP server and tracks its connections.
+type Listener struct {
+	net.Listener
+	farewell func() []byte
+
+	mu       sync.Mutex
+	conns    map[*conn]struct{}
+	draining bool
+	backlog  []net.Conn    // accepted just before the listening socket was closed
+	changed  chan struct{} // closed and replaced when a connection has ended
+}
+
+// NewListener returns a Listener. farewell returns the bytes of the answer that
+// ends an idle connection.
+func NewListener(l net.Listener, farewell func() []byte) *Listener {
+	return &Listener{Listener: l, farewell: farewell, conns: make(map[*conn]struct{}), changed: make(chan struct{})}
+}
+
+// Attach sets the hooks of the server that serves on l. It wraps the handler.
+func (l *Listener) Attach(s *http.Server) {
+	next := s.Handler
+	s.ConnState = stateChanged
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, c)
+	}
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*conn); ok && !c.begin() {
+			// The farewell was the answer to this request, which was read with an
+			// earlier one.
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+type connKey struct{}
+
+// stateChanged is the server's hook. A connection becomes idle when its answer
+// has been written.
+func stateChanged(c net.Conn, state http.ConnState) {
+	if tracked, ok := c.(*conn); ok && state == http.StateIdle {
+		tracked.idle()
+	}
+}
+
+// Accept waits for the next connection.
+func (l *Listener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err == nil {
+		return l.track(accepted), nil
+	}
+	if len(l.backlog) == 0 {
+		return nil, err
+	}
+	accepted, l.backlog = l.backlog[0], l.backlog[1:]
+	return l.track(accepted), nil
+}
+
+// track adds a connection. mu is held.
+func (l *Listener) track(accepted net.Conn) *conn {
+	c := &conn{Conn: accepted, listener: l}
+	l.conns[c] = struct{}{}
+	return c
+}
+
+// closeListener closes the listening socket. Accept returns what it held.
+func (l *Listener) closeListener() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.draining = true
+	var err error
+	if l.backlog, err = acceptBacklog(l.Listener); err != nil {
+		return err
+	}
+	return errors.Trace(l.Listener.Close())
+}
+
+// Drain accepts no new connections, ends idle ones with a farewell, and waits
+// until all have ended or ctx has. The server must answer what it still reads
+// with "Connection: close". The caller shuts the server down afterwards.
+func (l *Listener) Drain(ctx context.Context) error {
+	if err := l.closeListener(); err != nil {
+		return errors.Annotate(err, "closing the listening socket")
+	}
+	l.farewellAll(stateIdle)
+	if err := l.wait(ctx, firstByteTime); !errors.Is(err, context.DeadlineExceeded) || ctx.Err() != nil {
+		return err
+	}
+	l.farewellAll(stateNew)
+	return l.wait(ctx, 0)
+}
+
+// farewellAll ends the connections that are in the given state.
+func (l *Listener) farewellAll(in state) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		c.end(in)
+	}
+}
+
+// wait returns when no connection is left, ctx has ended, or the limit has
+// passed. A limit of zero stands for none.
+func (l *Listener) wait(ctx context.Context, limit time.Duration) error {
+	if limit > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, limit)
+		defer cancel()
+	}
+	for {
+		l.mu.Lock()
+		left, changed := len(l.conns)+len(l.backlog), l.changed
+		l.mu.Unlock()
+		if left == 0 {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (l *Listener) isDraining() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.draining
+}
+
+// remove forgets a connection that has ended.
+func (l *Listener) remove(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, known := l.conns[c]; !known {
+		return
+	}
+	delete(l.conns, c)
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
--- a/gateway/reply/reply.go
+++ b/gateway/reply/reply.go
@@ -3,6 +3,7 @@
 package reply
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -38,7 +39,19 @@
 	if row.Status == http.StatusUnauthorized {
 		header.Set("WWW-Authenticate", "Bearer")
 	}
-	body, err := json.Marshal(problemBody{
+	body, err := encodeProblem(p, row, id)
+	if err != nil {
+		http.Error(w, row.Title, row.Status)
+		return
+	}
+	write(w, row.Status, problemType, body)
+}
+
+// problemType is the media type of a refusal.
+const problemType = "application/problem+json"
+
+func encodeProblem(p *problem.Problem, row problem.Row, id model.RequestID) ([]byte, error) {
+	return json.Marshal(problemBody{
 		Type:      "urn:primrosedale:problem:" + string(p.Kind),
 		Title:     row.Title,
 		Status:    row.Status,
@@ -47,11 +60,29 @@
 		Ran:       row.Ran,
 		RequestID: id,
 	})
+}
+
+// Farewell returns the whole answer, as the bytes of HTTP/1.1, that ends a
+// connection on which no request was read.
+func Farewell(random uint64) []byte {
+	row := problem.Lookup(problem.ConnectionClosing)
+	body, err := encodeProblem(problem.New(problem.ConnectionClosing, ""), row, "")
 	if err != nil {
-		http.Error(w, row.Title, row.Status)
-		return
+		return nil // the connection then ends without an answer
+	}
+	answer := http.Response{
+		StatusCode: row.Status, ProtoMajor: 1, ProtoMinor: 1, Close: true,
+		ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body)),
+		Header: http.Header{
+			"Content-Type": {problemType},
+			"Retry-After":  {strconv.FormatInt(RetryAfter(0, random), 10)},
+		},
+	}
+	var out bytes.Buffer
+	if err := answer.Write(&out); err != nil {
+		return nil
 	}
-	write(w, row.Status, "application/problem+json", body)
+	return out.Bytes()
 }
 
 // RetryAfter returns whole seconds, at least 1: wanted rounded up, plus up to
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -21,6 +21,7 @@
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/view"
 	"primrosedale.example/primrosedale/gateway/pending"
+	"primrosedale.example/primrosedale/gateway/reply"
 	"primrosedale.example/primrosedale/logevent"
 )
 
@@ -130,6 +131,9 @@
 	return mux
 }
 
+// Farewell returns the answer that ends a kept connection of a stopping host.
+func (s *Server) Farewell() []byte { return reply.Farewell(s.control.Rand()) }
+
 // Held returns the number of requests held for callers.
 func (s *Server) Held() int64 { return s.held.Load() }
 
--- a/logevent/ids.go
+++ b/logevent/ids.go
@@ -9,6 +9,7 @@
 	ProcessStarted   ID = 100
 	ProcessStopping  ID = 101
 	ProcessStopped   ID = 102
+	ConnectionsCut   ID = 103
 	SettingsLoaded   ID = 110
 	SettingsWarning  ID = 111
 	SettingsRefused  ID = 112
