--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -164,7 +164,7 @@
 	if err != nil {
 		return err
 	}
-	d.callers = drain.NewListener(callers.listener, d.gateway.Farewell)
+	d.callers = drain.NewListener(callers.listener, d.gateway.ClosingResponse)
 	d.callers.Attach(callers.http)
 	callers.listener = d.callers
 	if _, err := d.addServer(listen.Platform.String(), d.platform.Handler()); err != nil {
--- a/drain/conn.go
+++ b/drain/conn.go
@@ -14,7 +14,7 @@
 	stateNew   state = iota // no byte has arrived yet
 	stateIdle               // the last request was answered, no byte of a next one has arrived
 	stateBusy               // a byte of a request has arrived
-	stateEnded              // the farewell is the answer to whatever arrives
+	stateEnded              // the closing response is the answer to whatever arrives
 )
 
 // conn is one connection of a caller. The states exclude each other: a byte that
@@ -25,7 +25,7 @@
 	state    atomic.Int32
 }
 
-// Read returns what arrives, or io.EOF after the farewell.
+// Read returns what arrives, or io.EOF after the closing response.
 func (c *conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
@@ -61,8 +61,8 @@
 	}
 }
 
-// end sends the farewell if the connection is in the given state, and lets the
-// server's goroutine discard what still arrives. It does not block: the farewell
+// end sends the closing response if the connection is in the given state, and lets the
+// server's goroutine discard what still arrives. It does not block: the closing response
 // fits the empty send buffer, and the deadline holds for the case that it does
 // not.
 func (c *conn) end(in state) {
@@ -70,13 +70,13 @@
 		return
 	}
 	_ = c.Conn.SetDeadline(time.Now().Add(discardTime))
-	_, _ = c.Conn.Write(c.listener.farewell()) // a caller that has gone needs no answer
+	_, _ = c.Conn.Write(c.listener.closing()) // a caller that has gone needs no answer
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		_ = half.CloseWrite()
 	}
 }
 
-// SetReadDeadline keeps the deadline of the farewell: the server sets deadlines
+// SetReadDeadline keeps the deadline of the closing response: the server sets deadlines
 // of its own before it reads.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	if state(c.state.Load()) == stateEnded {
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -4,9 +4,9 @@
 // A server that closes an idle connection cannot know whether a request is on
 // its way on it. The caller of such a request sees the connection end and cannot
 // tell whether the request ran. A Listener therefore ends an idle connection
-// with a farewell: a whole answer that says the request was not run, then the
+// with a closing response: a whole answer that says the request was not run, then the
 // end of its writing side. What still arrives is read and discarded until the
-// caller closes, so that no reset overtakes the farewell. RFC 9110, 15.5.9
+// caller closes, so that no reset overtakes the closing response. RFC 9110, 15.5.9
 // gives status 408 this meaning.
 //
 // A connection on which a byte of a request has arrived is left to its handler,
@@ -31,14 +31,14 @@
 	// firstByteTime is how long a connection without any request yet is left
 	// open: its caller has just connected and is about to send.
 	firstByteTime = time.Second
-	// discardTime bounds the wait for a caller to close after the farewell.
+	// discardTime bounds the wait for a caller to close after the closing response.
 	discardTime = 2 * time.Second
 )
 
 // Listener wraps the listener of an HTTP server and tracks its connections.
 type Listener struct {
 	net.Listener
-	farewell func() []byte
+	closing func() []byte
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
@@ -47,10 +47,10 @@
 	changed  chan struct{} // closed and replaced when a connection has ended
 }
 
-// NewListener returns a Listener. farewell returns the bytes of the answer that
+// NewListener returns a Listener. closing returns the bytes of the answer that
 // ends an idle connection.
-func NewListener(l net.Listener, farewell func() []byte) *Listener {
-	return &Listener{Listener: l, farewell: farewell, conns: make(map[*conn]struct{}), changed: make(chan struct{})}
+func NewListener(l net.Listener, closing func() []byte) *Listener {
+	return &Listener{Listener: l, closing: closing, conns: make(map[*conn]struct{}), changed: make(chan struct{})}
 }
 
 // Attach sets the hooks of the server that serves on l. It wraps the handler.
@@ -62,7 +62,7 @@
 	}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(*conn); ok && !c.begin() {
-			// The farewell was the answer to this request, which was read with an
+			// The closing response was the answer to this request, which was read with an
 			// earlier one.
 			panic(http.ErrAbortHandler)
 		}
@@ -114,23 +114,23 @@
 	return errors.Trace(l.Listener.Close())
 }
 
-// Drain accepts no new connections, ends idle ones with a farewell, and waits
+// Drain accepts no new connections, ends idle ones with a closing response, and waits
 // until all have ended or ctx has. The server must answer what it still reads
 // with "Connection: close". The caller shuts the server down afterwards.
 func (l *Listener) Drain(ctx context.Context) error {
 	if err := l.closeListener(); err != nil {
 		return errors.Annotate(err, "closing the listening socket")
 	}
-	l.farewellAll(stateIdle)
+	l.endAll(stateIdle)
 	if err := l.wait(ctx, firstByteTime); !errors.Is(err, context.DeadlineExceeded) || ctx.Err() != nil {
 		return err
 	}
-	l.farewellAll(stateNew)
+	l.endAll(stateNew)
 	return l.wait(ctx, 0)
 }
 
-// farewellAll ends the connections that are in the given state.
-func (l *Listener) farewellAll(in state) {
+// endAll ends the connections that are in the given state.
+func (l *Listener) endAll(in state) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -88,7 +88,7 @@
 
 // Guards against a request that is sent on an idle connection while the server
 // ends it: its caller must learn that it was not run, and it must not run.
-func TestRequestThatCrossesTheFarewell(t *testing.T) {
+func TestRequestThatCrossesTheClose(t *testing.T) {
 	for name, request := range map[string]string{"whole": post, "in part": post[:20], "pipelined": post + post} {
 		t.Run(name, func(t *testing.T) {
 			b := newBench(t)
@@ -97,14 +97,14 @@
 			require.Equal(t, 200, status)
 			require.Equal(t, "ran", body)
 			done := b.drain(t)
-			// The farewell is in the socket's buffer before the request is sent.
+			// The closing response is in the socket's buffer before the request is sent.
 			_, err := r.Peek(1)
 			require.NoError(t, err)
 			status, body = exchange(t, c, r, request)
 			assert.Equal(t, http.StatusRequestTimeout, status)
 			assert.Equal(t, "bye", body)
 			_, err = r.ReadByte()
-			assert.ErrorIs(t, err, io.EOF, "a reset would lose the farewell")
+			assert.ErrorIs(t, err, io.EOF, "a reset would lose the closing response")
 			require.NoError(t, c.Close())
 			require.NoError(t, <-done)
 			assert.EqualValues(t, 1, b.runs.Load())
@@ -150,12 +150,12 @@
 }
 
 // Guards against a caller whose request ends without an answer while the server
-// stops under load: a request either ran and was answered, or got the farewell,
+// stops under load: a request either ran and was answered, or got the closing response,
 // or was never sent because no connection was made.
 func TestStopUnderLoad(t *testing.T) {
 	const callers = 32
 	b := newBench(t)
-	var answered, farewells, refused atomic.Int64
+	var answered, closings, refused atomic.Int64
 	var all sync.WaitGroup
 	for range callers {
 		all.Go(func() {
@@ -165,7 +165,7 @@
 					refused.Add(1)
 					return
 				}
-				b.call(t, c, &answered, &farewells)
+				b.call(t, c, &answered, &closings)
 				_ = c.Close()
 			}
 		})
@@ -175,11 +175,11 @@
 	all.Wait()
 	assert.Equal(t, b.runs.Load(), answered.Load(), "each run was answered")
 	assert.EqualValues(t, callers, refused.Load())
-	t.Logf("answered %d, farewells %d", answered.Load(), farewells.Load())
+	t.Logf("answered %d, closings %d", answered.Load(), closings.Load())
 }
 
 // call sends requests on one connection until it ends.
-func (b *bench) call(t *testing.T, c net.Conn, answered, farewells *atomic.Int64) {
+func (b *bench) call(t *testing.T, c net.Conn, answered, closings *atomic.Int64) {
 	r := bufio.NewReader(c)
 	for {
 		if _, err := io.WriteString(c, post); !assert.NoError(t, err) {
@@ -191,7 +191,7 @@
 		}
 		_, _ = io.Copy(io.Discard, response.Body)
 		if response.StatusCode == http.StatusRequestTimeout {
-			farewells.Add(1)
+			closings.Add(1)
 			return
 		}
 		answered.Add(1)
--- a/gateway/reply/reply.go
+++ b/gateway/reply/reply.go
@@ -62,9 +62,9 @@
 	})
 }
 
-// Farewell returns the whole answer, as the bytes of HTTP/1.1, that ends a
+// ClosingResponse returns the whole answer, as the bytes of HTTP/1.1, that ends a
 // connection on which no request was read.
-func Farewell(random uint64) []byte {
+func ClosingResponse(random uint64) []byte {
 	row := problem.Lookup(problem.ConnectionClosing)
 	body, err := encodeProblem(problem.New(problem.ConnectionClosing, ""), row, "")
 	if err != nil {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -131,8 +131,8 @@
 	return mux
 }
 
-// Farewell returns the answer that ends a kept connection of a stopping host.
-func (s *Server) Farewell() []byte { return reply.Farewell(s.control.Rand()) }
+// ClosingResponse returns the answer that ends a kept connection of a stopping host.
+func (s *Server) ClosingResponse() []byte { return reply.ClosingResponse(s.control.Rand()) }
 
 // Held returns the number of requests held for callers.
 func (s *Server) Held() int64 { return s.held.Load() }
