operator/client: bound a change with all its resends

Cause: apply, key grant and key withdraw sent a change up to four times to each address with 15 s each, up to 9 minutes with nine silent hosts, while the operator saw nothing.

Ruled out: a bound of 30 s, since two frozen hosts would use it up before a host that works is asked; fewer resends, since a change must survive a leader change.

Change: a change ends after 60 s, and a dial after 2 s instead of 15 s. Measured: TestChangeEndsWithoutAnyAnswer with nine listeners that never answer ends in its bound; without the change it runs into the test's limit of 15 s.

--- a/operator/client/client.go
+++ b/operator/client/client.go
@@ -36,12 +36,19 @@
 	// resend carries the same id, so that the change is made once.
 	sends       = 4
 	resendDelay = 500 * time.Millisecond
+	// changeTimeout bounds a change with all its resends: four frozen hosts of
+	// one data centre can come first. With nine silent hosts and no bound it took
+	// up to 9 minutes.
+	changeTimeout = 60 * time.Second
+	// dialTimeout lets a host that is cut off cost little of it.
+	dialTimeout = 2 * time.Second
 )
 
 // Client calls one entry host after another until one answers.
 type Client struct {
-	bases []string
-	http  *http.Client
+	bases   []string
+	http    *http.Client
+	timeout time.Duration // of a change with its resends
 }
 
 // New returns a Client for the operator addresses (IP:port). A nil TLS
@@ -51,9 +58,12 @@
 	if tlsConfig != nil {
 		scheme = "https://"
 	}
-	c := &Client{http: &http.Client{
+	c := &Client{timeout: changeTimeout, http: &http.Client{
 		Timeout:   requestTimeout,
-		Transport: &http.Transport{TLSClientConfig: tlsConfig},
+		Transport: &http.Transport{
+			TLSClientConfig: tlsConfig,
+			DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		},
 	}}
 	for _, a := range addresses {
 		c.bases = append(c.bases, scheme+a)
@@ -138,8 +148,11 @@
 
 func newID() model.CommandID { return model.CommandID(uuid.NewString()) }
 
-// change sends a change until its outcome is known or the sends are used up.
+// change sends a change until its outcome is known, the sends are used up or the
+// time is over.
 func (c *Client) change(ctx context.Context, method, path string, body, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
 	var open, err error
 	for range sends {
 		err = c.try(ctx, method, path, body, answer)
@@ -204,6 +217,9 @@
 			return err
 		}
 		open = keepOpen(open, err)
+		if ctx.Err() != nil {
+			break
+		}
 	}
 	return keepOpen(open, err)
 }
--- /dev/null
+++ b/operator/client/client_test.go
@@ -0,0 +1,30 @@
+package client
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against an operator who waits for minutes because every host takes a
+// change and none answers, and against a change that is then reported as not made.
+func TestChangeEndsWithoutAnyAnswer(t *testing.T) {
+	var addresses []string
+	for range 9 {
+		l, err := net.Listen("tcp", "127.0.0.1:0") // the kernel connects; nobody answers
+		require.NoError(t, err)
+		t.Cleanup(func() { l.Close() })
+		addresses = append(addresses, l.Addr().String())
+	}
+	c := New(addresses, nil)
+	c.timeout = 200 * time.Millisecond
+	began := time.Now()
+	err := c.WithdrawKey(context.Background(), "night-shift")
+	assert.Less(t, time.Since(began), requestTimeout)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	assert.True(t, MayHaveRun(err), "the first host may have made the change")
+}
