--- a/standin/target_run.go
+++ b/standin/target_run.go
@@ -101,6 +101,9 @@
 	defer cancel()
 	answer := t.cfg.Work(ctx, body)
 	t.end(key, request)
+	if t.ctx.Err() != nil {
+		panic(http.ErrAbortHandler) // a killed process answers nothing
+	}
 	writeAnswer(w, answer)
 }
 
