operator, gateway, ctl, fleet: write the handling of changes once

The shape pairs of core/fleet/command.go, core/message, core/consensus/node.go and storage/replay.go stay: they are struct fields and switches over different kinds, not logic. `go test -race -p 2 ./operator/... ./gateway ./ctl ./core/fleet` passes.

--- a/core/fleet/config.go
+++ b/core/fleet/config.go
@@ -85,47 +85,41 @@
 // removedTeams returns a fault for each team that next removes although it
 // still has unfinished tasks, claims or granted keys.
 func (s *State) removedTeams(next *rules.Rules) []rules.Fault {
-	var faults []rules.Fault
-	for team := range s.Rules.Teams {
-		if _, kept := next.Teams[team]; kept {
-			continue
-		}
+	return removed("team", s.Rules.Teams, next.Teams, func(team model.TeamID) string {
 		tasks := s.index.teamTasks[team]
 		claims := s.index.teamClaims[team]
 		keys := s.index.teamKeys[team]
 		if tasks+claims+keys == 0 {
-			continue
+			return ""
 		}
-		faults = append(faults, rules.Fault{
-			Rule:    "team." + string(team),
-			Key:     "removed",
-			Found:   fmt.Sprintf("%d unfinished tasks, %d claims, %d granted keys", tasks, claims, keys),
-			Allowed: "none of these",
-		})
-	}
-	return faults
+		return fmt.Sprintf("%d unfinished tasks, %d claims, %d granted keys", tasks, claims, keys)
+	})
 }
 
 // removedPools returns a fault for each pool that next removes although hosts
 // or unfinished tasks would be left without a pool.
 func (s *State) removedPools(next *rules.Rules) []rules.Fault {
-	var faults []rules.Fault
-	for pool := range s.Rules.Pools {
-		if _, kept := next.Pools[pool]; kept {
-			continue
-		}
+	return removed("pool", s.Rules.Pools, next.Pools, func(pool model.PoolID) string {
 		count := s.index.pools[pool]
 		tasks := s.index.poolTasks[pool]
 		if count.hosts+count.incoming+tasks == 0 {
+			return ""
+		}
+		return fmt.Sprintf("%d hosts, %d hosts moving in, %d unfinished tasks", count.hosts, count.incoming, tasks)
+	})
+}
+
+// removed returns a fault for each rule of a kind that is in current and not
+// in next although it is in use. inUse names the uses, or is empty for none.
+func removed[K ~string, V any](kind string, current, next map[K]V, inUse func(K) string) []rules.Fault {
+	var faults []rules.Fault
+	for id := range current {
+		if _, kept := next[id]; kept {
 			continue
 		}
-		faults = append(faults, rules.Fault{
-			Rule: "pool." + string(pool),
-			Key:  "removed",
-			Found: fmt.Sprintf("%d hosts, %d hosts moving in, %d unfinished tasks",
-				count.hosts, count.incoming, tasks),
-			Allowed: "none of these",
-		})
+		if uses := inUse(id); uses != "" {
+			faults = append(faults, rules.Fault{Rule: kind + "." + string(id), Key: "removed", Found: uses, Allowed: "none of these"})
+		}
 	}
 	return faults
 }
--- a/ctl/command.go
+++ b/ctl/command.go
@@ -163,6 +163,15 @@
 	return client.New(strings.Split(address, ","), tlsConfig), nil
 }
 
+// write writes v in the JSON output, else the text of format and args.
+func (p *Program) write(v any, format string, args ...any) {
+	if p.output == outputJSON {
+		p.writeJSON(v)
+		return
+	}
+	fmt.Fprintf(p.Out, format, args...)
+}
+
 func (p *Program) writeJSON(v any) {
 	encoder := json.NewEncoder(p.Out)
 	encoder.SetIndent("", "  ")
--- a/ctl/rules.go
+++ b/ctl/rules.go
@@ -30,6 +30,16 @@
 	return file, nil
 }
 
+// rulesAndClient reads a rules file and returns a client to compare or send it.
+func (p *Program) rulesAndClient(path string) (*rulesfile.File, *client.Client, error) {
+	file, err := readRules(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	c, err := p.client()
+	return file, c, err
+}
+
 type checked struct {
 	Revision uint64       `json:"revision"`
 	Hash     model.Digest `json:"hash"`
@@ -42,11 +52,7 @@
 		return err
 	}
 	result := checked{file.Rules.Revision, file.Hash, len(file.Lines)}
-	if p.output == outputJSON {
-		p.writeJSON(result)
-		return nil
-	}
-	fmt.Fprintf(p.Out, "%s: revision %d, %d rules, no faults\n", path, result.Revision, result.Rules)
+	p.write(result, "%s: revision %d, %d rules, no faults\n", path, result.Revision, result.Rules)
 	return nil
 }
 
@@ -57,11 +63,7 @@
 }
 
 func (p *Program) diff(ctx context.Context, path string) error {
-	file, err := readRules(path)
-	if err != nil {
-		return err
-	}
-	c, err := p.client()
+	file, c, err := p.rulesAndClient(path)
 	if err != nil {
 		return err
 	}
@@ -99,11 +101,7 @@
 }
 
 func (p *Program) apply(ctx context.Context, path string) error {
-	file, err := readRules(path)
-	if err != nil {
-		return err
-	}
-	c, err := p.client()
+	file, c, err := p.rulesAndClient(path)
 	if err != nil {
 		return err
 	}
@@ -116,11 +114,7 @@
 	if err != nil {
 		return err
 	}
-	if p.output == outputJSON {
-		p.writeJSON(answer.Result)
-		return nil
-	}
-	fmt.Fprintf(p.Out, "revision %d is accepted (hash %.12s)\n", answer.Result.Revision, file.Hash)
+	p.write(answer.Result, "revision %d is accepted (hash %.12s)\n", answer.Result.Revision, file.Hash)
 	return nil
 }
 
@@ -187,10 +181,6 @@
 	if err != nil {
 		return err
 	}
-	if p.output == outputJSON {
-		p.writeJSON(map[string]string{"withdrawn": name})
-		return nil
-	}
-	fmt.Fprintf(p.Out, "key %q is withdrawn\n", name)
+	p.write(map[string]string{"withdrawn": name}, "key %q is withdrawn\n", name)
 	return nil
 }
--- a/gateway/tasks.go
+++ b/gateway/tasks.go
@@ -74,12 +74,7 @@
 }
 
 func (s *Server) submitTask(w http.ResponseWriter, r *http.Request) {
-	team, p := s.submitter(r)
-	if p != nil {
-		s.refuse(w, p, "")
-		return
-	}
-	key, p := taskKey(r.Header)
+	team, key, p := s.submitterAndKey(r)
 	if p != nil {
 		s.refuse(w, p, "")
 		return
@@ -100,12 +95,7 @@
 }
 
 func (s *Server) cancelTask(w http.ResponseWriter, r *http.Request) {
-	team, p := s.submitter(r)
-	if p != nil {
-		s.refuse(w, p, "")
-		return
-	}
-	key, p := taskKey(r.Header)
+	team, key, p := s.submitterAndKey(r)
 	if p != nil {
 		s.refuse(w, p, "")
 		return
@@ -167,25 +157,32 @@
 	return teamOfKey(v, key)
 }
 
-func taskKey(header http.Header) (string, *problem.Problem) {
-	parsed, p := parseWishes(http.Header{idempotencyKeyHeader: header[idempotencyKeyHeader]})
-	return parsed.idempotencyKey, p
+// submitterAndKey returns the team of r and its idempotency key, which is
+// empty if the caller sent none.
+func (s *Server) submitterAndKey(r *http.Request) (model.TeamID, string, *problem.Problem) {
+	team, p := s.submitter(r)
+	if p != nil {
+		return "", "", p
+	}
+	parsed, p := parseWishes(http.Header{idempotencyKeyHeader: r.Header[idempotencyKeyHeader]})
+	return team, parsed.idempotencyKey, p
 }
 
-// submitID returns the command id of a submission: the same for a resend with
-// the same key of the same team, else a new one.
 func submitID(team model.TeamID, key string) model.CommandID {
-	if key == "" {
-		return model.CommandID("task-" + uuid.NewString())
-	}
-	return model.CommandID("task-" + string(reply.Digest([]byte(team), []byte(key))))
+	return commandID("task-", key, []byte(team))
 }
 
 func cancelID(team model.TeamID, task model.TaskID, key string) model.CommandID {
+	return commandID("cancel-", key, []byte(team), []byte(task))
+}
+
+// commandID returns the id of a command: the same for a resend with the same
+// idempotency key and scope, else a new one.
+func commandID(prefix, key string, scope ...[]byte) model.CommandID {
 	if key == "" {
-		return model.CommandID("cancel-" + uuid.NewString())
+		return model.CommandID(prefix + uuid.NewString())
 	}
-	return model.CommandID("cancel-" + string(reply.Digest([]byte(team), []byte(task), []byte(key))))
+	return model.CommandID(prefix + string(reply.Digest(append(scope, []byte(key))...)))
 }
 
 // taskIDOf derives the task id from the submission, so that a resend names
--- a/operator/changes.go
+++ b/operator/changes.go
@@ -74,46 +74,57 @@
 }
 
 func (s *Server) applyRules(w http.ResponseWriter, r *http.Request) {
-	var body RulesChange
-	if p := reply.Decode(w, r, maxRulesBody, problem.BadRequest, &body); p != nil {
-		s.refuse(w, p)
-		return
+	runChange[RulesChange](s, w, r, maxRulesBody)
+}
+
+func (s *Server) grantKey(w http.ResponseWriter, r *http.Request) {
+	runChange[KeyGrant](s, w, r, maxKeyBody)
+}
+
+// command checks the form of c. Whether the rules fit is for the reducer.
+func (c RulesChange) command() (fleet.Command, *problem.Problem) {
+	switch {
+	case c.Rules == nil:
+		return fleet.Command{}, problem.New(problem.BadRequest, "rules is missing")
+	case !reply.IsDigest(string(c.Hash)):
+		return fleet.Command{}, badHash(c.Hash)
 	}
+	apply := &fleet.ApplyRules{Base: c.Base, Hash: c.Hash, Rules: c.Rules}
+	return fleet.Command{ID: c.ID, ApplyRules: apply}, nil
+}
+
+// command checks the form of g. Whether the team exists is for the reducer.
+func (g KeyGrant) command() (fleet.Command, *problem.Problem) {
 	switch {
-	case body.Rules == nil:
-		s.refuse(w, problem.New(problem.BadRequest, "rules is missing"))
-		return
-	case !reply.IsDigest(string(body.Hash)):
-		s.refuse(w, badHash(body.Hash))
-		return
+	case !reply.IsIdentifier(g.Name):
+		return fleet.Command{}, problem.New(problem.BadRequest, "name is %q, an identifier is expected", g.Name)
+	case !reply.IsIdentifier(string(g.Team)):
+		return fleet.Command{}, problem.New(problem.BadRequest, "team is %q, an identifier is expected", string(g.Team))
+	case !reply.IsDigest(string(g.Hash)):
+		return fleet.Command{}, badHash(g.Hash)
 	}
-	s.run(w, r, fleet.Command{
-		ID:         body.ID,
-		ApplyRules: &fleet.ApplyRules{Base: body.Base, Hash: body.Hash, Rules: body.Rules},
-	})
+	grant := &fleet.GrantKey{Name: g.Name, Hash: g.Hash, Team: g.Team}
+	return fleet.Command{ID: g.ID, GrantKey: grant}, nil
 }
 
-func (s *Server) grantKey(w http.ResponseWriter, r *http.Request) {
-	var body KeyGrant
-	if p := reply.Decode(w, r, maxKeyBody, problem.BadRequest, &body); p != nil {
+// change is a body that describes a command.
+type change interface {
+	command() (fleet.Command, *problem.Problem)
+}
+
+// runChange runs the command that a body of at most limit bytes describes.
+func runChange[C change](s *Server, w http.ResponseWriter, r *http.Request, limit int64) {
+	var body C
+	if p := reply.Decode(w, r, limit, problem.BadRequest, &body); p != nil {
 		s.refuse(w, p)
 		return
 	}
-	switch {
-	case !reply.IsIdentifier(body.Name):
-		s.refuse(w, problem.New(problem.BadRequest, "name is %q, an identifier is expected", body.Name))
-		return
-	case !reply.IsIdentifier(string(body.Team)):
-		s.refuse(w, problem.New(problem.BadRequest, "team is %q, an identifier is expected", string(body.Team)))
-		return
-	case !reply.IsDigest(string(body.Hash)):
-		s.refuse(w, badHash(body.Hash))
+	command, p := body.command()
+	if p != nil {
+		s.refuse(w, p)
 		return
 	}
-	s.run(w, r, fleet.Command{
-		ID:       body.ID,
-		GrantKey: &fleet.GrantKey{Name: body.Name, Hash: body.Hash, Team: body.Team},
-	})
+	s.run(w, r, command)
 }
 
 func (s *Server) withdrawKey(w http.ResponseWriter, r *http.Request) {
