gateway, core/gateway: give a request's types and methods distinct names

Both packages had a type `held`, so that a reader who follows one request from the handler to the reducer met one name with two meanings; `wishes`, `keep`, `take`, `truthful`, `lateness` and `ending` needed explaining as well. The reducer's type is now `request` with the event's request embedded, the caller's headers are `options`, an attempt's answer is stored by setReceived and read by receivedIn, and the reducer's table has refusal, unstarted and finalAnswer. The traffic side keeps `held`, because gateway/server.go names it. gateway/held.go held a request and wrote answers too; the writing is now in gateway/answer.go (215 lines became 148 and 78). No behaviour changes: `go test -race -p 2 ./gateway ./core/gateway` passes.

--- a/core/gateway/attempt.go
+++ b/core/gateway/attempt.go
@@ -16,134 +16,134 @@
 	if d.Term != t.term || d.Gateway != t.inc {
 		return nil
 	}
-	h := t.held[d.Request]
-	if h == nil {
+	req := t.held[d.Request]
+	if req == nil {
 		return t.sendOwner(message.Message{Done: &message.Done{
 			Request: d.Request, Attempt: d.Attempt, Outcome: message.OutcomeNotStarted, Untried: true, Final: true,
 		}})
 	}
-	if h.attempt >= d.Attempt {
+	if req.attempt >= d.Attempt {
 		return nil // a repeated message: this attempt has begun or ended
 	}
-	switch h.phase {
+	switch req.phase {
 	case forwarded:
 		return nil // its end tells the owner which attempt ran
 	case settling, withdrawn:
-		return t.resend(now, h)
+		return t.resend(now, req)
 	}
 	if now >= startBy {
-		return t.expired(now, h, d)
-	}
-	h.phase = forwarded
-	h.attempt = d.Attempt
-	h.done = nil
-	h.late = now > h.deadline
-	h.runUntil = now.Add(d.MaxRun)
-	h.run = message.Forwarded{
-		Request: d.Request, Attempt: d.Attempt, Team: h.req.Team, Queue: h.req.Queue,
+		return t.expired(now, req, d)
+	}
+	req.phase = forwarded
+	req.attempt = d.Attempt
+	req.done = nil
+	req.late = now > req.deadline
+	req.runUntil = now.Add(d.MaxRun)
+	req.run = message.Forwarded{
+		Request: d.Request, Attempt: d.Attempt, Team: req.Team, Queue: req.Queue,
 		Target: d.Target, Inc: d.Inc,
 	}
 	t.due.Remove(d.Request)
 	return []effect.Effect{effect.Forward{
 		Request: d.Request, Attempt: d.Attempt, Target: d.Target, Inc: d.Inc, Address: d.Address,
-		Ticket: d.Ticket, Term: d.Term, StartBy: startBy, Deadline: h.runUntil,
-		Claimed: d.Claimed, Idempotent: h.req.Idempotent,
+		Ticket: d.Ticket, Term: d.Term, StartBy: startBy, Deadline: req.runUntil,
+		Claimed: d.Claimed, Idempotent: req.Idempotent,
 	}}
 }
 
 // expired ends an attempt whose time to start has passed.
-func (t *Table) expired(now model.Time, h *held, d *message.Dispatch) []effect.Effect {
-	h.attempt, h.ended = d.Attempt, d.Attempt
-	h.done = &message.Done{
+func (t *Table) expired(now model.Time, req *request, d *message.Dispatch) []effect.Effect {
+	req.attempt, req.ended = d.Attempt, d.Attempt
+	req.done = &message.Done{
 		Request: d.Request, Attempt: d.Attempt, Outcome: message.OutcomeNotStarted, Untried: true,
 	}
-	t.schedule(h, now)
-	return t.sendOwner(message.Message{Done: h.done})
+	t.schedule(req, now)
+	return t.sendOwner(message.Message{Done: req.done})
 }
 
 // Ended handles the end of a forwarded attempt.
 func (t *Table) Ended(now model.Time, e event.ForwardEnded) []effect.Effect {
-	h := t.held[e.Request]
-	if h == nil || h.phase != forwarded || h.attempt != e.Attempt {
+	req := t.held[e.Request]
+	if req == nil || req.phase != forwarded || req.attempt != e.Attempt {
 		return nil
 	}
-	h.ended = e.Attempt
-	h.done = &message.Done{
+	req.ended = e.Attempt
+	req.done = &message.Done{
 		Request: e.Request, Attempt: e.Attempt, Outcome: e.Outcome, Status: e.Status,
 		RunTime: e.RunTime, RetryAfter: e.RetryAfter, Answer: e.Answer, Untried: e.Untried,
 	}
-	h.done.Claim = h.claim()
+	req.done.Claim = req.claim()
 	if e.Outcome == message.OutcomeUnknown {
-		h.mayRan = true
+		req.mayRan = true
 	}
 	var out []effect.Effect
 	switch {
-	case h.mayRetry(now, e) && t.keyHolds(h):
-		h.phase = waiting
-	case e.Outcome == message.OutcomeAnswered && !h.req.Idempotent && !e.TooLarge:
-		h.phase = settling
-		h.answerBy = now.Add(SettleTimeout)
+	case req.mayRetry(now, e) && t.keyHolds(req):
+		req.phase = waiting
+	case e.Outcome == message.OutcomeAnswered && !req.Idempotent && !e.TooLarge:
+		req.phase = settling
+		req.answerBy = now.Add(SettleTimeout)
 	default:
-		h.phase = settling
-		out = t.answer(h, t.ending(h, e))
+		req.phase = settling
+		out = t.answer(req, t.finalAnswer(req, e))
 	}
-	h.done.Final = h.phase == settling
-	t.schedule(h, now)
-	return append(out, t.sendOwner(message.Message{Done: h.done})...)
+	req.done.Final = req.phase == settling
+	t.schedule(req, now)
+	return append(out, t.sendOwner(message.Message{Done: req.done})...)
 }
 
 // claim names the claim that the request may hold, or is nil.
-func (h *held) claim() *fleet.ClaimID {
-	if h.req.Idempotent {
+func (req *request) claim() *fleet.ClaimID {
+	if req.Idempotent {
 		return nil
 	}
-	return &fleet.ClaimID{Team: h.req.Team, Key: h.req.Key}
+	return &fleet.ClaimID{Team: req.Team, Key: req.Key}
 }
 
 // mayRetry reports whether the owner may choose another attempt.
-func (h *held) mayRetry(now model.Time, e event.ForwardEnded) bool {
-	if h.gone || e.TooLarge || e.TimedOut || now >= h.deadline {
+func (req *request) mayRetry(now model.Time, e event.ForwardEnded) bool {
+	if req.gone || e.TooLarge || e.TimedOut || now >= req.deadline {
 		return false
 	}
 	if e.Outcome == message.OutcomeNotStarted {
 		return true
 	}
-	return e.Outcome == message.OutcomeUnknown && h.req.Idempotent
+	return e.Outcome == message.OutcomeUnknown && req.Idempotent
 }
 
-// ending is the caller's answer after the last attempt.
-func (t *Table) ending(h *held, e event.ForwardEnded) effect.AnswerRequest {
+// finalAnswer is the caller's answer after the last attempt.
+func (t *Table) finalAnswer(req *request, e event.ForwardEnded) effect.AnswerRequest {
 	a := effect.AnswerRequest{Request: e.Request}
 	switch {
 	case e.TooLarge:
-		a.Problem = problem.New(problem.AnswerTooLarge, "the answer of target %s is over the limit", h.run.Target)
+		a.Problem = problem.New(problem.AnswerTooLarge, "the answer of target %s is over the limit", req.run.Target)
 	case e.Outcome == message.OutcomeAnswered:
 		a.Attempt = e.Attempt
-	case e.Outcome == message.OutcomeNotStarted && !t.keyHolds(h):
-		a.Problem = h.truthful(keyRejected())
+	case e.Outcome == message.OutcomeNotStarted && !t.keyHolds(req):
+		a.Problem = req.refusal(keyRejected())
 	case e.Outcome == message.OutcomeNotStarted:
-		a.Problem = h.truthful(problem.New(problem.PatienceExceeded, "target %s did not start the request", h.run.Target))
+		a.Problem = req.refusal(problem.New(problem.PatienceExceeded, "target %s did not start the request", req.run.Target))
 	case e.TimedOut:
-		a.Problem = problem.New(problem.DeadlineExceeded, "target %s did not answer within the run time", h.run.Target)
+		a.Problem = problem.New(problem.DeadlineExceeded, "target %s did not answer within the run time", req.run.Target)
 	default:
-		a.Problem = problem.New(problem.OutcomeUnknown, "the connection to target %s failed", h.run.Target)
+		a.Problem = problem.New(problem.OutcomeUnknown, "the connection to target %s failed", req.run.Target)
 	}
 	return a
 }
 
 // Settled handles the owner's receipt for a Done.
 func (t *Table) Settled(s *message.Settled) []effect.Effect {
-	h := t.held[s.Request]
-	if h == nil || h.phase == forwarded || h.ended != s.Attempt {
+	req := t.held[s.Request]
+	if req == nil || req.phase == forwarded || req.ended != s.Attempt {
 		return nil
 	}
-	if h.phase == waiting || h.phase == withdrawn && !s.Final {
-		h.done = nil // the attempt is settled, the request goes on or is withdrawn
+	if req.phase == waiting || req.phase == withdrawn && !s.Final {
+		req.done = nil // the attempt is settled, the request goes on or is withdrawn
 		return nil
 	}
 	if !s.Final {
 		return nil
 	}
-	t.remove(h)
-	return t.answer(h, effect.AnswerRequest{Request: s.Request, Attempt: s.Attempt})
+	t.remove(req)
+	return t.answer(req, effect.AnswerRequest{Request: s.Request, Attempt: s.Attempt})
 }
--- a/core/gateway/burn.go
+++ b/core/gateway/burn.go
@@ -22,17 +22,17 @@
 }
 
 // countEnd notes how a request ends that is answered with a.
-func (t *Table) countEnd(h *held, a effect.AnswerRequest) {
+func (t *Table) countEnd(req *request, a effect.AnswerRequest) {
 	cause := burn.Failed
 	switch {
 	case a.Problem != nil:
 		cause = burn.OfProblem(a.Problem.Kind)
 	case a.Answer != nil:
 		cause = burn.OfAnswer(a.Answer.Status, false)
-	case h.done != nil:
-		cause = burn.OfAnswer(h.done.Status, h.late)
+	case req.done != nil:
+		cause = burn.OfAnswer(req.done.Status, req.late)
 	}
 	if cause != burn.NotCounted {
-		t.ends = append(t.ends, End{Team: h.req.Team, Queue: h.req.Queue, Cause: cause})
+		t.ends = append(t.ends, End{Team: req.Team, Queue: req.Queue, Cause: cause})
 	}
 }
--- a/core/gateway/refuse.go
+++ b/core/gateway/refuse.go
@@ -13,19 +13,19 @@
 	t.keys = keys
 	var out []effect.Effect
 	for _, id := range t.sortedIDs() {
-		h := t.held[id]
-		if h.phase != waiting || t.keyHolds(h) {
+		req := t.held[id]
+		if req.phase != waiting || t.keyHolds(req) {
 			continue
 		}
-		out = append(out, t.answer(h, effect.AnswerRequest{Request: id, Problem: h.truthful(keyRejected())})...)
-		out = append(out, t.withdraw(now, h)...)
+		out = append(out, t.answer(req, effect.AnswerRequest{Request: id, Problem: req.refusal(keyRejected())})...)
+		out = append(out, t.withdraw(now, req)...)
 	}
 	return out
 }
 
 // keyHolds reports whether the caller's key still stands for the team.
-func (t *Table) keyHolds(h *held) bool {
-	return h.req.Bearer == "" || t.keys[h.req.Bearer] == h.req.Team
+func (t *Table) keyHolds(req *request) bool {
+	return req.Bearer == "" || t.keys[req.Bearer] == req.Team
 }
 
 func keyRejected() *problem.Problem {
@@ -34,52 +34,53 @@
 
 // withdraw ends a waiting request at the owner. The end of its last attempt
 // stays known until it is settled: the attempt may still run.
-func (t *Table) withdraw(now model.Time, h *held) []effect.Effect {
-	h.phase = withdrawn
-	return t.resend(now, h)
+func (t *Table) withdraw(now model.Time, req *request) []effect.Effect {
+	req.phase = withdrawn
+	return t.resend(now, req)
 }
 
 // Abandon handles the disconnect of a caller. A waiting request is withdrawn;
 // a running one is completed, because its target may be in the middle of it.
 func (t *Table) Abandon(now model.Time, id model.RequestID) []effect.Effect {
-	h := t.held[id]
-	if h == nil || h.answered {
+	req := t.held[id]
+	if req == nil || req.answered {
 		return nil
 	}
-	h.gone = true
-	h.answered = true
-	if h.phase != waiting {
+	req.gone = true
+	req.answered = true
+	if req.phase != waiting {
 		return nil
 	}
-	return t.withdraw(now, h)
+	return t.withdraw(now, req)
 }
 
 // Refuse handles the owner's end of a waiting request: a refusal, or the
 // stored answer of an earlier run of the same claim. A request that may hold a
 // claim is withdrawn as well: only its gateway knows that it has not started.
 func (t *Table) Refuse(now model.Time, r *message.Refuse) []effect.Effect {
-	h := t.held[r.Request]
-	if h == nil || h.phase != waiting || r.Term != t.term {
+	req := t.held[r.Request]
+	if req == nil || req.phase != waiting || r.Term != t.term {
 		return nil
 	}
 	a := effect.AnswerRequest{Request: r.Request, Answer: r.Answer}
 	if r.Answer == nil {
-		a.Problem = h.truthful(r.Problem)
+		a.Problem = req.refusal(r.Problem)
 	}
-	out := t.answer(h, a)
-	if h.req.Idempotent {
-		t.remove(h)
+	out := t.answer(req, a)
+	if req.Idempotent {
+		t.remove(req)
 		return out
 	}
-	return append(out, t.withdraw(now, h)...)
+	return append(out, t.withdraw(now, req)...)
 }
 
-// truthful replaces a refusal that says "not run" when an attempt may have run.
-func (h *held) truthful(p *problem.Problem) *problem.Problem {
-	if !h.mayRan || problem.Lookup(p.Kind).Ran != problem.RanNo {
+// refusal returns p, or RetriesExhausted in its place when p says "not run" and
+// an attempt may have run.
+func (req *request) refusal(p *problem.Problem) *problem.Problem {
+	if !req.mayRan || problem.Lookup(p.Kind).Ran != problem.RanNo {
 		return p
 	}
-	return problem.New(problem.RetriesExhausted, "%d attempts were made; then %s", h.attempt, p.Kind)
+	return problem.New(problem.RetriesExhausted, "%d attempts were made; then %s", req.attempt, p.Kind)
 }
 
 func refuse(id model.RequestID, p *problem.Problem) []effect.Effect {
--- a/core/gateway/table.go
+++ b/core/gateway/table.go
@@ -40,16 +40,18 @@
 	term     uint64
 	stopping bool
 	keys     map[model.Digest]model.TeamID // in force
-	held     map[model.RequestID]*held
-	due      *pq.Queue[model.RequestID, due, *held]
+	held     map[model.RequestID]*request
+	due      *pq.Queue[model.RequestID, due, *request]
 	ends     []End // not yet taken
 }
 
+// due is the time at which a request needs attention; the id breaks ties.
 type due struct {
 	at model.Time
 	id model.RequestID
 }
 
+// phase is what a request waits for.
 type phase uint8
 
 const (
@@ -59,8 +61,10 @@
 	withdrawn              // no attempt follows; waiting for Settled
 )
 
-type held struct {
-	req      event.Request
+// request is a request that this host holds for a caller.
+type request struct {
+	event.Request
+
 	phase    phase
 	deadline model.Time // the request may start until then
 	attempt  int        // the latest attempt that was forwarded
@@ -85,8 +89,8 @@
 	}
 	return &Table{
 		inc:  inc,
-		held: make(map[model.RequestID]*held),
-		due:  pq.New[model.RequestID, due, *held](less),
+		held: make(map[model.RequestID]*request),
+		due:  pq.New[model.RequestID, due, *request](less),
 	}
 }
 
@@ -96,8 +100,8 @@
 // Unanswered returns the number of callers that still wait for an answer.
 func (t *Table) Unanswered() int {
 	n := 0
-	for _, h := range t.held {
-		if !h.answered {
+	for _, req := range t.held {
+		if !req.answered {
 			n++
 		}
 	}
@@ -111,10 +115,10 @@
 		return
 	}
 	t.stopping = true
-	for _, h := range t.held {
-		if h.phase == waiting {
-			h.deadline = min(h.deadline, now.Add(StopPatience))
-			t.schedule(h, now)
+	for _, req := range t.held {
+		if req.phase == waiting {
+			req.deadline = min(req.deadline, now.Add(StopPatience))
+			t.schedule(req, now)
 		}
 	}
 }
@@ -122,18 +126,18 @@
 // Arrive accepts a request and asks the owner for a target.
 func (t *Table) Arrive(now model.Time, r event.Request) []effect.Effect {
 	if t.stopping {
-		h := &held{req: r}
-		return t.answer(h, effect.AnswerRequest{Request: r.ID, Problem: problem.New(problem.Stopping, "the host is stopping")})
+		req := &request{Request: r}
+		return t.answer(req, effect.AnswerRequest{Request: r.ID, Problem: problem.New(problem.Stopping, "the host is stopping")})
 	}
 	if t.held[r.ID] != nil {
 		return nil
 	}
-	h := &held{req: r, deadline: now.Add(r.Patience)}
-	if !t.keyHolds(h) {
+	req := &request{Request: r, deadline: now.Add(r.Patience)}
+	if !t.keyHolds(req) {
 		return refuse(r.ID, keyRejected())
 	}
-	t.held[r.ID] = h
-	return t.ask(now, h)
+	t.held[r.ID] = req
+	return t.ask(now, req)
 }
 
 // Follow sets the owner and its term. Requests that wait ask the new owner,
@@ -165,13 +169,13 @@
 func (t *Table) Forwarded(now model.Time) []message.Forwarded {
 	var list []message.Forwarded
 	for _, id := range t.sortedIDs() {
-		h := t.held[id]
-		unknown := h.phase != forwarded && h.done != nil && h.done.Outcome == message.OutcomeUnknown
-		if h.phase != forwarded && !unknown {
+		req := t.held[id]
+		unknown := req.phase != forwarded && req.done != nil && req.done.Outcome == message.OutcomeUnknown
+		if req.phase != forwarded && !unknown {
 			continue
 		}
-		f := h.run
-		f.Deadline = max(0, h.runUntil.Sub(now))
+		f := req.run
+		f.Deadline = max(0, req.runUntil.Sub(now))
 		list = append(list, f)
 	}
 	return list
@@ -182,73 +186,74 @@
 func (t *Table) Advance(now model.Time) []effect.Effect {
 	var out []effect.Effect
 	for {
-		_, d, h, ok := t.due.Peek()
+		_, d, req, ok := t.due.Peek()
 		if !ok || d.at > now {
 			return out
 		}
 		t.due.Pop()
-		out = append(out, t.advance(now, h)...)
+		out = append(out, t.advance(now, req)...)
 	}
 }
 
-func (t *Table) advance(now model.Time, h *held) []effect.Effect {
+func (t *Table) advance(now model.Time, req *request) []effect.Effect {
 	switch {
-	case h.phase == waiting && now >= h.deadline.Add(OwnerGrace):
-		out := t.answer(h, effect.AnswerRequest{Request: h.req.ID, Problem: h.truthful(t.lateness(h))})
-		return append(out, t.withdraw(now, h)...)
-	case h.phase == settling && !h.answered && now >= h.answerBy:
-		out := t.answer(h, effect.AnswerRequest{Request: h.req.ID, Attempt: h.ended})
-		return append(out, t.resend(now, h)...)
+	case req.phase == waiting && now >= req.deadline.Add(OwnerGrace):
+		out := t.answer(req, effect.AnswerRequest{Request: req.ID, Problem: req.refusal(t.unstarted(req))})
+		return append(out, t.withdraw(now, req)...)
+	case req.phase == settling && !req.answered && now >= req.answerBy:
+		out := t.answer(req, effect.AnswerRequest{Request: req.ID, Attempt: req.ended})
+		return append(out, t.resend(now, req)...)
 	default:
-		return t.resend(now, h)
+		return t.resend(now, req)
 	}
 }
 
-func (t *Table) lateness(h *held) *problem.Problem {
+// unstarted says why a request did not start within its patience.
+func (t *Table) unstarted(req *request) *problem.Problem {
 	if t.stopping {
 		return problem.New(problem.Stopping, "the host is stopping")
 	}
 	if t.leader == "" {
 		return problem.New(problem.NoLeader, "no leader was known within the request's patience")
 	}
-	return problem.New(problem.PatienceExceeded, "no target was free within %.1f s", h.req.Patience.Seconds())
+	return problem.New(problem.PatienceExceeded, "no target was free within %.1f s", req.Patience.Seconds())
 }
 
 // resend sends the message that the owner has not answered yet.
-func (t *Table) resend(now model.Time, h *held) []effect.Effect {
+func (t *Table) resend(now model.Time, req *request) []effect.Effect {
 	var out []effect.Effect
-	if h.done != nil && h.phase != forwarded {
-		out = t.sendOwner(message.Message{Done: h.done})
+	if req.done != nil && req.phase != forwarded {
+		out = t.sendOwner(message.Message{Done: req.done})
 	}
-	if h.phase == waiting {
-		return append(out, t.ask(now, h)...)
+	if req.phase == waiting {
+		return append(out, t.ask(now, req)...)
 	}
-	if h.phase == withdrawn {
-		w := &message.Withdraw{Request: h.req.ID, Attempt: h.ended, Claim: h.claim()}
+	if req.phase == withdrawn {
+		w := &message.Withdraw{Request: req.ID, Attempt: req.ended, Claim: req.claim()}
 		out = t.sendOwner(message.Message{Withdraw: w})
 	}
-	t.schedule(h, now)
+	t.schedule(req, now)
 	return out
 }
 
-func (t *Table) ask(now model.Time, h *held) []effect.Effect {
-	t.schedule(h, now)
-	if now >= h.deadline {
+func (t *Table) ask(now model.Time, req *request) []effect.Effect {
+	t.schedule(req, now)
+	if now >= req.deadline {
 		return nil
 	}
 	return t.sendOwner(message.Message{Ask: &message.Ask{
-		Request: h.req.ID, Inc: t.inc, Team: h.req.Team, Queue: h.req.Queue,
-		Idempotent: h.req.Idempotent, Key: h.req.Key, Body: h.req.Body,
-		Worth: h.req.Worth, Patience: h.deadline.Sub(now), Attempt: h.ended,
+		Request: req.ID, Inc: t.inc, Team: req.Team, Queue: req.Queue,
+		Idempotent: req.Idempotent, Key: req.Key, Body: req.Body,
+		Worth: req.Worth, Patience: req.deadline.Sub(now), Attempt: req.ended,
 	}})
 }
 
-func (t *Table) answer(h *held, a effect.AnswerRequest) []effect.Effect {
-	if h.answered {
+func (t *Table) answer(req *request, a effect.AnswerRequest) []effect.Effect {
+	if req.answered {
 		return nil
 	}
-	h.answered = true
-	t.countEnd(h, a)
+	req.answered = true
+	t.countEnd(req, a)
 	return []effect.Effect{a}
 }
 
@@ -260,23 +265,23 @@
 }
 
 // schedule sets the next time at which the request needs attention.
-func (t *Table) schedule(h *held, now model.Time) {
-	if h.phase == forwarded {
-		t.due.Remove(h.req.ID)
+func (t *Table) schedule(req *request, now model.Time) {
+	if req.phase == forwarded {
+		t.due.Remove(req.ID)
 		return
 	}
 	at := now.Add(ResendInterval)
-	if h.phase == waiting {
-		at = min(at, h.deadline.Add(OwnerGrace))
-	} else if h.phase == settling && !h.answered {
-		at = min(at, h.answerBy)
+	if req.phase == waiting {
+		at = min(at, req.deadline.Add(OwnerGrace))
+	} else if req.phase == settling && !req.answered {
+		at = min(at, req.answerBy)
 	}
-	t.due.Set(h.req.ID, due{at, h.req.ID}, h)
+	t.due.Set(req.ID, due{at, req.ID}, req)
 }
 
-func (t *Table) remove(h *held) {
-	delete(t.held, h.req.ID)
-	t.due.Remove(h.req.ID)
+func (t *Table) remove(req *request) {
+	delete(t.held, req.ID)
+	t.due.Remove(req.ID)
 }
 
 func (t *Table) sortedIDs() []model.RequestID {
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -59,9 +59,9 @@
 
 // admission is a request that passed the checks that need no body.
 type admission struct {
-	queue  model.QueueID
-	key    model.Digest // hash of the bearer token, or empty
-	wishes wishes
+	queue   model.QueueID
+	key     model.Digest // hash of the bearer token, or empty
+	options options
 }
 
 // admit makes the checks that need no body.
@@ -74,7 +74,7 @@
 	if _, p = s.teamFor(a); p != nil {
 		return a, p
 	}
-	a.wishes, p = parseWishes(r.Header)
+	a.options, p = parseOptions(r.Header)
 	return a, p
 }
 
@@ -139,16 +139,16 @@
 		Team:       team,
 		Bearer:     a.key,
 		Queue:      a.queue,
-		Idempotent: a.wishes.idempotent,
-		Worth:      a.wishes.worth,
-		Patience:   a.wishes.patience,
+		Idempotent: a.options.idempotent,
+		Worth:      a.options.worth,
+		Patience:   a.options.patience,
 	}
 	if request.Idempotent {
 		return request
 	}
 	request.Key = reply.Digest([]byte(id))
-	if a.wishes.idempotencyKey != "" {
-		request.Key = reply.Digest([]byte(a.wishes.idempotencyKey))
+	if a.options.idempotencyKey != "" {
+		request.Key = reply.Digest([]byte(a.options.idempotencyKey))
 	}
 	request.Body = reply.Digest([]byte(a.queue), body)
 	return request
--- /dev/null
+++ b/gateway/answer.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/problem"
+	"primrosedale.example/primrosedale/gateway/reply"
+)
+
+// attemptsHeader tells the caller how many attempts were made.
+const attemptsHeader = "Primrosedale-Attempts"
+
+// finish writes the answer that the reducer chose.
+func (s *Server) finish(w http.ResponseWriter, h *held, e effect.AnswerRequest) {
+	header := w.Header()
+	header.Set(attemptsHeader, strconv.FormatInt(h.forwards.Load(), 10))
+	switch {
+	case e.Problem != nil:
+		s.refuse(w, e.Problem, h.id)
+	case e.Answer != nil:
+		s.writeAnswer(w, h.id, e.Answer)
+	default:
+		s.writeReceived(w, h, e.Attempt)
+	}
+}
+
+func (s *Server) writeReceived(w http.ResponseWriter, h *held, attempt int) {
+	r, ok := h.receivedIn(attempt)
+	switch {
+	case !ok:
+		s.refuse(w, problem.New(problem.Internal, "attempt %d has no answer", attempt), h.id)
+	case r.tooLarge:
+		s.refuse(w, problem.New(problem.AnswerTooLarge, "at most %d bytes are passed on", s.cfg.MaxAnswer), h.id)
+	default:
+		s.writeAnswer(w, h.id, r.answer)
+	}
+}
+
+func (s *Server) writeAnswer(w http.ResponseWriter, id model.RequestID, answer *model.Answer) {
+	countAnswered()
+	s.closeIfStopping(w)
+	header := w.Header()
+	header.Set(reply.RequestIDHeader, string(id))
+	header["Content-Type"] = nil // no guess when the target sent none
+	if answer.ContentType != "" {
+		header.Set("Content-Type", answer.ContentType)
+	}
+	if allowsBody(answer.Status) {
+		header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	}
+	w.WriteHeader(answer.Status)
+	if allowsBody(answer.Status) {
+		w.Write(answer.Body) // an error means that the caller has gone
+	}
+}
+
+func allowsBody(status int) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+func (s *Server) refuse(w http.ResponseWriter, p *problem.Problem, id model.RequestID) {
+	countRefused(p.Kind)
+	s.closeIfStopping(w)
+	w.Header().Set(reply.RequestIDHeader, string(id))
+	reply.Problem(w, p, id, s.control.Rand())
+}
+
+// closeIfStopping tells a caller of a stopping host not to use its connection
+// again. Otherwise the end of the process closes a connection on which a
+// request may be on its way, whose caller cannot know that it did not run.
+func (s *Server) closeIfStopping(w http.ResponseWriter) {
+	if s.control.View().Stopping {
+		w.Header().Set("Connection", "close")
+	}
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -101,7 +101,7 @@
 	ended.Outcome = message.OutcomeAnswered
 	ended.Status = response.StatusCode
 	if ended.TooLarge {
-		h.keep(e.Attempt, received{tooLarge: true})
+		h.setReceived(e.Attempt, received{tooLarge: true})
 		return ended
 	}
 	answer := &model.Answer{
@@ -109,7 +109,7 @@
 		ContentType: response.Header.Get("Content-Type"),
 		Body:        body,
 	}
-	h.keep(e.Attempt, received{answer: answer})
+	h.setReceived(e.Attempt, received{answer: answer})
 	if e.Claimed && len(body) <= fleet.MaxStoredAnswer {
 		ended.Answer = answer
 	}
--- a/gateway/headers.go
+++ b/gateway/headers.go
@@ -28,8 +28,8 @@
 	defaultPatience   = 30.0    // seconds
 )
 
-// wishes is what a caller asks for in headers.
-type wishes struct {
+// options is what a caller asks for in headers.
+type options struct {
 	idempotencyKey string
 	idempotent     bool
 	worth          float64
@@ -37,9 +37,9 @@
 	traceparent    string
 }
 
-// parseWishes reads the headers of a caller. Any fault is BadRequest.
-func parseWishes(header http.Header) (wishes, *problem.Problem) {
-	var parsed wishes
+// parseOptions reads the headers of a caller. Any fault is BadRequest.
+func parseOptions(header http.Header) (options, *problem.Problem) {
+	var parsed options
 	key, p := single(header, idempotencyKeyHeader)
 	if p != nil {
 		return parsed, p
--- a/gateway/held.go
+++ b/gateway/held.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 
@@ -10,12 +9,8 @@
 	"primrosedale.example/primrosedale/core/event"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/problem"
-	"primrosedale.example/primrosedale/gateway/reply"
 )
 
-// attemptsHeader tells the caller how many attempts were made.
-const attemptsHeader = "Primrosedale-Attempts"
-
 // held is one request that waits for its answer.
 type held struct {
 	id          model.RequestID
@@ -41,7 +36,8 @@
 	tooLarge bool
 }
 
-func (h *held) keep(attempt int, r received) {
+// setReceived stores the answer of an attempt for the handler.
+func (h *held) setReceived(attempt int, r received) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.received == nil {
@@ -50,7 +46,8 @@
 	h.received[attempt] = r
 }
 
-func (h *held) take(attempt int) (received, bool) {
+// receivedIn returns the answer of an attempt.
+func (h *held) receivedIn(attempt int) (received, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	r, ok := h.received[attempt]
@@ -119,7 +116,7 @@
 		team:        team,
 		queue:       a.queue,
 		contentType: r.Header.Get("Content-Type"),
-		traceparent: a.wishes.traceparent,
+		traceparent: a.options.traceparent,
 		body:        body,
 		answer:      make(chan effect.AnswerRequest, 1),
 	}
@@ -149,67 +146,3 @@
 	}
 	s.refuse(w, problem.New(kind, "the host stopped"), h.id)
 }
-
-// finish writes the answer that the reducer chose.
-func (s *Server) finish(w http.ResponseWriter, h *held, e effect.AnswerRequest) {
-	header := w.Header()
-	header.Set(attemptsHeader, strconv.FormatInt(h.forwards.Load(), 10))
-	switch {
-	case e.Problem != nil:
-		s.refuse(w, e.Problem, h.id)
-	case e.Answer != nil:
-		s.writeAnswer(w, h.id, e.Answer)
-	default:
-		s.writeReceived(w, h, e.Attempt)
-	}
-}
-
-func (s *Server) writeReceived(w http.ResponseWriter, h *held, attempt int) {
-	r, ok := h.take(attempt)
-	switch {
-	case !ok:
-		s.refuse(w, problem.New(problem.Internal, "attempt %d has no answer", attempt), h.id)
-	case r.tooLarge:
-		s.refuse(w, problem.New(problem.AnswerTooLarge, "at most %d bytes are passed on", s.cfg.MaxAnswer), h.id)
-	default:
-		s.writeAnswer(w, h.id, r.answer)
-	}
-}
-
-func (s *Server) writeAnswer(w http.ResponseWriter, id model.RequestID, answer *model.Answer) {
-	countAnswered()
-	s.closeIfStopping(w)
-	header := w.Header()
-	header.Set(reply.RequestIDHeader, string(id))
-	header["Content-Type"] = nil // no guess when the target sent none
-	if answer.ContentType != "" {
-		header.Set("Content-Type", answer.ContentType)
-	}
-	if allowsBody(answer.Status) {
-		header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
-	}
-	w.WriteHeader(answer.Status)
-	if allowsBody(answer.Status) {
-		w.Write(answer.Body) // an error means that the caller has gone
-	}
-}
-
-func allowsBody(status int) bool {
-	return status != http.StatusNoContent && status != http.StatusNotModified
-}
-
-func (s *Server) refuse(w http.ResponseWriter, p *problem.Problem, id model.RequestID) {
-	countRefused(p.Kind)
-	s.closeIfStopping(w)
-	w.Header().Set(reply.RequestIDHeader, string(id))
-	reply.Problem(w, p, id, s.control.Rand())
-}
-
-// closeIfStopping tells a caller of a stopping host not to use its connection
-// again. Otherwise the end of the process closes a connection on which a
-// request may be on its way, whose caller cannot know that it did not run.
-func (s *Server) closeIfStopping(w http.ResponseWriter) {
-	if s.control.View().Stopping {
-		w.Header().Set("Connection", "close")
-	}
-}
--- a/gateway/tasks.go
+++ b/gateway/tasks.go
@@ -164,7 +164,7 @@
 	if p != nil {
 		return "", "", p
 	}
-	parsed, p := parseWishes(http.Header{idempotencyKeyHeader: r.Header[idempotencyKeyHeader]})
+	parsed, p := parseOptions(http.Header{idempotencyKeyHeader: r.Header[idempotencyKeyHeader]})
 	return team, parsed.idempotencyKey, p
 }
 
