ctl, primrosedaled: split the long functions that build the command lines

ctl's parser (55 lines) described eight subcommands with shared variables, and primrosedaled's run (41 lines) repeated the same three lines for each subcommand.

--- a/cmd/primrosedaled/main.go
+++ b/cmd/primrosedaled/main.go
@@ -51,17 +51,11 @@
 	parser.Description = "One process of the primrosedale fleet capacity and maintenance manager."
 	parser.AdditionalHelpAppend = helpEnd(devExample + initExample + runExample)
 	parser.ShowHelpOnUnexpected = true
-	runCommand := flaggy.NewSubcommand("run")
-	runCommand.Description = "run this host's process"
-	runCommand.AdditionalHelpAppend = helpEnd(runExample)
+	runCommand := subcommand("run", "run this host's process", runExample)
 	runCommand.String(&path, "s", "settings", "settings file (TOML)")
-	initCommand := flaggy.NewSubcommand("init")
-	initCommand.Description = "create the data folder of a first replica; once for each, never to replace a lost disk"
-	initCommand.AdditionalHelpAppend = helpEnd(initExample)
+	initCommand := subcommand("init", "create the data folder of a first replica; once for each, never to replace a lost disk", initExample)
 	initCommand.String(&path, "s", "settings", "settings file (TOML)")
-	devCommand := flaggy.NewSubcommand("dev")
-	devCommand.Description = "run a whole system on loopback with stand-in targets and workers"
-	devCommand.AdditionalHelpAppend = helpEnd(devExample)
+	devCommand := subcommand("dev", "run a whole system on loopback with stand-in targets and workers", devExample)
 	devCommand.String(&folder, "d", "data", "new folder for the replicas' data (default: a temporary one)")
 	for _, c := range []*flaggy.Subcommand{runCommand, initCommand, devCommand} {
 		parser.AttachSubcommand(c, 1)
@@ -86,6 +80,13 @@
 	return exitUsage
 }
 
+func subcommand(name, description, example string) *flaggy.Subcommand {
+	c := flaggy.NewSubcommand(name)
+	c.Description = description
+	c.AdditionalHelpAppend = helpEnd(example)
+	return c
+}
+
 // stopContext ends at the first SIGTERM or SIGINT.
 func stopContext() (context.Context, context.CancelFunc) {
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
--- a/ctl/parser.go
+++ b/ctl/parser.go
@@ -12,57 +12,81 @@
 func (p *Program) parser() (*flaggy.Parser, []action) {
 	parser := flaggy.NewParser("primrosedalectl")
 	parser.Description = "Operates a primrosedale system."
+	p.addOptions(parser)
+	check := fileCommand("check", "read a rules file and list every fault; asks no host",
+		func(_ context.Context, file string) error { return p.check(file) })
+	diff := fileCommand("diff", "compare a rules file with the rules in force; exit code 5 if they differ", p.diff)
+	apply := fileCommand("apply", "put a rules file in force; its revision must follow the one in force", p.apply)
+	key := subcommand("key", "grant or withdraw a team's key")
+	grant, withdraw := p.grantCommand(), p.withdrawCommand()
+	status := action{subcommand("status", "show hosts, targets, teams, queues and pools"), p.status}
+	report, replays := p.reportCommand(), p.replayCommand()
+
+	key.AttachSubcommand(grant.command, 1)
+	key.AttachSubcommand(withdraw.command, 1)
+	key.AdditionalHelpAppend = helpEnd(grant.command.Name, withdraw.command.Name)
+	var names []string
+	for _, c := range []*flaggy.Subcommand{
+		check.command, diff.command, apply.command, key, status.command, report.command, replays.command,
+	} {
+		parser.AttachSubcommand(c, 1)
+		names = append(names, c.Name)
+	}
+	parser.AdditionalHelpAppend = helpEnd(append(names, grant.command.Name, withdraw.command.Name)...)
+	return parser, []action{check, diff, apply, grant, withdraw, status, replays, report}
+}
+
+// addOptions adds the options of every subcommand.
+func (p *Program) addOptions(parser *flaggy.Parser) {
 	p.output = outputTable
 	parser.String(&p.address, "a", "address", "operator addresses, IP:port, separated by commas (default: $"+AddressVariable+")")
 	parser.String(&p.output, "o", "output", "table or json")
 	parser.String(&p.certificate, "", "certificate", "client certificate, PEM, where the system uses mutual TLS")
 	parser.String(&p.key, "", "key", "key of the client certificate, PEM")
 	parser.String(&p.authority, "", "authority", "certificate authority of the system, PEM")
+}
 
-	var file, name, team, page string
-	check := subcommand("check", "read a rules file and list every fault; asks no host")
-	check.AddPositionalValue(&file, "FILE", 1, true, "rules file")
-	diff := subcommand("diff", "compare a rules file with the rules in force; exit code 5 if they differ")
-	diff.AddPositionalValue(&file, "FILE", 1, true, "rules file")
-	apply := subcommand("apply", "put a rules file in force; its revision must follow the one in force")
-	apply.AddPositionalValue(&file, "FILE", 1, true, "rules file")
-	status := subcommand("status", "show hosts, targets, teams, queues and pools")
+// fileCommand is a subcommand on a rules file.
+func fileCommand(name, description string, run func(ctx context.Context, file string) error) action {
+	var file string
+	c := subcommand(name, description)
+	c.AddPositionalValue(&file, "FILE", 1, true, "rules file")
+	return action{c, func(ctx context.Context) error { return run(ctx, file) }}
+}
+
+func (p *Program) grantCommand() action {
+	var name, team string
+	c := subcommand("grant", "make a key for a team; it is shown once")
+	c.AddPositionalValue(&name, "NAME", 1, true, "name of the key, unique")
+	c.AddPositionalValue(&team, "TEAM", 2, true, "team that the key stands for")
+	return action{c, func(ctx context.Context) error { return p.grant(ctx, name, model.TeamID(team)) }}
+}
+
+func (p *Program) withdrawCommand() action {
+	var name string
+	c := subcommand("withdraw", "end a key; every host refuses it within seconds")
+	c.AddPositionalValue(&name, "NAME", 1, true, "name of the key")
+	return action{c, func(ctx context.Context) error { return p.withdraw(ctx, name) }}
+}
+
+func (p *Program) reportCommand() action {
+	var page string
+	c := subcommand("report", "show how much of each objective's error budget is spent, and on what")
+	c.String(&page, "", "html", "also write the report to this file as one HTML page")
+	return action{c, func(ctx context.Context) error { return p.burnReport(ctx, page) }}
+}
+
+func (p *Program) replayCommand() action {
 	var o replayOptions
-	replays := subcommand("replay", "replay a journal, a trace or trace settings; exit code 5 if it differs or leaves the bounds")
-	replays.AddPositionalValue(&o.file, "FILE", 1, true, "journal, trace or trace settings")
-	replays.String(&o.expect, "e", "expect", "outcomes file with bounds")
-	replays.String(&o.policy, "", "policy", "shares (default) or static")
-	replays.String(&o.plots, "", "plots", "folder for plots")
-	replays.UInt64(&o.seed, "", "seed", "seed of trace settings, in place of their own")
-	replays.String(&o.record, "", "record", "write the inputs of the trace's replay to this journal")
-	replays.String(&o.write, "", "write", "write the trace to this file and do not replay it")
-	report := subcommand("report", "show how much of each objective's error budget is spent, and on what")
-	report.String(&page, "", "html", "also write the report to this file as one HTML page")
-	key := subcommand("key", "grant or withdraw a team's key")
-	grant := subcommand("grant", "make a key for a team; it is shown once")
-	grant.AddPositionalValue(&name, "NAME", 1, true, "name of the key, unique")
-	grant.AddPositionalValue(&team, "TEAM", 2, true, "team that the key stands for")
-	withdraw := subcommand("withdraw", "end a key; every host refuses it within seconds")
-	withdraw.AddPositionalValue(&name, "NAME", 1, true, "name of the key")
-	key.AttachSubcommand(grant, 1)
-	key.AttachSubcommand(withdraw, 1)
-	var names []string
-	for _, c := range []*flaggy.Subcommand{check, diff, apply, key, status, report, replays} {
-		parser.AttachSubcommand(c, 1)
-		names = append(names, c.Name)
-	}
-	parser.AdditionalHelpAppend = helpEnd(append(names, grant.Name, withdraw.Name)...)
-	key.AdditionalHelpAppend = helpEnd(grant.Name, withdraw.Name)
-	return parser, []action{
-		{check, func(context.Context) error { return p.check(file) }},
-		{diff, func(ctx context.Context) error { return p.diff(ctx, file) }},
-		{apply, func(ctx context.Context) error { return p.apply(ctx, file) }},
-		{grant, func(ctx context.Context) error { return p.grant(ctx, name, model.TeamID(team)) }},
-		{withdraw, func(ctx context.Context) error { return p.withdraw(ctx, name) }},
-		{status, p.status},
-		{replays, func(context.Context) error { return p.replay(o) }},
-		{report, func(ctx context.Context) error { return p.burnReport(ctx, page) }},
-	}
+	c := subcommand("replay", "replay a journal, a trace or trace settings; exit code 5 if it differs or leaves the bounds")
+	c.AddPositionalValue(&o.file, "FILE", 1, true, "journal, trace or trace settings")
+	c.String(&o.expect, "e", "expect", "outcomes file with bounds")
+	c.String(&o.policy, "", "policy", "shares (default) or static")
+	c.String(&o.plots, "", "plots", "folder for plots")
+	c.UInt64(&o.seed, "", "seed", "seed of trace settings, in place of their own")
+	c.String(&o.record, "", "record", "write the inputs of the trace's replay to this journal")
+	c.String(&o.write, "", "write", "write the trace to this file and do not replay it")
+	return action{c, func(context.Context) error { return p.replay(o) }}
 }
 
 func subcommand(name, description string) *flaggy.Subcommand {
