--- a/core/gateway/burn_test.go
+++ b/core/gateway/burn_test.go
@@ -1,4 +1,4 @@
-package gateway
+package gateway_test
 
 import (
 	"testing"
@@ -6,128 +6,91 @@
 	"github.com/stretchr/testify/require"
 
 	"primrosedale.example/primrosedale/core/burn"
+	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/event"
+	"primrosedale.example/primrosedale/core/gateway"
 	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/problem"
 )
 
-const patience = 10 * model.Second
+// past is a time after the patience of the request.
+const past = patience + 1
+
+// repeated is the end of an attempt with its settlement, each of them twice.
+func repeated(e event.ForwardEnded, now model.Duration) step {
+	end, receipt := endedAs(e, now), settled(e.Attempt, true)
+	return func(t *gateway.Table) []effect.Effect {
+		for _, s := range []step{end, end, receipt, receipt} {
+			s(t)
+		}
+		return advance(now + model.Hour)(t)
+	}
+}
+
+// attempt starts an attempt at a time and ends it a second later.
+func attempt(now model.Duration, e event.ForwardEnded) []step {
+	return []step{dispatchAt(1, now), repeated(e, now+model.Second)}
+}
+
+func refuseStored(t *gateway.Table) []effect.Effect {
+	return t.Refuse(start, &message.Refuse{Term: term, Request: "r", Answer: &model.Answer{Status: 200}})
+}
 
 // Guards against an end of a request that is not counted, is counted twice, or
 // spends the budget for the wrong cause.
 func TestEachEndCountsOnce(t *testing.T) {
-	ended := func(table *Table, at model.Time, e event.ForwardEnded) {
-		e.Request = "r"
-		table.Ended(at, e)
-		table.Ended(at, e) // a repeated event
-		table.Settled(&message.Settled{Request: "r", Attempt: e.Attempt, Final: true})
-		table.Settled(&message.Settled{Request: "r", Attempt: e.Attempt, Final: true})
-		table.Advance(at.Add(model.Hour))
-	}
-	answered := func(status int) event.ForwardEnded {
-		return event.ForwardEnded{Attempt: 1, Outcome: message.OutcomeAnswered, Status: status}
+	with := func(status int) event.ForwardEnded {
+		return event.ForwardEnded{Attempt: 1, Outcome: answered, Status: status}
 	}
-	unknown := event.ForwardEnded{Attempt: 1, Outcome: message.OutcomeUnknown}
-	timedOut := event.ForwardEnded{Attempt: 1, Outcome: message.OutcomeUnknown, TimedOut: true}
-	tooLarge := event.ForwardEnded{Attempt: 1, Outcome: message.OutcomeAnswered, Status: 200, TooLarge: true}
-	notStarted := event.ForwardEnded{Attempt: 1, Outcome: message.OutcomeNotStarted}
-	refused := func(kind problem.Kind) func(*Table) {
-		return func(t *Table) { refuseWith(t, &message.Refuse{Problem: problem.New(kind, "")}) }
-	}
-	after := func(start model.Time, e event.ForwardEnded) func(*Table) {
-		return func(t *Table) {
-			forward(t, start, 1)
-			ended(t, start.Add(model.Second), e)
-		}
-	}
-	past := model.Time(patience + 1)
+	second := with(200)
+	second.Attempt = 2
+	timedOut := event.ForwardEnded{Attempt: 1, Outcome: unknown, TimedOut: true}
+	tooLarge := event.ForwardEnded{Attempt: 1, Outcome: answered, Status: 200, TooLarge: true}
 	cases := map[string]struct {
-		end  func(*Table)
-		want burn.Cause
+		steps []step
+		want  burn.Cause
 	}{
-		"answered":             {after(1, answered(200)), burn.Good},
-		"caller's error":       {after(1, answered(404)), burn.Good},
-		"server error":         {after(1, answered(503)), burn.Failed},
-		"started too late":     {after(past, answered(200)), burn.Late},
-		"answer too large":     {after(1, tooLarge), burn.Failed},
-		"run time passed":      {after(1, timedOut), burn.Failed},
-		"not started in time":  {after(past, notStarted), burn.Late},
-		"patience ran out":     {func(t *Table) { t.Advance(past.Add(OwnerGrace)) }, burn.Late},
-		"refused, no target":   {refused(problem.NoTarget), burn.Refused},
-		"refused, key reused":  {refused(problem.KeyReused), burn.NotCounted},
-		"refused, queue gone":  {refused(problem.UnknownQueue), burn.NotCounted},
-		"in progress":          {refused(problem.InProgress), burn.NotCounted},
-		"stored answer":        {func(t *Table) { refuseWith(t, &message.Refuse{Answer: &model.Answer{Status: 200}}) }, burn.Good},
-		"caller gone, waiting": {func(t *Table) { t.Abandon(1, "r"); t.Advance(past.Add(model.Hour)) }, burn.NotCounted},
-		"caller gone, running": {func(table *Table) {
-			forward(table, 1, 1)
-			table.Abandon(2, "r")
-			ended(table, 3, answered(500))
-		}, burn.NotCounted},
-		"caller gone after the answer": {func(table *Table) {
-			forward(table, 1, 1)
-			ended(table, 2, answered(200))
-			table.Abandon(3, "r")
-		}, burn.Good},
-		"second attempt answered": {func(table *Table) {
-			forward(table, 1, 1)
-			table.Ended(2, event.ForwardEnded{Request: "r", Attempt: 1, Outcome: message.OutcomeNotStarted})
-			forward(table, 3, 2)
-			second := answered(200)
-			second.Attempt = 2
-			ended(table, 4, second)
-		}, burn.Good},
+		"answered":                     {attempt(0, with(200)), burn.Good},
+		"caller's error":               {attempt(0, with(404)), burn.Good},
+		"server error":                 {attempt(0, with(503)), burn.Failed},
+		"started too late":             {attempt(past, with(200)), burn.Late},
+		"answer too large":             {attempt(0, tooLarge), burn.Failed},
+		"run time passed":              {attempt(0, timedOut), burn.Failed},
+		"not started in time":          {attempt(past, event.ForwardEnded{Attempt: 1, Outcome: notStarted}), burn.Late},
+		"patience ran out":             {[]step{advance(past + gateway.OwnerGrace)}, burn.Late},
+		"refused, no target":           {[]step{refuse(problem.NoTarget)}, burn.Refused},
+		"refused, key reused":          {[]step{refuse(problem.KeyReused)}, burn.NotCounted},
+		"refused, queue gone":          {[]step{refuse(problem.UnknownQueue)}, burn.NotCounted},
+		"in progress":                  {[]step{refuse(problem.InProgress)}, burn.NotCounted},
+		"stored answer":                {[]step{refuseStored}, burn.Good},
+		"caller gone, waiting":         {[]step{abandon, advance(past + model.Hour)}, burn.NotCounted},
+		"caller gone, running":         {[]step{dispatch(1), abandon, repeated(with(500), 2)}, burn.NotCounted},
+		"caller gone after the answer": {[]step{dispatch(1), repeated(with(200), 2), abandon}, burn.Good},
+		"second attempt answered":      {[]step{dispatch(1), ended(1, notStarted, 1), dispatch(2), repeated(second, 2)}, burn.Good},
 	}
 	for name, c := range cases {
-		for _, idempotent := range []bool{true, false} {
-			table := New("inc")
-			table.Follow(0, "leader", 1)
-			table.Arrive(0, event.Request{ID: "r", Team: "press", Queue: "proofs", Idempotent: idempotent, Patience: patience})
-			c.end(table)
-			checkEnds(t, table, name, c.want)
-		}
-	}
-	for idempotent, want := range map[bool]burn.Cause{false: burn.Unknown, true: burn.Lost} {
-		table := New("inc")
-		table.Follow(0, "leader", 1)
-		table.Arrive(0, event.Request{ID: "r", Team: "press", Queue: "proofs", Idempotent: idempotent, Patience: patience})
-		forward(table, 1, 1)
-		table.Ended(2, withRequest(unknown))
-		refuseWith(table, &message.Refuse{Problem: problem.New(problem.PatienceExceeded, "")})
-		checkEnds(t, table, "connection lost", want)
+		checkCause(t, name, c.want, append([]step{arrive(true)}, c.steps...)...)
+		checkCause(t, name, c.want, append([]step{arrive(false)}, c.steps...)...)
 	}
-	table := New("inc")
-	table.Stop(0)
-	table.Arrive(0, event.Request{ID: "r", Team: "press", Queue: "proofs"})
-	checkEnds(t, table, "stopping", burn.Refused)
-}
-
-// forward lets the request start an attempt.
-func forward(table *Table, at model.Time, attempt int) {
-	table.Dispatch(at, at.Add(model.Second), &message.Dispatch{
-		Term: 1, Gateway: "inc", Request: "r", Attempt: attempt, Target: "t", MaxRun: model.Minute,
-	})
+	lost := []step{dispatch(1), ended(1, unknown, 1), refuse(problem.PatienceExceeded)}
+	checkCause(t, "connection lost", burn.Lost, append([]step{arrive(true)}, lost...)...)
+	checkCause(t, "connection lost", burn.Unknown, append([]step{arrive(false)}, lost...)...)
+	checkCause(t, "stopping", burn.Refused, stop, arrive(true))
 }
 
-// refuseWith gives the request the owner's refusal.
-func refuseWith(table *Table, r *message.Refuse) {
-	r.Term, r.Request = 1, "r"
-	table.Refuse(0, r)
-}
-
-func withRequest(e event.ForwardEnded) event.ForwardEnded {
-	e.Request = "r"
-	return e
-}
-
-func checkEnds(t *testing.T, table *Table, name string, want burn.Cause) {
+// checkCause runs the steps and checks that they count one end of this cause.
+func checkCause(t *testing.T, name string, want burn.Cause, steps ...step) {
 	t.Helper()
+	table := newTable()
+	for _, s := range steps {
+		s(table)
+	}
 	ends := table.TakeEnds()
 	if want == burn.NotCounted {
 		require.Empty(t, ends, name)
 		return
 	}
-	require.Equal(t, []End{{Team: "press", Queue: "proofs", Cause: want}}, ends, name)
+	require.Equal(t, []gateway.End{{Team: "press", Queue: "proofs", Cause: want}}, ends, name)
 	require.Empty(t, table.TakeEnds(), name)
 }
--- a/core/gateway/table_test.go
+++ b/core/gateway/table_test.go
@@ -40,15 +40,22 @@
 	return func(t *gateway.Table) []effect.Effect { return t.Arrive(start, r) }
 }
 
+func permission(attempt int) *message.Dispatch {
+	return &message.Dispatch{
+		Term: term, Request: "r", Gateway: "life", Attempt: attempt, Target: "t", Inc: "i", MaxRun: 10 * model.Second,
+	}
+}
+
 // dispatch allows the attempt to start for another second.
-func dispatch(attempt int) step {
-	return dispatchUntil(attempt, at(model.Second), func(*message.Dispatch) {})
+func dispatch(attempt int) step { return dispatchAt(attempt, 0) }
+
+func dispatchAt(attempt int, now model.Duration) step {
+	d := permission(attempt)
+	return func(t *gateway.Table) []effect.Effect { return t.Dispatch(at(now), at(now+model.Second), d) }
 }
 
 func dispatchUntil(attempt int, startBy model.Time, change func(*message.Dispatch)) step {
-	d := &message.Dispatch{
-		Term: term, Request: "r", Gateway: "life", Attempt: attempt, Target: "t", Inc: "i", MaxRun: 10 * model.Second,
-	}
+	d := permission(attempt)
 	change(d)
 	return func(t *gateway.Table) []effect.Effect { return t.Dispatch(start, startBy, d) }
 }
