proof: share links, faults and whole-system steps among the proofs

Two functions started a target, two built the links from outside to each host, ten loops cut, healed or stopped links, eight tests ran a table of faults in parallel subtests, six waited for tasks to end, and four killed or started every host. They are now newLinks with the type `links`, eachFault, awaitEnded, awaitRunning over several tasks, enforce, applyBoth, lastArrival, killAll and startAll. Faults, loads, limits and assertions are unchanged: each proof injects the same faults and makes the same checks.

--- a/proof/config_test.go
+++ b/proof/config_test.go
@@ -46,6 +46,13 @@
 	}
 }
 
+// enforce applies a file and waits until it is in force everywhere.
+func (s *system) enforce(f *rulesfile.File) {
+	s.t.Helper()
+	s.apply(f)
+	s.waitInForce(f, s.all()...)
+}
+
 // Guards against two operators who both believe that their change of one
 // revision is in force, and against a resend that changes anything.
 func TestEqualBaseRevisions(t *testing.T) {
@@ -55,14 +62,8 @@
 	s.apply(s.file(1))
 	for round := range uint64(rounds) {
 		files := []*rulesfile.File{s.marked(round+2, "left"), s.marked(round+2, "right")}
-		errs := make([]error, len(files))
-		var both sync.WaitGroup
-		for i, f := range files {
-			both.Go(func() {
-				_, errs[i] = s.operators(int(round)%5, i).Apply(context.Background(), f)
-			})
-		}
-		both.Wait()
+		first, other := s.operators(int(round)%5, 0), s.operators(int(round)%5, 1)
+		errs := applyBoth([]*client.Client{first, other}, files)
 		winner, loser := 0, 1
 		if errs[winner] != nil {
 			winner, loser = 1, 0
@@ -79,6 +80,17 @@
 	t.Logf("%d rounds: one winner each, %d losers told revision and hash of the winner, %d resends got the first answer", rounds, rounds, rounds)
 }
 
+// applyBoth submits each file through its client at the same moment.
+func applyBoth(operators []*client.Client, files []*rulesfile.File) []error {
+	errs := make([]error, len(files))
+	var both sync.WaitGroup
+	for i, f := range files {
+		both.Go(func() { _, errs[i] = operators[i].Apply(context.Background(), f) })
+	}
+	both.Wait()
+	return errs
+}
+
 // Guards against a resend after a lost answer that is applied a second time or
 // reverts what was accepted since.
 func TestResendAfterLostAnswer(t *testing.T) {
@@ -226,12 +238,7 @@
 // two replicas only; one of them loses its disk, then the other goes.
 func TestSecondReplicaLostAfterRepair(t *testing.T) {
 	t.Parallel()
-	for _, repaired := range []bool{false, true} {
-		t.Run(fmt.Sprintf("repaired=%t", repaired), func(t *testing.T) {
-			t.Parallel()
-			secondLoss(t, repaired)
-		})
-	}
+	eachFault(t, map[string]bool{"repaired=false": false, "repaired=true": true}, secondLoss)
 }
 
 func secondLoss(t *testing.T, repaired bool) {
@@ -285,13 +292,9 @@
 		last = s.marked(revision, fmt.Sprintf("mark%d", revision))
 		s.apply(last)
 	}
-	for _, h := range s.hosts {
-		h.kill()
-	}
+	s.killAll()
 	began := time.Now()
-	for _, h := range s.hosts {
-		h.start()
-	}
+	s.startAll()
 	s.waitInForce(last, s.all()...)
 	t.Logf("500 changes; all 5 processes killed; every host serves revision 500 %s after the restart", time.Since(began))
 }
--- a/proof/fleetlimit_test.go
+++ b/proof/fleetlimit_test.go
@@ -59,12 +59,7 @@
 		"targets cut off":    cutTargets,
 		"leader killed late": killLeaderUnderDelay,
 	}
-	for name, inject := range faults {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			limitThrough(t, inject)
-		})
-	}
+	eachFault(t, faults, limitThrough)
 }
 
 func limitThrough(t *testing.T, inject func(*system)) {
@@ -160,14 +155,10 @@
 func cutTargets(s *system) {
 	for i := range rounds {
 		silent := s.targets[i]
-		for _, l := range silent.links {
-			l.cut()
-		}
+		silent.links.each((*link).cut)
 		eventually(s.t, startLimit, "the target is silent", func() bool { return s.readyTargets(s.leader()) == limitTargets-1 })
 		s.waitBusy()
-		for _, l := range silent.links {
-			l.heal()
-		}
+		silent.links.each((*link).heal)
 		eventually(s.t, startLimit, "the target is back", func() bool { return s.readyTargets(s.leader()) == limitTargets })
 	}
 }
--- a/proof/keys_test.go
+++ b/proof/keys_test.go
@@ -13,24 +13,18 @@
 // Guards against a host that accepts a withdrawn key because it did not hear
 // of the withdrawal: it is cut off, frozen, or hears the leader late.
 func TestWithdrawnKey(t *testing.T) {
-	faults := map[string]struct{ begin, end func(*system, int) }{
+	faults := map[string]keyFault{
 		"cut off":           {(*system).cutOff, (*system).rejoin},
 		"frozen for 0.5 s":  {freezeFor(500 * time.Millisecond), nothing},
 		"frozen for 4 s":    {freezeFor(4 * time.Second), nothing},
 		"hears 900 ms late": {func(s *system, i int) { s.to(i, func(l *link) { l.delay(900 * time.Millisecond) }) }, (*system).rejoin},
 	}
-	for name, fault := range faults {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			s := startSystem(t, 3, 2)
-			s.prepare(3, standin.Echo(50*time.Millisecond))
-			leader := s.leader()
-			victim := s.except(leader)[3]
-			withdrawn(t, s, victim, s.except(victim), func() { fault.begin(s, victim) }, func() { fault.end(s, victim) })
-		})
-	}
+	eachFault(t, faults, func(t *testing.T, f keyFault) { withdrawn(t, f) })
 }
 
+// keyFault keeps a host from hearing of a withdrawal.
+type keyFault struct{ begin, end func(*system, int) }
+
 func nothing(*system, int) {}
 
 // freezeFor stops a process and lets it go on after d.
@@ -45,16 +39,16 @@
 // and starts long after it: a host that is cut off holds it until it rejoins.
 func TestWithdrawnKeyStartsNothing(t *testing.T) {
 	t.Parallel()
+	require.LessOrEqual(t, withdrawn(t, keyFault{(*system).cutOff, (*system).rejoin}), inForceLimit)
+}
+
+// withdrawn withdraws a key under load and a fault of one host, and returns
+// when after the answer the last run with the key started.
+func withdrawn(t *testing.T, f keyFault) (last time.Duration) {
 	s := startSystem(t, 3, 2)
 	s.prepare(3, standin.Echo(50*time.Millisecond))
 	victim := s.except(s.leader())[3]
-	last := withdrawn(t, s, victim, s.except(victim), func() { s.cutOff(victim) }, func() { s.rejoin(victim) })
-	require.LessOrEqual(t, last, inForceLimit)
-}
-
-// withdrawn withdraws a key under load and a fault, and returns when after the
-// answer the last run with the key started.
-func withdrawn(t *testing.T, s *system, victim int, others []int, begin, end func()) (last time.Duration) {
+	others := s.except(victim)
 	press := func(i int) request {
 		return request{key: newKey(), team: "press", queue: "proofs", nonIdempotent: i%2 == 1}
 	}
@@ -62,12 +56,12 @@
 	hosts := append([]int{victim, victim, victim}, others...)
 	st := s.startLoad(load{rate: 200, count: 2000, hosts: hosts, next: press})
 	eventually(t, startLimit, "work runs", func() bool { return len(s.ledger.times()) > 50 })
-	begin()
+	f.begin(s, victim)
 	require.NoError(t, s.operators(others...).WithdrawKey(context.Background(), "press"))
 	answered := time.Now()
 	time.Sleep(time.Until(answered.Add(inForceLimit + 2*time.Second))) // the load goes on past the limit
 	st.cancel()
-	end()
+	f.end(s, victim)
 	outcomes := st.wait()
 	s.waitServing()
 	require.False(t, s.send(victim, press(0)).answered, "accepted after the fault")
--- a/proof/leave_test.go
+++ b/proof/leave_test.go
@@ -28,12 +28,7 @@
 		"leader's messages 950 ms":  delayFrom(950 * time.Millisecond),
 		"leader's messages 2500 ms": delayFrom(2500 * time.Millisecond),
 	}
-	for name, begin := range faults {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			dataCentreOut(t, begin)
-		})
-	}
+	eachFault(t, faults, dataCentreOut)
 }
 
 func delayFrom(d time.Duration) func(*system, int, int) {
@@ -65,8 +60,7 @@
 	t.Logf("last start in the data centre %s after the operator's answer", last)
 	require.LessOrEqual(t, last, leaveLimit)
 	back := s.file(3)
-	s.apply(back)
-	s.waitInForce(back, s.all()...)
+	s.enforce(back)
 	before := s.ledger.count(func(r start) bool { return r.centre == centre })
 	s.startLoad(load{rate: 200, count: 200, hosts: s.all(), next: mixed}).wait()
 	require.Greater(t, s.ledger.count(func(r start) bool { return r.centre == centre }), before, "work starts again after its return")
@@ -83,6 +77,19 @@
 	}
 }
 
+// lastArrival watches a count until some time past the limit. It returns the
+// count and how long after began it last grew.
+func lastArrival(began time.Time, count func() int) (seen int, last time.Duration) {
+	seen = count()
+	for time.Since(began) < leaveLimit+2*time.Second {
+		if n := count(); n > seen {
+			seen, last = n, time.Since(began)
+		}
+		time.Sleep(pollPause)
+	}
+	return seen, last
+}
+
 // Guards against new work for a target that announced that it leaves, and
 // against a request that its leaving cuts off.
 func TestTargetLeaves(t *testing.T) {
@@ -104,13 +111,7 @@
 	left := make(chan error, 1)
 	go func() { left <- leaving.Leave(ctx) }()
 	arrivals := func() int { return leaving.Counts().Refused[standin.RefusedLeaving] }
-	seen, last := arrivals(), time.Duration(0)
-	for time.Since(began) < leaveLimit+2*time.Second {
-		if n := arrivals(); n > seen {
-			seen, last = n, time.Since(began)
-		}
-		time.Sleep(pollPause)
-	}
+	seen, last := lastArrival(began, arrivals)
 	require.NoError(t, <-left)
 	c := s.tally(st.wait())
 	c.check(t)
@@ -137,29 +138,19 @@
 	st := s.startLoad(load{rate: 200, count: 1600, hosts: s.all(), next: mixed})
 	silent := s.targets[1]
 	eventually(t, startLimit, "the target works", func() bool { return len(silent.Counts().Runs) > 20 })
-	for _, l := range silent.links {
-		l.cut()
-	}
+	silent.links.each((*link).cut)
 	began := time.Now()
 	// What the target refuses itself, by the age of the ticket, counts too.
 	arrivals := func() int {
 		counts := silent.Counts()
 		return len(counts.Runs) + counts.Refused[standin.RefusedTicket]
 	}
-	seen, last := arrivals(), time.Duration(0)
-	for time.Since(began) < leaveLimit+2*time.Second {
-		if n := arrivals(); n > seen {
-			seen, last = n, time.Since(began)
-		}
-		time.Sleep(pollPause)
-	}
+	_, last := lastArrival(began, arrivals)
 	c := s.tally(st.stop())
 	c.check(t)
 	s.checkLimits()
 	t.Logf("last request reached the silent target after %s", last)
 	require.LessOrEqual(t, last, leaveLimit)
-	for _, l := range silent.links {
-		l.heal()
-	}
+	silent.links.each((*link).heal)
 	eventually(t, startLimit, "all targets are ready", func() bool { return s.readyTargets(s.leader()) == 3 })
 }
--- a/proof/links_test.go
+++ b/proof/links_test.go
@@ -52,6 +52,27 @@
 	require.NoError(l.t, l.proxy.Start())
 }
 
+// links are the proxies from one process outside the system to each host.
+type links []*link
+
+// newLinks makes a link from the port of each host to its platform interface,
+// and returns their addresses as well.
+func (s *system) newLinks(name string, port int) (list links, addresses []string) {
+	for _, h := range s.hosts {
+		addresses = append(addresses, h.address(port))
+		list = append(list, newLink(s.t, name+h.name, h.address(port), h.address(platformPort)))
+	}
+	return list, addresses
+}
+
+func (list links) each(do func(*link)) {
+	for _, l := range list {
+		do(l)
+	}
+}
+
+func (list links) stop() { list.each(func(l *link) { l.proxy.Stop() }) }
+
 // pair is the link from one host to another, by index.
 type pair struct{ from, to int }
 
--- a/proof/main_test.go
+++ b/proof/main_test.go
@@ -41,6 +41,16 @@
 	return m.Run()
 }
 
+// eachFault runs a proof under each of the named faults, in parallel.
+func eachFault[F any](t *testing.T, faults map[string]F, run func(*testing.T, F)) {
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			run(t, fault)
+		})
+	}
+}
+
 // pollPause is the time between two looks at a condition.
 const pollPause = 10 * time.Millisecond
 
--- a/proof/once_test.go
+++ b/proof/once_test.go
@@ -105,9 +105,7 @@
 	for i := range o.hosts {
 		o.kill(i)
 	}
-	for _, h := range o.hosts {
-		h.start()
-	}
+	o.startAll()
 	o.waitServing()
 }
 
--- a/proof/stale_test.go
+++ b/proof/stale_test.go
@@ -25,12 +25,7 @@
 		"is heard but is deaf":   func(s *system, i int) { s.to(i, (*link).cut) },
 		"cut off":                func(s *system, i int) { s.cutOff(i) },
 	}
-	for name, cut := range cuts {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			staleLeader(t, cut)
-		})
-	}
+	eachFault(t, cuts, staleLeader)
 }
 
 func staleLeader(t *testing.T, cut func(*system, int)) {
--- a/proof/system_test.go
+++ b/proof/system_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -76,11 +77,21 @@
 // startSystem runs every process and waits until all serve.
 func startSystem(t testing.TB, replicas, followers int) *system {
 	s := newSystem(t, replicas, followers)
+	s.startAll()
+	s.waitServing()
+	return s
+}
+
+func (s *system) startAll() {
 	for _, h := range s.hosts {
 		h.start()
 	}
-	s.waitServing()
-	return s
+}
+
+func (s *system) killAll() {
+	for _, h := range s.hosts {
+		h.kill()
+	}
 }
 
 func (s *system) writeSettings(i int) {
@@ -110,13 +121,9 @@
 	}
 	for _, target := range s.targets {
 		target.Stop()
-		for _, l := range target.links {
-			l.proxy.Stop()
-		}
-	}
-	for _, h := range s.hosts {
-		h.kill()
+		target.links.stop()
 	}
+	s.killAll()
 	for _, l := range s.links {
 		l.proxy.Stop()
 	}
@@ -181,22 +188,24 @@
 type target struct {
 	*standin.Target
 	id    string
-	links []*link
+	links links
 }
 
 // addTarget starts a target in a data centre.
 func (s *system) addTarget(id string, centre model.DataCentreID, work standin.Work) *target {
+	return s.addFaultyTarget(id, centre, work, nil)
+}
+
+// addFaultyTarget starts a target whose handler is wrapped, unless middleware
+// is nil.
+func (s *system) addFaultyTarget(id string, centre model.DataCentreID, work standin.Work, middleware func(http.Handler) http.Handler) *target {
 	n := &target{id: id}
 	var platforms []string
-	for _, h := range s.hosts {
-		address := h.address(firstTargetPort + len(s.targets))
-		n.links = append(n.links, newLink(s.t, id+h.name, address, h.address(platformPort)))
-		platforms = append(platforms, address)
-	}
+	n.links, platforms = s.newLinks(id, firstTargetPort+len(s.targets))
 	var err error
 	n.Target, err = standin.StartTarget(standin.TargetConfig{
 		ID: model.TargetID(id), Service: "render", DataCentre: centre, Host: model.HostID(id + "-host"),
-		Work: s.ledger.record(id, centre, work), Platforms: platforms,
+		Work: s.ledger.record(id, centre, work), Platforms: platforms, Middleware: middleware,
 	})
 	require.NoError(s.t, err)
 	s.targets = append(s.targets, n)
--- a/proof/task_test.go
+++ b/proof/task_test.go
@@ -4,7 +4,6 @@
 	"testing"
 	"time"
 
-	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/model"
 )
 
@@ -16,8 +15,7 @@
 	s := startSystem(t, 3, 2)
 	s.prepare(0, nil)
 	f := s.file(2, taskRules)
-	s.apply(f)
-	s.waitInForce(f, s.all()...)
+	s.enforce(f)
 	w := s.newWorkers()
 	for i := range count {
 		w.addWorker("worker-"+string(rune('a'+i)), nil)
@@ -41,15 +39,12 @@
 	return nil
 }
 
-// awaitRunning waits until a worker runs the task and returns it.
-func (f *workers) awaitRunning(k task) *worker {
+// awaitRunning waits until a worker runs each of the tasks.
+func (f *workers) awaitRunning(tasks ...task) {
 	f.s.t.Helper()
-	var w *worker
-	eventually(f.s.t, startLimit, "the task runs", func() bool {
-		w = f.on(k.id)
-		return w != nil
-	})
-	return w
+	for _, k := range tasks {
+		eventually(f.s.t, startLimit, "the task runs", func() bool { return f.on(k.id) != nil })
+	}
 }
 
 // Guards against a task that runs on two workers at one time, or a
@@ -62,12 +57,7 @@
 		"orders are lost":      func(l *link) { l.toxic("downstream", "timeout", `{"timeout":0}`) },
 		"orders are 2 s later": func(l *link) { l.toxic("downstream", "latency", `{"latency":2000,"jitter":0}`) },
 	}
-	for name, cut := range cuts {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			workerCutOff(t, cut)
-		})
-	}
+	eachFault(t, cuts, workerCutOff)
 }
 
 func workerCutOff(t *testing.T, cut func(*link)) {
@@ -77,9 +67,7 @@
 		// The run time is over the lease, so that the lease cuts a run short.
 		tasks = append(tasks, s.submit(teams[i%len(teams)], "press", "sleep 6s", i%2 == 0))
 	}
-	for _, k := range tasks {
-		f.awaitRunning(k)
-	}
+	f.awaitRunning(tasks...)
 	// A worker that runs at least one task of each kind goes first.
 	victims := map[*worker]bool{}
 	for _, k := range tasks[len(tasks)-2:] {
@@ -88,17 +76,11 @@
 		}
 	}
 	for w := range victims {
-		for _, l := range w.links {
-			cut(l)
-		}
-	}
-	for _, k := range tasks {
-		s.awaitTask(k, 2*taskLease+leaseMargin+startLimit, fleet.TaskFinished, fleet.TaskUnknown)
+		w.links.each(cut)
 	}
+	s.awaitEnded(tasks, 2*taskLease+leaseMargin+startLimit)
 	for w := range victims {
-		for _, l := range w.links {
-			l.heal()
-		}
+		w.links.each((*link).heal)
 	}
 	f.awaitIdle()
 	f.checkRuns(tasks, len(victims))
@@ -140,9 +122,7 @@
 		s.hosts[leader].start()
 		s.waitServing()
 	}
-	for _, k := range tasks {
-		s.awaitTask(k, 2*startLimit, fleet.TaskFinished, fleet.TaskUnknown)
-	}
+	s.awaitEnded(tasks, 2*startLimit)
 	f.awaitIdle()
 	f.checkRuns(tasks, rounds)
 }
@@ -158,16 +138,10 @@
 		f.awaitRunning(k)
 		tasks = append(tasks, k)
 	}
-	for _, h := range s.hosts {
-		h.kill()
-	}
-	for _, h := range s.hosts {
-		h.start()
-	}
+	s.killAll()
+	s.startAll()
 	s.waitServing()
-	for _, k := range tasks {
-		s.awaitTask(k, 2*startLimit, fleet.TaskFinished, fleet.TaskUnknown)
-	}
+	s.awaitEnded(tasks, 2*startLimit)
 	f.awaitIdle()
 	f.checkRuns(tasks, len(s.hosts))
 }
@@ -177,39 +151,30 @@
 // the run.
 func TestTaskWorkerAndLeaderLost(t *testing.T) {
 	losses := map[string]func(*worker){
-		"worker cut off": func(w *worker) {
-			for _, l := range w.links {
-				l.cut()
-			}
-		},
+		"worker cut off": func(w *worker) { w.links.each((*link).cut) },
 		"worker reboots": func(w *worker) { w.Reboot() },
 	}
-	for name, lose := range losses {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			s, f := startTasks(t, 3)
-			var tasks []task
-			for i := range 6 {
-				tasks = append(tasks, s.submit(teams[i%len(teams)], "press", "sleep 8s", i%2 == 0))
-			}
-			for _, k := range tasks {
-				f.awaitRunning(k)
-			}
-			leader := s.leader()
-			s.hosts[leader].kill()
-			lost := map[*worker]bool{}
-			for _, k := range tasks[:2] { // one of each kind
-				if w := f.on(k.id); w != nil && !lost[w] {
-					lost[w] = true
-					lose(w)
-				}
-			}
-			s.leader(s.running()...)
-			for _, k := range tasks {
-				s.awaitTask(k, 2*startLimit, fleet.TaskFinished, fleet.TaskUnknown)
-			}
-			f.awaitIdle()
-			f.checkRuns(tasks, 1+len(lost))
-		})
+	eachFault(t, losses, workerAndLeaderLost)
+}
+
+func workerAndLeaderLost(t *testing.T, lose func(*worker)) {
+	s, f := startTasks(t, 3)
+	var tasks []task
+	for i := range 6 {
+		tasks = append(tasks, s.submit(teams[i%len(teams)], "press", "sleep 8s", i%2 == 0))
+	}
+	f.awaitRunning(tasks...)
+	leader := s.leader()
+	s.hosts[leader].kill()
+	lost := map[*worker]bool{}
+	for _, k := range tasks[:2] { // one of each kind
+		if w := f.on(k.id); w != nil && !lost[w] {
+			lost[w] = true
+			lose(w)
+		}
 	}
+	s.leader(s.running()...)
+	s.awaitEnded(tasks, 2*startLimit)
+	f.awaitIdle()
+	f.checkRuns(tasks, 1+len(lost))
 }
--- a/proof/truth_test.go
+++ b/proof/truth_test.go
@@ -14,10 +14,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/problem"
 	"primrosedale.example/primrosedale/gateway"
-	"primrosedale.example/primrosedale/standin"
 )
 
 // fault is what a faulty target does with a request.
@@ -174,25 +172,6 @@
 	}
 }
 
-// addFaultyTarget starts a target whose handler is wrapped.
-func (s *system) addFaultyTarget(i int, work standin.Work, middleware func(http.Handler) http.Handler) {
-	n := &target{id: fmt.Sprintf("faulty-%d", i+1)}
-	var platforms []string
-	for _, h := range s.hosts {
-		address := h.address(firstTargetPort + len(s.targets))
-		n.links = append(n.links, newLink(s.t, n.id+h.name, address, h.address(platformPort)))
-		platforms = append(platforms, address)
-	}
-	var err error
-	centre := centres[i%len(centres)]
-	n.Target, err = standin.StartTarget(standin.TargetConfig{
-		ID: model.TargetID(n.id), Service: "render", DataCentre: centre, Host: model.HostID(n.id + "-host"),
-		Work: s.ledger.record(n.id, centre, work), Platforms: platforms, Middleware: middleware,
-	})
-	require.NoError(s.t, err)
-	s.targets = append(s.targets, n)
-}
-
 // callAll sends requests at a rate through all hosts and waits for all answers.
 func (s *system) callAll(count, rate int, next func(int) request) []answer {
 	answers := make([]answer, count)
@@ -216,12 +195,11 @@
 	b, f := newBook(), &faults{}
 	s.prepare(0, nil)
 	for i := range faultyTargets {
-		s.addFaultyTarget(i, b.unique(always(10*time.Millisecond)), f.middleware)
+		s.addFaultyTarget(fmt.Sprintf("faulty-%d", i+1), centres[i%len(centres)], b.unique(always(10*time.Millisecond)), f.middleware)
 	}
 	eventually(t, startLimit, "all targets are ready", func() bool { return s.readyTargets(s.leader()) == faultyTargets })
 	change := s.file(2, briefQueue)
-	s.apply(change)
-	s.waitInForce(change, s.all()...)
+	s.enforce(change)
 	const requests, rate = 1000, 80
 	answers := s.callAll(requests, rate, faulty)
 	b.waitQuiet(t)
--- a/proof/wave_test.go
+++ b/proof/wave_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"testing"
@@ -11,7 +12,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/problem"
 	"primrosedale.example/primrosedale/core/view"
 	"primrosedale.example/primrosedale/operator/client"
@@ -45,14 +45,7 @@
 	return append(lines, extra...)
 }
 
-func sortedNames(pools map[string]string) []string {
-	var names []string
-	for id := range pools {
-		names = append(names, id)
-	}
-	slices.Sort(names)
-	return names
-}
+func sortedNames(pools map[string]string) []string { return slices.Sorted(maps.Keys(pools)) }
 
 // startPools runs a system whose workers are in two pools.
 func startPools(t *testing.T, reboot time.Duration) (*system, *workers) {
@@ -67,8 +60,7 @@
 		f.pools[fmt.Sprintf("worker-%d", i+1)] = pool
 	}
 	file := s.file(2, poolLines(f.pools)...)
-	s.apply(file)
-	s.waitInForce(file, s.all()...)
+	s.enforce(file)
 	for _, id := range sortedNames(f.pools) {
 		f.addWorker(id, func(cfg *standin.WorkerConfig) { cfg.RebootTime = reboot })
 	}
@@ -183,9 +175,7 @@
 	for i := range 4 {
 		tasks = append(tasks, s.submit("press", "press", "sleep 3s", i%2 == 0))
 	}
-	for _, k := range tasks {
-		f.awaitRunning(k)
-	}
+	f.awaitRunning(tasks...)
 	s.overlappingWaves(f)
 	eventually(t, startLimit, "a drain is decided", func() bool { return s.unavailable("press") > 0 })
 	leader := s.leader()
@@ -215,9 +205,7 @@
 	stays(t, quietTime, "no worker reboots after the waves", func() bool { return len(f.reboots()) == count })
 	watch.check(t)
 	require.Positive(t, f.checkBudgets(lostAt), "the wave ended before the loss was known")
-	for _, k := range tasks {
-		s.awaitTask(k, startLimit, fleet.TaskFinished, fleet.TaskUnknown)
-	}
+	s.awaitEnded(tasks, startLimit)
 	f.checkRuns(tasks, 2)
 }
 
@@ -241,12 +229,7 @@
 	first := `wave.first = { pools = ["press"], image = "k9" }`
 	second := `wave.second = { pools = ["press", "archive"], image = "k10" }`
 	files := []*rulesfile.File{s.file(3, poolLines(f.pools, first)...), s.file(3, poolLines(f.pools, second)...)}
-	errs := make([]error, len(files))
-	var both sync.WaitGroup
-	for i, file := range files {
-		both.Go(func() { _, errs[i] = s.operators(i+1).Apply(context.Background(), file) })
-	}
-	both.Wait()
+	errs := applyBoth([]*client.Client{s.operators(1), s.operators(2)}, files)
 	require.NotEqual(s.t, errs[0] == nil, errs[1] == nil, "one of two changes of a revision wins: %v", errs)
 	var refusal *client.Refusal
 	require.True(s.t, errors.As(errors.Join(errs...), &refusal), "%v", errs)
@@ -258,12 +241,7 @@
 // its move is interrupted: the leader is killed while it drains, the worker
 // reboots by itself, and the operator sends the change again.
 func TestMoveThroughLosses(t *testing.T) {
-	for _, image := range []string{"", "k9"} {
-		t.Run("image "+image, func(t *testing.T) {
-			t.Parallel()
-			moveThroughLosses(t, image)
-		})
-	}
+	eachFault(t, map[string]string{"image ": "", "image k9": "k9"}, moveThroughLosses)
 }
 
 func moveThroughLosses(t *testing.T, image string) {
@@ -274,13 +252,8 @@
 	for range 6 {
 		tasks = append(tasks, s.submit("press", "press", "sleep 4s", false))
 	}
-	for _, k := range tasks {
-		f.awaitRunning(k)
-	}
-	pools := map[string]string{}
-	for id, pool := range f.pools {
-		pools[id] = pool
-	}
+	f.awaitRunning(tasks...)
+	pools := maps.Clone(f.pools)
 	pools[moved.id] = "archive"
 	var extra []string
 	if image != "" {
@@ -316,9 +289,7 @@
 	}
 	t.Logf("planned reboots of the moved worker %d, by itself 1", planned)
 	require.Equal(t, 1, planned, "a move is drain, reboot, join")
-	for _, k := range tasks {
-		s.awaitTask(k, startLimit, fleet.TaskFinished, fleet.TaskUnknown)
-	}
+	s.awaitEnded(tasks, startLimit)
 	f.checkRuns(tasks, 2)
 }
 
--- a/proof/workers_test.go
+++ b/proof/workers_test.go
@@ -38,7 +38,7 @@
 type worker struct {
 	*standin.Worker
 	id    string
-	links []*link
+	links links
 }
 
 // addWorker starts a worker of the fleet. Its settings are passed to change
@@ -53,11 +53,7 @@
 		Rebooted: func(image string) { f.rebooted(id, image) },
 		Returned: func() { f.returned(id) },
 	}
-	for _, h := range s.hosts {
-		address := h.address(firstWorkerPort + i)
-		w.links = append(w.links, newLink(s.t, id+h.name, address, h.address(platformPort)))
-		cfg.Platforms = append(cfg.Platforms, address)
-	}
+	w.links, cfg.Platforms = s.newLinks(id, firstWorkerPort+i)
 	if change != nil {
 		change(&cfg)
 	}
@@ -103,9 +99,7 @@
 func (f *workers) close() {
 	for _, w := range f.list {
 		w.Stop()
-		for _, l := range w.links {
-			l.proxy.Stop()
-		}
+		w.links.stop()
 	}
 }
 
@@ -264,6 +258,14 @@
 	return known
 }
 
+// awaitEnded waits until each task has ended, with a known outcome or without.
+func (s *system) awaitEnded(tasks []task, limit time.Duration) {
+	s.t.Helper()
+	for _, k := range tasks {
+		s.awaitTask(k, limit, fleet.TaskFinished, fleet.TaskUnknown)
+	}
+}
+
 // checkRuns checks the books of the workers: no task on two workers at one
 // time, none that is not idempotent begun twice, none lost.
 func (f *workers) checkRuns(tasks []task, faults int) {
