core/consensus: draw chances and times of the simulation in one way

The simulated cluster drew chances and durations by hand although faults_test.go has chance and upTo for it, and the peers of a host came from two loops of which one had a case that cannot occur (a cluster without a durable host). The order of the draws is the same, so that every seed gives the same schedule.

--- a/core/consensus/cluster_test.go
+++ b/core/consensus/cluster_test.go
@@ -198,16 +198,7 @@
 
 // boot starts a node from what is synced.
 func (s *simulation) boot(h *simHost) {
-	var peers []model.HostID
-	for _, other := range s.hosts {
-		if other.durable {
-			peers = append(peers, other.name)
-		}
-	}
-	if len(peers) == 0 || h.durable {
-		peers = s.allNames()
-	}
-	cfg := simConfig(h.id, peers, h.durable)
+	cfg := simConfig(h.id, s.peersOf(h), h.durable)
 	cfg.MaxAppendEntries = s.maxAppend
 	node, err := New(cfg, h.disk.stored)
 	if err != nil {
@@ -226,10 +217,13 @@
 	node.Start(h.clock(s.now), s.rng.Uint64())
 }
 
-func (s *simulation) allNames() []model.HostID {
+// peersOf returns the hosts that h knows: a follower knows durable ones only.
+func (s *simulation) peersOf(h *simHost) []model.HostID {
 	var names []model.HostID
-	for _, h := range s.hosts {
-		names = append(names, h.name)
+	for _, other := range s.hosts {
+		if h.durable || other.durable {
+			names = append(names, other.name)
+		}
 	}
 	return names
 }
@@ -279,10 +273,10 @@
 }
 
 func (s *simulation) syncTime() model.Duration {
-	if s.rng.Float64() < s.faults.slow {
-		return model.Duration(s.rng.Int64N(int64(model.Second)))
+	if s.chance(s.faults.slow) {
+		return s.upTo(model.Second)
 	}
-	return model.Duration(s.rng.Int64N(int64(20 * model.Millisecond)))
+	return s.upTo(20 * model.Millisecond)
 }
 
 // drain does what the node's output asks for, and checks the invariants.
@@ -331,11 +325,11 @@
 }
 
 func (s *simulation) post(m simMessage) {
-	if s.now < s.cut[[2]model.HostID{m.From.Host, m.To.Host}] || s.rng.Float64() < s.faults.drop {
+	if s.now < s.cut[[2]model.HostID{m.From.Host, m.To.Host}] || s.chance(s.faults.drop) {
 		return
 	}
 	s.fly(&m)
-	if s.rng.Float64() < s.faults.duplicate {
+	if s.chance(s.faults.duplicate) {
 		s.fly(&m)
 	}
 }
@@ -347,10 +341,10 @@
 }
 
 func (s *simulation) latency() model.Duration {
-	if s.rng.Float64() < s.faults.delay*s.faults.delay {
-		return model.Duration(s.rng.Int64N(int64(2 * model.Second)))
+	if s.chance(s.faults.delay * s.faults.delay) {
+		return s.upTo(2 * model.Second)
 	}
-	return model.Duration(s.rng.Int64N(int64(20 * model.Millisecond)))
+	return s.upTo(20 * model.Millisecond)
 }
 
 // deliver hands over the messages that arrive now, in random order.
--- a/core/consensus/faults_test.go
+++ b/core/consensus/faults_test.go
@@ -140,10 +140,9 @@
 func (s *simulation) canLose(lost *simHost) bool {
 	for _, h := range s.hosts {
 		for _, m := range h.node.memberships {
-			if !m.hasQuorum(func(id NodeID) bool { return id.Host != lost.name && s.isAlive(id) }) {
-				if len(m.voters) > 0 {
-					return false
-				}
+			kept := func(id NodeID) bool { return id.Host != lost.name && s.isAlive(id) }
+			if len(m.voters) > 0 && !m.hasQuorum(kept) {
+				return false
 			}
 		}
 	}
