core/fleet: use the fixture's commands in the burn test

The test of fleet events had a report of its own next to the one of the fixture and wrote out each step of a plan. It uses report and plan of the fixture now; the commands that are applied are the same.

--- a/core/fleet/burn_test.go
+++ b/core/fleet/burn_test.go
@@ -30,26 +30,23 @@
 	f.applyRules("", 1, "hash2", wave)
 	require.Equal(t, []burn.EventKind{burn.CentreOut, burn.WaveBegun}, f.events())
 
-	report := func(host model.HostID, image string, up bool) {
-		f.apply("", Command{ReportHost: &ReportHost{Host: host, DataCentre: "west", Image: image, Up: up}})
-	}
 	for _, host := range []model.HostID{"h1", "h2", "h3"} {
 		require.Empty(t, f.events(), "the wave ends with its last host")
-		f.apply("", Command{PlanHost: &PlanHost{Host: host, Action: HostDrain, Image: "k9"}})
-		f.apply("", Command{PlanHost: &PlanHost{Host: host, Action: HostReboot}})
-		report(host, "", false)
-		report(host, "k9", true)
-		f.apply("", Command{PlanHost: &PlanHost{Host: host, Action: HostReturn}})
+		f.plan("", host, HostDrain, "", "k9")
+		f.plan("", host, HostReboot, "", "")
+		f.report(host, false, "")
+		f.report(host, true, "k9")
+		f.plan("", host, HostReturn, "", "")
 	}
 	require.Equal(t, []burn.EventKind{burn.WaveEnded}, f.events())
 
-	report("h1", "k9", false)
-	report("h2", "k9", false)
+	f.report("h1", false, "k9")
+	f.report("h2", false, "k9")
 	require.Equal(t, []burn.Event{{At: f.Now, Kind: burn.HostsLost, Name: "west", Count: 2}}, f.Burn.Events)
 	f.events()
-	report("h3", "k9", false)
+	f.report("h3", false, "k9")
 	require.Equal(t, []burn.EventKind{burn.HostsLost, burn.CentreLost}, f.events())
-	report("h3", "k9", true)
+	f.report("h3", true, "k9")
 	require.Equal(t, []burn.EventKind{burn.CentreBack}, f.events())
 
 	f.applyRules("", 2, "hash3", func(r *rules.Rules) {
