devcluster: start clusters of the tests through one fixture

Four tests and the benchmark started and stopped a cluster, stand-ins and rules with the same eight to twelve lines, and the task client wrote an HTTP exchange twice.

--- a/devcluster/bench_test.go
+++ b/devcluster/bench_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"fmt"
 	"io"
 	"math"
@@ -37,16 +36,9 @@
 }
 
 func benchmarkPath(b *testing.B, work time.Duration) {
-	list, err := Layout(b.TempDir(), devReplicas, devFollowers)
-	require.NoError(b, err)
-	c, err := Start(list, io.Discard, true)
-	require.NoError(b, err)
-	defer func() { require.NoError(b, c.Stop()) }()
-	outside, err := StartOutside(list, devTargets, standin.Echo(work))
-	require.NoError(b, err)
-	defer outside.Stop()
-	key, err := c.Prepare(context.Background(), devRulesName, devRules)
-	require.NoError(b, err)
+	list := layout(b, devReplicas, devFollowers)
+	c := startCluster(b, list, io.Discard, true)
+	outside, key := startWork(b, c, devTargets, standin.Echo(work), devRules)
 	target := outside.Targets[0]
 	paths := []struct {
 		name  string
--- a/devcluster/report_test.go
+++ b/devcluster/report_test.go
@@ -17,7 +17,6 @@
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/ctl"
 	"primrosedale.example/primrosedale/operator/client"
-	"primrosedale.example/primrosedale/rulesfile"
 )
 
 const (
@@ -86,22 +85,9 @@
 // from several gateways to the report of each host, and against a report that
 // forgets them when the whole system restarts.
 func TestReportCountsGoodAndBadWork(t *testing.T) {
-	list, err := Layout(t.TempDir(), devReplicas, devFollowers)
-	require.NoError(t, err)
-	c, err := Start(list, io.Discard, true)
-	require.NoError(t, err)
-	stopped := false
-	defer func() {
-		if !stopped {
-			require.NoError(t, c.Stop())
-		}
-	}()
-	outside, err := StartOutside(list, devTargets, failOnWord)
-	require.NoError(t, err)
-	defer outside.Stop()
-	key, err := c.Prepare(context.Background(), devRulesName, devRules+objectiveRule)
-	require.NoError(t, err)
-
+	list := layout(t, devReplicas, devFollowers)
+	c := startCluster(t, list, io.Discard, true)
+	_, key := startWork(t, c, devTargets, failOnWord, devRules+objectiveRule)
 	awaitApplied(t, c)
 
 	want := burn.Counts{}
@@ -115,22 +101,14 @@
 		send(t, c, host, "wrong key", "good", http.StatusForbidden)
 	}
 	outRule := `datacentre.west = { out = true } # test` + "\n"
-	text := strings.Replace(devRules, "revision = 1 ", "revision = 2 ", 1) + objectiveRule + outRule
-	file, err := rulesfile.Parse(devRulesName, []byte(text))
-	require.NoError(t, err)
-	_, err = client.New(c.OperatorAddresses(), nil).Apply(context.Background(), file)
-	require.NoError(t, err)
+	apply(t, c, strings.Replace(devRules, "revision = 1 ", "revision = 2 ", 1)+objectiveRule+outRule)
 
 	r := awaitReport(t, c, want.Total())
 	checkReport(t, r, want)
 	checkCommand(t, c)
 
 	require.NoError(t, c.Stop())
-	stopped = true
-	again, err := Start(list, io.Discard, false)
-	require.NoError(t, err)
-	defer func() { require.NoError(t, again.Stop()) }()
-	restarted := awaitReport(t, again, want.Total())
+	restarted := awaitReport(t, startCluster(t, list, io.Discard, false), want.Total())
 	require.Equal(t, want, restarted.Lines[0].Counts)
 }
 
--- a/devcluster/tls_test.go
+++ b/devcluster/tls_test.go
@@ -89,22 +89,19 @@
 // the cluster's authority, and against a restart being needed to replace one.
 func TestMutualTLS(t *testing.T) {
 	good, other := newAuthority(t), newAuthority(t)
-	list, err := Layout(t.TempDir(), 3, 0)
-	require.NoError(t, err)
+	list := layout(t, 3, 0)
 	for _, s := range list {
 		s.TLS = good.issue(t, string(s.Host), time.Now().Add(time.Hour))
 	}
 	log := &safeBuffer{}
-	c, err := Start(list, log, true)
-	require.NoError(t, err)
-	defer func() { require.NoError(t, c.Stop()) }()
+	c := startCluster(t, list, log, true)
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
 	operators := operatorClient(t, c, good.issue(t, "operator", time.Now().Add(time.Hour)))
 	require.NoError(t, waitForService(ctx, operators))
 
 	stranger := operatorClient(t, c, other.issue(t, "stranger", time.Now().Add(time.Hour)))
-	_, err = stranger.Status(ctx)
+	_, err := stranger.Status(ctx)
 	require.Error(t, err, "a certificate of another authority")
 	expired := operatorClient(t, c, good.issue(t, "expired", time.Now().Add(-time.Minute)))
 	_, err = expired.Status(ctx)
--- a/devcluster/workers_test.go
+++ b/devcluster/workers_test.go
@@ -15,7 +15,6 @@
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/operator/client"
-	"primrosedale.example/primrosedale/rulesfile"
 	"primrosedale.example/primrosedale/standin"
 )
 
@@ -26,7 +25,8 @@
 	key  string
 }
 
-func (c taskClient) call(method, path, body string, want int, answer any) {
+// exchange makes one call and returns the status and the content.
+func (c taskClient) exchange(method, path, body string) (int, []byte) {
 	c.t.Helper()
 	r, err := http.NewRequest(method, c.base+path, bytes.NewBufferString(body))
 	require.NoError(c.t, err)
@@ -36,7 +36,13 @@
 	defer response.Body.Close()
 	content, err := io.ReadAll(response.Body)
 	require.NoError(c.t, err)
-	require.Equal(c.t, want, response.StatusCode, "%s", content)
+	return response.StatusCode, content
+}
+
+func (c taskClient) call(method, path, body string, want int, answer any) {
+	c.t.Helper()
+	status, content := c.exchange(method, path, body)
+	require.Equal(c.t, want, status, "%s", content)
 	require.NoError(c.t, json.Unmarshal(content, answer))
 }
 
@@ -44,13 +50,8 @@
 func (c taskClient) awaitKey() {
 	c.t.Helper()
 	require.Eventually(c.t, func() bool {
-		r, err := http.NewRequest(http.MethodGet, c.base+"/v1/tasks/none", http.NoBody)
-		require.NoError(c.t, err)
-		r.Header.Set("Authorization", "Bearer "+c.key)
-		response, err := http.DefaultClient.Do(r)
-		require.NoError(c.t, err)
-		defer response.Body.Close()
-		return response.StatusCode == http.StatusNotFound
+		status, _ := c.exchange(http.MethodGet, "/v1/tasks/none", "")
+		return status == http.StatusNotFound
 	}, 5*time.Second, 20*time.Millisecond, "the key is not in force")
 }
 
@@ -83,17 +84,10 @@
 // startSystem starts a cluster with four workers and returns it with a client
 // whose key is in force.
 func startSystem(t *testing.T, change func(*standin.WorkerConfig)) (*Cluster, *Outside, taskClient) {
-	list, err := Layout(t.TempDir(), devReplicas, 1)
-	require.NoError(t, err)
-	cluster, err := Start(list, io.Discard, true)
-	require.NoError(t, err)
-	t.Cleanup(func() { require.NoError(t, cluster.Stop()) })
-	outside, err := StartOutside(list, 1, standin.Echo(devRunTime))
-	require.NoError(t, err)
-	t.Cleanup(outside.Stop)
+	list := layout(t, devReplicas, 1)
+	cluster := startCluster(t, list, io.Discard, true)
+	outside, key := startWork(t, cluster, 1, standin.Echo(devRunTime), devRules)
 	outside.StartWorkers(4, change)
-	key, err := cluster.Prepare(context.Background(), devRulesName, devRules)
-	require.NoError(t, err)
 	c := taskClient{t, "http://" + list[3].Listen.Callers.String(), key}
 	c.awaitKey()
 	return cluster, outside, c
@@ -139,12 +133,8 @@
 		cfg.Rebooted = func(image string) { rebooted <- image }
 	})
 	task := c.submit("sleep 1s")
-	text := strings.Replace(devRules, "revision = 1", "revision = 2", 1) +
-		"wave.kernel = { pools = [\"press\"], image = \"k9\" } # test\n"
-	file, err := rulesfile.Parse("wave", []byte(text))
-	require.NoError(t, err)
-	_, err = client.New(cluster.OperatorAddresses(), nil).Apply(context.Background(), file)
-	require.NoError(t, err)
+	apply(t, cluster, strings.Replace(devRules, "revision = 1", "revision = 2", 1)+
+		"wave.kernel = { pools = [\"press\"], image = \"k9\" } # test\n")
 	for count := 0; count < 4; {
 		select {
 		case image := <-rebooted:
