core: use package pq for the simulation's events

The simulated world had a heap of its own with its five methods, although core/pq orders items in the same way and has its own test against a sorted list; the grant of a key was written twice, and a loop over links did what maps.DeleteFunc does. The order of events and of random draws is unchanged.

--- a/core/failover_test.go
+++ b/core/failover_test.go
@@ -40,7 +40,7 @@
 		l.crash()
 		l.restartAfter(w.between(100*ms, 5*second))
 	})
-	w.at(killAt+6*second, func() { w.queue = nil })
+	w.at(killAt+6*second, func() { w.queue = newQueue() })
 	w.run()
 	require.Empty(t, w.failure, fmt.Sprintf("%s=%d", seedVariable, seed))
 	var gap instant
--- a/core/sim_caller_test.go
+++ b/core/sim_caller_test.go
@@ -190,7 +190,7 @@
 			w.applyRules(0, firstRules(), model.Digest(w.next("hash")))
 		} else if w.now < 4*second {
 			for _, k := range w.ops.keys {
-				w.submit(pickOne(w, w.hosts), fleet.Command{GrantKey: &fleet.GrantKey{Name: k.name, Hash: k.hash, Team: k.team}})
+				w.submitKey(k)
 			}
 		}
 	})
@@ -211,6 +211,10 @@
 	name := w.next("name")
 	k := grantedKey{name, model.Digest("hash-of-" + name), team}
 	w.ops.keys = append(w.ops.keys, k)
+	w.submitKey(k)
+}
+
+func (w *world) submitKey(k grantedKey) {
 	w.submit(pickOne(w, w.hosts), fleet.Command{GrantKey: &fleet.GrantKey{Name: k.name, Hash: k.hash, Team: k.team}})
 }
 
@@ -314,13 +318,7 @@
 }
 
 func (w *world) liveTargets() []*target {
-	var list []*target
-	for _, t := range w.targets {
-		if t.up && !t.leaving {
-			list = append(list, t)
-		}
-	}
-	return slices.Clip(list)
+	return slices.DeleteFunc(slices.Clone(w.targets), func(t *target) bool { return !t.up || t.leaving })
 }
 
 func targetAddress(i int) string { return fmt.Sprintf("10.0.0.%d:80", i) }
--- a/core/sim_host_test.go
+++ b/core/sim_host_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 
 	"primrosedale.example/primrosedale/core/consensus"
@@ -233,12 +234,7 @@
 	h.frozen = false
 	h.backlog = nil
 	h.view = &view.View{}
-	for pair, l := range h.w.links {
-		if pair[0] == h.id || pair[1] == h.id {
-			delete(h.w.links, pair)
-			_ = l
-		}
-	}
+	maps.DeleteFunc(h.w.links, func(pair [2]model.HostID, _ *link) bool { return pair[0] == h.id || pair[1] == h.id })
 }
 
 func (h *host) restartAfter(d instant) {
--- a/core/sim_world_test.go
+++ b/core/sim_world_test.go
@@ -1,13 +1,13 @@
 package core
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
 
 	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/pq"
 )
 
 // The simulation runs several States against fake networks, disks, targets,
@@ -30,29 +30,13 @@
 	changeBound = 3 * second // a change is in force this long after it was accepted
 )
 
-type action struct {
+// turn orders the actions of the simulation: by time, then as they were given.
+type turn struct {
 	at  instant
 	seq uint64
-	do  func()
 }
 
-type actions []action
-
-func (a actions) Len() int { return len(a) }
-func (a actions) Less(i, j int) bool {
-	if a[i].at != a[j].at {
-		return a[i].at < a[j].at
-	}
-	return a[i].seq < a[j].seq
-}
-func (a actions) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *actions) Push(x any)   { *a = append(*a, x.(action)) }
-func (a *actions) Pop() any {
-	last := len(*a) - 1
-	x := (*a)[last]
-	*a = (*a)[:last]
-	return x
-}
+func (a turn) before(b turn) bool { return a.at < b.at || a.at == b.at && a.seq < b.seq }
 
 // world is one simulated system.
 type world struct {
@@ -60,7 +44,7 @@
 	seed    uint64
 	rng     *rand.Rand
 	now     instant
-	queue   actions
+	queue   *pq.Queue[uint64, turn, func()]
 	seq     uint64
 	hosts   []*host
 	targets []*target
@@ -80,7 +64,7 @@
 
 func newWorld(t *testing.T, seed uint64) *world {
 	w := &world{
-		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)),
+		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), queue: newQueue(),
 		links: make(map[[2]model.HostID]*link),
 		cut:   make(map[[2]model.HostID]bool),
 		books: newBooks(),
@@ -91,9 +75,11 @@
 	return w
 }
 
+func newQueue() *pq.Queue[uint64, turn, func()] { return pq.New[uint64, turn, func()](turn.before) }
+
 func (w *world) at(t instant, do func()) {
 	w.seq++
-	heap.Push(&w.queue, action{max(t, w.now), w.seq, do})
+	w.queue.Set(w.seq, turn{max(t, w.now), w.seq}, do)
 }
 
 func (w *world) after(d instant, do func()) { w.at(w.now+d, do) }
@@ -109,13 +95,13 @@
 }
 
 func (w *world) run() {
-	for len(w.queue) > 0 && w.failure == "" {
-		a := heap.Pop(&w.queue).(action)
-		if a.at > runEnd {
+	for w.failure == "" {
+		_, a, do, ok := w.queue.Pop()
+		if !ok || a.at > runEnd {
 			return
 		}
 		w.now = a.at
-		a.do()
+		do()
 	}
 }
 
