proof: decode answers and start tasks in one place

`go test ./proof -run 'TestTaskWorkerAndLeaderLost|TestTaskWorkerCutOff|TestResendAfterLostAnswer| TestTasksThroughGroup'` passes in 55 s.

--- a/proof/host_test.go
+++ b/proof/host_test.go
@@ -133,7 +133,13 @@
 	if err != nil {
 		return err
 	}
-	response, err := http.DefaultClient.Do(request)
+	return answerTo(http.DefaultClient, request, http.StatusOK, answer)
+}
+
+// answerTo sends a request and decodes its answer. It returns an error if the
+// answer does not come or has another status than want.
+func answerTo(c *http.Client, request *http.Request, want int, answer any) error {
+	response, err := c.Do(request)
 	if err != nil {
 		return err
 	}
@@ -142,7 +148,7 @@
 	if err != nil {
 		return err
 	}
-	if response.StatusCode != http.StatusOK {
+	if response.StatusCode != want {
 		return fmt.Errorf("status %d: %s", response.StatusCode, content)
 	}
 	return json.Unmarshal(content, answer)
--- a/proof/task_test.go
+++ b/proof/task_test.go
@@ -46,6 +46,18 @@
 	}
 }
 
+// runTasks submits tasks of every team, every other one idempotent, and waits
+// until all run.
+func (f *workers) runTasks(count int, command string) []task {
+	f.s.t.Helper()
+	var tasks []task
+	for i := range count {
+		tasks = append(tasks, f.s.submit(teams[i%len(teams)], "press", command, i%2 == 0))
+	}
+	f.awaitRunning(tasks...)
+	return tasks
+}
+
 // Guards against a task that runs on two workers at one time, or a
 // non-idempotent one that runs again, after its worker was cut off. The worker
 // goes on until its lease ends and then comes back with its books.
@@ -61,12 +73,7 @@
 
 func workerCutOff(t *testing.T, cut func(*link)) {
 	s, f := startTasks(t, 4)
-	var tasks []task
-	for i := range 8 {
-		// The run time is over the lease, so that the lease cuts a run short.
-		tasks = append(tasks, s.submit(teams[i%len(teams)], "press", "sleep 6s", i%2 == 0))
-	}
-	f.awaitRunning(tasks...)
+	tasks := f.runTasks(8, "sleep 6s") // over the lease, so that the lease cuts a run short
 	// A worker that runs at least one task of each kind goes first.
 	victims := map[*worker]bool{}
 	for _, k := range tasks[len(tasks)-2:] {
@@ -158,11 +165,7 @@
 
 func workerAndLeaderLost(t *testing.T, lose func(*worker)) {
 	s, f := startTasks(t, 3)
-	var tasks []task
-	for i := range 6 {
-		tasks = append(tasks, s.submit(teams[i%len(teams)], "press", "sleep 8s", i%2 == 0))
-	}
-	f.awaitRunning(tasks...)
+	tasks := f.runTasks(6, "sleep 8s")
 	leader := s.leader()
 	s.hosts[leader].kill()
 	lost := map[*worker]bool{}
--- a/proof/workers_test.go
+++ b/proof/workers_test.go
@@ -3,9 +3,7 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -181,8 +179,7 @@
 	return runs
 }
 
-// taskCall makes one call of the task interface. It returns an error if the
-// answer has another status than want or does not come.
+// taskCall makes one call of the task interface.
 func (s *system) taskCall(i int, team, method, path, key, body string, want int, answer any) error {
 	ctx, cancel := context.WithTimeout(context.Background(), requestLimit)
 	defer cancel()
@@ -195,19 +192,7 @@
 	if key != "" {
 		r.Header.Set("Idempotency-Key", key)
 	}
-	response, err := callers.Do(r)
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	content, err := io.ReadAll(response.Body)
-	if err != nil {
-		return err
-	}
-	if response.StatusCode != want {
-		return fmt.Errorf("status %d: %s", response.StatusCode, content)
-	}
-	return json.Unmarshal(content, answer)
+	return answerTo(callers, r, want, answer)
 }
 
 // task is a task that a proof submitted.
