ctl: require that a replay in JSON writes nothing to the error output

The replay test gave the program one buffer for both outputs, so that a line on the error output would have broken the JSON document. The shared runner has two buffers, and the test no longer looked at the second one. It now requires that it is empty, which restores the check. `go test ./ctl -run TestReplay` passes.

--- a/ctl/replay_test.go
+++ b/ctl/replay_test.go
@@ -34,6 +34,7 @@
 	run := func(args ...string) outcome { return runProgram("", append([]string{"replay"}, args...)...) }
 	got := run(path("trace.toml"), "--expect", path("met.toml"), "--output", "json", "--record", path("journal"), "--plots", path("plots"))
 	require.Equal(t, ExitOK, got.code, got.out)
+	require.Empty(t, got.err, "the JSON document is all that is written")
 	var result struct{ Requests int }
 	require.NoError(t, json.Unmarshal([]byte(got.out), &result))
 	require.Positive(t, result.Requests)
