--- a/proof/fleetlimit_test.go
+++ b/proof/fleetlimit_test.go
@@ -59,18 +59,12 @@
 		"targets cut off":    cutTargets,
 		"leader killed late": killLeaderUnderDelay,
 	}
-	for name, inject := range faults {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			limitThrough(t, inject)
-		})
-	}
+	eachFault(t, faults, limitThrough)
 }
 
 func limitThrough(t *testing.T, inject func(*system)) {
-	s := startSystem(t, 3, 2)
 	b := newBook()
-	s.prepare(limitTargets, b.echo(slowSync))
+	s := startTargets(t, limitTargets, b.echo(slowSync))
 	st := s.startLoad(load{rate: 120, count: 3000, hosts: s.all(), next: pressed})
 	eventually(t, startLimit, "the smallest team is at its limit", func() bool {
 		return b.mostAfter("archive", time.Time{}) >= limits["archive"]
@@ -80,8 +74,7 @@
 	outcomes := st.stop()
 	b.waitQuiet(t)
 	t.Logf("faults injected %d", rounds)
-	s.tally(outcomes).check(t)
-	s.checkLimits()
+	s.checkOutcomes(outcomes)
 	_, most := s.ledger.counts()
 	require.Equal(t, limits["archive"], most["archive"], "the load does not reach the limit")
 }
@@ -160,14 +153,10 @@
 func cutTargets(s *system) {
 	for i := range rounds {
 		silent := s.targets[i]
-		for _, l := range silent.links {
-			l.cut()
-		}
+		silent.links.each((*link).cut)
 		eventually(s.t, startLimit, "the target is silent", func() bool { return s.readyTargets(s.leader()) == limitTargets-1 })
 		s.waitBusy()
-		for _, l := range silent.links {
-			l.heal()
-		}
+		silent.links.each((*link).heal)
 		eventually(s.t, startLimit, "the target is back", func() bool { return s.readyTargets(s.leader()) == limitTargets })
 	}
 }
@@ -191,9 +180,8 @@
 // runs.
 func TestLimitLowered(t *testing.T) {
 	t.Parallel()
-	s := startSystem(t, 3, 2)
 	b := newBook()
-	s.prepare(limitTargets, b.echo(slowSync))
+	s := startTargets(t, limitTargets, b.echo(slowSync))
 	press := func(queue string) func(int) request {
 		return func(int) request { return request{key: newKey(), team: "press", queue: queue} }
 	}
