message, fleet, platform, standin: tell saved runs and throttled runs

A run that an order to checkpoint had stopped was reported as stopped, so that the leader could not know whether a further run would repeat its work, and a task that is not idempotent could not be stopped at all. A worker now reports such a run as saved, the end of the run records it, and the next order to run says that it resumes from the checkpoint or does not start; an order to checkpoint with keep lets a run go on whose progress cannot be saved. A report also says whether a run is throttled, because a new leader has no other way to learn it. Ruled out: to take any checkpoint for a saved one, which would run a non-idempotent task twice on a worker that cannot read it.

The stand-in worker kept progress to itself, which no other worker could resume; workers now share a store, and without one they save nothing.

--- a/core/fleet/command.go
+++ b/core/fleet/command.go
@@ -157,6 +157,7 @@
 	Task    model.TaskID `json:"task"`
 	Epoch   uint64       `json:"epoch"`
 	Outcome TaskOutcome  `json:"outcome"`
+	Saved   bool         `json:"saved,omitempty"` // stopped or taken back: the next run continues it
 	Detail  string       `json:"detail,omitempty"`
 }
 
--- a/core/fleet/tasks.go
+++ b/core/fleet/tasks.go
@@ -124,7 +124,7 @@
 	if c.Outcome == OutcomeFailed && !slices.Contains(task.FailedOn, task.Worker) {
 		ended.FailedOn = append(slices.Clone(task.FailedOn), task.Worker)
 	}
-	phase, ok := phaseAfter(&ended, c.Outcome)
+	phase, ok := phaseAfter(&ended, c)
 	if !ok {
 		return refused(problem.BadRequest, "there is no task outcome %q", c.Outcome)
 	}
@@ -134,8 +134,8 @@
 
 // phaseAfter returns the phase of a task after a run with this outcome; it is
 // false for an unknown outcome.
-func phaseAfter(task *Task, outcome TaskOutcome) (TaskPhase, bool) {
-	switch outcome {
+func phaseAfter(task *Task, c *EndTask) (TaskPhase, bool) {
+	switch c.Outcome {
 	case OutcomeFinished:
 		return TaskFinished, true
 	case OutcomeFailed:
@@ -146,12 +146,16 @@
 		if !task.Spec.Idempotent {
 			return TaskUnknown, true
 		}
-	case OutcomeStopped:
+	case OutcomeStopped, OutcomeTakenBack:
 		// A stopped run may have had effects; only an idempotent task may run
-		// again, so the others end here.
-		if !task.Spec.Idempotent && !task.Cancel {
+		// again, so the others end here unless a checkpoint continues them.
+		if !task.Spec.Idempotent && !task.Cancel && !c.Saved {
 			return TaskUnknown, true
 		}
+		task.Resume = task.Resume || c.Saved
+		if c.Outcome == OutcomeTakenBack {
+			task.TakenBack++
+		}
 	case OutcomeNotStarted:
 	default:
 		return "", false
--- a/core/fleet/work_test.go
+++ b/core/fleet/work_test.go
@@ -190,6 +190,8 @@
 		{"stopped", OutcomeStopped, false, false, TaskUnknown},
 		{"stopped idempotent", OutcomeStopped, true, false, TaskQueued},
 		{"stopped after cancel", OutcomeStopped, false, true, TaskCancelled},
+		{"taken back", OutcomeTakenBack, false, false, TaskUnknown},
+		{"taken back idempotent", OutcomeTakenBack, true, false, TaskQueued},
 		{"lost", OutcomeLost, false, false, TaskUnknown},
 		{"lost after cancel", OutcomeLost, false, true, TaskUnknown},
 		{"lost idempotent", OutcomeLost, true, false, TaskQueued},
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -186,6 +186,8 @@
 	Usage model.Resources `json:"usage"`
 	Ran   model.Duration  `json:"ran"`
 	Note  string          `json:"note,omitempty"`
+	// Throttled is true once the worker has carried out an order to throttle.
+	Throttled bool `json:"throttled,omitempty"`
 }
 
 // TaskRunPhase is the progress of a task on a worker.
@@ -197,6 +199,9 @@
 	RunFinished TaskRunPhase = "finished" // reported until the leader stops listing it
 	RunFailed   TaskRunPhase = "failed"
 	RunStopped  TaskRunPhase = "stopped" // by order, or at the end of its lease
+	// RunSaved is a run that an order to checkpoint has stopped and whose progress
+	// is saved: the next run continues it and repeats nothing.
+	RunSaved TaskRunPhase = "saved"
 )
 
 // WorkerReport is a worker's report of itself through the platform.
@@ -220,8 +225,8 @@
 	OrderRun        OrderKind = "run" // start it if it does not run; renews its lease
 	OrderStop       OrderKind = "stop"
 	OrderCheckpoint OrderKind = "checkpoint" // save progress, then stop
-	OrderThrottle   OrderKind = "throttle"
-	OrderForget     OrderKind = "forget" // its end is recorded; stop reporting it
+	OrderThrottle   OrderKind = "throttle"   // go on with half the processors; once for a run
+	OrderForget     OrderKind = "forget"     // its end is recorded; stop reporting it
 )
 
 // Order is one order to a worker. An order to run is valid for Lease from the
@@ -233,6 +238,8 @@
 	Command string          `json:"command,omitempty"`
 	Size    model.Resources `json:"size"`
 	MaxRun  model.Duration  `json:"max_run,omitempty"`
+	Resume  bool            `json:"resume,omitempty"` // run: from its last checkpoint, or not at all
+	Keep    bool            `json:"keep,omitempty"`   // checkpoint: go on if progress cannot be saved
 	Lease   model.Duration  `json:"lease,omitempty"`
 }
 
--- a/devcluster/run.go
+++ b/devcluster/run.go
@@ -194,13 +194,15 @@
 // StartWorkers starts n workers. Their settings are passed to change first,
 // unless it is nil.
 func (o *Outside) StartWorkers(n int, change func(*standin.WorkerConfig)) {
+	checkpoints := standin.NewCheckpoints()
 	for i := range n {
 		cfg := standin.WorkerConfig{
-			ID:         model.HostID(fmt.Sprintf("worker-%d", i+1)),
-			DataCentre: centres[i/devRackSize%len(centres)],
-			Rack:       model.RackID(fmt.Sprintf("rack-%d", i/devRackSize+1)),
-			Platforms:  o.platforms,
-			Duration:   devTaskTime,
+			Checkpoints: checkpoints,
+			ID:          model.HostID(fmt.Sprintf("worker-%d", i+1)),
+			DataCentre:  centres[i/devRackSize%len(centres)],
+			Rack:        model.RackID(fmt.Sprintf("rack-%d", i/devRackSize+1)),
+			Platforms:   o.platforms,
+			Duration:    devTaskTime,
 		}
 		if change != nil {
 			change(&cfg)
