placement: order tasks by dominant share and take lent workers back

Teams were ordered by the count of their running units, whatever their size, and a team that had filled idle workers with long tasks kept them until these ended. Teams are now ordered by the dominant share of their placed and proposed tasks (processors, memory, accelerators) for their share, limits stay in units. A team 3 points of the fleet below its share whose task found no worker for 3.5 s takes back runs of teams above theirs: by stop, checkpoint or throttle, whichever loses least work, one run of a pool at a time, no task more than twice, and never so that the lender falls below its own share. The policies lent and units are kept to compare with.

--- a/core/dispatch/policy.go
+++ b/core/dispatch/policy.go
@@ -15,10 +15,18 @@
 const (
 	PolicyShares PolicyName = "shares"
 	PolicyStatic PolicyName = "static"
+	// PolicyLent is PolicyShares without taking workers back from tasks of
+	// teams above their shares.
+	PolicyLent PolicyName = "lent"
+	// PolicyUnits is PolicyLent with the tasks of a team counted, not measured
+	// by their resources.
+	PolicyUnits PolicyName = "units"
 )
 
 // Policies returns the names of all policies.
-func Policies() []PolicyName { return []PolicyName{PolicyShares, PolicyStatic} }
+func Policies() []PolicyName {
+	return []PolicyName{PolicyShares, PolicyStatic, PolicyLent, PolicyUnits}
+}
 
 // policy decides the order of waiting requests and which are refused early. It
 // holds no state, so that a leader change cannot lose any.
--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -125,6 +125,7 @@
 	WorkerSuspect    Code = "worker_suspect"
 	TaskPlaced       Code = "task_placed"
 	TaskEnded        Code = "task_ended"
+	TaskTakenBack    Code = "task_taken_back"
 	HostDraining     Code = "host_draining"
 	HostReturned     Code = "host_returned"
 	WaveStopped      Code = "wave_stopped"
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -64,6 +64,7 @@
 	Ready bool
 	// RequestsRunning returns the running requests of a team.
 	RequestsRunning func(model.TeamID) int
+	Shares          SharePolicy
 }
 
 // Out collects what the placer asks for.
@@ -87,13 +88,18 @@
 	crowds  map[domain]int        // tasks on workers
 	limited map[model.TeamID]bool // teams at their limit
 	retryAt model.Time            // when limited teams are tried again
+	total   model.Resources       // capacity of the workers that are up
 	sizes   *sizes
 	timers  *pq.Queue[timerID, timer, struct{}]
 }
 
 // team is what counts for one team over all pools.
 type team struct {
-	pending int // placements that are proposed and not yet committed
+	pending    int             // placements that are proposed and not yet committed
+	used       model.Resources // reserved for tasks that are placed or proposed
+	unfinished int             // tasks
+	claiming   bool            // takes lent capacity back until it has its share
+	queues     map[model.PoolID]*teamQueue
 }
 
 // New returns the placer of a term that begins at env.Now.
@@ -195,7 +201,7 @@
 func (p *Placer) team(id model.TeamID) *team {
 	t := p.teams[id]
 	if t == nil {
-		t = &team{}
+		t = &team{queues: make(map[model.PoolID]*teamQueue)}
 		p.teams[id] = t
 	}
 	return t
--- a/core/placement/placer_test.go
+++ b/core/placement/placer_test.go
@@ -20,6 +20,7 @@
 	fleet    *fleet.State
 	p        *Placer
 	requests int
+	shares   SharePolicy
 	hold     bool
 	held     []fleet.Command
 	seq      map[model.HostID]uint64
@@ -57,6 +58,7 @@
 	return Env{
 		Now: f.now, Fleet: f.fleet, MayGrant: true, Ready: true,
 		RequestsRunning: func(model.TeamID) int { return f.requests },
+		Shares:          f.shares,
 	}
 }
 
--- a/core/placement/queue.go
+++ b/core/placement/queue.go
@@ -9,6 +9,7 @@
 // taskRank orders the queued tasks of one team in one pool.
 type taskRank struct {
 	precedence  int
+	takenBack   bool
 	submitIndex uint64
 }
 
@@ -16,11 +17,14 @@
 	if a.precedence != b.precedence {
 		return a.precedence > b.precedence
 	}
+	if a.takenBack != b.takenBack {
+		return a.takenBack
+	}
 	return a.submitIndex < b.submitIndex
 }
 
 // teamRank orders the teams of one pool: by the precedence of their next task,
-// then by running work for their share.
+// then by running work for their share (SharePolicy).
 type teamRank struct {
 	precedence int
 	load       float64
@@ -53,6 +57,12 @@
 	capacities  map[model.Resources]int // number of workers that are up, by capacity
 	largest     model.Resources         // of capacities, by resource
 	hold        *hold
+	members     []*worker // that are up, by id
+	parked      map[model.TeamID]*parked
+	freed       []*worker // on which runs have ended since the last pump
+	taking      *taking   // of lent capacity, or nil
+	takeAfter   model.Time
+	cursor      int  // in members, where the next search for lent capacity begins
 	dirty       bool // something changed since no task could be placed
 }
 
@@ -60,6 +70,7 @@
 	return &pool{
 		id:         id,
 		queues:     make(map[model.TeamID]*teamQueue),
+		parked:     make(map[model.TeamID]*parked),
 		capacities: make(map[model.Resources]int),
 		order:      pq.New[model.TeamID, teamRank, *teamQueue](teamRank.before),
 	}
@@ -91,9 +102,10 @@
 	if tq == nil {
 		tq = &teamQueue{team: r.task.Team, pool: q, tasks: pq.New[model.TaskID, taskRank, *record](taskRank.before)}
 		q.queues[r.task.Team] = tq
+		p.team(r.task.Team).queues[q.id] = tq
 	}
 	r.queue = tq
-	tq.tasks.Set(r.task.ID, taskRank{r.task.Spec.Precedence, r.task.SubmitIndex}, r)
+	tq.tasks.Set(r.task.ID, rankOf(r.task), r)
 	q.dirty = true
 	p.rankTeam(env, tq)
 }
@@ -108,9 +120,14 @@
 	if tq.tasks.Len() == 0 {
 		tq.pool.order.Remove(tq.team)
 		delete(tq.pool.queues, tq.team)
+		delete(p.team(tq.team).queues, tq.pool.id)
 	}
 }
 
+func rankOf(t *fleet.Task) taskRank {
+	return taskRank{t.Spec.Precedence, t.TakenBack > 0, t.SubmitIndex}
+}
+
 // rankTeam puts a team into the order of a pool, or notes that it is at its
 // limit.
 func (p *Placer) rankTeam(env Env, tq *teamQueue) {
@@ -125,7 +142,7 @@
 		p.limited[tq.team] = true
 		return
 	}
-	tq.pool.order.Set(tq.team, teamRank{first.precedence, loadOf(running, rule.Share), tq.team}, tq)
+	tq.pool.order.Set(tq.team, teamRank{first.precedence, p.load(env, tq.team, running), tq.team}, tq)
 }
 
 // running returns the running units of a team over the whole fleet.
@@ -133,13 +150,6 @@
 	return env.Fleet.PlacedByTeam(id) + p.PendingByTeam(id) + env.RequestsRunning(id)
 }
 
-// minShare stands for a share of zero, whose teams come after all others.
-const minShare = 0.01
-
-func loadOf(running int, share float64) float64 {
-	return float64(running) / max(share, minShare)
-}
-
 // retryLimited ranks the teams again that were at their limit.
 func (p *Placer) retryLimited(env Env) {
 	p.retryAt = env.Now.Add(limitRetry)
@@ -160,6 +170,8 @@
 // bounded work and tasks that cannot run do not hold up the others.
 func (p *Placer) pump(env Env, out *Out, q *pool) {
 	p.useHold(env, out, q)
+	p.useTaking(env, out, q)
+	p.unparkFreed(env, q)
 	misfits := 0
 	for range placementsPerPump {
 		r := p.nextTask(env, q)
@@ -169,10 +181,13 @@
 		}
 		if w := p.choose(q, r); w != nil {
 			p.propose(env, out, r, w)
+			p.unpark(env, q, w)
 			continue
 		}
 		p.holdFor(env, q, r)
+		p.takeBackFor(env, q, r)
 		p.delay(env, r, backoff(misfitDelayMin, misfitDelayMax, r.misfits))
+		p.park(q, r)
 		r.misfits++
 		if misfits++; misfits >= misfitsPerPump {
 			return
--- /dev/null
+++ b/core/placement/reclaim_test.go
@@ -0,0 +1,218 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// Guards against a way to take capacity back that loses more work than another,
+// stops a run that is not idempotent without a checkpoint, or has no bound.
+func TestCheapestTake(t *testing.T) {
+	const old, young = model.Minute, model.Second
+	for name, test := range map[string]struct {
+		loan loan
+		want message.OrderKind
+	}{
+		"young":                        {loan{idempotent: true, ran: young}, message.OrderStop},
+		"old":                          {loan{idempotent: true, ran: old}, message.OrderCheckpoint},
+		"young, not idempotent":        {loan{ran: young}, message.OrderCheckpoint},
+		"old, not idempotent":          {loan{ran: old}, message.OrderCheckpoint},
+		"taken back often":             {loan{idempotent: true, ran: old, takenBack: takenBackMax}, message.OrderThrottle},
+		"taken back often, throttled":  {loan{idempotent: true, ran: old, takenBack: takenBackMax, throttled: true}, ""},
+		"not idempotent, taken back":   {loan{ran: young, takenBack: takenBackMax}, message.OrderThrottle},
+		"throttled by another process": {loan{idempotent: true, ran: old, throttled: true}, message.OrderCheckpoint},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, ok := test.loan.cheapest()
+			require.Equal(t, test.want != "", ok)
+			require.Equal(t, test.want, got.kind)
+		})
+	}
+}
+
+// Guards against plans that take too much, too dear, from a team that is not
+// above its share, or from runs of a higher precedence.
+func TestPlan(t *testing.T) {
+	cores := func(n int64) model.Resources { return model.Resources{MilliCPU: 1000 * n} }
+	s := standings{total: cores(100), teams: map[model.TeamID]standing{
+		"above": {used: cores(80), share: 50, entitled: 0.45},
+		"below": {used: cores(10), share: 50, entitled: 0.45},
+	}}
+	run := func(id model.TaskID, n int64, ran model.Duration) loan {
+		return loan{task: id, team: "above", size: cores(n), ran: ran, idempotent: true}
+	}
+	old, young := run("old", 4, model.Minute), run("young", 4, model.Millisecond)
+	other := old
+	other.team = "below"
+	important := old
+	important.precedence = 2
+	for name, test := range map[string]struct {
+		need  int64
+		loans []loan
+		want  []model.TaskID
+	}{
+		"the cheapest":          {4, []loan{old, young}, []model.TaskID{"young"}},
+		"both":                  {8, []loan{old, young}, []model.TaskID{"young", "old"}},
+		"only what is needed":   {6, []loan{young, run("large", 6, model.Minute)}, []model.TaskID{"large"}},
+		"not enough":            {9, []loan{old, young}, nil},
+		"own runs":              {4, []loan{other}, nil},
+		"higher precedence":     {4, []loan{important}, nil},
+		"would be below itself": {40, []loan{run("a", 40, model.Minute)}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			takes, _, ok := s.plan(claim{team: "below", need: cores(test.need), precedence: 1}, model.Resources{}, test.loans)
+			require.Equal(t, test.want != nil, ok)
+			var got []model.TaskID
+			for _, take := range takes {
+				got = append(got, take.loan.task)
+			}
+			require.Equal(t, test.want, got)
+		})
+	}
+}
+
+// lentFixture returns two workers that press has filled with runs of a quarter
+// of a worker, and three tasks of archive that wait.
+func lentFixture(t *testing.T, idempotent bool) *lent {
+	l := &lent{fixture: newFixture(t, 2), saves: true}
+	quarter := func(team model.TeamID) func(*fleet.SubmitTask) {
+		return func(c *fleet.SubmitTask) {
+			c.Team, c.Spec.Idempotent, c.Spec.MaxRun = team, idempotent, model.Hour
+			c.Spec.Size.MilliCPU = capacity.MilliCPU / 4
+		}
+	}
+	for i := range 16 {
+		l.submit(model.TaskID(fmt.Sprint("p", i)), quarter("press"))
+	}
+	l.advance(5 * model.Second)
+	require.Equal(t, 8, l.fleet.PlacedByTeam("press"))
+	for i := range 3 {
+		l.submit(model.TaskID(fmt.Sprint("a", i)), quarter("archive"))
+	}
+	return l
+}
+
+// lent runs workers that carry out orders.
+type lent struct {
+	*fixture
+	saves  bool               // checkpoints succeed
+	orders [2][]message.Order // to carry out before the next report
+	stops  int
+	most   int // runs that were stopped between two reports
+}
+
+// advance lets the workers report every half second, and carry out their orders.
+func (l *lent) advance(d model.Duration) {
+	for end := l.now.Add(d); l.now < end; {
+		l.after(500 * model.Millisecond)
+		stops := l.stops
+		for i := range l.orders {
+			l.orders[i] = l.report(hostName(i), l.runs(l.orders[i])...)
+		}
+		l.most = max(l.most, l.stops-stops)
+	}
+}
+
+// runs returns what a worker reports after it has carried out the orders.
+func (l *lent) runs(orders []message.Order) []message.TaskRun {
+	var list []message.TaskRun
+	at := map[model.TaskID]int{}
+	for _, o := range orders {
+		i, known := at[o.Task]
+		switch {
+		case o.Kind == message.OrderRun:
+			at[o.Task] = len(list)
+			list = append(list, message.TaskRun{Task: o.Task, Epoch: o.Epoch, Phase: message.RunRunning, Ran: l.now.Sub(l.task(o.Task).Placed)})
+		case !known:
+		case o.Kind == message.OrderThrottle:
+			list[i].Throttled = true
+		case o.Kind == message.OrderCheckpoint && l.saves:
+			list[i].Phase = message.RunSaved
+			l.stops++
+		case o.Kind == message.OrderStop || !o.Keep:
+			list[i].Phase = message.RunStopped
+			l.stops++
+		}
+	}
+	return list
+}
+
+// Guards against a team that never gets its share from long runs of another,
+// more than one run at a time, more than the share, and a task that was taken
+// back and waits behind others of its team.
+func TestTeamBelowItsShareGetsItBack(t *testing.T) {
+	l := lentFixture(t, true)
+	l.advance(30 * model.Second)
+	require.Equal(t, 2, l.fleet.PlacedByTeam("archive"), "a quarter of 8, and its limit")
+	require.Equal(t, 2, l.stops)
+	require.Equal(t, 1, l.most, "one at a time")
+	for _, task := range l.fleet.Tasks {
+		require.LessOrEqual(t, task.TakenBack, 1)
+	}
+	before := l.stops
+	l.advance(2 * model.Minute)
+	require.Equal(t, before, l.stops, "nothing is exchanged once the share is reached")
+}
+
+// Guards against policies that are kept to compare with and take back too.
+func TestLentCapacityIsKept(t *testing.T) {
+	l := lentFixture(t, true)
+	l.shares = SharePolicy{KeepLent: true}
+	l.advance(30 * model.Second)
+	require.Zero(t, l.stops)
+	require.Zero(t, l.fleet.PlacedByTeam("archive"))
+}
+
+// Guards against a run that is not idempotent and is stopped although its
+// progress cannot be saved, and against one that starts again without it.
+func TestNonIdempotentRunIsOnlySaved(t *testing.T) {
+	for _, saves := range []bool{false, true} {
+		t.Run(fmt.Sprint(saves), func(t *testing.T) {
+			l := lentFixture(t, false)
+			l.saves = saves
+			l.advance(30 * model.Second)
+			require.Equal(t, saves, l.stops > 0)
+			for id, task := range l.fleet.Tasks {
+				require.NotEqual(t, fleet.TaskUnknown, task.Phase, id)
+				require.Equal(t, task.TakenBack > 0, task.Resume, id)
+			}
+		})
+	}
+}
+
+// Guards against a run that is lost, repeated or stopped for nothing when the
+// leader changes between the order and its report.
+func TestLeaderChangeWhileTakingBack(t *testing.T) {
+	for _, idempotent := range []bool{false, true} {
+		t.Run(fmt.Sprint(idempotent), func(t *testing.T) {
+			l := lentFixture(t, idempotent)
+			for l.p.pools["a"].taking == nil || !l.p.pools["a"].taking.victim.takeSent {
+				l.advance(500 * model.Millisecond)
+				require.Less(t, l.now, model.Time(model.Hour+model.Minute))
+			}
+			victim := l.p.pools["a"].taking.victim.task.ID
+			l.p = New(l.env())
+			l.advance(model.Second)
+			require.Equal(t, fleet.TaskQueued, l.task(victim).Phase)
+			require.True(t, l.task(victim).Resume)
+			require.EqualValues(t, 1, l.task(victim).Epoch)
+			l.advance(30 * model.Second)
+			require.Equal(t, 2, l.fleet.PlacedByTeam("archive"))
+			require.Equal(t, 8, l.fleet.PlacedByTeam("press")+l.fleet.PlacedByTeam("archive"))
+		})
+	}
+}
+
+// Guards against a task that was taken back and waits behind others of its team.
+func TestTakenBackGoesFirst(t *testing.T) {
+	early, takenBack := rankOf(&fleet.Task{SubmitIndex: 1}), rankOf(&fleet.Task{SubmitIndex: 2, TakenBack: 1})
+	urgent := rankOf(&fleet.Task{SubmitIndex: 3, Spec: fleet.TaskSpec{Precedence: 1}})
+	require.True(t, takenBack.before(early))
+	require.True(t, urgent.before(takenBack))
+}
--- a/core/placement/record.go
+++ b/core/placement/record.go
@@ -14,20 +14,26 @@
 	// While it is queued.
 	queue   *teamQueue // nil while it is delayed or proposed
 	delayed bool
-	misfits int // attempts in a row that found no worker
-	fails   int // failed runs seen in this term
+	parked  *parked // where it waits for room while it is delayed
+	misfits int     // attempts in a row that found no worker
+	fails   int     // failed runs seen in this term
 
 	// While it is proposed or placed.
 	worker    *worker
 	pending   bool // proposed and not yet committed
 	reserved  model.Resources
-	peak      model.Resources // largest usage reported of this run
-	ordered   bool            // an order to run may have been sent
-	lastOrder model.Time      // of the last order to run
-	waitsFrom model.Time      // first order of a run that is not reported yet; zero if none
-	ending    bool            // its end is proposed
-	failed    bool            // its run has failed
-	near      [2]domain       // where it counts in Placer.crowds
+	peak      model.Resources   // largest usage reported of this run
+	ordered   bool              // an order to run may have been sent
+	lastOrder model.Time        // of the last order to run
+	waitsFrom model.Time        // first order of a run that is not reported yet; zero if none
+	ending    bool              // its end is proposed
+	failed    bool              // its run has failed
+	began     model.Time        // of the run, by its reports; zero until one lists it
+	saved     bool              // its run has ended with a checkpoint
+	throttled bool              // its worker says so
+	take      message.OrderKind // how its capacity is taken back; empty if it is not
+	takeSent  bool              // the order has been sent
+	near      [2]domain         // where it counts in Placer.crowds
 }
 
 // placed reports whether the replicated state has the task on a worker.
@@ -47,6 +53,7 @@
 		}
 		r = &record{}
 		p.records[id] = r
+		p.team(task.Team).unfinished++
 	}
 	if r.pending && unfinished && task.Phase == fleet.TaskQueued {
 		r.task = task // still waits for its placement
@@ -60,6 +67,7 @@
 	p.detach(env, r)
 	if !unfinished {
 		delete(p.records, id)
+		p.team(r.task.Team).unfinished--
 		p.timers.Remove(timerID{kind: timerDelayed, task: id})
 		return
 	}
@@ -75,6 +83,7 @@
 func (p *Placer) attach(env Env, r *record, w *worker) {
 	r.worker = w
 	r.delayed = false
+	p.leaveParked(r)
 	r.misfits = 0
 	w.runs[r.task.ID] = r
 	p.countCrowd(r, 1)
@@ -87,6 +96,7 @@
 // detach takes r out of its queue or off its worker.
 func (p *Placer) detach(env Env, r *record) {
 	p.unqueue(r)
+	p.leaveParked(r)
 	if r.pending {
 		r.pending = false
 		p.team(r.task.Team).pending--
@@ -97,10 +107,14 @@
 		p.countCrowd(r, -1)
 		r.worker = nil
 		p.refreshWorker(env, w)
+		if w.known {
+			p.pool(w.host.Pool).free(w)
+		}
 	}
 	r.peak = model.Resources{}
 	r.delayed = false
 	r.ordered, r.lastOrder, r.waitsFrom, r.ending = false, 0, 0, false
+	r.began, r.throttled, r.take, r.takeSent, r.saved = 0, false, "", false, false
 }
 
 // delay keeps a queued task out of its queue for a while.
@@ -140,6 +154,9 @@
 	if t != nil && t.Phase == fleet.TaskFailed && t.Epoch == c.Epoch && p.records[c.Task] == nil {
 		out.log(effect.Log{Code: effect.TaskEnded, Team: t.Team, Detail: string(t.ID) + ": " + t.Detail})
 	}
+	if c.Outcome == fleet.OutcomeTakenBack && t != nil && t.Phase == fleet.TaskQueued && t.Epoch == c.Epoch {
+		out.log(effect.Log{Code: effect.TaskTakenBack, Team: t.Team, Detail: string(t.ID)})
+	}
 	r := p.records[c.Task]
 	if r == nil || r.queue == nil || !r.failed {
 		return
@@ -179,7 +196,7 @@
 	}
 	r.ending = true
 	out.propose(fleet.Command{At: env.Now, EndTask: &fleet.EndTask{
-		Task: r.task.ID, Epoch: r.task.Epoch, Outcome: outcome, Detail: detail,
+		Task: r.task.ID, Epoch: r.task.Epoch, Outcome: outcome, Detail: detail, Saved: r.saved,
 	}})
 }
 
@@ -190,6 +207,7 @@
 	}
 	p.learn(r)
 	outcome := p.outcomeOf(env, out, w, r, run)
+	r.saved = run.Phase == message.RunSaved
 	p.proposeEnd(env, out, r, outcome, run.Note)
 }
 
@@ -212,7 +230,11 @@
 			return fleet.OutcomeStopped
 		}
 		return fleet.OutcomeFailed
-	case r.task.Cancel || r.task.Spec.Idempotent:
+	case r.task.Cancel:
+		return fleet.OutcomeStopped
+	case r.takeSent && (r.task.Spec.Idempotent || run.Phase == message.RunSaved):
+		return fleet.OutcomeTakenBack
+	case r.task.Spec.Idempotent || run.Phase == message.RunSaved:
 		return fleet.OutcomeStopped
 	}
 	// Part of it has run, and it must not run twice.
@@ -222,5 +244,8 @@
 // overdue reports whether a run has passed its longest run time.
 func overdue(r *record, run *message.TaskRun) bool {
 	limit := r.task.Spec.MaxRun
+	if run.Throttled {
+		limit *= throttleFactor
+	}
 	return limit > 0 && run.Ran > limit && !r.task.Cancel
 }
--- a/core/placement/report.go
+++ b/core/placement/report.go
@@ -101,16 +101,20 @@
 
 // handleRun handles a run that is placed on the worker and reported by it.
 func (p *Placer) handleRun(env Env, out *Out, w *worker, r *record, run *message.TaskRun) []message.Order {
+	if run.Throttled && !r.throttled {
+		p.throttled(env, r)
+	}
 	p.observe(env, r, run.Usage)
 	r.waitsFrom = 0
 	if run.Phase != message.RunRunning {
 		p.runEnded(env, out, w, r, run)
 		return nil
 	}
+	r.began = env.Now.Add(-run.Ran)
 	if r.ending || r.task.Cancel || overdue(r, run) {
 		return []message.Order{{Kind: message.OrderStop, Task: run.Task, Epoch: run.Epoch}}
 	}
-	orders := []message.Order{p.orderRun(env, r)}
+	orders := append([]message.Order{p.orderRun(env, r)}, takeOrders(r)...)
 	// A checkpoint ends the run and the task starts again elsewhere, which one
 	// that is not idempotent must not do. It is left to finish.
 	if !p.mayStart(w) && r.task.Spec.Idempotent {
@@ -126,7 +130,7 @@
 	spec := &r.task.Spec
 	return message.Order{
 		Kind: message.OrderRun, Task: r.task.ID, Epoch: r.task.Epoch,
-		Command: spec.Command, Size: spec.Size, MaxRun: spec.MaxRun, Lease: Lease,
+		Command: spec.Command, Size: spec.Size, MaxRun: spec.MaxRun, Lease: Lease, Resume: r.task.Resume,
 	}
 }
 
--- a/core/placement/size.go
+++ b/core/placement/size.go
@@ -138,6 +138,9 @@
 // learn adds the peak of a run that has ended. Reports lag, so a short run may
 // have shown no usage at all.
 func (p *Placer) learn(r *record) {
+	if r.throttled {
+		return // its use of processors says nothing of the kind
+	}
 	if r.peak.MilliCPU > 0 || r.peak.MemoryMB > 0 {
 		p.sizes.learn(sizeKeyOf(r.task), r.peak)
 	}
--- a/core/placement/timers.go
+++ b/core/placement/timers.go
@@ -57,7 +57,7 @@
 		return
 	}
 	for _, id := range model.SortedKeys(p.pools) {
-		if q := p.pools[id]; q.dirty || q.hold != nil {
+		if q := p.pools[id]; q.dirty || q.hold != nil || q.taking != nil {
 			p.pump(env, out, q)
 		}
 	}
@@ -73,8 +73,7 @@
 		p.workerLost(env, out, p.workers[id.host])
 	case timerDelayed:
 		if r := p.records[id.task]; r != nil && r.delayed {
-			r.delayed = false
-			p.enqueue(env, r)
+			p.undelay(env, r)
 		}
 	}
 }
--- a/core/placement/worker.go
+++ b/core/placement/worker.go
@@ -26,9 +26,10 @@
 	stray    model.Resources          // used by runs that are not placed on it
 	evidence evidence
 
-	held bool     // kept free for one task
-	node *fitNode // its place among the usable workers of its pool, or nil
-	tree *fitTree
+	held  bool     // kept free for one task
+	freed bool     // in pool.freed
+	node  *fitNode // its place among the usable workers of its pool, or nil
+	tree  *fitTree
 }
 
 func (p *Placer) worker(id model.HostID) *worker {
@@ -56,11 +57,15 @@
 	w := p.worker(id)
 	if w.known && w.host.Up {
 		p.pool(w.host.Pool).countCapacity(w.host.Capacity, -1)
+		p.pool(w.host.Pool).removeMember(w)
+		p.total = p.total.Sub(w.host.Capacity)
 	}
 	w.host = host
 	w.known = true
 	if host.Up {
 		p.pool(host.Pool).countCapacity(host.Capacity, 1)
+		p.pool(host.Pool).addMember(w)
+		p.total = p.total.Add(host.Capacity)
 	}
 	if host.Up && !p.timers.Has(timerID{kind: timerLost, host: id}) {
 		p.armLost(env, w)
@@ -121,6 +126,7 @@
 func (p *Placer) reserve(env Env, r *record, amount model.Resources) {
 	w := r.worker
 	w.reserved = w.reserved.Sub(r.reserved).Add(amount)
+	p.countUse(env, r.task.Team, r.reserved, amount)
 	r.reserved = amount
 	p.refreshWorker(env, w)
 }
--- a/core/workers.go
+++ b/core/workers.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"primrosedale.example/primrosedale/core/dispatch"
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/maintenance"
@@ -14,6 +15,19 @@
 		MayGrant:        s.log.HoldsLeaderLease(s.now),
 		Ready:           s.leading.owner.Ready(),
 		RequestsRunning: s.leading.owner.RequestsRunning,
+		Shares:          sharePolicy(s.cfg.Policy),
+	}
+}
+
+// sharePolicy returns how a policy counts tasks and lends workers.
+func sharePolicy(name dispatch.PolicyName) placement.SharePolicy {
+	switch name {
+	case dispatch.PolicyStatic, dispatch.PolicyUnits:
+		return placement.SharePolicy{ByUnits: true, KeepLent: true}
+	case dispatch.PolicyLent:
+		return placement.SharePolicy{KeepLent: true}
+	default:
+		return placement.SharePolicy{}
 	}
 }
 
--- a/ctl/parser.go
+++ b/ctl/parser.go
@@ -31,7 +31,7 @@
 	replays := subcommand("replay", "replay a journal, a trace or trace settings; exit code 5 if it differs or leaves the bounds")
 	replays.AddPositionalValue(&o.file, "FILE", 1, true, "journal, trace or trace settings")
 	replays.String(&o.expect, "e", "expect", "outcomes file with bounds")
-	replays.String(&o.policy, "", "policy", "shares (default) or static")
+	replays.String(&o.policy, "", "policy", "shares (default), static, lent or units")
 	replays.String(&o.plots, "", "plots", "folder for plots")
 	replays.UInt64(&o.seed, "", "seed", "seed of trace settings, in place of their own")
 	replays.String(&o.record, "", "record", "write the inputs of the trace's replay to this journal")
