replay: measure shares of tasks and add the traces shared-pool

No trace had tasks of several teams in full pools, so that nothing showed how near the tasks of a team come to its share. In shared-pool one team fills all pools with long tasks, and the others return with 1.6 times their shares. The measures are the distance to share by dominant share of true sizes, the time until a returning team has its share, the work that stopped runs lose, and tasks that finish late. Fake workers save progress at a checkpoint, for one second of the run, and can be throttled. Entitlements follow what all teams take, and not the whole capacity, because reserved sizes and fragments leave a part unused.

--- a/replay/books.go
+++ b/replay/books.go
@@ -59,9 +59,14 @@
 
 type taskBook struct {
 	Task
-	starts    int
-	finished  bool
-	cancelled bool
+	starts     int
+	finished   bool
+	cancelled  bool
+	submitted  model.Time
+	ended      model.Time     // when it finished, or zero
+	progress   model.Duration // that checkpoints have saved
+	interrupts int            // runs that were stopped by order
+	lost       model.Duration // run time that was lost by that
 }
 
 // centreChange is the loss or return of a data centre, or its being taken out
@@ -95,6 +100,7 @@
 	violations  map[string]int
 	samples     []sample
 	hosts       *hostBooks
+	taskLooks   []taskLook
 }
 
 func newBooks() *books {
@@ -219,9 +225,12 @@
 	}
 }
 
-func (e *engine) taskBegan(w *worker, t *taskBook) {
+// taskBegan notes a start of a task. One that resumes repeats nothing.
+func (e *engine) taskBegan(w *worker, t *taskBook, resumes bool) {
 	e.checkCentre(w.DataCentre)
-	t.starts++
+	if !resumes {
+		t.starts++
+	}
 	if !t.Idempotent && t.starts > 1 {
 		e.books.violations[InvariantAtMostOnce]++
 	}
--- a/replay/engine.go
+++ b/replay/engine.go
@@ -145,6 +145,7 @@
 	e.every(core.TickInterval, func() { e.post(event.Tick{}) })
 	e.every(sampleInterval, e.sample)
 	e.every(hostInterval, e.lookAtHosts)
+	e.every(hostInterval, e.lookAtTasks)
 	e.advance(epoch.Add(warmUp / 2)) // past the election
 	return e, nil
 }
--- a/replay/measure.go
+++ b/replay/measure.go
@@ -10,22 +10,29 @@
 
 // The measures, by their names in outcome files.
 const (
-	MeasureLateness       = "lateness"        // fraction of requests that started or were refused late
-	MeasureStartedLate    = "started_late"    // fraction of requests that started after their patience
-	MeasureRefusedLate    = "refused_late"    // fraction refused after more than half their patience
-	MeasureInTime         = "in_time"         // fraction started in time and answered
-	MeasureWorthInTime    = "worth_in_time"   // the same, weighted by worth
-	MeasureAttempts       = "attempts"        // forwards for each request that was forwarded
-	MeasureOvernight      = "overnight"       // fraction of overnight requests that were answered
-	MeasureShareDistance  = "share_distance"  // percentage points, mean while everything is full
-	MeasureShareWorst     = "share_worst"     // the same for the team that is farthest from its share
-	MeasureFullSeconds    = "full_seconds"    // time in which everything is full
-	MeasureUse            = "slots_used"      // fraction of the slots that ran work that was answered
-	MeasureCentreWork     = "centre_work"     // fraction of the most possible work over a loss and return
-	MeasureTasksFinished  = "tasks_finished"  // fraction of the tasks that can run
-	MeasureIdleBuffer     = "idle_buffer"     // mean hosts in service without a task
-	MeasureHostMoves      = "host_moves"      // moves between pools
-	MeasureRollOutSeconds = "rollout_seconds" // from the start of the trace to the end of its waves
+	MeasureLateness       = "lateness"            // fraction of requests that started or were refused late
+	MeasureStartedLate    = "started_late"        // fraction of requests that started after their patience
+	MeasureRefusedLate    = "refused_late"        // fraction refused after more than half their patience
+	MeasureInTime         = "in_time"             // fraction started in time and answered
+	MeasureWorthInTime    = "worth_in_time"       // the same, weighted by worth
+	MeasureAttempts       = "attempts"            // forwards for each request that was forwarded
+	MeasureOvernight      = "overnight"           // fraction of overnight requests that were answered
+	MeasureShareDistance  = "share_distance"      // percentage points, mean while everything is full
+	MeasureShareWorst     = "share_worst"         // the same for the team that is farthest from its share
+	MeasureFullSeconds    = "full_seconds"        // time in which everything is full
+	MeasureUse            = "slots_used"          // fraction of the slots that ran work that was answered
+	MeasureCentreWork     = "centre_work"         // fraction of the most possible work over a loss and return
+	MeasureTasksFinished  = "tasks_finished"      // fraction of the tasks that can run
+	MeasureTaskDistance   = "task_share_distance" // percentage points, mean while the pools are full
+	MeasureTaskWorst      = "task_share_worst"    // the same for the team that is farthest from its share
+	MeasureTaskFull       = "task_full_seconds"   // time in which the pools are full
+	MeasureTaskReturn     = "task_return_seconds" // until the last returning team has its share
+	MeasureTaskLost       = "task_work_lost"      // fraction of the work that runs stopped by order lose
+	MeasureTaskInterrupts = "task_interrupts"     // runs that were stopped by order
+	MeasureTaskLate       = "task_lateness"       // fraction of tasks that finish late
+	MeasureIdleBuffer     = "idle_buffer"         // mean hosts in service without a task
+	MeasureHostMoves      = "host_moves"          // moves between pools
+	MeasureRollOutSeconds = "rollout_seconds"     // from the start of the trace to the end of its waves
 )
 
 // lateRefusal is the part of its patience after which a refused request was
@@ -84,6 +91,7 @@
 	r.measureRequests(b)
 	r.measureFleet(e)
 	r.measureTasks(b)
+	r.measureTaskShares(e)
 	for _, name := range []string{InvariantTeamLimit, InvariantAtMostOnce, InvariantCentreOut, InvariantLeaving,
 		InvariantNotRun, InvariantAnswers, InvariantOperators, InvariantOvercommits} {
 		r.Invariants = append(r.Invariants, Count{name, b.violations[name]})
--- a/replay/tracegen/deployments.go
+++ b/replay/tracegen/deployments.go
@@ -17,6 +17,7 @@
 	// the scenario of that name, and the one that it replaces.
 	shared, overnight model.ServiceID
 	lender            model.TeamID // whose share is lent in the scenario lending
+	borrower          model.TeamID // that takes idle workers in the scenario shared-pool
 }
 
 // service is a number of targets.
@@ -60,7 +61,7 @@
 			{"order-sync", "orders", "orders", 1, 0.5, 0.4, 3, 8, false},
 			{"catalogue", "press", "catalogue", 1, 0.5, 0.4, 2, 1, true},
 		},
-		shared: "render", overnight: "index", lender: "kreol",
+		shared: "render", overnight: "index", lender: "kreol", borrower: "archive",
 	},
 	"ulaanbaatar": {
 		centres: []model.DataCentreID{"bayangol", "chingeltei", "khan-uul", "sukhbaatar"},
@@ -78,6 +79,6 @@
 			{"reports", "reporting", "report", 0.6, 1, 0.5, 8, 1, true},
 			{"outages", "reporting", "report", 0.4, 0.4, 0.4, 2, 2, true},
 		},
-		shared: "dispatch", overnight: "study", lender: "heat",
+		shared: "dispatch", overnight: "study", lender: "heat", borrower: "planning",
 	},
 }
--- a/replay/tracegen/scenarios.go
+++ b/replay/tracegen/scenarios.go
@@ -18,6 +18,7 @@
 	"lending":       (*writer).lending,
 	"refusals":      (*writer).refusingTargets,
 	"tasks":         (*writer).tasks,
+	"shared-pool":   (*writer).sharedPool,
 }
 
 // Loads, as parts of the slots.
@@ -153,7 +154,7 @@
 	was, shared := string(d.overnight), string(d.shared)
 	w.trace.Header.Rules = strings.ReplaceAll(w.trace.Header.Rules,
 		fmt.Sprintf("service = %q", was), fmt.Sprintf("service = %q", shared))
-	w.trace.Header.Rules = dropObjectives(w.trace.Header.Rules)
+	w.trace.Header.Rules = dropRules(w.trace.Header.Rules, "objective.") // one may name a service that is gone
 	w.moveOvernight()
 	w.fleet()
 	w.arrivals(func(q int, at float64) float64 {
@@ -204,15 +205,3 @@
 	}
 	d.queues = queues
 }
-
-// dropObjectives removes the objectives, which may name a service that is no
-// longer there.
-func dropObjectives(rules string) string {
-	var kept []string
-	for _, line := range strings.Split(rules, "\n") {
-		if !strings.HasPrefix(line, "objective.") {
-			kept = append(kept, line)
-		}
-	}
-	return strings.Join(kept, "\n")
-}
--- a/replay/tracegen/tasks.go
+++ b/replay/tracegen/tasks.go
@@ -65,26 +65,11 @@
 // submissions writes the tasks of every pool that is not spare, by the teams
 // in turn.
 func (w *writer) submissions(r *rules.Rules) {
-	var teams []model.TeamID
-	for id := range r.Teams {
-		teams = append(teams, id)
-	}
-	slices.Sort(teams)
-	hosts := make(map[model.PoolID]int)
-	for _, h := range r.Hosts {
-		hosts[h.Pool]++
-	}
-	var pools []model.PoolID
-	for id, p := range r.Pools {
-		if !p.Spare {
-			pools = append(pools, id)
-		}
-	}
-	slices.Sort(pools)
+	teams := model.SortedKeys(r.Teams)
+	pools := coresOf(r)
 	n := 0
-	for _, pool := range pools {
-		cores := float64(hosts[pool]) * float64(workerCapacity.MilliCPU) / 1000
-		rate := taskLoad * cores / taskCores / taskRun
+	for _, pool := range model.SortedKeys(pools) {
+		rate := taskLoad * pools[pool] / taskCores / taskRun
 		for at := 5.0; ; n++ {
 			if at += w.rand.ExpFloat64() / rate; at >= w.seconds-4*taskRun {
 				break
@@ -94,6 +79,17 @@
 	}
 }
 
+// coresOf returns the cores of every pool that is not spare.
+func coresOf(r *rules.Rules) map[model.PoolID]float64 {
+	cores := make(map[model.PoolID]float64)
+	for _, h := range r.Hosts {
+		if !r.Pools[h.Pool].Spare {
+			cores[h.Pool] += float64(workerCapacity.MilliCPU) / 1000
+		}
+	}
+	return cores
+}
+
 func (w *writer) task(n int, team model.TeamID, pool model.PoolID) *replay.Task {
 	program := w.rand.IntN(programs)
 	mean := taskCores * (0.5 + float64(program)) * 2 / programs
--- a/replay/tracegen/traces_test.go
+++ b/replay/tracegen/traces_test.go
@@ -49,7 +49,7 @@
 func TestJournalsOfTracesReplay(t *testing.T) {
 	rules, err := os.ReadFile("../../examples/ulaanbaatar/rules.toml")
 	require.NoError(t, err)
-	for scenario, length := range map[string]float64{"tasks": 180, "centre": 45, "faults": 20} {
+	for scenario, length := range map[string]float64{"tasks": 180, "centre": 45, "faults": 20, "shared-pool": 300} {
 		t.Run(scenario, func(t *testing.T) {
 			t.Parallel()
 			settings := tracegen.Settings{Deployment: "ulaanbaatar", Scenario: scenario, Seed: 7, Seconds: length}
--- a/replay/worker.go
+++ b/replay/worker.go
@@ -27,10 +27,14 @@
 
 // taskRun is one run of a task on a worker.
 type taskRun struct {
-	epoch uint64
-	phase message.TaskRunPhase
-	began model.Time
-	until model.Time // of its lease
+	epoch     uint64
+	phase     message.TaskRunPhase
+	began     model.Time
+	until     model.Time // of its lease
+	ends      model.Time // at its present pace
+	end       message.TaskRunPhase
+	throttled bool
+	turn      int // of its end in the calendar; counts changes of pace
 }
 
 // changeWorker starts or changes a worker.
@@ -91,7 +95,8 @@
 	var list []message.TaskRun
 	for id, t := range w.tasks {
 		list = append(list, message.TaskRun{
-			Task: id, Epoch: t.epoch, Phase: t.phase, Ran: w.e.now.Sub(t.began), Usage: w.e.books.tasks[id].Size,
+			Task: id, Epoch: t.epoch, Phase: t.phase, Ran: w.e.now.Sub(t.began), Usage: t.usage(w.e.books.tasks[id].Size),
+			Throttled: t.throttled,
 		})
 	}
 	slices.SortFunc(list, func(a, b message.TaskRun) int {
@@ -115,10 +120,11 @@
 			t.until = sent.Add(o.Lease)
 		case o.Kind == message.OrderForget:
 			delete(w.tasks, o.Task)
+		case t.phase != message.RunRunning:
+		case o.Kind == message.OrderThrottle:
+			w.throttle(o.Task, t)
 		case o.Kind == message.OrderStop || o.Kind == message.OrderCheckpoint:
-			if t.phase == message.RunRunning {
-				t.phase = message.RunStopped
-			}
+			w.interrupt(w.e.books.tasks[o.Task], t, o.Kind == message.OrderCheckpoint)
 		}
 	}
 	if reply.Reboot {
@@ -140,27 +146,75 @@
 	}
 	t := &taskRun{epoch: o.Epoch, phase: message.RunRunning, began: w.e.now, until: sent.Add(o.Lease)}
 	w.tasks[o.Task] = t
-	w.e.taskBegan(w, task)
-	end, need := message.RunFinished, task.Run.Duration()
+	w.e.taskBegan(w, task, o.Resume)
+	end, need := message.RunFinished, task.Run.Duration()-task.progress
 	if w.Fails || task.NeverRuns {
 		end, need = message.RunFailed, model.Second
 	}
 	if o.MaxRun > 0 && need > o.MaxRun {
 		end, need = message.RunFailed, o.MaxRun
 	}
-	w.e.after(need, func() {
-		if w.tasks[o.Task] != t || t.phase != message.RunRunning {
+	t.end = end
+	w.endAt(o.Task, t, w.e.now.Add(need))
+}
+
+// endAt lets the run end at a time, unless its pace changes before.
+func (w *worker) endAt(id model.TaskID, t *taskRun, at model.Time) {
+	t.ends = at
+	t.turn++
+	turn := t.turn
+	w.e.at(at, func() {
+		if w.tasks[id] != t || t.phase != message.RunRunning || t.turn != turn {
 			return
 		}
-		t.phase = end
-		if end == message.RunFinished {
+		t.phase = t.end
+		if t.end == message.RunFinished {
+			task := w.e.books.tasks[id]
 			task.finished = true
+			task.ended = w.e.now
 		}
 	})
 }
 
+// throttleFactor is what a throttled run takes longer, with as much less of the
+// processors.
+const throttleFactor = 2
+
+func (w *worker) throttle(id model.TaskID, t *taskRun) {
+	if !t.throttled {
+		t.throttled = true
+		w.endAt(id, t, w.e.now.Add(throttleFactor*t.ends.Sub(w.e.now)))
+	}
+}
+
+func (t *taskRun) usage(size model.Resources) model.Resources {
+	if t.throttled {
+		size.MilliCPU /= throttleFactor
+	}
+	return size
+}
+
+// checkpointCost is the run time that a checkpoint costs: saving and restoring.
+const checkpointCost = model.Second
+
+// interrupt ends a run by order. What it has done is lost, but for what a
+// checkpoint saves.
+func (w *worker) interrupt(task *taskBook, t *taskRun, saved bool) {
+	t.phase = message.RunStopped
+	if saved {
+		t.phase = message.RunSaved
+	}
+	ran := w.e.now.Sub(t.began)
+	if saved && ran > checkpointCost {
+		task.progress += ran - checkpointCost
+		ran = checkpointCost
+	}
+	task.interrupts++
+	task.lost += ran
+}
+
 func (e *engine) submitTask(t *Task) {
-	e.books.tasks[t.ID] = &taskBook{Task: *t}
+	e.books.tasks[t.ID] = &taskBook{Task: *t, submitted: e.now}
 	e.command(fleet.Command{SubmitTask: &fleet.SubmitTask{Task: t.ID, Team: t.Team, Spec: fleet.TaskSpec{
 		Pool: t.Pool, Command: cmp.Or(t.Program, "run"), Size: t.DeclaredSize, RunTime: t.DeclaredRun.Duration(),
 		MaxRun: t.MaxRun.Duration(), Precedence: t.Precedence, Idempotent: t.Idempotent,
