placement: measure the search for lent capacity

The cost of a search for lent capacity had no figure, and the benchmark of a placement had been compared between runs of a machine whose load changes. A new benchmark measures the search with two runs on each worker.

--- a/core/placement/bench_test.go
+++ b/core/placement/bench_test.go
@@ -75,3 +75,30 @@
 		})
 	}
 }
+
+// BenchmarkTakeBack measures the search for lent capacity for one task, with two
+// runs on each worker that can be taken back.
+func BenchmarkTakeBack(b *testing.B) {
+	for _, n := range benchWorkers {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			f := newBench(b, n)
+			for i := range n {
+				var runs []message.TaskRun
+				for _, id := range model.SortedKeys(f.p.workers[hostName(i)].runs) {
+					runs = append(runs, f.run(id, message.RunRunning))
+				}
+				f.report(hostName(i), runs...)
+			}
+			f.submit("claim", func(c *fleet.SubmitTask) { c.Team = "archive" })
+			q, r, env := f.p.pools["a"], f.p.records["claim"], f.env()
+			r.misfits = takeMisfits
+			b.ReportAllocs()
+			for b.Loop() {
+				f.p.takeBackFor(env, q, r)
+				q.taking.worker.held, q.taking.victim.take = false, ""
+				f.p.refreshWorker(env, q.taking.worker)
+				q.taking, q.takeAfter = nil, 0
+			}
+		})
+	}
+}
