logevent, core, transport: emit every event of the catalogue

Of the 70 entries of the catalogue, 20 had no place that emits them (21 with unknown_event, which the logger itself writes): operators could set alerts on lines that never come. Removing them was ruled out, because each names something that the system already knows at one place. A held claim whose gateway is lost is claim_unknown now and was outcome_unknown. The lines that the jsonrpc2 library wrote to standard error are event 513, peer_connection_error.

--- a/cmd/primrosedaled/main.go
+++ b/cmd/primrosedaled/main.go
@@ -94,6 +94,7 @@
 func runDaemon(path string) int {
 	s, err := settings.Load(path)
 	if err != nil {
+		logRefusedSettings(err)
 		return refuse(err)
 	}
 	log, err := logevent.New(logevent.Options{
@@ -141,6 +142,15 @@
 	return exitOK
 }
 
+// logRefusedSettings logs in the default format, because the settings that name
+// another one could not be read.
+func logRefusedSettings(refusal error) {
+	log, err := logevent.New(logevent.Options{Out: os.Stderr, Format: logevent.JSON, Level: "info"})
+	if err == nil {
+		log.Emit(logevent.SettingsRefused, logevent.Err(refusal))
+	}
+}
+
 func refuse(err error) int {
 	fmt.Fprintln(os.Stderr, err)
 	return exitSettings
--- a/control/loop.go
+++ b/control/loop.go
@@ -58,6 +58,7 @@
 	recorder Recorder
 	recorded int // inputs
 	halted   chan struct{}
+	onFull   func() // called for each event that is refused
 	reason   string // why the process halted, set before halted is closed
 }
 
@@ -74,6 +75,7 @@
 		queue:  make(chan event.Event, queueSize),
 		began:  time.Now(),
 		halted: make(chan struct{}),
+		onFull: func() {},
 	}
 	l.beganAt = model.Time(l.began.UnixNano())
 	l.view.Store(&view.View{})
@@ -85,6 +87,10 @@
 	l.state, l.executor, l.recorder = s, x, r
 }
 
+// OnFull names what is called, on any goroutine, for each event that is refused
+// because the queue is full. It must be called before events are posted.
+func (l *Loop) OnFull(f func()) { l.onFull = f }
+
 // Now reads the process clock: the wall clock at start plus the monotonic
 // time since, so that it never runs backwards.
 func (l *Loop) Now() model.Time { return l.beganAt.Add(model.Duration(time.Since(l.began))) }
@@ -105,17 +111,16 @@
 // Post hands over new work without blocking. It reports false if the queue is
 // too full to accept more.
 func (l *Loop) Post(e event.Event) bool {
-	if len(l.queue) >= admissionSize {
-		refusedTotal.Inc()
-		return false
-	}
-	select {
-	case l.queue <- e:
-		return true
-	default:
-		refusedTotal.Inc()
-		return false
+	if len(l.queue) < admissionSize {
+		select {
+		case l.queue <- e:
+			return true
+		default:
+		}
 	}
+	refusedTotal.Inc()
+	l.onFull()
+	return false
 }
 
 // PostWait hands over an event and waits while the queue is full. It reports
--- a/core/apply.go
+++ b/core/apply.go
@@ -14,17 +14,19 @@
 // apply applies one committed entry and tells the branches.
 func (s *State) apply(e *logEntry) {
 	if e.Kind == consensus.EntryVoters {
-		s.emit(effect.Log{Code: effect.VotersChanged, Index: e.Index})
+		s.noteVoters(e)
 	}
 	if e.Kind != consensus.EntryCommand || e.Command == nil {
 		s.fleet.Index = e.Index
 		return
 	}
 	c := e.Command
+	before := s.before(c)
 	result := s.fleet.Apply(e.Index, c)
 	s.answerCommand(c, result)
 	s.logCommand(c, result)
 	if s.leading != nil {
+		s.noteChanges(before, c, result)
 		s.committedAsLeader(c, result)
 	}
 }
--- a/core/dispatch/claim.go
+++ b/core/dispatch/claim.go
@@ -26,7 +26,7 @@
 			orphans[c.ClaimID] = c.Request
 			continue
 		}
-		out.log(effect.Log{Code: effect.OutcomeUnknown, Request: c.Request, Team: c.Team})
+		out.log(effect.Log{Code: effect.ClaimUnknown, Request: c.Request, Team: c.Team})
 		out.Proposals = append(out.Proposals, fleet.Command{Complete: &fleet.Complete{
 			ClaimID: c.ClaimID, Request: c.Request, Unknown: true,
 		}})
@@ -59,6 +59,7 @@
 	case message.OutcomeAnswered:
 		c.Complete = &fleet.Complete{ClaimID: id, Request: d.Request, Status: d.Status, Answer: storable(d.Answer)}
 	default:
+		out.log(effect.Log{Code: effect.OutcomeUnknown, Request: d.Request, Team: id.Team})
 		c.Complete = &fleet.Complete{ClaimID: id, Request: d.Request, Unknown: true}
 	}
 	out.Proposals = append(out.Proposals, c)
--- a/core/dispatch/fixture_test.go
+++ b/core/dispatch/fixture_test.go
@@ -23,8 +23,9 @@
 	env   Env
 	owner *Owner
 	sent  []message.Message // to the gateway, not yet taken
-	seq   uint64            // of the last Renew
-	told  uint64            // sequence of the last report
+	logs  []effect.Log
+	seq   uint64 // of the last Renew
+	told  uint64 // sequence of the last report
 }
 
 func twoTeams(limit int) *rules.Rules {
@@ -70,8 +71,11 @@
 	var out Out
 	handle(f.env, &out)
 	for _, e := range out.Effects {
-		if s, ok := e.(effect.Send); ok {
-			f.sent = append(f.sent, s.Message)
+		switch e := e.(type) {
+		case effect.Send:
+			f.sent = append(f.sent, e.Message)
+		case effect.Log:
+			f.logs = append(f.logs, e)
 		}
 	}
 	for i := range out.Proposals {
--- a/core/dispatch/owner.go
+++ b/core/dispatch/owner.go
@@ -103,6 +103,7 @@
 	timers    *pq.Queue[timerID, timer, struct{}]
 	ended     map[model.RequestID]model.Time // end of the latest run
 	endedFIFO []endedRun
+	noted     map[effect.Log]model.Time         // events that are logged seldom, by their last line
 	orphans   map[fleet.ClaimID]model.RequestID // held claims without a request at the last sweep
 
 	// unknownSlots is the bound on requests that may run on targets that have
--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -108,6 +108,7 @@
 // its gateway withdraws it: a late Ask can bring back a request here that its
 // gateway has started.
 func (o *Owner) refuse(env Env, out *Out, r *request, p *problem.Problem) {
+	o.noteImpatience(env, out, r, p)
 	o.forget(env, r)
 	out.send(r.gateway, message.Message{Refuse: &message.Refuse{Term: o.term, Request: r.ask.Request, Problem: p}})
 	out.log(effect.Log{Code: effect.RequestRefused, Request: r.ask.Request, Team: r.ask.Team, Detail: string(p.Kind)})
--- a/core/dispatch/retry.go
+++ b/core/dispatch/retry.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/problem"
@@ -25,6 +26,7 @@
 			return
 		}
 		if !o.spendRetry(env, r.ask.Team) {
+			o.noteSeldom(env, out, effect.Log{Code: effect.RetryBudgetSpent, Team: r.ask.Team})
 			o.refuse(env, out, r, problem.New(problem.RetriesExhausted, "the retry budget of team %s is spent", r.ask.Team))
 			return
 		}
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -207,6 +207,7 @@
 	if m.State == message.TargetLeaving && t.state == message.TargetReady {
 		out.log(effect.Log{Code: effect.TargetLeaving, Target: t.reg.ID})
 	}
+	o.noteReturn(env, out, t)
 	t.state = m.State
 	t.seq = m.Seq
 	t.lastHeard = env.Now
--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -86,6 +86,7 @@
 	Target  model.TargetID
 	Request model.RequestID
 	Team    model.TeamID
+	Queue   model.QueueID
 	Term    uint64
 	Index   uint64
 	Detail  string
@@ -99,11 +100,14 @@
 const (
 	LeaderElected    Code = "leader_elected"
 	LeaderLost       Code = "leader_lost"
+	TermChanged      Code = "term_changed"
 	LeaseLost        Code = "lease_lost"
 	LeaseRegained    Code = "lease_regained"
 	HostSilent       Code = "host_silent"
 	HostBack         Code = "host_back"
 	MemberAdded      Code = "member_added"
+	ReplicaJoined    Code = "replica_joined"
+	ReplicaReplaced  Code = "replica_replaced"
 	VotersChanged    Code = "voters_changed"
 	SnapshotTaken    Code = "snapshot_taken"
 	SnapshotReceived Code = "snapshot_received"
@@ -117,17 +121,31 @@
 	TargetSilent     Code = "target_silent"
 	TargetLeaving    Code = "target_leaving"
 	TargetRemoved    Code = "target_removed"
+	TargetReturned   Code = "target_returned"
 	DispatchReady    Code = "dispatch_ready"
 	RequestRefused   Code = "request_refused"
 	OutcomeUnknown   Code = "outcome_unknown"
+	ClaimUnknown     Code = "claim_unknown"
+	QueueFull        Code = "queue_full"
+	RetryBudgetSpent Code = "retry_budget_spent"
 	WorkerSeen       Code = "worker_seen"
 	WorkerSilent     Code = "worker_silent"
 	WorkerSuspect    Code = "worker_suspect"
+	WorkerReleased   Code = "worker_released"
 	TaskPlaced       Code = "task_placed"
+	TaskLost         Code = "task_lost"
+	TaskFailed       Code = "task_failed"
+	TaskRefused      Code = "task_refused"
 	TaskEnded        Code = "task_ended"
 	HostDraining     Code = "host_draining"
+	HostDrained      Code = "host_drained"
+	HostMoved        Code = "host_moved"
 	HostReturned     Code = "host_returned"
+	WaveStep         Code = "wave_step"
 	WaveStopped      Code = "wave_stopped"
+	WaveEnded        Code = "wave_ended"
+	DataCentreOut    Code = "data_centre_out"
+	DataCentreIn     Code = "data_centre_in"
 	Stopping         Code = "stopping"
 )
 
--- a/core/notices.go
+++ b/core/notices.go
@@ -1,6 +1,10 @@
 package core
 
-import "primrosedale.example/primrosedale/core/effect"
+import (
+	"slices"
+
+	"primrosedale.example/primrosedale/core/effect"
+)
 
 // noteLease logs that this host's lease has ended or was granted again.
 func (s *State) noteLease() {
@@ -33,3 +37,39 @@
 		s.emit(effect.Log{Code: code, Host: host, Term: s.leading.term})
 	}
 }
+
+// noteTerm logs a new term once.
+func (s *State) noteTerm(term uint64) {
+	if term != s.term {
+		s.term = term
+		s.emit(effect.Log{Code: effect.TermChanged, Term: term})
+	}
+}
+
+// knowReplicas takes over the voters of a snapshot, which are not logged again.
+func (s *State) knowReplicas(snap *logSnapshot) {
+	if snap == nil {
+		return
+	}
+	for _, id := range slices.Concat(snap.Retired, snap.Voters) {
+		s.replicas[id.Host] = id.Incarnation
+	}
+}
+
+// noteVoters logs a committed voter set and, on the leader, the replicas that it
+// adds.
+func (s *State) noteVoters(e *logEntry) {
+	s.emit(effect.Log{Code: effect.VotersChanged, Index: e.Index})
+	for _, id := range e.Voters {
+		earlier, known := s.replicas[id.Host]
+		s.replicas[id.Host] = id.Incarnation
+		if s.leading == nil || earlier == id.Incarnation {
+			continue
+		}
+		code := effect.ReplicaJoined
+		if known {
+			code = effect.ReplicaReplaced
+		}
+		s.emit(effect.Log{Code: code, Host: id.Host, Index: e.Index})
+	}
+}
--- a/core/placement/record.go
+++ b/core/placement/record.go
@@ -138,7 +138,7 @@
 	p.refreshTask(env, c.Task)
 	t := env.Fleet.Tasks[c.Task]
 	if t != nil && t.Phase == fleet.TaskFailed && t.Epoch == c.Epoch && p.records[c.Task] == nil {
-		out.log(effect.Log{Code: effect.TaskEnded, Team: t.Team, Detail: string(t.ID) + ": " + t.Detail})
+		out.log(effect.Log{Code: effect.TaskFailed, Host: t.Worker, Team: t.Team, Detail: string(t.ID) + ": " + t.Detail})
 	}
 	r := p.records[c.Task]
 	if r == nil || r.queue == nil || !r.failed {
--- a/core/placement/timers.go
+++ b/core/placement/timers.go
@@ -1,6 +1,9 @@
 package placement
 
-import "primrosedale.example/primrosedale/core/model"
+import (
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/model"
+)
 
 type timerKind uint8
 
@@ -68,6 +71,7 @@
 	case timerQuiet:
 		p.refreshWorker(env, p.workers[id.host])
 	case timerTrial:
+		out.log(effect.Log{Code: effect.WorkerReleased, Host: id.host})
 		p.refreshWorker(env, p.workers[id.host])
 	case timerLost:
 		p.workerLost(env, out, p.workers[id.host])
--- a/core/reduce.go
+++ b/core/reduce.go
@@ -126,6 +126,7 @@
 func (s *State) follow() {
 	status := s.log.Status()
 	leader := status.Leader.Host
+	s.noteTerm(status.Term)
 	if s.holder.Follow(leader, status.Term) {
 		s.emit(s.table.Follow(s.now, leader, status.Term)...)
 	}
@@ -164,6 +165,7 @@
 		if o.Snapshot != nil {
 			s.fleet = o.Snapshot.State.Clone()
 			s.fleet.Rebuild()
+			s.knowReplicas(o.Snapshot)
 			s.emit(effect.Log{Code: effect.SnapshotReceived, Index: o.Snapshot.Index})
 		}
 		s.persist(o.Snapshot, o.HardState, o.Entries)
--- a/core/state.go
+++ b/core/state.go
@@ -74,7 +74,9 @@
 	leadFrom uint64 // index to apply before it acts as the leader of leadTerm
 
 	pending  map[model.CommandID]*pendingCommand
-	serving  bool // the last lease event said that this host serves
+	term     uint64                             // the last one that was logged
+	replicas map[model.HostID]model.Incarnation // the latest voter of each host
+	serving  bool                               // the last lease event said that this host serves
 	stopping bool
 	stopAt   model.Time
 	halted   bool
@@ -131,19 +133,22 @@
 		return nil, err
 	}
 	s := &State{
-		cfg:     cfg,
-		log:     node,
-		fleet:   fleet.New(),
-		holder:  lease.NewHolder(cfg.Incarnation, cfg.DataCentre),
-		table:   gateway.New(cfg.Incarnation),
-		burn:    burn.NewSender(),
-		pending: make(map[model.CommandID]*pendingCommand),
-		view:    &view.View{},
+		cfg:      cfg,
+		log:      node,
+		fleet:    fleet.New(),
+		holder:   lease.NewHolder(cfg.Incarnation, cfg.DataCentre),
+		table:    gateway.New(cfg.Incarnation),
+		burn:     burn.NewSender(),
+		pending:  make(map[model.CommandID]*pendingCommand),
+		view:     &view.View{},
+		replicas: make(map[model.HostID]model.Incarnation),
 	}
 	if stored.Snapshot != nil && stored.Snapshot.State != nil {
 		s.fleet = stored.Snapshot.State.Clone()
 		s.fleet.Rebuild()
 	}
+	s.knowReplicas(stored.Snapshot)
+	s.term = node.Status().Term
 	node.Start(now, rand)
 	return s, nil
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -66,6 +66,8 @@
 // nothing open.
 func New(s *settings.Settings, log logevent.Logger) (*Daemon, error) {
 	d := &Daemon{settings: s, log: log.With(logevent.Self(s.Host)), loop: control.New()}
+	var full logevent.Seldom
+	d.loop.OnFull(func() { full.Emit(d.log, logevent.ControlQueueFull) })
 	if err := d.assemble(); err != nil {
 		d.closeAll()
 		return nil, err
--- a/daemon/executor.go
+++ b/daemon/executor.go
@@ -76,6 +76,23 @@
 	effect.HostDraining:     logevent.DrainStarted,
 	effect.HostReturned:     logevent.HostInService,
 	effect.WaveStopped:      logevent.WaveStopped,
+	effect.TermChanged:      logevent.TermChanged,
+	effect.ReplicaJoined:    logevent.ReplicaJoined,
+	effect.ReplicaReplaced:  logevent.ReplicaReplaced,
+	effect.TargetReturned:   logevent.TargetReturned,
+	effect.ClaimUnknown:     logevent.ClaimUnknown,
+	effect.QueueFull:        logevent.QueueFull,
+	effect.RetryBudgetSpent: logevent.RetryBudgetSpent,
+	effect.WorkerReleased:   logevent.WorkerReleased,
+	effect.TaskLost:         logevent.TaskLost,
+	effect.TaskFailed:       logevent.TaskFailed,
+	effect.TaskRefused:      logevent.TaskRefused,
+	effect.HostDrained:      logevent.DrainEnded,
+	effect.HostMoved:        logevent.HostMoved,
+	effect.WaveStep:         logevent.WaveStep,
+	effect.WaveEnded:        logevent.WaveEnded,
+	effect.DataCentreOut:    logevent.DataCentreOut,
+	effect.DataCentreIn:     logevent.DataCentreIn,
 	effect.Stopping:         logevent.ProcessStopping,
 }
 
@@ -93,6 +110,9 @@
 	if e.Team != "" {
 		fields = append(fields, logevent.Team(e.Team))
 	}
+	if e.Queue != "" {
+		fields = append(fields, logevent.Queue(e.Queue))
+	}
 	if e.Term != 0 {
 		fields = append(fields, logevent.Term(e.Term))
 	}
--- a/gateway/held.go
+++ b/gateway/held.go
@@ -11,6 +11,7 @@
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/problem"
 	"primrosedale.example/primrosedale/gateway/reply"
+	"primrosedale.example/primrosedale/logevent"
 )
 
 // attemptsHeader tells the caller how many attempts were made.
@@ -200,6 +201,9 @@
 
 func (s *Server) refuse(w http.ResponseWriter, p *problem.Problem, id model.RequestID) {
 	countRefused(p.Kind)
+	if p.Kind == problem.KeyRejected || p.Kind == problem.KeyMissing {
+		s.keyless.Emit(s.log, logevent.KeyRejected, logevent.Str(logevent.NameKind, string(p.Kind)))
+	}
 	s.closeIfStopping(w)
 	w.Header().Set(reply.RequestIDHeader, string(id))
 	reply.Problem(w, p, id, s.control.Rand())
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -96,6 +96,7 @@
 	counter   atomic.Uint64
 	attempts  sync.WaitGroup
 	refusals  refusals
+	keyless   logevent.Seldom // refusals without a key in force
 
 	commands pending.Table[model.CommandID, fleet.Result]
 	statuses pending.Table[uint64, effect.AnswerStatus]
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -38,7 +38,7 @@
 		"the settings file has a fault and the process does not start",
 		"Correct the line named in the reason and start the process again."},
 	{ControlQueueFull, "control_queue_full", zerolog.WarnLevel,
-		"the control queue is full and an event was refused",
+		"the control queue is full and events were refused",
 		"If it lasts, lower the load on this host or look for a slow disk or processor."},
 	{JournalError, "journal_error", zerolog.ErrorLevel,
 		"the event journal cannot be written and is closed",
@@ -128,7 +128,7 @@
 		"a key was withdrawn",
 		"Nothing, if an operator asked for it."},
 	{KeyRejected, "key_rejected", zerolog.InfoLevel,
-		"a request with an unknown, withdrawn or missing key was refused",
+		"requests with an unknown, withdrawn or missing key were refused",
 		"Many of them point to a caller with an old key: give its team a new one."},
 }}
 
@@ -148,6 +148,9 @@
 	{TLSRefused, "tls_refused", zerolog.WarnLevel,
 		"a TLS handshake failed",
 		"Check the certificates of both sides and their validity."},
+	{PeerConnectionError, "peer_connection_error", zerolog.InfoLevel,
+		"a connection between processes ended with an error",
+		"Nothing if 500 follows on the host that opened the connection. Otherwise check the peer and the link."},
 }}
 
 var targetsAndWorkersArea = area{"Targets and workers", []Entry{
@@ -179,8 +182,8 @@
 		"a worker gets no tasks because distinct tasks failed on it or it does not start them",
 		"Examine the worker and replace or reboot it."},
 	{WorkerReleased, "worker_released", zerolog.InfoLevel,
-		"a worker in quarantine gets tasks again",
-		"Nothing."},
+		"the quarantine of a worker is over and it gets one task on trial",
+		"Nothing, if 622 does not follow."},
 }}
 
 var tasksAndMaintenanceArea = area{"Tasks and maintenance", []Entry{
@@ -189,15 +192,15 @@
 		"Nothing."},
 	{TaskLost, "task_lost", zerolog.WarnLevel,
 		"the worker of a task is lost",
-		"Nothing: the task is placed again once the lease has ended."},
+		"Nothing: a task that is idempotent is placed again. The team sees the others as unknown."},
 	{TaskFailed, "task_failed", zerolog.InfoLevel,
 		"a task has failed",
 		"Nothing. The team sees it in the state of the task."},
 	{TaskRefused, "task_refused", zerolog.InfoLevel,
-		"a task was refused or given up",
-		"Tell the team if it cannot run on any worker."},
+		"a task was refused at its submission",
+		"Nothing. The submitter has the kind of the problem."},
 	{TaskEnded, "task_ended", zerolog.DebugLevel,
-		"a task has ended",
+		"a task has finished, was cancelled, or its outcome is unknown",
 		"Nothing."},
 	{DrainStarted, "drain_started", zerolog.InfoLevel,
 		"a host is being drained",
@@ -212,7 +215,7 @@
 		"a host is in service again after maintenance",
 		"Nothing."},
 	{WaveStep, "wave_step", zerolog.InfoLevel,
-		"a maintenance wave has finished a host",
+		"a host is in service again with the image of its maintenance wave",
 		"Nothing."},
 	{WaveStopped, "wave_stopped", zerolog.WarnLevel,
 		"a maintenance wave has stopped",
--- a/logevent/ids.go
+++ b/logevent/ids.go
@@ -61,6 +61,7 @@
 	ClusterRefused       ID = 510
 	PeerMessageMalformed ID = 511
 	TLSRefused           ID = 512
+	PeerConnectionError  ID = 513
 )
 
 // Targets and workers.
--- a/logevent/logevent_test.go
+++ b/logevent/logevent_test.go
@@ -160,3 +160,21 @@
 	}
 	require.Equal(t, 13, checked)
 }
+
+// Guards against callers that fill the disk with lines, and against a count that
+// loses events.
+func TestSeldomWritesOneLineASecond(t *testing.T) {
+	var out bytes.Buffer
+	now := time.Unix(1000, 0)
+	log, err := New(Options{Out: &out, Format: JSON, Level: "info", Now: func() time.Time { return now }})
+	require.NoError(t, err)
+	var seldom Seldom
+	for range 5 {
+		seldom.Emit(log, KeyRejected)
+	}
+	require.Equal(t, 1, strings.Count(out.String(), "\n"))
+	now = now.Add(time.Second)
+	seldom.Emit(log, KeyRejected)
+	require.Equal(t, 2, strings.Count(out.String(), "\n"))
+	require.Contains(t, out.String(), `"count":5`)
+}
--- /dev/null
+++ b/logevent/seldom.go
@@ -0,0 +1,30 @@
+package logevent
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// seldomInterval is the shortest time between two lines of a Seldom.
+const seldomInterval = time.Second
+
+// Seldom writes an event that callers can cause at any rate: the first at once,
+// then at most one line a second with the count since the last line. It is safe
+// for use by several goroutines.
+type Seldom struct {
+	next  atomic.Int64 // UnixNano
+	count atomic.Int64 // since the last line
+}
+
+// Emit writes or counts the event. The fields are those of the last one.
+func (s *Seldom) Emit(l Logger, id ID, fields ...Field) {
+	if l.now == nil {
+		return
+	}
+	s.count.Add(1)
+	now, next := l.now().UnixNano(), s.next.Load()
+	if now < next || !s.next.CompareAndSwap(next, now+int64(seldomInterval)) {
+		return
+	}
+	l.With(Int(NameCount, s.count.Swap(0))).Emit(id, fields...)
+}
--- /dev/null
+++ b/transport/liblog.go
@@ -0,0 +1,30 @@
+package transport
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/logevent"
+)
+
+// connLog writes what the JSON-RPC library has to say about one connection. By
+// default the library writes lines of its own to standard error.
+type connLog struct {
+	log     logevent.Logger
+	host    model.HostID // empty if the peer is not known yet
+	address string
+}
+
+// Printf implements jsonrpc2.Logger.
+func (l connLog) Printf(format string, v ...any) {
+	reason := strings.TrimPrefix(strings.TrimSpace(fmt.Sprintf(format, v...)), "jsonrpc2: ")
+	l.log.Emit(logevent.PeerConnectionError, logevent.Host(l.host),
+		logevent.Str(logevent.NameAddress, l.address), logevent.Str(logevent.NameReason, reason))
+}
+
+func (t *Transport) logOf(host model.HostID, address string) jsonrpc2.ConnOpt {
+	return jsonrpc2.SetLogger(connLog{t.log, host, address})
+}
--- a/transport/receiver.go
+++ b/transport/receiver.go
@@ -31,7 +31,7 @@
 	}
 	r := &receiver{t: t, address: c.RemoteAddr().String()}
 	stream := jsonrpc2.NewPlainObjectStream(countedConn{c})
-	conn := jsonrpc2.NewConn(ctx, stream, r)
+	conn := jsonrpc2.NewConn(ctx, stream, r, t.logOf("", r.address))
 	select {
 	case <-conn.DisconnectNotify():
 	case <-ctx.Done():
--- a/transport/sender.go
+++ b/transport/sender.go
@@ -79,7 +79,7 @@
 		raw = tls.Client(raw, p.t.cfg.TLSClient)
 	}
 	stream := jsonrpc2.NewPlainObjectStream(countedConn{raw})
-	conn := jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(refuseAll))
+	conn := jsonrpc2.NewConn(ctx, stream, jsonrpc2.HandlerWithError(refuseAll), p.t.logOf(p.host, p.address))
 	if err := p.introduce(ctx, conn); err != nil {
 		_ = conn.Close()
 		return nil, err
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -124,6 +125,22 @@
 	require.Empty(t, b.inbox)
 }
 
+// Guards against the JSON-RPC library's own lines on standard error, which have
+// no number and no fields.
+func TestConnectionErrorsAreLogged(t *testing.T) {
+	l := listen(t)
+	b := start(t, "c", "b", l, map[model.HostID]string{"a": "127.0.0.1:1"})
+	stray, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer stray.Close()
+	_, err = stray.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		return strings.Contains(b.log.String(), `"id":513`)
+	}, testTimeout, 10*time.Millisecond)
+	require.Contains(t, b.log.String(), "protocol error: invalid character")
+}
+
 // Guards against messages that are accepted before the sender is known, or
 // that are malformed, and against a panic on either.
 func TestBadPeersAreDisconnected(t *testing.T) {
