burn, fleet, rules: count tasks for objectives

No objective could be about tasks, because they name a pool and not a service: the people on call saw nothing of a night in which studies were lost. An objective now names either a service or a pool; tasks count in the replicated state, at the entry that ends them, so that a change of leader neither counts one twice nor loses it. Passing counts on from hosts, as requests do, was ruled out: a task has no host that holds it. A finished task is late if its last run began later after the submission than its longest run, since tasks declare no patience; a task that failed on 3 workers, ran longer than it declared or was cancelled is the submitter's own matter and not counted; one failure of a task that must not run twice counts as failed, since nothing shows whose fault it is. The table, JSON and page name the work of each objective. Conclusion: tasks are accounted like requests, without new messages.

--- a/core/burn.go
+++ b/core/burn.go
@@ -19,7 +19,7 @@
 // countEnds counts the requests that ended with this event.
 func (s *State) countEnds() {
 	for _, end := range s.table.TakeEnds() {
-		s.countBurn(end.Team, end.Queue, end.Cause, 1)
+		s.countBurn(s.requestKey(end.Team, end.Queue), end.Cause, 1)
 	}
 }
 
@@ -30,18 +30,25 @@
 	return s.burn.Due(s.now, term)
 }
 
-// countRefusals counts the requests that the traffic side refused.
+// countRefusals counts the requests and tasks that the traffic side refused.
 func (s *State) countRefusals(list []event.Refusal) {
 	for _, r := range list {
-		s.countBurn(r.Team, r.Queue, burn.OfProblem(r.Kind), r.Count)
+		key := s.requestKey(r.Team, r.Queue)
+		if r.Pool != "" {
+			key = burn.Key{Team: r.Team, Pool: r.Pool}
+		}
+		s.countBurn(key, burn.OfProblem(r.Kind), r.Count)
 	}
 }
 
-func (s *State) countBurn(team model.TeamID, queue model.QueueID, cause burn.Cause, n uint64) {
+func (s *State) requestKey(team model.TeamID, queue model.QueueID) burn.Key {
+	return burn.Key{Team: team, Service: s.fleet.Rules.Queues[queue].Service}
+}
+
+func (s *State) countBurn(key burn.Key, cause burn.Cause, n uint64) {
 	if s.burnFor.rules != s.fleet.Rules {
 		s.burnFor = countedWork{s.fleet.Rules, burn.KeysOf(s.fleet.Rules)}
 	}
-	key := burn.Key{Team: team, Service: s.fleet.Rules.Queues[queue].Service}
 	if s.burnFor.keys.Has(key) {
 		s.burn.Count(key, cause, n)
 	}
--- a/core/burn/counts.go
+++ b/core/burn/counts.go
@@ -9,8 +9,9 @@
 // however often it is sent or proposed. A process knows from its own copy of
 // the History which of its batches need not be sent again.
 //
-// Only requests are counted. Tasks name a pool and not a service, so no
-// objective covers them.
+// Tasks are counted where they end in the replicated state (History.Count), so
+// that no host passes counts of them on. Only their refusals before that, by a
+// host that cannot take them, are counted like those of requests.
 package burn
 
 import (
@@ -21,7 +22,7 @@
 	"primrosedale.example/primrosedale/core/rules"
 )
 
-// Cause is how one request counts at its end.
+// Cause is how one request or task counts at its end.
 type Cause string
 
 // The causes. All but Good and NotCounted spend the error budget.
@@ -74,17 +75,22 @@
 	}
 }
 
-// Key names the work that objectives are about.
+// Key names the work that objectives are about: a team's requests for a service
+// or its tasks in a pool.
 type Key struct {
 	Team    model.TeamID    `json:"team"`
-	Service model.ServiceID `json:"service"`
+	Service model.ServiceID `json:"service,omitempty"`
+	Pool    model.PoolID    `json:"pool,omitempty"`
 }
 
+// KeyOf returns the work of an objective.
+func KeyOf(o rules.Objective) Key { return Key{Team: o.Team, Service: o.Service, Pool: o.Pool} }
+
 func (k Key) compare(other Key) int {
-	return cmp.Or(cmp.Compare(k.Team, other.Team), cmp.Compare(k.Service, other.Service))
+	return cmp.Or(cmp.Compare(k.Team, other.Team), cmp.Compare(k.Service, other.Service), cmp.Compare(k.Pool, other.Pool))
 }
 
-// Counts counts ended requests by cause.
+// Counts counts ended requests or tasks by cause.
 type Counts struct {
 	Good    uint64 `json:"good,omitempty"`
 	Refused uint64 `json:"refused,omitempty"`
@@ -94,7 +100,7 @@
 	Failed  uint64 `json:"failed,omitempty"`
 }
 
-// Of returns the number of requests that ended for this cause.
+// Of returns the number of those that ended for this cause.
 func (c Counts) Of(cause Cause) uint64 {
 	if field := c.field(cause); field != nil {
 		return *field
@@ -102,10 +108,10 @@
 	return 0
 }
 
-// Bad returns the number of requests that spent error budget.
+// Bad returns the number of those that spent error budget.
 func (c Counts) Bad() uint64 { return c.Refused + c.Late + c.Lost + c.Unknown + c.Failed }
 
-// Total returns the number of requests.
+// Total returns the number of all.
 func (c Counts) Total() uint64 { return c.Good + c.Bad() }
 
 // Plus returns the sum of c and d.
@@ -120,7 +126,7 @@
 	}
 }
 
-// count adds n requests that ended for this cause.
+// count adds n that ended for this cause.
 func (c *Counts) count(cause Cause, n uint64) {
 	if field := c.field(cause); field != nil {
 		*field += n
@@ -154,7 +160,7 @@
 func KeysOf(r *rules.Rules) Keys {
 	keys := make(Keys, len(r.Objectives))
 	for _, o := range r.Objectives {
-		keys[Key{o.Team, o.Service}] = struct{}{}
+		keys[KeyOf(o)] = struct{}{}
 	}
 	return keys
 }
--- a/core/burn/history.go
+++ b/core/burn/history.go
@@ -69,6 +69,15 @@
 	return true
 }
 
+// Count adds one ended task at this time of the wall clock.
+func (h *History) Count(at model.Time, key Key, cause Cause, wanted Keys) {
+	var counts Counts
+	counts.count(cause, 1)
+	h.Series = slices.Clone(h.Series)
+	h.addCounts(at, key, counts)
+	h.retain(wanted)
+}
+
 // Wall returns the wall clock that belongs to a time of the replicated clock.
 func (h *History) Wall(clock model.Time) model.Time {
 	if h.Time == 0 {
--- a/core/burn/history_test.go
+++ b/core/burn/history_test.go
@@ -14,7 +14,7 @@
 const day = 24 * model.Hour
 
 var (
-	key   = Key{"press", "render"}
+	key   = Key{Team: "press", Service: "render"}
 	epoch = model.Time(20_000 * day)
 )
 
@@ -150,7 +150,7 @@
 			c := Counts{Good: rapid.Uint64Range(0, 9).Draw(t, "good"), Late: rapid.Uint64Range(0, 2).Draw(t, "late")}
 			all = append(all, request{now, c})
 			n := uint64(i)
-			h.Add(recordOf(now, Process{"a", "1"}, n, n+1, Entry{key, c}, Entry{Key{"not", "wanted"}, c}), now, Keys{key: {}})
+			h.Add(recordOf(now, Process{"a", "1"}, n, n+1, Entry{key, c}, Entry{Key{Team: "not", Service: "wanted"}, c}), now, Keys{key: {}})
 		}
 		for _, r := range all {
 			now = max(now, r.at)
@@ -193,13 +193,13 @@
 	var h History
 	wanted := Keys{}
 	for i := range SeriesMax + 20 {
-		k := Key{model.TeamID(fmt.Sprint("t", i)), "render"}
+		k := Key{Team: model.TeamID(fmt.Sprint("t", i)), Service: "render"}
 		wanted[k] = struct{}{}
 		at, n := epoch.Add(model.Duration(i)*model.Hour), uint64(i)
 		h.Add(recordOf(at, Process{"a", "1"}, n, n+1, Entry{k, Counts{Good: 1}}), epoch, wanted)
 	}
 	require.Len(t, h.Series, SeriesMax)
-	require.Empty(t, h.Of(Key{"t0", "render"}).Minutes, "the oldest series goes first")
+	require.Empty(t, h.Of(Key{Team: "t0", Service: "render"}).Minutes, "the oldest series goes first")
 
 	for i := range EventsMax + 20 {
 		h.Note(Event{At: epoch.Add(model.Duration(i) * model.Hour), Kind: WaveBegun, Name: "w"})
--- a/core/burn/report.go
+++ b/core/burn/report.go
@@ -85,7 +85,7 @@
 	longest := LongWindow
 	for _, name := range slices.Sorted(maps.Keys(s.Rules.Objectives)) {
 		o := s.Rules.Objectives[name]
-		line := account(name, o, s.History.Of(Key{o.Team, o.Service}), now)
+		line := account(name, o, s.History.Of(KeyOf(o)), now)
 		r.Lines = append(r.Lines, line)
 		r.OnTime = r.OnTime && line.State != Missed
 		longest = max(longest, o.Window)
--- a/core/changes.go
+++ b/core/changes.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 
@@ -79,7 +80,7 @@
 		s.emit(effect.Log{Code: effect.HostDrained, Host: c.Host})
 	}
 	if was.Pool != is.Pool {
-		s.emit(effect.Log{Code: effect.HostMoved, Host: c.Host, Detail: "from " + string(was.Pool) + " to " + string(is.Pool)})
+		s.emit(effect.Log{Code: effect.HostMoved, Host: c.Host, Detail: fmt.Sprintf("from pool %q to pool %q", was.Pool, is.Pool)})
 	}
 	if was.Phase == fleet.HostRebooting && is.Phase == fleet.HostServing && was.ImageWant != "" {
 		s.emit(effect.Log{Code: effect.WaveStep, Host: c.Host, Detail: is.Image})
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -75,10 +75,12 @@
 // RequestArrived.
 type RequestsRefused struct{ Refusals []Refusal }
 
-// Refusal counts refused requests of one team, queue and kind.
+// Refusal counts refused requests of one team, queue and kind, or refused tasks
+// of one team, pool and kind.
 type Refusal struct {
 	Team  model.TeamID
-	Queue model.QueueID
+	Queue model.QueueID // of requests
+	Pool  model.PoolID  // of tasks
 	Kind  problem.Kind
 	Count uint64
 }
--- a/core/fleet/burn.go
+++ b/core/fleet/burn.go
@@ -20,6 +20,55 @@
 	return Result{}
 }
 
+// countTask counts a task whose run has ended, if it runs no more and an
+// objective names its work.
+func (s *State) countTask(task *Task, outcome TaskOutcome) {
+	cause := taskCause(task, outcome)
+	key := burn.Key{Team: task.Team, Pool: task.Spec.Pool}
+	if cause == burn.NotCounted {
+		return
+	}
+	if wanted := burn.KeysOf(s.Rules); wanted.Has(key) {
+		s.Burn.Count(s.Burn.Wall(s.Now), key, cause, wanted)
+	}
+}
+
+// taskCause returns how a task counts after a run with this outcome. It does not
+// count while it will run again, when its submitter cancelled it, or when the
+// fault is shown to be its own.
+func taskCause(task *Task, outcome TaskOutcome) burn.Cause {
+	switch {
+	case task.Phase == TaskFinished && task.startedLate():
+		return burn.Late
+	case task.Phase == TaskFinished:
+		return burn.Good
+	case task.Cancel:
+		return burn.NotCounted
+	case task.Phase == TaskFailed && !task.ownFault():
+		return burn.Failed
+	case task.Phase == TaskUnknown && outcome == OutcomeLost:
+		return burn.Lost
+	case task.Phase == TaskUnknown:
+		return burn.Unknown
+	}
+	return burn.NotCounted
+}
+
+// startedLate reports whether the last run of a task began later after its
+// submission than the longest run that it declared. Tasks have no patience of
+// their own, and the longest run tells urgent work from overnight studies.
+func (t *Task) startedLate() bool {
+	return t.Spec.MaxRun > 0 && t.Placed.Sub(t.Submitted) > t.Spec.MaxRun
+}
+
+// ownFault reports whether a failed task is at fault itself: it can never run,
+// since it failed on several workers, or it ran longer than it declared. One
+// failure of a task that must not run twice shows nothing of the kind.
+func (t *Task) ownFault() bool {
+	overdue := t.Spec.MaxRun > 0 && t.Ended.Sub(t.Placed) > t.Spec.MaxRun
+	return overdue || len(t.FailedOn) >= failuresOfTask
+}
+
 // note adds an event of the period at the present time.
 func (s *State) note(kind burn.EventKind, name string) {
 	s.Burn.Note(burn.Event{At: s.Burn.Wall(s.Now), Kind: kind, Name: name})
--- a/core/fleet/burn_test.go
+++ b/core/fleet/burn_test.go
@@ -87,3 +87,56 @@
 	restarted.Apply(f.Index+1, &record)
 	require.Equal(t, burn.Counts{Good: 3, Lost: 1}, restarted.Burn.Of(key).Sum(wall, model.Hour))
 }
+
+// Guards against tasks that an objective does not see or counts twice, and
+// against a submitter's own fault that spends the budget of the fleet.
+func TestEndedTasksAreCountedOnce(t *testing.T) {
+	const longest = model.Minute
+	cases := []struct {
+		name       string
+		idempotent bool
+		waited     model.Duration
+		ran        model.Duration
+		outcomes   []TaskOutcome // of runs on h1, h2, h3
+		cancel     bool
+		want       burn.Counts
+	}{
+		{"finished", true, longest, 0, []TaskOutcome{OutcomeFinished}, false, burn.Counts{Good: 1}},
+		{"finished after a lost run", true, 0, 0, []TaskOutcome{OutcomeLost, OutcomeFinished}, false, burn.Counts{Good: 1}},
+		{"waited too long", true, longest + 1, 0, []TaskOutcome{OutcomeFinished}, false, burn.Counts{Late: 1}},
+		{"runs again", true, 0, 0, []TaskOutcome{OutcomeFailed, OutcomeLost}, false, burn.Counts{}},
+		{"can never run", true, 0, 0, []TaskOutcome{OutcomeFailed, OutcomeFailed, OutcomeFailed}, false, burn.Counts{}},
+		{"failed once for all", false, 0, 0, []TaskOutcome{OutcomeFailed}, false, burn.Counts{Failed: 1}},
+		{"overran", false, 0, longest + 1, []TaskOutcome{OutcomeFailed}, false, burn.Counts{}},
+		{"lost", false, 0, 0, []TaskOutcome{OutcomeLost}, false, burn.Counts{Lost: 1}},
+		{"stopped", false, 0, 0, []TaskOutcome{OutcomeStopped}, false, burn.Counts{Unknown: 1}},
+		{"cancelled", false, 0, 0, []TaskOutcome{OutcomeStopped}, true, burn.Counts{}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.applyRules("", 1, "hash2", func(r *rules.Rules) {
+				r.Objectives = map[string]rules.Objective{"o": {Team: "press", Pool: "a", Good: 0.9, Window: model.Hour}}
+			})
+			at := func(d model.Duration, command Command) {
+				command.At = f.Now.Add(d)
+				f.Apply(f.Index+1, &command)
+			}
+			at(0, Command{SubmitTask: &SubmitTask{Task: "t", Team: "press", Spec: TaskSpec{
+				Pool: "a", Size: model.Resources{MilliCPU: 1}, MaxRun: longest, Idempotent: c.idempotent}}})
+			for i, outcome := range c.outcomes {
+				worker := []model.HostID{"h1", "h2", "h3"}[i]
+				at(c.waited, Command{PlaceTask: &PlaceTask{Task: "t", Worker: worker}})
+				require.Equal(t, TaskPlaced, f.Tasks["t"].Phase)
+				if c.cancel {
+					at(0, Command{CancelTask: &CancelTask{Task: "t", Team: "press"}})
+				}
+				end := Command{EndTask: &EndTask{Task: "t", Epoch: uint64(i + 1), Outcome: outcome}}
+				at(c.ran, end)
+				at(0, end) // by a leader that does not know of the first one
+			}
+			key := burn.Key{Team: "press", Pool: "a"}
+			require.Equal(t, c.want, f.Burn.Of(key).Sum(f.Burn.Wall(f.Now), model.Hour))
+		})
+	}
+}
--- a/core/fleet/tasks.go
+++ b/core/fleet/tasks.go
@@ -129,6 +129,7 @@
 		return refused(problem.BadRequest, "there is no task outcome %q", c.Outcome)
 	}
 	s.finishRun(&ended, phase)
+	s.countTask(&ended, c.Outcome)
 	return Result{Task: c.Task}
 }
 
--- a/core/rules/check.go
+++ b/core/rules/check.go
@@ -210,7 +210,12 @@
 	for id, objective := range c.rules.Objectives {
 		rule := c.name("objective", id)
 		c.team(rule, objective.Team)
-		if !c.services[objective.Service] {
+		switch {
+		case objective.Pool != "" && objective.Service != "":
+			c.add(rule, "pool", strconv.Quote(string(objective.Pool)), "no pool beside a service")
+		case objective.Pool != "":
+			c.pool(rule, "pool", objective.Pool)
+		case !c.services[objective.Service]:
 			c.add(rule, "service", strconv.Quote(string(objective.Service)), "the service of a queue")
 		}
 		if !(objective.Good > 0 && objective.Good < 1) {
--- a/core/rules/rules.go
+++ b/core/rules/rules.go
@@ -51,11 +51,13 @@
 	Image string         `json:"image"`
 }
 
-// Objective is a service-level objective for the burn report.
+// Objective is a service-level objective for the burn report. It is about the
+// team's requests for Service or about its tasks in Pool: one of the two is set.
 type Objective struct {
 	Team    model.TeamID    `json:"team"`
-	Service model.ServiceID `json:"service"`
-	Good    float64         `json:"good"`   // fraction of requests, 0 to 1
+	Service model.ServiceID `json:"service,omitempty"`
+	Pool    model.PoolID    `json:"pool,omitempty"`
+	Good    float64         `json:"good"`   // fraction of requests or tasks, 0 to 1
 	Window  model.Duration  `json:"window"` // length of the error budget
 }
 
--- a/report/html.go
+++ b/report/html.go
@@ -29,11 +29,11 @@
 
 // row is one objective, with all values as text.
 type row struct {
-	Name, Team, Service string
+	Name, Team, Work    string
 	State               burn.State
 	StateText           string
 	Wanted, Good        string
-	Requests            string
+	Ended               string
 	BudgetLeft          string
 	Filled              string // of the budget bar, in percent; empty without work
 	BurnShort, BurnLong string
@@ -65,10 +65,10 @@
 func newRow(l burn.Line, r *burn.Report) row {
 	good, left := figures(l)
 	out := row{
-		Name: l.Name, Team: string(l.Team), Service: string(l.Service),
+		Name: l.Name, Team: string(l.Team), Work: workText(l.Key),
 		State: l.State, StateText: stateTexts[l.State],
 		Wanted: percent(l.Wanted, l.Wanted), Good: good,
-		Requests:   countText(l.Counts.Total()),
+		Ended:      countText(l.Counts.Total()),
 		BudgetLeft: left,
 		Filled:     fmt.Sprintf("%.0f", 100*min(1, max(0, l.BudgetLeft))),
 		BurnShort:  burnText(l.BurnShort), BurnLong: burnText(l.BurnLong),
--- a/report/report_test.go
+++ b/report/report_test.go
@@ -29,6 +29,7 @@
 		"press-render":  {Team: "press", Service: "render", Good: 0.99, Window: 30 * day},
 		"archive-index": {Team: "archive", Service: "index", Good: 0.95, Window: 7 * day},
 		"orders-sync":   {Team: "orders", Service: "sync", Good: 0.999, Window: 30 * day},
+		"press-tasks":   {Team: "press", Pool: "press", Good: 0.95, Window: 7 * day},
 		"trade-render":  {Team: "trade", Service: "render", Good: 0.99, Window: day},
 	}}
 	note := func(before model.Duration, kind burn.EventKind, name string, count int) {
@@ -61,6 +62,7 @@
 			{Process: burn.Process{Host: "entry-1", Incarnation: "1"}, From: seq - 1, To: seq},
 		}, Entries: []burn.Entry{
 			{Key: burn.Key{Team: "press", Service: "render"}, Counts: press},
+			{Key: burn.Key{Team: "press", Pool: "press"}, Counts: burn.Counts{Good: 12, Late: uint64(d/model.Hour) % 2}},
 			{Key: burn.Key{Team: "orders", Service: "sync"}, Counts: orders},
 			{Key: burn.Key{Team: "archive", Service: "index"}, Counts: burn.Counts{Good: 400, Late: uint64(d/model.Hour) % 7}},
 		}}, 0, burn.KeysOf(r))
@@ -113,12 +115,14 @@
 	var out bytes.Buffer
 	require.NoError(t, Table(&out, r))
 	text := out.String()
-	require.Contains(t, text, "on time? No: 1 of 4 objectives missed.")
+	require.Contains(t, text, "on time? No: 1 of 5 objectives missed.")
 	require.Contains(t, text, "press-render: ")
 	require.Contains(t, text, "most of the rest was late")
 	require.Contains(t, text, "At risk, because the budget is burning faster than it lasts: ")
 	require.Contains(t, text, "Without work in the window: trade-render.")
 	require.Contains(t, text, "data centre west lost")
+	require.Contains(t, text, "tasks in press")
+	require.Contains(t, text, "requests to render")
 	require.Less(t, strings.Index(text, "press-render  press"), strings.Index(text, "archive-index  archive"), "worst first")
 
 	var kept []burn.Line
--- a/report/table.go
+++ b/report/table.go
@@ -37,11 +37,11 @@
 	if len(r.Lines) == 0 {
 		return
 	}
-	fmt.Fprintln(w, "\nOBJECTIVE\tTEAM\tSERVICE\tSTATE\tWANTED\tGOOD\tREQUESTS\tBUDGET LEFT\tBURN 5 MIN\tBURN 1 H\tWINDOW\tSPENT ON")
+	fmt.Fprintln(w, "\nOBJECTIVE\tTEAM\tWORK\tSTATE\tWANTED\tGOOD\tENDED\tBUDGET LEFT\tBURN 5 MIN\tBURN 1 H\tWINDOW\tSPENT ON")
 	for _, l := range worstFirst(r.Lines) {
 		good, left := figures(l)
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n",
-			l.Name, l.Team, l.Service, stateTexts[l.State], percent(l.Wanted, l.Wanted), good,
+			l.Name, l.Team, workText(l.Key), stateTexts[l.State], percent(l.Wanted, l.Wanted), good,
 			countText(l.Counts.Total()), left, burnText(l.BurnShort), burnText(l.BurnLong),
 			windowText(l.Window), spentOn(l.Counts))
 	}
--- a/report/words.go
+++ b/report/words.go
@@ -97,6 +97,14 @@
 	burn.Met: "met", burn.AtRisk: "at risk", burn.Missed: "missed", burn.NoWork: "no work",
 }
 
+// workText names what an objective is about.
+func workText(k burn.Key) string {
+	if k.Pool != "" {
+		return "tasks in " + string(k.Pool)
+	}
+	return "requests to " + string(k.Service)
+}
+
 func causeText(c burn.Cause) string {
 	if c == burn.Unknown {
 		return "of unknown outcome"
@@ -231,7 +239,8 @@
 // notes says what the figures cover.
 var notes = []string{
 	"A request is good if it was answered whole, was started within its patience and got no server error. Each counts once, at its end.",
-	"Refusals that are the caller's own fault, requests whose caller went away, and tasks are not counted.",
-	"A host that crashes loses the counts that it had not yet passed on: about the last 5 seconds, up to 20 if the leader is lost with it, and all since the last leader if there is none. The requests that it held are not counted. Counts appear here after up to 20 seconds.",
+	"A task is good if it finished, and its last run began within its longest run time after its submission; otherwise it is late. A task is lost or unknown if it must not run twice and its worker was lost or the system stopped it, failed if its one run failed, and refused if a host could not take it.",
+	"What is the caller's or the task's own fault is not counted: refusals that say so, a task that failed on 3 workers or ran longer than it declared, and requests and tasks that their caller gave up. A task counts once, when it ends: one that still waits or will run again is not counted yet.",
+	"A host that crashes loses the counts that it had not yet passed on: about the last 5 seconds, up to 20 if the leader is lost with it, and all since the last leader if there is none. The requests that it held are not counted. Ended tasks are in the replicated state and are not lost. Counts appear here after up to 20 seconds.",
 	"Burn 1.0× spends the error budget exactly within the window. The plots show the budget of the work of the whole window, and how bad work has spent it.",
 }
--- a/rulesfile/format.go
+++ b/rulesfile/format.go
@@ -114,9 +114,13 @@
 }
 
 func objectiveText(o rules.Objective) []string {
+	work := "service = " + strconv.Quote(string(o.Service))
+	if o.Pool != "" {
+		work = "pool = " + strconv.Quote(string(o.Pool))
+	}
 	return []string{
 		"team = " + strconv.Quote(string(o.Team)),
-		"service = " + strconv.Quote(string(o.Service)),
+		work,
 		"good = " + filefault.FormatNumber(o.Good),
 		"window_h = " + strconv.FormatInt(int64(o.Window/model.Hour), 10),
 	}
--- a/rulesfile/format_test.go
+++ b/rulesfile/format_test.go
@@ -81,12 +81,17 @@
 	}
 	if len(r.Teams) > 0 && len(r.Queues) > 0 {
 		r.Objectives = mapOf[string](t, "objectives", func(t *rapid.T) rules.Objective {
-			return rules.Objective{
-				Team:    oneOf(t, r.Teams),
-				Service: r.Queues[oneOf(t, r.Queues)].Service,
-				Good:    rapid.Float64Range(0.001, 0.999999).Draw(t, "good"),
-				Window:  model.Duration(rapid.Int64Range(1, maxWindowH).Draw(t, "window")) * model.Hour,
+			o := rules.Objective{
+				Team:   oneOf(t, r.Teams),
+				Good:   rapid.Float64Range(0.001, 0.999999).Draw(t, "good"),
+				Window: model.Duration(rapid.Int64Range(1, maxWindowH).Draw(t, "window")) * model.Hour,
 			}
+			if len(r.Pools) > 0 && rapid.Bool().Draw(t, "tasks") {
+				o.Pool = oneOf(t, r.Pools)
+			} else {
+				o.Service = r.Queues[oneOf(t, r.Queues)].Service
+			}
+			return o
 		})
 	}
 	return r
--- a/rulesfile/kinds.go
+++ b/rulesfile/kinds.go
@@ -114,10 +114,14 @@
 }
 
 func decodeObjective(r *rules.Rules, name string, t *filefault.Table) {
-	t.Require("team", "service", "good", "window_h")
+	t.Require("team", "good", "window_h")
+	if !t.Has("pool") {
+		t.Require("service")
+	}
 	put(&r.Objectives, name, rules.Objective{
 		Team:    model.TeamID(identifier(t, "team")),
 		Service: model.ServiceID(identifier(t, "service")),
+		Pool:    model.PoolID(identifier(t, "pool")),
 		Good:    t.Number("good", 0, goodInterval),
 		Window:  model.Duration(t.Int("window_h", 1, minWindowH, maxWindowH)) * model.Hour,
 	})
--- a/rulesfile/parse_test.go
+++ b/rulesfile/parse_test.go
@@ -93,6 +93,8 @@
 		"open without team": {`queue.x = { service = "render", open = true } # a`, "queue.x.team: found none, allowed a team, because the queue is open"},
 		"unknown team":      {`queue.x = { service = "render", open = true, team = "x" } # a`, `queue.x.team: found "x", allowed a team of the rules`},
 		"unknown service":   {`objective.x = { team = "press", service = "x", good = 0.9, window_h = 1 } # a`, `objective.x.service: found "x", allowed the service of a queue`},
+		"objective of both": {`objective.x = { team = "press", service = "render", pool = "x", good = 0.9, window_h = 1 } # a`, `objective.x.pool: found "x", allowed no pool beside a service`},
+		"objective's pool":  {`objective.x = { team = "press", pool = "x", good = 0.9, window_h = 1 } # a`, `objective.x.pool: found "x", allowed a pool of the rules`},
 		"unknown pool":      {`host.x = { pool = "x" } # a`, `host.x.pool: found "x", allowed a pool of the rules`},
 		"unknown wave pool": {`wave.x = { pools = ["x"], image = "i" } # a`, `wave.x.pools: found "x", allowed a pool of the rules`},
 	}
