gateway: give task times in seconds and RFC 3339; count refused tasks

The answer is a type of its own now, gateway.TaskStatus: spec is the body of the submission (run_time_s, max_run_s), and submitted, placed and ended are RFC 3339. Refusals of submissions that a host makes before the reducer sees them (overloaded, no_lease, stopping) are counted for the objective of the pool. Conclusion: callers read times without a table of units.

--- a/core/model/model.go
+++ b/core/model/model.go
@@ -57,6 +57,16 @@
 	Accelerators int64 `json:"accelerators"` // whole devices
 }
 
+// MaxAmount bounds each amount of what one worker or task may declare, so that
+// sums over the fleet do not overflow.
+const MaxAmount = 1 << 40
+
+// Valid reports whether no amount is negative or over MaxAmount.
+func (r Resources) Valid() bool {
+	valid := func(amount int64) bool { return amount >= 0 && amount <= MaxAmount }
+	return valid(r.MilliCPU) && valid(r.MemoryMB) && valid(r.Accelerators)
+}
+
 // Add returns r + s.
 func (r Resources) Add(s Resources) Resources {
 	return Resources{r.MilliCPU + s.MilliCPU, r.MemoryMB + s.MemoryMB, r.Accelerators + s.Accelerators}
--- a/devcluster/workers_test.go
+++ b/devcluster/workers_test.go
@@ -14,6 +14,7 @@
 
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/gateway"
 	"primrosedale.example/primrosedale/operator/client"
 	"primrosedale.example/primrosedale/rulesfile"
 	"primrosedale.example/primrosedale/standin"
@@ -65,19 +66,19 @@
 }
 
 // await returns the task once done is true of it.
-func (c taskClient) await(id model.TaskID, done func(fleet.Task) bool) fleet.Task {
+func (c taskClient) await(id model.TaskID, done func(gateway.TaskStatus) bool) gateway.TaskStatus {
 	c.t.Helper()
-	var task fleet.Task
+	var task gateway.TaskStatus
 	require.Eventually(c.t, func() bool {
-		task = fleet.Task{}
+		task = gateway.TaskStatus{}
 		c.call(http.MethodGet, "/v1/tasks/"+string(id), "", http.StatusOK, &task)
 		return done(task)
 	}, 30*time.Second, 50*time.Millisecond, "task %s", id)
 	return task
 }
 
-func inPhase(phase fleet.TaskPhase) func(fleet.Task) bool {
-	return func(t fleet.Task) bool { return t.Phase == phase }
+func inPhase(phase fleet.TaskPhase) func(gateway.TaskStatus) bool {
+	return func(t gateway.TaskStatus) bool { return t.Phase == phase }
 }
 
 // startSystem starts a cluster with four workers and returns it with a client
--- a/gateway/refusals.go
+++ b/gateway/refusals.go
@@ -23,10 +23,11 @@
 type refusalKey struct {
 	team  model.TeamID
 	queue model.QueueID
+	pool  model.PoolID
 	kind  problem.Kind
 }
 
-// refusals counts the requests that were refused before the reducer saw them.
+// refusals counts the requests and tasks that were refused before the reducer saw them.
 // Only traffic goroutines take the lock.
 type refusals struct {
 	mu     sync.Mutex
@@ -48,13 +49,32 @@
 	if p != nil {
 		return
 	}
+	f.add(s, refusalKey{team: team, queue: queue, kind: kind})
+}
+
+// countTask counts a refused submission. A kind that leaves open whether the
+// task was submitted is not counted: the task counts at its end.
+func (f *refusals) countTask(s *Server, r *http.Request, pool model.PoolID, kind problem.Kind) {
+	if burn.OfProblem(kind) != burn.Refused {
+		return
+	}
+	digest, p := reply.BearerDigest(r)
+	if p != nil {
+		return
+	}
+	if team, p := teamOfKey(s.control.View(), digest); p == nil {
+		f.add(s, refusalKey{team: team, pool: pool, kind: kind})
+	}
+}
+
+func (f *refusals) add(s *Server, key refusalKey) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if len(f.counts) == 0 {
 		f.counts = make(map[refusalKey]uint64)
 		time.AfterFunc(refusalDelay, func() { f.post(s) })
 	}
-	f.counts[refusalKey{team, queue, kind}]++
+	f.counts[key]++
 }
 
 // post hands the counts to the reducer.
@@ -65,7 +85,7 @@
 	f.mu.Unlock()
 	var e event.RequestsRefused
 	for key, n := range counts {
-		e.Refusals = append(e.Refusals, event.Refusal{Team: key.team, Queue: key.queue, Kind: key.kind, Count: n})
+		e.Refusals = append(e.Refusals, event.Refusal{Team: key.team, Queue: key.queue, Pool: key.pool, Kind: key.kind, Count: n})
 	}
 	if !s.control.PostWait(s.ctx, e) {
 		s.log.Emit(logevent.RefusalsNotCounted, logevent.Int(logevent.NameCount, int64(len(e.Refusals))))
--- a/gateway/refusals_test.go
+++ b/gateway/refusals_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -38,4 +39,11 @@
 	require.Equal(t, event.RequestsRefused{Refusals: []event.Refusal{
 		{Team: "press", Queue: "proofs", Kind: problem.NoLease, Count: 2},
 	}}, got)
+	submission := httptest.NewRequest(http.MethodPost, "/v1/tasks", strings.NewReader(goodTask))
+	submission.Header = withKey(pressKey)
+	server.Handler().ServeHTTP(httptest.NewRecorder(), submission)
+	got = <-control.events
+	require.Equal(t, event.RequestsRefused{Refusals: []event.Refusal{
+		{Team: "press", Pool: "flow", Kind: problem.NoLease, Count: 1},
+	}}, got)
 }
--- a/gateway/tasks.go
+++ b/gateway/tasks.go
@@ -7,6 +7,7 @@
 	"github.com/google/uuid"
 	"goji.io/pat"
 
+	"primrosedale.example/primrosedale/core/burn"
 	"primrosedale.example/primrosedale/core/event"
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/model"
@@ -24,8 +25,8 @@
 	maxPrecedence  = 9
 )
 
-// taskBody is a task as submitters declare it.
-type taskBody struct {
+// TaskBody is a task as submitters declare it: the body of POST /v1/tasks.
+type TaskBody struct {
 	Pool         model.PoolID `json:"pool"`
 	Command      string       `json:"command"`
 	MilliCPU     int64        `json:"milli_cpu"`
@@ -37,30 +38,38 @@
 	Idempotent   bool         `json:"idempotent"`
 }
 
-// maxTaskSeconds bounds the run times of a task: 30 days.
-const maxTaskSeconds = 30 * 24 * 3600
+// Bounds of the run times of a task: 30 days; and for the longest run a
+// millisecond, since a time that is rounded to zero would stand for no limit.
+const (
+	maxTaskSeconds = 30 * 24 * 3600
+	minTaskSeconds = 0.001
+)
+
+func (b TaskBody) size() model.Resources {
+	return model.Resources{MilliCPU: b.MilliCPU, MemoryMB: b.MemoryMB, Accelerators: b.Accelerators}
+}
 
 // spec checks the form of b. Whether the pool exists is for the reducer.
-func (b taskBody) spec() (fleet.TaskSpec, *problem.Problem) {
+func (b TaskBody) spec() (fleet.TaskSpec, *problem.Problem) {
 	var none fleet.TaskSpec
 	switch {
 	case !reply.IsIdentifier(string(b.Pool)):
 		return none, problem.New(problem.BadRequest, "pool is %q, an identifier is expected", string(b.Pool))
 	case b.Command == "":
 		return none, problem.New(problem.BadRequest, "command is empty")
-	case b.MilliCPU < 0 || b.MemoryMB < 0 || b.Accelerators < 0:
-		return none, problem.New(problem.BadRequest, "milli_cpu, memory_mb and accelerators must not be negative")
+	case !b.size().Valid():
+		return none, problem.New(problem.BadRequest, "milli_cpu, memory_mb or accelerators: allowed is 0 to %d", int64(model.MaxAmount))
 	case b.RunTime < 0 || b.RunTime > maxTaskSeconds:
 		return none, problem.New(problem.BadRequest, "run_time_s is %g, allowed is 0 to %d", b.RunTime, maxTaskSeconds)
-	case b.MaxRun <= 0 || b.MaxRun > maxTaskSeconds:
-		return none, problem.New(problem.BadRequest, "max_run_s is %g, allowed is more than 0 up to %d", b.MaxRun, maxTaskSeconds)
+	case b.MaxRun < minTaskSeconds || b.MaxRun > maxTaskSeconds:
+		return none, problem.New(problem.BadRequest, "max_run_s is %g, allowed is %g to %d", b.MaxRun, minTaskSeconds, maxTaskSeconds)
 	case b.Precedence < 0 || b.Precedence > maxPrecedence:
 		return none, problem.New(problem.BadRequest, "precedence is %d, allowed is 0 to %d", b.Precedence, maxPrecedence)
 	}
 	return fleet.TaskSpec{
 		Pool:       b.Pool,
 		Command:    b.Command,
-		Size:       model.Resources{MilliCPU: b.MilliCPU, MemoryMB: b.MemoryMB, Accelerators: b.Accelerators},
+		Size:       b.size(),
 		RunTime:    model.Duration(b.RunTime * float64(model.Second)),
 		MaxRun:     model.Duration(b.MaxRun * float64(model.Second)),
 		Precedence: b.Precedence,
@@ -76,7 +85,7 @@
 func (s *Server) submitTask(w http.ResponseWriter, r *http.Request) {
 	team, p := s.submitter(r)
 	if p != nil {
-		s.refuse(w, p, "")
+		s.refuseSubmission(w, r, p)
 		return
 	}
 	key, p := taskKey(r.Header)
@@ -84,7 +93,7 @@
 		s.refuse(w, p, "")
 		return
 	}
-	var body taskBody
+	var body TaskBody
 	if p := reply.Decode(w, r, maxTaskBody, problem.BadRequest, &body); p != nil {
 		s.refuse(w, p, "")
 		return
@@ -99,6 +108,16 @@
 	s.runCommand(w, r, http.StatusAccepted, submit.Task, fleet.Command{ID: id, SubmitTask: submit})
 }
 
+// refuseSubmission refuses a submission before its body is read. The body is read
+// only to count the refusal of a pool's task.
+func (s *Server) refuseSubmission(w http.ResponseWriter, r *http.Request, p *problem.Problem) {
+	var body TaskBody
+	if burn.OfProblem(p.Kind) == burn.Refused && reply.Decode(w, r, maxTaskBody, problem.BadRequest, &body) == nil {
+		s.refusals.countTask(s, r, body.Pool, p.Kind)
+	}
+	s.refuse(w, p, "")
+}
+
 func (s *Server) cancelTask(w http.ResponseWriter, r *http.Request) {
 	team, p := s.submitter(r)
 	if p != nil {
@@ -122,6 +141,9 @@
 	result, outcome := s.commands.Await(r.Context(), s.control, command.ID, e, commandTimeout)
 	switch {
 	case outcome == pending.QueueFull:
+		if command.SubmitTask != nil {
+			s.refusals.countTask(s, r, command.SubmitTask.Spec.Pool, problem.Overloaded)
+		}
 		s.refuse(w, problem.New(problem.Overloaded, ""), "")
 	case outcome == pending.TimedOut:
 		s.refuse(w, problem.New(problem.CommandUnknown, "no result within %s", commandTimeout), "")
@@ -150,7 +172,7 @@
 	case answer.Task == nil:
 		s.refuse(w, problem.New(problem.UnknownTask, ""), "")
 	default:
-		reply.JSON(w, http.StatusOK, answer.Task)
+		reply.JSON(w, http.StatusOK, statusOf(answer.Task))
 	}
 }
 
--- a/proof/workers_test.go
+++ b/proof/workers_test.go
@@ -17,6 +17,7 @@
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/gateway"
 	"primrosedale.example/primrosedale/standin"
 )
 
@@ -243,9 +244,9 @@
 }
 
 // show returns what a running host knows of the task, or nil.
-func (s *system) show(t task) *fleet.Task {
+func (s *system) show(t task) *gateway.TaskStatus {
 	for _, i := range s.running() {
-		var known fleet.Task
+		var known gateway.TaskStatus
 		if s.taskCall(i, t.team, http.MethodGet, "/v1/tasks/"+string(t.id), "", "", http.StatusOK, &known) == nil {
 			return &known
 		}
@@ -254,9 +255,9 @@
 }
 
 // awaitTask waits until the task is in one of the phases.
-func (s *system) awaitTask(t task, limit time.Duration, phases ...fleet.TaskPhase) *fleet.Task {
+func (s *system) awaitTask(t task, limit time.Duration, phases ...fleet.TaskPhase) *gateway.TaskStatus {
 	s.t.Helper()
-	var known *fleet.Task
+	var known *gateway.TaskStatus
 	eventually(s.t, limit, fmt.Sprintf("task %s is in one of %v", t.id, phases), func() bool {
 		known = s.show(t)
 		return known != nil && slices.Contains(phases, known.Phase)
