--- a/devcluster/workers_test.go
+++ b/devcluster/workers_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"primrosedale.example/primrosedale/core/burn"
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/gateway"
@@ -81,6 +82,8 @@
 	return func(t gateway.TaskStatus) bool { return t.Phase == phase }
 }
 
+const taskObjective = `objective.press-tasks = { team = "press", pool = "press", good = 0.9, window_h = 24 } # test` + "\n"
+
 // startSystem starts a cluster with four workers and returns it with a client
 // whose key is in force.
 func startSystem(t *testing.T, change func(*standin.WorkerConfig)) (*Cluster, *Outside, taskClient) {
@@ -93,7 +96,7 @@
 	require.NoError(t, err)
 	t.Cleanup(outside.Stop)
 	outside.StartWorkers(4, change)
-	key, err := cluster.Prepare(context.Background(), devRulesName, devRules)
+	key, err := cluster.Prepare(context.Background(), devRulesName, devRules+taskObjective)
 	require.NoError(t, err)
 	c := taskClient{t, "http://" + list[3].Listen.Callers.String(), key}
 	c.awaitKey()
@@ -129,6 +132,8 @@
 	require.Len(t, status.Pools, 1)
 	require.Equal(t, 4, status.Pools[0].Hosts)
 	require.Equal(t, 1, status.Pools[0].Unavailable)
+	report := awaitReport(t, cluster, 2)
+	require.Equal(t, burn.Counts{Good: 2}, report.Lines[0].Counts, "a cancelled task does not count, one that ran again counts once")
 }
 
 // Guards against a wave whose reboots do not reach the workers, or that stops a
