--- a/journal/journal_test.go
+++ b/journal/journal_test.go
@@ -23,7 +23,7 @@
 var config = core.Config{Host: "a", DataCentre: "west", Incarnation: "1", Replica: "1", Durable: true, MaxVoters: 1}
 
 // recordRun records a process that becomes leader of its own cluster.
-func recordRun(t *testing.T, path string) {
+func recordRun(t testing.TB, path string) {
 	t.Helper()
 	stored := consensus.Bootstrap[fleet.Command, *fleet.State]([]consensus.NodeID{{Host: "a", Incarnation: "1"}})
 	s, err := core.New(config, stored, 1, 7)
@@ -50,7 +50,7 @@
 	finish(t, r)
 }
 
-func finish(t *testing.T, r *Recorder) {
+func finish(t testing.TB, r *Recorder) {
 	t.Helper()
 	var life tomb.Tomb
 	life.Go(func() error { return r.Run(&life) })
--- /dev/null
+++ b/replay/fuzz_test.go
@@ -0,0 +1,39 @@
+package replay
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// FuzzRead guards against a panic on any trace, and against a trace that is
+// another one after it was written.
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(`{"trace":1}` + "\n" + `{"at":1,"rules":{"centre":"west","out":true}}` + "\n"))
+	f.Add([]byte(`{"trace":1}` + "\n" + `{"at":2}` + "\n" + `{"at":1}` + "\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		trace, err := Read(bytes.NewReader(data))
+		if err != nil {
+			return
+		}
+		var first, second bytes.Buffer
+		require.NoError(t, trace.Write(&first))
+		again, err := Read(bytes.NewReader(first.Bytes()))
+		require.NoError(t, err)
+		require.NoError(t, again.Write(&second))
+		require.Equal(t, first.String(), second.String())
+	})
+}
+
+// FuzzParseOutcomes guards against a panic on any outcomes file, also when a
+// result is checked against it.
+func FuzzParseOutcomes(f *testing.F) {
+	f.Add([]byte("[measure.buffer_hosts]\nmax = 3.5\n[invariant]\nlost = 0\n"))
+	f.Add([]byte("[measure]\nx = 1\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if o, err := ParseOutcomes(data); err == nil {
+			_, _ = o.Check(&Result{})
+		}
+	})
+}
--- a/replay/tracegen/tracegen.go
+++ b/replay/tracegen/tracegen.go
@@ -27,6 +27,9 @@
 	Rules      string  `toml:"rules"` // path of the rules file, relative to the settings
 }
 
+// maxSeconds bounds the length of a trace: a day.
+const maxSeconds = 24 * 3600
+
 // Load reads trace settings and writes their trace. A seed other than 0
 // replaces that of the settings.
 func Load(path string, seed uint64) (*replay.Trace, error) {
@@ -59,8 +62,9 @@
 	if !ok {
 		return nil, errors.NotFoundf("scenario %q", s.Scenario)
 	}
-	if s.Seconds <= 0 {
-		return nil, errors.NotValidf("%g seconds", s.Seconds)
+	// Written so that NaN is refused too.
+	if !(s.Seconds > 0 && s.Seconds <= maxSeconds) {
+		return nil, errors.NotValidf("%g seconds, allowed is more than 0 up to %d", s.Seconds, maxSeconds)
 	}
 	file, err := rulesfile.Parse("rules of the trace", []byte(text))
 	if err != nil {
--- a/storage/fuzz_test.go
+++ b/storage/fuzz_test.go
@@ -36,3 +36,50 @@
 		require.Equal(t, s.end == s.size, s.bad == "")
 	})
 }
+
+// FuzzReadSnapshot guards against a panic on any snapshot file whose checksum is
+// right, and against one of another index or incarnation.
+func FuzzReadSnapshot(f *testing.F) {
+	f.Add([]byte("M{\"inc\":\"inc-1\",\"at\":{\"i\":1,\"t\":1}}\nS{\"index\":1,\"term\":1,\"voters\":[{\"host\":\"a\",\"inc\":\"b\"}],\"state\":{\"index\":1}}\n"), uint64(1))
+	f.Add([]byte("M{}\nS{}\n"), uint64(0))
+	f.Fuzz(func(t *testing.T, payload []byte, index uint64) {
+		m := newMemFolder()
+		writeMem(t, m, snapshotName(index), encodeFrame(1, payload))
+		s, info, err := readSnapshot(m, index, &loadedLog{replay: replay{incarnation: "inc-1"}})
+		if err == nil {
+			require.Equal(t, index, s.Index)
+			require.EqualValues(t, "inc-1", info.Incarnation)
+		}
+	})
+}
+
+// FuzzOpen guards against a panic on a data folder one of whose files holds any
+// bytes.
+func FuzzOpen(f *testing.F) {
+	valid := initMem(f)
+	names, err := valid.List()
+	require.NoError(f, err)
+	for i, name := range names {
+		data, err := valid.ReadFile(name)
+		require.NoError(f, err)
+		f.Add(i, data)
+		f.Add(i, data[:len(data)/2])
+	}
+	f.Fuzz(func(t *testing.T, i int, data []byte) {
+		m := initMem(t)
+		names, err := m.List()
+		require.NoError(t, err)
+		writeMem(t, m, names[uint(i)%uint(len(names))], data)
+		if s, _, err := openMem(m, smallLimits); err == nil {
+			require.NoError(t, s.Close())
+		}
+	})
+}
+
+func writeMem(t *testing.T, m *memFolder, name string, data []byte) {
+	t.Helper()
+	file, err := m.Create(name)
+	require.NoError(t, err)
+	_, err = file.WriteAt(data, 0)
+	require.NoError(t, err)
+}
--- /dev/null
+++ b/transport/fuzz_test.go
@@ -0,0 +1,58 @@
+package transport
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/event"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/logevent"
+)
+
+// collector is a Control that keeps what arrives.
+type collector struct{ got []event.Received }
+
+func (c *collector) Post(e event.Event) bool {
+	c.got = append(c.got, e.(event.Received))
+	return true
+}
+
+// FuzzReceive guards against a panic on any bytes from a connection, and against
+// a message from a process that did not introduce itself as a known host.
+func FuzzReceive(f *testing.F) {
+	const introduction = `{"jsonrpc":"2.0","id":1,"method":"hello","params":{"version":1,"cluster":"c","host":"a","to":"b","incarnation":"1"}}`
+	const message = `{"jsonrpc":"2.0","method":"message","params":{"withdraw":{"request":"1"}}}`
+	f.Add([]byte(introduction + message))
+	f.Add([]byte(message))
+	f.Add([]byte(`{"jsonrpc":"2.0","id":1,"result":{}}` + introduction))
+	f.Add([]byte(`{"jsonrpc":"2.0","method":"hello"}`))
+	require.True(f, json.Valid([]byte(introduction)) && json.Valid([]byte(message)))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		control := &collector{}
+		tr := New(Config{Cluster: "c", Host: "b", Peers: map[model.HostID]string{"a": "127.0.0.1:1"}}, control, logevent.Logger{})
+		ours, theirs := net.Pipe()
+		done := make(chan struct{})
+		go func() {
+			tr.receive(context.Background(), ours)
+			close(done)
+		}()
+		go func() {
+			buffer := make([]byte, 512)
+			for {
+				if _, err := theirs.Read(buffer); err != nil {
+					return
+				}
+			}
+		}()
+		_, _ = theirs.Write(data) // an error means that the connection was refused
+		_ = theirs.Close()
+		<-done
+		for _, e := range control.got {
+			require.Equal(t, model.HostID("a"), e.From)
+		}
+	})
+}
