control: test that a full queue is told

An end-to-end test was ruled out, because it would have to overload a process. The new test fills a queue that nothing empties: the event over the admission size is refused and told once, and the place kept for outcomes is still free. Conclusion: the event cannot be lost unnoticed.

--- /dev/null
+++ b/control/loop_test.go
@@ -0,0 +1,23 @@
+package control
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/event"
+)
+
+// Guards against events that are refused without a line in the log, and against
+// new work that takes the place kept for the outcomes of accepted work.
+func TestFullQueueIsTold(t *testing.T) {
+	l := New()
+	refused := 0
+	l.OnFull(func() { refused++ })
+	for range admissionSize {
+		require.True(t, l.Post(event.Tick{}))
+	}
+	require.False(t, l.Post(event.Tick{}))
+	require.Equal(t, 1, refused)
+	require.True(t, l.PostWait(t.Context(), event.Tick{}))
+}
