--- a/core/placement/record.go
+++ b/core/placement/record.go
@@ -152,7 +152,7 @@
 	p.refreshTask(env, c.Task)
 	t := env.Fleet.Tasks[c.Task]
 	if t != nil && t.Phase == fleet.TaskFailed && t.Epoch == c.Epoch && p.records[c.Task] == nil {
-		out.log(effect.Log{Code: effect.TaskEnded, Team: t.Team, Detail: string(t.ID) + ": " + t.Detail})
+		out.log(effect.Log{Code: effect.TaskFailed, Host: t.Worker, Team: t.Team, Detail: string(t.ID) + ": " + t.Detail})
 	}
 	if c.Outcome == fleet.OutcomeTakenBack && t != nil && t.Phase == fleet.TaskQueued && t.Epoch == c.Epoch {
 		out.log(effect.Log{Code: effect.TaskTakenBack, Team: t.Team, Detail: string(t.ID)})
--- a/devcluster/workers_test.go
+++ b/devcluster/workers_test.go
@@ -12,8 +12,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"primrosedale.example/primrosedale/core/burn"
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/gateway"
 	"primrosedale.example/primrosedale/operator/client"
 	"primrosedale.example/primrosedale/standin"
 )
@@ -66,27 +68,29 @@
 }
 
 // await returns the task once done is true of it.
-func (c taskClient) await(id model.TaskID, done func(fleet.Task) bool) fleet.Task {
+func (c taskClient) await(id model.TaskID, done func(gateway.TaskStatus) bool) gateway.TaskStatus {
 	c.t.Helper()
-	var task fleet.Task
+	var task gateway.TaskStatus
 	require.Eventually(c.t, func() bool {
-		task = fleet.Task{}
+		task = gateway.TaskStatus{}
 		c.call(http.MethodGet, "/v1/tasks/"+string(id), "", http.StatusOK, &task)
 		return done(task)
 	}, 30*time.Second, 50*time.Millisecond, "task %s", id)
 	return task
 }
 
-func inPhase(phase fleet.TaskPhase) func(fleet.Task) bool {
-	return func(t fleet.Task) bool { return t.Phase == phase }
+func inPhase(phase fleet.TaskPhase) func(gateway.TaskStatus) bool {
+	return func(t gateway.TaskStatus) bool { return t.Phase == phase }
 }
 
+const taskObjective = `objective.press-tasks = { team = "press", pool = "press", good = 0.9, window_h = 24 } # test` + "\n"
+
 // startSystem starts a cluster with four workers and returns it with a client
 // whose key is in force.
 func startSystem(t *testing.T, change func(*standin.WorkerConfig)) (*Cluster, *Outside, taskClient) {
 	list := layout(t, devReplicas, 1)
 	cluster := startCluster(t, list, io.Discard, true)
-	outside, key := startWork(t, cluster, 1, standin.Echo(devRunTime), devRules)
+	outside, key := startWork(t, cluster, 1, standin.Echo(devRunTime), devRules+taskObjective)
 	outside.StartWorkers(4, change)
 	c := taskClient{t, "http://" + list[3].Listen.Callers.String(), key}
 	c.awaitKey()
@@ -122,6 +126,8 @@
 	require.Len(t, status.Pools, 1)
 	require.Equal(t, 4, status.Pools[0].Hosts)
 	require.Equal(t, 1, status.Pools[0].Unavailable)
+	report := awaitReport(t, cluster, 2)
+	require.Equal(t, burn.Counts{Good: 2}, report.Lines[0].Counts, "a cancelled task does not count, one that ran again counts once")
 }
 
 // Guards against a wave whose reboots do not reach the workers, or that stops a
--- a/operator/client/client.go
+++ b/operator/client/client.go
@@ -59,7 +59,7 @@
 		scheme = "https://"
 	}
 	c := &Client{timeout: changeTimeout, http: &http.Client{
-		Timeout:   requestTimeout,
+		Timeout: requestTimeout,
 		Transport: &http.Transport{
 			TLSClientConfig: tlsConfig,
 			DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
