consensus, fleet: bound an append by the size of its commands

Cause: an append was bounded by 256 entries only. With stored answers of 60 kB one append is a message of 22 MB; it takes longer than the 400 ms after which it counts as lost, so that it is sent again and again, and the leases of its receiver wait behind it. The failing run: go test -race -v -run 'TestDiskFails/sync' ./proof before this change, 2 of 2 runs: a replica that returned after it had missed about 16 MiB of the log did not serve within 20 s. A slow disk was ruled out: the same cases with small answers returned at once. Change: a command knows about how many bytes it takes, and an append ends before 256 KiB, unless a single command is larger. consensus asks the command through an interface, as it knows nothing of fleet.

--- a/core/consensus/replication.go
+++ b/core/consensus/replication.go
@@ -17,6 +17,10 @@
 	// snapshotResend is the same for a snapshot, which takes longer to send
 	// and to write.
 	snapshotResend = 2 * model.Second
+	// maxAppendSize bounds the commands of one append, in bytes, unless a
+	// single command is larger. Without it 256 stored answers of 64 KiB are one
+	// message of 22 MB, and the leases of its receiver wait behind it.
+	maxAppendSize = 256 << 10
 )
 
 // sendHeartbeats sends an empty append to every voter, and at every
@@ -88,7 +92,7 @@
 }
 
 func (n *Node[C, S]) sendAppend(p *progress, prevTerm uint64) {
-	last := min(n.log.lastIndex(), p.next+uint64(n.cfg.MaxAppendEntries)-1)
+	last := n.lastToSend(p.next)
 	n.send(Message[C, S]{
 		Kind:    MsgAppend,
 		To:      p.id,
@@ -102,6 +106,26 @@
 	p.sent(last, n.now)
 }
 
+// sized is a command that knows its size in a message, in bytes.
+type sized interface{ Size() int }
+
+// lastToSend returns the index of the last entry of an append that begins with
+// first. An append that takes longer to arrive than the time after which it
+// counts as lost would be sent again and again.
+func (n *Node[C, S]) lastToSend(first uint64) uint64 {
+	last := min(n.log.lastIndex(), first+uint64(n.cfg.MaxAppendEntries)-1)
+	size := 0
+	for i, e := range n.log.slice(first, last) {
+		if c, ok := any(e.Command).(sized); ok && e.Command != nil {
+			size += c.Size()
+		}
+		if size > maxAppendSize && i > 0 {
+			return first + uint64(i) - 1
+		}
+	}
+	return last
+}
+
 func (n *Node[C, S]) sendSnapshot(p *progress) {
 	p.state = stateSnapshot
 	p.sentAt = n.now
--- a/core/fleet/command.go
+++ b/core/fleet/command.go
@@ -35,6 +35,18 @@
 	RecordBurn     *RecordBurn     `json:"record_burn,omitempty"`
 }
 
+// commandSize is the size in bytes that a command counts for besides the answer
+// that it stores, the only part that can be large in many commands in a row.
+const commandSize = 512
+
+// Size returns about how many bytes the command takes in a message.
+func (c *Command) Size() int {
+	if c.Complete == nil || c.Complete.Answer == nil {
+		return commandSize
+	}
+	return commandSize + len(c.Complete.Answer.Body)
+}
+
 // ApplyRules replaces the configuration if Base is the current revision.
 type ApplyRules struct {
 	Base  uint64       `json:"base"`
