proof: full disks and failed syncs with real processes

Cause: docs/PROOFS.md listed full disks and sync errors as not proved. A limit of the file size on the running process (prlimit) makes its appends fail with EFBIG after a torn write. A failed sync alone needs no hook in the program: the temporary name of the next segment is a link to the null device, which takes writes and refuses the sync. Logs of processes now go through a pipe, so that the limit does not stop them. Change: TestDiskFails, a replica and the leader, the folder kept and replaced.

--- /dev/null
+++ b/proof/disk_test.go
@@ -0,0 +1,154 @@
+package proof
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"primrosedale.example/primrosedale/standin"
+)
+
+const (
+	// freeBytes is less than a frame of the log, so that the last write is torn.
+	freeBytes = 10
+	// largeBody is the size of requests whose stored answers fill a segment of
+	// the log, 16 MiB, within seconds.
+	largeBody = 60_000
+)
+
+// diskCase is one fault of a replica's disk.
+type diskCase struct {
+	name     string
+	leader   bool // the leader's disk, else that of another replica
+	fail     func(*host)
+	size     int  // of the requests' bodies
+	replaced bool // the replica returns with an empty folder
+}
+
+// Guards against a replica that acknowledges what its disk refused, that goes
+// on after that, or that does not return: docs/operators/replace-host.md.
+func TestDiskFails(t *testing.T) {
+	cases := []diskCase{
+		{"disk of a replica full", false, (*host).fillDisk, 0, false},
+		{"disk of the leader full", true, (*host).fillDisk, 0, false},
+		{"disk of the leader full and replaced", true, (*host).fillDisk, 0, true},
+		{"sync of a replica fails", false, (*host).failSync, largeBody, false},
+		{"sync of the leader fails", true, (*host).failSync, largeBody, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			diskFails(t, c)
+		})
+	}
+}
+
+// fillDisk lets the running process write only a few bytes more to its log.
+func (h *host) fillDisk() {
+	segments, err := filepath.Glob(filepath.Join(h.data(), "wal-*.log"))
+	require.NoError(h.s.t, err)
+	info, err := os.Stat(slices.Max(segments))
+	require.NoError(h.s.t, err)
+	size := uint64(info.Size()) + freeBytes
+	limit := unix.Rlimit{Cur: size, Max: size}
+	require.NoError(h.s.t, unix.Prlimit(h.cmd.Process.Pid, unix.RLIMIT_FSIZE, &limit, nil))
+}
+
+// failSync makes the sync of the next segment fail. The null device takes
+// every write and has no sync.
+func (h *host) failSync() {
+	next := filepath.Join(h.data(), "wal-00000000000000000002.log.tmp")
+	require.NoError(h.s.t, os.Symlink(os.DevNull, next))
+}
+
+func diskFails(t *testing.T, c diskCase) {
+	s := startSystem(t, 3, 2)
+	s.prepare(3, standin.Echo(5*time.Millisecond))
+	leader := s.leader()
+	victim := leader
+	if !c.leader {
+		victim = s.except(leader)[0]
+	}
+	others := s.except(victim)
+	st := s.startLoad(load{rate: 150, count: 3000, hosts: s.all(), next: func(i int) request {
+		r := mixed(i)
+		r.size = max(r.size, c.size)
+		return r
+	}})
+	changes := s.startChanges(others)
+	s.waitBusy()
+	c.fail(s.hosts[victim])
+	halted := eventually(t, startLimit, "the replica halts", func() bool { return isClosed(s.hosts[victim].done) })
+	line := s.hosts[victim].logged("sync_failed")
+	require.NotEmpty(t, line, "the numbered event")
+	s.leader(others...)
+	s.waitBusy()
+	s.hosts[victim].cmd = nil
+	if c.replaced {
+		s.hosts[victim].loseDisk()
+	}
+	s.hosts[victim].start()
+	s.waitServing()
+	s.waitVoter(victim)
+	s.waitBusy()
+	outcomes, revision := st.stop(), changes.stop()
+	s.tally(outcomes).check(t)
+	s.checkLimits()
+	// The replica's copy now belongs to every majority that is left.
+	s.hosts[s.leader(others...)].kill()
+	kept := s.checkKept(outcomes, revision, victim)
+	t.Logf("halted %s after the fault; %d answers and revision %d kept; %s", halted, kept, revision, line)
+}
+
+// logged returns the first line of an event in the log, empty if none.
+func (h *host) logged(event string) string {
+	text, err := os.ReadFile(h.log())
+	require.NoError(h.s.t, err)
+	for line := range strings.Lines(string(text)) {
+		if strings.Contains(line, " event="+event+" ") {
+			return strings.TrimSpace(line)
+		}
+	}
+	return ""
+}
+
+// waitVoter waits until the host takes part in elections.
+func (s *system) waitVoter(i int) {
+	s.t.Helper()
+	eventually(s.t, startLimit, "the replica votes", func() bool {
+		status := s.hosts[i].status()
+		return status != nil && (status.Role == "follower" || status.Role == "leader")
+	})
+}
+
+// checkKept checks that no acknowledged change and no stored answer is lost,
+// and returns the number of answers.
+func (s *system) checkKept(outcomes []outcome, revision uint64, through int) int {
+	s.t.Helper()
+	s.leader(s.running()...)
+	s.waitServing(s.running()...)
+	for _, i := range s.running() {
+		status := s.hosts[i].status()
+		require.NotNil(s.t, status)
+		require.GreaterOrEqual(s.t, status.Revision, revision, "an accepted change is lost")
+	}
+	before, _ := s.ledger.counts()
+	kept := 0
+	for _, o := range outcomes {
+		if !o.nonIdempotent || !o.answered {
+			continue
+		}
+		again := s.send(through, o.request)
+		require.True(s.t, again.answered, "a stored answer is lost: %+v", again)
+		kept++
+	}
+	after, _ := s.ledger.counts()
+	require.Equal(s.t, before, after, "a resend ran again")
+	return kept
+}
--- a/proof/host_test.go
+++ b/proof/host_test.go
@@ -57,13 +57,13 @@
 func (h *host) start() {
 	log, err := os.OpenFile(h.log(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	require.NoError(h.s.t, err)
-	defer log.Close()
 	c, done := h.command("run"), make(chan struct{})
-	c.Stderr, c.Stdout = log, log
+	c.Stderr = io.MultiWriter(log) // a pipe: a full disk of the process does not stop its log
 	require.NoError(h.s.t, c.Start())
 	h.cmd, h.done = c, done
 	go func() {
 		_ = c.Wait() // the state is read by exited
+		_ = log.Close()
 		close(done)
 	}()
 }
