proof, standin: paths between entry hosts and targets

Cause: docs/PROOFS.md listed cuts and delays between entry hosts and targets as not proved. A target announces one address for all hosts, so that there is one proxy for each target and not one for each pair; the stand-in takes the address of the proxy for its announcements. Change: TestPathsToTargets: two of four targets with requests cut, answers cut, both cut, 500 ms and 2.5 s late, answers closed in their body, with the smallest team at its limit.

--- /dev/null
+++ b/proof/path_test.go
@@ -0,0 +1,129 @@
+package proof
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/standin"
+)
+
+const (
+	firstPathPort = 7400 // from all hosts to a target
+	pathTargets   = 4
+	// brokenPaths is how many of the targets have a faulty path.
+	brokenPaths = 2
+	// longBody is the size of requests and answers; halfBody cuts an answer in
+	// its body.
+	longBody, halfBody = 20_000, 10_000
+	// pathEvery is the share of slow runs, which keep the smallest team full.
+	pathEvery, pathRunTime, briefRunTime = 30, 2 * time.Second, 300 * time.Millisecond
+	// pathStarts is the number of starts under a fault.
+	pathStarts = 80
+)
+
+// shortQueue bounds a run that never answers, so that a cut ends in time.
+const shortQueue = `queue.short = { service = "render", max_run_s = 5 }`
+
+// addPath starts a target that announces the address of a proxy.
+func (s *system) addPath(i int, work standin.Work) *link {
+	n := &target{id: fmt.Sprintf("path-%d", i+1)}
+	var platforms []string
+	for _, h := range s.hosts {
+		platforms = append(platforms, h.address(platformPort))
+	}
+	address, centre := s.hosts[0].address(firstPathPort+i), centres[i%len(centres)]
+	var err error
+	n.Target, err = standin.StartTarget(standin.TargetConfig{
+		ID: model.TargetID(n.id), Service: "render", DataCentre: centre, Host: model.HostID(n.id + "-host"),
+		Work: s.ledger.record(n.id, centre, work), Platforms: platforms, Announced: address,
+	})
+	require.NoError(s.t, err)
+	path := newLink(s.t, n.id, address, n.Address())
+	n.links = []*link{path}
+	s.targets = append(s.targets, n)
+	return path
+}
+
+func latency(d time.Duration) string {
+	return fmt.Sprintf(`{"latency":%d,"jitter":0}`, d.Milliseconds())
+}
+
+// Guards against runs over the limit, second runs and untrue refusals when the
+// path between the entry hosts and a target loses or delays requests or
+// answers, while the target itself goes on announcing.
+func TestPathsToTargets(t *testing.T) {
+	const none = `{"timeout":0}`
+	faults := map[string]func(*link){
+		"requests cut":  func(l *link) { l.toxic("upstream", "timeout", none) },
+		"answers cut":   func(l *link) { l.toxic("downstream", "timeout", none) },
+		"cut both ways": (*link).cut,
+		"both 500 ms late": func(l *link) {
+			l.delay(500 * time.Millisecond)
+			l.toxic("downstream", "latency", latency(500*time.Millisecond))
+		},
+		"requests 2.5 s late": func(l *link) { l.delay(2500 * time.Millisecond) },
+		"answers 2.5 s late":  func(l *link) { l.toxic("downstream", "latency", latency(2500*time.Millisecond)) },
+		"answers cut in half": func(l *link) { l.toxic("downstream", "limit_data", fmt.Sprintf(`{"bytes":%d}`, halfBody)) },
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			pathFails(t, fault)
+		})
+	}
+}
+
+func pathFails(t *testing.T, fault func(*link)) {
+	s, b := startSystem(t, 3, 2), newBook()
+	s.prepare(0, nil)
+	change := s.file(2, shortQueue)
+	s.apply(change)
+	s.waitInForce(change, s.all()...)
+	var paths []*link
+	for i := range pathTargets {
+		paths = append(paths, s.addPath(i, b.echo(pathTime)))
+	}
+	eventually(t, startLimit, "all targets are ready", func() bool { return s.readyTargets(s.leader()) == pathTargets })
+	st := s.startLoad(load{rate: 40, count: 1000, hosts: s.all(), next: pathRequest})
+	eventually(t, startLimit, "the smallest team is at its limit", func() bool {
+		return b.mostAfter("archive", time.Time{}) >= limits["archive"]
+	})
+	for _, l := range paths[:brokenPaths] {
+		fault(l)
+	}
+	began, seen := time.Now(), len(s.ledger.times())
+	eventually(t, startLimit, "work goes on", func() bool { return len(s.ledger.times()) > seen+pathStarts })
+	t.Logf("%d starts in %s with %d of %d paths broken", pathStarts, time.Since(began), brokenPaths, pathTargets)
+	for _, l := range paths {
+		l.heal()
+	}
+	s.waitBusy()
+	outcomes := st.stop()
+	b.waitQuiet(t)
+	s.tally(outcomes).check(t)
+	s.checkLimits()
+	_, most := s.ledger.counts()
+	require.Equal(t, limits["archive"], most["archive"], "the load does not reach the limit")
+}
+
+// pathTime is the run time by the request's kind.
+func pathTime(body []byte) time.Duration {
+	if len(body) > longBody {
+		return pathRunTime
+	}
+	return briefRunTime
+}
+
+// pathRequest returns requests of every team, half of them of the smallest.
+func pathRequest(i int) request {
+	r := pressed(i)
+	r.queue, r.size = "short", longBody
+	if i%pathEvery < 2 {
+		r.size = longBody + 1
+	}
+	return r
+}
--- a/standin/target.go
+++ b/standin/target.go
@@ -4,6 +4,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -73,6 +74,9 @@
 	// Middleware wraps the handler of requests, if set. Tests use it to break
 	// connections and answers.
 	Middleware func(http.Handler) http.Handler
+	// Announced is the IP:port in announcements, if it is not the one that the
+	// target listens on. Tests put a proxy there.
+	Announced string
 	// Platforms lists the host:port of the platform interfaces, used in turn.
 	// An empty list announces to nobody and accepts every ticket.
 	Platforms []string
@@ -265,7 +269,7 @@
 		running = append(running, r)
 	}
 	return platform.TargetAnnouncement{
-		Address:     t.address,
+		Address:     cmp.Or(t.cfg.Announced, t.address),
 		Service:     t.cfg.Service,
 		DataCentre:  t.cfg.DataCentre,
 		Host:        t.cfg.Host,
