consensus: test the bound on the size of an append

Cause: only a proof with real processes guarded the bound, in 20 s. Change: TestAppendSize, a table of where an append ends; a command above the bound is sent alone.

--- a/core/consensus/replication_test.go
+++ b/core/consensus/replication_test.go
@@ -271,3 +271,21 @@
 	require.Equal(t, uint64(1), sent[0].Index)
 	require.Equal(t, uint64(4), n.Status().Commit, "what is committed stays committed")
 }
+
+// bulk is a command of its value in bytes.
+type bulk int
+
+func (b *bulk) Size() int { return int(*b) }
+
+// TestAppendSize guards against an append that takes longer to arrive than the
+// time after which it counts as lost, and against a large command that is
+// never sent.
+func TestAppendSize(t *testing.T) {
+	n := &Node[bulk, string]{cfg: Config{MaxAppendEntries: 256}}
+	for i, size := range []bulk{maxAppendSize, maxAppendSize / 2, maxAppendSize / 2, 1, 2 * maxAppendSize} {
+		n.log.append(Entry[bulk]{Index: uint64(i + 1), Term: 1, Command: &size})
+	}
+	for first, last := range map[uint64]uint64{1: 1, 2: 3, 3: 4, 4: 4, 5: 5} {
+		require.Equal(t, last, n.lastToSend(first), "an append from %d", first)
+	}
+}
