replay, tracegen, rules: measure buffers, moves and roll-out of pools

Moves, idle buffers and waves had no trace that makes them happen and no baseline, so that nothing about them was proved. The scenarios pools, wave and harm are added for both deployments with the measures pool_buffer, tasks_late, task_wait, hosts_harmed and rollout_ratio and the invariants budgets and pools; the rule keys hosts_max, buffer and survive are read and checked but have no effect yet. The sizes of pools and the harm are what is to be improved.

--- a/core/inspect.go
+++ b/core/inspect.go
@@ -3,6 +3,7 @@
 import (
 	"primrosedale.example/primrosedale/core/dispatch"
 	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/maintenance"
 	"primrosedale.example/primrosedale/core/view"
 )
 
@@ -21,3 +22,6 @@
 
 // Policy returns the name of the policy that the process was started with.
 func (s *State) Policy() dispatch.PolicyName { return s.cfg.Policy }
+
+// HostPolicy returns the name of the policy of hosts.
+func (s *State) HostPolicy() maintenance.PolicyName { return s.cfg.HostPolicy }
--- a/core/maintenance/planner.go
+++ b/core/maintenance/planner.go
@@ -47,6 +47,12 @@
 	Fleet *fleet.State
 	// Busy reports whether a request may be running on a target of the host.
 	Busy func(model.HostID) bool
+	// Policy is fixed for the life of a process.
+	Policy PolicyName
+	// Reserved returns what the tasks on a host take of it.
+	Reserved func(model.HostID) model.Resources
+	// Need returns what a queued task is expected to take.
+	Need func(*fleet.Task) model.Resources
 }
 
 // Out collects what the planner asks for.
--- a/core/rules/check.go
+++ b/core/rules/check.go
@@ -184,6 +184,31 @@
 		rule := c.name("pool", string(id))
 		c.atLeast(rule, "hosts_min", pool.HostsMin, 0)
 		c.atLeast(rule, "unavailable_max", pool.UnavailableMax, 0)
+		c.atLeast(rule, "buffer", pool.Buffer, 0)
+		c.atLeast(rule, "hosts_max", pool.HostsMax, 0)
+		if pool.Sized() {
+			c.atLeast(rule, "hosts_max", pool.HostsMax, pool.HostsMin)
+		}
+		c.sizing(rule, pool)
+	}
+}
+
+// sizing checks the keys that only a pool sized by demand can have.
+func (c *checker) sizing(rule string, pool Pool) {
+	const allowed = "none without hosts_max"
+	switch pool.Survive {
+	case DomainNone, DomainRack, DomainDataCentre:
+	default:
+		c.add(rule, "survive", strconv.Quote(string(pool.Survive)), `"rack" or "datacentre"`)
+	}
+	if pool.Sized() {
+		return
+	}
+	if pool.Buffer > 0 {
+		c.add(rule, "buffer", strconv.Itoa(pool.Buffer), allowed)
+	}
+	if pool.Survive != DomainNone {
+		c.add(rule, "survive", strconv.Quote(string(pool.Survive)), allowed)
 	}
 }
 
--- a/core/rules/rules.go
+++ b/core/rules/rules.go
@@ -38,8 +38,30 @@
 	HostsMin       int  `json:"hosts_min"`       // hosts the pool is given at least
 	UnavailableMax int  `json:"unavailable_max"` // availability budget: hosts out at one time
 	Spare          bool `json:"spare,omitempty"` // hosts that may be moved to any pool
+
+	// HostsMax is the most hosts that the pool is given by its demand. Zero
+	// stands for a pool that is not sized by demand: it is filled to HostsMin
+	// only, and the rules of its hosts pin them to it.
+	HostsMax int `json:"hosts_max,omitempty"`
+	// Buffer is the number of hosts kept beyond the need of a sized pool. With
+	// Survive it is the least, and the failure domain may ask for more.
+	Buffer  int    `json:"buffer,omitempty"`
+	Survive Domain `json:"survive,omitempty"`
 }
 
+// Sized reports whether the pool is sized by demand.
+func (p Pool) Sized() bool { return p.HostsMax > 0 }
+
+// Domain is a failure domain whose loss a sized pool is to survive.
+type Domain string
+
+// The failure domains.
+const (
+	DomainNone       Domain = ""
+	DomainRack       Domain = "rack"
+	DomainDataCentre Domain = "datacentre"
+)
+
 // DataCentre is the operators' state of one data centre.
 type DataCentre struct {
 	Out bool `json:"out,omitempty"` // no new work may start in it
--- a/core/state.go
+++ b/core/state.go
@@ -52,6 +52,8 @@
 	SnapshotEvery uint64
 	// Policy orders the requests; empty stands for the default.
 	Policy dispatch.PolicyName
+	// HostPolicy plans moves and drains of hosts; empty stands for the default.
+	HostPolicy maintenance.PolicyName
 }
 
 type logNode = consensus.Node[fleet.Command, *fleet.State]
--- a/core/workers.go
+++ b/core/workers.go
@@ -19,7 +19,10 @@
 
 func (s *State) maintenanceEnv() maintenance.Env {
 	// Drains are measured from a replicated time, across changes of leader.
-	return maintenance.Env{Now: s.replicatedNow(), Fleet: s.fleet, Busy: s.leading.owner.HostBusy}
+	return maintenance.Env{
+		Now: s.replicatedNow(), Fleet: s.fleet, Policy: s.cfg.HostPolicy,
+		Busy: s.leading.owner.HostBusy, Reserved: s.leading.placer.Reserved, Need: s.leading.placer.Need,
+	}
 }
 
 // asPlacer lets the placer handle something and carries out what it asks for.
--- a/ctl/replay.go
+++ b/ctl/replay.go
@@ -6,12 +6,14 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"strings"
 	"text/tabwriter"
 
 	"github.com/juju/errors"
 
 	"primrosedale.example/primrosedale/core/dispatch"
+	"primrosedale.example/primrosedale/core/maintenance"
 	"primrosedale.example/primrosedale/journal"
 	"primrosedale.example/primrosedale/replay"
 	"primrosedale.example/primrosedale/replay/tracegen"
@@ -87,11 +89,11 @@
 	if o.write != "" {
 		return writeTrace(trace, o.write)
 	}
-	policy, err := policyOf(o.policy)
+	options, err := optionsOf(o)
 	if err != nil {
 		return err
 	}
-	result, err := replay.Run(trace, replay.Options{Policy: policy, Record: o.record})
+	result, err := replay.Run(trace, options)
 	if err != nil {
 		return &failure{ExitFaults, err}
 	}
@@ -118,13 +120,21 @@
 	return failedVerdicts(verdicts)
 }
 
-func policyOf(name string) (dispatch.PolicyName, error) {
-	for _, known := range dispatch.Policies() {
-		if name == "" || string(known) == name {
-			return known, nil
-		}
+// optionsOf takes the name of a policy of requests or of hosts.
+func optionsOf(o replayOptions) (replay.Options, error) {
+	options := replay.Options{Record: o.record}
+	requests, hosts := dispatch.PolicyName(o.policy), maintenance.PolicyName(o.policy)
+	switch {
+	case o.policy == "":
+	case slices.Contains(dispatch.Policies(), requests):
+		options.Policy = requests
+	case slices.Contains(maintenance.Policies(), hosts):
+		options.HostPolicy = hosts
+	default:
+		return options, &failure{ExitUsage, errors.Errorf("--policy is %q, allowed are %v and %v",
+			o.policy, dispatch.Policies(), maintenance.Policies())}
 	}
-	return "", &failure{ExitUsage, errors.Errorf("--policy is %q, allowed are %v", name, dispatch.Policies())}
+	return options, nil
 }
 
 func readOutcomes(path string) (*replay.Outcomes, error) {
@@ -165,7 +175,7 @@
 	for _, v := range verdicts {
 		allowed[v.Name] = v
 	}
-	fmt.Fprintf(p.Out, "%s, seed %d, policy %s: %d requests, %d inputs\n\n", r.Trace, r.Seed, r.Policy, r.Requests, r.Inputs)
+	fmt.Fprintf(p.Out, "%s, seed %d, policy %s, hosts %s: %d requests, %d inputs\n\n", r.Trace, r.Seed, r.Policy, r.HostPolicy, r.Requests, r.Inputs)
 	w := tabwriter.NewWriter(p.Out, 0, 8, 2, ' ', 0)
 	fmt.Fprintln(w, "MEASURE\tVALUE\tALLOWED\t")
 	for _, m := range r.Measures {
--- a/journal/journal.go
+++ b/journal/journal.go
@@ -18,6 +18,7 @@
 
 	"primrosedale.example/primrosedale/core"
 	"primrosedale.example/primrosedale/core/dispatch"
+	"primrosedale.example/primrosedale/core/maintenance"
 	"primrosedale.example/primrosedale/core/model"
 )
 
@@ -36,19 +37,20 @@
 
 // Start begins one run of a process.
 type Start struct {
-	Version       int                 `json:"version"`
-	Host          model.HostID        `json:"host"`
-	DataCentre    model.DataCentreID  `json:"dc"`
-	Incarnation   model.Incarnation   `json:"inc"`
-	Replica       model.Incarnation   `json:"replica"`
-	Durable       bool                `json:"durable,omitempty"`
-	Peers         []model.HostID      `json:"peers,omitempty"`
-	MaxVoters     int                 `json:"max_voters,omitempty"`
-	Policy        dispatch.PolicyName `json:"policy,omitempty"`
-	SnapshotEvery uint64              `json:"snapshot_every,omitempty"`
-	At            model.Time          `json:"at"`
-	Rand          uint64              `json:"rand"`
-	Stored        Stored              `json:"stored"`
+	Version       int                    `json:"version"`
+	Host          model.HostID           `json:"host"`
+	DataCentre    model.DataCentreID     `json:"dc"`
+	Incarnation   model.Incarnation      `json:"inc"`
+	Replica       model.Incarnation      `json:"replica"`
+	Durable       bool                   `json:"durable,omitempty"`
+	Peers         []model.HostID         `json:"peers,omitempty"`
+	MaxVoters     int                    `json:"max_voters,omitempty"`
+	Policy        dispatch.PolicyName    `json:"policy,omitempty"`
+	HostPolicy    maintenance.PolicyName `json:"host_policy,omitempty"`
+	SnapshotEvery uint64                 `json:"snapshot_every,omitempty"`
+	At            model.Time             `json:"at"`
+	Rand          uint64                 `json:"rand"`
+	Stored        Stored                 `json:"stored"`
 }
 
 // Stored is what the data folder held at the start, in the encoding of package
@@ -82,6 +84,7 @@
 func (s *Start) config() core.Config {
 	return core.Config{
 		Host: s.Host, DataCentre: s.DataCentre, Incarnation: s.Incarnation, Replica: s.Replica,
-		Durable: s.Durable, Peers: s.Peers, MaxVoters: s.MaxVoters, Policy: s.Policy, SnapshotEvery: s.SnapshotEvery,
+		Durable: s.Durable, Peers: s.Peers, MaxVoters: s.MaxVoters, Policy: s.Policy, HostPolicy: s.HostPolicy,
+		SnapshotEvery: s.SnapshotEvery,
 	}
 }
--- a/journal/schema_test.go
+++ b/journal/schema_test.go
@@ -57,7 +57,7 @@
 func TestStartHoldsTheWholeConfiguration(t *testing.T) {
 	cfg := core.Config{
 		Host: "a", DataCentre: "west", Incarnation: "1", Replica: "2", Durable: true,
-		Peers: []model.HostID{"b"}, MaxVoters: 3, SnapshotEvery: 4, Policy: "static",
+		Peers: []model.HostID{"b"}, MaxVoters: 3, SnapshotEvery: 4, Policy: "static", HostPolicy: "minimum",
 	}
 	fields := reflect.ValueOf(cfg)
 	for i := range fields.NumField() {
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -75,8 +75,9 @@
 func newStart(cfg core.Config, stored core.Stored, now model.Time, rand uint64) (*Start, error) {
 	start := &Start{
 		Version: Version, Host: cfg.Host, DataCentre: cfg.DataCentre, Incarnation: cfg.Incarnation,
-		Replica: cfg.Replica, Durable: cfg.Durable, Peers: cfg.Peers, MaxVoters: cfg.MaxVoters, Policy: cfg.Policy, SnapshotEvery: cfg.SnapshotEvery,
-		At: now, Rand: rand,
+		Replica: cfg.Replica, Durable: cfg.Durable, Peers: cfg.Peers, MaxVoters: cfg.MaxVoters, Policy: cfg.Policy, HostPolicy: cfg.HostPolicy,
+		SnapshotEvery: cfg.SnapshotEvery,
+		At:            now, Rand: rand,
 	}
 	var err error
 	if start.Stored.HardState, err = codec.EncodeHardState(stored.HardState); err != nil {
--- a/replay/books.go
+++ b/replay/books.go
@@ -24,6 +24,8 @@
 	InvariantAnswers     = "answers"      // requests that were not answered exactly once
 	InvariantOperators   = "operators"    // changes of operators that were refused
 	InvariantOvercommits = "overcommits"  // requests sent to a target without a free slot
+	InvariantBudgets     = "budgets"      // looks at a pool with more hosts in planned changes than its budget
+	InvariantPools       = "pools"        // looks at a host that is in no pool of the rules
 )
 
 // Times after which a start counts against an invariant.
@@ -59,6 +61,8 @@
 
 type taskBook struct {
 	Task
+	submitted model.Time
+	began     model.Time // first start on a worker, or zero
 	starts    int
 	finished  bool
 	cancelled bool
@@ -222,6 +226,9 @@
 func (e *engine) taskBegan(w *worker, t *taskBook) {
 	e.checkCentre(w.DataCentre)
 	t.starts++
+	if t.began == 0 {
+		t.began = e.now
+	}
 	if !t.Idempotent && t.starts > 1 {
 		e.books.violations[InvariantAtMostOnce]++
 	}
--- a/replay/engine.go
+++ b/replay/engine.go
@@ -12,6 +12,7 @@
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/event"
 	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/maintenance"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/pq"
 	"primrosedale.example/primrosedale/core/rules"
@@ -42,8 +43,9 @@
 
 // Options are the choices of a replay that are not part of the trace.
 type Options struct {
-	Policy dispatch.PolicyName
-	Record string // path of a journal of the inputs, or empty
+	Policy     dispatch.PolicyName
+	HostPolicy maintenance.PolicyName
+	Record     string // path of a journal of the inputs, or empty
 }
 
 // checkpointEvery is the number of inputs between two states in a journal.
@@ -128,7 +130,7 @@
 	id := consensus.NodeID{Host: entryHost, Incarnation: "1"}
 	cfg := core.Config{
 		Host: entryHost, DataCentre: entryCentre, Incarnation: "1", Replica: "1",
-		Durable: true, MaxVoters: 1, Policy: o.Policy,
+		Durable: true, MaxVoters: 1, Policy: o.Policy, HostPolicy: o.HostPolicy,
 	}
 	stored := consensus.Bootstrap[fleet.Command, *fleet.State]([]consensus.NodeID{id})
 	seed := e.rand.Uint64()
--- a/replay/hosts.go
+++ b/replay/hosts.go
@@ -16,6 +16,9 @@
 	looks   int
 	idle    int // hosts in service without a task, summed over the looks
 	moves   int
+	buffer  int // hosts of pools beyond what their running tasks fill, summed over the looks
+	changes map[model.HostID]*hostChange
+	rollout map[model.PoolID]*poolRollOut
 	pools   map[model.HostID]model.PoolID
 	rolled  map[string]model.Time // when the last host of a wave had its image
 	pending map[string]int        // hosts of a wave without its image
@@ -26,6 +29,7 @@
 	return &hostBooks{
 		pools: make(map[model.HostID]model.PoolID), rolled: make(map[string]model.Time),
 		pending: make(map[string]int), wanted: make(map[string]int),
+		changes: make(map[model.HostID]*hostChange), rollout: make(map[model.PoolID]*poolRollOut),
 	}
 }
 
@@ -38,9 +42,11 @@
 	b.looks++
 	f := e.state.Inspect().Fleet
 	busy := make(map[model.HostID]bool)
+	used := make(map[model.PoolID]model.Resources)
 	for _, t := range f.Tasks {
 		if t.Phase == fleet.TaskPlaced {
 			busy[t.Worker] = true
+			used[t.Spec.Pool] = used[t.Spec.Pool].Add(e.books.tasks[t.ID].Size)
 		}
 	}
 	for _, id := range model.SortedKeys(f.Hosts) {
@@ -56,6 +62,50 @@
 	for _, name := range model.SortedKeys(e.rules.Waves) {
 		e.lookAtWave(name, f)
 	}
+	e.lookAtPools(f, used)
+	e.lookAtChanges(f)
+}
+
+// lookAtPools notes the buffer of each pool that is not spare, and checks its
+// budget. Hosts that are lost use up the budget, but only planned changes can
+// exceed it.
+func (e *engine) lookAtPools(f *fleet.State, used map[model.PoolID]model.Resources) {
+	hosts, planned := make(map[model.PoolID]int), make(map[model.PoolID]int)
+	capacity := make(map[model.PoolID]model.Resources)
+	for _, host := range f.Hosts {
+		rule, known := e.rules.Pools[host.Pool]
+		if !known {
+			e.books.violations[InvariantPools]++
+			continue
+		}
+		hosts[host.Pool]++
+		if host.Capacity.MilliCPU > capacity[host.Pool].MilliCPU {
+			capacity[host.Pool] = host.Capacity
+		}
+		if host.Phase != fleet.HostServing {
+			if planned[host.Pool]++; planned[host.Pool] > rule.UnavailableMax {
+				e.books.violations[InvariantBudgets]++
+			}
+		}
+	}
+	for id, n := range hosts {
+		if !e.rules.Pools[id].Spare {
+			e.books.hosts.buffer += max(0, n-filled(used[id], capacity[id]))
+		}
+	}
+}
+
+// filled returns how many whole hosts of a capacity an amount fills at least.
+func filled(amount, capacity model.Resources) int {
+	n := int64(0)
+	for _, d := range [][2]int64{
+		{amount.MilliCPU, capacity.MilliCPU}, {amount.MemoryMB, capacity.MemoryMB}, {amount.Accelerators, capacity.Accelerators},
+	} {
+		if d[1] > 0 {
+			n = max(n, (d[0]+d[1]-1)/d[1])
+		}
+	}
+	return int(n)
 }
 
 func (e *engine) lookAtWave(name string, f *fleet.State) {
@@ -79,24 +129,48 @@
 func (r *Result) measureHosts(e *engine) {
 	b := e.books.hosts
 	if b.looks == 0 {
-		for _, name := range []string{MeasureIdleBuffer, MeasureHostMoves, MeasureRollOutSeconds} {
+		for _, name := range []string{MeasureIdleBuffer, MeasurePoolBuffer, MeasureHostMoves, MeasureHostsHarmed,
+			MeasureRollOutSeconds, MeasureRollOutRatio} {
 			r.none(name, "the trace has no workers")
 		}
 		return
 	}
 	r.add(MeasureIdleBuffer, float64(b.idle)/float64(b.looks))
+	r.add(MeasurePoolBuffer, float64(b.buffer)/float64(b.looks))
 	r.add(MeasureHostMoves, float64(b.moves))
+	r.add(MeasureHostsHarmed, float64(e.harmed()))
+	r.measureRollOut(e)
+}
+
+// harmed counts the hosts that were lost in a reboot.
+func (e *engine) harmed() int {
+	n := 0
+	for _, w := range e.workers {
+		if w.Lost && w.Breaks != "" && w.Image == w.Breaks {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *Result) measureRollOut(e *engine) {
+	b := e.books.hosts
+	noRollOut := func(reason string) {
+		r.none(MeasureRollOutSeconds, reason)
+		r.none(MeasureRollOutRatio, reason)
+	}
 	last := 0.0
 	for _, name := range model.SortedKeys(b.wanted) {
 		if b.rolled[name] == 0 {
-			r.none(MeasureRollOutSeconds, fmt.Sprintf("wave %s ended with %d of %d hosts to do", name, b.pending[name], b.wanted[name]))
+			noRollOut(fmt.Sprintf("wave %s ended with %d of %d hosts to do", name, b.pending[name], b.wanted[name]))
 			return
 		}
 		last = max(last, e.seconds(b.rolled[name]))
 	}
 	if len(b.wanted) == 0 {
-		r.none(MeasureRollOutSeconds, "the rules have no wave")
+		noRollOut("the rules have no wave")
 		return
 	}
 	r.add(MeasureRollOutSeconds, last)
+	r.ratio(MeasureRollOutRatio, last, b.shortestRollOut(e.began).Sub(e.began).Seconds(), "nothing had to be done")
 }
--- a/replay/measure.go
+++ b/replay/measure.go
@@ -1,9 +1,11 @@
 package replay
 
 import (
+	"cmp"
 	"slices"
 
 	"primrosedale.example/primrosedale/core/dispatch"
+	"primrosedale.example/primrosedale/core/maintenance"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/problem"
 )
@@ -26,6 +28,11 @@
 	MeasureIdleBuffer     = "idle_buffer"     // mean hosts in service without a task
 	MeasureHostMoves      = "host_moves"      // moves between pools
 	MeasureRollOutSeconds = "rollout_seconds" // from the start of the trace to the end of its waves
+	MeasureRollOutRatio   = "rollout_ratio"   // the same, as a multiple of the shortest that the budgets allow
+	MeasurePoolBuffer     = "pool_buffer"     // mean hosts of pools that are not spare beyond what the running tasks fill
+	MeasureHostsHarmed    = "hosts_harmed"    // hosts that a wave's image left out of service
+	MeasureTasksLate      = "tasks_late"      // fraction of the tasks that began late or never
+	MeasureTaskWait       = "task_wait"       // mean seconds until the first start
 )
 
 // lateRefusal is the part of its patience after which a refused request was
@@ -47,16 +54,17 @@
 
 // Result is what a replay found.
 type Result struct {
-	Trace      string              `json:"trace"`
-	Seed       uint64              `json:"seed"`
-	Policy     dispatch.PolicyName `json:"policy"`
-	Inputs     int                 `json:"inputs"`
-	Requests   int                 `json:"requests"`
-	Refusals   map[string]int      `json:"refusals"` // by kind
-	Measures   []Measure           `json:"measures"`
-	Invariants []Count             `json:"invariants"`
-	Refused    []string            `json:"refused_changes,omitempty"`
-	Series     *Series             `json:"-"` // for plots
+	Trace      string                 `json:"trace"`
+	Seed       uint64                 `json:"seed"`
+	Policy     dispatch.PolicyName    `json:"policy"`
+	HostPolicy maintenance.PolicyName `json:"host_policy"`
+	Inputs     int                    `json:"inputs"`
+	Requests   int                    `json:"requests"`
+	Refusals   map[string]int         `json:"refusals"` // by kind
+	Measures   []Measure              `json:"measures"`
+	Invariants []Count                `json:"invariants"`
+	Refused    []string               `json:"refused_changes,omitempty"`
+	Series     *Series                `json:"-"` // for plots
 }
 
 // Measure returns the measure of a name.
@@ -74,7 +82,8 @@
 	b.checkEnd()
 	r := &Result{
 		Trace: e.trace.Header.Name, Seed: e.trace.Header.Seed, Policy: policyName(e.state.Policy()),
-		Inputs: b.Inputs, Requests: len(b.order), Refusals: make(map[string]int), Refused: b.Refused,
+		HostPolicy: cmp.Or(e.state.HostPolicy(), maintenance.PolicySized),
+		Inputs:     b.Inputs, Requests: len(b.order), Refusals: make(map[string]int), Refused: b.Refused,
 	}
 	for _, q := range b.order {
 		if q.kind != "" {
@@ -83,9 +92,9 @@
 	}
 	r.measureRequests(b)
 	r.measureFleet(e)
-	r.measureTasks(b)
+	r.measureTasks(e)
 	for _, name := range []string{InvariantTeamLimit, InvariantAtMostOnce, InvariantCentreOut, InvariantLeaving,
-		InvariantNotRun, InvariantAnswers, InvariantOperators, InvariantOvercommits} {
+		InvariantNotRun, InvariantAnswers, InvariantOperators, InvariantOvercommits, InvariantBudgets, InvariantPools} {
 		r.Invariants = append(r.Invariants, Count{name, b.violations[name]})
 	}
 	r.Series = newSeries(e)
@@ -185,17 +194,33 @@
 	r.measureHosts(e)
 }
 
-func (r *Result) measureTasks(b *books) {
-	var can, finished float64
-	for _, t := range b.tasks {
-		if !t.NeverRuns && !t.cancelled {
-			can++
-			if t.finished {
-				finished++
-			}
+// lateTask is the time from its submission after which a task begins late. Urgent
+// work of the design size starts within 8.2 s.
+const lateTask = 8200 * model.Millisecond
+
+func (r *Result) measureTasks(e *engine) {
+	var can, finished, late, wait float64
+	for _, id := range model.SortedKeys(e.books.tasks) {
+		t := e.books.tasks[id]
+		if t.NeverRuns || t.cancelled {
+			continue
+		}
+		can++
+		if t.finished {
+			finished++
+		}
+		waited := t.began.Sub(t.submitted)
+		if t.began == 0 {
+			waited = e.now.Sub(t.submitted)
+		}
+		if t.began == 0 || waited > lateTask {
+			late++
 		}
+		wait += waited.Seconds()
 	}
 	r.ratio(MeasureTasksFinished, finished, can, "no task")
+	r.ratio(MeasureTasksLate, late, can, "no task")
+	r.ratio(MeasureTaskWait, wait, can, "no task")
 }
 
 // seconds returns a time of the trace in seconds.
--- /dev/null
+++ b/replay/rollout_test.go
@@ -0,0 +1,40 @@
+package replay
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// Guards against an optimum of waves that budgets or lost hosts do not bound.
+func TestShortestRollOut(t *testing.T) {
+	at := func(s int) model.Time { return model.Time(s) * model.Time(model.Second) }
+	change := func(possible int, took model.Duration) *hostChange {
+		return &hostChange{pool: "p", possible: at(possible), took: took * model.Second}
+	}
+	p := &poolRollOut{}
+	for s := range 100 {
+		free := 2
+		if s > 10 && s <= 20 {
+			free = 0 // lost hosts use up the budget
+		}
+		p.at, p.free = append(p.at, at(s)), append(p.free, free)
+	}
+	tests := []struct {
+		name    string
+		changes map[model.HostID]*hostChange
+		want    int
+	}{
+		{"nothing to do", nil, 0},
+		{"two at a time", map[model.HostID]*hostChange{"a": change(0, 8), "b": change(0, 8)}, 8},
+		{"a loss stops the budget", map[model.HostID]*hostChange{"a": change(0, 15), "b": change(0, 15)}, 25},
+		{"a host that returns late", map[model.HostID]*hostChange{"a": change(60, 5)}, 65},
+	}
+	for _, test := range tests {
+		b := newHostBooks()
+		b.rollout["p"], b.changes = p, test.changes
+		require.Equal(t, at(test.want), b.shortestRollOut(0), test.name)
+	}
+}
--- a/replay/trace.go
+++ b/replay/trace.go
@@ -125,7 +125,8 @@
 	Capacity   model.Resources    `json:"capacity"`
 	Image      string             `json:"image,omitempty"`
 	Lost       bool               `json:"lost,omitempty"`
-	Fails      bool               `json:"fails,omitempty"` // fails every task it starts
+	Fails      bool               `json:"fails,omitempty"`  // fails every task it starts
+	Breaks     string             `json:"breaks,omitempty"` // image with which it does not come back from a reboot
 }
 
 // Task is a task with what its submitter declares and what is true.
--- /dev/null
+++ b/replay/tracegen/pools.go
@@ -0,0 +1,145 @@
+package tracegen
+
+import (
+	"slices"
+	"strings"
+
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/rules"
+	"primrosedale.example/primrosedale/replay"
+)
+
+// The demand of the scenario pools, as parts of the processors that the rules
+// place in a pool.
+const (
+	poolLoad     = 0.3   // mean
+	burstSeconds = 12.0  // at five times the mean, which exceeds the pool
+	lullSeconds  = 168.0 // at a twentieth of the mean
+	shiftLoad    = 0.9   // of one pool in the second half of the trace
+	shiftedPool  = 1     // in the order of names
+	waveLoad     = 0.4
+)
+
+// pools lets each pool in turn burst for some seconds beyond what it holds and
+// then fall to almost nothing. In the second half one pool needs three times as
+// many hosts for good.
+func (w *writer) pools() {
+	w.soundWorkers("")
+	names := w.workingPools()
+	w.poolTasks(func(pool int, at float64) float64 {
+		base := poolLoad
+		if pool == shiftedPool && at > w.seconds/2 {
+			base = shiftLoad
+		}
+		period := burstSeconds + lullSeconds
+		cycle := int(at / period)
+		switch within := at - float64(cycle)*period; {
+		case cycle%len(names) != pool:
+			return base
+		case within < burstSeconds:
+			return base * burstFactor
+		default:
+			return base * lullFactor
+		}
+	})
+}
+
+// wave rolls out the waves of the rules and loses the first rack for a while in
+// the middle.
+func (w *writer) wave() {
+	w.soundWorkers("")
+	w.poolTasks(func(int, float64) float64 { return waveLoad })
+	first := rackOf(w.hostNames()[0])
+	for _, id := range w.hostNames() {
+		if rackOf(id) == first {
+			w.add(rackLostAt, replay.Event{Worker: &replay.Worker{ID: model.HostID(id), Lost: true}})
+			w.add(rackBackAt, replay.Event{Worker: &replay.Worker{ID: model.HostID(id)}})
+		}
+	}
+}
+
+// The loss of a rack in the scenario wave, in seconds.
+const (
+	rackLostAt = 90.0
+	rackBackAt = 150.0
+)
+
+// harm rolls out waves whose images leave hosts out of service.
+func (w *writer) harm() {
+	image := ""
+	for _, wave := range w.rules.Waves {
+		image = wave.Image
+	}
+	w.soundWorkers(image)
+	w.poolTasks(func(int, float64) float64 { return waveLoad })
+}
+
+func (w *writer) hostNames() []string {
+	var ids []string
+	for id := range w.rules.Hosts {
+		ids = append(ids, string(id))
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// rackOf returns the rack in a host's name, which is DATA CENTRE-RACK-NUMBER.
+func rackOf(id string) string { return id[:strings.LastIndex(id, "-")] }
+
+// soundWorkers starts the hosts of the rules. An image other than "" breaks
+// them.
+func (w *writer) soundWorkers(breaks string) {
+	for _, id := range w.hostNames() {
+		rack := rackOf(id)
+		w.add(0, replay.Event{Worker: &replay.Worker{
+			ID: model.HostID(id), DataCentre: model.DataCentreID(rackOf(rack)), Rack: model.RackID(rack),
+			Capacity: workerCapacity, Image: "first", Breaks: breaks,
+		}})
+	}
+}
+
+// workingPools returns the pools that are not spare, sorted.
+func (w *writer) workingPools() []model.PoolID {
+	var pools []model.PoolID
+	for _, id := range model.SortedKeys(w.rules.Pools) {
+		if !w.rules.Pools[id].Spare {
+			pools = append(pools, id)
+		}
+	}
+	return pools
+}
+
+// poolTasks writes Poisson arrivals of tasks for every pool that is not spare.
+// load gives the demand at a time as a part of the processors that the rules
+// place in the pool.
+func (w *writer) poolTasks(load func(pool int, at float64) float64) {
+	teams := model.SortedKeys(w.rules.Teams)
+	hosts := hostsByPool(w.rules)
+	n := 0
+	for i, pool := range w.workingPools() {
+		full := float64(hosts[pool]) * float64(workerCapacity.MilliCPU) / 1000 / taskCores / taskRun
+		highest := burstFactor * shiftLoad
+		for at := firstTask; ; {
+			if at += w.rand.ExpFloat64() / (full * highest); at >= w.seconds-4*taskRun {
+				break
+			}
+			if w.rand.Float64()*highest < load(i, at) {
+				t := w.task(n, teams[n%len(teams)], pool)
+				t.NeverRuns = false
+				w.add(at, replay.Event{Task: t})
+				n++
+			}
+		}
+	}
+}
+
+// firstTask leaves time for the first reports, in seconds.
+const firstTask = 5.0
+
+func hostsByPool(r *rules.Rules) map[model.PoolID]int {
+	hosts := make(map[model.PoolID]int)
+	for _, h := range r.Hosts {
+		hosts[h.Pool]++
+	}
+	return hosts
+}
--- a/replay/tracegen/scenarios.go
+++ b/replay/tracegen/scenarios.go
@@ -18,6 +18,9 @@
 	"lending":       (*writer).lending,
 	"refusals":      (*writer).refusingTargets,
 	"tasks":         (*writer).tasks,
+	"pools":         (*writer).pools,
+	"wave":          (*writer).wave,
+	"harm":          (*writer).harm,
 }
 
 // Loads, as parts of the slots.
--- a/replay/worker.go
+++ b/replay/worker.go
@@ -125,6 +125,9 @@
 		w.Image = reply.Image
 		w.setLost(true)
 		life := w.life
+		if w.Breaks != "" && w.Image == w.Breaks {
+			return
+		}
 		w.e.after(rebootTime, func() {
 			if w.life == life {
 				w.setLost(false)
@@ -160,7 +163,7 @@
 }
 
 func (e *engine) submitTask(t *Task) {
-	e.books.tasks[t.ID] = &taskBook{Task: *t}
+	e.books.tasks[t.ID] = &taskBook{Task: *t, submitted: e.now}
 	e.command(fleet.Command{SubmitTask: &fleet.SubmitTask{Task: t.ID, Team: t.Team, Spec: fleet.TaskSpec{
 		Pool: t.Pool, Command: cmp.Or(t.Program, "run"), Size: t.DeclaredSize, RunTime: t.DeclaredRun.Duration(),
 		MaxRun: t.MaxRun.Duration(), Precedence: t.Precedence, Idempotent: t.Idempotent,
--- a/rulesfile/format.go
+++ b/rulesfile/format.go
@@ -95,6 +95,15 @@
 	if p.Spare {
 		text = append(text, "spare = true")
 	}
+	if p.HostsMax > 0 {
+		text = append(text, "hosts_max = "+strconv.Itoa(p.HostsMax))
+	}
+	if p.Buffer > 0 {
+		text = append(text, "buffer = "+strconv.Itoa(p.Buffer))
+	}
+	if p.Survive != rules.DomainNone {
+		text = append(text, "survive = "+strconv.Quote(string(p.Survive)))
+	}
 	return text
 }
 
--- a/rulesfile/kinds.go
+++ b/rulesfile/kinds.go
@@ -93,6 +93,9 @@
 		HostsMin:       int(t.Int("hosts_min", 0, 0, maxHosts)),
 		UnavailableMax: int(t.Int("unavailable_max", 0, 0, maxHosts)),
 		Spare:          t.Bool("spare", false),
+		HostsMax:       int(t.Int("hosts_max", 0, 0, maxHosts)),
+		Buffer:         int(t.Int("buffer", 0, 0, maxHosts)),
+		Survive:        rules.Domain(t.Text("survive", "", `"rack" or "datacentre"`, isDomain)),
 	})
 }
 
@@ -133,6 +136,10 @@
 	return model.Duration(math.Round(s*1000)) * model.Millisecond
 }
 
+func isDomain(s string) bool {
+	return s == string(rules.DomainRack) || s == string(rules.DomainDataCentre)
+}
+
 func isImage(s string) bool {
 	if s == "" || len(s) > maxImage {
 		return false
