maintenance: size pools by demand, and try an image on two hosts first

Pools with hosts_max are now sized by the learned need of their tasks and a buffer for their largest rack or data centre, with hysteresis in both directions and at most 4 hosts on the move.

--- a/core/maintenance/examine.go
+++ b/core/maintenance/examine.go
@@ -12,6 +12,8 @@
 const (
 	reasonRules    = "placed by the rules"
 	reasonMinimum  = "pool below its minimum"
+	reasonNeed     = "pool needs more hosts"
+	reasonExcess   = "pool needs fewer hosts"
 	reasonDrained  = "drained"
 	reasonBack     = "back"
 	reasonGivenUp  = "drain given up"
@@ -47,15 +49,23 @@
 	if !ok || p.stopped[name] {
 		return
 	}
-	if image := p.rules.Waves[name].Image; h.state.Image != image && p.hasBudget(env, h.state.Pool) {
+	image := p.rules.Waves[name].Image
+	if h.state.Image != image && p.isTrusted(image) && p.hasBudget(env, h.state.Pool) {
 		p.drain(env, out, id, h, fleet.PlanHost{Image: image, Reason: "wave " + name})
 	}
 }
 
+// isTrusted reports whether one more host may get an image. Until the first host
+// serves with it, no more are given to it than stop the wave if they do not come
+// back.
+func (p *Planner) isTrusted(image string) bool {
+	return p.images[image] > 0 || p.trials[image] < harmMax
+}
+
 // poolWanted returns the pool that the rules place a host in. A host that
 // reported before there were rules has no pool and goes to the first spare one.
 func (p *Planner) poolWanted(id model.HostID, h *host) model.PoolID {
-	if placement, ok := p.rules.Hosts[id]; ok {
+	if placement, ok := p.rules.Hosts[id]; ok && p.pinned(id) {
 		return placement.Pool
 	}
 	if _, ok := p.rules.Pools[h.state.Pool]; ok {
@@ -76,8 +86,10 @@
 		return false
 	}
 	plan := fleet.PlanHost{Pool: to, Reason: reason}
-	if name, ok := p.waves[to]; ok && !p.stopped[name] && p.rules.Waves[name].Image != h.state.Image {
-		plan.Image = p.rules.Waves[name].Image
+	if name, ok := p.waves[to]; ok && !p.stopped[name] {
+		if image := p.rules.Waves[name].Image; image != h.state.Image && p.isTrusted(image) {
+			plan.Image = image
+		}
 	}
 	p.drain(env, out, id, h, plan)
 	return true
@@ -91,6 +103,9 @@
 // same is checked again when the drain is applied.
 func (p *Planner) hasBudget(env Env, id model.PoolID) bool {
 	rule, ok := p.rules.Pools[id]
+	if env.Policy == PolicyFirstFit && p.changing > 0 {
+		return false
+	}
 	if !ok {
 		return true // hosts without a pool have no budget
 	}
@@ -99,9 +114,13 @@
 
 func (p *Planner) drain(env Env, out *Out, id model.HostID, h *host, plan fleet.PlanHost) {
 	h.leaves = true
+	p.changing++
+	p.trial(plan.Image, 1)
 	p.pool(h.state.Pool).drains++
-	if plan.Pool != "" {
+	h.away = plan.Pool != ""
+	if h.away {
 		p.pool(plan.Pool).donated++
+		p.pool(h.state.Pool).drainsAway++
 	}
 	plan.Action = fleet.HostDrain
 	p.propose(env, out, id, h, plan)
@@ -117,7 +136,7 @@
 // takes too long or is no longer wanted.
 func (p *Planner) examineDraining(env Env, out *Out, id model.HostID, h *host) {
 	switch {
-	case !p.wanted(h):
+	case !p.wanted(env, id, h):
 		p.propose(env, out, id, h, fleet.PlanHost{Action: fleet.HostReturn, Reason: reasonObsolete})
 	case len(env.Fleet.PlacedOn(id)) == 0 && !env.Busy(id):
 		p.propose(env, out, id, h, fleet.PlanHost{
@@ -130,9 +149,9 @@
 }
 
 // wanted reports whether the plan of a draining host still has a purpose.
-func (p *Planner) wanted(h *host) bool {
+func (p *Planner) wanted(env Env, id model.HostID, h *host) bool {
 	if h.state.MoveTo != "" {
-		return true
+		return p.stillNeeded(env, id, h)
 	}
 	name, ok := p.waves[h.state.Pool]
 	return ok && !p.stopped[name] && p.rules.Waves[name].Image == h.state.ImageWant
--- a/core/maintenance/planner.go
+++ b/core/maintenance/planner.go
@@ -75,7 +75,18 @@
 	cursor int
 	rounds int // complete passes over order
 
-	donateAt model.Time // no search for a spare host before this time
+	began     model.Time
+	poolOrder []model.PoolID // of the rules, sorted
+	sized     []model.PoolID // of them, those that demand sizes
+	nextSized int
+	capacity  model.Resources // of the hosts of the last pass
+	counted   int             // hosts of the last pass
+
+	donateAt model.Time // no search for a host to move before this time
+
+	changing int            // hosts in a drain or reboot that are not gone, with proposed ones
+	images   map[string]int // hosts that serve, by image
+	trials   map[string]int // hosts in a drain or reboot or proposed to be, by the image they are to get
 
 	harmed  map[string]map[model.HostID]bool // hosts that did not come back, by wave
 	stopped map[string]bool                  // waves that did harm
@@ -88,6 +99,7 @@
 	gone     bool       // has not come back from a reboot within ReturnMax
 	proposed bool       // a step is proposed
 	leaves   bool       // the proposed step takes it out of service
+	away     bool       // the proposed step takes it to another pool
 	notUntil model.Time // no step before this time
 }
 
@@ -98,16 +110,24 @@
 	leaving int // that move to another pool
 	joining int // of other pools, that move to this one
 	donated int // proposed moves to this pool that are not yet committed
+	// drainsAway counts the proposed moves from this pool that are not yet
+	// committed.
+	drainsAway int
 
-	short      bool // has fewer hosts than its minimum
-	shortSince model.Time
+	found, next survey // of the last pass over the hosts and the present one
+	need        need
+	missing     condition // has fewer hosts than it is to have
+	excess      condition // has more
 }
 
 // New returns the planner of a term that begins at env.Now.
 func New(env Env) *Planner {
 	p := &Planner{
-		hosts: make(map[model.HostID]*host),
-		pools: make(map[model.PoolID]*pool),
+		hosts:  make(map[model.HostID]*host),
+		pools:  make(map[model.PoolID]*pool),
+		images: make(map[string]int),
+		trials: make(map[string]int),
+		began:  env.Now,
 	}
 	p.takeRules(env.Fleet.Rules)
 	for id := range env.Fleet.Hosts {
@@ -122,6 +142,13 @@
 	p.waves = make(map[model.PoolID]string)
 	p.harmed = make(map[string]map[model.HostID]bool)
 	p.stopped = make(map[string]bool)
+	p.poolOrder = model.SortedKeys(r.Pools)
+	p.sized = nil
+	for _, id := range p.poolOrder {
+		if rule := r.Pools[id]; rule.Sized() && !rule.Spare {
+			p.sized = append(p.sized, id)
+		}
+	}
 	// Two waves of one pool would reboot its hosts in turn for ever, so that
 	// the last one by name is in force.
 	for _, name := range model.SortedKeys(r.Waves) {
@@ -182,9 +209,19 @@
 		return
 	}
 	h.leaves = false
+	p.changing--
+	p.trial(c.Image, -1)
 	p.pool(h.state.Pool).drains--
 	if c.Pool != "" {
 		p.pool(c.Pool).donated--
+		p.pool(h.state.Pool).drainsAway--
+	}
+}
+
+// trial counts hosts that are to get an image.
+func (p *Planner) trial(image string, n int) {
+	if image != "" {
+		p.trials[image] += n
 	}
 }
 
@@ -194,10 +231,13 @@
 		p.sortHosts()
 	}
 	for range min(hostsPerTick, len(p.order)) {
-		p.examine(env, out, p.order[p.cursor])
+		id := p.order[p.cursor]
+		p.examine(env, out, id)
+		p.surveyHost(env, id, p.hosts[id])
 		if p.cursor++; p.cursor == len(p.order) {
 			p.cursor = 0
 			p.rounds++
+			p.surveyDone()
 		}
 	}
 	p.fillPools(env, out)
@@ -237,6 +277,10 @@
 	if h.known && h.leaves && h.state.Pool != state.Pool {
 		p.pool(h.state.Pool).drains--
 		p.pool(state.Pool).drains++
+		if h.away {
+			p.pool(h.state.Pool).drainsAway--
+			p.pool(state.Pool).drainsAway++
+		}
 	}
 	h.state = state
 	h.known = true
@@ -252,6 +296,15 @@
 	if s.Phase == fleet.HostServing && !s.Up || h.gone {
 		p.pool(s.Pool).lost += n
 	}
+	switch {
+	case s.Phase != fleet.HostServing:
+		p.trial(s.ImageWant, n)
+		if !h.gone {
+			p.changing += n
+		}
+	case s.Up:
+		p.images[s.Image] += n
+	}
 	if s.MoveTo != "" {
 		p.pool(s.Pool).leaving += n
 		p.pool(s.MoveTo).joining += n
--- a/core/maintenance/planner_test.go
+++ b/core/maintenance/planner_test.go
@@ -24,6 +24,9 @@
 	logs  []effect.Code
 	// away holds hosts that do not come back from a reboot.
 	away map[model.HostID]bool
+
+	policy   PolicyName
+	reserved map[model.HostID]model.Resources
 }
 
 // newFixture returns pool "a" with six hosts of three racks, and a spare pool
@@ -53,7 +56,12 @@
 func hostName(i int) model.HostID { return model.HostID(fmt.Sprintf("h%d", i)) }
 
 func (f *fixture) env() Env {
-	return Env{Now: f.now, Fleet: f.fleet, Busy: func(id model.HostID) bool { return f.busy[id] }}
+	return Env{
+		Now: f.now, Fleet: f.fleet, Policy: f.policy,
+		Busy:     func(id model.HostID) bool { return f.busy[id] },
+		Reserved: func(id model.HostID) model.Resources { return f.reserved[id] },
+		Need:     func(t *fleet.Task) model.Resources { return t.Spec.Size },
+	}
 }
 
 func (f *fixture) setRules(change func(*rules.Rules)) {
--- a/core/rules/rules.go
+++ b/core/rules/rules.go
@@ -44,7 +44,8 @@
 	// only, and the rules of its hosts pin them to it.
 	HostsMax int `json:"hosts_max,omitempty"`
 	// Buffer is the number of hosts kept beyond the need of a sized pool. With
-	// Survive it is the least, and the failure domain may ask for more.
+	// Survive it is the most, if it is not zero: fewer are kept if the pool has
+	// fewer in every failure domain.
 	Buffer  int    `json:"buffer,omitempty"`
 	Survive Domain `json:"survive,omitempty"`
 }
