maintenance: count spare hosts as the buffer of all pools; test the sizing

Tests cover hosts that move back and forth, budgets, one spare host for two pools, a move for a burst that is over, moves at once and the trial of an image. Mutants without the average, the end of a move, the bound on moves and the trial of an image each failed one of them; the tests of budgets and of the spare host have no such mutant, because the check when a plan is applied covers the same.

--- a/core/maintenance/planner.go
+++ b/core/maintenance/planner.go
@@ -81,6 +81,7 @@
 	nextSized int
 	capacity  model.Resources // of the hosts of the last pass
 	counted   int             // hosts of the last pass
+	spares    int             // of them, in spare pools and not out
 
 	donateAt model.Time // no search for a host to move before this time
 
--- a/core/maintenance/sizing.go
+++ b/core/maintenance/sizing.go
@@ -11,13 +11,13 @@
 const (
 	// averageOver is the time constant with which the need of a pool follows its
 	// demand, so that a burst of some seconds hardly shows in it.
-	averageOver = 45 * model.Second
+	averageOver = 5 * model.Minute
 	// peakDecay is the time constant with which a past peak of the need fades.
-	peakDecay = 10 * model.Minute
+	peakDecay = 15 * model.Minute
 	// ExcessFor is how long a pool must have more hosts than it needs before it
 	// gives one away. It is longer than MissingFor, because a host that is
 	// missed costs more than an idle one.
-	ExcessFor = 5 * model.Minute
+	ExcessFor = 10 * model.Minute
 	// fill is the part of the hosts that placement fills before tasks wait: the
 	// rest is left over between tasks of different sizes.
 	fill = 0.85
@@ -116,12 +116,15 @@
 
 // surveyDone takes over what a complete pass has found.
 func (p *Planner) surveyDone() {
-	p.capacity, p.counted = model.Resources{}, 0
-	for _, q := range p.pools {
+	p.capacity, p.counted, p.spares = model.Resources{}, 0, 0
+	for id, q := range p.pools {
 		q.found, q.next = q.next, q.found
 		q.next.reset()
 		p.capacity = p.capacity.Add(q.found.capacity)
 		p.counted += q.found.hosts
+		if p.rules.Pools[id].Spare {
+			p.spares += q.found.hosts - q.found.out
+		}
 	}
 }
 
@@ -179,7 +182,7 @@
 	if env.Policy == PolicyFirstFit {
 		hosts = int(math.Ceil(q.need.demand)) + rule.Buffer
 	} else {
-		hosts = int(math.Ceil(q.need.peak/fill)) + q.buffer(rule)
+		hosts = int(math.Ceil(q.need.peak/fill)) + q.buffer(rule, p.spares)
 	}
 	return min(max(hosts, rule.HostsMin), rule.HostsMax)
 }
@@ -190,9 +193,10 @@
 }
 
 // buffer returns the hosts that a pool keeps beyond its need: as many as it may
-// lose at once in its largest failure domain. The fixed buffer of the rules
-// bounds them.
-func (q *pool) buffer(rule rules.Pool) int {
+// lose at once in its largest failure domain, less those that the spare pools
+// can give it. Hosts in spare pools serve all pools as one buffer. The fixed
+// buffer of the rules bounds it.
+func (q *pool) buffer(rule rules.Pool, spares int) int {
 	if rule.Survive == rules.DomainNone {
 		return rule.Buffer
 	}
@@ -203,7 +207,7 @@
 		}
 	}
 	if rule.Buffer > 0 {
-		return min(largest, rule.Buffer)
+		largest = min(largest, rule.Buffer)
 	}
-	return largest
+	return max(0, largest-spares)
 }
--- /dev/null
+++ b/core/maintenance/sizing_test.go
@@ -0,0 +1,217 @@
+package maintenance
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/rules"
+)
+
+var wholeHost = model.Resources{MilliCPU: 1000, MemoryMB: 1000}
+
+// newSizedFixture returns the sized pools "a" and "b" and a spare pool, with 4
+// hosts each; every host is in a rack of its own.
+func newSizedFixture(t *testing.T, change func(*rules.Rules)) *fixture {
+	f := newFixture(t)
+	f.p, f.fleet, f.reserved = nil, fleet.New(), map[model.HostID]model.Resources{}
+	f.setRules(func(r *rules.Rules) {
+		r.Teams = map[model.TeamID]rules.Team{"press": {Limit: 100}}
+		sized := rules.Pool{HostsMin: 1, UnavailableMax: 2, HostsMax: 9}
+		r.Pools = map[model.PoolID]rules.Pool{
+			"a": sized, "b": sized, "spare": {UnavailableMax: 4, Spare: true, HostsMax: 12},
+		}
+		r.Hosts = map[model.HostID]rules.HostPlacement{}
+		for i, id := range sizedHosts() {
+			r.Hosts[id] = rules.HostPlacement{Pool: []model.PoolID{"a", "b", "spare"}[i/4]}
+		}
+		change(r)
+	})
+	for _, id := range sizedHosts() {
+		f.report(id, true)
+	}
+	f.p = New(f.env())
+	return f
+}
+
+func sizedHosts() []model.HostID {
+	var ids []model.HostID
+	for i := range 12 {
+		ids = append(ids, model.HostID(rune('a'+i)))
+	}
+	return ids
+}
+
+func (f *fixture) report(id model.HostID, up bool) {
+	f.apply(fleet.Command{ReportHost: &fleet.ReportHost{
+		Host: id, DataCentre: "west", Rack: model.RackID(id), Capacity: wholeHost, Image: "k8", Up: up,
+	}})
+}
+
+// use lets the hosts of a pool be filled by tasks to a part.
+func (f *fixture) use(pool model.PoolID, thousandths int64) {
+	for id, h := range f.fleet.Hosts {
+		if h.Pool == pool {
+			f.reserved[id] = model.Resources{MilliCPU: thousandths, MemoryMB: 1}
+		}
+	}
+}
+
+// wait queues tasks that fill whole hosts of a pool.
+func (f *fixture) wait(pool model.PoolID, names ...model.TaskID) {
+	for _, id := range names {
+		require.Nil(f.t, f.apply(fleet.Command{SubmitTask: &fleet.SubmitTask{
+			Task: id, Team: "press", Spec: fleet.TaskSpec{Pool: pool, Size: wholeHost},
+		}}).Problem)
+	}
+}
+
+func (f *fixture) cancel(names ...model.TaskID) {
+	for _, id := range names {
+		f.apply(fleet.Command{CancelTask: &fleet.CancelTask{Task: id, Team: "press"}})
+	}
+}
+
+func (f *fixture) pools() [3]int {
+	return [3]int{f.fleet.HostsIn("a"), f.fleet.HostsIn("b"), f.fleet.HostsIn("spare")}
+}
+
+// Guards against hosts that move back and forth: bursts of some seconds that
+// take turns move nothing, and a host that moved stays for MoveInterval.
+func TestBurstsMoveNoHosts(t *testing.T) {
+	f := newSizedFixture(t, func(*rules.Rules) {})
+	f.use("a", 800)
+	f.use("b", 800)
+	f.after(10 * model.Minute)
+	require.Equal(t, [3]int{4, 4, 4}, f.pools())
+	for i := range 20 {
+		pool := []model.PoolID{"a", "b"}[i%2]
+		names := []model.TaskID{model.TaskID(fmt.Sprint("x", i)), model.TaskID(fmt.Sprint("y", i))}
+		f.wait(pool, names...)
+		f.after(6 * model.Second)
+		f.cancel(names...)
+		f.after(model.Minute)
+	}
+	require.Equal(t, [3]int{4, 4, 4}, f.pools())
+}
+
+// Guards against a need that is not met, hosts that are kept for ever without
+// need, and a host that moves twice within MoveInterval.
+func TestPoolsFollowTheirNeed(t *testing.T) {
+	f := newSizedFixture(t, func(*rules.Rules) {})
+	f.use("a", 800)
+	f.use("b", 800)
+	f.wait("a", "x", "y", "z")
+	f.after(10 * model.Minute)
+	require.Greater(t, f.fleet.HostsIn("a"), 5)
+	require.Equal(t, 4, f.fleet.HostsIn("b"))
+	moved := map[model.HostID]model.Time{}
+	f.cancel("x", "y", "z")
+	f.use("a", 100)
+	for range 90 {
+		f.after(model.Minute)
+		for id, h := range f.fleet.Hosts {
+			if last := moved[id]; h.MovedAt != last {
+				require.True(t, last == 0 || h.MovedAt.Sub(last) >= MoveInterval)
+				moved[id] = h.MovedAt
+			}
+		}
+	}
+	require.Less(t, f.fleet.HostsIn("a"), 4)
+	require.GreaterOrEqual(t, f.fleet.HostsIn("a"), 1)
+}
+
+// Guards against a pool drained below its budget or its minimum by moves.
+func TestMovesKeepTheBudget(t *testing.T) {
+	f := newSizedFixture(t, func(r *rules.Rules) {
+		r.Pools["a"] = rules.Pool{HostsMin: 2, UnavailableMax: 1, HostsMax: 9}
+	})
+	f.use("b", 800)
+	f.wait("b", "u", "v", "w", "x", "y", "z")
+	for range 3600 {
+		f.after(model.Second)
+		require.LessOrEqual(t, f.fleet.UnavailableIn("a"), 1)
+		require.GreaterOrEqual(t, f.fleet.HostsIn("a")-f.fleet.UnavailableIn("a"), 2)
+	}
+	require.Equal(t, 2, f.fleet.HostsIn("a"))
+	require.Equal(t, 9, f.fleet.HostsIn("b"))
+}
+
+// Guards against two pools that take the same spare host.
+func TestOneSpareHostForTwoPools(t *testing.T) {
+	f := newSizedFixture(t, func(r *rules.Rules) {
+		for _, id := range sizedHosts()[9:] {
+			delete(r.Hosts, id)
+			r.Hosts[id] = rules.HostPlacement{Pool: "c"}
+		}
+		r.Pools["c"] = rules.Pool{}
+	})
+	f.use("a", 1000)
+	f.use("b", 1000)
+	f.wait("a", "x")
+	f.wait("b", "y")
+	f.busy["i"] = true
+	f.after(5 * model.Minute)
+	require.Equal(t, []model.HostID{"i"}, f.in(fleet.HostDraining))
+	f.busy["i"] = false
+	f.after(5 * model.Minute)
+	require.Equal(t, 9, f.fleet.HostsIn("a")+f.fleet.HostsIn("b"))
+	require.Equal(t, 0, f.fleet.HostsIn("spare"))
+}
+
+// Guards against a move that goes on although the burst that it was begun for is
+// over.
+func TestMoveEndsWithItsNeed(t *testing.T) {
+	f := newSizedFixture(t, func(*rules.Rules) {})
+	f.use("a", 800)
+	f.use("b", 800)
+	f.after(15 * model.Minute)
+	for _, id := range sizedHosts()[8:] {
+		f.busy[id] = true
+	}
+	f.wait("a", "x", "y", "z")
+	f.after(5 * model.Minute)
+	require.NotEmpty(t, f.in(fleet.HostDraining))
+	f.cancel("x", "y", "z")
+	f.use("a", 100)
+	f.after(25 * model.Minute)
+	require.Empty(t, f.in(fleet.HostDraining))
+	require.LessOrEqual(t, f.fleet.HostsIn("a"), 4)
+}
+
+// Guards against a stampede when a data centre is lost or returns.
+func TestFewHostsMoveAtOnce(t *testing.T) {
+	f := newSizedFixture(t, func(r *rules.Rules) {
+		r.Pools["spare"] = rules.Pool{UnavailableMax: 9, Spare: true, HostsMax: 12}
+		for _, id := range sizedHosts()[4:] {
+			r.Hosts[id] = rules.HostPlacement{Pool: "spare"}
+		}
+	})
+	f.use("a", 1000)
+	for _, id := range sizedHosts() {
+		f.busy[id] = true
+	}
+	f.wait("a", "u", "v", "w", "x", "y", "z")
+	f.wait("b", "t")
+	f.after(20 * model.Minute)
+	require.Len(t, f.in(fleet.HostDraining), movesMax)
+}
+
+// Guards against an image that is given to the whole budget of every pool before
+// one host has come back with it.
+func TestNewImageIsTriedOnFewHosts(t *testing.T) {
+	f := newFixture(t)
+	for i := range 6 {
+		f.away[hostName(i)] = true
+	}
+	f.setRules(func(r *rules.Rules) { r.Pools["a"] = rules.Pool{UnavailableMax: 6} })
+	f.wave("k9")
+	f.after(ReturnMax - model.Minute)
+	require.Len(t, f.in(fleet.HostRebooting), harmMax)
+	f.away = map[model.HostID]bool{}
+	f.after(model.Minute)
+	require.Equal(t, map[string]int{"k9": 6, "k8": 2}, f.images())
+}
--- a/replay/hosts.go
+++ b/replay/hosts.go
@@ -13,16 +13,17 @@
 
 // hostBooks is what is noted of the pools while a trace with workers lasts.
 type hostBooks struct {
-	looks   int
-	idle    int // hosts in service without a task, summed over the looks
-	moves   int
-	buffer  int // hosts of pools beyond what their running tasks fill, summed over the looks
-	changes map[model.HostID]*hostChange
-	rollout map[model.PoolID]*poolRollOut
-	pools   map[model.HostID]model.PoolID
-	rolled  map[string]model.Time // when the last host of a wave had its image
-	pending map[string]int        // hosts of a wave without its image
-	wanted  map[string]int        // hosts of a wave
+	looks    int
+	idle     int // hosts in service without a task, summed over the looks
+	moves    int
+	poolIdle int // of idle, in pools that are not spare
+	buffer   int // hosts of pools beyond what their running tasks fill, summed over the looks
+	changes  map[model.HostID]*hostChange
+	rollout  map[model.PoolID]*poolRollOut
+	pools    map[model.HostID]model.PoolID
+	rolled   map[string]model.Time // when the last host of a wave had its image
+	pending  map[string]int        // hosts of a wave without its image
+	wanted   map[string]int        // hosts of a wave
 }
 
 func newHostBooks() *hostBooks {
@@ -57,6 +58,9 @@
 		b.pools[id] = host.Pool
 		if host.Up && host.Phase == fleet.HostServing && !busy[id] {
 			b.idle++
+			if !e.rules.Pools[host.Pool].Spare {
+				b.poolIdle++
+			}
 		}
 	}
 	for _, name := range model.SortedKeys(e.rules.Waves) {
@@ -129,13 +133,14 @@
 func (r *Result) measureHosts(e *engine) {
 	b := e.books.hosts
 	if b.looks == 0 {
-		for _, name := range []string{MeasureIdleBuffer, MeasurePoolBuffer, MeasureHostMoves, MeasureHostsHarmed,
+		for _, name := range []string{MeasureIdleBuffer, MeasurePoolIdle, MeasurePoolBuffer, MeasureHostMoves, MeasureHostsHarmed,
 			MeasureRollOutSeconds, MeasureRollOutRatio} {
 			r.none(name, "the trace has no workers")
 		}
 		return
 	}
 	r.add(MeasureIdleBuffer, float64(b.idle)/float64(b.looks))
+	r.add(MeasurePoolIdle, float64(b.poolIdle)/float64(b.looks))
 	r.add(MeasurePoolBuffer, float64(b.buffer)/float64(b.looks))
 	r.add(MeasureHostMoves, float64(b.moves))
 	r.add(MeasureHostsHarmed, float64(e.harmed()))
--- a/replay/measure.go
+++ b/replay/measure.go
@@ -29,6 +29,7 @@
 	MeasureHostMoves      = "host_moves"      // moves between pools
 	MeasureRollOutSeconds = "rollout_seconds" // from the start of the trace to the end of its waves
 	MeasureRollOutRatio   = "rollout_ratio"   // the same, as a multiple of the shortest that the budgets allow
+	MeasurePoolIdle       = "pool_idle"       // the same, without those of spare pools
 	MeasurePoolBuffer     = "pool_buffer"     // mean hosts of pools that are not spare beyond what the running tasks fill
 	MeasureHostsHarmed    = "hosts_harmed"    // hosts that a wave's image left out of service
 	MeasureTasksLate      = "tasks_late"      // fraction of the tasks that began late or never
