--- a/core/burn/counts.go
+++ b/core/burn/counts.go
@@ -57,7 +57,8 @@
 
 // OfProblem returns how a request counts that ended with a problem. A resend
 // that meets its first request still running is not counted, because the first
-// request counts at its own end.
+// request counts at its own end; nor is the closing response of an idle
+// connection, on which there is no request as a rule.
 func OfProblem(kind problem.Kind) Cause {
 	switch kind {
 	case problem.Overloaded, problem.NoLeader, problem.NoLease, problem.NoTarget, problem.Stopping:
--- a/replay/tracegen/scenarios.go
+++ b/replay/tracegen/scenarios.go
@@ -19,6 +19,9 @@
 	"refusals":      (*writer).refusingTargets,
 	"tasks":         (*writer).tasks,
 	"shared-pool":   (*writer).sharedPool,
+	"pools":         (*writer).pools,
+	"wave":          (*writer).wave,
+	"harm":          (*writer).harm,
 }
 
 // Loads, as parts of the slots.
--- a/replay/worker.go
+++ b/replay/worker.go
@@ -131,6 +131,9 @@
 		w.Image = reply.Image
 		w.setLost(true)
 		life := w.life
+		if w.Breaks != "" && w.Image == w.Breaks {
+			return
+		}
 		w.e.after(rebootTime, func() {
 			if w.life == life {
 				w.setLost(false)
