dispatch: end the count of a silent target's slots when its runs are over

Cause: a new leader counts all slots of a registered target that has not announced itself as running for every team.

Ruled out: a shorter time to forget, since runs on the other side may go on until their deadlines; counting only what is not known from the gateways' lists, since short runs have ended by the time the fence has passed and nothing is gained.

Change: the count ends at the fence, plus the flight time, plus the longest run of the service with 1% for the clocks. No earlier owner's byte is sent after the fence, and a target stops its work at its deadline. docs/design.md 6.4 has the options for a shorter wait.

--- a/core/dispatch/advance.go
+++ b/core/dispatch/advance.go
@@ -18,7 +18,8 @@
 	timerPause                     // a target's pause ends
 	timerLost                      // a dispatched request was never reported ended
 	timerSweep                     // held claims are looked at
-	timerForget                    // a silent target can run nothing any more
+	timerForget                    // a silent target is removed
+	timerUnseen                    // nothing of an earlier owner can run on a target any more
 )
 
 type timerID struct {
@@ -66,10 +67,25 @@
 	o.fenced = true
 	o.fencedAt = env.Now
 	o.timers.Set(timerID{kind: timerSweep}, timer{at: env.Now.Add(ClaimSweep)}, struct{}{})
+	for _, id := range model.SortedKeys(o.targets) {
+		o.armUnseen(o.targets[id])
+	}
 	out.log(effect.Log{Code: effect.DispatchReady, Term: o.term})
 	o.pumpAll(env, out)
 }
 
+// armUnseen sets the time at which no run of an earlier owner can be left on a
+// target that has not shown what it runs: no byte was sent after the fence, and
+// targets stop their work at its deadline.
+func (o *Owner) armUnseen(t *target) {
+	if t.proven || !o.fenced {
+		return
+	}
+	longest := t.service.longest + t.service.longest/clockRate
+	o.timers.Set(timerID{kind: timerUnseen, target: t.reg.ID},
+		timer{at: o.fencedAt.Add(FlightTime + ClockMargin + longest)}, struct{}{})
+}
+
 func (o *Owner) expire(env Env, out *Out, id timerID) {
 	switch id.kind {
 	case timerDeadline:
@@ -100,6 +116,10 @@
 		if t := o.targets[id.target]; t != nil {
 			o.refresh(env, t)
 		}
+	case timerUnseen:
+		if t := o.targets[id.target]; t != nil && !t.proven {
+			o.prove(env, t)
+		}
 	case timerForget:
 		if t := o.targets[id.target]; t != nil {
 			out.Proposals = append(out.Proposals, fleet.Command{RemoveTarget: &fleet.RemoveTarget{
--- a/core/dispatch/owner.go
+++ b/core/dispatch/owner.go
@@ -8,7 +8,8 @@
 // serving lease has ended or belongs to a host that has reported. A registered
 // target counts all its slots as running, for every team, until it knows the
 // owner's term, or until a report that it sampled after the fence and the flight
-// time has replaced that bound.
+// time has replaced that bound, or until the longest run of its service that could
+// have started before the fence is over.
 //
 // A request counts as running from its dispatch (or the proposal of its claim)
 // until its end is known: from the gateway that had the whole answer or did
@@ -40,6 +41,8 @@
 	// ClockMargin covers the difference of two clocks over the times above: 1%
 	// of up to 4 s, rounded up.
 	ClockMargin = 50 * model.Millisecond
+	// clockRate is the inverse of the largest difference of two clocks' rates, 1%.
+	clockRate = 100
 	// SilentAfter is the time without an announcement after which a target
 	// gets nothing new.
 	SilentAfter = 2000 * model.Millisecond
--- a/core/dispatch/owner_test.go
+++ b/core/dispatch/owner_test.go
@@ -103,6 +103,19 @@
 	}
 }
 
+// Guards against a lost data centre whose silent targets keep every team at its
+// limit for longer than a run of an earlier owner can last, and against a limit
+// that is passed because they are no longer counted while one can.
+func TestSilentTargetCountsUntilItsRunsAreOver(t *testing.T) {
+	last := FlightTime + ClockMargin + 10*model.Second + 10*model.Second/clockRate
+	for after, want := range map[model.Duration]int{last - 1: 3, last: 0} {
+		f := newFixture(twoTeams(3), targetOf("t", 3))
+		f.advance(after)
+		require.Equal(t, want, f.owner.RequestsRunning("press"), "%.3f s after the fence", after.Seconds())
+		require.NoError(t, f.owner.Audit())
+	}
+}
+
 // Guards against a changed registration that forgets what may run.
 func TestChangedRegistrationStaysUnknown(t *testing.T) {
 	known := targetOf("t", 3)
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -64,7 +64,8 @@
 	empty     bool       // its last report listed nothing
 
 	// proven is set once a report that was sampled after the fence has shown
-	// what runs. Until then all slots count as running.
+	// what runs, or once all that an earlier owner started has passed its
+	// deadline. Until then all slots count as running.
 	proven bool
 }
 
@@ -160,8 +161,7 @@
 	sampled := t.sampledAfter(m.Acked)
 	o.reconcile(env, t, m, sampled)
 	if !t.proven && o.proves(m, sampled) {
-		t.proven = true
-		o.knowSlots(env, -t.reg.Slots)
+		o.prove(env, t)
 	}
 	o.refresh(env, t)
 	if m.State == message.TargetLeaving && len(t.runs) == 0 && t.empty && t.proven {
@@ -173,6 +173,13 @@
 	return reply
 }
 
+// prove stops counting the slots of a target as running for every team.
+func (o *Owner) prove(env Env, t *target) {
+	t.proven = true
+	o.timers.Remove(timerID{kind: timerUnseen, target: t.reg.ID})
+	o.knowSlots(env, -t.reg.Slots)
+}
+
 // proves reports whether nothing of an earlier owner can run on the target but
 // what this report lists. A target that knows the term of this owner refuses
 // what is still on its way. Of another one, the report must have been sampled
@@ -320,6 +327,7 @@
 	if !proven {
 		to.proven = false
 		o.knowSlots(env, reg.Slots)
+		o.armUnseen(to)
 	}
 	to.state, to.seq, to.lastHeard, to.receipts = from.state, from.seq, from.lastHeard, from.receipts
 	to.lastUsed, to.failures, to.paused, to.empty = from.lastUsed, from.failures, from.paused, from.empty
@@ -335,8 +343,7 @@
 
 func (o *Owner) dropTarget(env Env, t *target, endRuns bool) {
 	if !t.proven {
-		t.proven = true
-		o.knowSlots(env, -t.reg.Slots)
+		o.prove(env, t)
 	}
 	if endRuns {
 		for _, r := range t.sortedRuns() {
