--- a/core/gateway/attempt.go
+++ b/core/gateway/attempt.go
@@ -74,7 +74,7 @@
 	}
 	req.done.Claim = req.claim()
 	if e.Outcome == message.OutcomeUnknown {
-		req.mayRan = true
+		req.mayHaveRun = true
 	}
 	var out []effect.Effect
 	switch {
--- a/core/gateway/refuse.go
+++ b/core/gateway/refuse.go
@@ -77,7 +77,7 @@
 // refusal returns p, or RetriesExhausted in its place when p says "not run" and
 // an attempt may have run.
 func (req *request) refusal(p *problem.Problem) *problem.Problem {
-	if !req.mayRan || problem.Lookup(p.Kind).Ran != problem.RanNo {
+	if !req.mayHaveRun || problem.Lookup(p.Kind).Ran != problem.RanNo {
 		return p
 	}
 	return problem.New(problem.RetriesExhausted, "%d attempts were made; then %s", req.attempt, p.Kind)
--- a/core/gateway/table.go
+++ b/core/gateway/table.go
@@ -65,18 +65,18 @@
 type request struct {
 	event.Request
 
-	phase    phase
-	deadline model.Time // the request may start until then
-	attempt  int        // the latest attempt that was forwarded
-	ended    int        // attempts that have ended
-	mayRan   bool       // an attempt ended with an unknown outcome
-	answered bool       // the caller has its answer, or has gone
-	gone     bool       // the caller has gone
-	late     bool       // the latest attempt began after the deadline
-	run      message.Forwarded
-	runUntil model.Time // deadline of the running attempt
-	done     *message.Done
-	answerBy model.Time // while settling with the answer held back
+	phase      phase
+	deadline   model.Time // the request may start until then
+	attempt    int        // the latest attempt that was forwarded
+	ended      int        // attempts that have ended
+	mayHaveRun bool       // an attempt ended with an unknown outcome
+	answered   bool       // the caller has its answer, or has gone
+	gone       bool       // the caller has gone
+	late       bool       // the latest attempt began after the deadline
+	run        message.Forwarded
+	runUntil   model.Time // deadline of the running attempt
+	done       *message.Done
+	answerBy   model.Time // while settling with the answer held back
 }
 
 // New returns an empty table for the process life inc.
