--- a/ctl/parser.go
+++ b/ctl/parser.go
@@ -81,7 +81,7 @@
 	c := subcommand("replay", "replay a journal, a trace or trace settings; exit code 5 if it differs or leaves the bounds")
 	c.AddPositionalValue(&o.file, "FILE", 1, true, "journal, trace or trace settings")
 	c.String(&o.expect, "e", "expect", "outcomes file with bounds")
-	c.String(&o.policy, "", "policy", "shares (default), static, lent or units")
+	c.String(&o.policy, "", "policy", "of teams: shares (default), static, lent or units; of hosts: sized (default), minimum or first-fit")
 	c.String(&o.plots, "", "plots", "folder for plots")
 	c.UInt64(&o.seed, "", "seed", "seed of trace settings, in place of their own")
 	c.String(&o.record, "", "record", "write the inputs of the trace's replay to this journal")
