placement, fleet: name preemption by the usual terms

Cause: the code that takes lent capacity back used names of its own (taking, take, loan, claim), of which claim already has another meaning in core/dispatch. The field's terms are preemption, eviction, preemptor and victim.

Comments follow. No behaviour changes.

--- a/core/dispatch/request.go
+++ b/core/dispatch/request.go
@@ -30,7 +30,7 @@
 	claimed  bool       // this request holds its claim
 	attempt  int        // the latest attempt
 	failures int        // attempts that failed
-	run      *run       // while claiming or dispatched
+	run      *run       // while preempting or dispatched
 	withdrew bool       // withdrawn while its claim was being committed
 	adopted  bool       // taken over from a gateway's list; its Ask is not known
 	settleAs int        // attempt to name in Settled
--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -137,7 +137,7 @@
 	TaskFailed       Code = "task_failed"
 	TaskRefused      Code = "task_refused"
 	TaskEnded        Code = "task_ended"
-	TaskTakenBack    Code = "task_taken_back"
+	TaskPreempted    Code = "task_preempted"
 	HostDraining     Code = "host_draining"
 	HostDrained      Code = "host_drained"
 	HostMoved        Code = "host_moved"
--- a/core/fleet/state.go
+++ b/core/fleet/state.go
@@ -165,7 +165,7 @@
 	OutcomeFailed     TaskOutcome = "failed"      // counts as evidence against task and worker
 	OutcomeNotStarted TaskOutcome = "not_started" // the worker refused it: queued again
 	OutcomeStopped    TaskOutcome = "stopped"     // stopped by the system: queued again, or cancelled
-	OutcomeTakenBack  TaskOutcome = "taken_back"  // stopped for a team below its share: queued again
+	OutcomePreempted  TaskOutcome = "preempted"   // stopped for a team below its share: queued again
 	OutcomeLost       TaskOutcome = "lost"        // the worker's lease ended
 )
 
@@ -184,13 +184,13 @@
 	// Resume is true once a checkpoint has saved progress: a further run
 	// continues from it and repeats nothing.
 	Resume bool `json:"resume,omitempty"`
-	// TakenBack counts the runs that were ended to take lent capacity back.
-	TakenBack int            `json:"taken_back,omitempty"`
-	FailedOn  []model.HostID `json:"failed_on,omitempty"` // distinct workers
-	Detail    string         `json:"detail,omitempty"`
-	Submitted model.Time     `json:"submitted"`
-	Placed    model.Time     `json:"placed,omitempty"`
-	Ended     model.Time     `json:"ended,omitempty"`
+	// Preemptions counts the runs that were ended to take lent capacity back.
+	Preemptions int            `json:"preemptions,omitempty"`
+	FailedOn    []model.HostID `json:"failed_on,omitempty"` // distinct workers
+	Detail      string         `json:"detail,omitempty"`
+	Submitted   model.Time     `json:"submitted"`
+	Placed      model.Time     `json:"placed,omitempty"`
+	Ended       model.Time     `json:"ended,omitempty"`
 	// SubmitIndex and EndIndex are the log indexes of the submission and of
 	// the end. They order tasks whose times are equal.
 	SubmitIndex uint64 `json:"submit_index"`
--- a/core/fleet/tasks.go
+++ b/core/fleet/tasks.go
@@ -147,15 +147,15 @@
 		if !task.Spec.Idempotent {
 			return TaskUnknown, true
 		}
-	case OutcomeStopped, OutcomeTakenBack:
+	case OutcomeStopped, OutcomePreempted:
 		// A stopped run may have had effects; only an idempotent task may run
 		// again, so the others end here unless a checkpoint continues them.
 		if !task.Spec.Idempotent && !task.Cancel && !c.Saved {
 			return TaskUnknown, true
 		}
 		task.Resume = task.Resume || c.Saved
-		if c.Outcome == OutcomeTakenBack {
-			task.TakenBack++
+		if c.Outcome == OutcomePreempted {
+			task.Preemptions++
 		}
 	case OutcomeNotStarted:
 	default:
--- a/core/placement/bench_test.go
+++ b/core/placement/bench_test.go
@@ -76,9 +76,9 @@
 	}
 }
 
-// BenchmarkTakeBack measures the search for lent capacity for one task, with two
+// BenchmarkPreempt measures the search for lent capacity for one task, with two
 // runs on each worker that can be taken back.
-func BenchmarkTakeBack(b *testing.B) {
+func BenchmarkPreempt(b *testing.B) {
 	for _, n := range benchWorkers {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			f := newBench(b, n)
@@ -91,13 +91,13 @@
 			}
 			f.submit("claim", func(c *fleet.SubmitTask) { c.Team = "archive" })
 			q, r, env := f.p.pools["a"], f.p.records["claim"], f.env()
-			r.misfits = takeMisfits
+			r.misfits = preemptMisfits
 			b.ReportAllocs()
 			for b.Loop() {
-				f.p.takeBackFor(env, q, r)
-				q.taking.worker.held, q.taking.victim.take = false, ""
-				f.p.refreshWorker(env, q.taking.worker)
-				q.taking, q.takeAfter = nil, 0
+				f.p.preemptFor(env, q, r)
+				q.preemption.worker.held, q.preemption.victim.eviction = false, ""
+				f.p.refreshWorker(env, q.preemption.worker)
+				q.preemption, q.preemptAfter = nil, 0
 			}
 		})
 	}
--- a/core/placement/reclaim.go
+++ b/core/placement/eviction.go
@@ -9,16 +9,16 @@
 )
 
 const (
-	// claimFrom is how far below its share a team is when it begins to take lent
+	// preemptFrom is how far below its share a team is when it begins to take lent
 	// capacity back, in parts of the fleet. It goes on until it has its share.
 	// Without the difference, one task that ends would start it again; with 0.03,
 	// more tasks of a half-empty fleet finished late.
-	claimFrom = 0.06
-	// claimPart is the part of its share that a team lacks when it begins, if that
-	// is less: the whole share of most of 34 teams is below claimFrom.
-	claimPart = 0.5
-	// takenBackMax bounds how often the runs of one task are taken back.
-	takenBackMax = 2
+	preemptFrom = 0.06
+	// preemptPart is the part of its share that a team lacks when it begins, if that
+	// is less: the whole share of most of 34 teams is below preemptFrom.
+	preemptPart = 0.5
+	// preemptionsMax bounds how often the runs of one task are taken back.
+	preemptionsMax = 2
 	// checkpointLoss is the run time that a checkpoint is expected to cost. A
 	// younger run is stopped without one.
 	checkpointLoss = 2 * model.Second
@@ -50,7 +50,7 @@
 // begins reports whether a team is far enough below its share to begin to take
 // lent capacity back.
 func (s standings) begins(id model.TeamID) bool {
-	return s.missing(id) >= min(claimFrom, claimPart*s.teams[id].entitled)
+	return s.missing(id) >= min(preemptFrom, preemptPart*s.teams[id].entitled)
 }
 
 // mayYield reports whether a lender still has its share after it has yielded an
@@ -66,21 +66,21 @@
 	return left >= l.entitled && left/l.share >= dominant(c.used.Add(need), s.total)/c.share
 }
 
-// loan is one run on a worker.
-type loan struct {
-	task       model.TaskID
-	team       model.TeamID
-	size       model.Resources
-	ran        model.Duration
-	precedence int
-	takenBack  int
-	idempotent bool
-	throttled  bool
+// runOnWorker is one run on a worker.
+type runOnWorker struct {
+	task        model.TaskID
+	team        model.TeamID
+	size        model.Resources
+	ran         model.Duration
+	precedence  int
+	preemptions int
+	idempotent  bool
+	throttled   bool
 }
 
-// take is a way to take capacity from a run.
-type take struct {
-	loan  loan
+// eviction is a way to take capacity from a run.
+type eviction struct {
+	run   runOnWorker
 	kind  message.OrderKind
 	freed model.Resources
 	lost  float64 // work: run time in seconds, times the cores
@@ -91,60 +91,60 @@
 // stopped without a checkpoint. One that was taken back often enough is
 // throttled: that loses no work, but it holds its memory for as long again as it
 // still has to run, which is taken to be as long as it has run.
-func (l loan) cheapest() (take, bool) {
-	cores := float64(l.size.MilliCPU) / 1000
-	ran := l.ran.Seconds()
+func (r runOnWorker) cheapest() (eviction, bool) {
+	cores := float64(r.size.MilliCPU) / 1000
+	ran := r.ran.Seconds()
 	switch {
-	case l.takenBack >= takenBackMax && l.throttled:
-		return take{}, false
-	case l.takenBack >= takenBackMax:
-		freed := model.Resources{MilliCPU: l.size.MilliCPU - l.size.MilliCPU/throttleFactor}
-		return take{loan: l, kind: message.OrderThrottle, freed: freed, lost: ran * cores}, true
-	case l.ran < checkpointLoss && l.idempotent:
-		return take{loan: l, kind: message.OrderStop, freed: l.size, lost: ran * cores}, true
+	case r.preemptions >= preemptionsMax && r.throttled:
+		return eviction{}, false
+	case r.preemptions >= preemptionsMax:
+		freed := model.Resources{MilliCPU: r.size.MilliCPU - r.size.MilliCPU/throttleFactor}
+		return eviction{run: r, kind: message.OrderThrottle, freed: freed, lost: ran * cores}, true
+	case r.ran < checkpointLoss && r.idempotent:
+		return eviction{run: r, kind: message.OrderStop, freed: r.size, lost: ran * cores}, true
 	}
-	return take{loan: l, kind: message.OrderCheckpoint, freed: l.size, lost: checkpointLoss.Seconds() * cores}, true
+	return eviction{run: r, kind: message.OrderCheckpoint, freed: r.size, lost: checkpointLoss.Seconds() * cores}, true
 }
 
-// claim is a task that waits, of a team below its share.
-type claim struct {
+// preemptor is a task that waits, of a team below its share.
+type preemptor struct {
 	team       model.TeamID
 	need       model.Resources
 	precedence int
 }
 
-// plan returns the takes that make room for the claim on a worker with free
-// resources, and the work they lose. It is false if no takes do.
-func (s standings) plan(c claim, free model.Resources, loans []loan) (takes []take, lost float64, ok bool) {
-	var options []take
-	for _, l := range loans {
-		t, ok := l.cheapest()
-		if ok && l.precedence <= c.precedence {
+// plan returns the evictions that make room for the preemptor on a worker with free
+// resources, and the work they lose. It is false if no evictions do.
+func (s standings) plan(by preemptor, free model.Resources, evictable []runOnWorker) (evictions []eviction, lost float64, ok bool) {
+	var options []eviction
+	for _, r := range evictable {
+		t, ok := r.cheapest()
+		if ok && r.precedence <= by.precedence {
 			options = append(options, t)
 		}
 	}
-	slices.SortStableFunc(options, func(a, b take) int { return cmp.Compare(a.lost, b.lost) })
+	slices.SortStableFunc(options, func(a, b eviction) int { return cmp.Compare(a.lost, b.lost) })
 	yielded := make(map[model.TeamID]model.Resources)
 	for _, t := range options {
-		if c.need.Fits(free) {
+		if by.need.Fits(free) {
 			break
 		}
-		after := yielded[t.loan.team].Add(t.freed)
-		if !helps(c.need, free, t.freed) || !s.mayYield(t.loan.team, after, c.team, c.need) {
+		after := yielded[t.run.team].Add(t.freed)
+		if !helps(by.need, free, t.freed) || !s.mayYield(t.run.team, after, by.team, by.need) {
 			continue
 		}
-		yielded[t.loan.team] = after
+		yielded[t.run.team] = after
 		free = free.Add(t.freed)
-		takes = append(takes, t)
+		evictions = append(evictions, t)
 	}
-	if !c.need.Fits(free) {
+	if !by.need.Fits(free) {
 		return nil, 0, false
 	}
-	takes = needed(c.need, free, takes)
-	for _, t := range takes {
+	evictions = needed(by.need, free, evictions)
+	for _, t := range evictions {
 		lost += t.lost
 	}
-	return takes, lost, true
+	return evictions, lost, true
 }
 
 // helps reports whether freed has any of what need lacks in free.
@@ -154,13 +154,13 @@
 		need.Accelerators > free.Accelerators && freed.Accelerators > 0
 }
 
-// needed leaves out takes without which need still fits, the dearest first.
-func needed(need, free model.Resources, takes []take) []take {
-	for i := len(takes) - 1; i >= 0; i-- {
-		if less := free.Sub(takes[i].freed); need.Fits(less) {
+// needed leaves out evictions without which need still fits, the dearest first.
+func needed(need, free model.Resources, evictions []eviction) []eviction {
+	for i := len(evictions) - 1; i >= 0; i-- {
+		if less := free.Sub(evictions[i].freed); need.Fits(less) {
 			free = less
-			takes = slices.Delete(takes, i, i+1)
+			evictions = slices.Delete(evictions, i, i+1)
 		}
 	}
-	return takes
+	return evictions
 }
--- a/core/placement/reclaim_test.go
+++ b/core/placement/eviction_test.go
@@ -16,20 +16,20 @@
 func TestCheapestTake(t *testing.T) {
 	const old, young = model.Minute, model.Second
 	for name, test := range map[string]struct {
-		loan loan
+		run  runOnWorker
 		want message.OrderKind
 	}{
-		"young":                        {loan{idempotent: true, ran: young}, message.OrderStop},
-		"old":                          {loan{idempotent: true, ran: old}, message.OrderCheckpoint},
-		"young, not idempotent":        {loan{ran: young}, message.OrderCheckpoint},
-		"old, not idempotent":          {loan{ran: old}, message.OrderCheckpoint},
-		"taken back often":             {loan{idempotent: true, ran: old, takenBack: takenBackMax}, message.OrderThrottle},
-		"taken back often, throttled":  {loan{idempotent: true, ran: old, takenBack: takenBackMax, throttled: true}, ""},
-		"not idempotent, taken back":   {loan{ran: young, takenBack: takenBackMax}, message.OrderThrottle},
-		"throttled by another process": {loan{idempotent: true, ran: old, throttled: true}, message.OrderCheckpoint},
+		"young":                        {runOnWorker{idempotent: true, ran: young}, message.OrderStop},
+		"old":                          {runOnWorker{idempotent: true, ran: old}, message.OrderCheckpoint},
+		"young, not idempotent":        {runOnWorker{ran: young}, message.OrderCheckpoint},
+		"old, not idempotent":          {runOnWorker{ran: old}, message.OrderCheckpoint},
+		"taken back often":             {runOnWorker{idempotent: true, ran: old, preemptions: preemptionsMax}, message.OrderThrottle},
+		"taken back often, throttled":  {runOnWorker{idempotent: true, ran: old, preemptions: preemptionsMax, throttled: true}, ""},
+		"not idempotent, taken back":   {runOnWorker{ran: young, preemptions: preemptionsMax}, message.OrderThrottle},
+		"throttled by another process": {runOnWorker{idempotent: true, ran: old, throttled: true}, message.OrderCheckpoint},
 	} {
 		t.Run(name, func(t *testing.T) {
-			got, ok := test.loan.cheapest()
+			got, ok := test.run.cheapest()
 			require.Equal(t, test.want != "", ok)
 			require.Equal(t, test.want, got.kind)
 		})
@@ -44,8 +44,8 @@
 		"above": {used: cores(80), share: 50, entitled: 0.45},
 		"below": {used: cores(10), share: 50, entitled: 0.45},
 	}}
-	run := func(id model.TaskID, n int64, ran model.Duration) loan {
-		return loan{task: id, team: "above", size: cores(n), ran: ran, idempotent: true}
+	run := func(id model.TaskID, n int64, ran model.Duration) runOnWorker {
+		return runOnWorker{task: id, team: "above", size: cores(n), ran: ran, idempotent: true}
 	}
 	old, young := run("old", 4, model.Minute), run("young", 4, model.Millisecond)
 	other := old
@@ -53,24 +53,24 @@
 	important := old
 	important.precedence = 2
 	for name, test := range map[string]struct {
-		need  int64
-		loans []loan
-		want  []model.TaskID
+		need      int64
+		evictable []runOnWorker
+		want      []model.TaskID
 	}{
-		"the cheapest":          {4, []loan{old, young}, []model.TaskID{"young"}},
-		"both":                  {8, []loan{old, young}, []model.TaskID{"young", "old"}},
-		"only what is needed":   {6, []loan{young, run("large", 6, model.Minute)}, []model.TaskID{"large"}},
-		"not enough":            {9, []loan{old, young}, nil},
-		"own runs":              {4, []loan{other}, nil},
-		"higher precedence":     {4, []loan{important}, nil},
-		"would be below itself": {40, []loan{run("a", 40, model.Minute)}, nil},
+		"the cheapest":          {4, []runOnWorker{old, young}, []model.TaskID{"young"}},
+		"both":                  {8, []runOnWorker{old, young}, []model.TaskID{"young", "old"}},
+		"only what is needed":   {6, []runOnWorker{young, run("large", 6, model.Minute)}, []model.TaskID{"large"}},
+		"not enough":            {9, []runOnWorker{old, young}, nil},
+		"own runs":              {4, []runOnWorker{other}, nil},
+		"higher precedence":     {4, []runOnWorker{important}, nil},
+		"would be below itself": {40, []runOnWorker{run("a", 40, model.Minute)}, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
-			takes, _, ok := s.plan(claim{team: "below", need: cores(test.need), precedence: 1}, model.Resources{}, test.loans)
+			evictions, _, ok := s.plan(preemptor{team: "below", need: cores(test.need), precedence: 1}, model.Resources{}, test.evictable)
 			require.Equal(t, test.want != nil, ok)
 			var got []model.TaskID
-			for _, take := range takes {
-				got = append(got, take.loan.task)
+			for _, e := range evictions {
+				got = append(got, e.run.task)
 			}
 			require.Equal(t, test.want, got)
 		})
@@ -153,7 +153,7 @@
 	require.Equal(t, 2, l.stops)
 	require.Equal(t, 1, l.most, "one at a time")
 	for _, task := range l.fleet.Tasks {
-		require.LessOrEqual(t, task.TakenBack, 1)
+		require.LessOrEqual(t, task.Preemptions, 1)
 	}
 	before := l.stops
 	l.advance(2 * model.Minute)
@@ -163,7 +163,7 @@
 // Guards against policies that are kept to compare with and take back too.
 func TestLentCapacityIsKept(t *testing.T) {
 	l := lentFixture(t, true)
-	l.shares = SharePolicy{KeepLent: true}
+	l.shares = SharePolicy{NoPreemption: true}
 	l.advance(30 * model.Second)
 	require.Zero(t, l.stops)
 	require.Zero(t, l.fleet.PlacedByTeam("archive"))
@@ -180,7 +180,7 @@
 			require.Equal(t, saves, l.stops > 0)
 			for id, task := range l.fleet.Tasks {
 				require.NotEqual(t, fleet.TaskUnknown, task.Phase, id)
-				require.Equal(t, task.TakenBack > 0, task.Resume, id)
+				require.Equal(t, task.Preemptions > 0, task.Resume, id)
 			}
 		})
 	}
@@ -192,11 +192,11 @@
 	for _, idempotent := range []bool{false, true} {
 		t.Run(fmt.Sprint(idempotent), func(t *testing.T) {
 			l := lentFixture(t, idempotent)
-			for l.p.pools["a"].taking == nil || !l.p.pools["a"].taking.victim.takeSent {
+			for l.p.pools["a"].preemption == nil || !l.p.pools["a"].preemption.victim.evictionSent {
 				l.advance(500 * model.Millisecond)
 				require.Less(t, l.now, model.Time(model.Hour+model.Minute))
 			}
-			victim := l.p.pools["a"].taking.victim.task.ID
+			victim := l.p.pools["a"].preemption.victim.task.ID
 			l.p = New(l.env())
 			l.advance(model.Second)
 			require.Equal(t, fleet.TaskQueued, l.task(victim).Phase)
@@ -211,15 +211,15 @@
 
 // Guards against a task that was taken back and waits behind others of its team.
 func TestTakenBackGoesFirst(t *testing.T) {
-	early, takenBack := rankOf(&fleet.Task{SubmitIndex: 1}), rankOf(&fleet.Task{SubmitIndex: 2, TakenBack: 1})
+	early, preempted := rankOf(&fleet.Task{SubmitIndex: 1}), rankOf(&fleet.Task{SubmitIndex: 2, Preemptions: 1})
 	urgent := rankOf(&fleet.Task{SubmitIndex: 3, Spec: fleet.TaskSpec{Precedence: 1}})
-	require.True(t, takenBack.before(early))
-	require.True(t, urgent.before(takenBack))
+	require.True(t, preempted.before(early))
+	require.True(t, urgent.before(preempted))
 }
 
 // Guards against a team that never takes back because its share is small, and
 // against one that begins for a task that has just ended.
-func TestBeginsToTakeBack(t *testing.T) {
+func TestBeginsToPreempt(t *testing.T) {
 	s := standings{total: model.Resources{MilliCPU: 1000}, teams: map[model.TeamID]standing{}}
 	for _, test := range []struct {
 		used     int64
--- a/core/placement/placer.go
+++ b/core/placement/placer.go
@@ -98,7 +98,7 @@
 	pending    int             // placements that are proposed and not yet committed
 	used       model.Resources // reserved for tasks that are placed or proposed
 	unfinished int             // tasks
-	claiming   bool            // takes lent capacity back until it has its share
+	preempting bool            // takes lent capacity back until it has its share
 	queues     map[model.PoolID]*teamQueue
 }
 
--- a/core/placement/property_test.go
+++ b/core/placement/property_test.go
@@ -52,7 +52,7 @@
 		}
 	}
 	for _, what := range []string{
-		"end finished", "end failed", "end lost", "end stopped", "end not_started", "end taken_back",
+		"end finished", "end failed", "end lost", "end stopped", "end not_started", "end preempted",
 		"plan drain", "plan reboot", "plan return", "move", "refused", "fail-over",
 	} {
 		require.Positive(t, seen[what], what)
--- a/core/placement/queue.go
+++ b/core/placement/queue.go
@@ -9,7 +9,7 @@
 // taskRank orders the queued tasks of one team in one pool.
 type taskRank struct {
 	precedence  int
-	takenBack   bool
+	preemptions bool
 	submitIndex uint64
 }
 
@@ -17,8 +17,8 @@
 	if a.precedence != b.precedence {
 		return a.precedence > b.precedence
 	}
-	if a.takenBack != b.takenBack {
-		return a.takenBack
+	if a.preemptions != b.preemptions {
+		return a.preemptions
 	}
 	return a.submitIndex < b.submitIndex
 }
@@ -49,21 +49,21 @@
 
 // pool holds the queued tasks and usable workers of one pool.
 type pool struct {
-	id          model.PoolID
-	queues      map[model.TeamID]*teamQueue
-	order       *pq.Queue[model.TeamID, teamRank, *teamQueue] // teams under their limit with tasks to place
-	plain       fitTree
-	accelerated fitTree
-	capacities  map[model.Resources]int // number of workers that are up, by capacity
-	largest     model.Resources         // of capacities, by resource
-	hold        *hold
-	members     []*worker // that are up, by id
-	parked      map[model.TeamID]*parked
-	freed       []*worker // on which runs have ended since the last pump
-	taking      *taking   // of lent capacity, or nil
-	takeAfter   model.Time
-	cursor      int  // in members, where the next search for lent capacity begins
-	dirty       bool // something changed since no task could be placed
+	id           model.PoolID
+	queues       map[model.TeamID]*teamQueue
+	order        *pq.Queue[model.TeamID, teamRank, *teamQueue] // teams under their limit with tasks to place
+	plain        fitTree
+	accelerated  fitTree
+	capacities   map[model.Resources]int // number of workers that are up, by capacity
+	largest      model.Resources         // of capacities, by resource
+	hold         *hold
+	members      []*worker // that are up, by id
+	parked       map[model.TeamID]*parked
+	freed        []*worker   // on which runs have ended since the last pump
+	preemption   *preemption // of lent capacity, or nil
+	preemptAfter model.Time
+	cursor       int  // in members, where the next search for lent capacity begins
+	dirty        bool // something changed since no task could be placed
 }
 
 func newPool(id model.PoolID) *pool {
@@ -125,7 +125,7 @@
 }
 
 func rankOf(t *fleet.Task) taskRank {
-	return taskRank{t.Spec.Precedence, t.TakenBack > 0, t.SubmitIndex}
+	return taskRank{t.Spec.Precedence, t.Preemptions > 0, t.SubmitIndex}
 }
 
 // rankTeam puts a team into the order of a pool, or notes that it is at its
@@ -170,7 +170,7 @@
 // bounded work and tasks that cannot run do not hold up the others.
 func (p *Placer) pump(env Env, out *Out, q *pool) {
 	p.useHold(env, out, q)
-	p.useTaking(env, out, q)
+	p.usePreemption(env, out, q)
 	p.unparkFreed(env, q)
 	misfits := 0
 	for range placementsPerPump {
@@ -185,7 +185,7 @@
 			continue
 		}
 		p.holdFor(env, q, r)
-		p.takeBackFor(env, q, r)
+		p.preemptFor(env, q, r)
 		p.delay(env, r, backoff(misfitDelayMin, misfitDelayMax, r.misfits))
 		p.park(q, r)
 		r.misfits++
--- a/core/placement/record.go
+++ b/core/placement/record.go
@@ -19,21 +19,21 @@
 	fails   int     // failed runs seen in this term
 
 	// While it is proposed or placed.
-	worker    *worker
-	pending   bool // proposed and not yet committed
-	reserved  model.Resources
-	peak      model.Resources   // largest usage reported of this run
-	ordered   bool              // an order to run may have been sent
-	lastOrder model.Time        // of the last order to run
-	waitsFrom model.Time        // first order of a run that is not reported yet; zero if none
-	ending    bool              // its end is proposed
-	failed    bool              // its run has failed
-	began     model.Time        // of the run, by its reports; zero until one lists it
-	saved     bool              // its run has ended with a checkpoint
-	throttled bool              // its worker says so
-	take      message.OrderKind // how its capacity is taken back; empty if it is not
-	takeSent  bool              // the order has been sent
-	near      [2]domain         // where it counts in Placer.crowds
+	worker       *worker
+	pending      bool // proposed and not yet committed
+	reserved     model.Resources
+	peak         model.Resources   // largest usage reported of this run
+	ordered      bool              // an order to run may have been sent
+	lastOrder    model.Time        // of the last order to run
+	waitsFrom    model.Time        // first order of a run that is not reported yet; zero if none
+	ending       bool              // its end is proposed
+	failed       bool              // its run has failed
+	began        model.Time        // of the run, by its reports; zero until one lists it
+	saved        bool              // its run has ended with a checkpoint
+	throttled    bool              // its worker says so
+	eviction     message.OrderKind // how its capacity is taken back; empty if it is not
+	evictionSent bool              // the order has been sent
+	near         [2]domain         // where it counts in Placer.crowds
 }
 
 // placed reports whether the replicated state has the task on a worker.
@@ -114,7 +114,7 @@
 	r.peak = model.Resources{}
 	r.delayed = false
 	r.ordered, r.lastOrder, r.waitsFrom, r.ending = false, 0, 0, false
-	r.began, r.throttled, r.take, r.takeSent, r.saved = 0, false, "", false, false
+	r.began, r.throttled, r.eviction, r.evictionSent, r.saved = 0, false, "", false, false
 }
 
 // delay keeps a queued task out of its queue for a while.
@@ -154,8 +154,8 @@
 	if t != nil && t.Phase == fleet.TaskFailed && t.Epoch == c.Epoch && p.records[c.Task] == nil {
 		out.log(effect.Log{Code: effect.TaskFailed, Host: t.Worker, Team: t.Team, Detail: string(t.ID) + ": " + t.Detail})
 	}
-	if c.Outcome == fleet.OutcomeTakenBack && t != nil && t.Phase == fleet.TaskQueued && t.Epoch == c.Epoch {
-		out.log(effect.Log{Code: effect.TaskTakenBack, Team: t.Team, Detail: string(t.ID)})
+	if c.Outcome == fleet.OutcomePreempted && t != nil && t.Phase == fleet.TaskQueued && t.Epoch == c.Epoch {
+		out.log(effect.Log{Code: effect.TaskPreempted, Team: t.Team, Detail: string(t.ID)})
 	}
 	r := p.records[c.Task]
 	if r == nil || r.queue == nil || !r.failed {
@@ -232,8 +232,8 @@
 		return fleet.OutcomeFailed
 	case r.task.Cancel:
 		return fleet.OutcomeStopped
-	case r.takeSent && (r.task.Spec.Idempotent || run.Phase == message.RunSaved):
-		return fleet.OutcomeTakenBack
+	case r.evictionSent && (r.task.Spec.Idempotent || run.Phase == message.RunSaved):
+		return fleet.OutcomePreempted
 	case r.task.Spec.Idempotent || run.Phase == message.RunSaved:
 		return fleet.OutcomeStopped
 	}
--- a/core/placement/report.go
+++ b/core/placement/report.go
@@ -114,7 +114,7 @@
 	if r.ending || r.task.Cancel || overdue(r, run) {
 		return []message.Order{{Kind: message.OrderStop, Task: run.Task, Epoch: run.Epoch}}
 	}
-	orders := append([]message.Order{p.orderRun(env, r)}, takeOrders(r)...)
+	orders := append([]message.Order{p.orderRun(env, r)}, evictionOrders(r)...)
 	// A worker that cannot save the progress stops the run, and the task starts
 	// again elsewhere, which one that is not idempotent must not do. It is left to
 	// finish.
--- a/core/placement/shares.go
+++ b/core/placement/shares.go
@@ -7,8 +7,8 @@
 // SharePolicy says how the tasks of a team count for its share. The zero value
 // is the policy of processes; the others are kept to compare with in replays.
 type SharePolicy struct {
-	ByUnits  bool // running requests and tasks are counted, whatever their size
-	KeepLent bool // lent capacity is not taken back
+	ByUnits      bool // running requests and tasks are counted, whatever their size
+	NoPreemption bool // lent capacity is not taken back
 }
 
 // minShare stands for a share of zero, whose teams come after all others.
--- a/core/placement/timers.go
+++ b/core/placement/timers.go
@@ -60,7 +60,7 @@
 		return
 	}
 	for _, id := range model.SortedKeys(p.pools) {
-		if q := p.pools[id]; q.dirty || q.hold != nil || q.taking != nil {
+		if q := p.pools[id]; q.dirty || q.hold != nil || q.preemption != nil {
 			p.pump(env, out, q)
 		}
 	}
--- a/core/workers.go
+++ b/core/workers.go
@@ -23,9 +23,9 @@
 func sharePolicy(name dispatch.PolicyName) placement.SharePolicy {
 	switch name {
 	case dispatch.PolicyStatic, dispatch.PolicyUnits:
-		return placement.SharePolicy{ByUnits: true, KeepLent: true}
+		return placement.SharePolicy{ByUnits: true, NoPreemption: true}
 	case dispatch.PolicyLent:
-		return placement.SharePolicy{KeepLent: true}
+		return placement.SharePolicy{NoPreemption: true}
 	default:
 		return placement.SharePolicy{}
 	}
--- a/daemon/executor.go
+++ b/daemon/executor.go
@@ -73,7 +73,7 @@
 	effect.WorkerSuspect:    logevent.WorkerQuarantined,
 	effect.TaskPlaced:       logevent.TaskPlaced,
 	effect.TaskEnded:        logevent.TaskEnded,
-	effect.TaskTakenBack:    logevent.TaskTakenBack,
+	effect.TaskPreempted:    logevent.TaskPreempted,
 	effect.HostDraining:     logevent.DrainStarted,
 	effect.HostReturned:     logevent.HostInService,
 	effect.WaveStopped:      logevent.WaveStopped,
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -205,7 +205,7 @@
 	{TaskEnded, "task_ended", zerolog.DebugLevel,
 		"a task has finished, was cancelled, or its outcome is unknown",
 		"Nothing."},
-	{TaskTakenBack, "task_taken_back", zerolog.InfoLevel,
+	{TaskPreempted, "task_preempted", zerolog.InfoLevel,
 		"a task of a team above its share was stopped for a team below it",
 		"Nothing: the task is the next of its team. If it happens often, look at the shares."},
 	{DrainStarted, "drain_started", zerolog.InfoLevel,
--- a/logevent/ids.go
+++ b/logevent/ids.go
@@ -86,7 +86,7 @@
 	TaskFailed    ID = 702
 	TaskRefused   ID = 703
 	TaskEnded     ID = 704
-	TaskTakenBack ID = 705
+	TaskPreempted ID = 705
 	DrainStarted  ID = 710
 	DrainEnded    ID = 711
 	HostMoved     ID = 712
