--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -36,8 +36,8 @@
 	return a.id < b.id
 }
 
-// heir is another incarnation that announces itself as a registered target.
-type heir struct {
+// successor is another incarnation that announces itself as a registered target.
+type successor struct {
 	inc      model.Incarnation
 	answered []uint64 // sequence numbers of its latest reports
 }
@@ -56,7 +56,7 @@
 	lastHeard model.Time // zero before its first report to this owner
 	receipts  []receipt
 	runs      map[runID]*run
-	heir      heir
+	successor successor
 	lastUsed  uint64
 	failures  int        // attempts in a row that failed
 	paused    model.Time // nothing is sent before this time
@@ -199,13 +199,13 @@
 	if t == nil || t.reg.Incarnation == m.Target.Incarnation {
 		return true
 	}
-	if t.heir.inc != m.Target.Incarnation {
-		t.heir = heir{inc: m.Target.Incarnation}
+	if t.successor.inc != m.Target.Incarnation {
+		t.successor = successor{inc: m.Target.Incarnation}
 	}
-	alive := slices.Contains(t.heir.answered, m.Acked)
-	t.heir.answered = append(t.heir.answered, m.Seq)
-	if len(t.heir.answered) > reportsKept {
-		t.heir.answered = t.heir.answered[1:]
+	alive := slices.Contains(t.successor.answered, m.Acked)
+	t.successor.answered = append(t.successor.answered, m.Seq)
+	if len(t.successor.answered) > reportsKept {
+		t.successor.answered = t.successor.answered[1:]
 	}
 	return alive
 }
