--- a/ctl/replay.go
+++ b/ctl/replay.go
@@ -14,7 +14,7 @@
 
 	"primrosedale.example/primrosedale/core/dispatch"
 	"primrosedale.example/primrosedale/core/maintenance"
-	"primrosedale.example/primrosedale/journal"
+	"primrosedale.example/primrosedale/recording"
 	"primrosedale.example/primrosedale/replay"
 	"primrosedale.example/primrosedale/replay/tracegen"
 )
@@ -43,7 +43,7 @@
 		return errors.Annotate(err, "reading what to replay")
 	}
 	switch {
-	case journal.IsJournal(head):
+	case recording.IsJournal(head):
 		return p.replayJournal(reader)
 	case replay.IsTrace(head):
 		trace, err := replay.Read(reader)
@@ -63,7 +63,7 @@
 }
 
 func (p *Program) replayJournal(in io.Reader) error {
-	report, err := journal.Verify(in)
+	report, err := recording.Verify(in)
 	if err != nil {
 		return &failure{ExitFaults, err}
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,10 +22,10 @@
 	"primrosedale.example/primrosedale/core/view"
 	"primrosedale.example/primrosedale/drain"
 	"primrosedale.example/primrosedale/gateway"
-	"primrosedale.example/primrosedale/journal"
 	"primrosedale.example/primrosedale/logevent"
 	"primrosedale.example/primrosedale/operator"
 	"primrosedale.example/primrosedale/platform"
+	"primrosedale.example/primrosedale/recording"
 	"primrosedale.example/primrosedale/settings"
 	"primrosedale.example/primrosedale/storage"
 	"primrosedale.example/primrosedale/transport"
@@ -48,7 +48,7 @@
 	loop     *control.Loop
 	store    *storage.Store // nil without a data folder
 	writer   *logWriter
-	journal  *journal.Recorder // nil without the setting record
+	journal  *recording.Recorder // nil without the setting record
 	gateway  *gateway.Server
 	platform *platform.Server
 	operator *operator.Server
--- a/daemon/journal.go
+++ b/daemon/journal.go
@@ -4,21 +4,21 @@
 	"primrosedale.example/primrosedale/control"
 	"primrosedale.example/primrosedale/core"
 	"primrosedale.example/primrosedale/core/model"
-	"primrosedale.example/primrosedale/journal"
 	"primrosedale.example/primrosedale/logevent"
+	"primrosedale.example/primrosedale/recording"
 )
 
 // openJournal starts the journal that the settings ask for. It returns nil if
 // they ask for none.
-func (d *Daemon) openJournal(cfg core.Config, stored core.Stored, now model.Time, rand uint64) (*journal.Recorder, error) {
+func (d *Daemon) openJournal(cfg core.Config, stored core.Stored, now model.Time, rand uint64) (*recording.Recorder, error) {
 	if d.settings.Record == "" {
 		return nil, nil
 	}
-	w, err := journal.Create(d.settings.Record, cfg, stored, now, rand)
+	w, err := recording.Create(d.settings.Record, cfg, stored, now, rand)
 	if err != nil {
 		return nil, err
 	}
-	return journal.NewRecorder(w, func(err error) {
+	return recording.NewRecorder(w, func(err error) {
 		d.log.Emit(logevent.JournalError, logevent.Err(err))
 	}), nil
 }
--- a/journal/daemon_test.go
+++ b/recording/daemon_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package recording_test
 
 import (
 	"bytes"
@@ -19,8 +19,8 @@
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/daemon"
 	"primrosedale.example/primrosedale/devcluster"
-	"primrosedale.example/primrosedale/journal"
 	"primrosedale.example/primrosedale/logevent"
+	"primrosedale.example/primrosedale/recording"
 	"primrosedale.example/primrosedale/settings"
 	"primrosedale.example/primrosedale/standin"
 )
@@ -133,7 +133,7 @@
 	for i, p := range processes {
 		text, err := os.ReadFile(p.settings.Record)
 		require.NoError(t, err)
-		report, err := journal.Verify(bytes.NewReader(text))
+		report, err := recording.Verify(bytes.NewReader(text))
 		require.NoError(t, err)
 		require.Nil(t, report.First, "journal of %s: %s", p.settings.Host, report.First)
 		require.Positive(t, report.States)
--- a/journal/journal.go
+++ b/recording/journal.go
@@ -1,4 +1,4 @@
-// Package journal records every input of a process with a digest of the
+// Package recording records every input of a process with a digest of the
 // effects that the reducer returned for it, and checks that a replay of the
 // inputs gives the same effects and the same state.
 //
@@ -11,7 +11,7 @@
 // A journal holds what callers and operators sent, apart from request bodies:
 // queues, teams, hashes of keys, stored answers and rules. Its file can be read
 // by its owner only.
-package journal
+package recording
 
 import (
 	"encoding/json"
--- a/journal/writer.go
+++ b/recording/writer.go
@@ -1,4 +1,4 @@
-package journal
+package recording
 
 import (
 	"bufio"
--- a/replay/engine.go
+++ b/replay/engine.go
@@ -16,7 +16,7 @@
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/pq"
 	"primrosedale.example/primrosedale/core/rules"
-	"primrosedale.example/primrosedale/journal"
+	"primrosedale.example/primrosedale/recording"
 )
 
 // Times of a replay.
@@ -83,8 +83,8 @@
 	rulesSeq int
 	books    *books
 	halted   string
-	journal  *journal.Writer // nil unless the inputs are recorded
-	failed   error           // of the journal
+	journal  *recording.Writer // nil unless the inputs are recorded
+	failed   error             // of the journal
 }
 
 // Run replays a trace and returns what happened in it.
@@ -140,7 +140,7 @@
 	}
 	e.state = state
 	if o.Record != "" {
-		if e.journal, err = journal.Create(o.Record, cfg, stored, e.now, seed); err != nil {
+		if e.journal, err = recording.Create(o.Record, cfg, stored, e.now, seed); err != nil {
 			return nil, err
 		}
 	}
--- a/replay/tracegen/traces_test.go
+++ b/replay/tracegen/traces_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"primrosedale.example/primrosedale/journal"
+	"primrosedale.example/primrosedale/recording"
 	"primrosedale.example/primrosedale/replay"
 	"primrosedale.example/primrosedale/replay/tracegen"
 )
@@ -61,7 +61,7 @@
 			file, err := os.Open(path)
 			require.NoError(t, err)
 			defer file.Close()
-			report, err := journal.Verify(file)
+			report, err := recording.Verify(file)
 			require.NoError(t, err)
 			require.Nil(t, report.First, "%s", report.First)
 			require.Greater(t, report.Inputs, 10_000)
