announce: rename package platform

Cause: platform/ becomes the adapter to the users' platform; the product's own interface for targets and workers needs another name. Paths on the wire and the setting listen.platform stay as they are.

--- a/platform/fuzz_test.go
+++ b/announce/fuzz_test.go
@@ -1,4 +1,4 @@
-package platform
+package announce
 
 import (
 	"net/http"
--- a/platform/server.go
+++ b/announce/server.go
@@ -1,7 +1,7 @@
-// Package platform serves the announcements of targets and the reports of
+// Package announce serves the announcements of targets and the reports of
 // workers over HTTP. It checks their form and hands them to the control
 // goroutine.
-package platform
+package announce
 
 import (
 	"net/http"
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/juju/errors"
 	"gopkg.in/tomb.v2"
 
+	"primrosedale.example/primrosedale/announce"
 	"primrosedale.example/primrosedale/control"
 	"primrosedale.example/primrosedale/core"
 	"primrosedale.example/primrosedale/core/event"
@@ -24,7 +25,6 @@
 	"primrosedale.example/primrosedale/gateway"
 	"primrosedale.example/primrosedale/logevent"
 	"primrosedale.example/primrosedale/operator"
-	"primrosedale.example/primrosedale/platform"
 	"primrosedale.example/primrosedale/recording"
 	"primrosedale.example/primrosedale/settings"
 	"primrosedale.example/primrosedale/storage"
@@ -43,19 +43,19 @@
 
 // Daemon is one process of the system.
 type Daemon struct {
-	settings *settings.Settings
-	log      logevent.Logger
-	loop     *control.Loop
-	store    *storage.Store // nil without a data folder
-	writer   *logWriter
-	journal  *recording.Recorder // nil without the setting record
-	gateway  *gateway.Server
-	platform *platform.Server
-	operator *operator.Server
-	peers    *transport.Transport
-	servers  []*server
-	callers  *drain.Listener
-	peerSide net.Listener
+	settings  *settings.Settings
+	log       logevent.Logger
+	loop      *control.Loop
+	store     *storage.Store // nil without a data folder
+	writer    *logWriter
+	journal   *recording.Recorder // nil without the setting record
+	gateway   *gateway.Server
+	announcer *announce.Server
+	operator  *operator.Server
+	peers     *transport.Transport
+	servers   []*server
+	callers   *drain.Listener
+	peerSide  net.Listener
 }
 
 type server struct {
@@ -117,14 +117,14 @@
 		Host: s.Host, Incarnation: inc, MaxBody: s.Limits.BodyBytes,
 		MaxAnswer: s.Limits.AnswerBytes, MaxHeld: int64(s.Limits.HeldRequests),
 	}, d.loop, d.log)
-	d.platform = platform.New(d.loop, d.log)
+	d.announcer = announce.New(d.loop, d.log)
 	d.operator = operator.New(operator.Config{}, d.loop, d.log)
 	if d.store != nil {
 		d.writer = newLogWriter(d.store, d.loop, d.log)
 	}
 	d.loop.Start(state, &executor{
 		transport: d.peers, writer: d.writer, gateway: d.gateway,
-		platform: d.platform, operator: d.operator, log: d.log,
+		announcer: d.announcer, operator: d.operator, log: d.log,
 	}, d.recorder())
 	return d.listen(tlsServer)
 }
@@ -169,7 +169,7 @@
 	d.callers = drain.NewListener(callers.listener, d.gateway.ClosingResponse)
 	d.callers.Attach(callers.http)
 	callers.listener = d.callers
-	if _, err := d.addServer(listen.Platform.String(), d.platform.Handler()); err != nil {
+	if _, err := d.addServer(listen.Platform.String(), d.announcer.Handler()); err != nil {
 		return err
 	}
 	operators, err := d.addServer(listen.Operators.String(), d.operator.Handler())
--- a/daemon/executor.go
+++ b/daemon/executor.go
@@ -1,11 +1,11 @@
 package daemon
 
 import (
+	"primrosedale.example/primrosedale/announce"
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/gateway"
 	"primrosedale.example/primrosedale/logevent"
 	"primrosedale.example/primrosedale/operator"
-	"primrosedale.example/primrosedale/platform"
 	"primrosedale.example/primrosedale/transport"
 )
 
@@ -14,7 +14,7 @@
 	transport *transport.Transport
 	writer    *logWriter // nil without a data folder
 	gateway   *gateway.Server
-	platform  *platform.Server
+	announcer *announce.Server
 	operator  *operator.Server
 	log       logevent.Logger
 }
@@ -37,7 +37,7 @@
 		x.gateway.AnswerStatus(e)
 		x.operator.AnswerStatus(e)
 	case effect.AnswerReport:
-		x.platform.AnswerReport(e)
+		x.announcer.AnswerReport(e)
 	case effect.Log:
 		x.emit(e)
 	}
--- a/proof/returning_test.go
+++ b/proof/returning_test.go
@@ -12,10 +12,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"primrosedale.example/primrosedale/announce"
 	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/gateway"
-	"primrosedale.example/primrosedale/platform"
 	"primrosedale.example/primrosedale/standin"
 )
 
@@ -61,7 +61,7 @@
 func (l *life) announce(s *system, address string) {
 	ticker := time.NewTicker(standin.DefaultInterval)
 	defer ticker.Stop()
-	a := platform.TargetAnnouncement{
+	a := announce.TargetAnnouncement{
 		Address: address, Service: "render", DataCentre: centres[0], Host: "returning-host", Slots: 8,
 		Connections: 64, Incarnation: l.incarnation, State: message.TargetReady,
 	}
@@ -72,7 +72,7 @@
 		url := "http://" + host.address(platformPort) + "/platform/v1/targets/returning"
 		call, _ := http.NewRequest(http.MethodPut, url, bytes.NewReader(body))
 		if response, err := http.DefaultClient.Do(call); err == nil {
-			var reply platform.Reply
+			var reply announce.Reply
 			if json.NewDecoder(response.Body).Decode(&reply) == nil {
 				a.Acked = max(a.Acked, reply.Acked)
 			}
--- a/standin/run.go
+++ b/standin/run.go
@@ -4,9 +4,9 @@
 	"sync"
 	"time"
 
+	"primrosedale.example/primrosedale/announce"
 	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
-	"primrosedale.example/primrosedale/platform"
 )
 
 // run is one placement of a task on a worker. Worker.mu guards it.
@@ -27,7 +27,7 @@
 	throttled bool
 }
 
-func (r *run) describe(id RunID) platform.TaskRun {
+func (r *run) describe(id RunID) announce.TaskRun {
 	until := time.Now()
 	if r.phase != message.RunRunning {
 		until = r.ended
@@ -39,7 +39,7 @@
 			usage.MilliCPU /= throttleFactor
 		}
 	}
-	return platform.TaskRun{
+	return announce.TaskRun{
 		Task:      id.Task,
 		Epoch:     id.Epoch,
 		Phase:     r.phase,
@@ -90,7 +90,7 @@
 }
 
 // carryOut does what an order says. mu is held.
-func (w *Worker) carryOut(order platform.Order, sent time.Time) {
+func (w *Worker) carryOut(order announce.Order, sent time.Time) {
 	id := RunID{order.Task, order.Epoch}
 	if order.Kind == message.OrderRun {
 		w.startOrRenew(id, order, sent)
@@ -114,7 +114,7 @@
 }
 
 // startOrRenew starts a task or renews its lease. mu is held.
-func (w *Worker) startOrRenew(id RunID, order platform.Order, sent time.Time) {
+func (w *Worker) startOrRenew(id RunID, order announce.Order, sent time.Time) {
 	left := time.Until(sent.Add(time.Duration(order.LeaseMS) * time.Millisecond))
 	if left <= 0 {
 		return // the lease ended while the reply was on its way
@@ -128,7 +128,7 @@
 	w.begin(id, order, left)
 }
 
-func (w *Worker) begin(id RunID, order platform.Order, left time.Duration) {
+func (w *Worker) begin(id RunID, order announce.Order, left time.Duration) {
 	progress, saved := w.cfg.Checkpoints.of(id.Task)
 	if order.Resume && !saved {
 		return // it would repeat what an earlier run has done
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -14,11 +14,11 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"primrosedale.example/primrosedale/announce"
 	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/problem"
 	"primrosedale.example/primrosedale/gateway"
-	"primrosedale.example/primrosedale/platform"
 )
 
 const waitFor = 10 * time.Second
@@ -26,37 +26,37 @@
 // fakePlatform records announcements and answers each with orders.
 type fakePlatform struct {
 	mu      sync.Mutex
-	targets []platform.TargetAnnouncement
-	workers []platform.WorkerAnnouncement
-	orders  []platform.Order
+	targets []announce.TargetAnnouncement
+	workers []announce.WorkerAnnouncement
+	orders  []announce.Order
 	reboot  string
 }
 
 func (p *fakePlatform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	answer := platform.Reply{}
+	answer := announce.Reply{}
 	if r.URL.Path == "/platform/v1/targets/t1" {
-		var body platform.TargetAnnouncement
+		var body announce.TargetAnnouncement
 		json.NewDecoder(r.Body).Decode(&body)
 		p.targets = append(p.targets, body)
 		answer.Acked = body.Sequence
 	} else {
-		var body platform.WorkerAnnouncement
+		var body announce.WorkerAnnouncement
 		json.NewDecoder(r.Body).Decode(&body)
 		p.workers = append(p.workers, body)
-		answer = platform.Reply{Acked: body.Sequence, Orders: p.orders, Reboot: p.reboot != "", Image: p.reboot}
+		answer = announce.Reply{Acked: body.Sequence, Orders: p.orders, Reboot: p.reboot != "", Image: p.reboot}
 	}
 	json.NewEncoder(w).Encode(answer)
 }
 
-func (p *fakePlatform) set(orders ...platform.Order) {
+func (p *fakePlatform) set(orders ...announce.Order) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.orders = orders
 }
 
-func (p *fakePlatform) last() (t platform.TargetAnnouncement, w platform.WorkerAnnouncement) {
+func (p *fakePlatform) last() (t announce.TargetAnnouncement, w announce.WorkerAnnouncement) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if n := len(p.targets); n > 0 {
@@ -167,8 +167,8 @@
 		},
 	})
 	defer worker.Stop()
-	run := func(task model.TaskID, lease int64) platform.Order {
-		return platform.Order{Kind: message.OrderRun, Task: task, Epoch: 1, LeaseMS: lease}
+	run := func(task model.TaskID, lease int64) announce.Order {
+		return announce.Order{Kind: message.OrderRun, Task: task, Epoch: 1, LeaseMS: lease}
 	}
 	await := func(task model.TaskID, phase message.TaskRunPhase, note string) {
 		t.Helper()
@@ -180,7 +180,7 @@
 	fake.set(run("short", 5000), run("long", 5000))
 	await("short", message.RunFinished, "")
 	await("long", message.RunRunning, "")
-	fake.set(platform.Order{Kind: message.OrderStop, Task: "long", Epoch: 1}, platform.Order{Kind: message.OrderForget, Task: "short", Epoch: 1})
+	fake.set(announce.Order{Kind: message.OrderStop, Task: "long", Epoch: 1}, announce.Order{Kind: message.OrderForget, Task: "short", Epoch: 1})
 	await("long", message.RunStopped, "stopped by order")
 	await("short", "", "")
 	fake.set(run("brief", 50))
@@ -191,7 +191,7 @@
 	await("saved", message.RunRunning, "")
 	resumed := run("never saved", 5000)
 	resumed.Resume = true
-	fake.set(platform.Order{Kind: message.OrderCheckpoint, Task: "saved", Epoch: 1, Keep: true}, resumed)
+	fake.set(announce.Order{Kind: message.OrderCheckpoint, Task: "saved", Epoch: 1, Keep: true}, resumed)
 	await("saved", message.RunSaved, "checkpoint saved")
 	require.NotContains(t, worker.Begun(), RunID{"never saved", 1}, "it would repeat an earlier run")
 	worker.SetMode(FailsAll)
--- a/standin/target.go
+++ b/standin/target.go
@@ -15,9 +15,9 @@
 	"github.com/google/uuid"
 	"github.com/juju/errors"
 
+	"primrosedale.example/primrosedale/announce"
 	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
-	"primrosedale.example/primrosedale/platform"
 )
 
 const (
@@ -115,7 +115,7 @@
 	seq     uint64
 	term    uint64               // largest term in a reply
 	sent    map[uint64]time.Time // send times of recent announcements
-	running map[runKey]platform.RunningRequest
+	running map[runKey]announce.RunningRequest
 	idle    chan struct{} // closed when leaving and nothing runs
 	books   targetBooks
 }
@@ -143,7 +143,7 @@
 		cancel:      cancel,
 		state:       message.TargetReady,
 		sent:        make(map[uint64]time.Time),
-		running:     make(map[runKey]platform.RunningRequest),
+		running:     make(map[runKey]announce.RunningRequest),
 		idle:        make(chan struct{}),
 		books:       newTargetBooks(),
 	}
@@ -244,7 +244,7 @@
 // announce sends one announcement and reports whether it was answered.
 func (t *Target) announce(ctx context.Context) bool {
 	body := t.sample()
-	var answer platform.Reply
+	var answer announce.Reply
 	if err := t.announcer.put(ctx, body, &answer); err != nil {
 		t.books.announceFailed(err)
 		return false
@@ -258,17 +258,17 @@
 
 // sample takes one announcement of the present state. The acknowledged
 // sequence and the running list belong to one moment.
-func (t *Target) sample() platform.TargetAnnouncement {
+func (t *Target) sample() announce.TargetAnnouncement {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.seq++
 	t.sent[t.seq] = time.Now()
 	t.dropOldTickets()
-	running := make([]platform.RunningRequest, 0, len(t.running))
+	running := make([]announce.RunningRequest, 0, len(t.running))
 	for _, r := range t.running {
 		running = append(running, r)
 	}
-	return platform.TargetAnnouncement{
+	return announce.TargetAnnouncement{
 		Address:     cmp.Or(t.cfg.Announced, t.address),
 		Service:     t.cfg.Service,
 		DataCentre:  t.cfg.DataCentre,
--- a/standin/target_run.go
+++ b/standin/target_run.go
@@ -9,11 +9,11 @@
 	"sync"
 	"time"
 
+	"primrosedale.example/primrosedale/announce"
 	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/gateway"
 	"primrosedale.example/primrosedale/gateway/reply"
-	"primrosedale.example/primrosedale/platform"
 )
 
 // targetBooks is what a target knows that it did.
@@ -86,7 +86,7 @@
 	if err != nil {
 		return // the connection is broken
 	}
-	request := platform.RunningRequest{
+	request := announce.RunningRequest{
 		Request: model.RequestID(r.Header.Get(reply.RequestIDHeader)),
 		Team:    model.TeamID(r.Header.Get(gateway.TeamHeader)),
 	}
@@ -126,7 +126,7 @@
 }
 
 // begin takes a slot, or returns why the request is refused.
-func (t *Target) begin(header http.Header, key runKey, request platform.RunningRequest) string {
+func (t *Target) begin(header http.Header, key runKey, request announce.RunningRequest) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	reason := t.refusal(header, key)
@@ -198,7 +198,7 @@
 	return err != nil || term < t.term
 }
 
-func (t *Target) end(key runKey, request platform.RunningRequest) {
+func (t *Target) end(key runKey, request announce.RunningRequest) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.running, key)
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -7,9 +7,9 @@
 
 	"github.com/google/uuid"
 
+	"primrosedale.example/primrosedale/announce"
 	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
-	"primrosedale.example/primrosedale/platform"
 )
 
 // Mode is a way in which a worker fails.
@@ -179,7 +179,7 @@
 		return
 	}
 	sent := time.Now()
-	var answer platform.Reply
+	var answer announce.Reply
 	err := w.announcer.put(w.ctx, body, &answer)
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -202,15 +202,15 @@
 	}
 }
 
-func (w *Worker) sample() (body platform.WorkerAnnouncement, silent bool) {
+func (w *Worker) sample() (body announce.WorkerAnnouncement, silent bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.seq++
-	runs := make([]platform.TaskRun, 0, len(w.runs))
+	runs := make([]announce.TaskRun, 0, len(w.runs))
 	for id, r := range w.runs {
 		runs = append(runs, r.describe(id))
 	}
-	return platform.WorkerAnnouncement{
+	return announce.WorkerAnnouncement{
 		Incarnation: w.incarnation,
 		DataCentre:  w.cfg.DataCentre,
 		Rack:        w.cfg.Rack,
