--- a/cmd/primrosedaled/main.go
+++ b/cmd/primrosedaled/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"os"
@@ -14,6 +15,7 @@
 	"primrosedale.example/primrosedale/daemon"
 	"primrosedale.example/primrosedale/devcluster"
 	"primrosedale.example/primrosedale/logevent"
+	"primrosedale.example/primrosedale/platform"
 	"primrosedale.example/primrosedale/settings"
 )
 
@@ -31,9 +33,10 @@
 
 // The examples of the subcommands.
 const (
-	runExample  = "  primrosedaled run --settings /etc/primrosedale/entry-1.toml\n"
-	initExample = "  primrosedaled init --settings /etc/primrosedale/entry-1.toml\n"
-	devExample  = "  primrosedaled dev\n  primrosedaled dev --data /tmp/new-folder\n"
+	runExample      = "  primrosedaled run --settings /etc/primrosedale/entry-1.toml\n"
+	initExample     = "  primrosedaled init --settings /etc/primrosedale/entry-1.toml\n"
+	platformExample = "  PRIMROSEDALE_BOOT=/etc/primrosedale/local.toml primrosedaled platform\n"
+	devExample      = "  primrosedaled dev\n  primrosedaled dev --data /tmp/new-folder\n"
 )
 
 func helpEnd(examples string) string {
@@ -57,7 +60,9 @@
 	initCommand.String(&path, "s", "settings", "settings file (TOML)")
 	devCommand := subcommand("dev", "run a whole system on loopback with stand-in targets and workers", devExample)
 	devCommand.String(&folder, "d", "data", "new folder for the replicas' data (default: a temporary one)")
-	for _, c := range []*flaggy.Subcommand{runCommand, initCommand, devCommand} {
+	platformCommand := subcommand("platform", "run this machine's process on the users' platform", platformExample)
+	platformCommand.String(&path, "s", "settings", "settings file of the platform (default: $"+platform.SettingsVariable+")")
+	for _, c := range []*flaggy.Subcommand{runCommand, initCommand, devCommand, platformCommand} {
 		parser.AttachSubcommand(c, 1)
 	}
 	if err := parser.Parse(); err != nil {
@@ -75,6 +80,8 @@
 		return initFolder(path)
 	case devCommand.Used:
 		return runDev(folder)
+	case platformCommand.Used:
+		return runPlatform(cmp.Or(path, os.Getenv(platform.SettingsVariable)))
 	}
 	parser.ShowHelp()
 	return exitUsage
@@ -121,6 +128,40 @@
 	return exitOK
 }
 
+// logCapacity is what may wait for a slow reader of the log, in bytes.
+const logCapacity = 1 << 20
+
+// runPlatform runs a process on the users' platform, whose logs go to standard
+// output.
+func runPlatform(path string) int {
+	out := logevent.NewBounded(os.Stdout, logCapacity)
+	defer out.Close()
+	log, err := logevent.New(logevent.Options{Out: out, Format: logevent.JSON, Level: "info"})
+	if err != nil {
+		return refuse(err)
+	}
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		log.Emit(logevent.SettingsRefused, logevent.Err(err))
+		return refuse(err)
+	}
+	log.Emit(logevent.SettingsLoaded, logevent.Str(logevent.NameFile, path))
+	d, err := daemon.NewPlatformDaemon(s, path, log)
+	if err != nil {
+		log.Emit(logevent.SettingsRefused, logevent.Err(err))
+		return refuse(err)
+	}
+	stop, cancel := stopContext()
+	defer cancel()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	if err := d.Run(stop, reload); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return exitOK
+}
+
 func initFolder(path string) int {
 	s, err := settings.Load(path)
 	if err != nil {
--- a/codec/message.go
+++ b/codec/message.go
@@ -46,6 +46,8 @@
 		m.Done != nil, m.Settled != nil, m.Withdraw != nil,
 		m.TargetReport != nil, m.WorkerReport != nil, m.ReportReply != nil,
 		m.Command != nil,
+		m.Call != nil, m.CallAnswer != nil, m.Redirect != nil,
+		m.Contact != nil, m.ContactReply != nil,
 	)
 	if n != 1 {
 		return invalid("message", "exactly one kind must be set")
--- a/codec/records.go
+++ b/codec/records.go
@@ -124,7 +124,7 @@
 		c.RegisterTarget != nil, c.RemoveTarget != nil,
 		c.ReportHost != nil, c.PlanHost != nil,
 		c.SubmitTask != nil, c.PlaceTask != nil, c.EndTask != nil, c.CancelTask != nil,
-		c.RecordBurn != nil,
+		c.RecordBurn != nil, c.Jobs != nil,
 	)
 	if n != 1 {
 		return invalid("command", "exactly one change must be set")
--- a/codec/state.go
+++ b/codec/state.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/jobs"
 )
 
 // wireState returns a copy of s in its encoded form: Claims is carried in
@@ -68,6 +69,12 @@
 	orEmpty(&s.Hosts)
 	orEmpty(&s.Tasks)
 	orEmpty(&s.Recent)
+	jobState := jobs.State{}
+	if s.Jobs != nil {
+		jobState = *s.Jobs
+	}
+	jobState.MakeMaps()
+	s.Jobs = &jobState
 }
 
 // orEmpty replaces a nil map by an empty one.
--- a/control/loop.go
+++ b/control/loop.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sys/unix"
 	"gopkg.in/tomb.v2"
 
 	"primrosedale.example/primrosedale/core"
@@ -51,7 +52,7 @@
 type Loop struct {
 	queue    chan event.Event
 	view     atomic.Pointer[view.View]
-	began    time.Time
+	began    time.Duration // sinceBoot when the process began
 	beganAt  model.Time
 	state    *core.State
 	executor Executor
@@ -73,11 +74,11 @@
 func New() *Loop {
 	l := &Loop{
 		queue:  make(chan event.Event, queueSize),
-		began:  time.Now(),
+		began:  sinceBoot(),
 		halted: make(chan struct{}),
 		onFull: func() {},
 	}
-	l.beganAt = model.Time(l.began.UnixNano())
+	l.beganAt = model.Time(time.Now().UnixNano())
 	l.view.Store(&view.View{})
 	return l
 }
@@ -91,9 +92,21 @@
 // because the queue is full. It must be called before events are posted.
 func (l *Loop) OnFull(f func()) { l.onFull = f }
 
-// Now reads the process clock: the wall clock at start plus the monotonic
-// time since, so that it never runs backwards.
-func (l *Loop) Now() model.Time { return l.beganAt.Add(model.Duration(time.Since(l.began))) }
+// Now reads the process clock: the wall clock at start plus the time since, so
+// that it never runs backwards.
+func (l *Loop) Now() model.Time { return l.beganAt.Add(model.Duration(sinceBoot() - l.began)) }
+
+// sinceBoot is the time since the machine was started. Unlike the monotonic clock
+// it counts the time in which the machine was suspended, so that leases end then.
+func sinceBoot() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return time.Since(processBegan) // every Linux kernel in use has the clock
+	}
+	return time.Duration(t.Nano())
+}
+
+var processBegan = time.Now()
 
 // Rand returns a random number.
 func (l *Loop) Rand() uint64 { return rand.Uint64() }
--- /dev/null
+++ b/core/calls.go
@@ -0,0 +1,169 @@
+package core
+
+import (
+	"primrosedale.example/primrosedale/core/call"
+	"primrosedale.example/primrosedale/core/consensus"
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/handler"
+	"primrosedale.example/primrosedale/core/jobs"
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/order"
+	"primrosedale.example/primrosedale/core/schedule"
+	"primrosedale.example/primrosedale/core/upkeep"
+)
+
+// runsJobs reports whether this cluster runs jobs on workers that it calls.
+func (s *State) runsJobs() bool { return s.cfg.Bounds.LeaseMax > 0 }
+
+func (s *State) scheduleEnv() schedule.Env {
+	return schedule.Env{
+		Now: s.now, Clock: s.replicatedNow(), Term: s.leading.term, State: s.fleet.Jobs, Bounds: s.cfg.Bounds,
+	}
+}
+
+// asScheduler lets the scheduler handle something, places tasks where that has
+// changed something, and carries out what both ask for.
+func (s *State) asScheduler(handle func(schedule.Env, *schedule.Out)) {
+	if s.leading.scheduler == nil {
+		return
+	}
+	var out schedule.Out
+	env := s.scheduleEnv()
+	handle(env, &out)
+	s.leading.scheduler.Place(env, &out)
+	s.emit(out.Effects...)
+	s.proposeJobs(out.Proposals)
+}
+
+func (s *State) asUpkeep(handle func(upkeep.Env, *upkeep.Out)) {
+	if s.leading.upkeep == nil {
+		return
+	}
+	var out upkeep.Out
+	handle(upkeep.Env{Schedule: s.scheduleEnv(), Scheduler: s.leading.scheduler, Self: s.cfg.Host}, &out)
+	s.emit(out.Effects...)
+	s.proposeJobs(out.Proposals)
+	s.asScheduler(func(_ schedule.Env, o *schedule.Out) { *o = out.Schedule })
+}
+
+func (s *State) proposeJobs(commands []jobs.Command) {
+	if len(commands) == 0 {
+		return
+	}
+	list := make([]fleet.Command, len(commands))
+	for i := range commands {
+		list[i].Jobs = &commands[i]
+	}
+	s.propose(list...)
+}
+
+// receiveCall decides a call if this process leads and holds the leader lease,
+// and names the leader otherwise.
+func (s *State) receiveCall(from model.HostID, c *call.Call) {
+	if !s.decides() {
+		leader := s.log.Status().Leader.Host
+		if leader == s.cfg.Host {
+			leader = ""
+		}
+		s.send(from, message.Message{Redirect: &call.Redirect{Seq: c.Seq, Incarnation: c.Incarnation, Leader: leader}})
+		return
+	}
+	d := handler.Decide(handler.Env{Schedule: s.scheduleEnv(), Scheduler: s.leading.scheduler, Self: s.cfg.Host}, c)
+	for _, l := range d.Logs {
+		s.emit(l)
+	}
+	if d.Answer != nil {
+		s.answerCall(jobs.CallRef{Host: from, Incarnation: c.Incarnation, Seq: c.Seq}, *d.Answer)
+		return
+	}
+	d.Propose.Call = jobs.CallRef{Host: from, Incarnation: c.Incarnation, Seq: c.Seq}
+	s.proposeJobs([]jobs.Command{*d.Propose})
+}
+
+// decides reports whether this process may answer from its state.
+func (s *State) decides() bool {
+	return s.leading != nil && s.leading.scheduler != nil && s.log.HoldsLeaderLease(s.now)
+}
+
+func (s *State) answerCall(ref jobs.CallRef, a call.Answer) {
+	a.Seq, a.Incarnation = ref.Seq, ref.Incarnation
+	s.send(ref.Host, message.Message{CallAnswer: &a})
+}
+
+// committedJobs answers the call that a command stands for and tells the
+// leader's branches.
+func (s *State) committedJobs(c *jobs.Command, r *jobs.Result) {
+	if s.leading.scheduler == nil {
+		return
+	}
+	if c.Call.Host != "" {
+		s.answerCall(c.Call, s.answerOf(c, r))
+	}
+	s.logJobs(c, r)
+	s.asScheduler(func(env schedule.Env, out *schedule.Out) { s.leading.scheduler.Committed(env, out, c, *r) })
+}
+
+func (s *State) answerOf(c *jobs.Command, r *jobs.Result) call.Answer {
+	a := call.Answer{Problem: r.Problem}
+	switch {
+	case c.Announce != nil:
+		a.Next = s.cfg.Host
+	case c.Submit != nil && r.Problem == nil:
+		a.State = call.JobQueued
+	}
+	return a
+}
+
+func (s *State) logJobs(c *jobs.Command, r *jobs.Result) {
+	switch {
+	case c.Submit != nil && r.Changed:
+		s.emit(effect.Log{Code: effect.JobAccepted, Request: model.RequestID(c.Submit.ID), Queue: c.Submit.Queue,
+			Team: c.Submit.Team, Index: s.fleet.Index, Count: len(c.Submit.Steps)})
+	case c.Configure != nil:
+		detail := "in force"
+		if !r.Changed {
+			detail = "not higher than the version in force"
+		}
+		s.emit(effect.Log{Code: effect.ConfigAccepted, Index: c.Configure.Version, Detail: detail})
+	case c.SetOut != nil && r.Changed:
+		code := effect.DataCentreIn
+		if c.SetOut.Out {
+			code = effect.DataCentreOut
+		}
+		s.emit(effect.Log{Code: code, Detail: string(c.SetOut.DataCentre)})
+	}
+}
+
+// replyContact tells an entry host who leads.
+func (s *State) replyContact(from model.HostID, c *call.Contact) {
+	status := s.log.Status()
+	r := call.ContactReply{Seq: c.Seq, Leads: s.decides(), Leader: status.Leader.Host}
+	if status.Role != consensus.Leader && r.Leader == s.cfg.Host {
+		r.Leader = ""
+	}
+	for _, v := range status.Voters {
+		r.Replicas = append(r.Replicas, v.Host)
+	}
+	if cfg := s.fleet.Jobs.Config; cfg != nil {
+		r.BodyBytes = cfg.Limits.BodyBytes
+	}
+	s.send(from, message.Message{ContactReply: &r})
+}
+
+// workerReplied takes what became of a call to a worker. A process that has
+// stopped leading has no use for it.
+func (s *State) workerReplied(r *order.Reply) {
+	if s.leading == nil {
+		return
+	}
+	s.asScheduler(func(env schedule.Env, out *schedule.Out) { s.leading.scheduler.Replied(env, out, r) })
+}
+
+func (s *State) hostsReplied(r *order.HostReply) {
+	if s.leading == nil {
+		return
+	}
+	s.asUpkeep(func(env upkeep.Env, out *upkeep.Out) { s.leading.upkeep.Replied(env, out, r) })
+}
--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -5,10 +5,12 @@
 
 import (
 	"primrosedale.example/primrosedale/core/burn"
+	"primrosedale.example/primrosedale/core/call"
 	"primrosedale.example/primrosedale/core/consensus"
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/order"
 	"primrosedale.example/primrosedale/core/problem"
 	"primrosedale.example/primrosedale/core/view"
 )
@@ -76,6 +78,17 @@
 	Burn   *burn.Source
 }
 
+// CallWorker makes a call to a worker. It is answered with
+// event.WorkerReplied, whatever becomes of it.
+type CallWorker struct{ Call order.Call }
+
+// CallHosts makes a call to the owner of the hosts. It is answered with
+// event.HostsReplied, whatever becomes of it.
+type CallHosts struct{ Call order.HostCall }
+
+// AnswerCall ends a call that this process holds.
+type AnswerCall struct{ Answer call.Answer }
+
 // Publish replaces the view that traffic goroutines read.
 type Publish struct{ View *view.View }
 
@@ -87,8 +100,11 @@
 	Request model.RequestID
 	Team    model.TeamID
 	Queue   model.QueueID
+	Worker  model.WorkerID
+	Task    string // round, step, index and run of a task
 	Term    uint64
 	Index   uint64
+	Count   int
 	Detail  string
 }
 
@@ -148,6 +164,22 @@
 	DataCentreOut    Code = "data_centre_out"
 	DataCentreIn     Code = "data_centre_in"
 	Stopping         Code = "stopping"
+	JobAccepted      Code = "job_accepted"
+	JobRefused       Code = "job_refused"
+	JobEnded         Code = "job_ended"
+	RunOrdered       Code = "run_ordered"
+	RunEnded         Code = "run_ended"
+	RunStopped       Code = "run_stopped"
+	RunGivenUp       Code = "run_given_up"
+	RunPaced         Code = "run_paced"
+	WorkerGone       Code = "worker_gone"
+	ConfigAccepted   Code = "config_accepted"
+	CallGivenUp      Code = "call_given_up"
+	ContactLost      Code = "contact_lost"
+	ContactRegained  Code = "contact_regained"
+	WaveBegun        Code = "wave_begun"
+	HostOrdered      Code = "host_ordered"
+	HostCallFailed   Code = "host_call_failed"
 )
 
 // Halt ends the process: with a reason after a failure, or without one when a
@@ -161,6 +193,9 @@
 func (AnswerCommand) effect() {}
 func (AnswerReport) effect()  {}
 func (AnswerStatus) effect()  {}
+func (CallWorker) effect()    {}
+func (CallHosts) effect()     {}
+func (AnswerCall) effect()    {}
 func (Publish) effect()       {}
 func (Log) effect()           {}
 func (Halt) effect()          {}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -3,9 +3,11 @@
 package event
 
 import (
+	"primrosedale.example/primrosedale/core/call"
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/order"
 	"primrosedale.example/primrosedale/core/problem"
 )
 
@@ -103,6 +105,18 @@
 	Burn  bool         // ask for the source of the burn report instead
 }
 
+// CallArrived is a call of a caller, an operator or a worker.
+type CallArrived struct{ Call call.Call }
+
+// WorkerReplied is what became of a call to a worker.
+type WorkerReplied struct{ Reply order.Reply }
+
+// HostsReplied is what became of a call to the owner of the hosts.
+type HostsReplied struct{ Reply order.HostReply }
+
+// SettingsChanged names other replicas to turn to.
+type SettingsChanged struct{ Seeds []model.HostID }
+
 // StopRequested begins the graceful stop of this process.
 type StopRequested struct{}
 
@@ -118,4 +132,8 @@
 func (WorkerReported) event()   {}
 func (CommandSubmitted) event() {}
 func (StatusRequested) event()  {}
+func (CallArrived) event()      {}
+func (WorkerReplied) event()    {}
+func (HostsReplied) event()     {}
+func (SettingsChanged) event()  {}
 func (StopRequested) event()    {}
--- a/core/fleet/apply.go
+++ b/core/fleet/apply.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"primrosedale.example/primrosedale/core/jobs"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/problem"
 	"primrosedale.example/primrosedale/core/rules"
@@ -77,6 +78,9 @@
 		return s.cancelTask(c.CancelTask)
 	case c.RecordBurn != nil:
 		return s.recordBurn(c.RecordBurn)
+	case c.Jobs != nil:
+		result := s.Jobs.Apply(c.Jobs, s.Index, s.Now)
+		return Result{Problem: result.Problem, Jobs: &result}
 	}
 	return refused(problem.BadRequest, "the command is empty")
 }
@@ -101,6 +105,9 @@
 	c.Hosts = maps.Clone(s.Hosts)
 	c.Tasks = maps.Clone(s.Tasks)
 	c.Recent = maps.Clone(s.Recent)
+	if s.Jobs != nil {
+		c.Jobs = s.Jobs.Clone()
+	}
 	c.ClaimList = s.listClaims()
 	return &c
 }
@@ -110,6 +117,10 @@
 	if s.Rules == nil {
 		s.Rules = &rules.Rules{}
 	}
+	if s.Jobs == nil {
+		s.Jobs = &jobs.State{}
+	}
+	s.Jobs.MakeMaps()
 	if s.Keys == nil {
 		s.Keys = make(map[string]Key)
 	}
--- a/core/fleet/command.go
+++ b/core/fleet/command.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"primrosedale.example/primrosedale/core/jobs"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/problem"
 	"primrosedale.example/primrosedale/core/rules"
@@ -33,6 +34,7 @@
 	EndTask        *EndTask        `json:"end_task,omitempty"`
 	CancelTask     *CancelTask     `json:"cancel_task,omitempty"`
 	RecordBurn     *RecordBurn     `json:"record_burn,omitempty"`
+	Jobs           *jobs.Command   `json:"jobs,omitempty"`
 }
 
 // commandSize is the size in bytes that a command counts for besides the answer
@@ -41,6 +43,9 @@
 
 // Size returns about how many bytes the command takes in a message.
 func (c *Command) Size() int {
+	if c.Jobs != nil {
+		return commandSize + c.Jobs.Size()
+	}
 	if c.Complete == nil || c.Complete.Answer == nil {
 		return commandSize
 	}
@@ -186,4 +191,6 @@
 	Claim    *ClaimRecord     `json:"claim,omitempty"`    // for Claim: the record that holds the run
 	Granted  bool             `json:"granted,omitempty"`  // for Claim: this request holds the run
 	Task     model.TaskID     `json:"task,omitempty"`
+
+	Jobs *jobs.Result `json:"-"` // of a command on jobs; only for the process that applies it
 }
--- a/core/fleet/state.go
+++ b/core/fleet/state.go
@@ -5,6 +5,7 @@
 
 import (
 	"primrosedale.example/primrosedale/core/burn"
+	"primrosedale.example/primrosedale/core/jobs"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/rules"
 )
@@ -31,6 +32,8 @@
 	Tasks   map[model.TaskID]*Task           `json:"tasks"`
 	Recent  map[model.CommandID]RecentResult `json:"recent"` // results kept for resends
 
+	Jobs *jobs.State `json:"jobs"` // jobs with steps, their workers and configuration
+
 	Burn burn.History `json:"burn"` // counts of ended requests, and what happened to the fleet
 
 	// ClaimList carries Claims in encoded snapshots, because the key of Claims
--- /dev/null
+++ b/core/handler/handler.go
@@ -0,0 +1,237 @@
+// Package handler decides calls on the leader: it answers what can be answered
+// from the state in force and proposes what has to be recorded first.
+package handler
+
+import (
+	"strings"
+
+	"primrosedale.example/primrosedale/core/call"
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/jobs"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/problem"
+	"primrosedale.example/primrosedale/core/schedule"
+)
+
+// Env is what the decisions depend on.
+type Env struct {
+	Schedule  schedule.Env
+	Scheduler *schedule.Scheduler
+	Self      model.HostID
+}
+
+// Decision is an answer at once, or a command whose application is the answer.
+type Decision struct {
+	Answer  *call.Answer
+	Propose *jobs.Command
+	Logs    []effect.Log
+}
+
+func answer(a call.Answer) Decision { return Decision{Answer: &a} }
+
+func refuse(k problem.Kind, format string, args ...any) Decision {
+	return answer(call.Answer{Problem: problem.New(k, format, args...)})
+}
+
+// Decide decides one call.
+func Decide(env Env, c *call.Call) Decision {
+	switch {
+	case c.Submit != nil:
+		return submit(env, c.Submit)
+	case c.Query != nil:
+		return query(env, c.Query)
+	case c.Cancel != nil:
+		return cancel(env, c.Cancel)
+	case c.Configure != nil:
+		return configure(c.Configure)
+	case c.ReadConfig != nil:
+		return readConfig(env)
+	case c.SetOut != nil:
+		return Decision{Propose: &jobs.Command{SetOut: c.SetOut}}
+	case c.StartWave != nil:
+		return Decision{Propose: &jobs.Command{StartWave: c.StartWave}}
+	case c.ReadWave != nil:
+		return readWave(env, c.ReadWave.Wave)
+	case c.Heartbeat != nil:
+		return heartbeat(env, c.Heartbeat)
+	case c.Leave != nil:
+		return leave(env, c.Leave)
+	}
+	return refuse(problem.BadRequest, "the call is empty")
+}
+
+// resolve finds the queue and the team of a request.
+func resolve(cfg *jobs.Config, a *call.Address) (*jobs.Queue, string, model.TeamID, *problem.Problem) {
+	if cfg == nil {
+		return nil, "", "", &problem.Problem{Kind: problem.NotConfigured, RetryAfter: model.Second}
+	}
+	q, id := cfg.Find(a.Host, a.Path)
+	if q == nil {
+		return nil, "", "", problem.New(problem.UnknownQueue, "there is no queue at %s%s", a.Host, a.Path)
+	}
+	team, known := cfg.Keys[a.Key]
+	if a.Key != "" && !known || a.Key == "" && !q.Open {
+		return nil, "", "", problem.New(problem.KeyUnknown, "version %d has no such key", cfg.Version)
+	}
+	return q, id, team, nil
+}
+
+func submit(env Env, s *call.Submit) Decision {
+	q, id, team, refusal := resolve(env.Schedule.State.Config, &s.Address)
+	if refusal != nil {
+		return refused(env, s, refusal)
+	}
+	if !isJobID(id) {
+		return refused(env, s, problem.New(problem.BadRequest, "%q is not a job id", id))
+	}
+	if s.Malformed != "" {
+		return refused(env, s, problem.New(problem.BadRequest, "%s", s.Malformed))
+	}
+	if known := env.Schedule.State.Jobs[model.JobID(id)]; known != nil {
+		if known.Queue != q.ID || known.Team != team {
+			return refused(env, s, problem.New(problem.JobRejected, "job %s belongs to another queue or team", id))
+		}
+		return answer(call.Answer{State: stateOf(known)})
+	}
+	j := s.Job
+	j.ID, j.Queue, j.Service, j.Team = model.JobID(id), q.ID, q.Service, team
+	if err := j.Check(); err != nil {
+		return refused(env, s, problem.New(problem.BadRequest, "%v", err))
+	}
+	if reason := j.Unsupported(q); reason != "" {
+		return refused(env, s, problem.New(problem.JobRejected, "%s", reason))
+	}
+	if !env.Scheduler.Fits(q, &j) {
+		return refused(env, s, problem.New(problem.JobRejected, "a task is larger than every worker of %s", q.Service))
+	}
+	if refusal := env.Scheduler.Admit(env.Schedule, q, &j); refusal != nil {
+		return refused(env, s, refusal)
+	}
+	return Decision{Propose: &jobs.Command{Submit: &j}}
+}
+
+func refused(env Env, s *call.Submit, p *problem.Problem) Decision {
+	d := answer(call.Answer{Problem: p})
+	l := effect.Log{Code: effect.JobRefused, Request: model.RequestID(lastPart(s.Path)), Detail: p.Error()}
+	if cfg := env.Schedule.State.Config; cfg != nil {
+		l.Index = cfg.Version
+	}
+	d.Logs = append(d.Logs, l)
+	return d
+}
+
+func lastPart(path string) string { return path[strings.LastIndexByte(path, '/')+1:] }
+
+// isJobID reports whether id has 16 hexadecimal digits.
+func isJobID(id string) bool {
+	if len(id) != 16 {
+		return false
+	}
+	for _, c := range id {
+		if !(c >= '0' && c <= '9' || c >= 'a' && c <= 'f' || c >= 'A' && c <= 'F') {
+			return false
+		}
+	}
+	return true
+}
+
+func query(env Env, a *call.Address) Decision {
+	q, id, team, refusal := resolve(env.Schedule.State.Config, a)
+	if refusal != nil {
+		return answer(call.Answer{Problem: refusal})
+	}
+	if id == "" {
+		n := env.Scheduler.Pending(q.ID)
+		return answer(call.Answer{Pending: &n})
+	}
+	j := env.Schedule.State.Jobs[model.JobID(id)]
+	if j == nil || j.Queue != q.ID || j.Team != team {
+		return refuse(problem.UnknownJob, "there is no job %s", id)
+	}
+	return answer(call.Answer{State: stateOf(j)})
+}
+
+func stateOf(j *jobs.Job) call.JobState {
+	switch {
+	case j.Phase == jobs.Completed:
+		return call.JobCompleted
+	case j.Phase == jobs.Failed:
+		return call.JobFailed
+	case j.Phase == jobs.Cancelled:
+		return call.JobCancelled
+	case j.Started:
+		return call.JobRunning
+	}
+	return call.JobQueued
+}
+
+func cancel(env Env, a *call.Address) Decision {
+	q, id, team, refusal := resolve(env.Schedule.State.Config, a)
+	if refusal != nil {
+		return answer(call.Answer{Problem: refusal})
+	}
+	j := env.Schedule.State.Jobs[model.JobID(id)]
+	if j == nil || j.Queue != q.ID || j.Team != team {
+		return refuse(problem.UnknownJob, "there is no job %s", id)
+	}
+	return Decision{Propose: &jobs.Command{Cancel: &jobs.Cancel{Job: j.ID}}}
+}
+
+func configure(c *jobs.Config) Decision {
+	if err := c.Check(); err != nil {
+		return refuse(problem.ConfigRejected, "%v", err)
+	}
+	return Decision{Propose: &jobs.Command{Configure: c}}
+}
+
+func readConfig(env Env) Decision {
+	cfg := env.Schedule.State.Config
+	if cfg == nil {
+		return refuse(problem.NotConfigured, "no configuration has been accepted")
+	}
+	return answer(call.Answer{Document: cfg.Document})
+}
+
+func readWave(env Env, wave uint64) Decision {
+	w := env.Schedule.State.Waves[wave]
+	if w == nil {
+		return refuse(problem.UnknownWave, "there is no wave %d", wave)
+	}
+	return answer(call.Answer{WaveDone: w.Closed})
+}
+
+// heartbeat records what is new of a worker. A worker that says that it drains is
+// answered only once that is recorded, so that a later leader knows it too.
+func heartbeat(env Env, h *call.Heartbeat) Decision {
+	next := call.Answer{Next: env.Self}
+	known := env.Schedule.State.Workers[h.Worker.ID]
+	if known != nil && known.Born > h.Worker.Born {
+		return answer(call.Answer{}) // a late call of an earlier life
+	}
+	if known != nil && known.SameLife(&h.Worker) && (known.Draining || !h.Worker.Draining) && sameOffer(known, &h.Worker) {
+		env.Scheduler.Heartbeat(env.Schedule, h.Worker.ID, h.Clock)
+		return answer(next)
+	}
+	w := h.Worker
+	return Decision{Propose: &jobs.Command{Announce: &w}}
+}
+
+func sameOffer(a, b *jobs.Worker) bool {
+	if a.Capacity != b.Capacity || a.Host != b.Host || a.Rack != b.Rack || len(a.Labels) != len(b.Labels) {
+		return false
+	}
+	for i := range a.Labels {
+		if a.Labels[i] != b.Labels[i] {
+			return false
+		}
+	}
+	return true
+}
+
+func leave(env Env, l *call.Leave) Decision {
+	w := env.Schedule.State.Workers[l.Worker]
+	if w == nil || l.Born != 0 && w.Born != l.Born {
+		return answer(call.Answer{})
+	}
+	return Decision{Propose: &jobs.Command{Depart: &jobs.Depart{Worker: w.ID, Life: w.Life}}}
+}
--- /dev/null
+++ b/core/jobs/apply.go
@@ -0,0 +1,271 @@
+package jobs
+
+import (
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/problem"
+)
+
+// Result is the outcome of a command.
+type Result struct {
+	Problem *problem.Problem
+	// Applied tells, for the runs of Assign and End, which were taken over.
+	Applied []bool
+	// Ended lists the jobs that the command ended.
+	Ended []model.JobID
+	// Changed is false for a command that repeats what is in force.
+	Changed bool
+}
+
+// Apply applies a committed command. index is its index in the log and now the
+// replicated clock.
+func (s *State) Apply(c *Command, index uint64, now model.Time) Result {
+	s.MakeMaps()
+	switch {
+	case c.Configure != nil:
+		return s.configure(c.Configure)
+	case c.SetOut != nil:
+		return s.setOut(c.SetOut)
+	case c.Submit != nil:
+		return s.submit(c.Submit, now)
+	case c.Cancel != nil:
+		return s.cancel(c.Cancel.Job, now)
+	case c.Assign != nil:
+		return s.assign(c.Assign)
+	case c.End != nil:
+		return s.end(c.End, now)
+	case c.Announce != nil:
+		return s.announce(c.Announce, index)
+	case c.Depart != nil:
+		return s.depart(c.Depart)
+	case c.Forget != nil:
+		return s.forget(c.Forget.Before)
+	case c.StartWave != nil:
+		return s.startWave(c.StartWave, now)
+	case c.Maintain != nil:
+		return s.maintain(c.Maintain)
+	case c.CloseWave != nil:
+		return s.closeWave(c.CloseWave.Wave)
+	}
+	return Result{Problem: problem.New(problem.BadRequest, "the command is empty")}
+}
+
+// configure puts a higher version in force. A version that is not higher is
+// acknowledged and changes nothing.
+func (s *State) configure(c *Config) Result {
+	if s.Config != nil && c.Version <= s.Config.Version {
+		return Result{}
+	}
+	s.Config = c
+	return Result{Changed: true}
+}
+
+func (s *State) setOut(c *SetOut) Result {
+	if s.Out[c.DataCentre] == c.Out {
+		return Result{}
+	}
+	if c.Out {
+		s.Out[c.DataCentre] = true
+	} else {
+		delete(s.Out, c.DataCentre)
+	}
+	return Result{Changed: true}
+}
+
+// submit accepts a job. A resend changes nothing.
+func (s *State) submit(j *Job, now model.Time) Result {
+	if s.Jobs[j.ID] != nil {
+		return Result{}
+	}
+	accepted := j.clone()
+	accepted.Phase, accepted.Accepted, accepted.Started = Active, now, false
+	for k := range accepted.Rounds {
+		accepted.Rounds[k].Tasks = make([][]Task, len(accepted.Steps))
+		for i := range accepted.Steps {
+			accepted.Rounds[k].Tasks[i] = make([]Task, accepted.Steps[i].Tasks)
+		}
+	}
+	s.Jobs[j.ID] = accepted
+	return Result{Changed: true}
+}
+
+func (s *State) cancel(id model.JobID, now model.Time) Result {
+	j := s.Jobs[id]
+	if j == nil {
+		return Result{Problem: problem.New(problem.UnknownJob, "there is no job %s", id)}
+	}
+	if j.Phase != Active {
+		return Result{}
+	}
+	return Result{Changed: true, Ended: s.endJob(j, Cancelled, now)}
+}
+
+func (s *State) endJob(j *Job, p Phase, now model.Time) []model.JobID {
+	j.Phase, j.EndedAt = p, now
+	s.Ended = append(s.Ended, j.ID)
+	j.shrink()
+	return []model.JobID{j.ID}
+}
+
+// shrink drops the tasks of a job that has ended once none of them runs.
+func (j *Job) shrink() {
+	if j.Phase == Active {
+		return
+	}
+	for k := range j.Rounds {
+		for _, tasks := range j.Rounds[k].Tasks {
+			for i := range tasks {
+				if tasks[i].Phase == Placed {
+					return
+				}
+			}
+		}
+	}
+	j.Rounds, j.Steps, j.Spec = nil, nil, ""
+}
+
+func (s *State) assign(c *Assign) Result {
+	r := Result{Applied: make([]bool, len(c.Runs)), Changed: true}
+	for i := range c.Runs {
+		r.Applied[i] = s.assignOne(&c.Runs[i])
+	}
+	return r
+}
+
+func (s *State) assignOne(a *Assignment) bool {
+	j := s.Jobs[a.Job]
+	w := s.Workers[a.Worker]
+	if j == nil || j.Phase != Active || w == nil || w.Life != a.Life {
+		return false
+	}
+	t := j.Task(a.TaskRef)
+	if t == nil || t.Phase != Waiting || a.Run != t.Run+1 || !j.Open(a.Round, a.Step) {
+		return false
+	}
+	t.Phase, t.Run, t.Worker, t.Life = Placed, a.Run, a.Worker, a.Life
+	j.Started = true
+	return true
+}
+
+func (s *State) end(c *End, now model.Time) Result {
+	r := Result{Applied: make([]bool, len(c.Runs)), Changed: true}
+	for i := range c.Runs {
+		var ended []model.JobID
+		r.Applied[i], ended = s.endOne(&c.Runs[i], now)
+		r.Ended = append(r.Ended, ended...)
+	}
+	return r
+}
+
+func (s *State) endOne(e *Ending, now model.Time) (bool, []model.JobID) {
+	j := s.Jobs[e.Job]
+	if j == nil {
+		return false, nil
+	}
+	t := j.Task(e.TaskRef)
+	if t == nil || t.Phase != Placed || t.Run != e.Run {
+		return false, nil
+	}
+	t.Phase = Waiting
+	if e.Checkpoint != "" {
+		t.Checkpoint = e.Checkpoint
+	}
+	switch e.Outcome {
+	case OutcomeDone:
+		if !j.Steps[e.Step].Lasting {
+			t.Phase, t.Checkpoint = Done, ""
+		}
+	case OutcomeFailed:
+		t.Failures++
+	}
+	switch {
+	case j.Phase != Active:
+		j.shrink()
+	case e.Outcome == OutcomeFailed && e.MaxAttempts > 0 && t.Failures >= e.MaxAttempts:
+		return true, s.endJob(j, Failed, now)
+	case t.Phase == Done && j.isDone():
+		return true, s.endJob(j, Completed, now)
+	}
+	return true, nil
+}
+
+func (j *Job) isDone() bool {
+	for k := range j.Rounds {
+		for _, tasks := range j.Rounds[k].Tasks {
+			for i := range tasks {
+				if tasks[i].Phase != Done {
+					return false
+				}
+			}
+		}
+	}
+	return true
+}
+
+// announce records a worker. The life it had before is replaced.
+func (s *State) announce(w *Worker, index uint64) Result {
+	recorded := *w
+	recorded.Life = index
+	if old := s.Workers[w.ID]; old != nil {
+		if old.Born > w.Born {
+			return Result{}
+		}
+		if old.SameLife(w) {
+			recorded.Life = old.Life
+			recorded.Draining = old.Draining || w.Draining
+		}
+	}
+	s.Workers[w.ID] = &recorded
+	return Result{Changed: true}
+}
+
+func (s *State) depart(c *Depart) Result {
+	if w := s.Workers[c.Worker]; w == nil || w.Life != c.Life {
+		return Result{}
+	}
+	delete(s.Workers, c.Worker)
+	return Result{Changed: true}
+}
+
+// forget drops jobs that ended before a time and have no run going on.
+func (s *State) forget(before model.Time) Result {
+	kept := s.Ended[:0:0]
+	for _, id := range s.Ended {
+		j := s.Jobs[id]
+		if j != nil && (j.EndedAt >= before || j.Rounds != nil) {
+			kept = append(kept, id)
+			continue
+		}
+		delete(s.Jobs, id)
+	}
+	s.Ended = kept
+	return Result{Changed: true}
+}
+
+func (s *State) startWave(c *StartWave, now model.Time) Result {
+	if s.Waves[c.Wave] != nil {
+		return Result{}
+	}
+	s.Waves[c.Wave] = &Wave{
+		Hosts: c.Hosts, Cap: c.Cap, Due: now.Add(c.Within), Ordered: make(map[model.HostID]bool),
+	}
+	return Result{Changed: true}
+}
+
+func (s *State) maintain(c *Maintain) Result {
+	w := s.Waves[c.Wave]
+	if w == nil {
+		return Result{Problem: problem.New(problem.UnknownWave, "there is no wave %d", c.Wave)}
+	}
+	if w.Ordered == nil {
+		w.Ordered = make(map[model.HostID]bool)
+	}
+	w.Ordered[c.Host] = w.Ordered[c.Host] || c.Accepted
+	return Result{Changed: true}
+}
+
+func (s *State) closeWave(id uint64) Result {
+	if w := s.Waves[id]; w != nil {
+		w.Closed = true
+	}
+	return Result{Changed: true}
+}
--- /dev/null
+++ b/core/jobs/check.go
@@ -0,0 +1,100 @@
+package jobs
+
+import (
+	"errors"
+	"fmt"
+
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// Largest numbers of a job.
+const (
+	maxSteps  = 256
+	maxTasks  = 10_000 // of all steps and rounds
+	maxRounds = 10_000
+	maxSpec   = 4_000 // bytes
+)
+
+// ErrInvalid is the cause of errors of Check.
+var ErrInvalid = errors.New("not valid")
+
+func invalid(format string, args ...any) error {
+	return fmt.Errorf("%w: %s", ErrInvalid, fmt.Sprintf(format, args...))
+}
+
+// Check returns why a submitted job cannot be accepted, or nil.
+func (j *Job) Check() error {
+	switch {
+	case len(j.Spec) > maxSpec:
+		return invalid("the specification has %d bytes, allowed are %d", len(j.Spec), maxSpec)
+	case len(j.Steps) == 0 || len(j.Steps) > maxSteps:
+		return invalid("the job has %d steps, allowed are 1 to %d", len(j.Steps), maxSteps)
+	case len(j.Rounds) == 0 || len(j.Rounds) > maxRounds:
+		return invalid("the job repeats %d times, allowed are 1 to %d", len(j.Rounds), maxRounds)
+	case j.Interval < 0 || j.FirstAt < 0:
+		return invalid("a time of the job is negative")
+	}
+	tasks := 0
+	for i := range j.Steps {
+		if err := j.checkStep(i); err != nil {
+			return err
+		}
+		tasks += j.Steps[i].Tasks * len(j.Rounds)
+	}
+	if tasks > maxTasks {
+		return invalid("the job has %d tasks, allowed are %d", tasks, maxTasks)
+	}
+	return nil
+}
+
+func (j *Job) checkStep(i int) error {
+	s := &j.Steps[i]
+	switch {
+	case s.Tasks < 1 || s.Tasks > maxTasks:
+		return invalid("step %d has %d tasks, allowed are 1 to %d", i, s.Tasks, maxTasks)
+	case !s.Size.Valid():
+		return invalid("step %d has a size that is negative or too large", i)
+	case s.Estimate < 0 || s.Target < 0 || s.PerWorker < 0 || s.MissAllowed < 0:
+		return invalid("a number of step %d is negative", i)
+	}
+	for _, before := range s.After {
+		if before < 0 || before >= i {
+			return invalid("step %d comes after step %d, which is not an earlier one", i, before)
+		}
+	}
+	return nil
+}
+
+// Unsupported returns why no scheduler runs such a job yet, or nothing.
+func (j *Job) Unsupported(q *Queue) string {
+	if q.Advised {
+		return "queues whose policy is kept by a service are not supported"
+	}
+	for i := range j.Steps {
+		if j.Steps[i].Gang {
+			return fmt.Sprintf("step %d needs its tasks to run together, which is not supported", i)
+		}
+	}
+	return ""
+}
+
+// Check returns why a configuration is not valid, or nil.
+func (c *Config) Check() error {
+	type place struct{ host, prefix string }
+	places := make(map[place]model.QueueID, len(c.Queues))
+	for i := range c.Queues {
+		q := &c.Queues[i]
+		if _, known := c.Services[q.Service]; !known {
+			return invalid("queue %s names the unknown service %q", q.ID, q.Service)
+		}
+		at := place{q.Host, q.Prefix}
+		if other, taken := places[at]; taken {
+			return invalid("queues %s and %s share host %q and prefix %q", other, q.ID, q.Host, q.Prefix)
+		}
+		places[at] = q.ID
+		if q.Timeout <= 0 {
+			return invalid("queue %s has no timeout", q.ID)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/jobs/command.go
@@ -0,0 +1,142 @@
+package jobs
+
+import (
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// Command is one change of the state. Exactly one of the pointers is set.
+type Command struct {
+	// Call is the call to answer once the command is applied, or empty.
+	Call CallRef `json:"call,omitzero"`
+
+	Configure *Config    `json:"configure,omitempty"`
+	SetOut    *SetOut    `json:"set_out,omitempty"`
+	Submit    *Job       `json:"submit,omitempty"`
+	Cancel    *Cancel    `json:"cancel,omitempty"`
+	Assign    *Assign    `json:"assign,omitempty"`
+	End       *End       `json:"end,omitempty"`
+	Announce  *Worker    `json:"announce,omitempty"`
+	Depart    *Depart    `json:"depart,omitempty"`
+	Forget    *Forget    `json:"forget,omitempty"`
+	StartWave *StartWave `json:"start_wave,omitempty"`
+	Maintain  *Maintain  `json:"maintain,omitempty"`
+	CloseWave *CloseWave `json:"close_wave,omitempty"`
+}
+
+// CallRef names a call that a process holds.
+type CallRef struct {
+	Host        model.HostID      `json:"host"`
+	Incarnation model.Incarnation `json:"inc"`
+	Seq         uint64            `json:"seq"`
+}
+
+// SetOut takes a data centre out of service or back.
+type SetOut struct {
+	DataCentre model.DataCentreID `json:"dc"`
+	Out        bool               `json:"out"`
+}
+
+// Cancel ends a job.
+type Cancel struct {
+	Job model.JobID `json:"job"`
+}
+
+// Assign records runs that are about to be ordered.
+type Assign struct {
+	Runs []Assignment `json:"runs"`
+}
+
+// Assignment is one run on one life of a worker.
+type Assignment struct {
+	RunRef
+	Worker model.WorkerID `json:"w"`
+	Life   uint64         `json:"l"`
+}
+
+// Outcome is how a run ended.
+type Outcome string
+
+// The outcomes of a run.
+const (
+	OutcomeDone    Outcome = "done"
+	OutcomeFailed  Outcome = "failed"
+	OutcomeStopped Outcome = "stopped" // by order
+	OutcomeLapsed  Outcome = "lapsed"  // its lease ended
+	OutcomeBroken  Outcome = "broken"  // another member of its gang ended
+	OutcomeAlone   Outcome = "alone"   // the rest of its gang did not start in time
+	OutcomeVoid    Outcome = "void"    // it never began and never will
+	OutcomeLost    Outcome = "lost"    // its worker is gone
+)
+
+// End records ends of runs.
+type End struct {
+	Runs []Ending `json:"runs"`
+	// Through is the number of the latest end that Worker has listed in this
+	// life. It is 0 if the ends are not taken from a list.
+	Worker  model.WorkerID `json:"w,omitempty"`
+	Life    uint64         `json:"l,omitempty"`
+	Through uint64         `json:"n,omitempty"`
+}
+
+// Ending is the end of one run.
+type Ending struct {
+	RunRef
+	Outcome    Outcome `json:"o"`
+	Checkpoint string  `json:"c,omitempty"`
+	// MaxAttempts is the number of failures at which the job fails; 0 for no limit.
+	MaxAttempts int `json:"m,omitempty"`
+}
+
+// Depart removes a worker that has said that it ends.
+type Depart struct {
+	Worker model.WorkerID `json:"w"`
+	Life   uint64         `json:"l"`
+}
+
+// Forget drops jobs that ended before a time of the replicated clock.
+type Forget struct {
+	Before model.Time `json:"before"`
+}
+
+// StartWave asks for the maintenance of hosts.
+type StartWave struct {
+	Wave   uint64         `json:"wave"`
+	Hosts  []model.HostID `json:"hosts"`
+	Cap    int            `json:"cap"`
+	Within model.Duration `json:"within"`
+}
+
+// Maintain records that the maintenance of a host is about to be ordered, or
+// that its owner has accepted the order.
+type Maintain struct {
+	Wave     uint64       `json:"wave"`
+	Host     model.HostID `json:"host"`
+	Accepted bool         `json:"accepted,omitempty"`
+}
+
+// CloseWave records that every host of a wave has begun its maintenance or has
+// left the fleet.
+type CloseWave struct {
+	Wave uint64 `json:"wave"`
+}
+
+// Sizes of the parts of a command in a message, in bytes.
+const (
+	runSize = 96
+	jobSize = 256
+)
+
+// Size returns about how many bytes the command takes in a message.
+func (c *Command) Size() int {
+	switch {
+	case c.Configure != nil:
+		return 2 * len(c.Configure.Document)
+	case c.Submit != nil:
+		return jobSize*(1+len(c.Submit.Steps)) + len(c.Submit.Spec)
+	case c.Assign != nil:
+		return runSize * len(c.Assign.Runs)
+	case c.End != nil:
+		return runSize * len(c.End.Runs)
+	}
+	return runSize
+}
--- /dev/null
+++ b/core/jobs/config.go
@@ -0,0 +1,94 @@
+package jobs
+
+import (
+	"strings"
+
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// Config is one version of the configuration.
+type Config struct {
+	Version  uint64                        `json:"version"`
+	Queues   []Queue                       `json:"queues"`
+	Services map[model.ServiceID]Service   `json:"services"`
+	Teams    map[model.TeamID]Team         `json:"teams"`
+	Keys     map[model.Digest]model.TeamID `json:"keys"` // by the SHA-256 of the key
+	Limits   Limits                        `json:"limits"`
+	// Document is the text that the operator sent. Reads return it unchanged.
+	Document string `json:"document"`
+}
+
+// Queue takes the jobs whose host is Host and whose path begins with Prefix.
+type Queue struct {
+	ID          model.QueueID   `json:"id"`
+	Host        string          `json:"host"`
+	Prefix      string          `json:"prefix"`
+	Service     model.ServiceID `json:"service"`
+	Precedence  int             `json:"precedence"` // 0 goes first
+	MaxAttempts int             `json:"max_attempts"`
+	// A job is on time if it ends within Stretch times its longest chain of work
+	// and Target more.
+	Stretch float64        `json:"stretch"`
+	Target  model.Duration `json:"target"`
+	Timeout model.Duration `json:"timeout"`
+	Open    bool           `json:"open,omitempty"` // takes jobs without a key
+	Advised bool           `json:"advised,omitempty"`
+}
+
+// Service is a pool of workers.
+type Service struct {
+	Guarded bool `json:"guarded,omitempty"` // its workers refuse what does not fit
+	Standby bool `json:"standby,omitempty"` // its hosts are off
+}
+
+// Team is a customer.
+type Team struct {
+	Weight float64 `json:"weight"`
+	// Cap bounds what the team has running on all workers. A zero amount is no
+	// limit.
+	Cap model.Resources `json:"cap"`
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	BodyBytes   int64          `json:"body_bytes"`
+	HeaderBytes int            `json:"header_bytes"`
+	HeaderTime  model.Duration `json:"header_time"`
+	IdleTime    model.Duration `json:"idle_time"`
+}
+
+// Find returns the queue with the longest matching prefix, and what follows the
+// prefix in path. It returns nil if there is none.
+func (c *Config) Find(host, path string) (*Queue, string) {
+	var found *Queue
+	for i := range c.Queues {
+		q := &c.Queues[i]
+		if q.Host != host || !strings.HasPrefix(path, q.Prefix) {
+			continue
+		}
+		if found == nil || len(q.Prefix) > len(found.Prefix) {
+			found = q
+		}
+	}
+	if found == nil {
+		return nil, ""
+	}
+	return found, path[len(found.Prefix):]
+}
+
+// Queue returns the queue with this name, or nil.
+func (c *Config) Queue(id model.QueueID) *Queue {
+	for i := range c.Queues {
+		if c.Queues[i].ID == id {
+			return &c.Queues[i]
+		}
+	}
+	return nil
+}
+
+// Exceeds reports whether used goes beyond the team's cap.
+func (t Team) Exceeds(used model.Resources) bool {
+	over := func(used, limit int64) bool { return limit > 0 && used > limit }
+	return over(used.MilliCPU, t.Cap.MilliCPU) || over(used.MemoryMB, t.Cap.MemoryMB) ||
+		over(used.Accelerators, t.Cap.Accelerators)
+}
--- /dev/null
+++ b/core/jobs/state.go
@@ -0,0 +1,257 @@
+package jobs
+
+import (
+	"maps"
+
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// State is the replicated state of jobs. The zero State is empty.
+type State struct {
+	Config  *Config                     `json:"config,omitempty"` // never changed, only replaced
+	Out     map[model.DataCentreID]bool `json:"out"`              // data centres that get no new starts
+	Workers map[model.WorkerID]*Worker  `json:"workers"`          // entries are replaced, never changed
+	Jobs    map[model.JobID]*Job        `json:"jobs"`
+	Ended   []model.JobID               `json:"ended,omitempty"` // in the order of their ends
+	Waves   map[uint64]*Wave            `json:"waves"`
+}
+
+// Phase is the progress of a job.
+type Phase string
+
+// The phases of a job.
+const (
+	Active    Phase = "active"
+	Completed Phase = "completed" // every task is done
+	Failed    Phase = "failed"    // a task failed as often as its queue allows
+	Cancelled Phase = "cancelled"
+)
+
+// Job is one job of a caller.
+type Job struct {
+	ID      model.JobID     `json:"id"`
+	Queue   model.QueueID   `json:"queue"`
+	Service model.ServiceID `json:"service"`
+	Team    model.TeamID    `json:"team,omitempty"` // empty on an open queue
+	Spec    string          `json:"spec,omitempty"` // passed to workers unread
+	Steps   []Step          `json:"steps,omitempty"`
+	// Rounds are the times the steps run, one for a job that does not repeat.
+	// They are dropped once the job has ended and none of its runs may go on.
+	Rounds   []Round        `json:"rounds,omitempty"`
+	FirstAt  model.Time     `json:"first_at,omitempty"` // when the first round is due, wall clock
+	Interval model.Duration `json:"interval,omitempty"`
+	Phase    Phase          `json:"phase"`
+	Started  bool           `json:"started,omitempty"`  // a task of it was assigned
+	Accepted model.Time     `json:"accepted"`           // replicated clock
+	EndedAt  model.Time     `json:"ended_at,omitempty"` // replicated clock
+}
+
+// Step is a number of tasks of equal size.
+type Step struct {
+	Tasks     int             `json:"tasks"`
+	Size      model.Resources `json:"size"` // of one task
+	Estimate  model.Duration  `json:"estimate,omitempty"`
+	After     []int           `json:"after,omitempty"` // steps whose tasks must be done first
+	Requires  string          `json:"requires,omitempty"`
+	DataRack  model.RackID    `json:"data_rack,omitempty"`
+	PerWorker int             `json:"per_worker,omitempty"` // tasks of the step on one worker, 0 for any number
+	Image     string          `json:"image,omitempty"`
+	Target    model.Duration  `json:"target,omitempty"` // of the tail of the response times of what it serves
+	// MissAllowed is the number of its tasks that may be away at one time because
+	// of the system's own orders, 0 for no bound.
+	MissAllowed int  `json:"miss_allowed,omitempty"`
+	Checkpoints bool `json:"checkpoints,omitempty"`
+	Gang        bool `json:"gang,omitempty"`
+	Colocated   bool `json:"colocated,omitempty"`
+	Copies      bool `json:"copies,omitempty"`  // several runs of one task are allowed
+	Lasting     bool `json:"lasting,omitempty"` // runs until the job is cancelled
+	Filler      bool `json:"filler,omitempty"`  // uses the processors that others leave unused
+}
+
+// Claim is the part of a worker's capacity that one task takes.
+func (s *Step) Claim() model.Resources {
+	size := s.Size
+	if s.Filler {
+		size.MilliCPU = 0
+	}
+	return size
+}
+
+// Round is one time that the steps run: its tasks by step and index.
+type Round struct {
+	Tasks [][]Task `json:"tasks"`
+}
+
+// TaskPhase is the progress of a task.
+type TaskPhase string
+
+// The phases of a task.
+const (
+	Waiting TaskPhase = ""
+	Placed  TaskPhase = "placed" // a run of it may be going on
+	Done    TaskPhase = "done"
+)
+
+// Task is one task of a round.
+type Task struct {
+	Phase      TaskPhase      `json:"p,omitempty"`
+	Run        int            `json:"r,omitempty"` // number of the latest run
+	Worker     model.WorkerID `json:"w,omitempty"` // of the latest run
+	Life       uint64         `json:"l,omitempty"` // of that worker
+	Failures   int            `json:"f,omitempty"`
+	Checkpoint string         `json:"c,omitempty"`
+}
+
+// TaskRef names a task.
+type TaskRef struct {
+	Job   model.JobID `json:"j"`
+	Round int         `json:"k,omitempty"`
+	Step  int         `json:"s,omitempty"`
+	Index int         `json:"i,omitempty"`
+}
+
+// RunRef names one run of a task.
+type RunRef struct {
+	TaskRef
+	Run int `json:"r"`
+}
+
+// Worker is one life of a worker process.
+type Worker struct {
+	ID         model.WorkerID     `json:"id"`
+	Life       uint64             `json:"life"` // log index of the entry that recorded this life
+	Born       int64              `json:"born"` // Unix milliseconds, the worker's own; 0 if it does not say
+	Host       model.HostID       `json:"host,omitempty"`
+	Service    model.ServiceID    `json:"service"`
+	Address    string             `json:"address"`
+	DataCentre model.DataCentreID `json:"dc"`
+	Rack       model.RackID       `json:"rack,omitempty"`
+	Labels     []string           `json:"labels,omitempty"`
+	Capacity   model.Resources    `json:"capacity"`
+	Draining   bool               `json:"draining,omitempty"`
+}
+
+// SameLife reports whether w and v describe the same process.
+func (w *Worker) SameLife(v *Worker) bool {
+	return w.ID == v.ID && w.Born == v.Born && w.Address == v.Address && w.Service == v.Service
+}
+
+// HasLabel reports whether the worker carries the label.
+func (w *Worker) HasLabel(label string) bool {
+	for _, l := range w.Labels {
+		if l == label {
+			return true
+		}
+	}
+	return false
+}
+
+// Wave asks for the maintenance of hosts.
+type Wave struct {
+	Hosts []model.HostID `json:"hosts"`
+	Cap   int            `json:"cap"` // hosts that may be down for it at one time
+	Due   model.Time     `json:"due"` // replicated clock
+	// Ordered holds the hosts whose maintenance was ordered: true once the order
+	// is known to be accepted.
+	Ordered map[model.HostID]bool `json:"ordered"`
+	Closed  bool                  `json:"closed,omitempty"` // every host has begun its maintenance or is gone
+}
+
+// Task returns the task of ref, or nil.
+func (s *State) Task(ref TaskRef) *Task {
+	j := s.Jobs[ref.Job]
+	if j == nil {
+		return nil
+	}
+	return j.Task(ref)
+}
+
+// Task returns the task of ref in this job, or nil.
+func (j *Job) Task(ref TaskRef) *Task {
+	if ref.Round < 0 || ref.Round >= len(j.Rounds) {
+		return nil
+	}
+	r := &j.Rounds[ref.Round]
+	if ref.Step < 0 || ref.Step >= len(r.Tasks) || ref.Index < 0 || ref.Index >= len(r.Tasks[ref.Step]) {
+		return nil
+	}
+	return &r.Tasks[ref.Step][ref.Index]
+}
+
+// Due returns when a round is due, by the wall clock, or 0 for a job without
+// set times.
+func (j *Job) Due(round int) model.Time {
+	if j.FirstAt == 0 {
+		return 0
+	}
+	return j.FirstAt.Add(model.Duration(round) * j.Interval)
+}
+
+// Open reports whether all steps that the step comes after are done.
+func (j *Job) Open(round, step int) bool {
+	for _, before := range j.Steps[step].After {
+		for i := range j.Rounds[round].Tasks[before] {
+			if j.Rounds[round].Tasks[before][i].Phase != Done {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Lasting reports whether the job has a step that runs until it is cancelled.
+func (j *Job) Lasting() bool {
+	for i := range j.Steps {
+		if j.Steps[i].Lasting {
+			return true
+		}
+	}
+	return false
+}
+
+// Clone returns a copy that shares nothing that changes.
+func (s *State) Clone() *State {
+	c := *s
+	c.Out = maps.Clone(s.Out)
+	c.Workers = maps.Clone(s.Workers)
+	c.Ended = append([]model.JobID(nil), s.Ended...)
+	c.Jobs = make(map[model.JobID]*Job, len(s.Jobs))
+	for id, j := range s.Jobs {
+		c.Jobs[id] = j.clone()
+	}
+	c.Waves = make(map[uint64]*Wave, len(s.Waves))
+	for id, w := range s.Waves {
+		copied := *w
+		copied.Ordered = maps.Clone(w.Ordered)
+		c.Waves[id] = &copied
+	}
+	return &c
+}
+
+func (j *Job) clone() *Job {
+	c := *j
+	c.Rounds = make([]Round, len(j.Rounds))
+	for k := range j.Rounds {
+		c.Rounds[k].Tasks = make([][]Task, len(j.Rounds[k].Tasks))
+		for s := range j.Rounds[k].Tasks {
+			c.Rounds[k].Tasks[s] = append([]Task(nil), j.Rounds[k].Tasks[s]...)
+		}
+	}
+	return &c
+}
+
+// MakeMaps gives the state empty maps for its nil ones.
+func (s *State) MakeMaps() {
+	if s.Out == nil {
+		s.Out = make(map[model.DataCentreID]bool)
+	}
+	if s.Workers == nil {
+		s.Workers = make(map[model.WorkerID]*Worker)
+	}
+	if s.Jobs == nil {
+		s.Jobs = make(map[model.JobID]*Job)
+	}
+	if s.Waves == nil {
+		s.Waves = make(map[uint64]*Wave)
+	}
+}
--- a/core/leader.go
+++ b/core/leader.go
@@ -13,6 +13,8 @@
 	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/placement"
+	"primrosedale.example/primrosedale/core/schedule"
+	"primrosedale.example/primrosedale/core/upkeep"
 )
 
 // lead begins or ends the leader's part. It begins only when this process
@@ -49,6 +51,10 @@
 	s.leading.owner = dispatch.New(s.env(), status.Term)
 	s.leading.placer = placement.New(s.placementEnv())
 	s.leading.planner = maintenance.New(s.maintenanceEnv())
+	if s.runsJobs() {
+		s.leading.scheduler = schedule.New(s.scheduleEnv())
+		s.leading.upkeep = upkeep.New(upkeep.Env{Schedule: s.scheduleEnv(), Scheduler: s.leading.scheduler, Self: s.cfg.Host})
+	}
 	s.emit(effect.Log{Code: effect.LeaderElected, Term: status.Term})
 }
 
@@ -66,6 +72,8 @@
 	s.asOwner(func(env dispatch.Env, out *dispatch.Out) { s.leading.owner.Advance(env, out) })
 	s.asPlacer(func(env placement.Env, out *placement.Out) { s.leading.placer.Advance(env, out) })
 	s.asPlanner(func(env maintenance.Env, out *maintenance.Out) { s.leading.planner.Advance(env, out) })
+	s.asScheduler(func(env schedule.Env, out *schedule.Out) { s.leading.scheduler.Advance(env, out) })
+	s.asUpkeep(func(env upkeep.Env, out *upkeep.Out) { s.leading.upkeep.Advance(env, out) })
 	s.recordBurn()
 }
 
@@ -162,6 +170,10 @@
 
 // committedAsLeader lets the leader's branches see a committed command.
 func (s *State) committedAsLeader(c *fleet.Command, result fleet.Result) {
+	if c.Jobs != nil {
+		s.committedJobs(c.Jobs, result.Jobs)
+		return
+	}
 	s.leading.granter.ControlChanged(s.now, s.fleet.ControlIndex)
 	if c.AddMember != nil && !slices.Contains(s.leading.members, c.AddMember.Host) {
 		s.leading.members = memberHosts(s.fleet)
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -4,6 +4,7 @@
 
 import (
 	"primrosedale.example/primrosedale/core/burn"
+	"primrosedale.example/primrosedale/core/call"
 	"primrosedale.example/primrosedale/core/consensus"
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/model"
@@ -29,6 +30,12 @@
 	WorkerReport *WorkerReport `json:"worker_report,omitempty"`
 	ReportReply  *ReportReply  `json:"report_reply,omitempty"`
 	Command      *Command      `json:"command,omitempty"`
+
+	Call         *call.Call         `json:"call,omitempty"`
+	CallAnswer   *call.Answer       `json:"call_answer,omitempty"`
+	Redirect     *call.Redirect     `json:"redirect,omitempty"`
+	Contact      *call.Contact      `json:"contact,omitempty"`
+	ContactReply *call.ContactReply `json:"contact_reply,omitempty"`
 }
 
 // Renew asks the leader for a serving lease.
--- a/core/model/model.go
+++ b/core/model/model.go
@@ -40,6 +40,8 @@
 	PoolID       string
 	TargetID     string
 	TaskID       string
+	WorkerID     string
+	JobID        string
 	// RequestID is unique over all gateways and restarts.
 	RequestID string
 	// CommandID identifies one submission of a command; a resend keeps it.
--- a/core/problem/problem.go
+++ b/core/problem/problem.go
@@ -43,6 +43,14 @@
 	PlanRejected        Kind = "plan_rejected"
 	UnknownHost         Kind = "unknown_host"
 	AnnouncementInvalid Kind = "announcement_invalid"
+	UnknownJob          Kind = "unknown_job"
+	UnknownWave         Kind = "unknown_wave"
+	JobRejected         Kind = "job_rejected"
+	QueueOverloaded     Kind = "queue_overloaded"
+	NotConfigured       Kind = "not_configured"
+	ConfigRejected      Kind = "configuration_rejected"
+	KeyUnknown          Kind = "unknown_key_for_queue"
+	CallUnknown         Kind = "call_outcome_unknown"
 	Internal            Kind = "internal"
 )
 
@@ -94,6 +102,14 @@
 	PlanRejected:        {409, "the plan does not fit the current state", false, RanNo},
 	UnknownHost:         {404, "there is no such host", false, RanNo},
 	AnnouncementInvalid: {400, "the announcement is malformed", false, RanNo},
+	UnknownJob:          {410, "there is no such job", false, RanNo},
+	UnknownWave:         {404, "there is no such maintenance wave", false, RanNo},
+	JobRejected:         {422, "the job can never run", false, RanNo},
+	QueueOverloaded:     {429, "the queue cannot finish the job in time", true, RanNo},
+	NotConfigured:       {503, "no configuration is in force", true, RanNo},
+	ConfigRejected:      {400, "the configuration is not valid", false, RanNo},
+	KeyUnknown:          {401, "the key is missing, unknown or withdrawn", false, RanNo},
+	CallUnknown:         {504, "the call was passed on and its outcome is not known", true, RanUnknown},
 	Internal:            {500, "internal error", false, RanUnknown},
 }
 
--- a/core/publish.go
+++ b/core/publish.go
@@ -17,6 +17,7 @@
 	old := s.view
 	control := s.fleet.ControlIndex
 	if old.Leader == leader && old.Term == term && old.LeaseUntil == until &&
+		old.Ready == s.relay.Ready(s.now) && old.BodyLimit == s.relay.BodyLimit() &&
 		old.Stopping == s.stopping && s.control == control && old.Rules == s.fleet.Rules {
 		return
 	}
@@ -28,6 +29,8 @@
 		Applied:    s.fleet.Index,
 		LeaseUntil: until,
 		Stopping:   s.stopping,
+		Ready:      s.relay.Ready(s.now),
+		BodyLimit:  s.relay.BodyLimit(),
 	}
 	s.control = control
 	s.view = next
--- a/core/reduce.go
+++ b/core/reduce.go
@@ -50,6 +50,14 @@
 		s.submit(e.Command)
 	case event.StatusRequested:
 		s.answerStatus(e)
+	case event.CallArrived:
+		s.emit(s.relay.Arrive(s.now, e.Call)...)
+	case event.WorkerReplied:
+		s.workerReplied(&e.Reply)
+	case event.HostsReplied:
+		s.hostsReplied(&e.Reply)
+	case event.SettingsChanged:
+		s.relay.SetSeeds(e.Seeds)
 	case event.StopRequested:
 		s.stop()
 	}
@@ -81,6 +89,7 @@
 	s.emit(s.table.Advance(s.now)...)
 	s.advanceLeader()
 	s.resendCommands()
+	s.emit(s.relay.Advance(s.now)...)
 	s.finishStop()
 }
 
@@ -100,6 +109,16 @@
 		s.emit(s.table.Settled(m.Settled)...)
 	case m.ReportReply != nil:
 		s.emit(effect.AnswerReport{Reply: *m.ReportReply})
+	case m.Call != nil:
+		s.receiveCall(from, m.Call)
+	case m.CallAnswer != nil:
+		s.emit(s.relay.Answered(m.CallAnswer)...)
+	case m.Redirect != nil:
+		s.emit(s.relay.Redirected(s.now, from, m.Redirect)...)
+	case m.Contact != nil:
+		s.replyContact(from, m.Contact)
+	case m.ContactReply != nil:
+		s.emit(s.relay.Contacted(s.now, from, m.ContactReply)...)
 	default:
 		s.receiveAsLeader(from, m)
 	}
@@ -130,6 +149,9 @@
 	if s.holder.Follow(leader, status.Term) {
 		s.emit(s.table.Follow(s.now, leader, status.Term)...)
 	}
+	if s.cfg.Durable {
+		s.emit(s.relay.Follow(s.now, leader)...)
+	}
 }
 
 // renew asks the leader for the next lease.
--- /dev/null
+++ b/core/relay/relay.go
@@ -0,0 +1,266 @@
+// Package relay holds the calls that a process has received and passes them to
+// the leader.
+//
+// Every call may be passed on again with the same effect, so a call goes out anew
+// when another leader is known or an answer is overdue. A call that was never
+// sent is refused as not run; one that was sent and has no answer ends with an
+// unknown outcome.
+//
+// A replica knows the leader from its log. An entry host asks the replicas with
+// Contact messages, beginning with the seeds of its settings.
+package relay
+
+import (
+	"slices"
+
+	"primrosedale.example/primrosedale/core/call"
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/problem"
+)
+
+// Times of a relay.
+const (
+	// resendTime is the wait for an answer before a call is passed on again. It is
+	// several times a commit on slow disks.
+	resendTime = 700 * model.Millisecond
+	// unsentTime is how long a call waits for a leader to be known. It is less than
+	// a quarter of the usual patience, so that the caller can go elsewhere.
+	unsentTime = 600 * model.Millisecond
+	// contactInterval is the time between two contacts of a leader that answers.
+	contactInterval = 400 * model.Millisecond
+	// searchInterval is the time between two rounds of the search for a leader.
+	searchInterval = 150 * model.Millisecond
+	// contactTime is the silence after which an entry host looks for another leader.
+	contactTime = 1000 * model.Millisecond
+	// readyTime is the silence of the leader after which an entry host does not
+	// ask for more callers: longer than an election, much less than the time in
+	// which withdrawn keys must stop working.
+	readyTime = 2500 * model.Millisecond
+	// retryAfter is what a caller is told to wait where no leader is known.
+	retryAfter = model.Second
+)
+
+// Config is fixed for the life of a process.
+type Config struct {
+	Host        model.HostID
+	Incarnation model.Incarnation
+	Replica     bool
+	Seeds       []model.HostID
+}
+
+type held struct {
+	call    call.Call
+	arrived model.Time
+	sentAt  model.Time // 0 if it was never sent
+}
+
+// Table is the calls that a process holds.
+type Table struct {
+	cfg      Config
+	calls    map[uint64]*held
+	leader   model.HostID // empty if none is known
+	heard    model.Time   // latest answer of a process that leads
+	replicas []model.HostID
+	asked    model.Time // latest contact
+	seq      uint64
+	limit    int64 // largest body, as the configuration says
+	inTouch  bool
+	stopping bool
+}
+
+// New returns an empty table.
+func New(cfg Config) *Table {
+	return &Table{cfg: cfg, calls: make(map[uint64]*held), replicas: slices.Clone(cfg.Seeds)}
+}
+
+// SetSeeds names other replicas to ask.
+func (t *Table) SetSeeds(seeds []model.HostID) {
+	t.cfg.Seeds = seeds
+	t.learn(seeds)
+}
+
+func (t *Table) learn(replicas []model.HostID) {
+	for _, r := range replicas {
+		if !slices.Contains(t.replicas, r) {
+			t.replicas = append(t.replicas, r)
+		}
+	}
+}
+
+// Len returns the number of calls held.
+func (t *Table) Len() int { return len(t.calls) }
+
+// BodyLimit returns the largest body that the configuration allows, 0 if it is
+// not known.
+func (t *Table) BodyLimit() int64 { return t.limit }
+
+// Ready reports whether the process can serve calls.
+func (t *Table) Ready(now model.Time) bool {
+	return t.leader != "" && (t.cfg.Replica || now.Sub(t.heard) <= readyTime)
+}
+
+// Arrive takes a call.
+func (t *Table) Arrive(now model.Time, c call.Call) []effect.Effect {
+	c.Incarnation = t.cfg.Incarnation
+	h := &held{call: c, arrived: now}
+	t.calls[c.Seq] = h
+	return t.pass(now, h)
+}
+
+// Abandon drops a call whose caller has gone.
+func (t *Table) Abandon(seq uint64) { delete(t.calls, seq) }
+
+func (t *Table) pass(now model.Time, h *held) []effect.Effect {
+	if t.leader == "" {
+		return nil
+	}
+	h.sentAt = now
+	c := h.call
+	c.Patience -= now.Sub(h.arrived)
+	return []effect.Effect{effect.Send{To: t.leader, Message: message.Message{Call: &c}}}
+}
+
+// Follow takes note of the leader that the log names.
+func (t *Table) Follow(now model.Time, leader model.HostID) []effect.Effect {
+	if leader == t.leader {
+		return nil
+	}
+	t.leader = leader
+	return t.passAll(now)
+}
+
+func (t *Table) passAll(now model.Time) []effect.Effect {
+	var out []effect.Effect
+	for _, seq := range model.SortedKeys(t.calls) {
+		out = append(out, t.pass(now, t.calls[seq])...)
+	}
+	return out
+}
+
+// Answered ends a call.
+func (t *Table) Answered(a *call.Answer) []effect.Effect {
+	if t.calls[a.Seq] == nil || a.Incarnation != t.cfg.Incarnation {
+		return nil
+	}
+	delete(t.calls, a.Seq)
+	return []effect.Effect{effect.AnswerCall{Answer: *a}}
+}
+
+// Redirected passes a call to the leader that the asked process named.
+func (t *Table) Redirected(now model.Time, from model.HostID, r *call.Redirect) []effect.Effect {
+	h := t.calls[r.Seq]
+	if h == nil || r.Incarnation != t.cfg.Incarnation {
+		return nil
+	}
+	if !t.cfg.Replica {
+		if t.leader == from {
+			t.leader = r.Leader
+		}
+		if t.leader == "" {
+			return t.search(now)
+		}
+	}
+	if t.leader == from || t.leader == "" {
+		return nil
+	}
+	return t.pass(now, h)
+}
+
+// Advance does what is due by time.
+func (t *Table) Advance(now model.Time) []effect.Effect {
+	out := t.contact(now)
+	for _, seq := range model.SortedKeys(t.calls) {
+		h := t.calls[seq]
+		switch {
+		case now.Sub(h.arrived) >= h.call.Patience:
+			out = append(out, t.giveUp(h)...)
+		case h.sentAt == 0 && now.Sub(h.arrived) >= unsentTime:
+			out = append(out, t.giveUp(h)...)
+		case h.sentAt != 0 && now.Sub(h.sentAt) >= resendTime:
+			out = append(out, t.pass(now, h)...)
+		}
+	}
+	return out
+}
+
+// giveUp answers a call that has no outcome.
+func (t *Table) giveUp(h *held) []effect.Effect {
+	delete(t.calls, h.call.Seq)
+	p := problem.New(problem.NoLeader, "no leader is known")
+	p.RetryAfter = retryAfter
+	if h.sentAt != 0 && h.call.Changes() {
+		p = problem.New(problem.CallUnknown, "the leader did not answer in time")
+	}
+	answer := call.Answer{Seq: h.call.Seq, Incarnation: t.cfg.Incarnation, Problem: p}
+	return []effect.Effect{
+		effect.AnswerCall{Answer: answer},
+		effect.Log{Code: effect.CallGivenUp, Request: model.RequestID(h.call.About()), Host: t.leader, Detail: p.Error()},
+	}
+}
+
+// contact keeps in touch with the leader, or looks for one.
+func (t *Table) contact(now model.Time) []effect.Effect {
+	if t.cfg.Replica {
+		return nil
+	}
+	var out []effect.Effect
+	if touched := t.Ready(now); touched != t.inTouch {
+		t.inTouch = touched
+		code := effect.ContactLost
+		if touched {
+			code = effect.ContactRegained
+		}
+		out = append(out, effect.Log{Code: code, Host: t.leader})
+	}
+	if t.leader != "" && now.Sub(t.heard) < contactTime {
+		if now.Sub(t.asked) >= contactInterval {
+			out = append(out, t.ask(now, t.leader))
+		}
+		return out
+	}
+	if now.Sub(t.asked) >= searchInterval {
+		out = append(out, t.search(now)...)
+	}
+	return out
+}
+
+// search asks all known replicas who leads.
+func (t *Table) search(now model.Time) []effect.Effect {
+	var out []effect.Effect
+	for _, r := range t.replicas {
+		out = append(out, t.ask(now, r))
+	}
+	return out
+}
+
+func (t *Table) ask(now model.Time, replica model.HostID) effect.Effect {
+	t.asked = now
+	t.seq++
+	return effect.Send{To: replica, Message: message.Message{Contact: &call.Contact{Seq: t.seq}}}
+}
+
+// Contacted takes note of the answer of a replica.
+func (t *Table) Contacted(now model.Time, from model.HostID, r *call.ContactReply) []effect.Effect {
+	if t.cfg.Replica {
+		return nil
+	}
+	t.learn(r.Replicas)
+	if r.BodyBytes > 0 {
+		t.limit = r.BodyBytes
+	}
+	if !r.Leads {
+		if t.leader == from || t.leader == "" && r.Leader != "" && r.Leader != from {
+			t.leader = r.Leader
+			return t.passAll(now)
+		}
+		return nil
+	}
+	t.heard = now
+	if t.leader == from {
+		return nil
+	}
+	t.leader = from
+	return t.passAll(now)
+}
--- /dev/null
+++ b/core/schedule/admit.go
@@ -0,0 +1,80 @@
+package schedule
+
+import (
+	"primrosedale.example/primrosedale/core/jobs"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/problem"
+)
+
+// Limits of the wait that a refused caller is told.
+const (
+	retryMin = 1 * model.Second
+	retryMax = 4 * model.Second
+)
+
+// Admit returns why a job cannot be served in time, or nil. The work ahead of it
+// is that of all jobs of its service that go before it.
+func (s *Scheduler) Admit(env Env, q *jobs.Queue, j *jobs.Job) *problem.Problem {
+	if j.Lasting() || j.FirstAt != 0 {
+		return nil
+	}
+	p := s.services[q.Service]
+	if p == nil {
+		return nil
+	}
+	room := s.room(env, p)
+	if room <= 0 {
+		return nil
+	}
+	ahead := 0.0
+	due := env.Clock.Add(allowed(q, j))
+	for _, other := range p.jobs {
+		if other.lasting || other.rank > q.Precedence || other.rank == q.Precedence && other.due > due {
+			continue
+		}
+		ahead += other.left()
+	}
+	wait := model.Duration(ahead / room * float64(model.Second))
+	slack := allowed(q, j) - chain(j)
+	if wait <= slack {
+		return nil
+	}
+	refusal := problem.New(problem.QueueOverloaded, "the work ahead takes %d ms, the job can wait %d ms",
+		wait/model.Millisecond, slack/model.Millisecond)
+	refusal.RetryAfter = min(max(wait-slack, retryMin), retryMax)
+	return refusal
+}
+
+// room is the number of thousandths of a core that jobs which end can use on the
+// workers of a service.
+func (s *Scheduler) room(env Env, p *pool) float64 {
+	sum := int64(0)
+	for _, w := range s.usable(env, p) {
+		sum += w.info.Capacity.MilliCPU
+		for _, r := range w.runs {
+			if r.step.Lasting {
+				sum -= r.claim.MilliCPU
+			}
+		}
+	}
+	return float64(sum)
+}
+
+// Fits reports whether any worker of the service is large enough for each task
+// of the job. It is true if no worker is known.
+func (s *Scheduler) Fits(q *jobs.Queue, j *jobs.Job) bool {
+	p := s.services[q.Service]
+	if p == nil || len(p.workers) == 0 {
+		return true
+	}
+	for i := range j.Steps {
+		fits := false
+		for _, w := range p.workers {
+			fits = fits || j.Steps[i].Claim().Fits(w.info.Capacity)
+		}
+		if !fits {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/core/schedule/hosts.go
@@ -0,0 +1,62 @@
+package schedule
+
+import (
+	"maps"
+
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// HoldHosts names the hosts whose workers get no new runs.
+func (s *Scheduler) HoldHosts(hosts map[model.HostID]bool) {
+	if !maps.Equal(s.held, hosts) {
+		s.held = hosts
+		s.touchAll()
+	}
+}
+
+// Load counts the runs that may be going on at the worker of a host.
+func (s *Scheduler) Load(host model.HostID) int {
+	n := 0
+	for _, w := range s.workers {
+		if w.info.Host == host {
+			n += len(w.runs)
+		}
+	}
+	return n
+}
+
+// Empty stops runs of a host so that it becomes empty: tasks that last, as far as
+// the number that each step may miss allows. Other runs end by themselves.
+func (s *Scheduler) Empty(env Env, out *Out, host model.HostID) {
+	for _, id := range model.SortedKeys(s.workers) {
+		w := s.workers[id]
+		if w.info.Host != host {
+			continue
+		}
+		for _, r := range sortedRunsOf(w) {
+			if r.step.Lasting && r.isAtWork() && s.maySpare(env, r) {
+				s.stop(env, out, r)
+			}
+		}
+	}
+}
+
+// isAtWork reports whether a run is past its start and does all of its work.
+func (r *run) isAtWork() bool { return r.phase == begun && !r.stopping && r.progress == 100 }
+
+// maySpare reports whether a task that lasts may be stopped now.
+func (s *Scheduler) maySpare(env Env, r *run) bool {
+	if r.step.MissAllowed == 0 {
+		return true
+	}
+	missing := 0
+	for i := range r.job.Rounds[r.ref.Round].Tasks[r.ref.Step] {
+		ref := r.ref
+		ref.Index = i
+		ref.Run = r.job.Rounds[ref.Round].Tasks[ref.Step][i].Run
+		if other := s.runs[ref]; other == nil || !other.isAtWork() {
+			missing++
+		}
+	}
+	return missing < r.step.MissAllowed
+}
--- /dev/null
+++ b/core/schedule/place.go
@@ -0,0 +1,198 @@
+package schedule
+
+import (
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/jobs"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// A worker on which this many jobs failed, with no success between, is suspected
+// of failing everything.
+const suspectJobs = 3
+
+// suspectTime is how long a suspected worker gets nothing. After it, one more
+// failure is enough to suspect it again.
+const suspectTime = 5 * model.Second
+
+func (s *Scheduler) suspect(env Env, out *Out, w *worker) {
+	w.suspectFrom = env.Now
+	out.log(effect.WorkerSuspect, effect.Log{Worker: w.info.ID, Detail: "all that it started lately failed"})
+}
+
+func (w *worker) isSuspect(now model.Time) bool {
+	return w.suspectFrom != 0 && now.Sub(w.suspectFrom) < suspectTime
+}
+
+// Place assigns tasks to workers in all services where something has changed.
+func (s *Scheduler) Place(env Env, out *Out) {
+	if env.State.Config == nil {
+		return
+	}
+	var runs []jobs.Assignment
+	for _, id := range model.SortedKeys(s.services) {
+		p := s.services[id]
+		if !p.dirty {
+			continue
+		}
+		p.dirty = false
+		runs = s.placeService(env, out, p, runs)
+	}
+	if len(runs) > 0 {
+		out.Proposals = append(out.Proposals, jobs.Command{Assign: &jobs.Assign{Runs: runs}})
+	}
+}
+
+// placeService assigns tasks of one service, most urgent jobs first.
+func (s *Scheduler) placeService(env Env, out *Out, p *pool, runs []jobs.Assignment) []jobs.Assignment {
+	usable := s.usable(env, p)
+	if len(usable) == 0 {
+		return runs
+	}
+	for _, job := range p.jobs {
+		job.refresh(env)
+		if len(job.ready) == 0 {
+			continue
+		}
+		largest := roomiest(usable)
+		kept := job.ready[:0]
+		for _, ref := range job.ready {
+			w := s.choose(env, usable, largest, job, ref)
+			if w == nil {
+				kept = append(kept, ref)
+				continue
+			}
+			runs = append(runs, s.assign(env, job, ref, w))
+			largest = roomiest(usable)
+		}
+		job.ready = kept
+	}
+	return runs
+}
+
+// roomiest returns the most that any of the workers has free, by resource.
+func roomiest(workers []*worker) model.Resources {
+	var most model.Resources
+	for _, w := range workers {
+		free := w.info.Capacity.Sub(w.used)
+		most.MilliCPU = max(most.MilliCPU, free.MilliCPU)
+		most.MemoryMB = max(most.MemoryMB, free.MemoryMB)
+		most.Accelerators = max(most.Accelerators, free.Accelerators)
+	}
+	return most
+}
+
+// usable returns the workers of a service that may be given new runs.
+func (s *Scheduler) usable(env Env, p *pool) []*worker {
+	var list []*worker
+	for _, w := range p.workers {
+		if w.isFresh(env.Now) && !w.info.Draining && !env.State.Out[w.info.DataCentre] &&
+			!w.isSuspect(env.Now) && !s.held[w.info.Host] {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
+// choose returns the worker for a task, or nil if none can take it now.
+func (s *Scheduler) choose(env Env, usable []*worker, largest model.Resources, p *progress, ref jobs.TaskRef) *worker {
+	step := &p.job.Steps[ref.Step]
+	claim := step.Claim()
+	if s.proposed[ref] || !claim.Fits(largest) || s.overCap(env, p.job.Team, step.Size) {
+		return nil
+	}
+	var best *worker
+	var bestScore score
+	for _, w := range usable {
+		if !claim.Fits(w.info.Capacity.Sub(w.used)) || !allows(w, step, ref) {
+			continue
+		}
+		if sc := s.score(w, p, step, ref); best == nil || sc.less(bestScore) {
+			best, bestScore = w, sc
+		}
+	}
+	return best
+}
+
+func (s *Scheduler) overCap(env Env, team model.TeamID, size model.Resources) bool {
+	if team == "" {
+		return false
+	}
+	return env.State.Config.Teams[team].Exceeds(s.teams[team].Add(size))
+}
+
+// allows reports whether a worker may run a task of the step at all.
+func allows(w *worker, step *jobs.Step, ref jobs.TaskRef) bool {
+	if step.Requires != "" && !w.info.HasLabel(step.Requires) {
+		return false
+	}
+	if step.PerWorker == 0 {
+		return true
+	}
+	n := 0
+	for other := range w.runs {
+		if other.Job == ref.Job && other.Round == ref.Round && other.Step == ref.Step {
+			n++
+		}
+	}
+	return n < step.PerWorker
+}
+
+// score ranks the workers that can take a task; the smallest is best.
+type score struct {
+	failed   bool  // its latest run failed there
+	disturbs int   // runs that it would disturb, or that would disturb it
+	remote   bool  // not on the rack of its data, or of its step's other tasks
+	apart    int   // for tasks that last: 1 on a worker without any
+	room     int64 // thousandths of a core that stay free
+}
+
+func (a score) less(b score) bool {
+	if c := compareBool(a.failed, b.failed); c != 0 {
+		return c < 0
+	}
+	if a.disturbs != b.disturbs {
+		return a.disturbs < b.disturbs
+	}
+	if c := compareBool(a.remote, b.remote); c != 0 {
+		return c < 0
+	}
+	if a.apart != b.apart {
+		return a.apart < b.apart
+	}
+	return a.room < b.room
+}
+
+func (s *Scheduler) score(w *worker, p *progress, step *jobs.Step, ref jobs.TaskRef) score {
+	sc := score{
+		failed: p.failedOn[ref] == w.info.ID,
+		room:   w.info.Capacity.MilliCPU - w.used.MilliCPU - step.Claim().MilliCPU,
+	}
+	if step.DataRack != "" {
+		sc.remote = w.info.Rack != step.DataRack
+	}
+	lasting := 0
+	for _, r := range w.runs {
+		if r.step.Lasting {
+			lasting++
+		}
+		if step.Filler && r.step.Target > 0 || r.step.Filler && step.Target > 0 {
+			sc.disturbs++
+		}
+	}
+	if step.Lasting && lasting == 0 {
+		sc.apart = 1
+	}
+	if !step.Lasting && lasting > 0 {
+		sc.apart = -1
+	}
+	return sc
+}
+
+// assign counts a run and returns its assignment.
+func (s *Scheduler) assign(env Env, p *progress, ref jobs.TaskRef, w *worker) jobs.Assignment {
+	t := p.job.Task(ref)
+	run := jobs.RunRef{TaskRef: ref, Run: t.Run + 1}
+	s.proposed[ref] = true
+	s.addRun(env, p.job, run, w.info.ID, w.info.Life)
+	return jobs.Assignment{RunRef: run, Worker: w.info.ID, Life: w.info.Life}
+}
--- /dev/null
+++ b/core/schedule/progress.go
@@ -0,0 +1,135 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+
+	"primrosedale.example/primrosedale/core/jobs"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// progress is what the scheduler knows of one active job.
+type progress struct {
+	job      *jobs.Job
+	service  model.ServiceID
+	lasting  bool
+	begun    bool       // a task of it has begun on a worker
+	attempts int        // failures of one task at which the job fails, 0 for no limit
+	rank     int        // precedence of its queue
+	due      model.Time // replicated clock: it is late after this
+	ready    []jobs.TaskRef
+	stale    bool                            // ready must be rebuilt
+	undated  bool                            // some round is not due yet
+	failedOn map[jobs.TaskRef]model.WorkerID // the worker of the latest failure
+}
+
+func (s *Scheduler) addJob(env Env, j *jobs.Job) {
+	p := &progress{job: j, service: j.Service, lasting: j.Lasting(), begun: j.Started, stale: true, failedOn: make(map[jobs.TaskRef]model.WorkerID)}
+	s.active[j.ID] = p
+	s.enqueue(env, p)
+}
+
+// enqueue puts a job into the order of its service.
+func (s *Scheduler) enqueue(env Env, p *progress) {
+	if q := env.State.Config.Queue(p.job.Queue); q != nil {
+		p.service, p.rank = q.Service, q.Precedence
+		p.attempts = q.MaxAttempts
+		p.due = p.job.Accepted.Add(allowed(q, p.job))
+	}
+	if p.lasting {
+		p.attempts = 0
+	}
+	list := s.pool(p.service)
+	at, _ := slices.BinarySearchFunc(list.jobs, p, compareProgress)
+	list.jobs = slices.Insert(list.jobs, at, p)
+	list.dirty = true
+}
+
+// compareProgress orders jobs: tasks that last first, since each moment without
+// one is missed, then by precedence, then by the time at which they are late.
+func compareProgress(a, b *progress) int {
+	return cmp.Or(-compareBool(a.lasting, b.lasting), cmp.Compare(a.rank, b.rank),
+		cmp.Compare(a.due, b.due), cmp.Compare(a.job.ID, b.job.ID))
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
+// allowed is the time from hand-in after which a job is late.
+func allowed(q *jobs.Queue, j *jobs.Job) model.Duration {
+	return model.Duration(float64(chain(j))*q.Stretch) + q.Target
+}
+
+// chain is the longest chain of estimated work of a job.
+func chain(j *jobs.Job) model.Duration {
+	longest := model.Duration(0)
+	ends := make([]model.Duration, len(j.Steps))
+	for i := range j.Steps {
+		begin := model.Duration(0)
+		for _, before := range j.Steps[i].After {
+			begin = max(begin, ends[before])
+		}
+		ends[i] = begin + j.Steps[i].Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// work is the estimated work of a job in thousandths of a core times time.
+func work(j *jobs.Job) float64 {
+	sum := 0.0
+	for i := range j.Steps {
+		sum += float64(j.Steps[i].Tasks) * float64(j.Steps[i].Size.MilliCPU) * j.Steps[i].Estimate.Seconds()
+	}
+	return sum
+}
+
+// refresh lists the tasks of a job that may be started.
+func (p *progress) refresh(env Env) {
+	if !p.stale && !p.undated {
+		return
+	}
+	p.ready, p.stale, p.undated = p.ready[:0], false, false
+	for k := range p.job.Rounds {
+		if due := p.job.Due(k); due > env.Now {
+			p.undated = true
+			continue
+		}
+		for step := range p.job.Rounds[k].Tasks {
+			if !p.job.Open(k, step) {
+				continue
+			}
+			for i := range p.job.Rounds[k].Tasks[step] {
+				if p.job.Rounds[k].Tasks[step][i].Phase == jobs.Waiting {
+					p.ready = append(p.ready, jobs.TaskRef{Job: p.job.ID, Round: k, Step: step, Index: i})
+				}
+			}
+		}
+	}
+}
+
+// left is the estimated work of a job that is not done, in thousandths of a core
+// times seconds.
+func (p *progress) left() float64 {
+	sum := 0.0
+	for k := range p.job.Rounds {
+		for step := range p.job.Rounds[k].Tasks {
+			open := 0
+			for i := range p.job.Rounds[k].Tasks[step] {
+				if p.job.Rounds[k].Tasks[step][i].Phase != jobs.Done {
+					open++
+				}
+			}
+			st := &p.job.Steps[step]
+			sum += float64(open) * float64(st.Size.MilliCPU) * st.Estimate.Seconds()
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/core/schedule/run.go
@@ -0,0 +1,298 @@
+package schedule
+
+import (
+	"fmt"
+
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/jobs"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/order"
+)
+
+// Times of the orders to start and stop.
+const (
+	// startTime is how long after it is sent an order to start may be carried out.
+	startTime = 2 * model.Second
+	// resendTime is the wait for an answer before an order is sent again.
+	resendTime = 400 * model.Millisecond
+)
+
+// runPhase is what is known of a run.
+type runPhase int
+
+const (
+	assigned  runPhase = iota // proposed, not yet ordered
+	ordered                   // ordered, not known to have begun
+	inherited                 // placed by an earlier leader, not known to have begun
+	begun                     // its worker has listed it or has accepted the order
+)
+
+// run is one run that may be going on and takes its part of a worker's capacity.
+type run struct {
+	ref      jobs.RunRef
+	job      *jobs.Job
+	step     *jobs.Step
+	team     model.TeamID
+	worker   *worker
+	claim    model.Resources
+	phase    runPhase
+	stopping bool
+	voidFrom order.ClockMS // it is void if its worker does not list it after this
+	known    order.ClockMS // when its worker last said that it is there
+	sentAt   model.Time    // of the latest order
+	begunAt  model.Time    // when it was known to have begun
+	pace     int           // share at which it may work, in percent
+	progress int           // as its worker reports it, in percent; 100 for a lasting task at work
+	pacedAt  model.Time
+	load     int64 // as its worker reports it
+	overFrom model.Time
+}
+
+// addRun counts a run. If its worker is not known, the run has no place of its
+// own and waits for the longest lease.
+func (s *Scheduler) addRun(env Env, j *jobs.Job, ref jobs.RunRef, worker model.WorkerID, life uint64) *run {
+	w := s.workers[worker]
+	if w == nil || w.info.Life != life {
+		w = s.departedWorker(env, worker, life)
+		s.departedWorkers = append(s.departedWorkers, w)
+	}
+	step := &j.Steps[ref.Step]
+	r := &run{ref: ref, job: j, step: step, team: j.Team, worker: w, claim: step.Claim(), pace: 100}
+	s.runs[ref] = r
+	w.runs[ref] = r
+	w.used = w.used.Add(r.claim)
+	s.teams[r.team] = s.teams[r.team].Add(step.Size)
+	return r
+}
+
+// departedWorker stands for an earlier life of a worker, whose runs ended with
+// it.
+func (s *Scheduler) departedWorker(env Env, id model.WorkerID, life uint64) *worker {
+	return &worker{
+		info: &jobs.Worker{ID: id, Life: life}, gone: true, runs: make(map[jobs.RunRef]*run),
+		failures: make(map[model.JobID]bool), leaseOver: env.Now,
+	}
+}
+
+// dropRun ends the count of a run.
+func (s *Scheduler) dropRun(r *run) {
+	if s.runs[r.ref] != r {
+		return
+	}
+	delete(s.runs, r.ref)
+	delete(r.worker.runs, r.ref)
+	r.worker.used = r.worker.used.Sub(r.claim)
+	s.teams[r.team] = s.teams[r.team].Sub(r.step.Size)
+	s.pool(r.worker.info.Service).dirty = true
+}
+
+// assigned orders the runs whose assignment is in force.
+func (s *Scheduler) assigned(env Env, out *Out, c *jobs.Assign, applied []bool) {
+	for i := range c.Runs {
+		a := &c.Runs[i]
+		delete(s.proposed, a.TaskRef)
+		if p := s.active[a.Job]; p != nil {
+			p.stale = true
+		}
+		r := s.runs[a.RunRef]
+		if r == nil {
+			continue
+		}
+		if !applied[i] {
+			s.dropRun(r)
+			continue
+		}
+		if r.worker.gone {
+			s.finish(env, out, r, jobs.OutcomeVoid, "", "its worker has left")
+			continue
+		}
+		s.start(env, out, r)
+	}
+}
+
+func (s *Scheduler) start(env Env, out *Out, r *run) {
+	w := r.worker
+	t := env.State.Task(r.ref.TaskRef)
+	deadline := w.extend(env.Now, startTime)
+	r.voidFrom = max(r.voidFrom, deadline)
+	r.phase, r.sentAt = ordered, env.Now
+	out.Effects = append(out.Effects, s.call(w, order.Call{Start: &order.Start{
+		RunRef: r.ref, Spec: r.job.Spec, Checkpoint: t.Checkpoint, Deadline: deadline,
+	}}))
+	out.log(effect.RunOrdered, effect.Log{Request: model.RequestID(r.ref.Job), Task: taskName(r.ref), Worker: w.info.ID,
+		Detail: fmt.Sprintf("clock %d of %d ms ago, deadline %d, used %d of %d", w.clock,
+			env.Now.Sub(w.clockAt)/model.Millisecond, deadline, w.used.MilliCPU, w.info.Capacity.MilliCPU)})
+}
+
+func taskName(r jobs.RunRef) string {
+	return fmt.Sprintf("%d.%d.%d run %d", r.Round, r.Step, r.Index, r.Run)
+}
+
+// started takes note of the answer to an order to start.
+func (s *Scheduler) started(env Env, out *Out, w *worker, reply *order.Reply) {
+	r := w.runs[reply.Call.Start.RunRef]
+	if r == nil || r.phase != ordered {
+		return
+	}
+	switch reply.Status {
+	case order.Accepted:
+		s.begin(env, r, reply.Clock)
+	case order.Old:
+		// It has ended or was stopped: the next list tells how.
+		r.voidFrom = min(r.voidFrom, reply.Clock)
+	case order.Silent, order.Refused:
+		// The order may be carried out later.
+	default:
+		s.finish(env, out, r, jobs.OutcomeVoid, "", "its worker refused it: "+string(reply.Status)+" "+reply.Detail)
+		if reply.Status == order.Unavailable {
+			s.suspect(env, out, w)
+		}
+	}
+}
+
+func (s *Scheduler) begin(env Env, r *run, at order.ClockMS) {
+	if r.phase != begun {
+		r.phase, r.begunAt = begun, env.Now
+	}
+	r.known = max(r.known, at)
+	if p := s.active[r.ref.Job]; p != nil {
+		p.begun = true
+	}
+}
+
+// seenRunning takes note of a run that a worker lists as running.
+func (s *Scheduler) seenRunning(env Env, out *Out, w *worker, listed *order.Running, at order.ClockMS) {
+	r := w.runs[listed.RunRef]
+	if r == nil {
+		// It was given up, or its assignment was never committed.
+		out.Effects = append(out.Effects, s.call(w, order.Call{Stop: &order.Stop{RunRef: listed.RunRef}}))
+		return
+	}
+	if at < r.known {
+		return
+	}
+	s.begin(env, r, at)
+	r.load = listed.Load
+	r.progress = listed.Percent
+}
+
+// isVoidAt reports whether a run that its worker did not list at a time of the
+// worker's clock is not there for good.
+func (r *run) isVoidAt(at order.ClockMS) bool {
+	switch r.phase {
+	case inherited:
+		return true
+	case ordered:
+		return at > r.voidFrom
+	case begun:
+		return at > r.known
+	}
+	return false
+}
+
+// advanceRun sends an order again that has no answer.
+func (s *Scheduler) advanceRun(env Env, out *Out, r *run) {
+	if env.Now.Sub(r.sentAt) < resendTime || !r.worker.polled {
+		return
+	}
+	switch {
+	case r.stopping && r.phase != assigned:
+		s.sendStop(env, out, r)
+	case r.phase == ordered && r.worker.clockNow(env.Now) < r.voidFrom:
+		t := env.State.Task(r.ref.TaskRef)
+		r.sentAt = env.Now
+		out.Effects = append(out.Effects, s.call(r.worker, order.Call{Start: &order.Start{
+			RunRef: r.ref, Spec: r.job.Spec, Checkpoint: t.Checkpoint, Deadline: r.voidFrom,
+		}}))
+	}
+}
+
+// stop orders a run to stop. It counts until its end is certain.
+func (s *Scheduler) stop(env Env, out *Out, r *run) {
+	if r.stopping {
+		return
+	}
+	r.stopping = true
+	if r.phase != assigned {
+		s.sendStop(env, out, r)
+	}
+}
+
+func (s *Scheduler) sendStop(env Env, out *Out, r *run) {
+	r.sentAt = env.Now
+	out.Effects = append(out.Effects, s.call(r.worker, order.Call{Stop: &order.Stop{RunRef: r.ref}}))
+	out.log(effect.RunStopped, effect.Log{Request: model.RequestID(r.ref.Job), Task: taskName(r.ref), Worker: r.worker.info.ID})
+}
+
+// stopped takes note of the answer to an order to stop: a run that was not there
+// yet never begins.
+func (s *Scheduler) stopped(env Env, w *worker, reply *order.Reply) {
+	r := w.runs[reply.Call.Stop.RunRef]
+	if r != nil && reply.Status == order.Accepted && r.phase == ordered {
+		r.voidFrom = min(r.voidFrom, reply.Clock)
+	}
+}
+
+// lose gives up all runs of a worker.
+func (s *Scheduler) lose(env Env, out *Out, w *worker, reason string) {
+	for _, r := range sortedRunsOf(w) {
+		if r.phase != assigned {
+			s.finish(env, out, r, jobs.OutcomeLost, "", reason)
+		}
+	}
+}
+
+// finish records the end of a run that its worker does not list.
+func (s *Scheduler) finish(env Env, out *Out, r *run, o jobs.Outcome, checkpoint, reason string) {
+	out.Proposals = append(out.Proposals, jobs.Command{End: &jobs.End{Runs: []jobs.Ending{s.ending(r, o, checkpoint)}}})
+	out.log(effect.RunGivenUp, effect.Log{Request: model.RequestID(r.ref.Job), Task: taskName(r.ref),
+		Worker: r.worker.info.ID, Detail: string(o) + ": " + reason})
+	s.dropRun(r)
+}
+
+func (s *Scheduler) ending(r *run, o jobs.Outcome, checkpoint string) jobs.Ending {
+	e := jobs.Ending{RunRef: r.ref, Outcome: o, Checkpoint: checkpoint}
+	if p := s.active[r.ref.Job]; p != nil && !r.step.Lasting {
+		e.MaxAttempts = p.attempts
+	}
+	return e
+}
+
+// noteEnd learns from the end of a run about its worker.
+func (s *Scheduler) noteEnd(env Env, out *Out, r *run, o jobs.Outcome) {
+	w := r.worker
+	out.log(effect.RunEnded, effect.Log{Request: model.RequestID(r.ref.Job), Task: taskName(r.ref), Worker: w.info.ID, Detail: string(o)})
+	switch o {
+	case jobs.OutcomeDone:
+		clear(w.failures)
+		w.suspectFrom = 0
+	case jobs.OutcomeFailed:
+		if p := s.active[r.ref.Job]; p != nil {
+			p.failedOn[r.ref.TaskRef] = w.info.ID
+		}
+		w.failures[r.ref.Job] = true
+		if len(w.failures) >= suspectJobs {
+			s.suspect(env, out, w)
+		}
+	}
+}
+
+// endsRecorded takes note of ends that are committed: the worker may forget them
+// and the tasks may run again.
+func (s *Scheduler) endsRecorded(env Env, out *Out, c *jobs.End, applied []bool) {
+	for i := range c.Runs {
+		if p := s.active[c.Runs[i].Job]; p != nil {
+			p.stale = true
+			s.pool(p.service).dirty = true
+		}
+	}
+	w := s.workers[c.Worker]
+	if w == nil || w.info.Life != c.Life {
+		return
+	}
+	w.unrecorded--
+	w.seen = max(w.seen, c.Through)
+	if w.pollOut == 0 && env.Now >= w.pollAt {
+		s.poll(env, out, w)
+	}
+}
--- /dev/null
+++ b/core/schedule/scheduler.go
@@ -0,0 +1,242 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/jobs"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/order"
+)
+
+// Bounds are the platform's limits that the scheduler keeps to.
+type Bounds struct {
+	LeaseMax     model.Duration // longest lease of a worker
+	StopGrace    model.Duration // longest time that a stop takes
+	StatusKept   model.Duration // how long the state of an ended job can be asked for
+	Interference model.Duration // how long a run may be over its target because of fillers
+	Notice       model.Duration // after this time without work a lasting task counts as missing
+	Move         model.Duration // how long a move of a host takes
+	Maintenance  model.Duration // how long the maintenance of a host takes
+}
+
+// Env is what the scheduler needs to know at one event.
+type Env struct {
+	Now   model.Time // of this process
+	Clock model.Time // replicated clock
+	Term  uint64
+	State *jobs.State
+	// Bounds of the deployment.
+	Bounds Bounds
+}
+
+// Out collects what is to be done.
+type Out struct {
+	Effects   []effect.Effect
+	Proposals []jobs.Command
+}
+
+func (o *Out) log(code effect.Code, l effect.Log) {
+	l.Code = code
+	o.Effects = append(o.Effects, l)
+}
+
+// Scheduler is the leader's knowledge of workers and runs. It is rebuilt from
+// the replicated state at the beginning of a term.
+type Scheduler struct {
+	workers         map[model.WorkerID]*worker
+	active          map[model.JobID]*progress
+	services        map[model.ServiceID]*pool
+	teams           map[model.TeamID]model.Resources // what may be running
+	proposed        map[jobs.TaskRef]bool            // assignments that are not yet committed
+	runs            map[jobs.RunRef]*run
+	seq             uint64 // of calls
+	forgotAt        model.Time
+	departedWorkers []*worker             // earlier lives that have runs to be recorded as lost
+	held            map[model.HostID]bool // hosts that get no new runs, because they are to be moved or maintained
+}
+
+// pool is what the scheduler knows of one service.
+type pool struct {
+	jobs  []*progress // active, in the order in which they are served
+	dirty bool        // something may be placed
+	// workers of the service, by id.
+	workers []*worker
+}
+
+// New returns the scheduler of a leader that has applied all earlier entries.
+func New(env Env) *Scheduler {
+	s := &Scheduler{
+		workers:  make(map[model.WorkerID]*worker),
+		active:   make(map[model.JobID]*progress),
+		services: make(map[model.ServiceID]*pool),
+		teams:    make(map[model.TeamID]model.Resources),
+		proposed: make(map[jobs.TaskRef]bool),
+		runs:     make(map[jobs.RunRef]*run),
+		forgotAt: env.Now,
+		held:     make(map[model.HostID]bool),
+	}
+	for _, id := range model.SortedKeys(env.State.Workers) {
+		s.addWorker(env, env.State.Workers[id])
+	}
+	for _, id := range model.SortedKeys(env.State.Jobs) {
+		s.inherit(env, env.State.Jobs[id])
+	}
+	return s
+}
+
+// inherit takes over a job and the runs of it that may be going on.
+func (s *Scheduler) inherit(env Env, j *jobs.Job) {
+	if j.Phase == jobs.Active {
+		s.addJob(env, j)
+	}
+	for k := range j.Rounds {
+		for step := range j.Rounds[k].Tasks {
+			for i := range j.Rounds[k].Tasks[step] {
+				t := &j.Rounds[k].Tasks[step][i]
+				if t.Phase != jobs.Placed {
+					continue
+				}
+				ref := jobs.RunRef{TaskRef: jobs.TaskRef{Job: j.ID, Round: k, Step: step, Index: i}, Run: t.Run}
+				r := s.addRun(env, j, ref, t.Worker, t.Life)
+				r.phase = inherited
+				r.stopping = j.Phase != jobs.Active
+			}
+		}
+	}
+}
+
+func (s *Scheduler) pool(id model.ServiceID) *pool {
+	p := s.services[id]
+	if p == nil {
+		p = &pool{}
+		s.services[id] = p
+	}
+	return p
+}
+
+// Advance does what is due by time.
+func (s *Scheduler) Advance(env Env, out *Out) {
+	for _, w := range s.departedWorkers {
+		s.lose(env, out, w, "its worker has gone")
+	}
+	s.departedWorkers = nil
+	for _, id := range model.SortedKeys(s.workers) {
+		s.advanceWorker(env, out, s.workers[id])
+	}
+	for _, p := range s.services {
+		p.dirty = p.dirty || len(p.jobs) > 0
+	}
+	if env.Now.Sub(s.forgotAt) >= forgetInterval {
+		s.forgotAt = env.Now
+		if len(env.State.Ended) > 0 {
+			before := env.Clock.Add(-env.Bounds.StatusKept - forgetInterval)
+			out.Proposals = append(out.Proposals, jobs.Command{Forget: &jobs.Forget{Before: before}})
+		}
+	}
+	s.Place(env, out)
+}
+
+// forgetInterval is the time between two removals of ended jobs. Their state
+// may be asked for during Bounds.StatusKept, which this adds to.
+const forgetInterval = 10 * model.Second
+
+// Committed takes note of a committed command.
+func (s *Scheduler) Committed(env Env, out *Out, c *jobs.Command, r jobs.Result) {
+	switch {
+	case c.Configure != nil && r.Changed:
+		s.reconfigured(env)
+	case c.SetOut != nil:
+		s.touchAll()
+	case c.Submit != nil && r.Changed:
+		s.addJob(env, env.State.Jobs[c.Submit.ID])
+	case c.Assign != nil:
+		s.assigned(env, out, c.Assign, r.Applied)
+	case c.End != nil:
+		s.endsRecorded(env, out, c.End, r.Applied)
+	case c.Announce != nil && r.Changed:
+		s.announced(env, out, env.State.Workers[c.Announce.ID])
+	case c.Depart != nil && r.Changed:
+		s.departed(env, out, c.Depart)
+	}
+	if c.Cancel != nil && r.Changed {
+		s.stopJob(env, out, c.Cancel.Job)
+	}
+	for _, id := range r.Ended {
+		s.jobEnded(env, out, id)
+	}
+}
+
+func (s *Scheduler) touchAll() {
+	for _, p := range s.services {
+		p.dirty = true
+	}
+}
+
+// reconfigured sorts jobs and workers anew, because queues can have been given
+// another service or precedence.
+func (s *Scheduler) reconfigured(env Env) {
+	for _, p := range s.services {
+		p.jobs, p.dirty = nil, true
+	}
+	for _, id := range model.SortedKeys(s.active) {
+		s.enqueue(env, s.active[id])
+	}
+}
+
+func (s *Scheduler) jobEnded(env Env, out *Out, id model.JobID) {
+	p := s.active[id]
+	if p == nil {
+		return
+	}
+	delete(s.active, id)
+	q := s.pool(p.service)
+	q.jobs = slices.DeleteFunc(q.jobs, func(other *progress) bool { return other == p })
+	if j := env.State.Jobs[id]; j != nil {
+		out.log(effect.JobEnded, effect.Log{Request: model.RequestID(id), Queue: j.Queue, Team: j.Team, Detail: string(j.Phase)})
+		if j.Phase != jobs.Completed {
+			s.stopJob(env, out, id)
+		}
+	}
+}
+
+// stopJob stops all runs of a job.
+func (s *Scheduler) stopJob(env Env, out *Out, id model.JobID) {
+	for _, r := range s.sortedRuns() {
+		if r.ref.Job == id {
+			s.stop(env, out, r)
+		}
+	}
+}
+
+func (s *Scheduler) sortedRuns() []*run {
+	list := make([]*run, 0, len(s.runs))
+	for _, r := range s.runs {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b *run) int { return compareRuns(a.ref, b.ref) })
+	return list
+}
+
+func compareRuns(a, b jobs.RunRef) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Round, b.Round),
+		cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index), cmp.Compare(a.Run, b.Run))
+}
+
+func (s *Scheduler) call(w *worker, c order.Call) effect.CallWorker {
+	s.seq++
+	c.Seq, c.Worker, c.Life, c.Address, c.Token = s.seq, w.info.ID, w.info.Life, w.info.Address, w.token
+	return effect.CallWorker{Call: c}
+}
+
+// Pending counts the accepted jobs of a queue of which no task has begun.
+func (s *Scheduler) Pending(queue model.QueueID) int {
+	n := 0
+	for _, p := range s.active {
+		if p.job.Queue == queue && !p.begun {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/core/schedule/worker.go
@@ -0,0 +1,315 @@
+package schedule
+
+import (
+	"slices"
+
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/jobs"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/order"
+)
+
+// Times of the calls to workers.
+const (
+	// pollWait is the longest time that a poll waits for an end. It is a small
+	// part of the lease, so that some polls may be lost.
+	pollWait = 1000 * model.Millisecond
+	// pollRetry is the pause after a poll that failed.
+	pollRetry = 150 * model.Millisecond
+	// pollTimeout is how long after its longest wait a poll is given up. The
+	// executor reports it earlier; this covers a lost report.
+	pollTimeout = 3 * model.Second
+	// freshness is the age of the latest answer from which on a worker gets
+	// nothing new.
+	freshness = 2500 * model.Millisecond
+	// refusalsAsProof is the number of refused connections in a row that prove
+	// that no process listens at the address.
+	refusalsAsProof = 2
+	// slowClock is the rate of the slowest worker clock.
+	slowClock = 0.98
+	// lossMargin is added to the time at which a lease must be over.
+	lossMargin = 100 * model.Millisecond
+)
+
+// worker is the leader's view of one life of a worker.
+type worker struct {
+	info  *jobs.Worker
+	token uint64
+	runs  map[jobs.RunRef]*run
+	used  model.Resources
+
+	polled    bool   // a poll with this leader's token has been answered
+	pollOut   uint64 // sequence number of the poll that is out, 0 for none
+	pollUntil model.Time
+	pollAt    model.Time // no poll is sent before this
+	answered  model.Time // latest answer
+	refusals  int        // refused connections in a row
+
+	clock      order.ClockMS // of the latest answer
+	clockAt    model.Time    // when it arrived
+	leaseOver  model.Time    // every lease given is over by then
+	seen       uint64        // ends up to this number are recorded
+	recording  uint64        // ends up to this number are proposed
+	unrecorded int           // commands with ends of it that are not committed
+
+	failures    map[model.JobID]bool // jobs that failed here since the latest success
+	suspectFrom model.Time
+	gone        bool // its process has ended
+}
+
+func (s *Scheduler) addWorker(env Env, info *jobs.Worker) *worker {
+	w := &worker{
+		info: info, token: token(env.Term, info.Life), runs: make(map[jobs.RunRef]*run),
+		failures: make(map[model.JobID]bool),
+		// Leases of an earlier leader last this long at most.
+		leaseOver: env.Now.Add(slowed(env.Bounds.LeaseMax)),
+	}
+	s.workers[info.ID] = w
+	p := s.pool(info.Service)
+	p.workers = append(p.workers, w)
+	slices.SortFunc(p.workers, func(a, b *worker) int { return compareIDs(a.info.ID, b.info.ID) })
+	p.dirty = true
+	return w
+}
+
+func compareIDs(a, b model.WorkerID) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// token grows with each term and each life of a worker.
+func token(term, life uint64) uint64 {
+	const lifeBits = 28
+	return term<<lifeBits | life&(1<<lifeBits-1)
+}
+
+// slowed returns how long d of a worker's clock may take.
+func slowed(d model.Duration) model.Duration {
+	return model.Duration(float64(d)/slowClock) + lossMargin
+}
+
+func (s *Scheduler) removeWorker(w *worker) {
+	w.gone = true
+	if s.workers[w.info.ID] == w {
+		delete(s.workers, w.info.ID)
+	}
+	p := s.pool(w.info.Service)
+	p.workers = slices.DeleteFunc(p.workers, func(other *worker) bool { return other == w })
+}
+
+// announced takes note of a worker that was recorded. Its runs in an earlier life
+// have ended with it.
+func (s *Scheduler) announced(env Env, out *Out, info *jobs.Worker) {
+	if old := s.workers[info.ID]; old != nil {
+		if old.info.Life == info.Life {
+			old.info = info
+			s.pool(info.Service).dirty = true
+			return
+		}
+		s.lose(env, out, old, "its worker began another life")
+		s.removeWorker(old)
+	}
+	s.addWorker(env, info)
+	out.log(effect.WorkerSeen, effect.Log{Worker: info.ID, Index: info.Life, Detail: string(info.Service) + " " + info.Address})
+	s.advanceWorker(env, out, s.workers[info.ID])
+}
+
+func (s *Scheduler) departed(env Env, out *Out, c *jobs.Depart) {
+	w := s.workers[c.Worker]
+	if w == nil || w.info.Life != c.Life {
+		return
+	}
+	s.lose(env, out, w, "its worker has left")
+	s.removeWorker(w)
+	out.log(effect.WorkerGone, effect.Log{Worker: c.Worker, Index: c.Life})
+}
+
+// Heartbeat takes note of the clock of a worker.
+func (s *Scheduler) Heartbeat(env Env, id model.WorkerID, clock int64) {
+	if w := s.workers[id]; w != nil && !w.polled && order.ClockMS(clock) > w.clock {
+		w.setClock(env.Now, order.ClockMS(clock))
+	}
+}
+
+func (w *worker) setClock(now model.Time, c order.ClockMS) {
+	if c >= w.clock {
+		w.clock, w.clockAt = c, now
+	}
+}
+
+// clockNow estimates the worker's clock.
+func (w *worker) clockNow(now model.Time) order.ClockMS {
+	return w.clock + order.ClockMS(now.Sub(w.clockAt)/model.Millisecond)
+}
+
+// extend returns the deadline of a lease from now on and keeps when it is over on
+// the slowest clock.
+func (w *worker) extend(now model.Time, d model.Duration) order.ClockMS {
+	deadline := w.clockNow(now) + order.ClockMS(d/model.Millisecond)
+	over := w.clockAt.Add(slowed(model.Duration(deadline-w.clock) * model.Millisecond))
+	w.leaseOver = max(w.leaseOver, over)
+	return deadline
+}
+
+// leaseTime is how long a poll lets runs go on: a part of the longest lease, so
+// that the runs of a worker that is cut off can be started elsewhere soon.
+func leaseTime(b Bounds) model.Duration { return b.LeaseMax * 3 / 4 }
+
+func (s *Scheduler) advanceWorker(env Env, out *Out, w *worker) {
+	if w.pollOut != 0 && env.Now > w.pollUntil {
+		w.pollOut = 0
+	}
+	if w.pollOut == 0 && env.Now >= w.pollAt {
+		s.poll(env, out, w)
+	}
+	if len(w.runs) == 0 {
+		return
+	}
+	if !w.isFresh(env.Now) && env.Now > w.leaseOver {
+		s.lose(env, out, w, "the lease of its worker is over")
+		return
+	}
+	for _, r := range sortedRunsOf(w) {
+		s.advanceRun(env, out, r)
+	}
+}
+
+func sortedRunsOf(w *worker) []*run {
+	list := make([]*run, 0, len(w.runs))
+	for _, r := range w.runs {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b *run) int { return compareRuns(a.ref, b.ref) })
+	return list
+}
+
+func (w *worker) isFresh(now model.Time) bool {
+	return w.polled && now.Sub(w.answered) <= freshness
+}
+
+// poll sends the next poll. The first one of a leader asks at once and extends
+// nothing, since the worker's clock is not known yet.
+func (s *Scheduler) poll(env Env, out *Out, w *worker) {
+	hold := order.Hold{Seen: w.seen}
+	if w.polled {
+		hold.Wait = pollWait
+		hold.Deadline = w.extend(env.Now, leaseTime(env.Bounds))
+	}
+	call := s.call(w, order.Call{Hold: &hold})
+	w.pollOut, w.pollUntil = call.Call.Seq, env.Now.Add(hold.Wait+pollTimeout)
+	out.Effects = append(out.Effects, call)
+}
+
+// Replied takes note of what became of a call to a worker.
+func (s *Scheduler) Replied(env Env, out *Out, reply *order.Reply) {
+	w := s.workers[reply.Call.Worker]
+	if w == nil || w.info.Life != reply.Call.Life {
+		return
+	}
+	if reply.Clock != 0 {
+		w.answered, w.refusals = env.Now, 0
+		w.setClock(env.Now, reply.Clock)
+	}
+	switch {
+	case reply.Call.Hold != nil:
+		s.polled(env, out, w, reply)
+	case reply.Call.Start != nil:
+		s.started(env, out, w, reply)
+	case reply.Call.Stop != nil:
+		s.stopped(env, w, reply)
+	}
+}
+
+func (s *Scheduler) polled(env Env, out *Out, w *worker, reply *order.Reply) {
+	if w.pollOut == reply.Call.Seq {
+		w.pollOut = 0
+	}
+	if reply.Status == order.Accepted && reply.Born != 0 && w.info.Born != 0 && reply.Born != w.info.Born {
+		reply.Status = order.OtherLife
+	}
+	switch reply.Status {
+	case order.Accepted:
+		s.listed(env, out, w, reply)
+		w.pollAt = env.Now
+		if w.recording == w.seen && w.pollOut == 0 {
+			s.poll(env, out, w)
+		}
+		return
+	case order.OtherLife:
+		s.processEnded(env, out, w, "another process answers at its address")
+	case order.Refused:
+		w.refusals++
+		if w.refusals >= refusalsAsProof {
+			s.processEnded(env, out, w, "nothing listens at its address")
+		}
+	}
+	if w.pollOut == 0 {
+		w.pollAt = env.Now.Add(pollRetry)
+	}
+	if w.polled && !w.isFresh(env.Now) {
+		w.polled = false
+		out.log(effect.WorkerSilent, effect.Log{Worker: w.info.ID, Detail: string(reply.Status) + " " + reply.Detail})
+	}
+}
+
+// processEnded gives up the runs of a worker whose process has certainly ended.
+func (s *Scheduler) processEnded(env Env, out *Out, w *worker, reason string) {
+	if len(w.runs) > 0 {
+		s.lose(env, out, w, reason)
+	}
+	w.polled = false
+}
+
+// listed takes over what a worker lists.
+func (s *Scheduler) listed(env Env, out *Out, w *worker, reply *order.Reply) {
+	if !w.polled {
+		w.polled = true
+		s.pool(w.info.Service).dirty = true
+	}
+	listed := make(map[jobs.RunRef]bool, len(reply.Running))
+	for i := range reply.Running {
+		listed[reply.Running[i].RunRef] = true
+		s.seenRunning(env, out, w, &reply.Running[i], reply.Clock)
+	}
+	s.takeEnds(env, out, w, reply, listed)
+	for _, r := range sortedRunsOf(w) {
+		if !listed[r.ref] && !reply.Partial && r.isVoidAt(reply.Clock) {
+			s.finish(env, out, r, jobs.OutcomeVoid, "", "its worker does not know it")
+		}
+	}
+	s.paceFillers(env, out, w)
+}
+
+// takeEnds records the ends that are new. A listed end stays listed until the
+// worker is told that it is recorded.
+func (s *Scheduler) takeEnds(env Env, out *Out, w *worker, reply *order.Reply, listed map[jobs.RunRef]bool) {
+	var endings []jobs.Ending
+	for i := range reply.Ended {
+		e := &reply.Ended[i]
+		listed[e.RunRef] = true
+		if e.Number <= max(w.seen, w.recording) {
+			continue
+		}
+		w.recording = e.Number
+		r := w.runs[e.RunRef]
+		if r == nil {
+			continue // an end that an earlier leader recorded, or of a run that was given up
+		}
+		endings = append(endings, s.ending(r, e.Outcome, e.Checkpoint))
+		s.noteEnd(env, out, r, e.Outcome)
+		s.dropRun(r)
+	}
+	switch {
+	case len(endings) > 0:
+		end := &jobs.End{Runs: endings, Worker: w.info.ID, Life: w.info.Life, Through: w.recording}
+		out.Proposals = append(out.Proposals, jobs.Command{End: end})
+		w.unrecorded++
+	case w.unrecorded == 0:
+		w.seen = w.recording
+	}
+}
--- a/core/sim_caller_test.go
+++ b/core/sim_caller_test.go
@@ -42,8 +42,8 @@
 	return r
 }
 
-// call is one request of a caller.
-type call struct {
+// simCall is one request of a caller.
+type simCall struct {
 	id         model.RequestID
 	host       *host
 	life       int
@@ -64,7 +64,7 @@
 	settled    bool // a resend of a request that was answered in calm
 }
 
-func (c *call) claimText() string { return string(c.team) + "/" + string(c.key) }
+func (c *simCall) claimText() string { return string(c.team) + "/" + string(c.key) }
 
 // callers send requests until callsEnd: steadily, with bursts of each queue.
 func (w *world) callers() {
@@ -92,7 +92,7 @@
 func (w *world) call(queue model.QueueID) { w.callAt(pickOne(w, w.hosts), queue) }
 
 func (w *world) callAt(h *host, queue model.QueueID) {
-	c := &call{queue: queue, idempotent: w.chance(0.5)}
+	c := &simCall{queue: queue, idempotent: w.chance(0.5)}
 	if queue == "open" {
 		c.team = "public"
 	} else {
@@ -107,7 +107,7 @@
 }
 
 // send passes a request to a host, which admits it by its view.
-func (w *world) send(h *host, c *call) {
+func (w *world) send(h *host, c *simCall) {
 	if !h.serving() || h.view.Stopping {
 		return
 	}
@@ -140,7 +140,7 @@
 	}
 }
 
-func (w *world) abandon(c *call) {
+func (w *world) abandon(c *simCall) {
 	if c.answers > 0 || !c.host.up || c.host.life != c.life {
 		return
 	}
@@ -150,11 +150,11 @@
 }
 
 // resend sends the same claim again under a new request id.
-func (w *world) resend(c *call) {
+func (w *world) resend(c *simCall) {
 	if c.resends >= 2 || w.now > callsEnd {
 		return
 	}
-	again := &call{queue: c.queue, team: c.team, key: c.key, body: c.body, bearer: c.bearer, resends: c.resends + 1}
+	again := &simCall{queue: c.queue, team: c.team, key: c.key, body: c.body, bearer: c.bearer, resends: c.resends + 1}
 	again.settled = c.sent > faultsEnd && c.answers > 0 && c.problem == nil
 	if w.faults() && w.chance(0.05) {
 		again.body = "other body"
--- a/core/sim_check_test.go
+++ b/core/sim_check_test.go
@@ -14,8 +14,8 @@
 
 // books are what the fakes know by themselves, for the checks.
 type books struct {
-	calls     map[model.RequestID]*call
-	order     []*call
+	calls     map[model.RequestID]*simCall
+	order     []*simCall
 	running   map[model.TeamID]int
 	claimRuns map[string]int // starts by claim
 	finished  map[model.RequestID]int
@@ -33,7 +33,7 @@
 
 func newBooks() books {
 	return books{
-		calls:     make(map[model.RequestID]*call),
+		calls:     make(map[model.RequestID]*simCall),
 		running:   make(map[model.TeamID]int),
 		claimRuns: make(map[string]int),
 		finished:  make(map[model.RequestID]int),
@@ -157,7 +157,7 @@
 }
 
 // began checks a start by the target's own books.
-func (w *world) began(t *target, x *exchange, c *call) {
+func (w *world) began(t *target, x *exchange, c *simCall) {
 	w.note("target %s starts %s attempt %d team %s for %s", t.reg.ID, c.id, x.f.Attempt, c.team, x.h.id)
 	w.books.running[c.team]++
 	c.starts++
@@ -213,7 +213,7 @@
 	}
 }
 
-func (w *world) checkRefusal(c *call, ran problem.Ran) {
+func (w *world) checkRefusal(c *simCall, ran problem.Ran) {
 	if ran == problem.RanNo {
 		c.notRun = true
 		if c.starts > 0 {
--- a/core/sim_target_test.go
+++ b/core/sim_target_test.go
@@ -33,7 +33,7 @@
 	order   []string // keys of running, in order of start
 }
 
-type running struct{ call *call }
+type running struct{ call *simCall }
 
 func (t *target) start() {
 	t.life++
@@ -200,7 +200,7 @@
 }
 
 // serve runs a request up to its deadline and answers.
-func (t *target) serve(x *exchange, c *call, left instant) {
+func (t *target) serve(x *exchange, c *simCall, left instant) {
 	w, life := t.w, t.life
 	key := fmt.Sprintf("%s/%d", c.id, x.f.Attempt)
 	if t.running[key] != nil {
--- a/core/state.go
+++ b/core/state.go
@@ -24,6 +24,9 @@
 	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/placement"
+	"primrosedale.example/primrosedale/core/relay"
+	"primrosedale.example/primrosedale/core/schedule"
+	"primrosedale.example/primrosedale/core/upkeep"
 	"primrosedale.example/primrosedale/core/view"
 )
 
@@ -54,6 +57,11 @@
 	Policy dispatch.PolicyName
 	// HostPolicy plans moves and drains of hosts; empty stands for the default.
 	HostPolicy maintenance.PolicyName
+	// Bounds are those of a platform whose workers are called. With the zero
+	// Bounds no jobs with steps are run.
+	Bounds schedule.Bounds
+	// Seeds are replicas to ask who leads; only for a host that holds no log.
+	Seeds []model.HostID
 }
 
 type logNode = consensus.Node[fleet.Command, *fleet.State]
@@ -68,6 +76,7 @@
 	fleet   *fleet.State
 	holder  *lease.Holder
 	table   *gateway.Table
+	relay   *relay.Table
 	leading *leadership // nil unless this process leads
 	burn    *burn.Sender
 	burnFor countedWork // what is counted under the rules of this host
@@ -108,13 +117,16 @@
 	owner   *dispatch.Owner
 	placer  *placement.Placer
 	planner *maintenance.Planner
-	members []model.HostID        // sorted
-	silent  map[model.HostID]bool // members whose lease has ended
-	began   model.Time
-	clock   model.Time      // fleet.State.Now when the term began
-	unsent  []fleet.Command // proposed while the log took no commands
-	inForce uint64          // the last change of rules or keys reported as in force
-	burn    *burn.Collector
+
+	scheduler *schedule.Scheduler   // nil if no jobs are run
+	upkeep    *upkeep.Planner       // nil if no jobs are run
+	members   []model.HostID        // sorted
+	silent    map[model.HostID]bool // members whose lease has ended
+	began     model.Time
+	clock     model.Time      // fleet.State.Now when the term began
+	unsent    []fleet.Command // proposed while the log took no commands
+	inForce   uint64          // the last change of rules or keys reported as in force
+	burn      *burn.Collector
 }
 
 // New returns the state of a process that starts with what is stored.
@@ -135,11 +147,14 @@
 		return nil, err
 	}
 	s := &State{
-		cfg:      cfg,
-		log:      node,
-		fleet:    fleet.New(),
-		holder:   lease.NewHolder(cfg.Incarnation, cfg.DataCentre),
-		table:    gateway.New(cfg.Incarnation),
+		cfg:    cfg,
+		log:    node,
+		fleet:  fleet.New(),
+		holder: lease.NewHolder(cfg.Incarnation, cfg.DataCentre),
+		table:  gateway.New(cfg.Incarnation),
+		relay: relay.New(relay.Config{
+			Host: cfg.Host, Incarnation: cfg.Incarnation, Replica: cfg.Durable, Seeds: cfg.Seeds,
+		}),
 		burn:     burn.NewSender(),
 		pending:  make(map[model.CommandID]*pendingCommand),
 		view:     &view.View{},
--- a/core/stop.go
+++ b/core/stop.go
@@ -33,7 +33,7 @@
 		s.log.TransferLeadership(s.now)
 		return
 	}
-	if s.table.Unanswered() > 0 {
+	if s.table.Unanswered() > 0 || s.relay.Len() > 0 {
 		s.stopAt = max(s.stopAt, s.now.Add(-settleGrace/2))
 		return
 	}
--- /dev/null
+++ b/core/upkeep/upkeep.go
@@ -0,0 +1,297 @@
+// Package upkeep is the leader's part that maintains hosts in waves.
+//
+// The leader reads the list of hosts from their owner. A host that is due gets no
+// new runs; tasks that last are moved off it within the number that each step may
+// miss; when nothing runs on it, its maintenance is ordered. At most as many hosts
+// of a wave as its cap are down at one time. The order is recorded before it is
+// sent, so that a later leader counts it.
+package upkeep
+
+import (
+	"slices"
+
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/jobs"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/order"
+	"primrosedale.example/primrosedale/core/schedule"
+)
+
+// Times of the calls to the owner of the hosts.
+const (
+	// listInterval is the time between two readings of the list while a wave runs.
+	listInterval = 1500 * model.Millisecond
+	// idleInterval is the time between two readings while nothing is to be done.
+	idleInterval = 10 * model.Second
+	// callTimeout is when a call without a report counts as failed. The executor
+	// reports it earlier.
+	callTimeout = 3 * model.Second
+	// returnMargin is added to the time that a maintenance takes.
+	returnMargin = 500 * model.Millisecond
+	// retryTime is the pause after a call that failed.
+	retryTime = 500 * model.Millisecond
+)
+
+// Env is what the planner needs to know at one event.
+type Env struct {
+	Schedule  schedule.Env
+	Scheduler *schedule.Scheduler
+	Self      model.HostID
+}
+
+// Out collects what is to be done.
+type Out struct {
+	Effects   []effect.Effect
+	Proposals []jobs.Command
+	Schedule  schedule.Out // what the scheduler is to do
+}
+
+func (o *Out) log(code effect.Code, l effect.Log) {
+	l.Code = code
+	o.Effects = append(o.Effects, l)
+}
+
+// Planner is the leader's knowledge of hosts.
+type Planner struct {
+	hosts    map[model.HostID]*host
+	reading  map[model.HostID]order.Host // of the reading that is under way
+	seq      uint64
+	readFrom model.Time // when the reading began
+	listOut  bool
+	listEnd  model.Time // the reading counts as failed after this
+	listAt   model.Time // of the next reading
+	known    bool       // the list has been read
+}
+
+// host is what is known of one host.
+type host struct {
+	order.Host
+	wave      uint64 // it is being emptied or maintained for
+	ordered   bool   // its maintenance was ordered and is not known to be accepted
+	callOut   bool
+	callEnd   model.Time
+	retryAt   model.Time
+	downBy    model.Time // it counts as down until then
+	changedAt model.Time // when an order was accepted: older readings do not count
+}
+
+// New returns a planner that knows nothing yet.
+func New(env Env) *Planner {
+	return &Planner{hosts: make(map[model.HostID]*host), listAt: env.Schedule.Now}
+}
+
+// Advance does what is due by time.
+func (p *Planner) Advance(env Env, out *Out) {
+	waves := openWaves(env.Schedule.State)
+	p.list(env, out, len(waves) > 0)
+	if !p.known {
+		return
+	}
+	for _, id := range waves {
+		p.advanceWave(env, out, id, env.Schedule.State.Waves[id])
+	}
+	p.holdHosts(env)
+}
+
+func openWaves(s *jobs.State) []uint64 {
+	var list []uint64
+	for _, id := range model.SortedKeys(s.Waves) {
+		if !s.Waves[id].Closed {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+// list reads the list of hosts, page by page.
+func (p *Planner) list(env Env, out *Out, busy bool) {
+	now := env.Schedule.Now
+	if p.listOut && now > p.listEnd {
+		p.listOut, p.listAt = false, now
+	}
+	if p.listOut || now < p.listAt && !(busy && p.listAt.Sub(now) > listInterval) {
+		return
+	}
+	p.reading = make(map[model.HostID]order.Host)
+	p.readFrom = now
+	p.readPage(env, out, "")
+}
+
+func (p *Planner) readPage(env Env, out *Out, page string) {
+	p.listOut, p.listEnd = true, env.Schedule.Now.Add(callTimeout)
+	out.Effects = append(out.Effects, p.call(env, order.HostCall{List: &order.List{Page: page}}))
+}
+
+func (p *Planner) call(env Env, c order.HostCall) effect.CallHosts {
+	p.seq++
+	c.Seq, c.Holder, c.Token = p.seq, env.Self, env.Schedule.Term
+	return effect.CallHosts{Call: c}
+}
+
+// Replied takes note of what became of a call.
+func (p *Planner) Replied(env Env, out *Out, r *order.HostReply) {
+	switch {
+	case r.Call.List != nil:
+		p.listed(env, out, r)
+	case r.Call.Maintain != nil:
+		p.maintained(env, out, r)
+	}
+}
+
+func (p *Planner) listed(env Env, out *Out, r *order.HostReply) {
+	if !p.listOut {
+		return
+	}
+	now := env.Schedule.Now
+	if r.Status != order.HostAccepted {
+		p.listOut, p.listAt = false, now.Add(retryTime)
+		out.log(effect.HostCallFailed, effect.Log{Detail: "list: " + string(r.Status) + " " + r.Detail})
+		return
+	}
+	for _, h := range r.Hosts {
+		p.reading[h.ID] = h
+	}
+	if r.Next != "" {
+		p.readPage(env, out, r.Next)
+		return
+	}
+	p.listOut, p.listAt, p.known = false, now.Add(idleInterval), true
+	if len(openWaves(env.Schedule.State)) > 0 {
+		p.listAt = now.Add(listInterval)
+	}
+	p.take(p.reading)
+	p.Advance(env, out)
+}
+
+// take replaces what is known by a complete reading.
+func (p *Planner) take(reading map[model.HostID]order.Host) {
+	for id := range p.hosts {
+		if _, listed := reading[id]; !listed {
+			delete(p.hosts, id)
+		}
+	}
+	for id, listed := range reading {
+		h := p.hosts[id]
+		if h == nil {
+			h = &host{}
+			p.hosts[id] = h
+		}
+		if h.changedAt < p.readFrom {
+			h.Host = listed
+		}
+	}
+}
+
+// advanceWave goes on with one wave: hosts that are empty are maintained while
+// the cap allows, and the next ones are emptied.
+func (p *Planner) advanceWave(env Env, out *Out, id uint64, w *jobs.Wave) {
+	now := env.Schedule.Now
+	down, open := 0, 0
+	var due []*host
+	for _, hostID := range w.Hosts {
+		h := p.hosts[hostID]
+		if h == nil {
+			continue // it has left the fleet
+		}
+		accepted, ordered := w.Ordered[hostID]
+		if ordered && !accepted && h.wave == 0 {
+			h.wave, h.ordered = id, true // by an earlier leader
+		}
+		if h.ordered || ordered && (h.State != order.HostUp || now < h.downBy) {
+			down++
+		}
+		if accepted {
+			continue
+		}
+		open++
+		due = append(due, h)
+	}
+	if open == 0 && p.known {
+		out.Proposals = append(out.Proposals, jobs.Command{CloseWave: &jobs.CloseWave{Wave: id}})
+		return
+	}
+	emptying := 0
+	for _, h := range due {
+		if h.wave == id {
+			emptying++
+		}
+	}
+	slices.SortStableFunc(due, func(a, b *host) int { return env.Scheduler.Load(a.ID) - env.Scheduler.Load(b.ID) })
+	for _, h := range due {
+		if h.wave == 0 && emptying < w.Cap+1 && h.State == order.HostUp {
+			h.wave = id
+			emptying++
+			out.log(effect.WaveBegun, effect.Log{Host: h.ID, Index: id, Detail: "gets no new runs"})
+		}
+		if h.wave == id {
+			down += p.advanceHost(env, out, id, w, h, down < w.Cap)
+		}
+	}
+}
+
+// advanceHost empties a host and orders its maintenance. It returns 1 if that
+// was ordered now.
+func (p *Planner) advanceHost(env Env, out *Out, id uint64, w *jobs.Wave, h *host, mayGoDown bool) int {
+	now := env.Schedule.Now
+	if h.callOut && now > h.callEnd {
+		h.callOut, h.retryAt = false, now
+	}
+	if h.callOut || now < h.retryAt {
+		return 0
+	}
+	if h.ordered {
+		p.order(env, out, id, h)
+		return 0
+	}
+	if h.State != order.HostUp || !mayGoDown {
+		return 0
+	}
+	env.Scheduler.Empty(env.Schedule, &out.Schedule, h.ID)
+	if env.Scheduler.Load(h.ID) > 0 {
+		return 0
+	}
+	h.ordered = true
+	out.Proposals = append(out.Proposals, jobs.Command{Maintain: &jobs.Maintain{Wave: id, Host: h.ID}})
+	p.order(env, out, id, h)
+	return 1
+}
+
+func (p *Planner) order(env Env, out *Out, id uint64, h *host) {
+	h.callOut, h.callEnd = true, env.Schedule.Now.Add(callTimeout)
+	out.Effects = append(out.Effects, p.call(env, order.HostCall{Maintain: &order.Maintain{Host: h.ID, Wave: id}}))
+	out.log(effect.HostOrdered, effect.Log{Host: h.ID, Index: id, Detail: "maintenance"})
+}
+
+func (p *Planner) maintained(env Env, out *Out, r *order.HostReply) {
+	h := p.hosts[r.Call.Maintain.Host]
+	if h == nil || !h.callOut {
+		return
+	}
+	now := env.Schedule.Now
+	h.callOut = false
+	switch r.Status {
+	case order.HostAccepted:
+		h.ordered, h.wave = false, 0
+		h.State = order.HostMaintenance
+		h.changedAt = now
+		h.downBy = now.Add(env.Schedule.Bounds.Maintenance + returnMargin)
+		out.Proposals = append(out.Proposals, jobs.Command{Maintain: &jobs.Maintain{
+			Wave: r.Call.Maintain.Wave, Host: h.ID, Accepted: true,
+		}})
+	default:
+		h.retryAt = now.Add(retryTime)
+		out.log(effect.HostCallFailed, effect.Log{Host: h.ID, Index: r.Call.Maintain.Wave, Detail: string(r.Status) + " " + r.Detail})
+	}
+	p.listAt = min(p.listAt, now.Add(listInterval))
+}
+
+// holdHosts tells the scheduler which hosts get no new runs.
+func (p *Planner) holdHosts(env Env) {
+	held := make(map[model.HostID]bool)
+	for id, h := range p.hosts {
+		if h.wave != 0 {
+			held[id] = true
+		}
+	}
+	env.Scheduler.HoldHosts(held)
+}
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -11,6 +11,10 @@
 // View is what traffic goroutines may know of the control state. It and all
 // that it points to never change once published.
 type View struct {
+	// Ready is true while calls can be passed to a leader.
+	Ready bool
+	// BodyLimit is the largest body of a call in bytes, 0 if it is not known.
+	BodyLimit  int64
 	Rules      *rules.Rules
 	Teams      map[model.Digest]model.TeamID // by hash of a key in force
 	Leader     model.HostID                  // empty if unknown
--- a/daemon/executor.go
+++ b/daemon/executor.go
@@ -95,6 +95,22 @@
 	effect.DataCentreOut:    logevent.DataCentreOut,
 	effect.DataCentreIn:     logevent.DataCentreIn,
 	effect.Stopping:         logevent.ProcessStopping,
+	effect.JobAccepted:      logevent.JobAccepted,
+	effect.JobRefused:       logevent.JobRefused,
+	effect.JobEnded:         logevent.JobEnded,
+	effect.RunOrdered:       logevent.RunOrdered,
+	effect.RunEnded:         logevent.RunEnded,
+	effect.RunStopped:       logevent.RunStopped,
+	effect.RunGivenUp:       logevent.RunGivenUp,
+	effect.RunPaced:         logevent.RunPaced,
+	effect.WorkerGone:       logevent.WorkerGone,
+	effect.ConfigAccepted:   logevent.ConfigAccepted,
+	effect.CallGivenUp:      logevent.CallGivenUp,
+	effect.ContactLost:      logevent.ContactLost,
+	effect.ContactRegained:  logevent.ContactRegained,
+	effect.WaveBegun:        logevent.WaveHostChosen,
+	effect.HostOrdered:      logevent.HostOrdered,
+	effect.HostCallFailed:   logevent.HostCallFailed,
 }
 
 func (x *executor) emit(e effect.Log) {
@@ -120,6 +136,15 @@
 	if e.Index != 0 {
 		fields = append(fields, logevent.Index(e.Index))
 	}
+	if e.Worker != "" {
+		fields = append(fields, logevent.Str(logevent.NameWorker, string(e.Worker)))
+	}
+	if e.Task != "" {
+		fields = append(fields, logevent.Str(logevent.NameTask, e.Task))
+	}
+	if e.Count != 0 {
+		fields = append(fields, logevent.Int(logevent.NameCount, int64(e.Count)))
+	}
 	if e.Detail != "" {
 		fields = append(fields, logevent.Str(logevent.NameReason, e.Detail))
 	}
--- /dev/null
+++ b/daemon/platform.go
@@ -0,0 +1,345 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
+	"gopkg.in/tomb.v2"
+
+	"primrosedale.example/primrosedale/control"
+	"primrosedale.example/primrosedale/core"
+	"primrosedale.example/primrosedale/core/consensus"
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/event"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/drain"
+	"primrosedale.example/primrosedale/gateway/reply"
+	"primrosedale.example/primrosedale/logevent"
+	"primrosedale.example/primrosedale/platform"
+	"primrosedale.example/primrosedale/socket"
+	"primrosedale.example/primrosedale/storage"
+	"primrosedale.example/primrosedale/transport"
+)
+
+const (
+	// platformCluster names the cluster that forms itself from seeds. Clusters of
+	// different deployments share no network.
+	platformCluster = "platform"
+	// maxVoters bounds the replicas that vote. More would slow each commit.
+	maxVoters = 9
+	// noticeTime is how long a stopping entry host goes on serving, so that the
+	// balancer, which asks once a second and takes two misses, sends nobody more.
+	noticeTime = 2200 * time.Millisecond
+	// stopMargin is kept of the time until the process is killed.
+	stopMargin = 700 * time.Millisecond
+	// peerSilence ends connections between processes whose peer has gone.
+	peerSilence = 6 * time.Second
+	// callerSilence ends connections of clients, operators and workers that have
+	// gone.
+	callerSilence = 30 * time.Second
+	// memoryShare is the part of the machine's memory from which on the garbage
+	// collector works harder.
+	memoryShare = 0.7
+)
+
+// PlatformDaemon is one process on the users' platform: an entry host, which
+// takes clients' calls and passes them to the leader, or a replica.
+type PlatformDaemon struct {
+	settings *platform.Settings
+	path     string // of the settings file
+	log      logevent.Logger
+	loop     *control.Loop
+	store    *storage.Store // nil on an entry host
+	writer   *logWriter     // nil on an entry host
+	peers    *transport.Transport
+	peerSide net.Listener
+	server   *platform.Server
+	client   *platform.Client
+	servers  []*server
+	callers  *drain.Listener // nil on a replica that takes no clients
+}
+
+// NewPlatformDaemon returns a process that has opened its data folder and its
+// addresses and serves nothing yet.
+func NewPlatformDaemon(s *platform.Settings, path string, log logevent.Logger) (*PlatformDaemon, error) {
+	d := &PlatformDaemon{settings: s, path: path, log: log.With(logevent.Self(s.Host)), loop: control.New()}
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare))
+	}
+	var full logevent.Seldom
+	d.loop.OnFull(func() { full.Emit(d.log, logevent.ControlQueueFull) })
+	if err := d.assemble(); err != nil {
+		d.closeAll()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *PlatformDaemon) assemble() error {
+	s := d.settings
+	inc := newIncarnation()
+	cfg := core.Config{
+		Host: s.Host, DataCentre: s.DataCentre, Incarnation: inc, Replica: inc,
+		Durable: s.IsReplica(), MaxVoters: maxVoters, Bounds: s.Bounds,
+	}
+	if s.IsReplica() {
+		cfg.Peers = s.Seeds
+	} else {
+		cfg.Seeds = s.Seeds
+	}
+	stored, err := d.openStore(&cfg)
+	if err != nil {
+		return err
+	}
+	state, err := core.New(cfg, stored, d.loop.Now(), d.loop.Rand())
+	if err != nil {
+		return errors.Annotate(err, "starting from the stored state")
+	}
+	d.peers = transport.New(transport.Config{
+		Cluster: platformCluster, Host: s.Host, Incarnation: inc, Address: s.PeerAddress,
+	}, d.loop, d.log)
+	d.server = platform.NewServer(s, d.loop)
+	d.client = platform.NewClient(s, d.loop)
+	if d.store != nil {
+		d.writer = newLogWriter(d.store, d.loop, d.log)
+	}
+	d.loop.Start(state, &platformExecutor{
+		executor: executor{transport: d.peers, writer: d.writer, log: d.log}, server: d.server, client: d.client,
+	}, nil)
+	return d.listen()
+}
+
+// openStore opens the data folder. At the first start of the system, the seeds
+// create theirs as the first voters.
+func (d *PlatformDaemon) openStore(cfg *core.Config) (core.Stored, error) {
+	if !cfg.Durable {
+		return core.Stored{}, nil
+	}
+	folder := d.settings.DataFolder
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return core.Stored{}, errors.Annotate(err, "creating the data folder")
+	}
+	if d.settings.FirstStart && d.settings.IsSeed() {
+		if err := initSeed(d.settings); err != nil {
+			return core.Stored{}, err
+		}
+	}
+	store, loaded, err := storage.Open(folder, platformCluster, cfg.Host, newIncarnation, d.log)
+	if err != nil {
+		d.log.Emit(logevent.DataFolderRefused, logevent.Err(err))
+		return core.Stored{}, err
+	}
+	d.store = store
+	cfg.Replica = loaded.Identity.Incarnation
+	return core.Stored{HardState: loaded.HardState, Snapshot: loaded.Snapshot, Entries: loaded.Entries}, nil
+}
+
+// initSeed creates the data folder of a first voter. A folder that exists, after
+// a restart during the first start, is kept.
+func initSeed(s *platform.Settings) error {
+	var voters []consensus.NodeID
+	for _, seed := range s.Seeds {
+		voters = append(voters, consensus.NodeID{Host: seed, Incarnation: firstIncarnation})
+	}
+	id := storage.Identity{Cluster: platformCluster, Host: s.Host, Incarnation: firstIncarnation}
+	err := storage.Init(s.DataFolder, id, voters)
+	if errors.Is(err, storage.ErrNotEmpty) {
+		return nil
+	}
+	return err
+}
+
+func (d *PlatformDaemon) listen() error {
+	s := d.settings
+	var err error
+	if d.peerSide, err = listenTCP(s.Peers, peerSilence); err != nil {
+		return err
+	}
+	if s.Callers != "" {
+		callers, err := d.addServer(s.Callers, d.server.CallerHandler())
+		if err != nil {
+			return err
+		}
+		closing := func() []byte { return reply.ClosingResponse(d.loop.Rand()) }
+		d.callers = drain.NewListener(callers.listener, closing)
+		d.callers.Attach(callers.http)
+		callers.listener = d.callers
+		if _, err := d.addServer(s.Readiness, d.server.ReadinessHandler()); err != nil {
+			return err
+		}
+	}
+	if s.Control != "" {
+		if _, err := d.addServer(s.Control, d.server.ControlHandler()); err != nil {
+			return err
+		}
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	_, err = d.addServer(s.Metrics, mux)
+	return err
+}
+
+func listenTCP(address string, silence time.Duration) (net.Listener, error) {
+	config := net.ListenConfig{KeepAliveConfig: socket.KeepAlive(silence)}
+	l, err := config.Listen(context.Background(), "tcp", address)
+	return l, errors.Annotatef(err, "listening on %s", address)
+}
+
+func (d *PlatformDaemon) addServer(address string, handler http.Handler) (*server, error) {
+	listener, err := listenTCP(address, callerSilence)
+	if err != nil {
+		return nil, err
+	}
+	s := &server{listener, &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}}
+	d.servers = append(d.servers, s)
+	return s, nil
+}
+
+// Run serves until the process halts, stop ends, or a part fails. Each value on
+// reload reads the settings file again.
+func (d *PlatformDaemon) Run(stop context.Context, reload <-chan os.Signal) error {
+	defer d.closeAll()
+	var parts tomb.Tomb
+	parts.Go(func() error {
+		d.log.Emit(logevent.ProcessStarted, logevent.Str(logevent.NameRole, d.role()))
+		parts.Go(func() error { return d.loop.Run(&parts) })
+		if d.writer != nil {
+			parts.Go(func() error { return d.writer.run(&parts) })
+		}
+		d.peers.Run(&parts)
+		parts.Go(func() error { return d.peers.Serve(&parts, d.peerSide) })
+		for _, s := range d.servers {
+			parts.Go(func() error { return serve(s) })
+		}
+		return nil
+	})
+	err := d.wait(&parts, stop, reload)
+	for _, s := range d.servers {
+		_ = s.http.Close()
+	}
+	parts.Kill(err)
+	result := parts.Wait()
+	d.log.Emit(logevent.ProcessStopped, logevent.Err(result))
+	return result
+}
+
+func (d *PlatformDaemon) role() string {
+	if d.settings.IsReplica() {
+		return "replica"
+	}
+	return "entry"
+}
+
+// wait returns when the process has halted or must end.
+func (d *PlatformDaemon) wait(parts *tomb.Tomb, stop context.Context, reload <-chan os.Signal) error {
+	for {
+		select {
+		case <-stop.Done():
+			d.stop(parts)
+			return nil
+		case <-reload:
+			d.reload()
+		case <-d.loop.Halted():
+			return errors.New(d.loop.Reason())
+		case <-parts.Dying():
+			return parts.Err()
+		}
+	}
+}
+
+// stop ends the service without cutting off a request. A replica hands the
+// leadership over first; an entry host is taken out of rotation first.
+func (d *PlatformDaemon) stop(parts *tomb.Tomb) {
+	d.log.Emit(logevent.ProcessStopping)
+	d.server.Leave()
+	ctx, cancel := context.WithTimeout(context.Background(), max(d.settings.StopTime-stopMargin, stopMargin))
+	defer cancel()
+	if d.settings.IsReplica() {
+		d.loop.PostWait(ctx, event.StopRequested{})
+	}
+	if d.callers != nil {
+		pause(ctx, parts, noticeTime)
+		if err := d.callers.Drain(ctx); err != nil {
+			d.log.Emit(logevent.ConnectionsCut, logevent.Err(err))
+		}
+	}
+	for _, s := range d.servers {
+		_ = s.http.Shutdown(ctx) // what is cut off then is closed by Run
+	}
+	d.loop.PostWait(ctx, event.StopRequested{})
+	select {
+	case <-d.loop.Halted():
+	case <-ctx.Done():
+	case <-parts.Dying():
+	}
+}
+
+func pause(ctx context.Context, parts *tomb.Tomb, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-parts.Dying():
+	}
+}
+
+// reload reads the settings file again. What can change while the process runs is
+// the list of seeds.
+func (d *PlatformDaemon) reload() {
+	s, err := platform.LoadSettings(d.path)
+	if err != nil {
+		d.log.Emit(logevent.SettingsRefused, logevent.Err(err))
+		return
+	}
+	d.log.Emit(logevent.SettingsLoaded, logevent.Str(logevent.NameFile, d.path))
+	seeds := make([]model.HostID, 0, len(s.Seeds))
+	seeds = append(seeds, s.Seeds...)
+	d.loop.PostWait(context.Background(), event.SettingsChanged{Seeds: seeds})
+}
+
+func (d *PlatformDaemon) closeAll() {
+	if d.peerSide != nil {
+		_ = d.peerSide.Close()
+	}
+	for _, s := range d.servers {
+		_ = s.listener.Close()
+	}
+	if d.client != nil {
+		d.client.Close()
+	}
+	if d.store != nil {
+		_ = d.store.Close()
+	}
+}
+
+// platformExecutor carries out the effects of a process on the platform.
+type platformExecutor struct {
+	executor
+	server *platform.Server
+	client *platform.Client
+}
+
+// Execute implements control.Executor.
+func (x *platformExecutor) Execute(e effect.Effect) {
+	switch e := e.(type) {
+	case effect.CallWorker:
+		x.client.CallWorker(e.Call)
+	case effect.CallHosts:
+		x.client.CallHosts(e.Call)
+	case effect.AnswerCall:
+		x.server.Answer(e.Answer)
+	case effect.Send:
+		x.transport.Send(e)
+	case effect.Persist:
+		x.writer.persist(e)
+	case effect.Log:
+		x.emit(e)
+	}
+}
--- a/gateway/transport.go
+++ b/gateway/transport.go
@@ -4,11 +4,11 @@
 	"context"
 	"net"
 	"net/http"
-	"syscall"
 	"time"
 
 	"github.com/juju/errors"
-	"golang.org/x/sys/unix"
+
+	"primrosedale.example/primrosedale/socket"
 )
 
 // The settings of connections to targets.
@@ -33,7 +33,7 @@
 // newTransport returns the transport for all targets. It speaks HTTP/1.1 and
 // never resends: requests carry neither GetBody nor an idempotency header.
 func newTransport(idlePerTarget int) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout, Control: setUserTimeout}
+	dialer := &net.Dialer{Timeout: dialTimeout, Control: socket.UserTimeout(userTimeout)}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
@@ -48,14 +48,3 @@
 		DisableCompression:     true,
 	}
 }
-
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout/time.Millisecond))
-	})
-	if err != nil {
-		return errors.Trace(err)
-	}
-	return errors.Annotate(failed, "set TCP_USER_TIMEOUT")
-}
--- /dev/null
+++ b/logevent/bounded.go
@@ -0,0 +1,116 @@
+package logevent
+
+import (
+	"io"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Sizes and times of a Bounded writer.
+const (
+	// flushInterval is how long a line may wait before it is written.
+	flushInterval = 100 * time.Millisecond
+	// flushBytes is the amount that is written without waiting for the interval.
+	flushBytes = 16 << 10
+)
+
+var droppedLines = metrics.NewCounter("primrosedale_log_lines_dropped_total")
+
+// Bounded passes lines on to a writer that may be slow. Write never blocks: lines
+// beyond the capacity are dropped and counted in a line of their own.
+type Bounded struct {
+	out      io.Writer
+	capacity int // bytes that may wait
+
+	mu      sync.Mutex
+	waiting []byte
+	dropped int
+	wake    chan struct{}
+	closing bool
+	done    chan struct{}
+}
+
+// NewBounded returns a Bounded writer. Close writes what waits.
+func NewBounded(out io.Writer, capacity int) *Bounded {
+	b := &Bounded{out: out, capacity: capacity, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	go b.run()
+	return b
+}
+
+// Write implements io.Writer. It never fails.
+func (b *Bounded) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	first := len(b.waiting) == 0
+	if len(b.waiting)+len(line) > b.capacity {
+		b.dropped++
+		droppedLines.Inc()
+	} else {
+		b.waiting = append(b.waiting, line...)
+	}
+	full := len(b.waiting) >= flushBytes
+	b.mu.Unlock()
+	if first || full {
+		b.signal()
+	}
+	return len(line), nil
+}
+
+func (b *Bounded) signal() {
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (b *Bounded) run() {
+	defer close(b.done)
+	var spare []byte
+	for {
+		<-b.wake
+		b.pause()
+		b.mu.Lock()
+		lines, dropped, closing := b.waiting, b.dropped, b.closing
+		b.waiting, b.dropped = spare[:0], 0
+		b.mu.Unlock()
+		if dropped > 0 {
+			lines = append(lines, `{"level":"warn","event":"log_lines_dropped","count":`+strconv.Itoa(dropped)+"}\n"...)
+		}
+		b.out.Write(lines) // there is no other place to report a failure
+		spare = lines
+		if closing {
+			return
+		}
+	}
+}
+
+// pause lets lines gather, unless there are enough or the writer is closing.
+func (b *Bounded) pause() {
+	timer := time.NewTimer(flushInterval)
+	defer timer.Stop()
+	for {
+		b.mu.Lock()
+		now := b.closing || len(b.waiting) >= flushBytes
+		b.mu.Unlock()
+		if now {
+			return
+		}
+		select {
+		case <-b.wake:
+		case <-timer.C:
+			return
+		}
+	}
+}
+
+// Close writes what waits. Nothing may be written afterwards.
+func (b *Bounded) Close() error {
+	b.mu.Lock()
+	b.closing = true
+	b.mu.Unlock()
+	b.signal()
+	<-b.done
+	return nil
+}
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -112,6 +112,12 @@
 	{HostReturned, "host_returned", zerolog.InfoLevel,
 		"an entry host that was cut off renews its lease again",
 		"Nothing."},
+	{ContactLost, "contact_lost", zerolog.WarnLevel,
+		"no leader answers this entry host",
+		"If it lasts, check the replicas and the network between."},
+	{ContactRegained, "contact_regained", zerolog.InfoLevel,
+		"a leader answers this entry host",
+		"Nothing."},
 }}
 
 var configurationAndKeysArea = area{"Configuration and keys", []Entry{
@@ -133,6 +139,9 @@
 	{KeyRejected, "key_rejected", zerolog.InfoLevel,
 		"requests with an unknown, withdrawn or missing key were refused",
 		"Many of them point to a caller with an old key: give its team a new one."},
+	{ConfigAccepted, "config_accepted", zerolog.InfoLevel,
+		"a configuration was recorded",
+		"Nothing. The index is its version."},
 }}
 
 var connectionsBetweenProcessesArea = area{"Connections between processes", []Entry{
@@ -187,6 +196,9 @@
 	{WorkerReleased, "worker_released", zerolog.InfoLevel,
 		"the quarantine of a worker is over and it gets one task on trial",
 		"Nothing, if 622 does not follow."},
+	{WorkerGone, "worker_gone", zerolog.InfoLevel,
+		"a worker has left",
+		"Nothing."},
 }}
 
 var tasksAndMaintenanceArea = area{"Tasks and maintenance", []Entry{
@@ -235,6 +247,30 @@
 	{DataCentreIn, "data_centre_in", zerolog.InfoLevel,
 		"a data centre is in service again",
 		"Nothing."},
+	{WaveHostChosen, "wave_host_chosen", zerolog.InfoLevel,
+		"a host is being emptied for maintenance",
+		"Nothing."},
+	{HostOrdered, "host_ordered", zerolog.InfoLevel,
+		"a host was ordered into maintenance or another pool",
+		"Nothing."},
+	{HostCallFailed, "host_call_failed", zerolog.WarnLevel,
+		"a call to the owner of the hosts failed",
+		"If it lasts, ask the owner of the hosts."},
+	{RunOrdered, "run_ordered", zerolog.InfoLevel,
+		"a worker was told to start a task",
+		"Nothing."},
+	{RunEnded, "run_ended", zerolog.InfoLevel,
+		"a worker has listed the end of a run",
+		"Nothing, if the reason is done."},
+	{RunStopped, "run_stopped", zerolog.InfoLevel,
+		"a worker was told to stop a run",
+		"Nothing."},
+	{RunGivenUp, "run_given_up", zerolog.WarnLevel,
+		"a run was recorded as ended that its worker did not list",
+		"Look for what became of the worker just before."},
+	{RunPaced, "run_paced", zerolog.InfoLevel,
+		"a run that fills was given another speed",
+		"Nothing."},
 }}
 
 var requestsArea = area{"Requests", []Entry{
@@ -259,6 +295,18 @@
 	{RetryBudgetSpent, "retry_budget_spent", zerolog.WarnLevel,
 		"a team's retry budget is spent and failed requests are not retried",
 		"Find out why the team's targets fail."},
+	{JobAccepted, "job_accepted", zerolog.InfoLevel,
+		"a job was accepted",
+		"Nothing."},
+	{JobRefused, "job_refused", zerolog.InfoLevel,
+		"a job was refused and never runs",
+		"Nothing. The reason names what it lacked; the index is the version of the configuration."},
+	{JobEnded, "job_ended", zerolog.InfoLevel,
+		"a job has ended",
+		"Nothing, unless the reason is failed: look for the ends of its runs."},
+	{CallGivenUp, "call_given_up", zerolog.WarnLevel,
+		"a call was ended without an answer of the leader",
+		"Check that a leader is known; if it is, look for its line about the same id."},
 }}
 
 // areas is the whole catalogue in the order of the numbers.
--- a/logevent/ids.go
+++ b/logevent/ids.go
@@ -39,20 +39,23 @@
 
 // Leases and hosts.
 const (
-	LeaseLost     ID = 300
-	LeaseRegained ID = 301
-	HostCutOff    ID = 310
-	HostReturned  ID = 311
+	LeaseLost       ID = 300
+	LeaseRegained   ID = 301
+	HostCutOff      ID = 310
+	HostReturned    ID = 311
+	ContactLost     ID = 320
+	ContactRegained ID = 321
 )
 
 // Configuration and keys.
 const (
-	RulesAccepted ID = 400
-	RulesRefused  ID = 401
-	RulesInForce  ID = 402
-	KeyGranted    ID = 410
-	KeyWithdrawn  ID = 411
-	KeyRejected   ID = 412
+	RulesAccepted  ID = 400
+	RulesRefused   ID = 401
+	RulesInForce   ID = 402
+	KeyGranted     ID = 410
+	KeyWithdrawn   ID = 411
+	KeyRejected    ID = 412
+	ConfigAccepted ID = 420
 )
 
 // Connections between processes.
@@ -77,25 +80,34 @@
 	WorkerSilent        ID = 621
 	WorkerQuarantined   ID = 622
 	WorkerReleased      ID = 623
+	WorkerGone          ID = 624
 )
 
 // Tasks and maintenance.
 const (
-	TaskPlaced    ID = 700
-	TaskLost      ID = 701
-	TaskFailed    ID = 702
-	TaskRefused   ID = 703
-	TaskEnded     ID = 704
-	TaskPreempted ID = 705
-	DrainStarted  ID = 710
-	DrainEnded    ID = 711
-	HostMoved     ID = 712
-	HostInService ID = 713
-	WaveStep      ID = 720
-	WaveStopped   ID = 721
-	WaveEnded     ID = 722
-	DataCentreOut ID = 730
-	DataCentreIn  ID = 731
+	TaskPlaced     ID = 700
+	TaskLost       ID = 701
+	TaskFailed     ID = 702
+	TaskRefused    ID = 703
+	TaskEnded      ID = 704
+	TaskPreempted  ID = 705
+	DrainStarted   ID = 710
+	DrainEnded     ID = 711
+	HostMoved      ID = 712
+	HostInService  ID = 713
+	WaveStep       ID = 720
+	WaveStopped    ID = 721
+	WaveEnded      ID = 722
+	DataCentreOut  ID = 730
+	DataCentreIn   ID = 731
+	WaveHostChosen ID = 740
+	HostOrdered    ID = 741
+	HostCallFailed ID = 742
+	RunOrdered     ID = 750
+	RunEnded       ID = 751
+	RunStopped     ID = 752
+	RunGivenUp     ID = 753
+	RunPaced       ID = 754
 )
 
 // Requests.
@@ -107,4 +119,8 @@
 	ClaimUnknown       ID = 811
 	OutcomeNotRecorded ID = 812
 	RetryBudgetSpent   ID = 820
+	CallGivenUp        ID = 831
+	JobAccepted        ID = 840
+	JobRefused         ID = 841
+	JobEnded           ID = 842
 )
--- a/recording/events.go
+++ b/recording/events.go
@@ -29,6 +29,10 @@
 	KindCommand   Kind = "command_submitted"
 	KindStatus    Kind = "status_requested"
 	KindStop      Kind = "stop_requested"
+	KindCall      Kind = "call_arrived"
+	KindReply     Kind = "worker_replied"
+	KindHosts     Kind = "hosts_replied"
+	KindSettings  Kind = "settings_changed"
 )
 
 // received is the encoded form of event.Received.
@@ -70,6 +74,14 @@
 		return marshalled(KindCommand, e)
 	case event.StatusRequested:
 		return marshalled(KindStatus, e)
+	case event.CallArrived:
+		return marshalled(KindCall, e)
+	case event.WorkerReplied:
+		return marshalled(KindReply, e)
+	case event.HostsReplied:
+		return marshalled(KindHosts, e)
+	case event.SettingsChanged:
+		return marshalled(KindSettings, e)
 	default:
 		return "", nil, errors.NotSupportedf("event %T", e)
 	}
@@ -109,6 +121,14 @@
 		return decodeAs[event.CommandSubmitted](in)
 	case KindStatus:
 		return decodeAs[event.StatusRequested](in)
+	case KindCall:
+		return decodeAs[event.CallArrived](in)
+	case KindReply:
+		return decodeAs[event.WorkerReplied](in)
+	case KindHosts:
+		return decodeAs[event.HostsReplied](in)
+	case KindSettings:
+		return decodeAs[event.SettingsChanged](in)
 	default:
 		return nil, errors.NotSupportedf("event kind %q", in.Kind)
 	}
--- a/recording/journal.go
+++ b/recording/journal.go
@@ -20,6 +20,7 @@
 	"primrosedale.example/primrosedale/core/dispatch"
 	"primrosedale.example/primrosedale/core/maintenance"
 	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/schedule"
 )
 
 // Version is the version of the schema. A reader refuses any other.
@@ -48,6 +49,8 @@
 	Policy        dispatch.PolicyName    `json:"policy,omitempty"`
 	HostPolicy    maintenance.PolicyName `json:"host_policy,omitempty"`
 	SnapshotEvery uint64                 `json:"snapshot_every,omitempty"`
+	Bounds        schedule.Bounds        `json:"bounds,omitzero"`
+	Seeds         []model.HostID         `json:"seeds,omitempty"`
 	At            model.Time             `json:"at"`
 	Rand          uint64                 `json:"rand"`
 	Stored        Stored                 `json:"stored"`
@@ -85,6 +88,6 @@
 	return core.Config{
 		Host: s.Host, DataCentre: s.DataCentre, Incarnation: s.Incarnation, Replica: s.Replica,
 		Durable: s.Durable, Peers: s.Peers, MaxVoters: s.MaxVoters, Policy: s.Policy, HostPolicy: s.HostPolicy,
-		SnapshotEvery: s.SnapshotEvery,
+		SnapshotEvery: s.SnapshotEvery, Bounds: s.Bounds, Seeds: s.Seeds,
 	}
 }
--- a/recording/schema_test.go
+++ b/recording/schema_test.go
@@ -10,12 +10,15 @@
 	"github.com/stretchr/testify/require"
 
 	"primrosedale.example/primrosedale/core"
+	"primrosedale.example/primrosedale/core/call"
 	"primrosedale.example/primrosedale/core/consensus"
 	"primrosedale.example/primrosedale/core/event"
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/order"
 	"primrosedale.example/primrosedale/core/problem"
+	"primrosedale.example/primrosedale/core/schedule"
 )
 
 // everyEvent holds one value of each event type.
@@ -28,6 +31,10 @@
 	event.TargetReported{Report: message.TargetReport{Seq: 4}}, event.WorkerReported{Report: message.WorkerReport{Seq: 5}},
 	event.CommandSubmitted{Command: fleet.Command{ID: "c", WithdrawKey: &fleet.WithdrawKey{Name: "k"}}},
 	event.StatusRequested{Query: 6},
+	event.CallArrived{Call: call.Call{Seq: 7, Query: &call.Address{Host: "a", Path: "/b"}}},
+	event.WorkerReplied{Reply: order.Reply{Status: order.Accepted, Clock: 8}},
+	event.HostsReplied{Reply: order.HostReply{Status: order.HostAccepted, Next: "9"}},
+	event.SettingsChanged{Seeds: []model.HostID{"a"}},
 }
 
 // Guards against an event type that the journal does not know: the journal of
@@ -58,6 +65,7 @@
 	cfg := core.Config{
 		Host: "a", DataCentre: "west", Incarnation: "1", Replica: "2", Durable: true,
 		Peers: []model.HostID{"b"}, MaxVoters: 3, SnapshotEvery: 4, Policy: "static", HostPolicy: "minimum",
+		Bounds: schedule.Bounds{LeaseMax: 5}, Seeds: []model.HostID{"c"},
 	}
 	fields := reflect.ValueOf(cfg)
 	for i := range fields.NumField() {
--- a/recording/writer.go
+++ b/recording/writer.go
@@ -76,8 +76,8 @@
 	start := &Start{
 		Version: Version, Host: cfg.Host, DataCentre: cfg.DataCentre, Incarnation: cfg.Incarnation,
 		Replica: cfg.Replica, Durable: cfg.Durable, Peers: cfg.Peers, MaxVoters: cfg.MaxVoters, Policy: cfg.Policy, HostPolicy: cfg.HostPolicy,
-		SnapshotEvery: cfg.SnapshotEvery,
-		At:            now, Rand: rand,
+		SnapshotEvery: cfg.SnapshotEvery, Bounds: cfg.Bounds, Seeds: cfg.Seeds,
+		At: now, Rand: rand,
 	}
 	var err error
 	if start.Stored.HardState, err = codec.EncodeHardState(stored.HardState); err != nil {
--- a/transport/hello.go
+++ b/transport/hello.go
@@ -43,7 +43,7 @@
 		return errors.Errorf("a process of cluster %q", h.Cluster)
 	case h.To != own.Host:
 		return errors.Errorf("a connection meant for host %q", h.To)
-	case own.Peers[h.Host] == "":
+	case own.Address == nil && own.Peers[h.Host] == "":
 		return errors.Errorf("host %q is not in the settings", h.Host)
 	}
 	return nil
--- a/transport/sender.go
+++ b/transport/sender.go
@@ -15,6 +15,7 @@
 	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/logevent"
+	"primrosedale.example/primrosedale/socket"
 )
 
 // peer is the sending side of the connection to one host.
@@ -23,6 +24,7 @@
 	host    model.HostID
 	address string
 	queue   chan message.Message
+	first   *message.Message // taken from the queue before the connection was made
 }
 
 func newPeer(t *Transport, host model.HostID, address string) *peer {
@@ -40,6 +42,9 @@
 	})
 	delay := redialMin
 	for tb.Alive() {
+		if p.t.cfg.Address != nil && !p.awaitMessage(ctx) {
+			return nil
+		}
 		conn, err := p.dial(ctx)
 		if err == nil {
 			delay = redialMin
@@ -70,7 +75,7 @@
 }
 
 func (p *peer) dial(ctx context.Context) (*jsonrpc2.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
+	d := net.Dialer{Timeout: dialTimeout, Control: socket.UserTimeout(userTimeout), KeepAliveConfig: socket.KeepAlive(silentTimeout)}
 	raw, err := d.DialContext(ctx, "tcp", p.address)
 	if err != nil {
 		return nil, errors.Annotatef(err, "dialling host %s", p.host)
@@ -105,6 +110,12 @@
 // write sends queued messages until the connection fails or ctx ends.
 func (p *peer) write(ctx context.Context, conn *jsonrpc2.Conn) {
 	defer conn.Close()
+	if m := p.first; m != nil {
+		p.first = nil
+		if err := p.writeOne(ctx, conn, m); err != nil {
+			return
+		}
+	}
 	for {
 		select {
 		case m := <-p.queue:
@@ -134,6 +145,18 @@
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this side only sends"}
 }
 
+// awaitMessage waits until there is something to send, so that a host that is
+// not needed any more is not dialled for ever.
+func (p *peer) awaitMessage(ctx context.Context) bool {
+	select {
+	case m := <-p.queue:
+		p.first = &m
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func wait(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -18,10 +18,15 @@
 
 // Limits of a connection.
 const (
-	queueSize    = 1024 // messages that wait for one peer
-	dialTimeout  = time.Second
-	writeTimeout = 2 * time.Second
-	helloTimeout = 2 * time.Second
+	queueSize   = 1024 // messages that wait for one peer
+	dialTimeout = time.Second
+	// userTimeout ends a connection whose peer has gone silent before an election
+	// begins, so that a new one carries the next heartbeats.
+	userTimeout = 600 * time.Millisecond
+	// silentTimeout ends connections on which nothing arrives any more.
+	silentTimeout = 6 * time.Second
+	writeTimeout  = 2 * time.Second
+	helloTimeout  = 2 * time.Second
 	// redialMin and redialMax bound the exponential delay between two attempts
 	// to reach a peer.
 	redialMin = 50 * time.Millisecond
@@ -34,8 +39,12 @@
 	Host        model.HostID
 	Incarnation model.Incarnation
 	Peers       map[model.HostID]string // host to IP:port, without this host
-	TLSServer   *tls.Config             // nil for plain TCP
-	TLSClient   *tls.Config
+	// Address returns the IP:port of a host that is not among Peers. Hosts are
+	// then met as messages are sent to them, and any host of the cluster may
+	// connect.
+	Address   func(model.HostID) string
+	TLSServer *tls.Config // nil for plain TCP
+	TLSClient *tls.Config
 }
 
 // Control takes the messages that arrive.
@@ -48,7 +57,8 @@
 	cfg     Config
 	control Control
 	log     logevent.Logger
-	peers   map[model.HostID]*peer
+	peers   map[model.HostID]*peer // changed by Send only, after New
+	running *tomb.Tomb             // set before the first Send
 }
 
 var (
@@ -70,6 +80,11 @@
 // or slow peer is dropped.
 func (t *Transport) Send(e effect.Send) {
 	p := t.peers[e.To]
+	if p == nil && t.cfg.Address != nil && t.running != nil {
+		p = newPeer(t, e.To, t.cfg.Address(e.To))
+		t.peers[e.To] = p
+		t.running.Go(func() error { return p.run(t.running) })
+	}
 	if p == nil {
 		droppedTotal.Inc()
 		return
@@ -83,6 +98,7 @@
 
 // Run sends queued messages until tb is dying.
 func (t *Transport) Run(tb *tomb.Tomb) {
+	t.running = tb
 	for _, p := range t.peers {
 		tb.Go(func() error { return p.run(tb) })
 	}
