hosts, handler: order maintenance after it is recorded; one outcome per call

Change: maintenance is ordered when its record is applied; calls to workers and hosts leave only under the leader lease; a new leader waits 2 s before it orders anything of hosts; the leader remembers refusals and submissions on their way.

--- a/core/calls.go
+++ b/core/calls.go
@@ -33,7 +33,7 @@
 	env := s.scheduleEnv()
 	handle(env, &out)
 	s.leading.scheduler.Place(env, &out)
-	s.emit(out.Effects...)
+	s.emitOrders(out.Effects)
 	s.proposeJobs(out.Proposals)
 }
 
@@ -43,11 +43,27 @@
 	}
 	var out hosts.Out
 	handle(hosts.Env{Schedule: s.scheduleEnv(), Scheduler: s.leading.scheduler, Self: s.cfg.Host}, &out)
-	s.emit(out.Effects...)
+	s.emitOrders(out.Effects)
 	s.proposeJobs(out.Proposals)
 	s.asScheduler(func(_ schedule.Env, o *schedule.Out) { *o = out.Schedule })
 }
 
+// emitOrders emits effects, but calls to workers and hosts only under the leader
+// lease: a later leader reckons with leases and orders that were given before its
+// term. A call that is left out counts as one without an answer.
+func (s *State) emitOrders(effects []effect.Effect) {
+	lease := s.log.HoldsLeaderLease(s.now)
+	for _, e := range effects {
+		switch e.(type) {
+		case effect.CallWorker, effect.CallHosts:
+			if !lease {
+				continue
+			}
+		}
+		s.emit(e)
+	}
+}
+
 func (s *State) proposeJobs(commands []jobs.Command) {
 	if len(commands) == 0 {
 		return
@@ -70,15 +86,17 @@
 		s.send(from, message.Message{Redirect: &call.Redirect{Seq: c.Seq, Incarnation: c.Incarnation, Leader: leader}})
 		return
 	}
-	d := handler.Decide(handler.Env{Schedule: s.scheduleEnv(), Scheduler: s.leading.scheduler, Self: s.cfg.Host}, c)
+	ref := jobs.CallRef{Host: from, Incarnation: c.Incarnation, Seq: c.Seq}
+	env := handler.Env{Schedule: s.scheduleEnv(), Scheduler: s.leading.scheduler, Self: s.cfg.Host}
+	d := s.leading.calls.Decide(env, ref, c)
 	for _, l := range d.Logs {
 		s.emit(l)
 	}
 	if d.Answer != nil {
-		s.answerCall(jobs.CallRef{Host: from, Incarnation: c.Incarnation, Seq: c.Seq}, *d.Answer)
+		s.answerCall(ref, *d.Answer)
 		return
 	}
-	d.Propose.Call = jobs.CallRef{Host: from, Incarnation: c.Incarnation, Seq: c.Seq}
+	d.Propose.Call = ref
 	s.proposeJobs([]jobs.Command{*d.Propose})
 }
 
@@ -102,7 +120,9 @@
 		s.answerCall(c.Call, s.answerOf(c, r))
 	}
 	s.logJobs(c, r)
+	s.leading.calls.Committed(c)
 	s.asScheduler(func(env schedule.Env, out *schedule.Out) { s.leading.scheduler.Committed(env, out, c, *r) })
+	s.asHosts(func(env hosts.Env, out *hosts.Out) { s.leading.hosts.Committed(env, out, c) })
 }
 
 func (s *State) answerOf(c *jobs.Command, r *jobs.Result) call.Answer {
--- a/core/handler/handler.go
+++ b/core/handler/handler.go
@@ -33,11 +33,68 @@
 	return answer(call.Answer{Problem: problem.New(k, format, args...)})
 }
 
-// Decide decides one call.
-func Decide(env Env, c *call.Call) Decision {
+// refusalKept is how long a refusal is remembered. A copy of the same call that
+// arrives later gets the same answer.
+const refusalKept = 15 * model.Second
+
+// Calls is what a leader keeps of the calls of its term, so that the copies of one
+// call have one outcome.
+type Calls struct {
+	submitted map[model.JobID]int // submissions that are proposed and not yet applied
+	refused   map[jobs.CallRef]refusal
+	oldest    []jobs.CallRef // of refused, in their order
+}
+
+type refusal struct {
+	problem *problem.Problem
+	at      model.Time
+}
+
+// New returns the Calls of a new term.
+func New() *Calls {
+	return &Calls{submitted: make(map[model.JobID]int), refused: make(map[jobs.CallRef]refusal)}
+}
+
+// Committed takes note of a command that was applied.
+func (c *Calls) Committed(cmd *jobs.Command) {
+	if cmd.Submit == nil {
+		return
+	}
+	if c.submitted[cmd.Submit.ID]--; c.submitted[cmd.Submit.ID] <= 0 {
+		delete(c.submitted, cmd.Submit.ID)
+	}
+}
+
+// Decide decides one call. A submission that is refused stays refused, and one
+// that may be accepted is not refused.
+func (c *Calls) Decide(env Env, ref jobs.CallRef, in *call.Call) Decision {
+	if in.Submit == nil {
+		return decide(env, in)
+	}
+	c.forget(env.Schedule.Now)
+	if earlier, known := c.refused[ref]; known {
+		return answer(call.Answer{Problem: earlier.problem})
+	}
+	d := submit(env, in.Submit, c.submitted)
+	if d.Propose != nil {
+		c.submitted[d.Propose.Submit.ID]++
+	} else if d.Answer.Problem != nil {
+		c.refused[ref] = refusal{d.Answer.Problem, env.Schedule.Now}
+		c.oldest = append(c.oldest, ref)
+	}
+	return d
+}
+
+func (c *Calls) forget(now model.Time) {
+	for len(c.oldest) > 0 && now.Sub(c.refused[c.oldest[0]].at) > refusalKept {
+		delete(c.refused, c.oldest[0])
+		c.oldest = c.oldest[1:]
+	}
+}
+
+// decide decides a call that is not a submission.
+func decide(env Env, c *call.Call) Decision {
 	switch {
-	case c.Submit != nil:
-		return submit(env, c.Submit)
 	case c.Query != nil:
 		return query(env, c.Query)
 	case c.Cancel != nil:
@@ -76,7 +133,9 @@
 	return q, id, team, nil
 }
 
-func submit(env Env, s *call.Submit) Decision {
+// submit decides a submission. submitted are the jobs whose acceptance is on its
+// way: another copy of such a job is not refused any more.
+func submit(env Env, s *call.Submit, submitted map[model.JobID]int) Decision {
 	q, id, team, refusal := resolve(env.Schedule.State.Config, &s.Address)
 	if refusal != nil {
 		return refused(env, s, refusal)
@@ -104,6 +163,9 @@
 	if !env.Scheduler.Fits(q, &j) {
 		return refused(env, s, problem.New(problem.JobRejected, "a task is larger than every worker of %s", q.Service))
 	}
+	if submitted[j.ID] > 0 {
+		return Decision{Propose: &jobs.Command{Submit: &j}}
+	}
 	env.Scheduler.Offered(env.Schedule, q, &j)
 	if refusal := env.Scheduler.Admit(env.Schedule, q, &j); refusal != nil {
 		return refused(env, s, refusal)
--- a/core/hosts/planner.go
+++ b/core/hosts/planner.go
@@ -26,6 +26,9 @@
 	// callTimeout is when a call without a report counts as failed. The executor
 	// reports it earlier.
 	callTimeout = 3 * model.Second
+	// takeOverTime is how long a new leader orders nothing of hosts: what an earlier
+	// leader has stopped or ordered shows by then.
+	takeOverTime = 2 * model.Second
 	// returnMargin is added to the time that a maintenance takes.
 	returnMargin = 500 * model.Millisecond
 	// settleTime is how long a host stays in a pool after a move.
@@ -63,6 +66,7 @@
 	listEnd  model.Time                     // the reading counts as failed after this
 	listAt   model.Time                     // of the next reading
 	known    bool                           // the list has been read
+	began    model.Time                     // of the term
 	excess   map[model.ServiceID]model.Time // since when a pool has had too many hosts
 }
 
@@ -73,6 +77,7 @@
 	moveTo    model.ServiceID // pool to which it is being moved
 	arrivedAt model.Time      // when its latest move was over
 	ordered   bool            // its maintenance was ordered and is not known to be accepted
+	proposed  bool            // the record of that order is not committed yet
 	callOut   bool
 	callEnd   model.Time
 	retryAt   model.Time
@@ -84,6 +89,7 @@
 func New(env Env) *Planner {
 	return &Planner{
 		hosts: make(map[model.HostID]*host), excess: make(map[model.ServiceID]model.Time), listAt: env.Schedule.Now,
+		began: env.Schedule.Now,
 	}
 }
 
@@ -94,6 +100,9 @@
 	if !p.known {
 		return
 	}
+	if env.Schedule.Now.Sub(p.began) < takeOverTime {
+		return
+	}
 	for _, id := range waves {
 		p.advanceWave(env, out, id, env.Schedule.State.Waves[id])
 	}
@@ -247,7 +256,7 @@
 	if h.callOut && now > h.callEnd {
 		h.callOut, h.retryAt = false, now
 	}
-	if h.callOut || now < h.retryAt {
+	if h.callOut || h.proposed || now < h.retryAt {
 		return 0
 	}
 	if h.ordered {
@@ -261,12 +270,22 @@
 	if env.Scheduler.Load(h.ID) > 0 {
 		return 0
 	}
-	h.ordered = true
+	h.ordered, h.proposed = true, true
 	out.Proposals = append(out.Proposals, jobs.Command{Maintain: &jobs.Maintain{Wave: id, Host: h.ID}})
-	p.order(env, out, id, h)
 	return 1
 }
 
+// Committed orders a maintenance that has been recorded.
+func (p *Planner) Committed(env Env, out *Out, c *jobs.Command) {
+	if c.Maintain == nil || c.Maintain.Accepted {
+		return
+	}
+	if h := p.hosts[c.Maintain.Host]; h != nil && h.proposed {
+		h.proposed = false
+		p.order(env, out, c.Maintain.Wave, h)
+	}
+}
+
 func (p *Planner) order(env Env, out *Out, id uint64, h *host) {
 	h.callOut, h.callEnd = true, env.Schedule.Now.Add(callTimeout)
 	out.Effects = append(out.Effects, p.call(env, order.HostCall{Maintain: &order.Maintain{Host: h.ID, Wave: id}}))
--- a/core/leader.go
+++ b/core/leader.go
@@ -8,6 +8,7 @@
 	"primrosedale.example/primrosedale/core/dispatch"
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/handler"
 	"primrosedale.example/primrosedale/core/hosts"
 	"primrosedale.example/primrosedale/core/lease"
 	"primrosedale.example/primrosedale/core/maintenance"
@@ -52,6 +53,7 @@
 	s.leading.placer = placement.New(s.placementEnv())
 	s.leading.planner = maintenance.New(s.maintenanceEnv())
 	if s.runsJobs() {
+		s.leading.calls = handler.New()
 		s.leading.scheduler = schedule.New(s.scheduleEnv())
 		s.leading.hosts = hosts.New(hosts.Env{Schedule: s.scheduleEnv(), Scheduler: s.leading.scheduler, Self: s.cfg.Host})
 	}
--- a/core/state.go
+++ b/core/state.go
@@ -19,6 +19,7 @@
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/gateway"
+	"primrosedale.example/primrosedale/core/handler"
 	"primrosedale.example/primrosedale/core/hosts"
 	"primrosedale.example/primrosedale/core/lease"
 	"primrosedale.example/primrosedale/core/maintenance"
@@ -118,6 +119,7 @@
 	placer  *placement.Placer
 	planner *maintenance.Planner
 
+	calls     *handler.Calls        // nil if no jobs are run
 	scheduler *schedule.Scheduler   // nil if no jobs are run
 	hosts     *hosts.Planner        // nil if no jobs are run
 	members   []model.HostID        // sorted
