--- a/core/burn/counts.go
+++ b/core/burn/counts.go
@@ -61,13 +61,14 @@
 // connection, on which there is no request as a rule.
 func OfProblem(kind problem.Kind) Cause {
 	switch kind {
-	case problem.Overloaded, problem.NoLeader, problem.NoLease, problem.NoTarget, problem.Stopping:
+	case problem.Overloaded, problem.NoLeader, problem.NoLease, problem.NoTarget, problem.Stopping,
+		problem.QueueOverloaded, problem.NotConfigured:
 		return Refused
 	case problem.PatienceExceeded:
 		return Late
 	case problem.RetriesExhausted, problem.AnswerNotRetained:
 		return Lost
-	case problem.OutcomeUnknown, problem.CommandUnknown:
+	case problem.OutcomeUnknown, problem.CommandUnknown, problem.CallUnknown:
 		return Unknown
 	case problem.DeadlineExceeded, problem.AnswerTooLarge, problem.Internal:
 		return Failed
--- a/core/burn/counts_test.go
+++ b/core/burn/counts_test.go
@@ -22,6 +22,10 @@
 		problem.NoTarget: Refused, problem.Stopping: Refused,
 		problem.PatienceExceeded: Late,
 		problem.RetriesExhausted: Lost, problem.AnswerNotRetained: Lost,
+		problem.UnknownJob: NotCounted, problem.UnknownWave: NotCounted, problem.JobRejected: NotCounted,
+		problem.ConfigRejected: NotCounted, problem.KeyUnknown: NotCounted,
+		problem.QueueOverloaded: Refused, problem.NotConfigured: Refused,
+		problem.CallUnknown:    Unknown,
 		problem.OutcomeUnknown: Unknown, problem.CommandUnknown: Unknown,
 		problem.DeadlineExceeded: Failed, problem.AnswerTooLarge: Failed, problem.Internal: Failed,
 	}
--- a/core/problem/problem.go
+++ b/core/problem/problem.go
@@ -49,7 +49,7 @@
 	QueueOverloaded     Kind = "queue_overloaded"
 	NotConfigured       Kind = "not_configured"
 	ConfigRejected      Kind = "configuration_rejected"
-	KeyUnknown          Kind = "unknown_key_for_queue"
+	KeyUnknown          Kind = "key_unknown"
 	CallUnknown         Kind = "call_outcome_unknown"
 	Internal            Kind = "internal"
 )
--- /dev/null
+++ b/core/schedule/scheduler_test.go
@@ -0,0 +1,266 @@
+package schedule
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/jobs"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/order"
+	"primrosedale.example/primrosedale/core/problem"
+)
+
+// bench is a scheduler with workers whose answers the test gives itself.
+type bench struct {
+	t     *testing.T
+	now   model.Time
+	index uint64
+	state *jobs.State
+	s     *Scheduler
+	calls []order.Call
+}
+
+func newBench(t *testing.T, workers ...jobs.Worker) *bench {
+	b := &bench{t: t, now: 1000 * model.Time(model.Second), state: &jobs.State{}}
+	b.apply(jobs.Command{Configure: &jobs.Config{Version: 1, Queues: []jobs.Queue{
+		{ID: "q", Service: "render", MaxAttempts: 2, Stretch: 1.5, Target: 600 * ms},
+	}, Services: map[model.ServiceID]jobs.Service{"render": {}}, Teams: map[model.TeamID]jobs.Team{
+		"press": {Cap: model.Resources{MilliCPU: 3000}},
+	}}})
+	for i := range workers {
+		workers[i].Service, workers[i].Address = "render", string(workers[i].ID)
+		b.apply(jobs.Command{Announce: &workers[i]})
+	}
+	b.s = New(b.env())
+	b.advance()
+	for i := range workers {
+		b.answerPoll(workers[i].ID, nil, nil)
+	}
+	return b
+}
+
+func testWorker(id model.WorkerID) jobs.Worker {
+	return jobs.Worker{ID: id, Host: model.HostID("host-" + id), Capacity: model.Resources{MilliCPU: 8000, MemoryMB: 8000}}
+}
+
+func (b *bench) env() Env {
+	return Env{Now: b.now, Clock: b.now, Term: 3, State: b.state, Bounds: simBounds}
+}
+
+func (b *bench) act(handle func(*Out)) {
+	var out Out
+	handle(&out)
+	b.s.Place(b.env(), &out)
+	for _, e := range out.Effects {
+		if c, ok := e.(effect.CallWorker); ok {
+			b.calls = append(b.calls, c.Call)
+		}
+	}
+	for _, c := range out.Proposals {
+		b.commit(c)
+	}
+}
+
+func (b *bench) commit(c jobs.Command) {
+	result := b.apply(c)
+	b.act(func(out *Out) { b.s.Committed(b.env(), out, &c, result) })
+}
+
+func (b *bench) apply(c jobs.Command) jobs.Result {
+	b.index++
+	return b.state.Apply(&c, b.index, b.now)
+}
+
+func (b *bench) advance() { b.act(func(out *Out) { b.s.Advance(b.env(), out) }) }
+
+func (b *bench) pass(d model.Duration) {
+	b.now = b.now.Add(d)
+	b.advance()
+}
+
+// take returns the calls that were made to a worker and are not polls.
+func (b *bench) take(id model.WorkerID) []order.Call {
+	var list, rest []order.Call
+	for _, c := range b.calls {
+		if c.Worker == id && c.Hold == nil {
+			list = append(list, c)
+		} else {
+			rest = append(rest, c)
+		}
+	}
+	b.calls = rest
+	return list
+}
+
+// answerPoll answers the latest poll of a worker. Its clock is the bench's.
+func (b *bench) answerPoll(id model.WorkerID, running []order.Running, ended []order.Ended) {
+	for i := len(b.calls) - 1; i >= 0; i-- {
+		c := b.calls[i]
+		if c.Worker != id || c.Hold == nil {
+			continue
+		}
+		b.calls = append(b.calls[:i], b.calls[i+1:]...)
+		r := order.Reply{Call: c, Status: order.Accepted, Clock: order.ClockMS(b.now / model.Time(ms)), Running: running, Ended: ended}
+		b.act(func(out *Out) { b.s.Replied(b.env(), out, &r) })
+		return
+	}
+	b.t.Fatalf("no poll of %s is out", id)
+}
+
+func (b *bench) submit(id model.JobID, steps ...jobs.Step) {
+	b.commit(jobs.Command{Submit: &jobs.Job{ID: id, Queue: "q", Service: "render", Team: "press", Steps: steps, Rounds: make([]jobs.Round, 1)}})
+}
+
+func cores(n int64) model.Resources { return model.Resources{MilliCPU: n * 1000} }
+
+func ref(job model.JobID, index, run int) jobs.RunRef {
+	return jobs.RunRef{TaskRef: jobs.TaskRef{Job: job, Index: index}, Run: run}
+}
+
+func atWork(r jobs.RunRef) order.Running { return order.Running{RunRef: r, Percent: 100} }
+
+// Guards against a team that has more running than its cap, and against a cap
+// that is not free again after an end.
+func TestCapBoundsWhatRuns(t *testing.T) {
+	b := newBench(t, testWorker("a"), testWorker("b"))
+	b.submit("j", jobs.Step{Tasks: 5, Size: cores(1)})
+	require.Len(t, append(b.take("a"), b.take("b")...), 3)
+	var first jobs.RunRef
+	for r := range b.s.runs {
+		first = r
+	}
+	b.answerPoll(b.s.runs[first].worker.info.ID, nil, []order.Ended{{Number: 1, RunRef: first, Outcome: jobs.OutcomeDone}})
+	require.Len(t, append(b.take("a"), b.take("b")...), 1)
+}
+
+// Guards against a run that is given up while its order may still be carried out.
+func TestOrderWithoutAnswerIsVoidOnlyAfterItsDeadline(t *testing.T) {
+	b := newBench(t, testWorker("a"))
+	b.submit("j", jobs.Step{Tasks: 1, Size: cores(1)})
+	calls := b.take("a")
+	require.Len(t, calls, 1)
+	b.pass(startTime / 2)
+	b.answerPoll("a", nil, nil)
+	require.Len(t, b.s.runs, 1, "its order may still be carried out")
+	b.take("a")
+	b.pass(startTime)
+	b.answerPoll("a", nil, nil)
+	again := b.take("a")
+	require.Len(t, again, 1)
+	require.Equal(t, 2, again[0].Start.Run)
+}
+
+// Guards against a maintenance that takes more tasks of a step away than it may
+// miss: stops of several hosts at one time count each other, and so does a task
+// on a worker that does not answer.
+func TestEmptyingHostsKeepsToWhatAStepMayMiss(t *testing.T) {
+	lasting := jobs.Step{Tasks: 3, Size: cores(1), Lasting: true, PerWorker: 1, MissAllowed: 1}
+	start := func(t *testing.T) *bench {
+		b := newBench(t, testWorker("a"), testWorker("b"), testWorker("c"))
+		b.submit("j", lasting)
+		for _, w := range []model.WorkerID{"a", "b", "c"} {
+			c := b.take(w)
+			require.Len(t, c, 1)
+			b.answerPoll(w, []order.Running{atWork(c[0].Start.RunRef)}, nil)
+		}
+		return b
+	}
+	empty := func(b *bench, hosts ...model.HostID) int {
+		b.act(func(out *Out) {
+			for _, h := range hosts {
+				b.s.Empty(b.env(), out, h)
+			}
+		})
+		return len(b.take("a")) + len(b.take("b")) + len(b.take("c"))
+	}
+	b := start(t)
+	require.Equal(t, 1, empty(b, "host-a", "host-b"))
+
+	b = start(t)
+	b.now = b.now.Add(freshness + ms)
+	b.advance()
+	for _, w := range []model.WorkerID{"a", "b"} {
+		var running []order.Running
+		for r := range b.s.workers[w].runs {
+			running = append(running, atWork(r))
+		}
+		b.answerPoll(w, running, nil)
+	}
+	require.Equal(t, 0, empty(b, "host-a"), "worker c is silent, so its task is away")
+}
+
+// Guards against an end that a worker may forget before it is recorded.
+func TestWorkerForgetsOnlyRecordedEnds(t *testing.T) {
+	b := newBench(t, testWorker("a"))
+	b.submit("j", jobs.Step{Tasks: 1, Size: cores(1)})
+	b.take("a")
+	var out Out
+	poll := b.calls[len(b.calls)-1]
+	require.NotNil(t, poll.Hold)
+	b.s.Replied(b.env(), &out, &order.Reply{Call: poll, Status: order.Accepted, Clock: 2_000_000, Ended: []order.Ended{
+		{Number: 7, RunRef: ref("j", 0, 1), Outcome: jobs.OutcomeDone},
+	}})
+	for _, e := range out.Effects {
+		if c, ok := e.(effect.CallWorker); ok && c.Call.Hold != nil {
+			require.Zero(t, c.Call.Hold.Seen)
+		}
+	}
+	require.Len(t, out.Proposals, 1)
+	b.calls = nil
+	b.commit(out.Proposals[0])
+	require.Equal(t, uint64(7), b.calls[len(b.calls)-1].Hold.Seen)
+	require.Equal(t, jobs.Completed, b.state.Jobs["j"].Phase)
+}
+
+// Guards against a worker that fails everything and goes on to get tasks.
+func TestWorkerThatFailsEverythingGetsNothing(t *testing.T) {
+	b := newBench(t, testWorker("a"))
+	for i, id := range []model.JobID{"j", "k", "l"} {
+		b.submit(id, jobs.Step{Tasks: 1, Size: cores(1)})
+		b.answerPoll("a", nil, []order.Ended{{Number: uint64(i + 1), RunRef: ref(id, 0, 1), Outcome: jobs.OutcomeFailed}})
+	}
+	b.take("a")
+	b.submit("m", jobs.Step{Tasks: 1, Size: cores(1)})
+	require.Empty(t, b.take("a"))
+}
+
+// Guards against a job that is accepted though the work ahead of it makes it
+// late, and against a refusal without a time to come back.
+func TestJobThatWouldBeLateIsRefused(t *testing.T) {
+	b := newBench(t, testWorker("a"))
+	long := jobs.Step{Tasks: 16, Size: cores(1), Estimate: 4 * model.Second}
+	q := b.state.Config.Queue("q")
+	short := &jobs.Job{ID: "s", Steps: []jobs.Step{{Tasks: 1, Size: cores(1), Estimate: model.Second}}}
+	require.Nil(t, b.s.Admit(b.env(), q, short))
+	for _, id := range []model.JobID{"j", "k"} {
+		b.submit(id, long)
+	}
+	late := &jobs.Job{ID: "n", Steps: []jobs.Step{{Tasks: 1, Size: cores(1), Estimate: 20 * model.Second}}}
+	refusal := b.s.Admit(b.env(), q, late)
+	require.NotNil(t, refusal)
+	require.Equal(t, problem.QueueOverloaded, refusal.Kind)
+	require.Positive(t, refusal.RetryAfter)
+}
+
+// Guards against a filler that goes on to disturb a run over its target, and
+// against one that is quickened while it is close to it.
+func TestFillerGivesWay(t *testing.T) {
+	for _, c := range []struct {
+		percent int
+		load    int64
+		since   model.Duration
+		want    int
+	}{
+		{100, 120, 0, 0},
+		{100, 90, model.Second, 50},
+		{100, 90, 0, 100},
+		{15, 90, model.Second, 0},
+		{40, 70, 10 * model.Second, 40},
+		{40, 30, 2 * model.Second, 55},
+		{95, 30, 2 * model.Second, 100},
+	} {
+		require.Equal(t, c.want, wantedPace(c.percent, c.load, c.since), "%+v", c)
+	}
+}
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -208,8 +208,8 @@
 // Replied takes note of what became of a call to a worker.
 func (s *Scheduler) Replied(env Env, out *Out, reply *order.Reply) {
 	w := s.workers[reply.Call.Worker]
-	if w == nil || w.info.Life != reply.Call.Life {
-		return
+	if w == nil || w.info.Life != reply.Call.Life || reply.Call.Token != w.token {
+		return // a call of an earlier term of this process proves nothing in this one
 	}
 	if reply.Clock != 0 {
 		w.answered, w.refusals = env.Now, 0
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -295,6 +295,9 @@
 	{RetryBudgetSpent, "retry_budget_spent", zerolog.WarnLevel,
 		"a team's retry budget is spent and failed requests are not retried",
 		"Find out why the team's targets fail."},
+	{CallGivenUp, "call_given_up", zerolog.WarnLevel,
+		"a call was ended without an answer of the leader",
+		"Check that a leader is known; if it is, look for its line about the same id."},
 	{JobAccepted, "job_accepted", zerolog.InfoLevel,
 		"a job was accepted",
 		"Nothing."},
@@ -304,9 +307,6 @@
 	{JobEnded, "job_ended", zerolog.InfoLevel,
 		"a job has ended",
 		"Nothing, unless the reason is failed: look for the ends of its runs."},
-	{CallGivenUp, "call_given_up", zerolog.WarnLevel,
-		"a call was ended without an answer of the leader",
-		"Check that a leader is known; if it is, look for its line about the same id."},
 }}
 
 // areas is the whole catalogue in the order of the numbers.
