--- /dev/null
+++ b/core/handler/handler_test.go
@@ -0,0 +1,207 @@
+package handler
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/call"
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/jobs"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/order"
+	"primrosedale.example/primrosedale/core/problem"
+	"primrosedale.example/primrosedale/core/schedule"
+)
+
+const jobID = "00000000000000aa"
+
+func config(version uint64) *jobs.Config {
+	return &jobs.Config{
+		Version: version, Document: "document",
+		Queues: []jobs.Queue{
+			{ID: "q", Host: "h", Prefix: "/q/", Service: "render", Stretch: 1.5, Target: 600 * model.Millisecond, Timeout: model.Second},
+			{ID: "deep", Host: "h", Prefix: "/q/deep/", Service: "render", Open: true, Timeout: model.Second},
+		},
+		Services: map[model.ServiceID]jobs.Service{"render": {}},
+		Teams:    map[model.TeamID]jobs.Team{"press": {}, "archive": {}},
+		Keys:     map[model.Digest]model.TeamID{"press-key": "press", "archive-key": "archive"},
+	}
+}
+
+type fixture struct {
+	state *jobs.State
+	calls *Calls
+	now   model.Time
+	index uint64
+	seq   uint64
+}
+
+func newFixture() *fixture {
+	f := &fixture{state: &jobs.State{}, calls: New(), now: 1000 * model.Time(model.Second)}
+	f.apply(&jobs.Command{Configure: config(3)})
+	f.apply(&jobs.Command{Announce: &jobs.Worker{ID: "w", Service: "render", Address: "a", Capacity: model.Resources{MilliCPU: 8000, MemoryMB: 8000}}})
+	return f
+}
+
+func (f *fixture) apply(c *jobs.Command) jobs.Result {
+	f.index++
+	return f.state.Apply(c, f.index, f.now)
+}
+
+func (f *fixture) env() Env {
+	env := schedule.Env{Now: f.now, Clock: f.now, Term: 1, State: f.state, Bounds: schedule.Bounds{LeaseMax: 6 * model.Second}}
+	s := schedule.New(env)
+	var polls, out schedule.Out
+	s.Advance(env, &polls)
+	for _, e := range polls.Effects {
+		if poll, ok := e.(effect.CallWorker); ok {
+			s.Replied(env, &out, &order.Reply{Call: poll.Call, Status: order.Accepted, Clock: 1})
+		}
+	}
+	return Env{Schedule: env, Scheduler: s, Self: "leader"}
+}
+
+func (f *fixture) decide(c call.Call) Decision {
+	f.seq++
+	return f.calls.Decide(f.env(), jobs.CallRef{Host: "e", Incarnation: "i", Seq: f.seq}, &c)
+}
+
+func submission(path string, key model.Digest, steps ...jobs.Step) call.Call {
+	return call.Call{Submit: &call.Submit{
+		Address: call.Address{Host: "h", Path: path, Key: key}, Job: jobs.Job{Steps: steps, Rounds: make([]jobs.Round, 1)},
+	}}
+}
+
+func step() jobs.Step {
+	return jobs.Step{Tasks: 1, Size: model.Resources{MilliCPU: 1000}, Estimate: model.Second}
+}
+
+// Guards against jobs that are accepted without a key in force, in no queue, or
+// though they can never run, and against a refusal of another kind.
+func TestSubmissionsThatAreRefused(t *testing.T) {
+	big := step()
+	big.Size.MilliCPU = 9000
+	later := step()
+	later.After = []int{1}
+	many := step()
+	many.Tasks = 20_000
+	gang := step()
+	gang.Gang = true
+	malformed := submission("/q/"+jobID, "press-key", step())
+	malformed.Submit.Malformed = "unexpected end"
+	for name, c := range map[string]struct {
+		call call.Call
+		kind problem.Kind
+	}{
+		"no queue":             {submission("/other/"+jobID, "press-key", step()), problem.UnknownQueue},
+		"no key":               {submission("/q/"+jobID, "", step()), problem.KeyUnknown},
+		"withdrawn key":        {submission("/q/"+jobID, "old-key", step()), problem.KeyUnknown},
+		"unknown key, open":    {submission("/q/deep/"+jobID, "old-key", step()), problem.KeyUnknown},
+		"bad id":               {submission("/q/abc", "press-key", step()), problem.BadRequest},
+		"torn body":            {malformed, problem.BadRequest},
+		"no steps":             {submission("/q/"+jobID, "press-key"), problem.BadRequest},
+		"a later step":         {submission("/q/"+jobID, "press-key", later, step()), problem.BadRequest},
+		"too many tasks":       {submission("/q/"+jobID, "press-key", many), problem.BadRequest},
+		"larger than a worker": {submission("/q/"+jobID, "press-key", big), problem.JobRejected},
+		"gang":                 {submission("/q/"+jobID, "press-key", gang), problem.JobRejected},
+	} {
+		d := newFixture().decide(c.call)
+		require.Nil(t, d.Propose, name)
+		require.NotNil(t, d.Answer.Problem, name)
+		require.Equal(t, c.kind, d.Answer.Problem.Kind, name)
+	}
+	d := newFixture().decide(submission("/q/"+jobID, "press-key", step()))
+	require.NotNil(t, d.Propose)
+	require.Equal(t, model.TeamID("press"), d.Propose.Submit.Team)
+}
+
+// Guards against a job that runs though its only attempt was refused: copies of
+// one call have one outcome, and a job that is being recorded is not refused.
+func TestCopiesOfACallHaveOneOutcome(t *testing.T) {
+	f := newFixture()
+	refused := submission("/q/"+jobID, "", step())
+	ref := jobs.CallRef{Host: "e", Incarnation: "i", Seq: 99}
+	require.NotNil(t, f.calls.Decide(f.env(), ref, &refused).Answer.Problem)
+	open := submission("/q/"+jobID, "press-key", step())
+	copied := f.calls.Decide(f.env(), ref, &open)
+	require.Nil(t, copied.Propose)
+	require.Equal(t, problem.KeyUnknown, copied.Answer.Problem.Kind)
+
+	first := f.decide(submission("/q/"+jobID, "press-key", step()))
+	require.NotNil(t, first.Propose)
+	for i := range 40 { // work that makes every further job late
+		id := model.JobID("00000000000000b" + string(rune('a'+i%26)) + string(rune('a'+i/26)))
+		f.apply(&jobs.Command{Submit: &jobs.Job{ID: id, Queue: "q", Service: "render", Steps: []jobs.Step{
+			{Tasks: 8, Size: model.Resources{MilliCPU: 1000}, Estimate: 300 * model.Millisecond},
+		}, Rounds: make([]jobs.Round, 1)}})
+	}
+	other := f.decide(submission("/q/00000000000000ac", "press-key", step()))
+	require.Equal(t, problem.QueueOverloaded, other.Answer.Problem.Kind)
+	second := f.decide(submission("/q/"+jobID, "press-key", step()))
+	require.NotNil(t, second.Propose, "its acceptance is on its way")
+	f.apply(first.Propose)
+	f.calls.Committed(first.Propose)
+	f.calls.Committed(second.Propose)
+	require.Equal(t, call.JobQueued, f.decide(submission("/q/"+jobID, "press-key", step())).Answer.State)
+}
+
+// Guards against the state of a job that is told to another team.
+func TestJobsOfOthersAreNotShown(t *testing.T) {
+	f := newFixture()
+	f.apply(f.decide(submission("/q/"+jobID, "press-key", step())).Propose)
+	for key, kind := range map[model.Digest]problem.Kind{"archive-key": problem.UnknownJob, "": problem.KeyUnknown} {
+		for _, c := range []call.Call{
+			{Query: &call.Address{Host: "h", Path: "/q/" + jobID, Key: key}},
+			{Cancel: &call.Address{Host: "h", Path: "/q/" + jobID, Key: key}},
+		} {
+			require.Equal(t, kind, f.decide(c).Answer.Problem.Kind)
+		}
+	}
+	require.Equal(t, call.JobQueued, f.decide(call.Call{Query: &call.Address{Host: "h", Path: "/q/" + jobID, Key: "press-key"}}).Answer.State)
+}
+
+// Guards against configurations that are acknowledged though they are not valid,
+// and against an older one that replaces a newer.
+func TestConfigurations(t *testing.T) {
+	unknown, twice, untimed := config(9), config(9), config(9)
+	unknown.Queues[0].Service = "other"
+	twice.Queues[1].Prefix = twice.Queues[0].Prefix
+	untimed.Queues[0].Timeout = 0
+	f := newFixture()
+	for _, c := range []*jobs.Config{unknown, twice, untimed} {
+		d := f.decide(call.Call{Configure: c})
+		require.Nil(t, d.Propose)
+		require.Equal(t, problem.ConfigRejected, d.Answer.Problem.Kind)
+	}
+	older := config(2)
+	older.Document = "older"
+	require.Nil(t, f.apply(f.decide(call.Call{Configure: older}).Propose).Problem, "it is acknowledged")
+	same := config(3)
+	same.Document = "same version, other content"
+	f.apply(f.decide(call.Call{Configure: same}).Propose)
+	require.Equal(t, "document", f.decide(call.Call{ReadConfig: &call.ReadConfig{}}).Answer.Document)
+}
+
+// Guards against a worker that says that it drains and is answered before a later
+// leader can know it, and against a late call of an earlier life.
+func TestHeartbeats(t *testing.T) {
+	f := newFixture()
+	w := *f.state.Workers["w"]
+	require.NotNil(t, f.decide(call.Call{Heartbeat: &call.Heartbeat{Worker: w}}).Answer)
+	w.Draining = true
+	d := f.decide(call.Call{Heartbeat: &call.Heartbeat{Worker: w}})
+	require.NotNil(t, d.Propose)
+	f.apply(d.Propose)
+	require.True(t, f.state.Workers["w"].Draining)
+	w.Draining = false
+	require.NotNil(t, f.decide(call.Call{Heartbeat: &call.Heartbeat{Worker: w}}).Answer)
+	require.True(t, f.state.Workers["w"].Draining, "a late call does not end a drain")
+
+	next := w
+	next.Born = 5
+	f.apply(f.decide(call.Call{Heartbeat: &call.Heartbeat{Worker: next}}).Propose)
+	life := f.state.Workers["w"].Life
+	require.NotNil(t, f.decide(call.Call{Heartbeat: &call.Heartbeat{Worker: w}}).Answer)
+	require.Equal(t, life, f.state.Workers["w"].Life)
+}
--- /dev/null
+++ b/core/relay/relay_test.go
@@ -0,0 +1,102 @@
+package relay
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/call"
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/problem"
+)
+
+const start = model.Time(1000 * model.Second)
+
+func entry() *Table {
+	return New(Config{Host: "e", Incarnation: "i", Seeds: []model.HostID{"a", "b"}})
+}
+
+func submit(seq uint64) call.Call {
+	return call.Call{Seq: seq, Patience: 3 * model.Second, Submit: &call.Submit{}}
+}
+
+// sent returns the hosts to which calls were passed.
+func sent(effects []effect.Effect) []model.HostID {
+	var to []model.HostID
+	for _, e := range effects {
+		if s, ok := e.(effect.Send); ok && s.Message.Call != nil {
+			to = append(to, s.To)
+		}
+	}
+	return to
+}
+
+func answers(effects []effect.Effect) []call.Answer {
+	var list []call.Answer
+	for _, e := range effects {
+		if a, ok := e.(effect.AnswerCall); ok {
+			list = append(list, a.Answer)
+		}
+	}
+	return list
+}
+
+func leads(t *Table, now model.Time, host model.HostID) []effect.Effect {
+	return t.Contacted(now, host, &call.ContactReply{Leads: true, Leader: host})
+}
+
+// Guards against "not run" for a call that may have been carried out, and against
+// "unknown" for one that never left the host.
+func TestGivenUpCallsSayWhatIsKnown(t *testing.T) {
+	table := entry()
+	require.Empty(t, sent(table.Arrive(start, submit(1))))
+	refused := answers(table.Advance(start.Add(unsentTime)))
+	require.Len(t, refused, 1)
+	require.Equal(t, problem.NoLeader, refused[0].Problem.Kind)
+	require.Positive(t, refused[0].Problem.RetryAfter)
+
+	leads(table, start, "a")
+	require.Equal(t, []model.HostID{"a"}, sent(table.Arrive(start, submit(2))))
+	unknown := answers(table.Advance(start.Add(3 * model.Second)))
+	require.Len(t, unknown, 1)
+	require.Equal(t, problem.CallUnknown, unknown[0].Problem.Kind)
+}
+
+// Guards against calls that stay with a leader that is gone.
+func TestCallsFollowTheLeader(t *testing.T) {
+	table := entry()
+	leads(table, start, "a")
+	table.Arrive(start, submit(1))
+	require.Equal(t, []model.HostID{"b"}, sent(leads(table, start.Add(100*model.Millisecond), "b")))
+	require.Equal(t, []model.HostID{"c"}, sent(table.Redirected(start, "b", &call.Redirect{Seq: 1, Incarnation: "i", Leader: "c"})))
+	require.Equal(t, []model.HostID{"c"}, sent(table.Advance(start.Add(resendTime+100*model.Millisecond))))
+}
+
+// Guards against an answer that reaches the caller of another life of the process.
+func TestAnswersOfAnotherLifeAreDropped(t *testing.T) {
+	table := entry()
+	leads(table, start, "a")
+	table.Arrive(start, submit(1))
+	require.Empty(t, table.Answered(&call.Answer{Seq: 1, Incarnation: "earlier"}))
+	require.Len(t, table.Answered(&call.Answer{Seq: 1, Incarnation: "i"}), 1)
+	require.Zero(t, table.Len())
+}
+
+// Guards against an entry host that asks for callers while it has not heard the
+// leader for long, and against one that forgets the replicas it has met.
+func TestReadyWhileTheLeaderAnswers(t *testing.T) {
+	table := entry()
+	require.False(t, table.Ready(start))
+	table.Contacted(start, "a", &call.ContactReply{Leader: "d", Replicas: []model.HostID{"d", "f"}})
+	leads(table, start, "d")
+	require.True(t, table.Ready(start.Add(readyTime)))
+	require.False(t, table.Ready(start.Add(readyTime+1)))
+	asked := make(map[model.HostID]bool)
+	for _, e := range table.Advance(start.Add(readyTime)) {
+		if s, ok := e.(effect.Send); ok && s.Message.Contact != nil {
+			asked[s.To] = true
+		}
+	}
+	require.Equal(t, map[model.HostID]bool{"a": true, "b": true, "d": true, "f": true}, asked)
+}
--- a/core/schedule/scheduler_test.go
+++ b/core/schedule/scheduler_test.go
@@ -264,3 +264,19 @@
 		require.Equal(t, c.want, wantedPace(c.percent, c.load, c.since), "%+v", c)
 	}
 }
+
+// Guards against a list that an earlier term of the same process asked for: it
+// does not fence the orders of that term, so it does not prove that a run is void.
+func TestReplyOfAnEarlierTermIsIgnored(t *testing.T) {
+	b := newBench(t, testWorker("a"))
+	b.submit("j", jobs.Step{Tasks: 1, Size: cores(1)})
+	b.s = New(b.env())
+	b.calls = nil
+	b.advance()
+	poll := b.calls[len(b.calls)-1]
+	poll.Token--
+	b.act(func(out *Out) {
+		b.s.Replied(b.env(), out, &order.Reply{Call: poll, Status: order.Accepted, Clock: 2_000_000})
+	})
+	require.Contains(t, b.s.runs, ref("j", 0, 1))
+}
--- a/core/schedule/sim_test.go
+++ b/core/schedule/sim_test.go
@@ -163,6 +163,9 @@
 			s.after(s.between(20*ms, 12*model.Second), func() { s.carryOut(w, c) })
 		}
 		s.answer(model.Second, reply)
+	case w != nil && w.up && w.cut && s.rng.Float64() < 0.5:
+		s.after(way, func() { s.carryOut(w, c) })
+		s.answer(model.Second, reply)
 	case w == nil || !w.up || w.cut:
 		s.answer(model.Second, reply)
 	default:
@@ -376,23 +379,26 @@
 // calls are lost or carried out late, workers crash, clocks are slow and leaders
 // change.
 func TestRunsUnderFaults(t *testing.T) {
-	const seeds = 30
+	const seeds = 40
 	for seed := range uint64(seeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			s := newSim(t, seed)
 			s.late = 0.1
+			// Half of the runs have many changes of leader; in the others the leader
+			// stays long enough for leases of its own to end.
+			leads := 2 + 14*int(seed%2)
 			for i := range 40 {
 				s.submit(fmt.Sprintf("%016x", i))
 				s.run(s.between(50*ms, 400*ms))
-				switch s.rng.IntN(7) {
-				case 0:
+				switch roll := s.rng.IntN(100); {
+				case roll < leads:
 					s.lead()
-				case 1:
+				case roll < leads+14:
 					w := s.workers[s.rng.IntN(len(s.workers))]
 					w.cut = true
 					s.after(s.between(model.Second, 12*model.Second), func() { w.cut = false })
-				case 2:
+				case roll < leads+25:
 					if w := s.workers[s.rng.IntN(len(s.workers))]; w.up {
 						s.crash(w, s.between(model.Second, 8*model.Second))
 					}
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -44,6 +44,7 @@
 	pollAt    model.Time // no poll is sent before this
 	answered  model.Time // latest answer
 	refusals  int        // refused connections in a row
+	missed    bool       // the latest poll had no answer
 
 	clock      order.ClockMS // of the latest answer
 	clockAt    model.Time    // when it arrived
@@ -192,11 +193,12 @@
 	return w.polled && now.Sub(w.answered) <= freshness
 }
 
-// poll sends the next poll. The first one of a leader asks at once and extends
-// nothing, since the worker's clock is not known yet.
+// poll sends the next poll. One that follows a poll without an answer asks at once
+// and extends no lease, so that the runs of a worker that is lost are lost soon. So
+// does the first of a leader, which does not know the worker's clock yet.
 func (s *Scheduler) poll(env Env, out *Out, w *worker) {
 	hold := order.Hold{Seen: w.seen}
-	if w.polled {
+	if w.polled && !w.missed {
 		hold.Wait = pollWait
 		hold.Deadline = w.extend(env.Now, leaseTime(env.Bounds))
 	}
@@ -234,6 +236,7 @@
 	}
 	switch reply.Status {
 	case order.Accepted:
+		w.missed = false
 		s.listed(env, out, w, reply)
 		w.pollAt = env.Now
 		if w.recording == w.seen && w.pollOut == 0 {
@@ -248,6 +251,7 @@
 			s.processEnded(env, out, w, "nothing listens at its address")
 		}
 	}
+	w.missed = true
 	if w.pollOut == 0 {
 		w.pollAt = env.Now.Add(pollRetry)
 	}
