daemon: test the whole path on the platform with processes on loopback

Guards, without the bench, the forming of a cluster from seeds, a configuration, a worker and jobs of two steps while each replica in turn is restarted.

--- /dev/null
+++ b/daemon/platform_test.go
@@ -0,0 +1,253 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/logevent"
+	"primrosedale.example/primrosedale/platform"
+)
+
+// The addresses of the test's machines: their ports are equal, as on the
+// platform.
+const (
+	testControlPort = 18345
+	testFrontPort   = 18340
+	testReadyPort   = 18343
+	testPeerPort    = 17000
+)
+
+// platformWorker is a worker process that ends each run at once and counts how
+// often it began each task.
+type platformWorker struct {
+	mu     sync.Mutex
+	starts map[string]int
+	ends   [][]any
+	number int
+	began  time.Time
+	wake   chan struct{}
+}
+
+func newPlatformWorker(t *testing.T) (*platformWorker, string) {
+	w := &platformWorker{starts: make(map[string]int), began: time.Now(), wake: make(chan struct{}, 1)}
+	server := httptest.NewServer(w)
+	t.Cleanup(server.Close)
+	return w, strings.TrimPrefix(server.URL, "http://")
+}
+
+func (w *platformWorker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Task     string
+		Run      int
+		LastSeen int
+		WaitMs   int
+	}
+	_ = json.NewDecoder(r.Body).Decode(&body)
+	answer := map[string]any{"born": 1}
+	switch r.URL.Path {
+	case "/v1/run-start":
+		w.mu.Lock()
+		w.starts[body.Task]++
+		w.number++
+		w.ends = append(w.ends, []any{w.number, body.Task, body.Run, "done", ""})
+		w.mu.Unlock()
+		select {
+		case w.wake <- struct{}{}:
+		default:
+		}
+	case "/v1/hold":
+		if ends := w.listed(body.LastSeen); len(ends) == 0 && body.WaitMs > 0 {
+			select {
+			case <-w.wake:
+			case <-time.After(time.Duration(body.WaitMs) * time.Millisecond):
+			case <-r.Context().Done():
+			}
+		}
+		answer["running"], answer["endedRuns"] = [][]any{}, w.listed(body.LastSeen)
+	}
+	answer["clockMs"] = time.Since(w.began).Milliseconds() + 1
+	_ = json.NewEncoder(out).Encode(answer)
+}
+
+func (w *platformWorker) listed(seen int) [][]any {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	list := [][]any{}
+	for _, e := range w.ends {
+		if e[0].(int) > seen {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// platformHost runs one process at an address of its own.
+type platformHost struct {
+	cancel context.CancelFunc
+	done   chan error
+}
+
+func startPlatformHost(t *testing.T, folder, ip string, replica, first bool) *platformHost {
+	listen := fmt.Sprintf("control = \"%s:%d\"\n", ip, testControlPort)
+	data := fmt.Sprintf("dataDir = %q\n", filepath.Join(folder, ip))
+	if !replica {
+		listen = fmt.Sprintf("front = \"%s:%d\"\nready = \"%s:%d\"\n", ip, testFrontPort, ip, testReadyPort)
+		data = ""
+	}
+	text := fmt.Sprintf(`node = "n-%s"
+ip = "%s"
+zone = "west"
+internalPorts = [%d,%d]
+seeds = ["127.0.7.1:%d","127.0.7.2:%d","127.0.7.3:%d"]
+bootstrap = %t
+%s
+[listen]
+%s
+[cloud]
+address = "127.0.7.9:1"
+[bounds]
+holdMaxMs = 6000
+stopGraceMs = 900
+status_s = 120
+graceS = 6
+maintenanceS = 2
+migrateS = 1.5
+`, ip, ip, testPeerPort, testPeerPort+15, testControlPort, testControlPort, testControlPort, first, data, listen)
+	path := filepath.Join(folder, ip+".toml")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	s, err := platform.LoadSettings(path)
+	require.NoError(t, err)
+	d, err := NewPlatformDaemon(s, path, logevent.Logger{})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &platformHost{cancel: cancel, done: make(chan error, 1)}
+	go func() { h.done <- d.Run(ctx, nil) }()
+	return h
+}
+
+func (h *platformHost) stop(t *testing.T) {
+	h.cancel()
+	select {
+	case <-h.done:
+	case <-time.After(20 * time.Second):
+		t.Error("a process did not stop")
+	}
+}
+
+// do makes a call and returns its status and body; status 0 is no answer.
+func do(method, url, host, key string, body any) (int, string) {
+	var data []byte
+	if text, ok := body.(string); ok {
+		data = []byte(text)
+	} else if body != nil {
+		data, _ = json.Marshal(body)
+	}
+	request, err := http.NewRequest(method, url, bytes.NewReader(data))
+	if err != nil {
+		return 0, err.Error()
+	}
+	request.Host = host
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
+	client := http.Client{Timeout: 5 * time.Second}
+	answer, err := client.Do(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer answer.Body.Close()
+	text, _ := io.ReadAll(answer.Body)
+	return answer.StatusCode, string(text)
+}
+
+const platformConfig = `{"version":7,"routes":[{"name":"q","host":"pule25.example","pathPrefix":"/q/","kind":"unsafe","timeoutMs":3000,"targetDurationMs":600,"service":"render","maxAttempts":2,"stretch":1.6}],"services":[{"name":"render"}],"limits":{"maxBodyBytes":262144},"tenants":[{"name":"press","apiKeys":["k1"],"weight":4,"cap":{"cpu":0,"memMb":0,"gpu":0}}]}`
+
+// Guards against a whole path that does not hold together: three replicas form a
+// cluster from their seeds, an entry host finds the leader, a configuration and a
+// worker are taken, and a job of two steps runs each task once, also while the
+// leader's process is replaced.
+func TestPlatformServesAJob(t *testing.T) {
+	folder := t.TempDir()
+	replicas := map[string]*platformHost{}
+	for _, ip := range []string{"127.0.7.1", "127.0.7.2", "127.0.7.3"} {
+		replicas[ip] = startPlatformHost(t, folder, ip, true, true)
+	}
+	entry := startPlatformHost(t, folder, "127.0.7.4", false, true)
+	defer func() {
+		entry.stop(t)
+		for _, r := range replicas {
+			r.stop(t)
+		}
+	}()
+	control := func(ip string) string { return fmt.Sprintf("http://%s:%d", ip, testControlPort) }
+	require.Eventually(t, func() bool {
+		status, _ := do("PUT", control("127.0.7.2")+"/v1/config", "", "", platformConfig)
+		return status == http.StatusOK
+	}, 20*time.Second, 50*time.Millisecond)
+	status, text := do("GET", control("127.0.7.3")+"/v1/config", "", "", nil)
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, platformConfig, text)
+
+	worker, address := newPlatformWorker(t)
+	beat := func() bool {
+		status, _ := do("PUT", control("127.0.7.1")+"/v1/instances/i-1", "", "", map[string]any{
+			"service": "render", "address": address, "zone": "west", "state": "ready", "machine": "m-1", "born": 1, "seq": 1,
+			"clockMs": time.Since(worker.began).Milliseconds() + 1, "labels": []string{"a", "r1"},
+			"capacity": map[string]int{"cpu": 8000, "memMb": 8000},
+		})
+		return status == http.StatusOK
+	}
+	require.Eventually(t, beat, 10*time.Second, 50*time.Millisecond)
+	require.Eventually(t, func() bool {
+		status, _ := do("GET", fmt.Sprintf("http://127.0.7.4:%d/v1/readiness", testReadyPort), "", "", nil)
+		return status == http.StatusOK
+	}, 10*time.Second, 50*time.Millisecond)
+
+	front := fmt.Sprintf("http://127.0.7.4:%d/q/", testFrontPort)
+	job := `{"spec":"x","phases":[{"count":3,"cpu":500,"memMb":10,"estimateMs":100},{"count":2,"cpu":500,"memMb":10,"estimateMs":100,"after":[0]}]}`
+	submit := func(id string) {
+		require.Eventually(t, func() bool {
+			status, _ := do("POST", front+id, "pule25.example", "k1", job)
+			return status == http.StatusOK
+		}, 20*time.Second, 20*time.Millisecond)
+	}
+	completed := func(id string) {
+		require.Eventually(t, func() bool {
+			_, text := do("GET", front+id, "pule25.example", "k1", nil)
+			return strings.Contains(text, "completed")
+		}, 20*time.Second, 20*time.Millisecond)
+	}
+	submit("00000000000000aa")
+	completed("00000000000000aa")
+	status, _ = do("POST", front+"00000000000000ab", "pule25.example", "wrong", job)
+	require.Equal(t, http.StatusUnauthorized, status)
+	status, _ = do("GET", front+"00000000000000ac", "pule25.example", "k1", nil)
+	require.Equal(t, http.StatusGone, status)
+
+	for _, ip := range []string{"127.0.7.1", "127.0.7.2", "127.0.7.3"} {
+		replicas[ip].stop(t)
+		replicas[ip] = startPlatformHost(t, folder, ip, true, false)
+		id := "00000000000000b" + ip[len(ip)-1:]
+		submit(id)
+		completed(id)
+	}
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	require.Len(t, worker.starts, 4*5)
+	for task, n := range worker.starts {
+		require.Equal(t, 1, n, task)
+	}
+}
