consensus, relay: let a replica find a leader that is not among its seeds

Change: a replica that hears no leader asks the replicas who leads, and asks all that it meets to be taken in. Waves choose hosts that are off or idle first, then those that run only tasks that last, and others when the time left is needed. Workers whose process has certainly ended are removed.

--- /dev/null
+++ b/core/calls_test.go
@@ -0,0 +1,49 @@
+package core
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/call"
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/event"
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// Guards against a replica with an empty disk that is never taken in again: the
+// leader need not be among the seeds of its settings.
+func TestReplicaFindsALeaderThatIsNoSeed(t *testing.T) {
+	now := model.Time(1000 * model.Second)
+	s, err := New(Config{
+		Host: "c", Incarnation: "2", Replica: "2", Durable: true, MaxVoters: 5,
+		Peers: []model.HostID{"a", "b"}, Seeds: []model.HostID{"a", "b"},
+	}, Stored{}, now, 1)
+	require.NoError(t, err)
+	sent := func(e event.Event) map[model.HostID][]message.Message {
+		now = now.Add(TickInterval)
+		to := make(map[model.HostID][]message.Message)
+		for _, f := range Reduce(s, event.Input{At: now, Rand: 1, Event: e}) {
+			if send, ok := f.(effect.Send); ok {
+				to[send.To] = append(to[send.To], send.Message)
+			}
+		}
+		return to
+	}
+	asked := false
+	for range 10 {
+		for _, m := range sent(event.Tick{})["a"] {
+			asked = asked || m.Contact != nil
+		}
+	}
+	require.True(t, asked, "it asks the seeds who leads")
+	sent(event.Received{From: "a", Message: message.Message{ContactReply: &call.ContactReply{Leader: "d", Replicas: []model.HostID{"a", "b", "d"}}}})
+	joins := false
+	for range 10 {
+		for _, m := range sent(event.Tick{})["d"] {
+			joins = joins || m.Log != nil
+		}
+	}
+	require.True(t, joins, "it asks the leader to be taken in")
+}
--- a/core/consensus/membership.go
+++ b/core/consensus/membership.go
@@ -243,6 +243,16 @@
 	})
 }
 
+// Meet names further hosts to ask. The hosts of the configuration may be followers
+// that cannot take a node in, or be gone.
+func (n *Node[C, S]) Meet(hosts ...model.HostID) {
+	for _, h := range hosts {
+		if h != "" && h != n.cfg.ID.Host && !slices.Contains(n.cfg.Peers, h) {
+			n.cfg.Peers = append(slices.Clip(n.cfg.Peers), h)
+		}
+	}
+}
+
 // handleJoin starts or renews the replication to a non-voter.
 func (n *Node[C, S]) handleJoin(m Message[C, S]) bool {
 	if n.role != Leader {
--- a/core/hosts/moves.go
+++ b/core/hosts/moves.go
@@ -23,13 +23,13 @@
 			h.callOut, h.retryAt = false, now
 		}
 		if !h.callOut && now >= h.retryAt {
-			p.orderMove(env, out, h)
+			p.orderMove(env, out, h, " again")
 		}
 	}
 	pools := p.pools(env)
 	for _, m := range moves(pools, func(id model.ServiceID) bool { return p.maySwitchOff(now, id) }) {
 		m.host.moveTo = m.to
-		p.orderMove(env, out, m.host)
+		p.orderMove(env, out, m.host, m.reason)
 	}
 	p.noteExcess(now, pools)
 }
@@ -96,10 +96,10 @@
 	return known && now.Sub(since) >= shedAfter
 }
 
-func (p *Planner) orderMove(env Env, out *Out, h *host) {
+func (p *Planner) orderMove(env Env, out *Out, h *host, reason string) {
 	h.callOut, h.callEnd = true, env.Schedule.Now.Add(callTimeout)
 	out.Effects = append(out.Effects, p.call(env, order.HostCall{Move: &order.Move{Host: h.ID, Pool: h.moveTo}}))
-	out.log(effect.HostOrdered, effect.Log{Host: h.ID, Detail: "from pool " + string(h.Pool) + " to " + string(h.moveTo)})
+	out.log(effect.HostOrdered, effect.Log{Host: h.ID, Detail: "from pool " + string(h.Pool) + " to " + string(h.moveTo) + reason})
 }
 
 // moved takes note of the answer to an order to move.
--- a/core/hosts/planner.go
+++ b/core/hosts/planner.go
@@ -8,8 +8,6 @@
 package hosts
 
 import (
-	"slices"
-
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/jobs"
 	"primrosedale.example/primrosedale/core/model"
@@ -100,27 +98,16 @@
 	if !p.known {
 		return
 	}
-	if env.Schedule.Now.Sub(p.began) < takeOverTime {
-		return
-	}
-	for _, id := range waves {
-		p.advanceWave(env, out, id, env.Schedule.State.Waves[id])
+	if env.Schedule.Now.Sub(p.began) >= takeOverTime {
+		for _, id := range waves {
+			p.advanceWave(env, out, id, env.Schedule.State.Waves[id])
+		}
 	}
 	p.holdHosts(env)
 	p.advanceMoves(env, out)
 	p.holdHosts(env)
 }
 
-func openWaves(s *jobs.State) []uint64 {
-	var list []uint64
-	for _, id := range model.SortedKeys(s.Waves) {
-		if !s.Waves[id].Closed {
-			list = append(list, id)
-		}
-	}
-	return list
-}
-
 // list reads the list of hosts, page by page.
 func (p *Planner) list(env Env, out *Out, busy bool) {
 	now := env.Schedule.Now
@@ -202,120 +189,6 @@
 	}
 }
 
-// advanceWave goes on with one wave: hosts that are empty are maintained while
-// the cap allows, and the next ones are emptied.
-func (p *Planner) advanceWave(env Env, out *Out, id uint64, w *jobs.Wave) {
-	now := env.Schedule.Now
-	down, open := 0, 0
-	var due []*host
-	for _, hostID := range w.Hosts {
-		h := p.hosts[hostID]
-		if h == nil {
-			continue // it has left the fleet
-		}
-		accepted, ordered := w.Ordered[hostID]
-		if ordered && !accepted && h.wave == 0 {
-			h.wave, h.ordered = id, true // by an earlier leader
-		}
-		if h.ordered || ordered && (h.State != order.HostUp || now < h.downBy) {
-			down++
-		}
-		if accepted {
-			continue
-		}
-		open++
-		due = append(due, h)
-	}
-	if open == 0 && p.known {
-		out.Proposals = append(out.Proposals, jobs.Command{CloseWave: &jobs.CloseWave{Wave: id}})
-		return
-	}
-	emptying := 0
-	for _, h := range due {
-		if h.wave == id {
-			emptying++
-		}
-	}
-	slices.SortStableFunc(due, func(a, b *host) int { return env.Scheduler.Load(a.ID) - env.Scheduler.Load(b.ID) })
-	for _, h := range due {
-		if h.wave == 0 && h.moveTo == "" && emptying < w.Cap+1 && h.State == order.HostUp {
-			h.wave = id
-			emptying++
-			out.log(effect.WaveBegun, effect.Log{Host: h.ID, Index: id, Detail: "gets no new runs"})
-		}
-		if h.wave == id {
-			down += p.advanceHost(env, out, id, w, h, down < w.Cap)
-		}
-	}
-}
-
-// advanceHost empties a host and orders its maintenance. It returns 1 if that
-// was ordered now.
-func (p *Planner) advanceHost(env Env, out *Out, id uint64, w *jobs.Wave, h *host, mayGoDown bool) int {
-	now := env.Schedule.Now
-	if h.callOut && now > h.callEnd {
-		h.callOut, h.retryAt = false, now
-	}
-	if h.callOut || h.proposed || now < h.retryAt {
-		return 0
-	}
-	if h.ordered {
-		p.order(env, out, id, h)
-		return 0
-	}
-	if h.State != order.HostUp || !mayGoDown {
-		return 0
-	}
-	env.Scheduler.Empty(env.Schedule, &out.Schedule, h.ID)
-	if env.Scheduler.Load(h.ID) > 0 {
-		return 0
-	}
-	h.ordered, h.proposed = true, true
-	out.Proposals = append(out.Proposals, jobs.Command{Maintain: &jobs.Maintain{Wave: id, Host: h.ID}})
-	return 1
-}
-
-// Committed orders a maintenance that has been recorded.
-func (p *Planner) Committed(env Env, out *Out, c *jobs.Command) {
-	if c.Maintain == nil || c.Maintain.Accepted {
-		return
-	}
-	if h := p.hosts[c.Maintain.Host]; h != nil && h.proposed {
-		h.proposed = false
-		p.order(env, out, c.Maintain.Wave, h)
-	}
-}
-
-func (p *Planner) order(env Env, out *Out, id uint64, h *host) {
-	h.callOut, h.callEnd = true, env.Schedule.Now.Add(callTimeout)
-	out.Effects = append(out.Effects, p.call(env, order.HostCall{Maintain: &order.Maintain{Host: h.ID, Wave: id}}))
-	out.log(effect.HostOrdered, effect.Log{Host: h.ID, Index: id, Detail: "maintenance"})
-}
-
-func (p *Planner) maintained(env Env, out *Out, r *order.HostReply) {
-	h := p.hosts[r.Call.Maintain.Host]
-	if h == nil || !h.callOut {
-		return
-	}
-	now := env.Schedule.Now
-	h.callOut = false
-	switch r.Status {
-	case order.HostAccepted:
-		h.ordered, h.wave = false, 0
-		p.departs(env, out, h)
-		h.State = order.HostMaintenance
-		h.changedAt = now
-		h.downBy = now.Add(env.Schedule.Bounds.Maintenance + returnMargin)
-		out.Proposals = append(out.Proposals, jobs.Command{Maintain: &jobs.Maintain{
-			Wave: r.Call.Maintain.Wave, Host: h.ID, Accepted: true,
-		}})
-	default:
-		h.retryAt = now.Add(retryTime)
-		out.log(effect.HostCallFailed, effect.Log{Host: h.ID, Index: r.Call.Maintain.Wave, Detail: string(r.Status) + " " + r.Detail})
-	}
-	p.listAt = min(p.listAt, now.Add(listInterval))
-}
-
 // holdHosts tells the scheduler which hosts get no new runs.
 func (p *Planner) holdHosts(env Env) {
 	held := make(map[model.HostID]bool)
@@ -325,4 +198,5 @@
 		}
 	}
 	env.Scheduler.HoldHosts(held)
+	env.Scheduler.LeavingHosts(p.leaving(env))
 }
--- a/core/hosts/sizing.go
+++ b/core/hosts/sizing.go
@@ -1,6 +1,7 @@
 package hosts
 
 import (
+	"fmt"
 	"slices"
 
 	"primrosedale.example/primrosedale/core/model"
@@ -44,8 +45,9 @@
 
 // move is one host that changes its pool.
 type move struct {
-	host *host
-	to   model.ServiceID
+	host   *host
+	to     model.ServiceID
+	reason string
 }
 
 // moves returns the hosts to move now. Pools that lack hosts get idle ones: first
@@ -67,7 +69,8 @@
 			if donor == nil {
 				break
 			}
-			list = append(list, move{take(donor), p.id})
+			reason := fmt.Sprintf(", which has %d hosts for %d thousandths of a core", p.hosts, p.demand.Need())
+			list = append(list, move{take(donor), p.id, reason})
 			p.hosts++
 		}
 	}
@@ -76,7 +79,8 @@
 	}
 	for _, p := range free {
 		for p.hosts > p.wanted() && len(p.idle) > 0 && shed(p.id) {
-			list = append(list, move{take(p), off[0].id})
+			reason := fmt.Sprintf(", as %d hosts are too many for %d thousandths of a core", p.hosts, p.demand.Need())
+			list = append(list, move{take(p), off[0].id, reason})
 		}
 	}
 	return list
--- /dev/null
+++ b/core/hosts/wave.go
@@ -0,0 +1,186 @@
+package hosts
+
+import (
+	"slices"
+
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/jobs"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/order"
+)
+
+// roundTime is about how long it takes to empty as many hosts as a wave's cap and
+// to maintain them.
+const roundTime = 4 * model.Second
+
+func openWaves(s *jobs.State) []uint64 {
+	var list []uint64
+	for _, id := range model.SortedKeys(s.Waves) {
+		if !s.Waves[id].Closed {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+// advanceWave goes on with one wave: hosts that are empty are maintained while
+// the cap allows, and the next ones are emptied.
+func (p *Planner) advanceWave(env Env, out *Out, id uint64, w *jobs.Wave) {
+	now := env.Schedule.Now
+	down, open := 0, 0
+	var due []*host
+	for _, hostID := range w.Hosts {
+		h := p.hosts[hostID]
+		if h == nil {
+			continue // it has left the fleet
+		}
+		accepted, ordered := w.Ordered[hostID]
+		if ordered && !accepted && h.wave == 0 {
+			h.wave, h.ordered = id, true // by an earlier leader
+		}
+		if h.ordered || ordered && (h.State != order.HostUp || now < h.downBy) {
+			down++
+		}
+		if accepted {
+			continue
+		}
+		open++
+		due = append(due, h)
+	}
+	if open == 0 && p.known {
+		out.Proposals = append(out.Proposals, jobs.Command{CloseWave: &jobs.CloseWave{Wave: id}})
+		return
+	}
+	p.chooseForWave(env, out, id, w, due)
+	for _, h := range due {
+		if h.wave == id {
+			down += p.advanceHost(env, out, id, h, down < w.Cap)
+		}
+	}
+}
+
+// chooseForWave picks the hosts to be emptied now. A host that is off, or idle in
+// a pool that can do without it, costs nobody anything. One that runs only tasks
+// that last is emptied while its pool can do without it. Others are left until the
+// time that is left is needed for them.
+func (p *Planner) chooseForWave(env Env, out *Out, id uint64, w *jobs.Wave, due []*host) {
+	spare := make(map[model.ServiceID]int)
+	for _, pl := range p.pools(env) {
+		spare[pl.id] = pl.hosts - pl.wanted()
+		if pl.standby {
+			spare[pl.id] = pl.hosts
+		}
+	}
+	chosen := 0
+	for _, h := range due {
+		if h.wave == id {
+			chosen++
+		}
+	}
+	slices.SortStableFunc(due, func(a, b *host) int { return env.Scheduler.Load(a.ID) - env.Scheduler.Load(b.ID) })
+	pressing := isPressing(env.Schedule.Clock, w, len(due))
+	for _, h := range due {
+		if chosen >= w.Cap+1 {
+			return
+		}
+		if h.wave != 0 || h.moveTo != "" || h.callOut || h.State != order.HostUp {
+			continue
+		}
+		light := env.Scheduler.Load(h.ID) == 0 || env.Scheduler.OnlyLasting(h.ID)
+		if !pressing && (!light || spare[h.Pool] <= 0) {
+			continue
+		}
+		spare[h.Pool]--
+		chosen++
+		h.wave = id
+		out.log(effect.WaveBegun, effect.Log{Host: h.ID, Index: id, Count: len(due), Detail: "gets no new runs"})
+	}
+}
+
+// isPressing reports whether the hosts that are left need the time that is left.
+func isPressing(now model.Time, w *jobs.Wave, left int) bool {
+	rounds := (left + w.Cap - 1) / w.Cap
+	return now.Add(model.Duration(rounds+1)*roundTime) >= w.Due
+}
+
+// leaving names the hosts that are still to be maintained: tasks that last are
+// better placed elsewhere.
+func (p *Planner) leaving(env Env) map[model.HostID]bool {
+	hosts := make(map[model.HostID]bool)
+	for _, id := range openWaves(env.Schedule.State) {
+		w := env.Schedule.State.Waves[id]
+		for _, h := range w.Hosts {
+			if !w.Ordered[h] {
+				hosts[h] = true
+			}
+		}
+	}
+	return hosts
+}
+
+// advanceHost empties a host and orders its maintenance. It returns 1 if that
+// was ordered now.
+func (p *Planner) advanceHost(env Env, out *Out, id uint64, h *host, mayGoDown bool) int {
+	now := env.Schedule.Now
+	if h.callOut && now > h.callEnd {
+		h.callOut, h.retryAt = false, now
+	}
+	if h.callOut || h.proposed || now < h.retryAt {
+		return 0
+	}
+	if h.ordered {
+		p.order(env, out, id, h)
+		return 0
+	}
+	if h.State != order.HostUp || !mayGoDown {
+		return 0
+	}
+	env.Scheduler.Empty(env.Schedule, &out.Schedule, h.ID)
+	if env.Scheduler.Load(h.ID) > 0 {
+		return 0
+	}
+	h.ordered, h.proposed = true, true
+	out.Proposals = append(out.Proposals, jobs.Command{Maintain: &jobs.Maintain{Wave: id, Host: h.ID}})
+	return 1
+}
+
+// Committed orders a maintenance that has been recorded.
+func (p *Planner) Committed(env Env, out *Out, c *jobs.Command) {
+	if c.Maintain == nil || c.Maintain.Accepted {
+		return
+	}
+	if h := p.hosts[c.Maintain.Host]; h != nil && h.proposed {
+		h.proposed = false
+		p.order(env, out, c.Maintain.Wave, h)
+	}
+}
+
+func (p *Planner) order(env Env, out *Out, id uint64, h *host) {
+	h.callOut, h.callEnd = true, env.Schedule.Now.Add(callTimeout)
+	out.Effects = append(out.Effects, p.call(env, order.HostCall{Maintain: &order.Maintain{Host: h.ID, Wave: id}}))
+	out.log(effect.HostOrdered, effect.Log{Host: h.ID, Index: id, Detail: "maintenance"})
+}
+
+func (p *Planner) maintained(env Env, out *Out, r *order.HostReply) {
+	h := p.hosts[r.Call.Maintain.Host]
+	if h == nil || !h.callOut {
+		return
+	}
+	now := env.Schedule.Now
+	h.callOut = false
+	switch r.Status {
+	case order.HostAccepted:
+		h.ordered, h.wave = false, 0
+		p.departs(env, out, h)
+		h.State = order.HostMaintenance
+		h.changedAt = now
+		h.downBy = now.Add(env.Schedule.Bounds.Maintenance + returnMargin)
+		out.Proposals = append(out.Proposals, jobs.Command{Maintain: &jobs.Maintain{
+			Wave: r.Call.Maintain.Wave, Host: h.ID, Accepted: true,
+		}})
+	default:
+		h.retryAt = now.Add(retryTime)
+		out.log(effect.HostCallFailed, effect.Log{Host: h.ID, Index: r.Call.Maintain.Wave, Detail: string(r.Status) + " " + r.Detail})
+	}
+	p.listAt = min(p.listAt, now.Add(listInterval))
+}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -7,7 +7,8 @@
 // unknown outcome.
 //
 // A replica knows the leader from its log. An entry host asks the replicas with
-// Contact messages, beginning with the seeds of its settings.
+// Contact messages, beginning with the seeds of its settings. So does a replica that
+// hears no leader: the one that would take it in may not be among its seeds.
 package relay
 
 import (
@@ -202,10 +203,13 @@
 
 // contact keeps in touch with the leader, or looks for one.
 func (t *Table) contact(now model.Time) []effect.Effect {
+	var out []effect.Effect
 	if t.cfg.Replica {
+		if t.leader == "" && now.Sub(t.asked) >= searchInterval {
+			return t.search(now)
+		}
 		return nil
 	}
-	var out []effect.Effect
 	if touched := t.Ready(now); touched != t.inTouch {
 		t.inTouch = touched
 		code := effect.ContactLost
@@ -243,10 +247,10 @@
 
 // Contacted takes note of the answer of a replica.
 func (t *Table) Contacted(now model.Time, from model.HostID, r *call.ContactReply) []effect.Effect {
+	t.learn(r.Replicas)
 	if t.cfg.Replica {
 		return nil
 	}
-	t.learn(r.Replicas)
 	if r.BodyBytes > 0 {
 		t.limit = r.BodyBytes
 	}
--- a/core/schedule/hosts.go
+++ b/core/schedule/hosts.go
@@ -14,6 +14,24 @@
 	}
 }
 
+// LeavingHosts names the hosts that are to be emptied soon.
+func (s *Scheduler) LeavingHosts(hosts map[model.HostID]bool) { s.leaving = hosts }
+
+// OnlyLasting reports whether a host runs nothing but tasks that last.
+func (s *Scheduler) OnlyLasting(host model.HostID) bool {
+	for _, w := range s.workers {
+		if w.info.Host != host {
+			continue
+		}
+		for _, r := range w.runs {
+			if !r.step.Lasting {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // Load counts the runs that may be going on at the worker of a host.
 func (s *Scheduler) Load(host model.HostID) int {
 	n := 0
--- a/core/schedule/place.go
+++ b/core/schedule/place.go
@@ -142,6 +142,7 @@
 	failed   bool  // its latest run failed there
 	disturbs int   // runs that it would disturb, or that would disturb it
 	remote   bool  // not on the rack of its data, or of its step's other tasks
+	leaving  bool  // a task that lasts would have to move again soon
 	apart    int   // for tasks that last: 1 on a worker without any
 	room     int64 // thousandths of a core that stay free
 }
@@ -156,6 +157,9 @@
 	if c := compareBool(a.remote, b.remote); c != 0 {
 		return c < 0
 	}
+	if c := compareBool(a.leaving, b.leaving); c != 0 {
+		return c < 0
+	}
 	if a.apart != b.apart {
 		return a.apart < b.apart
 	}
@@ -179,6 +183,7 @@
 			sc.disturbs++
 		}
 	}
+	sc.leaving = step.Lasting && s.leaving[w.info.Host]
 	if step.Lasting && lasting == 0 {
 		sc.apart = 1
 	}
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -54,6 +54,7 @@
 	seq             uint64 // of calls
 	forgotAt        model.Time
 	departedWorkers []*worker             // earlier lives that have runs to be recorded as lost
+	leaving         map[model.HostID]bool // hosts that are to be emptied soon
 	held            map[model.HostID]bool // hosts that get no new runs, because they are to be moved or maintained
 }
 
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -45,6 +45,7 @@
 	answered  model.Time // latest answer
 	refusals  int        // refused connections in a row
 	missed    bool       // the latest poll had no answer
+	removing  bool       // its departure is proposed
 
 	clock      order.ClockMS // of the latest answer
 	clockAt    model.Time    // when it arrived
@@ -261,12 +262,15 @@
 	}
 }
 
-// processEnded gives up the runs of a worker whose process has certainly ended.
+// processEnded gives up the runs of a worker whose process has certainly ended,
+// and the worker. If it is there after all, its next heartbeat brings it back.
 func (s *Scheduler) processEnded(env Env, out *Out, w *worker, reason string) {
-	if len(w.runs) > 0 {
-		s.lose(env, out, w, reason)
-	}
+	s.lose(env, out, w, reason)
 	w.polled = false
+	if len(w.runs) == 0 && !w.removing {
+		w.removing = true
+		out.Proposals = append(out.Proposals, jobs.Command{Depart: &jobs.Depart{Worker: w.info.ID, Life: w.info.Life}})
+	}
 }
 
 // listed takes over what a worker lists.
--- a/core/state.go
+++ b/core/state.go
@@ -61,7 +61,7 @@
 	// Bounds are those of a platform whose workers are called. With the zero
 	// Bounds no jobs with steps are run.
 	Bounds schedule.Bounds
-	// Seeds are replicas to ask who leads; only for a host that holds no log.
+	// Seeds are replicas to ask who leads.
 	Seeds []model.HostID
 }
 
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -88,10 +88,9 @@
 		Host: s.Host, DataCentre: s.DataCentre, Incarnation: inc, Replica: inc,
 		Durable: s.IsReplica(), MaxVoters: maxVoters, Bounds: s.Bounds,
 	}
+	cfg.Seeds = s.Seeds
 	if s.IsReplica() {
 		cfg.Peers = s.Seeds
-	} else {
-		cfg.Seeds = s.Seeds
 	}
 	stored, err := d.openStore(&cfg)
 	if err != nil {
