hosts, schedule: let lasting tasks leave hosts due for maintenance early

Cause: tasks of one step move one at a time, about 2.5 s each; a host with seven of them was chosen 8 s before the end of the wave and was maintained 13 s late. Change: lasting tasks leave due hosts from the beginning of the wave, to hosts that stay and have room, while the host takes other work; a worker on which one begins is asked every 250 ms.

--- a/core/hosts/wave.go
+++ b/core/hosts/wave.go
@@ -53,6 +53,9 @@
 	}
 	p.chooseForWave(env, out, id, w, due)
 	for _, h := range due {
+		// Tasks that last move one after the other, so they begin early. The host
+		// takes other work meanwhile.
+		env.Scheduler.Empty(env.Schedule, &out.Schedule, h.ID)
 		if h.wave == id {
 			down += p.advanceHost(env, out, id, h, down < w.Cap)
 		}
@@ -135,7 +138,6 @@
 	if h.State != order.HostUp || !mayGoDown {
 		return 0
 	}
-	env.Scheduler.Empty(env.Schedule, &out.Schedule, h.ID)
 	if env.Scheduler.Load(h.ID) > 0 {
 		return 0
 	}
--- a/core/schedule/hosts.go
+++ b/core/schedule/hosts.go
@@ -44,7 +44,8 @@
 }
 
 // Empty stops runs of a host so that it becomes empty: tasks that last, as far as
-// the number that each step may miss allows. Other runs end by themselves.
+// the number that each step may miss allows and another host has room. Other runs
+// end by themselves.
 func (s *Scheduler) Empty(env Env, out *Out, host model.HostID) {
 	for _, id := range model.SortedKeys(s.workers) {
 		w := s.workers[id]
@@ -52,13 +53,24 @@
 			continue
 		}
 		for _, r := range sortedRunsOf(w) {
-			if r.step.Lasting && r.isAtWork(env) && s.maySpare(env, r) {
+			if r.step.Lasting && r.isAtWork(env) && s.maySpare(env, r) && s.hasRoomElsewhere(env, r) {
 				s.stop(env, out, r)
 			}
 		}
 	}
 }
 
+// hasRoomElsewhere reports whether a run could go on at once on another worker
+// whose host stays.
+func (s *Scheduler) hasRoomElsewhere(env Env, r *run) bool {
+	for _, w := range s.usable(env, s.pool(r.worker.info.Service)) {
+		if w != r.worker && !s.leaving[w.info.Host] && r.claim.Fits(w.info.Capacity.Sub(w.used)) && allows(w, r.step, r.ref.TaskRef) {
+			return true
+		}
+	}
+	return false
+}
+
 // isAtWork reports whether a run is past its start and does all of its work.
 func (r *run) isAtWork(env Env) bool {
 	return r.phase == begun && !r.stopping && r.progress == 100 && r.worker.isFresh(env.Now)
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -14,6 +14,9 @@
 	// pollWait is the longest time that a poll waits for an end. It is a small
 	// part of the lease, so that some polls may be lost.
 	pollWait = 1000 * model.Millisecond
+	// startingWait is the same while a task that lasts begins: other tasks of its
+	// step wait for it to be at work.
+	startingWait = 250 * model.Millisecond
 	// pollRetry is the pause after a poll that failed.
 	pollRetry = 150 * model.Millisecond
 	// pollTimeout is how long after its longest wait a poll is given up. The
@@ -201,6 +204,9 @@
 	hold := order.Hold{Seen: w.seen}
 	if w.polled && !w.missed {
 		hold.Wait = pollWait
+		if w.hasStarting() {
+			hold.Wait = startingWait
+		}
 		hold.Deadline = w.extend(env.Now, leaseTime(env.Bounds))
 	}
 	call := s.call(w, order.Call{Hold: &hold})
@@ -208,6 +214,16 @@
 	out.Effects = append(out.Effects, call)
 }
 
+// hasStarting reports whether a task that lasts is not at work yet.
+func (w *worker) hasStarting() bool {
+	for _, r := range w.runs {
+		if r.step.Lasting && !r.stopping && r.progress < 100 && r.pace == 100 {
+			return true
+		}
+	}
+	return false
+}
+
 // Replied takes note of what became of a call to a worker.
 func (s *Scheduler) Replied(env Env, out *Out, reply *order.Reply) {
 	w := s.workers[reply.Call.Worker]
