schedule, control: order late jobs behind others; handle waiting events as one

Change: jobs whose time is over go behind those that can be on time; admission counts half of what runs as done and 0.88 of a pool as usable; events that wait together share a pass; tasks are placed once for each; log writes are whole lines of 4 KiB at most.

--- a/control/loop.go
+++ b/control/loop.go
@@ -30,6 +30,10 @@
 // The rest of the queue is kept for the outcomes of work that was accepted.
 const admissionSize = queueSize * 3 / 4
 
+// batchSize bounds the events that are handled as one, so that a tick is not kept
+// waiting for long.
+const batchSize = 64
+
 // Executor carries out effects. Its methods are called on the control
 // goroutine and must not block.
 type Executor interface {
@@ -157,7 +161,7 @@
 	for {
 		select {
 		case e := <-l.queue:
-			l.handle(e)
+			l.handle(l.collect(e))
 		case <-ticker.C:
 			l.handle(event.Tick{})
 		case <-l.halted:
@@ -168,6 +172,21 @@
 	}
 }
 
+// collect adds to an event those that wait behind it. When the process is short of
+// processor time, more of them share a pass through the reducer.
+func (l *Loop) collect(first event.Event) event.Event {
+	waiting := min(len(l.queue), batchSize-1)
+	if waiting == 0 {
+		return first
+	}
+	events := make([]event.Event, 1, waiting+1)
+	events[0] = first
+	for range waiting {
+		events = append(events, <-l.queue)
+	}
+	return event.Batch{Events: events}
+}
+
 func (l *Loop) handle(e event.Event) {
 	began := time.Now()
 	in := event.Input{At: l.Now(), Rand: l.Rand(), Event: e}
--- a/core/calls.go
+++ b/core/calls.go
@@ -23,8 +23,8 @@
 	}
 }
 
-// asScheduler lets the scheduler handle something, places tasks where that has
-// changed something, and carries out what both ask for.
+// asScheduler lets the scheduler handle something and carries out what it asks
+// for.
 func (s *State) asScheduler(handle func(schedule.Env, *schedule.Out)) {
 	if s.leading.scheduler == nil {
 		return
@@ -32,11 +32,23 @@
 	var out schedule.Out
 	env := s.scheduleEnv()
 	handle(env, &out)
-	s.leading.scheduler.Place(env, &out)
 	s.emitOrders(out.Effects)
 	s.proposeJobs(out.Proposals)
 }
 
+// placeTasks assigns tasks once all that has happened at this instant is taken
+// note of. It reports whether there was anything to assign.
+func (s *State) placeTasks() bool {
+	if s.leading == nil || s.leading.scheduler == nil {
+		return false
+	}
+	var out schedule.Out
+	s.leading.scheduler.Place(s.scheduleEnv(), &out)
+	s.emitOrders(out.Effects)
+	s.proposeJobs(out.Proposals)
+	return len(out.Proposals) > 0
+}
+
 func (s *State) asHosts(handle func(hosts.Env, *hosts.Out)) {
 	if s.leading.hosts == nil {
 		return
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -22,6 +22,10 @@
 // Event is one of the types of this package.
 type Event interface{ event() }
 
+// Batch is events that were waiting together, in their order. They are handled as
+// one, so that what they ask of the log shares a write and a message.
+type Batch struct{ Events []Event }
+
 // Tick arrives every 50 ms.
 type Tick struct{}
 
@@ -120,6 +124,7 @@
 // StopRequested begins the graceful stop of this process.
 type StopRequested struct{}
 
+func (Batch) event()            {}
 func (Tick) event()             {}
 func (Received) event()         {}
 func (Persisted) event()        {}
--- a/core/reduce.go
+++ b/core/reduce.go
@@ -26,6 +26,10 @@
 
 func (s *State) handle(e event.Event) {
 	switch e := e.(type) {
+	case event.Batch:
+		for _, one := range e.Events {
+			s.handle(one)
+		}
 	case event.Tick:
 		s.tick()
 	case event.Received:
@@ -73,6 +77,9 @@
 		s.enforceKeys()
 		s.lead()
 		if len(s.local) == 0 {
+			if s.placeTasks() {
+				continue
+			}
 			return
 		}
 		m := s.local[0]
--- a/core/schedule/admit.go
+++ b/core/schedule/admit.go
@@ -8,8 +8,10 @@
 
 // Limits of the wait that a refused caller is told.
 const (
-	retryMin = 1 * model.Second
-	retryMax = 4 * model.Second
+	// usablePart is the part of a pool that work fills while more waits.
+	usablePart = 0.88
+	retryMin   = 1 * model.Second
+	retryMax   = 4 * model.Second
 )
 
 // Admit returns why a job cannot be served in time, or nil. The work ahead of it
@@ -29,12 +31,12 @@
 	ahead := 0.0
 	due := env.Clock.Add(allowed(q, j))
 	for _, other := range p.jobs {
-		if other.lasting || other.rank > q.Precedence || other.rank == q.Precedence && other.due > due {
+		if other.lasting || other.late || other.rank > q.Precedence || other.rank == q.Precedence && other.due > due {
 			continue
 		}
 		ahead += other.left()
 	}
-	wait := model.Duration(ahead / room * float64(model.Second))
+	wait := model.Duration(ahead / (room * usablePart) * float64(model.Second))
 	slack := allowed(q, j) - chain(j)
 	if wait <= slack {
 		return nil
--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -17,6 +17,7 @@
 	attempts int        // failures of one task at which the job fails, 0 for no limit
 	rank     int        // precedence of its queue
 	due      model.Time // replicated clock: it is late after this
+	late     bool       // its time is over
 	ready    []jobs.TaskRef
 	stale    bool                            // ready must be rebuilt
 	undated  bool                            // some round is not due yet
@@ -46,10 +47,12 @@
 }
 
 // compareProgress orders jobs: tasks that last first, since each moment without
-// one is missed, then by precedence, then by the time at which they are late.
+// one is missed, then by precedence, then by the time at which they are late. Jobs
+// whose time is over go behind those that can still be on time: in a burst beyond
+// the fleet one late job would otherwise make all later ones late.
 func compareProgress(a, b *progress) int {
 	return cmp.Or(-compareBool(a.lasting, b.lasting), cmp.Compare(a.rank, b.rank),
-		cmp.Compare(a.due, b.due), cmp.Compare(a.job.ID, b.job.ID))
+		compareBool(a.late, b.late), cmp.Compare(a.due, b.due), cmp.Compare(a.job.ID, b.job.ID))
 }
 
 func compareBool(a, b bool) int {
@@ -116,19 +119,22 @@
 }
 
 // left is the estimated work of a job that is not done, in thousandths of a core
-// times seconds.
+// times seconds. Of what runs, half is taken to be done.
 func (p *progress) left() float64 {
 	sum := 0.0
 	for k := range p.job.Rounds {
 		for step := range p.job.Rounds[k].Tasks {
-			open := 0
+			open := 0.0
 			for i := range p.job.Rounds[k].Tasks[step] {
-				if p.job.Rounds[k].Tasks[step][i].Phase != jobs.Done {
+				switch p.job.Rounds[k].Tasks[step][i].Phase {
+				case jobs.Waiting:
 					open++
+				case jobs.Placed:
+					open += 0.5
 				}
 			}
 			st := &p.job.Steps[step]
-			sum += float64(open) * float64(st.Size.MilliCPU) * st.Estimate.Seconds()
+			sum += open * float64(st.Size.MilliCPU) * st.Estimate.Seconds()
 		}
 	}
 	return sum
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -109,6 +109,19 @@
 	}
 }
 
+// sortLate moves the jobs whose time is over behind the others.
+func (p *pool) sortLate(now model.Time) {
+	changed := false
+	for _, job := range p.jobs {
+		if !job.late && !job.lasting && now > job.due {
+			job.late, changed = true, true
+		}
+	}
+	if changed {
+		slices.SortFunc(p.jobs, compareProgress)
+	}
+}
+
 func (s *Scheduler) pool(id model.ServiceID) *pool {
 	p := s.services[id]
 	if p == nil {
@@ -129,6 +142,7 @@
 	}
 	for _, p := range s.services {
 		p.dirty = p.dirty || len(p.jobs) > 0
+		p.sortLate(env.Clock)
 	}
 	if env.Now.Sub(s.forgotAt) >= forgetInterval {
 		s.forgotAt = env.Now
@@ -137,7 +151,6 @@
 			out.Proposals = append(out.Proposals, jobs.Command{Forget: &jobs.Forget{Before: before}})
 		}
 	}
-	s.Place(env, out)
 }
 
 // forgetInterval is the time between two removals of ended jobs. Their state
--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -41,7 +41,7 @@
 	wake   chan struct{}
 }
 
-func newPlatformWorker(t *testing.T) (*platformWorker, string) {
+func newPlatformWorker(t testing.TB) (*platformWorker, string) {
 	w := &platformWorker{starts: make(map[string]int), began: time.Now(), wake: make(chan struct{}, 1)}
 	server := httptest.NewServer(w)
 	t.Cleanup(server.Close)
@@ -100,7 +100,7 @@
 	done   chan error
 }
 
-func startPlatformHost(t *testing.T, folder, ip string, replica, first bool) *platformHost {
+func startPlatformHost(t testing.TB, folder, ip string, replica, first bool) *platformHost {
 	listen := fmt.Sprintf("control = \"%s:%d\"\n", ip, testControlPort)
 	data := fmt.Sprintf("dataDir = %q\n", filepath.Join(folder, ip))
 	if !replica {
@@ -138,7 +138,7 @@
 	return h
 }
 
-func (h *platformHost) stop(t *testing.T) {
+func (h *platformHost) stop(t testing.TB) {
 	h.cancel()
 	select {
 	case <-h.done:
--- a/logevent/bounded.go
+++ b/logevent/bounded.go
@@ -1,6 +1,7 @@
 package logevent
 
 import (
+	"bytes"
 	"io"
 	"strconv"
 	"sync"
@@ -15,6 +16,8 @@
 	flushInterval = 100 * time.Millisecond
 	// flushBytes is the amount that is written without waiting for the interval.
 	flushBytes = 16 << 10
+	// pieceBytes is what Linux writes to a pipe as one, also beside other writers.
+	pieceBytes = 4 << 10
 )
 
 var droppedLines = metrics.NewCounter("primrosedale_log_lines_dropped_total")
@@ -78,7 +81,7 @@
 		if dropped > 0 {
 			lines = append(lines, `{"level":"warn","event":"log_lines_dropped","count":`+strconv.Itoa(dropped)+"}\n"...)
 		}
-		b.out.Write(lines) // there is no other place to report a failure
+		b.writeLines(lines)
 		spare = lines
 		if closing {
 			return
@@ -86,6 +89,21 @@
 	}
 }
 
+// writeLines writes whole lines in pieces that a pipe takes as one.
+func (b *Bounded) writeLines(lines []byte) {
+	for len(lines) > 0 {
+		end := len(lines)
+		if end > pieceBytes {
+			end = bytes.LastIndexByte(lines[:pieceBytes], '\n') + 1
+		}
+		if end == 0 {
+			end = len(lines)
+		}
+		b.out.Write(lines[:end]) // there is no other place to report a failure
+		lines = lines[end:]
+	}
+}
+
 // pause lets lines gather, unless there are enough or the writer is closing.
 func (b *Bounded) pause() {
 	timer := time.NewTimer(flushInterval)
--- a/recording/events.go
+++ b/recording/events.go
@@ -30,6 +30,7 @@
 	KindStatus    Kind = "status_requested"
 	KindStop      Kind = "stop_requested"
 	KindCall      Kind = "call_arrived"
+	KindBatch     Kind = "batch"
 	KindReply     Kind = "worker_replied"
 	KindHosts     Kind = "hosts_replied"
 	KindSettings  Kind = "settings_changed"
@@ -48,6 +49,8 @@
 		return KindTick, nil, nil
 	case event.StopRequested:
 		return KindStop, nil, nil
+	case event.Batch:
+		return encodeBatch(e)
 	case event.Received:
 		m, err := codec.EncodeMessage(&e.Message)
 		if err != nil {
@@ -99,6 +102,8 @@
 		return event.Tick{}, nil
 	case KindStop:
 		return event.StopRequested{}, nil
+	case KindBatch:
+		return decodeBatch(in)
 	case KindReceived:
 		return decodeReceived(in)
 	case KindPersisted:
@@ -134,6 +139,40 @@
 	}
 }
 
+// batched is the encoded form of one event of an event.Batch.
+type batched struct {
+	Kind  Kind            `json:"kind"`
+	Event json.RawMessage `json:"event,omitempty"`
+}
+
+func encodeBatch(b event.Batch) (Kind, json.RawMessage, error) {
+	list := make([]batched, len(b.Events))
+	for i, e := range b.Events {
+		kind, content, err := encodeEvent(e)
+		if err != nil {
+			return "", nil, err
+		}
+		list[i] = batched{kind, content}
+	}
+	return marshalled(KindBatch, list)
+}
+
+func decodeBatch(in *Input) (event.Event, error) {
+	var list []batched
+	if err := strict(in.Event, &list); err != nil {
+		return nil, err
+	}
+	b := event.Batch{Events: make([]event.Event, len(list))}
+	for i := range list {
+		e, err := decodeEvent(&Input{Kind: list[i].Kind, Event: list[i].Event})
+		if err != nil {
+			return nil, err
+		}
+		b.Events[i] = e
+	}
+	return b, nil
+}
+
 func decodeReceived(in *Input) (event.Event, error) {
 	var r received
 	if err := strict(in.Event, &r); err != nil {
