--- a/core/jobs/check.go
+++ b/core/jobs/check.go
@@ -65,16 +65,11 @@
 	return nil
 }
 
-// Unsupported returns why no scheduler runs such a job yet, or nothing.
-func (j *Job) Unsupported(q *Queue) string {
+// Unsupported returns why no scheduler runs jobs of the queue yet, or nothing.
+func (q *Queue) Unsupported() string {
 	if q.Advised {
 		return "queues whose policy is kept by a service are not supported"
 	}
-	for i := range j.Steps {
-		if j.Steps[i].Gang {
-			return fmt.Sprintf("step %d needs its tasks to run together, which is not supported", i)
-		}
-	}
 	return ""
 }
 
--- /dev/null
+++ b/core/schedule/gang.go
@@ -0,0 +1,84 @@
+package schedule
+
+import (
+	"primrosedale.example/primrosedale/core/jobs"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// placeGang assigns all tasks of a step whose tasks work only together, or none.
+// Their runs share a number.
+func (s *Scheduler) placeGang(env Env, usable []*worker, p *progress, first jobs.TaskRef) []jobs.Assignment {
+	if p.job.Steps[first.Step].Colocated {
+		for _, rack := range racks(usable) {
+			if list := s.placeMembers(env, onRack(usable, rack), p, first); list != nil {
+				return list
+			}
+		}
+	}
+	return s.placeMembers(env, usable, p, first)
+}
+
+func (s *Scheduler) placeMembers(env Env, usable []*worker, p *progress, first jobs.TaskRef) []jobs.Assignment {
+	number := 0
+	members := p.job.Rounds[first.Round].Tasks[first.Step]
+	for i := range members {
+		number = max(number, members[i].Run+1)
+	}
+	var list []jobs.Assignment
+	for i := range members {
+		ref := first
+		ref.Index = i
+		w := s.choose(env, usable, roomiest(usable), p, ref)
+		if w == nil {
+			s.withdraw(list)
+			return nil
+		}
+		list = append(list, s.assignRun(env, p, jobs.RunRef{TaskRef: ref, Run: number}, w))
+	}
+	return list
+}
+
+// withdraw takes back assignments that are not proposed.
+func (s *Scheduler) withdraw(list []jobs.Assignment) {
+	for i := range list {
+		delete(s.proposed, list[i].TaskRef)
+		if r := s.runs[list[i].RunRef]; r != nil {
+			dirty := s.pool(r.worker.info.Service).dirty
+			s.dropRun(r)
+			s.pool(r.worker.info.Service).dirty = dirty // nothing has become free
+		}
+	}
+}
+
+// stopGang stops the other members of a gang of which one has ended without being
+// done: they would wait for it in vain.
+func (s *Scheduler) stopGang(env Env, out *Out, ended *run) {
+	if !ended.step.Gang {
+		return
+	}
+	for i := range ended.step.Tasks {
+		ref := ended.ref
+		ref.Index = i
+		if r := s.runs[ref]; r != nil && r != ended {
+			s.stop(env, out, r)
+		}
+	}
+}
+
+func racks(workers []*worker) []model.RackID {
+	seen := make(map[model.RackID]bool)
+	for _, w := range workers {
+		seen[w.info.Rack] = true
+	}
+	return model.SortedKeys(seen)
+}
+
+func onRack(workers []*worker, rack model.RackID) []*worker {
+	var list []*worker
+	for _, w := range workers {
+		if w.info.Rack == rack {
+			list = append(list, w)
+		}
+	}
+	return list
+}
--- a/core/schedule/place.go
+++ b/core/schedule/place.go
@@ -56,6 +56,14 @@
 		largest := roomiest(usable)
 		kept := job.ready[:0]
 		for _, ref := range job.ready {
+			if job.job.Steps[ref.Step].Gang {
+				kept = append(kept, ref)
+				if ref.Index == 0 {
+					runs = append(runs, s.placeGang(env, usable, job, ref)...)
+					largest = roomiest(usable)
+				}
+				continue
+			}
 			w := s.choose(env, usable, largest, job, ref)
 			if w == nil {
 				kept = append(kept, ref)
@@ -195,9 +203,11 @@
 
 // assign counts a run and returns its assignment.
 func (s *Scheduler) assign(env Env, p *progress, ref jobs.TaskRef, w *worker) jobs.Assignment {
-	t := p.job.Task(ref)
-	run := jobs.RunRef{TaskRef: ref, Run: t.Run + 1}
-	s.proposed[ref] = true
+	return s.assignRun(env, p, jobs.RunRef{TaskRef: ref, Run: p.job.Task(ref).Run + 1}, w)
+}
+
+func (s *Scheduler) assignRun(env Env, p *progress, run jobs.RunRef, w *worker) jobs.Assignment {
+	s.proposed[run.TaskRef] = true
 	s.addRun(env, p.job, run, w.info.ID, w.info.Life)
 	return jobs.Assignment{RunRef: run, Worker: w.info.ID, Life: w.info.Life}
 }
--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -106,7 +106,7 @@
 			continue
 		}
 		for step := range p.job.Rounds[k].Tasks {
-			if !p.job.Open(k, step) {
+			if !p.job.Open(k, step) || p.job.Steps[step].Gang && !p.isWhole(k, step) {
 				continue
 			}
 			for i := range p.job.Rounds[k].Tasks[step] {
@@ -118,6 +118,16 @@
 	}
 }
 
+// isWhole reports whether no member of a gang may still be running.
+func (p *progress) isWhole(round, step int) bool {
+	for _, t := range p.job.Rounds[round].Tasks[step] {
+		if t.Phase != jobs.Waiting {
+			return false
+		}
+	}
+	return true
+}
+
 // left is the estimated work of a job that is not done, in thousandths of a core
 // times seconds. Of what runs, half is taken to be done.
 func (p *progress) left() float64 {
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -100,12 +100,17 @@
 		}
 		if !applied[i] {
 			s.dropRun(r)
+			s.stopGang(env, out, r)
 			continue
 		}
 		if r.worker.gone {
 			s.finish(env, out, r, jobs.OutcomeVoid, "", "its worker has left")
 			continue
 		}
+		if r.stopping {
+			s.finish(env, out, r, jobs.OutcomeVoid, "", "it was stopped before it was ordered")
+			continue
+		}
 		s.start(env, out, r)
 	}
 }
@@ -248,6 +253,7 @@
 	out.log(effect.RunGivenUp, effect.Log{Request: model.RequestID(r.ref.Job), Task: taskName(r.ref),
 		Worker: r.worker.info.ID, Detail: string(o) + ": " + reason})
 	s.dropRun(r)
+	s.stopGang(env, out, r)
 }
 
 func (s *Scheduler) ending(r *run, o jobs.Outcome, checkpoint string) jobs.Ending {
@@ -262,6 +268,9 @@
 func (s *Scheduler) noteEnd(env Env, out *Out, r *run, o jobs.Outcome) {
 	w := r.worker
 	out.log(effect.RunEnded, effect.Log{Request: model.RequestID(r.ref.Job), Task: taskName(r.ref), Worker: w.info.ID, Detail: string(o)})
+	if o != jobs.OutcomeDone {
+		s.stopGang(env, out, r)
+	}
 	switch o {
 	case jobs.OutcomeDone:
 		clear(w.failures)
--- a/core/schedule/scheduler_test.go
+++ b/core/schedule/scheduler_test.go
@@ -280,3 +280,30 @@
 	})
 	require.Contains(t, b.s.runs, ref("j", 0, 1))
 }
+
+// Guards against members of a gang that wait in vain for others: for those that
+// found no room, or for one that has ended.
+func TestGangStartsAndStopsAsOne(t *testing.T) {
+	gang := jobs.Step{Tasks: 3, Size: cores(3), Gang: true}
+	alone := newBench(t, testWorker("a"))
+	alone.state.Config.Teams["press"] = jobs.Team{}
+	alone.submit("j", gang)
+	require.Empty(t, alone.take("a"))
+	require.Zero(t, alone.s.workers["a"].used)
+
+	b := newBench(t, testWorker("a"), testWorker("b"))
+	b.state.Config.Teams["press"] = jobs.Team{}
+	b.submit("j", gang)
+	starts := append(b.take("a"), b.take("b")...)
+	require.Len(t, starts, 3)
+	for _, c := range starts {
+		require.Equal(t, 1, c.Start.Run)
+	}
+	ended := starts[0]
+	b.answerPoll(ended.Worker, nil, []order.Ended{{Number: 1, RunRef: ended.Start.RunRef, Outcome: jobs.OutcomeFailed}})
+	stops := append(b.take("a"), b.take("b")...)
+	require.Len(t, stops, 2)
+	for _, c := range stops {
+		require.NotNil(t, c.Stop)
+	}
+}
