schedule: put jobs beyond a team's share behind others

Change: a team's jobs beyond its weight a second are marked when they are accepted and go behind the others while the pool is full; the test replays such a burst.

--- a/core/handler/handler.go
+++ b/core/handler/handler.go
@@ -167,7 +167,11 @@
 		return Decision{Propose: &jobs.Command{Submit: &j}}
 	}
 	env.Scheduler.Offered(env.Schedule, q, &j)
+	j.Beyond = !env.Scheduler.WithinShare(env.Schedule, team)
 	if refusal := env.Scheduler.Admit(env.Schedule, q, &j); refusal != nil {
+		if !j.Beyond {
+			env.Scheduler.GiveBack(team)
+		}
 		return refused(env, s, refusal)
 	}
 	return Decision{Propose: &jobs.Command{Submit: &j}}
--- a/core/jobs/config.go
+++ b/core/jobs/config.go
@@ -43,7 +43,7 @@
 
 // Team is a customer.
 type Team struct {
-	Weight float64 `json:"weight"`
+	Weight float64 `json:"weight"` // jobs a second that are its share while a pool is full
 	// Cap bounds what the team has running on all workers. A zero amount is no
 	// limit.
 	Cap model.Resources `json:"cap"`
--- a/core/jobs/state.go
+++ b/core/jobs/state.go
@@ -41,9 +41,12 @@
 	FirstAt  model.Time     `json:"first_at,omitempty"` // when the first round is due, wall clock
 	Interval model.Duration `json:"interval,omitempty"`
 	Phase    Phase          `json:"phase"`
-	Started  bool           `json:"started,omitempty"`  // a task of it was assigned
-	Accepted model.Time     `json:"accepted"`           // replicated clock
-	EndedAt  model.Time     `json:"ended_at,omitempty"` // replicated clock
+	// Beyond is set if its team had handed in more than its share when it was
+	// accepted. Such jobs go behind others while a pool is full.
+	Beyond   bool       `json:"beyond,omitempty"`
+	Started  bool       `json:"started,omitempty"`  // a task of it was assigned
+	Accepted model.Time `json:"accepted"`           // replicated clock
+	EndedAt  model.Time `json:"ended_at,omitempty"` // replicated clock
 }
 
 // Step is a number of tasks of equal size.
--- a/core/schedule/admit.go
+++ b/core/schedule/admit.go
@@ -29,12 +29,11 @@
 		return nil
 	}
 	ahead := 0.0
-	due := env.Clock.Add(allowed(q, j))
+	own := &progress{job: j, rank: q.Precedence, due: env.Clock.Add(allowed(q, j))}
 	for _, other := range p.jobs {
-		if other.lasting || other.late || other.rank > q.Precedence || other.rank == q.Precedence && other.due > due {
-			continue
+		if !other.lasting && compareProgress(other, own) < 0 {
+			ahead += other.left()
 		}
-		ahead += other.left()
 	}
 	wait := model.Duration(ahead / (room * usablePart) * float64(model.Second))
 	slack := allowed(q, j) - chain(j)
--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -47,12 +47,13 @@
 }
 
 // compareProgress orders jobs: tasks that last first, since each moment without
-// one is missed, then by precedence, then by the time at which they are late. Jobs
+// one is missed, then by precedence, then those within their team's share, then by
+// the time at which they are late. Jobs
 // whose time is over go behind those that can still be on time: in a burst beyond
 // the fleet one late job would otherwise make all later ones late.
 func compareProgress(a, b *progress) int {
 	return cmp.Or(-compareBool(a.lasting, b.lasting), cmp.Compare(a.rank, b.rank),
-		compareBool(a.late, b.late), cmp.Compare(a.due, b.due), cmp.Compare(a.job.ID, b.job.ID))
+		compareBool(a.job.Beyond, b.job.Beyond), compareBool(a.late, b.late), cmp.Compare(a.due, b.due), cmp.Compare(a.job.ID, b.job.ID))
 }
 
 func compareBool(a, b bool) int {
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -50,7 +50,8 @@
 	active          map[model.JobID]*progress
 	services        map[model.ServiceID]*pool
 	teams           map[model.TeamID]model.Resources // what may be running
-	proposed        map[jobs.TaskRef]bool            // assignments that are not yet committed
+	shares          shares
+	proposed        map[jobs.TaskRef]bool // assignments that are not yet committed
 	runs            map[jobs.RunRef]*run
 	seq             uint64 // of calls
 	forgotAt        model.Time
@@ -76,6 +77,7 @@
 		active:   make(map[model.JobID]*progress),
 		services: make(map[model.ServiceID]*pool),
 		teams:    make(map[model.TeamID]model.Resources),
+		shares:   make(shares),
 		proposed: make(map[jobs.TaskRef]bool),
 		runs:     make(map[jobs.RunRef]*run),
 		forgotAt: env.Now,
--- /dev/null
+++ b/core/schedule/share_test.go
@@ -0,0 +1,46 @@
+package schedule
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/jobs"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// Guards against a team that, in a burst of its own, makes the jobs of others
+// late: it hands in ten times its share while another stays within its own.
+func TestBurstOfOneTeamGoesBehindOthers(t *testing.T) {
+	s := make(shares)
+	now := model.Time(1000 * model.Second)
+	within := map[model.TeamID]int{}
+	for range 400 {
+		now = now.Add(25 * model.Millisecond) // 40 a second
+		if s.take(now, "burst", 4) {
+			within["burst"]++
+		}
+		if now%model.Time(model.Second) == 0 && s.take(now, "calm", 4) {
+			within["calm"]++
+		}
+	}
+	require.InDelta(t, 4*10+8, within["burst"], 2)
+	require.Equal(t, 10, within["calm"])
+
+	b := newBench(t, testWorker("a"))
+	b.state.Config.Teams["calm"] = jobs.Team{}
+	for _, j := range []*jobs.Job{
+		{ID: "beyond", Team: "press", Beyond: true}, {ID: "calm", Team: "calm"},
+	} {
+		j.Queue, j.Service, j.Rounds = "q", "render", make([]jobs.Round, 1)
+		j.Steps = []jobs.Step{{Tasks: 1, Size: cores(8), Estimate: model.Second}}
+		c := jobs.Command{Submit: j}
+		result := b.apply(c)
+		var out Out
+		b.s.Committed(b.env(), &out, &c, result)
+	}
+	b.advance()
+	starts := b.take("a")
+	require.Len(t, starts, 1)
+	require.Equal(t, model.JobID("calm"), starts[0].Start.Job)
+}
