--- a/core/calls.go
+++ b/core/calls.go
@@ -67,7 +67,7 @@
 	lease := s.log.HoldsLeaderLease(s.now)
 	for _, e := range effects {
 		switch e.(type) {
-		case effect.CallWorker, effect.CallHosts:
+		case effect.CallWorker, effect.CallHosts, effect.CallAdvice:
 			if !lease {
 				continue
 			}
@@ -201,6 +201,13 @@
 	s.asScheduler(func(env schedule.Env, out *schedule.Out) { s.leading.scheduler.Replied(env, out, r) })
 }
 
+func (s *State) adviceReplied(r *order.AdviceReply) {
+	if s.leading == nil {
+		return
+	}
+	s.asScheduler(func(env schedule.Env, out *schedule.Out) { s.leading.scheduler.Advised(env, out, r) })
+}
+
 func (s *State) hostsReplied(r *order.HostReply) {
 	if s.leading == nil {
 		return
--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -86,6 +86,10 @@
 // event.HostsReplied, whatever becomes of it.
 type CallHosts struct{ Call order.HostCall }
 
+// CallAdvice asks the service that knows the policy of a queue. It is answered with
+// event.AdviceReplied, whatever becomes of it.
+type CallAdvice struct{ Call order.AdviceCall }
+
 // AnswerCall ends a call that this process holds.
 type AnswerCall struct{ Answer call.Answer }
 
@@ -171,6 +175,7 @@
 	RunEnded         Code = "run_ended"
 	RunStopped       Code = "run_stopped"
 	RunGivenUp       Code = "run_given_up"
+	AdviceFailed     Code = "advice_failed"
 	RunPaced         Code = "run_paced"
 	WorkerGone       Code = "worker_gone"
 	ConfigAccepted   Code = "config_accepted"
@@ -195,6 +200,7 @@
 func (AnswerStatus) effect()  {}
 func (CallWorker) effect()    {}
 func (CallHosts) effect()     {}
+func (CallAdvice) effect()    {}
 func (AnswerCall) effect()    {}
 func (Publish) effect()       {}
 func (Log) effect()           {}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -118,6 +118,9 @@
 // HostsReplied is what became of a call to the owner of the hosts.
 type HostsReplied struct{ Reply order.HostReply }
 
+// AdviceReplied is what became of a call for advice.
+type AdviceReplied struct{ Reply order.AdviceReply }
+
 // SettingsChanged names other replicas to turn to.
 type SettingsChanged struct{ Seeds []model.HostID }
 
@@ -140,5 +143,6 @@
 func (CallArrived) event()      {}
 func (WorkerReplied) event()    {}
 func (HostsReplied) event()     {}
+func (AdviceReplied) event()    {}
 func (SettingsChanged) event()  {}
 func (StopRequested) event()    {}
--- a/core/handler/handler.go
+++ b/core/handler/handler.go
@@ -157,9 +157,6 @@
 	if err := j.Check(); err != nil {
 		return refused(env, s, problem.New(problem.BadRequest, "%v", err))
 	}
-	if reason := q.Unsupported(); reason != "" {
-		return refused(env, s, problem.New(problem.JobRejected, "%s", reason))
-	}
 	if !env.Scheduler.Fits(q, &j) {
 		return refused(env, s, problem.New(problem.JobRejected, "a task is larger than every worker of %s", q.Service))
 	}
--- a/core/jobs/check.go
+++ b/core/jobs/check.go
@@ -65,14 +65,6 @@
 	return nil
 }
 
-// Unsupported returns why no scheduler runs jobs of the queue yet, or nothing.
-func (q *Queue) Unsupported() string {
-	if q.Advised {
-		return "queues whose policy is kept by a service are not supported"
-	}
-	return ""
-}
-
 // Check returns why a configuration is not valid, or nil.
 func (c *Config) Check() error {
 	type place struct{ host, prefix string }
--- a/core/jobs/config.go
+++ b/core/jobs/config.go
@@ -32,7 +32,16 @@
 	Target  model.Duration `json:"target"`
 	Timeout model.Duration `json:"timeout"`
 	Open    bool           `json:"open,omitempty"` // takes jobs without a key
-	Advised bool           `json:"advised,omitempty"`
+	// Advice is set if only a service of its own knows which workers may run the
+	// queue's steps.
+	Advice *Advice `json:"advice,omitempty"`
+}
+
+// Advice is how the service that knows a queue's policy answers.
+type Advice struct {
+	Decision model.Duration `json:"decision"` // time of one call
+	Period   model.Duration `json:"period"`   // more for each worker named
+	Validity model.Duration `json:"validity"` // of a ticket
 }
 
 // Service is a pool of workers.
--- a/core/jobs/state.go
+++ b/core/jobs/state.go
@@ -113,6 +113,16 @@
 	Index int         `json:"i,omitempty"`
 }
 
+// StepRef names a step of a round.
+type StepRef struct {
+	Job   model.JobID `json:"j"`
+	Round int         `json:"k,omitempty"`
+	Step  int         `json:"s,omitempty"`
+}
+
+// StepRef returns the step of a task.
+func (t TaskRef) StepRef() StepRef { return StepRef{t.Job, t.Round, t.Step} }
+
 // RunRef names one run of a task.
 type RunRef struct {
 	TaskRef
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -31,6 +31,7 @@
 	jobs.RunRef
 	Spec       string  `json:"spec,omitempty"`
 	Checkpoint string  `json:"checkpoint,omitempty"`
+	Ticket     string  `json:"ticket,omitempty"` // of the service that knows the queue's policy
 	Deadline   ClockMS `json:"deadline"`
 }
 
@@ -99,6 +100,22 @@
 	Checkpoint string       `json:"checkpoint,omitempty"`
 }
 
+// AdviceCall asks which of some workers may run a step.
+type AdviceCall struct {
+	Seq     uint64           `json:"seq"`
+	Step    jobs.StepRef     `json:"step"`
+	Workers []model.WorkerID `json:"workers"`
+	// Patience is how long the answer may take.
+	Patience model.Duration `json:"patience"`
+}
+
+// AdviceReply is what became of an AdviceCall.
+type AdviceReply struct {
+	Call    AdviceCall                `json:"call"`
+	Tickets map[model.WorkerID]string `json:"tickets,omitempty"` // of the workers that may run it
+	Failed  string                    `json:"failed,omitempty"`  // why there is no answer
+}
+
 // HostCall is one call to the owner of the hosts. Exactly one of List, Move and
 // Maintain is set.
 type HostCall struct {
--- a/core/reduce.go
+++ b/core/reduce.go
@@ -60,6 +60,8 @@
 		s.workerReplied(&e.Reply)
 	case event.HostsReplied:
 		s.hostsReplied(&e.Reply)
+	case event.AdviceReplied:
+		s.adviceReplied(&e.Reply)
 	case event.SettingsChanged:
 		s.relay.SetSeeds(e.Seeds)
 		s.meet(e.Seeds)
--- a/core/schedule/place.go
+++ b/core/schedule/place.go
@@ -55,16 +55,20 @@
 		}
 		largest := roomiest(usable)
 		kept := job.ready[:0]
-		for _, ref := range job.ready {
+		may := usable
+		for i, ref := range job.ready {
+			if job.advised != nil && (i == 0 || job.ready[i-1].StepRef() != ref.StepRef()) {
+				may = s.advise(env, out, job, ref.StepRef(), usable)
+			}
 			if job.job.Steps[ref.Step].Gang {
 				kept = append(kept, ref)
 				if ref.Index == 0 {
-					runs = append(runs, s.placeGang(env, usable, job, ref)...)
+					runs = append(runs, s.placeGang(env, may, job, ref)...)
 					largest = roomiest(usable)
 				}
 				continue
 			}
-			w := s.choose(env, usable, largest, job, ref)
+			w := s.choose(env, may, largest, job, ref)
 			if w == nil {
 				kept = append(kept, ref)
 				continue
--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -19,13 +19,17 @@
 	due      model.Time // replicated clock: it is late after this
 	late     bool       // its time is over
 	ready    []jobs.TaskRef
-	stale    bool                            // ready must be rebuilt
-	undated  bool                            // some round is not due yet
+	stale    bool         // ready must be rebuilt
+	undated  bool         // some round is not due yet
+	advised  *jobs.Advice // of its queue, nil without
+	advice   map[jobs.StepRef]*advice
 	failedOn map[jobs.TaskRef]model.WorkerID // the worker of the latest failure
 }
 
 func (s *Scheduler) addJob(env Env, j *jobs.Job) {
-	p := &progress{job: j, service: j.Service, lasting: j.Lasting(), begun: j.Started, stale: true, failedOn: make(map[jobs.TaskRef]model.WorkerID)}
+	p := &progress{job: j, service: j.Service, lasting: j.Lasting(), begun: j.Started, stale: true,
+		failedOn: make(map[jobs.TaskRef]model.WorkerID), advice: make(map[jobs.StepRef]*advice),
+	}
 	s.active[j.ID] = p
 	s.enqueue(env, p)
 }
@@ -33,7 +37,7 @@
 // enqueue puts a job into the order of its service.
 func (s *Scheduler) enqueue(env Env, p *progress) {
 	if q := env.State.Config.Queue(p.job.Queue); q != nil {
-		p.service, p.rank = q.Service, q.Precedence
+		p.service, p.rank, p.advised = q.Service, q.Precedence, q.Advice
 		p.attempts = q.MaxAttempts
 		p.due = p.job.Accepted.Add(allowed(q, p.job))
 	}
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -122,13 +122,23 @@
 	r.voidFrom = max(r.voidFrom, deadline)
 	r.phase, r.sentAt = ordered, env.Now
 	out.Effects = append(out.Effects, s.call(w, order.Call{Start: &order.Start{
-		RunRef: r.ref, Spec: r.job.Spec, Checkpoint: t.Checkpoint, Deadline: deadline,
+		RunRef: r.ref, Spec: r.job.Spec, Checkpoint: t.Checkpoint, Ticket: s.ticket(env, r), Deadline: deadline,
 	}}))
 	out.log(effect.RunOrdered, effect.Log{Request: model.RequestID(r.ref.Job), Task: taskName(r.ref), Worker: w.info.ID,
 		Detail: fmt.Sprintf("clock %d of %d ms ago, deadline %d, used %d of %d", w.clock,
 			env.Now.Sub(w.clockAt)/model.Millisecond, deadline, w.used.MilliCPU, w.info.Capacity.MilliCPU)})
 }
 
+// ticket returns the ticket with which a run is ordered, or nothing.
+func (s *Scheduler) ticket(env Env, r *run) string {
+	p := s.active[r.ref.Job]
+	if p == nil || p.advised == nil {
+		return ""
+	}
+	text, _ := p.ticketFor(env, r.ref.StepRef(), r.worker.info.ID)
+	return text
+}
+
 func taskName(r jobs.RunRef) string {
 	return fmt.Sprintf("%d.%d.%d run %d", r.Round, r.Step, r.Index, r.Run)
 }
@@ -149,12 +159,23 @@
 		// The order may be carried out later.
 	default:
 		s.finish(env, out, r, jobs.OutcomeVoid, "", "its worker refused it: "+string(reply.Status)+" "+reply.Detail)
-		if reply.Status == order.Unavailable {
+		switch reply.Status {
+		case order.Unavailable:
 			s.suspect(env, out, w)
+		case order.NoTicket:
+			s.forgetTicket(r)
 		}
 	}
 }
 
+// forgetTicket drops a ticket that its worker has refused.
+func (s *Scheduler) forgetTicket(r *run) {
+	if p := s.active[r.ref.Job]; p != nil && p.advice[r.ref.StepRef()] != nil {
+		delete(p.advice[r.ref.StepRef()].tickets, r.worker.info.ID)
+		delete(p.advice[r.ref.StepRef()].asked, r.worker.info.ID)
+	}
+}
+
 func (s *Scheduler) begin(env Env, r *run, at order.ClockMS) {
 	if r.phase != begun {
 		r.phase, r.begunAt = begun, env.Now
@@ -207,7 +228,7 @@
 		t := env.State.Task(r.ref.TaskRef)
 		r.sentAt = env.Now
 		out.Effects = append(out.Effects, s.call(r.worker, order.Call{Start: &order.Start{
-			RunRef: r.ref, Spec: r.job.Spec, Checkpoint: t.Checkpoint, Deadline: r.voidFrom,
+			RunRef: r.ref, Spec: r.job.Spec, Checkpoint: t.Checkpoint, Ticket: s.ticket(env, r), Deadline: r.voidFrom,
 		}}))
 	}
 }
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -54,6 +54,7 @@
 	proposed        map[jobs.TaskRef]bool // assignments that are not yet committed
 	runs            map[jobs.RunRef]*run
 	seq             uint64 // of calls
+	advices         int    // calls for advice that are out
 	forgotAt        model.Time
 	departedWorkers []*worker             // earlier lives that have runs to be recorded as lost
 	leaving         map[model.HostID]bool // hosts that are to be emptied soon
@@ -210,6 +211,11 @@
 		return
 	}
 	delete(s.active, id)
+	for _, a := range p.advice {
+		if a.out != 0 {
+			s.adviceEnded(a)
+		}
+	}
 	q := s.pool(p.service)
 	q.jobs = slices.DeleteFunc(q.jobs, func(other *progress) bool { return other == p })
 	if j := env.State.Jobs[id]; j != nil {
--- a/core/schedule/scheduler_test.go
+++ b/core/schedule/scheduler_test.go
@@ -307,3 +307,28 @@
 		require.NotNil(t, c.Stop)
 	}
 }
+
+// Guards against a task on a worker that the queue's policy does not allow, and
+// against an order with a ticket whose time is over.
+func TestAdvisedStepRunsOnlyWithATicket(t *testing.T) {
+	b := newBench(t, testWorker("a"), testWorker("b"))
+	b.state.Config.Queues[0].Advice = &jobs.Advice{Decision: 20 * ms, Period: ms, Validity: 3 * model.Second}
+	b.submit("j", jobs.Step{Tasks: 2, Size: cores(1)})
+	require.Empty(t, append(b.take("a"), b.take("b")...))
+	a := b.s.active["j"].advice[jobs.StepRef{Job: "j"}]
+	require.NotZero(t, a.out)
+	call := order.AdviceCall{Seq: a.out, Step: jobs.StepRef{Job: "j"}, Workers: []model.WorkerID{"a", "b"}}
+	b.act(func(out *Out) {
+		b.s.Advised(b.env(), out, &order.AdviceReply{Call: call, Tickets: map[model.WorkerID]string{"b": "ticket"}})
+	})
+	require.Empty(t, b.take("a"))
+	starts := b.take("b")
+	require.Len(t, starts, 2)
+	require.Equal(t, "ticket", starts[0].Start.Ticket)
+
+	b.now = b.now.Add(3 * model.Second)
+	b.answerPoll("b", nil, []order.Ended{{Number: 1, RunRef: starts[0].Start.RunRef, Outcome: jobs.OutcomeFailed}})
+	b.advance()
+	require.Empty(t, append(b.take("a"), b.take("b")...), "the ticket has expired")
+	require.NotZero(t, a.out, "it asks again")
+}
--- a/daemon/executor.go
+++ b/daemon/executor.go
@@ -102,6 +102,7 @@
 	effect.RunEnded:         logevent.RunEnded,
 	effect.RunStopped:       logevent.RunStopped,
 	effect.RunGivenUp:       logevent.RunGivenUp,
+	effect.AdviceFailed:     logevent.AdviceFailed,
 	effect.RunPaced:         logevent.RunPaced,
 	effect.WorkerGone:       logevent.WorkerGone,
 	effect.ConfigAccepted:   logevent.ConfigAccepted,
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -335,6 +335,8 @@
 		x.client.CallWorker(e.Call)
 	case effect.CallHosts:
 		x.client.CallHosts(e.Call)
+	case effect.CallAdvice:
+		x.client.CallAdvice(e.Call)
 	case effect.AnswerCall:
 		x.server.Answer(e.Answer)
 	case effect.Send:
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -271,6 +271,9 @@
 	{RunPaced, "run_paced", zerolog.InfoLevel,
 		"a run that fills was given another speed",
 		"Nothing."},
+	{AdviceFailed, "advice_failed", zerolog.WarnLevel,
+		"the service that knows a queue's policy gave no answer",
+		"If it lasts, look at that service: jobs of the queue wait."},
 }}
 
 var requestsArea = area{"Requests", []Entry{
--- a/logevent/ids.go
+++ b/logevent/ids.go
@@ -107,6 +107,7 @@
 	RunEnded       ID = 751
 	RunStopped     ID = 752
 	RunGivenUp     ID = 753
+	AdviceFailed   ID = 755
 	RunPaced       ID = 754
 )
 
--- a/recording/events.go
+++ b/recording/events.go
@@ -30,6 +30,7 @@
 	KindStatus    Kind = "status_requested"
 	KindStop      Kind = "stop_requested"
 	KindCall      Kind = "call_arrived"
+	KindAdvice    Kind = "advice_replied"
 	KindBatch     Kind = "batch"
 	KindReply     Kind = "worker_replied"
 	KindHosts     Kind = "hosts_replied"
@@ -83,6 +84,8 @@
 		return marshalled(KindReply, e)
 	case event.HostsReplied:
 		return marshalled(KindHosts, e)
+	case event.AdviceReplied:
+		return marshalled(KindAdvice, e)
 	case event.SettingsChanged:
 		return marshalled(KindSettings, e)
 	default:
@@ -132,6 +135,8 @@
 		return decodeAs[event.WorkerReplied](in)
 	case KindHosts:
 		return decodeAs[event.HostsReplied](in)
+	case KindAdvice:
+		return decodeAs[event.AdviceReplied](in)
 	case KindSettings:
 		return decodeAs[event.SettingsChanged](in)
 	default:
--- a/recording/schema_test.go
+++ b/recording/schema_test.go
@@ -35,6 +35,7 @@
 	event.CallArrived{Call: call.Call{Seq: 7, Query: &call.Address{Host: "a", Path: "/b"}}},
 	event.WorkerReplied{Reply: order.Reply{Status: order.Accepted, Clock: 8}},
 	event.HostsReplied{Reply: order.HostReply{Status: order.HostAccepted, Next: "9"}},
+	event.AdviceReplied{Reply: order.AdviceReply{Tickets: map[model.WorkerID]string{"w": "t"}}},
 	event.SettingsChanged{Seeds: []model.HostID{"a"}},
 }
 
