schedule, jobs: start copies of runs on silent workers; the first that is done counts

Change: such runs are given up when their worker is silent; a done end of an earlier run is recorded and stops the later copies; runs that a worker lists and that are not known take their part of its capacity until they are gone. The simulation has copies; it fails without either part.

--- a/core/jobs/apply.go
+++ b/core/jobs/apply.go
@@ -162,7 +162,7 @@
 		return false, nil
 	}
 	t := j.Task(e.TaskRef)
-	if t == nil || t.Phase != Placed || t.Run != e.Run {
+	if t == nil || !(t.Phase == Placed && t.Run == e.Run) && !j.isFirstCopy(t, e) {
 		return false, nil
 	}
 	j.record(t, e)
@@ -177,6 +177,12 @@
 	return true, nil
 }
 
+// isFirstCopy reports whether an earlier run of a task, which was given up, is the
+// first of its copies that is done.
+func (j *Job) isFirstCopy(t *Task, e *Ending) bool {
+	return e.Step < len(j.Steps) && j.Steps[e.Step].Copies && e.Outcome == OutcomeDone && t.Phase != Done && e.Run <= t.Run
+}
+
 // record changes a task by the end of its run. A gang has one checkpoint, and the
 // first of its members that is done stands for all.
 func (j *Job) record(t *Task, e *Ending) {
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -68,7 +68,6 @@
 	seq      uint64
 	limit    int64 // largest body, as the configuration says
 	inTouch  bool
-	stopping bool
 }
 
 // New returns an empty table.
--- a/core/schedule/advice.go
+++ b/core/schedule/advice.go
@@ -59,7 +59,7 @@
 		}
 	}
 	claim := p.job.Steps[step.Step].Claim()
-	if !slices.ContainsFunc(allowed, func(w *worker) bool { return claim.Fits(w.info.Capacity.Sub(w.used)) }) {
+	if !slices.ContainsFunc(allowed, func(w *worker) bool { return claim.Fits(w.free()) }) {
 		s.askAdvice(env, out, p, step, usable)
 	}
 	return allowed
@@ -83,7 +83,7 @@
 		return asked && env.Now.Sub(at) < p.advised.Validity
 	})
 	slices.SortStableFunc(candidates, func(x, y *worker) int {
-		return int((y.info.Capacity.MilliCPU - y.used.MilliCPU) - (x.info.Capacity.MilliCPU - x.used.MilliCPU))
+		return int(y.free().MilliCPU - x.free().MilliCPU)
 	})
 	candidates = candidates[:min(len(candidates), workersPerAdvice)]
 	if len(candidates) == 0 {
--- a/core/schedule/hosts.go
+++ b/core/schedule/hosts.go
@@ -67,7 +67,7 @@
 // whose host stays.
 func (s *Scheduler) hasRoomElsewhere(env Env, r *run) bool {
 	for _, w := range s.usable(env, s.pool(r.worker.info.Service)) {
-		if w != r.worker && !s.leaving[w.info.Host] && r.claim.Fits(w.info.Capacity.Sub(w.used)) && allows(w, r.step, r.ref.TaskRef) {
+		if w != r.worker && !s.leaving[w.info.Host] && r.claim.Fits(w.free()) && allows(w, r.step, r.ref.TaskRef) {
 			return true
 		}
 	}
--- a/core/schedule/place.go
+++ b/core/schedule/place.go
@@ -85,7 +85,7 @@
 func roomiest(workers []*worker) model.Resources {
 	var most model.Resources
 	for _, w := range workers {
-		free := w.info.Capacity.Sub(w.used)
+		free := w.free()
 		most.MilliCPU = max(most.MilliCPU, free.MilliCPU)
 		most.MemoryMB = max(most.MemoryMB, free.MemoryMB)
 		most.Accelerators = max(most.Accelerators, free.Accelerators)
@@ -115,7 +115,7 @@
 	var best *worker
 	var bestScore score
 	for _, w := range usable {
-		if !claim.Fits(w.info.Capacity.Sub(w.used)) || !allows(w, step, ref) {
+		if !claim.Fits(w.free()) || !allows(w, step, ref) {
 			continue
 		}
 		if sc := s.score(w, p, step, ref); best == nil || sc.less(bestScore) {
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -45,7 +45,6 @@
 	progress int           // as its worker reports it, in percent; 100 for a lasting task at work
 	pacedAt  model.Time
 	load     int64 // as its worker reports it
-	overFrom model.Time
 }
 
 // addRun counts a run. If its worker is not known, the run has no place of its
@@ -191,6 +190,7 @@
 	r := w.runs[listed.RunRef]
 	if r == nil {
 		// It was given up, or its assignment was never committed.
+		w.foreign = w.foreign.Add(claimOf(env, w, listed.RunRef))
 		out.Effects = append(out.Effects, s.call(w, order.Call{Stop: &order.Stop{RunRef: listed.RunRef}}))
 		return
 	}
@@ -202,6 +202,33 @@
 	r.progress = listed.Percent
 }
 
+func mayHaveCopies(env Env, ref jobs.TaskRef) bool {
+	j := env.State.Jobs[ref.Job]
+	return j != nil && ref.Step < len(j.Steps) && j.Steps[ref.Step].Copies
+}
+
+// stopCopies stops the other runs of a task of which a copy is done.
+func (s *Scheduler) stopCopies(env Env, out *Out, done jobs.RunRef) {
+	for number := done.Run + 1; ; number++ {
+		ref := jobs.RunRef{TaskRef: done.TaskRef, Run: number}
+		r := s.runs[ref]
+		if r == nil {
+			return
+		}
+		s.stop(env, out, r)
+	}
+}
+
+// claimOf returns what a run takes that is not known any more. Of a job that is
+// forgotten, it is taken to be the whole worker.
+func claimOf(env Env, w *worker, ref jobs.RunRef) model.Resources {
+	j := env.State.Jobs[ref.Job]
+	if j == nil || ref.Step >= len(j.Steps) {
+		return w.info.Capacity
+	}
+	return j.Steps[ref.Step].Claim()
+}
+
 // isVoidAt reports whether a run that its worker did not list at a time of the
 // worker's clock is not there for good.
 func (r *run) isVoidAt(at order.ClockMS) bool {
@@ -315,6 +342,9 @@
 			p.stale = true
 			s.pool(p.service).dirty = true
 		}
+		if c.Runs[i].Outcome == jobs.OutcomeDone && applied[i] {
+			s.stopCopies(env, out, c.Runs[i].RunRef)
+		}
 	}
 	w := s.workers[c.Worker]
 	if w == nil || w.info.Life != c.Life {
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -12,13 +12,10 @@
 
 // Bounds are the platform's limits that the scheduler keeps to.
 type Bounds struct {
-	LeaseMax     model.Duration // longest lease of a worker
-	StopGrace    model.Duration // longest time that a stop takes
-	StatusKept   model.Duration // how long the state of an ended job can be asked for
-	Interference model.Duration // how long a run may be over its target because of fillers
-	Notice       model.Duration // after this time without work a lasting task counts as missing
-	Move         model.Duration // how long a move of a host takes
-	Maintenance  model.Duration // how long the maintenance of a host takes
+	LeaseMax    model.Duration // longest lease of a worker
+	StatusKept  model.Duration // how long the state of an ended job can be asked for
+	Move        model.Duration // how long a move of a host takes
+	Maintenance model.Duration // how long the maintenance of a host takes
 }
 
 // Env is what the scheduler needs to know at one event.
--- a/core/schedule/sim_test.go
+++ b/core/schedule/sim_test.go
@@ -15,7 +15,7 @@
 
 const ms = model.Millisecond
 
-var simBounds = Bounds{LeaseMax: 6 * model.Second, StopGrace: 900 * ms, StatusKept: 120 * model.Second, Notice: 4500 * ms}
+var simBounds = Bounds{LeaseMax: 6 * model.Second, StatusKept: 120 * model.Second}
 
 // simWorker is a worker that obeys the platform: it carries orders out late or
 // not at all, lists ends until they are recorded, and kills what it runs when its
@@ -63,14 +63,15 @@
 	scheduler *Scheduler
 	workers   []*simWorker
 	late      float64
-	done      map[jobs.TaskRef]bool // ends that were recorded
+	done      map[jobs.TaskRef]bool       // ends that were recorded
+	forgotten map[jobs.TaskRef]model.Time // when a worker was first told to forget that one was done
 	starts    int
 	lateCalls int
 	leaders   int
 }
 
 func newSim(t *testing.T, seed uint64) *sim {
-	s := &sim{t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: 1000 * model.Time(model.Second), state: &jobs.State{}, done: make(map[jobs.TaskRef]bool)}
+	s := &sim{t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: 1000 * model.Time(model.Second), state: &jobs.State{}, done: make(map[jobs.TaskRef]bool), forgotten: make(map[jobs.TaskRef]model.Time)}
 	s.apply(&jobs.Command{Configure: &jobs.Config{Version: 1, Queues: []jobs.Queue{
 		{ID: "q", Host: "h", Prefix: "/q/", Service: "render", MaxAttempts: 40, Stretch: 1.6, Target: 600 * ms, Open: true},
 	}, Services: map[model.ServiceID]jobs.Service{"render": {}}}})
@@ -231,6 +232,9 @@
 		}
 	case c.Hold != nil:
 		for len(w.ends) > 0 && w.ends[0].Number <= c.Hold.Seen {
+			if _, known := s.forgotten[w.ends[0].TaskRef]; !known && w.ends[0].Outcome == jobs.OutcomeDone {
+				s.forgotten[w.ends[0].TaskRef] = s.now
+			}
 			w.ends = w.ends[1:]
 		}
 		w.lease = max(w.lease, min(c.Hold.Deadline, r.Clock+order.ClockMS(simBounds.LeaseMax/ms)))
@@ -278,6 +282,11 @@
 
 // checkStart checks a start against all that runs anywhere and what was recorded.
 func (s *sim) checkStart(w *simWorker, start *order.Start) {
+	if s.state.Jobs[start.Job].Steps[start.Step].Copies {
+		at, forgotten := s.forgotten[start.TaskRef]
+		require.False(s.t, forgotten && s.now.Sub(at) > model.Second, "%v starts after a copy was done", start.RunRef)
+		return
+	}
 	require.False(s.t, s.done[start.TaskRef], "%v starts after its end was recorded", start.RunRef)
 	for _, other := range s.workers {
 		for ref := range other.running {
@@ -414,8 +423,11 @@
 
 func (s *sim) submit(id string) {
 	steps := []jobs.Step{{Tasks: 1 + s.rng.IntN(4), Size: model.Resources{MilliCPU: 1000 + s.rng.Int64N(3000), MemoryMB: 500}, Estimate: model.Second}}
-	if s.rng.Float64() < 0.3 {
+	switch kind := s.rng.Float64(); {
+	case kind < 0.3:
 		steps[0].Gang = true
+	case kind < 0.5:
+		steps[0].Copies = true
 	}
 	if s.rng.Float64() < 0.5 {
 		steps = append(steps, jobs.Step{Tasks: 1 + s.rng.IntN(3), Size: model.Resources{MilliCPU: 2000, MemoryMB: 500}, Estimate: model.Second, After: []int{0}})
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -40,6 +40,9 @@
 	token uint64
 	runs  map[jobs.RunRef]*run
 	used  model.Resources
+	// foreign is what runs take that are listed and not known: they were given up, or
+	// their assignment was never committed. They are being stopped.
+	foreign model.Resources
 
 	polled    bool   // a poll with this leader's token has been answered
 	pollOut   uint64 // sequence number of the poll that is out, 0 for none
@@ -184,6 +187,9 @@
 		s.lose(env, out, w, "the lease of its worker is over")
 		return
 	}
+	if w.polled && !w.isFresh(env.Now) {
+		s.startCopies(env, out, w)
+	}
 	if !w.hasOverdue(env.Now) {
 		return
 	}
@@ -192,6 +198,19 @@
 	}
 }
 
+// startCopies gives up the runs of a silent worker of which another copy may run at
+// the same time. Those that go on are counted when the worker lists them.
+func (s *Scheduler) startCopies(env Env, out *Out, w *worker) {
+	for _, r := range sortedRunsOf(w) {
+		if r.step.Copies && r.phase != assigned {
+			s.finish(env, out, r, jobs.OutcomeLost, "", "its worker is silent and a copy may run")
+		}
+	}
+}
+
+// free is what a worker has left for new runs.
+func (w *worker) free() model.Resources { return w.info.Capacity.Sub(w.used).Sub(w.foreign) }
+
 // hasOverdue reports whether an order about some run has to be sent again.
 func (w *worker) hasOverdue(now model.Time) bool {
 	for _, r := range w.runs {
@@ -314,6 +333,7 @@
 		s.pool(w.info.Service).dirty = true
 	}
 	listed := make(map[jobs.RunRef]bool, len(reply.Running))
+	w.foreign = model.Resources{}
 	for i := range reply.Running {
 		listed[reply.Running[i].RunRef] = true
 		s.seenRunning(env, out, w, &reply.Running[i], reply.Clock)
@@ -352,7 +372,12 @@
 		w.recording = e.Number
 		r := w.runs[e.RunRef]
 		if r == nil {
-			continue // an end that an earlier leader recorded, or of a run that was given up
+			// An end that an earlier leader recorded, or of a run that was given up:
+			// it counts if it is the first copy that is done.
+			if e.Outcome == jobs.OutcomeDone && mayHaveCopies(env, e.TaskRef) {
+				endings = append(endings, jobs.Ending{RunRef: e.RunRef, Outcome: e.Outcome})
+			}
+			continue
 		}
 		endings = append(endings, s.ending(r, e.Outcome, e.Checkpoint))
 		s.noteEnd(env, out, r, e.Outcome)
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -17,7 +17,6 @@
 	"primrosedale.example/primrosedale/core/consensus"
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/event"
-	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/drain"
 	"primrosedale.example/primrosedale/gateway/reply"
 	"primrosedale.example/primrosedale/logevent"
@@ -301,9 +300,7 @@
 		return
 	}
 	d.log.Emit(logevent.SettingsLoaded, logevent.Str(logevent.NameFile, d.path))
-	seeds := make([]model.HostID, 0, len(s.Seeds))
-	seeds = append(seeds, s.Seeds...)
-	d.loop.PostWait(context.Background(), event.SettingsChanged{Seeds: seeds})
+	d.loop.PostWait(context.Background(), event.SettingsChanged{Seeds: s.Seeds})
 }
 
 func (d *PlatformDaemon) closeAll() {
