relay: send nothing to a leader that has been silent for a second

Change: an entry host that has not heard the leader for 1 s keeps new calls, passes them when a leader answers, and after 0.6 s refuses them as not run with a time to come back.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -112,8 +112,15 @@
 // Abandon drops a call whose caller has gone.
 func (t *Table) Abandon(seq uint64) { delete(t.calls, seq) }
 
+// reaches reports whether a call can be passed on now. A leader that an entry host
+// has not heard for contactTime may be gone: a call that is not sent to it can be
+// refused as not run.
+func (t *Table) reaches(now model.Time) bool {
+	return t.leader != "" && (t.cfg.Replica || now.Sub(t.heard) < contactTime)
+}
+
 func (t *Table) pass(now model.Time, h *held) []effect.Effect {
-	if t.leader == "" {
+	if !t.reaches(now) {
 		return nil
 	}
 	h.sentAt = now
@@ -139,6 +146,17 @@
 	return out
 }
 
+// passUnsent passes the calls that wait for a leader to be reached.
+func (t *Table) passUnsent(now model.Time) []effect.Effect {
+	var out []effect.Effect
+	for _, seq := range model.SortedKeys(t.calls) {
+		if h := t.calls[seq]; h.sentAt == 0 {
+			out = append(out, t.pass(now, h)...)
+		}
+	}
+	return out
+}
+
 // Answered ends a call.
 func (t *Table) Answered(a *call.Answer) []effect.Effect {
 	if t.calls[a.Seq] == nil || a.Incarnation != t.cfg.Incarnation {
@@ -260,10 +278,10 @@
 		}
 		return nil
 	}
-	t.heard = now
-	if t.leader == from {
-		return nil
+	known := t.leader == from
+	t.leader, t.heard = from, now
+	if known {
+		return t.passUnsent(now)
 	}
-	t.leader = from
 	return t.passAll(now)
 }
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -100,3 +100,18 @@
 	}
 	require.Equal(t, map[model.HostID]bool{"a": true, "b": true, "d": true, "f": true}, asked)
 }
+
+// Guards against an unknown outcome for a call that came when the leader had been
+// silent for long: it is not sent, so that it can be refused as not run, and goes
+// out as soon as the leader is heard.
+func TestNothingIsSentToASilentLeader(t *testing.T) {
+	table := entry()
+	leads(table, start, "a")
+	silent := start.Add(contactTime)
+	require.Empty(t, sent(table.Arrive(silent, submit(1))))
+	refused := answers(table.Advance(silent.Add(unsentTime)))
+	require.Len(t, refused, 1)
+	require.Equal(t, problem.NoLeader, refused[0].Problem.Kind)
+	require.Empty(t, sent(table.Arrive(silent, submit(2))))
+	require.Equal(t, []model.HostID{"a"}, sent(leads(table, silent.Add(100*model.Millisecond), "a")))
+}
