jobs: count the ends of copies that were given up

Change: a task keeps the numbers of its runs that were given up and may still end; the end of each counts once, done or failed. The planner of hosts is described with its moves. Ruled out: counting every late end of a step with copies (a later leader is listed ends again that are recorded).

--- a/core/calls.go
+++ b/core/calls.go
@@ -49,6 +49,8 @@
 	return len(out.Proposals) > 0
 }
 
+// asHosts lets the planner of hosts handle something and carries out what it and
+// the scheduler ask for.
 func (s *State) asHosts(handle func(hosts.Env, *hosts.Out)) {
 	if s.leading.hosts == nil {
 		return
--- a/core/hosts/planner.go
+++ b/core/hosts/planner.go
@@ -1,10 +1,15 @@
-// Package hosts is the leader's part that maintains hosts in waves.
+// Package hosts is the leader's part that moves hosts between pools and maintains
+// them in waves.
 //
-// The leader reads the list of hosts from their owner. A host that is due gets no
-// new runs; tasks that last are moved off it within the number that each step may
-// miss; when nothing runs on it, its maintenance is ordered. At most as many hosts
-// of a wave as its cap are down at one time. The order is recorded before it is
-// sent, so that a later leader counts it.
+// The leader reads the list of hosts from their owner. Pools that lack hosts for
+// their work get those that are switched off, then idle ones of other pools; hosts
+// that no pool needs are switched off. Only empty hosts move.
+//
+// A host that is due for maintenance gets no new runs once it is chosen; tasks that
+// last are moved off it within the number that each step may miss; when nothing runs
+// on it, its maintenance is ordered. At most as many hosts of a wave as its cap are
+// down at one time. The order is recorded before it is sent, so that a later leader
+// counts it.
 package hosts
 
 import (
@@ -21,8 +26,8 @@
 	listInterval = 1500 * model.Millisecond
 	// idleInterval is the time between two readings while nothing is to be done.
 	idleInterval = 10 * model.Second
-	// callTimeout is when a call without a report counts as failed. The executor
-	// reports it earlier.
+	// callTimeout is when a call without a report counts as failed. Package platform
+	// reports it after 2 s.
 	callTimeout = 3 * model.Second
 	// takeOverTime is how long a new leader orders nothing of hosts: what an earlier
 	// leader has stopped or ordered shows by then.
--- a/core/hosts/wave.go
+++ b/core/hosts/wave.go
@@ -135,7 +135,7 @@
 		return 0
 	}
 	if h.ordered {
-		p.order(env, out, id, h)
+		p.orderMaintenance(env, out, id, h)
 		return 0
 	}
 	if h.State != order.HostUp || !mayGoDown {
@@ -156,11 +156,11 @@
 	}
 	if h := p.hosts[c.Maintain.Host]; h != nil && h.proposed {
 		h.proposed = false
-		p.order(env, out, c.Maintain.Wave, h)
+		p.orderMaintenance(env, out, c.Maintain.Wave, h)
 	}
 }
 
-func (p *Planner) order(env Env, out *Out, id uint64, h *host) {
+func (p *Planner) orderMaintenance(env Env, out *Out, id uint64, h *host) {
 	h.callOut, h.callEnd = true, env.Schedule.Now.Add(callTimeout)
 	out.Effects = append(out.Effects, p.call(env, order.HostCall{Maintain: &order.Maintain{Host: h.ID, Wave: id}}))
 	out.log(effect.HostOrdered, effect.Log{Host: h.ID, Index: id, Detail: "maintenance"})
--- a/core/jobs/apply.go
+++ b/core/jobs/apply.go
@@ -1,6 +1,8 @@
 package jobs
 
 import (
+	"slices"
+
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/problem"
 )
@@ -162,10 +164,16 @@
 		return false, nil
 	}
 	t := j.Task(e.TaskRef)
-	if t == nil || !(t.Phase == Placed && t.Run == e.Run) && !j.isFirstCopy(t, e) {
+	switch {
+	case t == nil:
+		return false, nil
+	case t.Phase == Placed && t.Run == e.Run:
+		j.record(t, e)
+	case slices.Contains(t.Abandoned, e.Run):
+		t.recordAbandoned(e)
+	default:
 		return false, nil
 	}
-	j.record(t, e)
 	switch {
 	case j.Phase != Active:
 		j.shrink()
@@ -177,10 +185,16 @@
 	return true, nil
 }
 
-// isFirstCopy reports whether an earlier run of a task, which was given up, is the
-// first of its copies that is done.
-func (j *Job) isFirstCopy(t *Task, e *Ending) bool {
-	return e.Step < len(j.Steps) && j.Steps[e.Step].Copies && e.Outcome == OutcomeDone && t.Phase != Done && e.Run <= t.Run
+// recordAbandoned changes a task by the end of an earlier run that was given up: the
+// first copy that is done counts, and so does each that failed.
+func (t *Task) recordAbandoned(e *Ending) {
+	t.Abandoned = slices.DeleteFunc(slices.Clone(t.Abandoned), func(run int) bool { return run == e.Run })
+	switch e.Outcome {
+	case OutcomeDone:
+		t.Phase, t.Checkpoint = Done, ""
+	case OutcomeFailed:
+		t.Failures++
+	}
 }
 
 // record changes a task by the end of its run. A gang has one checkpoint, and the
@@ -199,6 +213,8 @@
 		}
 	}
 	switch {
+	case e.Outcome == OutcomeLost && step.Copies:
+		t.Abandoned = append(slices.Clip(t.Abandoned), e.Run)
 	case e.Outcome == OutcomeFailed:
 		t.Failures++
 	case e.Outcome == OutcomeDone && !step.Lasting:
--- a/core/jobs/state.go
+++ b/core/jobs/state.go
@@ -97,12 +97,15 @@
 
 // Task is one task of a round.
 type Task struct {
-	Phase      TaskPhase      `json:"p,omitempty"`
-	Run        int            `json:"r,omitempty"` // number of the latest run
-	Worker     model.WorkerID `json:"w,omitempty"` // of the latest run
-	Life       uint64         `json:"l,omitempty"` // of that worker
-	Failures   int            `json:"f,omitempty"`
-	Checkpoint string         `json:"c,omitempty"`
+	Phase    TaskPhase      `json:"p,omitempty"`
+	Run      int            `json:"r,omitempty"` // number of the latest run
+	Worker   model.WorkerID `json:"w,omitempty"` // of the latest run
+	Life     uint64         `json:"l,omitempty"` // of that worker
+	Failures int            `json:"f,omitempty"`
+	// Abandoned are runs that were given up and may still end, of a step whose tasks
+	// may run in several copies.
+	Abandoned  []int  `json:"a,omitempty"`
+	Checkpoint string `json:"c,omitempty"`
 }
 
 // TaskRef names a task.
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/jobs"
@@ -202,9 +203,17 @@
 	r.progress = listed.Percent
 }
 
-func mayHaveCopies(env Env, ref jobs.TaskRef) bool {
-	j := env.State.Jobs[ref.Job]
-	return j != nil && ref.Step < len(j.Steps) && j.Steps[ref.Step].Copies
+func isAbandoned(env Env, ref jobs.RunRef) bool {
+	t := env.State.Task(ref.TaskRef)
+	return t != nil && slices.Contains(t.Abandoned, ref.Run)
+}
+
+func (s *Scheduler) abandonedEnding(e *order.Ended) jobs.Ending {
+	ending := jobs.Ending{RunRef: e.RunRef, Outcome: e.Outcome}
+	if p := s.active[e.Job]; p != nil {
+		ending.MaxAttempts = p.attempts
+	}
+	return ending
 }
 
 // stopCopies stops the other runs of a task of which a copy is done.
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -20,12 +20,11 @@
 
 // Env is what the scheduler needs to know at one event.
 type Env struct {
-	Now   model.Time // of this process
-	Clock model.Time // replicated clock
-	Term  uint64
-	State *jobs.State
-	// Bounds of the deployment.
-	Bounds Bounds
+	Now    model.Time // of this process
+	Clock  model.Time // replicated clock
+	Term   uint64
+	State  *jobs.State
+	Bounds Bounds // of the deployment
 }
 
 // Out collects what is to be done.
@@ -63,8 +62,7 @@
 	jobs     []*progress // active, in the order in which they are served
 	dirty    bool        // something may be placed
 	arrivals []arrival   // of the latest arrivalWindow
-	// workers of the service, by id.
-	workers []*worker
+	workers  []*worker   // by id
 }
 
 // New returns the scheduler of a leader that has applied all earlier entries.
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -372,10 +372,9 @@
 		w.recording = e.Number
 		r := w.runs[e.RunRef]
 		if r == nil {
-			// An end that an earlier leader recorded, or of a run that was given up:
-			// it counts if it is the first copy that is done.
-			if e.Outcome == jobs.OutcomeDone && mayHaveCopies(env, e.TaskRef) {
-				endings = append(endings, jobs.Ending{RunRef: e.RunRef, Outcome: e.Outcome})
+			// An end that an earlier leader recorded, or of a run that was given up.
+			if isAbandoned(env, e.RunRef) {
+				endings = append(endings, s.abandonedEnding(e))
 			}
 			continue
 		}
