--- a/core/call/call.go
+++ b/core/call/call.go
@@ -36,7 +36,7 @@
 	Key  model.Digest `json:"key,omitempty"` // SHA-256 of the key, empty without one
 }
 
-// Submit hands a job in. Job has the content that the caller sent; its id and
+// Submit submits a job. Job has the content that the caller sent; its id and
 // queue follow from Address.
 type Submit struct {
 	Address
--- a/core/calls.go
+++ b/core/calls.go
@@ -161,6 +161,10 @@
 			detail = "not higher than the version in force"
 		}
 		s.emit(effect.Log{Code: effect.ConfigAccepted, Index: c.Configure.Version, Detail: detail})
+	case c.StartWave != nil && r.Changed:
+		s.emit(effect.Log{Code: effect.WaveStarted, Index: c.StartWave.Wave, Count: len(c.StartWave.Hosts)})
+	case c.Announce != nil && r.Changed && c.Announce.Draining:
+		s.emit(effect.Log{Code: effect.WorkerDraining, Worker: c.Announce.ID, Host: c.Announce.Host})
 	case c.SetOut != nil && r.Changed:
 		code := effect.DataCentreIn
 		if c.SetOut.Out {
@@ -194,7 +198,7 @@
 	s.send(from, message.Message{ContactReply: &r})
 }
 
-// workerReplied takes what became of a call to a worker. A process that has
+// workerReplied handles the result of a call to a worker. A process that has
 // stopped leading has no use for it.
 func (s *State) workerReplied(r *order.Reply) {
 	if s.leading == nil {
--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -79,15 +79,15 @@
 }
 
 // CallWorker makes a call to a worker. It is answered with
-// event.WorkerReplied, whatever becomes of it.
+// event.WorkerReplied, in any case.
 type CallWorker struct{ Call order.Call }
 
 // CallHosts makes a call to the owner of the hosts. It is answered with
-// event.HostsReplied, whatever becomes of it.
+// event.HostsReplied, in any case.
 type CallHosts struct{ Call order.HostCall }
 
 // CallAdvice asks the service that knows the policy of a queue. It is answered with
-// event.AdviceReplied, whatever becomes of it.
+// event.AdviceReplied, in any case.
 type CallAdvice struct{ Call order.AdviceCall }
 
 // AnswerCall ends a call that this process holds.
@@ -176,8 +176,11 @@
 	RunStopped       Code = "run_stopped"
 	RunGivenUp       Code = "run_given_up"
 	AdviceFailed     Code = "advice_failed"
-	RunPaced         Code = "run_paced"
+	RunThrottled     Code = "run_throttled"
 	WorkerGone       Code = "worker_gone"
+	ConfigRefused    Code = "config_refused"
+	WaveStarted      Code = "wave_started"
+	WorkerDraining   Code = "worker_draining"
 	ConfigAccepted   Code = "config_accepted"
 	CallGivenUp      Code = "call_given_up"
 	ContactLost      Code = "contact_lost"
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -112,13 +112,13 @@
 // CallArrived is a call of a caller, an operator or a worker.
 type CallArrived struct{ Call call.Call }
 
-// WorkerReplied is what became of a call to a worker.
+// WorkerReplied is the result of a call to a worker.
 type WorkerReplied struct{ Reply order.Reply }
 
-// HostsReplied is what became of a call to the owner of the hosts.
+// HostsReplied is the result of a call to the owner of the hosts.
 type HostsReplied struct{ Reply order.HostReply }
 
-// AdviceReplied is what became of a call for advice.
+// AdviceReplied is the result of a call for advice.
 type AdviceReplied struct{ Reply order.AdviceReply }
 
 // SettingsChanged names other replicas to turn to.
--- a/core/handler/handler.go
+++ b/core/handler/handler.go
@@ -55,7 +55,7 @@
 	return &Calls{submitted: make(map[model.JobID]int), refused: make(map[jobs.CallRef]refusal)}
 }
 
-// Committed takes note of a command that was applied.
+// Committed handles a command that was applied.
 func (c *Calls) Committed(cmd *jobs.Command) {
 	if cmd.Submit == nil {
 		return
@@ -243,7 +243,9 @@
 
 func configure(c *jobs.Config) Decision {
 	if err := c.Check(); err != nil {
-		return refuse(problem.ConfigRejected, "%v", err)
+		d := refuse(problem.ConfigRejected, "%v", err)
+		d.Logs = []effect.Log{{Code: effect.ConfigRefused, Index: c.Version, Detail: err.Error()}}
+		return d
 	}
 	return Decision{Propose: &jobs.Command{Configure: c}}
 }
--- a/core/hosts/moves.go
+++ b/core/hosts/moves.go
@@ -102,7 +102,7 @@
 	out.log(effect.HostOrdered, effect.Log{Host: h.ID, Detail: "from pool " + string(h.Pool) + " to " + string(h.moveTo) + reason})
 }
 
-// moved takes note of the answer to an order to move.
+// moved handles the answer to an order to move.
 func (p *Planner) moved(env Env, out *Out, r *order.HostReply) {
 	h := p.hosts[r.Call.Move.Host]
 	if h == nil || !h.callOut || h.moveTo != r.Call.Move.Pool {
--- a/core/hosts/planner.go
+++ b/core/hosts/planner.go
@@ -32,9 +32,11 @@
 	// takeOverTime is how long a new leader orders nothing of hosts: what an earlier
 	// leader has stopped or ordered shows by then.
 	takeOverTime = 2 * model.Second
-	// returnMargin is added to the time that a maintenance takes.
+	// returnMargin is added to the time that a maintenance or a move takes: the
+	// worker's first announcement comes within it.
 	returnMargin = 500 * model.Millisecond
-	// settleTime is how long a host stays in a pool after a move.
+	// settleTime is how long a host stays in a pool after a move: as long as a move
+	// takes, so that hosts do not spend their time on the way.
 	settleTime = 1500 * model.Millisecond
 	// retryTime is the pause after a call that failed.
 	retryTime = 500 * model.Millisecond
@@ -139,7 +141,7 @@
 	return effect.CallHosts{Call: c}
 }
 
-// Replied takes note of what became of a call.
+// Replied handles the result of a call.
 func (p *Planner) Replied(env Env, out *Out, r *order.HostReply) {
 	switch {
 	case r.Call.List != nil:
--- a/core/hosts/planner_test.go
+++ b/core/hosts/planner_test.go
@@ -152,7 +152,7 @@
 	require.Len(t, b.maintained(order.HostAccepted), 1)
 }
 
-// Guards against a wave that is said to be done although a host was never
+// Guards against a wave that is reported as done although a host was never
 // maintained: a later leader repeats an order whose answer it does not know.
 func TestLaterLeaderRepeatsOrdersWithoutAnAnswer(t *testing.T) {
 	b := newBench(t, 2)
@@ -189,7 +189,7 @@
 // the others are quiet.
 func TestHostsFollowABurst(t *testing.T) {
 	burst := &pool{id: "burst", hosts: 9, capacity: 64000, demand: schedule.Demand{Arriving: 995_000}}
-	quiet := &pool{id: "quiet", hosts: 9, capacity: 64000, idle: idle(6), demand: schedule.Demand{Lasting: 60_000, Running: 10_000}}
+	quiet := &pool{id: "quiet", hosts: 9, capacity: 64000, idle: idle(6), demand: schedule.Demand{LongRunning: 60_000, Running: 10_000}}
 	busy := &pool{id: "busy", hosts: 12, capacity: 64000, idle: idle(2), demand: schedule.Demand{Running: 600_000, Ready: 200_000}}
 	off := &pool{id: "off", standby: true, hosts: 3, idle: idle(3)}
 	to := make(map[model.ServiceID]int)
@@ -207,7 +207,7 @@
 func TestIdleHostsAreSwitchedOffAfterAWhile(t *testing.T) {
 	build := func() []*pool {
 		return []*pool{
-			{id: "quiet", hosts: 9, capacity: 64000, idle: idle(7), demand: schedule.Demand{Lasting: 60_000}},
+			{id: "quiet", hosts: 9, capacity: 64000, idle: idle(7), demand: schedule.Demand{LongRunning: 60_000}},
 			{id: "off", standby: true},
 		}
 	}
--- a/core/hosts/wave.go
+++ b/core/hosts/wave.go
@@ -53,7 +53,7 @@
 	}
 	p.chooseForWave(env, out, id, w, due)
 	for _, h := range due {
-		// Tasks that last move one after the other, so they begin early. The host
+		// Long-running tasks move one after the other, so they begin early. The host
 		// takes other work meanwhile.
 		env.Scheduler.Empty(env.Schedule, &out.Schedule, h.ID)
 		if h.wave == id {
@@ -63,8 +63,8 @@
 }
 
 // chooseForWave picks the hosts to be emptied now. A host that is off, or idle in
-// a pool that can do without it, costs nobody anything. One that runs only tasks
-// that last is emptied while its pool can do without it. Others are left until the
+// a pool that can do without it, costs nobody anything. One that runs only
+// long-running tasks is emptied while its pool can do without it. Others are left until the
 // time that is left is needed for them.
 func (p *Planner) chooseForWave(env Env, out *Out, id uint64, w *jobs.Wave, due []*host) {
 	spare := make(map[model.ServiceID]int)
@@ -92,7 +92,7 @@
 		if h.wave != 0 || h.moveTo != "" || h.callOut || h.State != order.HostUp {
 			continue
 		}
-		light := h.load == 0 || env.Scheduler.OnlyLasting(h.ID)
+		light := h.load == 0 || env.Scheduler.OnlyLongRunning(h.ID)
 		if !pressing && (!light || spare[h.Pool] <= 0) {
 			continue
 		}
@@ -109,7 +109,7 @@
 	return now.Add(model.Duration(rounds+1)*roundTime) >= w.Due
 }
 
-// leaving names the hosts that are still to be maintained: tasks that last are
+// leaving names the hosts that are still to be maintained: long-running tasks are
 // better placed elsewhere.
 func (p *Planner) leaving(env Env) map[model.HostID]bool {
 	hosts := make(map[model.HostID]bool)
--- a/core/jobs/apply.go
+++ b/core/jobs/apply.go
@@ -217,7 +217,7 @@
 		t.Abandoned = append(slices.Clip(t.Abandoned), e.Run)
 	case e.Outcome == OutcomeFailed:
 		t.Failures++
-	case e.Outcome == OutcomeDone && !step.Lasting:
+	case e.Outcome == OutcomeDone && !step.LongRunning:
 		t.Phase, t.Checkpoint = Done, ""
 		for i := range members {
 			members[i].Phase, members[i].Checkpoint = Done, ""
--- a/core/jobs/check.go
+++ b/core/jobs/check.go
@@ -7,12 +7,13 @@
 	"primrosedale.example/primrosedale/core/model"
 )
 
-// Largest numbers of a job.
+// Largest numbers of a job. A job over one of them is refused.
 const (
-	maxSteps  = 256
-	maxTasks  = 10_000 // of all steps and rounds
-	maxRounds = 10_000
-	maxSpec   = 4_000 // bytes
+	maxSteps = 256 // 50 times the longest chains in use
+	// maxTasks, of all steps and rounds, bounds a job's record to about 1 MB.
+	maxTasks  = 10_000
+	maxRounds = maxTasks // each has a task at least
+	maxSpec   = 4_000    // bytes; the longest that callers are promised
 )
 
 // ErrInvalid is the cause of errors of Check.
--- a/core/jobs/command.go
+++ b/core/jobs/command.go
@@ -120,10 +120,10 @@
 	Wave uint64 `json:"wave"`
 }
 
-// Sizes of the parts of a command in a message, in bytes.
+// Sizes of the parts of a command in a message, in bytes, as JSON.
 const (
-	runSize = 96
-	jobSize = 256
+	runSize = 96  // a run with its worker
+	jobSize = 256 // a step, or a job without steps
 )
 
 // Size returns about how many bytes the command takes in a message.
--- a/core/jobs/state.go
+++ b/core/jobs/state.go
@@ -41,7 +41,7 @@
 	FirstAt  model.Time     `json:"first_at,omitempty"` // when the first round is due, wall clock
 	Interval model.Duration `json:"interval,omitempty"`
 	Phase    Phase          `json:"phase"`
-	// Beyond is set if its team had handed in more than its share when it was
+	// Beyond is set if its team had submitted more than its share when it was
 	// accepted. Such jobs go behind others while a pool is full.
 	Beyond   bool       `json:"beyond,omitempty"`
 	Started  bool       `json:"started,omitempty"`  // a task of it was assigned
@@ -66,15 +66,15 @@
 	Checkpoints bool `json:"checkpoints,omitempty"`
 	Gang        bool `json:"gang,omitempty"`
 	Colocated   bool `json:"colocated,omitempty"`
-	Copies      bool `json:"copies,omitempty"`  // several runs of one task are allowed
-	Lasting     bool `json:"lasting,omitempty"` // runs until the job is cancelled
-	Filler      bool `json:"filler,omitempty"`  // uses the processors that others leave unused
+	Copies      bool `json:"copies,omitempty"`       // several runs of one task are allowed
+	LongRunning bool `json:"long_running,omitempty"` // runs until the job is cancelled
+	BestEffort  bool `json:"best_effort,omitempty"`  // uses the processors that others leave unused
 }
 
 // Claim is the part of a worker's capacity that one task takes.
 func (s *Step) Claim() model.Resources {
 	size := s.Size
-	if s.Filler {
+	if s.BestEffort {
 		size.MilliCPU = 0
 	}
 	return size
@@ -215,10 +215,10 @@
 	return true
 }
 
-// Lasting reports whether the job has a step that runs until it is cancelled.
-func (j *Job) Lasting() bool {
+// LongRunning reports whether the job has a step that runs until it is cancelled.
+func (j *Job) LongRunning() bool {
 	for i := range j.Steps {
-		if j.Steps[i].Lasting {
+		if j.Steps[i].LongRunning {
 			return true
 		}
 	}
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -12,17 +12,17 @@
 // anew with each life of the worker and may be 2% slow.
 type ClockMS int64
 
-// Call is one call to a worker. Exactly one of Start, Stop, Hold and Pace is set.
+// Call is one call to a worker. Exactly one of Start, Stop, Hold and Throttle is set.
 type Call struct {
-	Seq     uint64         `json:"seq"`
-	Worker  model.WorkerID `json:"worker"`
-	Life    uint64         `json:"life"`
-	Address string         `json:"address"`
-	Token   uint64         `json:"token"` // the worker ignores a call with a smaller one than it has seen
-	Start   *Start         `json:"start,omitempty"`
-	Stop    *Stop          `json:"stop,omitempty"`
-	Hold    *Hold          `json:"hold,omitempty"`
-	Pace    *Pace          `json:"pace,omitempty"`
+	Seq      uint64         `json:"seq"`
+	Worker   model.WorkerID `json:"worker"`
+	Life     uint64         `json:"life"`
+	Address  string         `json:"address"`
+	Token    uint64         `json:"token"` // the worker ignores a call with a smaller one than it has seen
+	Start    *Start         `json:"start,omitempty"`
+	Stop     *Stop          `json:"stop,omitempty"`
+	Hold     *Hold          `json:"hold,omitempty"`
+	Throttle *Throttle      `json:"throttle,omitempty"`
 }
 
 // Start starts a run if the worker's clock has not reached Deadline, and lets
@@ -46,13 +46,13 @@
 	Wait     model.Duration `json:"wait"`     // longest wait for an end
 }
 
-// Pace sets the share at which a run works.
-type Pace struct {
+// Throttle sets the share at which a run works.
+type Throttle struct {
 	jobs.RunRef
 	Percent int `json:"percent"`
 }
 
-// Status is what became of a call.
+// Status is the result of a call.
 type Status string
 
 // The statuses of a call.
@@ -67,10 +67,10 @@
 	Unavailable Status = "unavailable" // the worker is not healthy and has done nothing
 	OtherLife   Status = "other_life"  // another process answers at the address
 	Refused     Status = "refused"     // the connection was refused
-	Silent      Status = "silent"      // no answer: it may be carried out later
+	Silent      Status = "silent"      // no answer: it may be executed later
 )
 
-// Reply is what became of a call to a worker.
+// Reply is the result of a call to a worker.
 type Reply struct {
 	Call    Call      `json:"call"`
 	Status  Status    `json:"status"`
@@ -86,7 +86,7 @@
 type Running struct {
 	jobs.RunRef
 	Checkpoint string `json:"checkpoint,omitempty"`
-	Percent    int    `json:"percent"` // of its work that is done; 100 for a lasting task at work
+	Percent    int    `json:"percent"` // of its work that is done; 100 for a long-running task that is up
 	// Load is the tail of its response times in milliseconds for a run that
 	// serves, and the thousandths of a core in use for any other.
 	Load int64 `json:"load"`
@@ -109,7 +109,7 @@
 	Patience model.Duration `json:"patience"`
 }
 
-// AdviceReply is what became of an AdviceCall.
+// AdviceReply is the result of an AdviceCall.
 type AdviceReply struct {
 	Call    AdviceCall                `json:"call"`
 	Tickets map[model.WorkerID]string `json:"tickets,omitempty"` // of the workers that may run it
@@ -144,7 +144,7 @@
 	Wave uint64       `json:"wave"`
 }
 
-// HostStatus is what became of a HostCall.
+// HostStatus is the result of a HostCall.
 type HostStatus string
 
 // The statuses of a HostCall.
@@ -180,7 +180,7 @@
 	Worker     model.WorkerID     `json:"worker,omitempty"`
 }
 
-// HostReply is what became of a HostCall.
+// HostReply is the result of a HostCall.
 type HostReply struct {
 	Call   HostCall   `json:"call"`
 	Status HostStatus `json:"status"`
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -129,7 +129,7 @@
 	return []effect.Effect{effect.Send{To: t.leader, Message: message.Message{Call: &c}}}
 }
 
-// Follow takes note of the leader that the log names.
+// Follow records the leader that the log names.
 func (t *Table) Follow(now model.Time, leader model.HostID) []effect.Effect {
 	if leader == t.leader {
 		return nil
@@ -262,7 +262,7 @@
 	return effect.Send{To: replica, Message: message.Message{Contact: &call.Contact{Seq: t.seq}}}
 }
 
-// Contacted takes note of the answer of a replica.
+// Contacted handles the answer of a replica.
 func (t *Table) Contacted(now model.Time, from model.HostID, r *call.ContactReply) []effect.Effect {
 	t.learn(r.Replicas)
 	if t.cfg.Replica {
--- a/core/schedule/admit.go
+++ b/core/schedule/admit.go
@@ -6,18 +6,20 @@
 	"primrosedale.example/primrosedale/core/problem"
 )
 
-// Limits of the wait that a refused caller is told.
 const (
-	// usablePart is the part of a pool that work fills while more waits.
+	// usablePart is the part of a pool that work fills while more waits; the rest is
+	// lost between tasks of different sizes.
 	usablePart = 0.88
-	retryMin   = 1 * model.Second
-	retryMax   = 4 * model.Second
+	// retryMin and retryMax bound the wait that a refused caller is told: the header
+	// has whole seconds, and bursts last some seconds.
+	retryMin = 1 * model.Second
+	retryMax = 4 * model.Second
 )
 
 // Admit returns why a job cannot be served in time, or nil. The work ahead of it
 // is that of all jobs of its service that go before it.
 func (s *Scheduler) Admit(env Env, q *jobs.Queue, j *jobs.Job) *problem.Problem {
-	if j.Lasting() || j.FirstAt != 0 {
+	if j.LongRunning() || j.FirstAt != 0 {
 		return nil
 	}
 	p := s.services[q.Service]
@@ -31,7 +33,7 @@
 	ahead := 0.0
 	own := &progress{job: j, rank: q.Precedence, due: env.Clock.Add(allowed(q, j))}
 	for _, other := range p.jobs {
-		if !other.lasting && compareProgress(other, own) < 0 {
+		if !other.longRunning && compareProgress(other, own) < 0 {
 			ahead += other.left()
 		}
 	}
@@ -53,7 +55,7 @@
 	for _, w := range s.usable(env, p) {
 		sum += w.info.Capacity.MilliCPU
 		for _, r := range w.runs {
-			if r.step.Lasting {
+			if r.step.LongRunning {
 				sum -= r.claim.MilliCPU
 			}
 		}
--- a/core/schedule/advice.go
+++ b/core/schedule/advice.go
@@ -106,7 +106,7 @@
 	s.advices--
 }
 
-// Advised takes note of an answer.
+// Advised handles an answer.
 func (s *Scheduler) Advised(env Env, out *Out, r *order.AdviceReply) {
 	p := s.active[r.Call.Step.Job]
 	if p == nil {
--- a/core/schedule/demand.go
+++ b/core/schedule/demand.go
@@ -9,7 +9,7 @@
 // enough for several jobs, short beside a burst of some seconds.
 const arrivalWindow = 800 * model.Millisecond
 
-// arrival is the work of one job that was handed in.
+// arrival is the work of one submitted job.
 type arrival struct {
 	at   model.Time
 	job  model.JobID
@@ -18,10 +18,10 @@
 
 // Demand is what the jobs of a service ask of its pool, in thousandths of a core.
 type Demand struct {
-	Lasting int64 // tasks that last, running or waiting
-	Running int64 // other tasks, running
-	Ready   int64 // other tasks that could start at once
-	// Arriving is the number of processors that the work handed in lately keeps
+	LongRunning int64 // long-running tasks, running or waiting
+	Running     int64 // other tasks, running
+	Ready       int64 // other tasks that could start at once
+	// Arriving is the number of processors that the work submitted lately keeps
 	// busy if it goes on to arrive.
 	Arriving int64
 	// MinHosts is the number of workers over which the tasks of some step must be
@@ -32,11 +32,11 @@
 }
 
 // Need is the number of thousandths of a core that the pool should have.
-func (d Demand) Need() int64 { return d.Lasting + max(d.Running+d.Ready, d.Arriving) }
+func (d Demand) Need() int64 { return d.LongRunning + max(d.Running+d.Ready, d.Arriving) }
 
-// Offered takes note of a job that was handed in, accepted or not.
+// Offered counts a job that was submitted, accepted or not.
 func (s *Scheduler) Offered(env Env, q *jobs.Queue, j *jobs.Job) {
-	if j.Lasting() || j.FirstAt != 0 {
+	if j.LongRunning() || j.FirstAt != 0 {
 		return
 	}
 	p := s.pool(q.Service)
@@ -72,8 +72,8 @@
 	d.Arriving = int64(sum / arrivalWindow.Seconds())
 	for _, w := range p.workers {
 		for _, r := range w.runs {
-			if r.step.Lasting {
-				d.Lasting += r.claim.MilliCPU
+			if r.step.LongRunning {
+				d.LongRunning += r.claim.MilliCPU
 			} else {
 				d.Running += r.claim.MilliCPU
 			}
@@ -83,8 +83,8 @@
 		job.refresh(env)
 		for _, ref := range job.ready {
 			step := &job.job.Steps[ref.Step]
-			if step.Lasting {
-				d.Lasting += step.Claim().MilliCPU
+			if step.LongRunning {
+				d.LongRunning += step.Claim().MilliCPU
 			} else {
 				d.Ready += step.Claim().MilliCPU
 			}
--- a/core/schedule/doc.go
+++ b/core/schedule/doc.go
@@ -6,7 +6,7 @@
 // its share from the moment its assignment is proposed until its end is certain.
 //
 // A run is ordered once its assignment is committed. An order without an answer
-// may be carried out later, so a run is void only when the worker has said, at a
+// may be executed later, so a run is void only when the worker has said, at a
 // time of its own clock past the order's deadline, that it does not know the run.
 // The runs of a worker that does not answer are lost when its last lease is over
 // on a clock 2% slow, or when it is certain that its process has ended. A new
--- a/core/schedule/gang.go
+++ b/core/schedule/gang.go
@@ -60,7 +60,7 @@
 		ref := ended.ref
 		ref.Index = i
 		if r := s.runs[ref]; r != nil && r != ended {
-			s.stop(env, out, r)
+			s.stop(env, out, r, "another member of its gang has ended")
 		}
 	}
 }
--- a/core/schedule/hosts.go
+++ b/core/schedule/hosts.go
@@ -17,11 +17,11 @@
 // LeavingHosts names the hosts that are to be emptied soon.
 func (s *Scheduler) LeavingHosts(hosts map[model.HostID]bool) { s.leaving = hosts }
 
-// OnlyLasting reports whether a host runs nothing but tasks that last.
-func (s *Scheduler) OnlyLasting(host model.HostID) bool {
+// OnlyLongRunning reports whether a host runs nothing but long-running tasks.
+func (s *Scheduler) OnlyLongRunning(host model.HostID) bool {
 	for _, w := range s.byHost[host] {
 		for _, r := range w.runs {
-			if !r.step.Lasting {
+			if !r.step.LongRunning {
 				return false
 			}
 		}
@@ -38,25 +38,25 @@
 	return n
 }
 
-// Empty stops runs of a host so that it becomes empty: tasks that last, as far as
+// Empty stops runs of a host so that it becomes empty: long-running tasks, as far as
 // the number that each step may miss allows and another host has room. Other runs
 // end by themselves.
 func (s *Scheduler) Empty(env Env, out *Out, host model.HostID) {
 	for _, w := range s.byHost[host] {
-		if len(w.runs) == 0 || !w.hasLasting() {
+		if len(w.runs) == 0 || !w.hasLongRunning() {
 			continue
 		}
 		for _, r := range sortedRunsOf(w) {
-			if r.step.Lasting && r.isAtWork(env) && s.maySpare(env, r) && s.hasRoomElsewhere(env, r) {
-				s.stop(env, out, r)
+			if r.step.LongRunning && r.isUp(env) && s.maySpare(env, r) && s.hasRoomElsewhere(env, r) {
+				s.stop(env, out, r, "its host is due for maintenance")
 			}
 		}
 	}
 }
 
-func (w *worker) hasLasting() bool {
+func (w *worker) hasLongRunning() bool {
 	for _, r := range w.runs {
-		if r.step.Lasting {
+		if r.step.LongRunning {
 			return true
 		}
 	}
@@ -74,12 +74,12 @@
 	return false
 }
 
-// isAtWork reports whether a run is past its start and does all of its work.
-func (r *run) isAtWork(env Env) bool {
+// isUp reports whether a run is past its start and does all of its work.
+func (r *run) isUp(env Env) bool {
 	return r.phase == begun && !r.stopping && r.progress == 100 && r.worker.isFresh(env.Now)
 }
 
-// maySpare reports whether a task that lasts may be stopped now.
+// maySpare reports whether a long-running task may be stopped now.
 func (s *Scheduler) maySpare(env Env, r *run) bool {
 	if r.step.MissAllowed == 0 {
 		return true
@@ -89,7 +89,7 @@
 		ref := r.ref
 		ref.Index = i
 		ref.Run = r.job.Rounds[ref.Round].Tasks[ref.Step][i].Run
-		if other := s.runs[ref]; other == nil || !other.isAtWork(env) {
+		if other := s.runs[ref]; other == nil || !other.isUp(env) {
 			missing++
 		}
 	}
--- a/core/schedule/place.go
+++ b/core/schedule/place.go
@@ -154,8 +154,8 @@
 	failed   bool  // its latest run failed there
 	disturbs int   // runs that it would disturb, or that would disturb it
 	remote   bool  // not on the rack of its data, or of its step's other tasks
-	leaving  bool  // a task that lasts would have to move again soon
-	apart    int   // for tasks that last: 1 on a worker without any
+	leaving  bool  // a long-running task would have to move again soon
+	apart    int   // for long-running tasks: 1 on a worker without any
 	room     int64 // thousandths of a core that stay free
 }
 
@@ -186,20 +186,20 @@
 	if step.DataRack != "" {
 		sc.remote = w.info.Rack != step.DataRack
 	}
-	lasting := 0
+	longRunning := 0
 	for _, r := range w.runs {
-		if r.step.Lasting {
-			lasting++
+		if r.step.LongRunning {
+			longRunning++
 		}
-		if step.Filler && r.step.Target > 0 || r.step.Filler && step.Target > 0 {
+		if step.BestEffort && r.step.Target > 0 || r.step.BestEffort && step.Target > 0 {
 			sc.disturbs++
 		}
 	}
-	sc.leaving = step.Lasting && s.leaving[w.info.Host]
-	if step.Lasting && lasting == 0 {
+	sc.leaving = step.LongRunning && s.leaving[w.info.Host]
+	if step.LongRunning && longRunning == 0 {
 		sc.apart = 1
 	}
-	if !step.Lasting && lasting > 0 {
+	if !step.LongRunning && longRunning > 0 {
 		sc.apart = -1
 	}
 	return sc
--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -10,24 +10,24 @@
 
 // progress is what the scheduler knows of one active job.
 type progress struct {
-	job      *jobs.Job
-	service  model.ServiceID
-	lasting  bool
-	begun    bool       // a task of it has begun on a worker
-	attempts int        // failures of one task at which the job fails, 0 for no limit
-	rank     int        // precedence of its queue
-	due      model.Time // replicated clock: it is late after this
-	late     bool       // its time is over
-	ready    []jobs.TaskRef
-	stale    bool         // ready must be rebuilt
-	undated  bool         // some round is not due yet
-	advised  *jobs.Advice // of its queue, nil without
-	advice   map[jobs.StepRef]*advice
-	failedOn map[jobs.TaskRef]model.WorkerID // the worker of the latest failure
+	job         *jobs.Job
+	service     model.ServiceID
+	longRunning bool
+	begun       bool       // a task of it has begun on a worker
+	attempts    int        // failures of one task at which the job fails, 0 for no limit
+	rank        int        // precedence of its queue
+	due         model.Time // replicated clock: it is late after this
+	late        bool       // its time is over
+	ready       []jobs.TaskRef
+	stale       bool         // ready must be rebuilt
+	undated     bool         // some round is not due yet
+	advised     *jobs.Advice // of its queue, nil without
+	advice      map[jobs.StepRef]*advice
+	failedOn    map[jobs.TaskRef]model.WorkerID // the worker of the latest failure
 }
 
 func (s *Scheduler) addJob(env Env, j *jobs.Job) {
-	p := &progress{job: j, service: j.Service, lasting: j.Lasting(), begun: j.Started, stale: true,
+	p := &progress{job: j, service: j.Service, longRunning: j.LongRunning(), begun: j.Started, stale: true,
 		failedOn: make(map[jobs.TaskRef]model.WorkerID), advice: make(map[jobs.StepRef]*advice),
 	}
 	s.active[j.ID] = p
@@ -41,7 +41,7 @@
 		p.attempts = q.MaxAttempts
 		p.due = p.job.Accepted.Add(allowed(q, p.job))
 	}
-	if p.lasting {
+	if p.longRunning {
 		p.attempts = 0
 	}
 	list := s.pool(p.service)
@@ -50,13 +50,13 @@
 	list.dirty = true
 }
 
-// compareProgress orders jobs: tasks that last first, since each moment without
+// compareProgress orders jobs: long-running tasks first, since each moment without
 // one is missed, then by precedence, then those within their team's share, then by
 // the time at which they are late. Jobs
 // whose time is over go behind those that can still be on time: in a burst beyond
 // the fleet one late job would otherwise make all later ones late.
 func compareProgress(a, b *progress) int {
-	return cmp.Or(-compareBool(a.lasting, b.lasting), cmp.Compare(a.rank, b.rank),
+	return cmp.Or(-compareBool(a.longRunning, b.longRunning), cmp.Compare(a.rank, b.rank),
 		compareBool(a.job.Beyond, b.job.Beyond), compareBool(a.late, b.late), cmp.Compare(a.due, b.due), cmp.Compare(a.job.ID, b.job.ID))
 }
 
@@ -70,7 +70,7 @@
 	return -1
 }
 
-// allowed is the time from hand-in after which a job is late.
+// allowed is the time from submission after which a job is late.
 func allowed(q *jobs.Queue, j *jobs.Job) model.Duration {
 	return model.Duration(float64(chain(j))*q.Stretch) + q.Target
 }
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -30,22 +30,22 @@
 
 // run is one run that may be going on and takes its part of a worker's capacity.
 type run struct {
-	ref      jobs.RunRef
-	job      *jobs.Job
-	step     *jobs.Step
-	team     model.TeamID
-	worker   *worker
-	claim    model.Resources
-	phase    runPhase
-	stopping bool
-	voidFrom order.ClockMS // it is void if its worker does not list it after this
-	known    order.ClockMS // when its worker last said that it is there
-	sentAt   model.Time    // of the latest order
-	begunAt  model.Time    // when it was known to have begun
-	pace     int           // share at which it may work, in percent
-	progress int           // as its worker reports it, in percent; 100 for a lasting task at work
-	pacedAt  model.Time
-	load     int64 // as its worker reports it
+	ref         jobs.RunRef
+	job         *jobs.Job
+	step        *jobs.Step
+	team        model.TeamID
+	worker      *worker
+	claim       model.Resources
+	phase       runPhase
+	stopping    bool
+	voidFrom    order.ClockMS // it is void if its worker does not list it after this
+	known       order.ClockMS // when its worker last said that it is there
+	sentAt      model.Time    // of the latest order
+	begunAt     model.Time    // when it was known to have begun
+	speed       int           // share at which it may work, in percent
+	progress    int           // as its worker reports it, in percent; 100 for a long-running task that is up
+	throttledAt model.Time
+	load        int64 // as its worker reports it
 }
 
 // addRun counts a run. If its worker is not known, the run has no place of its
@@ -57,7 +57,7 @@
 		s.departedWorkers = append(s.departedWorkers, w)
 	}
 	step := &j.Steps[ref.Step]
-	r := &run{ref: ref, job: j, step: step, team: j.Team, worker: w, claim: step.Claim(), pace: 100}
+	r := &run{ref: ref, job: j, step: step, team: j.Team, worker: w, claim: step.Claim(), speed: 100}
 	s.runs[ref] = r
 	w.runs[ref] = r
 	w.used = w.used.Add(r.claim)
@@ -124,7 +124,7 @@
 	out.Effects = append(out.Effects, s.call(w, order.Call{Start: &order.Start{
 		RunRef: r.ref, Spec: r.job.Spec, Checkpoint: t.Checkpoint, Ticket: s.ticket(env, r), Deadline: deadline,
 	}}))
-	out.log(effect.RunOrdered, effect.Log{Request: model.RequestID(r.ref.Job), Task: taskName(r.ref), Worker: w.info.ID,
+	out.log(effect.RunOrdered, effect.Log{Request: model.RequestID(r.ref.Job), Task: runLabel(r.ref), Worker: w.info.ID,
 		Detail: fmt.Sprintf("clock %d of %d ms ago, deadline %d, used %d of %d", w.clock,
 			env.Now.Sub(w.clockAt)/model.Millisecond, deadline, w.used.MilliCPU, w.info.Capacity.MilliCPU)})
 }
@@ -139,11 +139,11 @@
 	return text
 }
 
-func taskName(r jobs.RunRef) string {
+func runLabel(r jobs.RunRef) string {
 	return fmt.Sprintf("%d.%d.%d run %d", r.Round, r.Step, r.Index, r.Run)
 }
 
-// started takes note of the answer to an order to start.
+// started handles the answer to an order to start.
 func (s *Scheduler) started(env Env, out *Out, w *worker, reply *order.Reply) {
 	r := w.runs[reply.Call.Start.RunRef]
 	if r == nil || r.phase != ordered {
@@ -156,10 +156,12 @@
 		// It has ended or was stopped: the next list tells how.
 		r.voidFrom = min(r.voidFrom, reply.Clock)
 	case order.Silent, order.Refused:
-		// The order may be carried out later.
+		// The order may be executed later.
 	default:
 		s.finish(env, out, r, jobs.OutcomeVoid, "", "its worker refused it: "+string(reply.Status)+" "+reply.Detail)
 		switch reply.Status {
+		case order.OtherLife:
+			s.processEnded(env, out, w, "another process answers at its address")
 		case order.Unavailable:
 			s.suspect(env, out, w)
 		case order.NoTicket:
@@ -186,7 +188,7 @@
 	}
 }
 
-// seenRunning takes note of a run that a worker lists as running.
+// seenRunning handles a run that a worker lists as running.
 func (s *Scheduler) seenRunning(env Env, out *Out, w *worker, listed *order.Running, at order.ClockMS) {
 	r := w.runs[listed.RunRef]
 	if r == nil {
@@ -224,7 +226,7 @@
 		if r == nil {
 			return
 		}
-		s.stop(env, out, r)
+		s.stop(env, out, r, "another copy is done")
 	}
 }
 
@@ -270,11 +272,12 @@
 }
 
 // stop orders a run to stop. It counts until its end is certain.
-func (s *Scheduler) stop(env Env, out *Out, r *run) {
+func (s *Scheduler) stop(env Env, out *Out, r *run, reason string) {
 	if r.stopping {
 		return
 	}
 	r.stopping = true
+	out.log(effect.RunStopped, effect.Log{Request: model.RequestID(r.ref.Job), Task: runLabel(r.ref), Worker: r.worker.info.ID, Detail: reason})
 	if r.phase != assigned {
 		s.sendStop(env, out, r)
 	}
@@ -283,10 +286,9 @@
 func (s *Scheduler) sendStop(env Env, out *Out, r *run) {
 	r.sentAt = env.Now
 	out.Effects = append(out.Effects, s.call(r.worker, order.Call{Stop: &order.Stop{RunRef: r.ref}}))
-	out.log(effect.RunStopped, effect.Log{Request: model.RequestID(r.ref.Job), Task: taskName(r.ref), Worker: r.worker.info.ID})
 }
 
-// stopped takes note of the answer to an order to stop: a run that was not there
+// stopped handles the answer to an order to stop: a run that was not there
 // yet never begins.
 func (s *Scheduler) stopped(env Env, w *worker, reply *order.Reply) {
 	r := w.runs[reply.Call.Stop.RunRef]
@@ -307,7 +309,7 @@
 // finish records the end of a run that its worker does not list.
 func (s *Scheduler) finish(env Env, out *Out, r *run, o jobs.Outcome, checkpoint, reason string) {
 	out.Proposals = append(out.Proposals, jobs.Command{End: &jobs.End{Runs: []jobs.Ending{s.ending(r, o, checkpoint)}}})
-	out.log(effect.RunGivenUp, effect.Log{Request: model.RequestID(r.ref.Job), Task: taskName(r.ref),
+	out.log(effect.RunGivenUp, effect.Log{Request: model.RequestID(r.ref.Job), Task: runLabel(r.ref),
 		Worker: r.worker.info.ID, Detail: string(o) + ": " + reason})
 	s.dropRun(r)
 	s.stopGang(env, out, r)
@@ -315,7 +317,7 @@
 
 func (s *Scheduler) ending(r *run, o jobs.Outcome, checkpoint string) jobs.Ending {
 	e := jobs.Ending{RunRef: r.ref, Outcome: o, Checkpoint: checkpoint}
-	if p := s.active[r.ref.Job]; p != nil && !r.step.Lasting {
+	if p := s.active[r.ref.Job]; p != nil && !r.step.LongRunning {
 		e.MaxAttempts = p.attempts
 	}
 	return e
@@ -324,7 +326,7 @@
 // noteEnd learns from the end of a run about its worker.
 func (s *Scheduler) noteEnd(env Env, out *Out, r *run, o jobs.Outcome) {
 	w := r.worker
-	out.log(effect.RunEnded, effect.Log{Request: model.RequestID(r.ref.Job), Task: taskName(r.ref), Worker: w.info.ID, Detail: string(o)})
+	out.log(effect.RunEnded, effect.Log{Request: model.RequestID(r.ref.Job), Task: runLabel(r.ref), Worker: w.info.ID, Detail: string(o)})
 	if o != jobs.OutcomeDone {
 		s.stopGang(env, out, r)
 	}
@@ -343,7 +345,7 @@
 	}
 }
 
-// endsRecorded takes note of ends that are committed: the worker may forget them
+// endsRecorded handles ends that are committed: the worker may forget them
 // and the tasks may run again.
 func (s *Scheduler) endsRecorded(env Env, out *Out, c *jobs.End, applied []bool) {
 	for i := range c.Runs {
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -113,7 +113,7 @@
 func (p *pool) sortLate(now model.Time) {
 	changed := false
 	for _, job := range p.jobs {
-		if !job.late && !job.lasting && now > job.due {
+		if !job.late && !job.longRunning && now > job.due {
 			job.late, changed = true, true
 		}
 	}
@@ -157,7 +157,7 @@
 // may be asked for during Bounds.StatusKept, which this adds to.
 const forgetInterval = 10 * model.Second
 
-// Committed takes note of a committed command.
+// Committed handles a committed command.
 func (s *Scheduler) Committed(env Env, out *Out, c *jobs.Command, r jobs.Result) {
 	switch {
 	case c.Configure != nil && r.Changed:
@@ -225,7 +225,7 @@
 func (s *Scheduler) stopJob(env Env, out *Out, id model.JobID) {
 	for _, r := range s.sortedRuns() {
 		if r.ref.Job == id {
-			s.stop(env, out, r)
+			s.stop(env, out, r, "its job has ended")
 		}
 	}
 }
--- a/core/schedule/scheduler_test.go
+++ b/core/schedule/scheduler_test.go
@@ -156,10 +156,10 @@
 // miss: stops of several hosts at one time count each other, and so does a task
 // on a worker that does not answer.
 func TestEmptyingHostsKeepsToWhatAStepMayMiss(t *testing.T) {
-	lasting := jobs.Step{Tasks: 3, Size: cores(1), Lasting: true, PerWorker: 1, MissAllowed: 1}
+	longRunning := jobs.Step{Tasks: 3, Size: cores(1), LongRunning: true, PerWorker: 1, MissAllowed: 1}
 	start := func(t *testing.T) *bench {
 		b := newBench(t, testWorker("a"), testWorker("b"), testWorker("c"), testWorker("d"))
-		b.submit("j", lasting)
+		b.submit("j", longRunning)
 		for _, w := range []model.WorkerID{"a", "b", "c"} {
 			c := b.take(w)
 			require.Len(t, c, 1)
@@ -244,9 +244,9 @@
 	require.Positive(t, refusal.RetryAfter)
 }
 
-// Guards against a filler that goes on to disturb a run over its target, and
+// Guards against a best-effort run that goes on to disturb a run over its target, and
 // against one that is quickened while it is close to it.
-func TestFillerGivesWay(t *testing.T) {
+func TestBestEffortRunGivesWay(t *testing.T) {
 	for _, c := range []struct {
 		percent int
 		load    int64
@@ -261,7 +261,7 @@
 		{40, 30, 2 * model.Second, 55},
 		{95, 30, 2 * model.Second, 100},
 	} {
-		require.Equal(t, c.want, wantedPace(c.percent, c.load, c.since), "%+v", c)
+		require.Equal(t, c.want, wantedSpeed(c.percent, c.load, c.since), "%+v", c)
 	}
 }
 
@@ -332,3 +332,15 @@
 	require.Empty(t, append(b.take("a"), b.take("b")...), "the ticket has expired")
 	require.NotZero(t, a.out, "it asks again")
 }
+
+// Guards against tasks that go on to be ordered at an address where another process
+// answers now.
+func TestWorkerWhoseAddressHasAnotherProcessGetsNothing(t *testing.T) {
+	b := newBench(t, testWorker("a"))
+	b.submit("j", jobs.Step{Tasks: 1, Size: cores(1)})
+	start := b.take("a")[0]
+	b.act(func(out *Out) { b.s.Replied(b.env(), out, &order.Reply{Call: start, Status: order.OtherLife}) })
+	b.advance()
+	require.Empty(t, b.take("a"))
+	require.Empty(t, b.s.workers)
+}
--- a/core/schedule/share.go
+++ b/core/schedule/share.go
@@ -2,10 +2,10 @@
 
 import "primrosedale.example/primrosedale/core/model"
 
-// shareBurst is the time over which a team may hand in its share at once.
+// shareBurst is the time over which a team may submit its share at once.
 const shareBurst = 2 * model.Second
 
-// shares counts the jobs that each team has handed in against its share: a bucket
+// shares counts the jobs that each team has submitted against its share: a bucket
 // that fills with the team's weight a second.
 type shares map[model.TeamID]*bucket
 
@@ -35,13 +35,13 @@
 	return true
 }
 
-// WithinShare counts a job that a team hands in and reports whether it is within
+// WithinShare counts a job that a team submits and reports whether it is within
 // the team's share.
 func (s *Scheduler) WithinShare(env Env, team model.TeamID) bool {
 	return s.shares.take(env.Now, team, env.State.Config.Teams[team].Weight)
 }
 
-// GiveBack takes back the count of a job that was refused: its caller will hand it
+// GiveBack takes back the count of a job that was refused: its caller will submit it
 // in again.
 func (s *Scheduler) GiveBack(team model.TeamID) {
 	if b := s.shares[team]; b != nil {
--- a/core/schedule/share_test.go
+++ b/core/schedule/share_test.go
@@ -10,7 +10,7 @@
 )
 
 // Guards against a team that, in a burst of its own, makes the jobs of others
-// late: it hands in ten times its share while another stays within its own.
+// late: it submits ten times its share while another stays within its own.
 func TestBurstOfOneTeamGoesBehindOthers(t *testing.T) {
 	s := make(shares)
 	now := model.Time(1000 * model.Second)
--- a/core/schedule/sim_test.go
+++ b/core/schedule/sim_test.go
@@ -17,7 +17,7 @@
 
 var simBounds = Bounds{LeaseMax: 6 * model.Second, StatusKept: 120 * model.Second}
 
-// simWorker is a worker that obeys the platform: it carries orders out late or
+// simWorker is a worker that obeys the platform: it executes orders late or
 // not at all, lists ends until they are recorded, and kills what it runs when its
 // lease on a slow clock is over.
 type simWorker struct {
@@ -460,7 +460,7 @@
 
 // Guards against two runs of one task at a time, a run after a recorded end, a
 // worker over its capacity, steps out of order, and jobs that never end, while
-// calls are lost or carried out late, workers crash, clocks are slow and leaders
+// calls are lost or executed late, workers crash, clocks are slow and leaders
 // change.
 func TestRunsUnderFaults(t *testing.T) {
 	const seeds = 40
--- /dev/null
+++ b/core/schedule/throttle.go
@@ -0,0 +1,66 @@
+package schedule
+
+import (
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/order"
+)
+
+// Best-effort runs are slowed when a run that serves comes close to its target, and
+// quickened when all beside them are well below theirs.
+const (
+	// slowDownAt and speedUpAt are parts of the target, in percent.
+	slowDownAt = 80
+	speedUpAt  = 55
+	// speedStep is what a best-effort run gains at once, in percent of full speed.
+	speedStep = 15
+	// speedFloor is the speed below which a best-effort run is halted, in percent.
+	speedFloor = 10
+	// speedUpTime is the shortest time between two steps up.
+	speedUpTime = 1500 * model.Millisecond
+	// slowDownTime is the shortest time between two steps down: two reports of
+	// half a second.
+	slowDownTime = 700 * model.Millisecond
+)
+
+// throttleBestEffort sets the speed of the best-effort runs on a worker by the load of the runs
+// that serve there.
+func (s *Scheduler) throttleBestEffort(env Env, out *Out, w *worker) {
+	worst := int64(-1) // percent of the target
+	bestEffort := false
+	for _, r := range w.runs {
+		if r.step.Target > 0 && r.phase == begun {
+			worst = max(worst, r.load*100/int64(r.step.Target/model.Millisecond))
+		}
+		bestEffort = bestEffort || r.step.BestEffort
+	}
+	if !bestEffort || worst < 0 {
+		return
+	}
+	for _, r := range sortedRunsOf(w) {
+		if !r.step.BestEffort || r.phase != begun {
+			continue
+		}
+		if want := wantedSpeed(r.speed, worst, env.Now.Sub(r.throttledAt)); want != r.speed {
+			r.throttledAt, r.speed = env.Now, want
+			out.Effects = append(out.Effects, s.call(w, order.Call{Throttle: &order.Throttle{RunRef: r.ref, Percent: want}}))
+			out.log(effect.RunThrottled, effect.Log{Request: model.RequestID(r.ref.Job), Task: runLabel(r.ref), Worker: w.info.ID, Count: want})
+		}
+	}
+}
+
+// wantedSpeed returns the next speed of a best-effort run, in percent.
+func wantedSpeed(percent int, load int64, since model.Duration) int {
+	switch {
+	case load >= 100:
+		return 0
+	case load >= slowDownAt && since >= slowDownTime:
+		if percent/2 < speedFloor {
+			return 0
+		}
+		return percent / 2
+	case load <= speedUpAt && since >= speedUpTime:
+		return min(100, percent+speedStep)
+	}
+	return percent
+}
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -14,8 +14,8 @@
 	// pollWait is the longest time that a poll waits for an end. It is a small
 	// part of the lease, so that some polls may be lost.
 	pollWait = 1500 * model.Millisecond
-	// startingWait is the same while a task that lasts begins: other tasks of its
-	// step wait for it to be at work.
+	// startingWait is the same while a long-running task begins: other tasks of its
+	// step wait for it to be up.
 	startingWait = 250 * model.Millisecond
 	// pollRetry is the pause after a poll that failed.
 	pollRetry = 150 * model.Millisecond
@@ -28,9 +28,9 @@
 	// refusalsAsProof is the number of refused connections in a row that prove
 	// that no process listens at the address.
 	refusalsAsProof = 2
-	// slowClock is the rate of the slowest worker clock.
+	// slowClock is the rate of the slowest worker clock that the platform allows.
 	slowClock = 0.98
-	// lossMargin is added to the time at which a lease must be over.
+	// lossMargin is added to the time at which a lease must be over: two ticks.
 	lossMargin = 100 * model.Millisecond
 )
 
@@ -93,6 +93,8 @@
 
 // token grows with each term and each life of a worker.
 func token(term, life uint64) uint64 {
+	// Log indexes stay below 2^28; terms below 2^25 keep the token within the
+	// 53 bits that every JSON reader represents.
 	const lifeBits = 28
 	return term<<lifeBits | life&(1<<lifeBits-1)
 }
@@ -115,7 +117,7 @@
 	p.workers = slices.DeleteFunc(p.workers, same)
 }
 
-// announced takes note of a worker that was recorded. Its runs in an earlier life
+// announced handles a worker that was recorded. Its runs in an earlier life
 // have ended with it.
 func (s *Scheduler) announced(env Env, out *Out, info *jobs.Worker) {
 	if old := s.workers[info.ID]; old != nil {
@@ -142,7 +144,7 @@
 	out.log(effect.WorkerGone, effect.Log{Worker: c.Worker, Index: c.Life})
 }
 
-// Heartbeat takes note of the clock of a worker.
+// Heartbeat records the clock of a worker.
 func (s *Scheduler) Heartbeat(env Env, id model.WorkerID, clock int64) {
 	if w := s.workers[id]; w != nil && !w.polled && order.ClockMS(clock) > w.clock {
 		w.setClock(env.Now, order.ClockMS(clock))
@@ -251,17 +253,17 @@
 	out.Effects = append(out.Effects, call)
 }
 
-// hasStarting reports whether a task that lasts is not at work yet.
+// hasStarting reports whether a long-running task is not up yet.
 func (w *worker) hasStarting() bool {
 	for _, r := range w.runs {
-		if r.step.Lasting && !r.stopping && r.progress < 100 && r.pace == 100 {
+		if r.step.LongRunning && !r.stopping && r.progress < 100 && r.speed == 100 {
 			return true
 		}
 	}
 	return false
 }
 
-// Replied takes note of what became of a call to a worker.
+// Replied handles the result of a call to a worker.
 func (s *Scheduler) Replied(env Env, out *Out, reply *order.Reply) {
 	w := s.workers[reply.Call.Worker]
 	if w == nil || w.info.Life != reply.Call.Life || reply.Call.Token != w.token {
@@ -344,7 +346,7 @@
 			s.finish(env, out, r, jobs.OutcomeVoid, "", "its worker does not know it")
 		}
 	}
-	s.paceFillers(env, out, w)
+	s.throttleBestEffort(env, out, w)
 }
 
 // unlisted returns the runs that are not in a list, in order.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -8,7 +8,6 @@
 	"crypto/tls"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -16,18 +15,15 @@
 	"gopkg.in/tomb.v2"
 
 	"primrosedale.example/primrosedale/announce"
-	"primrosedale.example/primrosedale/control"
 	"primrosedale.example/primrosedale/core"
 	"primrosedale.example/primrosedale/core/event"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/view"
-	"primrosedale.example/primrosedale/drain"
 	"primrosedale.example/primrosedale/gateway"
 	"primrosedale.example/primrosedale/logevent"
 	"primrosedale.example/primrosedale/operator"
 	"primrosedale.example/primrosedale/recording"
 	"primrosedale.example/primrosedale/settings"
-	"primrosedale.example/primrosedale/storage"
 	"primrosedale.example/primrosedale/transport"
 )
 
@@ -43,32 +39,18 @@
 
 // Daemon is one process of the system.
 type Daemon struct {
+	process
 	settings  *settings.Settings
-	log       logevent.Logger
-	loop      *control.Loop
-	store     *storage.Store // nil without a data folder
-	writer    *logWriter
 	journal   *recording.Recorder // nil without the setting record
 	gateway   *gateway.Server
 	announcer *announce.Server
 	operator  *operator.Server
-	peers     *transport.Transport
-	servers   []*server
-	callers   *drain.Listener
-	peerSide  net.Listener
-}
-
-type server struct {
-	listener net.Listener
-	http     *http.Server
 }
 
 // New opens the data folder and the listeners of a process. An error leaves
 // nothing open.
 func New(s *settings.Settings, log logevent.Logger) (*Daemon, error) {
-	d := &Daemon{settings: s, log: log.With(logevent.Self(s.Host)), loop: control.New()}
-	var full logevent.Seldom
-	d.loop.OnFull(func() { full.Emit(d.log, logevent.ControlQueueFull) })
+	d := &Daemon{process: newProcess(log.With(logevent.Self(s.Host))), settings: s}
 	if err := d.assemble(); err != nil {
 		d.closeAll()
 		return nil, err
@@ -119,9 +101,6 @@
 	}, d.loop, d.log)
 	d.announcer = announce.New(d.loop, d.log)
 	d.operator = operator.New(operator.Config{}, d.loop, d.log)
-	if d.store != nil {
-		d.writer = newLogWriter(d.store, d.loop, d.log)
-	}
 	d.loop.Start(state, &executor{
 		transport: d.peers, writer: d.writer, gateway: d.gateway,
 		announcer: d.announcer, operator: d.operator, log: d.log,
@@ -144,35 +123,24 @@
 	if !cfg.Durable {
 		return core.Stored{}, nil
 	}
-	store, loaded, err := storage.Open(d.settings.DataFolder, d.settings.Cluster, cfg.Host, newIncarnation, d.log)
-	if err != nil {
-		d.log.Emit(logevent.DataFolderRefused, logevent.Err(err))
-		return core.Stored{}, err
-	}
-	d.store = store
-	cfg.Replica = loaded.Identity.Incarnation
-	return core.Stored{HardState: loaded.HardState, Snapshot: loaded.Snapshot, Entries: loaded.Entries}, nil
+	return d.openFolder(d.settings.DataFolder, d.settings.Cluster, cfg)
 }
 
 // listen opens the listeners. Operators present a certificate like peers;
 // callers and the platform are behind the platform's load balancer.
 func (d *Daemon) listen(operatorTLS *tls.Config) error {
 	listen := d.settings.Listen
-	var err error
-	if d.peerSide, err = net.Listen("tcp", listen.Peers.String()); err != nil {
-		return errors.Annotate(err, "listening for peers")
+	defaults := net.KeepAliveConfig{}
+	if err := d.listenPeers(listen.Peers.String(), defaults); err != nil {
+		return err
 	}
-	callers, err := d.addServer(listen.Callers.String(), d.gateway.Handler())
-	if err != nil {
+	if err := d.addCallers(listen.Callers.String(), d.gateway.Handler(), d.gateway.ClosingResponse, defaults); err != nil {
 		return err
 	}
-	d.callers = drain.NewListener(callers.listener, d.gateway.ClosingResponse)
-	d.callers.Attach(callers.http)
-	callers.listener = d.callers
-	if _, err := d.addServer(listen.Platform.String(), d.announcer.Handler()); err != nil {
+	if _, err := d.addServer(listen.Platform.String(), d.announcer.Handler(), defaults); err != nil {
 		return err
 	}
-	operators, err := d.addServer(listen.Operators.String(), d.operator.Handler())
+	operators, err := d.addServer(listen.Operators.String(), d.operator.Handler(), defaults)
 	if err != nil {
 		return err
 	}
@@ -182,17 +150,6 @@
 	return nil
 }
 
-// addServer opens a listener with an HTTP server.
-func (d *Daemon) addServer(address string, handler http.Handler) (*server, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, errors.Annotatef(err, "listening on %s", address)
-	}
-	s := &server{listener, &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}}
-	d.servers = append(d.servers, s)
-	return s, nil
-}
-
 // Run runs the process until the reducer halts it or t is killed. Cancel stop
 // to begin a graceful stop.
 func (d *Daemon) Run(t *tomb.Tomb, stop context.Context) error {
@@ -200,18 +157,10 @@
 	var parts tomb.Tomb
 	parts.Go(func() error {
 		d.log.Emit(logevent.ProcessStarted)
-		parts.Go(func() error { return d.loop.Run(&parts) })
-		if d.writer != nil {
-			parts.Go(func() error { return d.writer.run(&parts) })
-		}
 		if d.journal != nil {
 			parts.Go(func() error { return d.journal.Run(&parts) })
 		}
-		d.peers.Run(&parts)
-		parts.Go(func() error { return d.peers.Serve(&parts, d.peerSide) })
-		for _, s := range d.servers {
-			parts.Go(func() error { return serve(s) })
-		}
+		d.start(&parts)
 		return nil
 	})
 	err := d.wait(t, &parts, stop)
@@ -264,9 +213,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	if graceful {
-		if err := d.callers.Drain(ctx); err != nil {
-			d.log.Emit(logevent.ConnectionsCut, logevent.Err(err))
-		}
+		d.drainCallers(ctx)
 	}
 	for _, s := range d.servers {
 		if graceful {
@@ -277,25 +224,9 @@
 	d.gateway.Close()
 }
 
-func serve(s *server) error {
-	err := s.http.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
-		return nil // the listener is closed at the end only
-	}
-	return errors.Annotatef(err, "serving on %s", s.listener.Addr())
-}
-
 func (d *Daemon) closeAll() {
-	if d.peerSide != nil {
-		_ = d.peerSide.Close()
-	}
-	for _, s := range d.servers {
-		_ = s.listener.Close()
-	}
 	if d.journal != nil {
 		_ = d.journal.Close() // a second close has no effect
 	}
-	if d.store != nil {
-		_ = d.store.Close()
-	}
+	d.closeListeners()
 }
--- a/daemon/pages_test.go
+++ b/daemon/pages_test.go
@@ -23,10 +23,6 @@
 	for _, line := range strings.Split(out.String(), "\n") {
 		name, _, _ := strings.Cut(line, " ")
 		name, _, _ = strings.Cut(name, "{")
-		// A histogram that another test of this package has used shows its parts.
-		for _, part := range []string{"_bucket", "_sum", "_count"} {
-			name = strings.TrimSuffix(name, part)
-		}
 		if !strings.HasPrefix(name, "primrosedale_") {
 			continue
 		}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"os"
 	"runtime/debug"
@@ -12,12 +11,10 @@
 	"github.com/juju/errors"
 	"gopkg.in/tomb.v2"
 
-	"primrosedale.example/primrosedale/control"
 	"primrosedale.example/primrosedale/core"
 	"primrosedale.example/primrosedale/core/consensus"
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/event"
-	"primrosedale.example/primrosedale/drain"
 	"primrosedale.example/primrosedale/gateway/reply"
 	"primrosedale.example/primrosedale/logevent"
 	"primrosedale.example/primrosedale/platform"
@@ -53,29 +50,20 @@
 // PlatformDaemon is one process on the users' platform: an entry host, which
 // takes clients' calls and passes them to the leader, or a replica.
 type PlatformDaemon struct {
+	process
 	settings *platform.Settings
 	path     string // of the settings file
-	log      logevent.Logger
-	loop     *control.Loop
-	store    *storage.Store // nil on an entry host
-	writer   *logWriter     // nil on an entry host
-	peers    *transport.Transport
-	peerSide net.Listener
 	server   *platform.Server
 	client   *platform.Client
-	servers  []*server
-	callers  *drain.Listener // nil on a replica that takes no clients
 }
 
 // NewPlatformDaemon returns a process that has opened its data folder and its
 // addresses and serves nothing yet.
 func NewPlatformDaemon(s *platform.Settings, path string, log logevent.Logger) (*PlatformDaemon, error) {
-	d := &PlatformDaemon{settings: s, path: path, log: log.With(logevent.Self(s.Host)), loop: control.New()}
+	d := &PlatformDaemon{process: newProcess(log.With(logevent.Self(s.Host))), settings: s, path: path}
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare))
 	}
-	var full logevent.Seldom
-	d.loop.OnFull(func() { full.Emit(d.log, logevent.ControlQueueFull) })
 	if err := d.assemble(); err != nil {
 		d.closeAll()
 		return nil, err
@@ -105,11 +93,8 @@
 	d.peers = transport.New(transport.Config{
 		Cluster: platformCluster, Host: s.Host, Incarnation: inc, Address: s.PeerAddress,
 	}, d.loop, d.log)
-	d.server = platform.NewServer(s, d.loop)
-	d.client = platform.NewClient(s, d.loop)
-	if d.store != nil {
-		d.writer = newLogWriter(d.store, d.loop, d.log)
-	}
+	d.server = platform.NewServer(s, d.loop, d.log)
+	d.client = platform.NewClient(s, d.loop, d.log)
 	d.loop.Start(state, &platformExecutor{
 		executor: executor{transport: d.peers, writer: d.writer, log: d.log}, server: d.server, client: d.client,
 	}, nil)
@@ -131,14 +116,7 @@
 			return core.Stored{}, err
 		}
 	}
-	store, loaded, err := storage.Open(folder, platformCluster, cfg.Host, newIncarnation, d.log)
-	if err != nil {
-		d.log.Emit(logevent.DataFolderRefused, logevent.Err(err))
-		return core.Stored{}, err
-	}
-	d.store = store
-	cfg.Replica = loaded.Identity.Incarnation
-	return core.Stored{HardState: loaded.HardState, Snapshot: loaded.Snapshot, Entries: loaded.Entries}, nil
+	return d.openFolder(folder, platformCluster, cfg)
 }
 
 // initSeed creates the data folder of a first voter. A folder that exists, after
@@ -158,50 +136,30 @@
 
 func (d *PlatformDaemon) listen() error {
 	s := d.settings
-	var err error
-	if d.peerSide, err = listenTCP(s.Peers, peerSilence); err != nil {
+	keepAlive := socket.KeepAlive(callerSilence)
+	if err := d.listenPeers(s.Peers, socket.KeepAlive(peerSilence)); err != nil {
 		return err
 	}
 	if s.Callers != "" {
-		callers, err := d.addServer(s.Callers, d.server.CallerHandler())
-		if err != nil {
+		closing := func() []byte { return reply.ClosingResponse(d.loop.Rand()) }
+		if err := d.addCallers(s.Callers, d.server.CallerHandler(), closing, keepAlive); err != nil {
 			return err
 		}
-		closing := func() []byte { return reply.ClosingResponse(d.loop.Rand()) }
-		d.callers = drain.NewListener(callers.listener, closing)
-		d.callers.Attach(callers.http)
-		callers.listener = d.callers
-		if _, err := d.addServer(s.Readiness, d.server.ReadinessHandler()); err != nil {
+		if _, err := d.addServer(s.Readiness, d.server.ReadinessHandler(), keepAlive); err != nil {
 			return err
 		}
 	}
 	if s.Control != "" {
-		if _, err := d.addServer(s.Control, d.server.ControlHandler()); err != nil {
+		if _, err := d.addServer(s.Control, d.server.ControlHandler(), keepAlive); err != nil {
 			return err
 		}
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
-	_, err = d.addServer(s.Metrics, mux)
+	_, err := d.addServer(s.Metrics, mux, keepAlive)
 	return err
 }
 
-func listenTCP(address string, silence time.Duration) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: socket.KeepAlive(silence)}
-	l, err := config.Listen(context.Background(), "tcp", address)
-	return l, errors.Annotatef(err, "listening on %s", address)
-}
-
-func (d *PlatformDaemon) addServer(address string, handler http.Handler) (*server, error) {
-	listener, err := listenTCP(address, callerSilence)
-	if err != nil {
-		return nil, err
-	}
-	s := &server{listener, &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}}
-	d.servers = append(d.servers, s)
-	return s, nil
-}
-
 // Run serves until the process halts, stop ends, or a part fails. Each value on
 // reload reads the settings file again.
 func (d *PlatformDaemon) Run(stop context.Context, reload <-chan os.Signal) error {
@@ -209,15 +167,7 @@
 	var parts tomb.Tomb
 	parts.Go(func() error {
 		d.log.Emit(logevent.ProcessStarted, logevent.Str(logevent.NameRole, d.role()))
-		parts.Go(func() error { return d.loop.Run(&parts) })
-		if d.writer != nil {
-			parts.Go(func() error { return d.writer.run(&parts) })
-		}
-		d.peers.Run(&parts)
-		parts.Go(func() error { return d.peers.Serve(&parts, d.peerSide) })
-		for _, s := range d.servers {
-			parts.Go(func() error { return serve(s) })
-		}
+		d.start(&parts)
 		return nil
 	})
 	err := d.wait(&parts, stop, reload)
@@ -266,9 +216,7 @@
 	}
 	if d.callers != nil {
 		pause(ctx, parts, noticeTime)
-		if err := d.callers.Drain(ctx); err != nil {
-			d.log.Emit(logevent.ConnectionsCut, logevent.Err(err))
-		}
+		d.drainCallers(ctx)
 	}
 	for _, s := range d.servers {
 		_ = s.http.Shutdown(ctx) // what is cut off then is closed by Run
@@ -304,18 +252,10 @@
 }
 
 func (d *PlatformDaemon) closeAll() {
-	if d.peerSide != nil {
-		_ = d.peerSide.Close()
-	}
-	for _, s := range d.servers {
-		_ = s.listener.Close()
-	}
 	if d.client != nil {
 		d.client.Close()
 	}
-	if d.store != nil {
-		_ = d.store.Close()
-	}
+	d.closeListeners()
 }
 
 // platformExecutor carries out the effects of a process on the platform.
--- /dev/null
+++ b/daemon/process.go
@@ -0,0 +1,135 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/juju/errors"
+	"gopkg.in/tomb.v2"
+
+	"primrosedale.example/primrosedale/control"
+	"primrosedale.example/primrosedale/core"
+	"primrosedale.example/primrosedale/drain"
+	"primrosedale.example/primrosedale/logevent"
+	"primrosedale.example/primrosedale/storage"
+	"primrosedale.example/primrosedale/transport"
+)
+
+// process is what every kind of daemon consists of: the control goroutine, the
+// data folder, the connections to other processes, and HTTP servers.
+type process struct {
+	log      logevent.Logger
+	loop     *control.Loop
+	store    *storage.Store // nil without a data folder
+	writer   *logWriter     // nil without a data folder
+	peers    *transport.Transport
+	peerSide net.Listener
+	servers  []*server
+	callers  *drain.Listener // nil if it takes no callers
+}
+
+type server struct {
+	listener net.Listener
+	http     *http.Server
+}
+
+func newProcess(log logevent.Logger) process {
+	p := process{log: log, loop: control.New()}
+	var full logevent.Seldom
+	p.loop.OnFull(func() { full.Emit(log, logevent.ControlQueueFull) })
+	return p
+}
+
+// openFolder opens a data folder and returns what it holds.
+func (p *process) openFolder(folder, cluster string, cfg *core.Config) (core.Stored, error) {
+	store, loaded, err := storage.Open(folder, cluster, cfg.Host, newIncarnation, p.log)
+	if err != nil {
+		p.log.Emit(logevent.DataFolderRefused, logevent.Err(err))
+		return core.Stored{}, err
+	}
+	p.store = store
+	p.writer = newLogWriter(store, p.loop, p.log)
+	cfg.Replica = loaded.Identity.Incarnation
+	return core.Stored{HardState: loaded.HardState, Snapshot: loaded.Snapshot, Entries: loaded.Entries}, nil
+}
+
+// listenTCP opens an address. The zero keepAlive stands for the defaults of
+// package net.
+func listenTCP(address string, keepAlive net.KeepAliveConfig) (net.Listener, error) {
+	config := net.ListenConfig{KeepAliveConfig: keepAlive}
+	l, err := config.Listen(context.Background(), "tcp", address)
+	return l, errors.Annotatef(err, "listening on %s", address)
+}
+
+func (p *process) listenPeers(address string, keepAlive net.KeepAliveConfig) error {
+	l, err := listenTCP(address, keepAlive)
+	if err == nil {
+		p.peerSide = l
+	}
+	return err
+}
+
+func (p *process) addServer(address string, handler http.Handler, keepAlive net.KeepAliveConfig) (*server, error) {
+	listener, err := listenTCP(address, keepAlive)
+	if err != nil {
+		return nil, err
+	}
+	s := &server{listener, &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}}
+	p.servers = append(p.servers, s)
+	return s, nil
+}
+
+// addCallers adds the server of callers, whose connections are drained at a
+// graceful stop.
+func (p *process) addCallers(address string, handler http.Handler, closing func() []byte, keepAlive net.KeepAliveConfig) error {
+	s, err := p.addServer(address, handler, keepAlive)
+	if err != nil {
+		return err
+	}
+	p.callers = drain.NewListener(s.listener, closing)
+	p.callers.Attach(s.http)
+	s.listener = p.callers
+	return nil
+}
+
+// start runs all parts.
+func (p *process) start(parts *tomb.Tomb) {
+	parts.Go(func() error { return p.loop.Run(parts) })
+	if p.writer != nil {
+		parts.Go(func() error { return p.writer.run(parts) })
+	}
+	p.peers.Run(parts)
+	parts.Go(func() error { return p.peers.Serve(parts, p.peerSide) })
+	for _, s := range p.servers {
+		parts.Go(func() error { return serve(s) })
+	}
+}
+
+func serve(s *server) error {
+	err := s.http.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil // the listener is closed at the end only
+	}
+	return errors.Annotatef(err, "serving on %s", s.listener.Addr())
+}
+
+// drainCallers ends the callers' connections without cutting off a request.
+func (p *process) drainCallers(ctx context.Context) {
+	if err := p.callers.Drain(ctx); err != nil {
+		p.log.Emit(logevent.ConnectionsCut, logevent.Err(err))
+	}
+}
+
+// closeListeners closes what start would serve on, and the data folder.
+func (p *process) closeListeners() {
+	if p.peerSide != nil {
+		_ = p.peerSide.Close()
+	}
+	for _, s := range p.servers {
+		_ = s.listener.Close()
+	}
+	if p.store != nil {
+		_ = p.store.Close()
+	}
+}
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -142,6 +142,9 @@
 	{ConfigAccepted, "config_accepted", zerolog.InfoLevel,
 		"a configuration was recorded",
 		"Nothing. The index is its version."},
+	{ConfigRefused, "config_refused", zerolog.WarnLevel,
+		"a configuration was refused",
+		"Correct what the error names and send it again."},
 }}
 
 var connectionsBetweenProcessesArea = area{"Connections between processes", []Entry{
@@ -199,6 +202,9 @@
 	{WorkerGone, "worker_gone", zerolog.InfoLevel,
 		"a worker has left",
 		"Nothing."},
+	{WorkerDraining, "worker_draining", zerolog.InfoLevel,
+		"a worker drains and gets no new runs",
+		"Nothing."},
 }}
 
 var tasksAndMaintenanceArea = area{"Tasks and maintenance", []Entry{
@@ -256,6 +262,12 @@
 	{HostCallFailed, "host_call_failed", zerolog.WarnLevel,
 		"a call to the owner of the hosts failed",
 		"If it lasts, ask the owner of the hosts."},
+	{WaveStarted, "wave_started", zerolog.InfoLevel,
+		"a maintenance wave was recorded",
+		"Nothing. The count is that of its hosts."},
+	{WaveRefused, "wave_refused", zerolog.WarnLevel,
+		"a maintenance wave was refused",
+		"Correct what the error names and send it again."},
 	{RunOrdered, "run_ordered", zerolog.InfoLevel,
 		"a worker was told to start a task",
 		"Nothing."},
@@ -268,12 +280,15 @@
 	{RunGivenUp, "run_given_up", zerolog.WarnLevel,
 		"a run was recorded as ended that its worker did not list",
 		"Look for what became of the worker just before."},
-	{RunPaced, "run_paced", zerolog.InfoLevel,
-		"a run that fills was given another speed",
+	{RunThrottled, "run_throttled", zerolog.InfoLevel,
+		"a best-effort run was throttled or sped up",
 		"Nothing."},
 	{AdviceFailed, "advice_failed", zerolog.WarnLevel,
 		"the service that knows a queue's policy gave no answer",
 		"If it lasts, look at that service: jobs of the queue wait."},
+	{ReportLost, "report_lost", zerolog.WarnLevel,
+		"the result of a call was dropped since the control queue stayed full",
+		"If it lasts, lower the load on this host or look for a slow disk or processor."},
 }}
 
 var requestsArea = area{"Requests", []Entry{
--- a/logevent/ids.go
+++ b/logevent/ids.go
@@ -56,6 +56,7 @@
 	KeyWithdrawn   ID = 411
 	KeyRejected    ID = 412
 	ConfigAccepted ID = 420
+	ConfigRefused  ID = 421
 )
 
 // Connections between processes.
@@ -81,6 +82,7 @@
 	WorkerQuarantined   ID = 622
 	WorkerReleased      ID = 623
 	WorkerGone          ID = 624
+	WorkerDraining      ID = 625
 )
 
 // Tasks and maintenance.
@@ -103,12 +105,15 @@
 	WaveHostChosen ID = 740
 	HostOrdered    ID = 741
 	HostCallFailed ID = 742
+	WaveStarted    ID = 743
+	WaveRefused    ID = 744
 	RunOrdered     ID = 750
 	RunEnded       ID = 751
 	RunStopped     ID = 752
 	RunGivenUp     ID = 753
+	ReportLost     ID = 756
 	AdviceFailed   ID = 755
-	RunPaced       ID = 754
+	RunThrottled   ID = 754
 )
 
 // Requests.
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -29,6 +29,6 @@
 // KeepAlive returns probes that end a connection whose peer has been silent for
 // about d.
 func KeepAlive(d time.Duration) net.KeepAliveConfig {
-	const probes = 3
+	const probes = 3 // one or two may be lost
 	return net.KeepAliveConfig{Enable: true, Idle: d / 2, Interval: d / (2 * probes), Count: probes}
 }
