hosts, schedule: spare workers that came after an order; void only what is certain

Change: an accepted order removes the workers that were there when it was given; hosts with an order of an earlier leader get no new runs from the term's beginning and are ordered again only when empty; ends count from the moment a run is given up; a run is void by refusals only when every order for it was refused. Tests: TestRepeatedOrderSparesTheNewWorker, TestRefusalDoesNotVoidAnEarlierOrder and TestEndOfACopyCountsWhileItsLossIsBeingRecorded fail without their change; the simulation has unhealthy workers and a leader that stalls.

--- a/core/hosts/moves.go
+++ b/core/hosts/moves.go
@@ -28,7 +28,7 @@
 	}
 	pools := p.pools(env)
 	for _, m := range moves(pools, func(id model.ServiceID) bool { return p.maySwitchOff(now, id) }) {
-		m.host.moveTo = m.to
+		m.host.moveTo, m.host.workers = m.to, workersOf(env, m.host.ID)
 		p.orderMove(env, out, m.host, m.reason)
 	}
 	p.noteExcess(now, pools)
@@ -112,7 +112,7 @@
 	h.callOut = false
 	switch r.Status {
 	case order.HostAccepted:
-		p.departs(env, out, h)
+		h.departs(out)
 		h.Pool, h.State, h.moveTo = r.Call.Move.Pool, order.HostMoving, ""
 		h.changedAt, h.arrivedAt = now, now.Add(env.Schedule.Bounds.Move)
 		h.downBy = now.Add(env.Schedule.Bounds.Move + returnMargin)
@@ -127,13 +127,23 @@
 	p.listAt = min(p.listAt, now.Add(listInterval))
 }
 
-// departs removes the worker of a host that was ordered elsewhere: another life
-// of it announces itself afterwards.
-func (p *Planner) departs(env Env, out *Out, h *host) {
-	for _, id := range model.SortedKeys(env.Schedule.State.Workers) {
-		w := env.Schedule.State.Workers[id]
-		if w.Host == h.ID {
-			out.Proposals = append(out.Proposals, jobs.Command{Depart: &jobs.Depart{Worker: id, Life: w.Life}})
+// workersOf returns the workers that an order to a host ends.
+func workersOf(env Env, id model.HostID) []jobs.Depart {
+	var list []jobs.Depart
+	for _, worker := range model.SortedKeys(env.Schedule.State.Workers) {
+		if w := env.Schedule.State.Workers[worker]; w.Host == id {
+			list = append(list, jobs.Depart{Worker: worker, Life: w.Life})
 		}
 	}
+	return list
+}
+
+// departs removes the workers that an accepted order has ended: those that were
+// there when it was given. A worker that came later runs on, and after the order of
+// an earlier leader it is not known which were there.
+func (h *host) departs(out *Out) {
+	for i := range h.workers {
+		out.Proposals = append(out.Proposals, jobs.Command{Depart: &h.workers[i]})
+	}
+	h.workers = nil
 }
--- a/core/hosts/planner.go
+++ b/core/hosts/planner.go
@@ -78,6 +78,7 @@
 // host is what is known of one host.
 type host struct {
 	order.Host
+	workers   []jobs.Depart   // that an order ends, as they were when it was given
 	load      int             // runs on it, when it was last looked at
 	wave      uint64          // it is being emptied or maintained for
 	moveTo    model.ServiceID // pool to which it is being moved
@@ -93,10 +94,12 @@
 
 // New returns a planner that knows nothing yet.
 func New(env Env) *Planner {
-	return &Planner{
+	p := &Planner{
 		hosts: make(map[model.HostID]*host), excess: make(map[model.ServiceID]model.Time), listAt: env.Schedule.Now,
 		began: env.Schedule.Now,
 	}
+	p.holdHosts(env)
+	return p
 }
 
 // Advance does what is due by time.
@@ -199,7 +202,7 @@
 
 // holdHosts tells the scheduler which hosts get no new runs.
 func (p *Planner) holdHosts(env Env) {
-	held := make(map[model.HostID]bool)
+	held := orderedHosts(env.Schedule.State)
 	for id, h := range p.hosts {
 		if h.wave != 0 || h.moveTo != "" {
 			held[id] = true
--- a/core/hosts/planner_test.go
+++ b/core/hosts/planner_test.go
@@ -214,3 +214,37 @@
 	require.Empty(t, moves(build(), func(model.ServiceID) bool { return false }))
 	require.Len(t, moves(build(), func(model.ServiceID) bool { return true }), 6)
 }
+
+// Guards against a worker that is taken to be gone while it runs tasks: an order of
+// an earlier leader was executed, and the worker that came with the host's return is
+// not the one that it ended. The host gets no new runs until the order is clear.
+func TestRepeatedOrderSparesTheNewWorker(t *testing.T) {
+	announce := func(b *bench, name string, host model.HostID) model.WorkerID {
+		id := model.WorkerID(name + "-" + string(host))
+		b.apply(jobs.Command{Announce: &jobs.Worker{ID: id, Host: host, Service: "render", Address: string(id), Capacity: model.Resources{MilliCPU: 64000}}})
+		return id
+	}
+	start := func() *bench {
+		b := newBench(t, 2)
+		for _, h := range b.hosts {
+			announce(b, "before", h.ID)
+		}
+		b.startWave(1)
+		b.pass(takeOverTime + 500*ms)
+		return b
+	}
+	b := start()
+	ordered := b.maintained(order.HostSilent)
+	require.Len(t, ordered, 1)
+	after := announce(b, "after", ordered[0])
+	b.lead()
+	require.Equal(t, map[model.HostID]bool{ordered[0]: true}, orderedHosts(b.state))
+	b.pass(takeOverTime + 500*ms)
+	require.Equal(t, ordered, b.maintained(order.HostAccepted))
+	require.Contains(t, b.state.Workers, after)
+
+	b = start()
+	ordered = b.maintained(order.HostAccepted)
+	require.Len(t, ordered, 1)
+	require.NotContains(t, b.state.Workers, model.WorkerID("before-"+ordered[0]))
+}
--- a/core/hosts/wave.go
+++ b/core/hosts/wave.go
@@ -135,6 +135,11 @@
 		return 0
 	}
 	if h.ordered {
+		// An earlier leader's order may have been executed: then another worker runs
+		// here already, and what it was given first has to end.
+		if env.Scheduler.Load(h.ID) > 0 {
+			return 0
+		}
 		p.orderMaintenance(env, out, id, h)
 		return 0
 	}
@@ -144,7 +149,7 @@
 	if env.Scheduler.Load(h.ID) > 0 {
 		return 0
 	}
-	h.ordered, h.proposed = true, true
+	h.ordered, h.proposed, h.workers = true, true, workersOf(env, h.ID)
 	out.Proposals = append(out.Proposals, jobs.Command{Maintain: &jobs.Maintain{Wave: id, Host: h.ID}})
 	return 1
 }
@@ -160,6 +165,20 @@
 	}
 }
 
+// orderedHosts names the hosts whose maintenance is ordered and not known to be
+// accepted.
+func orderedHosts(s *jobs.State) map[model.HostID]bool {
+	hosts := make(map[model.HostID]bool)
+	for _, id := range openWaves(s) {
+		for host, accepted := range s.Waves[id].Ordered {
+			if !accepted {
+				hosts[host] = true
+			}
+		}
+	}
+	return hosts
+}
+
 func (p *Planner) orderMaintenance(env Env, out *Out, id uint64, h *host) {
 	h.callOut, h.callEnd = true, env.Schedule.Now.Add(callTimeout)
 	out.Effects = append(out.Effects, p.call(env, order.HostCall{Maintain: &order.Maintain{Host: h.ID, Wave: id}}))
@@ -176,7 +195,7 @@
 	switch r.Status {
 	case order.HostAccepted:
 		h.ordered, h.wave = false, 0
-		p.departs(env, out, h)
+		h.departs(out)
 		h.State = order.HostMaintenance
 		h.changedAt = now
 		h.downBy = now.Add(env.Schedule.Bounds.Maintenance + returnMargin)
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -41,6 +41,8 @@
 	voidFrom    order.ClockMS // it is void if its worker does not list it after this
 	known       order.ClockMS // when its worker last said that it is there
 	sentAt      model.Time    // of the latest order
+	orders      int           // orders to start it that were sent
+	refused     int           // orders to start it that were refused
 	begunAt     model.Time    // when it was known to have begun
 	speed       int           // share at which it may work, in percent
 	progress    int           // as its worker reports it, in percent; 100 for a long-running task that is up
@@ -121,6 +123,7 @@
 	deadline := w.extend(env.Now, startTime)
 	r.voidFrom = max(r.voidFrom, deadline)
 	r.phase, r.sentAt = ordered, env.Now
+	r.orders++
 	out.Effects = append(out.Effects, s.call(w, order.Call{Start: &order.Start{
 		RunRef: r.ref, Spec: r.job.Spec, Checkpoint: t.Checkpoint, Ticket: s.ticket(env, r), Deadline: deadline,
 	}}))
@@ -158,7 +161,12 @@
 	case order.Silent, order.Refused:
 		// The order may be executed later.
 	default:
-		s.finish(env, out, r, jobs.OutcomeVoid, "", "its worker refused it: "+string(reply.Status)+" "+reply.Detail)
+		// An earlier order without an answer may still be executed, unless the worker's
+		// clock is past the deadline that all of them have.
+		r.refused++
+		if r.refused >= r.orders || reply.Status == order.Late {
+			s.finish(env, out, r, jobs.OutcomeVoid, "", "its worker refused it: "+string(reply.Status)+" "+reply.Detail)
+		}
 		switch reply.Status {
 		case order.OtherLife:
 			s.processEnded(env, out, w, "another process answers at its address")
@@ -265,6 +273,7 @@
 	case r.phase == ordered && r.worker.clockNow(env.Now) < r.voidFrom:
 		t := env.State.Task(r.ref.TaskRef)
 		r.sentAt = env.Now
+		r.orders++
 		out.Effects = append(out.Effects, s.call(r.worker, order.Call{Start: &order.Start{
 			RunRef: r.ref, Spec: r.job.Spec, Checkpoint: t.Checkpoint, Ticket: s.ticket(env, r), Deadline: r.voidFrom,
 		}}))
@@ -308,6 +317,9 @@
 
 // finish records the end of a run that its worker does not list.
 func (s *Scheduler) finish(env Env, out *Out, r *run, o jobs.Outcome, checkpoint, reason string) {
+	if o == jobs.OutcomeLost && r.step.Copies {
+		s.abandoned[r.ref] = true
+	}
 	out.Proposals = append(out.Proposals, jobs.Command{End: &jobs.End{Runs: []jobs.Ending{s.ending(r, o, checkpoint)}}})
 	out.log(effect.RunGivenUp, effect.Log{Request: model.RequestID(r.ref.Job), Task: runLabel(r.ref),
 		Worker: r.worker.info.ID, Detail: string(o) + ": " + reason})
@@ -353,6 +365,7 @@
 			p.stale = true
 			s.pool(p.service).dirty = true
 		}
+		delete(s.abandoned, c.Runs[i].RunRef)
 		if c.Runs[i].Outcome == jobs.OutcomeDone && applied[i] {
 			s.stopCopies(env, out, c.Runs[i].RunRef)
 		}
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -47,6 +47,7 @@
 	services        map[model.ServiceID]*pool
 	teams           map[model.TeamID]model.Resources // what may be running
 	shares          shares
+	abandoned       map[jobs.RunRef]bool  // given up, and not yet recorded as such
 	proposed        map[jobs.TaskRef]bool // assignments that are not yet committed
 	runs            map[jobs.RunRef]*run
 	seq             uint64 // of calls
@@ -68,16 +69,17 @@
 // New returns the scheduler of a leader that has applied all earlier entries.
 func New(env Env) *Scheduler {
 	s := &Scheduler{
-		workers:  make(map[model.WorkerID]*worker),
-		byHost:   make(map[model.HostID][]*worker),
-		active:   make(map[model.JobID]*progress),
-		services: make(map[model.ServiceID]*pool),
-		teams:    make(map[model.TeamID]model.Resources),
-		shares:   make(shares),
-		proposed: make(map[jobs.TaskRef]bool),
-		runs:     make(map[jobs.RunRef]*run),
-		forgotAt: env.Now,
-		held:     make(map[model.HostID]bool),
+		workers:   make(map[model.WorkerID]*worker),
+		byHost:    make(map[model.HostID][]*worker),
+		active:    make(map[model.JobID]*progress),
+		services:  make(map[model.ServiceID]*pool),
+		teams:     make(map[model.TeamID]model.Resources),
+		shares:    make(shares),
+		abandoned: make(map[jobs.RunRef]bool),
+		proposed:  make(map[jobs.TaskRef]bool),
+		runs:      make(map[jobs.RunRef]*run),
+		forgotAt:  env.Now,
+		held:      make(map[model.HostID]bool),
 	}
 	for _, id := range model.SortedKeys(env.State.Workers) {
 		s.addWorker(env, env.State.Workers[id])
--- a/core/schedule/scheduler_test.go
+++ b/core/schedule/scheduler_test.go
@@ -344,3 +344,48 @@
 	require.Empty(t, b.take("a"))
 	require.Empty(t, b.s.workers)
 }
+
+// Guards against a task that runs twice: an order without an answer may still be
+// executed after its copy was refused.
+func TestRefusalDoesNotVoidAnEarlierOrder(t *testing.T) {
+	b := newBench(t, testWorker("a"), testWorker("b"))
+	b.submit("j", jobs.Step{Tasks: 1, Size: cores(1)})
+	first := append(b.take("a"), b.take("b")...)
+	require.Len(t, first, 1)
+	w := first[0].Worker
+	b.pass(resendTime)
+	second := b.take(w)
+	require.Len(t, second, 1)
+	refuse := func(c order.Call, s order.Status) {
+		b.act(func(out *Out) {
+			b.s.Replied(b.env(), out, &order.Reply{Call: c, Status: s, Clock: b.s.workers[w].clock + 1})
+		})
+	}
+	refuse(second[0], order.Unavailable)
+	require.Contains(t, b.s.runs, ref("j", 0, 1))
+	refuse(first[0], order.Unavailable)
+	require.NotContains(t, b.s.runs, ref("j", 0, 1))
+}
+
+// Guards against a copy that is done and forgotten: its worker answers again before
+// it is recorded that the run was given up.
+func TestEndOfACopyCountsWhileItsLossIsBeingRecorded(t *testing.T) {
+	b := newBench(t, testWorker("a"))
+	b.submit("j", jobs.Step{Tasks: 1, Size: cores(1), Copies: true})
+	start := b.take("a")[0]
+	b.answerPoll("a", []order.Running{atWork(start.Start.RunRef)}, nil)
+	poll := b.calls[len(b.calls)-1]
+	require.NotNil(t, poll.Hold)
+	b.now = b.now.Add(freshness + ms)
+	var lost, done Out
+	b.s.Advance(b.env(), &lost)
+	require.Len(t, lost.Proposals, 1)
+	b.s.Replied(b.env(), &done, &order.Reply{Call: poll, Status: order.Accepted, Clock: 2_000_000, Ended: []order.Ended{
+		{Number: 1, RunRef: start.Start.RunRef, Outcome: jobs.OutcomeDone},
+	}})
+	require.Len(t, done.Proposals, 1)
+	for _, c := range append(lost.Proposals, done.Proposals...) {
+		b.apply(c)
+	}
+	require.Equal(t, jobs.Completed, b.state.Jobs["j"].Phase)
+}
--- a/core/schedule/sim_test.go
+++ b/core/schedule/sim_test.go
@@ -63,6 +63,8 @@
 	scheduler *Scheduler
 	workers   []*simWorker
 	late      float64
+	unhealthy float64                     // part of the starts that workers refuse for a while
+	stalled   model.Time                  // the leader handles nothing until then
 	done      map[jobs.TaskRef]bool       // ends that were recorded
 	forgotten map[jobs.TaskRef]model.Time // when a worker was first told to forget that one was done
 	starts    int
@@ -101,6 +103,17 @@
 	s.events = append(s.events, simEvent{s.now.Add(d), do})
 }
 
+// atLeader runs do at the leader, after a tick if it is stalled then.
+func (s *sim) atLeader(d model.Duration, do func()) {
+	s.after(d, func() {
+		if s.now < s.stalled {
+			s.atLeader(s.stalled.Sub(s.now)+ms, do)
+			return
+		}
+		do()
+	})
+}
+
 func (s *sim) between(low, high model.Duration) model.Duration {
 	return low + model.Duration(s.rng.Int64N(int64(high-low)+1))
 }
@@ -130,7 +143,7 @@
 	scheduler := s.scheduler
 	for i := range out.Proposals {
 		c := out.Proposals[i]
-		s.after(s.between(5*ms, 25*ms), func() {
+		s.atLeader(s.between(5*ms, 25*ms), func() {
 			if s.scheduler == scheduler { // proposals of an earlier leader are lost
 				s.commit(&c)
 			}
@@ -193,7 +206,7 @@
 
 func (s *sim) answer(d model.Duration, r order.Reply) {
 	term := s.term
-	s.after(d, func() {
+	s.atLeader(d, func() {
 		if s.term == term {
 			s.act(func(out *Out) { s.scheduler.Replied(s.env(), out, &r) })
 		}
@@ -223,6 +236,8 @@
 	}
 	w.token = c.Token
 	switch {
+	case c.Start != nil && s.rng.Float64() < s.unhealthy:
+		r.Status = order.Unavailable
 	case c.Start != nil:
 		r.Status = s.startRun(w, c.Start)
 	case c.Stop != nil:
@@ -414,7 +429,7 @@
 			e.do()
 		}
 		s.advanceWorkers()
-		if s.now.Sub(tick) >= 50*ms {
+		if s.now >= s.stalled && s.now.Sub(tick) >= 50*ms {
 			tick = s.now
 			s.act(func(out *Out) { s.scheduler.Advance(s.env(), out) })
 		}
@@ -468,7 +483,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			s := newSim(t, seed)
-			s.late = 0.1
+			s.late, s.unhealthy = 0.1, 0.1
 			// Half of the runs have many changes of leader; in the others the leader
 			// stays long enough for leases of its own to end.
 			leads := 2 + 14*int(seed%2)
@@ -478,6 +493,8 @@
 				switch roll := s.rng.IntN(100); {
 				case roll < leads:
 					s.lead()
+				case roll >= 95:
+					s.stalled = s.now.Add(s.between(500*ms, 5*model.Second))
 				case roll < leads+14:
 					w := s.workers[s.rng.IntN(len(s.workers))]
 					w.cut = true
@@ -488,7 +505,7 @@
 					}
 				}
 			}
-			s.late = 0
+			s.late, s.unhealthy = 0, 0
 			s.run(60 * model.Second)
 			for id, j := range s.state.Jobs {
 				require.Equal(t, jobs.Completed, j.Phase, "job %s", id)
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -375,7 +375,7 @@
 		r := w.runs[e.RunRef]
 		if r == nil {
 			// An end that an earlier leader recorded, or of a run that was given up.
-			if isAbandoned(env, e.RunRef) {
+			if s.abandoned[e.RunRef] || isAbandoned(env, e.RunRef) {
 				endings = append(endings, s.abandonedEnding(e))
 			}
 			continue
