core/schedule: find workers by an index of what they have free

Ruled out: an ordered set with sums for the jobs ahead; with the work left of a job kept until one of its tasks changes, the sum over all jobs is a small part.

Change: workers of a service are kept sorted by free room, with and without long-running tasks; a task without special needs takes the first that fits. Others look at each worker as before. The room for admission is computed once a tick. A worker that announces itself with another size or service changes its place. The simulation compares the index with a look at each worker at every tick. The benchmark now includes the admission.

--- a/core/schedule/admit.go
+++ b/core/schedule/admit.go
@@ -26,7 +26,7 @@
 	if p == nil {
 		return nil
 	}
-	room := s.room(env, p)
+	room := s.roomForJobs(env, p)
 	if room <= 0 {
 		return nil
 	}
@@ -48,19 +48,20 @@
 	return refusal
 }
 
-// room is the number of thousandths of a core that jobs which end can use on the
-// workers of a service.
-func (s *Scheduler) room(env Env, p *pool) float64 {
+// roomForJobs is the number of thousandths of a core that jobs which end can use on
+// the workers of a service, as of the latest tick.
+func (s *Scheduler) roomForJobs(env Env, p *pool) float64 {
+	if p.roomKnown {
+		return p.roomLeft
+	}
 	sum := int64(0)
-	for _, w := range s.usable(env, p) {
-		sum += w.info.Capacity.MilliCPU
-		for _, r := range w.runs {
-			if r.step.LongRunning {
-				sum -= r.claim.MilliCPU
-			}
+	for _, w := range p.workers {
+		if s.isUsable(env, w) {
+			sum += w.info.Capacity.MilliCPU - w.longRunningClaim
 		}
 	}
-	return float64(sum)
+	p.roomLeft, p.roomKnown = float64(sum), true
+	return p.roomLeft
 }
 
 // Fits reports whether any worker of the service is large enough for each task
--- a/core/schedule/bench_test.go
+++ b/core/schedule/bench_test.go
@@ -18,6 +18,8 @@
 			b.ResetTimer()
 			for i := range b.N {
 				id := model.JobID(fmt.Sprintf("%016x", i))
+				job := &jobs.Job{ID: id, Queue: "q", Service: "render", Steps: []jobs.Step{{Tasks: 1, Size: cores(1), Estimate: model.Second}}}
+				t.s.Admit(t.env(), t.state.Config.Queue("q"), job) // refused: the pool is full
 				t.submit(id, jobs.Step{Tasks: 1, Size: cores(1), Estimate: model.Second})
 				run := ref(id, 0, 1)
 				w := t.s.runs[run].worker
--- a/core/schedule/place.go
+++ b/core/schedule/place.go
@@ -44,43 +44,67 @@
 
 // placeService assigns tasks of one service, most urgent jobs first.
 func (s *Scheduler) placeService(env Env, out *Out, p *pool, runs []jobs.Assignment) []jobs.Assignment {
-	usable := s.usable(env, p)
-	if len(usable) == 0 {
-		return runs
-	}
+	c := &candidates{env: env, s: s, pool: p}
 	for _, job := range p.jobs {
 		job.refresh(env)
-		if len(job.ready) == 0 {
-			continue
+		if len(job.ready) > 0 {
+			runs = s.placeJob(env, out, c, job, runs)
 		}
-		largest := roomiest(usable)
-		kept := job.ready[:0]
-		may := usable
-		for i, ref := range job.ready {
-			if job.advised != nil && (i == 0 || job.ready[i-1].StepRef() != ref.StepRef()) {
-				may = s.advise(env, out, job, ref.StepRef(), usable)
-			}
-			if job.job.Steps[ref.Step].Gang {
-				kept = append(kept, ref)
-				if ref.Index == 0 {
-					runs = append(runs, s.placeGang(env, may, job, ref)...)
-					largest = roomiest(usable)
-				}
-				continue
-			}
-			w := s.choose(env, may, largest, job, ref)
+	}
+	return runs
+}
+
+// placeJob assigns the tasks of one job that may be started.
+func (s *Scheduler) placeJob(env Env, out *Out, c *candidates, job *progress, runs []jobs.Assignment) []jobs.Assignment {
+	kept := job.ready[:0]
+	var may []*worker
+	for i, ref := range job.ready {
+		step := &job.job.Steps[ref.Step]
+		if isPlain(job, step, ref) {
+			w := s.choosePlain(env, c, job, ref)
 			if w == nil {
 				kept = append(kept, ref)
 				continue
 			}
 			runs = append(runs, s.assign(env, job, ref, w))
-			largest = roomiest(usable)
+			c.assigned()
+			continue
+		}
+		switch {
+		case job.advised == nil:
+			may = c.list()
+		case i == 0 || job.ready[i-1].StepRef() != ref.StepRef():
+			may = s.advise(env, out, job, ref.StepRef(), c.list())
 		}
-		job.ready = kept
+		if step.Gang {
+			kept = append(kept, ref)
+			if ref.Index == 0 {
+				runs = append(runs, s.placeGang(env, may, job, ref)...)
+				c.assigned()
+			}
+			continue
+		}
+		w := s.choose(env, may, c.largest, job, ref)
+		if w == nil {
+			kept = append(kept, ref)
+			continue
+		}
+		runs = append(runs, s.assign(env, job, ref, w))
+		c.assigned()
 	}
+	job.ready = kept
 	return runs
 }
 
+// choosePlain returns the worker for a task without special needs, or nil.
+func (s *Scheduler) choosePlain(env Env, c *candidates, p *progress, ref jobs.TaskRef) *worker {
+	step := &p.job.Steps[ref.Step]
+	if s.proposed[ref] || s.overCap(env, p.job.Team, step.Size) {
+		return nil
+	}
+	return c.forPlain(step.Claim())
+}
+
 // roomiest returns the most that any of the workers has free, by resource.
 func roomiest(workers []*worker) model.Resources {
 	var most model.Resources
@@ -97,14 +121,19 @@
 func (s *Scheduler) usable(env Env, p *pool) []*worker {
 	var list []*worker
 	for _, w := range p.workers {
-		if w.isFresh(env.Now) && !w.info.Draining && !env.State.Out[w.info.DataCentre] &&
-			!w.isSuspect(env.Now) && !s.held[w.info.Host] {
+		if s.isUsable(env, w) {
 			list = append(list, w)
 		}
 	}
 	return list
 }
 
+// isUsable reports whether a worker may be given new runs.
+func (s *Scheduler) isUsable(env Env, w *worker) bool {
+	return w.isFresh(env.Now) && !w.info.Draining && !env.State.Out[w.info.DataCentre] &&
+		!w.isSuspect(env.Now) && !s.held[w.info.Host]
+}
+
 // choose returns the worker for a task, or nil if none can take it now.
 func (s *Scheduler) choose(env Env, usable []*worker, largest model.Resources, p *progress, ref jobs.TaskRef) *worker {
 	step := &p.job.Steps[ref.Step]
@@ -181,7 +210,7 @@
 func (s *Scheduler) score(w *worker, p *progress, step *jobs.Step, ref jobs.TaskRef) score {
 	sc := score{
 		failed: p.failedOn[ref] == w.info.ID,
-		room:   w.info.Capacity.MilliCPU - w.used.MilliCPU - step.Claim().MilliCPU,
+		room:   w.free().MilliCPU - step.Claim().MilliCPU,
 	}
 	if step.DataRack != "" {
 		sc.remote = w.info.Rack != step.DataRack
--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -20,6 +20,8 @@
 	late        bool       // its time is over
 	ready       []jobs.TaskRef
 	stale       bool         // ready must be rebuilt
+	workLeft    float64      // see left
+	workKnown   bool         // workLeft is that of now
 	undated     bool         // some round is not due yet
 	advised     *jobs.Advice // of its queue, nil without
 	advice      map[jobs.StepRef]*advice
@@ -136,6 +138,9 @@
 // left is the estimated work of a job that is not done, in thousandths of a core
 // times seconds. Of what runs, half is taken to be done.
 func (p *progress) left() float64 {
+	if p.workKnown {
+		return p.workLeft
+	}
 	sum := 0.0
 	for k := range p.job.Rounds {
 		for step := range p.job.Rounds[k].Tasks {
@@ -152,5 +157,9 @@
 			sum += open * float64(st.Size.MilliCPU) * st.Estimate.Seconds()
 		}
 	}
+	p.workLeft, p.workKnown = sum, true
 	return sum
 }
+
+// changed records that the state of a task has changed.
+func (p *progress) changed() { p.stale, p.workKnown = true, false }
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -62,11 +62,33 @@
 	r := &run{ref: ref, job: j, step: step, team: j.Team, worker: w, claim: step.Claim(), speed: 100}
 	s.runs[ref] = r
 	w.runs[ref] = r
-	w.used = w.used.Add(r.claim)
+	w.count(r, 1)
+	s.roomChanged(w)
 	s.teams[r.team] = s.teams[r.team].Add(step.Size)
 	return r
 }
 
+// count adds a run to what its worker is taken to use, or takes it off.
+func (w *worker) count(r *run, sign int) {
+	if sign > 0 {
+		w.used = w.used.Add(r.claim)
+	} else {
+		w.used = w.used.Sub(r.claim)
+	}
+	if r.step.LongRunning {
+		w.longRunning += sign
+		w.longRunningClaim += int64(sign) * r.claim.MilliCPU
+	}
+}
+
+// roomChanged keeps the index of a worker's service. A worker that has gone is in
+// none.
+func (s *Scheduler) roomChanged(w *worker) {
+	if s.workers[w.info.ID] == w {
+		s.pool(w.info.Service).room.update(w)
+	}
+}
+
 // departedWorker stands for an earlier life of a worker, whose runs ended with
 // it.
 func (s *Scheduler) departedWorker(env Env, id model.WorkerID, life uint64) *worker {
@@ -83,7 +105,8 @@
 	}
 	delete(s.runs, r.ref)
 	delete(r.worker.runs, r.ref)
-	r.worker.used = r.worker.used.Sub(r.claim)
+	r.worker.count(r, -1)
+	s.roomChanged(r.worker)
 	s.teams[r.team] = s.teams[r.team].Sub(r.step.Size)
 	s.pool(r.worker.info.Service).dirty = true
 }
@@ -94,7 +117,7 @@
 		a := &c.Runs[i]
 		delete(s.proposed, a.TaskRef)
 		if p := s.active[a.Job]; p != nil {
-			p.stale = true
+			p.changed()
 		}
 		r := s.runs[a.RunRef]
 		if r == nil {
@@ -362,7 +385,7 @@
 func (s *Scheduler) endsRecorded(env Env, out *Out, c *jobs.End, applied []bool) {
 	for i := range c.Runs {
 		if p := s.active[c.Runs[i].Job]; p != nil {
-			p.stale = true
+			p.changed()
 			s.pool(p.service).dirty = true
 		}
 		delete(s.abandoned, c.Runs[i].RunRef)
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -64,6 +64,10 @@
 	dirty    bool        // something may be placed
 	arrivals []arrival   // of the latest arrivalWindow
 	workers  []*worker   // by id
+	room     roomIndex   // of the same workers
+
+	roomLeft  float64 // see roomForJobs
+	roomKnown bool    // roomLeft was computed since the latest tick
 }
 
 // New returns the scheduler of a leader that has applied all earlier entries.
@@ -144,6 +148,7 @@
 	}
 	for _, p := range s.services {
 		p.dirty = p.dirty || len(p.jobs) > 0
+		p.roomKnown = false
 		p.sortLate(env.Clock)
 	}
 	if env.Now.Sub(s.forgotAt) >= forgetInterval {
--- a/core/schedule/sim_test.go
+++ b/core/schedule/sim_test.go
@@ -432,6 +432,7 @@
 		if s.now >= s.stalled && s.now.Sub(tick) >= 50*ms {
 			tick = s.now
 			s.act(func(out *Out) { s.scheduler.Advance(s.env(), out) })
+			requireRoomIndex(s.t, s.scheduler, s.env())
 		}
 	}
 }
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -43,6 +43,10 @@
 	// foreign is what runs take that are listed and not known: they were given up, or
 	// their assignment was never committed. They are being stopped.
 	foreign model.Resources
+	// Of the long-running tasks among them, their number and thousandths of a core.
+	longRunning      int
+	longRunningClaim int64
+	place            roomKey // in the index of its service
 
 	polled    bool   // a poll with this leader's token has been answered
 	pollOut   uint64 // sequence number of the poll that is out, 0 for none
@@ -74,13 +78,26 @@
 	}
 	s.workers[info.ID] = w
 	s.byHost[info.Host] = append(s.byHost[info.Host], w)
-	p := s.pool(info.Service)
-	p.workers = append(p.workers, w)
-	slices.SortFunc(p.workers, func(a, b *worker) int { return compareIDs(a.info.ID, b.info.ID) })
-	p.dirty = true
+	s.join(w)
 	return w
 }
 
+// join adds a worker to the pool of its service.
+func (s *Scheduler) join(w *worker) {
+	p := s.pool(w.info.Service)
+	at, _ := slices.BinarySearchFunc(p.workers, w, func(a, b *worker) int { return compareIDs(a.info.ID, b.info.ID) })
+	p.workers = slices.Insert(p.workers, at, w)
+	p.room.update(w)
+	p.dirty = true
+}
+
+// leave takes a worker out of the pool of its service.
+func (s *Scheduler) leave(w *worker) {
+	p := s.pool(w.info.Service)
+	p.workers = slices.DeleteFunc(p.workers, func(other *worker) bool { return other == w })
+	p.room.remove(w)
+}
+
 func compareIDs(a, b model.WorkerID) int {
 	switch {
 	case a < b:
@@ -113,8 +130,7 @@
 	if s.byHost[w.info.Host] = slices.DeleteFunc(s.byHost[w.info.Host], same); len(s.byHost[w.info.Host]) == 0 {
 		delete(s.byHost, w.info.Host)
 	}
-	p := s.pool(w.info.Service)
-	p.workers = slices.DeleteFunc(p.workers, same)
+	s.leave(w)
 }
 
 // announced handles a worker that was recorded. Its runs in an earlier life
@@ -122,8 +138,9 @@
 func (s *Scheduler) announced(env Env, out *Out, info *jobs.Worker) {
 	if old := s.workers[info.ID]; old != nil {
 		if old.info.Life == info.Life && old.info.Host == info.Host {
+			s.leave(old)
 			old.info = info
-			s.pool(info.Service).dirty = true
+			s.join(old)
 			return
 		}
 		s.lose(env, out, old, "its worker began another life")
@@ -336,6 +353,7 @@
 	}
 	listed := make(map[jobs.RunRef]bool, len(reply.Running))
 	w.foreign = model.Resources{}
+	defer s.roomChanged(w)
 	for i := range reply.Running {
 		listed[reply.Running[i].RunRef] = true
 		s.seenRunning(env, out, w, &reply.Running[i], reply.Clock)
