schedule, consensus: short polls while answers get lost; fewer appends

With nine replicas the leader spent more on appends of one or two entries than on all orders.

Change: for 5 s after a call without an answer, polls of workers with runs wait 0.3 s, more with many workers, and may be answered 0.3 s later; not while the leader's own ticks are late, and not for hosts that were ordered away. Orders are sent again after 0.2 s (0.4 before).

--- a/core/consensus/replication.go
+++ b/core/consensus/replication.go
@@ -87,6 +87,9 @@
 			n.sendSnapshot(p)
 			return
 		}
+		if !p.takeAppend(n.cfg.AppendRate, n.now) {
+			return
+		}
 		n.sendAppend(p, prevTerm)
 	}
 }
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -44,6 +44,9 @@
 	Deadline ClockMS        `json:"deadline"` // 0 extends nothing
 	Seen     uint64         `json:"seen"`     // ends up to this number are recorded
 	Wait     model.Duration `json:"wait"`     // longest wait for an end
+	// AnswerTime is how long after Wait the answer may take until the call is
+	// reported as Silent.
+	AnswerTime model.Duration `json:"answer_time"`
 }
 
 // Throttle sets the share at which a run works.
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -15,7 +15,7 @@
 	// startTime is how long after it is sent an order to start may be carried out.
 	startTime = 2 * model.Second
 	// resendTime is the wait for an answer before an order is sent again.
-	resendTime = 400 * model.Millisecond
+	resendTime = 200 * model.Millisecond
 )
 
 // runPhase is what is known of a run.
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -50,8 +50,11 @@
 	abandoned       map[jobs.RunRef]bool  // given up, and not yet recorded as such
 	proposed        map[jobs.TaskRef]bool // assignments that are not yet committed
 	runs            map[jobs.RunRef]*run
-	seq             uint64 // of calls
-	advices         int    // calls for advice that are out
+	seq             uint64     // of calls
+	unansweredAt    model.Time // latest call without an answer of a worker that had answered shortly before
+	advancedAt      model.Time // latest tick
+	lateAt          model.Time // latest tick that was late
+	advices         int        // calls for advice that are out
 	forgotAt        model.Time
 	departedWorkers []*worker             // earlier lives that have runs to be recorded as lost
 	leaving         map[model.HostID]bool // hosts that are to be emptied soon
@@ -139,6 +142,10 @@
 
 // Advance does what is due by time.
 func (s *Scheduler) Advance(env Env, out *Out) {
+	if s.advancedAt != 0 && env.Now.Sub(s.advancedAt) > lateTick {
+		s.lateAt = env.Now
+	}
+	s.advancedAt = env.Now
 	for _, w := range s.departedWorkers {
 		s.lose(env, out, w, "its worker has gone")
 	}
@@ -160,6 +167,14 @@
 	}
 }
 
+const (
+	// lateTick is the time between two ticks from which on the process is taken to be
+	// short of processor time: the interval of ticks is half of it.
+	lateTick = 100 * model.Millisecond
+	// pressedTime is how long a late tick counts.
+	pressedTime = 3 * model.Second
+)
+
 // forgetInterval is the time between two removals of ended jobs. Their state
 // may be asked for during Bounds.StatusKept, which this adds to.
 const forgetInterval = 10 * model.Second
--- a/core/schedule/scheduler_test.go
+++ b/core/schedule/scheduler_test.go
@@ -389,3 +389,38 @@
 	}
 	require.Equal(t, jobs.Completed, b.state.Jobs["j"].Phase)
 }
+
+// Guards against ends that stay unknown for as long as a poll may take while
+// workers lose answers: the step that waits for them is late.
+func TestPollsAreShortWhileAnswersGetLost(t *testing.T) {
+	b := newBench(t, testWorker("a"), testWorker("b"))
+	lastPoll := func(id model.WorkerID) *order.Hold {
+		for i := len(b.calls) - 1; i >= 0; i-- {
+			if b.calls[i].Worker == id && b.calls[i].Hold != nil {
+				return b.calls[i].Hold
+			}
+		}
+		return nil
+	}
+	b.submit("j", jobs.Step{Tasks: 1, Size: cores(1)})
+	run := ref("j", 0, 1)
+	w := b.s.runs[run].worker.info.ID
+	b.answerPoll(w, []order.Running{atWork(run)}, nil)
+	require.Equal(t, pollWait, lastPoll(w).Wait)
+
+	lost := order.Reply{Call: order.Call{Worker: w, Life: b.s.workers[w].info.Life, Token: b.s.workers[w].token, Start: &order.Start{RunRef: run}}, Status: order.Silent}
+	b.act(func(out *Out) { b.s.Replied(b.env(), out, &lost) })
+	b.answerPoll(w, []order.Running{atWork(run)}, nil)
+	require.Equal(t, alertWait, lastPoll(w).Wait)
+	require.Equal(t, alertAnswerTime, lastPoll(w).AnswerTime)
+	b.pass(50 * ms)
+	b.pass(lateTick + ms) // the leader is short of processor time itself
+	b.answerPoll(w, []order.Running{atWork(run)}, nil)
+	require.Equal(t, pollWait, lastPoll(w).Wait)
+	b.s.lateAt = 0
+	b.answerPoll(w, []order.Running{atWork(run)}, nil)
+	require.Equal(t, alertWait, lastPoll(w).Wait)
+	b.now = b.now.Add(alertTime)
+	b.answerPoll(w, []order.Running{atWork(run)}, nil)
+	require.Equal(t, pollWait, lastPoll(w).Wait)
+}
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -17,10 +17,24 @@
 	// startingWait is the same while a long-running task begins: other tasks of its
 	// step wait for it to be up.
 	startingWait = 250 * model.Millisecond
+	// answerTime is how long after its wait a poll may be answered: hundreds of times
+	// the way to a worker and back, for a leader that is short of processor time.
+	answerTime = 900 * model.Millisecond
+	// alertTime is how long after a call without an answer other answers are taken to
+	// get lost too. Polls of workers with runs are then short, since the ends behind a
+	// lost answer are not known until the next.
+	alertTime = 5 * model.Second
+	// alertWait and alertAnswerTime stand for pollWait and answerTime meanwhile, the
+	// former for as long as there are few workers.
+	alertWait       = 300 * model.Millisecond
+	alertAnswerTime = 300 * model.Millisecond
+	// alertInterval is the time between two polls of all workers together that wait in
+	// vain while answers get lost.
+	alertInterval = 10 * model.Millisecond
 	// pollRetry is the pause after a poll that failed.
 	pollRetry = 150 * model.Millisecond
 	// pollTimeout is how long after its longest wait a poll is given up. The
-	// executor reports it earlier; this covers a lost report.
+	// executor reports it after Hold.AnswerTime; this covers a lost report.
 	pollTimeout = 3 * model.Second
 	// freshness is the age of the latest answer from which on a worker gets
 	// nothing new.
@@ -257,12 +271,15 @@
 // and extends no lease, so that the runs of a worker that is lost are lost soon. So
 // does the first of a leader, which does not know the worker's clock yet.
 func (s *Scheduler) poll(env Env, out *Out, w *worker) {
-	hold := order.Hold{Seen: w.seen}
+	hold := order.Hold{Seen: w.seen, AnswerTime: answerTime}
 	if w.polled && !w.missed {
 		hold.Wait = pollWait
 		if w.hasStarting() {
 			hold.Wait = startingWait
 		}
+		if len(w.runs) > 0 && s.isAlert(env.Now) {
+			hold.Wait, hold.AnswerTime = min(hold.Wait, s.shortWait()), alertAnswerTime
+		}
 		hold.Deadline = w.extend(env.Now, leaseTime(env.Bounds))
 	}
 	call := s.call(w, order.Call{Hold: &hold})
@@ -270,6 +287,23 @@
 	out.Effects = append(out.Effects, call)
 }
 
+// shortWait is the longest wait of a poll while answers get lost.
+func (s *Scheduler) shortWait() model.Duration {
+	return max(alertWait, model.Duration(len(s.workers))*alertInterval)
+}
+
+// isAlert reports whether answers get lost by the fault of workers or links. A
+// leader that is short of processor time is late with answers itself, and more
+// calls would make it later.
+func (s *Scheduler) isAlert(now model.Time) bool {
+	return s.unansweredAt != 0 && now.Sub(s.unansweredAt) < alertTime && !s.isPressed(now)
+}
+
+// isPressed reports whether this process has been short of processor time.
+func (s *Scheduler) isPressed(now model.Time) bool {
+	return s.lateAt != 0 && now.Sub(s.lateAt) < pressedTime
+}
+
 // hasStarting reports whether a long-running task is not up yet.
 func (w *worker) hasStarting() bool {
 	for _, r := range w.runs {
@@ -290,6 +324,9 @@
 		w.answered, w.refusals = env.Now, 0
 		w.setClock(env.Now, reply.Clock)
 	}
+	if reply.Status == order.Silent && w.polled && !s.held[w.info.Host] {
+		s.unansweredAt = env.Now
+	}
 	switch {
 	case reply.Call.Hold != nil:
 		s.polled(env, out, w, reply)
