schedule: notice lost answers by orders; spare a leader short of processor time

Change: an order without an answer counts like a poll without one; polls that were sent before are repeated. None of it applies while the leader's ticks are late or its orders take more than 30 ms on average.

--- a/core/consensus/progress.go
+++ b/core/consensus/progress.go
@@ -27,9 +27,6 @@
 	lastAck   model.Time // latest leader time that the peer echoed
 	durable   bool
 
-	appends   float64    // that may be sent at once, see Config.AppendRate
-	appendsAt model.Time // when appends was computed
-
 	// commitSent is the highest commit index that was sent to the peer. A
 	// message that was lost is made up for by the next heartbeat.
 	commitSent uint64
@@ -52,24 +49,6 @@
 	}
 }
 
-// appendBurst is the time whose appends may be sent at once.
-const appendBurst = 250 * model.Millisecond
-
-// takeAppend reports whether an append may be sent now, and counts it.
-func (p *progress) takeAppend(rate int, now model.Time) bool {
-	if rate == 0 {
-		return true
-	}
-	burst := float64(rate) * appendBurst.Seconds()
-	p.appends = min(burst, p.appends+float64(rate)*now.Sub(p.appendsAt).Seconds())
-	p.appendsAt = now
-	if p.appends < 1 {
-		return false
-	}
-	p.appends--
-	return true
-}
-
 // acknowledge records that entries up to index match, and reports whether
 // match has grown.
 func (p *progress) acknowledge(index uint64, now model.Time) bool {
--- a/core/consensus/replication.go
+++ b/core/consensus/replication.go
@@ -87,9 +87,6 @@
 			n.sendSnapshot(p)
 			return
 		}
-		if !p.takeAppend(n.cfg.AppendRate, n.now) {
-			return
-		}
 		n.sendAppend(p, prevTerm)
 	}
 }
--- a/core/consensus/types.go
+++ b/core/consensus/types.go
@@ -122,12 +122,8 @@
 	ElectionTimeoutMin model.Duration
 	ElectionTimeoutMax model.Duration
 	HeartbeatInterval  model.Duration
-	MaxAppendEntries   int // entries in one append message at most
-	MaxInflight        int // append messages to one peer that are not yet answered
-	// AppendRate bounds the appends to one peer in a second that are sent as soon as
-	// there are entries; what comes beyond waits for others and shares an append. 0
-	// for no bound.
-	AppendRate    int
-	SnapshotEvery uint64 // applied entries between two snapshots; 0 for none
-	MaxVoters     int    // the leader adds durable non-voters of new hosts while there are fewer voters
+	MaxAppendEntries   int    // entries in one append message at most
+	MaxInflight        int    // append messages to one peer that are not yet answered
+	SnapshotEvery      uint64 // applied entries between two snapshots; 0 for none
+	MaxVoters          int    // the leader adds durable non-voters of new hosts while there are fewer voters
 }
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -16,6 +16,10 @@
 	startTime = 2 * model.Second
 	// resendTime is the wait for an answer before an order is sent again.
 	resendTime = 200 * model.Millisecond
+	// alertResendTime stands for it while answers get lost, and pressedResendTime
+	// while this process is short of processor time.
+	alertResendTime   = 100 * model.Millisecond
+	pressedResendTime = 600 * model.Millisecond
 )
 
 // runPhase is what is known of a run.
@@ -177,6 +181,9 @@
 	}
 	switch reply.Status {
 	case order.Accepted:
+		if r.orders == 1 {
+			s.noteOrderTime(env.Now.Sub(r.sentAt))
+		}
 		s.begin(env, r, reply.Clock)
 	case order.Old:
 		// It has ended or was stopped: the next list tells how.
@@ -287,13 +294,16 @@
 
 // advanceRun sends an order again that has no answer.
 func (s *Scheduler) advanceRun(env Env, out *Out, r *run) {
-	if env.Now.Sub(r.sentAt) < resendTime || !r.worker.polled {
+	if env.Now.Sub(r.sentAt) < s.resendAfter(env.Now) || !r.worker.polled {
 		return
 	}
 	switch {
 	case r.stopping && r.phase != assigned:
 		s.sendStop(env, out, r)
 	case r.phase == ordered && r.worker.clockNow(env.Now) < r.voidFrom:
+		if !s.held[r.worker.info.Host] {
+			s.unansweredAt = env.Now
+		}
 		t := env.State.Task(r.ref.TaskRef)
 		r.sentAt = env.Now
 		r.orders++
@@ -303,6 +313,17 @@
 	}
 }
 
+// resendAfter is how long an order waits for an answer before it is sent again.
+func (s *Scheduler) resendAfter(now model.Time) model.Duration {
+	switch {
+	case s.isPressed(now):
+		return pressedResendTime
+	case s.isAlert(now):
+		return alertResendTime
+	}
+	return resendTime
+}
+
 // stop orders a run to stop. It counts until its end is certain.
 func (s *Scheduler) stop(env Env, out *Out, r *run, reason string) {
 	if r.stopping {
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -50,11 +50,12 @@
 	abandoned       map[jobs.RunRef]bool  // given up, and not yet recorded as such
 	proposed        map[jobs.TaskRef]bool // assignments that are not yet committed
 	runs            map[jobs.RunRef]*run
-	seq             uint64     // of calls
-	unansweredAt    model.Time // latest call without an answer of a worker that had answered shortly before
-	advancedAt      model.Time // latest tick
-	lateAt          model.Time // latest tick that was late
-	advices         int        // calls for advice that are out
+	seq             uint64         // of calls
+	unansweredAt    model.Time     // latest call without an answer of a worker that had answered shortly before
+	advancedAt      model.Time     // latest tick
+	lateAt          model.Time     // latest tick that was late
+	orderTime       model.Duration // that accepted orders take, on average
+	advices         int            // calls for advice that are out
 	forgotAt        model.Time
 	departedWorkers []*worker             // earlier lives that have runs to be recorded as lost
 	leaving         map[model.HostID]bool // hosts that are to be emptied soon
@@ -173,6 +174,11 @@
 	lateTick = 100 * model.Millisecond
 	// pressedTime is how long a late tick counts.
 	pressedTime = 3 * model.Second
+	// slowOrder is the time of an order from which on the process is taken to be
+	// short of processor time: ten times the way to a worker and back.
+	slowOrder = 30 * model.Millisecond
+	// orderTimeWeight is the number of orders over which their time is averaged.
+	orderTimeWeight = 16
 )
 
 // forgetInterval is the time between two removals of ended jobs. Their state
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -26,8 +26,8 @@
 	alertTime = 5 * model.Second
 	// alertWait and alertAnswerTime stand for pollWait and answerTime meanwhile, the
 	// former for as long as there are few workers.
-	alertWait       = 300 * model.Millisecond
-	alertAnswerTime = 300 * model.Millisecond
+	alertWait       = 200 * model.Millisecond
+	alertAnswerTime = 120 * model.Millisecond
 	// alertInterval is the time between two polls of all workers together that wait in
 	// vain while answers get lost.
 	alertInterval = 10 * model.Millisecond
@@ -64,6 +64,7 @@
 
 	polled    bool   // a poll with this leader's token has been answered
 	pollOut   uint64 // sequence number of the poll that is out, 0 for none
+	pollSent  model.Time
 	pollUntil model.Time
 	pollAt    model.Time // no poll is sent before this
 	answered  model.Time // latest answer
@@ -210,6 +211,10 @@
 	if w.pollOut != 0 && env.Now > w.pollUntil {
 		w.pollOut = 0
 	}
+	if w.pollOut != 0 && len(w.runs) > 0 && s.isAlert(env.Now) && env.Now.Sub(w.pollSent) > s.shortWait()+alertAnswerTime {
+		// It was sent before answers began to get lost. An answer is still welcome.
+		w.pollOut, w.missed = 0, true
+	}
 	if w.pollOut == 0 && env.Now >= w.pollAt {
 		s.poll(env, out, w)
 	}
@@ -223,7 +228,7 @@
 	if w.polled && !w.isFresh(env.Now) {
 		s.startCopies(env, out, w)
 	}
-	if !w.hasOverdue(env.Now) {
+	if !w.hasOverdue(env.Now, s.resendAfter(env.Now)) {
 		return
 	}
 	for _, r := range sortedRunsOf(w) {
@@ -245,9 +250,9 @@
 func (w *worker) free() model.Resources { return w.info.Capacity.Sub(w.used).Sub(w.foreign) }
 
 // hasOverdue reports whether an order about some run has to be sent again.
-func (w *worker) hasOverdue(now model.Time) bool {
+func (w *worker) hasOverdue(now model.Time, after model.Duration) bool {
 	for _, r := range w.runs {
-		if (r.stopping || r.phase == ordered) && now.Sub(r.sentAt) >= resendTime {
+		if (r.stopping || r.phase == ordered) && now.Sub(r.sentAt) >= after {
 			return true
 		}
 	}
@@ -283,7 +288,7 @@
 		hold.Deadline = w.extend(env.Now, leaseTime(env.Bounds))
 	}
 	call := s.call(w, order.Call{Hold: &hold})
-	w.pollOut, w.pollUntil = call.Call.Seq, env.Now.Add(hold.Wait+pollTimeout)
+	w.pollOut, w.pollSent, w.pollUntil = call.Call.Seq, env.Now, env.Now.Add(hold.Wait+pollTimeout)
 	out.Effects = append(out.Effects, call)
 }
 
@@ -299,9 +304,15 @@
 	return s.unansweredAt != 0 && now.Sub(s.unansweredAt) < alertTime && !s.isPressed(now)
 }
 
-// isPressed reports whether this process has been short of processor time.
+// isPressed reports whether this process is short of processor time: its ticks or
+// the answers to its orders come late.
 func (s *Scheduler) isPressed(now model.Time) bool {
-	return s.lateAt != 0 && now.Sub(s.lateAt) < pressedTime
+	return s.lateAt != 0 && now.Sub(s.lateAt) < pressedTime || s.orderTime > slowOrder
+}
+
+// noteOrderTime keeps the time that orders take until their answer is handled.
+func (s *Scheduler) noteOrderTime(d model.Duration) {
+	s.orderTime += (d - s.orderTime) / orderTimeWeight
 }
 
 // hasStarting reports whether a long-running task is not up yet.
--- a/core/state.go
+++ b/core/state.go
@@ -62,8 +62,6 @@
 	// stands for the default of 8. With a small one, commands that come while an
 	// answer is awaited share the next append.
 	MaxInflight int
-	// AppendRate bounds the appends to one replica in a second; zero for no bound.
-	AppendRate int
 	// Bounds are those of a platform whose workers are called. With the zero
 	// Bounds no jobs with steps are run.
 	Bounds schedule.Bounds
@@ -149,7 +147,6 @@
 		HeartbeatInterval:  HeartbeatInterval,
 		MaxAppendEntries:   maxAppendEntries,
 		MaxInflight:        cmp.Or(cfg.MaxInflight, maxInflight),
-		AppendRate:         cfg.AppendRate,
 		SnapshotEvery:      cmp.Or(cfg.SnapshotEvery, snapshotEvery),
 		MaxVoters:          cfg.MaxVoters,
 	}, stored)
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -32,9 +32,6 @@
 	// maxInflight appends to one replica are under way at a time. With up to 8
 	// followers each append costs the leader about a millisecond of its half core.
 	maxInflight = 1
-	// appendRate bounds the appends to one replica in a second. Each costs the leader
-	// about as much as the order of a run, and with 8 followers more than all orders.
-	appendRate = 40
 	// noticeTime is how long a stopping entry host goes on serving, so that the
 	// balancer, which asks once a second and takes two misses, sends nobody more.
 	noticeTime = 2200 * time.Millisecond
@@ -80,7 +77,7 @@
 	inc := newIncarnation()
 	cfg := core.Config{
 		Host: s.Host, DataCentre: s.DataCentre, Incarnation: inc, Replica: inc,
-		Durable: s.IsReplica(), MaxVoters: maxVoters, MaxInflight: maxInflight, AppendRate: appendRate, Bounds: s.Bounds,
+		Durable: s.IsReplica(), MaxVoters: maxVoters, MaxInflight: maxInflight, Bounds: s.Bounds,
 	}
 	cfg.Seeds = s.Seeds
 	if s.IsReplica() {
--- a/recording/journal.go
+++ b/recording/journal.go
@@ -51,7 +51,6 @@
 	SnapshotEvery uint64                 `json:"snapshot_every,omitempty"`
 	Bounds        schedule.Bounds        `json:"bounds,omitzero"`
 	MaxInflight   int                    `json:"max_inflight,omitempty"`
-	AppendRate    int                    `json:"append_rate,omitempty"`
 	Seeds         []model.HostID         `json:"seeds,omitempty"`
 	At            model.Time             `json:"at"`
 	Rand          uint64                 `json:"rand"`
@@ -90,6 +89,6 @@
 	return core.Config{
 		Host: s.Host, DataCentre: s.DataCentre, Incarnation: s.Incarnation, Replica: s.Replica,
 		Durable: s.Durable, Peers: s.Peers, MaxVoters: s.MaxVoters, Policy: s.Policy, HostPolicy: s.HostPolicy,
-		SnapshotEvery: s.SnapshotEvery, Bounds: s.Bounds, Seeds: s.Seeds, MaxInflight: s.MaxInflight, AppendRate: s.AppendRate,
+		SnapshotEvery: s.SnapshotEvery, Bounds: s.Bounds, Seeds: s.Seeds, MaxInflight: s.MaxInflight,
 	}
 }
--- a/recording/writer.go
+++ b/recording/writer.go
@@ -76,7 +76,7 @@
 	start := &Start{
 		Version: Version, Host: cfg.Host, DataCentre: cfg.DataCentre, Incarnation: cfg.Incarnation,
 		Replica: cfg.Replica, Durable: cfg.Durable, Peers: cfg.Peers, MaxVoters: cfg.MaxVoters, Policy: cfg.Policy, HostPolicy: cfg.HostPolicy,
-		SnapshotEvery: cfg.SnapshotEvery, Bounds: cfg.Bounds, Seeds: cfg.Seeds, MaxInflight: cfg.MaxInflight, AppendRate: cfg.AppendRate,
+		SnapshotEvery: cfg.SnapshotEvery, Bounds: cfg.Bounds, Seeds: cfg.Seeds, MaxInflight: cfg.MaxInflight,
 		At: now, Rand: rand,
 	}
 	var err error
