schedule: log when answers get lost

Cause: the scheduler changed its times after a call without an answer and no line said so. Change: event 626, once until 5 s pass without such a call.

--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -153,6 +153,7 @@
 	WorkerSilent     Code = "worker_silent"
 	WorkerSuspect    Code = "worker_suspect"
 	WorkerReleased   Code = "worker_released"
+	AnswersLost      Code = "answers_lost"
 	TaskPlaced       Code = "task_placed"
 	TaskLost         Code = "task_lost"
 	TaskFailed       Code = "task_failed"
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -301,9 +301,7 @@
 	case r.stopping && r.phase != assigned:
 		s.sendStop(env, out, r)
 	case r.phase == ordered && r.worker.clockNow(env.Now) < r.voidFrom:
-		if !s.held[r.worker.info.Host] {
-			s.unansweredAt = env.Now
-		}
+		s.noteUnanswered(env, out, r.worker, "an order is sent again")
 		t := env.State.Task(r.ref.TaskRef)
 		r.sentAt = env.Now
 		r.orders++
--- a/core/schedule/scheduler_test.go
+++ b/core/schedule/scheduler_test.go
@@ -20,10 +20,12 @@
 	state *jobs.State
 	s     *Scheduler
 	calls []order.Call
+
+	logged map[effect.Code]int
 }
 
 func newBench(t testing.TB, workers ...jobs.Worker) *bench {
-	b := &bench{t: t, now: 1000 * model.Time(model.Second), state: &jobs.State{}}
+	b := &bench{t: t, now: 1000 * model.Time(model.Second), state: &jobs.State{}, logged: make(map[effect.Code]int)}
 	b.apply(jobs.Command{Configure: &jobs.Config{Version: 1, Queues: []jobs.Queue{
 		{ID: "q", Service: "render", MaxAttempts: 2, Stretch: 1.5, Target: 600 * ms},
 	}, Services: map[model.ServiceID]jobs.Service{"render": {}}, Teams: map[model.TeamID]jobs.Team{
@@ -54,8 +56,11 @@
 	handle(&out)
 	b.s.Place(b.env(), &out)
 	for _, e := range out.Effects {
-		if c, ok := e.(effect.CallWorker); ok {
-			b.calls = append(b.calls, c.Call)
+		switch e := e.(type) {
+		case effect.CallWorker:
+			b.calls = append(b.calls, e.Call)
+		case effect.Log:
+			b.logged[e.Code]++
 		}
 	}
 	for _, c := range out.Proposals {
@@ -451,6 +456,7 @@
 		b.pass(50 * ms)
 	}
 	require.Equal(t, before+1, polls(w))
+	require.Equal(t, 1, b.logged[effect.AnswersLost], "one line for all orders that are sent again")
 	idle := model.WorkerID("a")
 	if w == idle {
 		idle = "b"
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -297,6 +297,18 @@
 	return max(alertWait, model.Duration(len(s.workers))*alertInterval)
 }
 
+// noteUnanswered records a call without an answer. A host that was ordered away does
+// not answer.
+func (s *Scheduler) noteUnanswered(env Env, out *Out, w *worker, detail string) {
+	if s.held[w.info.Host] {
+		return
+	}
+	if s.unansweredAt == 0 || env.Now.Sub(s.unansweredAt) >= alertTime {
+		out.log(effect.AnswersLost, effect.Log{Worker: w.info.ID, Detail: detail})
+	}
+	s.unansweredAt = env.Now
+}
+
 // isAlert reports whether answers get lost by the fault of workers or links. A
 // leader that is short of processor time is late with answers itself, and more
 // calls would make it later.
@@ -335,8 +347,8 @@
 		w.answered, w.refusals = env.Now, 0
 		w.setClock(env.Now, reply.Clock)
 	}
-	if reply.Status == order.Silent && w.polled && !s.held[w.info.Host] {
-		s.unansweredAt = env.Now
+	if reply.Status == order.Silent && w.polled {
+		s.noteUnanswered(env, out, w, reply.Detail)
 	}
 	switch {
 	case reply.Call.Hold != nil:
--- a/daemon/executor.go
+++ b/daemon/executor.go
@@ -86,6 +86,7 @@
 	effect.QueueFull:        logevent.QueueFull,
 	effect.RetryBudgetSpent: logevent.RetryBudgetSpent,
 	effect.WorkerReleased:   logevent.WorkerReleased,
+	effect.AnswersLost:      logevent.AnswersLost,
 	effect.TaskLost:         logevent.TaskLost,
 	effect.TaskFailed:       logevent.TaskFailed,
 	effect.TaskRefused:      logevent.TaskRefused,
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -214,6 +214,9 @@
 	{WorkerDraining, "worker_draining", zerolog.InfoLevel,
 		"a worker drains and gets no new runs",
 		"Nothing."},
+	{AnswersLost, "answers_lost", zerolog.WarnLevel,
+		"a call to a worker got no answer; for 5 s polls are short and orders repeated sooner",
+		"If it lasts, look at the links to the workers named."},
 }}
 
 var tasksAndMaintenanceArea = area{"Tasks and maintenance", []Entry{
--- a/logevent/ids.go
+++ b/logevent/ids.go
@@ -86,6 +86,7 @@
 	WorkerReleased      ID = 623
 	WorkerGone          ID = 624
 	WorkerDraining      ID = 625
+	AnswersLost         ID = 626
 )
 
 // Tasks and maintenance.
