relay: an entry host that is cut off is not ready

Ruled out: a shorter time without a leader, which would take all entry hosts out of rotation at each election.

Change: it is not ready once no replica has answered for 1.2 s, three contacts. TestReadyWhileTheLeaderAnswers now has a replica that answers meanwhile, as in an election.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -39,6 +39,10 @@
 	// ask for more callers: longer than an election, much less than the time in
 	// which withdrawn keys must stop working.
 	readyTime = 2500 * model.Millisecond
+	// cutOffTime is the silence of all replicas after which an entry host takes itself
+	// to be cut off: three contacts. It is shorter than readyTime, as during an
+	// election the other replicas answer.
+	cutOffTime = 3 * contactInterval
 	// retryAfter is what a caller is told to wait where no leader is known.
 	retryAfter = model.Second
 )
@@ -63,6 +67,7 @@
 	calls    map[uint64]*held
 	leader   model.HostID // empty if none is known
 	heard    model.Time   // latest answer of a process that leads
+	answered model.Time   // latest answer of any replica
 	replicas []model.HostID
 	asked    model.Time // latest contact
 	seq      uint64
@@ -98,7 +103,7 @@
 
 // Ready reports whether the process can serve calls.
 func (t *Table) Ready(now model.Time) bool {
-	return t.leader != "" && (t.cfg.Replica || now.Sub(t.heard) <= readyTime)
+	return t.leader != "" && (t.cfg.Replica || now.Sub(t.heard) <= readyTime && now.Sub(t.answered) <= cutOffTime)
 }
 
 // Arrive takes a call.
@@ -265,6 +270,7 @@
 // Contacted handles the answer of a replica.
 func (t *Table) Contacted(now model.Time, from model.HostID, r *call.ContactReply) []effect.Effect {
 	t.learn(r.Replicas)
+	t.answered = now
 	if t.cfg.Replica {
 		return nil
 	}
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -90,6 +90,8 @@
 	require.False(t, table.Ready(start))
 	table.Contacted(start, "a", &call.ContactReply{Leader: "d", Replicas: []model.HostID{"d", "f"}})
 	leads(table, start, "d")
+	// Another replica answers while a leader is elected.
+	table.Contacted(start.Add(readyTime-cutOffTime), "b", &call.ContactReply{Leader: "d"})
 	require.True(t, table.Ready(start.Add(readyTime)))
 	require.False(t, table.Ready(start.Add(readyTime+1)))
 	asked := make(map[model.HostID]bool)
@@ -115,3 +117,15 @@
 	require.Empty(t, sent(table.Arrive(silent, submit(2))))
 	require.Equal(t, []model.HostID{"a"}, sent(leads(table, silent.Add(100*model.Millisecond), "a")))
 }
+
+// Guards against an entry host that goes on asking for callers when it is cut off:
+// no replica answers it, unlike during an election.
+func TestCutOffHostIsNotReady(t *testing.T) {
+	table := entry()
+	leads(table, start, "a")
+	require.True(t, table.Ready(start.Add(cutOffTime)))
+	require.False(t, table.Ready(start.Add(cutOffTime+1)))
+	table.Contacted(start.Add(cutOffTime+1), "b", &call.ContactReply{Leader: "a"})
+	require.True(t, table.Ready(start.Add(cutOffTime+1)))
+	require.Less(t, cutOffTime, readyTime)
+}
