--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -16,10 +16,6 @@
 	startTime = 2 * model.Second
 	// resendTime is the wait for an answer before an order is sent again.
 	resendTime = 200 * model.Millisecond
-	// alertResendTime stands for it while answers get lost, and pressedResendTime
-	// while this process is short of processor time.
-	alertResendTime   = 100 * model.Millisecond
-	pressedResendTime = 600 * model.Millisecond
 )
 
 // runPhase is what is known of a run.
@@ -311,17 +307,6 @@
 	}
 }
 
-// resendAfter is how long an order waits for an answer before it is sent again.
-func (s *Scheduler) resendAfter(now model.Time) model.Duration {
-	switch {
-	case s.isPressed(now):
-		return pressedResendTime
-	case s.isAlert(now):
-		return alertResendTime
-	}
-	return resendTime
-}
-
 // stop orders a run to stop. It counts until its end is certain.
 func (s *Scheduler) stop(env Env, out *Out, r *run, reason string) {
 	if r.stopping {
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -168,19 +168,6 @@
 	}
 }
 
-const (
-	// lateTick is the time between two ticks from which on the process is taken to be
-	// short of processor time: the interval of ticks is half of it.
-	lateTick = 100 * model.Millisecond
-	// pressedTime is how long a late tick counts.
-	pressedTime = 3 * model.Second
-	// slowOrder is the time of an order from which on the process is taken to be
-	// short of processor time: ten times the way to a worker and back.
-	slowOrder = 30 * model.Millisecond
-	// orderTimeWeight is the number of orders over which their time is averaged.
-	orderTimeWeight = 16
-)
-
 // forgetInterval is the time between two removals of ended jobs. Their state
 // may be asked for during Bounds.StatusKept, which this adds to.
 const forgetInterval = 10 * model.Second
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -20,17 +20,6 @@
 	// answerTime is how long after its wait a poll may be answered: hundreds of times
 	// the way to a worker and back, for a leader that is short of processor time.
 	answerTime = 900 * model.Millisecond
-	// alertTime is how long after a call without an answer other answers are taken to
-	// get lost too. Polls of workers with runs are then short, since the ends behind a
-	// lost answer are not known until the next.
-	alertTime = 5 * model.Second
-	// alertWait and alertAnswerTime stand for pollWait and answerTime meanwhile, the
-	// former for as long as there are few workers.
-	alertWait       = 200 * model.Millisecond
-	alertAnswerTime = 120 * model.Millisecond
-	// alertInterval is the time between two polls of all workers together that wait in
-	// vain while answers get lost.
-	alertInterval = 10 * model.Millisecond
 	// pollRetry is the pause after a poll that failed.
 	pollRetry = 150 * model.Millisecond
 	// pollTimeout is how long after its longest wait a poll is given up. The
@@ -292,41 +281,6 @@
 	out.Effects = append(out.Effects, call)
 }
 
-// shortWait is the longest wait of a poll while answers get lost.
-func (s *Scheduler) shortWait() model.Duration {
-	return max(alertWait, model.Duration(len(s.workers))*alertInterval)
-}
-
-// noteUnanswered records a call without an answer. A host that was ordered away does
-// not answer.
-func (s *Scheduler) noteUnanswered(env Env, out *Out, w *worker, detail string) {
-	if s.held[w.info.Host] {
-		return
-	}
-	if s.unansweredAt == 0 || env.Now.Sub(s.unansweredAt) >= alertTime {
-		out.log(effect.AnswersLost, effect.Log{Worker: w.info.ID, Detail: detail})
-	}
-	s.unansweredAt = env.Now
-}
-
-// isAlert reports whether answers get lost by the fault of workers or links. A
-// leader that is short of processor time is late with answers itself, and more
-// calls would make it later.
-func (s *Scheduler) isAlert(now model.Time) bool {
-	return s.unansweredAt != 0 && now.Sub(s.unansweredAt) < alertTime && !s.isPressed(now)
-}
-
-// isPressed reports whether this process is short of processor time: its ticks or
-// the answers to its orders come late.
-func (s *Scheduler) isPressed(now model.Time) bool {
-	return s.lateAt != 0 && now.Sub(s.lateAt) < pressedTime || s.orderTime > slowOrder
-}
-
-// noteOrderTime keeps the time that orders take until their answer is handled.
-func (s *Scheduler) noteOrderTime(d model.Duration) {
-	s.orderTime += (d - s.orderTime) / orderTimeWeight
-}
-
 // hasStarting reports whether a long-running task is not up yet.
 func (w *worker) hasStarting() bool {
 	for _, r := range w.runs {
