--- a/core/schedule/lateness.go
+++ b/core/schedule/lateness.go
@@ -19,7 +19,7 @@
 	// alertInterval is the time between two polls of all workers together that wait in
 	// vain while answers get lost.
 	alertInterval = 10 * model.Millisecond
-	// alertResendTime stands for it while answers get lost, and pressedResendTime
+	// alertResendTime stands for resendTime while answers get lost, pressedResendTime
 	// while this process is short of processor time.
 	alertResendTime   = 100 * model.Millisecond
 	pressedResendTime = 600 * model.Millisecond
