--- a/daemon/logwriter.go
+++ b/daemon/logwriter.go
@@ -66,7 +66,7 @@
 }
 
 func (w *logWriter) run(t *tomb.Tomb) error {
-	ctx, cancel := context.WithCancel(t.Context(nil))
+	ctx, cancel := context.WithCancel(t.Context(context.Background()))
 	defer cancel()
 	for {
 		select {
