schedule: a late refusal does not say that an earlier order was not executed

Cause: the run of an order that was sent again and came after its deadline was taken never to have begun. The first order, whose answer was lost, may have been executed and its run have ended; the task then ran twice.

Ruled out: a second poll under way (a run that is listed or ended is dropped by its first list, and an older list voids nothing), the lease (a new leader assumes the longest). Change: such a run is given up when all its orders were refused, or by the next list past the deadline. TestLateRefusalDoesNotVoidAnEndedRun failed before.

--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -184,15 +184,18 @@
 	case order.Old:
 		// It has ended or was stopped: the next list tells how.
 		r.voidFrom = min(r.voidFrom, reply.Clock)
+	case order.Late:
+		// No order is executed from now on. One without an answer may have been: the
+		// next list tells.
+		r.voidFrom = min(r.voidFrom, reply.Clock)
+		r.refused++
+		s.voidIfRefused(env, out, r, reply)
 	case order.Silent, order.Refused:
 		// The order may be executed later.
 	default:
-		// An earlier order without an answer may still be executed, unless the worker's
-		// clock is past the deadline that all of them have.
+		// An earlier order without an answer may still be executed.
 		r.refused++
-		if r.refused >= r.orders || reply.Status == order.Late {
-			s.finish(env, out, r, jobs.OutcomeVoid, "", "its worker refused it: "+string(reply.Status)+" "+reply.Detail)
-		}
+		s.voidIfRefused(env, out, r, reply)
 		switch reply.Status {
 		case order.OtherLife:
 			s.processEnded(env, out, w, "another process answers at its address")
@@ -204,6 +207,13 @@
 	}
 }
 
+// voidIfRefused gives up a run of which every order was refused.
+func (s *Scheduler) voidIfRefused(env Env, out *Out, r *run, reply *order.Reply) {
+	if r.refused >= r.orders {
+		s.finish(env, out, r, jobs.OutcomeVoid, "", "its worker refused it: "+string(reply.Status)+" "+reply.Detail)
+	}
+}
+
 // forgetTicket drops a ticket that its worker has refused.
 func (s *Scheduler) forgetTicket(r *run) {
 	if p := s.active[r.ref.Job]; p != nil && p.advice[r.ref.StepRef()] != nil {
--- a/core/schedule/scheduler_test.go
+++ b/core/schedule/scheduler_test.go
@@ -485,3 +485,25 @@
 	require.False(t, b.s.isAlert(b.now))
 	require.Equal(t, pressedResendTime, b.s.resendAfter(b.now))
 }
+
+// Guards against a task that runs twice: the answer to an order was lost, its run has
+// ended, and the order that was sent again comes after the deadline. The refusal does
+// not say that the first one was not executed; the next list does.
+func TestLateRefusalDoesNotVoidAnEndedRun(t *testing.T) {
+	b := newBench(t, testWorker("a"))
+	b.submit("j", jobs.Step{Tasks: 1, Size: cores(1)})
+	run := ref("j", 0, 1)
+	require.Len(t, b.take("a"), 1)
+	for range resendTime / (50 * ms) {
+		b.pass(50 * ms)
+	}
+	again := b.take("a")
+	require.Len(t, again, 1)
+	b.now = b.now.Add(startTime)
+	w := b.s.workers["a"]
+	late := order.Reply{Call: again[0], Status: order.Late, Clock: b.s.runs[run].voidFrom + 1}
+	b.act(func(out *Out) { b.s.Replied(b.env(), out, &late) })
+	require.Empty(t, b.take("a"), "no other run while it is not known what became of the first")
+	b.answerPoll("a", nil, []order.Ended{{Number: w.recording + 1, RunRef: run, Outcome: jobs.OutcomeDone}})
+	require.Equal(t, jobs.Completed, b.state.Jobs["j"].Phase)
+}
