drain: end the queue of the listening socket at once; wait for Accept

Between the last look at the kernel's queue and the close of the socket, the taken connections were wrapped one by one; what connected meanwhile was reset. And a drain that saw no connection ended while one was in Accept, between the kernel and the list.

Ruled out: a filter that drops attempts to connect (SO_ATTACH_FILTER), which would close the first gap: this kernel answers "operation not supported", so it could not be tested.

Change: shutdown of the socket follows the last accept in the same call; a drain waits for an Accept that is under way; a connection that cannot be taken is an error and no longer dropped in silence. TestNoConnectionIsMadeJustBeforeTheClose and TestDrainWaitsForAConnectionThatIsBeingAccepted failed before.

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -40,11 +40,12 @@
 	net.Listener
 	closing func() []byte
 
-	mu       sync.Mutex
-	conns    map[*conn]struct{}
-	draining bool
-	backlog  []net.Conn    // accepted just before the listening socket was closed
-	changed  chan struct{} // closed and replaced when a connection has ended
+	mu        sync.Mutex
+	conns     map[*conn]struct{}
+	draining  bool
+	accepting bool          // Accept is under way and may hold a connection
+	backlog   []net.Conn    // accepted just before the listening socket was closed
+	changed   chan struct{} // closed and replaced when a connection or Accept has ended
 }
 
 // NewListener returns a Listener. closing returns the bytes of the answer that
@@ -80,21 +81,39 @@
 	}
 }
 
-// Accept waits for the next connection.
+// Accept waits for the next connection. It is called by one goroutine.
 func (l *Listener) Accept() (net.Conn, error) {
+	l.setAccepting(true)
 	accepted, err := l.Listener.Accept()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.accepting = false
+	l.notify()
 	if err == nil {
 		return l.track(accepted), nil
 	}
 	if len(l.backlog) == 0 {
+		if l.draining {
+			err = net.ErrClosed // the kernel reports the end of the queue as another error
+		}
 		return nil, err
 	}
 	accepted, l.backlog = l.backlog[0], l.backlog[1:]
 	return l.track(accepted), nil
 }
 
+func (l *Listener) setAccepting(accepting bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.accepting = accepting
+}
+
+// notify wakes Drain. mu is held.
+func (l *Listener) notify() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
 // track adds a connection. mu is held.
 func (l *Listener) track(accepted net.Conn) *conn {
 	c := &conn{Conn: accepted, listener: l}
@@ -108,10 +127,11 @@
 	defer l.mu.Unlock()
 	l.draining = true
 	var err error
-	if l.backlog, err = acceptBacklog(l.Listener); err != nil {
-		return err
+	l.backlog, err = takeBacklog(l.Listener)
+	if closeErr := l.Listener.Close(); err == nil {
+		err = closeErr
 	}
-	return errors.Trace(l.Listener.Close())
+	return errors.Trace(err)
 }
 
 // Drain accepts no new connections, ends idle ones with a closing response, and waits
@@ -148,9 +168,10 @@
 	}
 	for {
 		l.mu.Lock()
-		left, changed := len(l.conns)+len(l.backlog), l.changed
+		done := len(l.conns) == 0 && len(l.backlog) == 0 && !l.accepting
+		changed := l.changed
 		l.mu.Unlock()
-		if left == 0 {
+		if done {
 			return nil
 		}
 		select {
@@ -175,6 +196,5 @@
 		return
 	}
 	delete(l.conns, c)
-	close(l.changed)
-	l.changed = make(chan struct{})
+	l.notify()
 }
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -34,6 +34,10 @@
 func newBench(t *testing.T) *bench {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
+	return newBenchOn(t, inner)
+}
+
+func newBenchOn(t *testing.T, inner net.Listener) *bench {
 	b := &bench{hold: make(chan struct{})}
 	b.listener = NewListener(inner, func() []byte { return []byte(bye) })
 	b.server = &http.Server{Handler: http.HandlerFunc(b.serve)}
@@ -200,3 +204,75 @@
 		}
 	}
 }
+
+// hookedListener lets a test act while the listener accepts or closes.
+type hookedListener struct {
+	*net.TCPListener
+	accepted func() // after the kernel has given a connection
+	closing  func() // before the socket is closed
+}
+
+func (l *hookedListener) Accept() (net.Conn, error) {
+	c, err := l.TCPListener.Accept()
+	if err == nil && l.accepted != nil {
+		l.accepted()
+	}
+	return c, err
+}
+
+func (l *hookedListener) Close() error {
+	if l.closing != nil {
+		l.closing()
+	}
+	return l.TCPListener.Close()
+}
+
+func hooked(t *testing.T) *hookedListener {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	return &hookedListener{TCPListener: inner.(*net.TCPListener)}
+}
+
+// Guards against a connection that the kernel makes after the last look at its queue:
+// the end of the listening socket would reset it, with what its caller has sent.
+func TestNoConnectionIsMadeJustBeforeTheClose(t *testing.T) {
+	inner := hooked(t)
+	made := make(chan error, 1)
+	inner.closing = func() {
+		inner.closing = nil
+		c, err := net.DialTimeout("tcp", inner.Addr().String(), 200*time.Millisecond)
+		if err == nil {
+			_ = c.Close()
+		}
+		made <- err
+	}
+	b := newBenchOn(t, inner)
+	require.NoError(t, <-b.drain(t))
+	require.Error(t, <-made, "a connection was made that nobody will serve")
+}
+
+// Guards against a drain that ends, and with it the process, while a connection is on
+// its way from the kernel to the server.
+func TestDrainWaitsForAConnectionThatIsBeingAccepted(t *testing.T) {
+	inner := hooked(t)
+	reached, goOn := make(chan struct{}), make(chan struct{})
+	inner.accepted = func() {
+		close(reached)
+		<-goOn
+	}
+	b := newBenchOn(t, inner)
+	c, r := b.dial(t)
+	<-reached
+	done := b.drain(t)
+	select {
+	case err := <-done:
+		t.Errorf("the drain has ended: %v", err)
+		close(goOn)
+		return
+	case <-time.After(200 * time.Millisecond):
+	}
+	close(goOn)
+	status, _ := exchange(t, c, r, post)
+	require.Equal(t, 200, status)
+	require.NoError(t, <-done)
+}
