core/schedule: tests by subject

Cause: scheduler_test.go held the fixture and tests of two subjects, sim_test.go the simulated leader and the simulated workers. Ruled out: changes to the tests; a sorted comparison of all lines before and after shows no difference.

--- /dev/null
+++ b/core/schedule/sim_worker_test.go
@@ -0,0 +1,270 @@
+package schedule
+
+import (
+	"fmt"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/jobs"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/order"
+)
+
+// simWorker is a worker that obeys the platform: it executes orders late or
+// not at all, lists ends until they are recorded, and kills what it runs when its
+// lease on a slow clock is over.
+type simWorker struct {
+	info     jobs.Worker
+	rate     float64 // of its clock
+	began    model.Time
+	up       bool
+	cut      bool // cut off from the leader: it runs on
+	token    uint64
+	lease    order.ClockMS
+	ends     []order.Ended
+	number   uint64
+	running  map[jobs.RunRef]*simRun
+	finished map[jobs.TaskRef]int // highest run that was stopped or has ended here
+}
+
+type simRun struct {
+	size     model.Resources
+	doneAt   model.Time
+	fails    bool
+	gang     int // members of its gang, 0 without one
+	whole    bool
+	began    model.Time
+	work     model.Duration
+	stopping model.Time // 0 if it is not being stopped
+}
+
+func (s *sim) newWorker(id string) *simWorker {
+	w := &simWorker{
+		rate: 0.98 + s.rng.Float64()*0.02, began: s.now.Add(-model.Duration(s.rng.IntN(1_000_000)) * ms), up: true,
+		running: make(map[jobs.RunRef]*simRun), finished: make(map[jobs.TaskRef]int),
+		info: jobs.Worker{ID: model.WorkerID(id), Born: int64(s.now / model.Time(ms)), Service: "render", Address: id,
+			Capacity: model.Resources{MilliCPU: 8000, MemoryMB: 8000}},
+	}
+	s.apply(&jobs.Command{Announce: &w.info})
+	return w
+}
+
+func (w *simWorker) clock(now model.Time) order.ClockMS {
+	return order.ClockMS(float64(now.Sub(w.began)/ms) * w.rate)
+}
+
+func (s *sim) byID(id model.WorkerID) *simWorker {
+	for _, w := range s.workers {
+		if w.info.ID == id {
+			return w
+		}
+	}
+	return nil
+}
+
+// carryOut does what a call asks for, by the platform's rules.
+func (s *sim) carryOut(w *simWorker, c order.Call) order.Reply {
+	r := order.Reply{Call: c, Status: order.Accepted}
+	if w == nil || !w.up {
+		r.Status = order.Silent
+		return r
+	}
+	r.Clock, r.Born = w.clock(s.now), w.info.Born
+	if c.Token < w.token {
+		r.Status = order.Fenced
+		return r
+	}
+	w.token = c.Token
+	switch {
+	case c.Start != nil && s.rng.Float64() < s.unhealthy:
+		r.Status = order.Unavailable
+	case c.Start != nil:
+		r.Status = s.startRun(w, c.Start)
+	case c.Stop != nil:
+		w.finished[c.Stop.TaskRef] = max(w.finished[c.Stop.TaskRef], c.Stop.Run)
+		if run := w.running[c.Stop.RunRef]; run != nil && run.stopping == 0 {
+			run.stopping = s.now.Add(s.between(100*ms, 900*ms))
+		}
+	case c.Hold != nil:
+		for len(w.ends) > 0 && w.ends[0].Number <= c.Hold.Seen {
+			if _, known := s.forgotten[w.ends[0].TaskRef]; !known && w.ends[0].Outcome == jobs.OutcomeDone {
+				s.forgotten[w.ends[0].TaskRef] = s.now
+			}
+			w.ends = w.ends[1:]
+		}
+		w.lease = max(w.lease, min(c.Hold.Deadline, r.Clock+order.ClockMS(simBounds.LeaseMax/ms)))
+		for ref := range w.running {
+			r.Running = append(r.Running, order.Running{RunRef: ref, Percent: 100})
+		}
+		r.Ended = append(r.Ended, w.ends...)
+	}
+	return r
+}
+
+func (s *sim) startRun(w *simWorker, start *order.Start) order.Status {
+	if w.running[start.RunRef] != nil {
+		return order.Accepted
+	}
+	if start.Run <= w.finished[start.TaskRef] {
+		return order.Old
+	}
+	if start.Deadline <= w.clock(s.now) {
+		return order.Late
+	}
+	s.checkStart(w, start)
+	job := s.state.Jobs[start.Job]
+	w.lease = max(w.lease, start.Deadline)
+	longest := 2500 * ms
+	if s.rng.Float64() < 0.4 {
+		longest = 12 * model.Second // longer than a lease
+	}
+	work := s.between(200*ms, longest)
+	run := &simRun{
+		size: job.Steps[start.Step].Size, began: s.now, work: work, doneAt: s.now.Add(work), fails: s.rng.Float64() < 0.05,
+	}
+	if job.Steps[start.Step].Gang {
+		run.gang = job.Steps[start.Step].Tasks
+	}
+	w.running[start.RunRef] = run
+	used := model.Resources{}
+	for _, run := range w.running {
+		used = used.Add(run.size)
+	}
+	require.True(s.t, used.Fits(w.info.Capacity), "%s is over its capacity", w.info.ID)
+	s.starts++
+	return order.Accepted
+}
+
+// checkStart checks a start against all that runs anywhere and what was recorded.
+func (s *sim) checkStart(w *simWorker, start *order.Start) {
+	if s.state.Jobs[start.Job].Steps[start.Step].Copies {
+		at, forgotten := s.forgotten[start.TaskRef]
+		require.False(s.t, forgotten && s.now.Sub(at) > model.Second, "%v starts after a copy was done", start.RunRef)
+		return
+	}
+	require.False(s.t, s.done[start.TaskRef], "%v starts after its end was recorded", start.RunRef)
+	for _, other := range s.workers {
+		for ref := range other.running {
+			require.False(s.t, other.up && ref.TaskRef == start.TaskRef, "%v starts on %s while %v runs on %s", start.RunRef, w.info.ID, ref, other.info.ID)
+		}
+	}
+	job := s.state.Jobs[start.Job]
+	for _, before := range job.Steps[start.Step].After {
+		for i := range job.Rounds[start.Round].Tasks[before] {
+			require.True(s.t, s.done[jobs.TaskRef{Job: start.Job, Step: before, Index: i}], "step %d starts before step %d is done", start.Step, before)
+		}
+	}
+}
+
+// advanceWorkers ends what is over.
+func (s *sim) advanceWorkers() {
+	for _, w := range s.workers {
+		if !w.up {
+			continue
+		}
+		over := w.lease <= w.clock(s.now)
+		for _, ref := range sortedRefs(w.running) {
+			run := w.running[ref]
+			switch {
+			case run == nil: // ended with another member of its gang
+			case over:
+				s.endRun(w, ref, jobs.OutcomeLapsed)
+			case run.stopping != 0 && s.now >= run.stopping:
+				s.endRun(w, ref, jobs.OutcomeStopped)
+			case run.gang > 0 && !s.isPresent(ref, run):
+				if s.now.Sub(run.began) > 3*model.Second {
+					s.endRun(w, ref, jobs.OutcomeAlone)
+				}
+			case s.now >= run.doneAt && run.fails:
+				s.endRun(w, ref, jobs.OutcomeFailed)
+			case s.now >= run.doneAt:
+				s.endRun(w, ref, jobs.OutcomeDone)
+			}
+		}
+	}
+}
+
+// members calls do for each member of a gang's run that runs anywhere.
+func (s *sim) members(ref jobs.RunRef, do func(w *simWorker, other jobs.RunRef, r *simRun)) {
+	for _, w := range s.workers {
+		for _, other := range sortedRefs(w.running) {
+			if w.up && other.Job == ref.Job && other.Step == ref.Step && other.Run == ref.Run {
+				do(w, other, w.running[other])
+			}
+		}
+	}
+}
+
+// isPresent reports whether all members of a run are there. Their work begins then.
+func (s *sim) isPresent(ref jobs.RunRef, run *simRun) bool {
+	if run.whole {
+		return true
+	}
+	n := 0
+	s.members(ref, func(*simWorker, jobs.RunRef, *simRun) { n++ })
+	if n < run.gang {
+		return false
+	}
+	s.members(ref, func(_ *simWorker, _ jobs.RunRef, r *simRun) {
+		r.whole, r.doneAt, r.fails = true, s.now.Add(run.work), run.fails
+	})
+	return true
+}
+
+func sortedRefs(runs map[jobs.RunRef]*simRun) []jobs.RunRef {
+	var list []jobs.RunRef
+	for ref := range runs {
+		at := len(list)
+		for at > 0 && compareRuns(list[at-1], ref) > 0 {
+			at--
+		}
+		list = append(list[:at], append([]jobs.RunRef{ref}, list[at:]...)...)
+	}
+	return list
+}
+
+func (s *sim) endRun(w *simWorker, ref jobs.RunRef, o jobs.Outcome) {
+	run := w.running[ref]
+	if run == nil {
+		return
+	}
+	delete(w.running, ref)
+	if run.gang > 0 && run.whole {
+		rest := jobs.OutcomeBroken
+		if o == jobs.OutcomeDone {
+			rest = jobs.OutcomeDone
+		}
+		s.members(ref, func(other *simWorker, member jobs.RunRef, _ *simRun) {
+			s.list(other, member, rest)
+			delete(other.running, member)
+		})
+	}
+	s.list(w, ref, o)
+}
+
+// list records the end of a run at its worker.
+func (s *sim) list(w *simWorker, ref jobs.RunRef, o jobs.Outcome) {
+	w.finished[ref.TaskRef] = max(w.finished[ref.TaskRef], ref.Run)
+	w.number++
+	w.ends = append(w.ends, order.Ended{Number: w.number, RunRef: ref, Outcome: o})
+}
+
+// crash ends a worker's process; restart gives it another life.
+func (s *sim) crash(w *simWorker, d model.Duration) {
+	w.up = false
+	w.running = make(map[jobs.RunRef]*simRun)
+	s.after(d, func() {
+		fresh := &simWorker{
+			info: w.info, rate: w.rate, began: s.now, up: true,
+			running: make(map[jobs.RunRef]*simRun), finished: make(map[jobs.TaskRef]int),
+		}
+		fresh.info.ID = model.WorkerID(fmt.Sprintf("%s+", w.info.ID))
+		fresh.info.Address, fresh.info.Born = string(fresh.info.ID), int64(s.now/model.Time(ms))
+		for i := range s.workers {
+			if s.workers[i] == w {
+				s.workers[i] = fresh
+			}
+		}
+		s.commit(&jobs.Command{Announce: &fresh.info})
+	})
+}
