control, schedule: how long events wait by class; what a leader asks of workers

The incident on the grown sites has four hypotheses that logs and metrics could not tell apart: the waiting time of configurations and restarts behind starts and ends, and the share of orders that are sent again. primrosedale_control_wait_seconds{class} gives the first, leader_load (627), one line in 5 s, the second, with the time that orders take and the longest time between ticks. No decision changes.

--- a/control/loop.go
+++ b/control/loop.go
@@ -54,7 +54,7 @@
 
 // Loop is the control goroutine of a process.
 type Loop struct {
-	queue    chan event.Event
+	queue    chan waiting
 	view     atomic.Pointer[view.View]
 	began    time.Duration // sinceBoot when the process began
 	beganAt  model.Time
@@ -67,17 +67,32 @@
 	reason   string // why the process halted, set before halted is closed
 }
 
+// waiting is an event in the queue.
+type waiting struct {
+	event event.Event
+	since time.Duration // sinceBoot when it was posted
+}
+
 var (
+	// waitSeconds is by class of event.
+	waitSeconds  = waitHistograms()
 	eventSeconds = metrics.NewHistogram("primrosedale_control_event_seconds")
 	eventsTotal  = metrics.NewCounter("primrosedale_control_events_total")
 	refusedTotal = metrics.NewCounter("primrosedale_control_events_refused_total")
 )
 
+func waitHistograms() (list [event.Classes]*metrics.Histogram) {
+	for c := range list {
+		list[c] = metrics.NewHistogram(`primrosedale_control_wait_seconds{class="` + event.Class(c).String() + `"}`)
+	}
+	return list
+}
+
 // New returns a Loop. Start must be called before events are handled; events
 // may be posted earlier.
 func New() *Loop {
 	l := &Loop{
-		queue:  make(chan event.Event, queueSize),
+		queue:  make(chan waiting, queueSize),
 		began:  sinceBoot(),
 		halted: make(chan struct{}),
 		onFull: func() {},
@@ -130,7 +145,7 @@
 func (l *Loop) Post(e event.Event) bool {
 	if len(l.queue) < admissionSize {
 		select {
-		case l.queue <- e:
+		case l.queue <- waiting{e, sinceBoot()}:
 			return true
 		default:
 		}
@@ -145,7 +160,7 @@
 // it.
 func (l *Loop) PostWait(ctx context.Context, e event.Event) bool {
 	select {
-	case l.queue <- e:
+	case l.queue <- waiting{e, sinceBoot()}:
 		return true
 	case <-ctx.Done():
 		return false
@@ -160,8 +175,8 @@
 	defer ticker.Stop()
 	for {
 		select {
-		case e := <-l.queue:
-			l.handle(l.collect(e))
+		case w := <-l.queue:
+			l.handle(l.collect(w))
 		case <-ticker.C:
 			l.handle(event.Tick{})
 		case <-l.halted:
@@ -174,19 +189,26 @@
 
 // collect adds to an event those that wait behind it. When the process is short of
 // processor time, more of them share a pass through the reducer.
-func (l *Loop) collect(first event.Event) event.Event {
-	waiting := min(len(l.queue), batchSize-1)
-	if waiting == 0 {
-		return first
+func (l *Loop) collect(first waiting) event.Event {
+	l.noteWait(first)
+	more := min(len(l.queue), batchSize-1)
+	if more == 0 {
+		return first.event
 	}
-	events := make([]event.Event, 1, waiting+1)
-	events[0] = first
-	for range waiting {
-		events = append(events, <-l.queue)
+	events := make([]event.Event, 1, more+1)
+	events[0] = first.event
+	for range more {
+		w := <-l.queue
+		l.noteWait(w)
+		events = append(events, w.event)
 	}
 	return event.Batch{Events: events}
 }
 
+func (l *Loop) noteWait(w waiting) {
+	waitSeconds[event.ClassOf(w.event)].Update((sinceBoot() - w.since).Seconds())
+}
+
 func (l *Loop) handle(e event.Event) {
 	began := time.Now()
 	in := event.Input{At: l.Now(), Rand: l.Rand(), Event: e}
--- a/core/call/call.go
+++ b/core/call/call.go
@@ -119,6 +119,11 @@
 	return c.Query == nil && c.ReadConfig == nil && c.ReadWave == nil
 }
 
+// IsOperators reports whether the call is an operator's.
+func (c *Call) IsOperators() bool {
+	return c.Configure != nil || c.ReadConfig != nil || c.SetOut != nil || c.StartWave != nil || c.ReadWave != nil
+}
+
 // About names what the call is about, for logs.
 func (c *Call) About() string {
 	switch {
--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -154,6 +154,7 @@
 	WorkerSuspect    Code = "worker_suspect"
 	WorkerReleased   Code = "worker_released"
 	AnswersLost      Code = "answers_lost"
+	LeaderLoad       Code = "leader_load"
 	TaskPlaced       Code = "task_placed"
 	TaskLost         Code = "task_lost"
 	TaskFailed       Code = "task_failed"
--- /dev/null
+++ b/core/event/class.go
@@ -0,0 +1,70 @@
+package event
+
+import (
+	"primrosedale.example/primrosedale/core/call"
+	"primrosedale.example/primrosedale/core/message"
+)
+
+// Class groups events by how long they may wait for the control goroutine.
+type Class int
+
+// The classes, those that may wait least first.
+const (
+	// ClassControl is the replicated log, durability, changes by operators and the
+	// end of the process. Leases and elections depend on it.
+	ClassControl Class = iota
+	// ClassWork is what accepted work waits for.
+	ClassWork
+	// ClassIntake is new work and questions, which may be refused.
+	ClassIntake
+	// Classes is the number of classes.
+	Classes
+)
+
+// String returns the name of the class in metrics.
+func (c Class) String() string {
+	switch c {
+	case ClassControl:
+		return "control"
+	case ClassWork:
+		return "work"
+	}
+	return "intake"
+}
+
+// ClassOf returns the class of an event.
+func ClassOf(e Event) Class {
+	switch e := e.(type) {
+	case Received:
+		return classOfMessage(&e.Message)
+	case CallArrived:
+		return classOfCall(&e.Call)
+	case Persisted, PersistFailed, CommandSubmitted, SettingsChanged, StopRequested, Tick:
+		return ClassControl
+	case RequestArrived, StatusRequested, RequestsRefused:
+		return ClassIntake
+	}
+	return ClassWork
+}
+
+func classOfMessage(m *message.Message) Class {
+	switch {
+	case m.Log != nil, m.Renew != nil, m.Grant != nil, m.Command != nil, m.Contact != nil, m.ContactReply != nil:
+		return ClassControl
+	case m.Call != nil:
+		return classOfCall(m.Call)
+	case m.Ask != nil:
+		return ClassIntake
+	}
+	return ClassWork
+}
+
+func classOfCall(c *call.Call) Class {
+	switch {
+	case c.IsOperators():
+		return ClassControl
+	case c.Submit != nil || c.Query != nil:
+		return ClassIntake
+	}
+	return ClassWork
+}
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -147,6 +147,7 @@
 	r.voidFrom = max(r.voidFrom, deadline)
 	r.phase, r.sentAt = ordered, env.Now
 	r.orders++
+	s.load.starts++
 	out.Effects = append(out.Effects, s.call(w, order.Call{Start: &order.Start{
 		RunRef: r.ref, Spec: r.job.Spec, Checkpoint: t.Checkpoint, Ticket: s.ticket(env, r), Deadline: deadline,
 	}}))
@@ -305,12 +306,14 @@
 	}
 	switch {
 	case r.stopping && r.phase != assigned:
+		s.load.repeats++
 		s.sendStop(env, out, r)
 	case r.phase == ordered && r.worker.clockNow(env.Now) < r.voidFrom:
 		s.noteUnanswered(env, out, r.worker, "an order is sent again")
 		t := env.State.Task(r.ref.TaskRef)
 		r.sentAt = env.Now
 		r.orders++
+		s.load.repeats++
 		out.Effects = append(out.Effects, s.call(r.worker, order.Call{Start: &order.Start{
 			RunRef: r.ref, Spec: r.job.Spec, Checkpoint: t.Checkpoint, Ticket: s.ticket(env, r), Deadline: r.voidFrom,
 		}}))
@@ -375,6 +378,7 @@
 // noteEnd learns from the end of a run about its worker.
 func (s *Scheduler) noteEnd(env Env, out *Out, r *run, o jobs.Outcome) {
 	w := r.worker
+	s.load.ends++
 	out.log(effect.RunEnded, effect.Log{Request: model.RequestID(r.ref.Job), Task: runLabel(r.ref), Worker: w.info.ID, Detail: string(o)})
 	if o != jobs.OutcomeDone {
 		s.stopGang(env, out, r)
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -55,7 +55,8 @@
 	advancedAt      model.Time     // latest tick
 	lateAt          model.Time     // latest tick that was late
 	orderTime       model.Duration // that accepted orders take, on average
-	advices         int            // calls for advice that are out
+	load            load
+	advices         int // calls for advice that are out
 	forgotAt        model.Time
 	departedWorkers []*worker             // earlier lives that have runs to be recorded as lost
 	leaving         map[model.HostID]bool // hosts that are to be emptied soon
@@ -143,9 +144,13 @@
 
 // Advance does what is due by time.
 func (s *Scheduler) Advance(env Env, out *Out) {
-	if s.advancedAt != 0 && env.Now.Sub(s.advancedAt) > lateTick {
-		s.lateAt = env.Now
+	if s.advancedAt != 0 {
+		s.load.longestTick = max(s.load.longestTick, env.Now.Sub(s.advancedAt))
+		if env.Now.Sub(s.advancedAt) > lateTick {
+			s.lateAt = env.Now
+		}
 	}
+	s.logLoad(env, out)
 	s.advancedAt = env.Now
 	for _, w := range s.departedWorkers {
 		s.lose(env, out, w, "its worker has gone")
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -276,6 +276,7 @@
 		}
 		hold.Deadline = w.extend(env.Now, leaseTime(env.Bounds))
 	}
+	s.load.polls++
 	call := s.call(w, order.Call{Hold: &hold})
 	w.pollOut, w.pollSent, w.pollUntil = call.Call.Seq, env.Now, env.Now.Add(hold.Wait+pollTimeout)
 	out.Effects = append(out.Effects, call)
--- a/daemon/executor.go
+++ b/daemon/executor.go
@@ -87,6 +87,7 @@
 	effect.RetryBudgetSpent: logevent.RetryBudgetSpent,
 	effect.WorkerReleased:   logevent.WorkerReleased,
 	effect.AnswersLost:      logevent.AnswersLost,
+	effect.LeaderLoad:       logevent.LeaderLoad,
 	effect.TaskLost:         logevent.TaskLost,
 	effect.TaskFailed:       logevent.TaskFailed,
 	effect.TaskRefused:      logevent.TaskRefused,
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -217,6 +217,9 @@
 	{AnswersLost, "answers_lost", zerolog.WarnLevel,
 		"a call to a worker got no answer; for 5 s polls are short and orders repeated sooner",
 		"If it lasts, look at the links to the workers named."},
+	{LeaderLoad, "leader_load", zerolog.InfoLevel,
+		"what the leader asked of the workers in the latest 5 s; the count is that of starts",
+		"Many repeated orders, or ticks 100 ms apart and more, tell that the leader is short of processor time."},
 }}
 
 var tasksAndMaintenanceArea = area{"Tasks and maintenance", []Entry{
--- a/logevent/ids.go
+++ b/logevent/ids.go
@@ -87,6 +87,7 @@
 	WorkerGone          ID = 624
 	WorkerDraining      ID = 625
 	AnswersLost         ID = 626
+	LeaderLoad          ID = 627
 )
 
 // Tasks and maintenance.
