--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/http/pprof"
 	"os"
 	"runtime/debug"
 	"time"
@@ -161,6 +162,8 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	_, err := d.addServer(s.Metrics, mux, keepAlive)
 	return err
 }
