schedule: a listed run without a task ends no leader

Callers would have seen: a worker that lists a run of a known job with a step below 0 ("ID.0.-1.0") ends the leader, and each later leader at its first list of that worker. The claim of a run that is not known was looked up by its step without a look at the sign.

TestRunsWithoutATaskEndNoLeader failed before with "index out of range [-1]" in claimOf. It lists rounds, steps and indices of -1, 1 and the ends of int64, running and ended.

--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -279,7 +279,7 @@
 // forgotten, it is taken to be the whole worker.
 func claimOf(env Env, w *worker, ref jobs.RunRef) model.Resources {
 	j := env.State.Jobs[ref.Job]
-	if j == nil || ref.Step >= len(j.Steps) {
+	if j == nil || ref.Step < 0 || ref.Step >= len(j.Steps) {
 		return w.info.Capacity
 	}
 	return j.Steps[ref.Step].Claim()
