codec: a packed form of messages, with log entries packed once

Cause: messages between processes are JSON, and an append is encoded again for each of eight followers; the leader of the incident had no time for it.

Change: AppendMessage and UnpackMessage carry any message in a positional binary form that is made from its Go types, so a new kind of message needs no code here. A value has one packed form: bytes are deterministic, also with maps, and readers refuse every other form. PackedFormat names the types, for the introduction of processes. A Packer keeps the packed form of the latest 1024 entries of up to 4 KiB by index, term and command, without a lock; the first sender that needs an entry packs it. EncodeMessage, records and recordings stay JSON.

--- a/codec/codec.go
+++ b/codec/codec.go
@@ -1,5 +1,6 @@
-// Package codec converts typed values of the system to JSON and back. It is
-// the only encoding of messages between processes and of records on disk.
+// Package codec converts typed values of the system to bytes and back. Records on
+// disk and recorded messages are JSON. Messages between processes are packed, or
+// JSON where the two builds do not have the same types of messages.
 //
 // Encoding is deterministic: equal values give equal bytes, because struct
 // fields have a fixed order, map keys are sorted and claims are listed in the
@@ -12,7 +13,7 @@
 //
 // Empty and nil slices have equal bytes and are decoded as nil; nil maps of the
 // fleet state are decoded as empty maps.
-// Strings are expected to be valid UTF-8; JSON replaces other bytes.
+// Strings are expected to be valid UTF-8; other bytes are replaced.
 package codec
 
 import (
--- a/codec/codec_test.go
+++ b/codec/codec_test.go
@@ -83,6 +83,11 @@
 		got, err := DecodeMessage(data)
 		require.NoError(t, err)
 		require.Equal(t, m, got)
+		data, err = packMessage(m)
+		require.NoError(t, err)
+		got, err = UnpackMessage(data)
+		require.NoError(t, err)
+		require.Equal(t, m, got)
 	}
 	for i := range reflect.TypeFor[fleet.Command]().NumField() {
 		c := &fleet.Command{ID: "c", At: 5}
--- /dev/null
+++ b/codec/entrycache.go
@@ -0,0 +1,82 @@
+package codec
+
+import (
+	"reflect"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"primrosedale.example/primrosedale/core/fleet"
+)
+
+// Bounds of an entryCache.
+const (
+	cachedEntries   = 1024
+	cachedEntrySize = 4 << 10 // larger entries are not kept
+)
+
+// entryCache keeps the packed form of the latest log entries, in slots by index.
+type entryCache [cachedEntries]atomic.Pointer[packedEntry]
+
+// packedEntry is an entry that is packed by the first goroutine that needs it.
+// Entries are immutable, so the address of the command tells entries of the same
+// index and term apart.
+type packedEntry struct {
+	index, term uint64
+	command     *fleet.Command
+	once        sync.Once
+	data        []byte
+	err         error
+}
+
+func (p *packedEntry) holds(e *Entry) bool {
+	return p != nil && p.index == e.Index && p.term == e.Term && p.command == e.Command
+}
+
+// of returns the slot's content for e, which is new and empty if e was not there.
+func (c *entryCache) of(e *Entry) *packedEntry {
+	slot := &c[e.Index%cachedEntries]
+	for {
+		held := slot.Load()
+		if held.holds(e) {
+			return held
+		}
+		added := &packedEntry{index: e.Index, term: e.Term, command: e.Command}
+		if slot.CompareAndSwap(held, added) {
+			return added
+		}
+	}
+}
+
+func (c *entryCache) drop(p *packedEntry) { c[p.index%cachedEntries].CompareAndSwap(p, nil) }
+
+// writeThroughCache makes the layout of entries use the cache of the writer.
+func writeThroughCache(l *layout) {
+	write := l.write
+	l.write = func(w *writer, v reflect.Value) {
+		if w.err != nil {
+			return // not an error of this entry
+		}
+		e := v.Addr().Interface().(*Entry)
+		if w.entries == nil || e.Command == nil {
+			write(w, v)
+			return
+		}
+		p, first := w.entries.of(e), false
+		p.once.Do(func() {
+			first = true
+			start := len(w.data)
+			write(w, v)
+			if w.err != nil || len(w.data)-start > cachedEntrySize {
+				w.entries.drop(p)
+			}
+			p.data, p.err = slices.Clone(w.data[start:]), w.err
+		})
+		if !first {
+			w.data = append(w.data, p.data...)
+		}
+		if p.err != nil {
+			w.err = p.err
+		}
+	}
+}
--- /dev/null
+++ b/codec/layout.go
@@ -0,0 +1,289 @@
+package codec
+
+import (
+	"cmp"
+	"encoding"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+)
+
+// A layout is how the values of one type are packed. Values have no tags, so both
+// sides must have the same layout; its description tells them apart.
+//
+//   - Integers are variable-length, signed ones in zigzag form; floats are 8 bytes.
+//   - A string, slice or map is its length and its elements, a map in the order of
+//     its keys.
+//   - A pointer is a byte, 0 for nil, and what it points to.
+//   - A struct is a bit for each of its fields that are not zero, and those fields.
+//     The fields of structs within it are fields of its own. The bit of a bool is
+//     its value, and the bit of a pointer stands for its byte. There is at least
+//     one byte of bits.
+//
+// A value has one packed form only, and readers refuse any other.
+type layout struct {
+	typ         reflect.Type
+	description string
+	zero        func(v reflect.Value) bool // nil for structs
+	write       func(w *writer, v reflect.Value)
+	read        func(r *reader, v reflect.Value) // v is settable and zero
+	// writeSet and readSet are write and read of a value that is known not to be
+	// zero, as a field.
+	writeSet func(w *writer, v reflect.Value)
+	readSet  func(r *reader, v reflect.Value)
+}
+
+// layouts makes layouts, one for each type.
+type layouts struct {
+	done  map[reflect.Type]*layout
+	under map[reflect.Type]bool // those being made
+	// special replaces the functions of types that are written in another way.
+	special map[reflect.Type]func(l *layout)
+}
+
+// of returns the layout of t. It panics for types that have none: interfaces,
+// arrays, recursive types, and types that encode themselves.
+func (s *layouts) of(t reflect.Type) *layout {
+	if l := s.done[t]; l != nil {
+		return l
+	}
+	if s.under[t] || encodesItself(t) {
+		panic(fmt.Sprintf("codec: no layout for type %s", t))
+	}
+	s.under[t] = true
+	l := s.make(t)
+	delete(s.under, t)
+	l.typ = t
+	if l.writeSet == nil {
+		l.writeSet = l.write
+	}
+	if l.readSet == nil {
+		l.readSet = func(r *reader, v reflect.Value) {
+			l.read(r, v)
+			if r.err == nil && l.zero(v) {
+				r.fail("a field is zero")
+			}
+		}
+	}
+	if change := s.special[t]; change != nil {
+		change(l)
+	}
+	s.done[t] = l
+	return l
+}
+
+func encodesItself(t reflect.Type) bool {
+	for _, i := range []reflect.Type{reflect.TypeFor[json.Marshaler](), reflect.TypeFor[encoding.TextMarshaler]()} {
+		if t.Implements(i) || reflect.PointerTo(t).Implements(i) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *layouts) make(t reflect.Type) *layout {
+	switch t.Kind() {
+	case reflect.Bool:
+		return boolLayout()
+	case reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64:
+		return intLayout(t)
+	case reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
+		return uintLayout(t)
+	case reflect.Float64:
+		return floatLayout()
+	case reflect.String:
+		return stringLayout()
+	case reflect.Pointer:
+		return pointerLayout(s.of(t.Elem()))
+	case reflect.Slice:
+		if t.Elem().Kind() == reflect.Uint8 {
+			return bytesLayout()
+		}
+		return sliceLayout(t, s.of(t.Elem()))
+	case reflect.Map:
+		return mapLayout(t, s.of(t.Key()), s.of(t.Elem()))
+	case reflect.Struct:
+		return structLayout(s, t)
+	}
+	panic(fmt.Sprintf("codec: no layout for kind %s", t.Kind()))
+}
+
+func boolLayout() *layout {
+	return &layout{
+		description: "bool",
+		zero:        func(v reflect.Value) bool { return !v.Bool() },
+		write:       func(w *writer, v reflect.Value) { w.flag(v.Bool()) },
+		read:        func(r *reader, v reflect.Value) { v.SetBool(r.flag()) },
+		writeSet:    func(*writer, reflect.Value) {},
+		readSet:     func(_ *reader, v reflect.Value) { v.SetBool(true) },
+	}
+}
+
+func intLayout(t reflect.Type) *layout {
+	return &layout{
+		description: t.Kind().String(),
+		zero:        func(v reflect.Value) bool { return v.Int() == 0 },
+		write:       func(w *writer, v reflect.Value) { w.int(v.Int()) },
+		read: func(r *reader, v reflect.Value) {
+			n := r.int()
+			if v.OverflowInt(n) {
+				r.fail("an integer is out of range")
+			}
+			v.SetInt(n)
+		},
+	}
+}
+
+func uintLayout(t reflect.Type) *layout {
+	return &layout{
+		description: t.Kind().String(),
+		zero:        func(v reflect.Value) bool { return v.Uint() == 0 },
+		write:       func(w *writer, v reflect.Value) { w.uint(v.Uint()) },
+		read: func(r *reader, v reflect.Value) {
+			n := r.uint()
+			if v.OverflowUint(n) {
+				r.fail("an integer is out of range")
+			}
+			v.SetUint(n)
+		},
+	}
+}
+
+func floatLayout() *layout {
+	return &layout{
+		description: "float",
+		zero:        func(v reflect.Value) bool { return v.Float() == 0 },
+		write:       func(w *writer, v reflect.Value) { w.float(v.Float()) },
+		read:        func(r *reader, v reflect.Value) { v.SetFloat(r.float()) },
+	}
+}
+
+func stringLayout() *layout {
+	return &layout{
+		description: "string",
+		zero:        func(v reflect.Value) bool { return v.Len() == 0 },
+		write:       func(w *writer, v reflect.Value) { w.string(v.String()) },
+		read:        func(r *reader, v reflect.Value) { v.SetString(r.string()) },
+	}
+}
+
+func bytesLayout() *layout {
+	return &layout{
+		description: "bytes",
+		zero:        func(v reflect.Value) bool { return v.Len() == 0 },
+		write: func(w *writer, v reflect.Value) {
+			w.uint(uint64(v.Len()))
+			w.data = append(w.data, v.Bytes()...)
+		},
+		read: func(r *reader, v reflect.Value) {
+			if data := r.bytes(); len(data) > 0 {
+				v.SetBytes(slices.Clone(data))
+			}
+		},
+	}
+}
+
+func pointerLayout(elem *layout) *layout {
+	l := &layout{
+		description: "*" + elem.description,
+		zero:        func(v reflect.Value) bool { return v.IsNil() },
+		writeSet:    func(w *writer, v reflect.Value) { elem.write(w, v.Elem()) },
+		readSet: func(r *reader, v reflect.Value) {
+			p := reflect.New(elem.typ)
+			elem.read(r, p.Elem())
+			v.Set(p)
+		},
+	}
+	l.write = func(w *writer, v reflect.Value) {
+		w.flag(!v.IsNil())
+		if !v.IsNil() {
+			l.writeSet(w, v)
+		}
+	}
+	l.read = func(r *reader, v reflect.Value) {
+		if r.flag() {
+			l.readSet(r, v)
+		}
+	}
+	return l
+}
+
+// firstElements bounds the elements for which memory is taken before they are read.
+const firstElements = 256
+
+func sliceLayout(t reflect.Type, elem *layout) *layout {
+	return &layout{
+		description: "[]" + elem.description,
+		zero:        func(v reflect.Value) bool { return v.Len() == 0 },
+		write: func(w *writer, v reflect.Value) {
+			n := v.Len()
+			w.uint(uint64(n))
+			for i := range n {
+				elem.write(w, v.Index(i))
+			}
+		},
+		read: func(r *reader, v reflect.Value) {
+			n := r.length()
+			if n == 0 {
+				return
+			}
+			first := min(n, firstElements)
+			v.Set(reflect.MakeSlice(t, first, first))
+			for i := 0; i < n && r.err == nil; i++ {
+				if i == v.Len() {
+					v.Grow(1)
+					v.SetLen(min(n, v.Cap()))
+				}
+				elem.read(r, v.Index(i))
+			}
+		},
+	}
+}
+
+func mapLayout(t reflect.Type, key, elem *layout) *layout {
+	compare := compareKeys(t.Key())
+	return &layout{
+		description: "map[" + key.description + "]" + elem.description,
+		zero:        func(v reflect.Value) bool { return v.Len() == 0 },
+		write: func(w *writer, v reflect.Value) {
+			keys := v.MapKeys()
+			slices.SortFunc(keys, compare)
+			w.uint(uint64(len(keys)))
+			for _, k := range keys {
+				key.write(w, k)
+				elem.write(w, v.MapIndex(k))
+			}
+		},
+		read: func(r *reader, v reflect.Value) {
+			n := r.length()
+			if n == 0 {
+				return
+			}
+			m := reflect.MakeMapWithSize(t, min(n, firstElements))
+			var last reflect.Value
+			for i := 0; i < n && r.err == nil; i++ {
+				k, e := reflect.New(t.Key()).Elem(), reflect.New(t.Elem()).Elem()
+				key.read(r, k)
+				elem.read(r, e)
+				if i > 0 && compare(last, k) >= 0 {
+					r.fail("the keys of a map are not in ascending order")
+				}
+				m.SetMapIndex(k, e)
+				last = k
+			}
+			v.Set(m)
+		},
+	}
+}
+
+func compareKeys(t reflect.Type) func(a, b reflect.Value) int {
+	switch t.Kind() {
+	case reflect.String:
+		return func(a, b reflect.Value) int { return strings.Compare(a.String(), b.String()) }
+	case reflect.Uint64:
+		return func(a, b reflect.Value) int { return cmp.Compare(a.Uint(), b.Uint()) }
+	}
+	panic(fmt.Sprintf("codec: no order of keys of type %s", t))
+}
--- a/codec/message.go
+++ b/codec/message.go
@@ -17,15 +17,20 @@
 	if err := decode("message", data, m, MaxMessageBytes); err != nil {
 		return nil, err
 	}
+	if err := completeMessage(m); err != nil {
+		return nil, err
+	}
+	return m, nil
+}
+
+// completeMessage checks a decoded message and restores the state in it.
+func completeMessage(m *message.Message) error {
 	if m.Log != nil && m.Log.Snapshot != nil {
 		if err := restoreSnapshot(m.Log.Snapshot); err != nil {
-			return nil, err
+			return err
 		}
 	}
-	if err := checkMessage(m); err != nil {
-		return nil, err
-	}
-	return m, nil
+	return checkMessage(m)
 }
 
 // wireMessage returns m, or a copy of it if it carries a snapshot, whose
--- /dev/null
+++ b/codec/packed.go
@@ -0,0 +1,79 @@
+package codec
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"reflect"
+	"sync"
+
+	"github.com/juju/errors"
+
+	"primrosedale.example/primrosedale/core/message"
+)
+
+// packedVersion is the first byte of each packed message. It begins no JSON text.
+const packedVersion = 1
+
+var messageLayout = newLayouts().of(reflect.TypeFor[message.Message]())
+
+func newLayouts() *layouts {
+	return &layouts{
+		done:    make(map[reflect.Type]*layout),
+		under:   make(map[reflect.Type]bool),
+		special: map[reflect.Type]func(*layout){reflect.TypeFor[Entry](): writeThroughCache},
+	}
+}
+
+// PackedFormat names the packed form of messages. Builds with other types of
+// messages have another name and cannot read each other's packed messages.
+var PackedFormat = sync.OnceValue(func() string {
+	sum := sha256.Sum256([]byte(messageLayout.description))
+	return "packed1-" + hex.EncodeToString(sum[:8])
+})
+
+// A Packer packs messages. It keeps the bytes of the latest log entries, which go to
+// every follower. It is safe for use by several goroutines; the zero Packer is ready.
+type Packer struct{ entries entryCache }
+
+// AppendMessage appends the packed form of m to dst. It fails as EncodeMessage does,
+// and then returns dst as it was.
+func (p *Packer) AppendMessage(dst []byte, m *message.Message) ([]byte, error) {
+	if err := checkMessage(m); err != nil {
+		return dst, err
+	}
+	w := writer{data: append(dst, packedVersion), entries: &p.entries}
+	messageLayout.write(&w, reflect.ValueOf(wireMessage(m)).Elem())
+	if w.err != nil {
+		return dst, w.err
+	}
+	if size := len(w.data) - len(dst); size > MaxMessageBytes {
+		return dst, errors.Annotatef(ErrTooLarge, "packing message: %d bytes, limit %d", size, MaxMessageBytes)
+	}
+	return w.data, nil
+}
+
+// IsPacked tells packed messages from JSON.
+func IsPacked(data []byte) bool { return len(data) > 0 && data[0] == packedVersion }
+
+// UnpackMessage returns the message in data.
+func UnpackMessage(data []byte) (*message.Message, error) {
+	if len(data) > MaxMessageBytes {
+		return nil, errors.Annotatef(ErrTooLarge, "unpacking message: %d bytes, limit %d", len(data), MaxMessageBytes)
+	}
+	if !IsPacked(data) {
+		return nil, invalid("message", "not a packed message")
+	}
+	m := &message.Message{}
+	r := reader{data: data[1:]}
+	messageLayout.read(&r, reflect.ValueOf(m).Elem())
+	if r.err != nil {
+		return nil, r.err
+	}
+	if len(r.data) > 0 {
+		return nil, invalid("message", "data after the value")
+	}
+	if err := completeMessage(m); err != nil {
+		return nil, err
+	}
+	return m, nil
+}
