control: events wait by class: the log and operators, accepted work, new jobs

Cause: one first-in-first-out queue for all events of a process. Change: three queues; a pass through the reducer takes the log, durability and operators' calls first, then what accepted work waits for, then new jobs and questions. Each class has at least 8 of the 64 events of a pass, so that none waits for ever. Events of one class keep their order, and what a gateway and the owner of a queue tell each other is of one class.

--- a/control/loop.go
+++ b/control/loop.go
@@ -23,17 +23,22 @@
 	"primrosedale.example/primrosedale/core/view"
 )
 
-// queueSize is the number of events that may wait for the control goroutine.
-const queueSize = 4096
+// queueSize is the number of events of a class that may wait for the control
+// goroutine.
+const queueSize = 2048
 
-// admissionSize is the number of waiting events at which new work is refused.
-// The rest of the queue is kept for the outcomes of work that was accepted.
+// admissionSize is the number of waiting events of a class at which new work is
+// refused. The rest of the queue is kept for the outcomes of work that was accepted.
 const admissionSize = queueSize * 3 / 4
 
 // batchSize bounds the events that are handled as one, so that a tick is not kept
 // waiting for long.
 const batchSize = 64
 
+// batchShare is how many events of a batch are left to each class, however many of
+// the classes before it wait.
+const batchShare = 8
+
 // Executor carries out effects. Its methods are called on the control
 // goroutine and must not block.
 type Executor interface {
@@ -54,7 +59,7 @@
 
 // Loop is the control goroutine of a process.
 type Loop struct {
-	queue    chan waiting
+	queues   [event.Classes]chan waiting
 	view     atomic.Pointer[view.View]
 	began    time.Duration // sinceBoot when the process began
 	beganAt  model.Time
@@ -92,11 +97,13 @@
 // may be posted earlier.
 func New() *Loop {
 	l := &Loop{
-		queue:  make(chan waiting, queueSize),
 		began:  sinceBoot(),
 		halted: make(chan struct{}),
 		onFull: func() {},
 	}
+	for c := range l.queues {
+		l.queues[c] = make(chan waiting, queueSize)
+	}
 	l.beganAt = model.Time(time.Now().UnixNano())
 	l.view.Store(&view.View{})
 	return l
@@ -143,9 +150,10 @@
 // Post hands over new work without blocking. It reports false if the queue is
 // too full to accept more.
 func (l *Loop) Post(e event.Event) bool {
-	if len(l.queue) < admissionSize {
+	queue := l.queues[event.ClassOf(e)]
+	if len(queue) < admissionSize {
 		select {
-		case l.queue <- waiting{e, sinceBoot()}:
+		case queue <- waiting{e, sinceBoot()}:
 			return true
 		default:
 		}
@@ -160,7 +168,7 @@
 // it.
 func (l *Loop) PostWait(ctx context.Context, e event.Event) bool {
 	select {
-	case l.queue <- waiting{e, sinceBoot()}:
+	case l.queues[event.ClassOf(e)] <- waiting{e, sinceBoot()}:
 		return true
 	case <-ctx.Done():
 		return false
@@ -174,9 +182,31 @@
 	ticker := time.NewTicker(time.Duration(core.TickInterval))
 	defer ticker.Stop()
 	for {
+		events := l.collect()
+		if len(events) > 0 {
+			l.handleAll(events)
+		}
+		// Blocks only when nothing waited.
 		select {
-		case w := <-l.queue:
-			l.handle(l.collect(w))
+		case <-ticker.C:
+			l.handle(event.Tick{})
+			continue
+		case <-l.halted:
+			return nil
+		case <-t.Dying():
+			return nil
+		default:
+		}
+		if len(events) > 0 {
+			continue
+		}
+		select {
+		case w := <-l.queues[event.ClassControl]:
+			l.handleAll(l.collect(w))
+		case w := <-l.queues[event.ClassWork]:
+			l.handleAll(l.collect(w))
+		case w := <-l.queues[event.ClassIntake]:
+			l.handleAll(l.collect(w))
 		case <-ticker.C:
 			l.handle(event.Tick{})
 		case <-l.halted:
@@ -187,22 +217,32 @@
 	}
 }
 
-// collect adds to an event those that wait behind it. When the process is short of
-// processor time, more of them share a pass through the reducer.
-func (l *Loop) collect(first waiting) event.Event {
-	l.noteWait(first)
-	more := min(len(l.queue), batchSize-1)
-	if more == 0 {
-		return first.event
+func (l *Loop) handleAll(events []event.Event) {
+	if len(events) == 1 {
+		l.handle(events[0])
+		return
 	}
-	events := make([]event.Event, 1, more+1)
-	events[0] = first.event
-	for range more {
-		w := <-l.queue
+	l.handle(event.Batch{Events: events})
+}
+
+// collect returns events that wait, those of the first classes first, after some that
+// were taken already. When the process is short of processor time, more of them share
+// a pass through the reducer.
+func (l *Loop) collect(taken ...waiting) []event.Event {
+	var events []event.Event
+	for _, w := range taken {
 		l.noteWait(w)
 		events = append(events, w.event)
 	}
-	return event.Batch{Events: events}
+	for c := range l.queues {
+		most := batchSize - batchShare*(len(l.queues)-1-c)
+		for n := min(len(l.queues[c]), most-len(events)); n > 0; n-- {
+			w := <-l.queues[c]
+			l.noteWait(w)
+			events = append(events, w.event)
+		}
+	}
+	return events
 }
 
 func (l *Loop) noteWait(w waiting) {
--- a/core/event/class.go
+++ b/core/event/class.go
@@ -10,12 +10,12 @@
 
 // The classes, those that may wait least first.
 const (
-	// ClassControl is the replicated log, durability, changes by operators and the
-	// end of the process. Leases and elections depend on it.
+	// ClassControl is the replicated log, durability, operators' calls and the end of the
+	// process. Leases and elections depend on it.
 	ClassControl Class = iota
 	// ClassWork is what accepted work waits for.
 	ClassWork
-	// ClassIntake is new work and questions, which may be refused.
+	// ClassIntake is new jobs and questions about jobs, which may be refused.
 	ClassIntake
 	// Classes is the number of classes.
 	Classes
@@ -32,29 +32,26 @@
 	return "intake"
 }
 
-// ClassOf returns the class of an event.
+// ClassOf returns the class of an event. Events of one class keep their order. What a
+// gateway and the owner of a queue tell each other is of one class.
 func ClassOf(e Event) Class {
 	switch e := e.(type) {
 	case Received:
 		return classOfMessage(&e.Message)
 	case CallArrived:
 		return classOfCall(&e.Call)
-	case Persisted, PersistFailed, CommandSubmitted, SettingsChanged, StopRequested, Tick:
+	case Tick, Persisted, PersistFailed, SettingsChanged, StopRequested:
 		return ClassControl
-	case RequestArrived, StatusRequested, RequestsRefused:
-		return ClassIntake
 	}
 	return ClassWork
 }
 
 func classOfMessage(m *message.Message) Class {
 	switch {
-	case m.Log != nil, m.Renew != nil, m.Grant != nil, m.Command != nil, m.Contact != nil, m.ContactReply != nil:
+	case m.Log != nil, m.Contact != nil, m.ContactReply != nil:
 		return ClassControl
 	case m.Call != nil:
 		return classOfCall(m.Call)
-	case m.Ask != nil:
-		return ClassIntake
 	}
 	return ClassWork
 }
