standin: the test of a leaving target takes the latest announcement by its number

The number in the announcement exists for that, and hosts go by it. The check is the same, on the announcement with the highest number.

--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -56,11 +56,15 @@
 	p.orders = orders
 }
 
+// last returns the latest announcements. An earlier one of a target may arrive later,
+// on another connection, and does not count.
 func (p *fakePlatform) last() (t announce.TargetAnnouncement, w announce.WorkerAnnouncement) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if n := len(p.targets); n > 0 {
-		t = p.targets[n-1]
+	for _, a := range p.targets {
+		if a.Sequence > t.Sequence {
+			t = a
+		}
 	}
 	if n := len(p.workers); n > 0 {
 		w = p.workers[n-1]
