transport: packed messages in frames to peers that read them

Cause: each append was encoded as JSON for each of eight followers.

Change: the answer to an introduction lists the packed formats that the process reads. The sending side packs messages if its own format is among them, and sends JSON frames otherwise, as to an earlier build or one with other types of messages; a process without frames still gets notifications. Frames tell their form by the first byte, so both forms are read on any connection. All peers share one Packer: an entry is packed once for all followers, straight into the buffer that is written.

In the tests the answer that introduceRaw expects has the new list, and frame and FuzzReceive follow the new signature of appendFrame; nothing is checked less.

--- a/transport/frames.go
+++ b/transport/frames.go
@@ -14,8 +14,8 @@
 )
 
 // Messages follow the introduction as frames where both sides know them: the length
-// in frameHeader bytes, most significant first, and the message. JSON-RPC would
-// parse and copy each message four more times on the way.
+// in frameHeader bytes, most significant first, and the message, which is packed or
+// JSON. JSON-RPC would parse and copy each message four more times on the way.
 const (
 	frameHeader = 4
 	// writeTarget is the number of bytes from which on waiting messages are not
@@ -25,10 +25,16 @@
 	keptBuffer = 1 << 20
 )
 
-// appendFrame appends a message as a frame.
-func appendFrame(to, message []byte) []byte {
-	to = binary.BigEndian.AppendUint32(to, uint32(len(message)))
-	return append(to, message...)
+// appendFrame appends a frame with the message that write appends. It appends nothing
+// if write fails.
+func appendFrame(to []byte, write func(to []byte) ([]byte, error)) ([]byte, error) {
+	start := len(to)
+	framed, err := write(append(to, make([]byte, frameHeader)...))
+	if err != nil {
+		return to, err
+	}
+	binary.BigEndian.PutUint32(framed[start:], uint32(len(framed)-start-frameHeader))
+	return framed, nil
 }
 
 // stream is the receiving side of a connection: JSON-RPC objects, and frames from
--- a/transport/frames_test.go
+++ b/transport/frames_test.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/binary"
@@ -11,9 +12,13 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"gopkg.in/tomb.v2"
 
 	"primrosedale.example/primrosedale/codec"
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/logevent"
 )
 
 // introduceRaw opens a connection to a new host b and introduces host a, with frames.
@@ -30,11 +35,21 @@
 	require.NoError(t, err)
 	var reply struct{ Result helloReply }
 	require.NoError(t, json.NewDecoder(c).Decode(&reply))
-	require.Equal(t, helloReply{Host: "b", Frames: true}, reply.Result)
+	require.Equal(t, helloReply{Host: "b", Frames: true, Reads: []string{codec.PackedFormat()}}, reply.Result)
 	return b, c
 }
 
-func frame(message string) []byte { return appendFrame(nil, []byte(message)) }
+func frame(message string) []byte {
+	framed, _ := appendFrame(nil, func(to []byte) ([]byte, error) { return append(to, message...), nil })
+	return framed
+}
+
+// packed returns the packed form of a message.
+func packed(t testing.TB, m *message.Message) string {
+	data, err := new(codec.Packer).AppendMessage(nil, m)
+	require.NoError(t, err)
+	return string(data)
+}
 
 // Guards against messages that are lost where frames are split or joined on their
 // way.
@@ -52,17 +67,37 @@
 	}
 }
 
+// Guards against a build that reads only one of the forms of a message, so that hosts
+// of different builds lose each other.
+func TestFramesOfEitherForm(t *testing.T) {
+	b, c := introduceRaw(t)
+	_, err := c.Write(frame(packed(t, &message.Message{Withdraw: &message.Withdraw{Request: "1"}})))
+	require.NoError(t, err)
+	_, err = c.Write(frame(`{"withdraw":{"request":"2"}}`))
+	require.NoError(t, err)
+	_, err = c.Write(frame(packed(t, &message.Message{Withdraw: &message.Withdraw{Request: "3"}})))
+	require.NoError(t, err)
+	for _, id := range []model.RequestID{"1", "2", "3"} {
+		require.Equal(t, id, (<-b.inbox).Message.Withdraw.Request)
+	}
+}
+
 // Guards against bad frames that are accepted, or that take memory for bytes which
 // never arrive.
 func TestBadFramesEndTheConnection(t *testing.T) {
+	good := packed(t, &message.Message{Withdraw: &message.Withdraw{Request: "1"}})
 	huge := binary.BigEndian.AppendUint32(nil, codec.MaxMessageBytes+1)
 	for name, bad := range map[string][]byte{
-		"no message":    frame(""),
-		"empty message": frame("{}"),
-		"two kinds":     frame(`{"withdraw":{"request":"1"},"settled":{"request":"1"}}`),
-		"unknown field": frame(`{"withdraw":{"request":"1","x":1}}`),
-		"too large":     huge,
-		"json-rpc":      []byte(`{"jsonrpc":"2.0","method":"message","params":{"withdraw":{"request":"1"}}}` + "\n"),
+		"no message":     frame(""),
+		"empty message":  frame("{}"),
+		"two kinds":      frame(`{"withdraw":{"request":"1"},"settled":{"request":"1"}}`),
+		"unknown field":  frame(`{"withdraw":{"request":"1","x":1}}`),
+		"too large":      huge,
+		"packed twice":   frame(good + good),
+		"packed in part": frame(good[:len(good)-1]),
+		"packed nothing": frame(good[:1]),
+		"other packing":  frame("\x02" + good[1:]),
+		"json-rpc":       []byte(`{"jsonrpc":"2.0","method":"message","params":{"withdraw":{"request":"1"}}}` + "\n"),
 	} {
 		t.Run(name, func(t *testing.T) {
 			b, c := introduceRaw(t)
@@ -127,3 +162,106 @@
 		}
 	}, testTimeout, 10*time.Millisecond)
 }
+
+// acceptAs accepts a connection on l, answers the introduction with reply and passes
+// each frame to take, until the connection ends.
+func acceptAs(l net.Listener, reply helloReply, take func(message []byte)) error {
+	c, err := l.Accept()
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	dec := json.NewDecoder(c)
+	var introduction struct{ ID uint64 }
+	if err := dec.Decode(&introduction); err != nil {
+		return err
+	}
+	answer := map[string]any{"jsonrpc": "2.0", "id": introduction.ID, "result": reply}
+	if err := json.NewEncoder(c).Encode(answer); err != nil {
+		return err
+	}
+	r := bufio.NewReader(io.MultiReader(dec.Buffered(), c))
+	if _, err := r.ReadByte(); err != nil {
+		return err
+	}
+	var frame bytes.Buffer
+	for {
+		if err := readFrame(r, &frame); err != nil {
+			return err
+		}
+		take(frame.Bytes())
+	}
+}
+
+// Guards against a cluster that falls apart while it is upgraded: a host gets packed
+// messages only if it reads this build's.
+func TestFormFollowsWhatThePeerReads(t *testing.T) {
+	for name, tc := range map[string]struct {
+		reads  []string
+		packed bool
+	}{
+		"a build before packed messages": {nil, false},
+		"a build of other types":         {[]string{"packed1-0000000000000000"}, false},
+		"the same types":                 {[]string{codec.PackedFormat()}, true},
+		"both":                           {[]string{"packed1-0000000000000000", codec.PackedFormat()}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := listen(t)
+			defer l.Close()
+			a := start(t, "c", "a", listen(t), map[model.HostID]string{"b": l.Addr().String()})
+			got := make(chan []byte, 100)
+			go func() {
+				_ = acceptAs(l, helloReply{Host: "b", Frames: true, Reads: tc.reads}, func(message []byte) { got <- bytes.Clone(message) })
+			}()
+			var first []byte
+			require.Eventually(t, func() bool {
+				a.transport.Send(withdrawal("1"))
+				select {
+				case first = <-got:
+					return true
+				default:
+					return false
+				}
+			}, testTimeout, 10*time.Millisecond)
+			require.Equal(t, tc.packed, codec.IsPacked(first))
+			decode := codec.DecodeMessage
+			if tc.packed {
+				decode = codec.UnpackMessage
+			}
+			m, err := decode(first)
+			require.NoError(t, err)
+			require.Equal(t, withdrawal("1").Message, *m)
+		})
+	}
+}
+
+// Guards against a message that cannot be encoded and takes others with it.
+func TestBadMessageIsLeftOut(t *testing.T) {
+	for name, reads := range map[string][]string{"packed": {codec.PackedFormat()}, "JSON": nil} {
+		t.Run(name, func(t *testing.T) {
+			l := listen(t)
+			defer l.Close()
+			tr := New(Config{Cluster: "c", Host: "a", Peers: map[model.HostID]string{"b": l.Addr().String()}}, make(inbox, 1), logevent.Logger{})
+			tr.Send(withdrawal("1"))
+			tr.Send(effect.Send{To: "b"})
+			tr.Send(withdrawal("2"))
+			var parts tomb.Tomb
+			parts.Go(func() error {
+				tr.Run(&parts)
+				<-parts.Dying()
+				return nil
+			})
+			defer func() {
+				parts.Kill(nil)
+				require.NoError(t, parts.Wait())
+			}()
+			got := make(chan []byte, 3)
+			go func() {
+				_ = acceptAs(l, helloReply{Host: "b", Frames: true, Reads: reads}, func(message []byte) { got <- bytes.Clone(message) })
+			}()
+			for _, id := range []string{"1", "2"} {
+				require.Contains(t, string(<-got), id)
+			}
+		})
+	}
+}
--- a/transport/fuzz_test.go
+++ b/transport/fuzz_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"primrosedale.example/primrosedale/core/event"
+	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/logevent"
 )
@@ -33,15 +34,16 @@
 // a message from a process that did not introduce itself as a known host.
 func FuzzReceive(f *testing.F) {
 	const introduction = `{"jsonrpc":"2.0","id":1,"method":"hello","params":{"version":1,"cluster":"c","host":"a","to":"b","incarnation":"1"}}`
-	const message = `{"jsonrpc":"2.0","method":"message","params":{"withdraw":{"request":"1"}}}`
-	f.Add([]byte(introduction + message))
-	f.Add([]byte(message))
+	const notification = `{"jsonrpc":"2.0","method":"message","params":{"withdraw":{"request":"1"}}}`
+	f.Add([]byte(introduction + notification))
+	f.Add([]byte(notification))
 	framed := strings.Replace(introduction, `"incarnation"`, `"frames":true,"incarnation"`, 1) + "\n"
-	f.Add(appendFrame([]byte(framed), []byte(`{"withdraw":{"request":"1"}}`)))
-	f.Add(appendFrame([]byte(framed), []byte(`{}`)))
+	f.Add(append([]byte(framed), frame(`{"withdraw":{"request":"1"}}`)...))
+	f.Add(append([]byte(framed), frame(`{}`)...))
+	f.Add(append([]byte(framed), frame(packed(f, &message.Message{Withdraw: &message.Withdraw{Request: "1"}}))...))
 	f.Add([]byte(`{"jsonrpc":"2.0","id":1,"result":{}}` + introduction))
 	f.Add([]byte(`{"jsonrpc":"2.0","method":"hello"}`))
-	require.True(f, json.Valid([]byte(introduction)) && json.Valid([]byte(message)))
+	require.True(f, json.Valid([]byte(introduction)) && json.Valid([]byte(notification)))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		control := &collector{}
 		tr := New(Config{Cluster: "c", Host: "b", Peers: map[model.HostID]string{"a": "127.0.0.1:1"}}, control, logevent.Logger{})
--- a/transport/hello.go
+++ b/transport/hello.go
@@ -1,7 +1,8 @@
 // Package transport carries messages between the processes of a cluster over TCP.
 // A connection begins with an introduction in JSON-RPC 2.0. The messages follow as
 // frames, or as JSON-RPC notifications where one side does not know frames yet, as
-// while a cluster is upgraded. Each process sends on connections that it dialled and
+// while a cluster is upgraded. Frames hold packed messages if the receiving side reads
+// the form that the sending side packs, and JSON otherwise. Each process sends on connections that it dialled and
 // receives on connections that it accepted. A message may be lost when a
 // connection fails or a peer is slow; messages of one connection arrive in
 // order and at most once.
@@ -36,6 +37,7 @@
 type helloReply struct {
 	Host   model.HostID `json:"host"`
 	Frames bool         `json:"frames,omitempty"` // frames are expected from now on
+	Reads  []string     `json:"reads,omitempty"`  // packed formats that frames may have besides JSON
 }
 
 // check reports why a connection is refused, or nil.
--- a/transport/receiver.go
+++ b/transport/receiver.go
@@ -11,6 +11,7 @@
 
 	"primrosedale.example/primrosedale/codec"
 	"primrosedale.example/primrosedale/core/event"
+	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/logevent"
 )
@@ -55,7 +56,7 @@
 	case req.Method == methodHello && !req.Notif && r.from == "":
 		err = r.hello(ctx, conn, req)
 	case req.Method == methodMessage && req.Notif && r.from != "":
-		err = r.message(*req.Params)
+		err = r.message(codec.DecodeMessage(*req.Params))
 	default:
 		err = errors.Errorf("unexpected method %q", req.Method)
 	}
@@ -86,20 +87,27 @@
 	if h.Frames {
 		r.stream.takeFrames = r.frame
 	}
-	return conn.Reply(ctx, req.ID, helloReply{Host: r.t.cfg.Host, Frames: h.Frames})
+	reply := helloReply{Host: r.t.cfg.Host, Frames: h.Frames}
+	if h.Frames {
+		reply.Reads = []string{codec.PackedFormat()}
+	}
+	return conn.Reply(ctx, req.ID, reply)
 }
 
 // frame handles the message of a frame. An error ends the connection.
-func (r *receiver) frame(message []byte) error {
-	err := r.message(message)
+func (r *receiver) frame(encoded []byte) error {
+	decode := codec.DecodeMessage
+	if codec.IsPacked(encoded) {
+		decode = codec.UnpackMessage
+	}
+	err := r.message(decode(encoded))
 	if err != nil {
 		r.refuse(err)
 	}
 	return err
 }
 
-func (r *receiver) message(encoded []byte) error {
-	m, err := codec.DecodeMessage(encoded)
+func (r *receiver) message(m *message.Message, err error) error {
 	if err != nil {
 		return err
 	}
--- a/transport/sender.go
+++ b/transport/sender.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"encoding/json"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -79,6 +80,7 @@
 	rpc    *jsonrpc2.Conn
 	raw    net.Conn
 	frames bool   // the peer expects frames
+	packed bool   // the peer reads packed messages
 	buffer []byte // of the frames that are written together
 }
 
@@ -114,6 +116,7 @@
 		return errors.Errorf("address %s belongs to host %q, not %q", p.address, reply.Host, p.host)
 	}
 	c.frames = reply.Frames
+	c.packed = reply.Frames && slices.Contains(reply.Reads, codec.PackedFormat())
 	return nil
 }
 
@@ -148,17 +151,20 @@
 // send writes a message, and as frames those that wait behind it too.
 func (p *peer) send(ctx context.Context, c *connection, m *message.Message) error {
 	if !c.frames {
-		data := p.encode(m)
-		if data == nil {
+		data, err := codec.EncodeMessage(m)
+		if err != nil {
+			p.refuse(err)
 			return nil
 		}
 		return c.rpc.Notify(ctx, methodMessage, json.RawMessage(data))
 	}
 	c.buffer = c.buffer[:0]
 	for m != nil {
-		if data := p.encode(m); data != nil {
-			c.buffer = appendFrame(c.buffer, data)
+		framed, err := appendFrame(c.buffer, func(to []byte) ([]byte, error) { return p.encode(to, c, m) })
+		if err != nil {
+			p.refuse(err)
 		}
+		c.buffer = framed
 		if len(c.buffer) >= writeTarget {
 			break
 		}
@@ -181,15 +187,19 @@
 	}
 }
 
-// encode returns the bytes of a message, or nil if it cannot be sent.
-func (p *peer) encode(m *message.Message) []byte {
-	data, err := codec.EncodeMessage(m)
-	if err != nil {
-		droppedTotal.Inc()
-		p.t.log.Emit(logevent.InternalError, logevent.Host(p.host), logevent.Err(err))
-		return nil
+// encode appends a message in the form that the peer reads.
+func (p *peer) encode(to []byte, c *connection, m *message.Message) ([]byte, error) {
+	if c.packed {
+		return p.t.packer.AppendMessage(to, m)
 	}
-	return data
+	data, err := codec.EncodeMessage(m)
+	return append(to, data...), err
+}
+
+// refuse drops a message that cannot be sent.
+func (p *peer) refuse(err error) {
+	droppedTotal.Inc()
+	p.t.log.Emit(logevent.InternalError, logevent.Host(p.host), logevent.Err(err))
 }
 
 // refuseAll answers requests on a connection that only sends.
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 	"gopkg.in/tomb.v2"
 
+	"primrosedale.example/primrosedale/codec"
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/event"
 	"primrosedale.example/primrosedale/core/model"
@@ -62,6 +63,7 @@
 	log     logevent.Logger
 	peers   map[model.HostID]*peer // changed by Send only, after New
 	running *tomb.Tomb             // set before the first Send
+	packer  codec.Packer           // used by all peers
 }
 
 var (
