codec: test that packed messages share no buffer

Cause: frames are read into one buffer and written from one, and entries are kept from what was written; a shared byte would change messages after the fact.

Change: a test that clears the buffer between two rounds.

go test -race ./codec passes.

--- a/codec/packed_test.go
+++ b/codec/packed_test.go
@@ -154,6 +154,26 @@
 	require.Equal(t, want, got)
 }
 
+// Guards against messages that change when the buffer they were read from, or written
+// to, is used again.
+func TestPackedMessagesShareNoBuffer(t *testing.T) {
+	var p Packer
+	want := benchAppend()
+	want.Log.Entries = append(want.Log.Entries, Entry{Index: 1, Term: 1, Command: &fleet.Command{
+		Complete: &fleet.Complete{Answer: &model.Answer{Status: 200, Body: []byte("body")}},
+	}})
+	data, err := p.AppendMessage(nil, want)
+	require.NoError(t, err)
+	for range 2 { // the entries are new, then kept ones
+		got, err := UnpackMessage(data)
+		require.NoError(t, err)
+		clear(data)
+		require.Equal(t, want, got)
+		data, err = p.AppendMessage(data[:0], want)
+		require.NoError(t, err)
+	}
+}
+
 // Guards against a snapshot that a packed message does not carry whole.
 func TestPackedSnapshotRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
