proof: BenchmarkLeader measures what a run costs the leader at size

Change: a system on the platform's settings with real processes (9 replicas, 2 entry hosts, GOMAXPROCS=1), 100 and 350 stand-in workers in the test's process with lists of 8 runs at 350, and jobs of 900 starts a second for 15 s. It reports processor time a run of the leader and of a mean follower, bytes, system calls, syncs and calls a run, and the leader's peak memory. PROOF_PROFILES=FOLDER also takes CPU and allocation profiles of the leader. It fails if the leader changes during the measurement. metricsAt takes an address in place of a host, so that both benchmarks read metrics with it.

--- /dev/null
+++ b/proof/platform_test.go
@@ -0,0 +1,290 @@
+package proof
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The size of a system on the users' platform, without its workers.
+const (
+	platformReplicas = 9
+	platformSeeds    = 3
+	platformEntries  = 2
+	platformServices = 5
+	platformTeams    = 20
+	platformMemoryMB = 408
+)
+
+// The work of the system.
+const (
+	stepTasks       = 8
+	taskTime        = 700 * time.Millisecond
+	poolUse         = 0.55 // of the capacity, by tasks that end
+	lastingTasks    = 6    // that have no end, for each worker
+	lastingJobTasks = 24
+	lastingMilliCPU = 500
+	taskMemoryMB    = 1000
+)
+
+const (
+	heartbeatInterval = 1500 * time.Millisecond
+	callPatience      = 3 * time.Second // of clients and workers
+)
+
+// The ports of the processes, equal on all addresses.
+const (
+	platformCallerPort  = 18440
+	platformReadyPort   = 18443
+	platformControlPort = 18445
+	platformPeerPort    = 17200
+	platformMetricsPort = platformPeerPort + 1
+)
+
+// platformSystem is a system on the platform's settings, with its workers and clients.
+type platformSystem struct {
+	b        *testing.B
+	folder   string
+	replicas []*platformProcess
+	entries  []*platformProcess
+	workers  []*platformWorker
+	client   *http.Client
+	next     atomic.Value // address that the workers' heartbeats were last told
+	ended    atomic.Int64 // runs
+	refused  atomic.Int64 // jobs that were not accepted
+	jobs     atomic.Int64
+}
+
+// platformProcess is one process of the system.
+type platformProcess struct {
+	ip  string
+	cmd *exec.Cmd
+}
+
+func (p *platformProcess) url(port int) string { return fmt.Sprintf("http://%s:%d", p.ip, port) }
+
+func startPlatform(b *testing.B, workers int) *platformSystem {
+	s := &platformSystem{
+		b: b, folder: b.TempDir(),
+		client: &http.Client{Timeout: callPatience, Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
+	}
+	b.Cleanup(s.client.CloseIdleConnections)
+	owner := httptest.NewUnstartedServer(http.HandlerFunc(s.serveHosts))
+	b.Cleanup(owner.Close)
+	for i := range platformReplicas + platformEntries {
+		p := s.startProcess(platformAddress(i), string(centres[i%len(centres)]), i < platformReplicas, owner.Listener.Addr().String())
+		if i < platformReplicas {
+			s.replicas = append(s.replicas, p)
+		} else {
+			s.entries = append(s.entries, p)
+		}
+	}
+	eventually(b, startLimit, "the configuration is taken", func() bool {
+		status, _ := s.call("PUT", s.replicas[0].url(platformControlPort)+"/v1/config", "", platformConfig())
+		return status == http.StatusOK
+	})
+	s.next.Store(strings.TrimPrefix(s.replicas[0].url(platformControlPort), "http://"))
+	for i := range workers {
+		s.workers = append(s.workers, s.startWorker(i))
+	}
+	owner.Start()
+	for _, e := range s.entries {
+		eventually(b, startLimit, "the entry host is ready", func() bool {
+			status, _ := s.call("GET", e.url(platformReadyPort)+"/v1/readiness", "", nil)
+			return status == http.StatusOK
+		})
+	}
+	return s
+}
+
+// platformAddress returns the IP address of a process.
+func platformAddress(i int) string { return fmt.Sprintf("127.0.9.%d", i+1) }
+
+func (s *platformSystem) startProcess(ip, centre string, replica bool, owner string) *platformProcess {
+	listen := fmt.Sprintf("control = \"%s:%d\"", ip, platformControlPort)
+	data := fmt.Sprintf("dataDir = %q", filepath.Join(s.folder, ip))
+	if !replica {
+		listen = fmt.Sprintf("front = \"%s:%d\"\nready = \"%s:%d\"", ip, platformCallerPort, ip, platformReadyPort)
+		data = ""
+	}
+	seeds := make([]string, platformSeeds)
+	for i := range seeds {
+		seeds[i] = fmt.Sprintf("\"%s:%d\"", platformAddress(i), platformControlPort)
+	}
+	text := fmt.Sprintf(`node = "n-%s"
+ip = %q
+zone = %q
+internalPorts = [%d,%d]
+seeds = [%s]
+bootstrap = true
+%s
+[listen]
+%s
+[limits]
+memoryMb = %d
+[cloud]
+address = %q
+[bounds]
+holdMaxMs = 6000
+stopGraceMs = 900
+status_s = 120
+graceS = 6
+maintenanceS = 2
+migrateS = 1.5
+`, ip, ip, centre, platformPeerPort, platformPeerPort+15, strings.Join(seeds, ","), data, listen, platformMemoryMB, owner)
+	path := filepath.Join(s.folder, ip+".toml")
+	require.NoError(s.b, os.WriteFile(path, []byte(text), 0o600))
+	log, err := os.Create(filepath.Join(s.folder, ip+".log"))
+	require.NoError(s.b, err)
+	c := exec.Command(binary, "platform", "--settings", path)
+	c.Env = append(os.Environ(), "GOMAXPROCS=1") // machines of the platform have one core
+	c.Stdout, c.Stderr = log, log
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	require.NoError(s.b, c.Start())
+	s.b.Cleanup(func() {
+		_ = c.Process.Kill()
+		_ = c.Wait() // killed
+		_ = log.Close()
+	})
+	return &platformProcess{ip, c}
+}
+
+func platformConfig() any {
+	type object = map[string]any
+	var routes, services, tenants []object
+	for i := range platformServices {
+		service := fmt.Sprint("s", i)
+		services = append(services, object{"name": service})
+		routes = append(routes, object{
+			"name": fmt.Sprint("q", i), "host": "platform.example", "pathPrefix": fmt.Sprintf("/q%d/", i), "service": service,
+			"timeoutMs": 3000, "targetDurationMs": 600, "maxAttempts": 2, "stretch": 3,
+		})
+	}
+	for i := range platformTeams {
+		tenants = append(tenants, object{"name": fmt.Sprint("t", i), "apiKeys": []string{fmt.Sprint("k", i)}, "weight": 1, "cap": object{}})
+	}
+	return object{"version": 1, "routes": routes, "services": services, "tenants": tenants, "limits": object{"maxBodyBytes": 262144}}
+}
+
+// call makes a call and returns its status and body; status 0 is no answer.
+func (s *platformSystem) call(method, url, key string, body any) (int, []byte) {
+	var data []byte
+	if body != nil {
+		data, _ = json.Marshal(body) // of the benchmark's own values
+	}
+	request, err := http.NewRequest(method, url, bytes.NewReader(data))
+	if err != nil {
+		return 0, nil
+	}
+	request.Host = "platform.example"
+	request.Header.Set("Authorization", "Bearer "+key)
+	answer, err := s.client.Do(request)
+	if err != nil {
+		return 0, nil
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return answer.StatusCode, text
+}
+
+// submit hands a job over to one of the entry hosts and returns its address.
+func (s *platformSystem) submit(steps, tasks int, cpu int64, lasts bool) (url, key string, accepted bool) {
+	n := int(s.jobs.Add(1))
+	url = fmt.Sprintf("%s/q%d/%016x", s.entries[n%len(s.entries)].url(platformCallerPort), n%platformServices, n)
+	key = fmt.Sprint("k", n%platformTeams)
+	var list []map[string]any
+	spec := strconv.FormatInt(taskTime.Milliseconds(), 10)
+	if lasts {
+		spec = ""
+	}
+	for i := range steps {
+		step := map[string]any{"count": tasks, "cpu": cpu, "memMb": taskMemoryMB, "estimateMs": taskTime.Milliseconds(), "longRunning": lasts}
+		if i > 0 {
+			step["after"] = []int{i - 1}
+		}
+		list = append(list, step)
+	}
+	status, _ := s.call("POST", url, key, map[string]any{"spec": spec, "phases": list})
+	return url, key, status == http.StatusOK
+}
+
+// submitLasting starts the tasks that do not end and waits until they run.
+func (s *platformSystem) submitLasting() {
+	jobs := len(s.workers) * lastingTasks / lastingJobTasks
+	for range jobs {
+		_, _, accepted := s.submit(1, lastingJobTasks, lastingMilliCPU, true)
+		require.True(s.b, accepted)
+	}
+	eventually(s.b, startLimit, "the tasks that last run", func() bool {
+		sum := 0
+		for _, w := range s.workers {
+			sum += w.size()
+		}
+		return sum == jobs*lastingJobTasks
+	})
+}
+
+// submitJobs submits jobs of one and two steps by turns and asks for the state of
+// each once, until stop is called.
+func (s *platformSystem) submitJobs(starts int) (stop func()) {
+	pool := float64(len(s.workers)) * float64(workerCapacity["cpu"])
+	cpu := int64(poolUse * pool / (float64(starts) * taskTime.Seconds()))
+	ctx, cancel := context.WithCancel(context.Background())
+	var calls sync.WaitGroup
+	calls.Go(func() {
+		began, interval := time.Now(), time.Second*stepTasks*3/2/time.Duration(starts)
+		for n := 0; ; n++ {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(time.Until(began.Add(time.Duration(n) * interval))):
+			}
+			calls.Go(func() {
+				url, key, accepted := s.submit(1+n%2, stepTasks, cpu, false)
+				if !accepted {
+					s.refused.Add(1)
+					return
+				}
+				time.Sleep(2 * taskTime)
+				s.call("GET", url, key, nil)
+			})
+		}
+	})
+	return func() { cancel(); calls.Wait() }
+}
+
+// serveHosts is the owner of the hosts, which moves none.
+func (s *platformSystem) serveHosts(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodGet {
+		w.WriteHeader(http.StatusConflict)
+		io.WriteString(w, `{"reason":"busy"}`)
+		return
+	}
+	var list []map[string]any
+	for _, h := range s.workers {
+		list = append(list, map[string]any{
+			"machine": h.machine, "pool": h.service, "state": "up", "zone": h.centre,
+			"labels": h.labels, "capacity": workerCapacity, "id": h.id,
+		})
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"machines": list}) // an error means that the caller has gone
+}
--- /dev/null
+++ b/proof/platformworker_test.go
@@ -0,0 +1,168 @@
+package proof
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"time"
+)
+
+var workerCapacity = map[string]int64{"cpu": 64_000, "memMb": 256_000}
+
+// platformWorker is a worker that runs each task for as many milliseconds as its spec
+// says, and those without one until they are stopped.
+type platformWorker struct {
+	s                            *platformSystem
+	id, machine, service, centre string
+	labels                       []string
+	address                      string
+	began                        time.Time
+
+	mu      sync.Mutex
+	running map[string]int // the number of the run, by task
+	ends    []platformEnd  // not acknowledged yet
+	number  int            // of the last end
+	changed chan struct{}  // closed at the next end
+}
+
+type platformEnd struct {
+	number int
+	row    []any
+}
+
+func (s *platformSystem) startWorker(i int) *platformWorker {
+	w := &platformWorker{
+		s: s, id: fmt.Sprint("i-", i), machine: fmt.Sprint("m-", i), service: fmt.Sprint("s", i%platformServices),
+		centre: string(centres[i%len(centres)]), labels: []string{"a", fmt.Sprint("r", i/12)}, began: time.Now(),
+		running: map[string]int{}, changed: make(chan struct{}),
+	}
+	server := httptest.NewServer(w)
+	w.address = server.Listener.Addr().String()
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		w.announce(stop)
+	}()
+	s.b.Cleanup(func() {
+		close(stop)
+		<-stopped
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return w
+}
+
+// announce sends heartbeats to the host that the last answer named.
+func (w *platformWorker) announce(stop <-chan struct{}) {
+	next := w.s.next.Load().(string)
+	for seq := 1; ; seq++ {
+		status, text := w.s.call("PUT", "http://"+next+"/v1/instances/"+w.id, "", map[string]any{
+			"service": w.service, "address": w.address, "zone": w.centre, "version": "v1", "slots": 8, "state": "ready",
+			"machine": w.machine, "born": w.began.UnixMilli(), "seq": seq, "clockMs": w.clock(),
+			"capacity": workerCapacity, "labels": w.labels,
+		})
+		var answer struct{ HeartbeatAddr string }
+		switch {
+		case status != http.StatusOK:
+			next = w.s.replicas[seq%len(w.s.replicas)].ip + ":" + strconv.Itoa(platformControlPort)
+		case json.Unmarshal(text, &answer) == nil && answer.HeartbeatAddr != "":
+			next = answer.HeartbeatAddr
+			w.s.next.Store(next)
+		}
+		select {
+		case <-stop:
+			return
+		case <-time.After(heartbeatInterval):
+		}
+	}
+}
+
+func (w *platformWorker) clock() int64 { return time.Since(w.began).Milliseconds() + 1 }
+
+func (w *platformWorker) size() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.running)
+}
+
+// workerCall holds the fields of all calls.
+type workerCall struct {
+	Task     string
+	Run      int
+	Spec     string
+	LastSeen int
+	WaitMS   int64
+}
+
+// ServeHTTP implements http.Handler.
+func (w *platformWorker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	var c workerCall
+	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
+		http.Error(out, err.Error(), http.StatusBadRequest)
+		return
+	}
+	answer := map[string]any{"born": w.began.UnixMilli()}
+	switch r.URL.Path {
+	case "/v1/run-start":
+		w.startRun(&c)
+	case "/v1/run-stop":
+		w.end(c.Task, c.Run, "stopped")
+	case "/v1/hold":
+		answer["running"], answer["endedRuns"] = w.hold(r, &c)
+	}
+	answer["clockMs"] = w.clock()
+	_ = json.NewEncoder(out).Encode(answer) // an error means that the caller has gone
+}
+
+func (w *platformWorker) startRun(c *workerCall) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.running[c.Task] = c.Run
+	if ms, err := strconv.Atoi(c.Spec); err == nil {
+		time.AfterFunc(time.Duration(ms)*time.Millisecond, func() { w.end(c.Task, c.Run, "done") })
+	}
+}
+
+func (w *platformWorker) end(task string, run int, how string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.running[task] != run {
+		return
+	}
+	delete(w.running, task)
+	w.number++
+	w.ends = append(w.ends, platformEnd{w.number, []any{w.number, task, run, how, ""}})
+	close(w.changed)
+	w.changed = make(chan struct{})
+	w.s.ended.Add(1)
+}
+
+// hold waits for an end that the caller has not seen and returns both lists.
+func (w *platformWorker) hold(r *http.Request, c *workerCall) (running, ended [][]any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for len(w.ends) > 0 && w.ends[0].number <= c.LastSeen {
+		w.ends = w.ends[1:]
+	}
+	if len(w.ends) == 0 && c.WaitMS > 0 {
+		changed := w.changed
+		w.mu.Unlock()
+		select {
+		case <-changed:
+		case <-time.After(time.Duration(c.WaitMS) * time.Millisecond):
+		case <-r.Context().Done():
+		}
+		w.mu.Lock()
+	}
+	running, ended = [][]any{}, [][]any{}
+	for task, run := range w.running {
+		running = append(running, []any{task, run, "", 100, 250})
+	}
+	for _, e := range w.ends {
+		ended = append(ended, e.row)
+	}
+	return running, ended
+}
