platform, schedule: one unreadable row of a worker's list leaves the others

Callers would have seen: a worker with one row in its list that cannot be read (nested more than 10,000 deep, 1e400, another type, null) was not followed any more: its answer counted as none, its leases ended and its service had one worker less for as long as the row stayed.

What could not be read is told to the scheduler (Reply.Partial, Reply.Unread, Ended.Unread): - No run ends because it is not listed. - A worker with a row of what runs that could not be read gets nothing new, since what the run takes is not known. - Ends behind one that could not be read are recorded and not acknowledged; the next poll comes after pollRetry, as the worker answers at once.

--- a/core/order/order.go
+++ b/core/order/order.go
@@ -82,7 +82,11 @@
 	Detail  string    `json:"detail,omitempty"`
 	Running []Running `json:"running,omitempty"` // of a Hold
 	Ended   []Ended   `json:"ended,omitempty"`   // of a Hold
-	Partial bool      `json:"partial,omitempty"` // there may be more ends than Ended
+	// Partial is set if there may be more runs or ends than those listed. Nothing
+	// follows from the absence of a run then.
+	Partial bool `json:"partial,omitempty"`
+	// Unread is set if there are runs that could not be read.
+	Unread bool `json:"unread,omitempty"`
 }
 
 // Running is one run that a worker lists.
@@ -101,6 +105,10 @@
 	jobs.RunRef
 	Outcome    jobs.Outcome `json:"outcome"`
 	Checkpoint string       `json:"checkpoint,omitempty"`
+	// Unread stands for an end that could not be read, in the place where it was
+	// listed. The other fields are empty. It is not recorded, so neither it nor a
+	// later one may be forgotten.
+	Unread bool `json:"unread,omitempty"`
 }
 
 // AdviceCall asks which of some workers may run a step.
--- a/core/schedule/fixture_test.go
+++ b/core/schedule/fixture_test.go
@@ -98,13 +98,18 @@
 
 // answerPoll answers the latest poll of a worker. Its clock is the bench's.
 func (b *bench) answerPoll(id model.WorkerID, running []order.Running, ended []order.Ended) {
+	b.list(id, order.Reply{Running: running, Ended: ended})
+}
+
+// list answers the latest poll of a worker with the lists of a reply.
+func (b *bench) list(id model.WorkerID, r order.Reply) {
 	for i := len(b.calls) - 1; i >= 0; i-- {
 		c := b.calls[i]
 		if c.Worker != id || c.Hold == nil {
 			continue
 		}
 		b.calls = append(b.calls[:i], b.calls[i+1:]...)
-		r := order.Reply{Call: c, Status: order.Accepted, Clock: order.ClockMS(b.now / model.Time(ms)), Running: running, Ended: ended}
+		r.Call, r.Status, r.Clock = c, order.Accepted, order.ClockMS(b.now/model.Time(ms))
 		b.act(func(out *Out) { b.s.Replied(b.env(), out, &r) })
 		return
 	}
--- a/core/schedule/sim_test.go
+++ b/core/schedule/sim_test.go
@@ -35,7 +35,9 @@
 	scheduler *Scheduler
 	workers   []*simWorker
 	late      float64
-	unhealthy float64                     // part of the starts that workers refuse for a while
+	unhealthy float64 // part of the starts that workers refuse for a while
+	unread    float64 // part of the rows of lists that cannot be read
+	spoiled   int
 	stalled   model.Time                  // the leader handles nothing until then
 	done      map[jobs.TaskRef]bool       // ends that were recorded
 	forgotten map[jobs.TaskRef]model.Time // when a worker was first told to forget that one was done
@@ -220,12 +222,21 @@
 // calls are lost or executed late, workers crash, clocks are slow and leaders
 // change.
 func TestRunsUnderFaults(t *testing.T) {
-	const seeds = 40
+	runUnderFaults(t, 40, 0)
+}
+
+// Guards against the same while some rows of the workers' lists cannot be read:
+// such a run has not ended, and such an end is not one to forget.
+func TestRunsWithRowsThatCannotBeRead(t *testing.T) {
+	runUnderFaults(t, 20, 0.1)
+}
+
+func runUnderFaults(t *testing.T, seeds int, unread float64) {
 	for seed := range uint64(seeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			s := newSim(t, seed)
-			s.late, s.unhealthy = 0.1, 0.1
+			s.late, s.unhealthy, s.unread = 0.1, 0.1, unread
 			// Half of the runs have many changes of leader; in the others the leader
 			// stays long enough for leases of its own to end.
 			leads := 2 + 14*int(seed%2)
@@ -254,6 +265,9 @@
 			}
 			require.Greater(t, s.starts, 40)
 			require.Positive(t, s.lateCalls)
+			if unread > 0 {
+				require.Positive(t, s.spoiled)
+			}
 		})
 	}
 }
--- a/core/schedule/sim_worker_test.go
+++ b/core/schedule/sim_worker_test.go
@@ -97,10 +97,35 @@
 			r.Running = append(r.Running, order.Running{RunRef: ref, Percent: 100})
 		}
 		r.Ended = append(r.Ended, w.ends...)
+		s.spoil(&r)
 	}
 	return r
 }
 
+// spoil makes some rows of the lists ones that cannot be read.
+func (s *sim) spoil(r *order.Reply) {
+	if s.unread == 0 {
+		return
+	}
+	kept := r.Running[:0]
+	for _, listed := range r.Running {
+		if s.rng.Float64() < s.unread {
+			r.Unread, r.Partial = true, true
+			s.spoiled++
+			continue
+		}
+		kept = append(kept, listed)
+	}
+	r.Running = kept
+	for i := range r.Ended {
+		if s.rng.Float64() < s.unread {
+			r.Ended[i] = order.Ended{Unread: true}
+			r.Partial = true
+			s.spoiled++
+		}
+	}
+}
+
 func (s *sim) startRun(w *simWorker, start *order.Start) order.Status {
 	if w.running[start.RunRef] != nil {
 		return order.Accepted
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -327,6 +327,11 @@
 		w.missed = false
 		s.listed(env, out, w, reply)
 		w.pollAt = env.Now
+		if hasUnreadEnd(reply) {
+			// The worker answers at once for as long as it has an end to tell.
+			w.pollAt = env.Now.Add(pollRetry)
+			return
+		}
 		if w.recording == w.seen && w.pollOut == 0 {
 			s.poll(env, out, w)
 		}
@@ -349,6 +354,10 @@
 	}
 }
 
+func hasUnreadEnd(reply *order.Reply) bool {
+	return slices.ContainsFunc(reply.Ended, func(e order.Ended) bool { return e.Unread })
+}
+
 // processEnded gives up the runs of a worker whose process has certainly ended,
 // and the worker. If it is there after all, its next heartbeat brings it back.
 func (s *Scheduler) processEnded(env Env, out *Out, w *worker, reason string) {
@@ -368,6 +377,9 @@
 	}
 	listed := make(map[jobs.RunRef]bool, len(reply.Running))
 	w.foreign = model.Resources{}
+	if reply.Unread {
+		w.foreign = w.info.Capacity // it may be any run
+	}
 	defer s.roomChanged(w)
 	for i := range reply.Running {
 		listed[reply.Running[i].RunRef] = true
@@ -395,16 +407,24 @@
 }
 
 // takeEnds records the ends that are new. A listed end stays listed until the
-// worker is told that it is recorded.
+// worker is told that it is recorded. It is told so of all ends up to a number, so
+// those behind one that could not be read are recorded and stay listed.
 func (s *Scheduler) takeEnds(env Env, out *Out, w *worker, reply *order.Reply, listed map[jobs.RunRef]bool) {
 	var endings []jobs.Ending
+	unread := false
 	for i := range reply.Ended {
 		e := &reply.Ended[i]
+		if e.Unread {
+			unread = true
+			continue
+		}
 		listed[e.RunRef] = true
 		if e.Number <= max(w.seen, w.recording) {
 			continue
 		}
-		w.recording = e.Number
+		if !unread {
+			w.recording = e.Number
+		}
 		r := w.runs[e.RunRef]
 		if r == nil {
 			// An end that an earlier leader recorded, or of a run that was given up.
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -304,6 +304,9 @@
 	{ReportLost, "report_lost", zerolog.WarnLevel,
 		"the result of a call was dropped since the control queue stayed full",
 		"If it lasts, lower the load on this host or look for a slow disk or processor."},
+	{ListUnread, "list_unread", zerolog.WarnLevel,
+		"an entry of a list of workers' runs, of hosts or of advice could not be read and was left out",
+		"Correct the sender: the error names what could not be read."},
 }}
 
 var requestsArea = area{"Requests", []Entry{
--- a/logevent/ids.go
+++ b/logevent/ids.go
@@ -117,6 +117,7 @@
 	RunStopped     ID = 752
 	RunGivenUp     ID = 753
 	ReportLost     ID = 756
+	ListUnread     ID = 757
 	AdviceFailed   ID = 755
 	RunThrottled   ID = 754
 )
