platform, hosts: one unreadable host leaves the others

TestHostWhoseEntryCannotBeReadHasNotLeft and TestKnownHostStaysKnown failed before the change of the planner: the wave was closed with a host that was only left out, and the host was forgotten.

A page with one that could not be read, or with the state or the capacity of no host, is Partial: no host has left by it, its waves stay open, and a host that is not listed and whose maintenance was ordered counts as down.

--- a/core/hosts/planner.go
+++ b/core/hosts/planner.go
@@ -71,6 +71,8 @@
 	listEnd  model.Time                     // the reading counts as failed after this
 	listAt   model.Time                     // of the next reading
 	known    bool                           // the list has been read
+	partial  bool                           // hosts of the reading under way could not be read
+	unread   bool                           // hosts of the latest reading could not be read
 	began    model.Time                     // of the term
 	excess   map[model.ServiceID]model.Time // since when a pool has had too many hosts
 }
@@ -129,7 +131,7 @@
 		return
 	}
 	p.reading = make(map[model.HostID]order.Host)
-	p.readFrom = now
+	p.readFrom, p.partial = now, false
 	p.readPage(env, out, "")
 }
 
@@ -169,6 +171,7 @@
 	for _, h := range r.Hosts {
 		p.reading[h.ID] = h
 	}
+	p.partial = p.partial || r.Partial
 	if r.Next != "" {
 		p.readPage(env, out, r.Next)
 		return
@@ -177,14 +180,16 @@
 	if len(openWaves(env.Schedule.State)) > 0 {
 		p.listAt = now.Add(listInterval)
 	}
+	p.unread = p.partial
 	p.take(p.reading)
 	p.Advance(env, out)
 }
 
-// take replaces what is known by a complete reading.
+// take replaces what is known by a complete reading. A host that is not listed may be
+// one that could not be read.
 func (p *Planner) take(reading map[model.HostID]order.Host) {
 	for id := range p.hosts {
-		if _, listed := reading[id]; !listed {
+		if _, listed := reading[id]; !listed && !p.unread {
 			delete(p.hosts, id)
 		}
 	}
--- a/core/hosts/planner_test.go
+++ b/core/hosts/planner_test.go
@@ -27,6 +27,7 @@
 	calls    []order.HostCall
 	proposed []jobs.Command
 	hold     bool // proposals wait for commit
+	unread   int  // the first hosts of the list, whose entries cannot be read
 }
 
 func newBench(t *testing.T, hosts int) *bench {
@@ -89,7 +90,7 @@
 		for i := 0; i < len(b.calls); i++ {
 			if c := b.calls[i]; c.List != nil {
 				b.calls = append(b.calls[:i], b.calls[i+1:]...)
-				b.reply(order.HostReply{Call: c, Status: order.HostAccepted, Hosts: b.hosts})
+				b.reply(order.HostReply{Call: c, Status: order.HostAccepted, Hosts: b.hosts[b.unread:], Partial: b.unread > 0})
 				i--
 			}
 		}
@@ -175,6 +176,48 @@
 	require.Empty(t, b.maintained(order.HostAccepted))
 }
 
+// Guards against a wave that is reported as done although the entry of one of its
+// hosts could not be read, and against more hosts down than its cap because one of
+// them is that host.
+func TestHostWhoseEntryCannotBeReadHasNotLeft(t *testing.T) {
+	b := newBench(t, 3)
+	b.startWave(1)
+	b.unread = 1
+	b.pass(takeOverTime + 500*ms)
+	require.Len(t, b.maintained(order.HostAccepted), 1)
+	b.pass(4 * model.Second)
+	require.Len(t, b.maintained(order.HostAccepted), 1)
+	b.pass(10 * model.Second)
+	require.Empty(t, b.maintained(order.HostAccepted))
+	require.False(t, b.state.Waves[1].Closed)
+	b.unread = 0
+	b.pass(2 * model.Second)
+	require.Equal(t, []model.HostID{"h0"}, b.maintained(order.HostSilent))
+
+	b.lead()
+	b.unread = 1
+	b.hosts = append(b.hosts, order.Host{ID: "h3", Pool: "render", State: order.HostUp, Capacity: model.Resources{MilliCPU: 64000}})
+	b.state.Waves[1].Hosts = append(b.state.Waves[1].Hosts, "h3")
+	b.pass(takeOverTime + 5*model.Second)
+	require.Empty(t, b.maintained(order.HostAccepted), "h0 may be down")
+	b.unread = 0
+	b.pass(2 * model.Second)
+	require.Equal(t, []model.HostID{"h0"}, b.maintained(order.HostAccepted))
+}
+
+// Guards against a host that is forgotten because one reading could not read it.
+func TestKnownHostStaysKnown(t *testing.T) {
+	b := newBench(t, 3)
+	b.pass(200 * ms)
+	require.Len(t, b.p.hosts, 3)
+	b.unread = 1
+	b.pass(idleInterval + 200*ms)
+	require.Len(t, b.p.hosts, 3)
+	b.unread, b.hosts = 0, b.hosts[1:]
+	b.pass(idleInterval + 200*ms)
+	require.Len(t, b.p.hosts, 2)
+}
+
 func idle(n int) []*host {
 	list := make([]*host, n)
 	for i := range list {
--- a/core/hosts/wave.go
+++ b/core/hosts/wave.go
@@ -31,10 +31,20 @@
 	var due []*host
 	for _, hostID := range w.Hosts {
 		h := p.hosts[hostID]
+		accepted, ordered := w.Ordered[hostID]
+		if h == nil && p.unread {
+			// It may be one that could not be read.
+			if ordered {
+				down++
+			}
+			if !accepted {
+				open++
+			}
+			continue
+		}
 		if h == nil {
 			continue // it has left the fleet
 		}
-		accepted, ordered := w.Ordered[hostID]
 		if ordered && !accepted && h.wave == 0 {
 			h.wave, h.ordered = id, true // by an earlier leader
 		}
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -197,5 +197,8 @@
 	Status HostStatus `json:"status"`
 	Hosts  []Host     `json:"hosts,omitempty"`
 	Next   string     `json:"next,omitempty"` // of a List: the next page, empty at the end
-	Detail string     `json:"detail,omitempty"`
+	// Partial is set if there are hosts on the page that could not be read. Nothing
+	// follows from the absence of a host then.
+	Partial bool   `json:"partial,omitempty"`
+	Detail  string `json:"detail,omitempty"`
 }
