handler: an announced clock sets no deadline

Callers would have seen: one announcement of another writer with the id of a worker and a clock far ahead, at the start of a term, made all orders to that worker carry deadlines of that clock until the term ended, as a worker's clock only grows.

TestAnnouncedClockSetsNoDeadline failed before: deadline.

The scheduler took the clock of announcements until the first answer. Nothing used it: orders and leases come after the first poll, whose answer has the clock.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -56,8 +56,10 @@
 // Heartbeat is a worker's announcement of itself.
 type Heartbeat struct {
 	Worker jobs.Worker `json:"worker"`
-	Seq    uint64      `json:"seq"`   // grows within a life
-	Clock  int64       `json:"clock"` // the worker's own, milliseconds
+	Seq    uint64      `json:"seq"` // grows within a life
+	// Clock is the worker's own, in milliseconds. Deadlines follow the clock in its
+	// answers only, since anyone may send an announcement.
+	Clock int64 `json:"clock"`
 }
 
 // Leave says that a worker ends.
--- a/core/handler/handler.go
+++ b/core/handler/handler.go
@@ -275,7 +275,6 @@
 		return answer(call.Answer{}) // a late call of an earlier life
 	}
 	if IsRecorded(env.Schedule.State, h) {
-		env.Scheduler.Heartbeat(env.Schedule, h.Worker.ID, h.Clock)
 		return answer(call.Answer{Next: env.Next})
 	}
 	w := h.Worker
--- a/core/handler/handler_test.go
+++ b/core/handler/handler_test.go
@@ -202,3 +202,41 @@
 	require.NotNil(t, f.decide(call.Call{Heartbeat: &call.Heartbeat{Worker: w}}).Answer)
 	require.Equal(t, life, f.state.Workers["w"].Life)
 }
+
+// Guards against a clock in an announcement of another writer that sets the deadlines
+// of orders: no later clock of the worker would be larger.
+func TestAnnouncedClockSetsNoDeadline(t *testing.T) {
+	f := newFixture()
+	env := schedule.Env{Now: f.now, Clock: f.now, Term: 1, State: f.state, Bounds: schedule.Bounds{LeaseMax: 6 * model.Second}}
+	s := schedule.New(env)
+	h := call.Heartbeat{Worker: *f.state.Workers["w"], Clock: 1<<53 - 1}
+	f.calls.Decide(Env{Schedule: env, Scheduler: s, Self: "self"}, jobs.CallRef{}, &call.Call{Heartbeat: &h})
+
+	var out schedule.Out
+	s.Advance(env, &out)
+	for _, e := range out.Effects {
+		if poll, ok := e.(effect.CallWorker); ok {
+			s.Replied(env, &schedule.Out{}, &order.Reply{Call: poll.Call, Status: order.Accepted, Clock: 1000})
+		}
+	}
+	submit := jobs.Command{Submit: &jobs.Job{
+		ID: jobID, Queue: "q", Service: "render", Rounds: make([]jobs.Round, 1),
+		Steps: []jobs.Step{{Tasks: 1, Size: model.Resources{MilliCPU: 1000}}},
+	}}
+	out = schedule.Out{}
+	s.Committed(env, &out, &submit, f.apply(&submit))
+	s.Place(env, &out)
+	require.Len(t, out.Proposals, 1)
+	assign := out.Proposals[0]
+	out = schedule.Out{}
+	s.Committed(env, &out, &assign, f.apply(&assign))
+	started := false
+	for _, e := range out.Effects {
+		if start, ok := e.(effect.CallWorker); ok && start.Call.Start != nil {
+			started = true
+			require.Less(t, start.Call.Start.Deadline, order.ClockMS(10_000))
+			require.Greater(t, start.Call.Start.Deadline, order.ClockMS(1000))
+		}
+	}
+	require.True(t, started)
+}
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -165,13 +165,6 @@
 	out.log(effect.WorkerGone, effect.Log{Worker: c.Worker, Index: c.Life})
 }
 
-// Heartbeat records the clock of a worker.
-func (s *Scheduler) Heartbeat(env Env, id model.WorkerID, clock int64) {
-	if w := s.workers[id]; w != nil && !w.polled && order.ClockMS(clock) > w.clock {
-		w.setClock(env.Now, order.ClockMS(clock))
-	}
-}
-
 func (w *worker) setClock(now model.Time, c order.ClockMS) {
 	if c >= w.clock {
 		w.clock, w.clockAt = c, now
