core/delegate: agents report; no old calls, no calls to stopping replicas

- A delegate that thawed made calls that were seconds old.
Each call now names the latest report of the agent that the leader has, and calls over 1.5 s after it are not made.
An agent says that it is leaving and finishes what is under way.
- A leader that was late dropped answers that were already there, and after a stall of its own made all calls itself (TestAnswerThatTheLeaderHandlesLateCounts, TestDelegatesAreNotPassedOverForAStallOfTheLeader).
A lost call is known by the reports; the time limit is a last resort.
- Calls that failed together led back to the delegate that failed.
The delegate is remembered, not a count.
- A replica of an earlier build ends the connection at messages that it does not know.
Only replicas that have reported in this term get calls.

Names: Dispatcher and Agent.

--- a/core/calls.go
+++ b/core/calls.go
@@ -70,7 +70,7 @@
 	for _, e := range effects {
 		switch e := e.(type) {
 		case effect.CallWorker:
-			if !lease || s.leading.dealer.Take(s.now, e.Call, s.dataCentreOf(e.Call.Worker)) {
+			if !lease || s.leading.dispatcher.Take(s.now, e.Call, s.dataCentreOf(e.Call.Worker)) {
 				continue
 			}
 		case effect.CallHosts, effect.CallAdvice:
@@ -107,17 +107,31 @@
 	s.emit(s.relay.Arrive(s.now, c)...)
 }
 
-// follows reports whether this replica hears a leader.
+// follows reports whether this replica hears a leader and has applied what was known to
+// be committed a moment ago.
 func (s *State) follows() bool {
 	status := s.log.BasicStatus()
 	return s.cfg.Durable && !s.stopping && status.Role == consensus.Follower &&
-		status.Leader.Host != "" && s.now.Sub(status.Heard) <= followTime
+		status.Leader.Host != "" && s.now.Sub(status.Heard) <= followTime && s.fleet.Index >= s.committed.before
+}
+
+// commitMark keeps how far the log was known to be committed followTime ago at least,
+// and not much longer.
+type commitMark struct {
+	before, latest uint64
+	at             model.Time // of latest
+}
+
+func (m *commitMark) note(now model.Time, commit uint64) {
+	if now.Sub(m.at) >= followTime {
+		m.before, m.latest, m.at = m.latest, commit, now
+	}
 }
 
 // heartbeatHost is where a worker sends its heartbeats: the replica that makes the
 // calls to it, or this one.
 func (s *State) heartbeatHost(w *jobs.Worker) model.HostID {
-	if host, ok := s.leading.dealer.Nearest(w.ID, w.DataCentre); ok {
+	if host, ok := s.leading.dispatcher.Delegate(s.now, w.ID, w.DataCentre); ok {
 		return host
 	}
 	return s.cfg.Host
--- /dev/null
+++ b/core/delegate/agent.go
@@ -0,0 +1,104 @@
+package delegate
+
+import (
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/order"
+)
+
+const (
+	// reportInterval is the time between two reports of an agent.
+	reportInterval = 250 * model.Millisecond
+	// MaxAge is the age from which on an agent does not make a call. It is counted from
+	// its latest report that the leader had handled when it sent the call, and is less
+	// than the time in which an order to start may be carried out.
+	MaxAge = 1500 * model.Millisecond
+)
+
+// Agent is the side of a replica that makes calls for the leader. It serves one
+// leader at a time.
+type Agent struct {
+	dataCentre model.DataCentreID
+	leader     model.HostID
+	term       uint64
+	open       map[uint64]bool // calls under way, by sequence number
+	results    []order.Reply   // not sent yet
+	reported   model.Time      // latest report
+	busyAt     model.Time      // latest moment at which a call was under way
+	leaving    bool
+}
+
+// NewAgent returns the Agent of a process.
+func NewAgent(dc model.DataCentreID) *Agent {
+	return &Agent{dataCentre: dc, open: make(map[uint64]bool)}
+}
+
+// Follow names the leader that the replica follows. Calls for an earlier one are
+// forgotten: it waits for them no more.
+func (a *Agent) Follow(leader model.HostID, term uint64) {
+	if term <= a.term {
+		return
+	}
+	a.leader, a.term, a.results, a.reported = leader, term, nil, 0
+	clear(a.open)
+}
+
+// Leave makes the agent report that it is leaving, at once.
+func (a *Agent) Leave() { a.leaving, a.reported = true, 0 }
+
+// Idle reports whether no call has been under way for a time, in which its result was
+// sent.
+func (a *Agent) Idle(now model.Time, d model.Duration) bool {
+	if len(a.open) > 0 {
+		a.busyAt = now
+	}
+	return now.Sub(a.busyAt) >= d
+}
+
+// Called returns the calls to make. Those that are too old end without having been
+// made, those of another term are left out.
+func (a *Agent) Called(now model.Time, from model.HostID, m *message.WorkerCalls) []order.Call {
+	a.Follow(from, m.Term)
+	if m.Term != a.term {
+		return nil
+	}
+	if now.Sub(m.Reported) > MaxAge {
+		for i := range m.Calls {
+			a.results = append(a.results, order.Reply{
+				Call: order.Call{Seq: m.Calls[i].Seq}, Status: order.Silent, Detail: "the call reached its delegate too late",
+			})
+		}
+		return nil
+	}
+	for i := range m.Calls {
+		a.open[m.Calls[i].Seq] = true
+	}
+	return m.Calls
+}
+
+// Done takes the result of a call that was made for the leader of a term.
+func (a *Agent) Done(now model.Time, term uint64, r order.Reply) {
+	if term != a.term {
+		return
+	}
+	a.busyAt = now
+	delete(a.open, r.Call.Seq)
+	r.Call = order.Call{Seq: r.Call.Seq}
+	a.results = append(a.results, r)
+}
+
+// Flush returns the message with the results since the last one, if there are any
+// or a report is due.
+func (a *Agent) Flush(now model.Time) (Addressed, bool) {
+	due := now.Sub(a.reported) >= reportInterval
+	if a.leader == "" || len(a.results) == 0 && !due {
+		return Addressed{}, false
+	}
+	m := &message.WorkerReplies{Term: a.term, Replies: a.results}
+	a.results = nil
+	if due {
+		m.Report = &message.AgentReport{At: now, DataCentre: a.dataCentre, Open: model.SortedKeys(a.open), Leaving: a.leaving}
+		a.reported = now
+	}
+	return Addressed{a.leader, message.Message{WorkerReplies: m}}, true
+}
--- /dev/null
+++ b/core/delegate/delegate_test.go
@@ -0,0 +1,210 @@
+package delegate
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/order"
+)
+
+const start = 1000 * model.Time(model.Second)
+
+func heard(at model.Time, hosts ...model.HostID) []Replica {
+	var list []Replica
+	for _, h := range hosts {
+		list = append(list, Replica{h, at})
+	}
+	return list
+}
+
+func startCall(seq uint64, worker model.WorkerID) order.Call {
+	return order.Call{Seq: seq, Worker: worker, Start: &order.Start{}}
+}
+
+// dispatcherOf returns the Dispatcher of term 1 with agents that have reported.
+func dispatcherOf(hosts ...model.HostID) *Dispatcher {
+	d := NewDispatcher(1)
+	for _, h := range hosts {
+		d.Returned(start, h, &message.WorkerReplies{Term: 1, Report: &message.AgentReport{At: start}})
+	}
+	d.Advance(start, heard(start, hosts...))
+	return d
+}
+
+func result(seq uint64, status order.Status) *message.WorkerReplies {
+	return &message.WorkerReplies{Term: 1, Replies: []order.Reply{{Call: order.Call{Seq: seq}, Status: status}}}
+}
+
+// hostOf returns the delegate that has a call to make.
+func hostOf(t *testing.T, d *Dispatcher, seq uint64) model.HostID {
+	t.Helper()
+	require.NotNil(t, d.pending[seq])
+	return d.pending[seq].host
+}
+
+// Guards against one replica that gets most of the calls.
+func TestCallsAreSpreadEvenly(t *testing.T) {
+	hosts := []model.HostID{"10.1.0.17", "10.1.0.18", "10.2.0.22", "10.2.0.23", "10.3.0.45", "10.3.0.46"}
+	d := dispatcherOf(hosts...)
+	count := make(map[model.HostID]int)
+	for i := range 600 {
+		host, ok := d.Delegate(start, model.WorkerID(fmt.Sprintf("i-%04x", i)), "")
+		require.True(t, ok)
+		count[host]++
+	}
+	for _, h := range hosts {
+		require.InDelta(t, 100, count[h], 40, h)
+	}
+}
+
+// Guards against calls that cross between data centres though a replica of the
+// worker's own could make them.
+func TestDelegateIsOfTheWorkersDataCentre(t *testing.T) {
+	d := dispatcherOf("a", "b", "c")
+	for host, dc := range map[model.HostID]model.DataCentreID{"a": "east", "b": "west", "c": "east"} {
+		d.Returned(start, host, &message.WorkerReplies{Term: 1, Report: &message.AgentReport{At: start, DataCentre: dc}})
+	}
+	for i := range 20 {
+		host, _ := d.Delegate(start, model.WorkerID(fmt.Sprint(i)), "west")
+		require.Equal(t, model.HostID("b"), host)
+	}
+}
+
+// Guards against calls for a replica that cannot make them: one of an earlier build, or
+// one that is stopping.
+func TestOnlyAgentsThatReportAreCalled(t *testing.T) {
+	d := NewDispatcher(1)
+	d.Advance(start, heard(start, "a"))
+	require.False(t, d.Take(start, startCall(1, "w"), ""))
+
+	d = dispatcherOf("a")
+	require.True(t, d.Take(start, startCall(1, "w"), ""))
+	d.Returned(start, "a", &message.WorkerReplies{Term: 1, Report: &message.AgentReport{Leaving: true, Open: []uint64{1}}})
+	require.False(t, d.Take(start, startCall(2, "w"), ""))
+	d.Advance(start, heard(start, "a"))
+	require.False(t, d.Take(start, startCall(3, "w"), ""))
+	require.Len(t, d.Returned(start, "a", result(1, order.Accepted)), 1, "what was under way is finished")
+}
+
+// Guards against calls that wait for a replica that has gone: a poll that is not
+// known to be lost keeps its worker without new runs for seconds.
+func TestCallsOfASilentDelegateEnd(t *testing.T) {
+	d := dispatcherOf("a")
+	require.True(t, d.Take(start, startCall(1, "w"), ""))
+	now := start
+	for now.Sub(start) < heardTime {
+		now = now.Add(50 * model.Millisecond)
+		require.Empty(t, d.Advance(now, heard(start, "a")))
+	}
+	ended := d.Advance(now.Add(1), heard(start, "a"))
+	require.Len(t, ended, 1)
+	require.Equal(t, order.Silent, ended[0].Status)
+	require.Equal(t, model.WorkerID("w"), ended[0].Call.Worker)
+	require.False(t, d.Take(now, startCall(2, "w"), ""), "the leader makes calls itself when no replica is heard")
+	require.Empty(t, d.Returned(now, "a", result(1, order.Accepted)), "a result that is not waited for any more")
+}
+
+// Guards against a result that is waited for until its time limit though the call
+// was lost with a connection or a restart of its delegate.
+func TestCallsThatDidNotArriveEnd(t *testing.T) {
+	d, a := dispatcherOf("a"), NewAgent("west")
+	hold := func(seq uint64) order.Call {
+		return order.Call{Seq: seq, Worker: "w", Hold: &order.Hold{Wait: 3 * model.Second}}
+	}
+	require.True(t, d.Take(start, hold(1), ""))
+	d.Flush() // lost on the way
+	require.True(t, d.Take(start, hold(2), ""))
+	a.Called(start, "leader", d.Flush()[0].Message.WorkerCalls)
+
+	now := start.Add(lostTime + 1)
+	report, ok := a.Flush(now)
+	require.True(t, ok)
+	ended := d.Returned(now, "a", report.Message.WorkerReplies)
+	require.Len(t, ended, 1)
+	require.Equal(t, uint64(1), ended[0].Call.Seq)
+	require.Equal(t, order.Silent, ended[0].Status)
+}
+
+// Guards against a worker that is called through the same delegate again and again
+// though only the link between the two is cut. Calls that fail together count once.
+func TestAnotherDelegateAfterACallWithoutAnswer(t *testing.T) {
+	d := dispatcherOf("a", "b", "c")
+	tried := make(map[model.HostID]bool)
+	seq := uint64(0)
+	for range 3 {
+		var host model.HostID
+		for range 2 {
+			seq++
+			require.True(t, d.Take(start, startCall(seq, "w"), ""))
+			host = hostOf(t, d, seq)
+		}
+		tried[host] = true
+		require.Len(t, d.Returned(start, host, result(seq, order.Silent)), 1)
+		require.Len(t, d.Returned(start, host, result(seq-1, order.Silent)), 1)
+	}
+	require.Len(t, tried, 3)
+	require.False(t, d.Take(start, startCall(9, "w"), ""), "the leader tries it after all others")
+	require.True(t, d.Take(start.Add(avoidTime), startCall(10, "w"), ""))
+}
+
+// Guards against a leader that, when it is late itself, drops answers that are already
+// here and orders everything again: results wait behind the ticks.
+func TestAnswerThatTheLeaderHandlesLateCounts(t *testing.T) {
+	d := dispatcherOf("a")
+	require.True(t, d.Take(start, startCall(1, "w"), ""))
+	late := start.Add(2 * model.Second)
+	require.Empty(t, d.Advance(late, heard(late, "a")))
+	require.Len(t, d.Returned(late, "a", result(1, order.Accepted)), 1, "the worker has accepted the order")
+}
+
+// Guards against a leader whose own stall makes it carry the calls itself: what the
+// replicas have sent meanwhile is handled after its first tick.
+func TestDelegatesAreNotPassedOverForAStallOfTheLeader(t *testing.T) {
+	d := dispatcherOf("a", "b")
+	require.True(t, d.Take(start, startCall(1, "w"), ""))
+	stalled := start.Add(heardTime + 50*model.Millisecond)
+	require.Empty(t, d.Advance(stalled, heard(start, "a", "b")))
+	require.True(t, d.Take(stalled, startCall(2, "w"), ""))
+	ended := 0
+	for now := stalled; now.Sub(stalled) <= heardTime; {
+		now = now.Add(50 * model.Millisecond)
+		ended += len(d.Advance(now, heard(start, "a", "b")))
+	}
+	require.Equal(t, 2, ended, "they are silent for as long again")
+}
+
+// Guards against orders that a delegate carries out long after it was frozen: neither
+// deadline nor token binds a later life of the worker.
+func TestAgentMakesNoOldCalls(t *testing.T) {
+	a := NewAgent("west")
+	a.Follow("leader", 1)
+	calls := &message.WorkerCalls{Term: 1, Reported: start, Calls: []order.Call{startCall(1, "w")}}
+	require.Len(t, a.Called(start.Add(MaxAge), "leader", calls), 1)
+	calls.Calls[0].Seq = 2
+	require.Empty(t, a.Called(start.Add(MaxAge+1), "leader", calls))
+	m, ok := a.Flush(start)
+	require.True(t, ok)
+	require.Len(t, m.Message.WorkerReplies.Replies, 1)
+	require.Equal(t, uint64(2), m.Message.WorkerReplies.Replies[0].Call.Seq)
+	require.Equal(t, order.Silent, m.Message.WorkerReplies.Replies[0].Status)
+}
+
+// Guards against calls of a leader that was replaced, and results given to the
+// wrong one.
+func TestAgentServesTheLatestTerm(t *testing.T) {
+	a := NewAgent("west")
+	require.Len(t, a.Called(start, "old", &message.WorkerCalls{Term: 1, Reported: start, Calls: []order.Call{startCall(1, "w")}}), 1)
+	require.Len(t, a.Called(start, "new", &message.WorkerCalls{Term: 2, Reported: start, Calls: []order.Call{startCall(1, "w")}}), 1)
+	require.Empty(t, a.Called(start, "old", &message.WorkerCalls{Term: 1, Reported: start, Calls: []order.Call{startCall(2, "w")}}))
+	a.Done(start, 1, order.Reply{Call: startCall(1, "w"), Status: order.Refused})
+	a.Done(start, 2, order.Reply{Call: startCall(1, "w"), Status: order.Accepted})
+	m, ok := a.Flush(start)
+	require.True(t, ok)
+	require.Equal(t, model.HostID("new"), m.To)
+	require.Len(t, m.Message.WorkerReplies.Replies, 1)
+	require.Equal(t, order.Accepted, m.Message.WorkerReplies.Replies[0].Status)
+}
--- /dev/null
+++ b/core/delegate/dispatcher.go
@@ -0,0 +1,241 @@
+package delegate
+
+import (
+	"hash/fnv"
+	"slices"
+
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/order"
+)
+
+const (
+	// heardTime is the silence of a replica from which on it gets no calls and its
+	// results are not waited for: three heartbeats and two ticks.
+	heardTime = 700 * model.Millisecond
+	// lostTime is the age of a call from which on a report without it says that it did
+	// not arrive.
+	lostTime = reportInterval + heardTime
+	// overdueTime is how long a result is waited for beyond the times of a Hold. A call
+	// that was lost is known sooner, by a report; one that the leader is late with counts.
+	overdueTime = 5 * model.Second
+	// avoidTime is how long the calls to a worker avoid a delegate through which one
+	// had no answer.
+	avoidTime = 10 * model.Second
+	// stallTime is the time between two ticks from which on the leader itself was held
+	// up, and the replicas are not silent for that.
+	stallTime = 200 * model.Millisecond
+)
+
+// Replica is what the log of the leader knows of another replica.
+type Replica struct {
+	Host      model.HostID
+	LastHeard model.Time
+}
+
+// Dispatcher is the leader's side. It lasts for one term.
+type Dispatcher struct {
+	term       uint64
+	agents     map[model.HostID]*message.AgentReport // latest of each
+	hosts      []model.HostID                        // that get calls, sorted
+	pending    map[uint64]*pendingCall               // by sequence number
+	outbox     map[model.HostID][]order.Call
+	avoided    map[model.WorkerID][]avoided
+	advancedAt model.Time
+	resumedAt  model.Time // end of the latest stall of this process
+}
+
+type pendingCall struct {
+	call   order.Call
+	host   model.HostID
+	sentAt model.Time
+	due    model.Time
+}
+
+// avoided is a delegate through which a worker is not called for a while.
+type avoided struct {
+	host  model.HostID
+	until model.Time
+}
+
+// NewDispatcher returns the Dispatcher of a new leader.
+func NewDispatcher(term uint64) *Dispatcher {
+	return &Dispatcher{
+		term: term, agents: make(map[model.HostID]*message.AgentReport), pending: make(map[uint64]*pendingCall),
+		outbox: make(map[model.HostID][]order.Call), avoided: make(map[model.WorkerID][]avoided),
+	}
+}
+
+// Take takes a call for a delegate. It returns false if the leader has to make the
+// call itself.
+func (d *Dispatcher) Take(now model.Time, c order.Call, dc model.DataCentreID) bool {
+	if c.Throttle != nil {
+		// One that is carried out late would undo a later one.
+		return false
+	}
+	host, ok := d.Delegate(now, c.Worker, dc)
+	if !ok {
+		return false
+	}
+	due := now.Add(overdueTime)
+	if c.Hold != nil {
+		due = due.Add(c.Hold.Wait + c.Hold.AnswerTime)
+	}
+	d.pending[c.Seq] = &pendingCall{call: c, host: host, sentAt: now, due: due}
+	d.outbox[host] = append(d.outbox[host], c)
+	return true
+}
+
+// Delegate returns the replica that makes the calls to a worker, if there is any. The
+// workers of a data centre are spread evenly over its replicas. A replica that comes or
+// goes changes the delegate of few workers.
+func (d *Dispatcher) Delegate(now model.Time, worker model.WorkerID, dc model.DataCentreID) (model.HostID, bool) {
+	var best model.HostID
+	bestNear, bestWeight := false, uint64(0)
+	for _, h := range d.hosts {
+		if d.avoids(now, worker, h) {
+			continue
+		}
+		near, weight := d.agents[h].DataCentre == dc, weigh(worker, h)
+		if best == "" || near && !bestNear || near == bestNear && weight > bestWeight {
+			best, bestNear, bestWeight = h, near, weight
+		}
+	}
+	return best, best != ""
+}
+
+func (d *Dispatcher) avoids(now model.Time, worker model.WorkerID, host model.HostID) bool {
+	return slices.ContainsFunc(d.avoided[worker], func(a avoided) bool { return a.host == host && now < a.until })
+}
+
+func weigh(worker model.WorkerID, host model.HostID) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(worker))
+	h.Write([]byte{0})
+	h.Write([]byte(host))
+	return mix(h.Sum64())
+}
+
+// mix is the finalizer of MurmurHash3: the last bytes of an FNV hash hardly reach its
+// upper bits, which decide between two hosts.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>33) * 0xff51afd7ed558ccd
+	x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// Addressed is a message and its receiver.
+type Addressed struct {
+	To      model.HostID
+	Message message.Message
+}
+
+// Flush returns the messages with the calls taken since the last one.
+func (d *Dispatcher) Flush() []Addressed {
+	var list []Addressed
+	for _, host := range model.SortedKeys(d.outbox) {
+		calls := &message.WorkerCalls{Term: d.term, Reported: d.agents[host].At, Calls: d.outbox[host]}
+		list = append(list, Addressed{host, message.Message{WorkerCalls: calls}})
+	}
+	clear(d.outbox)
+	return list
+}
+
+// Returned completes results with their calls. It leaves out those that are not
+// waited for any more. Calls that the delegate does not have under way and has not
+// answered were lost on the way: they end as Silent.
+func (d *Dispatcher) Returned(now model.Time, from model.HostID, m *message.WorkerReplies) []order.Reply {
+	if m.Term != d.term {
+		return nil
+	}
+	var list []order.Reply
+	for _, r := range m.Replies {
+		if reply, ok := d.complete(now, r); ok {
+			list = append(list, reply)
+		}
+	}
+	if m.Report != nil {
+		d.agents[from] = m.Report
+		if m.Report.Leaving {
+			d.hosts = slices.DeleteFunc(d.hosts, func(h model.HostID) bool { return h == from })
+		}
+		list = append(list, d.lost(now, from, m.Report.Open)...)
+	}
+	return list
+}
+
+func (d *Dispatcher) complete(now model.Time, r order.Reply) (order.Reply, bool) {
+	p := d.pending[r.Call.Seq]
+	if p == nil {
+		return order.Reply{}, false
+	}
+	delete(d.pending, r.Call.Seq)
+	r.Call = p.call
+	if r.Status == order.Silent {
+		d.avoid(now, p)
+	}
+	return r, true
+}
+
+// avoid sends the next calls to a worker through other delegates.
+func (d *Dispatcher) avoid(now model.Time, p *pendingCall) {
+	worker := p.call.Worker
+	list := slices.DeleteFunc(d.avoided[worker], func(a avoided) bool { return a.host == p.host || now >= a.until })
+	d.avoided[worker] = append(list, avoided{p.host, now.Add(avoidTime)})
+}
+
+// lost ends the calls that a delegate should have under way and has not.
+func (d *Dispatcher) lost(now model.Time, from model.HostID, open []uint64) []order.Reply {
+	return d.end("the call did not reach its delegate", func(seq uint64, p *pendingCall) bool {
+		if p.host != from || now.Sub(p.sentAt) <= lostTime {
+			return false
+		}
+		_, known := slices.BinarySearch(open, seq)
+		return !known
+	})
+}
+
+// Advance ends the calls of delegates that are silent, and those that are overdue.
+func (d *Dispatcher) Advance(now model.Time, replicas []Replica) []order.Reply {
+	if d.advancedAt != 0 && now.Sub(d.advancedAt) > stallTime {
+		d.resumedAt = now // what has arrived meanwhile is not handled yet
+	}
+	d.advancedAt = now
+	var heard []model.HostID
+	d.hosts = d.hosts[:0]
+	for _, r := range replicas {
+		if now.Sub(max(r.LastHeard, d.resumedAt)) > heardTime {
+			continue
+		}
+		heard = append(heard, r.Host)
+		if report := d.agents[r.Host]; report != nil && !report.Leaving {
+			d.hosts = append(d.hosts, r.Host)
+		}
+	}
+	slices.Sort(d.hosts)
+	for worker, list := range d.avoided {
+		if !slices.ContainsFunc(list, func(a avoided) bool { return now < a.until }) {
+			delete(d.avoided, worker)
+		}
+	}
+	return d.end("its delegate is silent", func(_ uint64, p *pendingCall) bool {
+		return now > p.due || !slices.Contains(heard, p.host)
+	})
+}
+
+// end ends the calls that match, in the order in which they were made.
+func (d *Dispatcher) end(detail string, matches func(uint64, *pendingCall) bool) []order.Reply {
+	var ended []uint64
+	for seq, p := range d.pending {
+		if matches(seq, p) {
+			ended = append(ended, seq)
+		}
+	}
+	slices.Sort(ended)
+	var list []order.Reply
+	for _, seq := range ended {
+		list = append(list, order.Reply{Call: d.pending[seq].call, Status: order.Silent, Detail: detail})
+		delete(d.pending, seq)
+	}
+	return list
+}
--- a/core/delegates.go
+++ b/core/delegates.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"primrosedale.example/primrosedale/core/consensus"
 	"primrosedale.example/primrosedale/core/delegate"
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/event"
@@ -20,7 +21,7 @@
 // advanceDelegates notes which replicas can make calls, and ends the calls of those
 // that cannot.
 func (s *State) advanceDelegates() {
-	if s.leading.dealer == nil {
+	if s.leading.dispatcher == nil {
 		return
 	}
 	var replicas []delegate.Replica
@@ -29,14 +30,14 @@
 			replicas = append(replicas, delegate.Replica{Host: p.ID.Host, LastHeard: p.LastHeard})
 		}
 	}
-	s.repliesArrived(s.leading.dealer.Advance(s.now, replicas))
+	s.repliesArrived(s.leading.dispatcher.Advance(s.now, replicas))
 }
 
 // delegateReplied handles the results of calls that a replica has made for this
 // leader.
 func (s *State) delegateReplied(from model.HostID, m *message.WorkerReplies) {
-	if s.leading.dealer != nil {
-		s.repliesArrived(s.leading.dealer.Returned(s.now, from, m))
+	if s.leading.dispatcher != nil {
+		s.repliesArrived(s.leading.dispatcher.Returned(s.now, from, m))
 	}
 }
 
@@ -51,7 +52,7 @@
 	if m.Term < s.log.BasicStatus().Term {
 		return
 	}
-	for _, c := range s.desk.Called(from, m) {
+	for _, c := range s.agent.Called(s.now, from, m) {
 		s.emit(effect.CallWorker{Call: c, Term: m.Term})
 	}
 }
@@ -61,7 +62,7 @@
 func (s *State) workerReplied(e event.WorkerReplied) {
 	switch {
 	case e.Term != 0:
-		s.desk.Done(e.Term, e.Reply)
+		s.agent.Done(s.now, e.Term, e.Reply)
 	case s.leading != nil:
 		s.repliesArrived([]order.Reply{e.Reply})
 	}
@@ -70,12 +71,18 @@
 // flushCalls sends what this event has asked of other replicas, and the results of
 // what they asked of this one.
 func (s *State) flushCalls() {
-	if s.leading != nil && s.leading.dealer != nil {
-		for _, m := range s.leading.dealer.Flush() {
+	if s.leading != nil && s.leading.dispatcher != nil {
+		for _, m := range s.leading.dispatcher.Flush() {
 			s.send(m.To, m.Message)
 		}
 	}
-	if m, ok := s.desk.Flush(s.now); ok {
+	if !s.runsJobs() || !s.cfg.Durable || s.leading != nil {
+		return
+	}
+	if status := s.log.BasicStatus(); status.Role == consensus.Follower && status.Leader.Host != "" {
+		s.agent.Follow(status.Leader.Host, status.Term)
+	}
+	if m, ok := s.agent.Flush(s.now); ok {
 		s.send(m.To, m.Message)
 	}
 }
--- a/core/delegates_sim_test.go
+++ b/core/delegates_sim_test.go
@@ -52,6 +52,8 @@
 	life   int
 	frozen model.Time // handles nothing until then
 	cut    bool       // from all other replicas
+	full   bool       // its disk takes no writes
+	open   int        // calls to workers that are under way
 	stored Stored
 }
 
@@ -59,6 +61,8 @@
 // deadline, and lists ends until they are recorded.
 type fleetWorker struct {
 	began   model.Time
+	born    int64 // 0 stands for 1
+	down    bool  // its process has ended
 	token   uint64
 	lease   order.ClockMS
 	ended   map[jobs.TaskRef]int
@@ -171,6 +175,9 @@
 	case effect.Send:
 		s.transmit(r, f)
 	case effect.Persist:
+		if r.full {
+			return
+		}
 		if f.Snapshot != nil {
 			r.stored.Snapshot = f.Snapshot
 		}
@@ -187,11 +194,14 @@
 		s.after(s.between(2*millisecond, 8*millisecond), func() { s.post(r, life, event.Persisted{Term: f.Term, Index: f.Index}) })
 	case effect.CallWorker:
 		s.calls[r.host]++
-		s.callWorker(f.Call, func(reply order.Reply) { s.post(r, life, event.WorkerReplied{Reply: reply, Term: f.Term}) })
+		r.open++
+		s.callWorker(f.Call, func(reply order.Reply) { r.open--; s.post(r, life, event.WorkerReplied{Reply: reply, Term: f.Term}) })
 	case effect.AnswerCall:
 		s.answers[f.Answer.Seq] = f.Answer
 	case effect.Halt:
-		require.Fail(s.t, "a replica halts", f.Reason)
+		require.Empty(s.t, f.Reason, "why a replica halts")
+		r.life++
+		r.cut = true
 	}
 }
 
@@ -239,9 +249,12 @@
 
 func (s *fleetSim) carryOut(c order.Call) order.Reply {
 	w := s.workers[c.Worker]
+	if w.down {
+		return order.Reply{Call: c, Status: order.Refused}
+	}
 	s.advance(w)
 	clock := order.ClockMS(s.now.Sub(w.began)/millisecond) + 1
-	r := order.Reply{Call: c, Status: order.Accepted, Clock: clock, Born: 1}
+	r := order.Reply{Call: c, Status: order.Accepted, Clock: clock, Born: max(1, w.born)}
 	if c.Token < w.token {
 		r.Status = order.Fenced
 		return r
--- a/core/event/class.go
+++ b/core/event/class.go
@@ -11,7 +11,7 @@
 // The classes, those that may wait least first.
 const (
 	// ClassControl is the replicated log, durability, operators' calls and the end of the
-	// process. Leases and elections depend on it.
+	// process. Elections and the leader lease depend on it.
 	ClassControl Class = iota
 	// ClassWork is what accepted work waits for.
 	ClassWork
--- a/core/leader.go
+++ b/core/leader.go
@@ -55,7 +55,7 @@
 	s.leading.planner = maintenance.New(s.maintenanceEnv())
 	if s.runsJobs() {
 		s.leading.calls = handler.New()
-		s.leading.dealer = delegate.NewDealer(status.Term)
+		s.leading.dispatcher = delegate.NewDispatcher(status.Term)
 		s.leading.scheduler = schedule.New(s.scheduleEnv())
 		s.leading.hosts = hosts.New(hosts.Env{Schedule: s.scheduleEnv(), Scheduler: s.leading.scheduler, Self: s.cfg.Host})
 	}
--- a/core/message/message.go
+++ b/core/message/message.go
@@ -44,19 +44,27 @@
 
 // WorkerCalls asks a replica to make calls to workers for the leader.
 type WorkerCalls struct {
-	Term  uint64       `json:"term"`
-	Calls []order.Call `json:"calls"`
+	Term uint64 `json:"term"`
+	// Reported is the time of the receiver's latest report that the sender has handled,
+	// by the receiver's clock.
+	Reported model.Time   `json:"reported"`
+	Calls    []order.Call `json:"calls"`
 }
 
 // WorkerReplies is the results of calls made for the leader of a term. Of the call of
 // each, only the sequence number is set.
 type WorkerReplies struct {
-	Term       uint64             `json:"term"`
-	DataCentre model.DataCentreID `json:"dc,omitempty"` // of the sender
-	Replies    []order.Reply      `json:"replies,omitempty"`
-	// Open is the sequence numbers of all calls under way, if Reports is set.
-	Open    []uint64 `json:"open,omitempty"`
-	Reports bool     `json:"reports,omitempty"`
+	Term    uint64        `json:"term"`
+	Replies []order.Reply `json:"replies,omitempty"`
+	Report  *AgentReport  `json:"report,omitempty"`
+}
+
+// AgentReport is the state of a replica that makes calls for the leader.
+type AgentReport struct {
+	At         model.Time         `json:"at"` // by its own clock
+	DataCentre model.DataCentreID `json:"dc,omitempty"`
+	Open       []uint64           `json:"open,omitempty"` // sequence numbers of the calls under way, sorted
+	Leaving    bool               `json:"leaving,omitempty"`
 }
 
 // Renew asks the leader for a serving lease.
--- a/core/reduce.go
+++ b/core/reduce.go
@@ -93,6 +93,7 @@
 
 func (s *State) tick() {
 	s.log.Tick(s.now, s.rand)
+	s.committed.note(s.now, s.log.BasicStatus().Commit)
 	s.handOverIfStalled()
 	s.follow()
 	s.lead()
--- a/core/state.go
+++ b/core/state.go
@@ -77,16 +77,17 @@
 
 // State is the control state of one process.
 type State struct {
-	cfg     Config
-	log     *logNode
-	fleet   *fleet.State
-	holder  *lease.Holder
-	table   *gateway.Table
-	relay   *relay.Table
-	desk    *delegate.Desk
-	leading *leadership // nil unless this process leads
-	burn    *burn.Sender
-	burnFor countedWork // what is counted under the rules of this host
+	cfg       Config
+	log       *logNode
+	fleet     *fleet.State
+	holder    *lease.Holder
+	table     *gateway.Table
+	relay     *relay.Table
+	agent     *delegate.Agent
+	committed commitMark
+	leading   *leadership // nil unless this process leads
+	burn      *burn.Sender
+	burnFor   countedWork // what is counted under the rules of this host
 
 	leadTerm uint64 // the last term in which this process held the leader lease
 	leadFrom uint64 // index to apply before it acts as the leader of leadTerm
@@ -126,17 +127,17 @@
 	placer  *placement.Placer
 	planner *maintenance.Planner
 
-	calls     *handler.Calls        // nil if no jobs are run
-	dealer    *delegate.Dealer      // nil if no jobs are run
-	scheduler *schedule.Scheduler   // nil if no jobs are run
-	hosts     *hosts.Planner        // nil if no jobs are run
-	members   []model.HostID        // sorted
-	silent    map[model.HostID]bool // members whose lease has ended
-	began     model.Time
-	clock     model.Time      // fleet.State.Now when the term began
-	unsent    []fleet.Command // proposed while the log took no commands
-	inForce   uint64          // the last change of rules or keys reported as in force
-	burn      *burn.Collector
+	calls      *handler.Calls        // nil if no jobs are run
+	dispatcher *delegate.Dispatcher  // nil if no jobs are run
+	scheduler  *schedule.Scheduler   // nil if no jobs are run
+	hosts      *hosts.Planner        // nil if no jobs are run
+	members    []model.HostID        // sorted
+	silent     map[model.HostID]bool // members whose lease has ended
+	began      model.Time
+	clock      model.Time      // fleet.State.Now when the term began
+	unsent     []fleet.Command // proposed while the log took no commands
+	inForce    uint64          // the last change of rules or keys reported as in force
+	burn       *burn.Collector
 }
 
 // New returns the state of a process that starts with what is stored.
@@ -165,7 +166,7 @@
 		relay: relay.New(relay.Config{
 			Host: cfg.Host, Incarnation: cfg.Incarnation, Replica: cfg.Durable, Seeds: cfg.Seeds,
 		}),
-		desk:     delegate.NewDesk(cfg.DataCentre),
+		agent:    delegate.NewAgent(cfg.DataCentre),
 		burn:     burn.NewSender(),
 		pending:  make(map[model.CommandID]*pendingCommand),
 		view:     &view.View{},
--- a/core/stop.go
+++ b/core/stop.go
@@ -21,6 +21,7 @@
 	s.stopAt = s.now
 	s.emit(effect.Log{Code: effect.Stopping})
 	s.table.Stop(s.now)
+	s.agent.Leave()
 	s.log.TransferLeadership(s.now)
 }
 
@@ -50,7 +51,8 @@
 		s.stopAt = max(s.stopAt, s.now.Add(-settleGrace/2))
 		return
 	}
-	if s.table.Len() > 0 && s.now < s.stopAt.Add(settleGrace) {
+	busy := s.table.Len() > 0 || !s.agent.Idle(s.now, TickInterval)
+	if busy && s.now < s.stopAt.Add(settleGrace) {
 		return
 	}
 	s.sendLastCounts()
