storage: waits for room for the data folder and its lock

Callers would have seen: a replica that starts for the first time, or again after its disk was replaced, on a disk that takes no new file ends at once, where one whose disk is full at any later step waits. Errors of creating the folder and the lock file were not marked as ErrNoRoom, and the platform's daemon created the folder once more by itself, before it waits for anything.

Its test needs a mount in a name space and is not kept; what remains without a test of its own is that these two errors are marked.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -114,9 +114,6 @@
 		return core.Stored{}, nil
 	}
 	folder := d.settings.DataFolder
-	if err := os.MkdirAll(folder, 0o700); err != nil {
-		return core.Stored{}, errors.Annotate(err, "creating the data folder")
-	}
 	if d.settings.FirstStart && d.settings.IsSeed() {
 		if err := untilRoom(stop, d.log, func() error { return initSeed(d.settings) }); err != nil {
 			return core.Stored{}, err
--- a/storage/fs.go
+++ b/storage/fs.go
@@ -101,15 +101,9 @@
 // lockFolder creates the folder if it does not exist and takes its lock. The
 // lock ends when the returned file is closed, or with the process.
 func lockFolder(path string) (*os.File, error) {
-	if err := os.MkdirAll(path, 0o700); err != nil {
-		return nil, errors.Annotate(err, "creating data folder")
-	}
-	if err := syncDir(filepath.Dir(filepath.Clean(path))); err != nil {
-		return nil, errors.Annotate(err, "syncing parent of data folder")
-	}
-	f, err := os.OpenFile(filepath.Join(path, lockName), os.O_CREATE|os.O_RDWR, 0o600)
+	f, err := openLock(path)
 	if err != nil {
-		return nil, errors.Annotate(err, "opening lock file")
+		return nil, markNoRoom(err)
 	}
 	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
 		_ = f.Close()
@@ -117,3 +111,14 @@
 	}
 	return f, nil
 }
+
+func openLock(path string) (*os.File, error) {
+	if err := os.MkdirAll(path, 0o700); err != nil {
+		return nil, errors.Annotate(err, "creating data folder")
+	}
+	if err := syncDir(filepath.Dir(filepath.Clean(path))); err != nil {
+		return nil, errors.Annotate(err, "syncing parent of data folder")
+	}
+	f, err := os.OpenFile(filepath.Join(path, lockName), os.O_CREATE|os.O_RDWR, 0o600)
+	return f, errors.Annotate(err, "opening lock file")
+}
