--- a/daemon/logwriter.go
+++ b/daemon/logwriter.go
@@ -7,9 +7,9 @@
 	"github.com/juju/errors"
 	"gopkg.in/tomb.v2"
 
-	"primrosedale.example/primrosedale/control"
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/event"
+	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/logevent"
 	"primrosedale.example/primrosedale/storage"
 )
@@ -34,17 +34,24 @@
 	Resume() error
 }
 
+// controlQueue is the part of control.Loop that a logWriter needs.
+type controlQueue interface {
+	Now() model.Time
+	PostWait(ctx context.Context, e event.Event) bool
+	Halted() <-chan struct{}
+}
+
 // logWriter carries out Persist effects on its own goroutine. Writes that wait
 // for the disk together share one sync.
 type logWriter struct {
 	store logStore
-	loop  *control.Loop
+	loop  controlQueue
 	log   logevent.Logger
 	queue chan *effect.Persist
 	full  chan struct{}
 }
 
-func newLogWriter(store logStore, loop *control.Loop, log logevent.Logger) *logWriter {
+func newLogWriter(store logStore, loop controlQueue, log logevent.Logger) *logWriter {
 	return &logWriter{
 		store: store, loop: loop, log: log,
 		queue: make(chan *effect.Persist, writerQueue),
@@ -102,16 +109,22 @@
 	return group
 }
 
-// write makes a group of writes durable, in order, and reports the last.
+// write makes a group of writes durable, in order, and reports the last. A snapshot of
+// our own comes after the report: no entry waits for it, and it may wait for room.
 func (w *logWriter) write(ctx context.Context, group []*effect.Persist) error {
 	var batch storage.Batch
+	var own *storage.Snapshot
 	var done event.Persisted
 	for _, e := range group {
-		if e.Snapshot != nil {
+		switch {
+		case e.Snapshot != nil && e.Install:
 			if err := w.sync(ctx, batch); err != nil {
 				return err
 			}
-			batch = storage.Batch{Snapshot: e.Snapshot, Install: e.Install}
+			batch = storage.Batch{Snapshot: e.Snapshot, Install: true}
+			own = nil // it is older
+		case e.Snapshot != nil:
+			own = e.Snapshot
 		}
 		if e.HardState != nil {
 			batch.HardState = e.HardState
@@ -127,7 +140,7 @@
 	if done.Term != 0 {
 		w.loop.PostWait(ctx, done)
 	}
-	return nil
+	return w.sync(ctx, storage.Batch{Snapshot: own})
 }
 
 // sync makes a batch durable. On a full disk it waits for room until ctx ends.
--- a/daemon/room_test.go
+++ b/daemon/room_test.go
@@ -12,6 +12,7 @@
 	"primrosedale.example/primrosedale/control"
 	"primrosedale.example/primrosedale/core/consensus"
 	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/event"
 	"primrosedale.example/primrosedale/logevent"
 	"primrosedale.example/primrosedale/storage"
 )
@@ -67,6 +68,63 @@
 	})
 }
 
+// snapshotlessStore is a store with room for all but snapshots.
+type snapshotlessStore struct{ entries int }
+
+func (s *snapshotlessStore) Write(b storage.Batch) error {
+	s.entries += len(b.Entries)
+	if b.Snapshot != nil {
+		return errors.WithType(errors.New("injected"), storage.ErrNoRoom)
+	}
+	return nil
+}
+
+func (s *snapshotlessStore) Resume() error {
+	return errors.WithType(errors.New("injected"), storage.ErrNoRoom)
+}
+
+// reportedLoop keeps the reports of a logWriter.
+type reportedLoop struct {
+	*control.Loop
+	reports chan event.Event
+}
+
+func (l reportedLoop) PostWait(_ context.Context, e event.Event) bool {
+	l.reports <- e
+	return true
+}
+
+// Guards against entries that are on disk and are not acknowledged because a snapshot
+// that was written with them waits for room.
+func TestEntriesAreReportedBeforeASnapshotHasRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &snapshotlessStore{}
+		loop := reportedLoop{control.New(), make(chan event.Event, 10)}
+		w := newLogWriter(store, loop, logevent.Logger{})
+		entries := func(first, n uint64) []storage.Entry {
+			list := make([]storage.Entry, n)
+			for i := range list {
+				list[i] = storage.Entry{Index: first + uint64(i), Term: 2}
+			}
+			return list
+		}
+		w.persist(effect.Persist{Entries: entries(2, 3), Term: 2, Index: 4})
+		w.persist(effect.Persist{Snapshot: &storage.Snapshot{Index: 4, Term: 2}})
+		w.persist(effect.Persist{Entries: entries(5, 2), Term: 2, Index: 6})
+		var parts tomb.Tomb
+		parts.Go(func() error { return w.run(&parts) })
+		synctest.Wait()
+		var last event.Event
+		for len(loop.reports) > 0 {
+			last = <-loop.reports
+		}
+		require.Equal(t, event.Persisted{Term: 2, Index: 6}, last)
+		require.Equal(t, 5, store.entries)
+		parts.Kill(nil)
+		require.NoError(t, parts.Wait())
+	})
+}
+
 // Guards against waiting for room after an error of another kind.
 func TestOtherErrorsAreNotWaitedFor(t *testing.T) {
 	tries := 0
