schedule: bounds the assignments of one entry

Callers would have seen: some jobs with 10,000 tasks each that ask for no room are assigned at once, in one command; from about 40,000 runs on, no replica can store the entry and all end. TestAssignmentsFitIntoAnEntry failed before: 12,000 runs in one command of about 1.15 MB, which grows with each job.

A command holds 4096 runs at most.

--- a/core/schedule/place.go
+++ b/core/schedule/place.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"slices"
+
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/jobs"
 	"primrosedale.example/primrosedale/core/model"
@@ -23,6 +25,10 @@
 	return w.suspectFrom != 0 && now.Sub(w.suspectFrom) < suspectTime
 }
 
+// maxAssigned bounds the runs of one command: tasks may take no room at all, and an
+// entry of the log has 4 MiB.
+const maxAssigned = 4096
+
 // Place assigns tasks to workers in all services where something has changed.
 func (s *Scheduler) Place(env Env, out *Out) {
 	if env.State.Config == nil {
@@ -37,8 +43,8 @@
 		p.dirty = false
 		runs = s.placeService(env, out, p, runs)
 	}
-	if len(runs) > 0 {
-		out.Proposals = append(out.Proposals, jobs.Command{Assign: &jobs.Assign{Runs: runs}})
+	for part := range slices.Chunk(runs, maxAssigned) {
+		out.Proposals = append(out.Proposals, jobs.Command{Assign: &jobs.Assign{Runs: part}})
 	}
 }
 
--- a/core/schedule/scheduler_test.go
+++ b/core/schedule/scheduler_test.go
@@ -190,3 +190,29 @@
 	require.Empty(t, append(b.take("a"), b.take("b")...), "the ticket has expired")
 	require.NotZero(t, a.out, "it asks again")
 }
+
+// Guards against assignments that are more than an entry of the log can hold: every
+// replica would end at it.
+func TestAssignmentsFitIntoAnEntry(t *testing.T) {
+	b := newBench(t, testWorker("a"))
+	b.state.Config.Teams["press"] = jobs.Team{}
+	var proposed []jobs.Command
+	for _, id := range []model.JobID{"00000000000000aa", "00000000000000ab"} {
+		c := jobs.Command{Submit: &jobs.Job{ID: id, Queue: "q", Service: "render", Team: "press", Steps: []jobs.Step{{Tasks: 6000}}, Rounds: make([]jobs.Round, 1)}}
+		result := b.apply(c)
+		b.s.Committed(b.env(), &Out{}, &c, result)
+	}
+	var out Out
+	b.s.Place(b.env(), &out)
+	runs := 0
+	for _, c := range out.Proposals {
+		require.LessOrEqual(t, c.Size(), 1<<20)
+		runs += len(c.Assign.Runs)
+		proposed = append(proposed, c)
+	}
+	require.Equal(t, 12_000, runs)
+	for _, c := range proposed {
+		b.commit(c)
+	}
+	require.Len(t, b.take("a"), 12_000)
+}
