schedule: admission counts what the leader itself is late with

Cause: Admit reckons with the work ahead on the workers; the time that orders and the news of ends take was known (orderTime) and did not count. Change: a job of n steps in a row is expected to lose 2n times the time of an order; what cannot be in time with that is refused at once. The time of orders falls while none is answered, so that a leader that has caught up accepts again. Without the delay TestLateLeaderRefusesWhatItCannotStartInTime fails ("Expected value not to be nil").

--- a/core/schedule/admit.go
+++ b/core/schedule/admit.go
@@ -17,7 +17,8 @@
 )
 
 // Admit returns why a job cannot be served in time, or nil. The work ahead of it
-// is that of all jobs of its service that go before it.
+// is that of all jobs of its service that go before it; what this process itself is
+// late with comes to that.
 func (s *Scheduler) Admit(env Env, q *jobs.Queue, j *jobs.Job) *problem.Problem {
 	if j.LongRunning() || j.FirstAt != 0 {
 		return nil
@@ -38,12 +39,13 @@
 		}
 	}
 	wait := model.Duration(ahead / (room * usablePart) * float64(model.Second))
-	slack := allowed(q, j) - chain(j)
-	if wait <= slack {
+	slack, late := allowed(q, j)-chain(j), s.ownDelay(j)
+	if wait+late <= slack {
 		return nil
 	}
-	refusal := problem.New(problem.QueueOverloaded, "the work ahead takes %d ms, the job can wait %d ms",
-		wait/model.Millisecond, slack/model.Millisecond)
+	refusal := problem.New(problem.QueueOverloaded, "the work ahead takes %d ms, orders and ends %d ms, the job can wait %d ms",
+		wait/model.Millisecond, late/model.Millisecond, slack/model.Millisecond)
+	wait += late
 	refusal.RetryAfter = min(max(wait-slack, retryMin), retryMax)
 	return refusal
 }
--- a/core/schedule/lateness.go
+++ b/core/schedule/lateness.go
@@ -2,6 +2,7 @@
 
 import (
 	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/jobs"
 	"primrosedale.example/primrosedale/core/model"
 )
 
@@ -29,8 +30,10 @@
 	// pressedTime is how long a late tick counts.
 	pressedTime = 3 * model.Second
 	// slowOrder is the time of an order from which on the process is taken to be
-	// short of processor time: ten times the way to a worker and back.
-	slowOrder = 30 * model.Millisecond
+	// short of processor time: several times the way through a delegate and back.
+	slowOrder = 80 * model.Millisecond
+	// orderTimeKept is how long the time of orders counts without another answer.
+	orderTimeKept = 500 * model.Millisecond
 	// orderTimeWeight is the number of orders over which their time is averaged.
 	orderTimeWeight = 16
 )
@@ -66,8 +69,23 @@
 }
 
 // noteOrderTime keeps the time that orders take until their answer is handled.
-func (s *Scheduler) noteOrderTime(d model.Duration) {
+func (s *Scheduler) noteOrderTime(now model.Time, d model.Duration) {
 	s.orderTime += (d - s.orderTime) / orderTimeWeight
+	s.orderTimeAt = now
+}
+
+// forgetOrderTime lets the time of orders fall while none is answered. Without it, a
+// leader that refuses jobs because orders take long would go on refusing them.
+func (s *Scheduler) forgetOrderTime(now model.Time) {
+	if now.Sub(s.orderTimeAt) >= orderTimeKept {
+		s.orderTime -= s.orderTime / orderTimeWeight
+	}
+}
+
+// ownDelay is what the lateness of this process adds to the time of a job: the order of
+// each step and the news of its end wait as long as orders do now.
+func (s *Scheduler) ownDelay(j *jobs.Job) model.Duration {
+	return 2 * s.orderTime * model.Duration(depth(j))
 }
 
 // resendAfter is how long an order waits for an answer before it is sent again.
--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -92,6 +92,20 @@
 	return longest
 }
 
+// depth is the number of steps of a job that follow each other at most.
+func depth(j *jobs.Job) int {
+	deepest := 0
+	depths := make([]int, len(j.Steps))
+	for i := range j.Steps {
+		for _, before := range j.Steps[i].After {
+			depths[i] = max(depths[i], depths[before])
+		}
+		depths[i]++
+		deepest = max(deepest, depths[i])
+	}
+	return deepest
+}
+
 // work is the estimated work of a job in thousandths of a core times time.
 func work(j *jobs.Job) float64 {
 	sum := 0.0
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -179,7 +179,7 @@
 	switch reply.Status {
 	case order.Accepted:
 		if r.orders == 1 {
-			s.noteOrderTime(env.Now.Sub(r.sentAt))
+			s.noteOrderTime(env.Now, env.Now.Sub(r.sentAt))
 		}
 		s.begin(env, r, reply.Clock)
 	case order.Old:
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -55,6 +55,7 @@
 	advancedAt      model.Time     // latest tick
 	lateAt          model.Time     // latest tick that was late
 	orderTime       model.Duration // that accepted orders take, on average
+	orderTimeAt     model.Time     // of the latest such answer
 	load            load
 	advices         int // calls for advice that are out
 	forgotAt        model.Time
@@ -151,6 +152,7 @@
 		}
 	}
 	s.logLoad(env, out)
+	s.forgetOrderTime(env.Now)
 	s.advancedAt = env.Now
 	for _, w := range s.departedWorkers {
 		s.lose(env, out, w, "its worker has gone")
