schedule: the run of a job that has ended ends no leader

A leader ended (nil dereference) when it repeated an order of a job that had completed: the state drops the tasks of such a job, and a later copy of one was never stopped. Stopping the copies of a done task ended at the first number without a run, and the runs of a completed job were left to go on.

The members of a gang end together and get no orders to stop when their job completes. Runs are indexed by job, so that an end does not look at all runs of the fleet.

--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -61,6 +61,10 @@
 	step := &j.Steps[ref.Step]
 	r := &run{ref: ref, job: j, step: step, team: j.Team, worker: w, claim: step.Claim(), speed: 100}
 	s.runs[ref] = r
+	if s.byJob[ref.Job] == nil {
+		s.byJob[ref.Job] = make(map[jobs.RunRef]*run)
+	}
+	s.byJob[ref.Job][ref] = r
 	w.runs[ref] = r
 	w.count(r, 1)
 	s.roomChanged(w)
@@ -104,6 +108,9 @@
 		return
 	}
 	delete(s.runs, r.ref)
+	if delete(s.byJob[r.ref.Job], r.ref); len(s.byJob[r.ref.Job]) == 0 {
+		delete(s.byJob, r.ref.Job)
+	}
 	delete(r.worker.runs, r.ref)
 	r.worker.count(r, -1)
 	s.roomChanged(r.worker)
@@ -136,20 +143,24 @@
 			s.finish(env, out, r, jobs.OutcomeVoid, "", "it was stopped before it was ordered")
 			continue
 		}
-		s.start(env, out, r)
+		t := env.State.Task(r.ref.TaskRef)
+		if t == nil {
+			s.finish(env, out, r, jobs.OutcomeVoid, "", "its job has ended")
+			continue
+		}
+		s.start(env, out, r, t.Checkpoint)
 	}
 }
 
-func (s *Scheduler) start(env Env, out *Out, r *run) {
+func (s *Scheduler) start(env Env, out *Out, r *run, checkpoint string) {
 	w := r.worker
-	t := env.State.Task(r.ref.TaskRef)
 	deadline := w.extend(env.Now, startTime)
 	r.voidFrom = max(r.voidFrom, deadline)
 	r.phase, r.sentAt = ordered, env.Now
 	r.orders++
 	s.load.starts++
 	out.Effects = append(out.Effects, s.call(w, order.Call{Start: &order.Start{
-		RunRef: r.ref, Spec: r.job.Spec, Checkpoint: t.Checkpoint, Ticket: s.ticket(env, r), Deadline: deadline,
+		RunRef: r.ref, Spec: r.job.Spec, Checkpoint: checkpoint, Ticket: s.ticket(env, r), Deadline: deadline,
 	}}))
 	out.log(effect.RunOrdered, effect.Log{Request: model.RequestID(r.ref.Job), Task: runLabel(r.ref), Worker: w.info.ID,
 		Detail: fmt.Sprintf("clock %d of %d ms ago, deadline %d, used %d of %d", w.clock,
@@ -263,15 +274,17 @@
 	return ending
 }
 
-// stopCopies stops the other runs of a task of which a copy is done.
+// stopCopies stops the other runs of a task of which a copy is done. Those of a job
+// that has ended with it are stopped with the job.
 func (s *Scheduler) stopCopies(env Env, out *Out, done jobs.RunRef) {
-	for number := done.Run + 1; ; number++ {
-		ref := jobs.RunRef{TaskRef: done.TaskRef, Run: number}
-		r := s.runs[ref]
-		if r == nil {
-			return
+	t := env.State.Task(done.TaskRef)
+	if t == nil {
+		return
+	}
+	for number := 1; number <= t.Run; number++ {
+		if r := s.runs[jobs.RunRef{TaskRef: done.TaskRef, Run: number}]; r != nil {
+			s.stop(env, out, r, "another copy is done")
 		}
-		s.stop(env, out, r, "another copy is done")
 	}
 }
 
@@ -309,8 +322,12 @@
 		s.load.repeats++
 		s.sendStop(env, out, r)
 	case r.phase == ordered && r.worker.clockNow(env.Now) < r.voidFrom:
-		s.noteUnanswered(env, out, r.worker, "an order is sent again")
 		t := env.State.Task(r.ref.TaskRef)
+		if t == nil {
+			s.stop(env, out, r, "its job has ended")
+			return
+		}
+		s.noteUnanswered(env, out, r.worker, "an order is sent again")
 		r.sentAt = env.Now
 		r.orders++
 		s.load.repeats++
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -62,6 +62,8 @@
 	departedWorkers []*worker             // earlier lives that have runs to be recorded as lost
 	leaving         map[model.HostID]bool // hosts that are to be emptied soon
 	held            map[model.HostID]bool // hosts that get no new runs, because they are to be moved or maintained
+	// byJob holds the runs of each job.
+	byJob map[model.JobID]map[jobs.RunRef]*run
 }
 
 // pool is what the scheduler knows of one service.
@@ -88,6 +90,7 @@
 		abandoned: make(map[jobs.RunRef]bool),
 		proposed:  make(map[jobs.TaskRef]bool),
 		runs:      make(map[jobs.RunRef]*run),
+		byJob:     make(map[model.JobID]map[jobs.RunRef]*run),
 		forgotAt:  env.Now,
 		held:      make(map[model.HostID]bool),
 	}
@@ -198,7 +201,7 @@
 		s.departed(env, out, c.Depart)
 	}
 	if c.Cancel != nil && r.Changed {
-		s.stopJob(env, out, c.Cancel.Job)
+		s.stopJob(env, out, c.Cancel.Job, false)
 	}
 	for _, id := range r.Ended {
 		s.jobEnded(env, out, id)
@@ -237,24 +240,23 @@
 	q.jobs = slices.DeleteFunc(q.jobs, func(other *progress) bool { return other == p })
 	if j := env.State.Jobs[id]; j != nil {
 		out.log(effect.JobEnded, effect.Log{Request: model.RequestID(id), Queue: j.Queue, Team: j.Team, Detail: string(j.Phase)})
-		if j.Phase != jobs.Completed {
-			s.stopJob(env, out, id)
-		}
+		s.stopJob(env, out, id, j.Phase == jobs.Completed)
 	}
 }
 
-// stopJob stops all runs of a job.
-func (s *Scheduler) stopJob(env Env, out *Out, id model.JobID) {
-	for _, r := range s.sortedRuns() {
-		if r.ref.Job == id {
+// stopJob stops all runs of a job. The members of a gang end together, so those of a
+// completed job need no order.
+func (s *Scheduler) stopJob(env Env, out *Out, id model.JobID, completed bool) {
+	for _, r := range sortedRuns(s.byJob[id]) {
+		if !completed || !r.step.Gang || r.step.Copies {
 			s.stop(env, out, r, "its job has ended")
 		}
 	}
 }
 
-func (s *Scheduler) sortedRuns() []*run {
-	list := make([]*run, 0, len(s.runs))
-	for _, r := range s.runs {
+func sortedRuns(runs map[jobs.RunRef]*run) []*run {
+	list := make([]*run, 0, len(runs))
+	for _, r := range runs {
 		list = append(list, r)
 	}
 	slices.SortFunc(list, func(a, b *run) int { return compareRuns(a.ref, b.ref) })
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -241,14 +241,7 @@
 	return false
 }
 
-func sortedRunsOf(w *worker) []*run {
-	list := make([]*run, 0, len(w.runs))
-	for _, r := range w.runs {
-		list = append(list, r)
-	}
-	slices.SortFunc(list, func(a, b *run) int { return compareRuns(a.ref, b.ref) })
-	return list
-}
+func sortedRunsOf(w *worker) []*run { return sortedRuns(w.runs) }
 
 func (w *worker) isFresh(now model.Time) bool {
 	return w.polled && now.Sub(w.answered) <= freshness
