schedule: runs are indexed by job

BenchmarkCancel (a job is accepted and cancelled while the fleet is full):

The stops and their order are as before; the simulation checks the index at each tick.

--- a/core/schedule/bench_test.go
+++ b/core/schedule/bench_test.go
@@ -52,6 +52,22 @@
 	}
 }
 
+// BenchmarkCancel measures the scheduler's time for a job that is accepted and
+// cancelled while others take the whole fleet.
+func BenchmarkCancel(b *testing.B) {
+	for _, workers := range []int{10, 350} {
+		b.Run(fmt.Sprint(16*workers), func(b *testing.B) {
+			t := benchOfBacklog(b, workers, 0)
+			b.ResetTimer()
+			for i := range b.N {
+				id := model.JobID(fmt.Sprintf("%016x", i))
+				t.submit(id, jobs.Step{Tasks: 8, Size: cores(4), Estimate: model.Second})
+				t.commit(jobs.Command{Cancel: &jobs.Cancel{Job: id}})
+			}
+		})
+	}
+}
+
 func benchOf(b *testing.B, workers int) *bench {
 	list := make([]jobs.Worker, workers)
 	for i := range list {
@@ -65,3 +81,21 @@
 	}
 	return t
 }
+
+// benchOfBacklog has workers that are full, and jobs of eight tasks that wait.
+func benchOfBacklog(t testing.TB, workers, waiting int) *bench {
+	list := make([]jobs.Worker, workers)
+	for i := range list {
+		list[i] = testWorker(model.WorkerID(fmt.Sprintf("w%03d", i)))
+		list[i].Capacity = model.Resources{MilliCPU: 64_000, MemoryMB: 64_000}
+	}
+	b := newBench(t, list...)
+	b.state.Config.Teams["press"] = jobs.Team{}
+	for i := range workers {
+		b.submit(model.JobID(fmt.Sprintf("%015xf", i)), jobs.Step{Tasks: 16, Size: cores(4), Estimate: model.Second})
+	}
+	for i := range waiting {
+		b.submit(model.JobID(fmt.Sprintf("%015xe", i)), jobs.Step{Tasks: 8, Size: cores(4), Estimate: model.Second})
+	}
+	return b
+}
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -50,20 +50,19 @@
 	abandoned       map[jobs.RunRef]bool  // given up, and not yet recorded as such
 	proposed        map[jobs.TaskRef]bool // assignments that are not yet committed
 	runs            map[jobs.RunRef]*run
-	seq             uint64         // of calls
-	unansweredAt    model.Time     // latest call without an answer of a worker that had answered shortly before
-	advancedAt      model.Time     // latest tick
-	lateAt          model.Time     // latest tick that was late
-	orderTime       model.Duration // that accepted orders take, on average
-	orderTimeAt     model.Time     // of the latest such answer
+	byJob           map[model.JobID]map[jobs.RunRef]*run // the same runs
+	seq             uint64                               // of calls
+	unansweredAt    model.Time                           // latest call without an answer of a worker that had answered shortly before
+	advancedAt      model.Time                           // latest tick
+	lateAt          model.Time                           // latest tick that was late
+	orderTime       model.Duration                       // that accepted orders take, on average
+	orderTimeAt     model.Time                           // of the latest such answer
 	load            load
 	advices         int // calls for advice that are out
 	forgotAt        model.Time
 	departedWorkers []*worker             // earlier lives that have runs to be recorded as lost
 	leaving         map[model.HostID]bool // hosts that are to be emptied soon
 	held            map[model.HostID]bool // hosts that get no new runs, because they are to be moved or maintained
-	// byJob holds the runs of each job.
-	byJob map[model.JobID]map[jobs.RunRef]*run
 }
 
 // pool is what the scheduler knows of one service.
--- a/core/schedule/scheduler_test.go
+++ b/core/schedule/scheduler_test.go
@@ -216,3 +216,42 @@
 	}
 	require.Len(t, b.take("a"), 12_000)
 }
+
+// requireRunIndex checks that each run is listed with its job, and no other.
+func requireRunIndex(t testing.TB, s *Scheduler) {
+	n := 0
+	for id, runs := range s.byJob {
+		require.NotEmpty(t, runs, "nothing is kept of a job without runs")
+		for ref, r := range runs {
+			require.Equal(t, id, ref.Job)
+			require.Same(t, s.runs[ref], r)
+		}
+		n += len(runs)
+	}
+	require.Len(t, s.runs, n)
+}
+
+// Guards against runs of a cancelled job that go on, and against a cancellation that
+// stops runs of other jobs.
+func TestCancellationStopsTheRunsOfItsJob(t *testing.T) {
+	b := newBench(t, testWorker("a"), testWorker("b"))
+	b.state.Config.Teams["press"] = jobs.Team{}
+	for _, id := range []model.JobID{"j", "k"} {
+		b.submit(id, jobs.Step{Tasks: 8, Size: cores(1), Estimate: model.Second})
+	}
+	requireRunIndex(t, b.s)
+	b.calls = nil
+	b.commit(jobs.Command{Cancel: &jobs.Cancel{Job: "k"}})
+	stops := 0
+	for _, c := range b.calls {
+		if c.Stop != nil {
+			require.Equal(t, ref("k", stops, 1), c.Stop.RunRef)
+			stops++
+		}
+	}
+	require.Equal(t, 8, stops)
+	for r, run := range b.s.runs {
+		require.Equal(t, r.Job == "k", run.stopping)
+	}
+	requireRunIndex(t, b.s)
+}
--- a/core/schedule/sim_test.go
+++ b/core/schedule/sim_test.go
@@ -196,6 +196,7 @@
 			tick = s.now
 			s.act(func(out *Out) { s.scheduler.Advance(s.env(), out) })
 			requireRoomIndex(s.t, s.scheduler, s.env())
+			requireRunIndex(s.t, s.scheduler)
 		}
 	}
 }
