schedule: a full pool is not searched for each task that waits

Each placement looked at every waiting task of the service. The plain tasks of a step have one claim, so a step is left at its first refusal, and a job is passed over if all that its ready tasks claim was refused.

The simulation checks after each tick that no task was passed over for which there is a worker.

--- a/core/schedule/bench_test.go
+++ b/core/schedule/bench_test.go
@@ -68,6 +68,21 @@
 	}
 }
 
+// BenchmarkBacklog measures the scheduler's time for the end of a task whose place
+// another takes, while many wait.
+func BenchmarkBacklog(b *testing.B) {
+	for _, waiting := range []int{10, 500} {
+		b.Run(fmt.Sprint(waiting), func(b *testing.B) {
+			t := benchOfBacklog(b, 70, waiting)
+			b.ResetTimer()
+			for i := range b.N {
+				t.submit(model.JobID(fmt.Sprintf("%016x", i)), jobs.Step{Tasks: 1, Size: cores(4), Estimate: model.Second})
+				t.endOne(model.WorkerID(fmt.Sprintf("w%03d", i%70)))
+			}
+		})
+	}
+}
+
 func benchOf(b *testing.B, workers int) *bench {
 	list := make([]jobs.Worker, workers)
 	for i := range list {
@@ -99,3 +114,16 @@
 	}
 	return b
 }
+
+// endOne has a worker list the end of its first run.
+func (b *bench) endOne(id model.WorkerID) {
+	w := b.s.workers[id]
+	done := sortedRunsOf(w)[0].ref
+	b.calls = b.calls[:0]
+	b.act(func(out *Out) {
+		b.s.Replied(b.env(), out, &order.Reply{
+			Call: order.Call{Worker: id, Life: w.info.Life, Token: w.token, Seq: w.pollOut, Hold: &order.Hold{}}, Status: order.Accepted,
+			Clock: w.clock + 1, Ended: []order.Ended{{Number: w.recording + 1, RunRef: done, Outcome: jobs.OutcomeDone}},
+		})
+	})
+}
--- a/core/schedule/place.go
+++ b/core/schedule/place.go
@@ -53,7 +53,7 @@
 	c := &candidates{env: env, s: s, pool: p}
 	for _, job := range p.jobs {
 		job.refresh(env)
-		if len(job.ready) > 0 {
+		if len(job.ready) > 0 && !c.refuses(job) {
 			runs = s.placeJob(env, out, c, job, runs)
 		}
 	}
@@ -64,16 +64,21 @@
 func (s *Scheduler) placeJob(env Env, out *Out, c *candidates, job *progress, runs []jobs.Assignment) []jobs.Assignment {
 	kept := job.ready[:0]
 	var may []*worker
-	for i, ref := range job.ready {
+	for i := 0; i < len(job.ready); i++ {
+		ref := job.ready[i]
 		step := &job.job.Steps[ref.Step]
 		if isPlain(job, step, ref) {
-			w := s.choosePlain(env, c, job, ref)
-			if w == nil {
-				kept = append(kept, ref)
+			if w := s.choosePlain(env, c, job, ref); w != nil {
+				runs = append(runs, s.assign(env, job, ref, w))
+				c.assigned()
 				continue
 			}
-			runs = append(runs, s.assign(env, job, ref, w))
-			c.assigned()
+			end := i + 1
+			if !s.proposed[ref] {
+				end = job.refusedWith(i)
+			}
+			kept = append(kept, job.ready[i:end]...)
+			i = end - 1
 			continue
 		}
 		switch {
@@ -102,6 +107,16 @@
 	return runs
 }
 
+// refusedWith returns the end of the ready tasks from i on that find no worker if a
+// plain one finds none: those of its step.
+func (p *progress) refusedWith(i int) int {
+	end := i + 1
+	for end < len(p.ready) && p.ready[end].Step == p.ready[i].Step && p.ready[end].Round == p.ready[i].Round {
+		end++
+	}
+	return end
+}
+
 // choosePlain returns the worker for a task without special needs, or nil.
 func (s *Scheduler) choosePlain(env Env, c *candidates, p *progress, ref jobs.TaskRef) *worker {
 	step := &p.job.Steps[ref.Step]
--- a/core/schedule/progress.go
+++ b/core/schedule/progress.go
@@ -19,11 +19,13 @@
 	due         model.Time // replicated clock: it is late after this
 	late        bool       // its time is over
 	ready       []jobs.TaskRef
-	stale       bool         // ready must be rebuilt
-	workLeft    float64      // see left
-	workKnown   bool         // workLeft is that of now
-	undated     bool         // some round is not due yet
-	advised     *jobs.Advice // of its queue, nil without
+	anywhere    bool            // all of them run anywhere
+	least       model.Resources // of each resource, the least that any of them claims
+	stale       bool            // ready must be rebuilt
+	workLeft    float64         // see left
+	workKnown   bool            // workLeft is that of now
+	undated     bool            // some round is not due yet
+	advised     *jobs.Advice    // of its queue, nil without
 	advice      map[jobs.StepRef]*advice
 	failedOn    map[jobs.TaskRef]model.WorkerID // the worker of the latest failure
 }
@@ -121,6 +123,7 @@
 		return
 	}
 	p.ready, p.stale, p.undated = p.ready[:0], false, false
+	p.anywhere = true
 	for k := range p.job.Rounds {
 		if due := p.job.Due(k); due > env.Now {
 			p.undated = true
@@ -132,13 +135,26 @@
 			}
 			for i := range p.job.Rounds[k].Tasks[step] {
 				if p.job.Rounds[k].Tasks[step][i].Phase == jobs.Waiting {
-					p.ready = append(p.ready, jobs.TaskRef{Job: p.job.ID, Round: k, Step: step, Index: i})
+					p.addReady(jobs.TaskRef{Job: p.job.ID, Round: k, Step: step, Index: i})
 				}
 			}
 		}
 	}
 }
 
+func (p *progress) addReady(ref jobs.TaskRef) {
+	step := &p.job.Steps[ref.Step]
+	claim := step.Claim()
+	if len(p.ready) == 0 {
+		p.least = claim
+	}
+	p.least.MilliCPU = min(p.least.MilliCPU, claim.MilliCPU)
+	p.least.MemoryMB = min(p.least.MemoryMB, claim.MemoryMB)
+	p.least.Accelerators = min(p.least.Accelerators, claim.Accelerators)
+	p.anywhere = p.anywhere && runsAnywhere(step)
+	p.ready = append(p.ready, ref)
+}
+
 // isWhole reports whether no member of a gang may still be running.
 func (p *progress) isWhole(round, step int) bool {
 	for _, t := range p.job.Rounds[round].Tasks[step] {
--- a/core/schedule/room.go
+++ b/core/schedule/room.go
@@ -76,8 +76,13 @@
 // isPlain reports whether a task may run on any worker of its service and runs as
 // well on one as on another.
 func isPlain(p *progress, step *jobs.Step, ref jobs.TaskRef) bool {
+	return runsAnywhere(step) && p.advised == nil && p.failedOn[ref] == ""
+}
+
+// runsAnywhere reports whether a step asks no more of its workers than room.
+func runsAnywhere(step *jobs.Step) bool {
 	return !step.Gang && !step.LongRunning && !step.BestEffort && step.Target == 0 && step.PerWorker == 0 &&
-		step.Requires == "" && step.DataRack == "" && p.advised == nil && p.failedOn[ref] == ""
+		step.Requires == "" && step.DataRack == ""
 }
 
 // candidates finds workers during one placement of a service, in which room only
@@ -110,10 +115,8 @@
 
 // forPlain returns the worker of a plain task, or nil if none has room.
 func (c *candidates) forPlain(claim model.Resources) *worker {
-	for i := range c.refused {
-		if c.refused[i].Fits(claim) {
-			return nil
-		}
+	if c.hasRefused(claim) {
+		return nil
 	}
 	w := c.pool.room.fullest(claim, func(w *worker) bool { return c.s.isUsable(c.env, w) })
 	if w == nil {
@@ -121,3 +124,18 @@
 	}
 	return w
 }
+
+// hasRefused reports whether a claim is at least one for which no worker had room.
+func (c *candidates) hasRefused(claim model.Resources) bool {
+	for i := range c.refused {
+		if c.refused[i].Fits(claim) {
+			return true
+		}
+	}
+	return false
+}
+
+// refuses reports whether no ready task of a job can have a worker any more.
+func (c *candidates) refuses(p *progress) bool {
+	return p.anywhere && p.advised == nil && c.hasRefused(p.least)
+}
--- a/core/schedule/sim_test.go
+++ b/core/schedule/sim_test.go
@@ -197,6 +197,7 @@
 			s.act(func(out *Out) { s.scheduler.Advance(s.env(), out) })
 			requireRoomIndex(s.t, s.scheduler, s.env())
 			requireRunIndex(s.t, s.scheduler)
+			requireNothingFits(s.t, s.scheduler, s.env())
 		}
 	}
 }
