schedule: an assignment is checked again when it is committed

Cause: whether a worker takes new runs was looked at when the assignment was proposed only; with a commit that takes seconds, what an operator or the worker said in between did not count. Draining, data centres out of service and hosts that are to be emptied count at the commit too; the task goes back to those that wait.

--- a/core/schedule/place.go
+++ b/core/schedule/place.go
@@ -151,8 +151,13 @@
 
 // isUsable reports whether a worker may be given new runs.
 func (s *Scheduler) isUsable(env Env, w *worker) bool {
-	return w.isFresh(env.Now) && !w.info.Draining && !env.State.Out[w.info.DataCentre] &&
-		!w.isSuspect(env.Now) && !s.held[w.info.Host]
+	return w.isFresh(env.Now) && !w.isSuspect(env.Now) && s.takesRuns(env, w)
+}
+
+// takesRuns reports whether neither operators nor the worker itself nor a plan for its
+// host forbid new runs on it.
+func (s *Scheduler) takesRuns(env Env, w *worker) bool {
+	return !w.info.Draining && !env.State.Out[w.info.DataCentre] && !s.held[w.info.Host]
 }
 
 // choose returns the worker for a task, or nil if none can take it now.
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -143,6 +143,10 @@
 			s.finish(env, out, r, jobs.OutcomeVoid, "", "it was stopped before it was ordered")
 			continue
 		}
+		if !s.takesRuns(env, r.worker) {
+			s.finish(env, out, r, jobs.OutcomeVoid, "", "its worker takes no new runs since it was assigned")
+			continue
+		}
 		t := env.State.Task(r.ref.TaskRef)
 		if t == nil {
 			s.finish(env, out, r, jobs.OutcomeVoid, "", "its job has ended")
