schedule: the room of a copy is kept until its order is void and its worker has listed

A run of a step that may run in several copies was given up, and its room given away, as soon as its worker was silent, though its order could still be carried out. The worker could be given more than its capacity: once the order came, or when it answered an order before it listed what goes on.

An order is now given up only once it is past its deadline on the slowest clock, and the room of what was given up counts until the next list that is not older than what is known.

Failed first: TestRoomOfAnOrderIsKeptUntilItsDeadline (a second start while the order of the first stood for 1800 ms) and TestRoomOfACopyIsKeptUntilItsWorkerLists (a start in the room of a run that may go on). TestCopyStartsOnceTheOrderIsVoid fails if the runs of a worker whose polls have failed are left out, as the condition of before did.

--- a/core/schedule/copies_test.go
+++ b/core/schedule/copies_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -108,3 +109,75 @@
 	require.Equal(t, jobs.Active, b.state.Jobs["j"].Phase)
 	require.Equal(t, []jobs.RunRef{starts[0].Start.RunRef}, stopped(b.take("c")))
 }
+
+// Guards against a worker over its capacity: an order whose run was given up because a
+// copy may run elsewhere is still carried out until its deadline, by a slow link or by
+// a delegate that was frozen.
+func TestRoomOfAnOrderIsKeptUntilItsDeadline(t *testing.T) {
+	b := newBench(t, testWorker("w"))
+	b.state.Config.Teams["press"] = jobs.Team{}
+	b.take("w")
+	b.pass(freshness - 100*ms)
+	b.submit("0000000000000001", jobs.Step{Tasks: 1, Size: cores(8), Estimate: model.Second, Copies: true})
+	first := b.take("w")
+	require.Len(t, first, 1)
+	b.pass(200 * ms) // its worker counts as silent
+	b.answerPoll("w", nil, nil)
+	b.submit("0000000000000002", jobs.Step{Tasks: 1, Size: cores(8), Estimate: model.Second})
+	clock := b.s.workers["w"].clock
+	require.Less(t, clock, first[0].Start.Deadline)
+	for _, c := range b.take("w") {
+		require.Nil(t, c.Start, "a second run while the order of the first stands for %d ms", first[0].Start.Deadline-clock)
+	}
+}
+
+// Guards against a worker over its capacity: it answers an order and has not yet said
+// whether the runs that were given up while it was silent go on.
+func TestRoomOfACopyIsKeptUntilItsWorkerLists(t *testing.T) {
+	b := newBench(t, testWorker("a"))
+	b.state.Config.Teams["press"] = jobs.Team{}
+	b.submit("j", jobs.Step{Tasks: 1, Size: cores(7), Copies: true})
+	first := b.take("a")
+	require.Len(t, first, 1)
+	b.answerPoll("a", []order.Running{atWork(first[0].Start.RunRef)}, nil)
+	b.submit("k", jobs.Step{Tasks: 1, Size: cores(1)})
+	second := b.take("a")
+	require.Len(t, second, 1)
+	b.pass(freshness + ms)
+	require.Nil(t, b.s.runs[first[0].Start.RunRef])
+	b.act(func(out *Out) {
+		b.s.Replied(b.env(), out, &order.Reply{Call: second[0], Status: order.Accepted, Clock: order.ClockMS(b.now / model.Time(ms))})
+	})
+	b.list("a", order.Reply{Clock: second[0].Start.Deadline - 4000, Running: []order.Running{atWork(second[0].Start.RunRef)}})
+	b.pass(50 * ms)
+	require.True(t, b.s.workers["a"].isFresh(b.now))
+	require.Empty(t, b.take("a"), "the first run may go on")
+	b.answerPoll("a", []order.Running{atWork(second[0].Start.RunRef)}, nil)
+	b.pass(50 * ms)
+	again := b.take("a")
+	require.Len(t, again, 1)
+	require.Equal(t, 2, again[0].Start.Run)
+}
+
+// Guards against a task that waits for the longest lease though a copy of it may run:
+// its worker was silent before the order became void, and polls have failed since.
+func TestCopyStartsOnceTheOrderIsVoid(t *testing.T) {
+	b := newBench(t, testWorker("a"), testWorker("b"))
+	b.state.Config.Teams["press"] = jobs.Team{}
+	b.pass(freshness - 100*ms)
+	b.submit("j", jobs.Step{Tasks: 1, Size: cores(8), Copies: true})
+	starts := b.take("a")
+	require.Len(t, starts, 1)
+	b.pass(200 * ms)
+	poll := b.calls[slices.IndexFunc(b.calls, func(c order.Call) bool { return c.Worker == "a" && c.Hold != nil })]
+	b.act(func(out *Out) { b.s.Replied(b.env(), out, &order.Reply{Call: poll, Status: order.Silent}) })
+	require.False(t, b.s.workers["a"].polled)
+	b.answerPoll("b", nil, nil)
+	require.Empty(t, b.take("b"))
+	for range 40 {
+		b.pass(50 * ms)
+	}
+	b.answerPoll("b", nil, nil)
+	b.pass(50 * ms)
+	require.Len(t, b.take("b"), 1)
+}
--- a/core/schedule/fixture_test.go
+++ b/core/schedule/fixture_test.go
@@ -101,7 +101,8 @@
 	b.list(id, order.Reply{Running: running, Ended: ended})
 }
 
-// list answers the latest poll of a worker with the lists of a reply.
+// list answers the latest poll of a worker with the lists of a reply. Its clock is the
+// bench's if the reply has none.
 func (b *bench) list(id model.WorkerID, r order.Reply) {
 	for i := len(b.calls) - 1; i >= 0; i-- {
 		c := b.calls[i]
@@ -109,7 +110,10 @@
 			continue
 		}
 		b.calls = append(b.calls[:i], b.calls[i+1:]...)
-		r.Call, r.Status, r.Clock = c, order.Accepted, order.ClockMS(b.now/model.Time(ms))
+		r.Call, r.Status = c, order.Accepted
+		if r.Clock == 0 {
+			r.Clock = order.ClockMS(b.now / model.Time(ms))
+		}
 		b.act(func(out *Out) { b.s.Replied(b.env(), out, &r) })
 		return
 	}
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -44,7 +44,8 @@
 	runs  map[jobs.RunRef]*run
 	used  model.Resources
 	// foreign is what runs take that are listed and not known: they were given up, or
-	// their assignment was never committed. They are being stopped.
+	// their assignment was never committed. They are being stopped. Until the next list
+	// it includes those that were given up since the latest.
 	foreign model.Resources
 	// Of the long-running tasks among them, their number and thousandths of a core.
 	longRunning      int
@@ -180,11 +181,15 @@
 // the slowest clock.
 func (w *worker) extend(now model.Time, d model.Duration) order.ClockMS {
 	deadline := w.clockNow(now) + order.ClockMS(d/model.Millisecond)
-	over := w.clockAt.Add(slowed(model.Duration(deadline-w.clock) * model.Millisecond))
-	w.leaseOver = max(w.leaseOver, over)
+	w.leaseOver = max(w.leaseOver, w.reached(deadline))
 	return deadline
 }
 
+// reached returns when the worker's clock shows a time at the latest.
+func (w *worker) reached(c order.ClockMS) model.Time {
+	return w.clockAt.Add(slowed(model.Duration(c-w.clock) * model.Millisecond))
+}
+
 // leaseTime is how long a poll lets runs go on: a part of the longest lease, so
 // that the runs of a worker that is cut off can be started elsewhere soon.
 func leaseTime(b Bounds) model.Duration { return b.LeaseMax * 3 / 4 }
@@ -207,7 +212,7 @@
 		s.lose(env, out, w, "the lease of its worker is over")
 		return
 	}
-	if w.polled && !w.isFresh(env.Now) {
+	if w.answered != 0 && env.Now.Sub(w.answered) > freshness {
 		s.startCopies(env, out, w)
 	}
 	if !w.hasOverdue(env.Now, s.resendAfter(env.Now)) {
@@ -219,10 +224,13 @@
 }
 
 // startCopies gives up the runs of a silent worker of which another copy may run at
-// the same time. Those that go on are counted when the worker lists them.
+// the same time, but not while an order may still be carried out: the next list may
+// come before that.
 func (s *Scheduler) startCopies(env Env, out *Out, w *worker) {
 	for _, r := range sortedRunsOf(w) {
-		if r.step.Copies && r.phase != assigned {
+		mayBegin := r.phase == ordered && env.Now <= w.reached(r.voidFrom)
+		if r.step.Copies && r.phase != assigned && !mayBegin {
+			w.foreign = w.foreign.Add(r.claim)
 			s.finish(env, out, r, jobs.OutcomeLost, "", "its worker is silent and a copy may run")
 		}
 	}
@@ -362,7 +370,9 @@
 		s.pool(w.info.Service).dirty = true
 	}
 	listed := make(map[jobs.RunRef]bool, len(reply.Running))
-	w.foreign = model.Resources{}
+	if reply.Clock >= w.clock { // an older list lacks what began since
+		w.foreign = model.Resources{}
+	}
 	if reply.Unread {
 		w.foreign = w.info.Capacity // it may be any run
 	}
