schedule: a host is busy until the ends of its runs are committed

A run counted until its worker listed its end. The host could be moved or maintained while that end was proposed and not committed: the worker, which alone was sure to keep it, ended, and a new leader that lacked the entry ran the task again.

Failed first: TestHostStaysUntilItsEndsAreCommitted of core/hosts (the host was idle for moves; without that check its maintenance was ordered).

--- a/core/hosts/planner_test.go
+++ b/core/hosts/planner_test.go
@@ -218,6 +218,43 @@
 	require.Len(t, b.p.hosts, 2)
 }
 
+// Guards against an end that is lost and a task that runs twice: the worker of a host
+// has listed the end, which is not committed yet, and is ended with its host.
+func TestHostStaysUntilItsEndsAreCommitted(t *testing.T) {
+	b := newBench(t, 1)
+	run := jobs.RunRef{TaskRef: jobs.TaskRef{Job: "j"}, Run: 1}
+	b.apply(jobs.Command{Announce: &jobs.Worker{ID: "w", Host: "h0", Service: "render", Address: "w", Capacity: model.Resources{MilliCPU: 64000}}})
+	b.apply(jobs.Command{Submit: &jobs.Job{ID: "j", Service: "render", Rounds: make([]jobs.Round, 1), Steps: []jobs.Step{{Tasks: 1}}}})
+	b.apply(jobs.Command{Assign: &jobs.Assign{Runs: []jobs.Assignment{{RunRef: run, Worker: "w", Life: b.state.Workers["w"].Life}}}})
+	b.lead()
+	var out schedule.Out
+	b.s.Advance(b.env().Schedule, &out)
+	var poll order.Call
+	for _, e := range out.Effects {
+		if c, ok := e.(effect.CallWorker); ok && c.Call.Hold != nil {
+			poll = c.Call
+		}
+	}
+	out = schedule.Out{}
+	b.s.Replied(b.env().Schedule, &out, &order.Reply{Call: poll, Status: order.Accepted, Clock: 1,
+		Ended: []order.Ended{{Number: 1, RunRef: run, Outcome: jobs.OutcomeDone}}})
+	require.Len(t, out.Proposals, 1)
+	end := out.Proposals[0]
+	require.NotNil(t, end.End)
+
+	b.pass(takeOverTime + 500*ms)
+	require.Empty(t, b.p.pools(b.env())[0].idle, "it may not be moved")
+	b.startWave(1)
+	b.pass(25 * model.Second) // the time that is left is needed for it
+	require.Empty(t, b.maintained(order.HostAccepted))
+
+	b.index++
+	result := b.state.Apply(&end, b.index, b.now)
+	b.s.Committed(b.env().Schedule, &schedule.Out{}, &end, result)
+	b.pass(500 * ms)
+	require.Len(t, b.maintained(order.HostAccepted), 1)
+}
+
 func idle(n int) []*host {
 	list := make([]*host, n)
 	for i := range list {
--- a/core/schedule/hosts.go
+++ b/core/schedule/hosts.go
@@ -29,11 +29,13 @@
 	return true
 }
 
-// Load counts the runs that may be going on at the worker of a host.
+// Load counts the runs that may be going on at the workers of a host, and the commands
+// with ends of them that are not committed: until then only the worker is sure to keep
+// these ends.
 func (s *Scheduler) Load(host model.HostID) int {
 	n := 0
 	for _, w := range s.byHost[host] {
-		n += len(w.runs)
+		n += len(w.runs) + w.unrecorded
 	}
 	return n
 }
