schedule: a wave looks once a tick at a step and at the workers

Each run on a host that is due for maintenance had all tasks of its step counted and the list of usable workers built. The hosts of a wave are now emptied together: tasks that are away are counted once a step, up to the number that it may miss, and another place is looked for once a step.

--- a/core/hosts/wave.go
+++ b/core/hosts/wave.go
@@ -62,10 +62,14 @@
 		return
 	}
 	p.chooseForWave(env, out, id, w, due)
+	// Long-running tasks move one after the other, so they begin early. The hosts take
+	// other work meanwhile.
+	ids := make([]model.HostID, len(due))
+	for i, h := range due {
+		ids[i] = h.ID
+	}
+	env.Scheduler.Empty(env.Schedule, &out.Schedule, ids...)
 	for _, h := range due {
-		// Long-running tasks move one after the other, so they begin early. The host
-		// takes other work meanwhile.
-		env.Scheduler.Empty(env.Schedule, &out.Schedule, h.ID)
 		if h.wave == id {
 			down += p.advanceHost(env, out, id, h, down < w.Cap)
 		}
--- a/core/schedule/bench_test.go
+++ b/core/schedule/bench_test.go
@@ -83,6 +83,20 @@
 	}
 }
 
+// BenchmarkEmpty measures the scheduler's time for one tick of a wave over half of the
+// hosts, with long-running tasks of one step that move one by one.
+func BenchmarkEmpty(b *testing.B) {
+	for _, workers := range []int{7, 70} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			t := benchOfWave(b, workers)
+			b.ResetTimer()
+			for range b.N {
+				t.emptyHalf()
+			}
+		})
+	}
+}
+
 func benchOf(b *testing.B, workers int) *bench {
 	list := make([]jobs.Worker, workers)
 	for i := range list {
@@ -127,3 +141,32 @@
 		})
 	})
 }
+
+// benchOfWave has workers that are full of long-running tasks of one step.
+func benchOfWave(t testing.TB, workers int) *bench {
+	list := make([]jobs.Worker, workers)
+	for i := range list {
+		list[i] = testWorker(model.WorkerID(fmt.Sprintf("w%03d", i)))
+		list[i].Capacity = model.Resources{MilliCPU: 6000, MemoryMB: 64_000}
+	}
+	b := newBench(t, list...)
+	b.state.Config.Teams["press"] = jobs.Team{}
+	b.submit("0000000000000001", jobs.Step{Tasks: 6 * workers, Size: cores(1), LongRunning: true, MissAllowed: 1})
+	for i := range list {
+		var running []order.Running
+		for _, r := range sortedRunsOf(b.s.workers[list[i].ID]) {
+			running = append(running, atWork(r.ref))
+		}
+		b.answerPoll(list[i].ID, running, nil)
+	}
+	return b
+}
+
+// emptyHalf asks for the first half of the hosts to become empty.
+func (b *bench) emptyHalf() {
+	hosts := make([]model.HostID, len(b.s.workers)/2)
+	for i := range hosts {
+		hosts[i] = model.HostID(fmt.Sprintf("host-w%03d", i))
+	}
+	b.s.Empty(b.env(), &Out{}, hosts...)
+}
--- a/core/schedule/room_test.go
+++ b/core/schedule/room_test.go
@@ -34,6 +34,15 @@
 	}
 }
 
+func (w *worker) hasLongRunning() bool {
+	for _, r := range w.runs {
+		if r.step.LongRunning {
+			return true
+		}
+	}
+	return false
+}
+
 // Guards against a task that waits for a worker that has left its pool, and against
 // one that is placed by the room of a worker's earlier size or service.
 func TestRoomFollowsAnnouncements(t *testing.T) {
--- a/core/schedule/scheduler_test.go
+++ b/core/schedule/scheduler_test.go
@@ -65,6 +65,82 @@
 	require.Equal(t, 0, empty(b, "host-a"), "worker c is silent, so its task is away")
 }
 
+// Guards against hosts emptied together that take more or fewer tasks of a step away
+// than it may miss, or tasks that have no other place: what is found out for one run
+// holds for the others of its step.
+func TestHostsAreEmptiedTogether(t *testing.T) {
+	up := func(t *testing.T, capacity int64, steps ...jobs.Step) *bench {
+		var list []jobs.Worker
+		for _, id := range []model.WorkerID{"a", "b", "c"} {
+			w := testWorker(id)
+			w.Capacity.MilliCPU = capacity
+			list = append(list, w)
+		}
+		b := newBench(t, list...)
+		b.state.Config.Teams["press"] = jobs.Team{}
+		b.submit("j", steps...)
+		for _, w := range list {
+			var running []order.Running
+			for r := range b.s.workers[w.ID].runs {
+				running = append(running, atWork(r))
+			}
+			b.answerPoll(w.ID, running, nil)
+		}
+		return b
+	}
+	stopped := func(b *bench, hosts ...model.HostID) map[int]int {
+		b.calls = nil
+		b.act(func(out *Out) { b.s.Empty(b.env(), out, hosts...) })
+		n := make(map[int]int)
+		for _, c := range b.calls {
+			if c.Stop != nil {
+				n[c.Stop.Step]++
+			}
+		}
+		return n
+	}
+	step := func(tasks, missAllowed int) jobs.Step {
+		return jobs.Step{Tasks: tasks, Size: cores(1), LongRunning: true, MissAllowed: missAllowed}
+	}
+	b := up(t, 8000, step(6, 2), step(6, 3), step(3, 0))
+	b.s.LeavingHosts(map[model.HostID]bool{"host-a": true, "host-b": true})
+	free := 0 // tasks of the step that may miss any number
+	for _, id := range []model.WorkerID{"a", "b"} {
+		for r := range b.s.workers[id].runs {
+			if r.Step == 2 {
+				free++
+			}
+		}
+	}
+	require.NotZero(t, free)
+	require.Equal(t, map[int]int{0: 2, 1: 3, 2: free}, stopped(b, "host-a", "host-b"))
+	require.Empty(t, stopped(b, "host-a", "host-b"), "those that were stopped are away")
+
+	b = up(t, 2000, step(6, 6))
+	require.Empty(t, stopped(b, "host-a", "host-b"), "all workers are full")
+
+	// Five tasks of one core: one worker has room for another, but is its own host's.
+	b = up(t, 2000, step(5, 5))
+	for id, w := range b.s.workers {
+		if w.free().MilliCPU > 0 {
+			require.Empty(t, stopped(b, w.info.Host), "only %s itself has room", id)
+			require.Equal(t, map[int]int{0: 4}, stopped(b, "host-a", "host-b", "host-c"))
+		}
+	}
+
+	// All have room, so the run of the second step has another place. Those of the first
+	// have none, with one on each worker.
+	spread := step(3, 3)
+	spread.PerWorker = 1
+	b = up(t, 4000, spread, step(1, 1))
+	require.Equal(t, map[int]int{1: 1}, stopped(b, "host-a", "host-b", "host-c"))
+
+	// Two workers have room, one of them on a host that leaves too.
+	b = up(t, 4000, step(8, 8))
+	b.s.LeavingHosts(map[model.HostID]bool{"host-a": true, "host-b": true, "host-c": true})
+	require.Empty(t, stopped(b, "host-a", "host-b"))
+}
+
 // Guards against an end that a worker may forget before it is recorded.
 func TestWorkerForgetsOnlyRecordedEnds(t *testing.T) {
 	b := newBench(t, testWorker("a"))
