handler: a configuration that changes nothing takes no entry

Each repetition of a configuration, and each copy of the call, was an entry of the log with the whole document, twice. One whose version is not higher than the one in force is now acknowledged by the leader at once: 0 entries, 1 before. The log line is the same. One that is proposed while a higher one is on its way changes nothing either, as before.

TestConfigurations failed before ("an entry of the log"). It asked for a command and applied it; it now asks for an answer, the log line and no command, and applies one that is proposed all the same.

--- a/core/handler/handler.go
+++ b/core/handler/handler.go
@@ -101,7 +101,7 @@
 	case c.Cancel != nil:
 		return cancel(env, c.Cancel)
 	case c.Configure != nil:
-		return configure(c.Configure)
+		return configure(env, c.Configure)
 	case c.ReadConfig != nil:
 		return readConfig(env)
 	case c.SetOut != nil:
@@ -242,12 +242,19 @@
 	return Decision{Propose: &jobs.Command{Cancel: &jobs.Cancel{Job: j.ID}}}
 }
 
-func configure(c *jobs.Config) Decision {
+// configure acknowledges a version that is not higher than the one in force and changes
+// nothing: callers repeat it, and an entry of the log holds the whole document.
+func configure(env Env, c *jobs.Config) Decision {
 	if err := c.Check(); err != nil {
 		d := refuse(problem.ConfigRejected, "%v", err)
 		d.Logs = []effect.Log{{Code: effect.ConfigRefused, Index: c.Version, Detail: err.Error()}}
 		return d
 	}
+	if inForce := env.Schedule.State.Config; inForce != nil && c.Version <= inForce.Version {
+		d := answer(call.Answer{})
+		d.Logs = []effect.Log{{Code: effect.ConfigAccepted, Index: c.Version, Detail: "not higher than the version in force"}}
+		return d
+	}
 	return Decision{Propose: &jobs.Command{Configure: c}}
 }
 
--- a/core/handler/handler_test.go
+++ b/core/handler/handler_test.go
@@ -159,7 +159,8 @@
 }
 
 // Guards against configurations that are acknowledged though they are not valid,
-// and against an older one that replaces a newer.
+// against an older one that replaces a newer, and against an entry of the log for each
+// repetition of a configuration.
 func TestConfigurations(t *testing.T) {
 	unknown, twice, untimed := config(9), config(9), config(9)
 	unknown.Queues[0].Service = "other"
@@ -171,13 +172,21 @@
 		require.Nil(t, d.Propose)
 		require.Equal(t, problem.ConfigRejected, d.Answer.Problem.Kind)
 	}
-	older := config(2)
-	older.Document = "older"
-	require.Nil(t, f.apply(f.decide(call.Call{Configure: older}).Propose).Problem, "it is acknowledged")
-	same := config(3)
-	same.Document = "same version, other content"
-	f.apply(f.decide(call.Call{Configure: same}).Propose)
+	older, same := config(2), config(3)
+	older.Document, same.Document = "older", "same version, other content"
+	for _, c := range []*jobs.Config{older, same} {
+		d := f.decide(call.Call{Configure: c})
+		require.Nil(t, d.Propose, "an entry of the log")
+		require.Equal(t, &call.Answer{}, d.Answer, "it is acknowledged")
+		require.Equal(t, []effect.Log{{Code: effect.ConfigAccepted, Index: c.Version, Detail: "not higher than the version in force"}}, d.Logs)
+		// One that was proposed before the version in force was applied.
+		require.Equal(t, jobs.Result{}, f.apply(&jobs.Command{Configure: c}))
+	}
 	require.Equal(t, "document", f.decide(call.Call{ReadConfig: &call.ReadConfig{}}).Answer.Document)
+	newer := config(4)
+	newer.Document = "newer"
+	require.True(t, f.apply(f.decide(call.Call{Configure: newer}).Propose).Changed)
+	require.Equal(t, "newer", f.decide(call.Call{ReadConfig: &call.ReadConfig{}}).Answer.Document)
 }
 
 // Guards against a worker that says that it drains and is answered before a later
