codec: a golden test of the packed bytes

The name of the packed form follows the types of messages, not the writer: a change of the writer alone kept the name, and two builds would have misread each other. The test has a value of each kind and an append of two entries, and says that the version has to change with the bytes.

--- a/codec/packed_test.go
+++ b/codec/packed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/hex"
 	"fmt"
 	"math"
 	"reflect"
@@ -362,6 +363,43 @@
 	require.Regexp(t, `^packed1-[0-9a-f]{16}$`, PackedFormat())
 }
 
+// Guards against a change of the writer that keeps the name of the form: two builds
+// with the same types would misread each other's messages.
+func TestPackedBytesFollowTheVersion(t *testing.T) {
+	const changed = "the packed form is another: packedVersion and the name in PackedFormat have to change with it"
+	require.Equal(t, fmt.Sprint("packed", packedVersion), strings.Split(PackedFormat(), "-")[0])
+
+	type inner struct {
+		E string `json:"e"`
+	}
+	type all struct {
+		V inner             `json:"v"`
+		B bool              `json:"b"`
+		F bool              `json:"f"`
+		I int               `json:"i"`
+		U uint64            `json:"u"`
+		X float64           `json:"x"`
+		S string            `json:"s"`
+		D []byte            `json:"d"`
+		P *int              `json:"p"`
+		N *inner            `json:"n"`
+		L []*int            `json:"l"`
+		M map[string]uint64 `json:"m"`
+		T []inner           `json:"t"`
+	}
+	minus := -300
+	data, err := pack(all{
+		V: inner{"e"}, B: true, I: 300, U: 300, X: 1.5, S: "text", D: []byte{1, 2}, P: &minus,
+		L: []*int{nil, &minus}, M: map[string]uint64{"b": 2, "a": 0}, T: []inner{{"x"}, {}},
+	})
+	require.NoError(t, err)
+	require.Equal(t, "fb1d0165d804ac02000000000000f83f0474657874020102d704020001d704020161000162020201017800", hex.EncodeToString(data), changed)
+
+	data, err = packMessage(entryAppend(cancelEntry(300, 2, "j"), cancelEntry(301, 2, "k")))
+	require.NoError(t, err)
+	require.Equal(t, "01010000010204020bac0202000004400001016a0bad0202000004400001016b", hex.EncodeToString(data), changed+", unless only the types of messages are others")
+}
+
 // Guards against types that would be packed in part only, such as an interface.
 func TestTypesWithoutLayout(t *testing.T) {
 	type recursive struct{ Next []recursive }
