control, codec, transport: reading as a newcomer

One look at the ticker and one at the queues in the loop of the control goroutine; names of the entry cache and of layouts that are being made; comments that were too long or told how a value was found. No behaviour changes.

--- a/codec/codec.go
+++ b/codec/codec.go
@@ -36,7 +36,7 @@
 // Largest encoded sizes in bytes. Encoders and decoders apply the same limit,
 // so that nothing is stored or sent that cannot be read back.
 const (
-	MaxCommandBytes   = 64 << 20               // a configuration of 4 MiB, twice, with six bytes for each
+	MaxCommandBytes   = 64 << 20               // a configuration of 4 MiB, as read and as sent, in JSON at its longest
 	MaxEntryBytes     = MaxCommandBytes + 4096 // a command, or a voter set
 	MaxHardStateBytes = 4096                   // term and vote
 	MaxSnapshotBytes  = 256 << 20              // the whole fleet state
--- a/codec/entrycache.go
+++ b/codec/entrycache.go
@@ -50,8 +50,9 @@
 
 func (c *entryCache) drop(p *packedEntry) { c[p.index%cachedEntries].CompareAndSwap(p, nil) }
 
-// writeThroughCache makes the layout of entries use the cache of the writer.
-func writeThroughCache(l *layout) {
+// packEntriesOnce makes the layout of entries take their bytes from the cache of the
+// writer.
+func packEntriesOnce(l *layout) {
 	write := l.write
 	l.write = func(w *writer, v reflect.Value) {
 		if w.err != nil {
--- a/codec/layout.go
+++ b/codec/layout.go
@@ -37,8 +37,8 @@
 
 // layouts makes layouts, one for each type.
 type layouts struct {
-	done  map[reflect.Type]*layout
-	under map[reflect.Type]bool // those being made
+	done       map[reflect.Type]*layout
+	inProgress map[reflect.Type]bool // those being made
 	// special replaces the functions of types that are written in another way.
 	special map[reflect.Type]func(l *layout)
 }
@@ -49,12 +49,12 @@
 	if l := s.done[t]; l != nil {
 		return l
 	}
-	if s.under[t] || encodesItself(t) {
+	if s.inProgress[t] || encodesItself(t) {
 		panic(fmt.Sprintf("codec: no layout for type %s", t))
 	}
-	s.under[t] = true
+	s.inProgress[t] = true
 	l := s.make(t)
-	delete(s.under, t)
+	delete(s.inProgress, t)
 	l.typ = t
 	if l.writeSet == nil {
 		l.writeSet = l.write
--- a/codec/packed.go
+++ b/codec/packed.go
@@ -18,9 +18,9 @@
 
 func newLayouts() *layouts {
 	return &layouts{
-		done:    make(map[reflect.Type]*layout),
-		under:   make(map[reflect.Type]bool),
-		special: map[reflect.Type]func(*layout){reflect.TypeFor[Entry](): writeThroughCache},
+		done:       make(map[reflect.Type]*layout),
+		inProgress: make(map[reflect.Type]bool),
+		special:    map[reflect.Type]func(*layout){reflect.TypeFor[Entry](): packEntriesOnce},
 	}
 }
 
--- a/control/loop.go
+++ b/control/loop.go
@@ -182,22 +182,18 @@
 	ticker := time.NewTicker(time.Duration(core.TickInterval))
 	defer ticker.Stop()
 	for {
-		events := l.collect()
-		if len(events) > 0 {
-			l.handleAll(events)
-		}
-		// Blocks only when nothing waited.
+		// A tick and the end of the process do not wait for empty queues.
 		select {
 		case <-ticker.C:
 			l.handle(event.Tick{})
-			continue
 		case <-l.halted:
 			return nil
 		case <-t.Dying():
 			return nil
 		default:
 		}
-		if len(events) > 0 {
+		if events := l.collect(); len(events) > 0 {
+			l.handleAll(events)
 			continue
 		}
 		select {
--- a/core/delegate/dispatcher.go
+++ b/core/delegate/dispatcher.go
@@ -11,7 +11,7 @@
 
 const (
 	// heardTime is the silence of a replica from which on it gets no calls and its
-	// results are not waited for: three heartbeats and two ticks.
+	// results are not waited for: three heartbeats of the log and two ticks.
 	heardTime = 700 * model.Millisecond
 	// lostTime is the age of a call from which on a report without it says that it did
 	// not arrive.
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -30,8 +30,8 @@
 	platformCluster = "platform"
 	// maxVoters bounds the replicas that vote. More would slow each commit.
 	maxVoters = 9
-	// maxInflight appends to one replica are under way at a time. With up to 8
-	// followers each append costs the leader about a millisecond of its half core.
+	// maxInflight appends to one replica are under way at a time. Commands that come
+	// while an answer is awaited share the next one.
 	maxInflight = 1
 	// writeInterval spaces the writes to a peer: each costs both sides a wake-up, and a
 	// sync takes longer.
--- a/transport/hello.go
+++ b/transport/hello.go
@@ -2,10 +2,10 @@
 // A connection begins with an introduction in JSON-RPC 2.0. The messages follow as
 // frames, or as JSON-RPC notifications where one side does not know frames yet, as
 // while a cluster is upgraded. Frames hold packed messages if the receiving side reads
-// the form that the sending side packs, and JSON otherwise. Each process sends on connections that it dialled and
-// receives on connections that it accepted. A message may be lost when a
-// connection fails or a peer is slow; messages of one connection arrive in
-// order and at most once.
+// the form that the sending side packs, and JSON otherwise. Each process sends on
+// connections that it dialled and receives on connections that it accepted. A message
+// may be lost when a connection fails or a peer is slow; messages of one connection
+// arrive in order and at most once.
 package transport
 
 import (
