--- /dev/null
+++ b/codec/packedformat_test.go
@@ -0,0 +1,110 @@
+package codec
+
+import (
+	"bytes"
+	"encoding/hex"
+	"fmt"
+	"math"
+	"reflect"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"primrosedale.example/primrosedale/core/call"
+	"primrosedale.example/primrosedale/core/consensus"
+	"primrosedale.example/primrosedale/core/fleet"
+	"primrosedale.example/primrosedale/core/jobs"
+	"primrosedale.example/primrosedale/core/message"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/order"
+	"primrosedale.example/primrosedale/core/rules"
+)
+
+// Guards against builds with other types that take each other's packed messages.
+func TestPackedFormatFollowsTheTypes(t *testing.T) {
+	describe := func(t reflect.Type) string { return newLayouts().of(t).description }
+	type inner struct {
+		A int `json:"a"`
+	}
+	type base struct {
+		inner
+		N inner  `json:"n"`
+		B string `json:"b"`
+	}
+	type renamed struct {
+		N inner  `json:"n"`
+		B string `json:"c"`
+	}
+	type retyped struct {
+		N inner  `json:"n"`
+		B []byte `json:"b"`
+	}
+	type reordered struct {
+		B string `json:"b"`
+		N inner  `json:"n"`
+	}
+	seen := map[string]bool{}
+	for _, of := range []reflect.Type{
+		reflect.TypeFor[base](), reflect.TypeFor[renamed](), reflect.TypeFor[retyped](), reflect.TypeFor[reordered](),
+	} {
+		require.False(t, seen[describe(of)], of)
+		seen[describe(of)] = true
+	}
+	require.Equal(t, describe(reflect.TypeFor[base]()), describe(reflect.TypeFor[base]()))
+	require.Regexp(t, `^packed1-[0-9a-f]{16}$`, PackedFormat())
+}
+
+// Guards against a change of the writer that keeps the name of the form: two builds
+// with the same types would misread each other's messages.
+func TestPackedBytesFollowTheVersion(t *testing.T) {
+	const changed = "the packed form is another: packedVersion and the name in PackedFormat have to change with it"
+	require.Equal(t, fmt.Sprint("packed", packedVersion), strings.Split(PackedFormat(), "-")[0])
+
+	type inner struct {
+		E string `json:"e"`
+	}
+	type all struct {
+		V inner             `json:"v"`
+		B bool              `json:"b"`
+		F bool              `json:"f"`
+		I int               `json:"i"`
+		U uint64            `json:"u"`
+		X float64           `json:"x"`
+		S string            `json:"s"`
+		D []byte            `json:"d"`
+		P *int              `json:"p"`
+		N *inner            `json:"n"`
+		L []*int            `json:"l"`
+		M map[string]uint64 `json:"m"`
+		T []inner           `json:"t"`
+	}
+	minus := -300
+	data, err := pack(all{
+		V: inner{"e"}, B: true, I: 300, U: 300, X: 1.5, S: "text", D: []byte{1, 2}, P: &minus,
+		L: []*int{nil, &minus}, M: map[string]uint64{"b": 2, "a": 0}, T: []inner{{"x"}, {}},
+	})
+	require.NoError(t, err)
+	require.Equal(t, "fb1d0165d804ac02000000000000f83f0474657874020102d704020001d704020161000162020201017800", hex.EncodeToString(data), changed)
+
+	data, err = packMessage(entryAppend(cancelEntry(300, 2, "j"), cancelEntry(301, 2, "k")))
+	require.NoError(t, err)
+	require.Equal(t, "01010000010204020bac0202000004400001016a0bad0202000004400001016b", hex.EncodeToString(data), changed+", unless only the types of messages are others")
+}
+
+// Guards against types that would be packed in part only, such as an interface.
+func TestTypesWithoutLayout(t *testing.T) {
+	type recursive struct{ Next []recursive }
+	for _, of := range []reflect.Type{
+		reflect.TypeFor[struct{ A any }](), reflect.TypeFor[struct{ A [2]int }](), reflect.TypeFor[recursive](),
+		reflect.TypeFor[struct{ A textual }](), reflect.TypeFor[map[consensus.NodeID]int](),
+	} {
+		require.Panics(t, func() { newLayouts().of(of) }, of)
+	}
+}
+
+type textual struct{ A int }
+
+func (textual) MarshalText() ([]byte, error) { return nil, nil }
