--- a/codec/entrycache_test.go
+++ b/codec/entrycache_test.go
@@ -13,7 +13,6 @@
 	"primrosedale.example/primrosedale/core/jobs"
 	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
-	"primrosedale.example/primrosedale/core/order"
 	"primrosedale.example/primrosedale/core/rules"
 )
 
--- a/codec/packedstrict_test.go
+++ b/codec/packedstrict_test.go
@@ -2,25 +2,15 @@
 
 import (
 	"bytes"
-	"encoding/hex"
-	"fmt"
 	"math"
 	"reflect"
-	"strings"
-	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/require"
-	"pgregory.net/rapid"
 
-	"primrosedale.example/primrosedale/core/call"
-	"primrosedale.example/primrosedale/core/consensus"
 	"primrosedale.example/primrosedale/core/fleet"
-	"primrosedale.example/primrosedale/core/jobs"
 	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
-	"primrosedale.example/primrosedale/core/order"
-	"primrosedale.example/primrosedale/core/rules"
 )
 
 // strictCase has a field of each kind whose packed form can be wrong.
