schedule: predict the times of tasks from measured ones

Cause: admission, order and demand use the estimates that callers declare. A job with a long estimate got a late due time and ended late behind others; one with a short estimate was refused.

Ruled out: a factor for each queue (the mean of the estimates is off by 0.7 only; it is their spread that misleads).

Change: per queue a regression of the logarithm of the measured time on that of the estimate over the latest runs; it gives the mean for work and the longest of a step's tasks for its chain. The leader learns it anew after an election.

--- a/core/schedule/active_job.go
+++ b/core/schedule/active_job.go
@@ -43,7 +43,7 @@
 	if q := env.State.Config.Queue(job.job.Queue); q != nil {
 		job.service, job.precedence, job.policy = q.Service, q.Precedence, q.Advice
 		job.maxAttempts = q.MaxAttempts
-		job.due = job.job.Accepted.Add(allowedTime(q, job.job))
+		job.due = job.job.Accepted.Add(allowedTime(s.durations(q.ID), q, job.job))
 	}
 	if job.longRunning {
 		job.maxAttempts = 0
@@ -74,47 +74,12 @@
 	return -1
 }
 
-// allowedTime returns the time from acceptance after which a job is late.
-func allowedTime(q *jobs.Queue, j *jobs.Job) model.Duration {
-	return model.Duration(float64(criticalPath(j))*q.Stretch) + q.Target
-}
-
-// criticalPath returns the estimated duration of a job's longest chain of dependent
-// steps.
-func criticalPath(j *jobs.Job) model.Duration {
-	longest := model.Duration(0)
-	ends := make([]model.Duration, len(j.Steps))
-	for i := range j.Steps {
-		begin := model.Duration(0)
-		for _, before := range j.Steps[i].After {
-			begin = max(begin, ends[before])
-		}
-		ends[i] = begin + j.Steps[i].Estimate
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
-// chainLength returns the number of steps in a job's longest chain of dependent steps.
-func chainLength(j *jobs.Job) int {
-	longest := 0
-	lengths := make([]int, len(j.Steps))
-	for i := range j.Steps {
-		for _, before := range j.Steps[i].After {
-			lengths[i] = max(lengths[i], lengths[before])
-		}
-		lengths[i]++
-		longest = max(longest, lengths[i])
-	}
-	return longest
-}
-
 // estimatedWork returns the estimated work of a job, in thousandths of a core times
 // seconds.
-func estimatedWork(j *jobs.Job) float64 {
+func estimatedWork(m *durationModel, j *jobs.Job) float64 {
 	sum := 0.0
 	for i := range j.Steps {
-		sum += float64(j.Steps[i].Tasks) * float64(j.Steps[i].Size.MilliCPU) * j.Steps[i].Estimate.Seconds()
+		sum += float64(j.Steps[i].Tasks) * float64(j.Steps[i].Size.MilliCPU) * m.predict(j.Steps[i].Estimate).mean().Seconds()
 	}
 	return sum
 }
@@ -170,7 +135,7 @@
 
 // remainingWork returns the estimated work of a job that is not done, in thousandths of a
 // core times seconds. A placed task is assumed to be half done.
-func (job *activeJob) remainingWork() float64 {
+func (job *activeJob) remainingWork(m *durationModel) float64 {
 	if job.remainingValid {
 		return job.remaining
 	}
@@ -187,7 +152,7 @@
 				}
 			}
 			st := &job.job.Steps[step]
-			sum += open * float64(st.Size.MilliCPU) * st.Estimate.Seconds()
+			sum += open * float64(st.Size.MilliCPU) * m.predict(st.Estimate).mean().Seconds()
 		}
 	}
 	job.remaining, job.remainingValid = sum, true
--- a/core/schedule/admit.go
+++ b/core/schedule/admit.go
@@ -32,14 +32,15 @@
 		return nil
 	}
 	ahead := 0.0
-	candidate := &activeJob{job: j, precedence: q.Precedence, due: env.Clock.Add(allowedTime(q, j))}
+	m := s.durations(q.ID)
+	candidate := &activeJob{job: j, precedence: q.Precedence, due: env.Clock.Add(allowedTime(m, q, j))}
 	for _, other := range p.jobs {
 		if !other.longRunning && compareJobs(other, candidate) < 0 {
-			ahead += other.remainingWork()
+			ahead += other.remainingWork(s.durations(other.job.Queue))
 		}
 	}
 	wait := model.Duration(ahead / (capacity * usableFraction) * float64(model.Second))
-	slack, delay := allowedTime(q, j)-criticalPath(j), s.leaderDelay(j)
+	slack, delay := allowedTime(m, q, j)-criticalPath(m, j), s.leaderDelay(j)
 	if wait+delay <= slack {
 		return nil
 	}
--- a/core/schedule/demand.go
+++ b/core/schedule/demand.go
@@ -46,7 +46,7 @@
 			return // the caller submits the same job again
 		}
 	}
-	p.arrivals = append(p.arrivals, arrival{env.Now, j.ID, estimatedWork(j)})
+	p.arrivals = append(p.arrivals, arrival{env.Now, j.ID, estimatedWork(s.durations(q.ID), j)})
 }
 
 func (p *pool) dropOldArrivals(now model.Time) {
--- a/core/schedule/lateness_test.go
+++ b/core/schedule/lateness_test.go
@@ -223,7 +223,7 @@
 	q := f.state.Config.Queue("q")
 	steps := []jobs.Step{{Tasks: 1, Size: cores(1), Estimate: model.Second}, {Tasks: 1, Size: cores(1), Estimate: model.Second, After: []int{0}}}
 	j := &jobs.Job{ID: "j", Queue: "q", Service: "render", Steps: steps}
-	slack := allowedTime(q, j) - criticalPath(j)
+	slack := allowedTime(nil, q, j) - criticalPath(nil, j)
 	require.Nil(t, f.s.Admit(f.env(), q, j))
 
 	f.s.orderTime, f.s.orderTimeAt = slack/4+ms, f.now
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -412,6 +412,7 @@
 	}
 	switch o {
 	case jobs.OutcomeDone:
+		s.observeDuration(env, r)
 		clear(w.failures)
 		w.suspectedAt = 0
 	case jobs.OutcomeFailed:
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -58,6 +58,7 @@
 	orderTime          model.Duration                       // moving average of the time to the answer of an order
 	orderTimeAt        model.Time                           // time of the latest such answer
 	load               load
+	durationModels     map[model.QueueID]*durationModel
 	pendingAdviceCalls int // advice calls without a result yet
 	lastForgetAt       model.Time
 	departedWorkers    []*worker             // ended incarnations whose runs are to be recorded as lost
@@ -93,6 +94,8 @@
 		runsByJob:     make(map[model.JobID]map[jobs.RunRef]*run),
 		lastForgetAt:  env.Now,
 		cordoned:      make(map[model.HostID]bool),
+
+		durationModels: make(map[model.QueueID]*durationModel),
 	}
 	for _, id := range model.SortedKeys(env.State.Workers) {
 		s.addWorker(env, env.State.Workers[id])
