hosts, schedule: share a fleet that is too small, and count every resource

Change - Demand, admission and sizes of pools count processors, memory and accelerators. - Sizes: if the pools want more hosts than there are, long-running tasks come first, then work that can be on time, then that of late jobs; within each, no pool gets more than another that needs more. - Pools above their size release hosts: those predicted to be idle soonest get no new runs until they have moved. Event 745, host_released, with the figures. - Admission counts hosts on their way, the runs of jobs behind, and the time since a caller's first attempt; a job that is late already is accepted only if hardly any work is ahead.

--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -193,6 +193,7 @@
 	ContactRegained  Code = "contact_regained"
 	WaveBegun        Code = "wave_begun"
 	HostOrdered      Code = "host_ordered"
+	HostReleased     Code = "host_released"
 	HostCallFailed   Code = "host_call_failed"
 )
 
--- a/core/hosts/moves.go
+++ b/core/hosts/moves.go
@@ -32,6 +32,8 @@
 		p.orderMove(env, out, m.host, m.reason)
 	}
 	p.updateExcess(now, pools)
+	p.releaseHosts(env, out, pools)
+	env.Scheduler.SetIncoming(p.incomingCapacity(env, pools))
 }
 
 // collectPools returns the current state of every pool of the configuration.
@@ -43,10 +45,10 @@
 		byID[id] = &pool{id: id, standby: service.Standby, demand: env.Scheduler.Demand(env.Schedule, id)}
 		list = append(list, byID[id])
 	}
-	largest := int64(0)
+	var largest model.Resources
 	for _, id := range model.SortedKeys(p.hosts) {
 		h := p.hosts[id]
-		largest = max(largest, h.Capacity.MilliCPU)
+		largest = largest.Max(h.Capacity)
 		id := h.Pool
 		if h.moveTo != "" {
 			id = h.moveTo
@@ -62,8 +64,13 @@
 			continue
 		}
 		pl.hosts++
-		if p.isIdle(env, h, pl) {
+		switch {
+		case p.isIdle(env, h, pl):
 			pl.idle = append(pl.idle, h)
+		case h.moveTo != "" || h.State == order.HostMoving || env.Schedule.Now < h.downUntil:
+			pl.incoming = append(pl.incoming, h)
+		case !pl.standby && h.State == order.HostUp && env.Schedule.Now.Sub(h.moveEndAt) >= minPoolStay:
+			pl.busy = append(pl.busy, h)
 		}
 	}
 	for _, pl := range list {
@@ -83,7 +90,7 @@
 // updateExcess records since when each pool has had more hosts than it should have.
 func (p *Planner) updateExcess(now model.Time, pools []*pool) {
 	for _, pl := range pools {
-		if pl.hosts <= pl.desiredHosts() {
+		if pl.shortage() >= 0 {
 			delete(p.excessSince, pl.id)
 		} else if _, known := p.excessSince[pl.id]; !known {
 			p.excessSince[pl.id] = now
@@ -113,7 +120,7 @@
 	switch r.Status {
 	case order.HostAccepted:
 		h.proposeDepartures(out)
-		h.Pool, h.State, h.moveTo = r.Call.Move.Pool, order.HostMoving, ""
+		h.Pool, h.State, h.moveTo, h.releasedUntil = r.Call.Move.Pool, order.HostMoving, "", 0
 		h.acceptedAt, h.moveEndAt = now, now.Add(env.Schedule.Bounds.Move)
 		h.downUntil = now.Add(env.Schedule.Bounds.Move + returnMargin)
 	case order.HostBusy, order.HostUnknown, order.HostFenced:
--- a/core/hosts/planner.go
+++ b/core/hosts/planner.go
@@ -4,7 +4,8 @@
 // The leader reads the list of hosts from the service that owns the hosts. Pools
 // that have too few hosts for their work get hosts that are switched off, then idle
 // hosts of other pools. Hosts that no pool needs are switched off. Only hosts
-// without runs are moved.
+// without runs are moved. While the fleet is too small for all pools, those with more
+// than their part release hosts: these get no new runs, and move once they are idle.
 //
 // A host that is due for maintenance gets no new runs once it is selected.
 // Long-running tasks are moved off it, as far as the maximum number of unavailable
@@ -87,6 +88,7 @@
 	wave           uint64          // wave for which it is being drained or maintained, 0 for none
 	moveTo         model.ServiceID // pool to which it is being moved, empty for none
 	moveEndAt      model.Time      // expected end of its latest move
+	releasedUntil  model.Time      // it is released until this time; see releaseHosts
 	orderPending   bool            // its maintenance was ordered and is not known to be accepted yet
 	recordPending  bool            // the record of this order is not committed yet
 	callPending    bool
@@ -213,7 +215,7 @@
 func (p *Planner) updateScheduler(env Env) {
 	cordoned := hostsWithPendingOrder(env.Schedule.State)
 	for id, h := range p.hosts {
-		if h.wave != 0 || h.moveTo != "" {
+		if h.wave != 0 || h.moveTo != "" || h.isReleased(env.Schedule.Now) {
 			cordoned[id] = true
 		}
 	}
--- a/core/hosts/wave.go
+++ b/core/hosts/wave.go
@@ -82,8 +82,10 @@
 // until the remaining time is needed to maintain them.
 func (p *Planner) selectForWave(env Env, out *Out, id uint64, w *jobs.Wave, due []*host) {
 	spare := make(map[model.ServiceID]int)
-	for _, pl := range p.collectPools(env) {
-		spare[pl.id] = pl.hosts - pl.desiredHosts()
+	pools := p.collectPools(env)
+	setTargets(pools)
+	for _, pl := range pools {
+		spare[pl.id] = -pl.shortage()
 		if pl.standby {
 			spare[pl.id] = pl.hosts
 		}
--- a/core/model/model.go
+++ b/core/model/model.go
@@ -79,6 +79,11 @@
 	return Resources{r.MilliCPU - s.MilliCPU, r.MemoryMB - s.MemoryMB, r.Accelerators - s.Accelerators}
 }
 
+// Max returns the larger amount of r and s in each dimension.
+func (r Resources) Max(s Resources) Resources {
+	return Resources{max(r.MilliCPU, s.MilliCPU), max(r.MemoryMB, s.MemoryMB), max(r.Accelerators, s.Accelerators)}
+}
+
 // Fits reports whether r is at most s in every dimension.
 func (r Resources) Fits(s Resources) bool {
 	return r.MilliCPU <= s.MilliCPU && r.MemoryMB <= s.MemoryMB && r.Accelerators <= s.Accelerators
--- a/core/schedule/active_job.go
+++ b/core/schedule/active_job.go
@@ -22,8 +22,10 @@
 	unconstrained  bool            // every ready task may run on any worker
 	minClaim       model.Resources // smallest claim of any ready task, for each resource
 	stale          bool            // ready must be rebuilt
-	remaining      float64         // see remainingWork
-	remainingValid bool            // remaining is up to date
+	waitingWork    work            // see remainingWork
+	placedWork     work            // see remainingWork
+	remainingValid bool            // waitingWork and placedWork are up to date
+	waited         model.Duration  // time before its acceptance since it was first submitted
 	hasFutureRound bool            // some round is not due yet
 	policy         *jobs.Advice    // of its queue, nil for a queue without a policy service
 	advice         map[jobs.StepRef]*advice
@@ -34,6 +36,7 @@
 	job := &activeJob{job: j, service: j.Service, longRunning: j.LongRunning(), begun: j.Started, stale: true,
 		failedOn: make(map[jobs.TaskRef]model.WorkerID), advice: make(map[jobs.StepRef]*advice),
 	}
+	job.waited = s.waited(env, j.ID)
 	s.active[j.ID] = job
 	s.enqueue(env, job)
 }
@@ -43,7 +46,7 @@
 	if q := env.State.Config.Queue(job.job.Queue); q != nil {
 		job.service, job.precedence, job.policy = q.Service, q.Precedence, q.Advice
 		job.maxAttempts = q.MaxAttempts
-		job.due = job.job.Accepted.Add(allowedTime(s.durations(q.ID), q, job.job))
+		job.due = job.job.Accepted.Add(allowedTime(s.durations(q.ID), q, job.job) - job.waited)
 	}
 	if job.longRunning {
 		job.maxAttempts = 0
@@ -74,16 +77,6 @@
 	return -1
 }
 
-// estimatedWork returns the estimated work of a job, in thousandths of a core times
-// seconds.
-func estimatedWork(m *durationModel, j *jobs.Job) float64 {
-	sum := 0.0
-	for i := range j.Steps {
-		sum += float64(j.Steps[i].Tasks) * float64(j.Steps[i].Size.MilliCPU) * m.predict(j.Steps[i].Estimate).mean().Seconds()
-	}
-	return sum
-}
-
 // refreshReady rebuilds the list of ready tasks if it may have changed.
 func (job *activeJob) refreshReady(env Env) {
 	if !job.stale && !job.hasFutureRound {
@@ -133,30 +126,31 @@
 	return true
 }
 
-// remainingWork returns the estimated work of a job that is not done, in thousandths of a
-// core times seconds. A placed task is assumed to be half done.
-func (job *activeJob) remainingWork(m *durationModel) float64 {
+// remainingWork returns the predicted work of a job that is not done: of its waiting
+// tasks, and of its placed ones, which are assumed to be half done.
+func (job *activeJob) remainingWork(m *durationModel) (waiting, placed work) {
 	if job.remainingValid {
-		return job.remaining
+		return job.waitingWork, job.placedWork
 	}
-	sum := 0.0
 	for k := range job.job.Rounds {
-		for step := range job.job.Rounds[k].Tasks {
-			open := 0.0
-			for i := range job.job.Rounds[k].Tasks[step] {
-				switch job.job.Rounds[k].Tasks[step][i].Phase {
+		for i := range job.job.Rounds[k].Tasks {
+			numWaiting, numPlaced := 0, 0
+			for _, t := range job.job.Rounds[k].Tasks[i] {
+				switch t.Phase {
 				case jobs.Waiting:
-					open++
+					numWaiting++
 				case jobs.Placed:
-					open += 0.5
+					numPlaced++
 				}
 			}
-			st := &job.job.Steps[step]
-			sum += open * float64(st.Size.MilliCPU) * m.predict(st.Estimate).mean().Seconds()
+			step := &job.job.Steps[i]
+			one := workOf(step.Claim(), m.predict(step.Estimate).mean())
+			waiting = waiting.plus(one.times(float64(numWaiting)))
+			placed = placed.plus(one.times(float64(numPlaced) / 2))
 		}
 	}
-	job.remaining, job.remainingValid = sum, true
-	return sum
+	job.waitingWork, job.placedWork, job.remainingValid = waiting, placed, true
+	return waiting, placed
 }
 
 // markChanged records that the state of a task of the job has changed.
--- a/core/schedule/admit.go
+++ b/core/schedule/admit.go
@@ -14,11 +14,15 @@
 	// refusal: the header has whole seconds, and bursts last a few seconds.
 	minRetryAfter = 1 * model.Second
 	maxRetryAfter = 4 * model.Second
+	// maxLateWait is the longest estimated wait at which a job is accepted that is late
+	// already: such a job runs only if the workers have hardly anything else to do.
+	maxLateWait = 200 * model.Millisecond
 )
 
 // Admit returns a problem if a job cannot be served in time, or nil. The estimated
-// wait is the work of all jobs of its service that are served before it, plus the delay
-// that an overloaded leader adds.
+// wait is the work of all jobs of its service that are served before it and of the runs
+// of the others, plus the delay that an overloaded leader adds. A job that was refused
+// before has used up the time since then.
 func (s *Scheduler) Admit(env Env, q *jobs.Queue, j *jobs.Job) *problem.Problem {
 	if j.LongRunning() || j.FirstAt != 0 {
 		return nil
@@ -28,45 +32,65 @@
 		return nil
 	}
 	capacity := s.batchCapacity(env, p)
-	if capacity <= 0 {
+	if capacity == (model.Resources{}) {
 		return nil
 	}
-	ahead := 0.0
-	m := s.durations(q.ID)
-	candidate := &activeJob{job: j, precedence: q.Precedence, due: env.Clock.Add(allowedTime(m, q, j))}
-	for _, other := range p.jobs {
-		if !other.longRunning && compareJobs(other, candidate) < 0 {
-			ahead += other.remainingWork(s.durations(other.job.Queue))
-		}
+	m, waited := s.durations(q.ID), s.waited(env, j.ID)
+	allowed := allowedTime(m, q, j) - waited
+	slack := allowed - criticalPath(m, j)
+	candidate := &activeJob{job: j, precedence: q.Precedence, due: env.Clock.Add(allowed), late: slack < 0}
+	wait := serviceTime(env.Now, capacity, s.incoming[q.Service], s.workBefore(p, candidate))
+	delay := s.leaderDelay(j)
+	limit := slack
+	if candidate.late {
+		limit = maxLateWait
 	}
-	wait := model.Duration(ahead / (capacity * usableFraction) * float64(model.Second))
-	slack, delay := allowedTime(m, q, j)-criticalPath(m, j), s.leaderDelay(j)
-	if wait+delay <= slack {
+	if wait+delay <= limit {
 		return nil
 	}
-	refusal := problem.New(problem.QueueOverloaded, "the work ahead takes %d ms, orders and ends %d ms, the job can wait %d ms",
-		wait/model.Millisecond, delay/model.Millisecond, slack/model.Millisecond)
-	wait += delay
-	refusal.RetryAfter = min(max(wait-slack, minRetryAfter), maxRetryAfter)
+	refusal := problem.New(problem.QueueOverloaded, "the work ahead takes %d ms, orders and ends %d ms, the job can wait %d ms and has waited %d ms",
+		wait/model.Millisecond, delay/model.Millisecond, slack/model.Millisecond, waited/model.Millisecond)
+	refusal.RetryAfter = min(max(wait+delay-max(0, slack), minRetryAfter), maxRetryAfter)
 	return refusal
 }
 
-// batchCapacity returns the capacity, in thousandths of a core, that the workers of a
-// service offer to tasks that are not long-running, as of the latest tick.
-func (s *Scheduler) batchCapacity(env Env, p *pool) float64 {
-	if p.batchMilliCPUValid {
-		return p.batchMilliCPU
+// workBefore returns the work that delays a job: the remaining work of all jobs that are
+// served before it, and the runs of the others.
+func (s *Scheduler) workBefore(p *pool, candidate *activeJob) work {
+	var ahead work
+	for _, other := range p.jobs {
+		if other.longRunning {
+			continue
+		}
+		waiting, placed := other.remainingWork(s.durations(other.job.Queue))
+		ahead = ahead.plus(placed)
+		if compareJobs(other, candidate) < 0 {
+			ahead = ahead.plus(waiting)
+		}
 	}
-	sum := int64(0)
+	return ahead
+}
+
+// batchCapacity returns the capacity that the workers of a service offer to tasks that
+// are not long-running, as of the latest tick.
+func (s *Scheduler) batchCapacity(env Env, p *pool) model.Resources {
+	if p.batchCapacityValid {
+		return p.batchCapacity
+	}
+	var sum model.Resources
 	for _, w := range p.workers {
 		if s.isUsable(env, w) {
-			sum += w.info.Capacity.MilliCPU - w.longRunningClaim
+			sum = sum.Add(w.info.Capacity.Sub(w.longRunningClaim))
 		}
 	}
-	p.batchMilliCPU, p.batchMilliCPUValid = float64(sum), true
-	return p.batchMilliCPU
+	p.batchCapacity, p.batchCapacityValid = sum, true
+	return sum
 }
 
+// SetIncoming sets the capacity that services are going to have, in the order of its
+// time.
+func (s *Scheduler) SetIncoming(incoming map[model.ServiceID][]Incoming) { s.incoming = incoming }
+
 // Fits reports whether, for each task of the job, some worker of the service is large
 // enough. It returns true if the service has no known worker.
 func (s *Scheduler) Fits(q *jobs.Queue, j *jobs.Job) bool {
--- a/core/schedule/demand.go
+++ b/core/schedule/demand.go
@@ -1,44 +1,88 @@
 package schedule
 
 import (
+	"math"
+
 	"primrosedale.example/primrosedale/core/jobs"
 	"primrosedale.example/primrosedale/core/model"
 )
 
-// arrivalWindow is the time over which the rate of arriving work is measured: long
-// enough for several jobs, and short compared with a burst of a few seconds.
-const arrivalWindow = 800 * model.Millisecond
+const (
+	// arrivalWindow is the time over which the rate of arriving work is measured: long
+	// enough for several jobs, and short compared with a burst of a few seconds.
+	arrivalWindow = 800 * model.Millisecond
+	// shortArrivalWindow and its doubles up to arrivalWindow show the beginning of a
+	// burst.
+	shortArrivalWindow = 200 * model.Millisecond
+	// firstArrivalKept is how long the first submission of a job is remembered: longer
+	// than callers repeat it.
+	firstArrivalKept = 30 * model.Second
+)
 
 // arrival is the work of one submitted job.
 type arrival struct {
 	at   model.Time
 	job  model.JobID
-	work float64 // estimate, in thousandths of a core times seconds
+	work work
+}
+
+// firstArrivals remembers when each job was first submitted. A caller whose job was
+// refused submits it again, and counts the time from its first attempt.
+type firstArrivals struct {
+	at    map[model.JobID]model.Time
+	order []model.JobID // oldest first
+}
+
+func (f *firstArrivals) record(now model.Time, id model.JobID) {
+	for len(f.order) > 0 && now.Sub(f.at[f.order[0]]) > firstArrivalKept {
+		delete(f.at, f.order[0])
+		f.order = f.order[1:]
+	}
+	if _, known := f.at[id]; !known {
+		f.at[id] = now
+		f.order = append(f.order, id)
+	}
+}
+
+// waited returns the time since a job was first submitted to this leader.
+func (s *Scheduler) waited(env Env, id model.JobID) model.Duration {
+	if first, known := s.firstArrivals.at[id]; known {
+		return env.Now.Sub(first)
+	}
+	return 0
 }
 
-// Demand is the capacity that the jobs of a service need, in thousandths of a core.
+// Demand is the capacity that the jobs of a service need.
 type Demand struct {
-	LongRunning int64 // long-running tasks, running or waiting
-	Running     int64 // other tasks, running
-	Ready       int64 // other tasks that could start at once
-	// Arriving is the capacity that the work submitted within arrivalWindow would
-	// keep busy if it continued to arrive at the same rate.
-	Arriving int64
+	LongRunning model.Resources // long-running tasks, running or waiting
+	Running     model.Resources // other tasks of jobs that are not late, running
+	Ready       model.Resources // other tasks of jobs that are not late, which could start at once
+	Late        model.Resources // tasks of jobs that are late, running or ready
+	// Arriving is the capacity that the work submitted lately would keep busy if it
+	// continued to arrive at the same rate.
+	Arriving model.Resources
 	// MinHosts is the least number of workers over which the tasks of every step can
 	// be spread.
 	MinHosts int
-	// Largest is the claim of the largest task of any active job.
-	Largest int64
 }
 
-// Need returns the capacity that the pool should have, in thousandths of a core.
-func (d Demand) Need() int64 { return d.LongRunning + max(d.Running+d.Ready, d.Arriving) }
+// OnTime returns the capacity that the pool needs for all work but that of late jobs.
+func (d Demand) OnTime() model.Resources {
+	return d.LongRunning.Add(d.Running.Add(d.Ready).Max(d.Arriving))
+}
+
+// Total returns the capacity that the pool should have.
+func (d Demand) Total() model.Resources {
+	return d.LongRunning.Add(d.Running.Add(d.Ready).Add(d.Late).Max(d.Arriving))
+}
 
-// RecordArrival records the arrival of a job, whether it is accepted or not.
+// RecordArrival records the arrival of a job, whether it is accepted or not. A job that
+// is late already is no reason to expect more work.
 func (s *Scheduler) RecordArrival(env Env, q *jobs.Queue, j *jobs.Job) {
 	if j.LongRunning() || j.FirstAt != 0 {
 		return
 	}
+	s.firstArrivals.record(env.Now, j.ID)
 	p := s.pool(q.Service)
 	p.dropOldArrivals(env.Now)
 	for i := range p.arrivals {
@@ -46,7 +90,10 @@
 			return // the caller submits the same job again
 		}
 	}
-	p.arrivals = append(p.arrivals, arrival{env.Now, j.ID, estimatedWork(s.durations(q.ID), j)})
+	m := s.durations(q.ID)
+	if s.waited(env, j.ID) <= allowedTime(m, q, j)-criticalPath(m, j) {
+		p.arrivals = append(p.arrivals, arrival{env.Now, j.ID, estimatedWork(m, j)})
+	}
 }
 
 func (p *pool) dropOldArrivals(now model.Time) {
@@ -57,6 +104,27 @@
 	p.arrivals = p.arrivals[first:]
 }
 
+// arriving returns the rate of arriving work. At the beginning of a burst, the rate over
+// the whole window lags behind, so the rates over shorter ones count too, each less one
+// standard deviation of its number of jobs.
+func (p *pool) arriving(now model.Time) model.Resources {
+	var sum work
+	jobs, next := 0, len(p.arrivals)-1
+	var rate model.Resources
+	for window := shortArrivalWindow; window <= arrivalWindow; window *= 2 {
+		for ; next >= 0 && now.Sub(p.arrivals[next].at) <= window; next-- {
+			sum = sum.plus(p.arrivals[next].work)
+			jobs++
+		}
+		certain := 1.0
+		if window < arrivalWindow && jobs > 0 {
+			certain -= 1 / math.Sqrt(float64(jobs))
+		}
+		rate = rate.Max(sum.times(certain / window.Seconds()).perSecond())
+	}
+	return rate
+}
+
 // Demand returns the current demand of the jobs of a service.
 func (s *Scheduler) Demand(env Env, service model.ServiceID) Demand {
 	var d Demand
@@ -65,17 +133,16 @@
 		return d
 	}
 	p.dropOldArrivals(env.Now)
-	sum := 0.0
-	for i := range p.arrivals {
-		sum += p.arrivals[i].work
-	}
-	d.Arriving = int64(sum / arrivalWindow.Seconds())
+	d.Arriving = p.arriving(env.Now)
 	for _, w := range p.workers {
 		for _, r := range w.runs {
-			if r.step.LongRunning {
-				d.LongRunning += r.claim.MilliCPU
-			} else {
-				d.Running += r.claim.MilliCPU
+			switch {
+			case r.step.LongRunning:
+				d.LongRunning = d.LongRunning.Add(r.claim)
+			case s.isLate(r.ref.Job):
+				d.Late = d.Late.Add(r.claim)
+			default:
+				d.Running = d.Running.Add(r.claim)
 			}
 		}
 	}
@@ -83,15 +150,17 @@
 		job.refreshReady(env)
 		for _, ref := range job.ready {
 			step := &job.job.Steps[ref.Step]
-			if step.LongRunning {
-				d.LongRunning += step.Claim().MilliCPU
-			} else {
-				d.Ready += step.Claim().MilliCPU
+			switch {
+			case step.LongRunning:
+				d.LongRunning = d.LongRunning.Add(step.Claim())
+			case job.late:
+				d.Late = d.Late.Add(step.Claim())
+			default:
+				d.Ready = d.Ready.Add(step.Claim())
 			}
 		}
 		for i := range job.job.Steps {
 			step := &job.job.Steps[i]
-			d.Largest = max(d.Largest, step.Claim().MilliCPU)
 			if step.PerWorker > 0 {
 				d.MinHosts = max(d.MinHosts, (step.Tasks+step.PerWorker-1)/step.PerWorker)
 			}
@@ -99,3 +168,9 @@
 	}
 	return d
 }
+
+// isLate reports whether a job is late. The runs of a job that has ended count as late.
+func (s *Scheduler) isLate(id model.JobID) bool {
+	job := s.active[id]
+	return job == nil || job.late
+}
--- a/core/schedule/hosts.go
+++ b/core/schedule/hosts.go
@@ -31,6 +31,25 @@
 	return true
 }
 
+// TimeUntilIdle returns the predicted time until the last run on a host has ended. It
+// returns false if one of them is that of a long-running task.
+func (s *Scheduler) TimeUntilIdle(env Env, host model.HostID) (model.Duration, bool) {
+	longest := model.Duration(0)
+	for _, w := range s.workersByHost[host] {
+		for _, r := range w.runs {
+			if r.step.LongRunning {
+				return 0, false
+			}
+			left := s.durations(r.job.Queue).predict(r.step.Estimate).mean()
+			if r.phase != assigned {
+				left -= env.Now.Sub(r.sentAt)
+			}
+			longest = max(longest, left)
+		}
+	}
+	return longest, true
+}
+
 // PendingRuns counts the runs that may be running on the workers of a host, and the
 // commands with ends of their runs that are not committed yet. Until such a command is
 // committed, the worker may hold the only lasting record of these ends.
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -77,14 +77,14 @@
 // countRun adds the claim of a run to the used capacity of its worker (sign 1), or
 // removes it (sign -1).
 func (w *worker) countRun(r *run, sign int) {
-	if sign > 0 {
-		w.used = w.used.Add(r.claim)
-	} else {
-		w.used = w.used.Sub(r.claim)
+	add := model.Resources.Add
+	if sign < 0 {
+		add = model.Resources.Sub
 	}
+	w.used = add(w.used, r.claim)
 	if r.step.LongRunning {
 		w.longRunning += sign
-		w.longRunningClaim += int64(sign) * r.claim.MilliCPU
+		w.longRunningClaim = add(w.longRunningClaim, r.claim)
 	}
 }
 
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -59,7 +59,9 @@
 	orderTimeAt        model.Time                           // time of the latest such answer
 	load               load
 	durationModels     map[model.QueueID]*durationModel
-	pendingAdviceCalls int // advice calls without a result yet
+	firstArrivals      firstArrivals
+	incoming           map[model.ServiceID][]Incoming // capacity that services are going to have, in the order of its time
+	pendingAdviceCalls int                            // advice calls without a result yet
 	lastForgetAt       model.Time
 	departedWorkers    []*worker             // ended incarnations whose runs are to be recorded as lost
 	leaving            map[model.HostID]bool // hosts that are to be drained soon
@@ -74,8 +76,8 @@
 	workers       []*worker     // by ID
 	capacityIndex capacityIndex // the same workers by free capacity
 
-	batchMilliCPU      float64 // see batchCapacity
-	batchMilliCPUValid bool    // batchMilliCPU was computed since the latest tick
+	batchCapacity      model.Resources // see the method of the scheduler
+	batchCapacityValid bool            // batchCapacity was computed since the latest tick
 }
 
 // New returns the scheduler of a new leader that has applied all entries of earlier
@@ -96,6 +98,7 @@
 		cordoned:      make(map[model.HostID]bool),
 
 		durationModels: make(map[model.QueueID]*durationModel),
+		firstArrivals:  firstArrivals{at: make(map[model.JobID]model.Time)},
 	}
 	for _, id := range model.SortedKeys(env.State.Workers) {
 		s.addWorker(env, env.State.Workers[id])
@@ -169,7 +172,7 @@
 	}
 	for _, p := range s.services {
 		p.dirty = p.dirty || len(p.jobs) > 0
-		p.batchMilliCPUValid = false
+		p.batchCapacityValid = false
 		p.sortLate(env.Clock)
 	}
 	if env.Now.Sub(s.lastForgetAt) >= forgetInterval {
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -49,9 +49,9 @@
 	// or their assignment was never committed. Such runs are being stopped. It also
 	// includes runs given up for another copy since the latest list.
 	untracked model.Resources
-	// Number and claimed thousandths of a core of the long-running tasks in runs.
+	// Number and claim of the long-running tasks in runs.
 	longRunning      int
-	longRunningClaim int64
+	longRunningClaim model.Resources
 	indexKey         capacityKey // position in the index of its service
 
 	polled       bool   // a poll with this leader's token was answered, and the worker has not fallen silent since
--- a/daemon/executor.go
+++ b/daemon/executor.go
@@ -119,6 +119,7 @@
 	effect.ContactRegained:  logevent.ContactRegained,
 	effect.WaveBegun:        logevent.WaveHostChosen,
 	effect.HostOrdered:      logevent.HostOrdered,
+	effect.HostReleased:     logevent.HostReleased,
 	effect.HostCallFailed:   logevent.HostCallFailed,
 }
 
--- a/logevent/ids.go
+++ b/logevent/ids.go
@@ -112,6 +112,7 @@
 	HostCallFailed ID = 742
 	WaveStarted    ID = 743
 	WaveRefused    ID = 744
+	HostReleased   ID = 745
 	RunOrdered     ID = 750
 	RunEnded       ID = 751
 	RunStopped     ID = 752
