schedule: log what a run claims and how long it should take

Change: run_ordered names the claim, what the worker has in use of processors and memory, the declared and the predicted time.

--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -171,8 +171,10 @@
 		RunRef: r.ref, Spec: r.job.Spec, Checkpoint: checkpoint, Ticket: s.ticket(env, r), Deadline: deadline,
 	}}))
 	out.log(effect.RunOrdered, effect.Log{Request: model.RequestID(r.ref.Job), Task: runLabel(r.ref), Worker: w.info.ID,
-		Detail: fmt.Sprintf("clock %d of %d ms ago, deadline %d, used %d of %d", w.clock,
-			env.Now.Sub(w.clockAt)/model.Millisecond, deadline, w.used.MilliCPU, w.info.Capacity.MilliCPU)})
+		Detail: fmt.Sprintf("clock %d of %d ms ago, deadline %d, claims %d of %d and %d of %d MB, used %d and %d MB, declared %d ms, predicted %d ms",
+			w.clock, env.Now.Sub(w.clockAt)/model.Millisecond, deadline,
+			r.claim.MilliCPU, w.info.Capacity.MilliCPU, r.claim.MemoryMB, w.info.Capacity.MemoryMB, w.used.MilliCPU, w.used.MemoryMB,
+			r.step.Estimate/model.Millisecond, s.durations(r.job.Queue).predict(r.step.Estimate).mean()/model.Millisecond)})
 }
 
 // ticket returns the ticket for the order of a run, or an empty string.
