control, core: test processes under jumps of the time of day

By reading, a process reads the time of day when it starts only and counts on with the time since boot.

--- a/control/loop.go
+++ b/control/loop.go
@@ -94,7 +94,9 @@
 
 // New returns a Loop. Start must be called before events are handled; events
 // may be posted earlier.
-func New() *Loop {
+func New() *Loop { return newLoop(time.Now) }
+
+func newLoop(timeOfDay func() time.Time) *Loop {
 	l := &Loop{
 		bootTimeAtStart: sinceBoot(),
 		halted:          make(chan struct{}),
@@ -103,7 +105,7 @@
 	for c := range l.queues {
 		l.queues[c] = make(chan queuedEvent, queueCapacity)
 	}
-	l.startTime = model.Time(time.Now().UnixNano())
+	l.startTime = model.Time(timeOfDay().UnixNano())
 	l.view.Store(&view.View{})
 	return l
 }
--- a/core/sim_host_test.go
+++ b/core/sim_host_test.go
@@ -76,9 +76,14 @@
 
 func (h *host) now() model.Time { return h.toLocal(h.sim.now) }
 
+// maxClockStep is the largest jump of the time of day, either way. A process reads the
+// time of day only when it starts, so that a jump shows in its next incarnation.
+const maxClockStep = 10 * second
+
 func (h *host) start() {
 	sim := h.sim
 	h.incarnation++
+	h.offset = max(0, h.offset+sim.between(-maxClockStep, maxClockStep))
 	h.up, h.frozen, h.backlog = true, false, nil
 	h.view, h.revision = &view.View{}, 0
 	h.replies = make(map[uint64]func(message.ReportReply))
