schedule: poll for overdue runs, and provide for bursts that rise

Answers were being lost, and with 540 workers the polls meant for that time (200 ms) are 5.4 s long, so that each lost answer cost a whole poll. - From 0 to 2.5 s the burst rose from 36 to 152 jobs a second. Hosts ordered for the rate so far, averaged over 800 ms, joined 1.7 s later: 24 hosts until 2 s, 103 jobs late.

Change: while answers get lost, a worker with a run over 130 % of its predicted time is polled again at once with a short poll. The rate of arriving work is the highest over 200, 400 and 800 ms, the short ones less a standard deviation; for the first 2.5 s of a burst twice the rate is provided for.

Ruled out: shorter polls of all 540 workers, 2,700 a second.

--- a/core/schedule/demand.go
+++ b/core/schedule/demand.go
@@ -14,6 +14,19 @@
 	// shortArrivalWindow and its doubles up to arrivalWindow show the beginning of a
 	// burst.
 	shortArrivalWindow = 200 * model.Millisecond
+	// minBurstArrivals is the number of jobs in a short window from which its rate
+	// counts.
+	minBurstArrivals = 4
+	// usualRateTime is the time constant of the average rate to which the rate at the
+	// beginning of a burst is compared.
+	usualRateTime = 8 * model.Second
+	// burstFactor is the multiple of the usual rate at which a burst begins.
+	burstFactor = 3
+	// burstRiseTime is how long the rate of a burst is expected to rise: until hosts
+	// that are ordered at its beginning have joined the pool.
+	burstRiseTime = 2500 * model.Millisecond
+	// burstRise is the factor by which the rate is expected to rise in this time.
+	burstRise = 2
 	// firstArrivalKept is how long the first submission of a job is remembered: longer
 	// than callers repeat it.
 	firstArrivalKept = 30 * model.Second
@@ -104,25 +117,52 @@
 	p.arrivals = p.arrivals[first:]
 }
 
+// burst follows the rate of arriving work of a service.
+type burst struct {
+	usual     work // moving average of the rate
+	updatedAt model.Time
+	beganAt   model.Time // of the latest burst
+}
+
+// observe adds the current rate and reports whether a burst has begun lately, so that
+// the rate is expected to rise further. Its caller needs capacity before the rate shows
+// how high the burst gets.
+func (b *burst) observe(now model.Time, rate work) bool {
+	if rate.exceeds(b.usual.times(burstFactor)) && now.Sub(b.beganAt) > usualRateTime {
+		b.beganAt = now
+	}
+	if elapsed := now.Sub(b.updatedAt); b.updatedAt != 0 && elapsed > 0 {
+		weight := min(1, elapsed.Seconds()/usualRateTime.Seconds())
+		b.usual = b.usual.times(1 - weight).plus(rate.times(weight))
+	}
+	b.updatedAt = now
+	return b.beganAt != 0 && now.Sub(b.beganAt) < burstRiseTime
+}
+
 // arriving returns the rate of arriving work. At the beginning of a burst, the rate over
 // the whole window lags behind, so the rates over shorter ones count too, each less one
 // standard deviation of its number of jobs.
 func (p *pool) arriving(now model.Time) model.Resources {
-	var sum work
-	jobs, next := 0, len(p.arrivals)-1
-	var rate model.Resources
+	var sum, rate work
+	count, next := 0, len(p.arrivals)-1
 	for window := shortArrivalWindow; window <= arrivalWindow; window *= 2 {
 		for ; next >= 0 && now.Sub(p.arrivals[next].at) <= window; next-- {
 			sum = sum.plus(p.arrivals[next].work)
-			jobs++
+			count++
 		}
 		certain := 1.0
-		if window < arrivalWindow && jobs > 0 {
-			certain -= 1 / math.Sqrt(float64(jobs))
+		if window < arrivalWindow {
+			if count < minBurstArrivals {
+				continue
+			}
+			certain -= 1 / math.Sqrt(float64(count))
 		}
-		rate = rate.Max(sum.times(certain / window.Seconds()).perSecond())
+		rate = rate.max(sum.times(certain / window.Seconds()))
+	}
+	if rises := p.burst.observe(now, rate); rises && count >= minBurstArrivals {
+		rate = rate.times(burstRise)
 	}
-	return rate
+	return rate.perSecond()
 }
 
 // Demand returns the current demand of the jobs of a service.
--- a/core/schedule/lateness.go
+++ b/core/schedule/lateness.go
@@ -20,6 +20,9 @@
 	// answerLossPollInterval is the shortest average interval between polls, over all
 	// workers together, while answers get lost and no ends are reported.
 	answerLossPollInterval = 10 * model.Millisecond
+	// overduePercent is the percentage of its predicted time after which a run is
+	// overdue.
+	overduePercent = 130
 	// answerLossResendDelay replaces resendDelay while answers get lost, and
 	// overloadResendDelay replaces it while this process is overloaded.
 	answerLossResendDelay = 100 * model.Millisecond
@@ -39,11 +42,30 @@
 	orderTimeSamples = 16
 )
 
-// shortPollWait returns the longest wait of a poll while answers get lost.
-func (s *Scheduler) shortPollWait() model.Duration {
+// shortPollWait returns the longest wait of a poll of a worker while answers get lost.
+// With many workers, only those with an overdue run are polled often.
+func (s *Scheduler) shortPollWait(now model.Time, w *worker) model.Duration {
+	if s.hasOverdueRun(now, w) {
+		return answerLossPollWait
+	}
 	return max(answerLossPollWait, model.Duration(len(s.workers))*answerLossPollInterval)
 }
 
+// hasOverdueRun reports whether a run of a worker should have ended by its predicted
+// time, so that the answer that reports its end may be lost.
+func (s *Scheduler) hasOverdueRun(now model.Time, w *worker) bool {
+	for _, r := range w.runs {
+		if r.step.LongRunning || r.phase != begun {
+			continue
+		}
+		predicted := s.durations(r.job.Queue).predict(r.step.Estimate).mean()
+		if now.Sub(r.sentAt) > predicted*overduePercent/100 {
+			return true
+		}
+	}
+	return false
+}
+
 // recordUnanswered records a call without an answer. Cordoned hosts are ignored, since
 // a host that was ordered into maintenance or another pool does not answer.
 func (s *Scheduler) recordUnanswered(env Env, out *Out, w *worker, detail string) {
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -70,9 +70,10 @@
 
 // pool is the scheduler's state of one service.
 type pool struct {
-	jobs          []*activeJob  // active jobs in the order in which they are served
-	dirty         bool          // it may be possible to place a task
-	arrivals      []arrival     // within the latest arrivalWindow
+	jobs          []*activeJob // active jobs in the order in which they are served
+	dirty         bool         // it may be possible to place a task
+	arrivals      []arrival    // within the latest arrivalWindow
+	burst         burst
 	workers       []*worker     // by ID
 	capacityIndex capacityIndex // the same workers by free capacity
 
--- a/core/schedule/work.go
+++ b/core/schedule/work.go
@@ -25,6 +25,15 @@
 	return work{w.milliCPU * factor, w.memoryMB * factor, w.accelerators * factor}
 }
 
+func (w work) max(other work) work {
+	return work{max(w.milliCPU, other.milliCPU), max(w.memoryMB, other.memoryMB), max(w.accelerators, other.accelerators)}
+}
+
+// exceeds reports whether w is more than other in some dimension.
+func (w work) exceeds(other work) bool {
+	return w.milliCPU > other.milliCPU || w.memoryMB > other.memoryMB || w.accelerators > other.accelerators
+}
+
 // perSecond returns the capacity that is busy if the work arrives once a second.
 func (w work) perSecond() model.Resources {
 	return model.Resources{MilliCPU: int64(w.milliCPU), MemoryMB: int64(w.memoryMB), Accelerators: int64(w.accelerators)}
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -202,7 +202,7 @@
 	if w.pendingPoll != 0 && env.Now > w.pollDeadline {
 		w.pendingPoll = 0
 	}
-	if w.pendingPoll != 0 && len(w.runs) > 0 && s.isLosingAnswers(env.Now) && env.Now.Sub(w.pollSentAt) > s.shortPollWait()+answerLossAnswerTime {
+	if w.pendingPoll != 0 && len(w.runs) > 0 && s.isLosingAnswers(env.Now) && env.Now.Sub(w.pollSentAt) > s.shortPollWait(env.Now, w)+answerLossAnswerTime {
 		// The poll was sent with a long wait before answers began to get lost. Poll
 		// again; a late answer to this one is still handled.
 		w.pendingPoll, w.pollFailed = 0, true
@@ -274,7 +274,7 @@
 			request.Wait = startingPollWait
 		}
 		if len(w.runs) > 0 && s.isLosingAnswers(env.Now) {
-			request.Wait, request.AnswerTime = min(request.Wait, s.shortPollWait()), answerLossAnswerTime
+			request.Wait, request.AnswerTime = min(request.Wait, s.shortPollWait(env.Now, w)), answerLossAnswerTime
 		}
 		request.Deadline = w.extendLease(env.Now, leaseDuration(env.Bounds))
 	}
