hosts: give hosts to long-running tasks that found no place

Their steps allow one task a worker, and the memory that is left is in pieces: the sum of the claims fits on the pool's hosts, the tasks don't.

Change: the tasks that no present worker takes are counted by themselves, and their hosts come on top of those that have long-running tasks.

--- a/core/hosts/sizing.go
+++ b/core/hosts/sizing.go
@@ -44,19 +44,20 @@
 	if need == (model.Resources{}) {
 		return max(spareHosts, p.demand.MinHosts)
 	}
-	return max(p.hostsFor(need), p.demand.MinHosts) + spareHosts
+	return max(max(p.hostsFor(need), p.demand.MinHosts)+spareHosts, p.longRunningHosts())
 }
 
 // onTimeHosts returns the number of hosts that the pool needs for all work but that of
 // late jobs.
 func (p *pool) onTimeHosts() int {
-	return min(p.desiredHosts(), max(p.hostsFor(p.demand.OnTime()), p.demand.MinHosts)+spareHosts)
+	return max(max(p.hostsFor(p.demand.OnTime()), p.demand.MinHosts)+spareHosts, p.longRunningHosts())
 }
 
 // longRunningHosts returns the number of hosts that the pool needs for its long-running
-// tasks.
+// tasks: those that have some, and others for the tasks that found no place there.
 func (p *pool) longRunningHosts() int {
-	return min(p.desiredHosts(), max(p.hostsFor(p.demand.LongRunning), p.demand.MinHosts))
+	unplaced := max(p.hostsFor(p.demand.Unplaced), p.demand.UnplacedHosts)
+	return max(p.hostsFor(p.demand.LongRunning), p.demand.MinHosts, p.demand.LongRunningHosts+unplaced)
 }
 
 // hostsFor returns the number of hosts that offer a capacity to tasks of different sizes.
--- a/core/schedule/demand.go
+++ b/core/schedule/demand.go
@@ -77,6 +77,12 @@
 	// MinHosts is the least number of workers over which the tasks of every step can
 	// be spread.
 	MinHosts int
+	// LongRunningHosts is the number of workers with long-running tasks.
+	LongRunningHosts int
+	// Unplaced holds the claims of the long-running tasks that no present worker can
+	// take, and UnplacedHosts the least number of workers over which they can be spread.
+	Unplaced      model.Resources
+	UnplacedHosts int
 }
 
 // OnTime returns the capacity that the pool needs for all work but that of late jobs.
@@ -175,6 +181,9 @@
 	p.dropOldArrivals(env.Now)
 	d.Arriving = p.arriving(env.Now)
 	for _, w := range p.workers {
+		if w.longRunning > 0 {
+			d.LongRunningHosts++
+		}
 		for _, r := range w.runs {
 			switch {
 			case r.step.LongRunning:
@@ -205,10 +214,30 @@
 				d.MinHosts = max(d.MinHosts, (step.Tasks+step.PerWorker-1)/step.PerWorker)
 			}
 		}
+		if job.longRunning {
+			s.addUnplaced(env, &d, job)
+		}
 	}
 	return d
 }
 
+// addUnplaced adds the waiting long-running tasks of a job that an empty worker of any
+// kind could take.
+func (s *Scheduler) addUnplaced(env Env, d *Demand, job *activeJob) {
+	waiting := make(map[jobs.StepRef]int)
+	for _, ref := range job.ready {
+		step := &job.job.Steps[ref.Step]
+		if !step.LongRunning || step.Requires != "" || job.policy != nil || s.proposed[ref] || s.overCap(env, job.job.Team, step.Size) {
+			continue
+		}
+		d.Unplaced = d.Unplaced.Add(step.Claim())
+		waiting[ref.StepRef()]++
+		if n := waiting[ref.StepRef()]; step.PerWorker > 0 {
+			d.UnplacedHosts = max(d.UnplacedHosts, (n+step.PerWorker-1)/step.PerWorker)
+		}
+	}
+}
+
 // isLate reports whether a job is late. The runs of a job that has ended count as late.
 func (s *Scheduler) isLate(id model.JobID) bool {
 	job := s.active[id]
