--- a/core/hosts/moves.go
+++ b/core/hosts/moves.go
@@ -33,7 +33,7 @@
 	}
 	p.updateExcess(now, pools)
 	p.releaseHosts(env, out, pools)
-	env.Scheduler.SetIncoming(p.incomingCapacity(env, pools))
+	env.Scheduler.SetForecasts(p.forecasts(env, pools))
 }
 
 // collectPools returns the current state of every pool of the configuration.
--- a/core/hosts/release.go
+++ b/core/hosts/release.go
@@ -14,6 +14,10 @@
 // host is released. Capacity that stands idle for longer is not worth a move.
 const maxReleaseTime = 4 * model.Second
 
+// releaseDelay is how long a pool must have had too many hosts before it releases some.
+// The rate of arriving work varies from one moment to the next.
+const releaseDelay = 300 * model.Millisecond
+
 // releaseHold is the minimum time for which a host stays released. The work that waits
 // changes with every job, and a host that got new runs would be idle much later.
 const releaseHold = 500 * model.Millisecond
@@ -38,7 +42,7 @@
 		if pl.standby {
 			continue
 		}
-		list := p.releasable(env, pl, min(max(0, -pl.shortage()), shortage))
+		list := p.releasable(env, pl, min(p.lastingExcess(now, pl), shortage))
 		shortage -= len(list)
 		for _, r := range list {
 			if !r.host.isReleased(now) {
@@ -50,6 +54,16 @@
 	}
 }
 
+// lastingExcess returns the number of hosts that a pool has beyond its target, or 0 if it
+// has not had too many for releaseDelay.
+func (p *Planner) lastingExcess(now model.Time, pl *pool) int {
+	since, known := p.excessSince[pl.id]
+	if !known || now.Sub(since) < releaseDelay {
+		return 0
+	}
+	return max(0, -pl.shortage())
+}
+
 // isReleased reports whether a host gets no new runs, so that it can move to another pool.
 func (h *host) isReleased(now model.Time) bool { return now < h.releasedUntil }
 
@@ -80,11 +94,12 @@
 	return -1
 }
 
-// incomingCapacity returns the capacity that hosts bring to their new pools. Released
-// hosts have no new pool yet; they are counted for the pools with the largest shortage.
-func (p *Planner) incomingCapacity(env Env, pools []*pool) map[model.ServiceID][]schedule.Incoming {
+// forecasts returns the capacity that hosts bring to their new pools, and whether the
+// pools contend for hosts. Released hosts have no new pool yet; they are counted for the
+// pools with the largest shortage.
+func (p *Planner) forecasts(env Env, pools []*pool) map[model.ServiceID]schedule.Forecast {
 	now, moveTime := env.Schedule.Now, env.Schedule.Bounds.Move+returnMargin
-	result := make(map[model.ServiceID][]schedule.Incoming)
+	incoming := make(map[model.ServiceID][]schedule.Incoming)
 	var releases []release
 	for _, pl := range pools {
 		for _, h := range pl.incoming {
@@ -93,7 +108,7 @@
 				at = max(now, h.downUntil)
 			}
 			if !pl.standby {
-				result[pl.id] = append(result[pl.id], schedule.Incoming{At: at, Capacity: h.Capacity})
+				incoming[pl.id] = append(incoming[pl.id], schedule.Incoming{At: at, Capacity: h.Capacity})
 			}
 		}
 		for _, h := range pl.busy {
@@ -106,12 +121,16 @@
 	slices.SortStableFunc(releases, func(a, b release) int { return cmp.Compare(a.idleIn, b.idleIn) })
 	for _, pl := range sortedByShortage(pools) {
 		for n := pl.shortage(); n > 0 && len(releases) > 0 && !pl.standby; n-- {
-			result[pl.id] = append(result[pl.id], schedule.Incoming{At: now.Add(releases[0].idleIn + moveTime), Capacity: releases[0].host.Capacity})
+			incoming[pl.id] = append(incoming[pl.id], schedule.Incoming{At: now.Add(releases[0].idleIn + moveTime), Capacity: releases[0].host.Capacity})
 			releases = releases[1:]
 		}
 	}
-	for _, list := range result {
+	contended := isContended(pools)
+	result := make(map[model.ServiceID]schedule.Forecast)
+	for _, pl := range pools {
+		list := incoming[pl.id]
 		slices.SortStableFunc(list, func(a, b schedule.Incoming) int { return cmp.Compare(a.At, b.At) })
+		result[pl.id] = schedule.Forecast{Incoming: list, Contended: contended}
 	}
 	return result
 }
--- a/core/hosts/sizing.go
+++ b/core/hosts/sizing.go
@@ -79,28 +79,40 @@
 // more: bursts of two queues overlap, and the work that is accepted first would
 // otherwise keep the fleet.
 func setTargets(pools []*pool) {
-	available, wanted := 0, 0
+	available := 0
 	var serving []*pool
+	contended := isContended(pools)
 	for _, p := range pools {
 		available += p.hosts
 		if p.standby {
 			continue
 		}
 		serving = append(serving, p)
-		p.target = p.desiredHosts()
-		wanted += p.target
+		p.target = 0
+		if !contended {
+			p.target = p.desiredHosts()
+		}
 	}
-	if wanted <= available {
+	if !contended {
 		return
 	}
-	for _, p := range serving {
-		p.target = 0
-	}
 	for _, limit := range []func(*pool) int{(*pool).longRunningHosts, (*pool).onTimeHosts, (*pool).desiredHosts} {
 		available -= raiseTargets(serving, available, limit)
 	}
 }
 
+// isContended reports whether the fleet has too few hosts for all pools.
+func isContended(pools []*pool) bool {
+	available, wanted := 0, 0
+	for _, p := range pools {
+		available += p.hosts
+		if !p.standby {
+			wanted += p.desiredHosts()
+		}
+	}
+	return wanted > available
+}
+
 // raiseTargets distributes up to the given number of hosts, one after the other, each to
 // the pool below its limit that has got the fewest. It returns the number that it has
 // distributed.
--- a/core/schedule/admit.go
+++ b/core/schedule/admit.go
@@ -14,6 +14,10 @@
 	// refusal: the header has whole seconds, and bursts last a few seconds.
 	minRetryAfter = 1 * model.Second
 	maxRetryAfter = 4 * model.Second
+	// contendedSlackPercent is the percentage of its slack that a job may wait while the
+	// fleet is too small for all services. Its workers are busy with a short queue too,
+	// and with less accepted work they are free sooner for the burst of another service.
+	contendedSlackPercent = 75
 	// maxLateWait is the longest estimated wait at which a job is accepted that is late
 	// already: such a job runs only if the workers have hardly anything else to do.
 	maxLateWait = 200 * model.Millisecond
@@ -35,15 +39,19 @@
 	if capacity == (model.Resources{}) {
 		return nil
 	}
+	forecast := s.forecasts[q.Service]
 	m, waited := s.durations(q.ID), s.waited(env, j.ID)
 	allowed := allowedTime(m, q, j) - waited
 	slack := allowed - criticalPath(m, j)
 	candidate := &activeJob{job: j, precedence: q.Precedence, due: env.Clock.Add(allowed), late: slack < 0}
-	wait := serviceTime(env.Now, capacity, s.incoming[q.Service], s.workBefore(p, candidate))
+	wait := serviceTime(env.Now, capacity, forecast.Incoming, s.workBefore(p, candidate))
 	delay := s.leaderDelay(j)
 	limit := slack
-	if candidate.late {
+	switch {
+	case candidate.late:
 		limit = maxLateWait
+	case forecast.Contended:
+		limit = slack * contendedSlackPercent / 100
 	}
 	if wait+delay <= limit {
 		return nil
@@ -87,9 +95,8 @@
 	return sum
 }
 
-// SetIncoming sets the capacity that services are going to have, in the order of its
-// time.
-func (s *Scheduler) SetIncoming(incoming map[model.ServiceID][]Incoming) { s.incoming = incoming }
+// SetForecasts sets what is expected for each service.
+func (s *Scheduler) SetForecasts(f map[model.ServiceID]Forecast) { s.forecasts = f }
 
 // Fits reports whether, for each task of the job, some worker of the service is large
 // enough. It returns true if the service has no known worker.
--- a/core/schedule/demand.go
+++ b/core/schedule/demand.go
@@ -46,15 +46,18 @@
 	order []model.JobID // oldest first
 }
 
-func (f *firstArrivals) record(now model.Time, id model.JobID) {
+// record records a submission and reports whether it is the first one of its job.
+func (f *firstArrivals) record(now model.Time, id model.JobID) bool {
 	for len(f.order) > 0 && now.Sub(f.at[f.order[0]]) > firstArrivalKept {
 		delete(f.at, f.order[0])
 		f.order = f.order[1:]
 	}
-	if _, known := f.at[id]; !known {
+	_, known := f.at[id]
+	if !known {
 		f.at[id] = now
 		f.order = append(f.order, id)
 	}
+	return !known
 }
 
 // waited returns the time since a job was first submitted to this leader.
@@ -101,7 +104,11 @@
 	if j.LongRunning() || j.FirstAt != 0 {
 		return
 	}
-	s.firstArrivals.record(env.Now, j.ID)
+	if s.firstArrivals.record(env.Now, j.ID) {
+		for i := range j.Steps {
+			s.durationModel(q.ID).observeEstimate(j.Steps[i].Estimate)
+		}
+	}
 	p := s.pool(q.Service)
 	p.dropOldArrivals(env.Now)
 	for i := range p.arrivals {
--- a/core/schedule/duration.go
+++ b/core/schedule/duration.go
@@ -12,6 +12,11 @@
 	// replaces the declared estimates. The first runs to end are the short ones, so
 	// that fewer would be biased.
 	minDurationSamples = 32
+	// minEstimates is the number of declared estimates from which their mean is known.
+	minEstimates = 8
+	// unprovenSlope is the slope of the model until enough runs are measured: halfway
+	// between accurate estimates and those that say nothing.
+	unprovenSlope = 0.5
 	// durationMemory is the number of runs over which the weight of a measured run
 	// decays to 1/e.
 	durationMemory = 512
@@ -30,6 +35,9 @@
 	x, y, xx, xy, yy    float64 // weighted sums; x is the logarithm of the estimate, y that of the time
 	slope, meanX, meanY float64
 	sigma               float64 // standard deviation of y around the regression line
+
+	estimates  int     // number of declared estimates
+	estimatesX float64 // mean of their logarithms
 }
 
 // taskTime is the predicted time of a task: a log-normal distribution.
@@ -38,6 +46,12 @@
 	sigma  float64 // of the logarithm
 }
 
+// observeEstimate adds a declared estimate.
+func (m *durationModel) observeEstimate(estimate model.Duration) {
+	m.estimates = min(m.estimates+1, durationMemory)
+	m.estimatesX += (logMilliseconds(estimate) - m.estimatesX) / float64(m.estimates)
+}
+
 // observe adds the time that one run took.
 func (m *durationModel) observe(estimate, measured model.Duration) {
 	x, y := logMilliseconds(estimate), logMilliseconds(measured)
@@ -63,8 +77,11 @@
 
 // predict returns the predicted time of a task with the given estimate.
 func (m *durationModel) predict(estimate model.Duration) taskTime {
-	if m == nil || m.samples < minDurationSamples {
+	switch {
+	case m == nil || m.samples < minDurationSamples && m.estimates < minEstimates:
 		return taskTime{median: estimate}
+	case m.samples < minDurationSamples:
+		return taskTime{median: milliseconds(math.Exp(m.estimatesX + unprovenSlope*(logMilliseconds(estimate)-m.estimatesX)))}
 	}
 	y := m.meanY + m.slope*(logMilliseconds(estimate)-m.meanX)
 	return taskTime{median: milliseconds(math.Exp(y)), sigma: m.sigma}
@@ -102,7 +119,7 @@
 	return model.Duration(math.Round(ms)) * model.Millisecond
 }
 
-// durations returns the model of a queue, or nil if no run of the queue was measured.
+// durations returns the model of a queue, or nil if no job of the queue was submitted.
 func (s *Scheduler) durations(q model.QueueID) *durationModel { return s.durationModels[q] }
 
 // observeDuration adds the time of a run that is done to the model of its queue. Runs
@@ -117,12 +134,17 @@
 	case step.DataRack != "" && step.DataRack != r.worker.info.Rack:
 		return
 	}
-	m := s.durationModels[r.job.Queue]
+	s.durationModel(r.job.Queue).observe(step.Estimate, env.Now.Sub(r.sentAt))
+}
+
+// durationModel returns the model of a queue and adds it if there is none.
+func (s *Scheduler) durationModel(q model.QueueID) *durationModel {
+	m := s.durationModels[q]
 	if m == nil {
 		m = &durationModel{}
-		s.durationModels[r.job.Queue] = m
+		s.durationModels[q] = m
 	}
-	m.observe(step.Estimate, env.Now.Sub(r.sentAt))
+	return m
 }
 
 // allowedTime returns the time from its submission after which a job is late.
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -60,8 +60,8 @@
 	load               load
 	durationModels     map[model.QueueID]*durationModel
 	firstArrivals      firstArrivals
-	incoming           map[model.ServiceID][]Incoming // capacity that services are going to have, in the order of its time
-	pendingAdviceCalls int                            // advice calls without a result yet
+	forecasts          map[model.ServiceID]Forecast
+	pendingAdviceCalls int // advice calls without a result yet
 	lastForgetAt       model.Time
 	departedWorkers    []*worker             // ended incarnations whose runs are to be recorded as lost
 	leaving            map[model.HostID]bool // hosts that are to be drained soon
--- a/core/schedule/work.go
+++ b/core/schedule/work.go
@@ -55,6 +55,13 @@
 	Capacity model.Resources
 }
 
+// Forecast is what the planner of hosts expects for a service.
+type Forecast struct {
+	Incoming []Incoming // in the order of its time
+	// Contended is set while the fleet has too few hosts for all services.
+	Contended bool
+}
+
 // maxServiceTime is the longest time that serviceTime returns.
 const maxServiceTime = 1000 * model.Second
 
