--- a/core/hosts/load_test.go
+++ b/core/hosts/load_test.go
@@ -33,9 +33,7 @@
 		r := f.results[queue]
 		require.Equal(t, r.asked, r.onTime+r.late+r.refused, "every accepted job of queue %s ends", queue)
 		require.Less(t, r.late, 12, "queue %s", queue)
-		if queue != "second" {
-			require.Greater(t, r.share(), 0.3, "queue %s", queue)
-		}
+		require.Greater(t, r.share(), 0.3, "queue %s", queue)
 	}
 }
 
--- a/core/schedule/lateness_test.go
+++ b/core/schedule/lateness_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -240,3 +241,41 @@
 	}
 	require.Nil(t, f.s.Admit(f.env(), q, j), "no order has been late for 2 s")
 }
+
+// Guards against ends that stay unknown for seconds in a large fleet: with many workers,
+// polls are not short for all of them while answers get lost, but for those with a run
+// that should have ended.
+func TestWorkersWithOverdueRunsArePolledAgain(t *testing.T) {
+	var list []jobs.Worker
+	for i := range 400 {
+		list = append(list, testWorker(model.WorkerID(fmt.Sprintf("w%03d", i))))
+	}
+	f := newFixture(t, list...)
+	f.submit("j", jobs.Step{Tasks: 1, Size: cores(1), Estimate: 800 * ms})
+	run := ref("j", 0, 1)
+	w := f.s.runs[run].worker
+	f.answerPoll(w.info.ID, []order.Running{runningFully(run)}, nil)
+	polls := func() (n int, last *order.Poll) {
+		for _, c := range f.calls {
+			if c.Worker == w.info.ID && c.Poll != nil {
+				n, last = n+1, c.Poll
+			}
+		}
+		return n, last
+	}
+	f.s.unansweredAt = f.now
+	before, _ := polls()
+	for range 16 {
+		f.advanceBy(50 * ms)
+	}
+	n, _ := polls()
+	require.Equal(t, before, n, "the run is not overdue yet")
+	for range 8 {
+		f.advanceBy(50 * ms)
+	}
+	n, _ = polls()
+	require.Equal(t, before+1, n)
+	f.answerPoll(w.info.ID, []order.Running{runningFully(run)}, nil)
+	_, last := polls()
+	require.Equal(t, answerLossPollWait, last.Wait)
+}
