schedule: accept late jobs beside idle workers

At 5 s the log of refusals says 829 ms, with 1,870 runs on 426 hosts that have room for 3,000: work ahead includes second steps that wait for their first one, and says little about idle workers.

Change: a late job is accepted if the claims of all runs and ready tasks, with those of its first steps, fit on the workers, and only while the fleet is large enough for all services.

--- a/core/schedule/admit.go
+++ b/core/schedule/admit.go
@@ -18,9 +18,6 @@
 	// fleet is too small for all services. Its workers are busy with a short queue too,
 	// and with less accepted work they are free sooner for the burst of another service.
 	contendedSlackPercent = 75
-	// maxLateWait is the longest estimated wait at which a job is accepted that is late
-	// already: such a job runs only if the workers have hardly anything else to do.
-	maxLateWait = 200 * model.Millisecond
 )
 
 // Admit returns a problem if a job cannot be served in time, or nil. The estimated
@@ -46,14 +43,16 @@
 	candidate := &activeJob{job: j, precedence: q.Precedence, due: env.Clock.Add(allowed), late: slack < 0}
 	wait := serviceTime(env.Now, capacity, forecast.Incoming, s.workBefore(p, candidate))
 	delay := s.leaderDelay(j)
-	limit := slack
+	var accepted bool
 	switch {
 	case candidate.late:
-		limit = maxLateWait
+		accepted = !forecast.Contended && s.hasIdleCapacity(env, q.Service, capacity, j)
 	case forecast.Contended:
-		limit = slack * contendedSlackPercent / 100
+		accepted = wait+delay <= slack*contendedSlackPercent/100
+	default:
+		accepted = wait+delay <= slack
 	}
-	if wait+delay <= limit {
+	if accepted {
 		return nil
 	}
 	refusal := problem.New(problem.QueueOverloaded, "the work ahead takes %d ms, orders and ends %d ms, the job can wait %d ms and has waited %d ms",
@@ -62,6 +61,20 @@
 	return refusal
 }
 
+// hasIdleCapacity reports whether the workers of a service could start a job at once, beside
+// all tasks that run or could start. A job that is late already is accepted only then,
+// and only if no other service needs their hosts.
+func (s *Scheduler) hasIdleCapacity(env Env, id model.ServiceID, capacity model.Resources, j *jobs.Job) bool {
+	d := s.Demand(env, id)
+	claimed := workOf(d.Running.Add(d.Ready).Add(d.Late), model.Second)
+	for i := range j.Steps {
+		if len(j.Steps[i].After) == 0 {
+			claimed = claimed.plus(workOf(j.Steps[i].Claim(), model.Second).times(float64(j.Steps[i].Tasks)))
+		}
+	}
+	return !claimed.exceeds(workOf(capacity, model.Second).times(usableFraction))
+}
+
 // workBefore returns the work that delays a job: the remaining work of all jobs that are
 // served before it, and the runs of the others.
 func (s *Scheduler) workBefore(p *pool, candidate *activeJob) work {
