--- a/review/_cases/plays.go
+++ b/review/_cases/plays.go
@@ -283,45 +283,70 @@
 		return nil, err
 	}
 	labels := []string{"b", "r-west"}
-	g, err := newGate(s.ip(57))
-	if err != nil {
-		return nil, err
-	}
-	s.gates = map[int]*gate{7: g}
-	first, err := s.startMinionLater(7, zones[0], s.ip(77)+":0", labels, 0)
-	if err != nil {
-		return nil, err
-	}
-	s.cloud.add(7, first.zone, labels)
-	other, err := s.startMinion(8, zones[1], "", labels)
-	if err != nil {
-		return nil, err
-	}
-	s.cloud.add(8, other.zone, labels)
-	if !waitFor(5*time.Second, func() bool { return first.acked() && other.acked() }) {
-		return nil, fmt.Errorf("%w: the minions are not acknowledged", errNotRun)
+	s.gates = map[int]*gate{}
+	numbers := []int{7, 8}
+	for _, n := range numbers {
+		g, err := newGate(s.ip(50 + n))
+		if err != nil {
+			return nil, err
+		}
+		s.gates[n] = g
+		m, err := s.startMinion(n, zones[0], s.ip(70+n)+":0", labels)
+		if err != nil {
+			return nil, err
+		}
+		s.cloud.add(n, m.zone, labels)
+		if !waitFor(5*time.Second, m.acked) {
+			return nil, fmt.Errorf("%w: %s is not acknowledged", errNotRun, m.id)
+		}
 	}
 	time.Sleep(2 * time.Second)
 	stop := time.Now().Add(12 * time.Second)
 	crashAt := time.Now().Add(3 * time.Second)
 	crashed := false
 	for i := 0; time.Now().Before(stop); i++ {
-		fields := map[string]any{"count": 1, "estimateMs": 300, "requires": "b"}
+		fields := map[string]any{"count": 3, "cpu": 1500, "memMb": 4000, "estimateMs": 300, "requires": "b"}
 		if err := submitTask(s, fmt.Sprintf("00000000000a%04x", i), fields); err != nil {
 			return nil, err
 		}
 		if trouble && !crashed && time.Now().After(crashAt) {
 			crashed = true
-			go func() {
-				g.dark()
-				first.crash()
-				time.Sleep(darkTime)
-				_ = first.server.Close()
-				_, _ = s.startMinionLater(7, first.zone, s.ip(77)+":0", labels, firstBeat)
-			}()
+			n := s.busier(numbers) // the leader fills one minion before it uses the next
+			go s.crashAndReturn(n, labels)
 		}
 		time.Sleep(60 * time.Millisecond)
 	}
 	time.Sleep(5 * time.Second)
 	return s.repeated(), nil
 }
+
+// crashAndReturn crashes a minion behind a gate, and starts its next life after darkTime.
+func (s *system) crashAndReturn(n int, labels []string) {
+	s.mu.Lock()
+	var old *minion
+	for _, m := range s.minions {
+		if m.id == minionID(n) {
+			old = m
+		}
+	}
+	s.mu.Unlock()
+	s.gates[n].dark()
+	old.crash()
+	time.Sleep(darkTime)
+	_ = old.server.Close()
+	_, _ = s.startMinionLater(n, old.zone, s.ip(70+n)+":0", labels, firstBeat)
+}
+
+// busier returns the minion that began a run last.
+func (s *system) busier(numbers []int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := len(s.runs) - 1; i >= 0; i-- {
+		for _, n := range numbers {
+			if s.runs[i].minion == minionID(n) {
+				return n
+			}
+		}
+	}
+	return numbers[0]
+}
