--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -28,6 +28,9 @@
 	"foreign":    playForeign,
 	"wave":       playWave,
 	"relife":     playRelife,
+	"drain":      playDrain,
+	"cancel":     playCancel,
+	"rename":     playRename,
 	"target":     playTarget,
 }
 
--- a/review/_cases/plays.go
+++ b/review/_cases/plays.go
@@ -350,3 +350,63 @@
 	}
 	return numbers[0]
 }
+
+// playCancel: a front machine stands still with a client's call in its socket. The client
+// leaves, cancels the job at another machine and is told that there is no such job. When
+// the machine wakes, it passes on the old call.
+func playCancel(s *system, trouble bool) ([]string, error) {
+	if _, err := startWithMinions(s, 6); err != nil {
+		return nil, err
+	}
+	const job = "00000000000000c1"
+	front := s.fronts[0]
+	url := func(p *process) string { return fmt.Sprintf("http://%s:%d/run/%s", p.ip, s.frontPort, job) }
+	header := map[string]string{"Host": "press.example", "Authorization": "Bearer key-of-anthology", "Deadline-Ms": "3000"}
+	thawAt := time.Now().Add(freezeTime)
+	if trouble {
+		s.signal(front, syscall.SIGSTOP)
+	}
+	body := map[string]any{"spec": "lasts", "phases": []any{map[string]any{"count": 1, "cpu": 5000, "memMb": 24000, "estimateMs": 900, "longRunning": true}}}
+	status, _ := s.do("POST", url(front), time.Second, header, body)
+	s.logf("client: POST to %s: %d", front.name, status)
+	status, text := s.do("DELETE", url(s.fronts[1]), 3*time.Second, header, nil)
+	s.logf("client: DELETE to %s: %d %s", s.fronts[1].name, status, text)
+	if status != 410 && (status < 200 || status > 299) {
+		return nil, fmt.Errorf("%w: the cancel was not acknowledged", errNotRun)
+	}
+	time.Sleep(time.Until(thawAt))
+	if trouble {
+		s.signal(front, syscall.SIGCONT)
+	}
+	time.Sleep(15 * time.Second)
+	if n := runningCount(s, job); n > 0 {
+		return []string{fmt.Sprintf("UNASKED: %d task of job %s runs 15 s after the freeze, and its cancelling was acknowledged before", n, job)}, nil
+	}
+	return nil, nil
+}
+
+// playRename: a configuration replaces a route by one of another name with the same host
+// and prefix, while a job of it runs.
+func playRename(s *system, trouble bool) ([]string, error) {
+	if _, err := startWithMinions(s, 6); err != nil {
+		return nil, err
+	}
+	const job = "00000000000000c2"
+	if err := submitTask(s, job, map[string]any{"count": 1, "longRunning": true}); err != nil {
+		return nil, err
+	}
+	time.Sleep(4 * time.Second)
+	next := configuration(2)
+	if trouble {
+		next["routes"].([]any)[0].(map[string]any)["name"] = "r-2"
+	}
+	if _, err := s.order(0, "PUT", "/v1/config", next); err != nil {
+		return nil, err
+	}
+	time.Sleep(5 * time.Second)
+	status, text := s.callQueue("GET", "/run/"+job, nil)
+	if status == 410 {
+		return []string{fmt.Sprintf("LOST: GET for the accepted job %s, which runs: %d %s", job, status, text)}, nil
+	}
+	return nil, nil
+}
