consensus: exchange the voter of a lost host for its successor

Cause: a successor at another address is another host. It was added to the voter set, but only a new identity of the same host ever removed a voter. Five voters became eight with three gone, and the next loss left no majority. In a full set the successor was not added at all.

A caught-up replica of another host is now exchanged for a voter that has been silent for 2 s, by joint consensus. Nobody is added beside a silent voter, a surplus silent voter is removed after 10 s, and a removed voter that comes back is told so and joins with an empty folder and a new identity.

--- a/control/loop.go
+++ b/control/loop.go
@@ -67,8 +67,8 @@
 	recorder        Recorder
 	recordedInputs  int
 	halted          chan struct{}
-	onQueueFull     func() // called for each event that is refused because a queue is full
-	haltReason      string // why the process halted, set before halted is closed
+	onQueueFull     func()      // called for each event that is refused because a queue is full
+	halt            effect.Halt // valid once halted is closed
 }
 
 // queuedEvent is an event that waits in a queue.
@@ -149,7 +149,11 @@
 
 // HaltReason returns why the process halted, empty after a graceful stop. It may be
 // called once Halted is closed.
-func (l *Loop) HaltReason() string { return l.haltReason }
+func (l *Loop) HaltReason() string { return l.halt.Reason }
+
+// Retired reports whether the process halted because the identity of its data folder
+// has left the voter set. It may be called once Halted is closed.
+func (l *Loop) Retired() bool { return l.halt.Retired }
 
 // Post queues new work without blocking. It reports false if the queue is too full to
 // accept more.
@@ -282,7 +286,7 @@
 	case effect.Publish:
 		l.view.Store(f.View)
 	case effect.Halt:
-		l.haltReason = f.Reason
+		l.halt = f
 		close(l.halted)
 	default:
 		l.executor.Execute(f)
--- a/core/consensus/election.go
+++ b/core/consensus/election.go
@@ -20,7 +20,7 @@
 	if n.now >= n.deadline {
 		n.preCampaign()
 	}
-	if n.role == PreCandidate && n.isMembershipUncommitted() {
+	if n.role == PreCandidate && (n.isMembershipUncommitted() || n.now.Sub(n.lastHeard) > nonVoterTimeout) {
 		n.sendJoin()
 	}
 }
@@ -54,7 +54,7 @@
 }
 
 func (n *Node[C, S]) forEachOtherVoter(visit func(to NodeID)) {
-	for _, id := range n.membership().voters {
+	for _, id := range n.membership().all() {
 		if id != n.cfg.ID {
 			visit(id)
 		}
@@ -103,7 +103,7 @@
 }
 
 func (n *Node[C, S]) handlePreVote(m Message[C, S]) bool {
-	if !n.mayVote() {
+	if !n.mayVote() || n.rejectRetired(m.From) {
 		return false
 	}
 	if n.ignoresVoteRequest(m) {
@@ -144,7 +144,7 @@
 }
 
 func (n *Node[C, S]) handleVote(m Message[C, S]) bool {
-	if !n.mayVote() {
+	if !n.mayVote() || n.rejectRetired(m.From) {
 		return false
 	}
 	if n.ignoresVoteRequest(m) {
@@ -245,7 +245,7 @@
 
 // passiveRole returns the role of this node when it neither campaigns nor leads.
 func (n *Node[C, S]) passiveRole() Role {
-	if n.membership().contains(n.cfg.ID) && n.cfg.Durable {
+	if n.membership().contains(n.cfg.ID) && n.cfg.Durable && !n.retired {
 		return Follower
 	}
 	return NonVoter
--- a/core/consensus/leader.go
+++ b/core/consensus/leader.go
@@ -9,6 +9,8 @@
 	lastHeartbeat   model.Time  // time of the last round of heartbeats
 	heartbeatRounds int         // number of rounds of heartbeats sent
 	transfer        transfer
+	since           model.Time // when the term of this leader began
+	lastTick        model.Time
 }
 
 // transfer is the state of a leadership transfer.
@@ -26,7 +28,7 @@
 	n.role = Leader
 	n.leader = n.cfg.ID
 	n.votes = nil
-	n.leadership = leadership{}
+	n.leadership = leadership{since: n.now, lastTick: n.now}
 	n.addVoterPeers()
 	n.propose(Entry[C]{Kind: EntryNoop})
 	n.leadership.noopIndex = n.log.lastIndex()
@@ -45,6 +47,7 @@
 	n.removeSilentNonVoters()
 	n.resetUnansweredPeers()
 	n.changeVoters()
+	n.leadership.lastTick = n.now
 	if n.now.Sub(n.leadership.lastHeartbeat) >= n.cfg.HeartbeatInterval {
 		n.sendHeartbeats()
 	}
--- a/core/consensus/lease.go
+++ b/core/consensus/lease.go
@@ -1,10 +1,6 @@
 package consensus
 
-import (
-	"slices"
-
-	"primrosedale.example/primrosedale/core/model"
-)
+import "primrosedale.example/primrosedale/core/model"
 
 // HoldsLeaderLease reports whether no other node can be the leader at now: this node
 // is the leader, the no-op of its term is committed, and a majority of the voters
@@ -22,13 +18,7 @@
 // acknowledged a message sent at t or later. The leader counts as acknowledging at
 // now.
 func (n *Node[C, S]) quorumAck(now model.Time) model.Time {
-	voters := n.membership().voters
-	acks := make([]model.Time, 0, len(voters))
-	for _, id := range voters {
-		acks = append(acks, n.ackOf(id, now))
-	}
-	slices.Sort(acks)
-	return acks[(len(acks)-1)/2]
+	return quorumValue(n.membership(), func(id NodeID) model.Time { return n.ackOf(id, now) })
 }
 
 func (n *Node[C, S]) ackOf(id NodeID, now model.Time) model.Time {
--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -40,6 +40,7 @@
 	votes      map[NodeID]bool // votes or pre-votes granted to this node
 	leadership leadership
 	joinState  joinState
+	retired    bool // another node has reported that this identity is retired
 
 	disk              durability
 	deferred          *Message[C, S] // latest message that must wait until the writes in flight are reported
@@ -105,7 +106,9 @@
 func (n *Node[C, S]) restoreSnapshot(snap Snapshot[S]) {
 	n.snapshot = &snap
 	n.log.reset(snap.Index, snap.Term)
-	n.memberships = []membership{{index: snap.Index, voters: snap.Voters, retired: snap.Retired}}
+	n.memberships = []membership{{
+		index: snap.Index, voters: snap.Voters, outgoing: snap.Outgoing, retired: snap.Retired, vacated: snap.Vacated,
+	}}
 }
 
 // restoreEntries appends the stored entries that follow the snapshot.
@@ -176,6 +179,8 @@
 		return n.handleJoin(m)
 	case MsgTimeoutNow:
 		return n.handleTimeoutNow(m)
+	case MsgRetired:
+		return n.handleRetired()
 	}
 	return false
 }
@@ -216,7 +221,10 @@
 	if !ok {
 		return Snapshot[S]{}, false
 	}
-	return Snapshot[S]{Index: index, Term: term, Voters: m.voters, Retired: m.retired, State: state}, true
+	return Snapshot[S]{
+		Index: index, Term: term, State: state,
+		Voters: m.voters, Outgoing: m.outgoing, Retired: m.retired, Vacated: m.vacated,
+	}, true
 }
 
 // Compact records a snapshot that is on disk and removes the entries that it covers,
--- a/core/consensus/progress.go
+++ b/core/consensus/progress.go
@@ -108,7 +108,7 @@
 // non-voter peers until they have been silent for nonVoterTimeout, so that they
 // learn of their removal.
 func (n *Node[C, S]) addVoterPeers() {
-	for _, id := range n.membership().voters {
+	for _, id := range n.membership().all() {
 		if id != n.cfg.ID && n.peer(id) == nil {
 			n.addPeer(id)
 		}
--- a/core/consensus/replication.go
+++ b/core/consensus/replication.go
@@ -1,10 +1,6 @@
 package consensus
 
-import (
-	"slices"
-
-	"primrosedale.example/primrosedale/core/model"
-)
+import "primrosedale.example/primrosedale/core/model"
 
 const (
 	// nonVoterHeartbeatPeriod is the number of heartbeat intervals between two
@@ -358,13 +354,7 @@
 // quorumMatch returns the highest index that a majority of the voters has on
 // disk.
 func (n *Node[C, S]) quorumMatch() uint64 {
-	voters := n.membership().voters
-	matches := make([]uint64, 0, len(voters))
-	for _, id := range voters {
-		matches = append(matches, n.matchIndexOf(id))
-	}
-	slices.Sort(matches)
-	return matches[(len(matches)-1)/2]
+	return quorumValue(n.membership(), n.matchIndexOf)
 }
 
 func (n *Node[C, S]) matchIndexOf(id NodeID) uint64 {
--- a/core/consensus/types.go
+++ b/core/consensus/types.go
@@ -27,6 +27,12 @@
 	Kind    EntryKind `json:"k,omitempty"`
 	Command *C        `json:"c,omitempty"`
 	Voters  []NodeID  `json:"v,omitempty"`
+	// Outgoing is set in an EntryVoters that begins an exchange: until the next
+	// EntryVoters, a majority of these voters is needed as well.
+	Outgoing []NodeID `json:"out,omitempty"`
+	// Vacated is set in an EntryVoters that removes a voter whose host is not expected
+	// back: its place is open to any host.
+	Vacated bool `json:"vac,omitempty"`
 }
 
 // HardState must be on disk before any message that depends on it is sent.
@@ -40,9 +46,14 @@
 	Index  uint64   `json:"index"`
 	Term   uint64   `json:"term"`
 	Voters []NodeID `json:"voters"`
+	// Outgoing is set during an exchange of voters; see Entry.
+	Outgoing []NodeID `json:"outgoing,omitempty"`
 	// Retired lists identities that have left the voter set. They never join
 	// again.
 	Retired []NodeID `json:"retired,omitempty"`
+	// Vacated lists the retired identities whose place in the voter set is open to any
+	// host. The places of the others are kept for the next identity of their host.
+	Vacated []NodeID `json:"vacated,omitempty"`
 	State   S        `json:"state"`
 }
 
@@ -69,6 +80,7 @@
 	MsgSnapshotReply
 	MsgJoin       // a non-voter asks the leader to replicate the log to it
 	MsgTimeoutNow // the leader asks a voter to take over at once
+	MsgRetired    // the receiver's identity has left the voter set for good
 )
 
 // Message is one protocol message.
--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -132,6 +132,7 @@
 	ReplicaJoined    Code = "replica_joined"
 	ReplicaReplaced  Code = "replica_replaced"
 	VotersChanged    Code = "voters_changed"
+	ReplicaRetired   Code = "replica_retired"
 	SnapshotTaken    Code = "snapshot_taken"
 	SnapshotReceived Code = "snapshot_received"
 	SyncFailed       Code = "sync_failed"
@@ -198,8 +199,12 @@
 )
 
 // Halt ends the process. Reason is set after a failure and empty when a graceful
-// stop is complete.
-type Halt struct{ Reason string }
+// stop is complete. Retired means that the identity of the data folder has left the
+// voter set: the host can only join again with an empty folder.
+type Halt struct {
+	Reason  string
+	Retired bool
+}
 
 func (Send) effect()          {}
 func (Persist) effect()       {}
--- a/core/notices.go
+++ b/core/notices.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"primrosedale.example/primrosedale/core/effect"
 )
@@ -56,10 +57,24 @@
 	}
 }
 
+// describeVoters lists the hosts of a set of voters in the order of their names.
+func describeVoters(e *logEntry) string {
+	hosts := make([]string, 0, len(e.Voters))
+	for _, id := range e.Voters {
+		hosts = append(hosts, string(id.Host))
+	}
+	slices.Sort(hosts)
+	text := strings.Join(hosts, " ")
+	if len(e.Outgoing) > 0 {
+		text += ", exchange not complete"
+	}
+	return text
+}
+
 // logVoters logs a committed set of voters and, on the leader, the replicas that it
 // adds or replaces.
 func (s *State) logVoters(e *logEntry) {
-	s.emit(effect.Log{Code: effect.VotersChanged, Index: e.Index})
+	s.emit(effect.Log{Code: effect.VotersChanged, Index: e.Index, Detail: describeVoters(e)})
 	for _, id := range e.Voters {
 		earlier, known := s.replicas[id.Host]
 		s.replicas[id.Host] = id.Incarnation
--- a/core/reduce.go
+++ b/core/reduce.go
@@ -80,6 +80,7 @@
 		s.handleLogOutput()
 		s.enforceKeys()
 		s.updateLeadership()
+		s.haltIfRetired()
 		if len(s.local) == 0 {
 			if s.placeTasks() {
 				continue
@@ -254,6 +255,16 @@
 	}
 }
 
+// haltIfRetired halts a replica whose identity has left the voter set. A host without a
+// data folder has a new identity in each process and is never a voter.
+func (s *State) haltIfRetired() {
+	if s.halted || !s.cfg.Durable || !s.log.BasicStatus().Retired {
+		return
+	}
+	s.halted = true
+	s.emit(effect.Log{Code: effect.ReplicaRetired}, effect.Halt{Reason: "the identity of this replica is retired", Retired: true})
+}
+
 func (s *State) handlePersistFailure(reason string) {
 	s.halted = true
 	s.out = append(s.out, effect.Log{Code: effect.SyncFailed, Detail: reason}, effect.Halt{Reason: reason})
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"primrosedale.example/primrosedale/operator"
 	"primrosedale.example/primrosedale/recording"
 	"primrosedale.example/primrosedale/settings"
+	"primrosedale.example/primrosedale/storage"
 	"primrosedale.example/primrosedale/transport"
 )
 
@@ -171,9 +172,20 @@
 	parts.Kill(err)
 	result := parts.Wait()
 	d.log.Emit(logevent.ProcessStopped, logevent.Err(result))
+	if errors.Is(err, errRetired) {
+		d.closeAll()
+		return firstError(storage.Discard(d.settings.DataFolder), result)
+	}
 	return result
 }
 
+func firstError(a, b error) error {
+	if a != nil {
+		return a
+	}
+	return b
+}
+
 // wait returns when the process must end, with an error if it failed.
 func (d *Daemon) wait(t, parts *tomb.Tomb, stop context.Context) error {
 	stopping := stop.Done()
@@ -183,10 +195,7 @@
 			stopping = nil
 			d.loop.PostWait(context.Background(), event.StopRequested{})
 		case <-d.loop.Halted():
-			if reason := d.loop.HaltReason(); reason != "" {
-				return errors.New(reason)
-			}
-			return nil
+			return d.haltError()
 		case <-parts.Dying():
 			return parts.Err()
 		case <-t.Dying():
--- a/daemon/executor.go
+++ b/daemon/executor.go
@@ -83,6 +83,7 @@
 	effect.TermChanged:      logevent.TermChanged,
 	effect.ReplicaJoined:    logevent.ReplicaJoined,
 	effect.ReplicaReplaced:  logevent.ReplicaReplaced,
+	effect.ReplicaRetired:   logevent.ReplicaRetired,
 	effect.TargetReturned:   logevent.TargetReturned,
 	effect.ClaimUnknown:     logevent.ClaimUnknown,
 	effect.QueueFull:        logevent.QueueFull,
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -167,8 +167,37 @@
 }
 
 // Run serves until the process halts, stop ends, or a part fails. Each value on reload
-// makes it read the settings file again.
+// makes it read the settings file again. A replica whose identity is retired goes on
+// with an empty data folder.
 func (d *PlatformDaemon) Run(stop context.Context, reload <-chan os.Signal) error {
+	for {
+		err := d.serve(stop, reload)
+		if !errors.Is(err, errRetired) {
+			return err
+		}
+		if err := d.rejoin(stop); err != nil {
+			d.closeAll()
+			return errors.Annotate(err, "joining with a new identity")
+		}
+	}
+}
+
+// rejoin prepares a replica whose identity is retired to join with a new one.
+func (d *PlatformDaemon) rejoin(stop context.Context) error {
+	if err := storage.Discard(d.settings.DataFolder); err != nil {
+		return err
+	}
+	settings := *d.settings
+	if s, err := platform.LoadSettings(d.settingsPath); err == nil {
+		settings.Seeds = s.Seeds
+	}
+	settings.Bootstrap = false // the cluster exists
+	d.settings = &settings
+	d.process = newProcess(d.log)
+	return d.assemble(stop)
+}
+
+func (d *PlatformDaemon) serve(stop context.Context, reload <-chan os.Signal) error {
 	defer d.closeAll()
 	var parts tomb.Tomb
 	parts.Go(func() error {
@@ -203,7 +232,7 @@
 		case <-reload:
 			d.reload()
 		case <-d.loop.Halted():
-			return errors.New(d.loop.HaltReason())
+			return d.haltError()
 		case <-parts.Dying():
 			return parts.Err()
 		}
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -127,6 +127,20 @@
 	}
 }
 
+// errRetired ends a process that can only join again with an empty data folder.
+const errRetired = errors.ConstError("the identity of this replica is retired")
+
+// haltError returns why the process halted, nil after a graceful stop.
+func (p *process) haltError() error {
+	switch {
+	case p.loop.Retired():
+		return errRetired
+	case p.loop.HaltReason() != "":
+		return errors.New(p.loop.HaltReason())
+	}
+	return nil
+}
+
 // closeResources closes the listeners and the data folder.
 func (p *process) closeResources() {
 	if p.peerListener != nil {
--- a/logevent/ids.go
+++ b/logevent/ids.go
@@ -29,6 +29,7 @@
 	ReplicaJoined     ID = 211
 	ReplicaReplaced   ID = 212
 	VotersChanged     ID = 213
+	ReplicaRetired    ID = 214
 	SnapshotWritten   ID = 220
 	SnapshotInstalled ID = 221
 	LogTailTruncated  ID = 230
--- a/storage/create.go
+++ b/storage/create.go
@@ -86,6 +86,19 @@
 	return append(ops, putFile{name: segmentName(first.number), payload: l.segmentHeader(first)})
 }
 
+// Discard makes a data folder whose identity is retired count as one whose creation was
+// interrupted: the next Open empties it and gives it a new incarnation and no voters. It
+// fails with ErrLocked if the folder is in use.
+func Discard(dir string) error {
+	lock, err := lockFolder(dir)
+	if err != nil {
+		return err
+	}
+	defer lock.Close()
+	d := disk{fs: osFolder{dir}}
+	return errors.Annotatef(d.rename(identityName, pendingIdentityName), "discarding data folder %s", dir)
+}
+
 func identityPayload(id Identity) []byte {
 	return appendInfo(nil, recordIdentity, identityInfo{
 		Format:      formatVersion,
