schedule: a refused connection does not end the runs of a worker

Cause: two refused connections in a row, and an answer of another process at the address, counted as proof that the process had ended. Its runs were recorded as lost at once, beside a lease of up to 4.5 s that was still running.

Both now mean only that the worker cannot be reached: it gets no new runs, its lease is not extended, and its runs are given up when the lease has ended on the slowest clock. It is removed once it has no runs.

Ruled out: lists that were late, leases taken for too short (no lease had ended when the runs were given up).

Evidence: TestUnreachableAddressDoesNotEndRuns failed before.

--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -220,7 +220,7 @@
 		s.voidIfRefused(env, out, r, reply)
 		switch reply.Status {
 		case order.WrongProcess:
-			s.processEnded(env, out, w, "another process answers at its address")
+			s.addressLost(out, w, "another process answers at its address")
 		case order.Unavailable:
 			s.suspect(env, out, w)
 		case order.NoTicket:
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -29,8 +29,8 @@
 	// maxAnswerAge is the age of a worker's latest answer above which the worker
 	// counts as silent and gets no new runs.
 	maxAnswerAge = 2500 * model.Millisecond
-	// maxRefusals is the number of consecutive refused connections that prove that no
-	// process listens at the address.
+	// maxRefusals is the number of consecutive refused connections after which a worker
+	// gets no new runs.
 	maxRefusals = 2
 	// minClockRate is the rate of the slowest worker clock that the platform allows.
 	minClockRate = 0.98
@@ -340,11 +340,11 @@
 		}
 		return
 	case order.WrongProcess:
-		s.processEnded(env, out, w, "another process answers at its address")
+		s.addressLost(out, w, "another process answers at its address")
 	case order.Refused:
 		w.refusals++
 		if w.refusals >= maxRefusals {
-			s.processEnded(env, out, w, "nothing listens at its address")
+			s.addressLost(out, w, "connections to its address are refused")
 		}
 	}
 	w.pollFailed = true
@@ -362,12 +362,17 @@
 	return slices.ContainsFunc(reply.Ended, func(e order.Ended) bool { return e.Unparsed })
 }
 
-// processEnded records the runs of a worker whose process has certainly ended as lost
-// and removes the worker. If a process of the worker still runs, its next heartbeat adds
-// the worker again.
-func (s *Scheduler) processEnded(env Env, out *Out, w *worker, reason string) {
-	s.giveUpRuns(env, out, w, reason)
-	w.polled = false
+// addressLost handles that a worker does not answer at its address, where connections
+// are refused or another process answers. The worker gets no new runs. That does not
+// prove that its process has ended: a firewall or a cut refuses connections too, and the
+// worker may have moved to another address. Its runs are kept until their lease has
+// ended, and then the worker is removed. If its process still runs, its next heartbeat
+// adds it again.
+func (s *Scheduler) addressLost(out *Out, w *worker, reason string) {
+	if w.polled {
+		w.polled = false
+		out.log(effect.WorkerSilent, effect.Log{Worker: w.info.ID, Detail: reason})
+	}
 	if len(w.runs) == 0 && !w.removing {
 		w.removing = true
 		out.Proposals = append(out.Proposals, jobs.Command{Depart: &jobs.Depart{Worker: w.info.ID, Incarnation: w.info.Incarnation}})
