schedule: the runs of a restarted worker end when its later process says so

Cause: orders to the earlier process reach the later one from the moment at which it listens, and it has no reason to refuse them. When it announced itself the leader recorded all runs placed there as lost and started their tasks elsewhere.

A replaced worker is now detached and keeps its runs until its later process on the same host has listed its runs in a poll with its own token (what it lists is taken over), until a later process on the host has another id, or until the lease has ended. Polls after a failure, or 250 ms after the last answer, do not say which ends are recorded, so that a later process forgets none. A start whose connection was refused counts as not sent.

Ruled out: checking the reply to a start (it does not name the process) and the deadline of the order (it is on the clock of the earlier process).

--- /dev/null
+++ b/core/schedule/detached.go
@@ -0,0 +1,130 @@
+package schedule
+
+import (
+	"slices"
+
+	"primrosedale.example/primrosedale/core/jobs"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// A worker is detached when it is replaced under its id or leaves while it has runs. It
+// gets no more calls but stops, and its runs keep their claims and their tasks until it is
+// certain that they have ended. That is so
+//
+//   - when their lease has ended,
+//   - when a later process is known to run on the host under another id, which refuses
+//     calls that name the earlier one,
+//   - when a later process on the host under the same id has listed its runs in the answer
+//     to a poll with its own token: it refuses older orders from then on, and what it
+//     lists, it has started on an order to the earlier process.
+
+// strayOrderEnd returns how long a run may go on that a later process of a worker starts
+// on an order to the earlier one. The deadline of the order is on the clock of the earlier
+// process, so that only the longest lease bounds the run.
+func strayOrderEnd(b Bounds) model.Duration { return startTimeout + maxElapsed(b.LeaseMax) }
+
+// giveUpExpired gives up the runs of a worker whose lease has ended, except those of
+// orders without an answer that a later process of the worker may have executed.
+func (s *Scheduler) giveUpExpired(env Env, out *Out, w *worker) {
+	for _, r := range sortedRunsOf(w) {
+		stray := r.phase == ordered && env.Now <= r.sentAt.Add(strayOrderEnd(env.Bounds))
+		if r.phase != assigned && !stray {
+			s.giveUp(env, out, r, jobs.OutcomeLost, "", "the lease of its worker is over")
+		}
+	}
+}
+
+// detachWorker removes a worker and keeps its runs.
+func (s *Scheduler) detachWorker(w *worker) {
+	s.removeWorker(w)
+	if len(w.runs) > 0 {
+		s.detached = append(s.detached, w)
+	}
+}
+
+// detachedWorker returns the placeholder of an incarnation of which only the runs are
+// known.
+func (s *Scheduler) detachedWorker(env Env, id model.WorkerID, incarnation uint64) *worker {
+	for _, w := range s.detached {
+		if w.info.ID == id && w.info.Incarnation == incarnation {
+			return w
+		}
+	}
+	w := &worker{
+		info: &jobs.Worker{ID: id, Incarnation: incarnation}, gone: true, runs: make(map[jobs.RunRef]*run),
+		failures: make(map[model.JobID]bool), leaseEndsBy: env.Now.Add(strayOrderEnd(env.Bounds)),
+	}
+	s.detached = append(s.detached, w)
+	return w
+}
+
+// advanceDetached gives up the runs of detached workers whose lease has ended, and those
+// that have begun and whose step allows copies.
+func (s *Scheduler) advanceDetached(env Env, out *Out) {
+	s.detached = slices.DeleteFunc(s.detached, func(w *worker) bool {
+		if env.Now > w.leaseEndsBy {
+			s.giveUpExpired(env, out, w)
+		}
+		for _, r := range sortedRunsOf(w) {
+			if r.step.Copies && r.phase == begun {
+				s.giveUp(env, out, r, jobs.OutcomeLost, "", "its worker was replaced or has left and a copy may run")
+			}
+		}
+		return len(w.runs) == 0
+	})
+}
+
+// endEarlierProcesses gives up the runs of the earlier processes on a worker's host that
+// had other ids, and removes these workers.
+func (s *Scheduler) endEarlierProcesses(env Env, out *Out, info *jobs.Worker) {
+	if info.Host == "" {
+		return
+	}
+	const reason = "a later process runs on its host"
+	for _, w := range slices.Clone(s.workersByHost[info.Host]) {
+		if w.info.ID == info.ID || !startedBefore(w.info, info) {
+			continue
+		}
+		s.giveUpRuns(env, out, w, reason)
+		if len(w.runs) == 0 && !w.removing {
+			w.removing = true
+			out.Proposals = append(out.Proposals, jobs.Command{Depart: &jobs.Depart{Worker: w.info.ID, Incarnation: w.info.Incarnation}})
+		}
+	}
+	for _, w := range s.detached {
+		if w.info.ID != info.ID && w.info.Host == info.Host && startedBefore(w.info, info) {
+			s.giveUpRuns(env, out, w, reason)
+		}
+	}
+}
+
+func startedBefore(a, b *jobs.Worker) bool { return a.StartedAt != 0 && a.StartedAt < b.StartedAt }
+
+// runOn returns a run of a worker, or nil. A run of a detached worker that another
+// incarnation of that worker lists is moved to it.
+func (s *Scheduler) runOn(w *worker, ref jobs.RunRef) *run {
+	if r := w.runs[ref]; r != nil {
+		return r
+	}
+	r := s.runs[ref]
+	if r == nil || !r.worker.gone || r.worker.info.ID != w.info.ID || r.phase == assigned {
+		return nil
+	}
+	delete(r.worker.runs, ref)
+	r.worker.countRun(r, -1)
+	r.worker, w.runs[ref] = w, r
+	w.countRun(r, 1)
+	// These times are on the clock of the earlier process.
+	r.phase, r.voidFrom, r.listedAt, r.sentAt = inherited, 0, 0, 0
+	return r
+}
+
+// giveUpUnadopted gives up the runs of the earlier processes of a worker on its host that
+// the complete list of the worker lacks.
+func (s *Scheduler) giveUpUnadopted(env Env, out *Out, w *worker) {
+	for _, old := range s.detached {
+		if old.info.ID == w.info.ID && old.info.Host != "" && old.info.Host == w.info.Host && old.info.StartedAt <= w.info.StartedAt {
+			s.giveUpRuns(env, out, old, "its worker has restarted and does not list it")
+		}
+	}
+}
--- a/core/schedule/lease_test.go
+++ b/core/schedule/lease_test.go
@@ -74,3 +74,94 @@
 	f.submit("k", jobs.Step{Tasks: 1, Size: cores(1)})
 	require.Empty(t, f.takeCalls("a"))
 }
+
+// laterProcess announces a later process of the worker a.
+func (f *fixture) laterProcess(host model.HostID) {
+	info := *f.state.Workers["a"]
+	info.StartedAt += 5000
+	info.Host = host
+	f.commit(jobs.Command{Announce: &info})
+}
+
+func restartableFixture(t *testing.T) *fixture {
+	a, b := testWorker("a"), testWorker("b")
+	a.StartedAt, b.Draining = 1000, true // b gets no runs
+	f := newFixture(t, a, b)
+	f.submit("j", jobs.Step{Tasks: 1, Size: cores(1)})
+	require.Len(t, f.takeCalls("a"), 1)
+	return f
+}
+
+// Guards against a task that runs twice: an order to a worker's earlier process reaches
+// the process that has started again under its id, which executes it.
+func TestOrderReachesALaterProcess(t *testing.T) {
+	f := restartableFixture(t)
+	f.laterProcess("host-a")
+	f.advanceBy(50 * ms)
+	require.Contains(t, f.s.runs, ref("j", 0, 1), "the later process may run it")
+	f.answerPollWith("a", order.Reply{Clock: 20, StartedAt: 6000, Running: []order.Running{runningFully(ref("j", 0, 1))}})
+	require.Equal(t, f.s.workers["a"], f.s.runs[ref("j", 0, 1)].worker)
+	f.answerPollWith("a", order.Reply{Clock: 90, StartedAt: 6000, Ended: []order.Ended{
+		{Number: 1, RunRef: ref("j", 0, 1), Outcome: jobs.OutcomeDone},
+	}})
+	require.Equal(t, jobs.Completed, f.state.Jobs["j"].Phase)
+}
+
+// Guards against a task that waits for the end of a lease although its worker has
+// restarted on the same host and lists nothing.
+func TestLaterProcessWithoutTheRun(t *testing.T) {
+	f := restartableFixture(t)
+	f.laterProcess("host-a")
+	f.answerPollWith("a", order.Reply{Clock: 20, StartedAt: 6000, Partial: true})
+	require.Contains(t, f.s.runs, ref("j", 0, 1), "the list may lack it")
+	f.answerPollWith("a", order.Reply{Clock: 30, StartedAt: 6000})
+	require.Equal(t, 2, f.takeCalls("a")[0].Start.Run)
+}
+
+// Guards against runs given up because another process announces itself under the id of
+// their worker, on another host or without one, while the first still runs them.
+func TestSameIDOnAnotherHostDoesNotEndRuns(t *testing.T) {
+	for _, host := range []model.HostID{"host-c", ""} {
+		f := restartableFixture(t)
+		leaseEndsBy := f.s.workers["a"].leaseEndsBy
+		f.laterProcess(host)
+		f.answerPollWith("a", order.Reply{Clock: 20, StartedAt: 6000})
+		for f.now < leaseEndsBy {
+			require.Contains(t, f.s.runs, ref("j", 0, 1))
+			f.advanceBy(50 * ms)
+		}
+	}
+}
+
+// Guards against a wait for the end of a lease although a later process on the host of a
+// worker, under another id, proves that the worker has ended.
+func TestLaterProcessUnderAnotherIDEndsRuns(t *testing.T) {
+	f := restartableFixture(t)
+	f.commit(jobs.Command{Announce: &jobs.Worker{
+		ID: "c", StartedAt: 6000, Host: "host-a", Service: "render", Address: "c", Capacity: cores(8),
+	}})
+	require.NotContains(t, f.s.runs, ref("j", 0, 1))
+	require.NotContains(t, f.s.workers, model.WorkerID("a"))
+}
+
+// Guards against ends that a worker's later process forgets before they are recorded: it
+// takes the number of ends recorded of the earlier process for its own.
+func TestFirstPollAfterAFailureForgetsNoEnds(t *testing.T) {
+	f := newFixture(t, testWorker("a"))
+	f.startOnA()
+	f.answerPoll("a", nil, []order.Ended{{Number: 7, RunRef: ref("j", 0, 1), Outcome: jobs.OutcomeDone}})
+	polls := func() (last order.Poll) {
+		for _, c := range f.calls {
+			if c.Poll != nil {
+				last = *c.Poll
+			}
+		}
+		return last
+	}
+	require.Equal(t, uint64(7), polls().RecordedUpTo)
+	f.failPolls("a", order.NoAnswer, 50*ms)
+	f.advanceBy(pollRetryDelay)
+	require.Zero(t, polls().RecordedUpTo)
+	f.answerPoll("a", nil, nil)
+	require.Equal(t, uint64(7), polls().RecordedUpTo)
+}
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -53,12 +53,11 @@
 }
 
 // addRun adds a run and reserves its claim. If this incarnation of its worker is not
-// known, the run is added to a departed worker, whose runs the next tick gives up.
+// known, the run is added to a detached worker.
 func (s *Scheduler) addRun(env Env, j *jobs.Job, ref jobs.RunRef, worker model.WorkerID, incarnation uint64) *run {
 	w := s.workers[worker]
 	if w == nil || w.info.Incarnation != incarnation {
-		w = s.newDepartedWorker(env, worker, incarnation)
-		s.departedWorkers = append(s.departedWorkers, w)
+		w = s.detachedWorker(env, worker, incarnation)
 	}
 	step := &j.Steps[ref.Step]
 	r := &run{ref: ref, job: j, step: step, team: j.Team, worker: w, claim: step.Claim(), speed: 100}
@@ -96,15 +95,6 @@
 	}
 }
 
-// newDepartedWorker returns a placeholder for an ended incarnation of a worker. Its runs
-// ended with it.
-func (s *Scheduler) newDepartedWorker(env Env, id model.WorkerID, incarnation uint64) *worker {
-	return &worker{
-		info: &jobs.Worker{ID: id, Incarnation: incarnation}, gone: true, runs: make(map[jobs.RunRef]*run),
-		failures: make(map[model.JobID]bool), leaseEndsBy: env.Now,
-	}
-}
-
 // dropRun removes a run and releases its claim.
 func (s *Scheduler) dropRun(r *run) {
 	if s.runs[r.ref] != r {
@@ -212,8 +202,12 @@
 		r.voidFrom = min(r.voidFrom, reply.Clock)
 		r.refusals++
 		s.voidIfRefused(env, out, r, reply)
-	case order.NoAnswer, order.Refused:
+	case order.NoAnswer:
 		// The order may still be executed.
+	case order.Refused:
+		// This copy of the order was not sent.
+		r.refusals++
+		s.voidIfRefused(env, out, r, reply)
 	default:
 		// An earlier order without an answer may still be executed.
 		r.refusals++
@@ -257,7 +251,7 @@
 
 // handleRunning handles a run that a worker lists as running.
 func (s *Scheduler) handleRunning(env Env, out *Out, w *worker, listed *order.Running, at order.ClockMS) {
-	r := w.runs[listed.RunRef]
+	r := s.runOn(w, listed.RunRef)
 	if r == nil {
 		// The run was given up, or its assignment was never committed.
 		w.untracked = w.untracked.Add(claimOf(env, w, listed.RunRef))
@@ -362,6 +356,9 @@
 
 func (s *Scheduler) sendStop(env Env, out *Out, r *run) {
 	r.sentAt = env.Now
+	if r.worker.info.Address == "" {
+		return // only its id is known
+	}
 	out.Effects = append(out.Effects, s.call(r.worker, order.Call{Stop: &order.Stop{RunRef: r.ref}}))
 }
 
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -63,7 +63,7 @@
 	forecasts          map[model.ServiceID]Forecast
 	pendingAdviceCalls int // advice calls without a result yet
 	lastForgetAt       model.Time
-	departedWorkers    []*worker             // ended incarnations whose runs are to be recorded as lost
+	detached           []*worker             // replaced or departed workers whose runs may still be running
 	leaving            map[model.HostID]bool // hosts that are to be drained soon
 	cordoned           map[model.HostID]bool // hosts that get no new runs, because they are to be moved or maintained
 }
@@ -164,10 +164,7 @@
 	s.logLoad(env, out)
 	s.decayOrderTime(env.Now)
 	s.lastTickAt = env.Now
-	for _, w := range s.departedWorkers {
-		s.giveUpRuns(env, out, w, "the process of its worker has ended")
-	}
-	s.departedWorkers = nil
+	s.advanceDetached(env, out)
 	for _, id := range model.SortedKeys(s.workers) {
 		s.advanceWorker(env, out, s.workers[id])
 	}
--- a/core/schedule/sim_test.go
+++ b/core/schedule/sim_test.go
@@ -38,6 +38,8 @@
 	refusalRate     float64 // fraction of the orders to start that workers refuse
 	unparsedRate    float64 // fraction of the list entries that cannot be parsed
 	unparsedEntries int
+	sameID          bool                        // crashed workers start again under their id, on their host
+	refused         bool                        // connections to workers that are down or cut off are refused
 	stalledUntil    model.Time                  // the leader handles nothing before this time
 	done            map[jobs.TaskRef]bool       // tasks whose successful end was recorded
 	forgotten       map[jobs.TaskRef]model.Time // when a worker was first told to forget a successful end
@@ -151,11 +153,15 @@
 	case w != nil && w.up && w.partitioned && s.rng.Float64() < 0.5:
 		s.after(latency, func() { s.execute(w, c) })
 		s.answer(model.Second, reply)
+	case s.refused && (w == nil || !w.up || w.partitioned):
+		reply.Status = order.Refused
+		s.answer(latency, reply)
 	case w == nil || !w.up || w.partitioned:
 		s.answer(model.Second, reply)
 	default:
 		s.after(latency, func() {
-			if !w.up || w.partitioned {
+			w := s.byID(c.Worker)
+			if w == nil || !w.up || w.partitioned {
 				s.answer(model.Second, reply)
 				return
 			}
@@ -234,12 +240,27 @@
 	runUnderFaults(t, 20, 0.1)
 }
 
-func runUnderFaults(t *testing.T, seeds int, unparsedRate float64) {
+// Guards against the same faults while crashed workers start again under their id, up to
+// 1.5 s before they announce themselves, and while connections to workers that are cut
+// off are refused. Orders to the earlier process reach the later one.
+func TestRunsOfRestartedWorkers(t *testing.T) {
+	runUnderFaults(t, 40, 0, func(s *sim, seed uint64) {
+		s.sameID, s.refused = true, seed%3 != 0
+		for _, w := range s.workers {
+			s.heartbeatAfter(1500*ms, w)
+		}
+	})
+}
+
+func runUnderFaults(t *testing.T, seeds int, unparsedRate float64, prepare ...func(s *sim, seed uint64)) {
 	for seed := range uint64(seeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			s := newSim(t, seed)
 			s.callLoss, s.refusalRate, s.unparsedRate = 0.1, 0.1, unparsedRate
+			for _, p := range prepare {
+				p(s, seed)
+			}
 			// Odd seeds change the leader in 16% of the steps, even seeds in 2%, so that a
 			// leader stays long enough for leases of its own to expire.
 			leaderChanges := 2 + 14*int(seed%2)
--- a/core/schedule/sim_worker_test.go
+++ b/core/schedule/sim_worker_test.go
@@ -42,7 +42,7 @@
 	w := &simWorker{
 		rate: 0.98 + s.rng.Float64()*0.02, clockStart: s.now.Add(-model.Duration(s.rng.IntN(1_000_000)) * ms), up: true,
 		running: make(map[jobs.RunRef]*simRun), finished: make(map[jobs.TaskRef]int),
-		info: jobs.Worker{ID: model.WorkerID(id), StartedAt: int64(s.now / model.Time(ms)), Service: "render", Address: id,
+		info: jobs.Worker{ID: model.WorkerID(id), StartedAt: int64(s.now / model.Time(ms)), Host: model.HostID("host-" + id), Service: "render", Address: id,
 			Capacity: model.Resources{MilliCPU: 8000, MemoryMB: 8000}},
 	}
 	s.apply(&jobs.Command{Announce: &w.info})
@@ -136,9 +136,13 @@
 	if start.Deadline <= w.clock(s.now) {
 		return order.DeadlinePassed
 	}
-	s.checkStart(w, start)
 	job := s.state.Jobs[start.Job]
-	w.lease = max(w.lease, start.Deadline)
+	if job.Steps == nil { // a copy has completed the job while the order was on its way
+		require.Equal(s.t, jobs.Completed, job.Phase)
+		return order.Superseded
+	}
+	s.checkStart(w, start)
+	w.lease = max(w.lease, min(start.Deadline, w.clock(s.now)+order.ClockMS(simBounds.LeaseMax/ms)))
 	longest := 2500 * ms
 	if s.rng.Float64() < 0.4 {
 		longest = 12 * model.Second // longer than a lease
@@ -274,6 +278,21 @@
 	w.ends = append(w.ends, order.Ended{Number: w.number, RunRef: ref, Outcome: o})
 }
 
+// heartbeatAfter makes a worker announce itself, and again every 1.5 s, since the leader
+// removes a worker that it cannot reach.
+func (s *sim) heartbeatAfter(d model.Duration, w *simWorker) {
+	s.after(d, func() {
+		if !w.up {
+			return
+		}
+		s.heartbeatAfter(1500*ms, w)
+		known := s.state.Workers[w.info.ID]
+		if !w.partitioned && (known == nil || !known.SameIncarnation(&w.info)) {
+			s.commit(&jobs.Command{Announce: &w.info})
+		}
+	})
+}
+
 // crash ends a worker's process and starts a new one after d.
 func (s *sim) crash(w *simWorker, d model.Duration) {
 	w.up = false
@@ -283,13 +302,24 @@
 			info: w.info, rate: w.rate, clockStart: s.now, up: true,
 			running: make(map[jobs.RunRef]*simRun), finished: make(map[jobs.TaskRef]int),
 		}
-		fresh.info.ID = model.WorkerID(fmt.Sprintf("%s+", w.info.ID))
-		fresh.info.Address, fresh.info.StartedAt = string(fresh.info.ID), int64(s.now/model.Time(ms))
+		fresh.info.StartedAt = int64(s.now / model.Time(ms))
+		announceAfter := model.Duration(0)
+		if s.sameID {
+			fresh.clockStart = s.now.Add(-ms)
+			announceAfter = s.between(0, 1500*ms)
+		} else {
+			fresh.info.ID = model.WorkerID(fmt.Sprintf("%s+", w.info.ID))
+			fresh.info.Address = string(fresh.info.ID)
+		}
 		for i := range s.workers {
 			if s.workers[i] == w {
 				s.workers[i] = fresh
 			}
 		}
-		s.commit(&jobs.Command{Announce: &fresh.info})
+		if announceAfter == 0 {
+			s.commit(&jobs.Command{Announce: &fresh.info})
+			return
+		}
+		s.heartbeatAfter(announceAfter, fresh)
 	})
 }
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -20,6 +20,8 @@
 	// pollAnswerTime is how long after its wait a poll may be answered. It is hundreds
 	// of times the round trip to a worker, to allow for an overloaded leader.
 	pollAnswerTime = 900 * model.Millisecond
+	// restartTime is less than the time in which a worker can start again.
+	restartTime = 250 * model.Millisecond
 	// pollRetryDelay is the delay before the next poll after a failed one.
 	pollRetryDelay = 150 * model.Millisecond
 	// pollTimeout is how long after its longest wait a poll is given up. The executor
@@ -142,8 +144,7 @@
 	s.leavePool(w)
 }
 
-// handleAnnounced handles the committed announcement of a worker. The runs of an earlier
-// incarnation have ended with it.
+// handleAnnounced handles the committed announcement of a worker.
 func (s *Scheduler) handleAnnounced(env Env, out *Out, info *jobs.Worker) {
 	if old := s.workers[info.ID]; old != nil {
 		if old.info.Incarnation == info.Incarnation && old.info.Host == info.Host {
@@ -152,9 +153,12 @@
 			s.joinPool(old)
 			return
 		}
-		s.giveUpRuns(env, out, old, "its worker restarted or moved to another host")
-		s.removeWorker(old)
+		// An order to the old process may have been executed by the new one, or may
+		// still be until it has seen its token.
+		old.leaseEndsBy = max(old.leaseEndsBy, env.Now.Add(strayOrderEnd(env.Bounds)))
+		s.detachWorker(old)
 	}
+	s.endEarlierProcesses(env, out, info)
 	s.addWorker(env, info)
 	out.log(effect.WorkerSeen, effect.Log{Worker: info.ID, Index: info.Incarnation, Detail: string(info.Service) + " " + info.Address})
 	s.advanceWorker(env, out, s.workers[info.ID])
@@ -200,7 +204,7 @@
 
 func (s *Scheduler) advanceWorker(env Env, out *Out, w *worker) {
 	if w.pendingPoll != 0 && env.Now > w.pollDeadline {
-		w.pendingPoll = 0
+		w.pendingPoll, w.pollFailed = 0, true
 	}
 	if w.pendingPoll != 0 && len(w.runs) > 0 && s.isLosingAnswers(env.Now) && env.Now.Sub(w.pollSentAt) > s.shortPollWait(env.Now, w)+answerLossAnswerTime {
 		// The poll was sent with a long wait before answers began to get lost. Poll
@@ -214,7 +218,7 @@
 		return
 	}
 	if !w.isFresh(env.Now) && env.Now > w.leaseEndsBy {
-		s.giveUpRuns(env, out, w, "the lease of its worker is over")
+		s.giveUpExpired(env, out, w)
 		return
 	}
 	if w.answeredAt != 0 && env.Now.Sub(w.answeredAt) > maxAnswerAge {
@@ -267,7 +271,11 @@
 // lost. The leader's first poll of a worker does the same, since the leader does not
 // know the worker's clock yet.
 func (s *Scheduler) poll(env Env, out *Out, w *worker) {
-	request := order.Poll{RecordedUpTo: w.recordedThrough, AnswerTime: pollAnswerTime}
+	request := order.Poll{AnswerTime: pollAnswerTime}
+	if w.polled && !w.pollFailed && env.Now.Sub(w.answeredAt) < restartTime {
+		// A later process of the worker would take the number for one of its own ends.
+		request.RecordedUpTo = w.recordedThrough
+	}
 	if w.polled && !w.pollFailed {
 		request.Wait = pollWait
 		if w.hasStarting() {
@@ -403,6 +411,9 @@
 			s.giveUp(env, out, r, jobs.OutcomeVoid, "", "its worker does not list it")
 		}
 	}
+	if !reply.Partial {
+		s.giveUpUnadopted(env, out, w)
+	}
 	s.throttleBestEffort(env, out, w)
 }
 
@@ -438,7 +449,7 @@
 		if !unparsed {
 			w.proposedThrough = e.Number
 		}
-		r := w.runs[e.RunRef]
+		r := s.runOn(w, e.RunRef)
 		if r == nil {
 			// An earlier leader recorded the end, or the run was given up.
 			if s.abandoned[e.RunRef] || isAbandoned(env, e.RunRef) {
