schedule: a target below a millisecond does not end the leader

Cause: the load of a run was divided by its target in whole milliseconds, zero for any target below one. Each next leader had the job in its log.

The load is now put in relation to the target itself.

Ruled out: a check at the boundary alone, since logs that hold such a job exist and the interface allows the value.

--- a/core/hosts/wave.go
+++ b/core/hosts/wave.go
@@ -122,7 +122,10 @@
 // isUrgent reports whether the maintenance of the remaining hosts needs all the time
 // until the wave is due.
 func isUrgent(now model.Time, w *jobs.Wave, remaining int) bool {
-	rounds := (remaining + w.Cap - 1) / w.Cap
+	rounds := remaining
+	if w.Cap > 1 {
+		rounds = (remaining-1)/w.Cap + 1
+	}
 	return now.Add(model.Duration(rounds+1)*waveRoundTime) >= w.Due
 }
 
--- a/core/jobs/state.go
+++ b/core/jobs/state.go
@@ -200,7 +200,7 @@
 	if j.FirstAt == 0 {
 		return 0
 	}
-	return j.FirstAt.Add(model.Duration(round) * j.Interval)
+	return j.FirstAt.AddRepeated(round, j.Interval)
 }
 
 // StepOpen reports whether all steps that a step depends on are done.
--- a/core/model/model.go
+++ b/core/model/model.go
@@ -20,6 +20,40 @@
 	Hour                 = 60 * Minute
 )
 
+// maxDuration bounds the durations that callers give, in nanoseconds (208 days), so that
+// the sum of 256 of them and a time does not overflow.
+const maxDuration Duration = 1 << 54
+
+// maxTime is a time that no process reaches (the year 2116 in Unix nanoseconds).
+const maxTime Time = 1 << 62
+
+// DurationOf converts a length of time in nanoseconds. The result is at most 208 days
+// long, in either direction; not a number gives 0. A plain conversion of a number that
+// is out of range differs between processors.
+func DurationOf(nanoseconds float64) Duration {
+	if nanoseconds != nanoseconds {
+		return 0
+	}
+	return Duration(min(max(nanoseconds, -float64(maxDuration)), float64(maxDuration)))
+}
+
+// UnixMilliseconds converts a number of milliseconds since 1970 or of an interval to
+// nanoseconds, at most 2^62 in either direction.
+func UnixMilliseconds(ms int64) Time {
+	const limit = int64(maxTime) / int64(Millisecond)
+	return Time(min(max(ms, -limit), limit)) * Time(Millisecond)
+}
+
+// AddRepeated returns the time n intervals after t, at most the year 2116. n and the
+// interval are not negative.
+func (t Time) AddRepeated(n int, interval Duration) Time {
+	t = min(t, maxTime)
+	if interval > 0 && Duration(n) > Duration(maxTime-t)/interval {
+		return maxTime
+	}
+	return t + Time(n)*Time(interval)
+}
+
 // Add returns the time d after t.
 func (t Time) Add(d Duration) Time { return t + Time(d) }
 
--- a/core/schedule/demand.go
+++ b/core/schedule/demand.go
@@ -218,7 +218,7 @@
 		for i := range job.job.Steps {
 			step := &job.job.Steps[i]
 			if step.PerWorker > 0 {
-				d.MinHosts = max(d.MinHosts, (step.Tasks+step.PerWorker-1)/step.PerWorker)
+				d.MinHosts = max(d.MinHosts, hostsForTasks(step.Tasks, step.PerWorker))
 			}
 		}
 		if job.longRunning {
@@ -228,6 +228,10 @@
 	return d
 }
 
+// hostsForTasks returns the number of hosts that n tasks need with at most perHost on
+// each.
+func hostsForTasks(n, perHost int) int { return (n-1)/perHost + 1 }
+
 // addUnplaced adds the waiting long-running tasks of a job that an empty worker of any
 // kind could take.
 func (s *Scheduler) addUnplaced(env Env, d *Demand, job *activeJob) {
@@ -240,7 +244,7 @@
 		d.Unplaced = d.Unplaced.Add(step.Claim())
 		waiting[ref.StepRef()]++
 		if n := waiting[ref.StepRef()]; step.PerWorker > 0 {
-			d.UnplacedHosts = max(d.UnplacedHosts, (n+step.PerWorker-1)/step.PerWorker)
+			d.UnplacedHosts = max(d.UnplacedHosts, hostsForTasks(n, step.PerWorker))
 		}
 	}
 }
--- a/core/schedule/duration.go
+++ b/core/schedule/duration.go
@@ -116,7 +116,7 @@
 // milliseconds rounds to whole milliseconds, so that processors whose exponential
 // functions differ in the last bit make the same decisions.
 func milliseconds(ms float64) model.Duration {
-	return model.Duration(math.Round(ms)) * model.Millisecond
+	return model.DurationOf(math.Round(ms) * float64(model.Millisecond))
 }
 
 // durations returns the model of a queue, or nil if no job of the queue was submitted.
@@ -149,7 +149,7 @@
 
 // allowedTime returns the time from its submission after which a job is late.
 func allowedTime(m *durationModel, q *jobs.Queue, j *jobs.Job) model.Duration {
-	return model.Duration(float64(criticalPath(m, j))*q.Stretch) + q.Target
+	return model.DurationOf(float64(criticalPath(m, j))*q.Stretch) + q.Target
 }
 
 // criticalPath returns the predicted duration of a job's longest chain of dependent
--- a/core/schedule/throttle.go
+++ b/core/schedule/throttle.go
@@ -14,6 +14,8 @@
 	speedUpAt  = 55
 	// speedStep is the increase of one step up, in percent of full speed.
 	speedStep = 15
+	// maxLoadPercent bounds the load in percent of a target.
+	maxLoadPercent = 1e9
 	// minSpeed is the speed below which a best-effort run is halted, in percent.
 	minSpeed = 10
 	// speedUpTime is the shortest time between two steps up.
@@ -30,7 +32,7 @@
 	bestEffort := false
 	for _, r := range w.runs {
 		if r.step.Target > 0 && r.phase == begun {
-			worst = max(worst, r.load*100/int64(r.step.Target/model.Millisecond))
+			worst = max(worst, loadPercent(r.load, r.step.Target))
 		}
 		bestEffort = bestEffort || r.step.BestEffort
 	}
@@ -49,6 +51,12 @@
 	}
 }
 
+// loadPercent returns a load, in milliseconds, in percent of a target, which may be
+// shorter than a millisecond.
+func loadPercent(load int64, target model.Duration) int64 {
+	return int64(min(float64(load)*100*float64(model.Millisecond)/float64(target), maxLoadPercent))
+}
+
 // wantedSpeed returns the next speed of a best-effort run, in percent. since is the time
 // since the latest change.
 func wantedSpeed(percent int, load int64, since model.Duration) int {
