schedule: a refused start marks its worker as unreachable

The worker now gets no new runs until it answers a poll. It is still removed only after two refused polls.

Evidence: TestRefusedStartIsNotRepeatedThere fails before.

--- a/core/schedule/lease_test.go
+++ b/core/schedule/lease_test.go
@@ -165,3 +165,15 @@
 	f.answerPoll("a", nil, nil)
 	require.Equal(t, uint64(7), polls().RecordedUpTo)
 }
+
+// Guards against a task that is ordered again and again to a worker that refuses
+// connections, until its polls show it.
+func TestRefusedStartIsNotRepeatedThere(t *testing.T) {
+	f := newFixture(t, testWorker("a"))
+	f.submit("j", jobs.Step{Tasks: 1, Size: cores(1)})
+	start := f.takeCalls("a")[0]
+	f.act(func(out *Out) { f.s.Replied(f.env(), out, &order.Reply{Call: start, Status: order.Refused}) })
+	f.advanceBy(50 * ms)
+	require.Empty(t, f.takeCalls("a"))
+	require.Empty(t, f.s.runs, "the order was not sent")
+}
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -208,6 +208,7 @@
 		// This copy of the order was not sent.
 		r.refusals++
 		s.voidIfRefused(env, out, r, reply)
+		s.markUnreachable(out, w, "connections to its address are refused")
 	default:
 		// An earlier order without an answer may still be executed.
 		r.refusals++
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -370,6 +370,14 @@
 	return slices.ContainsFunc(reply.Ended, func(e order.Ended) bool { return e.Unparsed })
 }
 
+// markUnreachable stops the placement of runs on a worker until it answers a poll.
+func (s *Scheduler) markUnreachable(out *Out, w *worker, reason string) {
+	if w.polled {
+		w.polled = false
+		out.log(effect.WorkerSilent, effect.Log{Worker: w.info.ID, Detail: reason})
+	}
+}
+
 // addressLost handles that a worker does not answer at its address, where connections
 // are refused or another process answers. The worker gets no new runs. That does not
 // prove that its process has ended: a firewall or a cut refuses connections too, and the
@@ -377,10 +385,7 @@
 // ended, and then the worker is removed. If its process still runs, its next heartbeat
 // adds it again.
 func (s *Scheduler) addressLost(out *Out, w *worker, reason string) {
-	if w.polled {
-		w.polled = false
-		out.log(effect.WorkerSilent, effect.Log{Worker: w.info.ID, Detail: reason})
-	}
+	s.markUnreachable(out, w, reason)
 	if len(w.runs) == 0 && !w.removing {
 		w.removing = true
 		out.Proposals = append(out.Proposals, jobs.Command{Depart: &jobs.Depart{Worker: w.info.ID, Incarnation: w.info.Incarnation}})
