schedule: the end that a worker announces does not end its runs

A worker that leaves is detached: its runs wait for the end of their lease or for a later process on its host. Only the owner of the hosts ends them at once, which accepts a move or a maintenance by ending all that runs there.

--- a/core/hosts/moves.go
+++ b/core/hosts/moves.go
@@ -139,7 +139,7 @@
 	var list []jobs.Depart
 	for _, worker := range model.SortedKeys(env.Schedule.State.Workers) {
 		if w := env.Schedule.State.Workers[worker]; w.Host == id {
-			list = append(list, jobs.Depart{Worker: worker, Incarnation: w.Incarnation})
+			list = append(list, jobs.Depart{Worker: worker, Incarnation: w.Incarnation, Ended: true})
 		}
 	}
 	return list
--- a/core/jobs/command.go
+++ b/core/jobs/command.go
@@ -93,6 +93,8 @@
 type Depart struct {
 	Worker      model.WorkerID `json:"w"`
 	Incarnation uint64         `json:"l"`
+	// Ended means that its process and all its runs have certainly ended.
+	Ended bool `json:"e,omitempty"`
 }
 
 // Forget removes jobs that ended before a time of the replicated clock.
--- a/core/schedule/lease_test.go
+++ b/core/schedule/lease_test.go
@@ -177,3 +177,35 @@
 	require.Empty(t, f.takeCalls("a"))
 	require.Empty(t, f.s.runs, "the order was not sent")
 }
+
+// Guards against a task that runs twice: a worker that announces its end goes on until the
+// acknowledgement arrives, or for seconds if it is lost.
+func TestDepartureDoesNotEndRuns(t *testing.T) {
+	for _, ended := range []bool{false, true} {
+		f := restartableFixture(t)
+		leaseEndsBy := f.s.workers["a"].leaseEndsBy
+		f.commit(jobs.Command{Depart: &jobs.Depart{Worker: "a", Incarnation: f.state.Workers["a"].Incarnation, Ended: ended}})
+		require.NotContains(t, f.s.workers, model.WorkerID("a"))
+		if ended {
+			require.NotContains(t, f.s.runs, ref("j", 0, 1), "the owner of the hosts has ended it")
+			continue
+		}
+		for f.now < leaseEndsBy {
+			require.Contains(t, f.s.runs, ref("j", 0, 1))
+			f.advanceBy(50 * ms)
+		}
+		f.advanceBy(strayOrderEnd(simBounds))
+		require.NotContains(t, f.s.runs, ref("j", 0, 1))
+	}
+}
+
+// Guards against the same in the next leader, which knows the run but not its worker.
+func TestDepartureBeforeAChangeOfLeader(t *testing.T) {
+	f := restartableFixture(t)
+	f.commit(jobs.Command{Depart: &jobs.Depart{Worker: "a", Incarnation: f.state.Workers["a"].Incarnation}})
+	f.s = New(f.env())
+	f.advanceBy(simBounds.LeaseMax)
+	require.Contains(t, f.s.runs, ref("j", 0, 1))
+	f.advanceBy(strayOrderEnd(simBounds))
+	require.NotContains(t, f.s.runs, ref("j", 0, 1))
+}
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -164,13 +164,17 @@
 	s.advanceWorker(env, out, s.workers[info.ID])
 }
 
+// handleDeparted handles the committed departure of a worker. A worker that announces its
+// end may go on for seconds if the acknowledgement is lost.
 func (s *Scheduler) handleDeparted(env Env, out *Out, c *jobs.Depart) {
 	w := s.workers[c.Worker]
 	if w == nil || w.info.Incarnation != c.Incarnation {
 		return
 	}
-	s.giveUpRuns(env, out, w, "its worker has left")
-	s.removeWorker(w)
+	if c.Ended {
+		s.giveUpRuns(env, out, w, "its worker has ended")
+	}
+	s.detachWorker(w)
 	out.log(effect.WorkerGone, effect.Log{Worker: c.Worker, Index: c.Incarnation})
 }
 
