--- a/core/consensus/doc.go
+++ b/core/consensus/doc.go
@@ -50,19 +50,22 @@
 // that is known to match.
 //
 // Membership. A voter set is an entry of the log and takes effect when it is
-// appended. A change adds, removes or exchanges one voter, and waits until the change before
-// it and the no-op of the leader's term are committed. A node that is not in the
-// voter set sends MsgJoin to its peers until a leader replicates to it. If it is
-// durable and has caught up, it replaces the earlier identity of its host (which
-// is removed before the new one is added), or is added while there are fewer
-// than MaxVoters. A caught-up replica of another host takes the place of a voter
-// that has been silent for replaceTimeout in an exchange (joint consensus): between
-// the entry that begins it and the one that ends it, every decision needs a
-// majority of both sets. A voter that has been silent for surplusTimeout is removed
-// if the others tolerate more losses without it. No other host is added while a
-// voter is silent.
-// Identities that left the voter set are retired and never return: their
-// requests are answered with MsgRetired, after which the caller of the package
-// starts the host with an empty data folder and another identity. A durable non-voter answers vote requests, since a candidate may know
-// that it is a voter before the node itself does; a volatile one never does.
+// appended. A change adds, removes or exchanges one voter, and waits until the
+// change before it and the no-op of the leader's term are committed. A node that
+// is not in the voter set sends MsgJoin to its peers until a leader replicates to
+// it. If it is durable and has caught up, it replaces the earlier identity of its
+// host (which is removed before the new one is added), or is added while there are
+// fewer than MaxVoters and no voter is silent.
+//
+// A caught-up replica of another host takes the place of a voter that has been
+// silent for replaceTimeout, in an exchange (joint consensus): between the entry
+// that begins it and the one that ends it, every decision needs a majority of both
+// sets. A voter that has been silent for surplusTimeout is removed if the others
+// tolerate more losses without it.
+//
+// Identities that left the voter set are retired and never return. Their requests
+// are answered with MsgRetired; the caller of the package then starts the host
+// with an empty data folder and another identity. A durable non-voter answers vote
+// requests, since a candidate may know that it is a voter before the node itself
+// does; a volatile one never does.
 package consensus
