--- a/core/consensus/replacement_test.go
+++ b/core/consensus/replacement_test.go
@@ -14,8 +14,8 @@
 
 var replacementCount = flag.Int("consensus.replacements", 300, "number of schedules with replaced hosts")
 
-// silence makes C, D and further voters answer the leader A while B is silent, and
-// returns the end of that time.
+// silence advances the time by d, in which only the given nodes answer the leader A, and
+// returns its end.
 func silence(n *testNode, now model.Time, d model.Duration, heard ...NodeID) model.Time {
 	for end := now.Add(d); now < end; {
 		now = now.Add(50 * ms)
--- a/core/schedule/lease_test.go
+++ b/core/schedule/lease_test.go
@@ -18,6 +18,7 @@
 	}
 }
 
+// replyToPolls answers all polls of a worker.
 func (f *fixture) replyToPolls(id model.WorkerID, r order.Reply) {
 	calls := f.calls
 	f.calls = nil
@@ -31,8 +32,7 @@
 	}
 }
 
-// startOnA starts the task of a job on the worker a and returns its lease, with which
-// the order was sent.
+// startOnA submits the job j with one task, which the worker a then lists as running.
 func (f *fixture) startOnA() {
 	f.submit("j", jobs.Step{Tasks: 1, Size: cores(1)})
 	require.Len(f.t, f.takeCalls("a"), 1)
