consensus: a new leader adds no host before it has heard all voters

When the replica that was removed had led, the successor joined 0.4 s after the new term had begun, when the voters of the lost hosts did not count as silent yet, and was added beside them instead of in their place. Eight voters with four lost ones remained.

A voter that has neither voted for the leader nor replied in its term now counts as silent where a host is added. The wait before a voter is exchanged is as before.

Ruled out: the load itself.

Evidence: TestNewLeaderAddsNobodyBeforeItHasHeardAllVoters fails without the change.

--- a/core/consensus/leader.go
+++ b/core/consensus/leader.go
@@ -27,9 +27,12 @@
 func (n *Node[C, S]) becomeLeader() {
 	n.role = Leader
 	n.leader = n.cfg.ID
-	n.votes = nil
 	n.leadership = leadership{since: n.now, lastTick: n.now}
 	n.addVoterPeers()
+	for _, p := range n.leadership.peers {
+		p.heard = n.votes[p.id]
+	}
+	n.votes = nil
 	n.propose(Entry[C]{Kind: EntryNoop})
 	n.leadership.noopIndex = n.log.lastIndex()
 	n.sendHeartbeats()
--- a/core/consensus/membership.go
+++ b/core/consensus/membership.go
@@ -351,10 +351,12 @@
 }
 
 // hasSilentVoter reports whether some voter was not heard within the shortest election
-// timeout. A new host is not added beside it: the majority would grow although fewer
-// voters answer.
+// timeout, or not at all by this leader. A new host is not added beside it: the majority
+// would grow although fewer voters answer.
 func (n *Node[C, S]) hasSilentVoter(current membership) bool {
-	return slices.ContainsFunc(current.voters, func(id NodeID) bool { return id != n.cfg.ID && n.isSilent(id) })
+	return slices.ContainsFunc(n.leadership.peers, func(p *progress) bool {
+		return current.contains(p.id) && (!p.heard || n.isSilent(p.id))
+	})
 }
 
 // reservedPlaces returns the hosts that are being replaced, without those that have
--- a/core/consensus/progress.go
+++ b/core/consensus/progress.go
@@ -25,6 +25,7 @@
 	unansweredSince model.Time // when the oldest unanswered append or snapshot was sent, or the last answer
 	lastHeard       model.Time // time of the last reply or join, or the start of the replication
 	ackedSendTime   model.Time // latest send time that the peer echoed, in the leader's clock
+	heard           bool       // it voted for this leader or has replied in its term
 	durable         bool
 
 	// sentCommit is the highest commit index that was sent to the peer. If that
--- a/core/consensus/replacement_test.go
+++ b/core/consensus/replacement_test.go
@@ -64,6 +64,20 @@
 	require.Equal(t, []NodeID{idA, idB, idC, idD}, n.Status().Voters)
 }
 
+// TestNewLeaderAddsNobodyBeforeItHasHeardAllVoters guards against voters of lost hosts that
+// add up because each new leader counts them as heard when its term begins.
+func TestNewLeaderAddsNobodyBeforeItHasHeardAllVoters(t *testing.T) {
+	n := newVoter(t)
+	n.cfg.MaxVoters = 9
+	now := elect(t, n) // with the vote of B
+	n.Step(now, 0, appendReply(idB, 2, now))
+	join(n, now, idD, true)
+	now = silence(n, now, 500*ms, idB, idD)
+	require.Equal(t, []NodeID{idA, idB, idC}, n.Status().Voters, "C may be gone")
+	silence(n, now, 100*ms, idB, idC, idD)
+	require.Equal(t, []NodeID{idA, idB, idC, idD}, n.Status().Voters)
+}
+
 // TestSurplusVoterIsRemoved guards against the voter of a lost host that stays because
 // its successor was added before the host was silent.
 func TestSurplusVoterIsRemoved(t *testing.T) {
--- a/core/consensus/replication.go
+++ b/core/consensus/replication.go
@@ -270,7 +270,7 @@
 	if p == nil {
 		return nil
 	}
-	p.lastHeard = n.now
+	p.lastHeard, p.heard = n.now, true
 	p.ackedSendTime = max(p.ackedSendTime, m.Sent)
 	return p
 }
