jobs: an order on a data centre does not follow a later one

What callers saw: an operator's DELETE of an evacuation lay in the socket of a replica that was frozen for 3.5 s. The operator had it acknowledged elsewhere and asked for the evacuation again.

Cause: nothing in a call told an old one from a new one, and the leader applied whatever arrived last.

Ruled out: entries of the log that overtake each other (an entry of an earlier term is committed before those of later terms or never).

Change: a call carries its horizon, the first log index that its receiver had not applied when it arrived. An order that contradicts one recorded at its horizon or later is refused (call_superseded, 503), at the leader and again when it is applied. After a pause of 250 ms or more, calls keep the horizon of before the pause for 20 ticks, since entries committed meanwhile may be applied before the call is read. A call whose replica had only not applied the previous order yet is made again with a new horizon. A worker's last call without its start time does not remove a process that was recorded later.

Why it works: an order that was acknowledged after the caller had gone on has an index at or above the horizon of the old call, wherever the old one lay since. No clock decides.

TestQuickOrdersAreAcknowledgedAtOnce: 1000 quick orders, none refused.

core/relay's and core's existing tests pass the new arguments; what they check is the same.

--- a/core/burn/counts_test.go
+++ b/core/burn/counts_test.go
@@ -17,7 +17,7 @@
 		problem.UnknownTeam: NotCounted, problem.KeyReused: NotCounted, problem.InProgress: NotCounted,
 		problem.RevisionConflict: NotCounted, problem.RulesRejected: NotCounted, problem.UnknownKey: NotCounted,
 		problem.TaskRejected: NotCounted, problem.PlanRejected: NotCounted, problem.UnknownHost: NotCounted,
-		problem.AnnouncementInvalid: NotCounted, problem.ConnectionClosing: NotCounted,
+		problem.AnnouncementInvalid: NotCounted, problem.ConnectionClosing: NotCounted, problem.CallSuperseded: NotCounted,
 		problem.Overloaded: Refused, problem.NoLeader: Refused, problem.NoLease: Refused,
 		problem.NoTarget: Refused, problem.Stopping: Refused,
 		problem.PatienceExceeded: Late,
--- a/core/call/call.go
+++ b/core/call/call.go
@@ -15,6 +15,10 @@
 	Incarnation model.Incarnation `json:"inc"` // of that process
 	// Patience is how long the caller waits.
 	Patience model.Duration `json:"patience"`
+	// Horizon is an index of the log: when the call arrived, the process that holds it
+	// had applied no entry at this index or later. An order that is recorded there may
+	// therefore be later than the call. It is 0 if the process does not follow the log.
+	Horizon uint64 `json:"horizon,omitempty"`
 
 	Submit     *Submit         `json:"submit,omitempty"`
 	Query      *Address        `json:"query,omitempty"`
@@ -85,6 +89,10 @@
 	Incarnation model.Incarnation `json:"inc"` // of the process that holds the call
 	Problem     *problem.Problem  `json:"problem,omitempty"`
 
+	// SupersededBy is the index of the order because of which Problem is
+	// problem.CallSuperseded.
+	SupersededBy uint64 `json:"superseded_by,omitempty"`
+
 	State    JobState     `json:"state,omitempty"`    // of a job
 	Pending  *int         `json:"pending,omitempty"`  // jobs of a queue that have not started
 	Document string       `json:"document,omitempty"` // the configuration
--- a/core/calls.go
+++ b/core/calls.go
@@ -105,7 +105,10 @@
 		s.emit(effect.AnswerCall{Answer: call.Answer{Seq: c.Seq, Incarnation: s.cfg.Incarnation, Next: s.cfg.Host}})
 		return
 	}
-	s.emit(s.relay.Accept(s.now, c)...)
+	if s.cfg.Durable {
+		c.Horizon = s.horizon.ofCall(s.fleet.Index + 1)
+	}
+	s.emit(s.relay.Accept(s.now, c, s.horizon.settling > 0)...)
 }
 
 // isCaughtUp reports whether this replica hears a leader and has applied every entry
@@ -192,7 +195,7 @@
 }
 
 func (s *State) answerTo(c *jobs.Command, r *jobs.Result) call.Answer {
-	a := call.Answer{Problem: r.Problem}
+	a := call.Answer{Problem: r.Problem, SupersededBy: r.SupersededBy}
 	switch {
 	case c.Announce != nil:
 		a.Next = s.heartbeatHost(c.Announce)
--- a/core/delegates_sim_test.go
+++ b/core/delegates_sim_test.go
@@ -52,6 +52,7 @@
 	incarnation int
 	frozenUntil model.Time // handles no event before this time
 	partitioned bool       // from all other replicas
+	cutUntil    model.Time // messages from and to it arrive after this time
 	diskFull    bool       // its disk takes no writes
 	openCalls   int        // calls to workers in progress
 	stored      Stored
@@ -222,7 +223,8 @@
 	require.NoError(s.t, err)
 	to := s.replicas[i]
 	incarnation := to.incarnation
-	s.after(s.between(millisecond, 4*millisecond), func() {
+	held := max(0, max(from.cutUntil, to.cutUntil).Sub(s.now))
+	s.after(held+s.between(millisecond, 4*millisecond), func() {
 		m, err := codec.DecodeMessage(data)
 		require.NoError(s.t, err)
 		s.deliver(to, incarnation, event.Received{From: from.host, Message: *m})
--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -190,6 +190,7 @@
 	WorkerDraining   Code = "worker_draining"
 	ConfigAccepted   Code = "config_accepted"
 	CallGivenUp      Code = "call_given_up"
+	CallSuperseded   Code = "call_superseded"
 	ContactLost      Code = "contact_lost"
 	ContactRegained  Code = "contact_regained"
 	WaveBegun        Code = "wave_begun"
--- a/core/handler/handler.go
+++ b/core/handler/handler.go
@@ -106,7 +106,7 @@
 	case c.ReadConfig != nil:
 		return readConfig(env)
 	case c.SetOut != nil:
-		return Decision{Command: &jobs.Command{SetOut: c.SetOut}}
+		return setOut(env, c)
 	case c.StartWave != nil:
 		return Decision{Command: &jobs.Command{StartWave: c.StartWave}}
 	case c.ReadWave != nil:
@@ -114,7 +114,7 @@
 	case c.Heartbeat != nil:
 		return heartbeat(env, c.Heartbeat)
 	case c.Leave != nil:
-		return leave(env, c.Leave)
+		return leave(env, c)
 	}
 	return refuse(problem.BadRequest, "the call is empty")
 }
@@ -309,9 +309,27 @@
 	return true
 }
 
-func leave(env Env, l *call.Leave) Decision {
+// setOut proposes an order on a data centre unless a later one is recorded. It is
+// checked again when it is applied, since a later one may be proposed already.
+func setOut(env Env, c *call.Call) Decision {
+	order := *c.SetOut
+	order.Horizon = c.Horizon
+	if later := env.Schedule.State.SupersededBy(&order); later != 0 {
+		p := problem.New(problem.CallSuperseded, "a later order on data centre %s is in force", order.DataCentre)
+		return answer(call.Answer{Problem: p, SupersededBy: later})
+	}
+	return Decision{Command: &jobs.Command{SetOut: &order}}
+}
+
+// leave removes a worker. A call that does not name the process that ends may be meant
+// for an earlier one than a process that was recorded after the call had arrived.
+func leave(env Env, c *call.Call) Decision {
+	l := c.Leave
 	w := env.Schedule.State.Workers[l.Worker]
-	if w == nil || l.StartedAt != 0 && w.StartedAt != l.StartedAt {
+	switch {
+	case w == nil,
+		l.StartedAt != 0 && w.StartedAt != l.StartedAt,
+		l.StartedAt == 0 && c.Horizon != 0 && w.Incarnation >= c.Horizon:
 		return answer(call.Answer{})
 	}
 	return Decision{Command: &jobs.Command{Depart: &jobs.Depart{Worker: w.ID, Incarnation: w.Incarnation}}}
--- a/core/handler/handler_test.go
+++ b/core/handler/handler_test.go
@@ -251,3 +251,17 @@
 	}
 	require.True(t, started)
 }
+
+// Guards against the late last call of an earlier process of a worker that removes the
+// process which runs now. The call does not name the process that ends.
+func TestLateLeaveKeepsAWorkerRecordedLater(t *testing.T) {
+	f := newFixture()
+	recorded := f.index // of the worker
+	leave := func(horizon uint64) Decision {
+		return f.decide(call.Call{Horizon: horizon, Leave: &call.Leave{Worker: "w"}})
+	}
+	require.Nil(t, leave(recorded).Command)
+	require.Nil(t, leave(recorded).Answer.Problem, "its caller is acknowledged")
+	require.NotNil(t, leave(recorded+1).Command.Depart)
+	require.NotNil(t, leave(0).Command.Depart, "a process that does not follow the log passes it on as before")
+}
--- a/core/jobs/apply.go
+++ b/core/jobs/apply.go
@@ -10,6 +10,9 @@
 // Result is the outcome of a command.
 type Result struct {
 	Problem *problem.Problem
+	// SupersededBy is the index of the order because of which Problem is
+	// problem.CallSuperseded.
+	SupersededBy uint64
 	// Applied reports, for each run of an Assign or End, whether it took effect.
 	Applied []bool
 	// Ended lists the jobs that the command ended.
@@ -26,7 +29,7 @@
 	case c.Configure != nil:
 		return s.configure(c.Configure)
 	case c.SetOut != nil:
-		return s.setOut(c.SetOut)
+		return s.setOut(c.SetOut, index)
 	case c.Submit != nil:
 		return s.submit(c.Submit, now)
 	case c.Cancel != nil:
@@ -61,7 +64,14 @@
 	return Result{Changed: true}
 }
 
-func (s *State) setOut(c *SetOut) Result {
+// setOut applies an order on a data centre. One that repeats the order in force is
+// recorded too, since orders that are older than the repetition must not follow it.
+func (s *State) setOut(c *SetOut, index uint64) Result {
+	if later := s.SupersededBy(c); later != 0 {
+		p := problem.New(problem.CallSuperseded, "a later order on data centre %s was recorded", c.DataCentre)
+		return Result{Problem: p, SupersededBy: later}
+	}
+	s.ServiceOrders[c.DataCentre] = index
 	if s.OutOfService[c.DataCentre] == c.Out {
 		return Result{}
 	}
@@ -73,6 +83,16 @@
 	return Result{Changed: true}
 }
 
+// SupersededBy returns the index of an order that may be later than c and says the
+// opposite, or 0 if there is none.
+func (s *State) SupersededBy(c *SetOut) uint64 {
+	latest := s.ServiceOrders[c.DataCentre]
+	if c.Horizon == 0 || latest < c.Horizon || s.OutOfService[c.DataCentre] == c.Out {
+		return 0
+	}
+	return latest
+}
+
 // submit accepts a job. Submitting the same job again changes nothing.
 func (s *State) submit(j *Job, now model.Time) Result {
 	if s.Jobs[j.ID] != nil {
--- a/core/jobs/apply_test.go
+++ b/core/jobs/apply_test.go
@@ -6,6 +6,7 @@
 	"github.com/stretchr/testify/require"
 
 	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/problem"
 )
 
 // testLog applies commands to a state, with increasing log indexes as times.
@@ -81,3 +82,24 @@
 	require.True(t, l.end(2, OutcomeStopped))
 	require.Nil(t, l.state.Jobs["j"].Rounds)
 }
+
+// Guards against an order on a data centre that is applied after a later one, and
+// against one that is refused although it says what is in force.
+func TestOrderDoesNotFollowALaterOne(t *testing.T) {
+	s := &State{}
+	set := func(index uint64, out bool, horizon uint64) Result {
+		return s.Apply(&Command{SetOut: &SetOut{DataCentre: "west", Out: out, Horizon: horizon}}, index, 0)
+	}
+	require.Nil(t, set(5, true, 3).Problem)
+	require.Nil(t, set(9, true, 3).Problem, "a repetition is acknowledged")
+	late := set(10, false, 8)
+	require.Equal(t, problem.CallSuperseded, late.Problem.Kind, "it arrived before the repetition was recorded")
+	require.Equal(t, uint64(9), late.SupersededBy)
+	require.True(t, s.OutOfService["west"])
+	require.Equal(t, problem.CallSuperseded, set(11, false, 9).Problem.Kind)
+	require.Nil(t, set(12, false, 10).Problem)
+	require.False(t, s.Clone().OutOfService["west"])
+	require.Equal(t, uint64(12), s.Clone().ServiceOrders["west"])
+	require.Nil(t, set(13, true, 0).Problem, "an entry without a horizon, written by an earlier release, is applied")
+	require.Nil(t, s.Apply(&Command{SetOut: &SetOut{DataCentre: "east", Out: true, Horizon: 2}}, 14, 0).Problem, "orders on other data centres do not count")
+}
--- a/core/jobs/command.go
+++ b/core/jobs/command.go
@@ -34,6 +34,9 @@
 type SetOut struct {
 	DataCentre model.DataCentreID `json:"dc"`
 	Out        bool               `json:"out"`
+	// Horizon is the index from which on a recorded order on the data centre may be
+	// later than this one, which then does not change it any more. 0 sets no bound.
+	Horizon uint64 `json:"horizon,omitempty"`
 }
 
 // Cancel cancels a job.
--- a/core/jobs/state.go
+++ b/core/jobs/state.go
@@ -10,10 +10,12 @@
 type State struct {
 	Config       *Config                     `json:"config,omitempty"` // replaced as a whole, never modified
 	OutOfService map[model.DataCentreID]bool `json:"out"`              // data centres out of service, which get no new runs
-	Workers      map[model.WorkerID]*Worker  `json:"workers"`          // entries are replaced, never modified
-	Jobs         map[model.JobID]*Job        `json:"jobs"`
-	Ended        []model.JobID               `json:"ended,omitempty"` // in the order of their ends
-	Waves        map[uint64]*Wave            `json:"waves"`
+	// ServiceOrders holds, by data centre, the index of the latest SetOut.
+	ServiceOrders map[model.DataCentreID]uint64 `json:"service_orders,omitempty"`
+	Workers       map[model.WorkerID]*Worker    `json:"workers"` // entries are replaced, never modified
+	Jobs          map[model.JobID]*Job          `json:"jobs"`
+	Ended         []model.JobID                 `json:"ended,omitempty"` // in the order of their ends
+	Waves         map[uint64]*Wave              `json:"waves"`
 }
 
 // Phase is the state of a job.
@@ -229,6 +231,7 @@
 func (s *State) Clone() *State {
 	c := *s
 	c.OutOfService = maps.Clone(s.OutOfService)
+	c.ServiceOrders = maps.Clone(s.ServiceOrders)
 	c.Workers = maps.Clone(s.Workers)
 	c.Ended = append([]model.JobID(nil), s.Ended...)
 	c.Jobs = make(map[model.JobID]*Job, len(s.Jobs))
@@ -261,6 +264,9 @@
 	if s.OutOfService == nil {
 		s.OutOfService = make(map[model.DataCentreID]bool)
 	}
+	if s.ServiceOrders == nil {
+		s.ServiceOrders = make(map[model.DataCentreID]uint64)
+	}
 	if s.Workers == nil {
 		s.Workers = make(map[model.WorkerID]*Worker)
 	}
--- /dev/null
+++ b/core/orders_sim_test.go
@@ -0,0 +1,154 @@
+package core
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/call"
+	"primrosedale.example/primrosedale/core/event"
+	"primrosedale.example/primrosedale/core/jobs"
+	"primrosedale.example/primrosedale/core/model"
+)
+
+// Times of an operator, and of the faults beside it.
+const (
+	operatorPatience = model.Second     // without an answer, it goes on to another replica
+	orderGivenUp     = 4 * model.Second // an order without an acknowledgement is given up
+	orderFaultsEnd   = 25 * model.Second
+	longestOrderGap  = 1500 * millisecond
+	longestFault     = 4 * model.Second
+	maxDisturbed     = 2 // replicas at one time, of five
+)
+
+// Guards against an order that is carried out after a later order of its operator was
+// acknowledged: it lay unread on a frozen replica, in the relay of a replica, or on a
+// connection that was cut for some time.
+func TestOrdersOfOneOperatorApplyInTheirOrder(t *testing.T) {
+	seeds := uint64(60)
+	if value := os.Getenv(seedsVariable); value != "" {
+		var err error
+		seeds, err = strconv.ParseUint(value, 10, 64)
+		require.NoError(t, err)
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			t.Parallel()
+			o := orderingOperator{fleetSim: newFleetSim(t, seed, 5, 0)}
+			o.faultsEnd = o.now.Add(orderFaultsEnd)
+			o.disturb()
+			for o.now < o.faultsEnd {
+				o.order(o.rng.IntN(2) == 0)
+				o.pause(o.between(0, longestOrderGap))
+			}
+			o.pause(longestFault)
+			o.order(o.rng.IntN(2) == 0)
+			o.pause(longestFault)
+			require.True(t, o.acknowledged, "no order is acknowledged after the faults")
+			for _, r := range o.replicas {
+				require.Equal(t, o.out, r.state.fleet.Jobs.OutOfService["west"], r.host)
+			}
+		})
+	}
+}
+
+// Guards against an order that is refused although no later one can exist: the replica
+// that received it had not applied the previous order yet.
+func TestQuickOrdersAreAcknowledgedAtOnce(t *testing.T) {
+	for seed := range uint64(10) {
+		o := orderingOperator{fleetSim: newFleetSim(t, seed, 5, 0)}
+		for i := range 100 {
+			require.True(t, o.orderAt(o.replicas[o.rng.IntN(len(o.replicas))], i%2 == 0), "order %d of seed %d", i, seed)
+			o.acknowledged, o.out = true, i%2 == 0
+			o.pause(o.between(0, 100*millisecond))
+		}
+	}
+}
+
+// orderingOperator takes a data centre out of service and back, one order after the
+// other.
+type orderingOperator struct {
+	*fleetSim
+	faultsEnd    model.Time
+	acknowledged bool // the latest order, which is not followed by another one yet
+	out          bool // what the latest order says
+}
+
+// disturb freezes, cuts off or restarts a replica, again and again. What is sent over a
+// cut arrives when it is over.
+func (o *orderingOperator) disturb() {
+	if o.now >= o.faultsEnd {
+		return
+	}
+	disturbed := 0
+	for _, r := range o.replicas {
+		if o.now < max(r.frozenUntil, r.cutUntil) {
+			disturbed++
+		}
+	}
+	r := o.replicas[o.rng.IntN(len(o.replicas))]
+	if l := o.leader(); l != nil && o.rng.IntN(3) == 0 {
+		r = l
+	}
+	until := o.now.Add(o.between(100*millisecond, longestFault))
+	switch kind := o.rng.IntN(5); {
+	case disturbed >= maxDisturbed || o.now < max(r.frozenUntil, r.cutUntil):
+	case kind < 2:
+		r.frozenUntil = until
+	case kind < 4:
+		r.cutUntil = until
+	default:
+		o.startReplica(r)
+	}
+	o.after(o.between(50*millisecond, 1500*millisecond), o.disturb)
+}
+
+// order makes one order at one replica after the other until it is acknowledged.
+func (o *orderingOperator) order(out bool) {
+	o.acknowledged, o.out = false, out
+	for givenUp := o.now.Add(orderGivenUp); o.now < givenUp; {
+		if o.orderAt(o.replicas[o.rng.IntN(len(o.replicas))], out) {
+			o.acknowledged = true
+			return
+		}
+		o.run(o.between(0, 100*millisecond))
+	}
+}
+
+// orderAt reports whether a replica acknowledged the order in time.
+func (o *orderingOperator) orderAt(r *simReplica, out bool) bool {
+	o.seq++
+	c := call.Call{Seq: o.seq, Patience: 850 * millisecond, SetOut: &jobs.SetOut{DataCentre: "west", Out: out}}
+	incarnation := r.incarnation
+	o.after(o.between(0, 3*millisecond), func() { o.read(r, incarnation, c) })
+	for until := o.now.Add(operatorPatience); o.now < until; {
+		o.run(5 * millisecond)
+		if a, answered := o.answers[c.Seq]; answered {
+			return a.Problem == nil
+		}
+	}
+	return false
+}
+
+// read makes a replica read a call. A frozen one reads it when it runs again, before or
+// after the messages that have arrived meanwhile.
+func (o *orderingOperator) read(r *simReplica, incarnation int, c call.Call) {
+	if o.now < r.frozenUntil {
+		o.after(r.frozenUntil.Sub(o.now)+o.between(0, 100*millisecond), func() { o.read(r, incarnation, c) })
+		return
+	}
+	o.deliver(r, incarnation, event.CallArrived{Call: c})
+}
+
+// pause lets time pass, and checks that the order that was acknowledged holds.
+func (o *orderingOperator) pause(d model.Duration) {
+	for until := o.now.Add(d); o.now < until; {
+		o.run(10 * millisecond)
+		if l := o.leader(); l != nil && o.acknowledged {
+			require.Equal(o.t, o.out, l.state.fleet.Jobs.OutOfService["west"], "%s does not follow the acknowledged order", l.host)
+		}
+	}
+}
--- a/core/problem/problem.go
+++ b/core/problem/problem.go
@@ -51,6 +51,7 @@
 	ConfigRejected        Kind = "configuration_rejected"
 	CallKeyRejected       Kind = "key_unknown"
 	CallOutcomeUnknown    Kind = "call_outcome_unknown"
+	CallSuperseded        Kind = "call_superseded"
 	Internal              Kind = "internal"
 )
 
@@ -110,6 +111,7 @@
 	ConfigRejected:        {400, "the configuration is not valid", false, RanNo},
 	CallKeyRejected:       {401, "the key is missing, unknown or withdrawn", false, RanNo},
 	CallOutcomeUnknown:    {504, "the call was passed on and its outcome is not known", true, RanUnknown},
+	CallSuperseded:        {503, "a later order was recorded while the call was waiting", true, RanNo},
 	Internal:              {500, "internal error", false, RanUnknown},
 }
 
--- a/core/reduce.go
+++ b/core/reduce.go
@@ -15,6 +15,7 @@
 	s.now = in.At
 	s.rand = in.Rand
 	s.out = nil
+	s.horizon.observe(in.At, s.fleet.Index+1)
 	if s.halted {
 		return nil
 	}
@@ -95,6 +96,7 @@
 
 func (s *State) tick() {
 	s.log.Tick(s.now, s.rand)
+	s.horizon.tick()
 	s.commits.sample(s.now, s.log.BasicStatus().Commit)
 	s.transferIfDiskStalled()
 	s.followLeader()
@@ -127,7 +129,7 @@
 	case m.Call != nil:
 		s.decideCall(from, m.Call)
 	case m.CallAnswer != nil:
-		s.emit(s.relay.HandleAnswer(m.CallAnswer)...)
+		s.emit(s.relay.HandleAnswer(s.now, m.CallAnswer)...)
 	case m.Redirect != nil:
 		s.emit(s.relay.HandleRedirect(s.now, from, m.Redirect)...)
 	case m.WorkerCalls != nil:
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -45,6 +45,10 @@
 	// entry host considers itself cut off: three contacts. It is shorter than
 	// readySilenceMax, as the other replicas answer during an election.
 	replicaSilenceMax = 3 * contactInterval
+	// renewalTimeout is how long after its arrival a call is surely awaited by its
+	// caller, so that it is not older than an order which its holder learns of then. It
+	// leaves half of the second for which operators wait to the time before the arrival.
+	renewalTimeout = 500 * model.Millisecond
 	// retryAfter is the delay after which a caller may try again if no leader is known.
 	retryAfter = model.Second
 )
@@ -61,6 +65,7 @@
 	call      call.Call
 	arrivedAt model.Time
 	sentAt    model.Time // 0 if it was never sent
+	waited    bool       // it may have waited in a socket during a pause of the process
 }
 
 // Table holds the calls of a process.
@@ -109,9 +114,10 @@
 }
 
 // Accept holds a call and forwards it if the leader can be reached.
-func (t *Table) Accept(now model.Time, c call.Call) []effect.Effect {
+// waited means that it may have been sent long ago.
+func (t *Table) Accept(now model.Time, c call.Call, waited bool) []effect.Effect {
 	c.Incarnation = t.cfg.Incarnation
-	h := &heldCall{call: c, arrivedAt: now}
+	h := &heldCall{call: c, arrivedAt: now, waited: waited}
 	t.calls[c.Seq] = h
 	return t.forward(now, h)
 }
@@ -165,13 +171,25 @@
 	return out
 }
 
-// HandleAnswer handles the answer to a call.
-func (t *Table) HandleAnswer(a *call.Answer) []effect.Effect {
-	if t.calls[a.Seq] == nil || a.Incarnation != t.cfg.Incarnation {
+// HandleAnswer handles the answer to a call. A call that was superseded by an order which
+// this process had not applied yet, but whose caller still waits, is made again: it is
+// not older than that order.
+func (t *Table) HandleAnswer(now model.Time, a *call.Answer) []effect.Effect {
+	h := t.calls[a.Seq]
+	if h == nil || a.Incarnation != t.cfg.Incarnation {
 		return nil
 	}
+	superseded := a.Problem != nil && a.Problem.Kind == problem.CallSuperseded
+	if superseded && !h.waited && now.Sub(h.arrivedAt) < renewalTimeout {
+		h.call.Horizon = a.SupersededBy + 1
+		return t.forward(now, h)
+	}
 	delete(t.calls, a.Seq)
-	return []effect.Effect{effect.AnswerCall{Answer: *a}}
+	out := []effect.Effect{effect.AnswerCall{Answer: *a}}
+	if superseded {
+		out = append(out, effect.Log{Code: effect.CallSuperseded, Request: model.RequestID(h.call.Subject()), Index: a.SupersededBy})
+	}
+	return out
 }
 
 // HandleRedirect handles the reply of a process that does not lead. It forwards the call
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -50,14 +50,14 @@
 // "unknown" for one that was never sent.
 func TestExpiredCallsReportWhetherTheyMayHaveRun(t *testing.T) {
 	table := newEntryTable()
-	require.Empty(t, sent(table.Accept(start, submit(1))))
+	require.Empty(t, sent(table.Accept(start, submit(1), false)))
 	refused := answers(table.Advance(start.Add(unsentTimeout)))
 	require.Len(t, refused, 1)
 	require.Equal(t, problem.NoLeader, refused[0].Problem.Kind)
 	require.Positive(t, refused[0].Problem.RetryAfter)
 
 	leads(table, start, "a")
-	require.Equal(t, []model.HostID{"a"}, sent(table.Accept(start, submit(2))))
+	require.Equal(t, []model.HostID{"a"}, sent(table.Accept(start, submit(2), false)))
 	unknown := answers(table.Advance(start.Add(3 * model.Second)))
 	require.Len(t, unknown, 1)
 	require.Equal(t, problem.CallOutcomeUnknown, unknown[0].Problem.Kind)
@@ -67,7 +67,7 @@
 func TestCallsFollowTheLeader(t *testing.T) {
 	table := newEntryTable()
 	leads(table, start, "a")
-	table.Accept(start, submit(1))
+	table.Accept(start, submit(1), false)
 	require.Equal(t, []model.HostID{"b"}, sent(leads(table, start.Add(100*model.Millisecond), "b")))
 	require.Equal(t, []model.HostID{"c"}, sent(table.HandleRedirect(start, "b", &call.Redirect{Seq: 1, Incarnation: "i", Leader: "c"})))
 	require.Equal(t, []model.HostID{"c"}, sent(table.Advance(start.Add(resendTimeout+100*model.Millisecond))))
@@ -78,9 +78,9 @@
 func TestAnswersOfAnotherIncarnationAreDropped(t *testing.T) {
 	table := newEntryTable()
 	leads(table, start, "a")
-	table.Accept(start, submit(1))
-	require.Empty(t, table.HandleAnswer(&call.Answer{Seq: 1, Incarnation: "earlier"}))
-	require.Len(t, table.HandleAnswer(&call.Answer{Seq: 1, Incarnation: "i"}), 1)
+	table.Accept(start, submit(1), false)
+	require.Empty(t, table.HandleAnswer(start, &call.Answer{Seq: 1, Incarnation: "earlier"}))
+	require.Len(t, table.HandleAnswer(start, &call.Answer{Seq: 1, Incarnation: "i"}), 1)
 	require.Zero(t, table.Len())
 }
 
@@ -111,11 +111,11 @@
 	table := newEntryTable()
 	leads(table, start, "a")
 	silent := start.Add(leaderSilenceMax)
-	require.Empty(t, sent(table.Accept(silent, submit(1))))
+	require.Empty(t, sent(table.Accept(silent, submit(1), false)))
 	refused := answers(table.Advance(silent.Add(unsentTimeout)))
 	require.Len(t, refused, 1)
 	require.Equal(t, problem.NoLeader, refused[0].Problem.Kind)
-	require.Empty(t, sent(table.Accept(silent, submit(2))))
+	require.Empty(t, sent(table.Accept(silent, submit(2), false)))
 	require.Equal(t, []model.HostID{"a"}, sent(leads(table, silent.Add(100*model.Millisecond), "a")))
 }
 
@@ -130,3 +130,34 @@
 	require.True(t, table.Ready(start.Add(replicaSilenceMax+1)))
 	require.Less(t, replicaSilenceMax, readySilenceMax)
 }
+
+// Guards against an old order that is made again as if it were new, and against a new
+// one that is refused because its holder had not applied the order before it.
+func TestSupersededCallIsRenewedWhileItsCallerWaits(t *testing.T) {
+	superseded := &call.Answer{Seq: 1, Incarnation: "i", Problem: problem.New(problem.CallSuperseded, ""), SupersededBy: 7}
+	cases := []struct {
+		name    string
+		waited  bool
+		after   model.Duration
+		renewed bool
+	}{
+		{"new", false, 20 * model.Millisecond, true},
+		{"old", false, renewalTimeout, false},
+		{"read after a pause", true, 20 * model.Millisecond, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := newEntryTable()
+			leads(table, start, "a")
+			table.Accept(start, submit(1), c.waited)
+			effects := table.HandleAnswer(start.Add(c.after), superseded)
+			if !c.renewed {
+				require.Equal(t, problem.CallSuperseded, answers(effects)[0].Problem.Kind)
+				require.Zero(t, table.Len())
+				return
+			}
+			require.Len(t, effects, 1)
+			require.Equal(t, uint64(8), effects[0].(effect.Send).Message.Call.Horizon)
+		})
+	}
+}
--- a/core/state.go
+++ b/core/state.go
@@ -90,6 +90,7 @@
 	relay      *relay.Table
 	agent      *delegate.Agent
 	commits    commitSamples
+	horizon    callHorizon
 	leading    *leadership // nil unless this process leads
 	burn       *burn.Sender
 	objectives objectiveKeys // counters needed under the rules that this host has applied
--- a/daemon/executor.go
+++ b/daemon/executor.go
@@ -116,6 +116,7 @@
 	effect.WorkerDraining:   logevent.WorkerDraining,
 	effect.ConfigAccepted:   logevent.ConfigAccepted,
 	effect.CallGivenUp:      logevent.CallGivenUp,
+	effect.CallSuperseded:   logevent.CallSuperseded,
 	effect.ContactLost:      logevent.ContactLost,
 	effect.ContactRegained:  logevent.ContactRegained,
 	effect.WaveBegun:        logevent.WaveHostChosen,
--- a/logevent/ids.go
+++ b/logevent/ids.go
@@ -134,6 +134,7 @@
 	OutcomeNotRecorded ID = 812
 	RetryBudgetSpent   ID = 820
 	CallGivenUp        ID = 831
+	CallSuperseded     ID = 832
 	JobAccepted        ID = 840
 	JobRefused         ID = 841
 	JobEnded           ID = 842
