relay: a call is not sent after its caller has given up

A process that is paused holds a call for which it knows no leader. When it runs again and the first message it handles names a leader, it sends the call, though its caller gave up long ago; a client's job would be accepted and run for nobody, with a negative patience.

Cause: the age of a call was looked at on ticks only, and forward at no time.

Change: forward sends nothing whose patience is over; the next tick ends it as not sent.

Evidence: TestNoCallIsSentAfterItsPatience fails before the change and passes now. Ruled out: calls that were sent in time and are sent again, which Advance ends first.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -132,8 +132,10 @@
 	return t.leader != "" && (t.cfg.Replica || now.Sub(t.leaderHeardAt) < leaderSilenceMax)
 }
 
+// forward sends a call to the leader, unless it cannot be reached or the caller no longer
+// waits. A process that was paused may learn of a leader before it ends such a call.
 func (t *Table) forward(now model.Time, h *heldCall) []effect.Effect {
-	if !t.leaderReachable(now) {
+	if !t.leaderReachable(now) || now.Sub(h.arrivedAt) >= h.call.Patience {
 		return nil
 	}
 	h.sentAt = now
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -161,3 +161,16 @@
 		})
 	}
 }
+
+// Guards against a call that is passed on after its caller has given up: a process that
+// was paused learns of a leader before it ends its old calls.
+func TestNoCallIsSentAfterItsPatience(t *testing.T) {
+	table := newEntryTable()
+	table.Accept(start, submit(1), false)
+	thawed := start.Add(submit(1).Patience)
+	require.Empty(t, sent(leads(table, thawed, "a")))
+	require.Empty(t, sent(table.HandleRedirect(thawed, "b", &call.Redirect{Seq: 1, Incarnation: "i"})))
+	ended := answers(table.Advance(thawed))
+	require.Len(t, ended, 1)
+	require.Equal(t, problem.NoLeader, ended[0].Problem.Kind, "it was never sent")
+}
