platform: a call is dropped when its caller has disconnected

A process passed a call on, and went on sending it again, after its caller had gone. An order whose bytes a partition held up between operator and replica was applied when the partition healed, though the process had never been paused, so that no horizon can tell its age.

Cause: the end of the connection only ended the wait of the HTTP handler; nothing told the relay (relay.Abandon had no caller).

--- a/core/event/class.go
+++ b/core/event/class.go
@@ -42,6 +42,8 @@
 		return classOfMessage(&e.Message)
 	case CallArrived:
 		return classOfCall(&e.Call)
+	case CallAbandoned:
+		return e.Class
 	case Tick, Persisted, PersistFailed, SettingsChanged, StopRequested:
 		return ClassControl
 	}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -112,6 +112,12 @@
 // CallArrived is a call from a caller, an operator or a worker.
 type CallArrived struct{ Call call.Call }
 
+// CallAbandoned reports that the caller of a call has disconnected.
+type CallAbandoned struct {
+	Seq   uint64
+	Class Class // of the call, so that this event follows its arrival
+}
+
 // WorkerReplied is the result of a call to a worker.
 type WorkerReplied struct {
 	Reply order.Reply
@@ -144,6 +150,7 @@
 func (CommandSubmitted) event() {}
 func (StatusRequested) event()  {}
 func (CallArrived) event()      {}
+func (CallAbandoned) event()    {}
 func (WorkerReplied) event()    {}
 func (HostsReplied) event()     {}
 func (AdviceReplied) event()    {}
--- a/core/orders_sim_test.go
+++ b/core/orders_sim_test.go
@@ -21,7 +21,8 @@
 	orderFaultsEnd   = 25 * model.Second
 	longestOrderGap  = 1500 * millisecond
 	longestFault     = 4 * model.Second
-	maxDisturbed     = 2 // replicas at one time, of five
+	maxDisturbed     = 2                // replicas at one time, of five
+	longestReset     = 50 * millisecond // time until the connection of a call is reset
 )
 
 // Guards against an order that is carried out after a later order of its operator was
@@ -123,24 +124,32 @@
 	o.seq++
 	c := call.Call{Seq: o.seq, Patience: 850 * millisecond, SetOut: &jobs.SetOut{DataCentre: "west", Out: out}}
 	incarnation := r.incarnation
-	o.after(o.between(0, 3*millisecond), func() { o.read(r, incarnation, c) })
-	for until := o.now.Add(operatorPatience); o.now < until; {
+	o.after(o.between(0, 3*millisecond), func() { o.read(r, incarnation, event.CallArrived{Call: c}) })
+	patience, reset := operatorPatience, o.now < o.faultsEnd && o.rng.IntN(5) == 0
+	if reset {
+		patience = o.between(0, longestReset)
+	}
+	for until := o.now.Add(patience); o.now < until; {
 		o.run(5 * millisecond)
 		if a, answered := o.answers[c.Seq]; answered {
 			return a.Problem == nil
 		}
 	}
+	if reset {
+		gone := event.CallAbandoned{Seq: c.Seq, Class: event.ClassControl}
+		o.after(o.between(0, 3*millisecond), func() { o.read(r, incarnation, gone) })
+	}
 	return false
 }
 
-// read makes a replica read a call. A frozen one reads it when it runs again, before or
-// after the messages that have arrived meanwhile.
-func (o *orderingOperator) read(r *simReplica, incarnation int, c call.Call) {
+// read makes a replica read a call, or the end of its connection. A frozen one reads it
+// when it runs again, before or after the messages that have arrived meanwhile.
+func (o *orderingOperator) read(r *simReplica, incarnation int, e event.Event) {
 	if o.now < r.frozenUntil {
-		o.after(r.frozenUntil.Sub(o.now)+o.between(0, 100*millisecond), func() { o.read(r, incarnation, c) })
+		o.after(r.frozenUntil.Sub(o.now)+o.between(0, 100*millisecond), func() { o.read(r, incarnation, e) })
 		return
 	}
-	o.deliver(r, incarnation, event.CallArrived{Call: c})
+	o.deliver(r, incarnation, e)
 }
 
 // pause lets time pass, and checks that the order that was acknowledged holds.
--- a/core/reduce.go
+++ b/core/reduce.go
@@ -59,6 +59,8 @@
 		s.answerStatus(e)
 	case event.CallArrived:
 		s.handleCall(e.Call)
+	case event.CallAbandoned:
+		s.relay.Abandon(e.Seq)
 	case event.WorkerReplied:
 		s.handleWorkerReply(e)
 	case event.HostsReplied:
--- a/recording/events.go
+++ b/recording/events.go
@@ -30,6 +30,7 @@
 	KindStatus    Kind = "status_requested"
 	KindStop      Kind = "stop_requested"
 	KindCall      Kind = "call_arrived"
+	KindCallGone  Kind = "call_abandoned"
 	KindAdvice    Kind = "advice_replied"
 	KindBatch     Kind = "batch"
 	KindReply     Kind = "worker_replied"
@@ -80,6 +81,8 @@
 		return marshalEvent(KindStatus, e)
 	case event.CallArrived:
 		return marshalEvent(KindCall, e)
+	case event.CallAbandoned:
+		return marshalEvent(KindCallGone, e)
 	case event.WorkerReplied:
 		return marshalEvent(KindReply, e)
 	case event.HostsReplied:
@@ -131,6 +134,8 @@
 		return decodeAs[event.StatusRequested](in)
 	case KindCall:
 		return decodeAs[event.CallArrived](in)
+	case KindCallGone:
+		return decodeAs[event.CallAbandoned](in)
 	case KindReply:
 		return decodeAs[event.WorkerReplied](in)
 	case KindHosts:
--- a/recording/schema_test.go
+++ b/recording/schema_test.go
@@ -32,6 +32,7 @@
 	event.CommandSubmitted{Command: fleet.Command{ID: "c", WithdrawKey: &fleet.WithdrawKey{Name: "k"}}},
 	event.StatusRequested{Query: 6},
 	event.Batch{Events: []event.Event{event.Tick{}, event.Persisted{Term: 3, Index: 4}}},
+	event.CallAbandoned{Seq: 7, Class: event.ClassIntake},
 	event.CallArrived{Call: call.Call{Seq: 7, Query: &call.Address{Host: "a", Path: "/b"}}},
 	event.WorkerReplied{Reply: order.Reply{Status: order.Accepted, Clock: 8}},
 	event.HostsReplied{Reply: order.HostReply{Status: order.HostAccepted, Next: "9"}},
