jobs: a copy of an ended job has no rounds

Cause: clone made an empty list of rounds where an ended job has none, and forget keeps a job that has rounds, since one of its runs may still run.

Evidence: TestEndedJobIsForgottenAfterARestore fails before the change and passes now.

--- a/core/jobs/apply_test.go
+++ b/core/jobs/apply_test.go
@@ -103,3 +103,14 @@
 	require.Nil(t, set(13, true, 0).Problem, "an entry without a horizon, written by an earlier release, is applied")
 	require.Nil(t, s.Apply(&Command{SetOut: &SetOut{DataCentre: "east", Out: true, Horizon: 2}}, 14, 0).Problem, "orders on other data centres do not count")
 }
+
+// Guards against ended jobs that a replica keeps for ever, once it has restored them from
+// a snapshot.
+func TestEndedJobIsForgottenAfterARestore(t *testing.T) {
+	l := newTestLog(Step{Tasks: 1})
+	l.apply(Command{Cancel: &Cancel{Job: "j"}})
+	restored := l.state.Clone()
+	restored.Apply(&Command{Forget: &Forget{Before: 100}}, 9, 100)
+	require.Empty(t, restored.Jobs)
+	require.Empty(t, restored.Ended)
+}
--- a/core/jobs/state.go
+++ b/core/jobs/state.go
@@ -249,6 +249,9 @@
 
 func (j *Job) clone() *Job {
 	c := *j
+	if j.Rounds == nil {
+		return &c // its tasks are dropped, see forget
+	}
 	c.Rounds = make([]Round, len(j.Rounds))
 	for k := range j.Rounds {
 		c.Rounds[k].Tasks = make([][]Task, len(j.Rounds[k].Tasks))
