jobs: a submission after its cancelling is refused

Cause: a DELETE of an unknown job left no trace.

Ruled out: the age of the POST, since clients wait for different times and go on at once after a reset.

Change: the DELETE of an unknown job is recorded, as a job without content that was cancelled, before it is answered with 410 as before. A submission under its id is refused, when it is decided and when it is applied. The record is not shown, and is forgotten like an ended job.

Why it works: either the submission is first in the log, and the DELETE cancels it, or the record is first, and the submission is refused.

Evidence: TestSubmissionAfterItsCancellingIsRefused and TestCancellingAnUnknownJobRefusesItsSubmission fail before (nothing is proposed, and the submission is accepted).

--- a/core/handler/handler.go
+++ b/core/handler/handler.go
@@ -152,6 +152,9 @@
 		if known.Queue != q.ID || known.Team != team {
 			return refuseSubmission(env, s, problem.New(problem.JobRejected, "job %s belongs to another queue or team", id))
 		}
+		if refusal := known.Refusal(); refusal != nil {
+			return refuseSubmission(env, s, refusal)
+		}
 		return answer(call.Answer{State: stateOf(known)})
 	}
 	j := s.Job
@@ -211,7 +214,7 @@
 		return answer(call.Answer{Pending: &n})
 	}
 	j := env.Schedule.State.Jobs[model.JobID(id)]
-	if j == nil || j.Queue != q.ID || j.Team != team {
+	if j == nil || j.Queue != q.ID || j.Team != team || j.Withdrawn {
 		return refuse(problem.UnknownJob, "there is no job %s", id)
 	}
 	return answer(call.Answer{State: stateOf(j)})
@@ -231,13 +234,18 @@
 	return call.JobQueued
 }
 
+// cancel cancels a job. A job that is unknown may be submitted later by a call that was
+// sent before this one, so that its cancelling is recorded before it is answered.
 func cancel(env Env, a *call.Address) Decision {
 	q, id, team, refusal := resolve(env.Schedule.State.Config, a)
 	if refusal != nil {
 		return answer(call.Answer{Problem: refusal})
 	}
 	j := env.Schedule.State.Jobs[model.JobID(id)]
-	if j == nil || j.Queue != q.ID || j.Team != team {
+	switch {
+	case j == nil && isJobID(id):
+		return Decision{Command: &jobs.Command{Cancel: &jobs.Cancel{Job: model.JobID(id), Queue: q.ID, Team: team}}}
+	case j == nil || j.Queue != q.ID || j.Team != team || j.Withdrawn:
 		return refuse(problem.UnknownJob, "there is no job %s", id)
 	}
 	return Decision{Command: &jobs.Command{Cancel: &jobs.Cancel{Job: j.ID}}}
--- a/core/handler/handler_test.go
+++ b/core/handler/handler_test.go
@@ -265,3 +265,18 @@
 	require.NotNil(t, leave(recorded+1).Command.Depart)
 	require.NotNil(t, leave(0).Command.Depart, "a process that does not follow the log passes it on as before")
 }
+
+// Guards against a client that cancels a job, is told that there is none, and whose
+// earlier submission is accepted afterwards.
+func TestCancellingAnUnknownJobRefusesItsSubmission(t *testing.T) {
+	f := newFixture()
+	address := &call.Address{Host: "h", Path: "/q/" + jobID, Key: "press-key"}
+	d := f.decide(call.Call{Cancel: address})
+	require.Equal(t, problem.UnknownJob, f.apply(d.Command).Problem.Kind)
+	late := f.decide(submitCall(address.Path, "press-key", jobs.Step{Tasks: 1, Size: model.Resources{MilliCPU: 1000}}))
+	require.Equal(t, problem.JobRejected, late.Answer.Problem.Kind)
+	require.Equal(t, problem.UnknownJob, f.decide(call.Call{Query: address}).Answer.Problem.Kind, "it is not shown")
+	require.Equal(t, problem.UnknownJob, f.decide(call.Call{Cancel: address}).Answer.Problem.Kind)
+	require.Equal(t, problem.UnknownJob, f.decide(call.Call{Cancel: &call.Address{Host: "h", Path: "/q/x", Key: "press-key"}}).Answer.Problem.Kind,
+		"nothing is recorded for what is not an id")
+}
--- a/core/jobs/apply.go
+++ b/core/jobs/apply.go
@@ -33,7 +33,7 @@
 	case c.Submit != nil:
 		return s.submit(c.Submit, now)
 	case c.Cancel != nil:
-		return s.cancel(c.Cancel.Job, now)
+		return s.cancel(c.Cancel, now)
 	case c.Assign != nil:
 		return s.assign(c.Assign)
 	case c.End != nil:
@@ -95,8 +95,8 @@
 
 // submit accepts a job. Submitting the same job again changes nothing.
 func (s *State) submit(j *Job, now model.Time) Result {
-	if s.Jobs[j.ID] != nil {
-		return Result{}
+	if known := s.Jobs[j.ID]; known != nil {
+		return Result{Problem: known.Refusal()}
 	}
 	accepted := j.clone()
 	accepted.Phase, accepted.Accepted, accepted.Started = Active, now, false
@@ -110,10 +110,24 @@
 	return Result{Changed: true}
 }
 
-func (s *State) cancel(id model.JobID, now model.Time) Result {
-	j := s.Jobs[id]
+// Refusal returns why the job is not accepted any more, or nil.
+func (j *Job) Refusal() *problem.Problem {
+	if !j.Withdrawn {
+		return nil
+	}
+	return problem.New(problem.JobRejected, "job %s was cancelled before it was submitted", j.ID)
+}
+
+func (s *State) cancel(c *Cancel, now model.Time) Result {
+	j := s.Jobs[c.Job]
 	if j == nil {
-		return Result{Problem: problem.New(problem.UnknownJob, "there is no job %s", id)}
+		unknown := problem.New(problem.UnknownJob, "there is no job %s", c.Job)
+		if c.Queue == "" {
+			return Result{Problem: unknown}
+		}
+		s.Jobs[c.Job] = &Job{ID: c.Job, Queue: c.Queue, Team: c.Team, Phase: Cancelled, Withdrawn: true, EndedAt: now}
+		s.Ended = append(s.Ended, c.Job)
+		return Result{Problem: unknown}
 	}
 	if j.Phase != Active {
 		return Result{}
--- a/core/jobs/apply_test.go
+++ b/core/jobs/apply_test.go
@@ -114,3 +114,18 @@
 	require.Empty(t, restored.Jobs)
 	require.Empty(t, restored.Ended)
 }
+
+// Guards against a job that is accepted after its cancelling was acknowledged: the
+// submission was sent first, lay somewhere, and its caller has gone.
+func TestSubmissionAfterItsCancellingIsRefused(t *testing.T) {
+	l := &testLog{}
+	cancelled := l.apply(Command{Cancel: &Cancel{Job: "j", Queue: "q"}})
+	require.Equal(t, problem.UnknownJob, cancelled.Problem.Kind, "as for any job that is not known")
+	late := l.apply(Command{Submit: &Job{ID: "j", Queue: "q", Steps: []Step{{Tasks: 1}}, Rounds: make([]Round, 1)}})
+	require.Equal(t, problem.JobRejected, late.Problem.Kind)
+	require.False(t, late.Changed)
+	require.Equal(t, Cancelled, l.state.Jobs["j"].Phase)
+	restored := l.state.Clone()
+	restored.Apply(&Command{Forget: &Forget{Before: 100}}, 9, 100)
+	require.Empty(t, restored.Jobs, "it is forgotten like a job that has ended")
+}
--- a/core/jobs/command.go
+++ b/core/jobs/command.go
@@ -39,9 +39,12 @@
 	Horizon uint64 `json:"horizon,omitempty"`
 }
 
-// Cancel cancels a job.
+// Cancel cancels a job. If the job is unknown, its submission is refused from then on:
+// it may still be on its way.
 type Cancel struct {
-	Job model.JobID `json:"job"`
+	Job   model.JobID   `json:"job"`
+	Queue model.QueueID `json:"queue,omitempty"` // of an unknown job
+	Team  model.TeamID  `json:"team,omitempty"`  // of an unknown job
 }
 
 // Assign records runs before the orders to start them are sent.
--- a/core/jobs/state.go
+++ b/core/jobs/state.go
@@ -45,8 +45,11 @@
 	Phase    Phase          `json:"phase"`
 	// OverShare is set if the team was over its share when the job was accepted. Such
 	// jobs are served after others while a pool is full.
-	OverShare bool       `json:"beyond,omitempty"`
-	Started   bool       `json:"started,omitempty"`  // a task of it has been assigned
+	OverShare bool `json:"beyond,omitempty"`
+	Started   bool `json:"started,omitempty"` // a task of it has been assigned
+	// Withdrawn is set on a job that was cancelled before it was submitted. It has no
+	// content, and its phase is Cancelled.
+	Withdrawn bool       `json:"withdrawn,omitempty"`
 	Accepted  model.Time `json:"accepted"`           // replicated clock
 	EndedAt   model.Time `json:"ended_at,omitempty"` // replicated clock
 }
