hosts: a host that joined after the list was read has not left

Cause: a host of a wave that is missing from the planner's copy of the list counted as one that has left.

Ruled out: the record of the order; the wave was closed before one was proposed.

Change: only a complete list whose read began after the leader saw the wave shows that a host has left. Until then it counts as still to be maintained.

Evidence: TestHostThatJoinedAfterTheListHasNotLeft and TestListBeingReadDoesNotCloseANewWave fail before and pass now.

--- a/core/hosts/planner.go
+++ b/core/hosts/planner.go
@@ -76,6 +76,8 @@
 	listKnown       bool                           // the list has been read at least once
 	incomingPartial bool                           // entries of the list being read could not be parsed
 	listPartial     bool                           // entries of the latest complete list could not be parsed
+	listSince       model.Time                     // when the read of the latest complete list began
+	wavesSince      map[uint64]model.Time          // when this leader first saw an open wave
 	termStart       model.Time                     // when the leader's term started
 	excessSince     map[model.ServiceID]model.Time // since when a pool has had too many hosts
 }
@@ -101,7 +103,7 @@
 // New returns a planner that has not read the list of hosts yet.
 func New(env Env) *Planner {
 	p := &Planner{
-		hosts: make(map[model.HostID]*host), excessSince: make(map[model.ServiceID]model.Time), nextListAt: env.Schedule.Now,
+		hosts: make(map[model.HostID]*host), wavesSince: make(map[uint64]model.Time), excessSince: make(map[model.ServiceID]model.Time), nextListAt: env.Schedule.Now,
 		termStart: env.Schedule.Now,
 	}
 	p.updateScheduler(env)
@@ -111,6 +113,7 @@
 // Advance performs everything that is due at the current time.
 func (p *Planner) Advance(env Env, out *Out) {
 	waves := openWaves(env.Schedule.State)
+	p.noteWaves(env, waves)
 	p.startListing(env, out, len(waves) > 0)
 	if !p.listKnown {
 		return
@@ -185,7 +188,7 @@
 	if len(openWaves(env.Schedule.State)) > 0 {
 		p.nextListAt = now.Add(listInterval)
 	}
-	p.listPartial = p.incomingPartial
+	p.listPartial, p.listSince = p.incomingPartial, p.incomingSince
 	p.updateHosts(p.incoming)
 	p.Advance(env, out)
 }
--- a/core/hosts/planner_test.go
+++ b/core/hosts/planner_test.go
@@ -205,6 +205,39 @@
 	require.Equal(t, []model.HostID{"h0"}, f.answerMaintenance(order.HostAccepted))
 }
 
+// Guards against a wave that is reported as done although one of its hosts is still to be
+// maintained: it joined after the latest list was read.
+func TestHostThatJoinedAfterTheListHasNotLeft(t *testing.T) {
+	f := newFixture(t, 3)
+	f.advance(takeoverDelay + 200*ms) // the next list is due in idleInterval
+	f.hosts = append(f.hosts, order.Host{ID: "new", Pool: "render", State: order.HostUp, Capacity: model.Resources{MilliCPU: 64000}})
+	f.apply(jobs.Command{StartWave: &jobs.StartWave{Wave: 1, Hosts: []model.HostID{"new", "gone"}, Cap: 1, Within: 5 * model.Second}})
+	f.advance(50 * ms)
+	require.False(t, f.state.Waves[1].Closed)
+	f.advance(2 * listInterval)
+	require.Equal(t, []model.HostID{"new"}, f.answerMaintenance(order.HostAccepted))
+	f.advance(2 * listInterval)
+	require.True(t, f.state.Waves[1].Closed, "the host that is not listed has left")
+}
+
+// Guards against a wave that a list closes which was being read when the wave was
+// requested.
+func TestListBeingReadDoesNotCloseANewWave(t *testing.T) {
+	f := newFixture(t, 1)
+	f.advance(takeoverDelay + 200*ms)
+	f.now = f.now.Add(idleInterval)
+	f.handle(func(out *Out) { f.p.Advance(f.env(), out) })
+	require.Len(t, f.calls, 1)
+	early := f.calls[0]
+	f.calls = nil
+	f.apply(jobs.Command{StartWave: &jobs.StartWave{Wave: 1, Hosts: []model.HostID{"new"}, Cap: 1, Within: 5 * model.Second}})
+	f.now = f.now.Add(500 * ms)
+	f.reply(order.HostReply{Call: early, Status: order.HostAccepted, Hosts: f.hosts})
+	require.False(t, f.state.Waves[1].Closed)
+	f.advance(2 * listInterval)
+	require.True(t, f.state.Waves[1].Closed)
+}
+
 // Guards against the removal of a host because its entry could not be parsed in one
 // list.
 func TestKnownHostSurvivesPartialList(t *testing.T) {
--- a/core/hosts/wave.go
+++ b/core/hosts/wave.go
@@ -23,17 +23,29 @@
 	return list
 }
 
+// noteWaves records when this leader first saw each open wave.
+func (p *Planner) noteWaves(env Env, waves []uint64) {
+	for _, id := range waves {
+		if _, seen := p.wavesSince[id]; !seen {
+			p.wavesSince[id] = env.Schedule.Now
+		}
+	}
+}
+
 // advanceWave continues one wave: it orders the maintenance of drained hosts as far
 // as the cap allows, and selects the next hosts to be drained.
 func (p *Planner) advanceWave(env Env, out *Out, id uint64, w *jobs.Wave) {
 	now := env.Schedule.Now
+	// A host that is missing from a list which was read before the wave began may have
+	// joined since, and one missing from a partial list may have an entry that could not
+	// be parsed.
+	mayBeMissing := p.listPartial || p.listSince < p.wavesSince[id]
 	down, remaining := 0, 0
 	var due []*host
 	for _, hostID := range w.Hosts {
 		h := p.hosts[hostID]
 		accepted, ordered := w.Ordered[hostID]
-		if h == nil && p.listPartial {
-			// Its entry may be one that could not be parsed.
+		if h == nil && mayBeMissing {
 			if ordered {
 				down++
 			}
