jobs: jobs of a renamed queue are found at its address

Cause: a job was found by its queue's id, which callers do not know.

Ruled out: a lost job; it ran on. Moving the jobs to the new queue, which may use another service, was rejected.

Change: the addresses of removed queues are kept as long as jobs of them are known, and a job is found at a queue with the address of its removed one.

Evidence: TestJobsOfARenamedQueueAreFoundAtItsAddress fails before the change.

--- a/core/handler/handler.go
+++ b/core/handler/handler.go
@@ -149,7 +149,7 @@
 		return refuseSubmission(env, s, problem.New(problem.BadRequest, "%s", s.Malformed))
 	}
 	if known := env.Schedule.State.Jobs[model.JobID(id)]; known != nil {
-		if known.Queue != q.ID || known.Team != team {
+		if !env.Schedule.State.IsAt(known, q) || known.Team != team {
 			return refuseSubmission(env, s, problem.New(problem.JobRejected, "job %s belongs to another queue or team", id))
 		}
 		if refusal := known.Refusal(); refusal != nil {
@@ -214,7 +214,7 @@
 		return answer(call.Answer{Pending: &n})
 	}
 	j := env.Schedule.State.Jobs[model.JobID(id)]
-	if j == nil || j.Queue != q.ID || j.Team != team || j.Withdrawn {
+	if j == nil || !env.Schedule.State.IsAt(j, q) || j.Team != team || j.Withdrawn {
 		return refuse(problem.UnknownJob, "there is no job %s", id)
 	}
 	return answer(call.Answer{State: stateOf(j)})
@@ -245,7 +245,7 @@
 	switch {
 	case j == nil && isJobID(id):
 		return Decision{Command: &jobs.Command{Cancel: &jobs.Cancel{Job: model.JobID(id), Queue: q.ID, Team: team}}}
-	case j == nil || j.Queue != q.ID || j.Team != team || j.Withdrawn:
+	case j == nil || !env.Schedule.State.IsAt(j, q) || j.Team != team || j.Withdrawn:
 		return refuse(problem.UnknownJob, "there is no job %s", id)
 	}
 	return Decision{Command: &jobs.Command{Cancel: &jobs.Cancel{Job: j.ID}}}
--- a/core/handler/handler_test.go
+++ b/core/handler/handler_test.go
@@ -280,3 +280,30 @@
 	require.Equal(t, problem.UnknownJob, f.decide(call.Call{Cancel: &call.Address{Host: "h", Path: "/q/x", Key: "press-key"}}).Answer.Problem.Kind,
 		"nothing is recorded for what is not an id")
 }
+
+// Guards against an accepted job that its caller can neither read nor cancel, because a
+// configuration gave its queue another name, at once or after a version without it.
+func TestJobsOfARenamedQueueAreFoundAtItsAddress(t *testing.T) {
+	f := newFixture()
+	step := jobs.Step{Tasks: 1, Size: model.Resources{MilliCPU: 1000}}
+	submit := submitCall("/q/"+jobID, "press-key", step)
+	require.Nil(t, f.apply(f.decide(submit).Command).Problem)
+	address := &call.Address{Host: "h", Path: "/q/" + jobID, Key: "press-key"}
+	without, renamed, moved := config(4), config(5), config(6)
+	without.Queues = without.Queues[1:]
+	renamed.Queues[0].ID = "r"
+	moved.Queues[0].Prefix = "/moved/"
+	f.apply(&jobs.Command{Configure: without})
+	require.Equal(t, problem.UnknownQueue, f.decide(call.Call{Query: address}).Answer.Problem.Kind)
+	f.state = f.state.Clone()
+	f.apply(&jobs.Command{Configure: renamed})
+	require.Equal(t, call.JobQueued, f.decide(call.Call{Query: address}).Answer.State)
+	require.Equal(t, call.JobQueued, f.decide(submit).Answer.State, "a copy of the submission")
+	require.Equal(t, model.JobID(jobID), f.decide(call.Call{Cancel: address}).Command.Cancel.Job)
+	other := &call.Address{Host: "h", Path: "/q/" + jobID, Key: "archive-key"}
+	require.Equal(t, problem.UnknownJob, f.decide(call.Call{Query: other}).Answer.Problem.Kind)
+
+	f.apply(&jobs.Command{Configure: moved})
+	require.Empty(t, f.state.Removed, "the queue is back, at another address")
+	require.Equal(t, call.JobQueued, f.decide(call.Call{Query: &call.Address{Host: "h", Path: "/moved/" + jobID, Key: "press-key"}}).Answer.State)
+}
--- a/core/jobs/apply.go
+++ b/core/jobs/apply.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"maps"
 	"slices"
 
 	"primrosedale.example/primrosedale/core/model"
@@ -60,10 +61,34 @@
 	if s.Config != nil && c.Version <= s.Config.Version {
 		return Result{}
 	}
+	s.noteRemovedQueues(c)
 	s.Config = c
 	return Result{Changed: true}
 }
 
+// noteRemovedQueues keeps the addresses of the queues that next lacks, as long as jobs of
+// them are known.
+func (s *State) noteRemovedQueues(next *Config) {
+	if s.Config != nil {
+		for i := range s.Config.Queues {
+			q := &s.Config.Queues[i]
+			s.Removed[q.ID] = q.Address()
+		}
+	}
+	used := make(map[model.QueueID]bool)
+	for _, j := range s.Jobs {
+		used[j.Queue] = true
+	}
+	maps.DeleteFunc(s.Removed, func(id model.QueueID, _ QueueAddress) bool { return !used[id] || next.Queue(id) != nil })
+}
+
+// IsAt reports whether callers find the job at the queue: the job belongs to it, or to a
+// removed queue that had the same address.
+func (s *State) IsAt(j *Job, q *Queue) bool {
+	address, removed := s.Removed[j.Queue]
+	return j.Queue == q.ID || removed && address == q.Address()
+}
+
 // setOut applies an order on a data centre. One that repeats the order in force is
 // recorded too, since orders that are older than the repetition must not follow it.
 func (s *State) setOut(c *SetOut, index uint64) Result {
--- a/core/jobs/config.go
+++ b/core/jobs/config.go
@@ -19,6 +19,15 @@
 	Document string `json:"document"`
 }
 
+// QueueAddress identifies a queue to callers.
+type QueueAddress struct {
+	Host   string `json:"host"`
+	Prefix string `json:"prefix"`
+}
+
+// Address returns the address of the queue.
+func (q *Queue) Address() QueueAddress { return QueueAddress{q.Host, q.Prefix} }
+
 // Queue takes the jobs of requests whose host is Host and whose path begins with
 // Prefix.
 type Queue struct {
--- a/core/jobs/state.go
+++ b/core/jobs/state.go
@@ -15,7 +15,10 @@
 	Workers       map[model.WorkerID]*Worker    `json:"workers"` // entries are replaced, never modified
 	Jobs          map[model.JobID]*Job          `json:"jobs"`
 	Ended         []model.JobID                 `json:"ended,omitempty"` // in the order of their ends
-	Waves         map[uint64]*Wave              `json:"waves"`
+	// Removed holds the addresses of queues that a configuration removed while jobs of
+	// them were known. Callers still ask for these jobs there.
+	Removed map[model.QueueID]QueueAddress `json:"removed,omitempty"`
+	Waves   map[uint64]*Wave               `json:"waves"`
 }
 
 // Phase is the state of a job.
@@ -236,6 +239,7 @@
 	c.OutOfService = maps.Clone(s.OutOfService)
 	c.ServiceOrders = maps.Clone(s.ServiceOrders)
 	c.Workers = maps.Clone(s.Workers)
+	c.Removed = maps.Clone(s.Removed)
 	c.Ended = append([]model.JobID(nil), s.Ended...)
 	c.Jobs = make(map[model.JobID]*Job, len(s.Jobs))
 	for id, j := range s.Jobs {
@@ -279,6 +283,9 @@
 	if s.Jobs == nil {
 		s.Jobs = make(map[model.JobID]*Job)
 	}
+	if s.Removed == nil {
+		s.Removed = make(map[model.QueueID]QueueAddress)
+	}
 	if s.Waves == nil {
 		s.Waves = make(map[uint64]*Wave)
 	}
