--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -80,7 +80,7 @@
 
 func (s *Scheduler) addWorker(env Env, info *jobs.Worker) *worker {
 	w := &worker{
-		info: info, token: fencingToken(env.Term, info.Incarnation), runs: make(map[jobs.RunRef]*run),
+		info: info, token: workerToken(env.Term, info.Incarnation), runs: make(map[jobs.RunRef]*run),
 		failures: make(map[model.JobID]bool),
 		// Upper bound for the leases that an earlier leader granted.
 		leaseEndsBy: env.Now.Add(maxElapsed(env.Bounds.LeaseMax)),
@@ -117,9 +117,9 @@
 	return 0
 }
 
-// fencingToken returns a token that grows with each term and each incarnation of a
+// workerToken returns a token that grows with each term and each incarnation of a
 // worker.
-func fencingToken(term, incarnation uint64) uint64 {
+func workerToken(term, incarnation uint64) uint64 {
 	// An incarnation is a log index and stays below 2^28. With terms below 2^25, the
 	// token fits into the 53 bits that every JSON reader represents exactly.
 	const incarnationBits = 28
