--- a/core/jobs/apply_test.go
+++ b/core/jobs/apply_test.go
@@ -129,3 +129,25 @@
 	restored.Apply(&Command{Forget: &Forget{Before: 100}}, 9, 100)
 	require.Empty(t, restored.Jobs, "it is forgotten like a job that has ended")
 }
+
+// Guards against a configuration or a wave that is proposed again by a call that lay
+// somewhere while its operator went on: the version and the id tell it from a later one.
+func TestLateConfigurationAndWaveChangeNothing(t *testing.T) {
+	l := &testLog{}
+	require.True(t, l.apply(Command{Configure: &Config{Version: 5, Document: "five"}}).Changed)
+	require.True(t, l.apply(Command{Configure: &Config{Version: 9, Document: "nine"}}).Changed)
+	for _, version := range []uint64{5, 9} {
+		late := l.apply(Command{Configure: &Config{Version: version, Document: "late"}})
+		require.Nil(t, late.Problem, "it is acknowledged")
+		require.False(t, late.Changed)
+		require.Equal(t, "nine", l.state.Config.Document)
+	}
+	require.True(t, l.apply(Command{StartWave: &StartWave{Wave: 1, Hosts: []model.HostID{"h"}, Cap: 1}}).Changed)
+	l.apply(Command{Maintain: &Maintain{Wave: 1, Host: "h", Accepted: true}})
+	l.apply(Command{CloseWave: &CloseWave{Wave: 1}})
+	late := l.apply(Command{StartWave: &StartWave{Wave: 1, Hosts: []model.HostID{"h", "i"}, Cap: 2}})
+	require.Nil(t, late.Problem)
+	require.False(t, late.Changed)
+	require.True(t, l.state.Waves[1].Closed)
+	require.Equal(t, 1, l.state.Waves[1].Cap)
+}
