--- a/core/calls.go
+++ b/core/calls.go
@@ -108,7 +108,7 @@
 	if s.cfg.Durable {
 		c.Horizon = s.horizon.ofCall(s.fleet.Index + 1)
 	}
-	s.emit(s.relay.Accept(s.now, c, s.horizon.settling > 0)...)
+	s.emit(s.relay.Accept(s.now, c, s.horizon.isSettling())...)
 }
 
 // isCaughtUp reports whether this replica hears a leader and has applied every entry
--- a/core/horizon.go
+++ b/core/horizon.go
@@ -36,9 +36,12 @@
 
 func (h *callHorizon) tick() { h.settling = max(0, h.settling-1) }
 
+// isSettling reports whether a call that is handled now may have waited during a pause.
+func (h *callHorizon) isSettling() bool { return h.settling > 0 }
+
 // ofCall returns the horizon of a call that is handled now.
 func (h *callHorizon) ofCall(next uint64) uint64 {
-	if h.settling > 0 {
+	if h.isSettling() {
 		return h.beforePause
 	}
 	return next
--- a/core/problem/problem.go
+++ b/core/problem/problem.go
@@ -52,6 +52,7 @@
 	CallKeyRejected       Kind = "key_unknown"
 	CallOutcomeUnknown    Kind = "call_outcome_unknown"
 	CallSuperseded        Kind = "call_superseded"
+	CallAbandoned         Kind = "call_abandoned"
 	Internal              Kind = "internal"
 )
 
@@ -111,7 +112,8 @@
 	ConfigRejected:        {400, "the configuration is not valid", false, RanNo},
 	CallKeyRejected:       {401, "the key is missing, unknown or withdrawn", false, RanNo},
 	CallOutcomeUnknown:    {504, "the call was passed on and its outcome is not known", true, RanUnknown},
-	CallSuperseded:        {503, "a later order was recorded while the call was waiting", true, RanNo},
+	CallSuperseded:        {503, "a later order was recorded while the call was waiting", true, RanUnknown},
+	CallAbandoned:         {503, "the caller closed its connection before the call was passed on", true, RanNo},
 	Internal:              {500, "internal error", false, RanUnknown},
 }
 
