core: schedules of faults for submissions and their cancelling

TestCancelledJobsStayCancelled plays the schedules of the orders of an operator with jobs: a client submits, may get no answer, and cancels until it is told that the job is cancelled or unknown. No such job may be accepted afterwards.

TestOrdersOfOneOperatorApplyInTheirOrder shares the schedules; what it checks is the same.

--- a/core/orders_sim_test.go
+++ b/core/orders_sim_test.go
@@ -12,6 +12,7 @@
 	"primrosedale.example/primrosedale/core/event"
 	"primrosedale.example/primrosedale/core/jobs"
 	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/problem"
 )
 
 // Times of an operator, and of the faults beside it.
@@ -29,6 +30,64 @@
 // acknowledged: it lay unread on a frozen replica, in the relay of a replica, or on a
 // connection that was cut for some time.
 func TestOrdersOfOneOperatorApplyInTheirOrder(t *testing.T) {
+	runOrders(t, func(o *orderingOperator) {
+		for o.now < o.faultsEnd {
+			o.order(o.rng.IntN(2) == 0)
+			o.pause(o.between(0, longestOrderGap))
+		}
+		o.pause(longestFault)
+		o.order(o.rng.IntN(2) == 0)
+		o.pause(longestFault)
+		require.True(o.t, o.acknowledged, "no order is acknowledged after the faults")
+		for _, r := range o.replicas {
+			require.Equal(o.t, o.out, r.state.fleet.Jobs.OutOfService["west"], r.host)
+		}
+	})
+}
+
+// Guards against a job that is accepted after its cancelling was acknowledged, or
+// answered with the word that it is unknown, while its submission lay somewhere.
+func TestCancelledJobsStayCancelled(t *testing.T) {
+	runOrders(t, func(o *orderingOperator) {
+		var cancelled []model.JobID
+		for i := 0; o.now < o.faultsEnd; i++ {
+			id := model.JobID(fmt.Sprintf("%016x", i))
+			if o.submitAndCancel(id) {
+				cancelled = append(cancelled, id)
+			}
+			o.pause(o.between(0, longestOrderGap/4))
+		}
+		o.pause(2 * longestFault)
+		require.NotEmpty(o.t, cancelled)
+		for _, r := range o.replicas {
+			for _, id := range cancelled {
+				if j := r.state.fleet.Jobs.Jobs[id]; j != nil {
+					require.Equal(o.t, jobs.Cancelled, j.Phase, "job %s on %s", id, r.host)
+				}
+			}
+		}
+	})
+}
+
+// submitAndCancel submits a job once and then cancels it. It reports whether the
+// cancelling was acknowledged.
+func (o *orderingOperator) submitAndCancel(id model.JobID) bool {
+	address := call.Address{Host: "h", Path: "/q/" + string(id)}
+	steps := []jobs.Step{{Tasks: 1, Size: model.Resources{MilliCPU: 1000}, LongRunning: true}}
+	anyReplica := func() *simReplica { return o.replicas[o.rng.IntN(len(o.replicas))] }
+	o.callAtReplica(anyReplica(), call.Call{Submit: &call.Submit{Address: address, Job: jobs.Job{Steps: steps, Rounds: make([]jobs.Round, 1)}}})
+	for givenUp := o.now.Add(orderGivenUp); o.now < givenUp; {
+		a, answered := o.callAtReplica(anyReplica(), call.Call{Cancel: &address})
+		if answered && (a.Problem == nil || a.Problem.Kind == problem.UnknownJob) {
+			return true
+		}
+		o.run(o.between(0, 100*millisecond))
+	}
+	return false
+}
+
+// runOrders plays a number of schedules of faults.
+func runOrders(t *testing.T, play func(o *orderingOperator)) {
 	seeds := uint64(60)
 	if value := os.Getenv(seedsVariable); value != "" {
 		var err error
@@ -38,20 +97,10 @@
 	for seed := range seeds {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			t.Parallel()
-			o := orderingOperator{fleetSim: newFleetSim(t, seed, 5, 0)}
+			o := &orderingOperator{fleetSim: newFleetSim(t, seed, 5, 0)}
 			o.faultsEnd = o.now.Add(orderFaultsEnd)
 			o.disturb()
-			for o.now < o.faultsEnd {
-				o.order(o.rng.IntN(2) == 0)
-				o.pause(o.between(0, longestOrderGap))
-			}
-			o.pause(longestFault)
-			o.order(o.rng.IntN(2) == 0)
-			o.pause(longestFault)
-			require.True(t, o.acknowledged, "no order is acknowledged after the faults")
-			for _, r := range o.replicas {
-				require.Equal(t, o.out, r.state.fleet.Jobs.OutOfService["west"], r.host)
-			}
+			play(o)
 		})
 	}
 }
@@ -121,10 +170,18 @@
 
 // orderAt reports whether a replica acknowledged the order in time.
 func (o *orderingOperator) orderAt(r *simReplica, out bool) bool {
+	a, answered := o.callAtReplica(r, call.Call{SetOut: &jobs.SetOut{DataCentre: "west", Out: out}})
+	return answered && a.Problem == nil
+}
+
+// callAtReplica makes a call and returns its answer, unless that takes too long or the
+// connection is reset.
+func (o *orderingOperator) callAtReplica(r *simReplica, c call.Call) (call.Answer, bool) {
 	o.seq++
-	c := call.Call{Seq: o.seq, Patience: 850 * millisecond, SetOut: &jobs.SetOut{DataCentre: "west", Out: out}}
+	c.Seq, c.Patience = o.seq, 850*millisecond
 	incarnation := r.incarnation
-	o.after(o.between(0, 3*millisecond), func() { o.read(r, incarnation, event.CallArrived{Call: c}) })
+	arrived := event.CallArrived{Call: c}
+	o.after(o.between(0, 3*millisecond), func() { o.read(r, incarnation, arrived) })
 	patience, reset := operatorPatience, o.now < o.faultsEnd && o.rng.IntN(5) == 0
 	if reset {
 		patience = o.between(0, longestReset)
@@ -132,14 +189,14 @@
 	for until := o.now.Add(patience); o.now < until; {
 		o.run(5 * millisecond)
 		if a, answered := o.answers[c.Seq]; answered {
-			return a.Problem == nil
+			return a, true
 		}
 	}
 	if reset {
-		gone := event.CallAbandoned{Seq: c.Seq, Class: event.ClassControl}
+		gone := event.CallAbandoned{Seq: c.Seq, Class: event.ClassOf(arrived)}
 		o.after(o.between(0, 3*millisecond), func() { o.read(r, incarnation, gone) })
 	}
-	return false
+	return call.Answer{}, false
 }
 
 // read makes a replica read a call, or the end of its connection. A frozen one reads it
