--- a/cmd/primrosedaled/main.go
+++ b/cmd/primrosedaled/main.go
@@ -12,6 +12,7 @@
 	"github.com/integrii/flaggy"
 	"gopkg.in/tomb.v2"
 
+	"primrosedale.example/primrosedale/core/schedule"
 	"primrosedale.example/primrosedale/daemon"
 	"primrosedale.example/primrosedale/devcluster"
 	"primrosedale.example/primrosedale/logevent"
@@ -49,7 +50,7 @@
 
 func run() int {
 	var path string
-	var folder string
+	var folder, disabled string
 	parser := flaggy.NewParser("primrosedaled")
 	parser.Description = "One process of the primrosedale fleet capacity and maintenance manager."
 	parser.AdditionalHelpAppend = helpFooter(devExample + initExample + runExample)
@@ -62,6 +63,7 @@
 	devCommand.String(&folder, "d", "data", "new folder for the replicas' data (default: a temporary one)")
 	platformCommand := subcommand("platform", "run this machine's process on the users' platform", platformExample)
 	platformCommand.String(&path, "s", "settings", "settings file of the platform (default: $"+platform.SettingsVariable+")")
+	platformCommand.String(&disabled, "", "disable", "features to switch off, separated by commas")
 	for _, c := range []*flaggy.Subcommand{runCommand, initCommand, devCommand, platformCommand} {
 		parser.AttachSubcommand(c, 1)
 	}
@@ -81,7 +83,7 @@
 	case devCommand.Used:
 		return runDev(folder)
 	case platformCommand.Used:
-		return runPlatform(cmp.Or(path, os.Getenv(platform.SettingsVariable)))
+		return runPlatform(cmp.Or(path, os.Getenv(platform.SettingsVariable)), disabled)
 	}
 	parser.ShowHelp()
 	return exitUsage
@@ -133,8 +135,13 @@
 const logBufferSize = 1 << 20
 
 // runPlatform runs a process on the users' platform, whose logs go to standard
-// output.
-func runPlatform(path string) int {
+// output, with some features switched off.
+func runPlatform(path, disabled string) int {
+	features, err := schedule.ParseFeatures(disabled)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "--disable:", err)
+		return exitUsage
+	}
 	out := logevent.NewAsyncWriter(os.Stdout, logBufferSize)
 	defer out.Close()
 	log, err := logevent.New(logevent.Options{Out: out, Format: logevent.JSON, Level: "info"})
@@ -146,6 +153,7 @@
 		log.Emit(logevent.SettingsRefused, logevent.Err(err))
 		return reportSettingsError(err)
 	}
+	s.Bounds.Disabled = features
 	log.Emit(logevent.SettingsLoaded, logevent.Str(logevent.NameFile, path))
 	stop, cancel := stopContext()
 	defer cancel()
--- /dev/null
+++ b/core/schedule/feature_test.go
@@ -0,0 +1,25 @@
+package schedule
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// An unknown name must be refused, because a misspelt feature would stay on unnoticed.
+func TestParseFeatures(t *testing.T) {
+	set, err := ParseFeatures("contention, pool-trim")
+	require.NoError(t, err)
+	b := Bounds{Disabled: set}
+	require.False(t, b.Enabled(Contention))
+	require.False(t, b.Enabled(PoolTrim))
+	require.True(t, b.Enabled(Reservations))
+
+	none, err := ParseFeatures("")
+	require.NoError(t, err)
+	require.Zero(t, none)
+
+	_, err = ParseFeatures("reservation")
+	require.ErrorContains(t, err, `unknown feature "reservation"`)
+	require.ErrorContains(t, err, "learned-state")
+}
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -16,6 +16,7 @@
 	StatusKept  model.Duration // how long the state of an ended job can be queried
 	Move        model.Duration // how long it takes to move a host
 	Maintenance model.Duration // how long the maintenance of a host takes
+	Disabled    FeatureSet     // features that are switched off
 }
 
 // Env is the environment in which one event is handled.
