hosts: orders are spread over time, and workers that the host list shows as ended are removed

The log of a scaled copy of the site shows it step by step: the leader orders 2,245 idle hosts off in one tick, its processor is taken for longer than an election timeout, and the leader changes at -7.1, -4.5, -2.2 and 0.2 s; a move of an earlier leader is carried out after the next leader has placed a task on the host; its worker refuses connections, and each new leader waits for the longest lease again, 13 s in all. 10,359 of the orders were refused by the owner's limit and repeated every 500 ms.

Ruled out: the capacity of the pool (it had room), the order of jobs (the task was first in it).

--- a/core/hosts/moves.go
+++ b/core/hosts/moves.go
@@ -22,12 +22,16 @@
 		if h.callPending && now > h.callDeadline {
 			h.callPending, h.retryAt = false, now
 		}
-		if !h.callPending && now >= h.retryAt {
+		if !h.callPending && now >= h.retryAt && p.allowMove(env, h.moveTo) {
 			p.orderMove(env, out, h, " again")
 		}
 	}
 	pools := p.collectPools(env)
 	for _, m := range planMoves(pools, func(id model.ServiceID) bool { return p.maySwitchOff(now, id) }) {
+		if !p.allowMove(env, m.to) {
+			undoMove(pools, m) // planned again at the next tick
+			continue
+		}
 		m.host.moveTo, m.host.orderedWorkers = m.to, workersOn(env, m.host.ID)
 		p.orderMove(env, out, m.host, m.reason)
 	}
@@ -103,6 +107,28 @@
 	return known && now.Sub(since) >= switchOffDelay
 }
 
+// undoMove restores the numbers of hosts of the pools that a planned move has changed.
+func undoMove(pools []*pool, m move) {
+	for _, pl := range pools {
+		switch {
+		case pl.id == m.host.Pool:
+			pl.hosts++
+		case pl.id == m.to && !pl.standby: // planMoves does not add to standby pools
+			pl.hosts--
+		}
+	}
+}
+
+// allowMove reports whether a host may be ordered to a pool now. No host is switched off
+// while this process is short of processor time.
+func (p *Planner) allowMove(env Env, to model.ServiceID) bool {
+	switchesOff := env.Schedule.State.Config.Services[to].Standby
+	if switchesOff && env.Scheduler.IsOverloaded(env.Schedule) {
+		return false
+	}
+	return p.pace.allowMove(env.Schedule.Now, switchesOff)
+}
+
 func (p *Planner) orderMove(env Env, out *Out, h *host, reason string) {
 	h.callPending, h.callDeadline = true, env.Schedule.Now.Add(callTimeout)
 	out.Effects = append(out.Effects, p.call(env, order.HostCall{Move: &order.Move{Host: h.ID, Pool: h.moveTo}}))
--- a/core/hosts/planner.go
+++ b/core/hosts/planner.go
@@ -25,9 +25,9 @@
 
 // Timing of the calls to the service that owns the hosts.
 const (
-	// listInterval is the time between two reads of the host list while a wave runs.
+	// listInterval is the time between two reads of the host list while it is urgent.
 	listInterval = 1500 * model.Millisecond
-	// idleInterval is the time between two reads while no wave runs.
+	// idleInterval is the time between two reads otherwise.
 	idleInterval = 10 * model.Second
 	// callTimeout is the time after which a call without a result counts as failed.
 	// Package platform reports the failure of a call after 2 s.
@@ -80,6 +80,8 @@
 	wavesSince      map[uint64]model.Time          // when this leader first saw an open wave
 	termStart       model.Time                     // when the leader's term started
 	excessSince     map[model.ServiceID]model.Time // since when a pool has had too many hosts
+	workersBefore   map[model.WorkerID]uint64      // incarnations of the workers known when the read of the list began
+	pace            *pace
 }
 
 // host holds what is known about one host.
@@ -104,7 +106,7 @@
 func New(env Env) *Planner {
 	p := &Planner{
 		hosts: make(map[model.HostID]*host), wavesSince: make(map[uint64]model.Time), excessSince: make(map[model.ServiceID]model.Time), nextListAt: env.Schedule.Now,
-		termStart: env.Schedule.Now,
+		termStart: env.Schedule.Now, pace: newPace(env.Schedule.Now, env.Schedule.Bounds.HostOrdersPerSecond),
 	}
 	p.updateScheduler(env)
 	return p
@@ -114,7 +116,7 @@
 func (p *Planner) Advance(env Env, out *Out) {
 	waves := openWaves(env.Schedule.State)
 	p.noteWaves(env, waves)
-	p.startListing(env, out, len(waves) > 0)
+	p.startListing(env, out, isListUrgent(env))
 	if !p.listKnown {
 		return
 	}
@@ -128,6 +130,13 @@
 	p.updateScheduler(env)
 }
 
+// isListUrgent reports whether the list is read often: a wave needs the states of its hosts,
+// and a worker that refuses connections may have been ended by a move that an earlier
+// leader ordered.
+func isListUrgent(env Env) bool {
+	return len(openWaves(env.Schedule.State)) > 0 || env.Scheduler.HasUnreachableRuns()
+}
+
 // startListing requests the first page of the list of hosts if a read is due. A
 // read that was not answered in time is started again.
 func (p *Planner) startListing(env Env, out *Out, busy bool) {
@@ -140,6 +149,7 @@
 	}
 	p.incoming = make(map[model.HostID]order.Host)
 	p.incomingSince, p.incomingPartial = now, false
+	p.recordWorkers(env)
 	p.requestPage(env, out, "")
 }
 
@@ -185,10 +195,11 @@
 		return
 	}
 	p.listPending, p.nextListAt, p.listKnown = false, now.Add(idleInterval), true
-	if len(openWaves(env.Schedule.State)) > 0 {
+	if isListUrgent(env) {
 		p.nextListAt = now.Add(listInterval)
 	}
 	p.listPartial, p.listSince = p.incomingPartial, p.incomingSince
+	p.departEnded(env, out)
 	p.updateHosts(p.incoming)
 	p.Advance(env, out)
 }
--- a/core/hosts/planner_test.go
+++ b/core/hosts/planner_test.go
@@ -28,10 +28,13 @@
 	proposed      []jobs.Command
 	holdProposals bool // proposals are not committed until commitAll is called
 	unparsed      int  // number of hosts at the start of the list whose entries cannot be parsed
+	bounds        schedule.Bounds
 }
 
 func newFixture(t *testing.T, hosts int) *fixture {
-	f := &fixture{t: t, now: 1000 * model.Time(model.Second), state: &jobs.State{}}
+	f := &fixture{t: t, now: 1000 * model.Time(model.Second), state: &jobs.State{}, bounds: schedule.Bounds{
+		LeaseMax: 6 * model.Second, Maintenance: 2 * model.Second, Move: 1500 * ms,
+	}}
 	f.apply(jobs.Command{Configure: &jobs.Config{Version: 1, Services: map[model.ServiceID]jobs.Service{"render": {}}}})
 	for i := range hosts {
 		f.hosts = append(f.hosts, order.Host{
@@ -49,9 +52,7 @@
 }
 
 func (f *fixture) env() Env {
-	return Env{Self: "leader", Scheduler: f.s, Schedule: schedule.Env{Now: f.now, Clock: f.now, Term: 2, State: f.state, Bounds: schedule.Bounds{
-		LeaseMax: 6 * model.Second, Maintenance: 2 * model.Second, Move: 1500 * ms,
-	}}}
+	return Env{Self: "leader", Scheduler: f.s, Schedule: schedule.Env{Now: f.now, Clock: f.now, Term: 2, State: f.state, Bounds: f.bounds}}
 }
 
 func (f *fixture) apply(c jobs.Command) {
--- a/core/hosts/wave.go
+++ b/core/hosts/wave.go
@@ -213,6 +213,7 @@
 
 func (p *Planner) orderMaintenance(env Env, out *Out, id uint64, h *host) {
 	h.callPending, h.callDeadline = true, env.Schedule.Now.Add(callTimeout)
+	p.pace.countMaintenance(env.Schedule.Now)
 	out.Effects = append(out.Effects, p.call(env, order.HostCall{Maintain: &order.Maintain{Host: h.ID, Wave: id}}))
 	out.log(effect.HostOrdered, effect.Log{Host: h.ID, Index: id, Detail: "maintenance"})
 }
--- a/core/schedule/hosts.go
+++ b/core/schedule/hosts.go
@@ -31,6 +31,19 @@
 	return true
 }
 
+// HasUnreachableRuns reports whether some worker that may have runs refuses connections.
+func (s *Scheduler) HasUnreachableRuns() bool {
+	for _, w := range s.workers {
+		if w.refusals >= maxRefusals && len(w.runs) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// IsOverloaded reports whether this process is short of processor time.
+func (s *Scheduler) IsOverloaded(env Env) bool { return s.isOverloaded(env.Now) }
+
 // TimeUntilIdle returns the predicted time until the last run on a host has ended. It
 // returns false if one of them is that of a long-running task.
 func (s *Scheduler) TimeUntilIdle(env Env, host model.HostID) (model.Duration, bool) {
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -17,6 +17,9 @@
 	Move        model.Duration // how long it takes to move a host
 	Maintenance model.Duration // how long the maintenance of a host takes
 	Disabled    FeatureSet     // features that are switched off
+	// HostOrdersPerSecond is the number of orders that the owner of the hosts accepts per
+	// second, 0 for no limit.
+	HostOrdersPerSecond float64
 }
 
 // Env is the environment in which one event is handled.
