hosts: log why a host of a wave waits

Cause: in a wave of 165 hosts, 27 took 2.8 to 11.3 s from their selection to the order of their maintenance, and the log did not say why.

Change: the planner logs wave_host_waits (746) with one of eleven reasons once a reason has lasted 0.5 s, at most ten events a tick. DrainHosts records which rule keeps a long-running run on its host.

Ruled out: an event for each change of reason; ordinary calls and ends would give several for each host. A histogram of waiting times; it would not name the hosts.

--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -197,6 +197,7 @@
 	HostOrdered      Code = "host_ordered"
 	HostReleased     Code = "host_released"
 	HostCallFailed   Code = "host_call_failed"
+	WaveHostWaits    Code = "wave_host_waits"
 )
 
 // Halt ends the process. Reason is set after a failure and empty when a graceful
--- a/core/hosts/planner.go
+++ b/core/hosts/planner.go
@@ -80,6 +80,7 @@
 	wavesSince      map[uint64]model.Time          // when this leader first saw an open wave
 	termStart       model.Time                     // when the leader's term started
 	excessSince     map[model.ServiceID]model.Time // since when a pool has had too many hosts
+	waits           map[model.HostID]wait
 }
 
 // host holds what is known about one host.
@@ -104,7 +105,7 @@
 func New(env Env) *Planner {
 	p := &Planner{
 		hosts: make(map[model.HostID]*host), wavesSince: make(map[uint64]model.Time), excessSince: make(map[model.ServiceID]model.Time), nextListAt: env.Schedule.Now,
-		termStart: env.Schedule.Now,
+		termStart: env.Schedule.Now, waits: make(map[model.HostID]wait),
 	}
 	p.updateScheduler(env)
 	return p
--- a/core/hosts/replay_test.go
+++ b/core/hosts/replay_test.go
@@ -8,6 +8,8 @@
 	"slices"
 	"testing"
 
+	"github.com/stretchr/testify/require"
+
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/jobs"
 	"primrosedale.example/primrosedale/core/model"
@@ -19,9 +21,11 @@
 	replayLatency = 2 * ms  // of a call to a worker, one way
 	replayCommit  = 10 * ms // of a command
 	replayMove    = 1500 * ms
-	replayStretch = 1.6
-	replayTarget  = 600 * ms
-	replayTries   = 5 // of a caller whose job is refused
+
+	replayMaintenance = 2 * model.Second
+	replayStretch     = 1.6
+	replayTarget      = 600 * ms
+	replayTries       = 5 // of a caller whose job is refused
 
 	replayNoLeader = 500 * ms // until a caller tries again while there is no leader
 )
@@ -46,6 +50,12 @@
 	workers map[model.WorkerID]*replayWorker
 	jobs    map[model.JobID]*replayJob
 	results map[model.QueueID]*replayResult
+
+	disabled   schedule.FeatureSet
+	startUp    model.Duration // of a long-running task, until it is up
+	began      map[jobs.RunRef]model.Time
+	maintained map[model.HostID]model.Time // when the maintenance of each host began
+	observe    func(effect.Effect)         // is told of each effect, if set
 }
 
 type replayEvent struct {
@@ -85,6 +95,7 @@
 		t: t, rng: rand.New(rand.NewPCG(1, 2)), now: 1000 * model.Time(model.Second), state: &jobs.State{},
 		hosts: make(map[model.HostID]*order.Host), workers: make(map[model.WorkerID]*replayWorker),
 		jobs: make(map[model.JobID]*replayJob), results: make(map[model.QueueID]*replayResult),
+		began: make(map[jobs.RunRef]model.Time), maintained: make(map[model.HostID]model.Time),
 	}
 	cfg := &jobs.Config{Version: 1, Services: make(map[model.ServiceID]jobs.Service)}
 	for i, id := range services {
@@ -125,7 +136,7 @@
 
 func (f *fleetReplay) env() Env {
 	return Env{Self: "leader", Scheduler: f.s, Schedule: schedule.Env{Now: f.now, Clock: f.now, Term: f.term, State: f.state, Bounds: schedule.Bounds{
-		LeaseMax: 6 * model.Second, StatusKept: 120 * model.Second, Maintenance: 2 * model.Second, Move: replayMove,
+		LeaseMax: 6 * model.Second, StatusKept: 120 * model.Second, Maintenance: replayMaintenance, Move: replayMove, Disabled: f.disabled,
 	}}}
 }
 
@@ -168,6 +179,7 @@
 	handle(&out)
 	f.s.Place(f.env().Schedule, &out)
 	for _, e := range out.Effects {
+		f.note(e)
 		if c, ok := e.(effect.CallWorker); ok {
 			f.after(replayLatency, func() { f.execute(c.Call) })
 		}
@@ -182,6 +194,7 @@
 	var out Out
 	handle(&out)
 	for _, e := range out.Effects {
+		f.note(e)
 		if c, ok := e.(effect.CallHosts); ok {
 			f.after(replayLatency, func() { f.executeHostCall(c.Call) })
 		}
@@ -190,6 +203,12 @@
 	f.act(func(o *schedule.Out) { *o = out.Schedule })
 }
 
+func (f *fleetReplay) note(e effect.Effect) {
+	if f.observe != nil {
+		f.observe(e)
+	}
+}
+
 func (f *fleetReplay) propose(commands []jobs.Command) {
 	term := f.term
 	for i := range commands {
@@ -257,18 +276,35 @@
 			r.Status = order.HostBusy
 			break
 		}
-		if w := f.workers[h.Worker]; w != nil {
-			w.gone = true
+		h.Pool = c.Move.Pool
+		f.takeDown(h, order.HostMoving, replayMove)
+	case c.Maintain != nil:
+		h := f.hosts[c.Maintain.Host]
+		if _, again := f.maintained[h.ID]; again {
+			break
 		}
-		h.State, h.Pool = order.HostMoving, c.Move.Pool
-		f.after(replayMove, func() {
-			h.State = order.HostUp
-			f.startWorker(h)
-		})
+		if h.State != order.HostUp {
+			r.Status = order.HostBusy
+			break
+		}
+		f.maintained[h.ID] = f.now
+		f.takeDown(h, order.HostMaintenance, replayMaintenance)
 	}
 	f.after(replayLatency, func() { f.plan(func(out *Out) { f.p.Replied(f.env(), out, &r) }) })
 }
 
+func (f *fleetReplay) takeDown(h *order.Host, state order.HostState, d model.Duration) {
+	if w := f.workers[h.Worker]; w != nil {
+		w.gone = true
+		require.Empty(f.t, w.runs, "host %s is taken down while tasks run on it", h.ID)
+	}
+	h.State = state
+	f.after(d, func() {
+		h.State = order.HostUp
+		f.startWorker(h)
+	})
+}
+
 func (f *fleetReplay) execute(c order.Call) {
 	w := f.workers[c.Worker]
 	switch {
@@ -276,7 +312,7 @@
 		f.reply(order.Reply{Call: c, Status: order.Refused})
 	case c.Start != nil:
 		if !w.runs[c.Start.RunRef] {
-			w.runs[c.Start.RunRef] = true
+			w.runs[c.Start.RunRef], f.began[c.Start.RunRef] = true, f.now
 			if j := f.jobs[c.Start.Job]; j.times != nil {
 				f.after(j.times[c.Start.Step][c.Start.Index], func() { f.endRun(w, c.Start.RunRef, jobs.OutcomeDone) })
 			}
@@ -320,7 +356,11 @@
 	if c.Poll != nil {
 		r.Ended = slices.Clone(w.ended)
 		for ref := range w.runs {
-			r.Running = append(r.Running, order.Running{RunRef: ref, Percent: 100})
+			running := order.Running{RunRef: ref, Percent: 100}
+			if f.now.Sub(f.began[ref]) < f.startUp {
+				running.Percent = 50
+			}
+			r.Running = append(r.Running, running)
 		}
 		slices.SortFunc(r.Running, func(a, b order.Running) int {
 			return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
--- a/core/hosts/wave.go
+++ b/core/hosts/wave.go
@@ -36,10 +36,7 @@
 // as the cap allows, and selects the next hosts to be drained.
 func (p *Planner) advanceWave(env Env, out *Out, id uint64, w *jobs.Wave) {
 	now := env.Schedule.Now
-	// A host that is missing from a list which was read before the wave began may have
-	// joined since, and one missing from a partial list may have an entry that could not
-	// be parsed.
-	mayBeMissing := p.listPartial || p.listSince < p.wavesSince[id]
+	mayBeMissing := p.mayBeMissing(id)
 	down, remaining := 0, 0
 	var due []*host
 	for _, hostID := range w.Hosts {
@@ -86,6 +83,14 @@
 			down += p.advanceHost(env, out, id, h, down < w.Cap)
 		}
 	}
+	p.logWaits(env, out, id, w, down >= w.Cap)
+}
+
+// mayBeMissing reports whether a host of a wave that is not known may be in the fleet. A
+// host that is missing from a list which was read before the wave began may have joined
+// since, and one missing from a partial list may have an entry that could not be parsed.
+func (p *Planner) mayBeMissing(id uint64) bool {
+	return p.listPartial || p.listSince < p.wavesSince[id]
 }
 
 // selectForWave selects the hosts to be drained now. A host that is switched off, or
--- a/core/schedule/hosts.go
+++ b/core/schedule/hosts.go
@@ -68,6 +68,7 @@
 		env: env, s: s, stayingWorkers: make(map[model.ServiceID][]*worker),
 		unavailable: make(map[jobs.StepRef]int), withCapacity: make(map[placementKey][]*worker),
 	}
+	s.drainBlocks = make(map[model.HostID]DrainBlock)
 	for _, host := range hosts {
 		for _, w := range s.workersByHost[host] {
 			if w.longRunning > 0 {
@@ -94,9 +95,14 @@
 
 func (d *hostDrain) drainWorker(out *Out, w *worker) {
 	for _, r := range sortedRunsOf(w) {
-		if !r.step.LongRunning || !r.isUp(d.env) || !d.mayStop(r) || !d.fitsElsewhere(r) {
+		if !r.step.LongRunning {
 			continue
 		}
+		if b := d.drainBlock(r); b != "" {
+			d.block(r, b)
+			continue
+		}
+		d.block(r, BlockedByStop)
 		d.s.stop(d.env, out, r, "its host is due for maintenance")
 		if r.job.Task(r.ref.TaskRef).Run == r.ref.Run {
 			d.unavailable[r.ref.StepRef()]++
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -64,9 +64,10 @@
 	forecasts          map[model.ServiceID]Forecast
 	pendingAdviceCalls int // advice calls without a result yet
 	lastForgetAt       model.Time
-	detached           []*worker             // replaced or departed workers whose runs may still be running
-	leaving            map[model.HostID]bool // hosts that are to be drained soon
-	cordoned           map[model.HostID]bool // hosts that get no new runs, because they are to be moved or maintained
+	detached           []*worker                   // replaced or departed workers whose runs may still be running
+	leaving            map[model.HostID]bool       // hosts that are to be drained soon
+	drainBlocks        map[model.HostID]DrainBlock // see DrainBlock
+	cordoned           map[model.HostID]bool       // hosts that get no new runs, because they are to be moved or maintained
 }
 
 // pool is the scheduler's state of one service.
--- a/daemon/executor.go
+++ b/daemon/executor.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"fmt"
 	"github.com/VictoriaMetrics/metrics"
 
 	"primrosedale.example/primrosedale/announce"
@@ -123,17 +124,26 @@
 	effect.HostOrdered:      logevent.HostOrdered,
 	effect.HostReleased:     logevent.HostReleased,
 	effect.HostCallFailed:   logevent.HostCallFailed,
+	effect.WaveHostWaits:    logevent.WaveHostWaits,
 }
 
 // leadsGauge is 1 in the process of the leader, otherwise 0.
 var leadsGauge = metrics.NewGauge("primrosedale_leads", nil)
 
+// waveHostWaits counts the log events about waiting hosts of waves by their reason, which
+// is one of a fixed set.
+func waveHostWaits(reason string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(fmt.Sprintf("primrosedale_wave_host_waits_total{reason=%q}", reason))
+}
+
 func (x *executor) emit(e effect.Log) {
 	switch e.Code {
 	case effect.LeaderElected:
 		leadsGauge.Set(1)
 	case effect.LeaderLost:
 		leadsGauge.Set(0)
+	case effect.WaveHostWaits:
+		waveHostWaits(e.Detail).Inc()
 	}
 	var fields []logevent.Field
 	if e.Host != "" {
--- a/logevent/ids.go
+++ b/logevent/ids.go
@@ -114,6 +114,7 @@
 	WaveStarted    ID = 743
 	WaveRefused    ID = 744
 	HostReleased   ID = 745
+	WaveHostWaits  ID = 746
 	RunOrdered     ID = 750
 	RunEnded       ID = 751
 	RunStopped     ID = 752
