hosts: drain the hosts of a wave ahead of its due time

Hosts with long-running tasks wait for a place: at most one task of a step may be on a worker, so the hosts of their pool have no place for each other's tasks, and the pool got one spare host at a time. Idle hosts that wait for the cap were taken from their pools. The list of hosts was read up to 1.5 s after a host was up again, which made a round of the cap 3 to 4 s long, and the first list of a wave was up to 1.5 s late.

Change, while wave-planning is enabled: hosts with long-running tasks only are selected so early that the last one has 8 s, which lets their pool get other hosts; hosts without runs when the cap has room; others evenly over the time that is left. A new leader selects hosts during its first 2 s, in which it orders and stops nothing. A long-running task is stopped only if a place is left for it after those for waiting tasks. Hosts that are due are moved to other pools last. The list is read when a wave is new and when a host is expected back, at most every 0.5 s.

--- a/core/hosts/moves.go
+++ b/core/hosts/moves.go
@@ -45,6 +45,10 @@
 		byID[id] = &pool{id: id, standby: service.Standby, demand: env.Scheduler.Demand(env.Schedule, id)}
 		list = append(list, byID[id])
 	}
+	var due map[model.HostID]bool
+	if isPlanned(env) {
+		due = p.hostsDueForMaintenance(env)
+	}
 	var largest model.Resources
 	for _, id := range model.SortedKeys(p.hosts) {
 		h := p.hosts[id]
@@ -75,6 +79,9 @@
 	}
 	for _, pl := range list {
 		pl.capacity = largest
+		if len(due) > 0 {
+			sortDueLast(pl.idle, due)
+		}
 	}
 	return list
 }
--- a/core/hosts/planner.go
+++ b/core/hosts/planner.go
@@ -80,6 +80,7 @@
 	wavesSince      map[uint64]model.Time          // when this leader first saw an open wave
 	termStart       model.Time                     // when the leader's term started
 	excessSince     map[model.ServiceID]model.Time // since when a pool has had too many hosts
+	paces           map[uint64]*wavePace
 	waits           map[model.HostID]wait
 }
 
@@ -88,6 +89,7 @@
 	order.Host
 	orderedWorkers []jobs.Depart   // workers on the host when an order was given, which the order ends
 	pendingRuns    int             // as last read from the scheduler
+	longRunning    bool            // all its runs are those of long-running tasks, as last read from the scheduler
 	wave           uint64          // wave for which it is being drained or maintained, 0 for none
 	moveTo         model.ServiceID // pool to which it is being moved, empty for none
 	moveEndAt      model.Time      // expected end of its latest move
@@ -105,7 +107,7 @@
 func New(env Env) *Planner {
 	p := &Planner{
 		hosts: make(map[model.HostID]*host), wavesSince: make(map[uint64]model.Time), excessSince: make(map[model.ServiceID]model.Time), nextListAt: env.Schedule.Now,
-		termStart: env.Schedule.Now, waits: make(map[model.HostID]wait),
+		termStart: env.Schedule.Now, paces: make(map[uint64]*wavePace), waits: make(map[model.HostID]wait),
 	}
 	p.updateScheduler(env)
 	return p
@@ -119,7 +121,7 @@
 	if !p.listKnown {
 		return
 	}
-	if env.Schedule.Now.Sub(p.termStart) >= takeoverDelay {
+	if isPlanned(env) || env.Schedule.Now.Sub(p.termStart) >= takeoverDelay {
 		for _, id := range waves {
 			p.advanceWave(env, out, id, env.Schedule.State.Waves[id])
 		}
--- a/core/hosts/wave.go
+++ b/core/hosts/wave.go
@@ -28,6 +28,9 @@
 	for _, id := range waves {
 		if _, seen := p.wavesSince[id]; !seen {
 			p.wavesSince[id] = env.Schedule.Now
+			if isPlanned(env) {
+				p.nextListAt = env.Schedule.Now // the latest list may be old
+			}
 		}
 	}
 }
@@ -57,6 +60,9 @@
 		if ordered && !accepted && h.wave == 0 {
 			h.wave, h.orderPending = id, true // ordered by an earlier leader
 		}
+		if isPlanned(env) {
+			p.hastenList(now, h)
+		}
 		if h.orderPending || ordered && (h.State != order.HostUp || now < h.downUntil) {
 			down++
 		}
@@ -70,7 +76,15 @@
 		out.Proposals = append(out.Proposals, jobs.Command{CloseWave: &jobs.CloseWave{Wave: id}})
 		return
 	}
-	p.selectForWave(env, out, id, w, due)
+	if isPlanned(env) {
+		p.selectAhead(env, out, id, w, due, down)
+	} else {
+		p.selectForWave(env, out, id, w, due)
+	}
+	if now.Sub(p.termStart) < takeoverDelay {
+		p.logWaits(env, out, id, w, false)
+		return
+	}
 	// Long-running tasks are moved off one after another, so this starts early. The
 	// hosts still get other work meanwhile.
 	ids := make([]model.HostID, len(due))
@@ -98,15 +112,7 @@
 // only long-running tasks is drained while its pool can spare it. Other hosts wait
 // until the remaining time is needed to maintain them.
 func (p *Planner) selectForWave(env Env, out *Out, id uint64, w *jobs.Wave, due []*host) {
-	spare := make(map[model.ServiceID]int)
-	pools := p.collectPools(env)
-	setTargets(pools)
-	for _, pl := range pools {
-		spare[pl.id] = -pl.shortage()
-		if pl.standby {
-			spare[pl.id] = pl.hosts
-		}
-	}
+	spare := p.spareHosts(env)
 	selected := 0
 	for _, h := range due {
 		if h.wave == id {
--- a/core/schedule/hosts.go
+++ b/core/schedule/hosts.go
@@ -86,6 +86,7 @@
 	stayingWorkers map[model.ServiceID][]*worker // usable workers on hosts that are not leaving
 	unavailable    map[jobs.StepRef]int          // unavailable tasks by step, counted up to MaxUnavailable
 	withCapacity   map[placementKey][]*worker    // the first two workers with free capacity for a task of a step
+	places         map[model.ServiceID]*drainPlaces
 }
 
 type placementKey struct {
