Merge branch 'waves': waves on time

Conflict: both sides added fields to the planner; the order limits keep that name, since 'pace' is the pace of a wave now.

--- a/core/hosts/moves.go
+++ b/core/hosts/moves.go
@@ -49,6 +49,10 @@
 		byID[id] = &pool{id: id, standby: service.Standby, demand: env.Scheduler.Demand(env.Schedule, id)}
 		list = append(list, byID[id])
 	}
+	var due map[model.HostID]bool
+	if isPlanned(env) {
+		due = p.hostsDueForMaintenance(env)
+	}
 	var largest model.Resources
 	for _, id := range model.SortedKeys(p.hosts) {
 		h := p.hosts[id]
@@ -79,6 +83,9 @@
 	}
 	for _, pl := range list {
 		pl.capacity = largest
+		if len(due) > 0 {
+			sortDueLast(pl.idle, due)
+		}
 	}
 	return list
 }
@@ -126,7 +133,7 @@
 	if switchesOff && env.Scheduler.IsOverloaded(env.Schedule) {
 		return false
 	}
-	return p.pace.allowMove(env.Schedule.Now, switchesOff)
+	return p.orderLimits.allowMove(env.Schedule.Now, switchesOff)
 }
 
 func (p *Planner) orderMove(env Env, out *Out, h *host, reason string) {
--- a/core/hosts/pace.go
+++ b/core/hosts/order_limits.go
@@ -15,20 +15,20 @@
 	switchOffRate  = 320
 )
 
-// pace spreads the orders to the owner of the hosts over time. The load that it answers is
+// orderLimits spreads the orders to the owner of the hosts over time. The load that it answers is
 // a fleet of thousands of hosts whose pools change at once: 2,245 orders in one tick took
 // the processor of the leader for longer than an election timeout, and most were refused
 // by the owner's limit and repeated every 500 ms.
-type pace struct {
+type orderLimits struct {
 	owner     bucket // limit of the owner of the hosts
 	moves     bucket
 	switchOff bucket
 }
 
-// newPace returns the pace for an owner that accepts a number of orders per second, 0 for
+// newOrderLimits returns the limits for an owner that accepts a number of orders per second, 0 for
 // no limit.
-func newPace(now model.Time, ordersPerSecond float64) *pace {
-	return &pace{
+func newOrderLimits(now model.Time, ordersPerSecond float64) *orderLimits {
+	return &orderLimits{
 		owner:     newBucket(now, ordersPerSecond, ordersPerSecond),
 		moves:     newBucket(now, moveRate, moveBurst),
 		switchOff: newBucket(now, switchOffRate, switchOffBurst),
@@ -36,22 +36,22 @@
 }
 
 // allowMove takes a move order and reports whether it may be sent now.
-func (p *pace) allowMove(now model.Time, switchesOff bool) bool {
-	own := &p.moves
+func (l *orderLimits) allowMove(now model.Time, switchesOff bool) bool {
+	own := &l.moves
 	if switchesOff {
-		own = &p.switchOff
+		own = &l.switchOff
 	}
-	if !own.has(now) || !p.owner.has(now) {
+	if !own.has(now) || !l.owner.has(now) {
 		return false
 	}
 	own.take(now)
-	p.owner.take(now)
+	l.owner.take(now)
 	return true
 }
 
 // countMaintenance counts an order for maintenance, which is never held back: it has a due
 // time, and the cap of its wave bounds the number.
-func (p *pace) countMaintenance(now model.Time) { p.owner.take(now) }
+func (l *orderLimits) countMaintenance(now model.Time) { l.owner.take(now) }
 
 // bucket is a token bucket. A rate of 0 means no limit.
 type bucket struct {
--- a/core/hosts/planner.go
+++ b/core/hosts/planner.go
@@ -81,7 +81,9 @@
 	termStart       model.Time                     // when the leader's term started
 	excessSince     map[model.ServiceID]model.Time // since when a pool has had too many hosts
 	workersBefore   map[model.WorkerID]uint64      // incarnations of the workers known when the read of the list began
-	pace            *pace
+	orderLimits     *orderLimits
+	paces           map[uint64]*wavePace
+	waits           map[model.HostID]wait
 }
 
 // host holds what is known about one host.
@@ -89,6 +91,7 @@
 	order.Host
 	orderedWorkers []jobs.Depart   // workers on the host when an order was given, which the order ends
 	pendingRuns    int             // as last read from the scheduler
+	longRunning    bool            // all its runs are those of long-running tasks, as last read from the scheduler
 	wave           uint64          // wave for which it is being drained or maintained, 0 for none
 	moveTo         model.ServiceID // pool to which it is being moved, empty for none
 	moveEndAt      model.Time      // expected end of its latest move
@@ -106,7 +109,8 @@
 func New(env Env) *Planner {
 	p := &Planner{
 		hosts: make(map[model.HostID]*host), wavesSince: make(map[uint64]model.Time), excessSince: make(map[model.ServiceID]model.Time), nextListAt: env.Schedule.Now,
-		termStart: env.Schedule.Now, pace: newPace(env.Schedule.Now, env.Schedule.Bounds.HostOrdersPerSecond),
+		termStart: env.Schedule.Now, orderLimits: newOrderLimits(env.Schedule.Now, env.Schedule.Bounds.HostOrdersPerSecond),
+		paces: make(map[uint64]*wavePace), waits: make(map[model.HostID]wait),
 	}
 	p.updateScheduler(env)
 	return p
@@ -120,7 +124,7 @@
 	if !p.listKnown {
 		return
 	}
-	if env.Schedule.Now.Sub(p.termStart) >= takeoverDelay {
+	if isPlanned(env) || env.Schedule.Now.Sub(p.termStart) >= takeoverDelay {
 		for _, id := range waves {
 			p.advanceWave(env, out, id, env.Schedule.State.Waves[id])
 		}
--- a/core/hosts/wave.go
+++ b/core/hosts/wave.go
@@ -28,6 +28,9 @@
 	for _, id := range waves {
 		if _, seen := p.wavesSince[id]; !seen {
 			p.wavesSince[id] = env.Schedule.Now
+			if isPlanned(env) {
+				p.nextListAt = env.Schedule.Now // the latest list may be old
+			}
 		}
 	}
 }
@@ -36,10 +39,7 @@
 // as the cap allows, and selects the next hosts to be drained.
 func (p *Planner) advanceWave(env Env, out *Out, id uint64, w *jobs.Wave) {
 	now := env.Schedule.Now
-	// A host that is missing from a list which was read before the wave began may have
-	// joined since, and one missing from a partial list may have an entry that could not
-	// be parsed.
-	mayBeMissing := p.listPartial || p.listSince < p.wavesSince[id]
+	mayBeMissing := p.mayBeMissing(id)
 	down, remaining := 0, 0
 	var due []*host
 	for _, hostID := range w.Hosts {
@@ -60,6 +60,9 @@
 		if ordered && !accepted && h.wave == 0 {
 			h.wave, h.orderPending = id, true // ordered by an earlier leader
 		}
+		if isPlanned(env) {
+			p.hastenList(now, h)
+		}
 		if h.orderPending || ordered && (h.State != order.HostUp || now < h.downUntil) {
 			down++
 		}
@@ -73,7 +76,15 @@
 		out.Proposals = append(out.Proposals, jobs.Command{CloseWave: &jobs.CloseWave{Wave: id}})
 		return
 	}
-	p.selectForWave(env, out, id, w, due)
+	if isPlanned(env) {
+		p.selectAhead(env, out, id, w, due, down)
+	} else {
+		p.selectForWave(env, out, id, w, due)
+	}
+	if now.Sub(p.termStart) < takeoverDelay {
+		p.logWaits(env, out, id, w, false)
+		return
+	}
 	// Long-running tasks are moved off one after another, so this starts early. The
 	// hosts still get other work meanwhile.
 	ids := make([]model.HostID, len(due))
@@ -86,6 +97,14 @@
 			down += p.advanceHost(env, out, id, h, down < w.Cap)
 		}
 	}
+	p.logWaits(env, out, id, w, down >= w.Cap)
+}
+
+// mayBeMissing reports whether a host of a wave that is not known may be in the fleet. A
+// host that is missing from a list which was read before the wave began may have joined
+// since, and one missing from a partial list may have an entry that could not be parsed.
+func (p *Planner) mayBeMissing(id uint64) bool {
+	return p.listPartial || p.listSince < p.wavesSince[id]
 }
 
 // selectForWave selects the hosts to be drained now. A host that is switched off, or
@@ -93,15 +112,7 @@
 // only long-running tasks is drained while its pool can spare it. Other hosts wait
 // until the remaining time is needed to maintain them.
 func (p *Planner) selectForWave(env Env, out *Out, id uint64, w *jobs.Wave, due []*host) {
-	spare := make(map[model.ServiceID]int)
-	pools := p.collectPools(env)
-	setTargets(pools)
-	for _, pl := range pools {
-		spare[pl.id] = -pl.shortage()
-		if pl.standby {
-			spare[pl.id] = pl.hosts
-		}
-	}
+	spare := p.spareHosts(env)
 	selected := 0
 	for _, h := range due {
 		if h.wave == id {
@@ -213,7 +224,7 @@
 
 func (p *Planner) orderMaintenance(env Env, out *Out, id uint64, h *host) {
 	h.callPending, h.callDeadline = true, env.Schedule.Now.Add(callTimeout)
-	p.pace.countMaintenance(env.Schedule.Now)
+	p.orderLimits.countMaintenance(env.Schedule.Now)
 	out.Effects = append(out.Effects, p.call(env, order.HostCall{Maintain: &order.Maintain{Host: h.ID, Wave: id}}))
 	out.log(effect.HostOrdered, effect.Log{Host: h.ID, Index: id, Detail: "maintenance"})
 }
