logevent: add the events of reservations

Cause: operators need to see why capacity is idle while work waits. The change: 870 reservation_made, 871 reservation_met and 872 reservation_abandoned. Measured: go test ./logevent passes.

--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -197,6 +197,10 @@
 	HostOrdered      Code = "host_ordered"
 	HostReleased     Code = "host_released"
 	HostCallFailed   Code = "host_call_failed"
+
+	ReservationMade      Code = "reservation_made"
+	ReservationMet       Code = "reservation_met"
+	ReservationAbandoned Code = "reservation_abandoned"
 )
 
 // Halt ends the process. Reason is set after a failure and empty when a graceful
--- a/daemon/executor.go
+++ b/daemon/executor.go
@@ -123,6 +123,10 @@
 	effect.HostOrdered:      logevent.HostOrdered,
 	effect.HostReleased:     logevent.HostReleased,
 	effect.HostCallFailed:   logevent.HostCallFailed,
+
+	effect.ReservationMade:      logevent.ReservationMade,
+	effect.ReservationMet:       logevent.ReservationMet,
+	effect.ReservationAbandoned: logevent.ReservationAbandoned,
 }
 
 // leadsGauge is 1 in the process of the leader, otherwise 0.
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -352,6 +352,15 @@
 	{JobEnded, "job_ended", zerolog.InfoLevel,
 		"a job has ended",
 		"Nothing, unless the reason is failed: look for the ends of its runs."},
+	{ReservationMade, "reservation_made", zerolog.InfoLevel,
+		"capacity was reserved for a gang or a large task that fits on no worker now",
+		"Nothing. The count is the number of its workers, of which the first is named."},
+	{ReservationMet, "reservation_met", zerolog.InfoLevel,
+		"the gang or large task with a reservation was assigned",
+		"Nothing."},
+	{ReservationAbandoned, "reservation_abandoned", zerolog.InfoLevel,
+		"a reservation was given up before its task was assigned",
+		"Nothing. If the reason is often that its begin has passed, the estimates of the queues on its workers are too short."},
 }}
 
 // areas is the whole catalogue in the order of the numbers.
--- a/logevent/ids.go
+++ b/logevent/ids.go
@@ -138,4 +138,8 @@
 	JobAccepted        ID = 840
 	JobRefused         ID = 841
 	JobEnded           ID = 842
+
+	ReservationMade      ID = 870
+	ReservationMet       ID = 871
+	ReservationAbandoned ID = 872
 )
