schedule: reserve capacity for gangs and large tasks that wait

The change: the first jobs of a pool whose large task or gang fits nowhere hold a reservation of the workers that are predicted to be free soonest. Jobs of their class and of later ones start there only what ends before or fits beside. Reservations are checked in each pass and planned at most once in an interval. Jobs 10 s late hold a strict one. The checks of the simulation that nothing fits now accept reserved workers, and check the reservations.

--- a/core/schedule/bench_test.go
+++ b/core/schedule/bench_test.go
@@ -10,9 +10,9 @@
 )
 
 // BenchmarkStart measures the scheduler's time for one task, from the acceptance of its
-// job to its recorded end, with 50 and 350 half-full workers.
+// job to its recorded end, with 50, 350 and 3,000 half-full workers.
 func BenchmarkStart(b *testing.B) {
-	for _, workers := range []int{50, 350} {
+	for _, workers := range []int{50, 350, 3000} {
 		b.Run(fmt.Sprint(workers), func(b *testing.B) {
 			f := newHalfFullFixture(b, workers)
 			b.ResetTimer()
--- a/core/schedule/capacity_index.go
+++ b/core/schedule/capacity_index.go
@@ -96,6 +96,15 @@
 	largest model.Resources
 	// unplaceable holds claims that fitted on no worker.
 	unplaceable []model.Resources
+	// reservedFrom holds tasks that fitted only on workers that are reserved from them.
+	reservedFrom []reservedFrom
+}
+
+// reservedFrom is a task that the reservations of the pool keep off every worker on which it
+// fits.
+type reservedFrom struct {
+	claim    model.Resources
+	duration model.Duration // cautious prediction
 }
 
 // list returns the usable workers.
@@ -116,17 +125,43 @@
 
 // bestFit returns the worker for a task that needs only capacity, or nil if it fits on
 // none.
-func (c *candidates) bestFit(claim model.Resources) *worker {
-	if c.isUnplaceable(claim) {
+func (c *candidates) bestFit(job *activeJob, step *jobs.Step) *worker {
+	claim := step.Claim()
+	if c.isUnplaceable(claim) || c.isReservedFrom(job, step) {
 		return nil
 	}
-	w := c.pool.capacityIndex.bestFit(claim, func(w *worker) bool { return c.s.isUsable(c.env, w) })
-	if w == nil {
+	reserved := false
+	w := c.pool.capacityIndex.bestFit(claim, func(w *worker) bool {
+		if !c.s.isUsable(c.env, w) {
+			return false
+		}
+		if len(w.reserved) > 0 && c.s.isReservedFrom(c.env, w, job, step) {
+			reserved = true
+			return false
+		}
+		return true
+	})
+	switch {
+	case w != nil:
+	case reserved:
+		c.reservedFrom = append(c.reservedFrom, reservedFrom{claim, c.s.cautiousTime(job.job.Queue, step)})
+	default:
 		c.unplaceable = append(c.unplaceable, claim)
 	}
 	return w
 }
 
+// isReservedFrom reports whether a task is at least as large and as long as one that the
+// reservations kept off every worker. A reservation that binds a job binds all that are
+// served later, except its own.
+func (c *candidates) isReservedFrom(job *activeJob, step *jobs.Step) bool {
+	if len(c.reservedFrom) == 0 || c.pool.reservations.of(job) != nil {
+		return false
+	}
+	claim, duration := step.Claim(), c.s.cautiousTime(job.job.Queue, step)
+	return slices.ContainsFunc(c.reservedFrom, func(r reservedFrom) bool { return r.claim.Fits(claim) && r.duration <= duration })
+}
+
 // isUnplaceable reports whether a claim is at least as large as one that fitted on no
 // worker.
 func (c *candidates) isUnplaceable(claim model.Resources) bool {
--- a/core/schedule/capacity_index_test.go
+++ b/core/schedule/capacity_index_test.go
@@ -62,7 +62,8 @@
 }
 
 // requireNothingFits checks, after a placement, that no ready, unconstrained task fits on
-// any worker, by a separate search for each task.
+// any worker, by a separate search for each task. A task may fit only on workers that are
+// reserved for others.
 func requireNothingFits(t testing.TB, s *Scheduler, env Env) {
 	for _, p := range s.services {
 		for _, job := range p.jobs {
@@ -73,11 +74,48 @@
 				if w := s.chooseByCapacity(env, &candidates{env: env, s: s, pool: p}, job, ref); w != nil {
 					require.Fail(t, "a task that fits was not placed", "%v fits on %s", ref, w.info.ID)
 				}
+				requireReservedWhereItFits(t, s, env, p, job, ref)
 			}
 		}
 	}
 }
 
+// requireReservedWhereItFits checks that each worker that has the capacity for a task which
+// was not placed is on the list of a reservation of the pool that binds the job of the task.
+func requireReservedWhereItFits(t testing.TB, s *Scheduler, env Env, p *pool, job *activeJob, ref jobs.TaskRef) {
+	step := &job.job.Steps[ref.Step]
+	if s.proposed[ref] || s.overCap(env, job.job.Team, step.Size) {
+		return
+	}
+	for _, w := range s.usable(env, p) {
+		reserved := slices.ContainsFunc(p.reservations.holds, func(h *hold) bool { return h.binds(job) && w.holdsFor(h) })
+		require.True(t, reserved || !step.Claim().Fits(w.free()), "%v fits on %s", ref, w.info.ID)
+	}
+}
+
+// requireReservations checks that each reservation is that of a waiting job, that they are
+// few, and that the workers and the pool agree on them.
+func requireReservations(t testing.TB, s *Scheduler, env Env) {
+	for _, p := range s.services {
+		require.LessOrEqual(t, len(p.reservations.holds), maxHolds(len(p.workers))+1, "a strict one may be added")
+		claims := 0
+		for _, h := range p.reservations.holds {
+			require.Same(t, h.job, s.active[h.step.Job])
+			require.True(t, slices.ContainsFunc(h.job.ready, func(ref jobs.TaskRef) bool { return ref.StepRef() == h.step }))
+			for _, place := range h.places {
+				if place.Worker != "" {
+					claims++
+					require.True(t, s.workers[place.Worker].holdsFor(h))
+				}
+			}
+		}
+		for _, w := range p.workers {
+			claims -= len(w.reserved)
+		}
+		require.Zero(t, claims, "a worker holds a reservation that has ended")
+	}
+}
+
 // Guards against a task that waits although it fits on a worker, because an earlier one
 // could not be placed: a larger task, one that is assigned already, or one whose team is
 // at its cap.
--- a/core/schedule/place.go
+++ b/core/schedule/place.go
@@ -42,13 +42,27 @@
 			continue
 		}
 		p.dirty = false
-		runs = s.placeService(env, out, p, runs)
+		runs = s.placePool(env, out, p, runs)
 	}
 	for part := range slices.Chunk(runs, maxAssignedRuns) {
 		out.Proposals = append(out.Proposals, jobs.Command{Assign: &jobs.Assign{Runs: part}})
 	}
 }
 
+// placePool assigns tasks of one service. It passes over the jobs again after
+// reservations have ended, which may have kept off jobs served earlier.
+func (s *Scheduler) placePool(env Env, out *Out, p *pool, runs []jobs.Assignment) []jobs.Assignment {
+	if !env.Bounds.Enabled(Reservations) {
+		return s.placeService(env, out, p, runs)
+	}
+	s.checkReservations(env, out, p)
+	for p.reservations.ended = true; p.reservations.ended; {
+		p.reservations.ended = false
+		runs = s.placeService(env, out, p, runs)
+	}
+	return runs
+}
+
 // placeService assigns tasks of one service, in the order of its jobs.
 func (s *Scheduler) placeService(env Env, out *Out, p *pool, runs []jobs.Assignment) []jobs.Assignment {
 	c := &candidates{env: env, s: s, pool: p}
@@ -57,6 +71,9 @@
 		if len(job.ready) > 0 && !c.cannotPlace(job) {
 			runs = s.placeJob(env, out, c, job, runs)
 		}
+		if env.Bounds.Enabled(Reservations) {
+			s.reserve(env, out, p, job)
+		}
 	}
 	return runs
 }
@@ -71,6 +88,7 @@
 		if needsOnlyCapacity(job, step, ref) {
 			if w := s.chooseByCapacity(env, c, job, ref); w != nil {
 				runs = append(runs, s.assign(env, job, ref, w))
+				s.fulfil(env, out, c.pool, job, ref.StepRef())
 				c.updateLargest()
 				continue
 			}
@@ -91,7 +109,10 @@
 		if step.Gang {
 			kept = append(kept, ref)
 			if ref.Index == 0 {
-				runs = append(runs, s.placeGang(env, allowed, job, ref)...)
+				if members := s.placeGang(env, allowed, job, ref); len(members) > 0 {
+					runs = append(runs, members...)
+					s.fulfil(env, out, c.pool, job, ref.StepRef())
+				}
 				c.updateLargest()
 			}
 			continue
@@ -102,6 +123,7 @@
 			continue
 		}
 		runs = append(runs, s.assign(env, job, ref, w))
+		s.fulfil(env, out, c.pool, job, ref.StepRef())
 		c.updateLargest()
 	}
 	job.ready = kept
@@ -125,7 +147,7 @@
 	if s.proposed[ref] || s.overCap(env, job.job.Team, step.Size) {
 		return nil
 	}
-	return c.bestFit(step.Claim())
+	return c.bestFit(job, step)
 }
 
 // maxFree returns, for each resource, the largest amount that any of the workers has
@@ -174,7 +196,7 @@
 	var best *worker
 	var bestScore score
 	for _, w := range usable {
-		if !claim.Fits(w.free()) || !meetsConstraints(w, step, ref) {
+		if !claim.Fits(w.free()) || !meetsConstraints(w, step, ref) || s.isReservedFrom(env, w, job, step) {
 			continue
 		}
 		if sc := s.score(w, job, step, ref); best == nil || sc.less(bestScore) {
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -77,6 +77,7 @@
 	burst         burst
 	workers       []*worker     // by ID
 	capacityIndex capacityIndex // the same workers by free capacity
+	reservations  reservations
 
 	batchCapacity      model.Resources // see the method of the scheduler
 	batchCapacityValid bool            // batchCapacity was computed since the latest tick
@@ -170,7 +171,7 @@
 		s.advanceWorker(env, out, s.workers[id])
 	}
 	for _, p := range s.services {
-		p.dirty = p.dirty || len(p.jobs) > 0
+		p.dirty = p.dirty || len(p.jobs) > 0 || len(p.reservations.holds) > 0
 		p.batchCapacityValid = false
 		p.sortLate(env.Clock)
 	}
--- a/core/schedule/sim_test.go
+++ b/core/schedule/sim_test.go
@@ -205,6 +205,7 @@
 			requireCapacityIndex(s.t, s.scheduler, s.env())
 			requireRunIndex(s.t, s.scheduler)
 			requireNothingFits(s.t, s.scheduler, s.env())
+			requireReservations(s.t, s.scheduler, s.env())
 		}
 	}
 }
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -54,6 +54,7 @@
 	// Number and claim of the long-running tasks in runs.
 	longRunning      int
 	longRunningClaim model.Resources
+	reserved         []reservedClaim
 	indexKey         capacityKey // position in the index of its service
 
 	polled       bool   // a poll with this leader's token was answered, and the worker has not fallen silent since
@@ -97,6 +98,7 @@
 	at, _ := slices.BinarySearchFunc(p.workers, w, func(a, b *worker) int { return compareIDs(a.info.ID, b.info.ID) })
 	p.workers = slices.Insert(p.workers, at, w)
 	p.capacityIndex.update(w)
+	p.reservations.workerJoined(w)
 	p.dirty = true
 }
 
@@ -105,6 +107,7 @@
 	p := s.pool(w.info.Service)
 	p.workers = slices.DeleteFunc(p.workers, func(other *worker) bool { return other == w })
 	p.capacityIndex.remove(w)
+	p.reservations.workerLeft(w, p.workers)
 }
 
 func compareIDs(a, b model.WorkerID) int {
