--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -198,6 +198,10 @@
 	HostReleased     Code = "host_released"
 	HostCallFailed   Code = "host_call_failed"
 	WaveHostWaits    Code = "wave_host_waits"
+
+	ReservationMade      Code = "reservation_made"
+	ReservationMet       Code = "reservation_met"
+	ReservationAbandoned Code = "reservation_abandoned"
 )
 
 // Halt ends the process. Reason is set after a failure and empty when a graceful
--- a/daemon/executor.go
+++ b/daemon/executor.go
@@ -125,6 +125,10 @@
 	effect.HostReleased:     logevent.HostReleased,
 	effect.HostCallFailed:   logevent.HostCallFailed,
 	effect.WaveHostWaits:    logevent.WaveHostWaits,
+
+	effect.ReservationMade:      logevent.ReservationMade,
+	effect.ReservationMet:       logevent.ReservationMet,
+	effect.ReservationAbandoned: logevent.ReservationAbandoned,
 }
 
 // leadsGauge is 1 in the process of the leader, otherwise 0.
