relay: send submissions only to a leader that has just answered

An entry host sent submissions to its leader for up to a second after the leader's latest answer. After a loss of all replicas, what arrived in that second was sent to nobody, waited for its caller's patience and ended with an unknown outcome (504). Calls that were sent nowhere were refused after 0.6 s although the replicas answered that a leader was being elected, so callers used up their attempts.

Ruled out as the cause: resendTimeout, since there is nobody to ask again, and the time that a new leader needs after the election.

A call that changes state is now sent for the first time only once the leader has answered a Contact that was sent at most 100 ms before the call arrived; if none has, it is sent with the reply. It costs one round trip. Calls that were sent nowhere are held while the replica that answered last knows no leader. A replica that has not heard its leader for 0.45 s does not name it.

--- /dev/null
+++ b/core/answers_sim_test.go
@@ -0,0 +1,184 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/call"
+	"primrosedale.example/primrosedale/core/event"
+	"primrosedale.example/primrosedale/core/jobs"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/problem"
+	"primrosedale.example/primrosedale/core/schedule"
+)
+
+// What callers do.
+const (
+	callerPatience  = 3 * model.Second // until they take a call for unanswered
+	callerMargin    = 100 * millisecond
+	callerAttempts  = 4
+	callerRetryWait = model.Second // after a refusal
+)
+
+// callers submit jobs at the entry hosts. A caller that gets no answer, or one of unknown
+// outcome, submits the same job again at once, and one that is refused after a second.
+type callers struct {
+	*fleetSim
+	jobs     []*submittedJob
+	resets   float64 // share of the connections that are reset
+	refusals int     // 429 and 503
+	unknown  int     // 504 and no answer
+}
+
+type submittedJob struct {
+	id        model.JobID
+	path      string
+	attempts  int
+	open      int // attempts without an answer that may still be decided
+	accepted  bool
+	refused   *problem.Problem // the latest outcome, if it is a refusal
+	unknown   int              // attempts with an unknown outcome
+	endedAt   model.Time
+	unknownAt model.Time // start of the latest attempt with an unknown outcome
+	attemptAt model.Time
+}
+
+// newCallers returns callers of a cluster with entry hosts.
+func newCallers(t *testing.T, seed uint64, replicas, entries, workers int, disabled schedule.FeatureSet) *callers {
+	c := &callers{fleetSim: newFleetSim(t, seed, replicas, workers)}
+	c.disabled = disabled
+	for _, r := range c.replicas {
+		c.startReplica(r)
+	}
+	for i := range entries {
+		e := &simReplica{host: model.HostID(fmt.Sprintf("e%d", i)), entry: true}
+		c.entries = append(c.entries, e)
+		c.startReplica(e)
+	}
+	c.run(4 * model.Second)
+	return c
+}
+
+// submitEvery starts a caller in each interval until a time.
+func (c *callers) submitEvery(interval model.Duration, path string, until model.Time) {
+	if c.now >= until {
+		return
+	}
+	id := fmt.Sprintf("%016x", len(c.jobs)+1)
+	j := &submittedJob{id: model.JobID(id), path: path + id}
+	c.jobs = append(c.jobs, j)
+	c.attempt(j)
+	c.after(interval, func() { c.submitEvery(interval, path, until) })
+}
+
+func (c *callers) attempt(j *submittedJob) {
+	e := c.entries[c.rng.IntN(len(c.entries))]
+	c.seq++
+	seq, incarnation := c.seq, e.incarnation
+	step := jobs.Step{Tasks: 2, Size: model.Resources{MilliCPU: 1000, MemoryMB: 100}, Estimate: model.Second}
+	arrived := event.CallArrived{Call: call.Call{Seq: seq, Patience: callerPatience - callerMargin, Submit: &call.Submit{
+		Address: call.Address{Host: "h", Path: j.path}, Job: jobs.Job{Steps: []jobs.Step{step}, Rounds: make([]jobs.Round, 1)},
+	}}}
+	j.attempts++
+	j.attemptAt = c.now
+	c.after(c.between(0, 3*millisecond), func() { c.read(e, incarnation, arrived) })
+	patience := callerPatience
+	if c.rng.Float64() < c.resets {
+		patience = c.between(0, callerPatience)
+	}
+	c.await(j, seq, c.now.Add(patience), func() {
+		c.after(c.between(0, 3*millisecond), func() { c.read(e, incarnation, event.CallAbandoned{Seq: seq, Class: event.ClassOf(arrived)}) })
+	})
+}
+
+// await handles the answer to an attempt, or its absence.
+func (c *callers) await(j *submittedJob, seq uint64, until model.Time, disconnect func()) {
+	a, answered := c.answers[seq]
+	switch {
+	case !answered && c.now < until:
+		c.after(5*millisecond, func() { c.await(j, seq, until, disconnect) })
+		return
+	case !answered:
+		disconnect()
+		fallthrough
+	case a.Problem != nil && a.Problem.Kind == problem.CallOutcomeUnknown:
+		j.unknown++
+		j.unknownAt = j.attemptAt
+		c.unknown++
+		j.refused = nil
+		c.resubmit(j, 0)
+	case a.Problem != nil:
+		c.refusals++
+		j.refused = a.Problem
+		c.resubmit(j, callerRetryWait)
+	default:
+		j.accepted, j.refused, j.endedAt = true, nil, c.now
+	}
+}
+
+func (c *callers) resubmit(j *submittedJob, wait model.Duration) {
+	if j.attempts >= callerAttempts {
+		j.endedAt = c.now
+		return
+	}
+	c.after(wait, func() {
+		j.refused = nil
+		c.attempt(j)
+	})
+}
+
+// read makes a host read a call, or the end of its connection. A frozen one reads it when
+// it runs again, before or after the messages that have arrived meanwhile.
+func (s *fleetSim) read(r *simReplica, incarnation int, e event.Event) {
+	if s.now < r.frozenUntil {
+		s.after(r.frozenUntil.Sub(s.now)+s.between(0, 100*millisecond), func() { s.read(r, incarnation, e) })
+		return
+	}
+	s.deliver(r, incarnation, e)
+}
+
+// kill ends the process of a replica and starts another on the same disk later.
+func (s *fleetSim) kill(r *simReplica, down model.Duration) {
+	r.incarnation++
+	r.state.halted = true
+	s.after(down, func() { s.startReplica(r) })
+}
+
+// Guards against submissions that are sent to a leader which is gone, and so end with an
+// unknown outcome (504) although a leader is elected later: all replicas are killed at
+// once, as by a loss of power, and the next leader comes after the callers' patience.
+func TestSubmissionsAfterTheLossOfAllReplicas(t *testing.T) {
+	const probed = 200 * millisecond // a fresh contact, a tick and the messages
+	for seed := range uint64(3) {
+		c := newCallers(t, seed, 9, 8, 0, 0)
+		c.submitEvery(20*millisecond, "/q/", c.now.Add(8*model.Second))
+		c.run(2 * model.Second)
+		killed := c.now
+		for _, r := range c.replicas {
+			c.kill(r, 4*model.Second+c.between(0, 300*millisecond))
+		}
+		c.run(20 * model.Second)
+		for _, j := range c.jobs {
+			require.True(t, j.accepted, "job %s of seed %d", j.id, seed)
+			require.LessOrEqual(t, j.unknownAt, killed.Add(probed), "job %s of seed %d has an unknown outcome", j.id, seed)
+		}
+	}
+}
+
+// Guards against refusals while a leader is being elected: each uses up an attempt of
+// the caller and costs it at least a second, and no other host could serve it earlier.
+func TestSubmissionsWaitForAnElection(t *testing.T) {
+	for seed := range uint64(3) {
+		c := newCallers(t, seed, 9, 8, 0, 0)
+		c.submitEvery(20*millisecond, "/q/", c.now.Add(4*model.Second))
+		c.run(2 * model.Second)
+		c.kill(c.leader(), 5*model.Second)
+		c.run(10 * model.Second)
+		for _, j := range c.jobs {
+			require.True(t, j.accepted, "job %s of seed %d", j.id, seed)
+			require.Equal(t, 1, j.attempts, "attempts of job %s of seed %d", j.id, seed)
+		}
+	}
+}
--- a/core/calls.go
+++ b/core/calls.go
@@ -243,7 +243,7 @@
 func (s *State) answerContact(from model.HostID, c *call.Contact) {
 	status := s.log.BasicStatus()
 	r := call.ContactReply{Seq: c.Seq, Leads: s.canDecide(), Leader: status.Leader.Host}
-	if status.Role != consensus.Leader && r.Leader == s.cfg.Host {
+	if status.Role != consensus.Leader && (r.Leader == s.cfg.Host || s.isLeaderSilent(&status)) {
 		r.Leader = ""
 	}
 	for _, v := range status.Voters {
@@ -255,6 +255,12 @@
 	s.send(from, message.Message{ContactReply: &r})
 }
 
+// isLeaderSilent reports whether this replica has not heard its leader for so long that it
+// may be gone. Such a leader is not named to entry hosts, which then wait for the next one.
+func (s *State) isLeaderSilent(status *consensus.BasicStatus) bool {
+	return s.cfg.Bounds.Enabled(schedule.DurableRefusals) && s.now.Sub(status.LeaderLastHeard) > leaderSilenceMax
+}
+
 func (s *State) handleAdviceReply(r *order.AdviceReply) {
 	if s.leading == nil {
 		return
--- a/core/delegates_sim_test.go
+++ b/core/delegates_sim_test.go
@@ -32,6 +32,8 @@
 	seq                 uint64
 	queue               *pq.Queue[uint64, simActionOrder, func()]
 	replicas            []*simReplica
+	entries             []*simReplica // hosts without a log, which only hold calls
+	disabled            schedule.FeatureSet
 	workers             map[model.WorkerID]*fleetWorker
 	lossRate            float64 // share of the calls that get no answer
 	answers             map[uint64]call.Answer
@@ -56,6 +58,7 @@
 	diskFull    bool       // its disk takes no writes
 	openCalls   int        // calls to workers in progress
 	stored      Stored
+	entry       bool // it has no log
 }
 
 // fleetWorker follows the platform's protocol: it ignores orders with an old token or
@@ -113,8 +116,12 @@
 func (s *fleetSim) startReplica(r *simReplica) {
 	r.incarnation++
 	cfg := Config{
-		Host: r.host, DataCentre: "west", Incarnation: model.Incarnation(fmt.Sprint(r.incarnation)), Replica: "1", Durable: true,
-		MaxVoters: len(s.replicas), MaxInflight: 1, Bounds: schedule.Bounds{LeaseMax: 6 * model.Second, StatusKept: 120 * model.Second},
+		Host: r.host, DataCentre: "west", Incarnation: model.Incarnation(fmt.Sprint(r.incarnation)), Replica: "1", Durable: !r.entry,
+		MaxVoters: len(s.replicas), MaxInflight: 1,
+		Bounds: schedule.Bounds{LeaseMax: 6 * model.Second, StatusKept: 120 * model.Second, Disabled: s.disabled},
+	}
+	for i := 0; r.entry && i < len(s.replicas); i++ {
+		cfg.Seeds = append(cfg.Seeds, s.replicas[i].host)
 	}
 	var err error
 	r.state, err = New(cfg, r.stored, s.now, s.rng.Uint64())
@@ -212,8 +219,9 @@
 
 // transmit sends a message in its encoded form.
 func (s *fleetSim) transmit(from *simReplica, f effect.Send) {
-	i := slices.IndexFunc(s.replicas, func(r *simReplica) bool { return r.host == f.To })
-	if i < 0 || from.partitioned || s.replicas[i].partitioned {
+	hosts := slices.Concat(s.replicas, s.entries)
+	i := slices.IndexFunc(hosts, func(r *simReplica) bool { return r.host == f.To })
+	if i < 0 || from.partitioned || hosts[i].partitioned {
 		return
 	}
 	if f.Message.Call != nil && f.Message.Call.Heartbeat != nil {
@@ -221,7 +229,7 @@
 	}
 	data, err := codec.EncodeMessage(&f.Message)
 	require.NoError(s.t, err)
-	to := s.replicas[i]
+	to := hosts[i]
 	incarnation := to.incarnation
 	held := max(0, max(from.cutUntil, to.cutUntil).Sub(s.now))
 	s.after(held+s.between(millisecond, 4*millisecond), func() {
@@ -364,7 +372,7 @@
 // leader returns the replica that leads, or nil.
 func (s *fleetSim) leader() *simReplica {
 	for _, r := range s.replicas {
-		if s.now >= r.frozenUntil && !r.partitioned && r.state.canDecide() {
+		if s.now >= r.frozenUntil && !r.partitioned && !r.state.halted && r.state.canDecide() {
 			return r
 		}
 	}
--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -191,6 +191,7 @@
 	ConfigAccepted   Code = "config_accepted"
 	CallGivenUp      Code = "call_given_up"
 	CallSuperseded   Code = "call_superseded"
+	CallsHeld        Code = "calls_held"
 	ContactLost      Code = "contact_lost"
 	ContactRegained  Code = "contact_regained"
 	WaveBegun        Code = "wave_begun"
--- a/core/orders_sim_test.go
+++ b/core/orders_sim_test.go
@@ -199,16 +199,6 @@
 	return call.Answer{}, false
 }
 
-// read makes a replica read a call, or the end of its connection. A frozen one reads it
-// when it runs again, before or after the messages that have arrived meanwhile.
-func (o *orderingOperator) read(r *simReplica, incarnation int, e event.Event) {
-	if o.now < r.frozenUntil {
-		o.after(r.frozenUntil.Sub(o.now)+o.between(0, 100*millisecond), func() { o.read(r, incarnation, e) })
-		return
-	}
-	o.deliver(r, incarnation, e)
-}
-
 // pause lets time pass, and checks that the order that was acknowledged holds.
 func (o *orderingOperator) pause(d model.Duration) {
 	for until := o.now.Add(d); o.now < until; {
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -59,6 +59,9 @@
 	Incarnation model.Incarnation
 	Replica     bool
 	Seeds       []model.HostID
+	// DurableRefusals switches on schedule.DurableRefusals: submissions are sent only to
+	// a leader that has just answered, and wait for an election to end.
+	DurableRefusals bool
 }
 
 type heldCall struct {
@@ -77,9 +80,13 @@
 	repliedAt     model.Time   // latest answer of any replica
 	replicas      []model.HostID
 	contactedAt   model.Time // latest Contact sent
+	probedAt      model.Time // latest Contact sent for a call that waits
+	contacts      contactLog
+	electing      election
 	seq           uint64
 	bodyLimit     int64 // largest body that the configuration allows
 	loggedReady   bool
+	loggedHeld    bool // for the current election
 }
 
 // New returns an empty table.
@@ -119,7 +126,7 @@
 	c.Incarnation = t.cfg.Incarnation
 	h := &heldCall{call: c, arrivedAt: now, waited: waited}
 	t.calls[c.Seq] = h
-	return t.forward(now, h)
+	return append(t.forward(now, h), t.probe(now, h)...)
 }
 
 // Abandon drops a call whose caller has disconnected.
@@ -135,7 +142,7 @@
 // forward sends a call to the leader, unless it cannot be reached or the caller no longer
 // waits. A process that was paused may learn of a leader before it ends such a call.
 func (t *Table) forward(now model.Time, h *heldCall) []effect.Effect {
-	if !t.leaderReachable(now) || now.Sub(h.arrivedAt) >= h.call.Patience {
+	if !t.leaderReachable(now) || !t.heardSince(h) || now.Sub(h.arrivedAt) >= h.call.Patience {
 		return nil
 	}
 	h.sentAt = now
@@ -217,13 +224,13 @@
 
 // Advance does what is due at a tick.
 func (t *Table) Advance(now model.Time) []effect.Effect {
-	out := t.maintainContact(now)
+	out := append(t.maintainContact(now), t.logHeld(now)...)
 	for _, seq := range model.SortedKeys(t.calls) {
 		h := t.calls[seq]
 		switch {
 		case now.Sub(h.arrivedAt) >= h.call.Patience:
 			out = append(out, t.expire(h)...)
-		case h.sentAt == 0 && now.Sub(h.arrivedAt) >= unsentTimeout:
+		case h.sentAt == 0 && now.Sub(h.arrivedAt) >= unsentTimeout && !t.waitsForElection(now):
 			out = append(out, t.expire(h)...)
 		case h.sentAt != 0 && now.Sub(h.sentAt) >= resendTimeout:
 			out = append(out, t.forward(now, h)...)
@@ -246,73 +253,3 @@
 		effect.Log{Code: effect.CallGivenUp, Request: model.RequestID(h.call.Subject()), Host: t.leader, Detail: p.Error()},
 	}
 }
-
-// maintainContact keeps an entry host in contact with the leader, or looks for a
-// leader.
-func (t *Table) maintainContact(now model.Time) []effect.Effect {
-	var out []effect.Effect
-	if t.cfg.Replica {
-		if t.leader == "" && now.Sub(t.contactedAt) >= searchInterval {
-			return t.contactAll(now)
-		}
-		return nil
-	}
-	if ready := t.Ready(now); ready != t.loggedReady {
-		t.loggedReady = ready
-		code := effect.ContactLost
-		if ready {
-			code = effect.ContactRegained
-		}
-		out = append(out, effect.Log{Code: code, Host: t.leader})
-	}
-	if t.leader != "" && now.Sub(t.leaderHeardAt) < leaderSilenceMax {
-		if now.Sub(t.contactedAt) >= contactInterval {
-			out = append(out, t.contactReplica(now, t.leader))
-		}
-		return out
-	}
-	if now.Sub(t.contactedAt) >= searchInterval {
-		out = append(out, t.contactAll(now)...)
-	}
-	return out
-}
-
-// contactAll asks all known replicas which one leads.
-func (t *Table) contactAll(now model.Time) []effect.Effect {
-	var out []effect.Effect
-	for _, r := range t.replicas {
-		out = append(out, t.contactReplica(now, r))
-	}
-	return out
-}
-
-func (t *Table) contactReplica(now model.Time, replica model.HostID) effect.Effect {
-	t.contactedAt = now
-	t.seq++
-	return effect.Send{To: replica, Message: message.Message{Contact: &call.Contact{Seq: t.seq}}}
-}
-
-// HandleContactReply handles a replica's reply to a Contact.
-func (t *Table) HandleContactReply(now model.Time, from model.HostID, r *call.ContactReply) []effect.Effect {
-	t.addReplicas(r.Replicas)
-	t.repliedAt = now
-	if t.cfg.Replica {
-		return nil
-	}
-	if r.BodyBytes > 0 {
-		t.bodyLimit = r.BodyBytes
-	}
-	if !r.Leads {
-		if t.leader == from || t.leader == "" && r.Leader != "" && r.Leader != from {
-			t.leader = r.Leader
-			return t.forwardAll(now)
-		}
-		return nil
-	}
-	known := t.leader == from
-	t.leader, t.leaderHeardAt = from, now
-	if known {
-		return t.forwardUnsent(now)
-	}
-	return t.forwardAll(now)
-}
--- a/core/state.go
+++ b/core/state.go
@@ -172,6 +172,7 @@
 		table:  gateway.New(cfg.Incarnation),
 		relay: relay.New(relay.Config{
 			Host: cfg.Host, Incarnation: cfg.Incarnation, Replica: cfg.Durable, Seeds: cfg.Seeds,
+			DurableRefusals: cfg.Bounds.Enabled(schedule.DurableRefusals),
 		}),
 		agent:    delegate.NewAgent(cfg.DataCentre),
 		burn:     burn.NewSender(),
--- a/daemon/executor.go
+++ b/daemon/executor.go
@@ -117,6 +117,7 @@
 	effect.ConfigAccepted:   logevent.ConfigAccepted,
 	effect.CallGivenUp:      logevent.CallGivenUp,
 	effect.CallSuperseded:   logevent.CallSuperseded,
+	effect.CallsHeld:        logevent.CallsHeld,
 	effect.ContactLost:      logevent.ContactLost,
 	effect.ContactRegained:  logevent.ContactRegained,
 	effect.WaveBegun:        logevent.WaveHostChosen,
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -352,6 +352,9 @@
 	{JobEnded, "job_ended", zerolog.InfoLevel,
 		"a job has ended",
 		"Nothing, unless the reason is failed: look for the ends of its runs."},
+	{CallsHeld, "calls_held", zerolog.WarnLevel,
+		"calls that were sent to no leader are held until one is elected",
+		"Nothing, if it lasts for two seconds at most. Otherwise see that most replicas run and reach each other."},
 }}
 
 // areas is the whole catalogue in the order of the numbers.
