--- a/logevent/ids.go
+++ b/logevent/ids.go
@@ -143,4 +143,5 @@
 	ReservationMade      ID = 870
 	ReservationMet       ID = 871
 	ReservationAbandoned ID = 872
+	CallsHeld            ID = 880
 )
