--- a/core/hosts/replay_test.go
+++ b/core/hosts/replay_test.go
@@ -46,6 +46,9 @@
 	workers map[model.WorkerID]*replayWorker
 	jobs    map[model.JobID]*replayJob
 	results map[model.QueueID]*replayResult
+	teams   map[model.TeamID]*replayResult
+
+	disabled schedule.FeatureSet
 }
 
 type replayEvent struct {
@@ -85,6 +88,7 @@
 		t: t, rng: rand.New(rand.NewPCG(1, 2)), now: 1000 * model.Time(model.Second), state: &jobs.State{},
 		hosts: make(map[model.HostID]*order.Host), workers: make(map[model.WorkerID]*replayWorker),
 		jobs: make(map[model.JobID]*replayJob), results: make(map[model.QueueID]*replayResult),
+		teams: make(map[model.TeamID]*replayResult),
 	}
 	cfg := &jobs.Config{Version: 1, Services: make(map[model.ServiceID]jobs.Service)}
 	for i, id := range services {
@@ -125,7 +129,7 @@
 
 func (f *fleetReplay) env() Env {
 	return Env{Self: "leader", Scheduler: f.s, Schedule: schedule.Env{Now: f.now, Clock: f.now, Term: f.term, State: f.state, Bounds: schedule.Bounds{
-		LeaseMax: 6 * model.Second, StatusKept: 120 * model.Second, Maintenance: 2 * model.Second, Move: replayMove,
+		LeaseMax: 6 * model.Second, StatusKept: 120 * model.Second, Maintenance: 2 * model.Second, Move: replayMove, Disabled: f.disabled,
 	}}}
 }
 
@@ -207,12 +211,14 @@
 	f.plan(func(out *Out) { f.p.Committed(f.env(), out, c) })
 	for _, id := range result.Ended {
 		if j := f.jobs[id]; f.state.Jobs[id].Phase == jobs.Completed {
-			r := f.results[j.Queue]
-			if f.now.Sub(j.firstTry) <= j.objective {
-				r.onTime++
-			} else {
-				r.late++
-			}
+			onTime := f.now.Sub(j.firstTry) <= j.objective
+			f.count(j, func(r *replayResult) {
+				if onTime {
+					r.onTime++
+				} else {
+					r.late++
+				}
+			})
 		}
 	}
 }
@@ -335,6 +341,14 @@
 	})
 }
 
+// count updates the results of the queue and of the team of a job.
+func (f *fleetReplay) count(j *replayJob, update func(*replayResult)) {
+	update(f.results[j.Queue])
+	if r := f.teams[j.Team]; r != nil {
+		update(r)
+	}
+}
+
 // submit submits a job as its caller does: a refused one again after the time that the
 // refusal names.
 func (f *fleetReplay) submit(j *replayJob) {
@@ -342,7 +356,7 @@
 	env := f.env().Schedule
 	if j.firstTry == 0 {
 		j.firstTry = f.now
-		f.results[j.Queue].asked++
+		f.count(j, func(r *replayResult) { r.asked++ })
 	}
 	if f.down {
 		f.after(replayNoLeader, func() { f.submit(j) })
@@ -350,9 +364,13 @@
 	}
 	j.tries++
 	f.s.RecordArrival(env, q, &j.Job)
+	j.OverShare = !f.s.TakeShare(env, j.Team)
 	if p := f.s.Admit(env, q, &j.Job); p != nil {
+		if !j.OverShare {
+			f.s.ReturnShare(j.Team)
+		}
 		if j.tries == replayTries {
-			f.results[j.Queue].refused++
+			f.count(j, func(r *replayResult) { r.refused++ })
 			return
 		}
 		f.after(p.RetryAfter, func() { f.submit(j) })
--- a/core/schedule/fixture_test.go
+++ b/core/schedule/fixture_test.go
@@ -19,6 +19,8 @@
 	calls []order.Call
 
 	logged map[effect.Code]int
+
+	disabled FeatureSet
 }
 
 func newFixture(t testing.TB, workers ...jobs.Worker) *fixture {
@@ -45,7 +47,9 @@
 }
 
 func (f *fixture) env() Env {
-	return Env{Now: f.now, Clock: f.now, Term: 3, State: f.state, Bounds: simBounds}
+	bounds := simBounds
+	bounds.Disabled = f.disabled
+	return Env{Now: f.now, Clock: f.now, Term: 3, State: f.state, Bounds: bounds}
 }
 
 func (f *fixture) act(handle func(*Out)) {
