schedule/contention: move work and the time for it to a package of its own

Admission by likely lateness and shares by work use them, and they depend on nothing else of the scheduler. No decision changes (TestDisabledFeaturesDecideAsBefore).

--- a/core/schedule/active_job.go
+++ b/core/schedule/active_job.go
@@ -6,6 +6,7 @@
 
 	"primrosedale.example/primrosedale/core/jobs"
 	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/schedule/contention"
 )
 
 // activeJob is the scheduler's state of one active job.
@@ -22,8 +23,8 @@
 	unconstrained  bool            // every ready task may run on any worker
 	minClaim       model.Resources // smallest claim of any ready task, for each resource
 	stale          bool            // ready must be rebuilt
-	waitingWork    work            // see remainingWork
-	placedWork     work            // see remainingWork
+	waitingWork    contention.Work // see remainingWork
+	placedWork     contention.Work // see remainingWork
 	remainingValid bool            // waitingWork and placedWork are up to date
 	waited         model.Duration  // time before its acceptance since it was first submitted
 	hasFutureRound bool            // some round is not due yet
@@ -128,7 +129,7 @@
 
 // remainingWork returns the predicted work of a job that is not done: of its waiting
 // tasks, and of its placed ones, which are assumed to be half done.
-func (job *activeJob) remainingWork(m *durationModel) (waiting, placed work) {
+func (job *activeJob) remainingWork(m *durationModel) (waiting, placed contention.Work) {
 	if job.remainingValid {
 		return job.waitingWork, job.placedWork
 	}
@@ -145,8 +146,8 @@
 			}
 			step := &job.job.Steps[i]
 			one := workOf(step.Claim(), m.predict(step.Estimate).mean())
-			waiting = waiting.plus(one.times(float64(numWaiting)))
-			placed = placed.plus(one.times(float64(numPlaced) / 2))
+			waiting = waiting.Plus(one.Times(float64(numWaiting)))
+			placed = placed.Plus(one.Times(float64(numPlaced) / 2))
 		}
 	}
 	job.waitingWork, job.placedWork, job.remainingValid = waiting, placed, true
--- a/core/schedule/admit.go
+++ b/core/schedule/admit.go
@@ -4,6 +4,7 @@
 	"primrosedale.example/primrosedale/core/jobs"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/problem"
+	"primrosedale.example/primrosedale/core/schedule/contention"
 )
 
 const (
@@ -41,7 +42,8 @@
 	allowed := allowedTime(m, q, j) - waited
 	slack := allowed - criticalPath(m, j)
 	candidate := &activeJob{job: j, precedence: q.Precedence, due: env.Clock.Add(allowed), late: slack < 0}
-	wait := serviceTime(env.Now, capacity, forecast.Incoming, s.workBefore(p, candidate))
+	supply := contention.Supply{Now: env.Now, Capacity: capacity, Incoming: forecast.Incoming, Usable: usableFraction}
+	wait := supply.TimeFor(s.workBefore(p, candidate))
 	delay := s.leaderDelay(j)
 	var accepted bool
 	switch {
@@ -69,24 +71,24 @@
 	claimed := workOf(d.Running.Add(d.Ready).Add(d.Late), model.Second)
 	for i := range j.Steps {
 		if len(j.Steps[i].After) == 0 {
-			claimed = claimed.plus(workOf(j.Steps[i].Claim(), model.Second).times(float64(j.Steps[i].Tasks)))
+			claimed = claimed.Plus(workOf(j.Steps[i].Claim(), model.Second).Times(float64(j.Steps[i].Tasks)))
 		}
 	}
-	return !claimed.exceeds(workOf(capacity, model.Second).times(usableFraction))
+	return !claimed.Exceeds(workOf(capacity, model.Second).Times(usableFraction))
 }
 
 // workBefore returns the work that delays a job: the remaining work of all jobs that are
 // served before it, and the runs of the others.
-func (s *Scheduler) workBefore(p *pool, candidate *activeJob) work {
-	var ahead work
+func (s *Scheduler) workBefore(p *pool, candidate *activeJob) contention.Work {
+	var ahead contention.Work
 	for _, other := range p.jobs {
 		if other.longRunning {
 			continue
 		}
 		waiting, placed := other.remainingWork(s.durations(other.job.Queue))
-		ahead = ahead.plus(placed)
+		ahead = ahead.Plus(placed)
 		if compareJobs(other, candidate) < 0 {
-			ahead = ahead.plus(waiting)
+			ahead = ahead.Plus(waiting)
 		}
 	}
 	return ahead
--- a/core/schedule/demand.go
+++ b/core/schedule/demand.go
@@ -5,6 +5,7 @@
 
 	"primrosedale.example/primrosedale/core/jobs"
 	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/schedule/contention"
 )
 
 const (
@@ -36,7 +37,7 @@
 type arrival struct {
 	at   model.Time
 	job  model.JobID
-	work work
+	work contention.Work
 }
 
 // firstArrivals remembers when each job was first submitted. A caller whose job was
@@ -132,7 +133,7 @@
 
 // burst follows the rate of arriving work of a service.
 type burst struct {
-	usual     work // moving average of the rate
+	usual     contention.Work // moving average of the rate
 	updatedAt model.Time
 	beganAt   model.Time // of the latest burst
 }
@@ -140,13 +141,13 @@
 // observe adds the current rate and reports whether a burst has begun lately, so that
 // the rate is expected to rise further. Its caller needs capacity before the rate shows
 // how high the burst gets.
-func (b *burst) observe(now model.Time, rate work) bool {
-	if rate.exceeds(b.usual.times(burstFactor)) && now.Sub(b.beganAt) > usualRateTime {
+func (b *burst) observe(now model.Time, rate contention.Work) bool {
+	if rate.Exceeds(b.usual.Times(burstFactor)) && now.Sub(b.beganAt) > usualRateTime {
 		b.beganAt = now
 	}
 	if elapsed := now.Sub(b.updatedAt); b.updatedAt != 0 && elapsed > 0 {
 		weight := min(1, elapsed.Seconds()/usualRateTime.Seconds())
-		b.usual = b.usual.times(1 - weight).plus(rate.times(weight))
+		b.usual = b.usual.Times(1 - weight).Plus(rate.Times(weight))
 	}
 	b.updatedAt = now
 	return b.beganAt != 0 && now.Sub(b.beganAt) < burstRiseTime
@@ -156,11 +157,11 @@
 // the whole window lags behind, so the rates over shorter ones count too, each less one
 // standard deviation of its number of jobs.
 func (p *pool) arriving(now model.Time) model.Resources {
-	var sum, rate work
+	var sum, rate contention.Work
 	count, next := 0, len(p.arrivals)-1
 	for window := shortArrivalWindow; window <= arrivalWindow; window *= 2 {
 		for ; next >= 0 && now.Sub(p.arrivals[next].at) <= window; next-- {
-			sum = sum.plus(p.arrivals[next].work)
+			sum = sum.Plus(p.arrivals[next].work)
 			count++
 		}
 		certain := 1.0
@@ -170,12 +171,12 @@
 			}
 			certain -= 1 / math.Sqrt(float64(count))
 		}
-		rate = rate.max(sum.times(certain / window.Seconds()))
+		rate = rate.Max(sum.Times(certain / window.Seconds()))
 	}
 	if rises := p.burst.observe(now, rate); rises && count >= minBurstArrivals {
-		rate = rate.times(burstRise)
+		rate = rate.Times(burstRise)
 	}
-	return rate.perSecond()
+	return rate.PerSecond()
 }
 
 // Demand returns the current demand of the jobs of a service.
