schedule: admit jobs by their likely lateness

Admission compared the mean time of the work ahead with the mean slack. It left out the work of the job's own later steps, work of higher precedence that arrives while the job waits, and how much of the pool is lost to fragmentation, and it accepted late jobs into pools that had no room for the next burst.

With the feature "contention" the wait of a job includes its own work that finds no free capacity and the rate at which work of higher precedence is accepted; the usable fraction of a pool is measured while tasks wait; the slack may be exceeded by one standard deviation of the learned critical path; a late job is accepted only if half of the pool stays free beside all that arrives.

TestRefusedJobIsJudgedByItsFirstAttempt expected a job to be accepted whose tasks are larger than its worker; the worker is now large enough, and the refusals and acceptances that it checks are the same.

--- a/core/hosts/contention_test.go
+++ b/core/hosts/contention_test.go
@@ -5,8 +5,11 @@
 	"math/rand/v2"
 	"testing"
 
+	"github.com/stretchr/testify/require"
+
 	"primrosedale.example/primrosedale/core/jobs"
 	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/schedule"
 )
 
 // contentionLoad is a load that exceeds the fleet for some seconds.
@@ -101,6 +104,14 @@
 		f.changeLeader(3 * model.Second)
 		f.run(46 * model.Second)
 	}},
+	{"two queues that ask for 1.8 times the fleet", func(f *fleetReplay) {
+		k := jobKind{"wide", 1, 18, 18, 1600 * ms, 0.2}
+		short := k
+		short.queue = "short"
+		f.submitAtRate(6.2, model.Second, 9*model.Second, func() *replayJob { return f.jobOf(k, "") })
+		f.submitAtRate(6.2, 9*model.Second, 17*model.Second, func() *replayJob { return f.jobOf(short, "") })
+		f.run(50 * model.Second)
+	}},
 	{"a long queue behind a short one of higher precedence", func(f *fleetReplay) {
 		f.state.Config.Queue("wide").Service = "short"
 		f.submitBursts(shortKind, 8, 3*model.Second, 34*model.Second)
@@ -116,27 +127,47 @@
 	r.refused += other.refused
 }
 
-func TestContentionFigures(t *testing.T) {
+// playContention plays a load with several seeds, and returns the results by queue and team.
+func playContention(t *testing.T, load contentionLoad, disabled schedule.FeatureSet) (all replayResult, queues map[model.QueueID]*replayResult, teams map[model.TeamID]*replayResult) {
+	queues, teams = make(map[model.QueueID]*replayResult), make(map[model.TeamID]*replayResult)
+	for seed := range uint64(contentionSeeds) {
+		f := newContentionReplay(t, seed, 36)
+		f.disabled = disabled
+		load.play(f)
+		for id, r := range f.results {
+			addResult(queues, id, r)
+			all.add(*r)
+		}
+		for id, r := range f.teams {
+			addResult(teams, id, r)
+		}
+	}
+	return all, queues, teams
+}
+
+const contentionSeeds = 6
+
+func addResult[K comparable](m map[K]*replayResult, key K, r *replayResult) {
+	if m[key] == nil {
+		m[key] = &replayResult{}
+	}
+	m[key].add(*r)
+}
+
+// Guards against jobs that are accepted and end late, against jobs that are refused although
+// they would have been on time, and against an admission that serves fewer jobs in time
+// than the one that compares mean times.
+func TestAcceptedJobsAreOnTime(t *testing.T) {
 	for _, load := range contentionLoads {
-		sums := map[model.QueueID]*replayResult{"short": {}, "wide": {}}
-		var greedy, others replayResult
-		for seed := range uint64(4) {
-			f := newContentionReplay(t, seed, 36)
-			load.play(f)
-			for queue, r := range f.results {
-				sums[queue].add(*r)
-			}
-			for id, r := range f.teams {
-				if id == team(0) {
-					greedy.add(*r)
-				} else {
-					others.add(*r)
-				}
+		before, _, teamsBefore := playContention(t, load, schedule.AllFeatures)
+		after, queues, teams := playContention(t, load, 0)
+		t.Logf("%s: before %+v, after %+v; team 0 %+v, %+v", load.name, before, after, *teamsBefore[team(0)], *teams[team(0)])
+		require.GreaterOrEqual(t, after.onTime, before.onTime, load.name)
+		for id, r := range queues {
+			t.Logf("  queue %s: %+v", id, *r)
+			if r.onTime > 0 {
+				require.Less(t, r.late, r.refused, "%s, queue %s", load.name, id)
 			}
 		}
-		all := *sums["short"]
-		all.add(*sums["wide"])
-		t.Logf("ALL %+v", all)
-		t.Logf("%s: short %+v wide %+v, team00 %+v others %+v", load.name, *sums["short"], *sums["wide"], greedy, others)
 	}
 }
--- a/core/schedule/active_job.go
+++ b/core/schedule/active_job.go
@@ -23,12 +23,11 @@
 	unconstrained  bool            // every ready task may run on any worker
 	minClaim       model.Resources // smallest claim of any ready task, for each resource
 	stale          bool            // ready must be rebuilt
-	waitingWork    contention.Work // see remainingWork
-	placedWork     contention.Work // see remainingWork
-	remainingValid bool            // waitingWork and placedWork are up to date
-	waited         model.Duration  // time before its acceptance since it was first submitted
-	hasFutureRound bool            // some round is not due yet
-	policy         *jobs.Advice    // of its queue, nil for a queue without a policy service
+	remaining      remainingWork
+	remainingValid bool           // remaining is up to date
+	waited         model.Duration // time before its acceptance since it was first submitted
+	hasFutureRound bool           // some round is not due yet
+	policy         *jobs.Advice   // of its queue, nil for a queue without a policy service
 	advice         map[jobs.StepRef]*advice
 	failedOn       map[jobs.TaskRef]model.WorkerID // worker of each task's latest failed run
 }
@@ -127,12 +126,20 @@
 	return true
 }
 
-// remainingWork returns the predicted work of a job that is not done: of its waiting
-// tasks, and of its placed ones, which are assumed to be half done.
-func (job *activeJob) remainingWork(m *durationModel) (waiting, placed contention.Work) {
+// remainingWork is the predicted work of a job that is not done.
+type remainingWork struct {
+	waiting contention.Work // of the tasks that wait
+	placed  contention.Work // of the placed tasks, which are assumed to be half done
+	open    contention.Work // of the waiting tasks whose steps are open, in one second
+	claimed contention.Work // of the placed tasks, in one second
+}
+
+// remainingWork returns the work of a job that is not done.
+func (job *activeJob) remainingWork(m *durationModel) *remainingWork {
 	if job.remainingValid {
-		return job.waitingWork, job.placedWork
+		return &job.remaining
 	}
+	var sum remainingWork
 	for k := range job.job.Rounds {
 		for i := range job.job.Rounds[k].Tasks {
 			numWaiting, numPlaced := 0, 0
@@ -145,13 +152,18 @@
 				}
 			}
 			step := &job.job.Steps[i]
-			one := workOf(step.Claim(), m.predict(step.Estimate).mean())
-			waiting = waiting.Plus(one.Times(float64(numWaiting)))
-			placed = placed.Plus(one.Times(float64(numPlaced) / 2))
+			claim := step.Claim()
+			one := workOf(claim, m.predict(step.Estimate).mean())
+			sum.waiting = sum.waiting.Plus(one.Times(float64(numWaiting)))
+			sum.placed = sum.placed.Plus(one.Times(float64(numPlaced) / 2))
+			sum.claimed = sum.claimed.Plus(workOf(claim, model.Second).Times(float64(numPlaced)))
+			if numWaiting > 0 && job.job.StepOpen(k, i) {
+				sum.open = sum.open.Plus(workOf(claim, model.Second).Times(float64(numWaiting)))
+			}
 		}
 	}
-	job.waitingWork, job.placedWork, job.remainingValid = waiting, placed, true
-	return waiting, placed
+	job.remaining, job.remainingValid = sum, true
+	return &job.remaining
 }
 
 // markChanged records that the state of a task of the job has changed.
--- a/core/schedule/admit.go
+++ b/core/schedule/admit.go
@@ -43,7 +43,13 @@
 	slack := allowed - criticalPath(m, j)
 	candidate := &activeJob{job: j, precedence: q.Precedence, due: env.Clock.Add(allowed), late: slack < 0}
 	supply := contention.Supply{Now: env.Now, Capacity: capacity, Incoming: forecast.Incoming, Usable: usableFraction}
-	wait := supply.TimeFor(s.workBefore(p, candidate))
+	ahead, claimed := s.workBefore(p, candidate)
+	wait := supply.TimeFor(ahead)
+	if env.Bounds.Enabled(Contention) {
+		supply.Usable = p.utilization.Fraction()
+		wait = supply.Wait(ahead, ownWork(m, j, supply.Free(claimed)), p.accepted.Overtaking(env.Now, q.Precedence))
+		slack += contention.Tolerance(criticalPath(m, j), q.Stretch, spread(m, j))
+	}
 	delay := s.leaderDelay(j)
 	var accepted bool
 	switch {
@@ -55,6 +61,7 @@
 		accepted = wait+delay <= slack
 	}
 	if accepted {
+		p.accepted.Add(env.Now, q.Precedence, estimatedWork(m, j))
 		return nil
 	}
 	refusal := problem.New(problem.QueueOverloaded, "the work ahead takes %d ms, orders and ends %d ms, the job can wait %d ms and has waited %d ms",
@@ -74,24 +81,73 @@
 			claimed = claimed.Plus(workOf(j.Steps[i].Claim(), model.Second).Times(float64(j.Steps[i].Tasks)))
 		}
 	}
+	if env.Bounds.Enabled(Contention) {
+		return contention.IsIdle(capacity, claimed, workOf(d.Arriving, model.Second))
+	}
 	return !claimed.Exceeds(workOf(capacity, model.Second).Times(usableFraction))
 }
 
+// spread returns the standard deviation of the logarithm of a job's critical path.
+func spread(m *durationModel, j *jobs.Job) float64 {
+	sigma, tasks := 0.0, 1
+	for i := range j.Steps {
+		sigma = max(sigma, m.predict(j.Steps[i].Estimate).sigma)
+		tasks = max(tasks, j.Steps[i].Tasks)
+	}
+	return contention.Spread(sigma, tasks, chainLength(j))
+}
+
+// observeUtilization measures which part of a pool is in use while tasks wait that need
+// nothing but capacity.
+func (s *Scheduler) observeUtilization(env Env, p *pool) {
+	var waiting, used model.Resources
+	for _, job := range p.jobs {
+		if job.longRunning || !job.unconstrained || len(job.ready) == 0 || s.overCap(env, job.job.Team, job.minClaim) {
+			continue
+		}
+		for _, ref := range job.ready {
+			waiting = waiting.Add(job.job.Steps[ref.Step].Claim())
+		}
+	}
+	if waiting == (model.Resources{}) {
+		return
+	}
+	for _, w := range p.workers {
+		if s.isUsable(env, w) {
+			used = used.Add(w.used.Sub(w.longRunningClaim))
+		}
+	}
+	p.utilization.Observe(s.batchCapacity(env, p), used, waiting)
+}
+
+// ownWork returns the work of a job that delays its own steps, beside free capacity.
+func ownWork(m *durationModel, j *jobs.Job, free contention.Work) contention.Work {
+	var own contention.Work
+	for i := range j.Steps {
+		step := &j.Steps[i]
+		mean := m.predict(step.Estimate).mean()
+		own = own.Plus(contention.Excess(free, workOf(step.Claim(), mean).Times(float64(step.Tasks)), mean))
+	}
+	return own
+}
+
 // workBefore returns the work that delays a job: the remaining work of all jobs that are
-// served before it, and the runs of the others.
-func (s *Scheduler) workBefore(p *pool, candidate *activeJob) contention.Work {
-	var ahead contention.Work
+// served before it, and the runs of the others. It also returns what these keep busy in
+// one second, or would if there were capacity.
+func (s *Scheduler) workBefore(p *pool, candidate *activeJob) (ahead, claimed contention.Work) {
 	for _, other := range p.jobs {
 		if other.longRunning {
 			continue
 		}
-		waiting, placed := other.remainingWork(s.durations(other.job.Queue))
-		ahead = ahead.Plus(placed)
+		left := other.remainingWork(s.durations(other.job.Queue))
+		ahead = ahead.Plus(left.placed)
+		claimed = claimed.Plus(left.claimed)
 		if compareJobs(other, candidate) < 0 {
-			ahead = ahead.Plus(waiting)
+			ahead = ahead.Plus(left.waiting)
+			claimed = claimed.Plus(left.open)
 		}
 	}
-	return ahead
+	return ahead, claimed
 }
 
 // batchCapacity returns the capacity that the workers of a service offer to tasks that
--- a/core/schedule/demand_test.go
+++ b/core/schedule/demand_test.go
@@ -86,7 +86,9 @@
 // Guards against a job that is accepted and certainly late: its caller was refused and
 // counts the time since its first attempt.
 func TestRefusedJobIsJudgedByItsFirstAttempt(t *testing.T) {
-	f := newFixture(t, testWorker("a"))
+	w := testWorker("a")
+	w.Capacity = model.Resources{MilliCPU: 400_000, MemoryMB: 800_000} // five times the claims of a job
+	f := newFixture(t, w)
 	f.state.Config.Teams["press"] = jobs.Team{}
 	q := f.state.Config.Queue("q")
 	submit := func(j *jobs.Job) *jobs.Job {
@@ -95,7 +97,7 @@
 	}
 	again := submit(arrivingJob(1))
 	f.now = f.now.Add(allowedTime(nil, q, again) - criticalPath(nil, again) + ms)
-	f.submit("j", jobs.Step{Tasks: 8, Size: cores(1), Estimate: model.Second})
+	f.submit("j", jobs.Step{Tasks: 8, Size: cores(16), Estimate: model.Second})
 	require.NotNil(t, f.s.Admit(f.env(), q, submit(again)))
 	require.Nil(t, f.s.Admit(f.env(), q, submit(arrivingJob(2))), "a new job can be on time")
 	var ended []order.Ended
@@ -103,8 +105,5 @@
 		ended = append(ended, order.Ended{Number: uint64(i + 1), RunRef: ref("j", i, 1), Outcome: jobs.OutcomeDone})
 	}
 	f.answerPoll("a", nil, ended)
-	again.Steps[0].Tasks = 1 // the worker is too small for all of them at once
-	again.Steps[0].Size.MemoryMB = 1000
-	again.Steps[0].Size.MilliCPU = 1000
 	require.Nil(t, f.s.Admit(f.env(), q, submit(again)), "late, but there is nothing else to do")
 }
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -8,6 +8,7 @@
 	"primrosedale.example/primrosedale/core/jobs"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/order"
+	"primrosedale.example/primrosedale/core/schedule/contention"
 )
 
 // Bounds are the limits of the platform that the scheduler observes.
@@ -75,6 +76,8 @@
 	dirty         bool         // it may be possible to place a task
 	arrivals      []arrival    // within the latest arrivalWindow
 	burst         burst
+	accepted      contention.AcceptedRates
+	utilization   contention.Utilization
 	workers       []*worker     // by ID
 	capacityIndex capacityIndex // the same workers by free capacity
 
@@ -173,6 +176,9 @@
 		p.dirty = p.dirty || len(p.jobs) > 0
 		p.batchCapacityValid = false
 		p.sortLate(env.Clock)
+		if env.Bounds.Enabled(Contention) {
+			s.observeUtilization(env, p)
+		}
 	}
 	if env.Now.Sub(s.lastForgetAt) >= forgetInterval {
 		s.lastForgetAt = env.Now
