--- a/core/hosts/replay_test.go
+++ b/core/hosts/replay_test.go
@@ -50,6 +50,7 @@
 	workers map[model.WorkerID]*replayWorker
 	jobs    map[model.JobID]*replayJob
 	results map[model.QueueID]*replayResult
+	teams   map[model.TeamID]*replayResult
 
 	disabled   schedule.FeatureSet
 	startUp    model.Duration // of a long-running task, until it is up
@@ -96,6 +97,7 @@
 		hosts: make(map[model.HostID]*order.Host), workers: make(map[model.WorkerID]*replayWorker),
 		jobs: make(map[model.JobID]*replayJob), results: make(map[model.QueueID]*replayResult),
 		began: make(map[jobs.RunRef]model.Time), maintained: make(map[model.HostID]model.Time),
+		teams: make(map[model.TeamID]*replayResult),
 	}
 	cfg := &jobs.Config{Version: 1, Services: make(map[model.ServiceID]jobs.Service)}
 	for i, id := range services {
@@ -226,12 +228,14 @@
 	f.plan(func(out *Out) { f.p.Committed(f.env(), out, c) })
 	for _, id := range result.Ended {
 		if j := f.jobs[id]; f.state.Jobs[id].Phase == jobs.Completed {
-			r := f.results[j.Queue]
-			if f.now.Sub(j.firstTry) <= j.objective {
-				r.onTime++
-			} else {
-				r.late++
-			}
+			onTime := f.now.Sub(j.firstTry) <= j.objective
+			f.count(j, func(r *replayResult) {
+				if onTime {
+					r.onTime++
+				} else {
+					r.late++
+				}
+			})
 		}
 	}
 }
@@ -375,6 +379,14 @@
 	})
 }
 
+// count updates the results of the queue and of the team of a job.
+func (f *fleetReplay) count(j *replayJob, update func(*replayResult)) {
+	update(f.results[j.Queue])
+	if r := f.teams[j.Team]; r != nil {
+		update(r)
+	}
+}
+
 // submit submits a job as its caller does: a refused one again after the time that the
 // refusal names.
 func (f *fleetReplay) submit(j *replayJob) {
@@ -382,7 +394,7 @@
 	env := f.env().Schedule
 	if j.firstTry == 0 {
 		j.firstTry = f.now
-		f.results[j.Queue].asked++
+		f.count(j, func(r *replayResult) { r.asked++ })
 	}
 	if f.down {
 		f.after(replayNoLeader, func() { f.submit(j) })
@@ -390,9 +402,13 @@
 	}
 	j.tries++
 	f.s.RecordArrival(env, q, &j.Job)
+	j.OverShare = !f.s.TakeShare(env, j.Team)
 	if p := f.s.Admit(env, q, &j.Job); p != nil {
+		if !j.OverShare {
+			f.s.ReturnShare(j.Team)
+		}
 		if j.tries == replayTries {
-			f.results[j.Queue].refused++
+			f.count(j, func(r *replayResult) { r.refused++ })
 			return
 		}
 		f.after(p.RetryAfter, func() { f.submit(j) })
