--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -191,12 +191,18 @@
 	ConfigAccepted   Code = "config_accepted"
 	CallGivenUp      Code = "call_given_up"
 	CallSuperseded   Code = "call_superseded"
+	CallsHeld        Code = "calls_held"
 	ContactLost      Code = "contact_lost"
 	ContactRegained  Code = "contact_regained"
 	WaveBegun        Code = "wave_begun"
 	HostOrdered      Code = "host_ordered"
 	HostReleased     Code = "host_released"
 	HostCallFailed   Code = "host_call_failed"
+	WaveHostWaits    Code = "wave_host_waits"
+
+	ReservationMade      Code = "reservation_made"
+	ReservationMet       Code = "reservation_met"
+	ReservationAbandoned Code = "reservation_abandoned"
 )
 
 // Halt ends the process. Reason is set after a failure and empty when a graceful
--- a/core/hosts/planner.go
+++ b/core/hosts/planner.go
@@ -25,9 +25,9 @@
 
 // Timing of the calls to the service that owns the hosts.
 const (
-	// listInterval is the time between two reads of the host list while a wave runs.
+	// listInterval is the time between two reads of the host list while it is urgent.
 	listInterval = 1500 * model.Millisecond
-	// idleInterval is the time between two reads while no wave runs.
+	// idleInterval is the time between two reads otherwise.
 	idleInterval = 10 * model.Second
 	// callTimeout is the time after which a call without a result counts as failed.
 	// Package platform reports the failure of a call after 2 s.
@@ -80,6 +80,10 @@
 	wavesSince      map[uint64]model.Time          // when this leader first saw an open wave
 	termStart       model.Time                     // when the leader's term started
 	excessSince     map[model.ServiceID]model.Time // since when a pool has had too many hosts
+	workersBefore   map[model.WorkerID]uint64      // incarnations of the workers known when the read of the list began
+	orderLimits     *orderLimits
+	paces           map[uint64]*wavePace
+	waits           map[model.HostID]wait
 }
 
 // host holds what is known about one host.
@@ -87,6 +91,7 @@
 	order.Host
 	orderedWorkers []jobs.Depart   // workers on the host when an order was given, which the order ends
 	pendingRuns    int             // as last read from the scheduler
+	longRunning    bool            // all its runs are those of long-running tasks, as last read from the scheduler
 	wave           uint64          // wave for which it is being drained or maintained, 0 for none
 	moveTo         model.ServiceID // pool to which it is being moved, empty for none
 	moveEndAt      model.Time      // expected end of its latest move
@@ -104,7 +109,8 @@
 func New(env Env) *Planner {
 	p := &Planner{
 		hosts: make(map[model.HostID]*host), wavesSince: make(map[uint64]model.Time), excessSince: make(map[model.ServiceID]model.Time), nextListAt: env.Schedule.Now,
-		termStart: env.Schedule.Now,
+		termStart: env.Schedule.Now, orderLimits: newOrderLimits(env.Schedule.Now, env.Schedule.Bounds.HostOrdersPerSecond),
+		paces: make(map[uint64]*wavePace), waits: make(map[model.HostID]wait),
 	}
 	p.updateScheduler(env)
 	return p
@@ -114,11 +120,11 @@
 func (p *Planner) Advance(env Env, out *Out) {
 	waves := openWaves(env.Schedule.State)
 	p.noteWaves(env, waves)
-	p.startListing(env, out, len(waves) > 0)
+	p.startListing(env, out, isListUrgent(env))
 	if !p.listKnown {
 		return
 	}
-	if env.Schedule.Now.Sub(p.termStart) >= takeoverDelay {
+	if isPlanned(env) || env.Schedule.Now.Sub(p.termStart) >= takeoverDelay {
 		for _, id := range waves {
 			p.advanceWave(env, out, id, env.Schedule.State.Waves[id])
 		}
@@ -128,6 +134,13 @@
 	p.updateScheduler(env)
 }
 
+// isListUrgent reports whether the list is read often: a wave needs the states of its hosts,
+// and a worker that refuses connections may have been ended by a move that an earlier
+// leader ordered.
+func isListUrgent(env Env) bool {
+	return len(openWaves(env.Schedule.State)) > 0 || env.Scheduler.HasUnreachableRuns()
+}
+
 // startListing requests the first page of the list of hosts if a read is due. A
 // read that was not answered in time is started again.
 func (p *Planner) startListing(env Env, out *Out, busy bool) {
@@ -140,6 +153,7 @@
 	}
 	p.incoming = make(map[model.HostID]order.Host)
 	p.incomingSince, p.incomingPartial = now, false
+	p.recordWorkers(env)
 	p.requestPage(env, out, "")
 }
 
@@ -185,10 +199,11 @@
 		return
 	}
 	p.listPending, p.nextListAt, p.listKnown = false, now.Add(idleInterval), true
-	if len(openWaves(env.Schedule.State)) > 0 {
+	if isListUrgent(env) {
 		p.nextListAt = now.Add(listInterval)
 	}
 	p.listPartial, p.listSince = p.incomingPartial, p.incomingSince
+	p.departEnded(env, out)
 	p.updateHosts(p.incoming)
 	p.Advance(env, out)
 }
--- a/core/schedule/hosts.go
+++ b/core/schedule/hosts.go
@@ -31,6 +31,19 @@
 	return true
 }
 
+// HasUnreachableRuns reports whether some worker that may have runs refuses connections.
+func (s *Scheduler) HasUnreachableRuns() bool {
+	for _, w := range s.workers {
+		if w.refusals >= maxRefusals && len(w.runs) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// IsOverloaded reports whether this process is short of processor time.
+func (s *Scheduler) IsOverloaded(env Env) bool { return s.isOverloaded(env.Now) }
+
 // TimeUntilIdle returns the predicted time until the last run on a host has ended. It
 // returns false if one of them is that of a long-running task.
 func (s *Scheduler) TimeUntilIdle(env Env, host model.HostID) (model.Duration, bool) {
@@ -68,6 +81,7 @@
 		env: env, s: s, stayingWorkers: make(map[model.ServiceID][]*worker),
 		unavailable: make(map[jobs.StepRef]int), withCapacity: make(map[placementKey][]*worker),
 	}
+	s.drainBlocks = make(map[model.HostID]DrainBlock)
 	for _, host := range hosts {
 		for _, w := range s.workersByHost[host] {
 			if w.longRunning > 0 {
@@ -85,6 +99,7 @@
 	stayingWorkers map[model.ServiceID][]*worker // usable workers on hosts that are not leaving
 	unavailable    map[jobs.StepRef]int          // unavailable tasks by step, counted up to MaxUnavailable
 	withCapacity   map[placementKey][]*worker    // the first two workers with free capacity for a task of a step
+	places         map[model.ServiceID]*drainPlaces
 }
 
 type placementKey struct {
@@ -94,9 +109,14 @@
 
 func (d *hostDrain) drainWorker(out *Out, w *worker) {
 	for _, r := range sortedRunsOf(w) {
-		if !r.step.LongRunning || !r.isUp(d.env) || !d.mayStop(r) || !d.fitsElsewhere(r) {
+		if !r.step.LongRunning {
+			continue
+		}
+		if b := d.drainBlock(r); b != "" {
+			d.block(r, b)
 			continue
 		}
+		d.block(r, BlockedByStop)
 		d.s.stop(d.env, out, r, "its host is due for maintenance")
 		if r.job.Task(r.ref.TaskRef).Run == r.ref.Run {
 			d.unavailable[r.ref.StepRef()]++
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -8,6 +8,7 @@
 	"primrosedale.example/primrosedale/core/jobs"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/order"
+	"primrosedale.example/primrosedale/core/schedule/contention"
 )
 
 // Bounds are the limits of the platform that the scheduler observes.
@@ -17,6 +18,9 @@
 	Move        model.Duration // how long it takes to move a host
 	Maintenance model.Duration // how long the maintenance of a host takes
 	Disabled    FeatureSet     // features that are switched off
+	// HostOrdersPerSecond is the number of orders that the owner of the hosts accepts per
+	// second, 0 for no limit.
+	HostOrdersPerSecond float64
 }
 
 // Env is the environment in which one event is handled.
@@ -64,9 +68,10 @@
 	forecasts          map[model.ServiceID]Forecast
 	pendingAdviceCalls int // advice calls without a result yet
 	lastForgetAt       model.Time
-	detached           []*worker             // replaced or departed workers whose runs may still be running
-	leaving            map[model.HostID]bool // hosts that are to be drained soon
-	cordoned           map[model.HostID]bool // hosts that get no new runs, because they are to be moved or maintained
+	detached           []*worker                   // replaced or departed workers whose runs may still be running
+	leaving            map[model.HostID]bool       // hosts that are to be drained soon
+	drainBlocks        map[model.HostID]DrainBlock // see DrainBlock
+	cordoned           map[model.HostID]bool       // hosts that get no new runs, because they are to be moved or maintained
 }
 
 // pool is the scheduler's state of one service.
@@ -75,8 +80,11 @@
 	dirty         bool         // it may be possible to place a task
 	arrivals      []arrival    // within the latest arrivalWindow
 	burst         burst
+	accepted      contention.AcceptedRates
+	utilization   contention.Utilization
 	workers       []*worker     // by ID
 	capacityIndex capacityIndex // the same workers by free capacity
+	reservations  reservations
 
 	batchCapacity      model.Resources // see the method of the scheduler
 	batchCapacityValid bool            // batchCapacity was computed since the latest tick
@@ -170,9 +178,12 @@
 		s.advanceWorker(env, out, s.workers[id])
 	}
 	for _, p := range s.services {
-		p.dirty = p.dirty || len(p.jobs) > 0
+		p.dirty = p.dirty || len(p.jobs) > 0 || len(p.reservations.holds) > 0
 		p.batchCapacityValid = false
 		p.sortLate(env.Clock)
+		if env.Bounds.Enabled(Contention) {
+			s.observeUtilization(env, p)
+		}
 	}
 	if env.Now.Sub(s.lastForgetAt) >= forgetInterval {
 		s.lastForgetAt = env.Now
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -289,6 +289,9 @@
 	{HostReleased, "host_released", zerolog.InfoLevel,
 		"a host gets no new runs, so that it can move to a pool that is short of hosts",
 		"Nothing. If it happens for long, the fleet is too small for its work."},
+	{WaveHostWaits, "wave_host_waits", zerolog.InfoLevel,
+		"a host of a maintenance wave waits",
+		"Nothing while the wave is in time. OPERATIONS.md explains the reasons."},
 	{RunOrdered, "run_ordered", zerolog.InfoLevel,
 		"a worker was told to start a task",
 		"Nothing."},
@@ -352,6 +355,18 @@
 	{JobEnded, "job_ended", zerolog.InfoLevel,
 		"a job has ended",
 		"Nothing, unless the reason is failed: look for the ends of its runs."},
+	{ReservationMade, "reservation_made", zerolog.InfoLevel,
+		"capacity was reserved for a gang or a large task that fits on no worker now",
+		"Nothing. The count is the number of its workers, of which the first is named."},
+	{ReservationMet, "reservation_met", zerolog.InfoLevel,
+		"the gang or large task with a reservation was assigned",
+		"Nothing."},
+	{ReservationAbandoned, "reservation_abandoned", zerolog.InfoLevel,
+		"a reservation was given up before its task was assigned",
+		"Nothing. If the reason is often that its begin has passed, the estimates of the queues on its workers are too short."},
+	{CallsHeld, "calls_held", zerolog.WarnLevel,
+		"calls that were sent to no leader are held until one is elected",
+		"Nothing, if it lasts for two seconds at most. Otherwise see that most replicas run and reach each other."},
 }}
 
 // areas is the whole catalogue in the order of the numbers.
--- a/logevent/ids.go
+++ b/logevent/ids.go
@@ -114,6 +114,7 @@
 	WaveStarted    ID = 743
 	WaveRefused    ID = 744
 	HostReleased   ID = 745
+	WaveHostWaits  ID = 746
 	RunOrdered     ID = 750
 	RunEnded       ID = 751
 	RunStopped     ID = 752
@@ -138,4 +139,9 @@
 	JobAccepted        ID = 840
 	JobRefused         ID = 841
 	JobEnded           ID = 842
+
+	ReservationMade      ID = 870
+	ReservationMet       ID = 871
+	ReservationAbandoned ID = 872
+	CallsHeld            ID = 880
 )
