schedule: late jobs hold strict reservations only; plan again when a worker joins

And a host that joined after a plan was not considered for it. Ruled out: moving strict reservations, since then no bound holds.

The change: a job holds a reservation until it is late, and a strict one from 15 s late on. A reservation is planned again after a worker has become usable. The reservation of a job is a field of it, and the pass visits only jobs with ready tasks or a reservation for it; one buffer holds the ends of a plan.

--- a/core/schedule/active_job.go
+++ b/core/schedule/active_job.go
@@ -20,6 +20,7 @@
 	late           bool            // due has passed
 	ready          []jobs.TaskRef  // tasks that may be assigned
 	unconstrained  bool            // every ready task may run on any worker
+	hold           *hold           // its reservation, or nil
 	minClaim       model.Resources // smallest claim of any ready task, for each resource
 	stale          bool            // ready must be rebuilt
 	waitingWork    work            // see remainingWork
--- a/core/schedule/capacity_index.go
+++ b/core/schedule/capacity_index.go
@@ -155,7 +155,7 @@
 // reservations kept off every worker. A reservation that binds a job binds all that are
 // served later, except its own.
 func (c *candidates) isReservedFrom(job *activeJob, step *jobs.Step) bool {
-	if len(c.reservedFrom) == 0 || c.pool.reservations.of(job) != nil {
+	if len(c.reservedFrom) == 0 || job.hold != nil {
 		return false
 	}
 	claim, duration := step.Claim(), c.s.cautiousTime(job.job.Queue, step)
--- a/core/schedule/place.go
+++ b/core/schedule/place.go
@@ -66,12 +66,13 @@
 // placeService assigns tasks of one service, in the order of its jobs.
 func (s *Scheduler) placeService(env Env, out *Out, p *pool, runs []jobs.Assignment) []jobs.Assignment {
 	c := &candidates{env: env, s: s, pool: p}
+	reserving := env.Bounds.Enabled(Reservations)
 	for _, job := range p.jobs {
 		job.refreshReady(env)
 		if len(job.ready) > 0 && !c.cannotPlace(job) {
 			runs = s.placeJob(env, out, c, job, runs)
 		}
-		if env.Bounds.Enabled(Reservations) {
+		if reserving && (len(job.ready) > 0 || job.hold != nil) {
 			s.reserve(env, out, p, job)
 		}
 	}
@@ -88,7 +89,7 @@
 		if needsOnlyCapacity(job, step, ref) {
 			if w := s.chooseByCapacity(env, c, job, ref); w != nil {
 				runs = append(runs, s.assign(env, job, ref, w))
-				s.fulfil(env, out, c.pool, job, ref.StepRef())
+				s.fulfil(env, out, job, ref.StepRef())
 				c.updateLargest()
 				continue
 			}
@@ -111,7 +112,7 @@
 			if ref.Index == 0 {
 				if members := s.placeGang(env, allowed, job, ref); len(members) > 0 {
 					runs = append(runs, members...)
-					s.fulfil(env, out, c.pool, job, ref.StepRef())
+					s.fulfil(env, out, job, ref.StepRef())
 				}
 				c.updateLargest()
 			}
@@ -123,7 +124,7 @@
 			continue
 		}
 		runs = append(runs, s.assign(env, job, ref, w))
-		s.fulfil(env, out, c.pool, job, ref.StepRef())
+		s.fulfil(env, out, job, ref.StepRef())
 		c.updateLargest()
 	}
 	job.ready = kept
--- a/core/schedule/reservation/plan.go
+++ b/core/schedule/reservation/plan.go
@@ -57,7 +57,7 @@
 // Make returns the plan for a request. It returns false if the tasks do not fit even after
 // all predicted ends.
 func Make(now model.Time, workers []Worker, r Request) (Plan, bool) {
-	var slots []slot
+	slots := make([]slot, 0, len(workers))
 	for i := range workers {
 		slots = appendSlots(slots, now, i, &workers[i], r)
 	}
--- a/core/schedule/reserve.go
+++ b/core/schedule/reserve.go
@@ -24,7 +24,7 @@
 	// strictLateness is how late a job is when its reservation becomes strict. It is longer
 	// than a burst of a few seconds, so that the on-time jobs of the burst that made the
 	// job late are served first.
-	strictLateness = 10 * model.Second
+	strictLateness = 15 * model.Second
 	// planInterval, plus planWorkerTime for each worker of the pool, is the least time
 	// between two plans of a pool. A plan visits every run of the pool.
 	planInterval   = 100 * model.Millisecond
@@ -50,6 +50,7 @@
 // hold is a reservation of capacity for one waiting task or gang. It keeps later tasks off
 // its places, unless they are predicted to end before it begins or fit beside it.
 type hold struct {
+	pool   *pool
 	job    *activeJob
 	step   jobs.StepRef
 	claim  model.Resources // of one task
@@ -69,7 +70,7 @@
 type reservations struct {
 	holds     []*hold
 	planAt    model.Time      // earliest time of the next plan
-	joins     int             // number of times that a worker joined the pool
+	joins     int             // number of times that a worker of the pool became usable
 	largest   model.Resources // largest capacity of a worker in each resource
 	ended     bool            // a reservation has ended in this pass
 	logSecond model.Time      // begin of the second in which logged events are counted
@@ -84,7 +85,6 @@
 
 // workerJoined records that a worker has joined the pool.
 func (x *reservations) workerJoined(w *worker) {
-	x.joins++
 	x.largest = x.largest.Max(w.info.Capacity)
 }
 
@@ -96,16 +96,6 @@
 	}
 }
 
-// of returns the reservation of a job, or nil.
-func (x *reservations) of(job *activeJob) *hold {
-	for _, h := range x.holds {
-		if h.job == job {
-			return h
-		}
-	}
-	return nil
-}
-
 func (x *reservations) hasStrict() bool {
 	return slices.ContainsFunc(x.holds, func(h *hold) bool { return h.strict })
 }
@@ -198,17 +188,16 @@
 	return env.Now.Add(max(missTolerance, env.Now.Sub(end)))
 }
 
-// checkReservations gives up the reservations of a pool that are no longer justified, and
-// plans those again whose begin has passed.
+// checkReservations gives up the reservations of a pool that are no longer justified. It
+// plans those again whose begin has passed, and all after a worker has become usable.
 func (s *Scheduler) checkReservations(env Env, out *Out, p *pool) {
 	for _, h := range slices.Clone(p.reservations.holds) {
 		if reason := s.abandonReason(env, p, h); reason != "" {
-			s.abandon(env, out, p, h, reason)
+			s.abandon(env, out, h, reason)
 			continue
 		}
-		missed := !h.strict && env.Now > h.begin.Add(missTolerance)
-		joined := h.onNewHost && h.joins != p.reservations.joins
-		if (missed || joined) && env.Now >= p.reservations.planAt {
+		missed, joined := env.Now > h.begin.Add(missTolerance), h.joins != p.reservations.joins
+		if !h.strict && (missed || joined) && env.Now >= p.reservations.planAt {
 			s.planAgain(env, out, p, h)
 		}
 	}
@@ -224,8 +213,8 @@
 		return "its job has moved to another service"
 	case s.gangOverCap(env, job, h.step.Step):
 		return "its team is at its cap"
-	case !h.strict && job.late && s.keepsOffOnTimeJob(env, p, h):
-		return "its job is late while others are on time"
+	case !h.strict && job.late:
+		return "its job is late"
 	}
 	for _, place := range h.places {
 		if w := s.workers[place.Worker]; place.Worker != "" && (w == nil || !w.holdsFor(h) || !s.isUsable(env, w)) {
@@ -276,19 +265,19 @@
 func (s *Scheduler) reserve(env Env, out *Out, p *pool, job *activeJob) {
 	x := &p.reservations
 	strict := !job.longRunning && env.Clock > job.due.Add(strictLateness) && !x.hasStrict()
-	if h := x.of(job); h != nil {
+	if h := job.hold; h != nil {
 		switch {
 		case !slices.ContainsFunc(job.ready, func(ref jobs.TaskRef) bool { return ref.StepRef() == h.step }):
-			s.abandon(env, out, p, h, "none of its tasks waits")
+			s.abandon(env, out, h, "none of its tasks waits")
 			return
 		case !strict:
 			return
 		case !h.onNewHost:
 			h.strict = true
-			s.logReservation(env, out, p, effect.ReservationMade, h, "strict")
+			s.logReservation(env, out, effect.ReservationMade, h, "strict")
 			return
 		}
-		s.abandon(env, out, p, h, "it waits for a host that has not joined")
+		s.abandon(env, out, h, "it waits for a host that has not joined")
 	}
 	if env.Now < x.planAt || job.policy != nil || len(job.ready) == 0 {
 		return
@@ -298,15 +287,15 @@
 	if !found || !hasTurn {
 		return
 	}
-	h := &hold{job: job, step: ref.StepRef(), claim: job.job.Steps[ref.Step].Claim(), madeAt: env.Now, strict: strict}
+	h := &hold{pool: p, job: job, step: ref.StepRef(), claim: job.job.Steps[ref.Step].Claim(), madeAt: env.Now, strict: strict}
 	if !s.plan(env, p, h) || !strict && !s.isWorthwhile(env, p, h) {
 		return
 	}
 	if displaced != nil {
-		s.abandon(env, out, p, displaced, "a job that is served earlier needs one")
+		s.abandon(env, out, displaced, "a job that is served earlier needs one")
 	}
-	s.addHold(p, h)
-	s.logReservation(env, out, p, effect.ReservationMade, h, "")
+	s.addHold(h)
+	s.logReservation(env, out, effect.ReservationMade, h, "")
 }
 
 // firstReservable returns the first ready task of a job that may hold a reservation.
@@ -348,14 +337,17 @@
 }
 
 // isWorthwhile reports whether a reservation lets its job end in time, or keeps off no job
-// that is on time.
+// that is on time. A late job holds a strict one or none: among late jobs, capacity that waits
+// only lowers the number of those that end.
 func (s *Scheduler) isWorthwhile(env Env, p *pool, h *hold) bool {
-	if h.job.longRunning {
+	switch {
+	case h.job.longRunning:
 		return true
+	case h.job.late:
+		return false
 	}
 	rest := chainFrom(s.durations(h.job.job.Queue), h.job.job, h.step.Step)
-	late := h.job.late || env.Clock.Add(h.begin.Sub(env.Now)+rest) > h.job.due
-	return !late || !s.keepsOffOnTimeJob(env, p, h)
+	return env.Clock.Add(h.begin.Sub(env.Now)+rest) <= h.job.due || !s.keepsOffOnTimeJob(env, p, h)
 }
 
 // chainFrom returns the predicted time of the longest chain of dependent steps that begins
--- a/core/schedule/reserve_plan.go
+++ b/core/schedule/reserve_plan.go
@@ -42,6 +42,11 @@
 // among them whose host is to be drained soon. A strict reservation does not wait for hosts
 // that have not joined.
 func (s *Scheduler) plannedWorkers(env Env, p *pool, h *hold, step *jobs.Step) (staying, leaving []reservation.Worker) {
+	runs := 0
+	for _, w := range p.workers {
+		runs += len(w.runs)
+	}
+	ends := make([]reservation.End, 0, runs) // of all workers
 	for _, w := range p.workers {
 		if !h.claim.Fits(w.info.Capacity) || !s.isUsable(env, w) || !meetsConstraints(w, step, jobs.TaskRef{Job: h.step.Job, Round: h.step.Round, Step: h.step.Step}) {
 			continue
@@ -52,10 +57,11 @@
 				planned.Free = planned.Free.Sub(w.reserved[i].claim)
 			}
 		}
-		planned.Ends = make([]reservation.End, 0, len(w.runs))
+		first := len(ends)
 		for _, r := range w.runs {
-			planned.Ends = append(planned.Ends, reservation.End{At: s.predictedEnd(env, r), Claim: r.claim})
+			ends = append(ends, reservation.End{At: s.predictedEnd(env, r), Claim: r.claim})
 		}
+		planned.Ends = ends[first:]
 		if s.leaving[w.info.Host] {
 			leaving = append(leaving, planned)
 		} else {
@@ -73,22 +79,22 @@
 	return staying, leaving
 }
 
-// planAgain plans a reservation again after its begin has passed or a host has joined. It is
+// planAgain plans a reservation again after its begin has passed or a worker has joined. It is
 // given up if it moves to other workers or is not worthwhile any more.
 func (s *Scheduler) planAgain(env Env, out *Out, p *pool, h *hold) {
 	next := *h
 	next.madeAt = env.Now
 	if !s.plan(env, p, &next) || !s.isWorthwhile(env, p, &next) {
-		s.abandon(env, out, p, h, "its begin has passed and no other is predicted in time")
+		s.abandon(env, out, h, "planned again, no place is predicted in time")
 		return
 	}
 	if samePlaces(next.places, h.places) {
 		h.begin, h.joins = next.begin, next.joins
 		return
 	}
-	s.abandon(env, out, p, h, "its begin has passed and other workers are free sooner")
-	s.addHold(p, &next)
-	s.logReservation(env, out, p, effect.ReservationMade, &next, "")
+	s.abandon(env, out, h, "planned again, other workers are free sooner")
+	s.addHold(&next)
+	s.logReservation(env, out, effect.ReservationMade, &next, "")
 }
 
 // samePlaces reports whether two lists have the same places in any order.
@@ -97,8 +103,9 @@
 }
 
 // addHold adds a reservation to its pool and to the workers of its places.
-func (s *Scheduler) addHold(p *pool, h *hold) {
-	p.reservations.holds = append(p.reservations.holds, h)
+func (s *Scheduler) addHold(h *hold) {
+	h.job.hold = h
+	h.pool.reservations.holds = append(h.pool.reservations.holds, h)
 	for _, place := range h.places {
 		if w := s.workers[place.Worker]; w != nil {
 			w.reserved = append(w.reserved, reservedClaim{h, times(h.claim, place.Tasks)})
@@ -106,8 +113,9 @@
 	}
 }
 
-func (s *Scheduler) removeHold(p *pool, h *hold) {
-	x := &p.reservations
+func (s *Scheduler) removeHold(h *hold) {
+	h.job.hold = nil
+	x := &h.pool.reservations
 	x.holds = slices.DeleteFunc(x.holds, func(other *hold) bool { return other == h })
 	x.ended = true
 	for _, place := range h.places {
@@ -117,22 +125,22 @@
 	}
 }
 
-func (s *Scheduler) abandon(env Env, out *Out, p *pool, h *hold, reason string) {
-	s.removeHold(p, h)
-	s.logReservation(env, out, p, effect.ReservationAbandoned, h, reason)
+func (s *Scheduler) abandon(env Env, out *Out, h *hold, reason string) {
+	s.removeHold(h)
+	s.logReservation(env, out, effect.ReservationAbandoned, h, reason)
 }
 
 // fulfil ends the reservation of a job after a task or gang of its step was assigned.
-func (s *Scheduler) fulfil(env Env, out *Out, p *pool, job *activeJob, step jobs.StepRef) {
-	if h := p.reservations.of(job); h != nil && h.step == step {
-		s.removeHold(p, h)
-		s.logReservation(env, out, p, effect.ReservationMet, h, "")
+func (s *Scheduler) fulfil(env Env, out *Out, job *activeJob, step jobs.StepRef) {
+	if h := job.hold; h != nil && h.step == step {
+		s.removeHold(h)
+		s.logReservation(env, out, effect.ReservationMet, h, "")
 	}
 }
 
 // logReservation logs an event of a reservation, unless too many were logged in this second.
-func (s *Scheduler) logReservation(env Env, out *Out, p *pool, code effect.Code, h *hold, reason string) {
-	x := &p.reservations
+func (s *Scheduler) logReservation(env Env, out *Out, code effect.Code, h *hold, reason string) {
+	x := &h.pool.reservations
 	if env.Now.Sub(x.logSecond) >= model.Second {
 		x.logSecond, x.logged = env.Now, 0
 	}
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -404,6 +404,7 @@
 	if !w.polled {
 		w.polled = true
 		s.pool(w.info.Service).dirty = true
+		s.pool(w.info.Service).reservations.joins++
 	}
 	listed := make(map[jobs.RunRef]bool, len(reply.Running))
 	if reply.Clock >= w.clock { // an older list lacks the runs that have begun since
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -360,7 +360,7 @@
 		"Nothing."},
 	{ReservationAbandoned, "reservation_abandoned", zerolog.InfoLevel,
 		"a reservation was given up before its task was assigned",
-		"Nothing. If the reason is often that its begin has passed, the estimates of the queues on its workers are too short."},
+		"Nothing. If the reason is often that it was planned again, the estimates of the queues on its workers are too short."},
 }}
 
 // areas is the whole catalogue in the order of the numbers.
