--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -363,7 +363,7 @@
 		"Nothing."},
 	{ReservationAbandoned, "reservation_abandoned", zerolog.InfoLevel,
 		"a reservation was given up before its task was assigned",
-		"Nothing. If the reason is often that its begin has passed, the estimates of the queues on its workers are too short."},
+		"Nothing. If the reason is often that it was planned again, the estimates of the queues on its workers are too short."},
 	{CallsHeld, "calls_held", zerolog.WarnLevel,
 		"calls that were sent to no leader are held until one is elected",
 		"Nothing, if it lasts for two seconds at most. Otherwise see that most replicas run and reach each other."},
