relay, handler: a refused submission stays refused across leaders

A submission that lay unread on a paused replica could be accepted after its caller had been refused: the refusals of a leader are kept in its memory and by call, so another leader, or another call of the same job, was new to it. The test of it also showed that calls multiplied while a leader without its lease was named by others: each call that came back led to contacts of all replicas, and each reply to copies of all calls.

Ruled out: a recorded refusal in the log; it costs an entry while the leader is shortest of time and needs a stamp to tell a late copy from a new attempt.

Submissions carry the term and the clock of the leader as of their arrival. Only the leader of that term decides them, and it refuses a submission that may be older than a refusal of the same job. A call that was held during a pause of its host only asks for its outcome in a later term. A call that came back is sent again once the leader has answered, and a leader that is only named gets no calls.

--- a/core/answers_sim_test.go
+++ b/core/answers_sim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -9,6 +10,7 @@
 	"primrosedale.example/primrosedale/core/call"
 	"primrosedale.example/primrosedale/core/event"
 	"primrosedale.example/primrosedale/core/jobs"
+	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/problem"
 	"primrosedale.example/primrosedale/core/schedule"
@@ -28,21 +30,17 @@
 	*fleetSim
 	jobs     []*submittedJob
 	resets   float64 // share of the connections that are reset
-	refusals int     // 429 and 503
-	unknown  int     // 504 and no answer
+	refusals int     // that were checked
 }
 
 type submittedJob struct {
 	id        model.JobID
 	path      string
 	attempts  int
-	open      int // attempts without an answer that may still be decided
+	attemptAt model.Time // start of the latest attempt
 	accepted  bool
-	refused   *problem.Problem // the latest outcome, if it is a refusal
-	unknown   int              // attempts with an unknown outcome
-	endedAt   model.Time
-	unknownAt model.Time // start of the latest attempt with an unknown outcome
-	attemptAt model.Time
+	refused   *problem.Problem // the outcome of the latest attempt, if it is a refusal
+	unknownAt model.Time       // start of the latest attempt with an unknown outcome
 }
 
 // newCallers returns callers of a cluster with entry hosts.
@@ -82,11 +80,11 @@
 		Address: call.Address{Host: "h", Path: j.path}, Job: jobs.Job{Steps: []jobs.Step{step}, Rounds: make([]jobs.Round, 1)},
 	}}}
 	j.attempts++
-	j.attemptAt = c.now
+	j.attemptAt, j.refused = c.now, nil
 	c.after(c.between(0, 3*millisecond), func() { c.read(e, incarnation, arrived) })
 	patience := callerPatience
 	if c.rng.Float64() < c.resets {
-		patience = c.between(0, callerPatience)
+		patience = c.between(0, 200*millisecond)
 	}
 	c.await(j, seq, c.now.Add(patience), func() {
 		c.after(c.between(0, 3*millisecond), func() { c.read(e, incarnation, event.CallAbandoned{Seq: seq, Class: event.ClassOf(arrived)}) })
@@ -99,34 +97,40 @@
 	switch {
 	case !answered && c.now < until:
 		c.after(5*millisecond, func() { c.await(j, seq, until, disconnect) })
-		return
-	case !answered:
-		disconnect()
-		fallthrough
-	case a.Problem != nil && a.Problem.Kind == problem.CallOutcomeUnknown:
-		j.unknown++
+	case !answered, a.Problem != nil && a.Problem.Kind == problem.CallOutcomeUnknown:
+		if !answered {
+			disconnect()
+		}
 		j.unknownAt = j.attemptAt
-		c.unknown++
-		j.refused = nil
 		c.resubmit(j, 0)
 	case a.Problem != nil:
-		c.refusals++
 		j.refused = a.Problem
 		c.resubmit(j, callerRetryWait)
 	default:
-		j.accepted, j.refused, j.endedAt = true, nil, c.now
+		j.accepted = true
 	}
 }
 
 func (c *callers) resubmit(j *submittedJob, wait model.Duration) {
-	if j.attempts >= callerAttempts {
-		j.endedAt = c.now
+	if j.attempts < callerAttempts {
+		c.after(wait, func() {
+			c.checkRefused(j)
+			c.attempt(j)
+		})
+	}
+}
+
+// checkRefused checks that a job whose latest attempt was refused is unknown to all
+// replicas. An entry host that knows no leader speaks only for its own attempt, so a
+// refusal of that kind counts only if no earlier attempt has an unknown outcome.
+func (c *callers) checkRefused(j *submittedJob) {
+	if j.refused == nil || j.unknownAt != 0 && j.refused.Kind == problem.NoLeader {
 		return
 	}
-	c.after(wait, func() {
-		j.refused = nil
-		c.attempt(j)
-	})
+	c.refusals++
+	for _, r := range c.replicas {
+		require.NotContains(c.t, r.state.fleet.Jobs.Jobs, j.id, "%s has a job that was refused: %v", r.host, j.refused)
+	}
 }
 
 // read makes a host read a call, or the end of its connection. A frozen one reads it when
@@ -182,3 +186,84 @@
 		}
 	}
 }
+
+// Guards against a refused job that runs and an accepted one that is lost, while replicas and entry hosts freeze, are cut off or end, the leader among
+// them, and connections of callers are reset.
+func TestRefusedJobsStayRefused(t *testing.T) {
+	for seed := range simSeeds(t, 40) {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			t.Parallel()
+			playRefusals(newCallers(t, seed, 5, 4, 2, 0))
+		})
+	}
+}
+
+// playRefusals checks that refused jobs stay refused and accepted ones known.
+func playRefusals(c *callers) {
+	c.callUntilAnswered(call.Call{Configure: &jobs.Config{
+		Version: 2, Services: map[model.ServiceID]jobs.Service{"render": {}},
+		Queues: []jobs.Queue{{ID: "t", Host: "h", Prefix: "/t/", Service: "render", MaxAttempts: 40, Stretch: 2, Target: model.Second, Timeout: model.Second, Open: true}},
+	}})
+	c.resets = 0.2
+	until := c.now.Add(15 * model.Second)
+	c.submitEvery(100*millisecond, "/t/", until)
+	c.disturb(until)
+	c.run(40 * model.Second)
+	for _, j := range c.jobs {
+		c.checkRefused(j)
+		for _, r := range c.replicas {
+			if j.accepted {
+				require.Contains(c.t, r.state.fleet.Jobs.Jobs, j.id, "%s lacks a job that was accepted", r.host)
+			}
+		}
+	}
+	require.NotZero(c.t, c.refusals)
+}
+
+// disturb freezes, cuts off or kills a host, or all replicas, again and again.
+func (c *callers) disturb(until model.Time) {
+	if c.now >= until {
+		return
+	}
+	hosts := slices.Concat(c.replicas, c.entries)
+	h := hosts[c.rng.IntN(len(hosts))]
+	if l := c.leader(); l != nil && c.rng.IntN(2) == 0 {
+		h = l
+	}
+	end := c.now.Add(c.between(100*millisecond, 5*model.Second))
+	switch kind := c.rng.IntN(12); {
+	case h.state.halted || c.now < max(h.frozenUntil, h.cutUntil):
+	case kind < 5:
+		h.frozenUntil = end
+	case kind < 8:
+		h.cutUntil = end
+	case kind < 11:
+		c.kill(h, end.Sub(c.now))
+	default:
+		for _, r := range c.replicas {
+			if !r.state.halted {
+				c.kill(r, c.between(100*millisecond, 2*model.Second))
+			}
+		}
+	}
+	c.after(c.between(50*millisecond, 1500*millisecond), func() { c.disturb(until) })
+}
+
+// Guards against a submission that a replica, which had it unread while another one led,
+// decides when it leads again: its caller may have been refused meanwhile.
+func TestCopyOfAnEarlierTermIsNotDecided(t *testing.T) {
+	c := newCallers(t, 1, 5, 1, 0, 0)
+	l := c.leader()
+	term := l.state.leading.term
+	for i, stamped := range []uint64{term - 1, term} {
+		id := model.JobID(fmt.Sprintf("%016x", i+1))
+		c.deliver(l, l.incarnation, event.Received{From: c.entries[0].host, Message: message.Message{Call: &call.Call{
+			Seq: uint64(i), Incarnation: "earlier", Patience: model.Second, Stamp: call.Stamp{Term: stamped, At: c.now},
+			Submit: &call.Submit{Address: call.Address{Host: "h", Path: "/q/" + string(id)}, Job: jobs.Job{
+				Steps: []jobs.Step{{Tasks: 1, Size: model.Resources{MilliCPU: 1000}, Estimate: model.Second}}, Rounds: make([]jobs.Round, 1),
+			}},
+		}}})
+		c.run(model.Second)
+		require.Equal(t, stamped == term, l.state.fleet.Jobs.Jobs[id] != nil)
+	}
+}
--- a/core/call/call.go
+++ b/core/call/call.go
@@ -19,6 +19,11 @@
 	// had applied no entry at this index or later. An order that is recorded there may
 	// therefore be later than the call. It is 0 if the process does not follow the log.
 	Horizon uint64 `json:"horizon,omitempty"`
+	// Stamp is set on submissions. Only the leader of its term decides the call.
+	Stamp Stamp `json:"stamp,omitzero"`
+	// Resolve asks for the outcome of a submission that may have been decided before. The
+	// leader does not accept the job if it is unknown, but refuses it.
+	Resolve bool `json:"resolve,omitempty"`
 
 	Submit     *Submit         `json:"submit,omitempty"`
 	Query      *Address        `json:"query,omitempty"`
@@ -32,6 +37,16 @@
 	Leave      *Leave          `json:"leave,omitempty"`
 }
 
+// Stamp is a moment of a leader.
+type Stamp struct {
+	Term uint64 `json:"term,omitempty"` // 0 if unknown
+	// At is the leader's clock, 0 if only the term is known.
+	At model.Time `json:"at,omitempty"`
+}
+
+// IsBefore reports whether s is certainly earlier than o.
+func (s Stamp) IsBefore(o Stamp) bool { return s.Term < o.Term || s.Term == o.Term && s.At < o.At }
+
 // Address identifies what a caller's request is about: a queue, or a job in it.
 type Address struct {
 	Host string       `json:"host"`
@@ -100,11 +115,14 @@
 	Next     model.HostID `json:"next,omitempty"` // the host to which the worker sends its next heartbeats
 }
 
-// Redirect tells the holder of a call that the process it asked does not lead.
+// Redirect tells the holder of a call that the process it asked does not lead, or leads in
+// another term than that of the call.
 type Redirect struct {
 	Seq         uint64            `json:"seq"`
 	Incarnation model.Incarnation `json:"inc"`
 	Leader      model.HostID      `json:"leader,omitempty"` // empty if it knows none
+	// Stamp is set by the leader if it did not decide the call because of its stamp.
+	Stamp Stamp `json:"stamp,omitzero"`
 }
 
 // Contact asks a replica who leads.
@@ -120,6 +138,8 @@
 	Replicas []model.HostID `json:"replicas,omitempty"`
 	// BodyBytes is the body limit of the configuration in force, 0 if there is none.
 	BodyBytes int64 `json:"body_bytes,omitempty"`
+	// Stamp is set by the leader, for the calls that are sent to it.
+	Stamp Stamp `json:"stamp,omitzero"`
 }
 
 // Mutates reports whether the call can change state, so that its outcome is unknown if
--- a/core/calls.go
+++ b/core/calls.go
@@ -152,6 +152,10 @@
 		s.send(from, message.Message{Redirect: &call.Redirect{Seq: c.Seq, Incarnation: c.Incarnation, Leader: leader}})
 		return
 	}
+	if stamp := s.stamp(); c.Submit != nil && c.Stamp.Term != 0 && c.Stamp.Term != stamp.Term {
+		s.send(from, message.Message{Redirect: &call.Redirect{Seq: c.Seq, Incarnation: c.Incarnation, Leader: s.cfg.Host, Stamp: stamp}})
+		return
+	}
 	ref := jobs.CallRef{Host: from, Incarnation: c.Incarnation, Seq: c.Seq}
 	env := handler.Env{Schedule: s.scheduleEnv(), Scheduler: s.leading.scheduler}
 	if c.Heartbeat != nil {
@@ -169,6 +173,9 @@
 	s.proposeJobs([]jobs.Command{*d.Command})
 }
 
+// stamp returns the current moment of this leader.
+func (s *State) stamp() call.Stamp { return call.Stamp{Term: s.leading.term, At: s.now} }
+
 // canDecide reports whether this process may answer calls from its state.
 func (s *State) canDecide() bool {
 	return s.leading != nil && s.leading.scheduler != nil && s.log.HoldsLeaderLease(s.now)
@@ -246,6 +253,9 @@
 	if status.Role != consensus.Leader && (r.Leader == s.cfg.Host || s.isLeaderSilent(&status)) {
 		r.Leader = ""
 	}
+	if r.Leads && s.cfg.Bounds.Enabled(schedule.DurableRefusals) {
+		r.Stamp = s.stamp()
+	}
 	for _, v := range status.Voters {
 		r.Replicas = append(r.Replicas, v.Host)
 	}
--- a/core/handler/handler.go
+++ b/core/handler/handler.go
@@ -35,65 +35,6 @@
 	return answer(call.Answer{Problem: problem.New(k, format, args...)})
 }
 
-// refusalRetention is how long a refusal is kept, so that a copy of the same call that
-// arrives later gets the same answer.
-const refusalRetention = 15 * model.Second
-
-// Handler decides the calls of one term of the leader. It keeps what it needs of the
-// submissions, so that all copies of one call have the same outcome.
-type Handler struct {
-	proposed       map[model.JobID]int // submissions that are proposed and not yet applied
-	refused        map[jobs.CallRef]refusal
-	refusedInOrder []jobs.CallRef // the keys of refused, oldest first
-}
-
-type refusal struct {
-	problem *problem.Problem
-	at      model.Time
-}
-
-// New returns the Handler of a new term.
-func New() *Handler {
-	return &Handler{proposed: make(map[model.JobID]int), refused: make(map[jobs.CallRef]refusal)}
-}
-
-// Committed handles a command that was applied.
-func (h *Handler) Committed(cmd *jobs.Command) {
-	if cmd.Submit == nil {
-		return
-	}
-	if h.proposed[cmd.Submit.ID]--; h.proposed[cmd.Submit.ID] <= 0 {
-		delete(h.proposed, cmd.Submit.ID)
-	}
-}
-
-// Decide decides one call. A submission that was refused stays refused, and one that
-// may still be accepted is not refused.
-func (h *Handler) Decide(env Env, ref jobs.CallRef, in *call.Call) Decision {
-	if in.Submit == nil {
-		return decide(env, in)
-	}
-	h.dropOldRefusals(env.Schedule.Now)
-	if earlier, known := h.refused[ref]; known {
-		return answer(call.Answer{Problem: earlier.problem})
-	}
-	d := submit(env, in.Submit, h.proposed)
-	if d.Command != nil {
-		h.proposed[d.Command.Submit.ID]++
-	} else if d.Answer.Problem != nil {
-		h.refused[ref] = refusal{d.Answer.Problem, env.Schedule.Now}
-		h.refusedInOrder = append(h.refusedInOrder, ref)
-	}
-	return d
-}
-
-func (h *Handler) dropOldRefusals(now model.Time) {
-	for len(h.refusedInOrder) > 0 && now.Sub(h.refused[h.refusedInOrder[0]].at) > refusalRetention {
-		delete(h.refused, h.refusedInOrder[0])
-		h.refusedInOrder = h.refusedInOrder[1:]
-	}
-}
-
 // decide decides a call that is not a submission.
 func decide(env Env, c *call.Call) Decision {
 	switch {
@@ -119,8 +60,8 @@
 	return refuse(problem.BadRequest, "the call is empty")
 }
 
-// resolve returns the queue, the job id and the team of a request.
-func resolve(cfg *jobs.Config, a *call.Address) (*jobs.Queue, string, model.TeamID, *problem.Problem) {
+// resolveAddress returns the queue, the job id and the team of a request.
+func resolveAddress(cfg *jobs.Config, a *call.Address) (*jobs.Queue, string, model.TeamID, *problem.Problem) {
 	if cfg == nil {
 		return nil, "", "", &problem.Problem{Kind: problem.NotConfigured, RetryAfter: model.Second}
 	}
@@ -136,9 +77,10 @@
 }
 
 // submit decides a submission. proposed counts, by job, the submissions that are
-// proposed and not yet applied: a copy of such a submission is no longer refused.
-func submit(env Env, s *call.Submit, proposed map[model.JobID]int) Decision {
-	q, id, team, refusal := resolve(env.Schedule.State.Config, &s.Address)
+// proposed and not yet applied: a copy of such a submission is no longer refused. With
+// onlyKnown, a job is not accepted now.
+func submit(env Env, s *call.Submit, onlyKnown bool, proposed map[model.JobID]int) Decision {
+	q, id, team, refusal := resolveAddress(env.Schedule.State.Config, &s.Address)
 	if refusal != nil {
 		return refuseSubmission(env, s, refusal)
 	}
@@ -168,6 +110,9 @@
 	if proposed[j.ID] > 0 {
 		return Decision{Command: &jobs.Command{Submit: &j}}
 	}
+	if onlyKnown {
+		return refuseSubmission(env, s, notAccepted(id))
+	}
 	env.Scheduler.RecordArrival(env.Schedule, q, &j)
 	j.OverShare = !env.Scheduler.TakeShare(env.Schedule, team)
 	if refusal := env.Scheduler.Admit(env.Schedule, q, &j); refusal != nil {
@@ -205,7 +150,7 @@
 }
 
 func query(env Env, a *call.Address) Decision {
-	q, id, team, refusal := resolve(env.Schedule.State.Config, a)
+	q, id, team, refusal := resolveAddress(env.Schedule.State.Config, a)
 	if refusal != nil {
 		return answer(call.Answer{Problem: refusal})
 	}
@@ -237,7 +182,7 @@
 // cancel cancels a job. A job that is unknown may be submitted later by a call that was
 // sent before this one, so that its cancelling is recorded before it is answered.
 func cancel(env Env, a *call.Address) Decision {
-	q, id, team, refusal := resolve(env.Schedule.State.Config, a)
+	q, id, team, refusal := resolveAddress(env.Schedule.State.Config, a)
 	if refusal != nil {
 		return answer(call.Answer{Problem: refusal})
 	}
--- a/core/horizon.go
+++ b/core/horizon.go
@@ -22,16 +22,18 @@
 	beforePause uint64     // horizon of the calls while settling
 }
 
-// observe notes that an event is about to be handled. next is the index of the first
-// entry that is not applied.
-func (h *callHorizon) observe(now model.Time, next uint64) {
+// observe notes that an event is about to be handled, and reports whether the process was
+// paused before it, for the first time since all calls were read that had waited. next is
+// the index of the first entry that is not applied.
+func (h *callHorizon) observe(now model.Time, next uint64) (paused bool) {
 	if h.eventAt != 0 && now.Sub(h.eventAt) > pauseMin {
-		if h.settling == 0 {
+		if paused = h.settling == 0; paused {
 			h.beforePause = next
 		}
 		h.settling = settleTicks
 	}
 	h.eventAt = now
+	return paused
 }
 
 func (h *callHorizon) tick() { h.settling = max(0, h.settling-1) }
--- a/core/orders_sim_test.go
+++ b/core/orders_sim_test.go
@@ -88,13 +88,7 @@
 
 // runOrders plays a number of schedules of faults.
 func runOrders(t *testing.T, play func(o *orderingOperator)) {
-	seeds := uint64(60)
-	if value := os.Getenv(seedsVariable); value != "" {
-		var err error
-		seeds, err = strconv.ParseUint(value, 10, 64)
-		require.NoError(t, err)
-	}
-	for seed := range seeds {
+	for seed := range simSeeds(t, 60) {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			t.Parallel()
 			o := &orderingOperator{fleetSim: newFleetSim(t, seed, 5, 0)}
@@ -105,6 +99,17 @@
 	}
 }
 
+// simSeeds returns the number of seeds to play.
+func simSeeds(t *testing.T, usual uint64) uint64 {
+	value := os.Getenv(seedsVariable)
+	if value == "" {
+		return usual
+	}
+	seeds, err := strconv.ParseUint(value, 10, 64)
+	require.NoError(t, err)
+	return seeds
+}
+
 // Guards against an order that is refused although no later one can exist: the replica
 // that received it had not applied the previous order yet.
 func TestQuickOrdersAreAcknowledgedAtOnce(t *testing.T) {
--- a/core/reduce.go
+++ b/core/reduce.go
@@ -15,7 +15,9 @@
 	s.now = in.At
 	s.rand = in.Rand
 	s.out = nil
-	s.horizon.observe(in.At, s.fleet.Index+1)
+	if s.horizon.observe(in.At, s.fleet.Index+1) {
+		s.relay.NotePause()
+	}
 	if s.halted {
 		return nil
 	}
@@ -172,6 +174,7 @@
 		s.emit(s.table.SetLeader(s.now, leader, status.Term)...)
 	}
 	if s.cfg.Durable {
+		s.relay.SetTerm(status.Term)
 		s.emit(s.relay.SetLeader(s.now, leader)...)
 	}
 }
--- a/core/relay/contact.go
+++ b/core/relay/contact.go
@@ -71,13 +71,20 @@
 	if !r.Leads {
 		if t.leader == from || t.leader == "" && r.Leader != "" && r.Leader != from {
 			t.leader = r.Leader
-			return append(t.forwardAll(now), t.probeNamed(now)...)
+			if t.probes() {
+				return t.probeNamed(now)
+			}
+			return t.forwardAll(now)
 		}
 		return nil
 	}
-	known := t.leader == from
+	if t.isOfEarlierTerm(r.Stamp) {
+		return nil
+	}
+	known := t.leader == from && t.stamp.Term == r.Stamp.Term
 	t.leader, t.leaderHeardAt = from, now
 	t.contacts.answered(r.Seq)
+	t.setStamp(r.Stamp)
 	if known {
 		return t.forwardUnsent(now)
 	}
--- a/core/relay/probe.go
+++ b/core/relay/probe.go
@@ -22,6 +22,9 @@
 	// probeTimeout is how long the leader's reply to a Contact is awaited, while a call
 	// waits for it, before all replicas are asked. It is several round trips.
 	probeTimeout = searchInterval
+	// minProbeInterval is the least time between two contacts of a named leader, or of all
+	// replicas, because of a call that came back. It is several round trips.
+	minProbeInterval = 50 * model.Millisecond
 	// electionReportMax is the age up to which a replica's reply counts: three rounds of
 	// contacts.
 	electionReportMax = 3 * searchInterval
@@ -96,22 +99,20 @@
 	return t.cfg.DurableRefusals && t.electing.goesOn(now)
 }
 
-// needsProbe reports whether a call is sent for the first time only after the leader has
-// answered a Contact: a call that changes state, at an entry host.
-func (t *Table) needsProbe(h *heldCall) bool {
-	return t.cfg.DurableRefusals && !t.cfg.Replica && h.sentAt == 0 && h.call.Mutates()
-}
+// probes reports whether calls are sent only to a leader that has just answered. A replica
+// knows the leader from its log instead.
+func (t *Table) probes() bool { return t.cfg.DurableRefusals && !t.cfg.Replica }
 
-// heardSince reports whether the leader has answered a Contact that was sent at most
-// freshContact before the call arrived, if the call needs that.
+// heardSince reports whether the leader has answered a Contact that is recent enough for
+// the call to be sent.
 func (t *Table) heardSince(h *heldCall) bool {
-	return !t.needsProbe(h) || t.contacts.askedAt != 0 && t.contacts.askedAt >= h.arrivedAt.Add(-freshContact)
+	return h.askFrom == 0 || t.contacts.askedAt >= h.askFrom
 }
 
 // probe contacts the leader for a call that waits for its reply, unless a Contact that is
 // recent enough is under way.
 func (t *Table) probe(now model.Time, h *heldCall) []effect.Effect {
-	if !t.needsProbe(h) || t.leader == "" || t.heardSince(h) || now.Sub(max(t.contactedAt, t.probedAt)) < freshContact {
+	if t.leader == "" || t.heardSince(h) || max(t.contactedAt, t.probedAt) >= h.askFrom {
 		return nil
 	}
 	return t.probeLeader(now)
@@ -124,21 +125,41 @@
 	return []effect.Effect{t.sendContact(now, t.leader)}
 }
 
-// probeNamed contacts a leader that another replica has named, if a call waits for it.
+// probeNamed contacts a leader that another replica has named, if calls wait for it and
+// none was contacted just now.
 func (t *Table) probeNamed(now model.Time) []effect.Effect {
+	if t.leader == "" || now.Sub(t.probedAt) < minProbeInterval {
+		return nil
+	}
 	for _, h := range t.calls {
-		if t.needsProbe(h) && t.leader != "" {
+		if h.askFrom != 0 {
 			return t.probeLeader(now)
 		}
 	}
 	return nil
 }
 
+// handleReturned handles the reply to a call of a process that does not lead. The call is
+// sent again once the leader has answered. Replicas disagree about who leads during an
+// election, and a leader without its lease leads nobody: if each such reply led to
+// contacts of all replicas, and each of their replies to another copy of all calls, the
+// messages would multiply with every round trip.
+func (t *Table) handleReturned(now model.Time, from model.HostID, h *heldCall, r *call.Redirect) []effect.Effect {
+	h.askFrom = now
+	if t.leader == from {
+		t.leader = r.Leader
+	}
+	if t.leader == "" && now.Sub(t.contactedAt) >= minProbeInterval {
+		return t.contactAll(now)
+	}
+	return t.probeNamed(now)
+}
+
 // probeOverdue reports whether a call has waited for the leader's reply for so long that
 // the leader may be gone.
 func (t *Table) probeOverdue(now model.Time) bool {
 	for _, h := range t.calls {
-		if t.needsProbe(h) && now.Sub(h.arrivedAt) >= probeTimeout {
+		if h.askFrom != 0 && now.Sub(h.askFrom) >= probeTimeout+freshContact {
 			return true
 		}
 	}
--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -68,7 +68,8 @@
 	call      call.Call
 	arrivedAt model.Time
 	sentAt    model.Time // 0 if it was never sent
-	waited    bool       // it may have waited in a socket during a pause of the process
+	askFrom   model.Time // it is sent once the leader has answered a Contact of this time or later, 0 if at once
+	waited    bool       // it arrived before or during a pause of the process, or may have
 }
 
 // Table holds the calls of a process.
@@ -83,6 +84,8 @@
 	probedAt      model.Time // latest Contact sent for a call that waits
 	contacts      contactLog
 	electing      election
+	stamp         call.Stamp // latest of the leader
+	beforePause   call.Stamp // stamp as of the latest pause
 	seq           uint64
 	bodyLimit     int64 // largest body that the configuration allows
 	loggedReady   bool
@@ -126,6 +129,9 @@
 	c.Incarnation = t.cfg.Incarnation
 	h := &heldCall{call: c, arrivedAt: now, waited: waited}
 	t.calls[c.Seq] = h
+	if t.probes() && c.Mutates() {
+		h.askFrom = now.Add(-freshContact)
+	}
 	return append(t.forward(now, h), t.probe(now, h)...)
 }
 
@@ -145,7 +151,8 @@
 	if !t.leaderReachable(now) || !t.heardSince(h) || now.Sub(h.arrivedAt) >= h.call.Patience {
 		return nil
 	}
-	h.sentAt = now
+	h.sentAt, h.askFrom = now, 0
+	t.stampCall(h)
 	c := h.call
 	c.Patience -= now.Sub(h.arrivedAt)
 	return []effect.Effect{effect.Send{To: t.leader, Message: message.Message{Call: &c}}}
@@ -173,7 +180,7 @@
 func (t *Table) forwardUnsent(now model.Time) []effect.Effect {
 	var out []effect.Effect
 	for _, seq := range model.SortedKeys(t.calls) {
-		if h := t.calls[seq]; h.sentAt == 0 {
+		if h := t.calls[seq]; h.sentAt == 0 || h.askFrom != 0 {
 			out = append(out, t.forward(now, h)...)
 		}
 	}
@@ -208,6 +215,12 @@
 	if h == nil || r.Incarnation != t.cfg.Incarnation {
 		return nil
 	}
+	if r.Stamp.Term != 0 {
+		return t.handleLaterTerm(now, from, r.Stamp)
+	}
+	if t.probes() {
+		return t.handleReturned(now, from, h, r)
+	}
 	if !t.cfg.Replica {
 		if t.leader == from {
 			t.leader = r.Leader
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -355,6 +355,9 @@
 	{CallsHeld, "calls_held", zerolog.WarnLevel,
 		"calls that were sent to no leader are held until one is elected",
 		"Nothing, if it lasts for two seconds at most. Otherwise see that most replicas run and reach each other."},
+	{SubmissionOutdated, "submission_outdated", zerolog.InfoLevel,
+		"a submission was refused, because its job was refused after it had arrived",
+		"Nothing. The host that held it was paused or cut off, or its caller did not wait before it tried again."},
 }}
 
 // areas is the whole catalogue in the order of the numbers.
--- a/logevent/ids.go
+++ b/logevent/ids.go
@@ -139,4 +139,5 @@
 	JobRefused         ID = 841
 	JobEnded           ID = 842
 	CallsHeld          ID = 880
+	SubmissionOutdated ID = 881
 )
