--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -203,6 +203,7 @@
 	ReservationMade      Code = "reservation_made"
 	ReservationMet       Code = "reservation_met"
 	ReservationAbandoned Code = "reservation_abandoned"
+	SubmissionOutdated   Code = "submission_outdated"
 )
 
 // Halt ends the process. Reason is set after a failure and empty when a graceful
--- a/daemon/executor.go
+++ b/daemon/executor.go
@@ -130,6 +130,7 @@
 	effect.ReservationMade:      logevent.ReservationMade,
 	effect.ReservationMet:       logevent.ReservationMet,
 	effect.ReservationAbandoned: logevent.ReservationAbandoned,
+	effect.SubmissionOutdated:   logevent.SubmissionOutdated,
 }
 
 // leadsGauge is 1 in the process of the leader, otherwise 0.
--- a/logevent/ids.go
+++ b/logevent/ids.go
@@ -144,4 +144,5 @@
 	ReservationMet       ID = 871
 	ReservationAbandoned ID = 872
 	CallsHeld            ID = 880
+	SubmissionOutdated   ID = 881
 )
