--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -352,6 +352,9 @@
 	{JobEnded, "job_ended", zerolog.InfoLevel,
 		"a job has ended",
 		"Nothing, unless the reason is failed: look for the ends of its runs."},
+	{IntakeRefused, "intake_refused", zerolog.WarnLevel,
+		"clients were refused, or their connections closed, to stay within the limits of this process",
+		"If it lasts, find the clients: OPERATIONS.md, Clients that hold too much. The status names the kind of client."},
 }}
 
 // areas is the whole catalogue in the order of the numbers.
