daemon: admit connections of all listeners through the intake gate

Listeners had no bound on connections, and http.Server none on header bytes and idle time. An entry process with ulimit -n 512 ended with 700 silent connections at its port for hosts: an error of accept ends the transport.

All http.Servers have limits for header bytes and idle connections. drain keeps hooks that are set before its own, since the gate needs the connection below drain's. The product's own interface splits the connections among its three listeners by the number of held requests.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/view"
 	"primrosedale.example/primrosedale/gateway"
+	"primrosedale.example/primrosedale/gateway/intake"
 	"primrosedale.example/primrosedale/logevent"
 	"primrosedale.example/primrosedale/operator"
 	"primrosedale.example/primrosedale/recording"
@@ -30,7 +31,14 @@
 
 // Times of the HTTP servers.
 const (
-	headerTimeout   = 10 * time.Second
+	// headerTimeout is more than three times what a configuration allows to clients by
+	// default (headerTimeoutMs).
+	headerTimeout = 10 * time.Second
+	// idleTimeout is four times the default time for which clients keep unused connections
+	// open (idleTimeoutMs).
+	idleTimeout = 60 * time.Second
+	// maxHeaderBytes is twice the default of the configuration.
+	maxHeaderBytes  = 32 << 10
 	shutdownTimeout = 5 * time.Second
 	// stopDelay is how long a stopping process continues to refuse requests, as not run
 	// and with "Connection: close", before it drains its connections, so that the load
@@ -51,7 +59,7 @@
 // New opens the data folder and the listeners of a process. An error leaves nothing
 // open. Cancelling stop ends the wait for free space on a full disk.
 func New(stop context.Context, s *settings.Settings, log logevent.Logger) (*Daemon, error) {
-	d := &Daemon{process: newProcess(log.With(logevent.Self(s.Host))), settings: s}
+	d := &Daemon{process: newProcess(log.With(logevent.Self(s.Host)), intakeLimits(s.Limits.HeldRequests)), settings: s}
 	if err := d.assemble(stop); err != nil {
 		d.closeAll()
 		return nil, err
@@ -59,6 +67,22 @@
 	return d, nil
 }
 
+// intakeLimits returns the limits of a process that serves callers, the platform and
+// operators, each at an address of its own, and holds a number of requests. The settings do
+// not name the memory of the machine: each request may take 128 KiB with its connection, and
+// their bodies what the gateway allows.
+func intakeLimits(heldRequests int) intake.Limits {
+	const perRequest = 128 << 10 // bytes
+	memory := int64(heldRequests) * perRequest
+	l := intake.NewLimits(memory, descriptorLimit(0))
+	clients := l.Connections[intake.Callers]
+	l.Connections[intake.Operators] = l.Connections[intake.Peers] / 2
+	l.Connections[intake.Workers] = clients / 4
+	l.Connections[intake.Callers] = clients - clients/4 - l.Connections[intake.Operators]
+	l.Bytes[intake.Callers] = memory + gateway.DefaultMaxHeldBytes
+	return l
+}
+
 func (d *Daemon) assemble(stop context.Context) error {
 	s := d.settings
 	inc := newIncarnation()
@@ -138,10 +162,10 @@
 	if err := d.addCallers(listen.Callers.String(), d.gateway.Handler(), d.gateway.ClosingResponse, defaults); err != nil {
 		return err
 	}
-	if _, err := d.addServer(listen.Platform.String(), d.announcer.Handler(), defaults); err != nil {
+	if _, err := d.addServer(listen.Platform.String(), intake.Workers, d.announcer.Handler(), defaults); err != nil {
 		return err
 	}
-	operators, err := d.addServer(listen.Operators.String(), d.operator.Handler(), defaults)
+	operators, err := d.addServer(listen.Operators.String(), intake.Operators, d.operator.Handler(), defaults)
 	if err != nil {
 		return err
 	}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -16,6 +16,7 @@
 	"primrosedale.example/primrosedale/core/consensus"
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/event"
+	"primrosedale.example/primrosedale/gateway/intake"
 	"primrosedale.example/primrosedale/gateway/reply"
 	"primrosedale.example/primrosedale/logevent"
 	"primrosedale.example/primrosedale/platform"
@@ -66,7 +67,7 @@
 // NewPlatformDaemon opens the data folder and the listeners of a process, which does
 // not serve yet. Cancelling stop ends the wait for free space on a full disk.
 func NewPlatformDaemon(stop context.Context, s *platform.Settings, path string, log logevent.Logger) (*PlatformDaemon, error) {
-	d := &PlatformDaemon{process: newProcess(log.With(logevent.Self(s.Host))), settings: s, settingsPath: path}
+	d := &PlatformDaemon{process: newProcess(log.With(logevent.Self(s.Host)), intake.NewLimits(s.MemoryLimit, descriptorLimit(s.MaxDescriptors))), settings: s, settingsPath: path}
 	if s.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryLimit) * memoryLimitShare))
 	}
@@ -149,12 +150,12 @@
 		if err := d.addCallers(s.CallerListen, d.server.CallerHandler(), closing, keepAlive); err != nil {
 			return err
 		}
-		if _, err := d.addServer(s.ReadinessListen, d.server.ReadinessHandler(), keepAlive); err != nil {
+		if _, err := d.addServer(s.ReadinessListen, intake.Readiness, d.server.ReadinessHandler(), keepAlive); err != nil {
 			return err
 		}
 	}
 	if s.ControlListen != "" {
-		if _, err := d.addServer(s.ControlListen, d.server.ControlHandler(), keepAlive); err != nil {
+		if _, err := d.addServer(s.ControlListen, intake.Operators, d.server.ControlHandler(), keepAlive); err != nil {
 			return err
 		}
 	}
@@ -162,7 +163,7 @@
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
-	_, err := d.addServer(s.MetricsListen, mux, keepAlive)
+	_, err := d.addServer(s.MetricsListen, intake.Metrics, mux, keepAlive)
 	return err
 }
 
@@ -193,7 +194,7 @@
 	}
 	settings.Bootstrap = false // the cluster exists
 	d.settings = &settings
-	d.process = newProcess(d.log)
+	d.process = newProcess(d.log, intake.NewLimits(settings.MemoryLimit, descriptorLimit(settings.MaxDescriptors)))
 	return d.assemble(stop)
 }
 
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -2,15 +2,18 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 
 	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
 	"gopkg.in/tomb.v2"
 
 	"primrosedale.example/primrosedale/control"
 	"primrosedale.example/primrosedale/core"
 	"primrosedale.example/primrosedale/drain"
+	"primrosedale.example/primrosedale/gateway/intake"
 	"primrosedale.example/primrosedale/logevent"
 	"primrosedale.example/primrosedale/storage"
 	"primrosedale.example/primrosedale/transport"
@@ -20,6 +23,7 @@
 // data folder, the connections to other processes, and HTTP servers.
 type process struct {
 	log          logevent.Logger
+	gate         *intake.Gate
 	loop         *control.Loop
 	store        *storage.Store // nil without a data folder
 	writer       *logWriter     // nil without a data folder
@@ -34,13 +38,28 @@
 	http     *http.Server
 }
 
-func newProcess(log logevent.Logger) process {
-	p := process{log: log, loop: control.New()}
+// newProcess returns a process with the bounds on what its clients may hold.
+func newProcess(log logevent.Logger, limits intake.Limits) process {
+	p := process{log: log, gate: intake.NewGate(limits, log), loop: control.New()}
 	var queueFullLog logevent.RateLimited
 	p.loop.OnQueueFull(func() { queueFullLog.Emit(log, logevent.ControlQueueFull) })
 	return p
 }
 
+// descriptorLimit returns how many descriptors the process may open: what the settings say,
+// if they say it, and at most what the kernel allows.
+func descriptorLimit(configured int) int {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return configured
+	}
+	allowed := int(min(limit.Cur, math.MaxInt32))
+	if configured == 0 {
+		return allowed
+	}
+	return min(configured, allowed)
+}
+
 // openDataFolder opens a data folder and returns what it holds. On a full disk it
 // waits for free space until stop ends.
 func (p *process) openDataFolder(stop context.Context, folder, cluster string, cfg *core.Config) (core.Stored, error) {
@@ -60,28 +79,34 @@
 	return core.Stored{HardState: loaded.HardState, Snapshot: loaded.Snapshot, Entries: loaded.Entries}, nil
 }
 
-// listenTCP opens a listener. The zero keepAlive stands for the defaults of package
-// net.
-func listenTCP(address string, keepAlive net.KeepAliveConfig) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: keepAlive}
+// listenTCP opens a listener whose connections the gate admits. The zero keepAlive stands
+// for the defaults of package net.
+func (p *process) listenTCP(address string, class intake.Class, keepAlive net.KeepAliveConfig) (net.Listener, error) {
+	config := net.ListenConfig{KeepAliveConfig: keepAlive, Control: intake.Control(class)}
 	l, err := config.Listen(context.Background(), "tcp", address)
-	return l, errors.Annotatef(err, "listening on %s", address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "listening on %s", address)
+	}
+	return p.gate.Listener(l, class), nil
 }
 
 func (p *process) listenPeers(address string, keepAlive net.KeepAliveConfig) error {
-	l, err := listenTCP(address, keepAlive)
+	l, err := p.listenTCP(address, intake.Peers, keepAlive)
 	if err == nil {
 		p.peerListener = l
 	}
 	return err
 }
 
-func (p *process) addServer(address string, handler http.Handler, keepAlive net.KeepAliveConfig) (*server, error) {
-	listener, err := listenTCP(address, keepAlive)
+func (p *process) addServer(address string, class intake.Class, handler http.Handler, keepAlive net.KeepAliveConfig) (*server, error) {
+	listener, err := p.listenTCP(address, class, keepAlive)
 	if err != nil {
 		return nil, err
 	}
-	s := &server{listener, &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}}
+	s := &server{listener, &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}}
+	p.gate.Attach(s.http, class)
 	p.servers = append(p.servers, s)
 	return s, nil
 }
@@ -89,7 +114,7 @@
 // addCallers adds the server of callers, whose connections are drained at a
 // graceful stop.
 func (p *process) addCallers(address string, handler http.Handler, closing func() []byte, keepAlive net.KeepAliveConfig) error {
-	s, err := p.addServer(address, handler, keepAlive)
+	s, err := p.addServer(address, intake.Callers, handler, keepAlive)
 	if err != nil {
 		return err
 	}
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -54,11 +54,20 @@
 	return &Listener{Listener: l, closingResponse: closingResponse, conns: make(map[*conn]struct{}), changed: make(chan struct{})}
 }
 
-// Attach sets the hooks of the server that serves on l and wraps its handler.
+// Attach sets the hooks of the server that serves on l and wraps its handler. Hooks that
+// are set already are called with the connection that the inner listener accepted.
 func (l *Listener) Attach(s *http.Server) {
-	next := s.Handler
-	s.ConnState = onStateChange
+	next, connState, connContext := s.Handler, s.ConnState, s.ConnContext
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		if connState != nil {
+			connState(innerConn(c), state)
+		}
+		onStateChange(c, state)
+	}
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if connContext != nil {
+			ctx = connContext(ctx, innerConn(c))
+		}
 		return context.WithValue(ctx, connKey{}, c)
 	}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -73,6 +82,14 @@
 
 type connKey struct{}
 
+// innerConn returns the connection that a Listener has wrapped.
+func innerConn(c net.Conn) net.Conn {
+	if tracked, ok := c.(*conn); ok {
+		return tracked.Conn
+	}
+	return c
+}
+
 // onStateChange is the server's hook. A connection becomes idle when its answer
 // has been written.
 func onStateChange(c net.Conn, state http.ConnState) {
