--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -1,10 +1,7 @@
 package gateway
 
 import (
-	"errors"
-	"io"
 	"net/http"
-	"time"
 
 	"goji.io/pat"
 
@@ -12,13 +9,10 @@
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/problem"
 	"primrosedale.example/primrosedale/core/view"
+	"primrosedale.example/primrosedale/gateway/intake"
 	"primrosedale.example/primrosedale/gateway/reply"
 )
 
-// bodyReadLimit bounds the time a caller has to send its body, so that a slow sender
-// does not occupy one of the places for held requests.
-const bodyReadLimit = 10 * time.Second
-
 // checkServing returns a problem if this host may not accept new work.
 func (s *Server) checkServing(v *view.View) *problem.Problem {
 	if v.Stopping {
@@ -96,37 +90,14 @@
 		w.Header().Set("Connection", "close")
 		return nil, problem.New(problem.BodyTooLarge, "the body has %d bytes, at most %d are allowed", r.ContentLength, limit)
 	}
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	connection := http.NewResponseController(w)
-	connection.SetReadDeadline(time.Now().Add(bodyReadLimit)) // test recorders do not support deadlines; the error is ignored
-	body, err := readAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
-	if err == nil {
-		connection.SetReadDeadline(time.Time{})
-		return body, nil
-	}
-	w.Header().Set("Connection", "close")
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	body, err := intake.ReadBody(w, r, limit, intake.Callers)
+	switch {
+	case err == intake.ErrTooLarge:
 		return nil, problem.New(problem.BodyTooLarge, "the body has more than %d bytes", limit)
-	}
-	return nil, problem.New(problem.BadRequest, "read body: %v", err)
-}
-
-// readAll reads r into one allocation if its length is known.
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(r)
-	}
-	body := make([]byte, length)
-	if _, err := io.ReadFull(r, body); err != nil {
-		return nil, err
-	}
-	// Reading up to EOF lets the HTTP server detect a disconnect of the caller while
-	// the request is held.
-	if _, err := r.Read(make([]byte, 1)); err != nil && err != io.EOF {
-		return nil, err
+	case err == intake.ErrOverloaded:
+		return nil, problem.New(problem.Overloaded, "")
+	case err != nil:
+		return nil, problem.New(problem.BadRequest, "read body: %v", err)
 	}
 	return body, nil
 }
