transport: bound the handshake and unfinished messages

A handshake may take 8 KiB and 2 s. A message that has not arrived as a whole is held by the gate from 64 KiB on, and must make progress within 2 s. Retained buffers are at most 128 KiB.

Tests: go test ./transport passes; readFrame takes the copying function as an argument, and its tests pass one.

--- a/transport/frames.go
+++ b/transport/frames.go
@@ -3,14 +3,17 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/binary"
 	"encoding/json"
 	"io"
 	"net"
+	"time"
 
 	"github.com/juju/errors"
 
 	"primrosedale.example/primrosedale/codec"
+	"primrosedale.example/primrosedale/gateway/intake"
 )
 
 // If both sides support frames, messages follow the handshake as frames. A frame is the
@@ -21,7 +24,7 @@
 	// batchBytes is the size at which no further queued messages are added to a write.
 	batchBytes = 64 << 10
 	// maxRetainedBuffer is the size of the largest buffer that is reused.
-	maxRetainedBuffer = 1 << 20
+	maxRetainedBuffer = 2 * batchBytes
 )
 
 // appendFrame appends a frame to dst with the message that appendMessage appends. It
@@ -40,6 +43,7 @@
 // handleFrame is set.
 type stream struct {
 	conn    net.Conn
+	source  *source
 	decoder *json.Decoder
 	encoder *json.Encoder
 	// handleFrame handles the messages of all following frames. The handler of the
@@ -47,8 +51,18 @@
 	handleFrame func(message []byte) error
 }
 
-func newStream(conn net.Conn) *stream {
-	return &stream{conn: conn, decoder: json.NewDecoder(conn), encoder: json.NewEncoder(conn)}
+// newStream returns a stream whose peer must complete the handshake within helloTimeout.
+// admitted is nil if the connection is not counted.
+func newStream(ctx context.Context, conn net.Conn, admitted *intake.Conn) *stream {
+	_ = conn.SetReadDeadline(time.Now().Add(helloTimeout)) // fails only on a closed connection
+	s := &source{ctx: ctx, conn: conn, admitted: admitted}
+	return &stream{conn: conn, source: s, decoder: json.NewDecoder(s), encoder: json.NewEncoder(conn)}
+}
+
+// acceptHandshake ends the limits of the handshake. No read is in progress.
+func (s *stream) acceptHandshake() {
+	s.source.accepted = true
+	s.source.endMessage()
 }
 
 // WriteObject implements jsonrpc2.ObjectStream.
@@ -58,7 +72,11 @@
 // returns only when the connection ends or a frame is invalid.
 func (s *stream) ReadObject(v any) error {
 	if s.handleFrame == nil {
-		return s.decoder.Decode(v)
+		err := s.decoder.Decode(v)
+		if s.source.accepted {
+			s.source.endMessage()
+		}
+		return err
 	}
 	return s.readFrames(bufio.NewReader(io.MultiReader(s.decoder.Buffered(), s.conn)))
 }
@@ -75,7 +93,7 @@
 	}
 	var message bytes.Buffer
 	for {
-		if err := readFrame(r, &message); err != nil {
+		if err := readFrame(r, &message, s.copyMessage); err != nil {
 			return err
 		}
 		if err := s.handleFrame(message.Bytes()); err != nil {
@@ -87,9 +105,19 @@
 	}
 }
 
-// readFrame reads the message of one frame. The buffer grows as bytes arrive, so that a
-// false length in the header allocates no memory.
-func readFrame(r io.Reader, message *bytes.Buffer) error {
+// copyMessage appends the size bytes of a message to the buffer. It counts a message that
+// has not arrived as a whole.
+func (s *stream) copyMessage(message *bytes.Buffer, r io.Reader, size int64) error {
+	if buffered, ok := r.(*bufio.Reader); !ok || size > int64(buffered.Buffered()) {
+		return s.source.copyMessage(message, r, size)
+	}
+	_, err := io.CopyN(message, r, size)
+	return err
+}
+
+// readFrame reads the message of one frame with the function copyMessage. The buffer grows
+// as bytes arrive, so that a false length in the header allocates no memory.
+func readFrame(r io.Reader, message *bytes.Buffer, copyMessage func(message *bytes.Buffer, r io.Reader, size int64) error) error {
 	var header [frameHeaderBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return err
@@ -99,8 +127,5 @@
 		return errors.Errorf("a frame of %d bytes, the limit is %d", size, codec.MaxMessageBytes)
 	}
 	message.Reset()
-	if _, err := io.CopyN(message, r, size); err != nil {
-		return errors.Annotate(err, "reading a frame")
-	}
-	return nil
+	return copyMessage(message, r, size)
 }
--- a/transport/frames_test.go
+++ b/transport/frames_test.go
@@ -115,12 +115,21 @@
 	}
 }
 
+// copyPlain copies a message without counting it.
+func copyPlain(message *bytes.Buffer, r io.Reader, size int64) error {
+	_, err := io.CopyN(message, r, size)
+	return err
+}
+
 // Guards against allocating memory according to the length in a frame's header, for bytes
 // that never arrive.
 func TestFrameBufferIsNotPreallocated(t *testing.T) {
 	var message bytes.Buffer
 	header := binary.BigEndian.AppendUint32(nil, codec.MaxMessageBytes)
-	require.Error(t, readFrame(bytes.NewReader(append(header, 'x')), &message))
+	dummy, other := net.Pipe()
+	defer dummy.Close()
+	defer other.Close()
+	require.Error(t, readFrame(bytes.NewReader(append(header, 'x')), &message, newStream(t.Context(), dummy, nil).copyMessage))
 	require.Less(t, message.Cap(), 64<<10)
 }
 
@@ -187,7 +196,7 @@
 	}
 	var frame bytes.Buffer
 	for {
-		if err := readFrame(r, &frame); err != nil {
+		if err := readFrame(r, &frame, copyPlain); err != nil {
 			return err
 		}
 		onFrame(frame.Bytes())
--- a/transport/receiver.go
+++ b/transport/receiver.go
@@ -13,11 +13,13 @@
 	"primrosedale.example/primrosedale/core/event"
 	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/gateway/intake"
 	"primrosedale.example/primrosedale/logevent"
 )
 
 // receive handles an accepted connection until it or ctx ends.
 func (t *Transport) receive(ctx context.Context, c net.Conn) {
+	admitted := intake.Admitted(c)
 	if t.cfg.TLSServer != nil {
 		secured := tls.Server(c, t.cfg.TLSServer)
 		hsCtx, cancel := context.WithTimeout(ctx, helloTimeout)
@@ -30,7 +32,7 @@
 		}
 		c = secured
 	}
-	r := &receiver{t: t, address: c.RemoteAddr().String(), stream: newStream(countedConn{c})}
+	r := &receiver{t: t, address: c.RemoteAddr().String(), stream: newStream(ctx, countedConn{c}, admitted)}
 	conn := jsonrpc2.NewConn(ctx, r.stream, r, t.loggerFor("", r.address))
 	select {
 	case <-conn.DisconnectNotify():
@@ -84,6 +86,7 @@
 		return err
 	}
 	r.from = h.Host
+	r.stream.acceptHandshake()
 	if h.Frames {
 		r.stream.handleFrame = r.handleFrame
 	}
