platform, gateway/intake: count heartbeats apart from other requests

The fixed cost of each request counted as one of operators on the control address, so requests of strangers there could take what heartbeats need. The class now follows from the path, and workers have an eighth of the memory, for the heartbeats that 3,000 workers send in a second.

Tests: go test ./gateway/intake passes.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -155,7 +155,7 @@
 		}
 	}
 	if s.ControlListen != "" {
-		if _, err := d.addServer(s.ControlListen, intake.Operators, d.server.ControlHandler(), keepAlive); err != nil {
+		if _, err := d.addMixedServer(s.ControlListen, intake.Operators, platform.ControlClass, d.server.ControlHandler(), keepAlive); err != nil {
 			return err
 		}
 	}
--- a/daemon/process.go
+++ b/daemon/process.go
@@ -98,7 +98,14 @@
 	return err
 }
 
+// addServer adds a server whose clients are of one class.
 func (p *process) addServer(address string, class intake.Class, handler http.Handler, keepAlive net.KeepAliveConfig) (*server, error) {
+	return p.addMixedServer(address, class, func(*http.Request) intake.Class { return class }, handler, keepAlive)
+}
+
+// addMixedServer adds a server whose connections are of one class. classOf returns the class
+// of a request.
+func (p *process) addMixedServer(address string, class intake.Class, classOf func(*http.Request) intake.Class, handler http.Handler, keepAlive net.KeepAliveConfig) (*server, error) {
 	listener, err := p.listenTCP(address, class, keepAlive)
 	if err != nil {
 		return nil, err
@@ -106,7 +113,7 @@
 	s := &server{listener, &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}}
-	p.gate.Attach(s.http, class)
+	p.gate.Attach(s.http, classOf)
 	p.servers = append(p.servers, s)
 	return s, nil
 }
--- a/gateway/intake/gate.go
+++ b/gateway/intake/gate.go
@@ -188,8 +188,8 @@
 }
 
 // Attach sets the hooks and limits of the server that serves on a listener of g, and wraps
-// its handler. Requests count as requests of class c.
-func (g *Gate) Attach(s *http.Server, c Class) {
+// its handler. classOf returns the class that a request counts as.
+func (g *Gate) Attach(s *http.Server, classOf func(*http.Request) Class) {
 	s.ConnState = func(raw net.Conn, state http.ConnState) {
 		if conn := Admitted(raw); conn != nil {
 			conn.onState(state)
@@ -198,7 +198,7 @@
 	s.ConnContext = func(ctx context.Context, raw net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, Admitted(raw))
 	}
-	s.Handler = g.handler(s.Handler, c)
+	s.Handler = g.handler(s.Handler, classOf)
 }
 
 type connKey struct{}
--- a/gateway/intake/limits.go
+++ b/gateway/intake/limits.go
@@ -44,9 +44,9 @@
 //
 // Descriptors: a share each for other hosts, readiness checks and the metrics; a reserve for
 // files and outgoing connections; the rest for callers, or for operators and workers on
-// hosts that serve these. Memory: an eighth for bodies of callers and one for those of
-// operators, which only other hosts serve; a sixteenth each for workers and other hosts;
-// a quarter for connections.
+// hosts that serve these. Memory: an eighth for requests of callers, and one each for those
+// of operators and workers, which only other hosts serve; a sixteenth for other hosts; a
+// quarter for connections.
 func NewLimits(memory int64, descriptors int) Limits {
 	if memory <= 0 {
 		memory = defaultMemory
@@ -62,8 +62,8 @@
 	rest := descriptors - l.Connections[Peers] - l.Connections[Readiness] - l.Connections[Metrics] - reserve
 	rest = max(16, min(rest, int(memory/4/connectionCost)))
 	l.Connections[Callers], l.Connections[Operators], l.Connections[Workers] = rest, rest, rest
-	l.Bytes[Callers], l.Bytes[Operators] = memory/8, memory/8
-	l.Bytes[Workers], l.Bytes[Peers] = memory/16, memory/16
+	l.Bytes[Callers], l.Bytes[Operators], l.Bytes[Workers] = memory/8, memory/8, memory/8
+	l.Bytes[Peers] = memory / 16
 	l.Bytes[Readiness], l.Bytes[Metrics] = memory/64, memory/64
 	return l
 }
--- a/gateway/intake/request.go
+++ b/gateway/intake/request.go
@@ -38,7 +38,7 @@
 
 // handler wraps a handler, so that each request holds its cost until it is answered. After
 // a body that the handler does not read to its end the connection is closed.
-func (g *Gate) handler(next http.Handler, class Class) http.Handler {
+func (g *Gate) handler(next http.Handler, classOf func(*http.Request) Class) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connOf(r.Context())
 		if c == nil {
@@ -47,6 +47,7 @@
 		}
 		c.startRequest()
 		defer c.endRequest()
+		class := classOf(r)
 		if r.ContentLength != 0 {
 			w.Header().Set("Connection", "close")
 			r.Body = &timedBody{ReadCloser: r.Body, conn: c, class: class, header: w.Header(), connection: http.NewResponseController(w)}
