--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -370,6 +370,9 @@
 	{SubmissionOutdated, "submission_outdated", zerolog.InfoLevel,
 		"a submission was refused, because its job was refused after it had arrived",
 		"Nothing. The host that held it was paused or cut off, or its caller did not wait before it tried again."},
+	{IntakeRefused, "intake_refused", zerolog.WarnLevel,
+		"clients were refused, or their connections closed, to stay within the limits of this process",
+		"If it lasts, find the clients: OPERATIONS.md, Clients that hold too much. The status names the kind of client."},
 }}
 
 // areas is the whole catalogue in the order of the numbers.
--- a/logevent/ids.go
+++ b/logevent/ids.go
@@ -145,4 +145,5 @@
 	ReservationAbandoned ID = 872
 	CallsHeld            ID = 880
 	SubmissionOutdated   ID = 881
+	IntakeRefused        ID = 890
 )
