schedule: expect a burst to rise only as far as its first jobs show

Cause: in a replayed burst that needed 103 hosts of its pool, 260 were ordered. The rate of arriving work was the highest of three windows, the shortest of which counts from four jobs, and was doubled for 2.5 s. The hosts joined, idled for their minimum stay and were switched off.

Change, while pool-trim is enabled: the rate is raised in the first 0.8 s of a burst only, by a quarter at least and up to twice if the second half of the burst so far has more jobs than the first. After that the rate over 0.8 s counts. A new leader, which knows no usual rate, decides as before for 8 s.

Ruled out in trials (docs/design/waves.md): a quarter without the comparison, doubling for 0.8 s, no minimum stay for hosts of pools with too many, releasing busy hosts of such pools, another switchOffDelay.

--- a/core/hosts/wave_replay_test.go
+++ b/core/hosts/wave_replay_test.go
@@ -25,6 +25,15 @@
 }
 
 func newWaveReplay(t testing.TB, disabled schedule.FeatureSet, seed uint64, hosts, cap int, within model.Duration) *waveReplay {
+	w := newBurstReplay(t, disabled, false)
+	w.run(2100 * ms)
+	w.startWave(seed, hosts, cap, within)
+	w.watch()
+	return w
+}
+
+// newBurstReplay returns a fleet with long-running tasks and bursts that begin now.
+func newBurstReplay(t testing.TB, disabled schedule.FeatureSet, ramp bool) *waveReplay {
 	f := newFleetReplay(t, 350, model.Resources{MilliCPU: 64_000, MemoryMB: 131_072}, "quick", "batch", "studies", "mixed", "off")
 	f.disabled, f.startUp = disabled, 800*ms
 	w := &waveReplay{fleetReplay: f, waits: make(map[string]int)}
@@ -41,19 +50,17 @@
 		w.studies = append(w.studies, j.ID)
 		f.submit(j)
 	}
-	f.run(6 * model.Second)
-	w.submitBursts()
-	f.run(2100 * ms)
-	w.startWave(seed, hosts, cap, within)
-	w.watch()
+	f.run(8 * model.Second) // the usual rate of each queue is known
+	w.submitBursts(ramp)
 	return w
 }
 
 func (f *fleetReplay) isLongRunning(id model.JobID) bool { return f.jobs[id].LongRunning() }
 
 // submitBursts submits the jobs of 34 s: the rate of each queue in turn is five times its
-// mean for 4 s of 16 s, and a twentieth of it otherwise.
-func (w *waveReplay) submitBursts() {
+// mean for 4 s of 16 s, and a twentieth of it otherwise. A ramp rises to that in 2.5 s, as
+// the bursts of a played day did.
+func (w *waveReplay) submitBursts(ramp bool) {
 	for i, queue := range []model.QueueID{"quick", "batch", "mixed"} {
 		newJob := func() *replayJob {
 			if queue == "batch" {
@@ -65,7 +72,13 @@
 		for from := model.Duration(0); from < 32*model.Second; from += 16 * model.Second {
 			start := from + model.Duration(i)*5*model.Second
 			w.submitAtRate(mean/20, from, start, newJob)
-			w.submitAtRate(mean*5, start, start+4*model.Second, newJob)
+			for k := range model.Duration(8) {
+				rate := mean * 5
+				if ramp {
+					rate *= min(1, 0.25+0.3*(float64(k)+0.5)/2)
+				}
+				w.submitAtRate(rate, start+k*500*ms, start+(k+1)*500*ms, newJob)
+			}
 			w.submitAtRate(mean/20, start+4*model.Second, from+16*model.Second, newJob)
 		}
 	}
--- a/core/schedule/demand.go
+++ b/core/schedule/demand.go
@@ -1,8 +1,6 @@
 package schedule
 
 import (
-	"math"
-
 	"primrosedale.example/primrosedale/core/jobs"
 	"primrosedale.example/primrosedale/core/model"
 )
@@ -156,22 +154,8 @@
 // the whole window lags behind, so the rates over shorter ones count too, each less one
 // standard deviation of its number of jobs.
 func (p *pool) arriving(now model.Time) model.Resources {
-	var sum, rate work
-	count, next := 0, len(p.arrivals)-1
-	for window := shortArrivalWindow; window <= arrivalWindow; window *= 2 {
-		for ; next >= 0 && now.Sub(p.arrivals[next].at) <= window; next-- {
-			sum = sum.plus(p.arrivals[next].work)
-			count++
-		}
-		certain := 1.0
-		if window < arrivalWindow {
-			if count < minBurstArrivals {
-				continue
-			}
-			certain -= 1 / math.Sqrt(float64(count))
-		}
-		rate = rate.max(sum.times(certain / window.Seconds()))
-	}
+	windows, count := p.arrivalWindows(now)
+	rate := highest(windows)
 	if rises := p.burst.observe(now, rate); rises && count >= minBurstArrivals {
 		rate = rate.times(burstRise)
 	}
@@ -186,7 +170,11 @@
 		return d
 	}
 	p.dropOldArrivals(env.Now)
-	d.Arriving = p.arriving(env.Now)
+	if env.Bounds.Enabled(PoolTrim) {
+		d.Arriving = p.arrivingTrimmed(env.Now)
+	} else {
+		d.Arriving = p.arriving(env.Now)
+	}
 	for _, w := range p.workers {
 		if w.longRunning > 0 {
 			d.LongRunningHosts++
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -76,6 +76,7 @@
 	dirty         bool         // it may be possible to place a task
 	arrivals      []arrival    // within the latest arrivalWindow
 	burst         burst
+	observedSince model.Time    // when this leader first read the rate of arrivals
 	workers       []*worker     // by ID
 	capacityIndex capacityIndex // the same workers by free capacity
 
