--- a/core/delegates_sim_test.go
+++ b/core/delegates_sim_test.go
@@ -294,9 +294,16 @@
 	return r
 }
 
-// advance ends the runs whose work is done or whose lease has expired.
+// advance ends the runs whose work is done or whose lease has expired. An end that is not
+// recorded when the lease expires counts for nothing: the leader may have given its run up
+// as lost, and starts the task again.
 func (s *fleetSim) advance(w *fleetWorker) {
 	leaseEnd := w.startedAt.Add(model.Duration(w.lease) * millisecond)
+	for _, e := range w.ends {
+		if leaseEnd < s.now && e.Outcome == jobs.OutcomeDone {
+			delete(s.done, e.TaskRef)
+		}
+	}
 	for ref, until := range w.running {
 		switch {
 		case until <= min(s.now, leaseEnd):
--- a/core/schedule/demand.go
+++ b/core/schedule/demand.go
@@ -1,8 +1,6 @@
 package schedule
 
 import (
-	"math"
-
 	"primrosedale.example/primrosedale/core/jobs"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/schedule/contention"
@@ -157,22 +155,8 @@
 // the whole window lags behind, so the rates over shorter ones count too, each less one
 // standard deviation of its number of jobs.
 func (p *pool) arriving(now model.Time) model.Resources {
-	var sum, rate contention.Work
-	count, next := 0, len(p.arrivals)-1
-	for window := shortArrivalWindow; window <= arrivalWindow; window *= 2 {
-		for ; next >= 0 && now.Sub(p.arrivals[next].at) <= window; next-- {
-			sum = sum.Plus(p.arrivals[next].work)
-			count++
-		}
-		certain := 1.0
-		if window < arrivalWindow {
-			if count < minBurstArrivals {
-				continue
-			}
-			certain -= 1 / math.Sqrt(float64(count))
-		}
-		rate = rate.Max(sum.Times(certain / window.Seconds()))
-	}
+	windows, count := p.arrivalWindows(now)
+	rate := highest(windows)
 	if rises := p.burst.observe(now, rate); rises && count >= minBurstArrivals {
 		rate = rate.Times(burstRise)
 	}
@@ -187,7 +171,11 @@
 		return d
 	}
 	p.dropOldArrivals(env.Now)
-	d.Arriving = p.arriving(env.Now)
+	if env.Bounds.Enabled(PoolTrim) {
+		d.Arriving = p.arrivingTrimmed(env.Now)
+	} else {
+		d.Arriving = p.arriving(env.Now)
+	}
 	for _, w := range p.workers {
 		if w.longRunning > 0 {
 			d.LongRunningHosts++
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -82,6 +82,7 @@
 	burst         burst
 	accepted      contention.AcceptedRates
 	utilization   contention.Utilization
+	observedSince model.Time    // when this leader first read the rate of arrivals
 	workers       []*worker     // by ID
 	capacityIndex capacityIndex // the same workers by free capacity
 	reservations  reservations
