hosts: replay disabled features on a fleet whose pools grow

Cause: the replay of TestDisabledFeaturesDecideAsBefore gave the same orders with pool-trim enabled: its bursts were smaller than the hosts that long-running tasks held.

Change: 120 hosts and twice the rate.

--- a/core/hosts/off_test.go
+++ b/core/hosts/off_test.go
@@ -18,7 +18,7 @@
 // pools trimmed. Times and sizes of the load are fixed, so that no rounding of
 // floating-point functions matters.
 func TestDisabledFeaturesDecideAsBefore(t *testing.T) {
-	f := newFleetReplay(t, 60, model.Resources{MilliCPU: 64_000, MemoryMB: 131_072}, "quick", "studies", "off")
+	f := newFleetReplay(t, 120, model.Resources{MilliCPU: 64_000, MemoryMB: 131_072}, "quick", "studies", "off")
 	f.disabled, f.startUp = schedule.AllFeatures, 800*ms
 	hash, orders := fnv.New64a(), 0
 	f.observe = func(e effect.Effect) {
@@ -37,13 +37,13 @@
 	}
 	f.submit(f.newStudy("studies", 9_000, 2))
 	f.submit(f.newStudy("quick", 8_000, 3))
-	for at := 6 * model.Second; at < 30*model.Second; at += 100 * ms {
+	for at := 6 * model.Second; at < 30*model.Second; at += 50 * ms {
 		if at%(8*model.Second) < 4*model.Second {
 			f.after(at, func() { f.submit(f.newFixedJob("quick")) })
 		}
 	}
 	f.run(8 * model.Second)
-	wave := &jobs.StartWave{Wave: 1, Cap: 8, Within: 20 * model.Second}
+	wave := &jobs.StartWave{Wave: 1, Cap: 16, Within: 20 * model.Second}
 	for i, id := range model.SortedKeys(f.hosts) {
 		if i%3 != 1 || i%2 == 0 {
 			wave.Hosts = append(wave.Hosts, id)
@@ -53,8 +53,8 @@
 	f.after(8*model.Second, func() { f.changeLeader(1200 * ms) })
 	f.run(40 * model.Second)
 	t.Logf("%d orders, %d hosts maintained, hash %x", orders, len(f.maintained), hash.Sum64())
-	require.Equal(t, 145, orders)
-	require.Equal(t, uint64(0xd0fe76924a0b466d), hash.Sum64())
+	require.Equal(t, 396, orders)
+	require.Equal(t, uint64(0xc1b8f4cbfb987e29), hash.Sum64())
 }
 
 // newFixedJob returns a job of two steps whose tasks all take 800 ms.
