hosts: forget why the hosts of a closed wave waited

Cause: the reasons of the hosts that were ordered last stayed with the planner. The same reason of the same host in a later wave would not have been logged.

Change: they are removed with the pace of the wave when it closes. Found by reading; no test shows it.

--- a/core/hosts/wave.go
+++ b/core/hosts/wave.go
@@ -73,6 +73,10 @@
 		due = append(due, h)
 	}
 	if remaining == 0 && p.listKnown {
+		delete(p.paces, id)
+		for _, hostID := range w.Hosts {
+			delete(p.waits, hostID)
+		}
 		out.Proposals = append(out.Proposals, jobs.Command{CloseWave: &jobs.CloseWave{Wave: id}})
 		return
 	}
