schedule: strict reservations for gangs and large tasks in turns

And a job whose plan gave no reservation, such as a late one, used up the plans of its pool, so that others got none.

The change: the first starved gang and the first starved large task hold the strict reservation in turns, from 20 s late on. A job whose plan was in vain makes none for 500 ms or until a worker joins, and a strict reservation is planned at once.

The tests of reservations, of the capacity index and TestRunsWithUnparsedEntries pass.

--- a/core/schedule/active_job.go
+++ b/core/schedule/active_job.go
@@ -21,6 +21,7 @@
 	ready          []jobs.TaskRef  // tasks that may be assigned
 	unconstrained  bool            // every ready task may run on any worker
 	hold           *hold           // its reservation, or nil
+	planAt         model.Time      // earliest time of the next plan of a reservation, after one in vain
 	minClaim       model.Resources // smallest claim of any ready task, for each resource
 	stale          bool            // ready must be rebuilt
 	waitingWork    work            // see remainingWork
--- a/core/schedule/reserve.go
+++ b/core/schedule/reserve.go
@@ -24,11 +24,14 @@
 	// strictLateness is how late a job is when its reservation becomes strict. It is longer
 	// than a burst of a few seconds, so that the on-time jobs of the burst that made the
 	// job late are served first.
-	strictLateness = 15 * model.Second
+	strictLateness = 20 * model.Second
 	// planInterval, plus planWorkerTime for each worker of the pool, is the least time
 	// between two plans of a pool. A plan visits every run of the pool.
 	planInterval   = 100 * model.Millisecond
 	planWorkerTime = 200 * model.Microsecond
+	// vainPlanDelay is how long a job makes no plan after one that gave no reservation. The
+	// plans of its pool are left to other jobs meanwhile.
+	vainPlanDelay = 500 * model.Millisecond
 	// missTolerance is the time after the planned begin at which a reservation counts as
 	// missed. Ends are reported within a few tens of milliseconds.
 	missTolerance = 100 * model.Millisecond
@@ -68,12 +71,18 @@
 // reservations are those of one pool. They bound how long large tasks and gangs wait under a
 // continuous stream of smaller tasks.
 type reservations struct {
-	holds     []*hold
-	planAt    model.Time      // earliest time of the next plan
-	joins     int             // number of times that a worker of the pool became usable
-	largest   model.Resources // largest capacity of a worker in each resource
-	ended     bool            // a reservation has ended in this pass
-	logSecond model.Time      // begin of the second in which logged events are counted
+	holds   []*hold
+	planAt  model.Time      // earliest time of the next plan
+	joins   int             // number of times that a worker of the pool became usable
+	largest model.Resources // largest capacity of a worker in each resource
+	ended   bool            // a reservation has ended in this pass
+
+	checkedJoins int // value of joins in the latest pass
+
+	nextStrict *activeJob // job that is to hold the strict reservation, or nil
+	strictGang bool       // the latest strict reservation was that of a gang
+
+	logSecond model.Time // begin of the second in which logged events are counted
 	logged    int
 }
 
@@ -191,6 +200,12 @@
 // checkReservations gives up the reservations of a pool that are no longer justified. It
 // plans those again whose begin has passed, and all after a worker has become usable.
 func (s *Scheduler) checkReservations(env Env, out *Out, p *pool) {
+	if x := &p.reservations; x.checkedJoins != x.joins {
+		x.checkedJoins = x.joins
+		for _, job := range p.jobs {
+			job.planAt = 0
+		}
+	}
 	for _, h := range slices.Clone(p.reservations.holds) {
 		if reason := s.abandonReason(env, p, h); reason != "" {
 			s.abandon(env, out, h, reason)
@@ -201,6 +216,7 @@
 			s.planAgain(env, out, p, h)
 		}
 	}
+	p.reservations.nextStrict = s.starvedJob(env, p)
 }
 
 // abandonReason returns why a reservation must end, or an empty string.
@@ -264,22 +280,14 @@
 // large tasks or gangs fits on no worker now.
 func (s *Scheduler) reserve(env Env, out *Out, p *pool, job *activeJob) {
 	x := &p.reservations
-	strict := !job.longRunning && env.Clock > job.due.Add(strictLateness) && !x.hasStrict()
 	if h := job.hold; h != nil {
-		switch {
-		case !slices.ContainsFunc(job.ready, func(ref jobs.TaskRef) bool { return ref.StepRef() == h.step }):
+		if !slices.ContainsFunc(job.ready, func(ref jobs.TaskRef) bool { return ref.StepRef() == h.step }) {
 			s.abandon(env, out, h, "none of its tasks waits")
-			return
-		case !strict:
-			return
-		case !h.onNewHost:
-			h.strict = true
-			s.logReservation(env, out, effect.ReservationMade, h, "strict")
-			return
 		}
-		s.abandon(env, out, h, "it waits for a host that has not joined")
+		return
 	}
-	if env.Now < x.planAt || job.policy != nil || len(job.ready) == 0 {
+	strict := job == x.nextStrict
+	if !strict && (env.Now < x.planAt || job.late) || env.Now < job.planAt || job.policy != nil || len(job.ready) == 0 {
 		return
 	}
 	ref, found := s.firstReservable(env, p, job)
@@ -289,13 +297,48 @@
 	}
 	h := &hold{pool: p, job: job, step: ref.StepRef(), claim: job.job.Steps[ref.Step].Claim(), madeAt: env.Now, strict: strict}
 	if !s.plan(env, p, h) || !strict && !s.isWorthwhile(env, p, h) {
+		job.planAt = env.Now.Add(vainPlanDelay)
 		return
 	}
 	if displaced != nil {
 		s.abandon(env, out, displaced, "a job that is served earlier needs one")
 	}
+	reason := ""
+	if strict {
+		x.nextStrict, x.strictGang, reason = nil, job.job.Steps[ref.Step].Gang, "strict"
+	}
 	s.addHold(h)
-	s.logReservation(env, out, effect.ReservationMade, h, "")
+	s.logReservation(env, out, effect.ReservationMade, h, reason)
+}
+
+// starvedJob returns the job that is to hold the strict reservation of a pool, or nil: the
+// first large task or the first gang that is late enough, in turns. Gangs would otherwise
+// wait for all large tasks before them one by one, although most of these find a place by
+// themselves.
+func (s *Scheduler) starvedJob(env Env, p *pool) *activeJob {
+	if p.reservations.hasStrict() {
+		return nil
+	}
+	var first [2]*activeJob // with a large task, with a gang
+	for _, job := range p.jobs {
+		if job.longRunning || env.Clock <= job.due.Add(strictLateness) {
+			continue
+		}
+		job.refreshReady(env)
+		if ref, found := s.firstReservable(env, p, job); found {
+			kind := 0
+			if job.job.Steps[ref.Step].Gang {
+				kind = 1
+			}
+			if first[kind] == nil {
+				first[kind] = job
+			}
+		}
+	}
+	if first[0] == nil || first[1] != nil && !p.reservations.strictGang {
+		return first[1]
+	}
+	return first[0]
 }
 
 // firstReservable returns the first ready task of a job that may hold a reservation.
