relay, handler: say what the stamp of a submission stands for

A call that is held during an election is stamped when it is first sent, which may be seconds after its arrival; the comments and the design page said a round trip. Comments only.

--- a/core/handler/refusals.go
+++ b/core/handler/refusals.go
@@ -13,9 +13,9 @@
 	// refusalRetention is how long a refusal is kept, so that a copy of the same call that
 	// arrives later gets the same answer.
 	refusalRetention = 15 * model.Second
-	// stampError is the time by which the stamp of a submission may be later than its
-	// arrival at the host that holds it: a pause that this host does not notice, and the
-	// way of some messages. A refused caller waits for at least a second before it submits
+	// stampError is the time by which the stamp of a submission may be later than the
+	// moment at which its caller went away: a pause that the host which holds it does not
+	// notice, and the way of some messages. A refused caller waits for at least a second before it submits
 	// the job again, so that a new attempt has a stamp that is later than that.
 	stampError = 500 * model.Millisecond
 )
--- a/core/relay/stamp.go
+++ b/core/relay/stamp.go
@@ -11,10 +11,10 @@
 // a host that is paused again and again gives its calls an old stamp.
 const longestWait = 10 * model.Second
 
-// Each submission carries a stamp: a moment of the leader that decides it, not later than
-// the arrival of the submission by more than a round trip. Copies that lie unread anywhere
-// when their term ends are never decided, and within its term the leader tells by the
-// stamp whether a submission may be older than a refusal of the same job.
+// Each submission carries a stamp: a moment of the leader that decides it, at which its
+// caller still waited as far as this host knew. Copies that lie unread anywhere when their
+// term ends are never decided, and within its term the leader tells by the stamp whether a
+// submission may be older than a refusal of the same job.
 
 // setStamp sets the latest stamp of the leader. A zero stamp means that the leader has
 // switched the feature off.
