--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -204,6 +204,8 @@
 	ReservationMet       Code = "reservation_met"
 	ReservationAbandoned Code = "reservation_abandoned"
 	SubmissionOutdated   Code = "submission_outdated"
+	LearnedRestored      Code = "learned_restored"
+	LearnedIgnored       Code = "learned_ignored"
 )
 
 // Halt ends the process. Reason is set after a failure and empty when a graceful
--- a/daemon/executor.go
+++ b/daemon/executor.go
@@ -131,6 +131,8 @@
 	effect.ReservationMet:       logevent.ReservationMet,
 	effect.ReservationAbandoned: logevent.ReservationAbandoned,
 	effect.SubmissionOutdated:   logevent.SubmissionOutdated,
+	effect.LearnedRestored:      logevent.LearnedRestored,
+	effect.LearnedIgnored:       logevent.LearnedIgnored,
 }
 
 // leadsGauge is 1 in the process of the leader, otherwise 0.
--- a/logevent/ids.go
+++ b/logevent/ids.go
@@ -145,5 +145,7 @@
 	ReservationAbandoned ID = 872
 	CallsHeld            ID = 880
 	SubmissionOutdated   ID = 881
+	LearnedRestored      ID = 882
+	LearnedIgnored       ID = 883
 	IntakeRefused        ID = 890
 )
