jobs: refuse weights of teams that are negative or not finite

A negative weight was taken as an unlimited share, and one that is not a number made every comparison of shares false. The error names the weight and the team.

--- a/core/handler/handler_test.go
+++ b/core/handler/handler_test.go
@@ -163,12 +163,13 @@
 // newer configuration by an older one, and against a log entry for each repetition of a
 // configuration.
 func TestConfigurations(t *testing.T) {
-	unknown, twice, untimed := config(9), config(9), config(9)
+	unknown, twice, untimed, weighted := config(9), config(9), config(9), config(9)
 	unknown.Queues[0].Service = "other"
 	twice.Queues[1].Prefix = twice.Queues[0].Prefix
 	untimed.Queues[0].Timeout = 0
+	weighted.Teams = map[model.TeamID]jobs.Team{"press": {Weight: -1}}
 	f := newFixture()
-	for _, c := range []*jobs.Config{unknown, twice, untimed} {
+	for _, c := range []*jobs.Config{unknown, twice, untimed, weighted} {
 		d := f.decide(call.Call{Configure: c})
 		require.Nil(t, d.Command)
 		require.Equal(t, problem.ConfigRejected, d.Answer.Problem.Kind)
--- a/core/jobs/check.go
+++ b/core/jobs/check.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 
 	"primrosedale.example/primrosedale/core/model"
 )
@@ -85,5 +86,10 @@
 			return invalid("queue %s has no timeout", q.ID)
 		}
 	}
+	for _, id := range model.SortedKeys(c.Teams) {
+		if w := c.Teams[id].Weight; w < 0 || math.IsNaN(w) || math.IsInf(w, 0) {
+			return invalid("the weight of team %s is %v, allowed are finite numbers from 0", id, w)
+		}
+	}
 	return nil
 }
