--- a/logevent/ids.go
+++ b/logevent/ids.go
@@ -148,4 +148,5 @@
 	LearnedRestored      ID = 882
 	LearnedIgnored       ID = 883
 	IntakeRefused        ID = 890
+	TeamPart             ID = 860
 )
