--- a/core/schedule/active_job.go
+++ b/core/schedule/active_job.go
@@ -62,14 +62,19 @@
 	list.dirty = true
 }
 
-// compareJobs orders jobs: first those with long-running tasks, since they should run
-// without interruption, then by precedence, then those within their team's share before
-// those over it, then by due time. Late jobs come after those that can still be on time:
+// compareJobs orders jobs by their class, and within a class by due time.
+func compareJobs(a, b *activeJob) int {
+	return cmp.Or(compareClasses(a, b), cmp.Compare(a.due, b.due), cmp.Compare(a.job.ID, b.job.ID))
+}
+
+// compareClasses orders the classes of jobs: first those with long-running tasks, since they
+// should run without interruption, then by precedence, then those within their team's
+// share before those over it. Late jobs come after those that can still be on time:
 // otherwise, in a burst that exceeds the fleet, one late job would make all later ones
 // late. Among the others, those of teams that use more than their part come last.
-func compareJobs(a, b *activeJob) int {
+func compareClasses(a, b *activeJob) int {
 	return cmp.Or(-compareBool(a.longRunning, b.longRunning), cmp.Compare(a.precedence, b.precedence),
-		compareBool(a.overShare, b.overShare), compareBool(a.late, b.late), compareBool(a.overPart, b.overPart), cmp.Compare(a.due, b.due), cmp.Compare(a.job.ID, b.job.ID))
+		compareBool(a.overShare, b.overShare), compareBool(a.late, b.late), compareBool(a.overPart, b.overPart))
 }
 
 func compareBool(a, b bool) int {
--- a/core/schedule/reserve.go
+++ b/core/schedule/reserve.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 
@@ -132,12 +131,6 @@
 	return h.strict && !job.longRunning && job.precedence >= h.job.precedence
 }
 
-// compareClasses orders jobs as compareJobs does, without regard to their due times.
-func compareClasses(a, b *activeJob) int {
-	return cmp.Or(-compareBool(a.longRunning, b.longRunning), cmp.Compare(a.precedence, b.precedence),
-		compareBool(a.job.OverShare, b.job.OverShare), compareBool(a.late, b.late))
-}
-
 // isReservedFrom reports whether the reservations of a worker keep a task off it.
 func (s *Scheduler) isReservedFrom(env Env, w *worker, job *activeJob, step *jobs.Step) bool {
 	bound, begin := false, reservation.Never
