--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -178,6 +178,7 @@
 	JobAccepted      Code = "job_accepted"
 	JobRefused       Code = "job_refused"
 	JobEnded         Code = "job_ended"
+	TeamPart         Code = "team_part"
 	RunOrdered       Code = "run_ordered"
 	RunEnded         Code = "run_ended"
 	RunStopped       Code = "run_stopped"
@@ -203,6 +204,9 @@
 	ReservationMade      Code = "reservation_made"
 	ReservationMet       Code = "reservation_met"
 	ReservationAbandoned Code = "reservation_abandoned"
+	SubmissionOutdated   Code = "submission_outdated"
+	LearnedRestored      Code = "learned_restored"
+	LearnedIgnored       Code = "learned_ignored"
 )
 
 // Halt ends the process. Reason is set after a failure and empty when a graceful
--- a/core/schedule/active_job.go
+++ b/core/schedule/active_job.go
@@ -19,8 +19,12 @@
 	precedence     int             // of its queue
 	due            model.Time      // replicated clock; the job is late after this
 	late           bool            // due has passed
+	overShare      bool            // beyond the number of jobs of its team's share
+	overPart       bool            // its team uses more than its part of a contended pool
 	ready          []jobs.TaskRef  // tasks that may be assigned
 	unconstrained  bool            // every ready task may run on any worker
+	hold           *hold           // its reservation, or nil
+	planAt         model.Time      // earliest time of the next plan of a reservation, after one in vain
 	minClaim       model.Resources // smallest claim of any ready task, for each resource
 	stale          bool            // ready must be rebuilt
 	remaining      remainingWork
@@ -33,7 +37,7 @@
 }
 
 func (s *Scheduler) addJob(env Env, j *jobs.Job) {
-	job := &activeJob{job: j, service: j.Service, longRunning: j.LongRunning(), begun: j.Started, stale: true,
+	job := &activeJob{job: j, service: j.Service, overShare: j.OverShare, longRunning: j.LongRunning(), begun: j.Started, stale: true,
 		failedOn: make(map[jobs.TaskRef]model.WorkerID), advice: make(map[jobs.StepRef]*advice),
 	}
 	job.waited = s.waited(env, j.ID)
@@ -52,19 +56,25 @@
 		job.maxAttempts = 0
 	}
 	list := s.pool(job.service)
+	job.overPart = list.shares.Over(job.job.Team)
 	at, _ := slices.BinarySearchFunc(list.jobs, job, compareJobs)
 	list.jobs = slices.Insert(list.jobs, at, job)
 	list.dirty = true
 }
 
-// compareJobs orders jobs: first those with long-running tasks, since they should run
-// without interruption, then by precedence, then those within their team's share before
-// those over it, then by due time. Late jobs come after those that can still be on time:
-// otherwise, in a burst that exceeds the fleet, one late job would make all later ones
-// late.
+// compareJobs orders jobs by their class, and within a class by due time.
 func compareJobs(a, b *activeJob) int {
+	return cmp.Or(compareClasses(a, b), cmp.Compare(a.due, b.due), cmp.Compare(a.job.ID, b.job.ID))
+}
+
+// compareClasses orders the classes of jobs: first those with long-running tasks, since they
+// should run without interruption, then by precedence, then those within their team's
+// share before those over it. Late jobs come after those that can still be on time:
+// otherwise, in a burst that exceeds the fleet, one late job would make all later ones
+// late. Among the others, those of teams that use more than their part come last.
+func compareClasses(a, b *activeJob) int {
 	return cmp.Or(-compareBool(a.longRunning, b.longRunning), cmp.Compare(a.precedence, b.precedence),
-		compareBool(a.job.OverShare, b.job.OverShare), compareBool(a.late, b.late), cmp.Compare(a.due, b.due), cmp.Compare(a.job.ID, b.job.ID))
+		compareBool(a.overShare, b.overShare), compareBool(a.late, b.late), compareBool(a.overPart, b.overPart))
 }
 
 func compareBool(a, b bool) int {
--- a/core/schedule/reserve.go
+++ b/core/schedule/reserve.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 
@@ -24,11 +23,14 @@
 	// strictLateness is how late a job is when its reservation becomes strict. It is longer
 	// than a burst of a few seconds, so that the on-time jobs of the burst that made the
 	// job late are served first.
-	strictLateness = 10 * model.Second
+	strictLateness = 20 * model.Second
 	// planInterval, plus planWorkerTime for each worker of the pool, is the least time
 	// between two plans of a pool. A plan visits every run of the pool.
 	planInterval   = 100 * model.Millisecond
 	planWorkerTime = 200 * model.Microsecond
+	// vainPlanDelay is how long a job makes no plan after one that gave no reservation. The
+	// plans of its pool are left to other jobs meanwhile.
+	vainPlanDelay = 500 * model.Millisecond
 	// missTolerance is the time after the planned begin at which a reservation counts as
 	// missed. Ends are reported within a few tens of milliseconds.
 	missTolerance = 100 * model.Millisecond
@@ -50,6 +52,7 @@
 // hold is a reservation of capacity for one waiting task or gang. It keeps later tasks off
 // its places, unless they are predicted to end before it begins or fit beside it.
 type hold struct {
+	pool   *pool
 	job    *activeJob
 	step   jobs.StepRef
 	claim  model.Resources // of one task
@@ -67,12 +70,18 @@
 // reservations are those of one pool. They bound how long large tasks and gangs wait under a
 // continuous stream of smaller tasks.
 type reservations struct {
-	holds     []*hold
-	planAt    model.Time      // earliest time of the next plan
-	joins     int             // number of times that a worker joined the pool
-	largest   model.Resources // largest capacity of a worker in each resource
-	ended     bool            // a reservation has ended in this pass
-	logSecond model.Time      // begin of the second in which logged events are counted
+	holds   []*hold
+	planAt  model.Time      // earliest time of the next plan
+	joins   int             // number of times that a worker of the pool became usable
+	largest model.Resources // largest capacity of a worker in each resource
+	ended   bool            // a reservation has ended in this pass
+
+	checkedJoins int // value of joins in the latest pass
+
+	nextStrict *activeJob // job that is to hold the strict reservation, or nil
+	strictGang bool       // the latest strict reservation was that of a gang
+
+	logSecond model.Time // begin of the second in which logged events are counted
 	logged    int
 }
 
@@ -84,7 +93,6 @@
 
 // workerJoined records that a worker has joined the pool.
 func (x *reservations) workerJoined(w *worker) {
-	x.joins++
 	x.largest = x.largest.Max(w.info.Capacity)
 }
 
@@ -96,16 +104,6 @@
 	}
 }
 
-// of returns the reservation of a job, or nil.
-func (x *reservations) of(job *activeJob) *hold {
-	for _, h := range x.holds {
-		if h.job == job {
-			return h
-		}
-	}
-	return nil
-}
-
 func (x *reservations) hasStrict() bool {
 	return slices.ContainsFunc(x.holds, func(h *hold) bool { return h.strict })
 }
@@ -133,12 +131,6 @@
 	return h.strict && !job.longRunning && job.precedence >= h.job.precedence
 }
 
-// compareClasses orders jobs as compareJobs does, without regard to their due times.
-func compareClasses(a, b *activeJob) int {
-	return cmp.Or(-compareBool(a.longRunning, b.longRunning), cmp.Compare(a.precedence, b.precedence),
-		compareBool(a.job.OverShare, b.job.OverShare), compareBool(a.late, b.late))
-}
-
 // isReservedFrom reports whether the reservations of a worker keep a task off it.
 func (s *Scheduler) isReservedFrom(env Env, w *worker, job *activeJob, step *jobs.Step) bool {
 	bound, begin := false, reservation.Never
@@ -198,20 +190,26 @@
 	return env.Now.Add(max(missTolerance, env.Now.Sub(end)))
 }
 
-// checkReservations gives up the reservations of a pool that are no longer justified, and
-// plans those again whose begin has passed.
+// checkReservations gives up the reservations of a pool that are no longer justified. It
+// plans those again whose begin has passed, and all after a worker has become usable.
 func (s *Scheduler) checkReservations(env Env, out *Out, p *pool) {
+	if x := &p.reservations; x.checkedJoins != x.joins {
+		x.checkedJoins = x.joins
+		for _, job := range p.jobs {
+			job.planAt = 0
+		}
+	}
 	for _, h := range slices.Clone(p.reservations.holds) {
 		if reason := s.abandonReason(env, p, h); reason != "" {
-			s.abandon(env, out, p, h, reason)
+			s.abandon(env, out, h, reason)
 			continue
 		}
-		missed := !h.strict && env.Now > h.begin.Add(missTolerance)
-		joined := h.onNewHost && h.joins != p.reservations.joins
-		if (missed || joined) && env.Now >= p.reservations.planAt {
+		missed, joined := env.Now > h.begin.Add(missTolerance), h.joins != p.reservations.joins
+		if !h.strict && (missed || joined) && env.Now >= p.reservations.planAt {
 			s.planAgain(env, out, p, h)
 		}
 	}
+	p.reservations.nextStrict = s.starvedJob(env, p)
 }
 
 // abandonReason returns why a reservation must end, or an empty string.
@@ -224,8 +222,8 @@
 		return "its job has moved to another service"
 	case s.gangOverCap(env, job, h.step.Step):
 		return "its team is at its cap"
-	case !h.strict && job.late && s.keepsOffOnTimeJob(env, p, h):
-		return "its job is late while others are on time"
+	case !h.strict && job.late:
+		return "its job is late"
 	}
 	for _, place := range h.places {
 		if w := s.workers[place.Worker]; place.Worker != "" && (w == nil || !w.holdsFor(h) || !s.isUsable(env, w)) {
@@ -275,22 +273,14 @@
 // large tasks or gangs fits on no worker now.
 func (s *Scheduler) reserve(env Env, out *Out, p *pool, job *activeJob) {
 	x := &p.reservations
-	strict := !job.longRunning && env.Clock > job.due.Add(strictLateness) && !x.hasStrict()
-	if h := x.of(job); h != nil {
-		switch {
-		case !slices.ContainsFunc(job.ready, func(ref jobs.TaskRef) bool { return ref.StepRef() == h.step }):
-			s.abandon(env, out, p, h, "none of its tasks waits")
-			return
-		case !strict:
-			return
-		case !h.onNewHost:
-			h.strict = true
-			s.logReservation(env, out, p, effect.ReservationMade, h, "strict")
-			return
+	if h := job.hold; h != nil {
+		if !slices.ContainsFunc(job.ready, func(ref jobs.TaskRef) bool { return ref.StepRef() == h.step }) {
+			s.abandon(env, out, h, "none of its tasks waits")
 		}
-		s.abandon(env, out, p, h, "it waits for a host that has not joined")
+		return
 	}
-	if env.Now < x.planAt || job.policy != nil || len(job.ready) == 0 {
+	strict := job == x.nextStrict
+	if !strict && (env.Now < x.planAt || job.late) || env.Now < job.planAt || job.policy != nil || len(job.ready) == 0 {
 		return
 	}
 	ref, found := s.firstReservable(env, p, job)
@@ -298,15 +288,50 @@
 	if !found || !hasTurn {
 		return
 	}
-	h := &hold{job: job, step: ref.StepRef(), claim: job.job.Steps[ref.Step].Claim(), madeAt: env.Now, strict: strict}
+	h := &hold{pool: p, job: job, step: ref.StepRef(), claim: job.job.Steps[ref.Step].Claim(), madeAt: env.Now, strict: strict}
 	if !s.plan(env, p, h) || !strict && !s.isWorthwhile(env, p, h) {
+		job.planAt = env.Now.Add(vainPlanDelay)
 		return
 	}
 	if displaced != nil {
-		s.abandon(env, out, p, displaced, "a job that is served earlier needs one")
+		s.abandon(env, out, displaced, "a job that is served earlier needs one")
 	}
-	s.addHold(p, h)
-	s.logReservation(env, out, p, effect.ReservationMade, h, "")
+	reason := ""
+	if strict {
+		x.nextStrict, x.strictGang, reason = nil, job.job.Steps[ref.Step].Gang, "strict"
+	}
+	s.addHold(h)
+	s.logReservation(env, out, effect.ReservationMade, h, reason)
+}
+
+// starvedJob returns the job that is to hold the strict reservation of a pool, or nil: the
+// first large task or the first gang that is late enough, in turns. Gangs would otherwise
+// wait for all large tasks before them one by one, although most of these find a place by
+// themselves.
+func (s *Scheduler) starvedJob(env Env, p *pool) *activeJob {
+	if p.reservations.hasStrict() {
+		return nil
+	}
+	var first [2]*activeJob // with a large task, with a gang
+	for _, job := range p.jobs {
+		if job.longRunning || env.Clock <= job.due.Add(strictLateness) {
+			continue
+		}
+		job.refreshReady(env)
+		if ref, found := s.firstReservable(env, p, job); found {
+			kind := 0
+			if job.job.Steps[ref.Step].Gang {
+				kind = 1
+			}
+			if first[kind] == nil {
+				first[kind] = job
+			}
+		}
+	}
+	if first[0] == nil || first[1] != nil && !p.reservations.strictGang {
+		return first[1]
+	}
+	return first[0]
 }
 
 // firstReservable returns the first ready task of a job that may hold a reservation.
@@ -348,14 +373,17 @@
 }
 
 // isWorthwhile reports whether a reservation lets its job end in time, or keeps off no job
-// that is on time.
+// that is on time. A late job holds a strict one or none: among late jobs, capacity that waits
+// only lowers the number of those that end.
 func (s *Scheduler) isWorthwhile(env Env, p *pool, h *hold) bool {
-	if h.job.longRunning {
+	switch {
+	case h.job.longRunning:
 		return true
+	case h.job.late:
+		return false
 	}
 	rest := chainFrom(s.durations(h.job.job.Queue), h.job.job, h.step.Step)
-	late := h.job.late || env.Clock.Add(h.begin.Sub(env.Now)+rest) > h.job.due
-	return !late || !s.keepsOffOnTimeJob(env, p, h)
+	return env.Clock.Add(h.begin.Sub(env.Now)+rest) <= h.job.due || !s.keepsOffOnTimeJob(env, p, h)
 }
 
 // chainFrom returns the predicted time of the longest chain of dependent steps that begins
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -64,6 +64,10 @@
 	orderTimeAt        model.Time                           // time of the latest such answer
 	load               load
 	durationModels     map[model.QueueID]*durationModel
+	learnedAt          model.Time // latest record of what was learned
+	learnedSamples     int        // samples and estimates in it
+	restored           int        // models that were restored at the beginning of the term
+	digestIgnored      bool       // a digest was not usable
 	firstArrivals      firstArrivals
 	forecasts          map[model.ServiceID]Forecast
 	pendingAdviceCalls int // advice calls without a result yet
@@ -81,7 +85,10 @@
 	arrivals      []arrival    // within the latest arrivalWindow
 	burst         burst
 	accepted      contention.AcceptedRates
+	retries       contention.Retries
+	shares        contention.Shares
 	utilization   contention.Utilization
+	observedSince model.Time    // when this leader first read the rate of arrivals
 	workers       []*worker     // by ID
 	capacityIndex capacityIndex // the same workers by free capacity
 	reservations  reservations
@@ -110,6 +117,7 @@
 		durationModels: make(map[model.QueueID]*durationModel),
 		firstArrivals:  firstArrivals{at: make(map[model.JobID]model.Time)},
 	}
+	s.restoreLearned(env)
 	for _, id := range model.SortedKeys(env.State.Workers) {
 		s.addWorker(env, env.State.Workers[id])
 	}
@@ -177,14 +185,17 @@
 	for _, id := range model.SortedKeys(s.workers) {
 		s.advanceWorker(env, out, s.workers[id])
 	}
-	for _, p := range s.services {
+	for _, id := range model.SortedKeys(s.services) {
+		p := s.services[id]
 		p.dirty = p.dirty || len(p.jobs) > 0 || len(p.reservations.holds) > 0
 		p.batchCapacityValid = false
 		p.sortLate(env.Clock)
 		if env.Bounds.Enabled(Contention) {
 			s.observeUtilization(env, p)
+			s.updateShares(env, out, id, p)
 		}
 	}
+	s.recordLearned(env, out)
 	if env.Now.Sub(s.lastForgetAt) >= forgetInterval {
 		s.lastForgetAt = env.Now
 		if len(env.State.Ended) > 0 {
--- a/daemon/executor.go
+++ b/daemon/executor.go
@@ -105,6 +105,7 @@
 	effect.JobAccepted:      logevent.JobAccepted,
 	effect.JobRefused:       logevent.JobRefused,
 	effect.JobEnded:         logevent.JobEnded,
+	effect.TeamPart:         logevent.TeamPart,
 	effect.RunOrdered:       logevent.RunOrdered,
 	effect.RunEnded:         logevent.RunEnded,
 	effect.RunStopped:       logevent.RunStopped,
@@ -130,6 +131,9 @@
 	effect.ReservationMade:      logevent.ReservationMade,
 	effect.ReservationMet:       logevent.ReservationMet,
 	effect.ReservationAbandoned: logevent.ReservationAbandoned,
+	effect.SubmissionOutdated:   logevent.SubmissionOutdated,
+	effect.LearnedRestored:      logevent.LearnedRestored,
+	effect.LearnedIgnored:       logevent.LearnedIgnored,
 }
 
 // leadsGauge is 1 in the process of the leader, otherwise 0.
@@ -141,6 +145,9 @@
 	return metrics.GetOrCreateCounter(fmt.Sprintf("primrosedale_wave_host_waits_total{reason=%q}", reason))
 }
 
+// retryAfterSeconds counts the delays that the leader plans for the callers of refused jobs.
+var retryAfterSeconds = metrics.NewHistogram("primrosedale_job_retry_after_seconds")
+
 func (x *executor) emit(e effect.Log) {
 	switch e.Code {
 	case effect.LeaderElected:
@@ -149,6 +156,10 @@
 		leadsGauge.Set(0)
 	case effect.WaveHostWaits:
 		waveHostWaits(e.Detail).Inc()
+	case effect.JobRefused:
+		if e.Count > 0 {
+			retryAfterSeconds.Update(float64(e.Count))
+		}
 	}
 	var fields []logevent.Field
 	if e.Host != "" {
--- a/logevent/ids.go
+++ b/logevent/ids.go
@@ -144,4 +144,9 @@
 	ReservationMet       ID = 871
 	ReservationAbandoned ID = 872
 	CallsHeld            ID = 880
+	SubmissionOutdated   ID = 881
+	LearnedRestored      ID = 882
+	LearnedIgnored       ID = 883
+	IntakeRefused        ID = 890
+	TeamPart             ID = 860
 )
