--- a/cmd/primrosedaled/main.go
+++ b/cmd/primrosedaled/main.go
@@ -64,7 +64,7 @@
 	platformCommand := subcommand("platform", "run this machine's process on the users' platform", platformExample)
 	platformCommand.String(&path, "s", "settings", "settings file of the platform (default: $"+platform.SettingsVariable+")")
 	platformCommand.String(&off, "", "disable", "features to switch off, separated by commas")
-	platformCommand.String(&on, "", "enable", "features to switch on that are off by default: pool-trim")
+	platformCommand.String(&on, "", "enable", "features to switch on that are off by default: contention, pool-trim")
 	for _, c := range []*flaggy.Subcommand{runCommand, initCommand, devCommand, platformCommand} {
 		parser.AttachSubcommand(c, 1)
 	}
--- a/core/schedule/feature.go
+++ b/core/schedule/feature.go
@@ -31,9 +31,11 @@
 // AllFeatures contains every feature.
 var AllFeatures = FeatureSet(1<<len(featureNames) - 1)
 
-// OffByDefault contains the features that have to be switched on. With PoolTrim, fewer jobs
-// were on time on the deployments that were played, though hosts were held for less time.
-const OffByDefault = FeatureSet(1 << PoolTrim)
+// OffByDefault contains the features that have to be switched on, because on some of the
+// deployments that were played fewer jobs were on time with them. With PoolTrim, pools had
+// too few hosts at the beginning of a burst; with Contention, callers whose attempts had
+// failed while there was no leader were refused for good.
+const OffByDefault = FeatureSet(1<<PoolTrim | 1<<Contention)
 
 // ParseFeatures parses a comma-separated list of names. The empty list is the empty set.
 func ParseFeatures(list string) (FeatureSet, error) {
--- a/core/schedule/feature_test.go
+++ b/core/schedule/feature_test.go
@@ -26,8 +26,9 @@
 
 // Guards against a feature that is off by default and cannot be switched on.
 func TestDisabled(t *testing.T) {
-	require.Equal(t, FeatureSet(1<<PoolTrim), Disabled(0, 0))
-	require.Zero(t, Disabled(1<<PoolTrim, 0))
-	require.Equal(t, FeatureSet(1<<PoolTrim), Disabled(1<<PoolTrim, 1<<PoolTrim))
+	require.Equal(t, OffByDefault, Disabled(0, 0))
+	require.Equal(t, FeatureSet(1<<Contention), Disabled(1<<PoolTrim, 0))
+	require.Equal(t, OffByDefault, Disabled(1<<PoolTrim, 1<<PoolTrim))
+	require.Zero(t, Disabled(OffByDefault, 0))
 	require.Equal(t, AllFeatures, Disabled(0, AllFeatures))
 }
