--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -155,6 +155,7 @@
 	RetryBudgetSpent Code = "retry_budget_spent"
 	WorkerSeen       Code = "worker_seen"
 	WorkerSilent     Code = "worker_silent"
+	WorkerRestarted  Code = "worker_restarted"
 	WorkerSuspect    Code = "worker_suspect"
 	WorkerReleased   Code = "worker_released"
 	AnswersLost      Code = "answers_lost"
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -45,6 +45,7 @@
 	sentAt      model.Time    // when the latest order was sent
 	orders      int           // number of orders to start it that were sent
 	refusals    int           // number of orders to start it that were refused
+	listed      bool          // its worker has listed it as running
 	begunAt     model.Time    // when the leader learned that it has begun
 	speed       int           // allowed speed, in percent of full speed
 	progress    int           // as reported by its worker, in percent; 100 for a long-running task that is up
@@ -263,6 +264,7 @@
 		return
 	}
 	s.markBegun(env, r, at)
+	r.listed = true
 	r.load = listed.Load
 	r.progress = listed.Percent
 }
@@ -388,7 +390,8 @@
 	}
 	out.Proposals = append(out.Proposals, jobs.Command{End: &jobs.End{Runs: []jobs.Ending{s.ending(r, o, checkpoint)}}})
 	out.log(effect.RunGivenUp, effect.Log{Request: model.RequestID(r.ref.Job), Task: runLabel(r.ref),
-		Worker: r.worker.info.ID, Detail: string(o) + ": " + reason})
+		Worker: r.worker.info.ID, Detail: fmt.Sprintf("%s: %s; ordered %d times, last %d ms ago, refused %d times, begun %t, listed %t",
+			o, reason, r.orders, env.Now.Sub(r.sentAt)/model.Millisecond, r.refusals, r.phase == begun, r.listed)})
 	s.dropRun(r)
 	s.stopGang(env, out, r)
 }
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"fmt"
 	"slices"
 
 	"primrosedale.example/primrosedale/core/effect"
@@ -338,6 +339,11 @@
 	}
 	if reply.Status == order.Accepted && reply.StartedAt != 0 && w.info.StartedAt != 0 && reply.StartedAt != w.info.StartedAt {
 		reply.Status = order.WrongProcess
+		if w.polled {
+			out.log(effect.WorkerRestarted, effect.Log{Worker: w.info.ID, Index: w.info.Incarnation, Detail: fmt.Sprintf(
+				"it started at %d, the answer names %d; its clock was %d %d ms ago, the answer has %d",
+				w.info.StartedAt, reply.StartedAt, w.clock, env.Now.Sub(w.clockAt)/model.Millisecond, reply.Clock)})
+		}
 	}
 	switch reply.Status {
 	case order.Accepted:
--- a/daemon/executor.go
+++ b/daemon/executor.go
@@ -74,6 +74,7 @@
 	effect.OutcomeUnknown:   logevent.OutcomeUnknown,
 	effect.WorkerSeen:       logevent.WorkerSeen,
 	effect.WorkerSilent:     logevent.WorkerSilent,
+	effect.WorkerRestarted:  logevent.WorkerRestarted,
 	effect.WorkerSuspect:    logevent.WorkerQuarantined,
 	effect.TaskPlaced:       logevent.TaskPlaced,
 	effect.TaskEnded:        logevent.TaskEnded,
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -223,6 +223,9 @@
 	{LeaderLoad, "leader_load", zerolog.InfoLevel,
 		"the leader's calls to the workers in the last 5 s; the count is the number of orders to start a run",
 		"Many repeated orders, or ticks 100 ms or more apart, show that the leader is short of processor time."},
+	{WorkerRestarted, "worker_restarted", zerolog.WarnLevel,
+		"another process than the known one answers the calls to a worker",
+		"Nothing, if 620 follows: the worker has restarted. Otherwise check that its heartbeats arrive."},
 }}
 
 var tasksAndMaintenanceArea = area{"Tasks and maintenance", []Entry{
--- a/logevent/ids.go
+++ b/logevent/ids.go
@@ -89,6 +89,7 @@
 	WorkerDraining      ID = 625
 	AnswersLost         ID = 626
 	LeaderLoad          ID = 627
+	WorkerRestarted     ID = 628
 )
 
 // Tasks and maintenance.
