--- a/core/schedule/lease_test.go
+++ b/core/schedule/lease_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/jobs"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/order"
@@ -209,3 +210,56 @@
 	f.advanceBy(strayOrderEnd(simBounds))
 	require.NotContains(t, f.s.runs, ref("j", 0, 1))
 }
+
+// startAnswered answers an order to start a run as accepted, at a time of the clock of the
+// process that answers.
+func (f *fixture) startAnswered(start order.Call, clock order.ClockMS) {
+	f.act(func(out *Out) {
+		f.s.Replied(f.env(), out, &order.Reply{Call: start, Status: order.Accepted, Clock: clock})
+	})
+}
+
+// Guards against a task that runs twice: the process that a worker restarts as accepts an
+// order to the earlier one, and is cut off before it announces itself. It reads the deadline
+// on its own clock, so that the run has the longest lease from the order on.
+func TestRunThatALaterProcessAcceptedOutlivesTheEarlierLease(t *testing.T) {
+	for name, clock := range map[string]order.ClockMS{"restarted clock": 20, "clock ahead": 1 << 40} {
+		t.Run(name, func(t *testing.T) {
+			a := testWorker("a")
+			a.StartedAt = 1000
+			f := newFixture(t, a)
+			f.advanceBy(model.Second)
+			f.submit("j", jobs.Step{Tasks: 1, Size: cores(1)})
+			f.startAnswered(f.takeCalls("a")[0], clock)
+			require.Equal(t, 1, f.logged[effect.WorkerRestarted])
+			f.submit("k", jobs.Step{Tasks: 1, Size: cores(1)})
+			require.Empty(t, f.takeCalls("a"), "the worker gets no new runs")
+			began := f.now
+			for f.now.Sub(began) < maxElapsed(simBounds.LeaseMax) {
+				require.Contains(t, f.s.runs, ref("j", 0, 1))
+				f.failPolls("a", order.WrongProcess, 50*ms)
+			}
+			f.failPolls("a", order.WrongProcess, lateCallTime)
+			require.NotContains(t, f.s.runs, ref("j", 0, 1))
+		})
+	}
+}
+
+// Guards against a wait for the longest lease although only the earlier process can have
+// accepted a run: its worker is cut off, and has not restarted as far as is known.
+func TestRunThatItsOwnProcessAcceptedEndsWithItsLease(t *testing.T) {
+	a := testWorker("a")
+	a.StartedAt = 1000
+	f := newFixture(t, a)
+	f.submit("j", jobs.Step{Tasks: 1, Size: cores(1)})
+	f.advanceBy(50 * ms)
+	f.startAnswered(f.takeCalls("a")[0], order.ClockMS(f.now/model.Time(ms)))
+	require.Zero(t, f.logged[effect.WorkerRestarted])
+	leaseEndsBy := f.s.workers["a"].leaseEndsBy
+	for f.now <= leaseEndsBy {
+		require.Contains(t, f.s.runs, ref("j", 0, 1))
+		f.failPolls("a", order.NoAnswer, 50*ms)
+	}
+	f.failPolls("a", order.NoAnswer, 50*ms)
+	require.NotContains(t, f.s.runs, ref("j", 0, 1))
+}
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -46,6 +46,11 @@
 	orders      int           // number of orders to start it that were sent
 	refusals    int           // number of orders to start it that were refused
 	listed      bool          // its worker has listed it as running
+	unanswered  int           // number of orders to start it without an answer
+	orderedAt   model.Time    // when the first order to start it was sent
+	lateUntil   model.Time    // an order without an answer may be carried out until then
+	strayed     bool          // a later process of its worker has answered an order to start it
+	confirmed   bool          // its worker's own process runs it, and no later process can start it
 	begunAt     model.Time    // when the leader learned that it has begun
 	speed       int           // allowed speed, in percent of full speed
 	progress    int           // as reported by its worker, in percent; 100 for a long-running task that is up
@@ -153,10 +158,10 @@
 
 func (s *Scheduler) start(env Env, out *Out, r *run, checkpoint string) {
 	w := r.worker
-	deadline := w.extendLease(env.Now, startTimeout)
+	deadline := w.extendLease(env.Now, env.Bounds, startTimeout)
 	r.voidFrom = max(r.voidFrom, deadline)
-	r.phase, r.sentAt = ordered, env.Now
-	r.orders++
+	r.phase = ordered
+	r.orderSent(env.Now)
 	s.load.starts++
 	out.Effects = append(out.Effects, s.call(w, order.Call{Start: &order.Start{
 		RunRef: r.ref, Spec: r.job.Spec, Checkpoint: checkpoint, Ticket: s.ticket(env, r), Deadline: deadline,
@@ -168,6 +173,25 @@
 			r.step.Estimate/model.Millisecond, s.durations(r.job.Queue).predict(r.step.Estimate).mean()/model.Millisecond)})
 }
 
+// orderSent records that an order to start the run is sent.
+func (r *run) orderSent(now model.Time) {
+	r.sentAt, r.lateUntil = now, now.Add(lateCallTime)
+	if r.orders == 0 {
+		r.orderedAt = now
+	}
+	r.orders++
+	r.unanswered++
+}
+
+// orderAnswered records that an order to start the run has an answer, so that this copy
+// of it is not carried out later.
+func (r *run) orderAnswered(now model.Time) {
+	r.unanswered--
+	if r.unanswered == 0 {
+		r.lateUntil = now
+	}
+}
+
 // ticket returns the ticket for the order of a run, or an empty string.
 func (s *Scheduler) ticket(env Env, r *run) string {
 	job := s.active[r.ref.Job]
@@ -185,7 +209,13 @@
 // handleStartReply handles the result of an order to start a run.
 func (s *Scheduler) handleStartReply(env Env, out *Out, w *worker, reply *order.Reply) {
 	r := w.runs[reply.Call.Start.RunRef]
-	if r == nil || r.phase != ordered {
+	if r == nil {
+		return
+	}
+	if reply.Status != order.NoAnswer && r.unanswered > 0 {
+		r.orderAnswered(env.Now)
+	}
+	if r.phase != ordered {
 		return
 	}
 	switch reply.Status {
@@ -193,6 +223,7 @@
 		if r.orders == 1 {
 			s.recordOrderTime(env.Now, env.Now.Sub(r.sentAt))
 		}
+		r.confirmed = r.unanswered == 0 && !r.strayed
 		s.markBegun(env, r, reply.Clock)
 	case order.Superseded:
 		// The run has ended or was stopped. The next list tells how it ended.
@@ -251,8 +282,9 @@
 	}
 }
 
-// handleRunning handles a run that a worker lists as running.
-func (s *Scheduler) handleRunning(env Env, out *Out, w *worker, listed *order.Running, at order.ClockMS) {
+// handleRunning handles a run that the process of a worker lists as running at a time of
+// its clock, in the answer to a poll that was sent at sentAt.
+func (s *Scheduler) handleRunning(env Env, out *Out, w *worker, listed *order.Running, at order.ClockMS, sentAt model.Time) {
 	r := s.runOn(w, listed.RunRef)
 	if r == nil {
 		// The run was given up, or its assignment was never committed.
@@ -260,6 +292,10 @@
 		out.Effects = append(out.Effects, s.call(w, order.Call{Stop: &order.Stop{RunRef: listed.RunRef}}))
 		return
 	}
+	if r.orders == 1 || sentAt >= r.lateUntil {
+		// No order is left that a later process could carry out.
+		r.confirmed, r.strayed = true, false
+	}
 	if at < r.listedAt {
 		return
 	}
@@ -336,8 +372,7 @@
 			return
 		}
 		s.recordUnanswered(env, out, r.worker, "an order is sent again")
-		r.sentAt = env.Now
-		r.orders++
+		r.orderSent(env.Now)
 		s.load.resends++
 		out.Effects = append(out.Effects, s.call(r.worker, order.Call{Start: &order.Start{
 			RunRef: r.ref, Spec: r.job.Spec, Checkpoint: t.Checkpoint, Ticket: s.ticket(env, r), Deadline: r.voidFrom,
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"fmt"
 	"slices"
 
 	"primrosedale.example/primrosedale/core/effect"
@@ -70,7 +69,11 @@
 
 	clock              order.ClockMS // worker's clock in the latest answer
 	clockAt            model.Time    // when that answer arrived
-	leaseEndsBy        model.Time    // every lease granted has ended by then
+	clockSince         model.Time    // when the call to which it answered was sent
+	leaseEndsBy        model.Time    // every lease granted to this process has ended by then
+	strayEndsBy        model.Time    // see strayOrderEnd: every run of a later process on a call to this one has ended by then
+	restarted          bool          // a later process is known to have started
+	fenced             bool          // it has answered a call with this token, so it refuses calls with an earlier one
 	recordedThrough    uint64        // listed ends up to this number are recorded
 	proposedThrough    uint64        // listed ends up to this number are proposed to be recorded
 	pendingEndCommands int           // proposed commands with its ends that are not committed
@@ -86,6 +89,7 @@
 		failures: make(map[model.JobID]bool),
 		// Upper bound for the leases that an earlier leader granted.
 		leaseEndsBy: env.Now.Add(maxElapsed(env.Bounds.LeaseMax)),
+		strayEndsBy: env.Now.Add(maxElapsed(env.Bounds.LeaseMax)),
 	}
 	s.workers[info.ID] = w
 	s.workersByHost[info.Host] = append(s.workersByHost[info.Host], w)
@@ -157,9 +161,9 @@
 			s.joinPool(old)
 			return
 		}
-		// An order to the old process may have been executed by the new one, or may
-		// still be until it has seen its token.
-		old.leaseEndsBy = max(old.leaseEndsBy, env.Now.Add(strayOrderEnd(env.Bounds)))
+		// The later process may carry out calls to the earlier one until it has seen its token.
+		old.restarted = true
+		old.strayEndsBy = max(old.strayEndsBy, env.Now.Add(strayOrderEnd(env.Bounds)))
 		s.detachWorker(old)
 	}
 	s.endEarlierProcesses(env, out, info)
@@ -182,9 +186,23 @@
 	out.log(effect.WorkerGone, effect.Log{Worker: c.Worker, Index: c.Incarnation})
 }
 
-func (w *worker) setClock(now model.Time, c order.ClockMS) {
+// sendingOf returns when a call was sent. It returns false if that is not known.
+func (w *worker) sendingOf(now model.Time, c *order.Call) (model.Time, bool) {
+	switch {
+	case c.Poll != nil && c.Seq == w.pendingPoll:
+		return w.pollSentAt, true
+	case c.Poll != nil:
+		return now.Add(-pollWait - pollTimeout), true // an earlier poll, which was given up
+	case c.Start != nil && w.runs[c.Start.RunRef] != nil && w.runs[c.Start.RunRef].orders > 0:
+		return w.runs[c.Start.RunRef].orderedAt, true
+	}
+	return 0, false
+}
+
+// setClock records the worker's clock in an answer to a call that was sent at sentAt.
+func (w *worker) setClock(now model.Time, c order.ClockMS, sentAt model.Time) {
 	if c >= w.clock {
-		w.clock, w.clockAt = c, now
+		w.clock, w.clockAt, w.clockSince = c, now, sentAt
 	}
 }
 
@@ -195,9 +213,10 @@
 
 // extendLease grants a lease of length d from now and returns its deadline by the
 // worker's clock. It records when the lease has ended even on the slowest clock.
-func (w *worker) extendLease(now model.Time, d model.Duration) order.ClockMS {
+func (w *worker) extendLease(now model.Time, b Bounds, d model.Duration) order.ClockMS {
 	deadline := w.clockNow(now) + order.ClockMS(d/model.Millisecond)
 	w.leaseEndsBy = max(w.leaseEndsBy, w.clockReachedBy(deadline))
+	w.strayEndsBy = max(w.strayEndsBy, now.Add(strayOrderEnd(b)))
 	return deadline
 }
 
@@ -292,7 +311,7 @@
 		if len(w.runs) > 0 && s.isLosingAnswers(env.Now) {
 			request.Wait, request.AnswerTime = min(request.Wait, s.shortPollWait(env.Now, w)), answerLossAnswerTime
 		}
-		request.Deadline = w.extendLease(env.Now, leaseDuration(env.Bounds))
+		request.Deadline = w.extendLease(env.Now, env.Bounds, leaseDuration(env.Bounds))
 	}
 	s.load.polls++
 	call := s.call(w, order.Call{Poll: &request})
@@ -316,9 +335,13 @@
 	if w == nil || w.info.Incarnation != reply.Call.Incarnation || reply.Call.Token != w.token {
 		return // a call of an earlier term of this process proves nothing in this term
 	}
-	if reply.Clock != 0 {
-		w.answeredAt, w.refusals = env.Now, 0
-		w.setClock(env.Now, reply.Clock)
+	if sentAt, known := w.sendingOf(env.Now, &reply.Call); known && reply.Clock != 0 && reply.Status != order.WrongProcess {
+		if w.isFromLaterProcess(reply, sentAt, env.Now) {
+			s.laterProcessAnswered(env, out, w, reply)
+		} else {
+			w.answeredAt, w.refusals = env.Now, 0
+			w.setClock(env.Now, reply.Clock, sentAt)
+		}
 	}
 	if reply.Status == order.NoAnswer && w.polled {
 		s.recordUnanswered(env, out, w, reply.Detail)
@@ -334,21 +357,17 @@
 }
 
 func (s *Scheduler) handlePollReply(env Env, out *Out, w *worker, reply *order.Reply) {
+	sentAt := model.Time(0) // not known of a poll that was given up
 	if w.pendingPoll == reply.Call.Seq {
-		w.pendingPoll = 0
+		w.pendingPoll, sentAt = 0, w.pollSentAt
 	}
-	if reply.Status == order.Accepted && reply.StartedAt != 0 && w.info.StartedAt != 0 && reply.StartedAt != w.info.StartedAt {
+	if reply.Status == order.Accepted && w.isOtherProcess(reply) {
 		reply.Status = order.WrongProcess
-		if w.polled {
-			out.log(effect.WorkerRestarted, effect.Log{Worker: w.info.ID, Index: w.info.Incarnation, Detail: fmt.Sprintf(
-				"it started at %d, the answer names %d; its clock was %d %d ms ago, the answer has %d",
-				w.info.StartedAt, reply.StartedAt, w.clock, env.Now.Sub(w.clockAt)/model.Millisecond, reply.Clock)})
-		}
 	}
 	switch reply.Status {
 	case order.Accepted:
 		w.pollFailed = false
-		s.handleList(env, out, w, reply)
+		s.handleList(env, out, w, reply, sentAt)
 		w.pollAt = env.Now
 		if hasUnparsedEnd(reply) {
 			// The worker answers at once while it has an end to report, so the next
@@ -405,8 +424,14 @@
 	}
 }
 
-// handleList handles the lists in the answer to a poll.
-func (s *Scheduler) handleList(env Env, out *Out, w *worker, reply *order.Reply) {
+// handleList handles the lists in the answer to a poll that was sent at sentAt.
+func (s *Scheduler) handleList(env Env, out *Out, w *worker, reply *order.Reply, sentAt model.Time) {
+	if !w.fenced {
+		// Until it saw this token, calls of an earlier leader or to an earlier process of the
+		// worker may have extended its lease.
+		w.fenced, w.leaseEndsBy = true, env.Now.Add(maxElapsed(env.Bounds.LeaseMax))
+	}
+	w.restarted = false
 	if !w.polled {
 		w.polled = true
 		s.pool(w.info.Service).dirty = true
@@ -422,7 +447,7 @@
 	defer s.updateCapacityIndex(w)
 	for i := range reply.Running {
 		listed[reply.Running[i].RunRef] = true
-		s.handleRunning(env, out, w, &reply.Running[i], reply.Clock)
+		s.handleRunning(env, out, w, &reply.Running[i], reply.Clock, sentAt)
 	}
 	s.recordEnds(env, out, w, reply, listed)
 	for _, r := range w.unlisted(listed) {
