--- a/core/schedule/lease_test.go
+++ b/core/schedule/lease_test.go
@@ -263,3 +263,26 @@
 	f.failPolls("a", order.NoAnswer, 50*ms)
 	require.NotContains(t, f.s.runs, ref("j", 0, 1))
 }
+
+// Guards against calls to a worker's earlier process that its later process carries out
+// late, such as a poll that tells it which ends it may forget: it refuses them once it has
+// seen a larger token.
+func TestPollAfterAFailureFencesEarlierCalls(t *testing.T) {
+	f := newFixture(t, testWorker("a"))
+	tokens := func() (last uint64) {
+		for _, c := range f.calls {
+			last = c.Token
+		}
+		return last
+	}
+	first := tokens()
+	f.failPolls("a", order.NoAnswer, 50*ms)
+	f.advanceBy(pollRetryDelay)
+	second := tokens()
+	require.Greater(t, second, first)
+	f.answerPoll("a", nil, nil)
+	require.Equal(t, second, tokens(), "an answer changes nothing")
+	f.laterProcess("host-a")
+	require.Greater(t, tokens(), second)
+	require.Less(t, tokens(), New(Env{Now: f.now, Term: 4, State: f.state, Bounds: simBounds}).workers["a"].token)
+}
--- /dev/null
+++ b/core/schedule/token.go
@@ -0,0 +1,26 @@
+package schedule
+
+// A fencing token has the term in its upper bits, and in its lower bits the incarnation of
+// the worker or the next larger number that no worker has had. An incarnation is a log index
+// and stays below 2^28. With terms below 2^25, the token fits into the 53 bits that every
+// JSON reader represents exactly.
+const incarnationBits = 28
+
+func termOf(token uint64) uint64 { return token >> incarnationBits }
+
+// firstToken returns the token of the first calls to an incarnation of a worker. It is
+// larger than the tokens of earlier terms and those of earlier incarnations.
+func (s *Scheduler) firstToken(term, incarnation uint64) uint64 {
+	token := term<<incarnationBits | incarnation&(1<<incarnationBits-1)
+	if token <= s.raisedToken {
+		return s.largerToken(token)
+	}
+	return token
+}
+
+// largerToken returns a token that is larger than token and than all that it returned in
+// this term.
+func (s *Scheduler) largerToken(token uint64) uint64 {
+	s.raisedToken = max(s.raisedToken, token) + 1
+	return s.raisedToken
+}
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -85,7 +85,7 @@
 
 func (s *Scheduler) addWorker(env Env, info *jobs.Worker) *worker {
 	w := &worker{
-		info: info, token: workerToken(env.Term, info.Incarnation), runs: make(map[jobs.RunRef]*run),
+		info: info, token: s.firstToken(env.Term, info.Incarnation), runs: make(map[jobs.RunRef]*run),
 		failures: make(map[model.JobID]bool),
 		// Upper bound for the leases that an earlier leader granted.
 		leaseEndsBy: env.Now.Add(maxElapsed(env.Bounds.LeaseMax)),
@@ -125,15 +125,6 @@
 	return 0
 }
 
-// workerToken returns a token that grows with each term and each incarnation of a
-// worker.
-func workerToken(term, incarnation uint64) uint64 {
-	// An incarnation is a log index and stays below 2^28. With terms below 2^25, the
-	// token fits into the 53 bits that every JSON reader represents exactly.
-	const incarnationBits = 28
-	return term<<incarnationBits | incarnation&(1<<incarnationBits-1)
-}
-
 // maxElapsed returns the longest real time in which a worker's clock may advance by d,
 // plus a margin.
 func maxElapsed(d model.Duration) model.Duration {
@@ -299,6 +290,11 @@
 // know the worker's clock yet.
 func (s *Scheduler) poll(env Env, out *Out, w *worker) {
 	request := order.Poll{AnswerTime: pollAnswerTime}
+	if w.pollFailed {
+		// The worker may have restarted. Once the later process has seen a larger token, it
+		// refuses the calls to the earlier one that are still on their way.
+		w.token = s.largerToken(w.token)
+	}
 	if w.polled && !w.pollFailed && env.Now.Sub(w.answeredAt) < restartTime {
 		// A later process of the worker would take the number for one of its own ends.
 		request.RecordedUpTo = w.recordedThrough
@@ -332,7 +328,7 @@
 // Replied handles the result of a call to a worker.
 func (s *Scheduler) Replied(env Env, out *Out, reply *order.Reply) {
 	w := s.workers[reply.Call.Worker]
-	if w == nil || w.info.Incarnation != reply.Call.Incarnation || reply.Call.Token != w.token {
+	if w == nil || w.info.Incarnation != reply.Call.Incarnation || termOf(reply.Call.Token) != env.Term {
 		return // a call of an earlier term of this process proves nothing in this term
 	}
 	if sentAt, known := w.sendingOf(env.Now, &reply.Call); known && reply.Clock != 0 && reply.Status != order.WrongProcess {
