--- a/core/schedule/lease_test.go
+++ b/core/schedule/lease_test.go
@@ -286,3 +286,25 @@
 	require.Greater(t, tokens(), second)
 	require.Less(t, tokens(), New(Env{Now: f.now, Term: 4, State: f.state, Bounds: simBounds}).workers["a"].token)
 }
+
+// Guards against a wait for the end of a lease although a later process of the worker has
+// answered, lists nothing of the earlier one, and refuses its orders.
+func TestListOfALaterProcessEndsTheRunsOfTheEarlierOne(t *testing.T) {
+	a := testWorker("a")
+	a.StartedAt = 1000
+	f := newFixture(t, a)
+	f.submit("j", jobs.Step{Tasks: 2, Size: cores(1)})
+	listed := []order.Running{runningFully(ref("j", 0, 1))}
+	later := order.Reply{Status: order.Accepted, Clock: 20, StartedAt: 6000, Running: listed}
+	f.replyToPolls("a", later)
+	require.Contains(t, f.s.runs, ref("j", 1, 1), "its order has the token of the poll")
+	f.advanceBy(pollRetryDelay)
+	later.Partial = true
+	f.replyToPolls("a", later)
+	require.Contains(t, f.s.runs, ref("j", 1, 1), "the list may lack it")
+	f.advanceBy(pollRetryDelay)
+	later.Partial = false
+	f.replyToPolls("a", later)
+	require.Contains(t, f.s.runs, ref("j", 0, 1), "the later process runs it")
+	require.NotContains(t, f.s.runs, ref("j", 1, 1))
+}
--- a/core/schedule/restart.go
+++ b/core/schedule/restart.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/jobs"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/order"
 )
@@ -66,3 +67,24 @@
 		w.pendingPoll, w.pollAt = 0, env.Now // ask which process it is
 	}
 }
+
+// giveUpEnded gives up the runs of a worker that has restarted under its id, as far as the
+// complete list of the later process lacks them. The poll's token is larger than those of
+// all orders to the earlier process, so that the later process refuses them from now on.
+func (s *Scheduler) giveUpEnded(env Env, out *Out, w *worker, reply *order.Reply) {
+	if reply.Partial || reply.StartedAt < w.info.StartedAt || reply.Call.Token <= w.orderToken {
+		return
+	}
+	listed := make(map[jobs.RunRef]bool)
+	for i := range reply.Running {
+		listed[reply.Running[i].RunRef] = true
+	}
+	for i := range reply.Ended {
+		listed[reply.Ended[i].RunRef] = true
+	}
+	for _, r := range w.unlisted(listed) {
+		if r.phase != assigned {
+			s.giveUp(env, out, r, jobs.OutcomeLost, "", "its worker has restarted and does not list it")
+		}
+	}
+}
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -160,7 +160,7 @@
 	w := r.worker
 	deadline := w.extendLease(env.Now, env.Bounds, startTimeout)
 	r.voidFrom = max(r.voidFrom, deadline)
-	r.phase = ordered
+	r.phase, w.orderToken = ordered, w.token
 	r.orderSent(env.Now)
 	s.load.starts++
 	out.Effects = append(out.Effects, s.call(w, order.Call{Start: &order.Start{
@@ -373,6 +373,7 @@
 		}
 		s.recordUnanswered(env, out, r.worker, "an order is sent again")
 		r.orderSent(env.Now)
+		r.worker.orderToken = r.worker.token
 		s.load.resends++
 		out.Effects = append(out.Effects, s.call(r.worker, order.Call{Start: &order.Start{
 			RunRef: r.ref, Spec: r.job.Spec, Checkpoint: t.Checkpoint, Ticket: s.ticket(env, r), Deadline: r.voidFrom,
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -45,8 +45,10 @@
 type worker struct {
 	info  *jobs.Worker
 	token uint64
-	runs  map[jobs.RunRef]*run
-	used  model.Resources
+	// orderToken is the token of the latest order to start a run.
+	orderToken uint64
+	runs       map[jobs.RunRef]*run
+	used       model.Resources
 	// untracked is the claim of listed runs that are not in runs: they were given up,
 	// or their assignment was never committed. Such runs are being stopped. It also
 	// includes runs given up for another copy since the latest list.
@@ -359,6 +361,7 @@
 	}
 	if reply.Status == order.Accepted && w.isOtherProcess(reply) {
 		reply.Status = order.WrongProcess
+		s.giveUpEnded(env, out, w, reply)
 	}
 	switch reply.Status {
 	case order.Accepted:
