--- a/core/delegates_sim_test.go
+++ b/core/delegates_sim_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -41,6 +42,10 @@
 	heartbeatsForwarded map[model.HostID]int // forwarded to the leader, by replica
 	done                map[jobs.TaskRef]bool
 	starts              map[jobs.TaskRef]int
+	cutPairs            map[[2]model.HostID]model.Time // end of the cut between two hosts
+	slowDisks           bool                           // writes take time, and are lost if their process ends before
+	snapshotEvery       uint64
+	clockStep           model.Duration // largest difference of a process's clock from the true time
 }
 
 type simActionOrder struct {
@@ -58,7 +63,10 @@
 	diskFull    bool       // its disk takes no writes
 	openCalls   int        // calls to workers in progress
 	stored      Stored
-	entry       bool // it has no log
+	diskFreeAt  model.Time // end of the last write, with slow disks
+	clockError  model.Duration
+	disk        model.Incarnation // of its data folder, if it has lost one
+	entry       bool              // it has no log
 }
 
 // fleetWorker follows the platform's protocol: it ignores orders with an old token or
@@ -82,6 +90,7 @@
 		workers: make(map[model.WorkerID]*fleetWorker), answers: make(map[uint64]call.Answer),
 		calls: make(map[model.HostID]int), heartbeatsForwarded: make(map[model.HostID]int),
 		done: make(map[jobs.TaskRef]bool), starts: make(map[jobs.TaskRef]int),
+		cutPairs: make(map[[2]model.HostID]model.Time),
 	}
 	var voters []consensus.NodeID
 	for i := range replicas {
@@ -116,15 +125,21 @@
 func (s *fleetSim) startReplica(r *simReplica) {
 	r.incarnation++
 	cfg := Config{
-		Host: r.host, DataCentre: "west", Incarnation: model.Incarnation(fmt.Sprint(r.incarnation)), Replica: "1", Durable: !r.entry,
-		MaxVoters: len(s.replicas), MaxInflight: 1,
+		Host: r.host, DataCentre: "west", Incarnation: model.Incarnation(fmt.Sprint(r.incarnation)), Replica: cmp.Or(r.disk, "1"), Durable: !r.entry,
+		MaxVoters: len(s.replicas), MaxInflight: 1, SnapshotEvery: s.snapshotEvery,
 		Bounds: schedule.Bounds{LeaseMax: 6 * model.Second, StatusKept: 120 * model.Second, Disabled: s.disabled},
 	}
-	for i := 0; r.entry && i < len(s.replicas); i++ {
+	for i := 0; (r.entry || r.disk != "") && i < len(s.replicas); i++ {
 		cfg.Seeds = append(cfg.Seeds, s.replicas[i].host)
 	}
+	if r.disk != "" {
+		cfg.Peers = slices.DeleteFunc(slices.Clone(cfg.Seeds), func(h model.HostID) bool { return h == r.host })
+	}
+	if s.clockStep > 0 {
+		r.clockError = s.between(-s.clockStep, s.clockStep)
+	}
 	var err error
-	r.state, err = New(cfg, r.stored, s.now, s.rng.Uint64())
+	r.state, err = New(cfg, r.stored, s.now.Add(r.clockError), s.rng.Uint64())
 	require.NoError(s.t, err)
 	s.tick(r, r.incarnation)
 }
@@ -174,7 +189,7 @@
 		}
 		return
 	}
-	for _, f := range Reduce(r.state, event.Input{At: s.now, Rand: s.rng.Uint64(), Event: e}) {
+	for _, f := range Reduce(r.state, event.Input{At: s.now.Add(r.clockError), Rand: s.rng.Uint64(), Event: e}) {
 		s.execute(r, incarnation, f)
 	}
 }
@@ -187,19 +202,11 @@
 		if r.diskFull {
 			return
 		}
-		if f.Snapshot != nil {
-			r.stored.Snapshot = f.Snapshot
-		}
-		if f.HardState != nil {
-			r.stored.HardState = *f.HardState
-		}
-		if len(f.Entries) > 0 {
-			kept := slices.IndexFunc(r.stored.Entries, func(e logEntry) bool { return e.Index >= f.Entries[0].Index })
-			if kept >= 0 {
-				r.stored.Entries = r.stored.Entries[:kept:kept]
-			}
-			r.stored.Entries = append(r.stored.Entries, f.Entries...)
+		if s.slowDisks {
+			s.writeLater(r, incarnation, f)
+			return
 		}
+		r.write(f)
 		s.after(s.between(2*millisecond, 8*millisecond), func() { s.deliver(r, incarnation, event.Persisted{Term: f.Term, Index: f.Index}) })
 	case effect.CallWorker:
 		s.calls[r.host]++
@@ -217,6 +224,40 @@
 	}
 }
 
+// write puts a write on the disk.
+func (r *simReplica) write(f effect.Persist) {
+	if f.Snapshot != nil {
+		r.stored.Snapshot = f.Snapshot
+	}
+	if f.Install {
+		r.stored.Entries = nil
+	}
+	if f.HardState != nil {
+		r.stored.HardState = *f.HardState
+	}
+	if len(f.Entries) > 0 {
+		kept := slices.IndexFunc(r.stored.Entries, func(e logEntry) bool { return e.Index >= f.Entries[0].Index })
+		if kept >= 0 {
+			r.stored.Entries = r.stored.Entries[:kept:kept]
+		}
+		r.stored.Entries = append(r.stored.Entries, f.Entries...)
+	}
+}
+
+// writeLater makes the writes of a process one after the other.
+func (s *fleetSim) writeLater(r *simReplica, incarnation int, f effect.Persist) {
+	r.diskFreeAt = max(s.now, r.diskFreeAt).Add(s.between(2*millisecond, 8*millisecond))
+	s.after(r.diskFreeAt.Sub(s.now), func() {
+		if r.incarnation != incarnation {
+			return
+		}
+		r.write(f)
+		if f.Term != 0 {
+			s.deliver(r, incarnation, event.Persisted{Term: f.Term, Index: f.Index})
+		}
+	})
+}
+
 // transmit sends a message in its encoded form.
 func (s *fleetSim) transmit(from *simReplica, f effect.Send) {
 	hosts := slices.Concat(s.replicas, s.entries)
@@ -231,7 +272,7 @@
 	require.NoError(s.t, err)
 	to := hosts[i]
 	incarnation := to.incarnation
-	held := max(0, max(from.cutUntil, to.cutUntil).Sub(s.now))
+	held := max(0, max(from.cutUntil, to.cutUntil, s.cutPairs[pairOf(from, to)]).Sub(s.now))
 	s.after(held+s.between(millisecond, 4*millisecond), func() {
 		m, err := codec.DecodeMessage(data)
 		require.NoError(s.t, err)
@@ -239,6 +280,10 @@
 	})
 }
 
+func pairOf(a, b *simReplica) [2]model.HostID {
+	return [2]model.HostID{min(a.host, b.host), max(a.host, b.host)}
+}
+
 // callWorker makes a call to a worker: it may be lost, or be carried out late without
 // an answer.
 func (s *fleetSim) callWorker(c order.Call, answer func(order.Reply)) {
--- a/core/relay/contact.go
+++ b/core/relay/contact.go
@@ -65,9 +65,6 @@
 	if t.cfg.Replica {
 		return nil
 	}
-	if r.BodyBytes > 0 {
-		t.bodyLimit = r.BodyBytes
-	}
 	if !r.Leads {
 		if t.leader == from || t.leader == "" && r.Leader != "" && r.Leader != from {
 			t.leader = r.Leader
@@ -81,6 +78,9 @@
 	if t.isOfEarlierTerm(r.Stamp) {
 		return nil
 	}
+	if r.BodyBytes > 0 && !r.Stamp.IsBefore(t.stamp) {
+		t.bodyLimit = r.BodyBytes // only the leader knows which configuration is in force
+	}
 	known := t.leader == from && t.stamp.Term == r.Stamp.Term
 	t.leader, t.leaderHeardAt = from, now
 	t.contacts.answered(r.Seq)
