--- a/core/burn/counts_test.go
+++ b/core/burn/counts_test.go
@@ -12,7 +12,7 @@
 // kind until it is listed here.
 func TestEveryProblemHasACause(t *testing.T) {
 	want := map[problem.Kind]Cause{
-		problem.BadRequest: NotCounted, problem.BodyTooLarge: NotCounted, problem.KeyMissing: NotCounted,
+		problem.BadRequest: NotCounted, problem.BodyTooLarge: NotCounted, problem.BodyStalled: NotCounted, problem.KeyMissing: NotCounted,
 		problem.KeyRejected: NotCounted, problem.UnknownQueue: NotCounted, problem.UnknownTask: NotCounted,
 		problem.UnknownTeam: NotCounted, problem.KeyReused: NotCounted, problem.InProgress: NotCounted,
 		problem.RevisionConflict: NotCounted, problem.RulesRejected: NotCounted, problem.UnknownKey: NotCounted,
--- a/core/problem/problem.go
+++ b/core/problem/problem.go
@@ -16,6 +16,7 @@
 const (
 	BadRequest            Kind = "bad_request"
 	BodyTooLarge          Kind = "body_too_large"
+	BodyStalled           Kind = "body_stalled"
 	KeyMissing            Kind = "key_missing"
 	KeyRejected           Kind = "key_rejected"
 	UnknownQueue          Kind = "unknown_queue"
@@ -77,6 +78,7 @@
 var table = map[Kind]Row{
 	BadRequest:            {400, "the request is malformed", false, RanNo},
 	BodyTooLarge:          {413, "the request body is over the limit", false, RanNo},
+	BodyStalled:           {503, "the request body did not arrive in time", true, RanNo},
 	KeyMissing:            {401, "this queue needs a key", false, RanNo},
 	KeyRejected:           {403, "the key is unknown or has been withdrawn", false, RanNo},
 	UnknownQueue:          {404, "there is no such queue", false, RanNo},
--- a/gateway/admission.go
+++ b/gateway/admission.go
@@ -94,6 +94,8 @@
 	switch {
 	case err == intake.ErrTooLarge:
 		return nil, problem.New(problem.BodyTooLarge, "the body has more than %d bytes", limit)
+	case err == intake.ErrStalled:
+		return nil, problem.New(problem.BodyStalled, "")
 	case err == intake.ErrOverloaded:
 		return nil, problem.New(problem.Overloaded, "")
 	case err != nil:
--- a/gateway/intake/request.go
+++ b/gateway/intake/request.go
@@ -34,6 +34,9 @@
 var (
 	ErrTooLarge   = errors.New("the body is too large")
 	ErrOverloaded = errors.New("the process holds too many requests")
+	// ErrStalled means that the body did not arrive in time. It says nothing about the
+	// request: the connection or this process may have been held up.
+	ErrStalled = errors.New("the body did not arrive in time")
 )
 
 // handler wraps a handler, so that each request holds its cost until it is answered. After
@@ -149,13 +152,20 @@
 		if err == io.EOF {
 			return body, nil
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, ErrStalled
+		}
 		if err != nil {
 			return nil, err
 		}
 	}
 	// Reading up to EOF lets the HTTP server detect a disconnect of the caller while the
 	// request is processed.
-	if n, err := r.Body.Read(make([]byte, 1)); n > 0 || err != io.EOF {
+	n, err := r.Body.Read(make([]byte, 1))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, ErrStalled
+	}
+	if n > 0 || err != io.EOF {
 		return nil, errors.Join(errors.New("the body has no end"), err)
 	}
 	return body, nil
--- a/gateway/reply/reply.go
+++ b/gateway/reply/reply.go
@@ -5,8 +5,10 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 
@@ -118,7 +120,7 @@
 }
 
 // Decode reads the whole body of r, at most limit bytes, as one JSON value
-// without unknown fields. A failure is BodyTooLarge or of the given kind.
+// without unknown fields. A failure is BodyTooLarge, BodyStalled or of the given kind.
 func Decode(w http.ResponseWriter, r *http.Request, limit int64, kind problem.Kind, v any) *problem.Problem {
 	if r.ContentLength > limit {
 		w.Header().Set("Connection", "close") // the body is not read
@@ -130,6 +132,9 @@
 		return decodeProblem(err, kind, limit)
 	}
 	if _, err := decoder.Token(); err != io.EOF {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return problem.New(problem.BodyStalled, "")
+		}
 		return problem.New(kind, "the body must hold one JSON value and nothing after it")
 	}
 	return nil
@@ -139,6 +144,9 @@
 	if _, ok := err.(*http.MaxBytesError); ok {
 		return problem.New(problem.BodyTooLarge, "the body has more than %d bytes", limit)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return problem.New(problem.BodyStalled, "")
+	}
 	if err == io.EOF {
 		return problem.New(kind, "the body is empty, a JSON object is expected")
 	}
