--- a/core/call/call.go
+++ b/core/call/call.go
@@ -4,6 +4,8 @@
 package call
 
 import (
+	"fmt"
+
 	"primrosedale.example/primrosedale/core/jobs"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/problem"
@@ -153,7 +155,7 @@
 	return c.Configure != nil || c.ReadConfig != nil || c.SetOut != nil || c.StartWave != nil || c.ReadWave != nil
 }
 
-// Subject returns the path, worker or data centre that the call is about, for logs.
+// Subject returns what the call is about, for logs.
 func (c *Call) Subject() string {
 	switch {
 	case c.Submit != nil:
@@ -168,6 +170,14 @@
 		return string(c.Leave.Worker)
 	case c.SetOut != nil:
 		return string(c.SetOut.DataCentre)
+	case c.Configure != nil:
+		return fmt.Sprintf("configuration %d", c.Configure.Version)
+	case c.ReadConfig != nil:
+		return "configuration"
+	case c.StartWave != nil:
+		return fmt.Sprintf("wave %d", c.StartWave.Wave)
+	case c.ReadWave != nil:
+		return fmt.Sprintf("wave %d", c.ReadWave.Wave)
 	}
 	return ""
 }
--- a/core/calls.go
+++ b/core/calls.go
@@ -163,6 +163,9 @@
 	}
 	d := s.leading.handler.Decide(env, ref, c)
 	for _, l := range d.Logs {
+		if l.Host == "" {
+			l.Host = from
+		}
 		s.emit(l)
 	}
 	if d.Answer != nil {
@@ -222,7 +225,7 @@
 		if !r.Changed {
 			detail = "not higher than the version in force"
 		}
-		s.emit(effect.Log{Code: effect.ConfigAccepted, Index: c.Configure.Version, Detail: detail})
+		s.emit(effect.Log{Code: effect.ConfigAccepted, Index: c.Configure.Version, Host: c.Call.Host, Detail: detail})
 	case c.StartWave != nil && r.Changed:
 		s.emit(effect.Log{Code: effect.WaveStarted, Index: c.StartWave.Wave, Count: len(c.StartWave.Hosts)})
 	case c.Announce != nil && r.Changed && c.Announce.Draining:
--- a/core/handler/handler.go
+++ b/core/handler/handler.go
@@ -152,10 +152,21 @@
 	return true
 }
 
+// refuseAddress refuses a call that is not a submission because of its queue or key.
+func refuseAddress(env Env, a *call.Address, p *problem.Problem) Decision {
+	d := answer(call.Answer{Problem: p})
+	l := effect.Log{Code: effect.CallRefused, Request: model.RequestID(a.Path), Detail: p.Error()}
+	if cfg := env.Schedule.State.Config; cfg != nil {
+		l.Index = cfg.Version
+	}
+	d.Logs = []effect.Log{l}
+	return d
+}
+
 func query(env Env, a *call.Address) Decision {
 	q, id, team, refusal := resolveAddress(env.Schedule.State.Config, a)
 	if refusal != nil {
-		return answer(call.Answer{Problem: refusal})
+		return refuseAddress(env, a, refusal)
 	}
 	if id == "" {
 		n := env.Scheduler.Pending(q.ID)
@@ -187,7 +198,7 @@
 func cancel(env Env, a *call.Address) Decision {
 	q, id, team, refusal := resolveAddress(env.Schedule.State.Config, a)
 	if refusal != nil {
-		return answer(call.Answer{Problem: refusal})
+		return refuseAddress(env, a, refusal)
 	}
 	j := env.Schedule.State.Jobs[model.JobID(id)]
 	switch {
@@ -221,7 +232,9 @@
 	if cfg == nil {
 		return refuse(problem.NotConfigured, "no configuration has been accepted")
 	}
-	return answer(call.Answer{Document: cfg.Document})
+	d := answer(call.Answer{Document: cfg.Document})
+	d.Logs = []effect.Log{{Code: effect.ConfigRead, Index: cfg.Version}}
+	return d
 }
 
 func readWave(env Env, wave uint64) Decision {
--- a/core/handler/handler_test.go
+++ b/core/handler/handler_test.go
@@ -308,3 +308,24 @@
 	require.Empty(t, f.state.Removed, "the queue is back, at another address")
 	require.Equal(t, call.JobQueued, f.decide(call.Call{Query: &call.Address{Host: "h", Path: "/moved/" + jobID, Key: "press-key"}}).Answer.State)
 }
+
+// Guards against logs that do not tell whether an answer came from an older configuration.
+func TestAnswersThatDependOnTheConfigurationAreLogged(t *testing.T) {
+	f := newFixture()
+	unknownKey, unknownQueue := call.Address{Host: "h", Path: "/q/", Key: "none"}, call.Address{Host: "h", Path: "/none/"}
+	for _, c := range []struct {
+		call call.Call
+		code effect.Code
+	}{
+		{call.Call{Query: &unknownKey}, effect.CallRefused},
+		{call.Call{Query: &unknownQueue}, effect.CallRefused},
+		{call.Call{Cancel: &unknownQueue}, effect.CallRefused},
+		{call.Call{ReadConfig: &call.ReadConfig{}}, effect.ConfigRead},
+		{submitCall("/none/"+jobID, "press-key", step()), effect.JobRefused},
+	} {
+		logs := f.decide(c.call).Logs
+		require.Len(t, logs, 1, "%+v", c.call)
+		require.Equal(t, c.code, logs[0].Code)
+		require.Equal(t, uint64(3), logs[0].Index)
+	}
+}
--- a/core/leader.go
+++ b/core/leader.go
@@ -62,6 +62,9 @@
 		s.leading.hosts = hosts.New(hosts.Env{Schedule: s.scheduleEnv(), Scheduler: s.leading.scheduler, Self: s.cfg.Host})
 	}
 	s.emit(effect.Log{Code: effect.LeaderElected, Term: status.Term})
+	if cfg := s.fleet.Jobs.Config; cfg != nil && s.runsJobs() {
+		s.emit(effect.Log{Code: effect.ConfigTakenOver, Term: status.Term, Index: cfg.Version})
+	}
 }
 
 // logRestored logs what the scheduler of a new leader has taken over from earlier ones.
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -157,6 +157,12 @@
 	{ConfigRefused, "config_refused", zerolog.WarnLevel,
 		"a configuration was refused",
 		"Correct what the error names and send it again."},
+	{ConfigTakenOver, "config_taken_over", zerolog.InfoLevel,
+		"a new leader begins with this configuration",
+		"Nothing. The index is its version, which is never lower than that of an earlier term."},
+	{ConfigRead, "config_read", zerolog.InfoLevel,
+		"the leader answered a read of the configuration",
+		"Nothing. The index is the version, the host the one that was asked."},
 }}
 
 var connectionsBetweenProcessesArea = area{"Connections between processes", []Entry{
@@ -346,6 +352,9 @@
 	{CallSuperseded, "call_superseded", zerolog.WarnLevel,
 		"an order was refused because a later one was recorded while it was waiting",
 		"Nothing, if this host was paused or cut off. The index is that of the later order."},
+	{CallRefused, "call_refused", zerolog.InfoLevel,
+		"a call about a job was refused because of its queue or key",
+		"Nothing. The index is the version of the configuration that refuses it, the host the one that was asked."},
 	{JobAccepted, "job_accepted", zerolog.InfoLevel,
 		"a job was accepted",
 		"Nothing."},
--- a/logevent/ids.go
+++ b/logevent/ids.go
@@ -53,14 +53,16 @@
 
 // Configuration and keys.
 const (
-	RulesAccepted  ID = 400
-	RulesRefused   ID = 401
-	RulesInForce   ID = 402
-	KeyGranted     ID = 410
-	KeyWithdrawn   ID = 411
-	KeyRejected    ID = 412
-	ConfigAccepted ID = 420
-	ConfigRefused  ID = 421
+	RulesAccepted   ID = 400
+	RulesRefused    ID = 401
+	RulesInForce    ID = 402
+	KeyGranted      ID = 410
+	KeyWithdrawn    ID = 411
+	KeyRejected     ID = 412
+	ConfigAccepted  ID = 420
+	ConfigRefused   ID = 421
+	ConfigTakenOver ID = 422
+	ConfigRead      ID = 423
 )
 
 // Connections between processes.
@@ -136,6 +138,7 @@
 	RetryBudgetSpent   ID = 820
 	CallGivenUp        ID = 831
 	CallSuperseded     ID = 832
+	CallRefused        ID = 833
 	JobAccepted        ID = 840
 	JobRefused         ID = 841
 	JobEnded           ID = 842
