--- a/core/config_sim_test.go
+++ b/core/config_sim_test.go
@@ -283,7 +283,7 @@
 			require.GreaterOrEqual(s.t, now.bytes, before.bytes, "%s goes back to an older body limit", e.host)
 		}
 		s.limits[e.host] = now
-		if s.now < s.changed.Add(contactTime) {
+		if s.now < max(s.changed, s.stalledUntil).Add(contactTime) {
 			continue
 		}
 		for _, a := range s.acked {
@@ -380,6 +380,8 @@
 	s.callQueues(until)
 	s.checkLimits(until)
 	s.restartInSeries(faultsEnd)
+	s.diskStalls = 0.02
+	s.after(faultsEnd.Sub(s.now), func() { s.diskStalls = 0 })
 	if s.rng.IntN(3) == 0 {
 		s.after(s.between(0, 15*model.Second), func() { s.loseDisk(s.anyReplica()) })
 	}
--- a/core/delegates_sim_test.go
+++ b/core/delegates_sim_test.go
@@ -22,7 +22,10 @@
 	"primrosedale.example/primrosedale/core/schedule"
 )
 
-const millisecond = model.Millisecond
+const (
+	millisecond      = model.Millisecond
+	longestDiskStall = 1500 * millisecond
+)
 
 // fleetSim simulates the replicas of a platform and its workers. Messages take time,
 // calls get lost or are carried out late, replicas freeze, crash and are cut off.
@@ -44,6 +47,8 @@
 	starts              map[jobs.TaskRef]int
 	cutPairs            map[[2]model.HostID]model.Time // end of the cut between two hosts
 	slowDisks           bool                           // writes take time, and are lost if their process ends before
+	diskStalls          float64                        // share of these writes that hang
+	stalledUntil        model.Time                     // end of the last such write
 	snapshotEvery       uint64
 	clockStep           model.Duration // largest difference of a process's clock from the true time
 }
@@ -244,9 +249,17 @@
 	}
 }
 
-// writeLater makes the writes of a process one after the other.
+// writeLater makes the writes of a process one after the other. Some hang.
 func (s *fleetSim) writeLater(r *simReplica, incarnation int, f effect.Persist) {
-	r.diskFreeAt = max(s.now, r.diskFreeAt).Add(s.between(2*millisecond, 8*millisecond))
+	lag := s.between(2*millisecond, 8*millisecond)
+	stalls := s.rng.Float64() < s.diskStalls
+	if stalls {
+		lag = s.between(50*millisecond, longestDiskStall)
+	}
+	r.diskFreeAt = max(s.now, r.diskFreeAt).Add(lag)
+	if stalls {
+		s.stalledUntil = max(s.stalledUntil, r.diskFreeAt)
+	}
 	s.after(r.diskFreeAt.Sub(s.now), func() {
 		if r.incarnation != incarnation {
 			return
