--- a/core/delegate/agent.go
+++ b/core/delegate/agent.go
@@ -14,6 +14,10 @@
 	// MaxCallAge is less than the 2 seconds within which an order to start may be
 	// carried out.
 	MaxCallAge = 1500 * model.Millisecond
+	// maxRecordedAge is the largest age of a poll that still tells a worker which ends are
+	// recorded. A later process of the worker, to which the number means other ends, needs
+	// longer to start and to have one.
+	maxRecordedAge = 600 * model.Millisecond
 )
 
 // Agent is the part of a replica that makes calls for the leader. It serves one leader
@@ -72,7 +76,12 @@
 		return nil
 	}
 	for i := range m.Calls {
-		a.open[m.Calls[i].Seq] = true
+		c := &m.Calls[i]
+		a.open[c.Seq] = true
+		if c.Poll != nil && now.Sub(m.Reported) > maxRecordedAge {
+			poll := *c.Poll
+			poll.RecordedUpTo, c.Poll = 0, &poll
+		}
 	}
 	return m.Calls
 }
--- a/core/delegate/delegate_test.go
+++ b/core/delegate/delegate_test.go
@@ -196,6 +196,17 @@
 
 // Guards against making calls of a leader that was replaced, and against returning
 // results to the wrong leader.
+// Guards against the loss of ends that a later process of a worker lists, because a poll for
+// the earlier one comes late.
+func TestOldPollForgetsNoEnds(t *testing.T) {
+	for age, want := range map[model.Duration]uint64{maxRecordedAge: 7, maxRecordedAge + 1: 0} {
+		sent := []order.Call{{Seq: 1, Worker: "w", Poll: &order.Poll{RecordedUpTo: 7, Wait: model.Second}}}
+		calls := NewAgent("west").AcceptCalls(start.Add(age), "leader", &message.WorkerCalls{Term: 1, Reported: start, Calls: sent})
+		require.Len(t, calls, 1)
+		require.Equal(t, order.Poll{RecordedUpTo: want, Wait: model.Second}, *calls[0].Poll)
+	}
+}
+
 func TestAgentServesTheLatestTerm(t *testing.T) {
 	a := NewAgent("west")
 	require.Len(t, a.AcceptCalls(start, "old", &message.WorkerCalls{Term: 1, Reported: start, Calls: []order.Call{startCall(1, "w")}}), 1)
