--- a/core/jobs/apply.go
+++ b/core/jobs/apply.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -317,11 +318,14 @@
 // worker; an announcement of an older process is ignored.
 func (s *State) announce(w *Worker, index uint64) Result {
 	recorded := *w
-	recorded.Incarnation = index
+	recorded.Incarnation, recorded.HostSince = index, index
 	if old := s.Workers[w.ID]; old != nil {
 		if old.StartedAt > w.StartedAt {
 			return Result{}
 		}
+		if old.Host == w.Host {
+			recorded.HostSince = cmp.Or(old.HostSince, old.Incarnation)
+		}
 		if old.SameIncarnation(w) {
 			recorded.Incarnation = old.Incarnation
 			recorded.Draining = old.Draining || w.Draining
--- a/core/jobs/state.go
+++ b/core/jobs/state.go
@@ -144,17 +144,19 @@
 
 // Worker is one incarnation of a worker, that is, one of its processes.
 type Worker struct {
-	ID          model.WorkerID     `json:"id"`
-	Incarnation uint64             `json:"life"` // index of the log entry that recorded it
-	StartedAt   int64              `json:"born"` // start of the process by its own clock, in Unix milliseconds; 0 if unknown
-	Host        model.HostID       `json:"host,omitempty"`
-	Service     model.ServiceID    `json:"service"`
-	Address     string             `json:"address"`
-	DataCentre  model.DataCentreID `json:"dc"`
-	Rack        model.RackID       `json:"rack,omitempty"`
-	Labels      []string           `json:"labels,omitempty"`
-	Capacity    model.Resources    `json:"capacity"`
-	Draining    bool               `json:"draining,omitempty"`
+	ID          model.WorkerID `json:"id"`
+	Incarnation uint64         `json:"life"` // index of the log entry that recorded it
+	StartedAt   int64          `json:"born"` // start of the process by its own clock, in Unix milliseconds; 0 if unknown
+	Host        model.HostID   `json:"host,omitempty"`
+	// HostSince is the index from which on all processes under this ID ran on Host.
+	HostSince  uint64             `json:"host_since,omitempty"`
+	Service    model.ServiceID    `json:"service"`
+	Address    string             `json:"address"`
+	DataCentre model.DataCentreID `json:"dc"`
+	Rack       model.RackID       `json:"rack,omitempty"`
+	Labels     []string           `json:"labels,omitempty"`
+	Capacity   model.Resources    `json:"capacity"`
+	Draining   bool               `json:"draining,omitempty"`
 }
 
 // SameIncarnation reports whether w and v describe the same process.
@@ -162,6 +164,12 @@
 	return w.ID == v.ID && w.StartedAt == v.StartedAt && w.Address == v.Address && w.Service == v.Service
 }
 
+// Replaces reports whether w is a later process on the host of an earlier incarnation of the
+// same worker.
+func (w *Worker) Replaces(incarnation uint64) bool {
+	return w.Host != "" && w.HostSince != 0 && w.HostSince <= incarnation && incarnation < w.Incarnation
+}
+
 // HasLabel reports whether the worker carries the label.
 func (w *Worker) HasLabel(label string) bool {
 	for _, l := range w.Labels {
--- a/core/schedule/detached.go
+++ b/core/schedule/detached.go
@@ -43,15 +43,19 @@
 }
 
 // detachedWorker returns the placeholder of an incarnation of which only the runs are
-// known.
+// known, and its host if the present process of the worker runs there too.
 func (s *Scheduler) detachedWorker(env Env, id model.WorkerID, incarnation uint64) *worker {
 	for _, w := range s.detached {
 		if w.info.ID == id && w.info.Incarnation == incarnation {
 			return w
 		}
 	}
+	info := &jobs.Worker{ID: id, Incarnation: incarnation}
+	if later := env.State.Workers[id]; later != nil && later.Replaces(incarnation) {
+		info.Host = later.Host
+	}
 	w := &worker{
-		info: &jobs.Worker{ID: id, Incarnation: incarnation}, gone: true, runs: make(map[jobs.RunRef]*run),
+		info: info, gone: true, runs: make(map[jobs.RunRef]*run),
 		failures: make(map[model.JobID]bool), leaseEndsBy: env.Now.Add(strayOrderEnd(env.Bounds)),
 	}
 	s.detached = append(s.detached, w)
--- a/core/schedule/lease_test.go
+++ b/core/schedule/lease_test.go
@@ -209,3 +209,17 @@
 	f.advanceBy(strayOrderEnd(simBounds))
 	require.NotContains(t, f.s.runs, ref("j", 0, 1))
 }
+
+// Guards against a new leader that waits for the longest lease of a worker's earlier process
+// although the later one on the same host lists no runs.
+func TestNewLeaderAsksTheLaterProcess(t *testing.T) {
+	for _, host := range []model.HostID{"host-a", "host-c", ""} {
+		f := restartableFixture(t)
+		f.laterProcess(host)
+		f.s = New(f.env())
+		f.advance()
+		f.answerPollWith("a", order.Reply{Clock: 20, StartedAt: 6000})
+		f.advanceBy(50 * ms)
+		require.Equal(t, host != "host-a", f.s.runs[ref("j", 0, 1)] != nil, host)
+	}
+}
