--- a/core/schedule/lease_test.go
+++ b/core/schedule/lease_test.go
@@ -210,6 +210,47 @@
 	require.NotContains(t, f.s.runs, ref("j", 0, 1))
 }
 
+// Guards against tasks that wait for the longest lease: a worker that leaves orders
+// unanswered and answers nothing else gets neither new runs nor a third copy of an order.
+func TestSilentWorkerGetsNoMoreOrders(t *testing.T) {
+	f := newFixture(t, testWorker("a"))
+	f.submit("j", jobs.Step{Tasks: 1, Size: cores(1)})
+	wait := func(d model.Duration) {
+		for range d / (50 * ms) {
+			f.advanceBy(50 * ms)
+		}
+	}
+	wait(600 * ms)
+	require.Len(t, f.takeCalls("a"), 2, "the order and one copy")
+	f.submit("k", jobs.Step{Tasks: 1, Size: cores(1)})
+	require.Empty(t, f.takeCalls("a"))
+	f.answerPoll("a", nil, nil)
+	wait(50 * ms)
+	var ordered []model.JobID
+	for _, c := range f.takeCalls("a") {
+		ordered = append(ordered, c.Start.Job)
+	}
+	require.ElementsMatch(t, []model.JobID{"j", "k"}, ordered)
+}
+
+// Guards against an order to a worker that has stopped answering between the proposal of an
+// assignment and its commit.
+func TestAssignmentToASilentWorkerIsVoid(t *testing.T) {
+	f := newFixture(t, testWorker("a"))
+	submit := jobs.Command{Submit: &jobs.Job{ID: "j", Queue: "q", Service: "render", Steps: []jobs.Step{{Tasks: 1, Size: cores(1)}}, Rounds: make([]jobs.Round, 1)}}
+	result := f.apply(submit)
+	var out Out
+	f.s.Committed(f.env(), &out, &submit, result)
+	f.s.Place(f.env(), &out)
+	require.Len(t, out.Proposals, 1)
+	f.advanceBy(maxAnswerAge + ms)
+	f.commit(out.Proposals[0])
+	require.Empty(t, f.takeCalls("a"))
+	f.answerPoll("a", nil, nil)
+	f.advanceBy(50 * ms)
+	require.Equal(t, 2, f.takeCalls("a")[0].Start.Run)
+}
+
 // Guards against a new leader that waits for the longest lease of a worker's earlier process
 // although the later one on the same host lists no runs.
 func TestNewLeaderAsksTheLaterProcess(t *testing.T) {
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -141,6 +141,10 @@
 			s.giveUp(env, out, r, jobs.OutcomeVoid, "", "its worker stopped accepting new runs after the assignment was proposed")
 			continue
 		}
+		if !r.worker.isFresh(env.Now) || s.isSilent(env.Now, r.worker) {
+			s.giveUp(env, out, r, jobs.OutcomeVoid, "", "its worker stopped answering after the assignment was proposed")
+			continue
+		}
 		t := env.State.Task(r.ref.TaskRef)
 		if t == nil {
 			s.giveUp(env, out, r, jobs.OutcomeVoid, "", "its job has ended")
@@ -156,6 +160,9 @@
 	r.voidFrom = max(r.voidFrom, deadline)
 	r.phase, r.sentAt = ordered, env.Now
 	r.orders++
+	if w.orderedFrom < w.answeredAt {
+		w.orderedFrom = env.Now
+	}
 	s.load.starts++
 	out.Effects = append(out.Effects, s.call(w, order.Call{Start: &order.Start{
 		RunRef: r.ref, Spec: r.job.Spec, Checkpoint: checkpoint, Ticket: s.ticket(env, r), Deadline: deadline,
@@ -318,7 +325,9 @@
 	return false
 }
 
-// advanceRun sends the latest order of a run again if it has no answer in time.
+// advanceRun sends the latest order of a run again if it has no answer in time. An order to
+// start is sent a third time only to a worker that has answered something since, because
+// each copy prolongs the time for which the task waits if the worker has ended.
 func (s *Scheduler) advanceRun(env Env, out *Out, r *run) {
 	if env.Now.Sub(r.sentAt) < s.resendAfter(env.Now) || !r.worker.polled {
 		return
@@ -327,7 +336,7 @@
 	case r.stopping && r.phase != assigned:
 		s.load.resends++
 		s.sendStop(env, out, r)
-	case r.phase == ordered && r.worker.clockNow(env.Now) < r.voidFrom:
+	case r.phase == ordered && r.worker.clockNow(env.Now) < r.voidFrom && (r.orders == 1 || r.worker.answeredAt > r.sentAt):
 		t := env.State.Task(r.ref.TaskRef)
 		if t == nil {
 			s.stop(env, out, r, "its job has ended")
--- a/core/schedule/sim_test.go
+++ b/core/schedule/sim_test.go
@@ -36,6 +36,7 @@
 	workers         []*simWorker
 	callLoss        float64 // fraction of the calls that are lost or executed late
 	refusalRate     float64 // fraction of the orders to start that workers refuse
+	failureRate     float64 // fraction of the runs that fail by their own fault
 	unparsedRate    float64 // fraction of the list entries that cannot be parsed
 	unparsedEntries int
 	sameID          bool                        // crashed workers start again under their id, on their host
@@ -49,7 +50,7 @@
 }
 
 func newSim(t *testing.T, seed uint64) *sim {
-	s := &sim{t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: 1000 * model.Time(model.Second), state: &jobs.State{}, done: make(map[jobs.TaskRef]bool), forgotten: make(map[jobs.TaskRef]model.Time)}
+	s := &sim{t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: 1000 * model.Time(model.Second), state: &jobs.State{}, done: make(map[jobs.TaskRef]bool), forgotten: make(map[jobs.TaskRef]model.Time), failureRate: 0.05}
 	s.apply(&jobs.Command{Configure: &jobs.Config{Version: 1, Queues: []jobs.Queue{
 		{ID: "q", Host: "h", Prefix: "/q/", Service: "render", MaxAttempts: 40, Stretch: 1.6, Target: 600 * ms, Open: true},
 	}, Services: map[model.ServiceID]jobs.Service{"render": {}}}})
@@ -292,7 +293,7 @@
 					}
 				}
 			}
-			s.callLoss, s.refusalRate = 0, 0
+			s.callLoss, s.refusalRate, s.failureRate = 0, 0, 0
 			s.run(60 * model.Second)
 			for id, j := range s.state.Jobs {
 				require.Equal(t, jobs.Completed, j.Phase, "job %s", id)
--- a/core/schedule/sim_worker_test.go
+++ b/core/schedule/sim_worker_test.go
@@ -149,7 +149,7 @@
 	}
 	work := s.between(200*ms, longest)
 	run := &simRun{
-		size: job.Steps[start.Step].Size, beganAt: s.now, work: work, doneAt: s.now.Add(work), fails: s.rng.Float64() < 0.05,
+		size: job.Steps[start.Step].Size, beganAt: s.now, work: work, doneAt: s.now.Add(work), fails: s.rng.Float64() < s.failureRate,
 	}
 	if job.Steps[start.Step].Gang {
 		run.gang = job.Steps[start.Step].Tasks
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -31,6 +31,9 @@
 	// maxAnswerAge is the age of a worker's latest answer above which the worker
 	// counts as silent and gets no new runs.
 	maxAnswerAge = 2500 * model.Millisecond
+	// silentResends is the number of times after which an order would be sent again, without
+	// any answer of its worker, until the worker gets no new runs.
+	silentResends = 2
 	// maxRefusals is the number of consecutive refused connections after which a worker
 	// gets no new runs.
 	maxRefusals = 2
@@ -63,6 +66,7 @@
 	pollDeadline model.Time // the pending poll is given up after this
 	pollAt       model.Time // earliest time of the next poll
 	answeredAt   model.Time // when the latest answer arrived
+	orderedFrom  model.Time // first order to start after the answer that was the latest then
 	refusals     int        // consecutive refused connections
 	pollFailed   bool       // the latest poll had no answer or was not accepted
 	removing     bool       // its removal is proposed
@@ -273,6 +277,13 @@
 	return w.polled && now.Sub(w.answeredAt) <= maxAnswerAge
 }
 
+// isSilent reports whether a worker leaves an order unanswered and has answered nothing
+// else since. It may have ended: the task of an order that a later process may carry out
+// waits for the longest lease.
+func (s *Scheduler) isSilent(now model.Time, w *worker) bool {
+	return w.orderedFrom != 0 && w.orderedFrom >= w.answeredAt && now.Sub(w.orderedFrom) >= silentResends*s.resendAfter(now)
+}
+
 // poll sends the next poll. After a poll without an answer, it asks for an immediate
 // answer and extends no lease, so that the runs of a lost worker are soon recorded as
 // lost. The leader's first poll of a worker does the same, since the leader does not
