--- a/core/answers_sim_test.go
+++ b/core/answers_sim_test.go
@@ -31,6 +31,8 @@
 	jobs     []*submittedJob
 	resets   float64 // share of the connections that are reset
 	refusals int     // that were checked
+	queries  int     // for accepted jobs, that were answered with a state
+	asks     bool    // callers ask for accepted jobs
 }
 
 type submittedJob struct {
@@ -108,6 +110,33 @@
 		c.resubmit(j, callerRetryWait)
 	default:
 		j.accepted = true
+		if c.asks {
+			c.ask(j, c.now)
+		}
+	}
+}
+
+// ask asks a random host for an accepted job again and again, and checks that it is known
+// and neither failed nor cancelled.
+func (c *callers) ask(j *submittedJob, since model.Time) {
+	hosts := slices.Concat(c.entries, c.replicas)
+	h := hosts[c.rng.IntN(len(hosts))]
+	c.seq++
+	seq := c.seq
+	c.read(h, h.incarnation, event.CallArrived{Call: call.Call{Seq: seq, Patience: callerPatience - callerMargin, Query: &call.Address{Host: "h", Path: j.path}}})
+	wait := c.between(20*millisecond, 1500*millisecond)
+	c.after(callerPatience, func() {
+		a, answered := c.answers[seq]
+		if answered && a.Problem == nil {
+			c.queries++
+			require.NotContains(c.t, []call.JobState{call.JobFailed, call.JobCancelled}, a.State, "job %s at %s", j.id, h.host)
+		}
+		if a.Problem != nil {
+			require.NotEqual(c.t, problem.UnknownJob, a.Problem.Kind, "%s does not know the accepted job %s", h.host, j.id)
+		}
+	})
+	if c.now.Sub(since) < 15*model.Second {
+		c.after(wait, func() { c.ask(j, since) })
 	}
 }
 
@@ -198,6 +227,23 @@
 	}
 }
 
+// Guards against a host that does not know an accepted job, or shows it as failed or
+// cancelled, while hosts freeze, are cut off or end and start again, the leader among them.
+func TestAcceptedJobsStayKnown(t *testing.T) {
+	for seed := range simSeeds(t, 12) {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			t.Parallel()
+			c := newCallers(t, seed, 5, 4, 4, 0)
+			c.asks, c.resets = true, 0.1
+			until := c.now.Add(15 * model.Second)
+			c.submitEvery(300*millisecond, "/q/", until)
+			c.disturb(until)
+			c.run(35 * model.Second)
+			require.Greater(t, c.queries, 100)
+		})
+	}
+}
+
 // playRefusals checks that refused jobs stay refused and accepted ones known.
 func playRefusals(c *callers) {
 	c.callUntilAnswered(call.Call{Configure: &jobs.Config{
--- a/core/delegates_sim_test.go
+++ b/core/delegates_sim_test.go
@@ -299,11 +299,6 @@
 // as lost, and starts the task again.
 func (s *fleetSim) advance(w *fleetWorker) {
 	leaseEnd := w.startedAt.Add(model.Duration(w.lease) * millisecond)
-	for _, e := range w.ends {
-		if leaseEnd < s.now && e.Outcome == jobs.OutcomeDone {
-			delete(s.done, e.TaskRef)
-		}
-	}
 	for ref, until := range w.running {
 		switch {
 		case until <= min(s.now, leaseEnd):
@@ -312,6 +307,11 @@
 			s.end(w, ref, jobs.OutcomeLeaseExpired)
 		}
 	}
+	for _, e := range w.ends {
+		if leaseEnd < s.now && e.Outcome == jobs.OutcomeDone {
+			delete(s.done, e.TaskRef)
+		}
+	}
 }
 
 func (s *fleetSim) end(w *fleetWorker, ref jobs.RunRef, o jobs.Outcome) {
