--- a/core/schedule/sim_test.go
+++ b/core/schedule/sim_test.go
@@ -41,6 +41,10 @@
 	unparsedEntries int
 	sameID          bool                        // crashed workers start again under their id, on their host
 	refused         bool                        // connections to workers that are down or cut off are refused
+	holdsPolls      bool                        // a poll is answered at the end of its wait unless an end comes before
+	delegateKilled  func(model.WorkerID) bool   // calls to the worker are lost with the delegate that makes them
+	waits           *waits                      // nil if they are not observed
+	failures        map[jobs.TaskRef]int        // runs that have failed, of a gang by its first task
 	stalledUntil    model.Time                  // the leader handles nothing before this time
 	done            map[jobs.TaskRef]bool       // tasks whose successful end was recorded
 	forgotten       map[jobs.TaskRef]model.Time // when a worker was first told to forget a successful end
@@ -50,7 +54,7 @@
 }
 
 func newSim(t *testing.T, seed uint64) *sim {
-	s := &sim{t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: 1000 * model.Time(model.Second), state: &jobs.State{}, done: make(map[jobs.TaskRef]bool), forgotten: make(map[jobs.TaskRef]model.Time), failureRate: 0.05}
+	s := &sim{t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: 1000 * model.Time(model.Second), state: &jobs.State{}, done: make(map[jobs.TaskRef]bool), forgotten: make(map[jobs.TaskRef]model.Time), failures: make(map[jobs.TaskRef]int), failureRate: 0.05}
 	s.apply(&jobs.Command{Configure: &jobs.Config{Version: 1, Queues: []jobs.Queue{
 		{ID: "q", Host: "h", Prefix: "/q/", Service: "render", MaxAttempts: 40, Stretch: 1.6, Target: 600 * ms, Open: true},
 	}, Services: map[model.ServiceID]jobs.Service{"render": {}}}})
@@ -116,6 +120,7 @@
 
 func (s *sim) commit(c *jobs.Command) {
 	result := s.apply(c)
+	s.checkFailed(result.Ended)
 	if c.End != nil {
 		for i := range c.End.Runs {
 			if c.End.Runs[i].Outcome == jobs.OutcomeDone && result.Applied[i] {
@@ -151,7 +156,9 @@
 			s.after(s.between(20*ms, 12*model.Second), func() { s.execute(w, c) })
 		}
 		s.answer(model.Second, reply)
-	case w != nil && w.up && w.partitioned && s.rng.Float64() < 0.5:
+	case s.delegateKilled != nil && s.delegateKilled(c.Worker):
+		s.answer(700*ms, reply)
+	case w != nil && w.up && w.partitioned && !s.holdsPolls && s.rng.Float64() < 0.5:
 		s.after(latency, func() { s.execute(w, c) })
 		s.answer(model.Second, reply)
 	case s.refused && (w == nil || !w.up || w.partitioned):
@@ -166,6 +173,10 @@
 				s.answer(model.Second, reply)
 				return
 			}
+			if s.holdsPolls && c.Poll != nil && c.Poll.Wait > 0 {
+				s.awaitEnd(w, c, s.now.Add(c.Poll.Wait))
+				return
+			}
 			s.after(0, func() { s.answer(s.between(1*ms, 8*ms), s.execute(w, c)) })
 		})
 	}
@@ -203,6 +214,9 @@
 		if s.now >= s.stalledUntil && s.now.Sub(tick) >= 50*ms {
 			tick = s.now
 			s.act(func(out *Out) { s.scheduler.Advance(s.env(), out) })
+			if s.waits != nil {
+				s.observeWaits()
+			}
 			requireCapacityIndex(s.t, s.scheduler, s.env())
 			requireRunIndex(s.t, s.scheduler)
 			requireNothingFits(s.t, s.scheduler, s.env())
--- a/core/schedule/sim_worker_test.go
+++ b/core/schedule/sim_worker_test.go
@@ -19,6 +19,7 @@
 	clockStart  model.Time
 	up          bool
 	partitioned bool // unreachable for the leader; its runs continue
+	soundSince  model.Time
 	token       uint64
 	lease       order.ClockMS
 	ends        []order.Ended
@@ -151,6 +152,10 @@
 	run := &simRun{
 		size: job.Steps[start.Step].Size, beganAt: s.now, work: work, doneAt: s.now.Add(work), fails: s.rng.Float64() < s.failureRate,
 	}
+	if job.Steps[start.Step].LongRunning {
+		run.doneAt = s.now.Add(s.between(model.Second, 200*model.Second))
+		run.fails = true
+	}
 	if job.Steps[start.Step].Gang {
 		run.gang = job.Steps[start.Step].Tasks
 	}
@@ -258,6 +263,14 @@
 		return
 	}
 	delete(w.running, ref)
+	if o == jobs.OutcomeFailed {
+		key := ref.TaskRef
+		if run.gang > 0 {
+			key.Index = 0
+		}
+		s.failures[key]++
+	}
+	s.noteEnd(ref, string(o))
 	if run.gang > 0 && run.complete {
 		rest := jobs.OutcomeGangBroken
 		if o == jobs.OutcomeDone {
@@ -296,10 +309,13 @@
 // crash ends a worker's process and starts a new one after d.
 func (s *sim) crash(w *simWorker, d model.Duration) {
 	w.up = false
+	for ref := range w.running {
+		s.noteEnd(ref, "crash")
+	}
 	w.running = make(map[jobs.RunRef]*simRun)
 	s.after(d, func() {
 		fresh := &simWorker{
-			info: w.info, rate: w.rate, clockStart: s.now, up: true,
+			info: w.info, rate: w.rate, clockStart: s.now, up: true, soundSince: s.now,
 			running: make(map[jobs.RunRef]*simRun), finished: make(map[jobs.TaskRef]int),
 		}
 		fresh.info.StartedAt = int64(s.now / model.Time(ms))
