--- a/core/schedule/lease_test.go
+++ b/core/schedule/lease_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/jobs"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/order"
@@ -264,3 +265,101 @@
 		require.Equal(t, host != "host-a", f.s.runs[ref("j", 0, 1)] != nil, host)
 	}
 }
+
+// startAnswered answers an order to start a run as accepted, at a time of the clock of the
+// process that answers.
+func (f *fixture) startAnswered(start order.Call, clock order.ClockMS) {
+	f.act(func(out *Out) {
+		f.s.Replied(f.env(), out, &order.Reply{Call: start, Status: order.Accepted, Clock: clock})
+	})
+}
+
+// Guards against a task that runs twice: the process that a worker restarts as accepts an
+// order to the earlier one, and is cut off before it announces itself. It reads the deadline
+// on its own clock, so that the run has the longest lease from the order on.
+func TestRunThatALaterProcessAcceptedOutlivesTheEarlierLease(t *testing.T) {
+	for name, clock := range map[string]order.ClockMS{"restarted clock": 20, "clock ahead": 1 << 40} {
+		t.Run(name, func(t *testing.T) {
+			a := testWorker("a")
+			a.StartedAt = 1000
+			f := newFixture(t, a)
+			f.advanceBy(model.Second)
+			f.submit("j", jobs.Step{Tasks: 1, Size: cores(1)})
+			f.startAnswered(f.takeCalls("a")[0], clock)
+			require.Equal(t, 1, f.logged[effect.WorkerRestarted])
+			f.submit("k", jobs.Step{Tasks: 1, Size: cores(1)})
+			require.Empty(t, f.takeCalls("a"), "the worker gets no new runs")
+			began := f.now
+			for f.now.Sub(began) < maxElapsed(simBounds.LeaseMax) {
+				require.Contains(t, f.s.runs, ref("j", 0, 1))
+				f.failPolls("a", order.WrongProcess, 50*ms)
+			}
+			f.failPolls("a", order.WrongProcess, lateCallTime)
+			require.NotContains(t, f.s.runs, ref("j", 0, 1))
+		})
+	}
+}
+
+// Guards against a wait for the longest lease although only the earlier process can have
+// accepted a run: its worker is cut off, and has not restarted as far as is known.
+func TestRunThatItsOwnProcessAcceptedEndsWithItsLease(t *testing.T) {
+	a := testWorker("a")
+	a.StartedAt = 1000
+	f := newFixture(t, a)
+	f.submit("j", jobs.Step{Tasks: 1, Size: cores(1)})
+	f.advanceBy(50 * ms)
+	f.startAnswered(f.takeCalls("a")[0], order.ClockMS(f.now/model.Time(ms)))
+	require.Zero(t, f.logged[effect.WorkerRestarted])
+	leaseEndsBy := f.s.workers["a"].leaseEndsBy
+	for f.now <= leaseEndsBy {
+		require.Contains(t, f.s.runs, ref("j", 0, 1))
+		f.failPolls("a", order.NoAnswer, 50*ms)
+	}
+	f.failPolls("a", order.NoAnswer, 50*ms)
+	require.NotContains(t, f.s.runs, ref("j", 0, 1))
+}
+
+// Guards against calls to a worker's earlier process that its later process carries out
+// late, such as a poll that tells it which ends it may forget: it refuses them once it has
+// seen a larger token.
+func TestPollAfterAFailureFencesEarlierCalls(t *testing.T) {
+	f := newFixture(t, testWorker("a"))
+	tokens := func() (last uint64) {
+		for _, c := range f.calls {
+			last = c.Token
+		}
+		return last
+	}
+	first := tokens()
+	f.failPolls("a", order.NoAnswer, 50*ms)
+	f.advanceBy(pollRetryDelay)
+	second := tokens()
+	require.Greater(t, second, first)
+	f.answerPoll("a", nil, nil)
+	require.Equal(t, second, tokens(), "an answer changes nothing")
+	f.laterProcess("host-a")
+	require.Greater(t, tokens(), second)
+	require.Less(t, tokens(), New(Env{Now: f.now, Term: 4, State: f.state, Bounds: simBounds}).workers["a"].token)
+}
+
+// Guards against a wait for the end of a lease although a later process of the worker has
+// answered, lists nothing of the earlier one, and refuses its orders.
+func TestListOfALaterProcessEndsTheRunsOfTheEarlierOne(t *testing.T) {
+	a := testWorker("a")
+	a.StartedAt = 1000
+	f := newFixture(t, a)
+	f.submit("j", jobs.Step{Tasks: 2, Size: cores(1)})
+	listed := []order.Running{runningFully(ref("j", 0, 1))}
+	later := order.Reply{Status: order.Accepted, Clock: 20, StartedAt: 6000, Running: listed}
+	f.replyToPolls("a", later)
+	require.Contains(t, f.s.runs, ref("j", 1, 1), "its order has the token of the poll")
+	f.advanceBy(pollRetryDelay)
+	later.Partial = true
+	f.replyToPolls("a", later)
+	require.Contains(t, f.s.runs, ref("j", 1, 1), "the list may lack it")
+	f.advanceBy(pollRetryDelay)
+	later.Partial = false
+	f.replyToPolls("a", later)
+	require.Contains(t, f.s.runs, ref("j", 0, 1), "the later process runs it")
+	require.NotContains(t, f.s.runs, ref("j", 1, 1))
+}
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -57,6 +57,7 @@
 	runs               map[jobs.RunRef]*run
 	runsByJob          map[model.JobID]map[jobs.RunRef]*run // index of runs
 	callSeq            uint64                               // sequence number of the latest call
+	raisedToken        uint64                               // see largerToken
 	unansweredAt       model.Time                           // latest call without an answer of a recently active worker
 	lastTickAt         model.Time                           // latest tick
 	lateTickAt         model.Time                           // latest late tick
@@ -141,7 +142,7 @@
 				}
 				ref := jobs.RunRef{TaskRef: jobs.TaskRef{Job: j.ID, Round: k, Step: step, Index: i}, Run: t.Run}
 				r := s.addRun(env, j, ref, t.Worker, t.Incarnation)
-				r.phase = inherited
+				r.phase, r.lateUntil = inherited, env.Now.Add(lateCallTime)
 				r.stopping = j.Phase != jobs.Active
 			}
 		}
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -48,8 +48,10 @@
 type worker struct {
 	info  *jobs.Worker
 	token uint64
-	runs  map[jobs.RunRef]*run
-	used  model.Resources
+	// orderToken is the token of the latest order to start a run.
+	orderToken uint64
+	runs       map[jobs.RunRef]*run
+	used       model.Resources
 	// untracked is the claim of listed runs that are not in runs: they were given up,
 	// or their assignment was never committed. Such runs are being stopped. It also
 	// includes runs given up for another copy since the latest list.
@@ -73,7 +75,11 @@
 
 	clock              order.ClockMS // worker's clock in the latest answer
 	clockAt            model.Time    // when that answer arrived
-	leaseEndsBy        model.Time    // every lease granted has ended by then
+	clockSince         model.Time    // when the call to which it answered was sent
+	leaseEndsBy        model.Time    // every lease granted to this process has ended by then
+	strayEndsBy        model.Time    // see strayOrderEnd: every run of a later process on a call to this one has ended by then
+	restarted          bool          // a later process is known to have started
+	fenced             bool          // it has answered a call with this token, so it refuses calls with an earlier one
 	recordedThrough    uint64        // listed ends up to this number are recorded
 	proposedThrough    uint64        // listed ends up to this number are proposed to be recorded
 	pendingEndCommands int           // proposed commands with its ends that are not committed
@@ -85,10 +91,11 @@
 
 func (s *Scheduler) addWorker(env Env, info *jobs.Worker) *worker {
 	w := &worker{
-		info: info, token: workerToken(env.Term, info.Incarnation), runs: make(map[jobs.RunRef]*run),
+		info: info, token: s.firstToken(env.Term, info.Incarnation), runs: make(map[jobs.RunRef]*run),
 		failures: make(map[model.JobID]bool),
 		// Upper bound for the leases that an earlier leader granted.
 		leaseEndsBy: env.Now.Add(maxElapsed(env.Bounds.LeaseMax)),
+		strayEndsBy: env.Now.Add(maxElapsed(env.Bounds.LeaseMax)),
 	}
 	s.workers[info.ID] = w
 	s.workersByHost[info.Host] = append(s.workersByHost[info.Host], w)
@@ -124,15 +131,6 @@
 	return 0
 }
 
-// workerToken returns a token that grows with each term and each incarnation of a
-// worker.
-func workerToken(term, incarnation uint64) uint64 {
-	// An incarnation is a log index and stays below 2^28. With terms below 2^25, the
-	// token fits into the 53 bits that every JSON reader represents exactly.
-	const incarnationBits = 28
-	return term<<incarnationBits | incarnation&(1<<incarnationBits-1)
-}
-
 // maxElapsed returns the longest real time in which a worker's clock may advance by d,
 // plus a margin.
 func maxElapsed(d model.Duration) model.Duration {
@@ -160,9 +158,9 @@
 			s.joinPool(old)
 			return
 		}
-		// An order to the old process may have been executed by the new one, or may
-		// still be until it has seen its token.
-		old.leaseEndsBy = max(old.leaseEndsBy, env.Now.Add(strayOrderEnd(env.Bounds)))
+		// The later process may carry out calls to the earlier one until it has seen its token.
+		old.restarted = true
+		old.strayEndsBy = max(old.strayEndsBy, env.Now.Add(strayOrderEnd(env.Bounds)))
 		s.detachWorker(old)
 	}
 	s.endEarlierProcesses(env, out, info)
@@ -185,9 +183,23 @@
 	out.log(effect.WorkerGone, effect.Log{Worker: c.Worker, Index: c.Incarnation})
 }
 
-func (w *worker) setClock(now model.Time, c order.ClockMS) {
+// sendingOf returns when a call was sent. It returns false if that is not known.
+func (w *worker) sendingOf(now model.Time, c *order.Call) (model.Time, bool) {
+	switch {
+	case c.Poll != nil && c.Seq == w.pendingPoll:
+		return w.pollSentAt, true
+	case c.Poll != nil:
+		return now.Add(-pollWait - pollTimeout), true // an earlier poll, which was given up
+	case c.Start != nil && w.runs[c.Start.RunRef] != nil && w.runs[c.Start.RunRef].orders > 0:
+		return w.runs[c.Start.RunRef].orderedAt, true
+	}
+	return 0, false
+}
+
+// setClock records the worker's clock in an answer to a call that was sent at sentAt.
+func (w *worker) setClock(now model.Time, c order.ClockMS, sentAt model.Time) {
 	if c >= w.clock {
-		w.clock, w.clockAt = c, now
+		w.clock, w.clockAt, w.clockSince = c, now, sentAt
 	}
 }
 
@@ -198,9 +210,10 @@
 
 // extendLease grants a lease of length d from now and returns its deadline by the
 // worker's clock. It records when the lease has ended even on the slowest clock.
-func (w *worker) extendLease(now model.Time, d model.Duration) order.ClockMS {
+func (w *worker) extendLease(now model.Time, b Bounds, d model.Duration) order.ClockMS {
 	deadline := w.clockNow(now) + order.ClockMS(d/model.Millisecond)
 	w.leaseEndsBy = max(w.leaseEndsBy, w.clockReachedBy(deadline))
+	w.strayEndsBy = max(w.strayEndsBy, now.Add(strayOrderEnd(b)))
 	return deadline
 }
 
@@ -290,6 +303,11 @@
 // know the worker's clock yet.
 func (s *Scheduler) poll(env Env, out *Out, w *worker) {
 	request := order.Poll{AnswerTime: pollAnswerTime}
+	if w.pollFailed {
+		// The worker may have restarted. Once the later process has seen a larger token, it
+		// refuses the calls to the earlier one that are still on their way.
+		w.token = s.largerToken(w.token)
+	}
 	if w.polled && !w.pollFailed && env.Now.Sub(w.answeredAt) < restartTime {
 		// A later process of the worker would take the number for one of its own ends.
 		request.RecordedUpTo = w.recordedThrough
@@ -302,7 +320,7 @@
 		if len(w.runs) > 0 && s.isLosingAnswers(env.Now) {
 			request.Wait, request.AnswerTime = min(request.Wait, s.shortPollWait(env.Now, w)), answerLossAnswerTime
 		}
-		request.Deadline = w.extendLease(env.Now, leaseDuration(env.Bounds))
+		request.Deadline = w.extendLease(env.Now, env.Bounds, leaseDuration(env.Bounds))
 	}
 	s.load.polls++
 	call := s.call(w, order.Call{Poll: &request})
@@ -323,12 +341,16 @@
 // Replied handles the result of a call to a worker.
 func (s *Scheduler) Replied(env Env, out *Out, reply *order.Reply) {
 	w := s.workers[reply.Call.Worker]
-	if w == nil || w.info.Incarnation != reply.Call.Incarnation || reply.Call.Token != w.token {
+	if w == nil || w.info.Incarnation != reply.Call.Incarnation || termOf(reply.Call.Token) != env.Term {
 		return // a call of an earlier term of this process proves nothing in this term
 	}
-	if reply.Clock != 0 {
-		w.answeredAt, w.refusals = env.Now, 0
-		w.setClock(env.Now, reply.Clock)
+	if sentAt, known := w.sendingOf(env.Now, &reply.Call); known && reply.Clock != 0 && reply.Status != order.WrongProcess {
+		if w.isFromLaterProcess(reply, sentAt, env.Now) {
+			s.laterProcessAnswered(env, out, w, reply)
+		} else {
+			w.answeredAt, w.refusals = env.Now, 0
+			w.setClock(env.Now, reply.Clock, sentAt)
+		}
 	}
 	if reply.Status == order.NoAnswer && w.polled {
 		s.recordUnanswered(env, out, w, reply.Detail)
@@ -344,16 +366,18 @@
 }
 
 func (s *Scheduler) handlePollReply(env Env, out *Out, w *worker, reply *order.Reply) {
+	sentAt := model.Time(0) // not known of a poll that was given up
 	if w.pendingPoll == reply.Call.Seq {
-		w.pendingPoll = 0
+		w.pendingPoll, sentAt = 0, w.pollSentAt
 	}
-	if reply.Status == order.Accepted && reply.StartedAt != 0 && w.info.StartedAt != 0 && reply.StartedAt != w.info.StartedAt {
+	if reply.Status == order.Accepted && w.isOtherProcess(reply) {
 		reply.Status = order.WrongProcess
+		s.giveUpEnded(env, out, w, reply)
 	}
 	switch reply.Status {
 	case order.Accepted:
 		w.pollFailed = false
-		s.handleList(env, out, w, reply)
+		s.handleList(env, out, w, reply, sentAt)
 		w.pollAt = env.Now
 		if hasUnparsedEnd(reply) {
 			// The worker answers at once while it has an end to report, so the next
@@ -410,8 +434,14 @@
 	}
 }
 
-// handleList handles the lists in the answer to a poll.
-func (s *Scheduler) handleList(env Env, out *Out, w *worker, reply *order.Reply) {
+// handleList handles the lists in the answer to a poll that was sent at sentAt.
+func (s *Scheduler) handleList(env Env, out *Out, w *worker, reply *order.Reply, sentAt model.Time) {
+	if !w.fenced {
+		// Until it saw this token, calls of an earlier leader or to an earlier process of the
+		// worker may have extended its lease.
+		w.fenced, w.leaseEndsBy = true, env.Now.Add(maxElapsed(env.Bounds.LeaseMax))
+	}
+	w.restarted = false
 	if !w.polled {
 		w.polled = true
 		s.pool(w.info.Service).dirty = true
@@ -427,7 +457,7 @@
 	defer s.updateCapacityIndex(w)
 	for i := range reply.Running {
 		listed[reply.Running[i].RunRef] = true
-		s.handleRunning(env, out, w, &reply.Running[i], reply.Clock)
+		s.handleRunning(env, out, w, &reply.Running[i], reply.Clock, sentAt)
 	}
 	s.recordEnds(env, out, w, reply, listed)
 	for _, r := range w.unlisted(listed) {
