--- a/core/schedule/sim_test.go
+++ b/core/schedule/sim_test.go
@@ -43,6 +43,9 @@
 	refused         bool                        // connections to workers that are down or cut off are refused
 	lateToLater     bool                        // late calls are executed within 2 s, by the process that runs then
 	longPolls       bool                        // workers answer a poll when a run has ended or its wait is over
+	delegateKilled  func(model.WorkerID) bool   // calls to the worker are lost with the delegate that makes them
+	waits           *waits                      // nil if they are not observed
+	failures        map[jobs.TaskRef]int        // runs that have failed, of a gang by its first task
 	stalledUntil    model.Time                  // the leader handles nothing before this time
 	done            map[jobs.TaskRef]bool       // tasks whose successful end was recorded
 	forgotten       map[jobs.TaskRef]model.Time // when a worker was first told to forget a successful end
@@ -52,7 +55,7 @@
 }
 
 func newSim(t *testing.T, seed uint64) *sim {
-	s := &sim{t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: 1000 * model.Time(model.Second), state: &jobs.State{}, done: make(map[jobs.TaskRef]bool), forgotten: make(map[jobs.TaskRef]model.Time), failureRate: 0.05}
+	s := &sim{t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: 1000 * model.Time(model.Second), state: &jobs.State{}, done: make(map[jobs.TaskRef]bool), forgotten: make(map[jobs.TaskRef]model.Time), failures: make(map[jobs.TaskRef]int), failureRate: 0.05}
 	s.apply(&jobs.Command{Configure: &jobs.Config{Version: 1, Queues: []jobs.Queue{
 		{ID: "q", Host: "h", Prefix: "/q/", Service: "render", MaxAttempts: 40, Stretch: 1.6, Target: 600 * ms, Open: true},
 	}, Services: map[model.ServiceID]jobs.Service{"render": {}}}})
@@ -118,6 +121,7 @@
 
 func (s *sim) commit(c *jobs.Command) {
 	result := s.apply(c)
+	s.checkFailed(result.Ended)
 	if c.End != nil {
 		for i := range c.End.Runs {
 			if c.End.Runs[i].Outcome == jobs.OutcomeDone && result.Applied[i] {
@@ -156,7 +160,9 @@
 			s.after(s.between(20*ms, 12*model.Second), func() { s.execute(w, c) })
 		}
 		s.answer(model.Second, reply)
-	case w != nil && w.up && w.partitioned && s.rng.Float64() < 0.5:
+	case s.delegateKilled != nil && s.delegateKilled(c.Worker):
+		s.answer(700*ms, reply)
+	case w != nil && w.up && w.partitioned && s.waits == nil && s.rng.Float64() < 0.5:
 		s.after(latency, func() { s.execute(w, c) })
 		s.answer(model.Second, reply)
 	case s.refused && (w == nil || !w.up || w.partitioned):
@@ -191,7 +197,7 @@
 	var wait func()
 	wait = func() {
 		switch {
-		case !w.up || w.partitioned:
+		case !w.up || w.partitioned || s.delegateKilled != nil && s.delegateKilled(c.Worker):
 			s.answer(until.Sub(s.now)+c.Poll.AnswerTime, order.Reply{Call: c, Status: order.NoAnswer})
 		case s.now >= until || len(w.ends) > 0:
 			s.answer(s.between(1*ms, 8*ms), s.listRuns(w, c))
@@ -234,6 +240,9 @@
 		if s.now >= s.stalledUntil && s.now.Sub(tick) >= 50*ms {
 			tick = s.now
 			s.act(func(out *Out) { s.scheduler.Advance(s.env(), out) })
+			if s.waits != nil {
+				s.observeWaits()
+			}
 			requireCapacityIndex(s.t, s.scheduler, s.env())
 			requireRunIndex(s.t, s.scheduler)
 			requireNothingFits(s.t, s.scheduler, s.env())
