--- a/core/schedule/detached.go
+++ b/core/schedule/detached.go
@@ -20,9 +20,9 @@
 
 // lateCallTime is the time after its sending within which a call without an answer may
 // be carried out by a later process of its worker, which the deadline of the call does
-// not bind: the age at which a delegate still makes a call (1.5 s), the time limit of the
-// call (1 s), and the time in which the sender's kernel repeats it (1.5 s).
-const lateCallTime = 4 * model.Second
+// not bind: the age at which a delegate still makes a call (1.5 s) and the time limit of
+// the call (1 s), with which its unsent bytes are dropped.
+const lateCallTime = 2500 * model.Millisecond
 
 // strayOrderEnd returns how long after a call to a worker the runs of a later process may
 // go on that this call has started or whose lease it has extended. The deadline in the call
