--- a/core/schedule/detached.go
+++ b/core/schedule/detached.go
@@ -42,7 +42,7 @@
 
 // mayHaveStrayed reports whether a later process of its worker may be running the run.
 func (r *run) mayHaveStrayed() bool {
-	return r.phase == ordered || r.strayed || r.worker.restarted && !r.confirmed
+	return r.phase == ordered || r.strayed || !r.confirmed && (r.unanswered > 0 || r.worker.restarted)
 }
 
 // detachWorker removes a worker and keeps its runs.
--- a/core/schedule/lease_test.go
+++ b/core/schedule/lease_test.go
@@ -349,6 +349,9 @@
 	a.StartedAt = 1000
 	f := newFixture(t, a)
 	f.submit("j", jobs.Step{Tasks: 2, Size: cores(1)})
+	for _, start := range f.takeCalls("a") {
+		f.startAnswered(start, order.ClockMS(f.now/model.Time(ms)))
+	}
 	listed := []order.Running{runningFully(ref("j", 0, 1))}
 	later := order.Reply{Status: order.Accepted, Clock: 20, StartedAt: 6000, Running: listed}
 	f.replyToPolls("a", later)
--- a/core/schedule/restart.go
+++ b/core/schedule/restart.go
@@ -14,16 +14,19 @@
 // another one: the answer to a poll has its start time, and every answer has its clock,
 // which starts anew with the process.
 
+// maxClockRate is the rate of the fastest worker clock, by the clock of the leader's host.
+const maxClockRate = 1.01
+
 // isOtherProcess reports whether the start time in an answer is that of another process.
 func (w *worker) isOtherProcess(reply *order.Reply) bool {
 	return reply.StartedAt != 0 && w.info.StartedAt != 0 && reply.StartedAt != w.info.StartedAt
 }
 
 // isFromLaterProcess reports whether a later process of a worker has given an answer to a
-// call that was sent at sentAt. The leader knows the sending of polls and orders to start;
-// the clocks in other answers are not used.
+// call that was sent at sentAt. A list names the start time of its process; any other answer
+// is judged by its clock.
 func (w *worker) isFromLaterProcess(reply *order.Reply, sentAt, now model.Time) bool {
-	if reply.Call.Poll != nil {
+	if reply.Call.Poll != nil && (reply.StartedAt != 0 || reply.Status == order.Accepted) {
 		return w.isOtherProcess(reply)
 	}
 	return w.isOtherProcess(reply) || !w.mayShow(reply.Clock, sentAt, now)
@@ -41,7 +44,7 @@
 	}
 	const rounding = model.Millisecond
 	earliest := w.clock + order.ClockMS((elapsed-rounding)/model.Millisecond)
-	latest := w.clock + order.ClockMS((now.Sub(w.clockSince)+rounding)/model.Millisecond)
+	latest := w.clock + order.ClockMS((model.Duration(float64(now.Sub(w.clockSince))*maxClockRate)+rounding)/model.Millisecond)
 	return earliest <= c && c <= latest
 }
 
@@ -60,18 +63,17 @@
 			w.info.StartedAt, reply.StartedAt, w.clock, env.Now.Sub(w.clockAt)/model.Millisecond, reply.Clock)})
 	}
 	s.markUnreachable(out, w, "a later process answers its calls")
-	w.restarted, w.pollFailed = true, true
-	// Until now, it may have carried out calls to the earlier process.
-	w.strayEndsBy = max(w.strayEndsBy, env.Now.Add(maxElapsed(env.Bounds.LeaseMax)))
+	w.restarted, w.restartedAt, w.pollFailed = true, env.Now, true
 	if reply.Call.Poll == nil {
 		w.pendingPoll, w.pollAt = 0, env.Now // ask which process it is
 	}
 }
 
-// giveUpEnded gives up the runs of a worker that has restarted under its id, as far as the
+// giveUpUnlisted gives up the runs of a worker that has restarted under its id, as far as the
 // complete list of the later process lacks them. The poll's token is larger than those of
-// all orders to the earlier process, so that the later process refuses them from now on.
-func (s *Scheduler) giveUpEnded(env Env, out *Out, w *worker, reply *order.Reply) {
+// all orders to the earlier process, so that the later process refuses them from now on. A
+// third process would not, so the runs of orders that may still be on their way are kept.
+func (s *Scheduler) giveUpUnlisted(env Env, out *Out, w *worker, reply *order.Reply) {
 	if reply.Partial || reply.StartedAt < w.info.StartedAt || reply.Call.Token <= w.orderToken {
 		return
 	}
@@ -83,8 +85,8 @@
 		listed[reply.Ended[i].RunRef] = true
 	}
 	for _, r := range w.unlisted(listed) {
-		if r.phase != assigned {
-			s.giveUp(env, out, r, jobs.OutcomeLost, "", "its worker has restarted and does not list it")
+		if r.phase != assigned && (r.unanswered == 0 || env.Now >= r.lateUntil) {
+			s.giveUp(env, out, r, jobs.OutcomeLost, "", "a later process of its worker does not list it")
 		}
 	}
 }
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -231,7 +231,11 @@
 			s.recordOrderTime(env.Now, env.Now.Sub(r.sentAt))
 		}
 		r.confirmed = r.unanswered == 0 && !r.strayed
-		s.markBegun(env, r, reply.Clock)
+		at := reply.Clock
+		if r.strayed {
+			at = 0
+		}
+		s.markBegun(env, r, at)
 	case order.Superseded:
 		// The run has ended or was stopped. The next list tells how it ended.
 		r.voidFrom = min(r.voidFrom, reply.Clock)
@@ -380,9 +384,14 @@
 			s.stop(env, out, r, "its job has ended")
 			return
 		}
+		if t.Phase == jobs.Done {
+			s.stop(env, out, r, "its gang is done")
+			return
+		}
 		s.recordUnanswered(env, out, r.worker, "an order is sent again")
 		r.orderSent(env.Now)
 		r.worker.orderToken = r.worker.token
+		r.worker.strayEndsBy = max(r.worker.strayEndsBy, env.Now.Add(strayOrderEnd(env.Bounds)))
 		s.load.resends++
 		out.Effects = append(out.Effects, s.call(r.worker, order.Call{Start: &order.Start{
 			RunRef: r.ref, Spec: r.job.Spec, Checkpoint: t.Checkpoint, Ticket: s.ticket(env, r), Deadline: r.voidFrom,
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -79,7 +79,8 @@
 	leaseEndsBy        model.Time    // every lease granted to this process has ended by then
 	strayEndsBy        model.Time    // see strayOrderEnd: every run of a later process on a call to this one has ended by then
 	restarted          bool          // a later process is known to have started
-	fenced             bool          // it has answered a call with this token, so it refuses calls with an earlier one
+	restartedAt        model.Time    // when it was seen
+	fenced             bool          // it has answered a poll, so it refuses calls with tokens from before this record
 	recordedThrough    uint64        // listed ends up to this number are recorded
 	proposedThrough    uint64        // listed ends up to this number are proposed to be recorded
 	pendingEndCommands int           // proposed commands with its ends that are not committed
@@ -95,7 +96,7 @@
 		failures: make(map[model.JobID]bool),
 		// Upper bound for the leases that an earlier leader granted.
 		leaseEndsBy: env.Now.Add(maxElapsed(env.Bounds.LeaseMax)),
-		strayEndsBy: env.Now.Add(maxElapsed(env.Bounds.LeaseMax)),
+		strayEndsBy: env.Now.Add(strayOrderEnd(env.Bounds)),
 	}
 	s.workers[info.ID] = w
 	s.workersByHost[info.Host] = append(s.workersByHost[info.Host], w)
@@ -372,10 +373,15 @@
 	}
 	if reply.Status == order.Accepted && w.isOtherProcess(reply) {
 		reply.Status = order.WrongProcess
-		s.giveUpEnded(env, out, w, reply)
+		s.giveUpUnlisted(env, out, w, reply)
 	}
 	switch reply.Status {
 	case order.Accepted:
+		if w.restarted && sentAt < w.restartedAt {
+			// The earlier process made this list before it ended.
+			s.recordEnds(env, out, w, reply, make(map[jobs.RunRef]bool))
+			return
+		}
 		w.pollFailed = false
 		s.handleList(env, out, w, reply, sentAt)
 		w.pollAt = env.Now
