--- a/core/delegate/agent.go
+++ b/core/delegate/agent.go
@@ -11,8 +11,7 @@
 	reportInterval = 250 * model.Millisecond
 	// MaxCallAge is the largest age at which an agent still makes a call. The age counts
 	// from the agent's latest report that the leader had handled when it sent the call.
-	// MaxCallAge is less than the 2 seconds within which an order to start may be
-	// carried out.
+	// The scheduler's bound for calls that are carried out late allows for it.
 	MaxCallAge = 1500 * model.Millisecond
 	// maxRecordedAge is the largest age of a poll that still tells a worker which ends are
 	// recorded. A later process of the worker, to which the number means other ends, needs
--- /dev/null
+++ b/core/schedule/poll.go
@@ -0,0 +1,194 @@
+package schedule
+
+import (
+	"slices"
+
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/jobs"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/order"
+)
+
+// poll sends the next poll. After a poll without an answer, it asks for an immediate
+// answer and extends no lease, so that the runs of a lost worker are soon recorded as
+// lost. The leader's first poll of a worker does the same, since the leader does not
+// know the worker's clock yet.
+func (s *Scheduler) poll(env Env, out *Out, w *worker) {
+	request := order.Poll{AnswerTime: pollAnswerTime}
+	if w.pollFailed {
+		// The worker may have restarted. Once the later process has seen a larger token, it
+		// refuses the calls to the earlier one that are still on their way.
+		w.token = s.largerToken(w.token)
+	}
+	if w.polled && !w.pollFailed && env.Now.Sub(w.answeredAt) < restartTime {
+		// A later process of the worker would take the number for one of its own ends.
+		request.RecordedUpTo = w.recordedThrough
+	}
+	if w.polled && !w.pollFailed {
+		request.Wait = pollWait
+		if w.hasStarting() {
+			request.Wait = startingPollWait
+		}
+		if len(w.runs) > 0 && s.isLosingAnswers(env.Now) {
+			request.Wait, request.AnswerTime = min(request.Wait, s.shortPollWait(env.Now, w)), answerLossAnswerTime
+		}
+		request.Deadline = w.extendLease(env.Now, env.Bounds, leaseDuration(env.Bounds))
+	}
+	s.load.polls++
+	call := s.call(w, order.Call{Poll: &request})
+	w.pendingPoll, w.pollSentAt, w.pollDeadline = call.Call.Seq, env.Now, env.Now.Add(request.Wait+pollTimeout)
+	out.Effects = append(out.Effects, call)
+}
+
+// hasStarting reports whether some long-running task of the worker is not up yet.
+func (w *worker) hasStarting() bool {
+	for _, r := range w.runs {
+		if r.step.LongRunning && !r.stopping && r.progress < 100 && r.speed == 100 {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Scheduler) handlePollReply(env Env, out *Out, w *worker, reply *order.Reply) {
+	sentAt := model.Time(0) // not known of a poll that was given up
+	if w.pendingPoll == reply.Call.Seq {
+		w.pendingPoll, sentAt = 0, w.pollSentAt
+	}
+	if reply.Status == order.Accepted && w.isOtherProcess(reply) {
+		reply.Status = order.WrongProcess
+		s.giveUpUnlisted(env, out, w, reply)
+	}
+	switch reply.Status {
+	case order.Accepted:
+		if w.restarted && sentAt < w.restartedAt {
+			// The earlier process made this list before it ended.
+			s.recordEnds(env, out, w, reply, make(map[jobs.RunRef]bool))
+			return
+		}
+		w.pollFailed = false
+		s.handleList(env, out, w, reply, sentAt)
+		w.pollAt = env.Now
+		if hasUnparsedEnd(reply) {
+			// The worker answers at once while it has an end to report, so the next
+			// poll is delayed.
+			w.pollAt = env.Now.Add(pollRetryDelay)
+			return
+		}
+		if w.proposedThrough == w.recordedThrough && w.pendingPoll == 0 {
+			s.poll(env, out, w)
+		}
+		return
+	case order.WrongProcess:
+		s.addressLost(out, w, "another process answers at its address")
+	case order.Refused:
+		w.refusals++
+		if w.refusals >= maxRefusals {
+			s.addressLost(out, w, "connections to its address are refused")
+		}
+	}
+	w.pollFailed = true
+	if w.pendingPoll == 0 {
+		w.pollAt = env.Now.Add(pollRetryDelay)
+	}
+	if w.polled && !w.isFresh(env.Now) {
+		w.polled = false
+		out.log(effect.WorkerSilent, effect.Log{Worker: w.info.ID, Detail: string(reply.Status) + " " + reply.Detail})
+	}
+}
+
+// hasUnparsedEnd reports whether an end in the answer could not be parsed.
+func hasUnparsedEnd(reply *order.Reply) bool {
+	return slices.ContainsFunc(reply.Ended, func(e order.Ended) bool { return e.Unparsed })
+}
+
+// handleList handles the lists in the answer to a poll that was sent at sentAt.
+func (s *Scheduler) handleList(env Env, out *Out, w *worker, reply *order.Reply, sentAt model.Time) {
+	if !w.fenced {
+		// Until it saw this token, calls of an earlier leader or to an earlier process of the
+		// worker may have extended its lease.
+		w.fenced, w.leaseEndsBy = true, env.Now.Add(maxElapsed(env.Bounds.LeaseMax))
+	}
+	w.restarted = false
+	if !w.polled {
+		w.polled = true
+		s.pool(w.info.Service).dirty = true
+		s.pool(w.info.Service).reservations.joins++
+	}
+	listed := make(map[jobs.RunRef]bool, len(reply.Running))
+	if reply.Clock >= w.clock { // an older list lacks the runs that have begun since
+		w.untracked = model.Resources{}
+	}
+	if reply.Unparsed {
+		w.untracked = w.info.Capacity // the run that could not be parsed may be of any size
+	}
+	defer s.updateCapacityIndex(w)
+	for i := range reply.Running {
+		listed[reply.Running[i].RunRef] = true
+		s.handleRunning(env, out, w, &reply.Running[i], reply.Clock, sentAt)
+	}
+	s.recordEnds(env, out, w, reply, listed)
+	for _, r := range w.unlisted(listed) {
+		if !reply.Partial && r.isVoidAt(reply.Clock) {
+			s.giveUp(env, out, r, jobs.OutcomeVoid, "", "its worker does not list it")
+		}
+	}
+	if !reply.Partial {
+		s.giveUpUnadopted(env, out, w)
+	}
+	s.throttleBestEffort(env, out, w)
+}
+
+// unlisted returns the runs of a worker that are not in a list, sorted.
+func (w *worker) unlisted(listed map[jobs.RunRef]bool) []*run {
+	var list []*run
+	for ref, r := range w.runs {
+		if !listed[ref] {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, func(a, b *run) int { return compareRuns(a.ref, b.ref) })
+	return list
+}
+
+// recordEnds proposes to record the listed ends that are new. A worker lists an end
+// until it is told that the end is recorded. It is told so by a number that covers all
+// ends up to it, so the ends after one that could not be parsed are recorded but stay
+// listed.
+func (s *Scheduler) recordEnds(env Env, out *Out, w *worker, reply *order.Reply, listed map[jobs.RunRef]bool) {
+	var endings []jobs.Ending
+	unparsed := false
+	for i := range reply.Ended {
+		e := &reply.Ended[i]
+		if e.Unparsed {
+			unparsed = true
+			continue
+		}
+		listed[e.RunRef] = true
+		if e.Number <= max(w.recordedThrough, w.proposedThrough) {
+			continue
+		}
+		if !unparsed {
+			w.proposedThrough = e.Number
+		}
+		r := s.runOn(w, e.RunRef)
+		if r == nil {
+			// An earlier leader recorded the end, or the run was given up.
+			if s.abandoned[e.RunRef] || isAbandoned(env, e.RunRef) {
+				endings = append(endings, s.abandonedEnding(e))
+			}
+			continue
+		}
+		endings = append(endings, s.ending(r, e.Outcome, e.Checkpoint))
+		s.observeEnd(env, out, r, e.Outcome)
+		s.dropRun(r)
+	}
+	switch {
+	case len(endings) > 0:
+		end := &jobs.End{Runs: endings, Worker: w.info.ID, Incarnation: w.info.Incarnation, Through: w.proposedThrough}
+		out.Proposals = append(out.Proposals, jobs.Command{End: end})
+		w.pendingEndCommands++
+	case w.pendingEndCommands == 0:
+		w.recordedThrough = w.proposedThrough
+	}
+}
