--- a/core/schedule/poll.go
+++ b/core/schedule/poll.go
@@ -22,7 +22,7 @@
 	}
 	if w.polled && !w.pollFailed && env.Now.Sub(w.answeredAt) < restartTime {
 		// A later process of the worker would take the number for one of its own ends.
-		request.RecordedUpTo = w.recordedThrough
+		request.RecordedUpTo = w.forgettableThrough(env.Now)
 	}
 	if w.polled && !w.pollFailed {
 		request.Wait = pollWait
@@ -69,7 +69,7 @@
 		w.pollFailed = false
 		s.handleList(env, out, w, reply, sentAt)
 		w.pollAt = env.Now
-		if hasUnparsedEnd(reply) {
+		if hasUnparsedEnd(reply) || len(w.heldEnds) > 0 {
 			// The worker answers at once while it has an end to report, so the next
 			// poll is delayed.
 			w.pollAt = env.Now.Add(pollRetryDelay)
@@ -179,6 +179,7 @@
 			}
 			continue
 		}
+		w.holdEnd(env.Now, r, e.Number)
 		endings = append(endings, s.ending(r, e.Outcome, e.Checkpoint))
 		s.observeEnd(env, out, r, e.Outcome)
 		s.dropRun(r)
@@ -192,3 +193,28 @@
 		w.recordedThrough = w.proposedThrough
 	}
 }
+
+// heldEnd is a recorded end that its worker is not told to forget yet.
+type heldEnd struct {
+	number uint64
+	until  model.Time
+}
+
+// holdEnd keeps the end of a run listed as long as a copy of the order to start it may be
+// carried out late. The worker refuses the copy while it knows the run; a process that
+// starts later would run the task again after an end that counts as taken note of.
+func (w *worker) holdEnd(now model.Time, r *run, number uint64) {
+	if r.orders > 1 && r.unanswered > 0 && now < r.lateUntil && !r.step.Copies {
+		w.heldEnds = append(w.heldEnds, heldEnd{number, r.lateUntil})
+	}
+}
+
+// forgettableThrough returns the number up to which the worker may forget its ends.
+func (w *worker) forgettableThrough(now model.Time) uint64 {
+	w.heldEnds = slices.DeleteFunc(w.heldEnds, func(h heldEnd) bool { return now >= h.until })
+	through := w.recordedThrough
+	for _, h := range w.heldEnds {
+		through = min(through, h.number-1)
+	}
+	return through
+}
--- a/core/schedule/restart_test.go
+++ b/core/schedule/restart_test.go
@@ -234,3 +234,31 @@
 		}
 	}
 }
+
+// Guards against an end that its worker may forget although a copy of the order is still on
+// its way: a later process would carry it out and start the task again.
+func TestEndIsKeptListedWhileACopyOfItsOrderMayArrive(t *testing.T) {
+	f, first := orderedFixture(t)
+	f.act(func(out *Out) { f.s.Replied(f.env(), out, &order.Reply{Call: first, Status: order.NoAnswer}) })
+	second := f.takeCalls("a")
+	for len(second) == 0 {
+		f.advanceBy(50 * ms)
+		second = f.takeCalls("a")
+	}
+	copiedAt := f.now
+	f.startAnswered(second[0], order.ClockMS(f.now/model.Time(ms)))
+	ended := []order.Ended{{Number: 3, RunRef: ref("j", 0, 1), Outcome: jobs.OutcomeDone}}
+	f.answerPoll("a", nil, ended)
+	require.Equal(t, jobs.Completed, f.state.Jobs["j"].Phase)
+	for f.now.Sub(copiedAt) < lateCallTime {
+		f.advanceBy(50 * ms)
+		if c := f.lastPoll("a"); c.Poll != nil && f.now.Sub(copiedAt) < lateCallTime {
+			require.Less(t, c.Poll.RecordedUpTo, uint64(3))
+			f.answerPoll("a", nil, ended)
+		}
+	}
+	f.advanceBy(pollRetryDelay)
+	f.answerPoll("a", nil, ended)
+	f.advanceBy(pollRetryDelay)
+	require.Equal(t, uint64(3), f.lastPoll("a").Poll.RecordedUpTo)
+}
