--- a/core/schedule/detached.go
+++ b/core/schedule/detached.go
@@ -30,8 +30,7 @@
 func strayOrderEnd(b Bounds) model.Duration { return lateCallTime + maxElapsed(b.LeaseMax) }
 
 // giveUpExpired gives up the runs of a worker whose lease has ended, except those that a
-// later process of the worker may be running. An answer to an order to start does not
-// tell which process gave it; only a list does.
+// later process of the worker may be running.
 func (s *Scheduler) giveUpExpired(env Env, out *Out, w *worker) {
 	for _, r := range sortedRunsOf(w) {
 		if r.phase != assigned && (!r.mayHaveStrayed() || env.Now > w.strayEndsBy) {
--- a/core/schedule/token.go
+++ b/core/schedule/token.go
@@ -1,8 +1,8 @@
 package schedule
 
-// A fencing token has the term in its upper bits, and in its lower bits the incarnation of
-// the worker or the next larger number that no worker has had. An incarnation is a log index
-// and stays below 2^28. With terms below 2^25, the token fits into the 53 bits that every
+// A fencing token has the term in its upper bits. Its lower bits start at the incarnation of
+// the worker, a log index that stays below 2^28, and grow with each poll that follows one
+// that was not accepted. With terms below 2^25, the token fits into the 53 bits that every
 // JSON reader represents exactly.
 const incarnationBits = 28
 
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -83,8 +83,8 @@
 	fenced             bool          // it has answered a poll, so it refuses calls with tokens from before this record
 	recordedThrough    uint64        // listed ends up to this number are recorded
 	proposedThrough    uint64        // listed ends up to this number are proposed to be recorded
-	heldEnds           []heldEnd
-	pendingEndCommands int // proposed commands with its ends that are not committed
+	heldEnds           []heldEnd     // recorded ends that it is not told to forget yet
+	pendingEndCommands int           // proposed commands with its ends that are not committed
 
 	failures    map[model.JobID]bool // jobs with a failed run here since the latest success
 	suspectedAt model.Time
