review: mode lasting-copy, a lasting task with copies that ends behind a cut never runs again

Callers see a job that nobody cancelled as completed, and nothing of it runs again. recordAbandoned in core/jobs/apply.go completes the task whatever its step says.

--- a/review/_cases2/platform/main.go
+++ b/review/_cases2/platform/main.go
@@ -34,6 +34,7 @@
 	"budget":        budget,
 	"cap":           capLowered,
 	"foreign-entry": foreignEntry,
+	"lasting-copy":  lastingCopy,
 	"pending":       pendingCount,
 	"removed-queue": removedQueue,
 	"wave-first":    waveFirst,
--- a/review/_cases2/platform/more.go
+++ b/review/_cases2/platform/more.go
@@ -168,3 +168,41 @@
 	return result{s.replicasEnded(3) >= 2, fmt.Sprintf("Fault: the core machines have ended by themselves %d times, %d of 3 three times or more; the configuration was acknowledged after %.1f s",
 		ends, s.replicasEnded(3), took.Seconds())}
 }
+
+// lastingCopy: the run of a task that lasts and may have copies ends as done while its minion is cut off.
+func lastingCopy(s *system) result {
+	const lastingTime, calmTime = 6 * time.Second, 3 * time.Second
+	s.startSmall(queue(3))
+	id := jobID()
+	j := job("", phase(1, 1000, 400, map[string]any{"longRunning": true, "allowDuplicates": true}))
+	if !s.submit(proofs, id, j) {
+		s.fail("the job was not accepted")
+	}
+	s.await(5*time.Second, "the task has started", func() bool { return len(runsOf(id)) > 0 })
+	first := runsOf(id)[0]
+	time.Sleep(500 * time.Millisecond)
+	if s.trouble {
+		first.minion.setCut(true)
+	}
+	time.Sleep(2750 * time.Millisecond)
+	first.minion.mu.Lock()
+	first.endsAt, first.endsHow = time.Now(), "done"
+	first.minion.mu.Unlock()
+	time.Sleep(1250 * time.Millisecond)
+	if s.trouble {
+		first.minion.setCut(false)
+	}
+	time.Sleep(20 * time.Second)
+	var idle time.Duration // since the end of the last run
+	for _, r := range runsOf(id) {
+		how, at := r.outcome()
+		if how == "" {
+			return result{false, fmt.Sprintf("the task runs, as run %d, and the job is %s", r.number, s.state(proofs, id))}
+		}
+		if since := time.Since(at); idle == 0 || since < idle {
+			idle = since
+		}
+	}
+	return result{idle > lastingTime+calmTime, fmt.Sprintf(
+		"LOST: a job that nobody cancelled, with a task that lasts, is %s; nothing of it has run for %.1f s, while all minions were idle", s.state(proofs, id), idle.Seconds())}
+}
