schedule: log second starts of a task, and lost runs that a worker lists

Change: run_repeated (758) names the run that was given up, when and on what evidence, when its task starts again; lost_run_listed (759) says that a worker lists a run that counts as ended, once for each run; run_given_up has the number of orders without an answer and whether a later process of the worker has answered. No decision changes.

--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -184,6 +184,8 @@
 	RunEnded         Code = "run_ended"
 	RunStopped       Code = "run_stopped"
 	RunGivenUp       Code = "run_given_up"
+	RunRepeated      Code = "run_repeated"
+	LostRunListed    Code = "lost_run_listed"
 	AdviceFailed     Code = "advice_failed"
 	RunThrottled     Code = "run_throttled"
 	WorkerGone       Code = "worker_gone"
--- a/core/schedule/active_job.go
+++ b/core/schedule/active_job.go
@@ -14,7 +14,8 @@
 	job            *jobs.Job
 	service        model.ServiceID
 	longRunning    bool
-	begun          bool            // one of its tasks has begun on a worker
+	begun          bool // one of its tasks has begun on a worker
+	lost           map[jobs.TaskRef]*lostRun
 	maxAttempts    int             // number of failures of one task at which the job fails, 0 for no limit
 	precedence     int             // of its queue
 	due            model.Time      // replicated clock; the job is late after this
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -181,6 +181,7 @@
 	if r == nil {
 		// The run was given up, or its assignment was never committed.
 		w.untracked = w.untracked.Add(claimOf(env, w, listed.RunRef))
+		s.logLostRunListed(env, out, w, listed.RunRef)
 		out.Effects = append(out.Effects, s.call(w, order.Call{Stop: &order.Stop{RunRef: listed.RunRef}}))
 		return
 	}
@@ -293,8 +294,11 @@
 	}
 	out.Proposals = append(out.Proposals, jobs.Command{End: &jobs.End{Runs: []jobs.Ending{s.ending(r, o, checkpoint)}}})
 	out.log(effect.RunGivenUp, effect.Log{Request: model.RequestID(r.ref.Job), Task: runLabel(r.ref),
-		Worker: r.worker.info.ID, Detail: fmt.Sprintf("%s: %s; ordered %d times, last %d ms ago, refused %d times, begun %t, listed %t",
-			o, reason, r.orders, env.Now.Sub(r.sentAt)/model.Millisecond, r.refusals, r.phase == begun, r.listed)})
+		Worker: r.worker.info.ID, Detail: fmt.Sprintf("%s: %s; ordered %d times, last %d ms ago, refused %d times, unanswered %d times, begun %t, listed %t, later process answered %t",
+			o, reason, r.orders, env.Now.Sub(r.sentAt)/model.Millisecond, r.refusals, r.unanswered, r.phase == begun, r.listed, r.strayed || r.worker.restarted)})
+	if job := s.active[r.ref.Job]; job != nil && r.orders > 0 {
+		job.recordLost(env.Now, r, string(o)+": "+reason)
+	}
 	s.dropRun(r)
 	s.stopGang(env, out, r)
 }
--- a/core/schedule/start.go
+++ b/core/schedule/start.go
@@ -20,6 +20,7 @@
 		w.orderedFrom = env.Now
 	}
 	s.load.starts++
+	s.logRepeated(env, out, r)
 	out.Effects = append(out.Effects, s.call(w, order.Call{Start: &order.Start{
 		RunRef: r.ref, Spec: r.job.Spec, Checkpoint: checkpoint, Ticket: s.ticket(env, r), Deadline: deadline,
 	}}))
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -86,6 +86,7 @@
 	heldEnds           []heldEnd     // recorded ends that it is not told to forget yet
 	pendingEndCommands int           // proposed commands with its ends that are not committed
 
+	lostListed  map[jobs.RunRef]bool // runs that it listed though they count as ended
 	failures    map[model.JobID]bool // jobs with a failed run here since the latest success
 	suspectedAt model.Time
 	gone        bool // its process has ended
--- a/daemon/executor.go
+++ b/daemon/executor.go
@@ -113,6 +113,8 @@
 	effect.RunEnded:         logevent.RunEnded,
 	effect.RunStopped:       logevent.RunStopped,
 	effect.RunGivenUp:       logevent.RunGivenUp,
+	effect.RunRepeated:      logevent.RunRepeated,
+	effect.LostRunListed:    logevent.LostRunListed,
 	effect.AdviceFailed:     logevent.AdviceFailed,
 	effect.RunThrottled:     logevent.RunThrottled,
 	effect.WorkerGone:       logevent.WorkerGone,
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -331,6 +331,12 @@
 	{ListUnread, "list_unread", zerolog.WarnLevel,
 		"an entry of a list of workers' runs, of hosts or of advice could not be parsed and was skipped",
 		"Correct the sender: the error names what could not be parsed."},
+	{RunRepeated, "run_repeated", zerolog.WarnLevel,
+		"a worker was told to start a task whose earlier run was given up",
+		"Nothing. If 759 follows for the earlier run, the task has run twice."},
+	{LostRunListed, "lost_run_listed", zerolog.WarnLevel,
+		"a worker lists a run that was recorded as ended, and is told to stop it",
+		"If the task has started again meanwhile, it has run twice: keep the logs of all replicas and report it to the developers."},
 }}
 
 var requestsArea = area{"Requests", []Entry{
--- a/logevent/ids.go
+++ b/logevent/ids.go
@@ -128,6 +128,8 @@
 	ListUnread     ID = 757
 	AdviceFailed   ID = 755
 	RunThrottled   ID = 754
+	RunRepeated    ID = 758
+	LostRunListed  ID = 759
 )
 
 // Requests.
