schedule: the list of a restarted worker leaves orders that may reach a third process

Cause: the first list of an announced later process ended all runs of the earlier one that it lacks, at once. The process refuses their orders from then on, but a third one has seen no token. giveUpUnlisted waited for that time already, giveUpUnadopted did not. Change: both ask run.mayArrive. Tests: TestOrderMayReachAThirdProcessAfterAnAnnouncement failed before. The assertion of TestLaterProcessWithoutTheRun was wrong for an order without an answer; it stays for an answered one, and TestUnansweredOrderMayReachAProcessAfterTheLaterOne demands the start at the end of that time, to the tick.

--- a/core/schedule/detached.go
+++ b/core/schedule/detached.go
@@ -58,12 +58,14 @@
 }
 
 // advanceDetached gives up the runs of detached workers whose lease has ended, and those
-// that have begun and whose step allows copies.
+// that have begun and whose step allows copies, and those that a later process does not list
+// once no order to start them can arrive any more.
 func (s *Scheduler) advanceDetached(env Env, out *Out) {
 	s.detached = slices.DeleteFunc(s.detached, func(w *worker) bool {
 		if env.Now > w.leaseEndsBy {
 			s.giveUpExpired(env, out, w)
 		}
+		s.giveUpUnlistedOf(env, out, w)
 		for _, r := range sortedRunsOf(w) {
 			if r.step.Copies && r.phase == begun {
 				s.giveUp(env, out, r, jobs.OutcomeLost, "", "its worker was replaced or has left and a copy may run")
@@ -94,11 +96,25 @@
 }
 
 // giveUpUnadopted gives up the runs of the earlier processes of a worker on its host that
-// the complete list of the worker lacks.
+// the complete list of the worker lacks, as soon as no order to start them can arrive.
 func (s *Scheduler) giveUpUnadopted(env Env, out *Out, w *worker) {
 	for _, old := range s.detached {
-		if old.info.ID == w.info.ID && old.info.Host != "" && old.info.Host == w.info.Host && old.info.StartedAt <= w.info.StartedAt {
-			s.giveUpRuns(env, out, old, "its worker has restarted and does not list it")
+		if old.info.ID != w.info.ID || old.info.Host == "" || old.info.Host != w.info.Host || old.info.StartedAt > w.info.StartedAt {
+			continue
+		}
+		for _, r := range old.runs {
+			r.unlisted = true
+		}
+		s.giveUpUnlistedOf(env, out, old)
+	}
+}
+
+// giveUpUnlistedOf gives up the runs of a detached worker that its later process does not
+// list, unless an order to start them may reach a process that starts after that.
+func (s *Scheduler) giveUpUnlistedOf(env Env, out *Out, w *worker) {
+	for _, r := range sortedRunsOf(w) {
+		if r.unlisted && r.phase != assigned && !r.mayArrive(env.Now) {
+			s.giveUp(env, out, r, jobs.OutcomeLost, "", "its worker has restarted and does not list it")
 		}
 	}
 }
--- a/core/schedule/held_test.go
+++ b/core/schedule/held_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"primrosedale.example/primrosedale/core/jobs"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/order"
 )
@@ -14,6 +15,13 @@
 	f.act(func(out *Out) { f.s.Replied(f.env(), out, &order.Reply{Call: c, Status: order.NoAnswer}) })
 }
 
+// announceLater announces a later process of a worker on the same host.
+func (f *fixture) announceLater(id model.WorkerID, startedAt int64) {
+	info := *f.state.Workers[id]
+	info.StartedAt, info.Incarnation = startedAt, 0
+	f.commit(jobs.Command{Announce: &info})
+}
+
 // requireKept checks that the first run of the job j is kept until a time. All calls to
 // its worker a are unanswered meanwhile.
 func (f *fixture) requireKept(until model.Time) {
@@ -46,3 +54,19 @@
 	f.startAnswered(start, 20)
 	f.requireKept(sent.Add(maxCallDelay + simBounds.LeaseMax))
 }
+
+// Guards against giving up a run because of the first list of an announced later process
+// while its order may still reach another process, which starts after that.
+func TestOrderMayReachAThirdProcessAfterAnAnnouncement(t *testing.T) {
+	f, first := orderedFixture(t)
+	sent := f.now
+	f.unanswered(first)
+	f.advanceBy(400 * ms)
+	f.announceLater("a", 6000)
+	for f.now.Sub(sent) < lateCallTime {
+		f.replyToPolls("a", order.Reply{Status: order.Accepted, Clock: 20, StartedAt: 6000})
+		require.Contains(t, f.s.runs, ref("j", 0, 1), "given up %d ms after its order", f.now.Sub(sent)/ms)
+		f.takeCalls("a")
+		f.advanceBy(50 * ms)
+	}
+}
--- a/core/schedule/lease_test.go
+++ b/core/schedule/lease_test.go
@@ -84,6 +84,12 @@
 	f.commit(jobs.Command{Announce: &info})
 }
 
+func startedAt(id model.WorkerID, born int64) jobs.Worker {
+	w := testWorker(id)
+	w.StartedAt = born
+	return w
+}
+
 func restartableFixture(t *testing.T) *fixture {
 	a, b := testWorker("a"), testWorker("b")
 	a.StartedAt, b.Draining = 1000, true // b gets no runs
@@ -111,7 +117,9 @@
 // Guards against a task that waits for the end of a lease although its worker has
 // restarted on the same host and lists nothing.
 func TestLaterProcessWithoutTheRun(t *testing.T) {
-	f := restartableFixture(t)
+	f := newFixture(t, startedAt("a", 1000))
+	f.submit("j", jobs.Step{Tasks: 1, Size: cores(1)})
+	f.startAnswered(f.takeCalls("a")[0], order.ClockMS(f.now/model.Time(ms)))
 	f.laterProcess("host-a")
 	f.answerPollWith("a", order.Reply{Clock: 20, StartedAt: 6000, Partial: true})
 	require.Contains(t, f.s.runs, ref("j", 0, 1), "the list may lack it")
@@ -119,6 +127,23 @@
 	require.Equal(t, 2, f.takeCalls("a")[0].Start.Run)
 }
 
+// Guards against a second run of a task: an order without an answer is carried out by a
+// process that starts after the one whose list lacks the run. The task waits for the end of
+// that time and not for the end of a lease.
+func TestUnansweredOrderMayReachAProcessAfterTheLaterOne(t *testing.T) {
+	f := restartableFixture(t)
+	sent := f.now
+	f.laterProcess("host-a")
+	f.answerPollWith("a", order.Reply{Clock: 20, StartedAt: 6000})
+	for f.now.Add(50*ms).Sub(sent) < lateCallTime {
+		f.advanceBy(50 * ms)
+		require.Contains(t, f.s.runs, ref("j", 0, 1), "given up %d ms after its order", f.now.Sub(sent)/ms)
+	}
+	f.advanceBy(50 * ms)
+	f.answerPollWith("a", order.Reply{Clock: 30, StartedAt: 6000})
+	require.Equal(t, 2, f.takeCalls("a")[0].Start.Run)
+}
+
 // Guards against runs given up because another process announces itself under the id of
 // their worker, on another host or without one, while the first still runs them.
 func TestSameIDOnAnotherHostDoesNotEndRuns(t *testing.T) {
--- a/core/schedule/orders.go
+++ b/core/schedule/orders.go
@@ -30,6 +30,7 @@
 	lateUntil  model.Time // a worker that takes calls carries out none after this
 	strayed    bool       // a later process has answered one
 	confirmed  bool       // the known process runs it, and no later process can start it
+	unlisted   bool       // a later process has seen a larger token and does not list the run
 }
 
 // sent records that an order is sent.
