schedule: a run without an answer to its order is not void while that may arrive

Cause: a list of the known process after the deadline of an order made the run void, and its end could be forgotten 2.5 s after the sending of a copy. The deadline binds that process only. An order that lay behind a cut arrives after it, and if the process ends meanwhile a later one carries it out. Change: run.arrivesUntil counts from the sending, or from when the worker took calls again (worker.reachedAt). Void runs and held ends ask it. The worker is polled shortly once a list can decide. Tasks that may run in copies don't wait. Tests: TestUnansweredOrderOfAnUnlistedRunMayReachALaterProcess and TestEndIsKeptListedAfterACutThatHeldACopy failed before.

--- a/core/schedule/held_test.go
+++ b/core/schedule/held_test.go
@@ -70,3 +70,44 @@
 		f.advanceBy(50 * ms)
 	}
 }
+
+// Guards against giving up a run as void because the known process does not list it after
+// the deadline of its order: the process may end, and a later one, whose clock starts anew,
+// may carry the order out.
+func TestUnansweredOrderOfAnUnlistedRunMayReachALaterProcess(t *testing.T) {
+	f, first := orderedFixture(t)
+	sent := f.now
+	f.unanswered(first)
+	for f.now.Sub(sent) < lateCallTime {
+		f.answerPoll("a", nil, nil)
+		require.Contains(t, f.s.runs, ref("j", 0, 1), "given up %d ms after its order", f.now.Sub(sent)/ms)
+		for _, c := range f.takeCalls("a") {
+			f.unanswered(c)
+		}
+		f.advanceBy(pollRetryDelay)
+	}
+}
+
+// Guards against an end that its worker may forget while a copy of the order lies behind a
+// cut: its age does not show that it is lost, so that it may arrive with the calls after the cut.
+func TestEndIsKeptListedAfterACutThatHeldACopy(t *testing.T) {
+	f, first := orderedFixture(t)
+	sent := f.now
+	f.unanswered(first)
+	f.unanswered(f.lastPoll("a"))
+	for f.now.Sub(sent) < startTimeout-100*ms {
+		f.advanceBy(50 * ms)
+		f.takeCalls("a")
+	}
+	reachedAt := f.now
+	ended := []order.Ended{{Number: 3, RunRef: ref("j", 0, 1), Outcome: jobs.OutcomeDone}}
+	f.answerPoll("a", nil, ended)
+	require.Equal(t, jobs.Completed, f.state.Jobs["j"].Phase)
+	for f.now.Sub(reachedAt) < lateCallTime {
+		if c := f.lastPoll("a"); c.Poll != nil {
+			require.Less(t, c.Poll.RecordedUpTo, uint64(3), "%d ms after the cut", f.now.Sub(reachedAt)/ms)
+			f.answerPoll("a", nil, ended)
+		}
+		f.advanceBy(50 * ms)
+	}
+}
--- a/core/schedule/orders.go
+++ b/core/schedule/orders.go
@@ -66,12 +66,13 @@
 func (o *orderRecord) allRefused() bool { return o.refusals >= o.orders }
 
 // arrivesUntil returns the time after which a worker that takes calls carries out no order
-// to start the run any more, or 0 if all that this leader sent have answers.
+// to start the run any more, or 0 if all that this leader sent have answers. An order that
+// was held for a worker that took no calls arrives when it takes them again.
 func (r *run) arrivesUntil() model.Time {
 	if r.unanswered == 0 {
 		return 0
 	}
-	return r.lateUntil
+	return max(r.lateUntil, r.worker.reachedAt.Add(lateCallTime))
 }
 
 // mayArrive reports whether an order may still be carried out by a process that starts
--- a/core/schedule/poll.go
+++ b/core/schedule/poll.go
@@ -26,7 +26,7 @@
 	}
 	if w.polled && !w.pollFailed {
 		request.Wait = pollWait
-		if w.hasStarting() {
+		if w.hasStarting() || w.hasOldOrder(env.Now) {
 			request.Wait = startingPollWait
 		}
 		if len(w.runs) > 0 && s.isLosingAnswers(env.Now) {
@@ -40,6 +40,17 @@
 	out.Effects = append(out.Effects, call)
 }
 
+// hasOldOrder reports whether some run has not begun so long after its order that the next
+// list may show it to be void.
+func (w *worker) hasOldOrder(now model.Time) bool {
+	for _, r := range w.runs {
+		if r.phase == ordered && !r.stopping && now.Add(pollWait) >= r.arrivesUntil() {
+			return true
+		}
+	}
+	return false
+}
+
 // hasStarting reports whether some long-running task of the worker is not up yet.
 func (w *worker) hasStarting() bool {
 	for _, r := range w.runs {
@@ -66,6 +77,9 @@
 			s.recordEnds(env, out, w, reply, make(map[jobs.RunRef]bool))
 			return
 		}
+		if w.pollFailed && w.answeredAt != 0 {
+			w.reachedAt = env.Now
+		}
 		w.pollFailed = false
 		s.handleList(env, out, w, reply, sentAt)
 		w.pollAt = env.Now
@@ -132,7 +146,7 @@
 	}
 	s.recordEnds(env, out, w, reply, listed)
 	for _, r := range w.unlisted(listed) {
-		if !reply.Partial && r.isVoidAt(reply.Clock) {
+		if !reply.Partial && r.isVoidAt(reply.Clock) && (r.step.Copies || !r.mayArrive(env.Now)) {
 			s.giveUp(env, out, r, jobs.OutcomeVoid, "", "its worker does not list it")
 		}
 	}
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -78,6 +78,7 @@
 	clockSince         model.Time    // when the call to which it answered was sent
 	leaseEndsBy        model.Time    // every lease granted to this process has ended by then
 	calls              callTimes
+	reachedAt          model.Time // when it took calls again, after it had left some unanswered
 	restarted          bool       // a later process is known to have started
 	restartedAt        model.Time // when it was seen
 	fenced             bool       // it has answered a poll, so it refuses calls with tokens from before this record
