schedule: a worker may end the runs of an expired lease 300 ms late

Cause: the leader allowed 100 ms beyond the slowest clock, half of which are its own ticks. Change: 300 ms more before the runs of a worker are given up with its lease. Result: TestLeaseThatAProcessEndsLate failed before.

--- a/core/schedule/held_test.go
+++ b/core/schedule/held_test.go
@@ -111,3 +111,17 @@
 		f.advanceBy(50 * ms)
 	}
 }
+
+// Guards against a second run beside one whose worker ends it late.
+func TestLeaseThatAProcessEndsLate(t *testing.T) {
+	f, first := orderedFixture(t)
+	f.startAnswered(first, order.ClockMS(f.now/model.Time(ms)))
+	for began := f.now; f.now.Sub(began) < simBounds.LeaseMax; {
+		f.advanceBy(50 * ms)
+		f.answerPoll("a", []order.Running{runningFully(ref("j", 0, 1))}, nil)
+	}
+	granted := f.now
+	require.NotZero(t, f.lastPoll("a").Poll.Deadline)
+	longest := model.Duration(float64(leaseDuration(simBounds)) / minClockRate)
+	f.requireKept(granted.Add(longest + lateLeaseEnd))
+}
--- a/core/schedule/poll.go
+++ b/core/schedule/poll.go
@@ -121,7 +121,7 @@
 	if !w.fenced {
 		// Until it saw this token, calls of an earlier leader or to an earlier process of the
 		// worker may have extended its lease.
-		w.fenced, w.leaseEndsBy = true, env.Now.Add(maxElapsed(env.Bounds.LeaseMax))
+		w.fenced, w.leaseEndsBy = true, env.Now.Add(runsEndAfter(env.Bounds.LeaseMax))
 	}
 	w.restarted = false
 	if !w.polled {
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -42,6 +42,9 @@
 	// leaseEndMargin is added to the time by which a lease must have ended. It is two
 	// ticks.
 	leaseEndMargin = 100 * model.Millisecond
+	// lateLeaseEnd is how late a worker that is short of processor time ends the runs of an
+	// expired lease.
+	lateLeaseEnd = 300 * model.Millisecond
 )
 
 // worker is the leader's view of one incarnation of a worker.
@@ -98,7 +101,7 @@
 		info: info, token: s.firstToken(env.Term, info.Incarnation), runs: make(map[jobs.RunRef]*run),
 		failures: make(map[model.JobID]bool),
 		// Upper bound for the leases that an earlier leader granted.
-		leaseEndsBy: env.Now.Add(maxElapsed(env.Bounds.LeaseMax)),
+		leaseEndsBy: env.Now.Add(runsEndAfter(env.Bounds.LeaseMax)),
 		calls:       callTimes{latest: env.Now},
 	}
 	s.workers[info.ID] = w
@@ -141,6 +144,10 @@
 	return model.Duration(float64(d)/minClockRate) + leaseEndMargin
 }
 
+// runsEndAfter returns the longest real time after which the runs have ended whose lease
+// lasts for d of the worker's clock.
+func runsEndAfter(d model.Duration) model.Duration { return maxElapsed(d) + lateLeaseEnd }
+
 func (s *Scheduler) removeWorker(w *worker) {
 	w.gone = true
 	if s.workers[w.info.ID] == w {
@@ -216,7 +223,7 @@
 // worker's clock. It records when the lease has ended even on the slowest clock.
 func (w *worker) extendLease(now model.Time, d model.Duration) order.ClockMS {
 	deadline := w.clockNow(now) + order.ClockMS(d/model.Millisecond)
-	w.leaseEndsBy = max(w.leaseEndsBy, w.clockReachedBy(deadline))
+	w.leaseEndsBy = max(w.leaseEndsBy, w.clockReachedBy(deadline).Add(lateLeaseEnd))
 	w.calls.sent(now)
 	return deadline
 }
