platform, core: a call to a worker is not sent after its latest time of sending

A delegate checked the age of a call on the control goroutine, and the time limit of the call began in the client. A process that was frozen in between sent the call seconds later; the leader's own calls had no limit of age. Now the reducer gives each call a latest time of sending (effect.CallWorker.SendBy): MaxCallAge from the report for a delegate, from the decision for the leader's own calls. The wire format does not change.

TestCallsHaveALatestTimeOfSending and the check in the simulation of fleets fail without the change of core (a call has no such time).

--- a/core/calls.go
+++ b/core/calls.go
@@ -3,6 +3,7 @@
 import (
 	"primrosedale.example/primrosedale/core/call"
 	"primrosedale.example/primrosedale/core/consensus"
+	"primrosedale.example/primrosedale/core/delegate"
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/fleet"
 	"primrosedale.example/primrosedale/core/handler"
@@ -71,9 +72,11 @@
 	for _, e := range effects {
 		switch e := e.(type) {
 		case effect.CallWorker:
-			if !lease || s.leading.dispatcher.Enqueue(s.now, e.Call, s.dataCentreOf(e.Call.Worker)) {
-				continue
+			if lease && !s.leading.dispatcher.Enqueue(s.now, e.Call, s.dataCentreOf(e.Call.Worker)) {
+				e.SendBy = delegate.SendBy(s.now)
+				s.emit(e)
 			}
+			continue
 		case effect.CallHosts, effect.CallAdvice:
 			if !lease {
 				continue
--- a/core/delegate/agent.go
+++ b/core/delegate/agent.go
@@ -9,9 +9,10 @@
 const (
 	// reportInterval is the time between two reports of an agent.
 	reportInterval = 250 * model.Millisecond
-	// MaxCallAge is the largest age at which an agent still makes a call. The age counts
-	// from the agent's latest report that the leader had handled when it sent the call.
-	// The scheduler's bound for calls that are carried out late allows for it.
+	// MaxCallAge is the largest age at which a call is still sent. The age counts from the
+	// latest report of the agent that the leader had handled when it sent the call, or from
+	// the decision if the leader makes the call itself. The scheduler's bound for calls
+	// that are carried out late allows for it.
 	MaxCallAge = 1500 * model.Millisecond
 	// maxRecordedAge is the largest age of a poll that still tells a worker which ends are
 	// recorded. A later process of the worker, to which the number means other ends, needs
@@ -19,6 +20,9 @@
 	maxRecordedAge = 600 * model.Millisecond
 )
 
+// SendBy returns the latest time at which a call may be sent whose age counts from a time.
+func SendBy(since model.Time) model.Time { return since.Add(MaxCallAge) }
+
 // Agent is the part of a replica that makes calls for the leader. It serves one leader
 // at a time.
 type Agent struct {
@@ -66,7 +70,7 @@
 	if m.Term != a.term {
 		return nil
 	}
-	if now.Sub(m.Reported) > MaxCallAge {
+	if now > SendBy(m.Reported) {
 		for i := range m.Calls {
 			a.unsentResults = append(a.unsentResults, order.Reply{
 				Call: order.Call{Seq: m.Calls[i].Seq}, Status: order.NoAnswer, Detail: "the call reached its delegate too late",
--- a/core/delegates_sim_test.go
+++ b/core/delegates_sim_test.go
@@ -12,6 +12,7 @@
 	"primrosedale.example/primrosedale/codec"
 	"primrosedale.example/primrosedale/core/call"
 	"primrosedale.example/primrosedale/core/consensus"
+	"primrosedale.example/primrosedale/core/delegate"
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/event"
 	"primrosedale.example/primrosedale/core/fleet"
@@ -231,6 +232,8 @@
 	case effect.CallWorker:
 		s.calls[r.host]++
 		r.openCalls++
+		left := f.SendBy.Sub(s.now.Add(r.clockError))
+		require.True(s.t, left >= 0 && left <= delegate.MaxCallAge, "a call may be sent for %d ms", left/millisecond)
 		s.callWorker(f.Call, func(reply order.Reply) {
 			r.openCalls--
 			s.deliver(r, incarnation, event.WorkerReplied{Reply: reply, Term: f.Term})
--- a/core/delegates_test.go
+++ b/core/delegates_test.go
@@ -7,8 +7,13 @@
 	"github.com/stretchr/testify/require"
 
 	"primrosedale.example/primrosedale/core/call"
+	"primrosedale.example/primrosedale/core/delegate"
+	"primrosedale.example/primrosedale/core/effect"
+	"primrosedale.example/primrosedale/core/event"
 	"primrosedale.example/primrosedale/core/jobs"
+	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/order"
 )
 
 // Guards against a leader that makes the calls to all workers itself: with many workers
@@ -30,6 +35,25 @@
 	}
 }
 
+// Guards against calls that the process of a delegate, or a leader that makes a call itself,
+// sends long after the leader has decided them, because it was frozen in between.
+func TestCallsHaveALatestTimeOfSending(t *testing.T) {
+	s := newFleetSim(t, 1, 5, 1)
+	leader, r := s.leader(), s.follower()
+	now, reported := s.now, s.now.Add(-400*millisecond)
+	calls := &message.WorkerCalls{Term: leader.state.log.Status().Term, Reported: reported,
+		Calls: []order.Call{{Seq: 1 << 40, Worker: "w0", Stop: &order.Stop{}}}}
+	effects := Reduce(r.state, event.Input{At: now, Event: event.Received{From: leader.host, Message: message.Message{WorkerCalls: calls}}})
+	require.Contains(t, effects, effect.Effect(effect.CallWorker{
+		Call: calls.Calls[0], Term: calls.Term, SendBy: reported.Add(delegate.MaxCallAge),
+	}))
+
+	own := order.Call{Seq: 1 << 40, Worker: "w0", Throttle: &order.Throttle{}} // made by the leader itself
+	leader.state.now, leader.state.out = s.now, nil
+	leader.state.emitOrders([]effect.Effect{effect.CallWorker{Call: own}})
+	require.Equal(t, []effect.Effect{effect.CallWorker{Call: own, SendBy: s.now.Add(delegate.MaxCallAge)}}, leader.state.out)
+}
+
 // Guards against a leader that has to answer the heartbeats of all workers.
 func TestHeartbeatsAreAnsweredWhereTheyArrive(t *testing.T) {
 	s := newFleetSim(t, 1, 5, 12)
--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -81,8 +81,9 @@
 // CallWorker makes a call to a worker. It is always answered with
 // event.WorkerReplied with the same Term, also when the call fails.
 type CallWorker struct {
-	Call order.Call
-	Term uint64 // of the leader for which the call is made, 0 if that is this process
+	Call   order.Call
+	Term   uint64     // of the leader for which the call is made, 0 if that is this process
+	SendBy model.Time // no byte of the call is sent after this time
 }
 
 // CallHosts makes a call to the service that owns the hosts. It is always answered
--- a/core/schedule/orders.go
+++ b/core/schedule/orders.go
@@ -4,8 +4,8 @@
 
 // How late a call may be carried out whose sender got no answer.
 const (
-	// lateCallTime holds for a worker that has taken later calls: the age at which a delegate
-	// still makes a call (1.5 s) and the time limit of the call (1 s), with which its unsent
+	// lateCallTime holds for a worker that has taken later calls: the age at which a call is
+	// still sent (1.5 s) and the time limit of the call (1 s), with which its unsent
 	// bytes are dropped.
 	lateCallTime = 2500 * model.Millisecond
 	// maxCallDelay holds for a worker that takes no calls, because it is down, paused or cut
