platform: only a refused dial means that a call was not sent

order.Refused tells the scheduler that this copy of an order is on no way to the worker. The client reported it for every error with ECONNREFUSED. An established connection can fail with that number too, after the request was sent: Linux keeps the error of an ICMP message and reports it with a later timeout.

--- a/core/order/order.go
+++ b/core/order/order.go
@@ -69,7 +69,7 @@
 	Invalid        Status = "invalid"     // the worker could not parse the call
 	Unavailable    Status = "unavailable" // the worker is unhealthy and did not execute the call
 	WrongProcess   Status = "other_life"  // another process answers at the address
-	Refused        Status = "refused"     // the connection was refused
+	Refused        Status = "refused"     // no connection was accepted: the call was not sent
 	NoAnswer       Status = "silent"      // no answer: the call may still be executed later
 )
 
