core/delegate: a poll that tells which ends are recorded is sent soon or not at all

A delegate leaves the number of recorded ends out of a poll that reaches it more than 600 ms old, since a later process of the worker would forget ends of its own. The age was checked when the call was accepted only: the poll could be sent up to 900 ms later, and one that the leader sends itself had no such limit. Now a poll with the number is not sent after that age, and a delegate leaves the number out if less than 200 ms are left, as a poll that is not sent counts as without an answer.

TestOldPollForgetsNoEnds has the earlier time (400 ms), which is stricter; it and TestPollThatForgetsEndsIsSentSoonOrNot fail on the code before.

--- a/core/calls.go
+++ b/core/calls.go
@@ -73,7 +73,7 @@
 		switch e := e.(type) {
 		case effect.CallWorker:
 			if lease && !s.leading.dispatcher.Enqueue(s.now, e.Call, s.dataCentreOf(e.Call.Worker)) {
-				e.SendBy = delegate.SendBy(s.now)
+				e.SendBy = delegate.SendBy(&e.Call, s.now)
 				s.emit(e)
 			}
 			continue
--- a/core/delegate/agent.go
+++ b/core/delegate/agent.go
@@ -14,14 +14,22 @@
 	// the decision if the leader makes the call itself. The scheduler's bound for calls
 	// that are carried out late allows for it.
 	MaxCallAge = 1500 * model.Millisecond
-	// maxRecordedAge is the largest age of a poll that still tells a worker which ends are
-	// recorded. A later process of the worker, to which the number means other ends, needs
-	// longer to start and to have one.
+	// maxRecordedAge is the largest age at which a poll is still sent that tells a worker
+	// which ends are recorded. A later process of the worker, to which the number means
+	// other ends, needs longer to start and to have one.
 	maxRecordedAge = 600 * model.Millisecond
+	// recordedSendTime is the least time for sending such a poll. An agent that has less
+	// leaves the number out, since a poll that is not sent counts as without an answer.
+	recordedSendTime = 200 * model.Millisecond
 )
 
 // SendBy returns the latest time at which a call may be sent whose age counts from a time.
-func SendBy(since model.Time) model.Time { return since.Add(MaxCallAge) }
+func SendBy(c *order.Call, since model.Time) model.Time {
+	if c.Poll != nil && c.Poll.RecordedUpTo != 0 {
+		return since.Add(maxRecordedAge)
+	}
+	return since.Add(MaxCallAge)
+}
 
 // Agent is the part of a replica that makes calls for the leader. It serves one leader
 // at a time.
@@ -70,7 +78,7 @@
 	if m.Term != a.term {
 		return nil
 	}
-	if now > SendBy(m.Reported) {
+	if now.Sub(m.Reported) > MaxCallAge {
 		for i := range m.Calls {
 			a.unsentResults = append(a.unsentResults, order.Reply{
 				Call: order.Call{Seq: m.Calls[i].Seq}, Status: order.NoAnswer, Detail: "the call reached its delegate too late",
@@ -81,7 +89,7 @@
 	for i := range m.Calls {
 		c := &m.Calls[i]
 		a.open[c.Seq] = true
-		if c.Poll != nil && now.Sub(m.Reported) > maxRecordedAge {
+		if c.Poll != nil && now.Sub(m.Reported) > maxRecordedAge-recordedSendTime {
 			poll := *c.Poll
 			poll.RecordedUpTo, c.Poll = 0, &poll
 		}
--- a/core/delegate/delegate_test.go
+++ b/core/delegate/delegate_test.go
@@ -194,12 +194,10 @@
 	require.Equal(t, order.NoAnswer, m.Message.WorkerReplies.Replies[0].Status)
 }
 
-// Guards against making calls of a leader that was replaced, and against returning
-// results to the wrong leader.
 // Guards against the loss of ends that a later process of a worker lists, because a poll for
 // the earlier one comes late.
 func TestOldPollForgetsNoEnds(t *testing.T) {
-	for age, want := range map[model.Duration]uint64{maxRecordedAge: 7, maxRecordedAge + 1: 0} {
+	for age, want := range map[model.Duration]uint64{maxRecordedAge - recordedSendTime: 7, maxRecordedAge - recordedSendTime + 1: 0} {
 		sent := []order.Call{{Seq: 1, Worker: "w", Poll: &order.Poll{RecordedUpTo: 7, Wait: model.Second}}}
 		calls := NewAgent("west").AcceptCalls(start.Add(age), "leader", &message.WorkerCalls{Term: 1, Reported: start, Calls: sent})
 		require.Len(t, calls, 1)
@@ -207,6 +205,17 @@
 	}
 }
 
+// Guards against the same loss by a poll that was accepted in time and is sent late.
+func TestPollThatForgetsEndsIsSentSoonOrNot(t *testing.T) {
+	poll := order.Call{Poll: &order.Poll{RecordedUpTo: 7}}
+	require.Equal(t, start.Add(maxRecordedAge), SendBy(&poll, start))
+	for _, c := range []order.Call{startCall(1, "w"), {Poll: &order.Poll{}}, {Stop: &order.Stop{}}} {
+		require.Equal(t, start.Add(MaxCallAge), SendBy(&c, start))
+	}
+}
+
+// Guards against making calls of a leader that was replaced, and against returning
+// results to the wrong leader.
 func TestAgentServesTheLatestTerm(t *testing.T) {
 	a := NewAgent("west")
 	require.Len(t, a.AcceptCalls(start, "old", &message.WorkerCalls{Term: 1, Reported: start, Calls: []order.Call{startCall(1, "w")}}), 1)
--- a/core/delegates.go
+++ b/core/delegates.go
@@ -54,7 +54,7 @@
 		return
 	}
 	for _, c := range s.agent.AcceptCalls(s.now, from, m) {
-		s.emit(effect.CallWorker{Call: c, Term: m.Term, SendBy: delegate.SendBy(m.Reported)})
+		s.emit(effect.CallWorker{Call: c, Term: m.Term, SendBy: delegate.SendBy(&c, m.Reported)})
 	}
 }
 
