core/delegate: an agent makes no calls that were meant for its earlier process

The age of a call counts from the report that the call names, by the clock of the agent's process. A process that starts again starts its clock from the wall clock. If that was stepped back, a call to the earlier process seems younger than it is, without bound. An agent now makes only calls that name one of its own reports; the exact time identifies it. The wire format does not change.

TestAgentMakesNoCallsToItsEarlierProcess fails before (the call is made). The other tests of the agent make it report first, as a replica does before it gets calls.

--- a/core/delegate/agent.go
+++ b/core/delegate/agent.go
@@ -1,6 +1,8 @@
 package delegate
 
 import (
+	"slices"
+
 	"primrosedale.example/primrosedale/core/message"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/order"
@@ -39,8 +41,9 @@
 	term          uint64
 	open          map[uint64]bool // sequence numbers of the calls in progress
 	unsentResults []order.Reply
-	reportedAt    model.Time // time of the latest report
-	busyAt        model.Time // latest time at which a call was in progress
+	reportedAt    model.Time   // time of the latest report
+	reports       []model.Time // times of the reports within MaxCallAge
+	busyAt        model.Time   // latest time at which a call was in progress
 	leaving       bool
 }
 
@@ -72,13 +75,15 @@
 }
 
 // AcceptCalls handles calls from the leader and returns those to make. Calls that are
-// too old end as order.NoAnswer without being made; those of another term are ignored.
+// too old end as order.NoAnswer without being made; those of another term are ignored. Calls
+// to an earlier process of this replica count as too old: they name the time of one of its
+// reports, by a clock that may have been ahead.
 func (a *Agent) AcceptCalls(now model.Time, from model.HostID, m *message.WorkerCalls) []order.Call {
 	a.Follow(from, m.Term)
 	if m.Term != a.term {
 		return nil
 	}
-	if now.Sub(m.Reported) > MaxCallAge {
+	if now.Sub(m.Reported) > MaxCallAge || !slices.Contains(a.reports, m.Reported) {
 		for i := range m.Calls {
 			a.unsentResults = append(a.unsentResults, order.Reply{
 				Call: order.Call{Seq: m.Calls[i].Seq}, Status: order.NoAnswer, Detail: "the call reached its delegate too late",
@@ -120,6 +125,8 @@
 	if due {
 		m.Report = &message.AgentReport{At: now, DataCentre: a.dataCentre, Open: model.SortedKeys(a.open), Leaving: a.leaving}
 		a.reportedAt = now
+		a.reports = slices.DeleteFunc(a.reports, func(at model.Time) bool { return now.Sub(at) > MaxCallAge })
+		a.reports = append(a.reports, now)
 	}
 	return Envelope{a.leader, message.Message{WorkerReplies: m}}, true
 }
--- a/core/delegate/delegate_test.go
+++ b/core/delegate/delegate_test.go
@@ -36,6 +36,14 @@
 	return d
 }
 
+// newTestAgent returns an Agent that has reported at start.
+func newTestAgent() *Agent {
+	a := NewAgent("west")
+	a.Follow("leader", 1)
+	a.Flush(start)
+	return a
+}
+
 func result(seq uint64, status order.Status) *message.WorkerReplies {
 	return &message.WorkerReplies{Term: 1, Replies: []order.Reply{{Call: order.Call{Seq: seq}, Status: status}}}
 }
@@ -112,7 +120,7 @@
 // Guards against awaiting a result until its time limit although the call was lost with
 // a connection or by a restart of its delegate.
 func TestCallsThatDidNotArriveEnd(t *testing.T) {
-	d, a := newTestDispatcher("a"), NewAgent("west")
+	d, a := newTestDispatcher("a"), newTestAgent()
 	poll := func(seq uint64) order.Call {
 		return order.Call{Seq: seq, Worker: "w", Poll: &order.Poll{Wait: 3 * model.Second}}
 	}
@@ -181,8 +189,7 @@
 // Guards against orders that a delegate carries out long after it was frozen: neither
 // deadline nor token binds a later process of the worker.
 func TestAgentDropsOldCalls(t *testing.T) {
-	a := NewAgent("west")
-	a.Follow("leader", 1)
+	a := newTestAgent()
 	calls := &message.WorkerCalls{Term: 1, Reported: start, Calls: []order.Call{startCall(1, "w")}}
 	require.Len(t, a.AcceptCalls(start.Add(MaxCallAge), "leader", calls), 1)
 	calls.Calls[0].Seq = 2
@@ -194,12 +201,31 @@
 	require.Equal(t, order.NoAnswer, m.Message.WorkerReplies.Replies[0].Status)
 }
 
+// Guards against an age that is reckoned with the clock of an earlier process of the delegate,
+// which was ahead of the present one's: the call seems to be younger than it is.
+func TestAgentMakesNoCallsToItsEarlierProcess(t *testing.T) {
+	a := newTestAgent()
+	for i, reported := range []model.Time{start.Add(10 * model.Second), start.Add(-1), start.Add(1), 0} {
+		calls := &message.WorkerCalls{Term: 1, Reported: reported, Calls: []order.Call{startCall(uint64(i), "w")}}
+		require.Empty(t, a.AcceptCalls(start.Add(2), "leader", calls))
+	}
+	m, _ := a.Flush(start.Add(2))
+	require.Len(t, m.Message.WorkerReplies.Replies, 4)
+
+	second := start.Add(reportInterval)
+	a.Flush(second)
+	for i, reported := range []model.Time{start, second} {
+		calls := &message.WorkerCalls{Term: 1, Reported: reported, Calls: []order.Call{startCall(uint64(9+i), "w")}}
+		require.Len(t, a.AcceptCalls(start.Add(MaxCallAge), "leader", calls), 1)
+	}
+}
+
 // Guards against the loss of ends that a later process of a worker lists, because a poll for
 // the earlier one comes late.
 func TestOldPollForgetsNoEnds(t *testing.T) {
 	for age, want := range map[model.Duration]uint64{maxRecordedAge - recordedSendTime: 7, maxRecordedAge - recordedSendTime + 1: 0} {
 		sent := []order.Call{{Seq: 1, Worker: "w", Poll: &order.Poll{RecordedUpTo: 7, Wait: model.Second}}}
-		calls := NewAgent("west").AcceptCalls(start.Add(age), "leader", &message.WorkerCalls{Term: 1, Reported: start, Calls: sent})
+		calls := newTestAgent().AcceptCalls(start.Add(age), "leader", &message.WorkerCalls{Term: 1, Reported: start, Calls: sent})
 		require.Len(t, calls, 1)
 		require.Equal(t, order.Poll{RecordedUpTo: want, Wait: model.Second}, *calls[0].Poll)
 	}
@@ -217,7 +243,7 @@
 // Guards against making calls of a leader that was replaced, and against returning
 // results to the wrong leader.
 func TestAgentServesTheLatestTerm(t *testing.T) {
-	a := NewAgent("west")
+	a := newTestAgent()
 	require.Len(t, a.AcceptCalls(start, "old", &message.WorkerCalls{Term: 1, Reported: start, Calls: []order.Call{startCall(1, "w")}}), 1)
 	require.Len(t, a.AcceptCalls(start, "new", &message.WorkerCalls{Term: 2, Reported: start, Calls: []order.Call{startCall(1, "w")}}), 1)
 	require.Empty(t, a.AcceptCalls(start, "old", &message.WorkerCalls{Term: 1, Reported: start, Calls: []order.Call{startCall(2, "w")}}))
--- a/core/delegates_test.go
+++ b/core/delegates_test.go
@@ -40,7 +40,16 @@
 func TestCallsHaveALatestTimeOfSending(t *testing.T) {
 	s := newFleetSim(t, 1, 5, 1)
 	leader, r := s.leader(), s.follower()
-	now, reported := s.now, s.now.Add(-400*millisecond)
+	now, reported := s.now, model.Time(0)
+	for reported == 0 {
+		now = now.Add(TickInterval)
+		for _, e := range Reduce(r.state, event.Input{At: now, Event: event.Tick{}}) {
+			if f, ok := e.(effect.Send); ok && f.Message.WorkerReplies != nil && f.Message.WorkerReplies.Report != nil {
+				reported = f.Message.WorkerReplies.Report.At
+			}
+		}
+	}
+	now = now.Add(300 * millisecond)
 	calls := &message.WorkerCalls{Term: leader.state.log.Status().Term, Reported: reported,
 		Calls: []order.Call{{Seq: 1 << 40, Worker: "w0", Stop: &order.Stop{}}}}
 	effects := Reduce(r.state, event.Input{At: now, Event: event.Received{From: leader.host, Message: message.Message{WorkerCalls: calls}}})
