jobs, schedule: a new leader counts with orders of its predecessor that may arrive

A new leader gave up the runs of workers that it can't reach 6.5 s after the beginning of its term, and those that a list lacks at once. An order of the earlier leader may be carried out after that, by a later process that no call of the new leader has reached, and run for the longest lease. Change: the time of the assignment is in the replicated state (Task.AssignedAt, left out by earlier versions, whose runs are treated as before). A run that was assigned less than 14 s before the term counts as one with an order without an answer; others and those of long-running tasks keep the bounds.

--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -83,7 +83,7 @@
 type CallWorker struct {
 	Call   order.Call
 	Term   uint64     // of the leader for which the call is made, 0 if that is this process
-	SendBy model.Time // no byte of the call is sent after this time
+	SendBy model.Time `json:",omitempty"` // no byte of the call is sent after this time
 }
 
 // CallHosts makes a call to the service that owns the hosts. It is always answered
--- a/core/jobs/apply.go
+++ b/core/jobs/apply.go
@@ -37,7 +37,7 @@
 	case c.Cancel != nil:
 		return s.cancel(c.Cancel, now)
 	case c.Assign != nil:
-		return s.assign(c.Assign)
+		return s.assign(c.Assign, now)
 	case c.End != nil:
 		return s.end(c.End, now)
 	case c.Announce != nil:
@@ -200,15 +200,15 @@
 	j.Rounds, j.Steps, j.Spec = nil, nil, ""
 }
 
-func (s *State) assign(c *Assign) Result {
+func (s *State) assign(c *Assign, now model.Time) Result {
 	r := Result{Applied: make([]bool, len(c.Runs)), Changed: true}
 	for i := range c.Runs {
-		r.Applied[i] = s.assignOne(&c.Runs[i])
+		r.Applied[i] = s.assignOne(&c.Runs[i], now)
 	}
 	return r
 }
 
-func (s *State) assignOne(a *Assignment) bool {
+func (s *State) assignOne(a *Assignment, now model.Time) bool {
 	j := s.Jobs[a.Job]
 	w := s.Workers[a.Worker]
 	if j == nil || j.Phase != Active || w == nil || w.Incarnation != a.Incarnation {
@@ -218,7 +218,7 @@
 	if t == nil || t.Phase != Waiting || a.Run <= t.Run || !j.StepOpen(a.Round, a.Step) {
 		return false
 	}
-	t.Phase, t.Run, t.Worker, t.Incarnation = Placed, a.Run, a.Worker, a.Incarnation
+	t.Phase, t.Run, t.Worker, t.Incarnation, t.AssignedAt = Placed, a.Run, a.Worker, a.Incarnation, now
 	j.Started = true
 	return true
 }
@@ -280,7 +280,7 @@
 	if !step.Gang {
 		members = nil
 	}
-	t.Phase = Waiting
+	t.Phase, t.AssignedAt = Waiting, 0
 	if e.Checkpoint != "" {
 		t.Checkpoint = e.Checkpoint
 		for i := range members {
@@ -295,7 +295,7 @@
 	case e.Outcome == OutcomeDone && !step.LongRunning:
 		t.Phase, t.Checkpoint = Done, ""
 		for i := range members {
-			members[i].Phase, members[i].Checkpoint = Done, ""
+			members[i].Phase, members[i].Checkpoint, members[i].AssignedAt = Done, "", 0
 		}
 	}
 }
--- a/core/schedule/held_test.go
+++ b/core/schedule/held_test.go
@@ -44,6 +44,15 @@
 	f.requireKept(sent.Add(maxCallDelay + simBounds.LeaseMax))
 }
 
+// The same with an order of an earlier leader.
+func TestOrderOfAnEarlierLeaderHeldForAnUnreachableWorker(t *testing.T) {
+	f, _ := orderedFixture(t)
+	sent := f.now
+	f.calls = nil
+	f.s = New(f.env())
+	f.requireKept(sent.Add(maxCallDelay + simBounds.LeaseMax))
+}
+
 // The same with a poll that extends the lease of a run which a later process has accepted.
 func TestPollHeldForAnUnreachableWorker(t *testing.T) {
 	f, start := orderedFixture(t)
@@ -71,6 +80,22 @@
 	}
 }
 
+// The same with an order of an earlier leader.
+func TestOrderOfAnEarlierLeaderMayReachAThirdProcess(t *testing.T) {
+	f, _ := orderedFixture(t)
+	sent := f.now
+	f.advanceBy(400 * ms)
+	f.announceLater("a", 6000)
+	f.calls = nil
+	f.s = New(f.env())
+	for f.now.Sub(sent) < lateCallTime {
+		f.advanceBy(50 * ms)
+		f.replyToPolls("a", order.Reply{Status: order.Accepted, Clock: 20, StartedAt: 6000})
+		require.Contains(t, f.s.runs, ref("j", 0, 1), "given up %d ms after its order", f.now.Sub(sent)/ms)
+		f.takeCalls("a")
+	}
+}
+
 // Guards against giving up a run as void because the known process does not list it after
 // the deadline of its order: the process may end, and a later one, whose clock starts anew,
 // may carry the order out.
@@ -88,6 +113,33 @@
 	}
 }
 
+// The same with a leader that was stalled: it derived the deadline from an old answer, so that
+// the next list has a later time although the order is on its way.
+func TestListOfALaterTimeLeavesAnUnansweredOrder(t *testing.T) {
+	f, first := orderedFixture(t)
+	sent := f.now
+	f.answerPollWith("a", order.Reply{Clock: first.Start.Deadline + 1})
+	for f.now.Sub(sent) < lateCallTime {
+		require.Contains(t, f.s.runs, ref("j", 0, 1), "given up %d ms after its order", f.now.Sub(sent)/ms)
+		f.failPolls("a", order.NoAnswer, 50*ms)
+	}
+}
+
+// The same with a list that the known process gives to a new leader.
+func TestOrderOfAnEarlierLeaderMayReachALaterProcessAfterAList(t *testing.T) {
+	f, _ := orderedFixture(t)
+	sent := f.now
+	f.advanceBy(100 * ms)
+	f.calls = nil
+	f.s = New(f.env())
+	f.advance()
+	for f.now.Sub(sent) < lateCallTime {
+		f.answerPoll("a", nil, nil)
+		require.Contains(t, f.s.runs, ref("j", 0, 1), "given up %d ms after its order", f.now.Sub(sent)/ms)
+		f.advanceBy(pollRetryDelay)
+	}
+}
+
 // Guards against an end that its worker may forget while a copy of the order lies behind a
 // cut: its age does not show that it is lost, so that it may arrive with the calls after the cut.
 func TestEndIsKeptListedAfterACutThatHeldACopy(t *testing.T) {
--- a/core/schedule/lease_test.go
+++ b/core/schedule/lease_test.go
@@ -285,6 +285,25 @@
 		f.laterProcess(host)
 		f.s = New(f.env())
 		f.advance()
+		began := f.now
+		f.answerPollWith("a", order.Reply{Clock: 20, StartedAt: 6000})
+		for f.now.Add(50*ms).Sub(began) < lateCallTime {
+			f.advanceBy(50 * ms)
+			require.Contains(t, f.s.runs, ref("j", 0, 1), "a process that starts now may carry its order out")
+		}
+		f.advanceBy(50 * ms)
+		require.Equal(t, host != "host-a", f.s.runs[ref("j", 0, 1)] != nil, host)
+	}
+}
+
+// The same with a run whose order is too old to arrive.
+func TestNewLeaderAsksTheLaterProcessAboutOldRuns(t *testing.T) {
+	for _, host := range []model.HostID{"host-a", "host-c", ""} {
+		f := restartableFixture(t)
+		f.now = f.now.Add(startTimeout + maxCallDelay)
+		f.laterProcess(host)
+		f.s = New(f.env())
+		f.advance()
 		f.answerPollWith("a", order.Reply{Clock: 20, StartedAt: 6000})
 		f.advanceBy(50 * ms)
 		require.Equal(t, host != "host-a", f.s.runs[ref("j", 0, 1)] != nil, host)
--- a/core/schedule/orders.go
+++ b/core/schedule/orders.go
@@ -1,6 +1,9 @@
 package schedule
 
-import "primrosedale.example/primrosedale/core/model"
+import (
+	"primrosedale.example/primrosedale/core/jobs"
+	"primrosedale.example/primrosedale/core/model"
+)
 
 // How late a call may be carried out whose sender got no answer.
 const (
@@ -59,6 +62,16 @@
 // acceptedByLater records that a later process has accepted an order.
 func (o *orderRecord) acceptedByLater() { o.strayed, o.confirmed = true, false }
 
+// inherit records that an earlier leader assigned the run of a task. If the order to start it
+// may still arrive, it counts as one without an answer.
+func (r *run) inherit(env Env, t *jobs.Task) {
+	r.phase, r.lateUntil = inherited, env.Now.Add(lateCallTime)
+	age := env.Clock.Sub(t.AssignedAt)
+	if t.AssignedAt != 0 && !r.step.LongRunning && age < startTimeout+maxCallDelay {
+		r.unanswered = 1
+	}
+}
+
 // adopted records that a process which refuses the orders to earlier ones runs the run.
 func (o *orderRecord) adopted() { *o = orderRecord{} }
 
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -144,7 +144,7 @@
 				}
 				ref := jobs.RunRef{TaskRef: jobs.TaskRef{Job: j.ID, Round: k, Step: step, Index: i}, Run: t.Run}
 				r := s.addRun(env, j, ref, t.Worker, t.Incarnation)
-				r.phase, r.lateUntil = inherited, env.Now.Add(lateCallTime)
+				r.inherit(env, t)
 				r.stopping = j.Phase != jobs.Active
 			}
 		}
