schedule: a run is excluded by a list that was asked for after its order can arrive

A run was given up when the time of its order was over, though a third process could have started it just before; only a list that was made after that time tells. And a run that a later process has adopted counted as one without copies, so its recorded end was forgotten while a copy could reach a third process. An adopted run keeps the copies of its order that have no answer.

--- a/core/schedule/detached.go
+++ b/core/schedule/detached.go
@@ -58,14 +58,12 @@
 }
 
 // advanceDetached gives up the runs of detached workers whose lease has ended, and those
-// that have begun and whose step allows copies, and those that a later process does not list
-// once no order to start them can arrive any more.
+// that have begun and whose step allows copies.
 func (s *Scheduler) advanceDetached(env Env, out *Out) {
 	s.detached = slices.DeleteFunc(s.detached, func(w *worker) bool {
 		if env.Now > w.leaseEndsBy {
 			s.giveUpExpired(env, out, w)
 		}
-		s.giveUpUnlistedOf(env, out, w)
 		for _, r := range sortedRunsOf(w) {
 			if r.step.Copies && r.phase == begun {
 				s.giveUp(env, out, r, jobs.OutcomeLost, "", "its worker was replaced or has left and a copy may run")
@@ -91,30 +89,27 @@
 	w.countRun(r, 1)
 	// These times are on the clock of the earlier process.
 	r.phase, r.voidFrom, r.listedAt, r.sentAt = inherited, 0, 0, 0
-	r.adopted() // the answer with the later process's own token shows that it refuses them
+	r.adopted()
 	return r
 }
 
 // giveUpUnadopted gives up the runs of the earlier processes of a worker on its host that
-// the complete list of the worker lacks, as soon as no order to start them can arrive.
-func (s *Scheduler) giveUpUnadopted(env Env, out *Out, w *worker) {
+// the worker's complete list lacks, in the answer to a poll that was sent at polledAt. It
+// keeps those whose order may reach a process that starts after that.
+func (s *Scheduler) giveUpUnadopted(env Env, out *Out, w *worker, polledAt model.Time) {
 	for _, old := range s.detached {
-		if old.info.ID != w.info.ID || old.info.Host == "" || old.info.Host != w.info.Host || old.info.StartedAt > w.info.StartedAt {
+		if !w.isLaterThan(old) {
 			continue
 		}
-		for _, r := range old.runs {
-			r.unlisted = true
+		for _, r := range sortedRunsOf(old) {
+			if r.phase != assigned && r.isExcludedBy(polledAt) {
+				s.giveUp(env, out, r, jobs.OutcomeLost, "", "its worker has restarted and does not list it")
+			}
 		}
-		s.giveUpUnlistedOf(env, out, old)
 	}
 }
 
-// giveUpUnlistedOf gives up the runs of a detached worker that its later process does not
-// list, unless an order to start them may reach a process that starts after that.
-func (s *Scheduler) giveUpUnlistedOf(env Env, out *Out, w *worker) {
-	for _, r := range sortedRunsOf(w) {
-		if r.unlisted && r.phase != assigned && !r.mayArrive(env.Now) {
-			s.giveUp(env, out, r, jobs.OutcomeLost, "", "its worker has restarted and does not list it")
-		}
-	}
+// isLaterThan reports whether w is a later process on the host of a worker with the same id.
+func (w *worker) isLaterThan(old *worker) bool {
+	return old.info.ID == w.info.ID && old.info.Host != "" && old.info.Host == w.info.Host && old.info.StartedAt <= w.info.StartedAt
 }
--- a/core/schedule/lateness_test.go
+++ b/core/schedule/lateness_test.go
@@ -27,6 +27,7 @@
 	f.answerPoll("a", nil, nil)
 	require.Len(t, f.s.runs, 1, "a later process may still execute it")
 	f.advanceBy(lateCallTime - startTimeout)
+	f.answerPoll("a", nil, nil) // the list may have been made before
 	f.answerPoll("a", nil, nil)
 	again := f.takeCalls("a")
 	require.Len(t, again, 1)
--- a/core/schedule/orders.go
+++ b/core/schedule/orders.go
@@ -33,7 +33,6 @@
 	lateUntil  model.Time // a worker that takes calls carries out none after this
 	strayed    bool       // a later process has answered one
 	confirmed  bool       // the known process runs it, and no later process can start it
-	unlisted   bool       // a later process has seen a larger token and does not list the run
 }
 
 // sent records that an order is sent.
@@ -72,8 +71,18 @@
 	}
 }
 
-// adopted records that a process which refuses the orders to earlier ones runs the run.
-func (o *orderRecord) adopted() { *o = orderRecord{} }
+// adopted records that a later process runs the run on one of the orders, and refuses the
+// others. A process that starts after it may carry out those without an answer.
+func (o *orderRecord) adopted() {
+	copies := o.unanswered
+	if o.orders > 0 && copies > 0 {
+		copies--
+	}
+	*o = orderRecord{unanswered: copies, lateUntil: o.lateUntil}
+	if copies == 0 {
+		o.lateUntil = 0
+	}
+}
 
 // allRefused reports whether every order was refused.
 func (o *orderRecord) allRefused() bool { return o.refusals >= o.orders }
@@ -92,6 +101,10 @@
 // after the one which takes calls now.
 func (r *run) mayArrive(now model.Time) bool { return now < r.arrivesUntil() }
 
+// isExcludedBy reports whether a list without the run, in the answer to a poll that was sent
+// at polledAt, shows that no later order starts it.
+func (r *run) isExcludedBy(polledAt model.Time) bool { return polledAt >= r.arrivesUntil() }
+
 // listedBy records that the known process lists the run in the answer to a poll that was
 // sent at polledAt.
 func (r *run) listedBy(polledAt model.Time) {
--- a/core/schedule/poll.go
+++ b/core/schedule/poll.go
@@ -26,7 +26,7 @@
 	}
 	if w.polled && !w.pollFailed {
 		request.Wait = pollWait
-		if w.hasStarting() || w.hasOldOrder(env.Now) {
+		if w.hasStarting() || s.awaitsList(env.Now, w) {
 			request.Wait = startingPollWait
 		}
 		if len(w.runs) > 0 && s.isLosingAnswers(env.Now) {
@@ -40,11 +40,17 @@
 	out.Effects = append(out.Effects, call)
 }
 
-// hasOldOrder reports whether some run has not begun so long after its order that the next
-// list may show it to be void.
-func (w *worker) hasOldOrder(now model.Time) bool {
+// awaitsList reports whether the list in the answer to a poll decides, or soon will, that a
+// run which has not begun is not started any more.
+func (s *Scheduler) awaitsList(now model.Time, w *worker) bool {
+	soon := now.Add(pollWait)
 	for _, r := range w.runs {
-		if r.phase == ordered && !r.stopping && now.Add(pollWait) >= r.arrivesUntil() {
+		if r.phase == ordered && !r.stopping && r.isExcludedBy(soon) {
+			return true
+		}
+	}
+	for _, old := range s.detached {
+		if w.isLaterThan(old) && len(old.runs) > 0 {
 			return true
 		}
 	}
@@ -68,7 +74,7 @@
 	}
 	if reply.Status == order.Accepted && w.isOtherProcess(reply) {
 		reply.Status = order.WrongProcess
-		s.giveUpUnlisted(env, out, w, reply)
+		s.giveUpUnlisted(env, out, w, reply, sentAt)
 	}
 	switch reply.Status {
 	case order.Accepted:
@@ -146,12 +152,12 @@
 	}
 	s.recordEnds(env, out, w, reply, listed)
 	for _, r := range w.unlisted(listed) {
-		if !reply.Partial && r.isVoidAt(reply.Clock) && (r.step.Copies || !r.mayArrive(env.Now)) {
+		if !reply.Partial && r.isVoidAt(reply.Clock) && (r.step.Copies || r.isExcludedBy(sentAt)) {
 			s.giveUp(env, out, r, jobs.OutcomeVoid, "", "its worker does not list it")
 		}
 	}
 	if !reply.Partial {
-		s.giveUpUnadopted(env, out, w)
+		s.giveUpUnadopted(env, out, w, sentAt)
 	}
 	s.throttleBestEffort(env, out, w)
 }
@@ -221,7 +227,7 @@
 // carried out late. The worker refuses the copy while it knows the run; a process that
 // starts later would run the task again after an end that counts as taken note of.
 func (w *worker) holdEnd(now model.Time, r *run, number uint64) {
-	if r.orders > 1 && r.mayArrive(now) && !r.step.Copies {
+	if r.orders != 1 && r.mayArrive(now) && !r.step.Copies {
 		w.heldEnds = append(w.heldEnds, heldEnd{number, r.arrivesUntil()})
 	}
 }
--- a/core/schedule/restart.go
+++ b/core/schedule/restart.go
@@ -73,7 +73,7 @@
 // complete list of the later process lacks them. The poll's token is larger than those of
 // all orders to the earlier process, so that the later process refuses them from now on. A
 // third process would not, so the runs of orders that may still be on their way are kept.
-func (s *Scheduler) giveUpUnlisted(env Env, out *Out, w *worker, reply *order.Reply) {
+func (s *Scheduler) giveUpUnlisted(env Env, out *Out, w *worker, reply *order.Reply, polledAt model.Time) {
 	if reply.Partial || reply.StartedAt < w.info.StartedAt || reply.Call.Token <= w.orderToken {
 		return
 	}
@@ -85,7 +85,7 @@
 		listed[reply.Ended[i].RunRef] = true
 	}
 	for _, r := range w.unlisted(listed) {
-		if r.phase != assigned && !r.mayArrive(env.Now) {
+		if r.phase != assigned && r.isExcludedBy(polledAt) {
 			s.giveUp(env, out, r, jobs.OutcomeLost, "", "a later process of its worker does not list it")
 		}
 	}
