schedule: simulation and tests of calls that are held for workers that take none

Cause: the simulation executed a call without an answer within 2 s, or not at all if the worker was down. The platform allows that it is executed later, after newer ones and by another process of the worker, so that a task that runs twice in that way was not found. In all simulations a refused copy extends the lease, as the platform says.

--- a/core/schedule/held_test.go
+++ b/core/schedule/held_test.go
@@ -10,10 +10,6 @@
 	"primrosedale.example/primrosedale/core/order"
 )
 
-// lateLeaseEnd is how late a process that is short of processor time ends the runs of an
-// expired lease.
-const lateLeaseEnd = 300 * ms
-
 // unanswered ends a call without an answer.
 func (f *fixture) unanswered(c order.Call) {
 	f.act(func(out *Out) { f.s.Replied(f.env(), out, &order.Reply{Call: c, Status: order.NoAnswer}) })
@@ -45,7 +41,7 @@
 	f, first := orderedFixture(t)
 	sent := f.now
 	f.unanswered(first)
-	f.requireKept(sent.Add(longestCallDelay + simBounds.LeaseMax))
+	f.requireKept(sent.Add(maxCallDelay + simBounds.LeaseMax))
 }
 
 // The same with an order of an earlier leader.
@@ -54,7 +50,7 @@
 	sent := f.now
 	f.calls = nil
 	f.s = New(f.env())
-	f.requireKept(sent.Add(longestCallDelay + simBounds.LeaseMax))
+	f.requireKept(sent.Add(maxCallDelay + simBounds.LeaseMax))
 }
 
 // The same with a poll that extends the lease of a run which a later process has accepted.
@@ -65,7 +61,7 @@
 	sent := f.now
 	f.advanceBy(900 * ms)
 	f.startAnswered(start, 20)
-	f.requireKept(sent.Add(longestCallDelay + simBounds.LeaseMax))
+	f.requireKept(sent.Add(maxCallDelay + simBounds.LeaseMax))
 }
 
 // Guards against giving up a run because of the first list of an announced later process
--- a/core/schedule/sim_test.go
+++ b/core/schedule/sim_test.go
@@ -44,6 +44,7 @@
 	lateToLater     bool                        // late calls are executed within 2 s, by the process that runs then
 	longPolls       bool                        // workers answer a poll when a run has ended or its wait is over
 	delegateKilled  func(model.WorkerID) bool   // calls to the worker are lost with the delegate that makes them
+	held            *heldCalls                  // nil if calls to workers that are down or cut off are not held
 	waits           *waits                      // nil if they are not observed
 	failures        map[jobs.TaskRef]int        // runs that have failed, of a gang by its first task
 	stalledUntil    model.Time                  // the leader handles nothing before this time
@@ -104,8 +105,11 @@
 	handle(&out)
 	s.scheduler.Place(s.env(), &out)
 	for _, e := range out.Effects {
-		if call, ok := e.(effect.CallWorker); ok {
-			s.send(call.Call)
+		switch e := e.(type) {
+		case effect.CallWorker:
+			s.send(e.Call)
+		case effect.Log:
+			s.noteLog(&e)
 		}
 	}
 	scheduler := s.scheduler
@@ -151,6 +155,7 @@
 	reply := order.Reply{Call: c, Status: order.NoAnswer}
 	latency := s.between(1*ms, 8*ms)
 	switch {
+	case s.held != nil && s.sendHeld(w, c, latency):
 	case s.rng.Float64() < s.callLoss:
 		s.lostCalls++
 		switch executed := s.rng.Float64() < 0.5; {
@@ -174,6 +179,7 @@
 		s.after(latency, func() {
 			w := s.byID(c.Worker)
 			if w == nil || !w.up || w.partitioned {
+				s.hold(c)
 				s.answer(model.Second, reply)
 				return
 			}
@@ -236,6 +242,7 @@
 		for _, e := range due {
 			e.do()
 		}
+		s.releaseHeld()
 		s.advanceWorkers()
 		if s.now >= s.stalledUntil && s.now.Sub(tick) >= 50*ms {
 			tick = s.now
--- a/core/schedule/sim_worker_test.go
+++ b/core/schedule/sim_worker_test.go
@@ -24,6 +24,7 @@
 	lease       order.ClockMS
 	ends        []order.Ended
 	number      uint64 // of the latest end
+	lapsed      uint64 // number of the latest end at the latest time without a lease
 	running     map[jobs.RunRef]*simRun
 	finished    map[jobs.TaskRef]int // highest run number that was stopped or has ended here
 }
@@ -71,6 +72,9 @@
 		return r
 	}
 	r.Clock = w.clock(s.now)
+	if w.lease <= r.Clock {
+		w.lapsed = w.number
+	}
 	if c.Token < w.token {
 		r.Status = order.Fenced
 		return r
@@ -88,9 +92,10 @@
 		}
 	case c.Poll != nil:
 		for len(w.ends) > 0 && w.ends[0].Number <= c.Poll.RecordedUpTo {
-			if _, known := s.forgotten[w.ends[0].TaskRef]; !known && w.ends[0].Outcome == jobs.OutcomeDone {
+			if _, known := s.forgotten[w.ends[0].TaskRef]; !known && w.ends[0].Outcome == jobs.OutcomeDone && (s.held == nil || w.ends[0].Number > w.lapsed) {
 				s.forgotten[w.ends[0].TaskRef] = s.now
 			}
+			s.noteForgotten(w, &w.ends[0])
 			w.ends = w.ends[1:]
 		}
 		w.lease = max(w.lease, min(c.Poll.Deadline, r.Clock+order.ClockMS(simBounds.LeaseMax/ms)))
@@ -102,7 +107,7 @@
 // listRuns returns the answer of a worker to a poll.
 func (s *sim) listRuns(w *simWorker, c order.Call) order.Reply {
 	r := order.Reply{Call: c, Status: order.Accepted, Clock: w.clock(s.now), StartedAt: w.info.StartedAt}
-	for ref := range w.running {
+	for _, ref := range sortedRefs(w.running) {
 		r.Running = append(r.Running, order.Running{RunRef: ref, Percent: 100})
 	}
 	r.Ended = append(r.Ended, w.ends...)
@@ -138,7 +143,9 @@
 	if w.running[start.RunRef] != nil {
 		return order.Accepted
 	}
+	deadline := min(start.Deadline, w.clock(s.now)+order.ClockMS(simBounds.LeaseMax/ms))
 	if start.Run <= w.finished[start.TaskRef] {
+		w.lease = max(w.lease, deadline)
 		return order.Superseded
 	}
 	if start.Deadline <= w.clock(s.now) {
@@ -147,15 +154,24 @@
 	job := s.state.Jobs[start.Job]
 	if job.Steps == nil { // a copy has completed the job while the order was on its way
 		require.Equal(s.t, jobs.Completed, job.Phase)
+		if s.held != nil && !s.held.copies[start.StepRef()] {
+			s.checkEnded(start)
+		}
 		return order.Superseded
 	}
+	w.lease = max(w.lease, deadline)
+	if s.held != nil && !s.hasRoom(w, start) {
+		return order.NoCapacity
+	}
 	s.checkStart(w, start)
-	w.lease = max(w.lease, min(start.Deadline, w.clock(s.now)+order.ClockMS(simBounds.LeaseMax/ms)))
 	longest := 2500 * ms
 	if s.rng.Float64() < 0.4 {
 		longest = 12 * model.Second // longer than a lease
 	}
 	work := s.between(200*ms, longest)
+	if s.held != nil {
+		work = s.heldWork()
+	}
 	run := &simRun{
 		size: job.Steps[start.Step].Size, beganAt: s.now, work: work, doneAt: s.now.Add(work), fails: s.rng.Float64() < s.failureRate,
 	}
@@ -178,12 +194,17 @@
 
 // checkStart checks a start against the runs of all workers and the recorded ends.
 func (s *sim) checkStart(w *simWorker, start *order.Start) {
+	s.noteStart(w, start)
 	if s.state.Jobs[start.Job].Steps[start.Step].Copies {
 		at, forgotten := s.forgotten[start.TaskRef]
-		require.False(s.t, forgotten && s.now.Sub(at) > model.Second, "%v starts after a copy was done", start.RunRef)
+		require.False(s.t, forgotten && !s.isHeld() && s.now.Sub(at) > model.Second, "%v starts after a copy was done", start.RunRef)
 		return
 	}
-	require.False(s.t, s.done[start.TaskRef], "%v starts after its end was recorded", start.RunRef)
+	if s.held != nil {
+		s.checkEnded(start)
+	} else {
+		require.False(s.t, s.done[start.TaskRef], "%v starts after its end was recorded", start.RunRef)
+	}
 	for _, other := range s.workers {
 		for ref := range other.running {
 			require.False(s.t, other.up && ref.TaskRef == start.TaskRef, "%v starts on %s while %v runs on %s", start.RunRef, w.info.ID, ref, other.info.ID)
@@ -203,7 +224,10 @@
 		if !w.up {
 			continue
 		}
-		leaseExpired := w.lease <= w.clock(s.now)
+		if w.lease <= w.clock(s.now) {
+			w.lapsed = w.number
+		}
+		leaseExpired := w.lease <= w.clock(s.now.Add(-s.leaseLag(w)))
 		for _, ref := range sortedRefs(w.running) {
 			run := w.running[ref]
 			switch {
@@ -296,6 +320,9 @@
 	w.finished[ref.TaskRef] = max(w.finished[ref.TaskRef], ref.Run)
 	w.number++
 	w.ends = append(w.ends, order.Ended{Number: w.number, RunRef: ref, Outcome: o})
+	if s.held != nil && o == jobs.OutcomeDone {
+		s.held.ends[ref.TaskRef] = append(s.held.ends[ref.TaskRef], simEnd{w, w.number})
+	}
 }
 
 // heartbeatAfter makes a worker announce itself, and again every 1.5 s, since the leader
@@ -307,7 +334,7 @@
 		}
 		s.heartbeatAfter(1500*ms, w)
 		known := s.state.Workers[w.info.ID]
-		if !w.partitioned && (known == nil || !known.SameIncarnation(&w.info)) {
+		if (!w.partitioned || s.held != nil && s.held.heard) && (known == nil || !known.SameIncarnation(&w.info)) {
 			s.commit(&jobs.Command{Announce: &w.info})
 		}
 	})
