schedule: tests of copies that are executed after their run has failed

Cause: the task of a run that has failed starts again at once, while a copy of the order without an answer may still reach a later process of the worker. The simulation held no such copy before a restart.

Change: a held order to a reachable worker is followed by a restart, more runs fail there, and a direct test.

--- a/core/schedule/held_sim_test.go
+++ b/core/schedule/held_sim_test.go
@@ -17,7 +17,7 @@
 	delay       model.Duration // longest time from the sending of a held call until it is executed
 	restarts    bool           // workers restart a second time, soon after the first or behind the cut
 	leaders     bool           // the leader changes, on odd seeds
-	answersLost bool           // some answers to orders to start are lost, or such orders are held
+	answersLost bool           // some answers to orders to start are lost, or such orders are held, and many runs fail
 	shortCuts   bool           // workers are cut off for less than startTimeout before they restart
 	forgets     bool           // polls that tell a worker to forget ends are held too
 	afterEnds   bool           // workers restart when they are told to forget ends
@@ -85,6 +85,10 @@
 	case s.held.answersLost && c.Start != nil && s.rng.Float64() < 0.1:
 		if s.rng.IntN(2) == 0 {
 			s.hold(c)
+			if s.mayRestart(c.Worker) { // after the end of the run that a copy starts
+				s.held.crashed[c.Worker] = s.now
+				s.after(s.between(500*ms, 1500*ms), func() { s.disturb(c.Worker) })
+			}
 		} else {
 			s.after(latency, func() { s.execute(s.byID(c.Worker), c) })
 		}
@@ -306,6 +310,9 @@
 	for _, w := range s.workers {
 		s.heartbeatAfter(1500*ms, w)
 	}
+	if o.answersLost {
+		s.failureRate = 0.3
+	}
 	t.Cleanup(s.logHistory)
 	return s
 }
@@ -348,7 +355,12 @@
 // Guards against a task that runs twice: orders to a worker that has restarted and is cut
 // off are executed by its later process, within the time for workers that answer later calls.
 func TestOrdersExecutedByALaterProcess(t *testing.T) {
-	testHeld(t, firstSeeds(4), heldOptions{delay: lateCallTime, answersLost: true, heard: true, slowCalls: true})
+	testHeld(t, firstSeeds(4), heldOptions{delay: lateCallTime, heard: true, slowCalls: true})
+}
+
+// The same with copies of orders whose run has failed, so that the task starts again.
+func TestCopiesExecutedAfterAFailedRun(t *testing.T) {
+	testHeld(t, []uint64{1, 2, 27}, heldOptions{delay: lateCallTime, answersLost: true, heard: true, slowCalls: true})
 }
 
 // The same with orders that are held for as long as a worker takes no calls.
