schedule: what the review of the bounds on late orders found

Cause: four holes in orders.go, found by a reader who had not seen the work. An adopted run lost the copy beside the one that its later process had answered. An answer to a call that was sent with the latest order counted as proof that the order had arrived. A poll lost from time to time moved the end of the wait without limit, so a run could be kept for ever. A detached run left out that its later process had just taken calls again. Tasks that may have copies do not wait after a change of leader.

--- a/core/schedule/detached.go
+++ b/core/schedule/detached.go
@@ -102,7 +102,7 @@
 			continue
 		}
 		for _, r := range sortedRunsOf(old) {
-			if r.phase != assigned && r.isExcludedBy(polledAt) {
+			if r.phase != assigned && r.isExcludedBy(w, polledAt) {
 				s.giveUp(env, out, r, jobs.OutcomeLost, "", "its worker has restarted and does not list it")
 			}
 		}
--- a/core/schedule/lease_test.go
+++ b/core/schedule/lease_test.go
@@ -221,7 +221,7 @@
 			require.Contains(t, f.s.runs, ref("j", 0, 1))
 			f.advanceBy(50 * ms)
 		}
-		f.advanceBy(strayOrderEnd(simBounds))
+		f.advanceBy(maxCallDelay + maxElapsed(simBounds.LeaseMax))
 		require.NotContains(t, f.s.runs, ref("j", 0, 1))
 	}
 }
@@ -233,7 +233,7 @@
 	f.s = New(f.env())
 	f.advanceBy(simBounds.LeaseMax)
 	require.Contains(t, f.s.runs, ref("j", 0, 1))
-	f.advanceBy(strayOrderEnd(simBounds))
+	f.advanceBy(maxCallDelay + maxElapsed(simBounds.LeaseMax))
 	require.NotContains(t, f.s.runs, ref("j", 0, 1))
 }
 
@@ -341,7 +341,7 @@
 				require.Contains(t, f.s.runs, ref("j", 0, 1))
 				f.failPolls("a", order.WrongProcess, 50*ms)
 			}
-			f.failPolls("a", order.WrongProcess, lateCallTime)
+			f.failPolls("a", order.WrongProcess, lateCallTime+2*pollRetryDelay) // until a poll shows it
 			require.NotContains(t, f.s.runs, ref("j", 0, 1))
 		})
 	}
--- a/core/schedule/orders.go
+++ b/core/schedule/orders.go
@@ -58,15 +58,15 @@
 // accepted records that the process that is known has accepted an order.
 func (o *orderRecord) accepted() { o.confirmed = o.unanswered == 0 && !o.strayed }
 
-// acceptedByLater records that a later process has accepted an order.
-func (o *orderRecord) acceptedByLater() { o.strayed, o.confirmed = true, false }
+// answeredByLater records that a later process has answered an order.
+func (o *orderRecord) answeredByLater() { o.strayed, o.confirmed = true, false }
 
 // inherit records that an earlier leader assigned the run of a task. If the order to start it
 // may still arrive, it counts as one without an answer.
 func (r *run) inherit(env Env, t *jobs.Task) {
 	r.phase, r.lateUntil = inherited, env.Now.Add(lateCallTime)
 	age := env.Clock.Sub(t.AssignedAt)
-	if t.AssignedAt != 0 && !r.step.LongRunning && age < startTimeout+maxCallDelay {
+	if t.AssignedAt != 0 && !r.step.LongRunning && !r.step.Copies && age < startTimeout+maxCallDelay {
 		r.unanswered = 1
 	}
 }
@@ -75,8 +75,8 @@
 // others. A process that starts after it may carry out those without an answer.
 func (o *orderRecord) adopted() {
 	copies := o.unanswered
-	if o.orders > 0 && copies > 0 {
-		copies--
+	if o.orders > 0 && copies > 0 && !o.strayed {
+		copies-- // the one on which it runs
 	}
 	*o = orderRecord{unanswered: copies, lateUntil: o.lateUntil}
 	if copies == 0 {
@@ -87,28 +87,25 @@
 // allRefused reports whether every order was refused.
 func (o *orderRecord) allRefused() bool { return o.refusals >= o.orders }
 
-// arrivesUntil returns the time after which a worker that takes calls carries out no order
-// to start the run any more, or 0 if all that this leader sent have answers. An order that
-// was held for a worker that took no calls arrives when it takes them again.
-func (r *run) arrivesUntil() model.Time {
+// arrivesUntil returns the time after which the worker that takes calls now carries out no
+// order to start the run any more, or 0 if all that this leader sent have answers. An order
+// that was held for a worker that took no calls arrives when it takes them again.
+func (r *run) arrivesUntil(w *worker) model.Time {
 	if r.unanswered == 0 {
 		return 0
 	}
-	return max(r.lateUntil, r.worker.reachedAt.Add(lateCallTime))
+	const longestHold = maxCallDelay - lateCallTime
+	return min(max(r.lateUntil, w.reachedAt.Add(lateCallTime)), r.lateUntil.Add(longestHold))
 }
 
-// mayArrive reports whether an order may still be carried out by a process that starts
-// after the one which takes calls now.
-func (r *run) mayArrive(now model.Time) bool { return now < r.arrivesUntil() }
-
-// isExcludedBy reports whether a list without the run, in the answer to a poll that was sent
-// at polledAt, shows that no later order starts it.
-func (r *run) isExcludedBy(polledAt model.Time) bool { return polledAt >= r.arrivesUntil() }
+// isExcludedBy reports whether a list of the worker without the run, in the answer to a poll
+// that was sent at polledAt, shows that no later order starts it.
+func (r *run) isExcludedBy(w *worker, polledAt model.Time) bool { return polledAt >= r.arrivesUntil(w) }
 
 // listedBy records that the known process lists the run in the answer to a poll that was
 // sent at polledAt.
 func (r *run) listedBy(polledAt model.Time) {
-	if r.orders == 1 || polledAt >= max(r.lateUntil, r.arrivesUntil()) {
+	if r.orders == 1 || polledAt >= max(r.lateUntil, r.arrivesUntil(r.worker)) {
 		r.confirmed, r.strayed = true, false
 	}
 }
@@ -141,29 +138,29 @@
 // were not meant, may have started a run or extended its lease.
 type callTimes struct {
 	latest  model.Time // sending of the latest call that starts a run or extends the lease
-	taken   model.Time // sending of the latest call that has an answer
-	takenBy model.Time // when the answer arrived that showed latest to be taken
+	takenAt model.Time // when a call was answered that was sent lateCallTime after it, 0 if none was
 }
 
-func (c *callTimes) sent(now model.Time) { c.latest = max(c.latest, now) }
+func (c *callTimes) sent(now model.Time) {
+	if now > c.latest {
+		c.latest, c.takenAt = now, 0
+	}
+}
 
+// answered records the answer to a call. A call that was sent so late that the latest one has
+// arrived before it shows that the worker took calls until then.
 func (c *callTimes) answered(sentAt, now model.Time) {
-	if c.taken < c.latest && sentAt >= c.latest {
-		c.takenBy = now
+	if c.takenAt == 0 && sentAt >= c.latest.Add(lateCallTime) {
+		c.takenAt = now
 	}
-	c.taken = max(c.taken, sentAt)
 }
 
 // carriedOutBy returns the time by which every call is carried out, for a worker that takes
 // a call at most maxDelay late. A run that a later process starts then, or a lease that it
 // extends, lasts for the longest lease, since the deadline in the call is on another clock.
 func (c *callTimes) carriedOutBy(maxDelay model.Duration) model.Time {
-	if c.taken < c.latest {
-		return c.latest.Add(maxDelay)
+	if c.takenAt != 0 {
+		return c.takenAt
 	}
-	return max(c.latest.Add(lateCallTime), c.takenBy)
+	return c.latest.Add(maxDelay)
 }
-
-// strayOrderEnd returns how long after a call to a worker that takes no calls the runs of a
-// later process may go on that this call has started or whose lease it has extended.
-func strayOrderEnd(b Bounds) model.Duration { return maxCallDelay + maxElapsed(b.LeaseMax) }
--- /dev/null
+++ b/core/schedule/orders_test.go
@@ -0,0 +1,51 @@
+package schedule
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/jobs"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/order"
+)
+
+// Guards against an end that is forgotten while a copy of the order may reach a third
+// process: the later process has answered the copy on which it runs.
+func TestCopyBesideTheAdoptedOneMayReachAThirdProcess(t *testing.T) {
+	f, first := orderedFixture(t)
+	second := f.takeCalls("a")
+	for len(second) == 0 {
+		f.advanceBy(50 * ms)
+		second = f.takeCalls("a")
+	}
+	copiedAt := f.now
+	f.advanceBy(300 * ms)
+	f.startAnswered(first, 20)
+	f.announceLater("a", 6000)
+	f.answerPollWith("a", order.Reply{Clock: 120, StartedAt: 6000, Running: []order.Running{runningFully(ref("j", 0, 1))}})
+	ended := order.Reply{Clock: 200, StartedAt: 6000, Ended: []order.Ended{{Number: 1, RunRef: ref("j", 0, 1), Outcome: jobs.OutcomeDone}}}
+	f.answerPollWith("a", ended)
+	require.Equal(t, jobs.Completed, f.state.Jobs["j"].Phase)
+	for f.now.Sub(copiedAt) < lateCallTime {
+		require.Zero(t, f.lastPoll("a").Poll.RecordedUpTo, "%d ms after the copy", f.now.Sub(copiedAt)/ms)
+		f.advanceBy(pollRetryDelay)
+		f.answerPollWith("a", ended)
+	}
+}
+
+// Guards against a run that is kept for ever because a poll is lost from time to time.
+func TestLostPollsDoNotKeepARun(t *testing.T) {
+	f, first := orderedFixture(t)
+	f.unanswered(first)
+	began := f.now
+	for lost := f.now; f.s.runs[ref("j", 0, 1)] != nil; f.advanceBy(50 * ms) {
+		require.Less(t, f.now.Sub(began), maxCallDelay+lateCallTime)
+		f.takeCalls("a")
+		reply := order.Reply{Status: order.Accepted, Clock: order.ClockMS(f.now / model.Time(ms)), StartedAt: 1000}
+		if f.now.Sub(lost) >= 2*model.Second {
+			lost, reply = f.now, order.Reply{Status: order.NoAnswer}
+		}
+		f.replyToPolls("a", reply)
+	}
+}
--- a/core/schedule/poll.go
+++ b/core/schedule/poll.go
@@ -45,7 +45,7 @@
 func (s *Scheduler) awaitsList(now model.Time, w *worker) bool {
 	soon := now.Add(pollWait)
 	for _, r := range w.runs {
-		if r.phase == ordered && !r.stopping && r.isExcludedBy(soon) {
+		if r.phase == ordered && !r.stopping && r.isExcludedBy(w, soon) {
 			return true
 		}
 	}
@@ -83,7 +83,7 @@
 			s.recordEnds(env, out, w, reply, make(map[jobs.RunRef]bool))
 			return
 		}
-		if w.pollFailed && w.answeredAt != 0 {
+		if w.pollFailed {
 			w.reachedAt = env.Now
 		}
 		w.pollFailed = false
@@ -152,7 +152,7 @@
 	}
 	s.recordEnds(env, out, w, reply, listed)
 	for _, r := range w.unlisted(listed) {
-		if !reply.Partial && r.isVoidAt(reply.Clock) && (r.step.Copies || r.isExcludedBy(sentAt)) {
+		if !reply.Partial && r.isVoidAt(reply.Clock) && (r.step.Copies || r.isExcludedBy(w, sentAt)) {
 			s.giveUp(env, out, r, jobs.OutcomeVoid, "", "its worker does not list it")
 		}
 	}
@@ -227,8 +227,9 @@
 // carried out late. The worker refuses the copy while it knows the run; a process that
 // starts later would run the task again after an end that counts as taken note of.
 func (w *worker) holdEnd(now model.Time, r *run, number uint64) {
-	if r.orders != 1 && r.mayArrive(now) && !r.step.Copies {
-		w.heldEnds = append(w.heldEnds, heldEnd{number, r.arrivesUntil()})
+	isOnlyOrder := r.orders == 1 // the run has begun on it
+	if until := r.arrivesUntil(w); !isOnlyOrder && now < until && !r.step.Copies {
+		w.heldEnds = append(w.heldEnds, heldEnd{number, until})
 	}
 }
 
--- a/core/schedule/restart.go
+++ b/core/schedule/restart.go
@@ -54,7 +54,7 @@
 func (s *Scheduler) laterProcessAnswered(env Env, out *Out, w *worker, reply *order.Reply) {
 	if start := reply.Call.Start; start != nil {
 		if r := w.runs[start.RunRef]; r != nil {
-			r.acceptedByLater()
+			r.answeredByLater()
 		}
 	}
 	if w.polled {
@@ -85,7 +85,7 @@
 		listed[reply.Ended[i].RunRef] = true
 	}
 	for _, r := range w.unlisted(listed) {
-		if r.phase != assigned && r.isExcludedBy(polledAt) {
+		if r.phase != assigned && r.isExcludedBy(w, polledAt) {
 			s.giveUp(env, out, r, jobs.OutcomeLost, "", "a later process of its worker does not list it")
 		}
 	}
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -317,8 +317,11 @@
 	if w == nil || w.info.Incarnation != reply.Call.Incarnation || termOf(reply.Call.Token) != env.Term {
 		return // a call of an earlier term of this process proves nothing in this term
 	}
-	if sentAt, known := w.sendingOf(env.Now, &reply.Call); known && reply.Clock != 0 && reply.Status != order.WrongProcess {
+	sentAt, known := w.sendingOf(env.Now, &reply.Call)
+	if known && (reply.Clock != 0 || reply.Status == order.WrongProcess) {
 		w.calls.answered(sentAt, env.Now)
+	}
+	if known && reply.Clock != 0 && reply.Status != order.WrongProcess {
 		if w.isFromLaterProcess(reply, sentAt, env.Now) {
 			s.laterProcessAnswered(env, out, w, reply)
 		} else {
