--- a/core/schedule/detached.go
+++ b/core/schedule/detached.go
@@ -15,8 +15,9 @@
 //   - when a later process is known to run on the host under another id, which refuses
 //     calls that name the earlier one,
 //   - when a later process on the host under the same id has listed its runs in the answer
-//     to a poll with its own token: it refuses older orders from then on, and what it
-//     lists, it has started on an order to the earlier process.
+//     to a poll with its own token, sent when no order could reach a process that starts
+//     after it: it refuses older orders from then on, and what it lists, it has started on
+//     an order to the earlier process.
 
 // giveUpExpired gives up the runs of a worker whose lease has ended, except those that a
 // later process of the worker may be running.
