schedule: a failed run's task waits while a copy of its order may arrive

Cause: an order without an answer is sent again. When the run of the one copy failed, its end was recorded at once, and the task ordered again, while the other copy could still reach a later process of the worker.

The change: an end that is not a success is recorded only when no copy of its order may arrive. Until then the run keeps its place, and the bounds for a worker that is lost hold for it. Ends after it are recorded and stay listed, as after an end that could not be parsed. A run that an earlier leader ordered counts with one order, the one on which it began, so that its end is recorded at once; a copy from that leader is not counted.

Ruled out: holding the end in the worker's list only, as for successes: the task would start again meanwhile.

--- a/core/schedule/orders.go
+++ b/core/schedule/orders.go
@@ -32,6 +32,7 @@
 	orderedAt  model.Time // when the first one was sent
 	lateUntil  model.Time // a worker that takes calls carries out none after this
 	strayed    bool       // a later process has answered one
+	foreign    bool       // an earlier leader sent them; unanswered counts one that may arrive
 	confirmed  bool       // the known process runs it, and no later process can start it
 }
 
@@ -67,7 +68,7 @@
 	r.phase, r.lateUntil = inherited, env.Now.Add(lateCallTime)
 	age := env.Clock.Sub(t.AssignedAt)
 	if t.AssignedAt != 0 && !r.step.LongRunning && !r.step.Copies && age < startTimeout+maxCallDelay {
-		r.unanswered = 1
+		r.unanswered, r.foreign = 1, true
 	}
 }
 
@@ -98,6 +99,20 @@
 	return min(max(r.lateUntil, w.reachedAt.Add(lateCallTime)), r.lateUntil.Add(longestHold))
 }
 
+// copyMayArrive reports whether a later process of the worker may start the run, which has
+// ended, on a copy of its order.
+func (r *run) copyMayArrive(now model.Time, w *worker) bool {
+	isOnlyOrder := r.orders == 1 // the run has begun on it
+	return !isOnlyOrder && !r.step.Copies && now < r.arrivesUntil(w)
+}
+
+// endIsDeferred reports whether an end of the run that is not a success is recorded only when
+// no copy of its order may arrive: the task starts again then. The one order that counts for
+// an earlier leader is the one on which the run began.
+func (r *run) endIsDeferred(now model.Time, w *worker) bool {
+	return !r.foreign && r.copyMayArrive(now, w)
+}
+
 // isExcludedBy reports whether a list of the worker without the run, in the answer to a poll
 // that was sent at polledAt, shows that no later order starts it.
 func (r *run) isExcludedBy(w *worker, polledAt model.Time) bool { return polledAt >= r.arrivesUntil(w) }
--- a/core/schedule/poll.go
+++ b/core/schedule/poll.go
@@ -89,7 +89,7 @@
 		w.pollFailed = false
 		s.handleList(env, out, w, reply, sentAt)
 		w.pollAt = env.Now
-		if hasUnparsedEnd(reply) || len(w.heldEnds) > 0 {
+		if hasUnparsedEnd(reply) || len(w.heldEnds) > 0 || w.defersEnd {
 			// The worker answers at once while it has an end to report, so the next
 			// poll is delayed.
 			w.pollAt = env.Now.Add(pollRetryDelay)
@@ -176,25 +176,30 @@
 
 // recordEnds proposes to record the listed ends that are new. A worker lists an end
 // until it is told that the end is recorded. It is told so by a number that covers all
-// ends up to it, so the ends after one that could not be parsed are recorded but stay
-// listed.
+// ends up to it, so the ends after one that could not be parsed or is deferred are recorded
+// but stay listed.
 func (s *Scheduler) recordEnds(env Env, out *Out, w *worker, reply *order.Reply, listed map[jobs.RunRef]bool) {
 	var endings []jobs.Ending
-	unparsed := false
+	w.defersEnd = false
+	skipped := false
 	for i := range reply.Ended {
 		e := &reply.Ended[i]
 		if e.Unparsed {
-			unparsed = true
+			skipped = true
 			continue
 		}
 		listed[e.RunRef] = true
 		if e.Number <= max(w.recordedThrough, w.proposedThrough) {
 			continue
 		}
-		if !unparsed {
+		r := s.runOn(w, e.RunRef)
+		if r != nil && e.Outcome != jobs.OutcomeDone && r.endIsDeferred(env.Now, w) {
+			skipped, w.defersEnd = true, true
+			continue
+		}
+		if !skipped {
 			w.proposedThrough = e.Number
 		}
-		r := s.runOn(w, e.RunRef)
 		if r == nil {
 			// An earlier leader recorded the end, or the run was given up.
 			if s.abandoned[e.RunRef] || isAbandoned(env, e.RunRef) {
@@ -227,9 +232,8 @@
 // carried out late. The worker refuses the copy while it knows the run; a process that
 // starts later would run the task again after an end that counts as taken note of.
 func (w *worker) holdEnd(now model.Time, r *run, number uint64) {
-	isOnlyOrder := r.orders == 1 // the run has begun on it
-	if until := r.arrivesUntil(w); !isOnlyOrder && now < until && !r.step.Copies {
-		w.heldEnds = append(w.heldEnds, heldEnd{number, until})
+	if r.copyMayArrive(now, w) {
+		w.heldEnds = append(w.heldEnds, heldEnd{number, r.arrivesUntil(w)})
 	}
 }
 
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -88,6 +88,7 @@
 	recordedThrough    uint64     // listed ends up to this number are recorded
 	proposedThrough    uint64     // listed ends up to this number are proposed to be recorded
 	heldEnds           []heldEnd  // recorded ends that it is not told to forget yet
+	defersEnd          bool       // its latest list has an end that is not recorded yet, see endIsDeferred
 	pendingEndCommands int        // proposed commands with its ends that are not committed
 
 	lostListed  map[jobs.RunRef]bool // runs that it listed though they count as ended
