schedule: a new record of a worker takes calls from its first answer on

Cause: an order that is held for a worker arrives when the worker takes calls again, and the leader counts 2.5 s from then. It noted that time only for a record with a failed poll. A later process that announced itself after it had been down had none, so that its first list ended the runs of older orders at once, while a third process could still carry one out.

The change: the first answer of a record counts as the time from which it takes calls.

Measured: TestOrderHeldUntilALaterProcessTakesCallsMayReachAThirdOne failed before (given up 0 ms after the first answer) and passes.

--- a/core/schedule/orders_test.go
+++ b/core/schedule/orders_test.go
@@ -49,3 +49,21 @@
 		f.replyToPolls("a", reply)
 	}
 }
+
+// Guards against giving up a run because of the list of a later process that has just begun to
+// take calls: an order that was held until then may reach a third process.
+func TestOrderHeldUntilALaterProcessTakesCallsMayReachAThirdOne(t *testing.T) {
+	f, first := orderedFixture(t)
+	f.unanswered(first)
+	for down := f.now; f.now.Sub(down) < lateCallTime+500*ms; f.advanceBy(50 * ms) {
+		f.failPolls("a", order.NoAnswer, 0)
+		for _, c := range f.takeCalls("a") {
+			f.unanswered(c)
+		}
+	}
+	f.announceLater("a", 6000)
+	for reached := f.now; f.now.Sub(reached) < lateCallTime; f.advanceBy(50 * ms) {
+		f.replyToPolls("a", order.Reply{Status: order.Accepted, Clock: order.ClockMS(f.now.Sub(reached)/ms) + 20, StartedAt: 6000})
+		require.Contains(t, f.s.runs, ref("j", 0, 1), "given up %d ms after the first answer", f.now.Sub(reached)/ms)
+	}
+}
--- a/core/schedule/poll.go
+++ b/core/schedule/poll.go
@@ -83,7 +83,7 @@
 			s.recordEnds(env, out, w, reply, make(map[jobs.RunRef]bool))
 			return
 		}
-		if w.pollFailed {
+		if w.pollFailed || !w.fenced {
 			w.reachedAt = env.Now
 		}
 		w.pollFailed = false
