schedule: a poll that forgets ends is never executed after an order it does not know

Cause: a poll names the ends that are recorded, by a number that each process counts from 1. A poll with such a number and an order to start a run were under way to a worker with one token.

Ruled out: the number in short polls only, without orders beside them (each start would wait for a round trip after an end).

An order beside such a poll without an answer has a larger token, so that a process which has carried it out refuses the poll. A poll that an order has overtaken is sent again at once. A held end keeps all ends listed.

Tests: TestWorkerThatFailsEveryRunGetsNoTasks answers its orders now, since the next poll waits for them.

--- a/core/schedule/orders.go
+++ b/core/schedule/orders.go
@@ -99,11 +99,17 @@
 	return min(max(r.lateUntil, w.reachedAt.Add(lateCallTime)), r.lateUntil.Add(longestHold))
 }
 
+// mayArrive reports whether a later process of the worker may carry out an order to start the
+// run. That on which the run has begun is not carried out again.
+func (r *run) mayArrive(now model.Time, w *worker, hasBegun bool) bool {
+	isOnlyOrder := hasBegun && r.orders == 1
+	return !isOnlyOrder && now < r.arrivesUntil(w)
+}
+
 // copyMayArrive reports whether a later process of the worker may start the run, which has
 // ended, on a copy of its order.
 func (r *run) copyMayArrive(now model.Time, w *worker) bool {
-	isOnlyOrder := r.orders == 1 // the run has begun on it
-	return !isOnlyOrder && !r.step.Copies && now < r.arrivesUntil(w)
+	return !r.step.Copies && r.mayArrive(now, w, true)
 }
 
 // endIsDeferred reports whether an end of the run that is not a success is recorded only when
--- a/core/schedule/poll.go
+++ b/core/schedule/poll.go
@@ -15,14 +15,14 @@
 // know the worker's clock yet.
 func (s *Scheduler) poll(env Env, out *Out, w *worker) {
 	request := order.Poll{AnswerTime: pollAnswerTime}
-	if w.pollFailed {
+	if w.pollFailed || w.forgettingPoll != 0 {
 		// The worker may have restarted. Once the later process has seen a larger token, it
 		// refuses the calls to the earlier one that are still on their way.
-		w.token = s.largerToken(w.token)
+		w.token, w.forgettingPoll, w.toldThrough = s.largerToken(w.token), 0, 0
 	}
-	if w.polled && !w.pollFailed && env.Now.Sub(w.answeredAt) < restartTime {
+	if w.polled && !w.pollFailed && env.Now.Sub(w.answeredAt) < restartTime && s.mayForgetEnds(env.Now, w) {
 		// A later process of the worker would take the number for one of its own ends.
-		request.RecordedUpTo = w.forgettableThrough(env.Now)
+		request.RecordedUpTo = w.recordedThrough
 	}
 	if w.polled && !w.pollFailed {
 		request.Wait = pollWait
@@ -37,9 +37,45 @@
 	s.load.polls++
 	call := s.call(w, order.Call{Poll: &request})
 	w.pendingPoll, w.pollSentAt, w.pollDeadline = call.Call.Seq, env.Now, env.Now.Add(request.Wait+pollTimeout)
+	w.awaitsOrders = false
+	if request.RecordedUpTo > 0 {
+		w.forgettingPoll, w.toldThrough = call.Call.Seq, request.RecordedUpTo
+	}
 	out.Effects = append(out.Effects, call)
 }
 
+// mayForgetEnds reports whether the worker may be told to forget its recorded ends. If an order
+// to start a run may still reach a later process, that process would forget the end of the run.
+func (s *Scheduler) mayForgetEnds(now model.Time, w *worker) bool {
+	if now < w.forgetsFrom {
+		return false
+	}
+	for _, r := range w.runs {
+		if r.mayArrive(now, w, r.phase == begun) {
+			return false
+		}
+	}
+	for _, old := range s.detached {
+		if !w.isLaterThan(old) {
+			continue
+		}
+		for _, r := range old.runs {
+			if r.mayArrive(now, w, r.phase == begun) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// raiseTokenForOrder gives the next order a larger token than a poll without an answer that
+// names recorded ends. A later process that carries out the order refuses that poll.
+func (s *Scheduler) raiseTokenForOrder(w *worker) {
+	if w.forgettingPoll != 0 {
+		w.token, w.forgettingPoll = s.largerToken(w.token), 0
+	}
+}
+
 // awaitsList reports whether the list in the answer to a poll decides, or soon will, that a
 // run which has not begun is not started any more.
 func (s *Scheduler) awaitsList(now model.Time, w *worker) bool {
@@ -72,6 +108,9 @@
 	if w.pendingPoll == reply.Call.Seq {
 		w.pendingPoll, sentAt = 0, w.pollSentAt
 	}
+	if w.forgettingPoll == reply.Call.Seq && reply.Status == order.Accepted && !w.isOtherProcess(reply) {
+		w.forgettingPoll = 0
+	}
 	if reply.Status == order.Accepted && w.isOtherProcess(reply) {
 		reply.Status = order.WrongProcess
 		s.giveUpUnlisted(env, out, w, reply, sentAt)
@@ -89,16 +128,22 @@
 		w.pollFailed = false
 		s.handleList(env, out, w, reply, sentAt)
 		w.pollAt = env.Now
-		if hasUnparsedEnd(reply) || len(w.heldEnds) > 0 || w.defersEnd {
+		if hasUnparsedEnd(reply) || w.defersEnd {
 			// The worker answers at once while it has an end to report, so the next
 			// poll is delayed.
 			w.pollAt = env.Now.Add(pollRetryDelay)
 			return
 		}
-		if w.proposedThrough == w.recordedThrough && w.pendingPoll == 0 {
-			s.poll(env, out, w)
+		if w.proposedThrough == w.recordedThrough {
+			s.pollNext(env, out, w)
 		}
 		return
+	case order.Fenced:
+		if reply.Call.Token < w.token && w.pendingPoll == 0 {
+			// An order with a larger token has overtaken it.
+			s.poll(env, out, w)
+			return
+		}
 	case order.WrongProcess:
 		s.addressLost(out, w, "another process answers at its address")
 	case order.Refused:
@@ -122,6 +167,26 @@
 	return slices.ContainsFunc(reply.Ended, func(e order.Ended) bool { return e.Unparsed })
 }
 
+// pollNext polls a worker that has no pending poll. While it may not be told to forget ends
+// that are recorded, it would answer at once, so the poll waits for the answers to its orders.
+func (s *Scheduler) pollNext(env Env, out *Out, w *worker) {
+	if w.pendingPoll != 0 {
+		return
+	}
+	if w.toldThrough < w.recordedThrough && !s.mayForgetEnds(env.Now, w) {
+		w.pollAt, w.awaitsOrders = env.Now.Add(pollRetryDelay), true
+		return
+	}
+	s.poll(env, out, w)
+}
+
+// pollAfterOrders polls a worker whose poll has waited for the answers to its orders.
+func (s *Scheduler) pollAfterOrders(env Env, out *Out, w *worker) {
+	if w.awaitsOrders && w.pendingPoll == 0 && s.mayForgetEnds(env.Now, w) {
+		s.poll(env, out, w)
+	}
+}
+
 // handleList handles the lists in the answer to a poll that was sent at sentAt.
 func (s *Scheduler) handleList(env Env, out *Out, w *worker, reply *order.Reply, sentAt model.Time) {
 	if !w.fenced {
@@ -207,7 +272,7 @@
 			}
 			continue
 		}
-		w.holdEnd(env.Now, r, e.Number)
+		w.holdEnd(env.Now, r)
 		endings = append(endings, s.ending(r, e.Outcome, e.Checkpoint))
 		s.observeEnd(env, out, r, e.Outcome)
 		s.dropRun(r)
@@ -222,27 +287,11 @@
 	}
 }
 
-// heldEnd is a recorded end that its worker is not told to forget yet.
-type heldEnd struct {
-	number uint64
-	until  model.Time
-}
-
 // holdEnd keeps the end of a run listed as long as a copy of the order to start it may be
 // carried out late. The worker refuses the copy while it knows the run; a process that
 // starts later would run the task again after an end that counts as taken note of.
-func (w *worker) holdEnd(now model.Time, r *run, number uint64) {
+func (w *worker) holdEnd(now model.Time, r *run) {
 	if r.copyMayArrive(now, w) {
-		w.heldEnds = append(w.heldEnds, heldEnd{number, r.arrivesUntil(w)})
+		w.forgetsFrom = max(w.forgetsFrom, r.arrivesUntil(w))
 	}
 }
-
-// forgettableThrough returns the number up to which the worker may forget its ends.
-func (w *worker) forgettableThrough(now model.Time) uint64 {
-	w.heldEnds = slices.DeleteFunc(w.heldEnds, func(h heldEnd) bool { return now >= h.until })
-	through := w.recordedThrough
-	for _, h := range w.heldEnds {
-		through = min(through, h.number-1)
-	}
-	return through
-}
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -346,7 +346,7 @@
 	}
 	w.pendingEndCommands--
 	w.recordedThrough = max(w.recordedThrough, c.Through)
-	if w.pendingPoll == 0 && env.Now >= w.pollAt {
-		s.poll(env, out, w)
+	if env.Now >= w.pollAt {
+		s.pollNext(env, out, w)
 	}
 }
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -57,7 +57,7 @@
 	runs               map[jobs.RunRef]*run
 	runsByJob          map[model.JobID]map[jobs.RunRef]*run // index of runs
 	callSeq            uint64                               // sequence number of the latest call
-	raisedToken        uint64                               // see largerToken
+	raisedToken        uint64                               // largest that largerToken has returned
 	unansweredAt       model.Time                           // latest call without an answer of a recently active worker
 	lastTickAt         model.Time                           // latest tick
 	lateTickAt         model.Time                           // latest late tick
--- a/core/schedule/scheduler_test.go
+++ b/core/schedule/scheduler_test.go
@@ -179,6 +179,9 @@
 	f := newFixture(t, testWorker("a"))
 	for i, id := range []model.JobID{"j", "k", "l"} {
 		f.submit(id, jobs.Step{Tasks: 1, Size: cores(1)})
+		for _, c := range f.takeCalls("a") {
+			f.startAnswered(c, order.ClockMS(f.now/model.Time(ms)))
+		}
 		f.answerPoll("a", nil, []order.Ended{{Number: uint64(i + 1), RunRef: ref(id, 0, 1), Outcome: jobs.OutcomeFailed}})
 	}
 	f.takeCalls("a")
--- a/core/schedule/start.go
+++ b/core/schedule/start.go
@@ -12,6 +12,7 @@
 // start sends the first order to start a run.
 func (s *Scheduler) start(env Env, out *Out, r *run, checkpoint string) {
 	w := r.worker
+	s.raiseTokenForOrder(w)
 	deadline := w.extendLease(env.Now, startTimeout)
 	r.voidFrom = max(r.voidFrom, deadline)
 	r.phase, w.orderToken = ordered, w.token
@@ -136,6 +137,7 @@
 		s.recordUnanswered(env, out, r.worker, "an order is sent again")
 		r.sentAt = env.Now
 		r.sent(env.Now)
+		s.raiseTokenForOrder(r.worker)
 		r.worker.orderToken = r.worker.token
 		r.worker.calls.sent(env.Now)
 		s.load.resends++
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -65,16 +65,19 @@
 	reserved         []reservedClaim
 	indexKey         capacityKey // position in the index of its service
 
-	polled       bool   // a poll with this leader's token was answered, and the worker has not fallen silent since
-	pendingPoll  uint64 // sequence number of the poll without a result yet, 0 for none
-	pollSentAt   model.Time
-	pollDeadline model.Time // the pending poll is given up after this
-	pollAt       model.Time // earliest time of the next poll
-	answeredAt   model.Time // when the latest answer arrived
-	orderedFrom  model.Time // first order to start after the answer that was the latest then
-	refusals     int        // consecutive refused connections
-	pollFailed   bool       // the latest poll had no answer or was not accepted
-	removing     bool       // its removal is proposed
+	polled      bool   // a poll with this leader's token was answered, and the worker has not fallen silent since
+	pendingPoll uint64 // sequence number of the poll without a result yet, 0 for none
+	// forgettingPoll is the sequence number of a poll without an answer that names recorded
+	// ends, if no later order has a larger token, 0 for none.
+	forgettingPoll uint64
+	pollSentAt     model.Time
+	pollDeadline   model.Time // the pending poll is given up after this
+	pollAt         model.Time // earliest time of the next poll
+	answeredAt     model.Time // when the latest answer arrived
+	orderedFrom    model.Time // first order to start after the answer that was the latest then
+	refusals       int        // consecutive refused connections
+	pollFailed     bool       // the latest poll had no answer or was not accepted
+	removing       bool       // its removal is proposed
 
 	clock              order.ClockMS // worker's clock in the latest answer
 	clockAt            model.Time    // when that answer arrived
@@ -87,7 +90,9 @@
 	fenced             bool       // it has answered a poll, so it refuses calls with tokens from before this record
 	recordedThrough    uint64     // listed ends up to this number are recorded
 	proposedThrough    uint64     // listed ends up to this number are proposed to be recorded
-	heldEnds           []heldEnd  // recorded ends that it is not told to forget yet
+	toldThrough        uint64     // the number of ends up to which it was told to forget them
+	awaitsOrders       bool       // its next poll waits for the answers to its orders
+	forgetsFrom        model.Time // it is not told to forget ends before this, see holdEnd
 	defersEnd          bool       // its latest list has an end that is not recorded yet, see endIsDeferred
 	pendingEndCommands int        // proposed commands with its ends that are not committed
 
@@ -341,6 +346,7 @@
 	case reply.Call.Stop != nil:
 		s.handleStopReply(env, w, reply)
 	}
+	s.pollAfterOrders(env, out, w)
 }
 
 // markUnreachable stops the placement of runs on a worker until it answers a poll.
