schedule: calls to later processes count for the runs of earlier ones

Cause: the run of an order without an answer is given up when no call that starts runs or extends leases can be carried out any more, and the longest lease after it is over. For a worker that had been replaced under its id, only the calls to the earlier record counted. The polls of the later record extend the lease of whatever a third process runs on the old order.

The change: the bound of a detached run takes the latest call to any later record on its host.

--- a/core/schedule/detached.go
+++ b/core/schedule/detached.go
@@ -23,7 +23,7 @@
 // later process of the worker may be running.
 func (s *Scheduler) giveUpExpired(env Env, out *Out, w *worker) {
 	for _, r := range sortedRunsOf(w) {
-		if r.phase != assigned && env.Now > r.endsBy(env.Bounds) {
+		if r.phase != assigned && env.Now > s.endsBy(r, env.Bounds) {
 			s.giveUp(env, out, r, jobs.OutcomeLost, "", "the lease of its worker is over")
 		}
 	}
@@ -114,3 +114,17 @@
 func (w *worker) isLaterThan(old *worker) bool {
 	return old.info.ID == w.info.ID && old.info.Host != "" && old.info.Host == w.info.Host && old.info.StartedAt <= w.info.StartedAt
 }
+
+// laterRecords returns the records of the later processes on the host of a detached worker.
+func (s *Scheduler) laterRecords(old *worker) []*worker {
+	var list []*worker
+	if w := s.workers[old.info.ID]; w != nil && w.isLaterThan(old) {
+		list = append(list, w)
+	}
+	for _, w := range s.detached {
+		if w != old && w.isLaterThan(old) {
+			list = append(list, w)
+		}
+	}
+	return list
+}
--- a/core/schedule/orders.go
+++ b/core/schedule/orders.go
@@ -137,12 +137,18 @@
 }
 
 // endsBy returns the time after which no process of its worker can be running the run, if
-// none answers before.
-func (r *run) endsBy(b Bounds) model.Time {
+// none answers before. The calls to the later processes of its worker extend its lease too.
+func (s *Scheduler) endsBy(r *run, b Bounds) model.Time {
 	if !r.mayHaveStrayed() {
 		return r.worker.leaseEndsBy
 	}
-	return r.worker.calls.carriedOutBy(r.maxCallDelay()).Add(maxElapsed(b.LeaseMax))
+	carriedOutBy := r.worker.calls.carriedOutBy(r.maxCallDelay())
+	if r.worker.gone {
+		for _, w := range s.laterRecords(r.worker) {
+			carriedOutBy = max(carriedOutBy, w.calls.carriedOutBy(r.maxCallDelay()))
+		}
+	}
+	return carriedOutBy.Add(maxElapsed(b.LeaseMax))
 }
 
 // maxCallDelay returns how late an order to start the run counts as carried out at most by
--- a/core/schedule/orders_test.go
+++ b/core/schedule/orders_test.go
@@ -67,3 +67,22 @@
 		require.Contains(t, f.s.runs, ref("j", 0, 1), "given up %d ms after the first answer", f.now.Sub(reached)/ms)
 	}
 }
+
+// Guards against giving up a run of an earlier process while a third one may run it: the polls
+// of the second process extend the lease there when they are held too.
+func TestPollOfALaterProcessMayExtendTheLeaseOfAThirdOne(t *testing.T) {
+	f, first := orderedFixture(t)
+	f.unanswered(first)
+	f.advanceBy(200 * ms)
+	f.announceLater("a", 6000)
+	var polled model.Time
+	for range 10 {
+		f.replyToPolls("a", order.Reply{Status: order.Accepted, Clock: order.ClockMS(f.now / model.Time(ms)), StartedAt: 6000})
+		if f.lastPoll("a").Poll.Deadline != 0 {
+			polled = f.now
+		}
+		f.advanceBy(200 * ms)
+	}
+	require.NotZero(t, polled)
+	f.requireKept(polled.Add(maxCallDelay + simBounds.LeaseMax))
+}
