schedule: an assignment that is committed late is void

Cause: a new leader counts an order as one that may arrive if its assignment was proposed less than 14 s before the term. The order is sent when the assignment is committed, which may be later, so that an order younger than that counted as answered.

The change: an assignment that is committed more than 2 s after its proposal is void and proposed again, and the age that counts is 16 s.

Measured: TestAssignmentThatIsCommittedLateIsVoid failed before (the order was sent) and passes.

--- a/core/schedule/orders.go
+++ b/core/schedule/orders.go
@@ -15,6 +15,9 @@
 	// off. What its sockets have received is carried out when it takes calls again, though
 	// the sender has given up. It is the longest delay that the platform states.
 	maxCallDelay = 12 * model.Second
+	// maxCommitTime is how long after its proposal an assignment may be committed to be carried
+	// out. A new leader derives the age of orders from the proposals.
+	maxCommitTime = 2 * model.Second
 )
 
 // orderRecord is what the leader knows of the orders to start one run: which process of the
@@ -67,7 +70,7 @@
 func (r *run) inherit(env Env, t *jobs.Task) {
 	r.phase, r.lateUntil = inherited, env.Now.Add(lateCallTime)
 	age := env.Clock.Sub(t.AssignedAt)
-	if t.AssignedAt != 0 && !r.step.LongRunning && !r.step.Copies && age < startTimeout+maxCallDelay {
+	if t.AssignedAt != 0 && !r.step.LongRunning && !r.step.Copies && age < maxCommitTime+startTimeout+maxCallDelay {
 		r.unanswered, r.foreign = 1, true
 	}
 }
--- a/core/schedule/orders_test.go
+++ b/core/schedule/orders_test.go
@@ -86,3 +86,19 @@
 	require.NotZero(t, polled)
 	f.requireKept(polled.Add(maxCallDelay + simBounds.LeaseMax))
 }
+
+// Guards against an order that a new leader takes for older than it is: its assignment was
+// committed long after it was proposed.
+func TestAssignmentThatIsCommittedLateIsVoid(t *testing.T) {
+	f := newFixture(t, testWorker("a"))
+	f.state.Config.Teams["press"] = jobs.Team{Cap: model.Resources{MilliCPU: 1}} // nothing is placed but by the test
+	f.submit("j", jobs.Step{Tasks: 1, Size: cores(1)})
+	run := f.s.assignRun(f.env(), f.s.active["j"], ref("j", 0, 1), f.s.workers["a"])
+	c := jobs.Command{Assign: &jobs.Assign{Runs: []jobs.Assignment{run}}}
+	result := f.apply(c)
+	f.advanceBy(maxCommitTime + 50*ms)
+	f.answerPoll("a", nil, nil)
+	f.act(func(out *Out) { f.s.Committed(f.env(), out, &c, result) })
+	require.Empty(t, f.takeCalls("a"))
+	require.NotContains(t, f.s.runs, ref("j", 0, 1))
+}
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -162,6 +162,8 @@
 		return "its worker stopped answering after the assignment was proposed"
 	case env.State.Task(r.ref.TaskRef) == nil:
 		return "its job has ended"
+	case env.Clock.Sub(env.State.Task(r.ref.TaskRef).AssignedAt) > maxCommitTime:
+		return "its assignment was committed too late"
 	}
 	return ""
 }
