core: moves and maintenance have a latest time of sending

Cause: calls to workers leave within 1.5 s of their decision or not at all; those to the owner of the hosts had no such limit. A leader that is frozen between the decision and the write ends, when it thaws, what a later leader has started on the host; the owner's fencing stops that only once the later leader has called for the same host.

--- a/core/calls.go
+++ b/core/calls.go
@@ -77,7 +77,13 @@
 				s.emit(e)
 			}
 			continue
-		case effect.CallHosts, effect.CallAdvice:
+		case effect.CallHosts:
+			if lease {
+				e.SendBy = s.now.Add(delegate.MaxCallAge)
+				s.emit(e)
+			}
+			continue
+		case effect.CallAdvice:
 			if !lease {
 				continue
 			}
--- a/core/delegates_test.go
+++ b/core/delegates_test.go
@@ -60,7 +60,12 @@
 	own := order.Call{Seq: 1 << 40, Worker: "w0", Throttle: &order.Throttle{}} // made by the leader itself
 	leader.state.now, leader.state.out = s.now, nil
 	leader.state.emitOrders([]effect.Effect{effect.CallWorker{Call: own}})
-	require.Equal(t, []effect.Effect{effect.CallWorker{Call: own, SendBy: s.now.Add(delegate.MaxCallAge)}}, leader.state.out)
+	move := order.HostCall{Seq: 7, Move: &order.Move{Host: "h0", Pool: "render"}}
+	leader.state.emitOrders([]effect.Effect{effect.CallHosts{Call: move}})
+	require.Equal(t, []effect.Effect{
+		effect.CallWorker{Call: own, SendBy: s.now.Add(delegate.MaxCallAge)},
+		effect.CallHosts{Call: move, SendBy: s.now.Add(delegate.MaxCallAge)},
+	}, leader.state.out)
 }
 
 // Guards against a leader that has to answer the heartbeats of all workers.
--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -88,7 +88,10 @@
 
 // CallHosts makes a call to the service that owns the hosts. It is always answered
 // with event.HostsReplied, also when the call fails.
-type CallHosts struct{ Call order.HostCall }
+type CallHosts struct {
+	Call   order.HostCall
+	SendBy model.Time `json:",omitempty"` // no byte of the call is sent after this time
+}
 
 // CallAdvice calls the service that knows the policy of a queue. It is always
 // answered with event.AdviceReplied, also when the call fails.
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -307,7 +307,7 @@
 	case effect.CallWorker:
 		x.client.CallWorker(e)
 	case effect.CallHosts:
-		x.client.CallHosts(e.Call)
+		x.client.CallHosts(e)
 	case effect.CallAdvice:
 		x.client.CallAdvice(e.Call)
 	case effect.AnswerCall:
