schedule: a worker takes calls from the first answer of any of its processes on

Cause: the leader counts 2.5 s for a held order from the time at which its worker takes calls again, and noted that time only when the process that it knew answered.

The change: the result of each poll says whether the worker takes calls; the list of a later process counts too, an answer of another process at its address does not.

Measured: TestOrderHeldUntilALaterProcessTakesCallsMayReachAThirdOne without the announcement failed before (given up 150 ms after the first answer) and passes.

--- a/core/schedule/orders.go
+++ b/core/schedule/orders.go
@@ -3,6 +3,7 @@
 import (
 	"primrosedale.example/primrosedale/core/jobs"
 	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/order"
 )
 
 // How late a call may be carried out whose sender got no answer.
@@ -102,6 +103,19 @@
 	return min(max(r.lateUntil, w.reachedAt.Add(lateCallTime)), r.lateUntil.Add(longestHold))
 }
 
+// noteReached records whether a worker takes calls, as the result of a poll shows. A later process
+// at its address takes the calls that were held for it, too.
+func (w *worker) noteReached(now model.Time, reply *order.Reply) {
+	switch reply.Status {
+	case order.NoAnswer, order.Refused, order.WrongProcess:
+		w.unreached = true
+	default:
+		if w.unreached {
+			w.unreached, w.reachedAt = false, now
+		}
+	}
+}
+
 // mayArrive reports whether a later process of the worker may carry out an order to start the
 // run. That on which the run has begun is not carried out again.
 func (r *run) mayArrive(now model.Time, w *worker, hasBegun bool) bool {
--- a/core/schedule/orders_test.go
+++ b/core/schedule/orders_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -51,20 +52,26 @@
 }
 
 // Guards against giving up a run because of the list of a later process that has just begun to
-// take calls: an order that was held until then may reach a third process.
+// take calls, announced or not: an order that was held until then may reach a third process.
 func TestOrderHeldUntilALaterProcessTakesCallsMayReachAThirdOne(t *testing.T) {
-	f, first := orderedFixture(t)
-	f.unanswered(first)
-	for down := f.now; f.now.Sub(down) < lateCallTime+500*ms; f.advanceBy(50 * ms) {
-		f.failPolls("a", order.NoAnswer, 0)
-		for _, c := range f.takeCalls("a") {
-			f.unanswered(c)
-		}
-	}
-	f.announceLater("a", 6000)
-	for reached := f.now; f.now.Sub(reached) < lateCallTime; f.advanceBy(50 * ms) {
-		f.replyToPolls("a", order.Reply{Status: order.Accepted, Clock: order.ClockMS(f.now.Sub(reached)/ms) + 20, StartedAt: 6000})
-		require.Contains(t, f.s.runs, ref("j", 0, 1), "given up %d ms after the first answer", f.now.Sub(reached)/ms)
+	for _, announced := range []bool{false, true} {
+		t.Run(fmt.Sprintf("announced %t", announced), func(t *testing.T) {
+			f, first := orderedFixture(t)
+			f.unanswered(first)
+			for down := f.now; f.now.Sub(down) < lateCallTime+500*ms; f.advanceBy(50 * ms) {
+				f.failPolls("a", order.NoAnswer, 0)
+				for _, c := range f.takeCalls("a") {
+					f.unanswered(c)
+				}
+			}
+			if announced {
+				f.announceLater("a", 6000)
+			}
+			for reached := f.now; f.now.Sub(reached) < lateCallTime; f.advanceBy(50 * ms) {
+				f.replyToPolls("a", order.Reply{Status: order.Accepted, Clock: order.ClockMS(f.now.Sub(reached)/ms) + 20, StartedAt: 6000})
+				require.Contains(t, f.s.runs, ref("j", 0, 1), "given up %d ms after the first answer", f.now.Sub(reached)/ms)
+			}
+		})
 	}
 }
 
--- a/core/schedule/poll.go
+++ b/core/schedule/poll.go
@@ -114,6 +114,7 @@
 	if w.forgettingPoll == reply.Call.Seq && reply.Status == order.Accepted && !w.isOtherProcess(reply) {
 		w.forgettingPoll = 0
 	}
+	w.noteReached(env.Now, reply)
 	if reply.Status == order.Accepted && w.isOtherProcess(reply) {
 		reply.Status = order.WrongProcess
 		s.giveUpUnlisted(env, out, w, reply, sentAt)
@@ -125,8 +126,7 @@
 			s.recordEnds(env, out, w, reply, make(map[jobs.RunRef]bool))
 			return
 		}
-		if w.pollFailed || !w.fenced {
-			w.reachedAt = env.Now
+		if w.pollFailed {
 			s.pool(w.info.Service).dirty = true // for the tasks that wait for its answer
 		}
 		w.pollFailed = false
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -86,6 +86,7 @@
 	leaseEndsBy        model.Time    // every lease granted to this process has ended by then
 	calls              callTimes
 	reachedAt          model.Time // when it took calls again, after it had left some unanswered
+	unreached          bool       // it has not answered its latest poll, nor has a later process
 	restarted          bool       // a later process is known to have started
 	restartedAt        model.Time // when it was seen
 	fenced             bool       // it has answered a poll, so it refuses calls with tokens from before this record
@@ -110,6 +111,7 @@
 		// Upper bound for the leases that an earlier leader granted.
 		leaseEndsBy: env.Now.Add(runsEndAfter(env.Bounds.LeaseMax)),
 		calls:       callTimes{latest: env.Now},
+		unreached:   true,
 	}
 	s.workers[info.ID] = w
 	s.workersByHost[info.Host] = append(s.workersByHost[info.Host], w)
@@ -248,7 +250,7 @@
 
 func (s *Scheduler) advanceWorker(env Env, out *Out, w *worker) {
 	if w.pendingPoll != 0 && env.Now > w.pollDeadline {
-		w.pendingPoll, w.pollFailed = 0, true
+		w.pendingPoll, w.pollFailed, w.unreached = 0, true, true
 	}
 	if w.pendingPoll != 0 && len(w.runs) > 0 && s.isLosingAnswers(env.Now) && env.Now.Sub(w.pollSentAt) > s.shortPollWait(env.Now, w)+answerLossAnswerTime {
 		// The poll was sent with a long wait before answers began to get lost. Poll
