--- a/core/schedule/orders.go
+++ b/core/schedule/orders.go
@@ -36,7 +36,6 @@
 	orderedAt  model.Time // when the first one was sent
 	lateUntil  model.Time // a worker that takes calls carries out none after this
 	strayed    bool       // a later process has answered one
-	foreign    bool       // an earlier leader sent them; unanswered counts one that may arrive
 	confirmed  bool       // the known process runs it, and no later process can start it
 }
 
@@ -72,7 +71,7 @@
 	r.phase, r.lateUntil = inherited, env.Now.Add(lateCallTime)
 	age := env.Clock.Sub(t.AssignedAt)
 	if t.AssignedAt != 0 && !r.step.LongRunning && !r.step.Copies && age < maxCommitTime+startTimeout+maxCallDelay {
-		r.unanswered, r.foreign = 1, true
+		r.unanswered = 1
 	}
 }
 
@@ -129,13 +128,6 @@
 	return !r.step.Copies && r.mayArrive(now, w, true)
 }
 
-// endIsDeferred reports whether an end of the run that is not a success is recorded only when
-// no copy of its order may arrive: the task starts again then. The one order that counts for
-// an earlier leader is the one on which the run began.
-func (r *run) endIsDeferred(now model.Time, w *worker) bool {
-	return !r.foreign && r.copyMayArrive(now, w)
-}
-
 // isExcludedBy reports whether a list of the worker without the run, in the answer to a poll
 // that was sent at polledAt, shows that no later order starts it.
 func (r *run) isExcludedBy(w *worker, polledAt model.Time) bool { return polledAt >= r.arrivesUntil(w) }
--- a/core/schedule/poll.go
+++ b/core/schedule/poll.go
@@ -263,7 +263,8 @@
 			continue
 		}
 		r := s.runOn(w, e.RunRef)
-		if r != nil && e.Outcome != jobs.OutcomeDone && r.endIsDeferred(env.Now, w) {
+		if r != nil && e.Outcome != jobs.OutcomeDone && r.copyMayArrive(env.Now, w) {
+			// The task would start again while a later process may carry the copy out.
 			skipped, w.defersEnd = true, true
 			continue
 		}
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -95,7 +95,7 @@
 	toldThrough        uint64     // the number of ends up to which it was told to forget them
 	awaitsOrders       bool       // its next poll waits for the answers to its orders
 	forgetsFrom        model.Time // it is not told to forget ends before this, see holdEnd
-	defersEnd          bool       // its latest list has an end that is not recorded yet, see endIsDeferred
+	defersEnd          bool       // its latest list has an end that is not recorded yet, see recordEnds
 	pendingEndCommands int        // proposed commands with its ends that are not committed
 
 	lostListed  map[jobs.RunRef]bool // runs that it listed though they count as ended
