schedule: a later process takes held calls from its first answer on

Cause: a worker that was down for less than a poll takes left no poll without an answer, so that its later process counted as one that had taken calls all the time.

The change: the first answer of another process to a poll is the time from which the worker takes calls.

Measured: TestOrderHeldDuringAShortRestartMayReachAThirdProcess failed before (given up 600 ms after the first answer) and passes; go test ./core/schedule passes.

--- a/core/schedule/orders.go
+++ b/core/schedule/orders.go
@@ -103,15 +103,19 @@
 }
 
 // noteReached records whether a worker takes calls, as the result of a poll shows. A later process
-// at its address takes the calls that were held for it, too.
+// takes the calls that were held for it, too, from its first answer on.
 func (w *worker) noteReached(now model.Time, reply *order.Reply) {
 	switch reply.Status {
 	case order.NoAnswer, order.Refused, order.WrongProcess:
 		w.unreached = true
-	default:
-		if w.unreached {
-			w.unreached, w.reachedAt = false, now
-		}
+		return
+	}
+	isNext := reply.StartedAt != 0 && reply.StartedAt != w.answeredBy && w.answeredBy != 0
+	if w.unreached || isNext {
+		w.unreached, w.reachedAt = false, now
+	}
+	if reply.StartedAt != 0 {
+		w.answeredBy = reply.StartedAt
 	}
 }
 
--- a/core/schedule/orders_test.go
+++ b/core/schedule/orders_test.go
@@ -128,3 +128,17 @@
 		require.Equal(t, answeredAt.Add(ms+maxCallDelay), c.carriedOutBy(maxCallDelay), "a later call may be on its way")
 	}
 }
+
+// Guards against an order that was held while a worker was down for less than the time of a poll:
+// its later process takes calls again from its first answer on.
+func TestOrderHeldDuringAShortRestartMayReachAThirdProcess(t *testing.T) {
+	f, first := orderedFixture(t)
+	f.unanswered(first)
+	f.now = f.now.Add(startTimeout)
+	for reached := f.now; f.now.Sub(reached) < lateCallTime; f.advanceBy(50 * ms) {
+		if f.lastPoll("a").Poll != nil {
+			f.answerPollWith("a", order.Reply{Clock: order.ClockMS(f.now.Sub(reached)/ms) + 20, StartedAt: 6000})
+		}
+		require.Contains(t, f.s.runs, ref("j", 0, 1), "given up %d ms after the first answer", f.now.Sub(reached)/ms)
+	}
+}
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -87,6 +87,7 @@
 	calls              callTimes
 	reachedAt          model.Time // when it took calls again, after it had left some unanswered
 	unreached          bool       // it has not answered its latest poll, nor has a later process
+	answeredBy         int64      // start time of the process that has answered its latest poll, 0 if not known
 	restarted          bool       // a later process is known to have started
 	restartedAt        model.Time // when it was seen
 	fenced             bool       // it has answered a poll, so it refuses calls with tokens from before this record
@@ -111,7 +112,7 @@
 		// Upper bound for the leases that an earlier leader granted.
 		leaseEndsBy: env.Now.Add(runsEndAfter(env.Bounds.LeaseMax)),
 		calls:       callTimes{latest: env.Now},
-		unreached:   true,
+		unreached:   true, answeredBy: info.StartedAt,
 	}
 	s.workers[info.ID] = w
 	s.workersByHost[info.Host] = append(s.workersByHost[info.Host], w)
