schedule: the end of a copy counts though its run was taken for void

Cause: a run whose order has no answer is recorded as void when its worker does not list it after the deadline; for a task that may have copies this needs no wait. A later process can still carry the order out.

The change: such a run is recorded as lost, so that its end counts when it is listed. The same holds for a run that an earlier leader assigned.

Measured: TestLateCopyOfAVoidOrderCompletesItsTask and TestLateCopyOfAnEarlierLeadersOrderCompletesItsTask failed before (the job stayed active) and pass; go test ./core/schedule ./core/hosts passes.

--- a/core/schedule/orders.go
+++ b/core/schedule/orders.go
@@ -102,6 +102,15 @@
 	return min(max(r.lateUntil, w.reachedAt.Add(lateCallTime)), r.lateUntil.Add(longestHold))
 }
 
+// unlistedOutcome returns the outcome of a run that the known process does not list and will not
+// start. The end of a copy that a later process may still start counts for its task.
+func (r *run) unlistedOutcome() jobs.Outcome {
+	if r.step.Copies && (r.unanswered > 0 || r.phase == inherited) {
+		return jobs.OutcomeLost
+	}
+	return jobs.OutcomeVoid
+}
+
 // noteReached records whether a worker takes calls, as the result of a poll shows. A later process
 // takes the calls that were held for it, too, from its first answer on.
 func (w *worker) noteReached(now model.Time, reply *order.Reply) {
--- a/core/schedule/orders_test.go
+++ b/core/schedule/orders_test.go
@@ -129,6 +129,31 @@
 	}
 }
 
+// Guards against a task that starts again after its end was taken note of: an order counted as void
+// while a copy could arrive, and the end of that copy counted for nothing.
+func TestLateCopyOfAVoidOrderCompletesItsTask(t *testing.T) {
+	f, first := orderedFixture(t, jobs.Step{Tasks: 1, Size: cores(1), Copies: true})
+	f.unanswered(first)
+	f.answerPollWith("a", order.Reply{Clock: first.Start.Deadline + 1})
+	require.NotContains(t, f.s.runs, ref("j", 0, 1))
+	f.announceLater("a", 6000)
+	f.answerPollWith("a", order.Reply{Clock: 120, StartedAt: 6000, Ended: []order.Ended{{Number: 1, RunRef: ref("j", 0, 1), Outcome: jobs.OutcomeDone}}})
+	require.Equal(t, jobs.Completed, f.state.Jobs["j"].Phase)
+}
+
+// The same with an order of an earlier leader.
+func TestLateCopyOfAnEarlierLeadersOrderCompletesItsTask(t *testing.T) {
+	f, _ := orderedFixture(t, jobs.Step{Tasks: 1, Size: cores(1), Copies: true})
+	f.calls = nil
+	f.s = New(f.env())
+	f.advance()
+	f.answerPoll("a", nil, nil)
+	require.NotContains(t, f.s.runs, ref("j", 0, 1))
+	f.announceLater("a", 6000)
+	f.answerPollWith("a", order.Reply{Clock: 120, StartedAt: 6000, Ended: []order.Ended{{Number: 1, RunRef: ref("j", 0, 1), Outcome: jobs.OutcomeDone}}})
+	require.Equal(t, jobs.Completed, f.state.Jobs["j"].Phase)
+}
+
 // Guards against an order that was held while a worker was down for less than the time of a poll:
 // its later process takes calls again from its first answer on.
 func TestOrderHeldDuringAShortRestartMayReachAThirdProcess(t *testing.T) {
--- a/core/schedule/poll.go
+++ b/core/schedule/poll.go
@@ -223,7 +223,7 @@
 	s.recordEnds(env, out, w, reply, listed)
 	for _, r := range w.unlisted(listed) {
 		if !reply.Partial && r.isVoidAt(reply.Clock) && (r.step.Copies || r.isExcludedBy(w, sentAt)) {
-			s.giveUp(env, out, r, jobs.OutcomeVoid, "", "its worker does not list it")
+			s.giveUp(env, out, r, r.unlistedOutcome(), "", "its worker does not list it")
 		}
 	}
 	if !reply.Partial {
