jobs, schedule: a new leader knows which long-running tasks have an answered order

Cause: a new leader counts an order as one that may arrive late if its assignment is young. Long-running tasks were left out: they are to run again within 9 s of the loss of their worker, and a leader that is lost with workers would have waited 18 s for each that was assigned in the 16 s before.

Ruled out: the shorter age for such tasks alone (an order may be held for 12 s whatever its task is).

The change: a command records that a long-running run has begun and that none of its orders is on its way any more, within a round trip of the order as a rule. A new leader counts with the order of a young assignment without that record, whatever its task, and has the lease bound for one with it. The special case of 2.5 s is gone.

TestPackedBytesAreStable: only the message types changed, by the new field of jobs.Command.

--- a/codec/packedformat_test.go
+++ b/codec/packedformat_test.go
@@ -81,7 +81,7 @@
 
 	data, err = packMessage(entryAppend(cancelEntry(300, 2, "j"), cancelEntry(301, 2, "k")))
 	require.NoError(t, err)
-	require.Equal(t, "01010000010204020bac0202000004400001016a0bad0202000004400001016b", hex.EncodeToString(data), changed+", unless only the message types changed")
+	require.Equal(t, "01010000010204020bac020200000440000001016a0bad020200000440000001016b", hex.EncodeToString(data), changed+", unless only the message types changed")
 }
 
 // Guards against types that would be packed incompletely, such as interfaces.
--- a/core/jobs/apply.go
+++ b/core/jobs/apply.go
@@ -38,6 +38,8 @@
 		return s.cancel(c.Cancel, now)
 	case c.Assign != nil:
 		return s.assign(c.Assign, now)
+	case c.Confirm != nil:
+		return s.confirm(c.Confirm)
 	case c.End != nil:
 		return s.end(c.End, now)
 	case c.Announce != nil:
@@ -218,11 +220,21 @@
 	if t == nil || t.Phase != Waiting || a.Run <= t.Run || !j.StepOpen(a.Round, a.Step) {
 		return false
 	}
-	t.Phase, t.Run, t.Worker, t.Incarnation, t.AssignedAt = Placed, a.Run, a.Worker, a.Incarnation, now
+	t.Phase, t.Run, t.Worker, t.Incarnation, t.AssignedAt, t.Confirmed = Placed, a.Run, a.Worker, a.Incarnation, now, false
 	j.Started = true
 	return true
 }
 
+func (s *State) confirm(c *Confirm) Result {
+	var r Result
+	for _, ref := range c.Runs {
+		if t := s.Task(ref.TaskRef); t != nil && t.Phase == Placed && t.Run == ref.Run {
+			t.Confirmed, r.Changed = true, true
+		}
+	}
+	return r
+}
+
 func (s *State) end(c *End, now model.Time) Result {
 	r := Result{Applied: make([]bool, len(c.Runs)), Changed: true}
 	for i := range c.Runs {
@@ -280,7 +292,7 @@
 	if !step.Gang {
 		members = nil
 	}
-	t.Phase, t.AssignedAt = Waiting, 0
+	t.Phase, t.AssignedAt, t.Confirmed = Waiting, 0, false
 	if e.Checkpoint != "" {
 		t.Checkpoint = e.Checkpoint
 		for i := range members {
@@ -295,7 +307,7 @@
 	case e.Outcome == OutcomeDone && !step.LongRunning:
 		t.Phase, t.Checkpoint = Done, ""
 		for i := range members {
-			members[i].Phase, members[i].Checkpoint, members[i].AssignedAt = Done, "", 0
+			members[i].Phase, members[i].Checkpoint, members[i].AssignedAt, members[i].Confirmed = Done, "", 0, false
 		}
 	}
 }
--- a/core/jobs/apply_test.go
+++ b/core/jobs/apply_test.go
@@ -151,3 +151,22 @@
 	require.True(t, l.state.Waves[1].Closed)
 	require.Equal(t, 1, l.state.Waves[1].Cap)
 }
+
+// Guards against a run that counts as confirmed because an earlier run of its task was.
+func TestConfirmHoldsForOneRun(t *testing.T) {
+	l := newTestLog(Step{Tasks: 1, LongRunning: true})
+	confirm := func(run int) bool {
+		return l.apply(Command{Confirm: &Confirm{Runs: []RunRef{{TaskRef: TaskRef{Job: "j"}, Run: run}, {TaskRef: TaskRef{Job: "k"}}}}}).Changed
+	}
+	confirmed := func() bool { return l.state.Task(TaskRef{Job: "j"}).Confirmed }
+	require.False(t, confirm(1), "not assigned")
+	require.True(t, l.assign(1))
+	require.False(t, confirm(2), "another run")
+	require.True(t, confirm(1))
+	require.True(t, confirmed())
+	require.True(t, l.end(1, OutcomeLost))
+	require.False(t, confirmed())
+	require.False(t, confirm(1), "it has ended")
+	require.True(t, l.assign(2))
+	require.False(t, confirmed())
+}
--- a/core/jobs/command.go
+++ b/core/jobs/command.go
@@ -14,6 +14,7 @@
 	Submit    *Job       `json:"submit,omitempty"`
 	Cancel    *Cancel    `json:"cancel,omitempty"`
 	Assign    *Assign    `json:"assign,omitempty"`
+	Confirm   *Confirm   `json:"confirm,omitempty"`
 	End       *End       `json:"end,omitempty"`
 	Announce  *Worker    `json:"announce,omitempty"`
 	Depart    *Depart    `json:"depart,omitempty"`
@@ -60,6 +61,11 @@
 	Incarnation uint64         `json:"l"`
 }
 
+// Confirm records that runs have begun and that no order to start them is on its way any more.
+type Confirm struct {
+	Runs []RunRef `json:"runs"`
+}
+
 // Outcome is how a run ended.
 type Outcome string
 
--- a/core/jobs/state.go
+++ b/core/jobs/state.go
@@ -113,6 +113,7 @@
 	Worker      model.WorkerID `json:"w,omitempty"` // of the latest run
 	Incarnation uint64         `json:"l,omitempty"` // incarnation of that worker
 	AssignedAt  model.Time     `json:"t,omitempty"` // of a placed task, replicated clock; 0 if an earlier version assigned it
+	Confirmed   bool           `json:"b,omitempty"` // its latest run is recorded by Confirm
 	Failures    int            `json:"f,omitempty"`
 	// Abandoned lists the runs that were recorded as lost and may still report an end.
 	// Only a step whose tasks may run in several copies has such runs.
--- a/core/schedule/await_test.go
+++ b/core/schedule/await_test.go
@@ -109,3 +109,35 @@
 	f.t.Fatal("no worker was asked")
 	return ""
 }
+
+// Guards against a second run of a long-running task that an earlier leader ordered, if the order
+// is held for a worker that nothing reaches.
+func TestOrderOfALongRunningTaskIsInherited(t *testing.T) {
+	f, _ := orderedFixture(t, jobs.Step{Tasks: 1, Size: cores(1), LongRunning: true})
+	sent := f.now
+	f.calls = nil
+	f.s = New(f.env())
+	f.requireKept(sent.Add(maxCallDelay + simBounds.LeaseMax))
+}
+
+// Guards against a long-running task that waits for the longest delay of a call after a change of
+// leader, although its order was answered before.
+func TestLongRunningTaskWithAnAnsweredOrderIsNotHeld(t *testing.T) {
+	for name, confirm := range map[string]func(f *fixture, start order.Call){
+		"accepted": func(f *fixture, start order.Call) { f.startAnswered(start, order.ClockMS(f.now/model.Time(ms))) },
+		"listed": func(f *fixture, _ order.Call) {
+			f.answerPoll("a", []order.Running{runningFully(ref("j", 0, 1))}, nil)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, start := orderedFixture(t, jobs.Step{Tasks: 1, Size: cores(1), LongRunning: true})
+			confirm(f, start)
+			require.True(t, f.state.Task(ref("j", 0, 1).TaskRef).Confirmed)
+			f.calls = nil
+			f.s = New(f.env())
+			for began := f.now; f.s.runs[ref("j", 0, 1)] != nil; f.failPolls("a", order.NoAnswer, 50*ms) {
+				require.LessOrEqual(t, f.now.Sub(began), runsEndAfter(simBounds.LeaseMax)+100*ms)
+			}
+		})
+	}
+}
--- a/core/schedule/orders.go
+++ b/core/schedule/orders.go
@@ -37,6 +37,8 @@
 	lateUntil  model.Time // a worker that takes calls carries out none after this
 	strayed    bool       // a later process has answered one
 	confirmed  bool       // the known process runs it, and no later process can start it
+	// confirmProposed means that confirmed is recorded or proposed to be.
+	confirmProposed bool
 }
 
 // sent records that an order is sent.
@@ -69,12 +71,22 @@
 // may still arrive, it counts as one without an answer.
 func (r *run) inherit(env Env, t *jobs.Task) {
 	r.phase, r.lateUntil = inherited, env.Now.Add(lateCallTime)
+	r.confirmed, r.confirmProposed = t.Confirmed, t.Confirmed
 	age := env.Clock.Sub(t.AssignedAt)
-	if t.AssignedAt != 0 && !r.step.LongRunning && !r.step.Copies && age < maxCommitTime+startTimeout+maxCallDelay {
+	if t.AssignedAt != 0 && !t.Confirmed && !r.step.Copies && age < maxCommitTime+startTimeout+maxCallDelay {
 		r.unanswered = 1
 	}
 }
 
+// proposeConfirm records, for later leaders, that the run of a long-running task is confirmed: the
+// task is to run again soon after the loss of its worker, and they would wait for its order.
+func (s *Scheduler) proposeConfirm(out *Out, r *run) {
+	if r.step.LongRunning && r.confirmed && !r.confirmProposed {
+		r.confirmProposed = true
+		out.Proposals = append(out.Proposals, jobs.Command{Confirm: &jobs.Confirm{Runs: []jobs.RunRef{r.ref}}})
+	}
+}
+
 // adopted records that a later process runs the run on one of the orders, and refuses the
 // others. A process that starts after it may carry out those without an answer.
 func (o *orderRecord) adopted() {
@@ -164,26 +176,15 @@
 	if !r.mayHaveStrayed() {
 		return r.worker.leaseEndsBy
 	}
-	carriedOutBy := r.worker.calls.carriedOutBy(r.maxCallDelay())
+	carriedOutBy := r.worker.calls.carriedOutBy()
 	if r.worker.gone {
 		for _, w := range s.laterRecords(r.worker) {
-			carriedOutBy = max(carriedOutBy, w.calls.carriedOutBy(r.maxCallDelay()))
+			carriedOutBy = max(carriedOutBy, w.calls.carriedOutBy())
 		}
 	}
 	return carriedOutBy.Add(maxElapsed(b.LeaseMax))
 }
 
-// maxCallDelay returns how late an order to start the run counts as carried out at most by
-// a worker that takes no calls. An earlier leader has ordered a long-running task only after
-// an answer of its worker, and the task may not wait for the longest delay, since it is to run
-// again soon after the loss of its worker.
-func (r *run) maxCallDelay() model.Duration {
-	if r.step.LongRunning && r.phase == inherited {
-		return lateCallTime
-	}
-	return maxCallDelay
-}
-
 // callTimes are the times of a worker's calls from which a later process, for which they
 // were not meant, may have started a run or extended its lease.
 type callTimes struct {
@@ -205,12 +206,12 @@
 	}
 }
 
-// carriedOutBy returns the time by which every call is carried out, for a worker that takes
-// a call at most maxDelay late. A run that a later process starts then, or a lease that it
-// extends, lasts for the longest lease, since the deadline in the call is on another clock.
-func (c *callTimes) carriedOutBy(maxDelay model.Duration) model.Time {
+// carriedOutBy returns the time by which every call is carried out. A run that a later process
+// starts then, or a lease that it extends, lasts for the longest lease, since the deadline in
+// the call is on another clock.
+func (c *callTimes) carriedOutBy() model.Time {
 	if c.takenAt != 0 {
 		return c.takenAt
 	}
-	return c.latest.Add(maxDelay)
+	return c.latest.Add(maxCallDelay)
 }
--- a/core/schedule/orders_test.go
+++ b/core/schedule/orders_test.go
@@ -123,9 +123,9 @@
 		if after >= lateCallTime {
 			want = answeredAt
 		}
-		require.Equal(t, want, c.carriedOutBy(maxCallDelay), "answer to a call sent %d ms later", after/ms)
+		require.Equal(t, want, c.carriedOutBy(), "answer to a call sent %d ms later", after/ms)
 		c.sent(answeredAt.Add(ms))
-		require.Equal(t, answeredAt.Add(ms+maxCallDelay), c.carriedOutBy(maxCallDelay), "a later call may be on its way")
+		require.Equal(t, answeredAt.Add(ms+maxCallDelay), c.carriedOutBy(), "a later call may be on its way")
 	}
 }
 
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -194,6 +194,7 @@
 		return
 	}
 	r.listedBy(sentAt)
+	s.proposeConfirm(out, r)
 	if at < r.listedAt {
 		return
 	}
--- a/core/schedule/start.go
+++ b/core/schedule/start.go
@@ -66,6 +66,7 @@
 			at = 0
 		}
 		s.markBegun(env, r, at)
+		s.proposeConfirm(out, r)
 	case order.Superseded:
 		// The run has ended or was stopped. The next list tells how it ended.
 		r.voidFrom = min(r.voidFrom, reply.Clock)
