schedule: a failed run that may have copies waits for copies of its order too

Cause: the end of a failed run was recorded at once if the task may have copies.

The change: such an end is deferred as for any other task. If the worker is lost meanwhile, the run is recorded as lost, whose end counts when it is listed.

Measured: TestTaskWaitsWhileACopyOfTheOrderOfAFailedRunMayArrive with copies failed before (ordered again 0 ms after the copy) and passes; go test ./core/schedule passes.

--- a/core/schedule/held_test.go
+++ b/core/schedule/held_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -197,23 +198,32 @@
 }
 
 // Guards against a second run beside one that a later process starts on a copy of an order: the
-// run of the other copy has failed, so that the task may run again.
+// run of the other copy has failed, so that the task may run again. For a task that may have copies,
+// it guards against a late end that counts for nothing.
 func TestTaskWaitsWhileACopyOfTheOrderOfAFailedRunMayArrive(t *testing.T) {
-	f, first := orderedFixture(t)
-	f.unanswered(first)
-	second := f.takeCalls("a")
-	for len(second) == 0 {
-		f.advanceBy(50 * ms)
-		second = f.takeCalls("a")
-	}
-	copiedAt := f.now
-	f.startAnswered(second[0], order.ClockMS(f.now/model.Time(ms)))
-	f.answerPoll("a", nil, []order.Ended{{Number: 1, RunRef: ref("j", 0, 1), Outcome: jobs.OutcomeFailed}})
-	for f.now.Sub(copiedAt) < lateCallTime-resendDelay {
-		for _, c := range f.takeCalls("a") {
-			require.Nil(t, c.Start, "ordered again %d ms after the copy", f.now.Sub(copiedAt)/ms)
-		}
-		f.replyToPolls("a", order.Reply{Status: order.Accepted, Clock: order.ClockMS(f.now / model.Time(ms)), StartedAt: 1000})
-		f.advanceBy(pollRetryDelay)
+	for _, copies := range []bool{false, true} {
+		t.Run(fmt.Sprintf("copies %t", copies), func(t *testing.T) {
+			f, first := orderedFixture(t, jobs.Step{Tasks: 1, Size: cores(1), Copies: copies})
+			f.unanswered(first)
+			second := f.takeCalls("a")
+			for len(second) == 0 {
+				f.advanceBy(50 * ms)
+				second = f.takeCalls("a")
+			}
+			copiedAt := f.now
+			f.startAnswered(second[0], order.ClockMS(f.now/model.Time(ms)))
+			failed := []order.Ended{{Number: 1, RunRef: ref("j", 0, 1), Outcome: jobs.OutcomeFailed}}
+			f.answerPoll("a", nil, failed)
+			if !copies {
+				failed = nil // a list without it changes nothing
+			}
+			for f.now.Sub(copiedAt) < lateCallTime-resendDelay {
+				for _, c := range f.takeCalls("a") {
+					require.Nil(t, c.Start, "ordered again %d ms after the copy", f.now.Sub(copiedAt)/ms)
+				}
+				f.replyToPolls("a", order.Reply{Status: order.Accepted, Clock: order.ClockMS(f.now / model.Time(ms)), StartedAt: 1000, Ended: failed})
+				f.advanceBy(pollRetryDelay)
+			}
+		})
 	}
 }
--- a/core/schedule/orders.go
+++ b/core/schedule/orders.go
@@ -147,12 +147,6 @@
 	return !isOnlyOrder && now < r.arrivesUntil(w)
 }
 
-// copyMayArrive reports whether a later process of the worker may start the run, which has
-// ended, on a copy of its order.
-func (r *run) copyMayArrive(now model.Time, w *worker) bool {
-	return !r.step.Copies && r.mayArrive(now, w, true)
-}
-
 // isExcludedBy reports whether a list of the worker without the run, in the answer to a poll
 // that was sent at polledAt, shows that no later order starts it.
 func (r *run) isExcludedBy(w *worker, polledAt model.Time) bool { return polledAt >= r.arrivesUntil(w) }
--- a/core/schedule/poll.go
+++ b/core/schedule/poll.go
@@ -263,8 +263,8 @@
 			continue
 		}
 		r := s.runOn(w, e.RunRef)
-		if r != nil && e.Outcome != jobs.OutcomeDone && r.copyMayArrive(env.Now, w) {
-			// The task would start again while a later process may carry the copy out.
+		if r != nil && e.Outcome != jobs.OutcomeDone && r.mayArrive(env.Now, w, true) {
+			// The task would start again while a later process may carry a copy of the order out.
 			skipped, w.defersEnd = true, true
 			continue
 		}
@@ -297,7 +297,7 @@
 // carried out late. The worker refuses the copy while it knows the run; a process that
 // starts later would run the task again after an end that counts as taken note of.
 func (w *worker) holdEnd(now model.Time, r *run) {
-	if r.copyMayArrive(now, w) {
+	if !r.step.Copies && r.mayArrive(now, w, true) {
 		w.forgetsFrom = max(w.forgetsFrom, r.arrivesUntil(w))
 	}
 }
