devcluster: a cluster listens on a loopback address of its own

Cause: the ports of a cluster are found by listening on port 0 and closing. Until the host listens, an outgoing connection of any process may get the same port, since the kernel takes both from one range and connections to loopback addresses come from 127.0.0.1.

Change: FreeAddresses chooses one address of 127.64.0.0/10 for a cluster, where no outgoing connection has its port. The tests of primrosedaled use it too, and the certificates of TestMutualTLS name the cluster's address.

--- a/daemon/program_test.go
+++ b/daemon/program_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -15,6 +14,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/devcluster"
 )
 
 // The exit codes of primrosedaled, as docs/operators/exit-codes.md gives them.
@@ -37,22 +38,21 @@
 	p := &program{path: filepath.Join(dir, "primrosedaled"), folder: filepath.Join(dir, "data")}
 	out, err := exec.Command("go", "build", "-o", p.path, "../cmd/primrosedaled").CombinedOutput()
 	require.NoError(t, err, "%s", out)
-	ports := freePorts(t, 4)
+	ports := freeAddresses(t, 4)
 	p.operators = ports[3]
 	p.settings = writeSettings(t, "host", p.folder, ports)
 	return p
 }
 
-func freePorts(t *testing.T, n int) []string {
+func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
-	var ports []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		defer l.Close()
-		ports = append(ports, l.Addr().String())
+	free, err := devcluster.FreeAddresses(n)
+	require.NoError(t, err)
+	var list []string
+	for _, a := range free {
+		list = append(list, a.String())
 	}
-	return ports
+	return list
 }
 
 // writeSettings names the host by hostKey.
@@ -116,7 +116,7 @@
 	require.Contains(t, out, "data folder already holds data")
 
 	stop := p.start(t)
-	second := writeSettings(t, "host", p.folder, freePorts(t, 4))
+	second := writeSettings(t, "host", p.folder, freeAddresses(t, 4))
 	for _, command := range []string{"run", "init"} {
 		code, out = p.run(t, command, "--settings", second)
 		require.Equal(t, exitSettings, code, out)
@@ -140,7 +140,7 @@
 // Guards against a process that starts with settings it does not understand.
 func TestInvalidSettingsAreRefused(t *testing.T) {
 	p := buildProgram(t)
-	wrong := writeSettings(t, "hoost", p.folder, freePorts(t, 4))
+	wrong := writeSettings(t, "hoost", p.folder, freeAddresses(t, 4))
 	for _, command := range []string{"run", "init"} {
 		code, out := p.run(t, command, "--settings", wrong)
 		require.Equal(t, exitSettings, code, out)
--- a/devcluster/cluster.go
+++ b/devcluster/cluster.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"path/filepath"
@@ -28,12 +29,12 @@
 // centres are the data centres of the development cluster.
 var centres = []model.DataCentreID{"west", "east", "north"}
 
-// Layout returns the settings of a cluster on free loopback ports, spread over three data
+// Layout returns the settings of a cluster on free loopback addresses, spread over three data
 // centres. The first hosts are replicas with a data folder below folder; the followers
 // after them have none.
 func Layout(folder string, replicas, followers int) ([]*settings.Settings, error) {
 	total := replicas + followers
-	ports, err := freePorts(4 * total)
+	ports, err := FreeAddresses(4 * total)
 	if err != nil {
 		return nil, err
 	}
@@ -65,18 +66,21 @@
 	return list, nil
 }
 
-// freePorts returns n distinct loopback addresses that were free during the call.
-func freePorts(n int) ([]netip.AddrPort, error) {
-	var ports []netip.AddrPort
-	for len(ports) < n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+// FreeAddresses returns n distinct addresses that were free during the call. They are on a
+// loopback address of their own: on 127.0.0.1, an outgoing connection of any process may
+// have one of the ports before it is listened on.
+func FreeAddresses(n int) ([]netip.AddrPort, error) {
+	ip := netip.AddrFrom4([4]byte{127, byte(64 + rand.IntN(64)), byte(rand.IntN(256)), byte(1 + rand.IntN(254))})
+	var free []netip.AddrPort
+	for len(free) < n {
+		l, err := net.Listen("tcp", netip.AddrPortFrom(ip, 0).String())
 		if err != nil {
 			return nil, errors.Annotate(err, "looking for a free port")
 		}
 		defer l.Close() // kept open until all are found, so that they differ
-		ports = append(ports, netip.MustParseAddrPort(l.Addr().String()))
+		free = append(free, netip.MustParseAddrPort(l.Addr().String()))
 	}
-	return ports, nil
+	return free, nil
 }
 
 // Cluster is a set of running daemons.
--- a/devcluster/tls_test.go
+++ b/devcluster/tls_test.go
@@ -11,6 +11,7 @@
 	"encoding/pem"
 	"math/big"
 	"net"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"testing"
@@ -22,18 +23,19 @@
 	"primrosedale.example/primrosedale/settings"
 )
 
-// authority issues certificates for tests.
+// authority issues certificates for the hosts of a cluster on one loopback address.
 type authority struct {
+	ip     netip.Addr
 	folder string
 	cert   *x509.Certificate
 	key    *ecdsa.PrivateKey
 	serial int64
 }
 
-func newAuthority(t *testing.T) *authority {
+func newAuthority(t *testing.T, ip netip.Addr) *authority {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	require.NoError(t, err)
-	a := &authority{folder: t.TempDir(), key: key, serial: 1}
+	a := &authority{ip: ip, folder: t.TempDir(), key: key, serial: 1}
 	template := &x509.Certificate{
 		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test authority"},
 		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
@@ -58,7 +60,7 @@
 	template := &x509.Certificate{
 		SerialNumber: big.NewInt(a.serial), Subject: pkix.Name{CommonName: name},
 		NotBefore: time.Now().Add(-time.Hour), NotAfter: until,
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		IPAddresses: []net.IP{a.ip.AsSlice()},
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
 	}
 	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
@@ -89,8 +91,9 @@
 // cluster's authority, and against a replaced certificate that takes effect only after a
 // restart.
 func TestMutualTLS(t *testing.T) {
-	good, other := newAuthority(t), newAuthority(t)
 	list := layout(t, 3, 0)
+	ip := list[0].Listen.Peers.Addr()
+	good, other := newAuthority(t, ip), newAuthority(t, ip)
 	for _, s := range list {
 		s.TLS = good.issue(t, string(s.Host), time.Now().Add(time.Hour))
 	}
