schedule: one record of the calls to all processes of a worker

Callers saw tasks run twice after a worker was cut off and restarted.

- A new leader told a worker at once to forget ends that its predecessor had recorded and kept listed.
- The time until which an end stays listed was fixed when it was recorded.
A cut after that, which holds the copy of the order, did not count, nor did the time survive a new record of the worker.
- An answer counted as proof that the latest call had arrived if its own call was sent 2.5 s later, also when the worker took no calls in between.
- Each poll without an answer moved the time from which held calls were counted, for orders that had arrived long before as well.
On links that lose packets, the end of a failed run was deferred for up to 12 s.

Change: contact is what the leader knows of the calls to all processes of a worker on its host; it outlives the records of the worker. transit says until when calls without an answer may be carried out: 2.5 s after the latest one, 2.5 s after the worker takes calls again if it ceased to before that time, and 12 s at most. Orders, calls that extend leases, and held ends all use it. Ends and tokens of polls are in files of their own.

--- a/core/schedule/detached.go
+++ b/core/schedule/detached.go
@@ -52,7 +52,7 @@
 	w := &worker{
 		info: info, gone: true, runs: make(map[jobs.RunRef]*run),
 		failures: make(map[model.JobID]bool), leaseEndsBy: env.Now.Add(lateCallTime + maxElapsed(env.Bounds.LeaseMax)),
-		calls: callTimes{latest: env.Now},
+		contact: s.contactOf(info),
 	}
 	s.detached = append(s.detached, w)
 	return w
@@ -103,7 +103,7 @@
 			continue
 		}
 		for _, r := range sortedRunsOf(old) {
-			if r.phase != assigned && r.isExcludedBy(w, polledAt) {
+			if r.phase != assigned && r.isExcludedBy(polledAt) {
 				s.giveUp(env, out, r, jobs.OutcomeLost, "", "its worker has restarted and does not list it")
 			}
 		}
@@ -114,17 +114,3 @@
 func (w *worker) isLaterThan(old *worker) bool {
 	return old.info.ID == w.info.ID && old.info.Host != "" && old.info.Host == w.info.Host && old.info.StartedAt <= w.info.StartedAt
 }
-
-// laterRecords returns the records of the later processes on the host of a detached worker.
-func (s *Scheduler) laterRecords(old *worker) []*worker {
-	var list []*worker
-	if w := s.workers[old.info.ID]; w != nil && w.isLaterThan(old) {
-		list = append(list, w)
-	}
-	for _, w := range s.detached {
-		if w != old && w.isLaterThan(old) {
-			list = append(list, w)
-		}
-	}
-	return list
-}
--- a/core/schedule/orders.go
+++ b/core/schedule/orders.go
@@ -3,7 +3,6 @@
 import (
 	"primrosedale.example/primrosedale/core/jobs"
 	"primrosedale.example/primrosedale/core/model"
-	"primrosedale.example/primrosedale/core/order"
 )
 
 // How late a call may be carried out whose sender got no answer.
@@ -30,11 +29,11 @@
 // rule that out: every copy of the order has an answer, a poll with a larger token has been
 // answered by the process that is up, or the order is too old to arrive.
 type orderRecord struct {
+	transit               // of the orders without an answer
 	orders     int        // that were sent
 	refusals   int        // orders that were refused
 	unanswered int        // orders without an answer
 	orderedAt  model.Time // when the first one was sent
-	lateUntil  model.Time // a worker that takes calls carries out none after this
 	strayed    bool       // a later process has answered one
 	confirmed  bool       // the known process runs it, and no later process can start it
 	// confirmProposed means that confirmed is recorded or proposed to be.
@@ -48,7 +47,7 @@
 	}
 	o.orders++
 	o.unanswered++
-	o.lateUntil = now.Add(lateCallTime)
+	o.transit.sent(now)
 }
 
 // answered records that an order has an answer, so that this copy is not carried out later.
@@ -70,7 +69,8 @@
 // inherit records that an earlier leader assigned the run of a task. If the order to start it
 // may still arrive, it counts as one without an answer.
 func (r *run) inherit(env Env, t *jobs.Task) {
-	r.phase, r.lateUntil = inherited, env.Now.Add(lateCallTime)
+	r.phase = inherited
+	r.transit.sent(env.Now)
 	r.confirmed, r.confirmProposed = t.Confirmed, t.Confirmed
 	age := env.Clock.Sub(t.AssignedAt)
 	if t.AssignedAt != 0 && !t.Confirmed && !r.step.Copies && age < maxCommitTime+startTimeout+maxCallDelay {
@@ -94,24 +94,23 @@
 	if o.orders > 0 && copies > 0 && !o.strayed {
 		copies-- // the one on which it runs
 	}
-	*o = orderRecord{unanswered: copies, lateUntil: o.lateUntil}
-	if copies == 0 {
-		o.lateUntil = 0
+	left := orderRecord{unanswered: copies}
+	if copies > 0 {
+		left.transit = o.transit
 	}
+	*o = left
 }
 
 // allRefused reports whether every order was refused.
 func (o *orderRecord) allRefused() bool { return o.refusals >= o.orders }
 
-// arrivesUntil returns the time after which the worker that takes calls now carries out no
-// order to start the run any more, or 0 if all that this leader sent have answers. An order
-// that was held for a worker that took no calls arrives when it takes them again.
-func (r *run) arrivesUntil(w *worker) model.Time {
-	if r.unanswered == 0 {
+// arrivesUntil returns the time after which no order to start the run is carried out any more,
+// as far as the worker takes calls, or 0 if all that this leader sent have answers.
+func (o *orderRecord) arrivesUntil() model.Time {
+	if o.unanswered == 0 {
 		return 0
 	}
-	const longestHold = maxCallDelay - lateCallTime
-	return min(max(r.lateUntil, w.reachedAt.Add(lateCallTime)), r.lateUntil.Add(longestHold))
+	return o.lateUntil
 }
 
 // unlistedOutcome returns the outcome of a run that the known process does not list and will not
@@ -123,38 +122,21 @@
 	return jobs.OutcomeVoid
 }
 
-// noteReached records whether a worker takes calls, as the result of a poll shows. A later process
-// takes the calls that were held for it, too, from its first answer on.
-func (w *worker) noteReached(now model.Time, reply *order.Reply) {
-	switch reply.Status {
-	case order.NoAnswer, order.Refused, order.WrongProcess:
-		w.unreached = true
-		return
-	}
-	isNext := reply.StartedAt != 0 && reply.StartedAt != w.answeredBy && w.answeredBy != 0
-	if w.unreached || isNext {
-		w.unreached, w.reachedAt = false, now
-	}
-	if reply.StartedAt != 0 {
-		w.answeredBy = reply.StartedAt
-	}
-}
-
 // mayArrive reports whether a later process of the worker may carry out an order to start the
 // run. That on which the run has begun is not carried out again.
-func (r *run) mayArrive(now model.Time, w *worker, hasBegun bool) bool {
+func (r *run) mayArrive(now model.Time, hasBegun bool) bool {
 	isOnlyOrder := hasBegun && r.orders == 1
-	return !isOnlyOrder && now < r.arrivesUntil(w)
+	return !isOnlyOrder && now < r.arrivesUntil()
 }
 
 // isExcludedBy reports whether a list of the worker without the run, in the answer to a poll
 // that was sent at polledAt, shows that no later order starts it.
-func (r *run) isExcludedBy(w *worker, polledAt model.Time) bool { return polledAt >= r.arrivesUntil(w) }
+func (r *run) isExcludedBy(polledAt model.Time) bool { return polledAt >= r.arrivesUntil() }
 
 // listedBy records that the known process lists the run in the answer to a poll that was
 // sent at polledAt.
 func (r *run) listedBy(polledAt model.Time) {
-	if r.orders == 1 || polledAt >= max(r.lateUntil, r.arrivesUntil(r.worker)) {
+	if r.orders == 1 || polledAt >= r.lateUntil {
 		r.confirmed, r.strayed = true, false
 	}
 }
@@ -170,42 +152,5 @@
 	if !r.mayHaveStrayed() {
 		return r.worker.leaseEndsBy
 	}
-	carriedOutBy := r.worker.calls.carriedOutBy()
-	if r.worker.gone {
-		for _, w := range s.laterRecords(r.worker) {
-			carriedOutBy = max(carriedOutBy, w.calls.carriedOutBy())
-		}
-	}
-	return carriedOutBy.Add(maxElapsed(b.LeaseMax))
-}
-
-// callTimes are the times of a worker's calls from which a later process, for which they
-// were not meant, may have started a run or extended its lease.
-type callTimes struct {
-	latest  model.Time // sending of the latest call that starts a run or extends the lease
-	takenAt model.Time // when a call was answered that was sent lateCallTime after it, 0 if none was
-}
-
-func (c *callTimes) sent(now model.Time) {
-	if now > c.latest {
-		c.latest, c.takenAt = now, 0
-	}
-}
-
-// answered records the answer to a call. A call that was sent so late that the latest one has
-// arrived before it shows that the worker took calls until then.
-func (c *callTimes) answered(sentAt, now model.Time) {
-	if c.takenAt == 0 && sentAt >= c.latest.Add(lateCallTime) {
-		c.takenAt = now
-	}
-}
-
-// carriedOutBy returns the time by which every call is carried out. A run that a later process
-// starts then, or a lease that it extends, lasts for the longest lease, since the deadline in
-// the call is on another clock.
-func (c *callTimes) carriedOutBy() model.Time {
-	if c.takenAt != 0 {
-		return c.takenAt
-	}
-	return c.latest.Add(maxCallDelay)
+	return r.worker.contact.carriedOutBy().Add(maxElapsed(b.LeaseMax))
 }
--- a/core/schedule/poll.go
+++ b/core/schedule/poll.go
@@ -47,30 +47,6 @@
 	out.Effects = append(out.Effects, call)
 }
 
-// mayForgetEnds reports whether the worker may be told to forget its recorded ends. If an order
-// to start a run may still reach a later process, that process would forget the end of the run.
-func (s *Scheduler) mayForgetEnds(now model.Time, w *worker) bool {
-	if now < w.forgetsFrom {
-		return false
-	}
-	for _, r := range w.runs {
-		if r.mayArrive(now, w, r.phase == begun) {
-			return false
-		}
-	}
-	for _, old := range s.detached {
-		if !w.isLaterThan(old) {
-			continue
-		}
-		for _, r := range old.runs {
-			if r.mayArrive(now, w, r.phase == begun) {
-				return false
-			}
-		}
-	}
-	return true
-}
-
 // raiseTokenForOrder gives the next order a larger token than a poll without an answer that
 // names recorded ends. A later process that carries out the order refuses that poll.
 func (s *Scheduler) raiseTokenForOrder(w *worker) {
@@ -84,7 +60,7 @@
 func (s *Scheduler) awaitsList(now model.Time, w *worker) bool {
 	soon := now.Add(pollWait)
 	for _, r := range w.runs {
-		if r.phase == ordered && !r.stopping && r.isExcludedBy(w, soon) {
+		if r.phase == ordered && !r.stopping && r.isExcludedBy(soon) {
 			return true
 		}
 	}
@@ -114,7 +90,6 @@
 	if w.forgettingPoll == reply.Call.Seq && reply.Status == order.Accepted && !w.isOtherProcess(reply) {
 		w.forgettingPoll = 0
 	}
-	w.noteReached(env.Now, reply)
 	if reply.Status == order.Accepted && w.isOtherProcess(reply) {
 		reply.Status = order.WrongProcess
 		s.giveUpUnlisted(env, out, w, reply, sentAt)
@@ -167,11 +142,6 @@
 	}
 }
 
-// hasUnparsedEnd reports whether an end in the answer could not be parsed.
-func hasUnparsedEnd(reply *order.Reply) bool {
-	return slices.ContainsFunc(reply.Ended, func(e order.Ended) bool { return e.Unparsed })
-}
-
 // pollNext polls a worker that has no pending poll. While it may not be told to forget ends
 // that are recorded, it would answer at once, so the poll waits for the answers to its orders.
 func (s *Scheduler) pollNext(env Env, out *Out, w *worker) {
@@ -198,6 +168,7 @@
 		// Until it saw this token, calls of an earlier leader or to an earlier process of the
 		// worker may have extended its lease.
 		w.fenced, w.leaseEndsBy = true, env.Now.Add(runsEndAfter(env.Bounds.LeaseMax))
+		s.holdEarlierEnds(w, reply.Ended)
 	}
 	w.restarted = false
 	if !w.polled {
@@ -222,7 +193,7 @@
 	}
 	s.recordEnds(env, out, w, reply, listed)
 	for _, r := range w.unlisted(listed) {
-		if !reply.Partial && r.isVoidAt(reply.Clock) && (r.step.Copies || r.isExcludedBy(w, sentAt)) {
+		if !reply.Partial && r.isVoidAt(reply.Clock) && (r.step.Copies || r.isExcludedBy(sentAt)) {
 			s.giveUp(env, out, r, r.unlistedOutcome(), "", "its worker does not list it")
 		}
 	}
@@ -243,61 +214,3 @@
 	slices.SortFunc(list, func(a, b *run) int { return compareRuns(a.ref, b.ref) })
 	return list
 }
-
-// recordEnds proposes to record the listed ends that are new. A worker lists an end
-// until it is told that the end is recorded. It is told so by a number that covers all
-// ends up to it, so the ends after one that could not be parsed or is deferred are recorded
-// but stay listed.
-func (s *Scheduler) recordEnds(env Env, out *Out, w *worker, reply *order.Reply, listed map[jobs.RunRef]bool) {
-	var endings []jobs.Ending
-	w.defersEnd = false
-	skipped := false
-	for i := range reply.Ended {
-		e := &reply.Ended[i]
-		if e.Unparsed {
-			skipped = true
-			continue
-		}
-		listed[e.RunRef] = true
-		if e.Number <= max(w.recordedThrough, w.proposedThrough) {
-			continue
-		}
-		r := s.runOn(w, e.RunRef)
-		if r != nil && e.Outcome != jobs.OutcomeDone && r.mayArrive(env.Now, w, true) {
-			// The task would start again while a later process may carry a copy of the order out.
-			skipped, w.defersEnd = true, true
-			continue
-		}
-		if !skipped {
-			w.proposedThrough = e.Number
-		}
-		if r == nil {
-			// An earlier leader recorded the end, or the run was given up.
-			if s.abandoned[e.RunRef] || isAbandoned(env, e.RunRef) {
-				endings = append(endings, s.abandonedEnding(e))
-			}
-			continue
-		}
-		w.holdEnd(env.Now, r)
-		endings = append(endings, s.ending(r, e.Outcome, e.Checkpoint))
-		s.observeEnd(env, out, r, e.Outcome)
-		s.dropRun(r)
-	}
-	switch {
-	case len(endings) > 0:
-		end := &jobs.End{Runs: endings, Worker: w.info.ID, Incarnation: w.info.Incarnation, Through: w.proposedThrough}
-		out.Proposals = append(out.Proposals, jobs.Command{End: end})
-		w.pendingEndCommands++
-	case w.pendingEndCommands == 0:
-		w.recordedThrough = w.proposedThrough
-	}
-}
-
-// holdEnd keeps the end of a run listed as long as a copy of the order to start it may be
-// carried out late. The worker refuses the copy while it knows the run; a process that
-// starts later would run the task again after an end that counts as taken note of.
-func (w *worker) holdEnd(now model.Time, r *run) {
-	if !r.step.Copies && r.mayArrive(now, w, true) {
-		w.forgetsFrom = max(w.forgetsFrom, r.arrivesUntil(w))
-	}
-}
--- a/core/schedule/restart.go
+++ b/core/schedule/restart.go
@@ -85,7 +85,7 @@
 		listed[reply.Ended[i].RunRef] = true
 	}
 	for _, r := range w.unlisted(listed) {
-		if r.phase != assigned && r.isExcludedBy(w, polledAt) {
+		if r.phase != assigned && r.isExcludedBy(polledAt) {
 			s.giveUp(env, out, r, jobs.OutcomeLost, "", "a later process of its worker does not list it")
 		}
 	}
--- a/core/schedule/scheduler.go
+++ b/core/schedule/scheduler.go
@@ -46,7 +46,9 @@
 // Scheduler holds the leader's state of workers, jobs and runs. It is rebuilt from the
 // replicated state at the beginning of a term.
 type Scheduler struct {
+	termBegan          model.Time
 	workers            map[model.WorkerID]*worker
+	contacts           map[contactKey]*contact
 	workersByHost      map[model.HostID][]*worker
 	active             map[model.JobID]*activeJob
 	services           map[model.ServiceID]*pool
@@ -102,7 +104,9 @@
 // terms.
 func New(env Env) *Scheduler {
 	s := &Scheduler{
+		termBegan:     env.Now,
 		workers:       make(map[model.WorkerID]*worker),
+		contacts:      make(map[contactKey]*contact),
 		workersByHost: make(map[model.HostID][]*worker),
 		active:        make(map[model.JobID]*activeJob),
 		services:      make(map[model.ServiceID]*pool),
@@ -202,6 +206,7 @@
 	s.recordLearned(env, out)
 	if env.Now.Sub(s.lastForgetAt) >= forgetInterval {
 		s.lastForgetAt = env.Now
+		s.forgetContacts(env.Now)
 		if len(env.State.Ended) > 0 {
 			before := env.Clock.Add(-env.Bounds.StatusKept - forgetInterval)
 			out.Proposals = append(out.Proposals, jobs.Command{Forget: &jobs.Forget{Before: before}})
--- a/core/schedule/start.go
+++ b/core/schedule/start.go
@@ -140,7 +140,7 @@
 		r.sent(env.Now)
 		s.raiseTokenForOrder(r.worker)
 		r.worker.orderToken = r.worker.token
-		r.worker.calls.sent(env.Now)
+		r.worker.contact.sent(env.Now)
 		s.load.resends++
 		out.Effects = append(out.Effects, s.call(r.worker, order.Call{Start: &order.Start{
 			RunRef: r.ref, Spec: r.job.Spec, Checkpoint: t.Checkpoint, Ticket: s.ticket(env, r), Deadline: r.voidFrom,
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -84,10 +84,7 @@
 	clockAt            model.Time    // when that answer arrived
 	clockSince         model.Time    // when the call to which it answered was sent
 	leaseEndsBy        model.Time    // every lease granted to this process has ended by then
-	calls              callTimes
-	reachedAt          model.Time // when it took calls again, after it had left some unanswered
-	unreached          bool       // it has not answered its latest poll, nor has a later process
-	answeredBy         int64      // start time of the process that has answered its latest poll, 0 if not known
+	contact            *contact
 	restarted          bool       // a later process is known to have started
 	restartedAt        model.Time // when it was seen
 	fenced             bool       // it has answered a poll, so it refuses calls with tokens from before this record
@@ -95,7 +92,6 @@
 	proposedThrough    uint64     // listed ends up to this number are proposed to be recorded
 	toldThrough        uint64     // the number of ends up to which it was told to forget them
 	awaitsOrders       bool       // its next poll waits for the answers to its orders
-	forgetsFrom        model.Time // it is not told to forget ends before this, see holdEnd
 	defersEnd          bool       // its latest list has an end that is not recorded yet, see recordEnds
 	pendingEndCommands int        // proposed commands with its ends that are not committed
 
@@ -111,9 +107,9 @@
 		failures: make(map[model.JobID]bool),
 		// Upper bound for the leases that an earlier leader granted.
 		leaseEndsBy: env.Now.Add(runsEndAfter(env.Bounds.LeaseMax)),
-		calls:       callTimes{latest: env.Now},
-		unreached:   true, answeredBy: info.StartedAt,
+		contact:     s.contactOf(info),
 	}
+	w.contact.missed = true
 	s.workers[info.ID] = w
 	s.workersByHost[info.Host] = append(s.workersByHost[info.Host], w)
 	s.joinPool(w)
@@ -236,7 +232,7 @@
 func (w *worker) extendLease(now model.Time, d model.Duration) order.ClockMS {
 	deadline := w.clockNow(now) + order.ClockMS(d/model.Millisecond)
 	w.leaseEndsBy = max(w.leaseEndsBy, w.clockReachedBy(deadline).Add(lateLeaseEnd))
-	w.calls.sent(now)
+	w.contact.sent(now)
 	return deadline
 }
 
@@ -251,12 +247,12 @@
 
 func (s *Scheduler) advanceWorker(env Env, out *Out, w *worker) {
 	if w.pendingPoll != 0 && env.Now > w.pollDeadline {
-		w.pendingPoll, w.pollFailed, w.unreached = 0, true, true
+		w.pendingPoll, w.pollFailed, w.contact.missed = 0, true, true
 	}
 	if w.pendingPoll != 0 && len(w.runs) > 0 && s.isLosingAnswers(env.Now) && env.Now.Sub(w.pollSentAt) > s.shortPollWait(env.Now, w)+answerLossAnswerTime {
 		// The poll was sent with a long wait before answers began to get lost. Poll
 		// again; a late answer to this one is still handled.
-		w.pendingPoll, w.pollFailed = 0, true
+		w.pendingPoll, w.pollFailed, w.contact.missed = 0, true, true
 	}
 	if w.pendingPoll == 0 && env.Now >= w.pollAt {
 		s.poll(env, out, w)
@@ -331,8 +327,11 @@
 		return // a call of an earlier term of this process proves nothing in this term
 	}
 	sentAt, known := w.sendingOf(env.Now, &reply.Call)
-	if known && (reply.Clock != 0 || reply.Status == order.WrongProcess) {
-		w.calls.answered(sentAt, env.Now)
+	switch {
+	case reply.Call.Poll != nil && (reply.Status == order.NoAnswer || reply.Status == order.Refused):
+		w.contact.missed = true
+	case known && (reply.Clock != 0 || reply.Status == order.WrongProcess):
+		s.noteAnswer(w, reply, sentAt, env.Now)
 	}
 	if known && reply.Clock != 0 && reply.Status != order.WrongProcess {
 		if w.isFromLaterProcess(reply, sentAt, env.Now) {
