schedule: a worker counts as told of its ends once it has accepted the poll

A leader polled a worker without a pause: a poll that named recorded ends was refused, since an order with a larger token had overtaken it. The ends counted as told from the sending on, so the next poll was sent at once, and the worker, which still had ends, answered at once.

Change: the number counts as told when the worker has accepted the poll. Until then the next poll waits for the answers to the orders, as after any other list with ends that may not be forgotten yet.

Measured: TestRefusedPollIsNotRepeatedWithoutAPause has 100 polls at one time before, and less than 5 now.

--- a/core/schedule/contact_test.go
+++ b/core/schedule/contact_test.go
@@ -127,6 +127,36 @@
 	f.requireNotForgotten(ended, reachedAt.Add(lateCallTime))
 }
 
+// Guards against polls without a pause: a poll that named recorded ends was refused because of a
+// larger token of an order, and the worker answered the next ones at once, since it still had ends.
+func TestRefusedPollIsNotRepeatedWithoutAPause(t *testing.T) {
+	f := newFixture(t, testWorker("a"))
+	for range 4 {
+		f.advanceBy(model.Second)
+		f.answerPoll("a", nil, nil)
+	}
+	f.submit("j", jobs.Step{Tasks: 1, Size: cores(1)})
+	first := f.takeCalls("a")[0]
+	f.startAnswered(first, order.ClockMS(f.now/model.Time(ms)))
+	ended := []order.Ended{{Number: 1, RunRef: first.Start.RunRef, Outcome: jobs.OutcomeDone}}
+	f.answerPoll("a", nil, ended)
+	poll := f.lastPoll("a")
+	require.NotNil(t, poll.Poll)
+	require.Equal(t, uint64(1), poll.Poll.RecordedUpTo)
+	f.calls = nil
+	f.submit("k", jobs.Step{Tasks: 1, Size: cores(1)})
+	require.Len(t, f.takeCalls("a"), 1)
+	f.act(func(out *Out) {
+		f.s.Replied(f.env(), out, &order.Reply{Call: poll, Status: order.Fenced, Clock: order.ClockMS(f.now / model.Time(ms))})
+	})
+	polls := 0
+	for last := poll.Seq; f.lastPoll("a").Poll != nil && f.lastPoll("a").Seq != last && polls < 100; polls++ {
+		last = f.lastPoll("a").Seq
+		f.answerPoll("a", nil, ended)
+	}
+	require.Less(t, polls, 5, "at one time")
+}
+
 // Guards against contacts that are kept for ever after their workers have left.
 func TestContactsOfWorkersThatLeftAreForgotten(t *testing.T) {
 	f := newFixture(t, testWorker("a"), testWorker("b"))
--- a/core/schedule/poll.go
+++ b/core/schedule/poll.go
@@ -18,7 +18,7 @@
 	if w.pollFailed || w.forgettingPoll != 0 {
 		// The worker may have restarted. Once the later process has seen a larger token, it
 		// refuses the calls to the earlier one that are still on their way.
-		w.token, w.forgettingPoll, w.toldThrough = s.largerToken(w.token), 0, 0
+		w.token, w.forgettingPoll = s.largerToken(w.token), 0
 	}
 	if w.polled && !w.pollFailed && env.Now.Sub(w.answeredAt) < restartTime && s.mayForgetEnds(env.Now, w) {
 		// A later process of the worker would take the number for one of its own ends.
@@ -42,7 +42,7 @@
 	w.pendingPoll, w.pollSentAt, w.pollDeadline = call.Call.Seq, env.Now, env.Now.Add(request.Wait+pollTimeout)
 	w.awaitsOrders = false
 	if request.RecordedUpTo > 0 {
-		w.forgettingPoll, w.toldThrough = call.Call.Seq, request.RecordedUpTo
+		w.forgettingPoll = call.Call.Seq
 	}
 	out.Effects = append(out.Effects, call)
 }
@@ -87,8 +87,11 @@
 	if w.pendingPoll == reply.Call.Seq {
 		w.pendingPoll, sentAt = 0, w.pollSentAt
 	}
-	if w.forgettingPoll == reply.Call.Seq && reply.Status == order.Accepted && !w.isOtherProcess(reply) {
-		w.forgettingPoll = 0
+	if reply.Status == order.Accepted && !w.isOtherProcess(reply) {
+		w.toldThrough = max(w.toldThrough, reply.Call.Poll.RecordedUpTo)
+		if w.forgettingPoll == reply.Call.Seq {
+			w.forgettingPoll = 0
+		}
 	}
 	if reply.Status == order.Accepted && w.isOtherProcess(reply) {
 		reply.Status = order.WrongProcess
