schedule: the failure of a replaced poll says nothing about the newer one

A long-running task that waits for an answer of its worker is given up when a poll fails. The poll that asks for the answer replaces one that is under way, and the failure of that one counted too.

Change: a poll without an answer is ignored while a newer one is pending.

Measured: TestAwaitingRunIsKeptWhenAnOlderPollFails fails before and passes.

--- a/core/schedule/contact_test.go
+++ b/core/schedule/contact_test.go
@@ -157,6 +157,20 @@
 	require.Less(t, polls, 5, "at one time")
 }
 
+// Guards against a run that is given up since a poll had no answer, though a newer one asks.
+func TestAwaitingRunIsKeptWhenAnOlderPollFails(t *testing.T) {
+	a := testWorker("a")
+	f := newFixture(t, a)
+	f.advanceBy(model.Second)
+	older := f.lastPoll("a")
+	f.submit("j", jobs.Step{Tasks: 1, Size: cores(1), LongRunning: true})
+	require.Greater(t, f.lastPoll("a").Seq, older.Seq)
+	f.unanswered(older)
+	require.Contains(t, f.s.runs, ref("j", 0, 1))
+	f.answerPoll("a", nil, nil)
+	require.Len(t, f.takeCalls("a"), 1)
+}
+
 // Guards against contacts that are kept for ever after their workers have left.
 func TestContactsOfWorkersThatLeftAreForgotten(t *testing.T) {
 	f := newFixture(t, testWorker("a"), testWorker("b"))
--- a/core/schedule/poll.go
+++ b/core/schedule/poll.go
@@ -87,6 +87,9 @@
 	if w.pendingPoll == reply.Call.Seq {
 		w.pendingPoll, sentAt = 0, w.pollSentAt
 	}
+	if reply.Status == order.NoAnswer && w.pendingPoll != 0 {
+		return // a newer poll tells
+	}
 	if reply.Status == order.Accepted && !w.isOtherProcess(reply) {
 		w.toldThrough = max(w.toldThrough, reply.Call.Poll.RecordedUpTo)
 		if w.forgettingPoll == reply.Call.Seq {
