--- a/core/schedule/contact_test.go
+++ b/core/schedule/contact_test.go
@@ -171,6 +171,27 @@
 	require.Len(t, f.takeCalls("a"), 1)
 }
 
+// Guards against orders that are sent again to a run whose end is listed but not recorded yet, and
+// against a claim that it keeps after the end of its job.
+func TestRunWhoseEndIsDeferredGetsNoOrders(t *testing.T) {
+	f, ended, copiedAt := copiedFixture(t, jobs.OutcomeFailed)
+	require.Contains(t, f.s.runs, ref("j", 0, 1))
+	f.act(func(out *Out) { f.s.stop(f.env(), out, f.s.runs[ref("j", 0, 1)], "a test stops it") })
+	f.takeCalls("a")
+	for f.now.Sub(copiedAt) < lateCallTime-400*ms {
+		f.advanceBy(50 * ms)
+		require.Empty(t, f.takeCalls("a"))
+		if f.lastPoll("a").Poll != nil {
+			f.answerPoll("a", nil, ended)
+		}
+	}
+	require.Contains(t, f.s.runs, ref("j", 0, 1))
+	f.commit(jobs.Command{Cancel: &jobs.Cancel{Job: "j"}})
+	f.advanceBy(pollRetryDelay)
+	f.answerPoll("a", nil, ended)
+	require.NotContains(t, f.s.runs, ref("j", 0, 1), "nothing follows its end")
+}
+
 // Guards against contacts that are kept for ever after their workers have left.
 func TestContactsOfWorkersThatLeftAreForgotten(t *testing.T) {
 	f := newFixture(t, testWorker("a"), testWorker("b"))
--- a/core/schedule/detached.go
+++ b/core/schedule/detached.go
@@ -89,7 +89,7 @@
 	r.worker, w.runs[ref] = w, r
 	w.countRun(r, 1)
 	// These times are on the clock of the earlier process.
-	r.phase, r.voidFrom, r.listedAt, r.sentAt = inherited, 0, 0, 0
+	r.phase, r.voidFrom, r.listedAt, r.sentAt, r.endListed = inherited, 0, 0, 0, false
 	r.adopted()
 	return r
 }
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -46,6 +46,7 @@
 	listedAt    order.ClockMS // when its worker last reported it as present
 	sentAt      model.Time    // when the latest order was sent
 	listed      bool          // its worker has listed it as running
+	endListed   bool          // its worker has listed its end, which is not recorded yet
 	begunAt     model.Time    // when the leader learned that it has begun
 	speed       int           // allowed speed, in percent of full speed
 	progress    int           // as reported by its worker, in percent; 100 for a long-running task that is up
--- a/core/schedule/start.go
+++ b/core/schedule/start.go
@@ -118,7 +118,7 @@
 // start is sent a third time only to a worker that has answered something since, because
 // each copy prolongs the time for which the task waits if the worker has ended.
 func (s *Scheduler) advanceRun(env Env, out *Out, r *run) {
-	if env.Now.Sub(r.sentAt) < s.resendAfter(env.Now) || !r.worker.polled {
+	if env.Now.Sub(r.sentAt) < s.resendAfter(env.Now) || !r.worker.polled || r.endListed {
 		return
 	}
 	switch {
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -300,7 +300,7 @@
 // least the given time.
 func (w *worker) hasOverdueOrder(now model.Time, after model.Duration) bool {
 	for _, r := range w.runs {
-		if (r.stopping || r.phase == ordered) && now.Sub(r.sentAt) >= after {
+		if (r.stopping || r.phase == ordered) && !r.endListed && now.Sub(r.sentAt) >= after {
 			return true
 		}
 	}
