schedule: runs that a later process may be running end late too

A worker that is short of processor time ends the runs of an expired lease up to 0.3 s late. The bound for the known process had that time, those for later processes and for runs of unknown ones did not.

Change: both have it. TestRunThatALaterProcessAcceptedOutlivesTheEarlierLease has the same bound; the time after which the run is to be gone is 0.3 s later with it.

Measured: TestOrderHeldForAnUnreachableWorker and the same of an earlier leader fail before (72 ms and 172 ms of a run left) and pass.

--- a/core/schedule/detached.go
+++ b/core/schedule/detached.go
@@ -51,7 +51,7 @@
 	}
 	w := &worker{
 		info: info, gone: true, runs: make(map[jobs.RunRef]*run),
-		failures: make(map[model.JobID]bool), leaseEndsBy: env.Now.Add(lateCallTime + maxElapsed(env.Bounds.LeaseMax)),
+		failures: make(map[model.JobID]bool), leaseEndsBy: env.Now.Add(lateCallTime + runsEndAfter(env.Bounds.LeaseMax)),
 		contact: s.contactOf(info),
 	}
 	s.detached = append(s.detached, w)
--- a/core/schedule/orders.go
+++ b/core/schedule/orders.go
@@ -152,5 +152,5 @@
 	if !r.mayHaveStrayed() {
 		return r.worker.leaseEndsBy
 	}
-	return r.worker.contact.carriedOutBy().Add(maxElapsed(b.LeaseMax))
+	return r.worker.contact.carriedOutBy().Add(runsEndAfter(b.LeaseMax))
 }
