schedule: a throttle that was not accepted is repeated

A best-effort run went on at full speed beside a run that missed its target, when the worker refused the call that halts it: an order or a poll had raised the token after the call was sent. The leader counted the run as halted and ignored the answer.

Change: the call is repeated with the next list until the worker accepts one.

--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -49,6 +49,7 @@
 	endListed   bool          // its worker has listed its end, which is not recorded yet
 	begunAt     model.Time    // when the leader learned that it has begun
 	speed       int           // allowed speed, in percent of full speed
+	speedLost   bool          // the call that sets it was not accepted
 	progress    int           // as reported by its worker, in percent; 100 for a long-running task that is up
 	throttledAt model.Time    // when speed last changed
 	load        int64         // as reported by its worker
--- a/core/schedule/throttle.go
+++ b/core/schedule/throttle.go
@@ -43,14 +43,23 @@
 		if !r.step.BestEffort || r.phase != begun {
 			continue
 		}
-		if want := wantedSpeed(r.speed, worst, env.Now.Sub(r.throttledAt)); want != r.speed {
-			r.throttledAt, r.speed = env.Now, want
+		if want := wantedSpeed(r.speed, worst, env.Now.Sub(r.throttledAt)); want != r.speed || r.speedLost {
+			r.throttledAt, r.speed, r.speedLost = env.Now, want, false
 			out.Effects = append(out.Effects, s.call(w, order.Call{Throttle: &order.Throttle{RunRef: r.ref, Percent: want}}))
 			out.log(effect.RunThrottled, effect.Log{Request: model.RequestID(r.ref.Job), Task: runLabel(r.ref), Worker: w.info.ID, Count: want})
 		}
 	}
 }
 
+// handleThrottleReply handles the result of a call that sets the speed of a run. One that was not
+// accepted is repeated with the next list, since orders may have raised the token meanwhile.
+func (s *Scheduler) handleThrottleReply(w *worker, reply *order.Reply) {
+	call := reply.Call.Throttle
+	if r := w.runs[call.RunRef]; r != nil && r.speed == call.Percent && reply.Status != order.Accepted {
+		r.speedLost = true
+	}
+}
+
 // loadPercent returns a load, in milliseconds, in percent of a target, which may be
 // shorter than a millisecond.
 func loadPercent(load int64, target model.Duration) int64 {
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -351,6 +351,8 @@
 		s.handleStartReply(env, out, w, reply)
 	case reply.Call.Stop != nil:
 		s.handleStopReply(env, w, reply)
+	case reply.Call.Throttle != nil:
+		s.handleThrottleReply(w, reply)
 	}
 	s.startAwaiting(env, out, w)
 	s.pollAfterOrders(env, out, w)
