--- a/core/schedule/await.go
+++ b/core/schedule/await.go
@@ -26,6 +26,9 @@
 // one soon.
 func (w *worker) mayAnswer(step *jobs.Step) bool { return !step.LongRunning || !w.pollFailed }
 
+// awaitsAnswer reports whether the order of a run waits for an answer of its worker.
+func (r *run) awaitsAnswer() bool { return r.phase == assigned && r.awaitsFrom != 0 }
+
 // awaitAnswer lets a run wait for an answer of its worker, and asks for one at once.
 func (s *Scheduler) awaitAnswer(env Env, out *Out, r *run) {
 	r.awaitsFrom = env.Now
@@ -45,7 +48,7 @@
 	w.asksAtOnce = false
 	for _, r := range sortedRunsOf(w) {
 		switch {
-		case r.awaitsFrom == 0 || r.phase != assigned:
+		case !r.awaitsAnswer():
 		case answered:
 			s.startAssigned(env, out, r)
 		case w.pollFailed || env.Now.Sub(r.awaitsFrom) > awaitAnswerTime:
@@ -60,7 +63,7 @@
 // leaves.
 func (s *Scheduler) voidAwaiting(env Env, out *Out, w *worker) {
 	for _, r := range sortedRunsOf(w) {
-		if r.awaitsFrom != 0 && r.phase == assigned {
+		if r.awaitsAnswer() {
 			s.giveUp(env, out, r, jobs.OutcomeVoid, "", "its worker has left")
 		}
 	}
