schedule: the lease of a worker that refuses polls ends its runs

The runs of a worker that answers all polls as unavailable were kept for ever: it gets no lease, since its polls count as failed, and its answers made it count as recent. A task waited for a run that the worker had ended with its lease.

Change: runs are given up after the end of their lease also while polls are refused.

--- a/core/schedule/lease_test.go
+++ b/core/schedule/lease_test.go
@@ -413,3 +413,22 @@
 	require.Contains(t, f.s.runs, ref("j", 0, 1), "the later process runs it")
 	require.NotContains(t, f.s.runs, ref("j", 1, 1))
 }
+
+// Guards against runs that are kept after their lease: their worker refuses all polls as
+// unhealthy, so that none extends the lease, and its answers count as recent.
+func TestLeaseOfAWorkerThatRefusesPollsEndsItsRuns(t *testing.T) {
+	f, first := orderedFixture(t)
+	f.startAnswered(first, order.ClockMS(f.now/model.Time(ms)))
+	f.answerPoll("a", []order.Running{runningFully(ref("j", 0, 1))}, nil)
+	granted := f.now
+	for f.now.Sub(granted) < leaseDuration(simBounds) {
+		require.Contains(t, f.s.runs, ref("j", 0, 1))
+		f.replyToPolls("a", order.Reply{Status: order.Unavailable, Clock: order.ClockMS(f.now / model.Time(ms))})
+		f.advanceBy(50 * ms)
+	}
+	for f.now.Sub(granted) < runsEndAfter(leaseDuration(simBounds))+pollWait {
+		f.replyToPolls("a", order.Reply{Status: order.Unavailable, Clock: order.ClockMS(f.now / model.Time(ms))})
+		f.advanceBy(50 * ms)
+	}
+	require.NotContains(t, f.s.runs, ref("j", 0, 1))
+}
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -264,7 +264,7 @@
 	if len(w.runs) == 0 {
 		return
 	}
-	if !w.isFresh(env.Now) && env.Now > w.leaseEndsBy {
+	if (w.pollFailed || !w.isFresh(env.Now)) && env.Now > w.leaseEndsBy {
 		s.giveUpExpired(env, out, w)
 		return
 	}
