schedule: a worker with an end that is deferred is polled twice a second

While the end of a failed run may not be recorded, its worker was polled every 0.15 s, since it answers at once. Each poll that is lost may mean that the copy of the order was held with it, and prolongs the time, so on links that lose packets frequent polls kept the task waiting.

Change: such a worker is polled every 0.5 s.

Ends that follow a deferred one are seen up to 0.35 s later.

--- a/core/schedule/poll.go
+++ b/core/schedule/poll.go
@@ -114,9 +114,12 @@
 		s.handleList(env, out, w, reply, sentAt)
 		s.startAwaiting(env, out, w)
 		w.pollAt = env.Now
-		if hasUnparsedEnd(reply) || w.defersEnd {
-			// The worker answers at once while it has an end to report, so the next
-			// poll is delayed.
+		// The worker answers at once while it has an end to report, so the next poll is delayed.
+		if w.defersEnd {
+			w.pollAt = env.Now.Add(deferredEndPollDelay)
+			return
+		}
+		if hasUnparsedEnd(reply) {
 			w.pollAt = env.Now.Add(pollRetryDelay)
 			return
 		}
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -24,6 +24,9 @@
 	restartTime = 250 * model.Millisecond
 	// pollRetryDelay is the delay before the next poll after a failed one.
 	pollRetryDelay = 150 * model.Millisecond
+	// deferredEndPollDelay is the delay before the next poll while an end may not be recorded
+	// yet. Each poll that is lost prolongs that time.
+	deferredEndPollDelay = 500 * model.Millisecond
 	// pollTimeout is how long after its longest wait a poll is given up. The executor
 	// normally reports the failure after order.Poll.AnswerTime; the timeout covers the
 	// loss of that report.
