consensus: a candidate waits for its own disk

A candidate gave its candidacy up after the retry timeout (200 to 400 ms) also while its vote was being written. Its requests wait for that write, and the next term drops them, so that on a disk that takes longer than the retry timeout no request was ever sent and the terms rose.

A later term or a leader ends the wait, and the others do not depend on it: a candidate whose disk hangs has asked nobody.

Measured: TestCandidateWaitsForItsDisk fails before (pre-votes for the next term while the vote is in flight) and passes.

--- a/core/consensus/election.go
+++ b/core/consensus/election.go
@@ -17,7 +17,7 @@
 }
 
 func (n *Node[C, S]) tickElection() {
-	if n.now >= n.deadline {
+	if n.now >= n.deadline && !n.awaitsOwnVote() {
 		n.preCampaign()
 	}
 	if n.role == PreCandidate && (n.isMembershipUncommitted() || n.now.Sub(n.lastHeard) > nonVoterTimeout) {
@@ -25,6 +25,13 @@
 	}
 }
 
+// awaitsOwnVote reports whether this candidate's vote or log is not on disk yet, so that
+// its requests are not sent. It does not campaign again until then: the next term would
+// need another write, and drop the requests of this one.
+func (n *Node[C, S]) awaitsOwnVote() bool {
+	return n.role == Candidate && !n.isOnDisk()
+}
+
 // preCampaign requests pre-votes, which change no state on either side.
 func (n *Node[C, S]) preCampaign() {
 	n.role = PreCandidate
