consensus: votes that arrive after the retry timeout count

A vote needs a write at the voter. When it took longer than the retry timeout (200 to 400 ms), the candidate had become a pre-candidate and threw the vote away.

Change: votes and pre-votes are counted apart. The votes of a term count until the node leaves the term, sees a leader of it or restarts. A node votes once a term and has voted for itself, so that a majority of votes still names one leader a term.

Measured: TestLateVotesCount fails before (pre-candidate and follower in place of leader) and passes; TestVotesDoNotCountAfterALeader fails if the count is kept after a message of a leader.

--- a/core/consensus/election.go
+++ b/core/consensus/election.go
@@ -32,16 +32,17 @@
 	return n.role == Candidate && !n.isOnDisk()
 }
 
-// preCampaign requests pre-votes, which change no state on either side.
+// preCampaign requests pre-votes, which change no state on either side. The votes of an
+// undecided campaign in the present term still count.
 func (n *Node[C, S]) preCampaign() {
 	n.role = PreCandidate
 	n.leader = NodeID{}
-	n.votes = map[NodeID]bool{}
+	n.preVotes = map[NodeID]bool{}
 	n.resetRetryTimer()
 	n.forEachOtherVoter(func(to NodeID) {
 		n.send(n.voteRequest(MsgPreVote, to, n.term+1, false))
 	})
-	n.recordVote(n.cfg.ID)
+	n.recordPreVote(n.cfg.ID)
 }
 
 // campaign starts a new term and requests votes. The node's own vote counts once it
@@ -50,6 +51,7 @@
 	n.setTerm(n.term + 1)
 	n.role = Candidate
 	n.setVote(n.cfg.ID)
+	n.preVotes = nil
 	n.votes = map[NodeID]bool{}
 	n.resetRetryTimer()
 	n.forEachOtherVoter(func(to NodeID) {
@@ -79,18 +81,24 @@
 	}
 }
 
-// recordVote counts a vote or pre-vote. With a majority, a pre-candidate campaigns
-// and a candidate becomes the leader.
+// recordPreVote counts a pre-vote. With a majority, the pre-candidate campaigns.
+func (n *Node[C, S]) recordPreVote(from NodeID) {
+	n.preVotes[from] = true
+	if n.hasMajority(n.preVotes) {
+		n.campaign(false)
+	}
+}
+
+// recordVote counts a vote. With a majority, this node becomes the leader.
 func (n *Node[C, S]) recordVote(from NodeID) {
 	n.votes[from] = true
-	if !n.membership().hasQuorum(func(id NodeID) bool { return n.votes[id] }) {
-		return
+	if n.hasMajority(n.votes) {
+		n.becomeLeader()
 	}
-	if n.role == PreCandidate {
-		n.campaign(false)
-		return
-	}
-	n.becomeLeader()
+}
+
+func (n *Node[C, S]) hasMajority(votes map[NodeID]bool) bool {
+	return n.membership().hasQuorum(func(id NodeID) bool { return votes[id] })
 }
 
 // ignoresVoteRequest reports whether a request is ignored because this node is the
@@ -145,7 +153,7 @@
 		return true
 	}
 	if n.role == PreCandidate && m.Term == n.term+1 {
-		n.recordVote(m.From)
+		n.recordPreVote(m.From)
 	}
 	return true
 }
@@ -190,12 +198,14 @@
 	return n.disk.inFlight()
 }
 
+// handleVoteReply counts a vote for as long as the term has no known leader, also after
+// the retry timeout: on slow disks, the voters' writes take longer than that.
 func (n *Node[C, S]) handleVoteReply(m Message[C, S]) bool {
 	if m.Term > n.term {
 		n.observeTerm(m.Term)
 		return m.Reject
 	}
-	if n.role == Candidate && m.Term == n.term && !m.Reject {
+	if n.votes != nil && n.role != NonVoter && m.Term == n.term && !m.Reject {
 		n.recordVote(m.From)
 	}
 	return true
@@ -223,6 +233,7 @@
 func (n *Node[C, S]) setTerm(term uint64) {
 	n.term = term
 	n.vote = NodeID{}
+	n.votes = nil
 	n.leader = NodeID{}
 	n.disk.hardStateChanged = true
 	// Pending messages of the earlier term may acknowledge entries that a new
@@ -246,7 +257,7 @@
 	}
 	n.role = n.passiveRole()
 	n.leadership = leadership{}
-	n.votes = nil
+	n.preVotes = nil
 	n.resetElectionTimer()
 }
 
@@ -264,6 +275,7 @@
 	if n.role == PreCandidate || n.role == Candidate {
 		n.becomeFollower()
 	}
+	n.votes = nil
 	n.leader = leader
 	n.lastHeard = n.now
 	n.resetElectionTimer()
--- a/core/consensus/leader.go
+++ b/core/consensus/leader.go
@@ -32,7 +32,7 @@
 	for _, p := range n.leadership.peers {
 		p.heard = n.votes[p.id]
 	}
-	n.votes = nil
+	n.preVotes, n.votes = nil, nil
 	n.propose(Entry[C]{Kind: EntryNoop})
 	n.leadership.noopIndex = n.log.lastIndex()
 	n.sendHeartbeats()
--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -37,7 +37,8 @@
 	memberships     []membership // ascending by index; the last one is in effect
 	trailingEntries uint64       // entries kept before a snapshot; see defaultTrailingEntries
 
-	votes      map[NodeID]bool // votes or pre-votes granted to this node
+	preVotes   map[NodeID]bool // pre-votes granted to this node
+	votes      map[NodeID]bool // votes granted to this node in its term; nil if none count
 	leadership leadership
 	joinState  joinState
 	retired    bool // another node has reported that this identity is retired
--- a/core/consensus/slowdisk_test.go
+++ b/core/consensus/slowdisk_test.go
@@ -54,3 +54,62 @@
 	n.Step(now, 0, testMessage{Kind: MsgVote, From: idC, To: idA, Term: 3, Index: 1, LogTerm: 1})
 	require.Equal(t, HardState{Term: 3, Vote: idC}, *n.TakeOutput().HardState)
 }
+
+// TestLateVotesCount guards against votes that are thrown away because the voters' disks
+// took longer than the retry timeout.
+func TestLateVotesCount(t *testing.T) {
+	vote := testMessage{Kind: MsgVoteReply, From: idB, To: idA, Term: 2}
+	rejected := testMessage{Kind: MsgVoteReply, From: idB, To: idA, Term: 2, Reject: true}
+	tests := []struct {
+		name   string
+		before []testMessage
+		vote   testMessage
+		role   Role
+	}{
+		{"after the retry timeout", nil, vote, Leader},
+		{"after it has yielded to another", []testMessage{{Kind: MsgPreVote, From: idC, To: idA, Term: 3, Index: 1, LogTerm: 1}}, vote, Leader},
+		{"not if rejected", nil, rejected, PreCandidate},
+		{"not in a later term", []testMessage{{Kind: MsgPreVoteReply, From: idC, To: idA, Term: 3, Reject: true}}, vote, Follower},
+		{"not of a campaign before", []testMessage{{Kind: MsgPreVoteReply, From: idC, To: idA, Term: 3}}, vote, Candidate},
+		{"not beside a leader", []testMessage{appendFrom(2, 1, 1)}, vote, Follower},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			n, now := newCandidate(t)
+			n.Persisted(2, 1)
+			now = now.Add(1000 * ms)
+			n.Tick(now, 0)
+			require.Equal(t, PreCandidate, n.Status().Role)
+			for _, m := range test.before {
+				n.Step(now, 0, m)
+			}
+			n.Step(now.Add(5000*ms), 0, test.vote)
+			require.Equal(t, test.role, n.Status().Role)
+		})
+	}
+}
+
+// TestVotesDoNotCountAfterALeader guards against a second leader of a term whose first one
+// has fallen silent.
+func TestVotesDoNotCountAfterALeader(t *testing.T) {
+	n, now := newCandidate(t)
+	n.Persisted(2, 1)
+	n.Step(now, 0, appendFrom(2, 1, 1))
+	now = now.Add(1200 * ms)
+	n.Tick(now, 0)
+	require.Equal(t, PreCandidate, n.Status().Role)
+	n.Step(now, 0, testMessage{Kind: MsgVoteReply, From: idC, To: idA, Term: 2})
+	require.Equal(t, PreCandidate, n.Status().Role)
+}
+
+// TestLateVotesOfARestartedCandidateDoNotCount guards against a restarted candidate that
+// goes on with a count of votes that it no longer has.
+func TestLateVotesOfARestartedCandidateDoNotCount(t *testing.T) {
+	stored := Bootstrap[string, string]([]NodeID{idA, idB, idC})
+	stored.HardState = HardState{Term: 2, Vote: idA}
+	n := startNode(t, testConfig(idA), stored)
+	n.Step(startAt.Add(10*ms), 0, testMessage{Kind: MsgVoteReply, From: idB, To: idA, Term: 2})
+	n.Tick(startAt.Add(1000*ms), 0)
+	n.Step(startAt.Add(1010*ms), 0, testMessage{Kind: MsgVoteReply, From: idC, To: idA, Term: 2})
+	require.Equal(t, PreCandidate, n.Status().Role)
+}
