consensus: a pre-candidate that votes becomes a follower

A pre-candidate that granted a vote in its present term stayed a pre-candidate. When its own pre-votes arrived, it began the next term, which dropped the vote that was still being written. Found in a played election with slow disks: the vote was granted at 4.69 s and the next term began at 4.70 s.

Change: it becomes a follower when it votes.

Measured: TestPreCandidateThatVotesFollows fails before (candidate of the next term) and passes. The tests of core/consensus pass.

--- a/core/consensus/election.go
+++ b/core/consensus/election.go
@@ -172,7 +172,7 @@
 			return true
 		}
 		n.setVote(m.From)
-		n.resetElectionTimer()
+		n.becomeFollower() // a pre-candidate that goes on would begin the next term
 		n.sendDurable(0, Message[C, S]{Kind: MsgVoteReply, To: m.From})
 		return true
 	}
--- a/core/consensus/slowdisk_test.go
+++ b/core/consensus/slowdisk_test.go
@@ -113,3 +113,22 @@
 	n.Step(startAt.Add(1010*ms), 0, testMessage{Kind: MsgVoteReply, From: idC, To: idA, Term: 2})
 	require.Equal(t, PreCandidate, n.Status().Role)
 }
+
+// TestPreCandidateThatVotesFollows guards against a pre-candidate that votes for another and
+// still begins the next term, which drops the vote.
+func TestPreCandidateThatVotesFollows(t *testing.T) {
+	n := newVoter(t)
+	n.Step(startAt, 0, testMessage{Kind: MsgPreVoteReply, From: idB, To: idA, Term: 5, Reject: true})
+	processOutputs(n)
+	now := startAt.Add(800 * ms)
+	n.Tick(now, 0)
+	processOutputs(n)
+	require.Equal(t, PreCandidate, n.Status().Role)
+
+	n.Step(now, 0, testMessage{Kind: MsgVote, From: idB, To: idA, Term: 5, Index: 1, LogTerm: 1})
+	require.Equal(t, HardState{Term: 5, Vote: idB}, *n.TakeOutput().HardState)
+	n.Step(now, 0, testMessage{Kind: MsgPreVoteReply, From: idC, To: idA, Term: 6})
+	require.Equal(t, Follower, n.Status().Role)
+	n.Persisted(5, 1)
+	require.Equal(t, []MessageKind{MsgVoteReply}, kindsOf(n.TakeOutput().Messages))
+}
