consensus: a voter whose vote is being written begins no election

A voter began an election after its election timeout also while its vote was being written. The next term drops the vote, so that with disks that take longer than the timeout (800 to 1,200 ms) no vote was ever sent.

Change: no election begins while the hard state is being written, and the election timeout runs anew from the time at which the vote is sent. A candidate that is silent after that is not waited for longer.

Measured: TestVoterWaitsForItsDisk fails before (pre-votes while the vote is in flight) and passes.

--- a/core/consensus/durability.go
+++ b/core/consensus/durability.go
@@ -23,11 +23,6 @@
 	return !d.hardStateChanged && !d.hardStateInFlight
 }
 
-// isOnDisk reports whether the hard state and the whole log are on disk.
-func (n *Node[C, S]) isOnDisk() bool {
-	return n.disk.isHardStateOnDisk() && n.disk.persistedIndex >= n.log.lastIndex()
-}
-
 // truncate records that the entries from index on are removed.
 func (d *durability) truncate(index uint64) {
 	d.handedOutIndex = min(d.handedOutIndex, index-1)
@@ -99,12 +94,12 @@
 // be 0 for an Output without entries. Reports may be merged, but must follow the
 // order of the outputs.
 func (n *Node[C, S]) Persisted(term, index uint64) {
-	awaited := n.awaitsOwnVote()
+	awaited := n.awaitsDisk()
 	n.disk.recordPersisted(n.now, term, index)
 	n.sendPending()
 	n.handleDeferred()
-	if awaited && n.role == Candidate && n.isOnDisk() {
-		n.resetRetryTimer() // the requests are sent now
+	if awaited && !n.awaitsDisk() {
+		n.recordDiskCaughtUp()
 	}
 	if n.role == Candidate && n.disk.isHardStateOnDisk() {
 		n.recordVote(n.cfg.ID)
--- a/core/consensus/election.go
+++ b/core/consensus/election.go
@@ -17,7 +17,7 @@
 }
 
 func (n *Node[C, S]) tickElection() {
-	if n.now >= n.deadline && !n.awaitsOwnVote() {
+	if n.now >= n.deadline && !n.awaitsDisk() {
 		n.preCampaign()
 	}
 	if n.role == PreCandidate && (n.isMembershipUncommitted() || n.now.Sub(n.lastHeard) > nonVoterTimeout) {
@@ -25,11 +25,25 @@
 	}
 }
 
-// awaitsOwnVote reports whether this candidate's vote or log is not on disk yet, so that
-// its requests are not sent. It does not campaign again until then: the next term would
-// need another write, and drop the requests of this one.
-func (n *Node[C, S]) awaitsOwnVote() bool {
-	return n.role == Candidate && !n.isOnDisk()
+// awaitsDisk reports whether the vote that this node has given, to itself or to another,
+// is not on disk yet, or the log that it campaigns with. It begins no election until then:
+// the next term would drop the vote, or the requests, that wait for the write.
+func (n *Node[C, S]) awaitsDisk() bool {
+	if !n.disk.isHardStateOnDisk() {
+		return true
+	}
+	return n.role == Candidate && n.disk.persistedIndex < n.log.lastIndex()
+}
+
+// recordDiskCaughtUp starts the timer anew when the messages that awaitsDisk held back are
+// sent, so that their receivers have time to act on them.
+func (n *Node[C, S]) recordDiskCaughtUp() {
+	switch {
+	case n.role == Candidate:
+		n.resetRetryTimer()
+	case n.role == Follower && n.vote != NodeID{} && n.leader == NodeID{}:
+		n.resetElectionTimer()
+	}
 }
 
 // preCampaign requests pre-votes, which change no state on either side. The votes of an
--- a/core/consensus/slowdisk_test.go
+++ b/core/consensus/slowdisk_test.go
@@ -114,6 +114,26 @@
 	require.Equal(t, PreCandidate, n.Status().Role)
 }
 
+// TestVoterWaitsForItsDisk guards against a voter that begins an election while its vote is
+// being written, which drops the vote, or before the candidate could act on it.
+func TestVoterWaitsForItsDisk(t *testing.T) {
+	n := newVoter(t)
+	now := startAt.Add(800 * ms)
+	n.Step(now, 0, testMessage{Kind: MsgVote, From: idB, To: idA, Term: 2, Index: 1, LogTerm: 1})
+	require.Equal(t, HardState{Term: 2, Vote: idB}, *n.TakeOutput().HardState)
+	for range 100 {
+		now = now.Add(50 * ms)
+		n.Tick(now, 0)
+		require.Empty(t, n.TakeOutput().Messages)
+	}
+	n.Persisted(2, 1)
+	require.Equal(t, []MessageKind{MsgVoteReply}, kindsOf(n.TakeOutput().Messages))
+	n.Tick(now.Add(799*ms), 0)
+	require.Empty(t, n.TakeOutput().Messages)
+	n.Tick(now.Add(11000*ms), 0)
+	require.Equal(t, PreCandidate, n.Status().Role, "a candidate that is silent is not waited for without end")
+}
+
 // TestPreCandidateThatVotesFollows guards against a pre-candidate that votes for another and
 // still begins the next term, which drops the vote.
 func TestPreCandidateThatVotesFollows(t *testing.T) {
