consensus: a voter that is writing its vote answers no pre-votes

The answers to pre-votes that arrived while a vote was being written were held back and sent with the vote. A rejection (of the term that is being voted in) made its receiver write that term just when the request for its vote arrived. The report of that write could be taken for that of the vote, so that the vote was deferred, and cost a second write.

Change: pre-votes are ignored while the hard state is being written. Pre-candidates repeat them every 200 to 400 ms.

Measured: TestVoterThatWritesAnswersNoPreVotes fails before (two more messages) and passes.

--- a/core/consensus/election.go
+++ b/core/consensus/election.go
@@ -138,12 +138,15 @@
 	if n.ignoresVoteRequest(m) {
 		return true
 	}
+	if !n.disk.isHardStateOnDisk() {
+		return true // the sender would begin the term after the one that is being voted in
+	}
 	reply := Message[C, S]{Kind: MsgPreVoteReply, To: m.From, Term: m.Term}
 	if m.Term <= n.term || !n.log.isCandidateUpToDate(m.Index, m.LogTerm) {
 		reply.Reject = true
 		reply.Term = n.term
 	}
-	n.sendDurable(0, reply)
+	n.send(reply)
 	if n.role == PreCandidate && !reply.Reject && n.yieldsToPreCandidate(m) {
 		n.becomeFollower()
 		n.resetRetryTimer()
--- a/core/consensus/slowdisk_test.go
+++ b/core/consensus/slowdisk_test.go
@@ -152,3 +152,27 @@
 	n.Persisted(5, 1)
 	require.Equal(t, []MessageKind{MsgVoteReply}, kindsOf(n.TakeOutput().Messages))
 }
+
+// TestVoterThatWritesAnswersNoPreVotes guards against a voter that, once its vote is written,
+// also sends the answers to pre-votes that it received before: a rejection makes its receiver
+// write the term, and vote with a second write.
+func TestVoterThatWritesAnswersNoPreVotes(t *testing.T) {
+	n := newVoter(t)
+	now := startAt.Add(800 * ms)
+	n.Step(now, 0, testMessage{Kind: MsgVote, From: idB, To: idA, Term: 2, Index: 1, LogTerm: 1})
+	n.TakeOutput()
+	earlier := testMessage{Kind: MsgPreVote, From: idC, To: idA, Term: 2, Index: 1, LogTerm: 1}
+	next := testMessage{Kind: MsgPreVote, From: idC, To: idA, Term: 3, Index: 1, LogTerm: 1}
+	n.Step(now, 0, earlier)
+	n.Step(now, 0, next)
+	require.Empty(t, n.TakeOutput().Messages)
+	n.Persisted(2, 1)
+	require.Equal(t, []MessageKind{MsgVoteReply}, kindsOf(n.TakeOutput().Messages))
+
+	n.Step(now.Add(2000*ms), 0, earlier)
+	n.Step(now.Add(2000*ms), 0, next)
+	replies := n.TakeOutput().Messages
+	require.Equal(t, []MessageKind{MsgPreVoteReply, MsgPreVoteReply}, kindsOf(replies))
+	require.True(t, replies[0].Reject)
+	require.Equal(t, testMessage{Kind: MsgPreVoteReply, From: idA, To: idC, Term: 3}, replies[1])
+}
