consensus: voters give one another as long as their own write of a vote took

A node whose vote was on disk began the next term, or granted a pre-vote for it, 200 to 400 ms later, while other voters were still writing their votes of this term. With two candidates of five voters, the other candidate collected the pre-votes of those that had just voted, began the next term, and deposed the leader that the last vote elected (played: vote on disk at 9.41 s, next term at 9.45 s, leader of the term before at 9.51 s).

Change: a node that has voted adds the time that its own write took, at most 5 s, before it begins an election or grants a pre-vote. In calm that is nearly nothing. The wait ends with a leader of the term.

--- a/core/consensus/doc.go
+++ b/core/consensus/doc.go
@@ -18,13 +18,18 @@
 // leader's own term, or precedes such an entry.
 //
 // Elections. A voter that receives nothing from a leader for its randomised
-// election timeout first requests pre-votes, which change no state, and
-// campaigns only when a majority would vote for it. When a pre-candidate grants
-// a pre-vote to another one, a tie-break decides which of the two withdraws, so
-// that they do not split the votes. A voter ignores requests for votes and
-// pre-votes within ElectionTimeoutMin of the last message from a leader, unless
-// the leader requested the election (Transfer). A start counts as a message from
-// a leader, since the node may have acknowledged one just before it restarted. A
+// election timeout first requests pre-votes, which change no state, and campaigns
+// only when a majority would vote for it. When a pre-candidate grants a pre-vote
+// to another one, a tie-break decides which of the two withdraws, so that they do
+// not split the votes. A vote needs a write at the candidate and at the voter,
+// and writes may take longer than the timeouts. So no node begins an election
+// while its hard state is being written, or answers pre-votes meanwhile; after
+// that, a node that has voted gives the other voters as long as its own write
+// took, at most maxVoteWait. The votes of a term count until the candidate leaves
+// the term or sees a leader of it. A voter ignores requests for votes and pre-
+// votes within ElectionTimeoutMin of the last message from a leader, unless the
+// leader requested the election (Transfer). A start counts as a message from a
+// leader, since the node may have acknowledged one just before it restarted. A
 // leader that receives nothing from a majority for ElectionTimeoutMax steps down.
 //
 // Leader lease. Append messages carry the leader's clock and replies echo it.
--- a/core/consensus/election.go
+++ b/core/consensus/election.go
@@ -2,6 +2,10 @@
 
 import "primrosedale.example/primrosedale/core/model"
 
+// maxVoteWait is the longest time that other voters are given to write their votes
+// after this node has written its own.
+const maxVoteWait = 5 * model.Second
+
 // resetElectionTimer sets the election deadline to a new random timeout from now.
 func (n *Node[C, S]) resetElectionTimer() {
 	spread := uint64(n.cfg.ElectionTimeoutMax - n.cfg.ElectionTimeoutMin)
@@ -36,13 +40,21 @@
 }
 
 // recordDiskCaughtUp starts the timer anew when the messages that awaitsDisk held back are
-// sent, so that their receivers have time to act on them.
+// sent. It adds the time that the vote took here, since the other voters' disks may take
+// as long; in calm, that is a few milliseconds.
 func (n *Node[C, S]) recordDiskCaughtUp() {
-	switch {
-	case n.role == Candidate:
+	if (n.vote == NodeID{}) || (n.leader != NodeID{}) {
+		return
+	}
+	took := min(n.now.Sub(n.votedAt), maxVoteWait)
+	n.votingEnds = n.now.Add(took)
+	switch n.role {
+	case Candidate:
 		n.resetRetryTimer()
-	case n.role == Follower && n.vote != NodeID{} && n.leader == NodeID{}:
+		n.deadline = n.deadline.Add(took)
+	case Follower:
 		n.resetElectionTimer()
+		n.deadline = n.deadline.Add(took)
 	}
 }
 
@@ -138,7 +150,7 @@
 	if n.ignoresVoteRequest(m) {
 		return true
 	}
-	if !n.disk.isHardStateOnDisk() {
+	if !n.disk.isHardStateOnDisk() || m.Term > n.term && n.awaitsVoters() {
 		return true // the sender would begin the term after the one that is being voted in
 	}
 	reply := Message[C, S]{Kind: MsgPreVoteReply, To: m.From, Term: m.Term}
@@ -154,6 +166,12 @@
 	return true
 }
 
+// awaitsVoters reports whether this node has voted and other voters may still be writing
+// their votes of this term.
+func (n *Node[C, S]) awaitsVoters() bool {
+	return n.vote != NodeID{} && n.now < n.votingEnds
+}
+
 // yieldsToPreCandidate breaks the tie between two pre-candidates, which would
 // otherwise both campaign and split the votes. It must be called only if the
 // pre-vote was granted.
@@ -263,6 +281,7 @@
 		return
 	}
 	n.vote = id
+	n.votedAt = n.now
 	n.disk.hardStateChanged = true
 }
 
@@ -293,6 +312,7 @@
 		n.becomeFollower()
 	}
 	n.votes = nil
+	n.votingEnds = 0
 	n.leader = leader
 	n.lastHeard = n.now
 	n.resetElectionTimer()
--- a/core/consensus/leader.go
+++ b/core/consensus/leader.go
@@ -33,6 +33,7 @@
 		p.heard = n.votes[p.id]
 	}
 	n.preVotes, n.votes = nil, nil
+	n.votingEnds = 0
 	n.propose(Entry[C]{Kind: EntryNoop})
 	n.leadership.noopIndex = n.log.lastIndex()
 	n.sendHeartbeats()
--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -25,12 +25,14 @@
 	now    model.Time // of the last call
 	random uint64     // of the last call
 
-	role      Role
-	term      uint64
-	vote      NodeID
-	leader    NodeID
-	lastHeard model.Time // last message of the leader, or Start
-	deadline  model.Time // when the next pre-vote is requested, unless this is a leader or a non-voter
+	role       Role
+	term       uint64
+	vote       NodeID
+	leader     NodeID
+	lastHeard  model.Time // last message of the leader, or Start
+	votedAt    model.Time // when the vote was given
+	votingEnds model.Time // until then, other voters may still be writing their votes
+	deadline   model.Time // when the next pre-vote is requested, unless this is a leader or a non-voter
 
 	log             raftLog[C]
 	snapshot        *Snapshot[S] // latest, for peers that need compacted entries
