platform: an entry of the list of hosts with a gap ends no runs

Cause: an entry without labels, id, or a part of its capacity, or with null for one, counted as complete, so that one for the host of a worker (moving, or up with another worker) ended the worker's runs.

One with a gap is marked, and core/hosts takes it for incomplete: evidence of the host, not of its worker. It is not refused, since the entry of a host without a worker may lack the id, and a list with an entry that cannot be parsed closes no wave.

--- a/core/hosts/listing.go
+++ b/core/hosts/listing.go
@@ -31,7 +31,7 @@
 	switch {
 	case !env.Scheduler.IsPool(env.Schedule, h.Pool):
 		return unknownPool
-	case h.DataCentre == "" || h.Capacity.MilliCPU == 0:
+	case h.Incomplete || h.DataCentre == "" || h.Capacity.MilliCPU == 0:
 		return incompleteEntry
 	}
 	return completeEntry
--- a/core/hosts/listing_test.go
+++ b/core/hosts/listing_test.go
@@ -32,6 +32,8 @@
 		{"no pool", func(h *order.Host) { h.Pool = "" }, "unknown_pool"},
 		{"no data centre", func(h *order.Host) { h.Pool, h.DataCentre = "render", "" }, "incomplete"},
 		{"no capacity", func(h *order.Host) { h.Pool, h.Capacity = "render", model.Resources{} }, "incomplete"},
+		{"a field is missing", func(h *order.Host) { h.Pool, h.Incomplete = "render", true }, "incomplete"},
+		{"a field is missing, moving", func(h *order.Host) { h.Pool, h.Incomplete, h.State = "render", true, order.HostMoving }, "incomplete"},
 		{"another worker", func(h *order.Host) { h.Pool = "render" }, "contradicted"},
 		{"the same entry twice", own, ""},
 	} {
--- a/core/order/order.go
+++ b/core/order/order.go
@@ -194,6 +194,8 @@
 	Labels     []string           `json:"labels,omitempty"`
 	Capacity   model.Resources    `json:"capacity"`
 	Worker     model.WorkerID     `json:"worker,omitempty"`
+	// Incomplete is set if the entry lacks a field that entries of hosts have.
+	Incomplete bool `json:"incomplete,omitempty"`
 }
 
 // HostReply is the result of a HostCall.
