schedule: a long-running task that is done waits for copies of its order too

Measured: TestDoneLongRunningTaskWaitsForCopiesOfItsOrder fails before (ordered again 2.25 s too early; on as well) and passes.

--- a/core/schedule/contact_test.go
+++ b/core/schedule/contact_test.go
@@ -70,15 +70,7 @@
 // copiedFixture returns a fixture whose worker a has listed the end of a run, while a copy of its
 // order has no answer, and the time at which the copy was sent.
 func copiedFixture(t *testing.T, o jobs.Outcome, steps ...jobs.Step) (*fixture, []order.Ended, model.Time) {
-	f, first := orderedFixture(t, steps...)
-	f.unanswered(first)
-	second := f.takeCalls("a")
-	for len(second) == 0 {
-		f.advanceBy(50 * ms)
-		second = f.takeCalls("a")
-	}
-	copiedAt := f.now
-	f.startAnswered(second[0], order.ClockMS(f.now/model.Time(ms)))
+	f, copiedAt := copyInFlight(t, steps...)
 	ended := []order.Ended{{Number: 3, RunRef: ref("j", 0, 1), Outcome: o}}
 	f.answerPoll("a", nil, ended)
 	return f, ended, copiedAt
--- a/core/schedule/ends.go
+++ b/core/schedule/ends.go
@@ -27,7 +27,7 @@
 			continue
 		}
 		r := s.runOn(w, e.RunRef)
-		if r != nil && e.Outcome != jobs.OutcomeDone && s.active[e.Job] != nil && r.mayArrive(env.Now, true) {
+		if r != nil && (e.Outcome != jobs.OutcomeDone || r.step.LongRunning) && s.active[e.Job] != nil && r.mayArrive(env.Now, true) {
 			// The task would start again while a later process may carry a copy of the order out.
 			skipped, w.defersEnd, r.endListed = true, true, true
 			continue
--- /dev/null
+++ b/core/schedule/late_test.go
@@ -0,0 +1,50 @@
+package schedule
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"primrosedale.example/primrosedale/core/jobs"
+	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/order"
+)
+
+// copyInFlight returns a fixture whose worker a runs the first run of the job j on the second
+// order to start it, while the first order has no answer, and the time of the second order.
+func copyInFlight(t *testing.T, steps ...jobs.Step) (*fixture, model.Time) {
+	f, first := orderedFixture(t, steps...)
+	f.unanswered(first)
+	second := f.takeCalls("a")
+	for len(second) == 0 {
+		f.advanceBy(50 * ms)
+		second = f.takeCalls("a")
+	}
+	copiedAt := f.now
+	f.startAnswered(second[0], order.ClockMS(f.now/model.Time(ms)))
+	return f, copiedAt
+}
+
+// requireNoSecondStart polls worker a, which gives the same answer, and checks until a time that
+// nothing is ordered to start.
+func (f *fixture) requireNoSecondStart(until model.Time, r order.Reply) {
+	f.t.Helper()
+	for f.now < until {
+		for _, c := range f.takeCalls("a") {
+			require.Nil(f.t, c.Start, "ordered again, %d ms too early", until.Sub(f.now)/ms)
+		}
+		if f.lastPoll("a").Poll != nil {
+			f.answerPollWith("a", r)
+		}
+		f.advanceBy(50 * ms)
+	}
+}
+
+// Guards against a second run of a long-running task beside a copy of its order: a long-running
+// task starts again after an end as done, too.
+func TestDoneLongRunningTaskWaitsForCopiesOfItsOrder(t *testing.T) {
+	f, copiedAt := copyInFlight(t, jobs.Step{Tasks: 1, Size: cores(1), LongRunning: true})
+	f.requireNoSecondStart(copiedAt.Add(lateCallTime-resendDelay), order.Reply{
+		Ended: []order.Ended{{Number: 1, RunRef: ref("j", 0, 1), Outcome: jobs.OutcomeDone}},
+	})
+}
