schedule: a new record of the same process uses up no copy of an order

A run that a later process lists runs on one of the orders without an answer. The same was assumed of a process that only has a new address or is back after it left: it runs on the order that it has answered, and the other one may still arrive.

Measured: TestCopyIsCountedAfterANewAddressOfTheSameProcess fails before (ordered again 2.25 s too early; on as well) and passes.

--- a/core/schedule/detached.go
+++ b/core/schedule/detached.go
@@ -84,13 +84,16 @@
 	if r == nil || !r.worker.gone || r.worker.info.ID != w.info.ID || r.phase == assigned {
 		return nil
 	}
+	isSameProcess := r.worker.info.StartedAt != 0 && r.worker.info.StartedAt == w.info.StartedAt
 	delete(r.worker.runs, ref)
 	r.worker.countRun(r, -1)
 	r.worker, w.runs[ref] = w, r
 	w.countRun(r, 1)
 	// These times are on the clock of the earlier process.
 	r.phase, r.voidFrom, r.listedAt, r.sentAt, r.endListed = inherited, 0, 0, 0, false
-	r.adopted()
+	if !isSameProcess {
+		r.adopted()
+	}
 	return r
 }
 
--- a/core/schedule/late_test.go
+++ b/core/schedule/late_test.go
@@ -48,3 +48,16 @@
 		Ended: []order.Ended{{Number: 1, RunRef: ref("j", 0, 1), Outcome: jobs.OutcomeDone}},
 	})
 }
+
+// Guards against a copy of an order that is no longer counted because the process that runs the
+// run has a new record: it runs on the order that it has answered, and not on the other one.
+func TestCopyIsCountedAfterANewAddressOfTheSameProcess(t *testing.T) {
+	f, copiedAt := copyInFlight(t)
+	info := *f.state.Workers["a"]
+	info.Address, info.Incarnation = "a-2", 0
+	f.commit(jobs.Command{Announce: &info})
+	f.answerPollWith("a", order.Reply{StartedAt: 1000, Running: []order.Running{runningFully(ref("j", 0, 1))}})
+	f.requireNoSecondStart(copiedAt.Add(lateCallTime-resendDelay), order.Reply{
+		StartedAt: 1000, Ended: []order.Ended{{Number: 1, RunRef: ref("j", 0, 1), Outcome: jobs.OutcomeFailed}},
+	})
+}
