schedule: the longest delay of a call counts from its sending

The leader counted the 12 s for which a call may be held from its decision. A delegate may send it up to 1.5 s after that, so a run was given up while its order could still be carried out.

The delegate of TestThawedDelegateStartsNothingOnALaterIncarnation thaws after 23 s, when the task has run again.

--- a/core/delegates_faults_test.go
+++ b/core/delegates_faults_test.go
@@ -78,7 +78,7 @@
 	host, ok := leader.state.leading.dispatcher.DelegateFor(s.now, "w0", "west")
 	require.True(t, ok)
 	frozen := s.replicas[slices.IndexFunc(s.replicas, func(r *simReplica) bool { return r.host == host })]
-	thaw := s.now.Add(21 * model.Second) // after a copy of the order can no longer keep the task waiting
+	thaw := s.now.Add(23 * model.Second) // after a copy of the order can no longer keep the task waiting
 	frozen.frozenUntil = thaw
 	s.callAt(leader, call.Call{Submit: &call.Submit{
 		Address: call.Address{Host: "h", Path: "/q/00000000000000aa"},
--- a/core/schedule/late_test.go
+++ b/core/schedule/late_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"primrosedale.example/primrosedale/core/delegate"
 	"primrosedale.example/primrosedale/core/jobs"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/order"
@@ -61,3 +62,25 @@
 		StartedAt: 1000, Ended: []order.Ended{{Number: 1, RunRef: ref("j", 0, 1), Outcome: jobs.OutcomeFailed}},
 	})
 }
+
+// longestHold is the longest time from the sending of a call until it is carried out, as the
+// platform states it.
+const longestHold = 12 * model.Second
+
+// Guards against an order that counts as sent when it was decided: it may leave later, and be
+// held for the longest delay from then.
+func TestOrderThatLeftLateHeldForAnUnreachableWorker(t *testing.T) {
+	f, first := orderedFixture(t)
+	leftBy := f.now.Add(delegate.MaxCallAge)
+	f.unanswered(first)
+	f.requireKept(leftBy.Add(longestHold + simBounds.LeaseMax))
+}
+
+// The same with an order of an earlier leader.
+func TestOrderOfAnEarlierLeaderThatLeftLate(t *testing.T) {
+	f, _ := orderedFixture(t)
+	leftBy := f.now.Add(delegate.MaxCallAge)
+	f.calls = nil
+	f.s = New(f.env())
+	f.requireKept(leftBy.Add(longestHold + simBounds.LeaseMax))
+}
--- a/core/schedule/orders.go
+++ b/core/schedule/orders.go
@@ -7,14 +7,15 @@
 
 // How late a call may be carried out whose sender got no answer.
 const (
+	// maxCallAge is the age at which a call is still sent.
+	maxCallAge = 1500 * model.Millisecond
 	// lateCallTime holds for a worker that has taken later calls: the age at which a call is
-	// still sent (1.5 s) and the time limit of the call (1 s), with which its unsent
-	// bytes are dropped.
-	lateCallTime = 2500 * model.Millisecond
+	// still sent, and the time limit of the call, with which its unsent bytes are dropped.
+	lateCallTime = maxCallAge + model.Second
 	// maxCallDelay holds for a worker that takes no calls, because it is down, paused or cut
 	// off. What its sockets have received is carried out when it takes calls again, though
-	// the sender has given up. It is the longest delay that the platform states.
-	maxCallDelay = 12 * model.Second
+	// the sender has given up. It is the longest delay that the platform states, 12 s from the sending.
+	maxCallDelay = maxCallAge + 12*model.Second
 	// maxCommitTime is how long after its proposal an assignment may be committed to be carried
 	// out. A new leader derives the age of orders from the proposals.
 	maxCommitTime = 4 * model.Second
