schedule: an order without an answer shows that its worker may have taken no calls

Only polls showed it. While the leader is overloaded, it does not replace a poll that waits, and one that was sent before a cut of 2.3 s may be answered after it. An order that the cut held counted as arrived 0.9 s after its end, where 2.5 s are needed.

--- a/core/schedule/contact.go
+++ b/core/schedule/contact.go
@@ -35,7 +35,7 @@
 type contact struct {
 	answering  model.Time // sending of the latest call with an answer
 	answeredBy int64      // start time of the process that has answered a poll last, 0 if not known
-	missed     bool       // a poll since then had no answer
+	missed     bool       // a poll or an order since then had no answer
 
 	// leases are the calls that start runs or extend leases, takenAt is when they were known
 	// to be carried out, 0 if they are not.
--- a/core/schedule/late_test.go
+++ b/core/schedule/late_test.go
@@ -84,3 +84,44 @@
 	f.s = New(f.env())
 	f.requireKept(leftBy.Add(longestHold + simBounds.LeaseMax))
 }
+
+// Guards against an order that counts as arrived though its worker took no calls, which no poll
+// shows: the one that was under way is answered after that, and an overloaded leader sends no other.
+func TestOrderHeldWithinOnePollMayReachAThirdProcess(t *testing.T) {
+	f, first := orderedFixture(t)
+	cutAt := f.now
+	sentAt := map[uint64]model.Time{first.Seq: f.now}
+	f.advanceBy(2 * lateTick)
+	open := []order.Call{first}
+	for f.now.Sub(cutAt) < 2300*ms {
+		f.advanceBy(50 * ms)
+		for _, c := range append(f.takeCalls("a"), f.calls...) {
+			if sentAt[c.Seq] == 0 {
+				sentAt[c.Seq] = f.now
+				open = append(open, c)
+			}
+		}
+		left := open[:0]
+		for _, c := range open {
+			limit := model.Second
+			if c.Poll != nil {
+				limit = c.Poll.Wait + c.Poll.AnswerTime
+			}
+			if f.now.Sub(sentAt[c.Seq]) >= limit {
+				f.unanswered(c)
+			} else {
+				left = append(left, c)
+			}
+		}
+		open = left
+	}
+	reachedAt := f.now
+	for f.now.Sub(reachedAt) < lateCallTime {
+		require.Contains(t, f.s.runs, ref("j", 0, 1), "given up %d ms after the worker takes calls again", f.now.Sub(reachedAt)/ms)
+		if f.lastPoll("a").Poll != nil {
+			f.answerPollWith("a", order.Reply{StartedAt: 1000})
+		}
+		f.takeCalls("a")
+		f.advanceBy(50 * ms)
+	}
+}
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -331,7 +331,7 @@
 	}
 	sentAt, known := w.sendingOf(env.Now, &reply.Call)
 	switch {
-	case reply.Call.Poll != nil && (reply.Status == order.NoAnswer || reply.Status == order.Refused):
+	case (reply.Call.Poll != nil || reply.Call.Start != nil) && (reply.Status == order.NoAnswer || reply.Status == order.Refused):
 		w.contact.missed = true
 	case known && (reply.Clock != 0 || reply.Status == order.WrongProcess):
 		s.noteAnswer(w, reply, sentAt, env.Now)
