schedule: the polls of a later process keep no run of an earlier one for ever

Each poll to a later process moved the bound on the leases of the runs of earlier records of its worker, since it may be executed by a process that started one of them. Where lists could not decide (no host known, a start that seems earlier, an end that never parses), such a run was never given up, and its task never ran again.

Change: a detached record remembers until when the calls to it, and to the processes before it, are carried out. After that and the longest lease, a list of the present process gives its runs up, if its poll was sent when no order could start them any more.

--- a/core/schedule/detached.go
+++ b/core/schedule/detached.go
@@ -32,6 +32,7 @@
 // detachWorker removes a worker and keeps its runs.
 func (s *Scheduler) detachWorker(w *worker) {
 	s.removeWorker(w)
+	w.calledUntil = w.contact.carriedOutBy()
 	if len(w.runs) > 0 {
 		s.detached = append(s.detached, w)
 	}
@@ -54,6 +55,7 @@
 		failures: make(map[model.JobID]bool), leaseEndsBy: env.Now.Add(lateCallTime + runsEndAfter(env.Bounds.LeaseMax)),
 		contact: s.contactOf(info),
 	}
+	w.calledUntil = w.contact.carriedOutBy()
 	s.detached = append(s.detached, w)
 	return w
 }
@@ -113,6 +115,23 @@
 	}
 }
 
+// giveUpOvertaken gives up the runs of earlier records of a worker, on whichever host, that its
+// process does not run at the time of a list, if neither an order can start them after that nor a
+// call to these records have extended a lease that lasts until then. The calls to the present
+// process do not count: it would list such a run.
+func (s *Scheduler) giveUpOvertaken(env Env, out *Out, w *worker, polledAt model.Time) {
+	for _, old := range s.detached {
+		if old.info.ID != w.info.ID || env.Now <= old.calledUntil.Add(runsEndAfter(env.Bounds.LeaseMax)) {
+			continue
+		}
+		for _, r := range sortedRunsOf(old) {
+			if r.phase != assigned && polledAt > r.lastUntil {
+				s.giveUp(env, out, r, jobs.OutcomeLost, "", "its lease is over and the present process does not run it")
+			}
+		}
+	}
+}
+
 // isLaterThan reports whether w is a later process on the host of a worker with the same id.
 func (w *worker) isLaterThan(old *worker) bool {
 	return old.info.ID == w.info.ID && old.info.Host != "" && old.info.Host == w.info.Host && old.info.StartedAt <= w.info.StartedAt
--- a/core/schedule/late_test.go
+++ b/core/schedule/late_test.go
@@ -125,3 +125,52 @@
 		f.advanceBy(50 * ms)
 	}
 }
+
+// departAndReturn lets worker a leave, and announces a later process of it on the same host.
+func (f *fixture) departAndReturn(startedAt int64) {
+	info := *f.state.Workers["a"]
+	f.commit(jobs.Command{Depart: &jobs.Depart{Worker: "a", Incarnation: info.Incarnation}})
+	info.StartedAt, info.Incarnation, info.HostSince = startedAt, 0, 0
+	f.commit(jobs.Command{Announce: &info})
+}
+
+// requireNotKeptForEver answers all polls of worker a, and checks that the first run of the job j
+// is given up within two minutes.
+func (f *fixture) requireNotKeptForEver(r order.Reply) {
+	f.t.Helper()
+	began := f.now
+	for f.now.Sub(began) < 120*model.Second && f.s.runs[ref("j", 0, 1)] != nil {
+		if f.lastPoll("a").Poll != nil {
+			f.answerPollWith("a", r)
+		}
+		f.advanceBy(50 * ms)
+	}
+	require.NotContains(f.t, f.s.runs, ref("j", 0, 1), "after 120 s")
+}
+
+// Guards against a run that is kept for ever: the polls of a later process, which does not run
+// it, prolong the time for which it counts as running.
+func TestRunOfAnEarlierProcessIsNotKeptForEver(t *testing.T) {
+	t.Run("no host is known", func(t *testing.T) {
+		a := testWorker("a")
+		a.StartedAt, a.Host = 1000, ""
+		f := newFixture(t, a)
+		f.advanceBy(50 * ms)
+		f.submit("j", jobs.Step{Tasks: 1, Size: cores(1)})
+		f.unanswered(f.takeCalls("a")[0])
+		f.announceLater("a", 6000)
+		f.requireNotKeptForEver(order.Reply{StartedAt: 6000})
+	})
+	t.Run("its clock was set back", func(t *testing.T) {
+		f, first := orderedFixture(t)
+		f.unanswered(first)
+		f.departAndReturn(500)
+		f.requireNotKeptForEver(order.Reply{StartedAt: 500})
+	})
+	t.Run("an end is never parsed", func(t *testing.T) {
+		f, first := orderedFixture(t)
+		f.unanswered(first)
+		f.announceLater("a", 6000)
+		f.requireNotKeptForEver(order.Reply{StartedAt: 6000, Partial: true, Ended: []order.Ended{{Unparsed: true}}})
+	})
+}
--- a/core/schedule/poll.go
+++ b/core/schedule/poll.go
@@ -209,6 +209,9 @@
 	if !reply.Partial {
 		s.giveUpUnadopted(env, out, w, sentAt)
 	}
+	if !reply.Unparsed {
+		s.giveUpOvertaken(env, out, w, sentAt)
+	}
 	s.throttleBestEffort(env, out, w)
 }
 
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -102,6 +102,9 @@
 	failures    map[model.JobID]bool // jobs with a failed run here since the latest success
 	suspectedAt model.Time
 	gone        bool // its process has ended
+	// calledUntil is when the calls to a detached worker have been carried out, those to the
+	// processes before it included.
+	calledUntil model.Time
 }
 
 func (s *Scheduler) addWorker(env Env, info *jobs.Worker) *worker {
