schedule: runs of a worker on an unknown host count as on that of its present process

A new leader knows only the ID of a worker that had left and is back. The calls to the present process did not count for the runs of the earlier one, and its polls named recorded ends beside an order of the earlier leader.

Change: where the host is not known, the calls to all processes with the ID count, and an order to any of them keeps polls from naming recorded ends.

--- a/core/schedule/ends.go
+++ b/core/schedule/ends.go
@@ -87,7 +87,7 @@
 		}
 	}
 	for _, old := range s.detached {
-		if !w.isLaterThan(old) {
+		if old.info.ID != w.info.ID {
 			continue
 		}
 		for _, r := range old.runs {
--- a/core/schedule/late_test.go
+++ b/core/schedule/late_test.go
@@ -174,3 +174,51 @@
 		f.requireNotKeptForEver(order.Reply{StartedAt: 6000, Partial: true, Ended: []order.Ended{{Unparsed: true}}})
 	})
 }
+
+// Guards against a new leader that leaves out the calls to a worker which has left and is back:
+// its polls extend the lease of a third process that carries the earlier leader's order out.
+func TestPollOfAReturnedWorkerMayExtendTheLeaseOfAThirdOne(t *testing.T) {
+	f, first := orderedFixture(t)
+	f.unanswered(first)
+	f.departAndReturn(6000)
+	f.calls = nil
+	f.s = New(f.env())
+	f.advance()
+	began := f.now
+	var polled model.Time
+	for f.now.Sub(began) < 5*model.Second {
+		if c := f.lastPoll("a"); c.Poll != nil {
+			if c.Poll.Deadline != 0 {
+				polled = f.now
+			}
+			f.answerPollWith("a", order.Reply{StartedAt: 6000})
+		}
+		f.advanceBy(200 * ms)
+	}
+	require.NotZero(t, polled)
+	f.requireKept(polled.Add(longestHold + simBounds.LeaseMax))
+}
+
+// Guards against a new leader whose polls name recorded ends to a worker which has left and is
+// back, while an order of the earlier leader may reach a third process.
+func TestPollForgetsNoEndsOfAReturnedWorker(t *testing.T) {
+	f, first := orderedFixture(t)
+	f.unanswered(first)
+	f.departAndReturn(6000)
+	f.calls = nil
+	f.s = New(f.env())
+	f.advance()
+	began := f.now
+	f.answerPollWith("a", order.Reply{StartedAt: 6000})
+	f.submit("k", jobs.Step{Tasks: 1, Size: cores(1)})
+	start := f.takeCalls("a")
+	require.Len(t, start, 1)
+	f.startAnswered(start[0], order.ClockMS(f.now/model.Time(ms)))
+	for f.now.Sub(began) < lateCallTime {
+		if c := f.lastPoll("a"); c.Poll != nil {
+			require.Zero(t, c.Poll.RecordedUpTo, "%d ms after the beginning of the term", f.now.Sub(began)/ms)
+			f.answerPollWith("a", order.Reply{StartedAt: 6000, Ended: []order.Ended{{Number: 1, RunRef: start[0].Start.RunRef, Outcome: jobs.OutcomeDone}}})
+		}
+		f.advanceBy(50 * ms)
+	}
+}
--- a/core/schedule/orders.go
+++ b/core/schedule/orders.go
@@ -153,5 +153,13 @@
 	if !r.mayHaveStrayed() {
 		return r.worker.leaseEndsBy
 	}
-	return r.worker.contact.carriedOutBy().Add(runsEndAfter(b.LeaseMax))
+	carriedOutBy := r.worker.contact.carriedOutBy()
+	if r.worker.info.Host == "" { // it may be that of any record of the worker
+		for key, c := range s.contacts {
+			if key.worker == r.worker.info.ID {
+				carriedOutBy = max(carriedOutBy, c.carriedOutBy())
+			}
+		}
+	}
+	return carriedOutBy.Add(runsEndAfter(b.LeaseMax))
 }
