schedule: ends in one file, bounds on late calls beside the contact, plainer names

The review of the code names where a newcomer stops: doc.go did not know calls that are carried out late, the two bounds differed by one letter, and ends were recorded in one file and handled in another.

No behaviour changes.

Measured: the tests of core/schedule without its simulations pass.

--- a/core/schedule/contact.go
+++ b/core/schedule/contact.go
@@ -6,27 +6,41 @@
 	"primrosedale.example/primrosedale/core/order"
 )
 
+// How late a call may be carried out whose sender got no answer.
+const (
+	// maxCallAge is the age at which a call is still sent.
+	maxCallAge = 1500 * model.Millisecond
+	// lateCallTime holds for a worker that has taken later calls: the age at which a call is
+	// still sent, and the time limit of the call, with which its unsent bytes are dropped.
+	lateCallTime = maxCallAge + model.Second
+	// maxCallDelay holds for a worker that takes no calls, because it is down, paused or cut
+	// off. What its sockets have received is carried out when it takes calls again, though
+	// the sender has given up. The longest delay that the platform states is 12 s from the
+	// sending.
+	maxCallDelay = maxCallAge + 12*model.Second
+)
+
 // transit says until when calls without an answer may be carried out.
 type transit struct {
-	lateUntil model.Time // a worker that takes calls carries out none after this
-	lastUntil model.Time // nor does one that took no calls for a while after this
+	reachableUntil model.Time // a worker that takes calls carries out none after this
+	heldUntil      model.Time // nor does one that takes no calls before this
 }
 
 // sent records that a call is sent.
 func (t *transit) sent(now model.Time) {
-	t.lateUntil, t.lastUntil = max(t.lateUntil, now.Add(lateCallTime)), max(t.lastUntil, now.Add(maxCallDelay))
+	t.reachableUntil, t.heldUntil = max(t.reachableUntil, now.Add(lateCallTime)), max(t.heldUntil, now.Add(maxCallDelay))
 }
 
 // include adds the calls of another transit.
 func (t *transit) include(b transit) {
-	t.lateUntil, t.lastUntil = max(t.lateUntil, b.lateUntil), max(t.lastUntil, b.lastUntil)
+	t.reachableUntil, t.heldUntil = max(t.reachableUntil, b.reachableUntil), max(t.heldUntil, b.heldUntil)
 }
 
 // held records that the worker may have taken no calls since a given time, and that it takes
 // them again now, those that were held for it included.
 func (t *transit) held(since, now model.Time) {
-	if since < t.lateUntil {
-		t.lateUntil = min(max(t.lateUntil, now.Add(lateCallTime)), t.lastUntil)
+	if since < t.reachableUntil {
+		t.reachableUntil = min(max(t.reachableUntil, now.Add(lateCallTime)), t.heldUntil)
 	}
 }
 
@@ -76,7 +90,7 @@
 		used[w.contact] = true
 	}
 	for key, c := range s.contacts {
-		if !used[c] && now > max(c.leases.lastUntil, c.ends.lastUntil) {
+		if !used[c] && now > max(c.leases.heldUntil, c.ends.heldUntil) {
 			delete(s.contacts, key)
 		}
 	}
@@ -98,7 +112,7 @@
 		c.ends.held(since, now)
 		c.earlier.held(since, now)
 	}
-	if c.takenAt == 0 && sentAt >= c.leases.lateUntil {
+	if c.takenAt == 0 && sentAt >= c.leases.reachableUntil {
 		c.takenAt = now
 	}
 	c.answering, c.missed = max(c.answering, sentAt), false
@@ -115,7 +129,7 @@
 	if c.takenAt != 0 {
 		return c.takenAt
 	}
-	return c.leases.lastUntil
+	return c.leases.heldUntil
 }
 
 // noteAnswer records the answer of a process of a worker to a call that was sent at sentAt. Orders
--- a/core/schedule/contact_test.go
+++ b/core/schedule/contact_test.go
@@ -60,11 +60,11 @@
 	var o transit
 	o.sent(sentAt)
 	o.held(sentAt.Add(-100*ms), sentAt.Add(model.Second))
-	require.Equal(t, sentAt.Add(model.Second+lateCallTime), o.lateUntil)
+	require.Equal(t, sentAt.Add(model.Second+lateCallTime), o.reachableUntil)
 	o.held(sentAt.Add(model.Second+lateCallTime), sentAt.Add(5*model.Second))
-	require.Equal(t, sentAt.Add(model.Second+lateCallTime), o.lateUntil, "it had arrived when the worker ceased to take calls")
+	require.Equal(t, sentAt.Add(model.Second+lateCallTime), o.reachableUntil, "it had arrived when the worker ceased to take calls")
 	o.held(sentAt.Add(3*model.Second), sentAt.Add(11*model.Second))
-	require.Equal(t, sentAt.Add(maxCallDelay), o.lateUntil, "no call arrives later")
+	require.Equal(t, sentAt.Add(maxCallDelay), o.reachableUntil, "no call arrives later")
 }
 
 // copiedFixture returns a fixture whose worker a has listed the end of a run, while a copy of its
--- a/core/schedule/detached.go
+++ b/core/schedule/detached.go
@@ -11,13 +11,15 @@
 // gets no more calls but stops, and its runs keep their claims and their tasks until it is
 // certain that they have ended. That is so
 //
-//   - when their lease has ended,
+//   - when their lease has ended, and that of any later process that may run them,
 //   - when a later process is known to run on the host under another id, which refuses
 //     calls that name the earlier one,
 //   - when a later process on the host under the same id has listed its runs in the answer
 //     to a poll with its own token, sent when no order could reach a process that starts
 //     after it: it refuses older orders from then on, and what it lists, it has started on
-//     an order to the earlier process.
+//     an order to the earlier process,
+//   - when a process that is polled under the same id does not run them, and neither an order
+//     nor a lease from before it lasts any longer.
 
 // giveUpExpired gives up the runs of a worker whose lease has ended, except those that a
 // later process of the worker may be running.
@@ -125,7 +127,7 @@
 			continue
 		}
 		for _, r := range sortedRunsOf(old) {
-			if r.phase != assigned && polledAt > r.lastUntil {
+			if r.phase != assigned && polledAt > r.heldUntil {
 				s.giveUp(env, out, r, jobs.OutcomeLost, "", "its lease is over and the present process does not run it")
 			}
 		}
--- a/core/schedule/doc.go
+++ b/core/schedule/doc.go
@@ -7,11 +7,13 @@
 // its end is certain.
 //
 // The order to start a run is sent once its assignment is committed. An order without
-// an answer may still be executed later. Its run is therefore void, that is, known
-// never to begin, only if a list that the worker made after the order's deadline, by
-// its own clock, does not contain the run. The runs of a worker that does not answer
-// count as lost once its last lease has expired even by a clock that runs 2% slow, or
-// once its process has certainly ended. A new leader uses a larger fencing token, so
-// that a worker executes no order of an earlier leader after the new leader's first
-// poll.
+// an answer may still be executed later, also by a process that starts under the
+// worker's ID after it was sent, which reads the deadline on its own clock and has seen
+// no token. contact says until when that is possible. A run is therefore void, that is,
+// known never to begin, only if a list that the worker made after the order's deadline,
+// by its own clock, does not contain the run, and no process can execute an order any
+// more. The runs of a worker that does not answer count as lost once the last lease of
+// any process that may run them has expired even by a clock that runs 2% slow, or once
+// its process has certainly ended. A new leader uses a larger fencing token, so that a
+// process executes no order of an earlier leader after the new leader's first poll.
 package schedule
--- a/core/schedule/ends.go
+++ b/core/schedule/ends.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/jobs"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/order"
@@ -78,7 +79,7 @@
 // mayForgetEnds reports whether the worker may be told to forget its recorded ends. If an order
 // to start a run may still reach a later process, that process would forget the end of the run.
 func (s *Scheduler) mayForgetEnds(now model.Time, w *worker) bool {
-	if now < w.contact.ends.lateUntil {
+	if now < w.contact.ends.reachableUntil {
 		return false
 	}
 	for _, r := range w.runs {
@@ -103,3 +104,73 @@
 func hasUnparsedEnd(reply *order.Reply) bool {
 	return slices.ContainsFunc(reply.Ended, func(e order.Ended) bool { return e.Unparsed })
 }
+
+func isAbandoned(env Env, ref jobs.RunRef) bool {
+	t := env.State.Task(ref.TaskRef)
+	return t != nil && slices.Contains(t.Abandoned, ref.Run)
+}
+
+func (s *Scheduler) abandonedEnding(e *order.Ended) jobs.Ending {
+	ending := jobs.Ending{RunRef: e.RunRef, Outcome: e.Outcome}
+	if job := s.active[e.Job]; job != nil {
+		ending.MaxAttempts = job.maxAttempts
+	}
+	return ending
+}
+
+func (s *Scheduler) ending(r *run, o jobs.Outcome, checkpoint string) jobs.Ending {
+	e := jobs.Ending{RunRef: r.ref, Outcome: o, Checkpoint: checkpoint}
+	if job := s.active[r.ref.Job]; job != nil && !r.step.LongRunning {
+		e.MaxAttempts = job.maxAttempts
+	}
+	return e
+}
+
+// observeEnd logs the reported end of a run, stops the rest of its gang after a failure,
+// and updates the failure record of its worker.
+func (s *Scheduler) observeEnd(env Env, out *Out, r *run, o jobs.Outcome) {
+	w := r.worker
+	s.load.ends++
+	out.log(effect.RunEnded, effect.Log{Request: model.RequestID(r.ref.Job), Task: runLabel(r.ref), Worker: w.info.ID, Detail: string(o)})
+	if o != jobs.OutcomeDone {
+		s.stopGang(env, out, r)
+	}
+	switch o {
+	case jobs.OutcomeDone:
+		s.observeDuration(env, r)
+		clear(w.failures)
+		w.suspectedAt = 0
+	case jobs.OutcomeFailed:
+		if job := s.active[r.ref.Job]; job != nil {
+			job.failedOn[r.ref.TaskRef] = w.info.ID
+		}
+		w.failures[r.ref.Job] = true
+		if len(w.failures) >= suspectAfterJobs {
+			s.suspect(env, out, w)
+		}
+	}
+}
+
+// handleEndsRecorded handles committed ends: the worker may forget them, and tasks that
+// are not done may run again.
+func (s *Scheduler) handleEndsRecorded(env Env, out *Out, c *jobs.End, applied []bool) {
+	for i := range c.Runs {
+		if job := s.active[c.Runs[i].Job]; job != nil {
+			job.markChanged()
+			s.pool(job.service).dirty = true
+		}
+		delete(s.abandoned, c.Runs[i].RunRef)
+		if c.Runs[i].Outcome == jobs.OutcomeDone && applied[i] {
+			s.stopCopies(env, out, c.Runs[i].RunRef)
+		}
+	}
+	w := s.workers[c.Worker]
+	if w == nil || w.info.Incarnation != c.Incarnation {
+		return
+	}
+	w.pendingEndCommands--
+	w.recordedThrough = max(w.recordedThrough, c.Through)
+	if env.Now >= w.pollAt {
+		s.pollNext(env, out, w)
+	}
+}
--- a/core/schedule/orders.go
+++ b/core/schedule/orders.go
@@ -5,21 +5,9 @@
 	"primrosedale.example/primrosedale/core/model"
 )
 
-// How late a call may be carried out whose sender got no answer.
-const (
-	// maxCallAge is the age at which a call is still sent.
-	maxCallAge = 1500 * model.Millisecond
-	// lateCallTime holds for a worker that has taken later calls: the age at which a call is
-	// still sent, and the time limit of the call, with which its unsent bytes are dropped.
-	lateCallTime = maxCallAge + model.Second
-	// maxCallDelay holds for a worker that takes no calls, because it is down, paused or cut
-	// off. What its sockets have received is carried out when it takes calls again, though
-	// the sender has given up. It is the longest delay that the platform states, 12 s from the sending.
-	maxCallDelay = maxCallAge + 12*model.Second
-	// maxCommitTime is how long after its proposal an assignment may be committed to be carried
-	// out. A new leader derives the age of orders from the proposals.
-	maxCommitTime = 4 * model.Second
-)
+// maxCommitTime is how long after its proposal an assignment may be committed to be carried out. A
+// new leader derives the age of orders from the proposals.
+const maxCommitTime = 4 * model.Second
 
 // orderRecord is what the leader knows of the orders to start one run: which process of the
 // worker may carry one out, and until when.
@@ -57,7 +45,7 @@
 		return
 	}
 	if o.unanswered--; o.unanswered == 0 {
-		o.lateUntil = now
+		o.reachableUntil = now
 	}
 }
 
@@ -111,7 +99,7 @@
 	if o.unanswered == 0 {
 		return 0
 	}
-	return o.lateUntil
+	return o.reachableUntil
 }
 
 // unlistedOutcome returns the outcome of a run that the known process does not list and will not
@@ -137,7 +125,7 @@
 // listedBy records that the known process lists the run in the answer to a poll that was
 // sent at polledAt.
 func (r *run) listedBy(polledAt model.Time) {
-	if r.orders == 1 || polledAt >= r.lateUntil {
+	if r.orders == 1 || polledAt >= r.reachableUntil {
 		r.confirmed, r.strayed = true, false
 	}
 }
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/jobs"
@@ -206,19 +205,6 @@
 	r.progress = listed.Percent
 }
 
-func isAbandoned(env Env, ref jobs.RunRef) bool {
-	t := env.State.Task(ref.TaskRef)
-	return t != nil && slices.Contains(t.Abandoned, ref.Run)
-}
-
-func (s *Scheduler) abandonedEnding(e *order.Ended) jobs.Ending {
-	ending := jobs.Ending{RunRef: e.RunRef, Outcome: e.Outcome}
-	if job := s.active[e.Job]; job != nil {
-		ending.MaxAttempts = job.maxAttempts
-	}
-	return ending
-}
-
 // stopCopies stops the other runs of a task after one copy is done. If the job has
 // ended with that copy, its runs are stopped with the job.
 func (s *Scheduler) stopCopies(env Env, out *Out, done jobs.RunRef) {
@@ -310,60 +296,3 @@
 	s.dropRun(r)
 	s.stopGang(env, out, r)
 }
-
-func (s *Scheduler) ending(r *run, o jobs.Outcome, checkpoint string) jobs.Ending {
-	e := jobs.Ending{RunRef: r.ref, Outcome: o, Checkpoint: checkpoint}
-	if job := s.active[r.ref.Job]; job != nil && !r.step.LongRunning {
-		e.MaxAttempts = job.maxAttempts
-	}
-	return e
-}
-
-// observeEnd logs the reported end of a run, stops the rest of its gang after a failure,
-// and updates the failure record of its worker.
-func (s *Scheduler) observeEnd(env Env, out *Out, r *run, o jobs.Outcome) {
-	w := r.worker
-	s.load.ends++
-	out.log(effect.RunEnded, effect.Log{Request: model.RequestID(r.ref.Job), Task: runLabel(r.ref), Worker: w.info.ID, Detail: string(o)})
-	if o != jobs.OutcomeDone {
-		s.stopGang(env, out, r)
-	}
-	switch o {
-	case jobs.OutcomeDone:
-		s.observeDuration(env, r)
-		clear(w.failures)
-		w.suspectedAt = 0
-	case jobs.OutcomeFailed:
-		if job := s.active[r.ref.Job]; job != nil {
-			job.failedOn[r.ref.TaskRef] = w.info.ID
-		}
-		w.failures[r.ref.Job] = true
-		if len(w.failures) >= suspectAfterJobs {
-			s.suspect(env, out, w)
-		}
-	}
-}
-
-// handleEndsRecorded handles committed ends: the worker may forget them, and tasks that
-// are not done may run again.
-func (s *Scheduler) handleEndsRecorded(env Env, out *Out, c *jobs.End, applied []bool) {
-	for i := range c.Runs {
-		if job := s.active[c.Runs[i].Job]; job != nil {
-			job.markChanged()
-			s.pool(job.service).dirty = true
-		}
-		delete(s.abandoned, c.Runs[i].RunRef)
-		if c.Runs[i].Outcome == jobs.OutcomeDone && applied[i] {
-			s.stopCopies(env, out, c.Runs[i].RunRef)
-		}
-	}
-	w := s.workers[c.Worker]
-	if w == nil || w.info.Incarnation != c.Incarnation {
-		return
-	}
-	w.pendingEndCommands--
-	w.recordedThrough = max(w.recordedThrough, c.Through)
-	if env.Now >= w.pollAt {
-		s.pollNext(env, out, w)
-	}
-}
