daemon: the transport is started before the control loop

A message that was sent before the transport ran to a peer that was not known yet was dropped, and both goroutines could write the map of peers. Cause: process.start started the control goroutine first. The transport requires Run before the first Send, and the control goroutine sends with its first tick. Change: process.start starts the transport first. Related parts looked at: the log writer and the HTTP servers only use queues that exist before the start; the recorder of daemon.Daemon already starts before.

--- a/daemon/process.go
+++ b/daemon/process.go
@@ -131,13 +131,14 @@
 	return nil
 }
 
-// start starts the goroutines of the process.
+// start starts the goroutines of the process. The transport comes first: the control
+// goroutine sends messages as soon as it runs.
 func (p *process) start(parts *tomb.Tomb) {
+	p.peers.Run(parts)
 	parts.Go(func() error { return p.loop.Run(parts) })
 	if p.writer != nil {
 		parts.Go(func() error { return p.writer.run(parts) })
 	}
-	p.peers.Run(parts)
 	parts.Go(func() error { return p.peers.Serve(parts, p.peerListener) })
 	for _, s := range p.servers {
 		parts.Go(func() error { return serve(s) })
