daemon: tests of replicas reserve loopback addresses of their own

Cause: the test and TestRemovedReplicaJoinsAgain have fixed addresses, so two runs on one machine collide. The checks of the tests are untouched.

--- a/daemon/fulldisk_test.go
+++ b/daemon/fulldisk_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -13,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"primrosedale.example/primrosedale/devcluster/loopback"
 	"primrosedale.example/primrosedale/logevent"
 	"primrosedale.example/primrosedale/platform"
 	"primrosedale.example/primrosedale/storage"
@@ -45,17 +47,17 @@
 	return s.logStore.Resume()
 }
 
-const fullDiskSettings = `node = "n-%[1]s"
+const replicaSettings = `node = "n-%[1]s"
 ip = "%[1]s"
 zone = "west"
 internalPorts = [17600,17615]
-seeds = ["127.0.21.1:18645","127.0.21.2:18645","127.0.21.3:18645"]
-bootstrap = true
+seeds = [%[3]s]
+bootstrap = %[4]t
 dataDir = %[2]q
 [listen]
 control = "%[1]s:18645"
 [cloud]
-address = "127.0.21.9:1"
+address = "%[5]s:1"
 [bounds]
 holdMaxMs = 6000
 stopGraceMs = 900
@@ -65,15 +67,35 @@
 migrateS = 1.5
 `
 
-// fullDiskReplica starts a replica whose disk the test can make full.
-func fullDiskReplica(t *testing.T, ip string) *fillableStore {
-	folder := t.TempDir()
+// reserveNetwork returns a network of loopback addresses that no other test uses meanwhile.
+func reserveNetwork(t *testing.T) *loopback.Network {
+	network, err := loopback.Reserve()
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, network.Release()) })
+	return network
+}
+
+// newReplica returns a replica that does not run yet, and its address. The first three
+// hosts of the network are the seeds, and nothing listens at the owner of the hosts.
+func newReplica(t *testing.T, network *loopback.Network, host int, folder string, bootstrap bool, log logevent.Logger) (*PlatformDaemon, string) {
+	var seeds []string
+	for i := range 3 {
+		seeds = append(seeds, fmt.Sprintf(`"%s:18645"`, network.IP(i+1)))
+	}
+	ip := network.IP(host)
 	path := filepath.Join(folder, "settings.toml")
-	require.NoError(t, os.WriteFile(path, fmt.Appendf(nil, fullDiskSettings, ip, filepath.Join(folder, "data")), 0o600))
+	text := fmt.Appendf(nil, replicaSettings, ip, filepath.Join(folder, "data"), strings.Join(seeds, ","), bootstrap, network.IP(9))
+	require.NoError(t, os.WriteFile(path, text, 0o600))
 	s, err := platform.LoadSettings(path)
 	require.NoError(t, err)
-	d, err := NewPlatformDaemon(t.Context(), s, path, logevent.Logger{})
+	d, err := NewPlatformDaemon(t.Context(), s, path, log)
 	require.NoError(t, err)
+	return d, ip
+}
+
+// fullDiskReplica starts a replica whose disk the test can make full.
+func fullDiskReplica(t *testing.T, network *loopback.Network, host int) *fillableStore {
+	d, ip := newReplica(t, network, host, t.TempDir(), true, logevent.Logger{})
 	store := &fillableStore{logStore: d.writer.store}
 	d.writer.store = store
 	ctx, cancel := context.WithCancel(context.Background())
@@ -93,7 +115,7 @@
 // changeEvacuation takes the data centre out of service or puts it back. It asks one
 // replica after the other, starting with the given one, until the change is
 // acknowledged, and returns how long that took.
-func changeEvacuation(t *testing.T, out bool, first int) time.Duration {
+func changeEvacuation(t *testing.T, network *loopback.Network, out bool, first int) time.Duration {
 	method := http.MethodDelete
 	if out {
 		method = http.MethodPost
@@ -101,7 +123,7 @@
 	client := http.Client{Timeout: time.Second}
 	began := time.Now()
 	for i := first; time.Since(began) < 20*time.Second; i++ {
-		request, err := http.NewRequest(method, fmt.Sprintf("http://127.0.21.%d:18645/v1/evacuation/west", i%3+1), nil)
+		request, err := http.NewRequest(method, fmt.Sprintf("http://%s:18645/v1/evacuation/west", network.IP(i%3+1)), nil)
 		require.NoError(t, err)
 		if answer, err := client.Do(request); err == nil {
 			_ = answer.Body.Close()
@@ -119,15 +141,16 @@
 // replica has been full in turn while all processes kept running.
 func TestFullDisksOneAfterAnother(t *testing.T) {
 	const ackTime = 5 * time.Second
+	network := reserveNetwork(t)
 	var stores []*fillableStore
 	for i := range 3 {
-		stores = append(stores, fullDiskReplica(t, fmt.Sprintf("127.0.21.%d", i+1)))
+		stores = append(stores, fullDiskReplica(t, network, i+1))
 	}
-	changeEvacuation(t, true, 0) // waits until the cluster has formed
+	changeEvacuation(t, network, true, 0) // waits until the cluster has formed
 	changes := 0
 	acknowledged := func(first int) {
 		changes++
-		require.Less(t, changeEvacuation(t, changes%2 == 0, first), ackTime, "change %d", changes)
+		require.Less(t, changeEvacuation(t, network, changes%2 == 0, first), ackTime, "change %d", changes)
 	}
 	for range 2 {
 		for i, store := range stores {
--- a/daemon/rejoin_test.go
+++ b/daemon/rejoin_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -13,8 +11,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"primrosedale.example/primrosedale/devcluster/loopback"
 	"primrosedale.example/primrosedale/logevent"
-	"primrosedale.example/primrosedale/platform"
 )
 
 // logBuffer collects the log of several replicas.
@@ -41,22 +39,11 @@
 	}, 20*time.Second, 20*time.Millisecond, "no event %s of %s", event, host)
 }
 
-// startReplica starts a replica at an address of the loopback network that no other
-// test uses, and returns a function that stops it.
-func startReplica(t *testing.T, out *logBuffer, ip, folder string, bootstrap bool) (stop func()) {
-	text := strings.NewReplacer("127.0.21.", "127.0.22.", "18645", "18646", "17600", "17640", "17615", "17655").
-		Replace(fmt.Sprintf(fullDiskSettings, ip, filepath.Join(folder, "data")))
-	if !bootstrap {
-		text = strings.Replace(text, "bootstrap = true", "bootstrap = false", 1)
-	}
-	path := filepath.Join(folder, "settings.toml")
-	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
-	s, err := platform.LoadSettings(path)
-	require.NoError(t, err)
+// startReplica starts a replica and returns a function that stops it.
+func startReplica(t *testing.T, out *logBuffer, network *loopback.Network, host int, folder string, bootstrap bool) (stop func()) {
 	log, err := logevent.New(logevent.Options{Out: out, Format: logevent.JSON, Level: "info"})
 	require.NoError(t, err)
-	d, err := NewPlatformDaemon(t.Context(), s, path, log)
-	require.NoError(t, err)
+	d, ip := newReplica(t, network, host, folder, bootstrap, log)
 	ctx, cancel := context.WithCancel(context.Background())
 	var done sync.WaitGroup
 	done.Go(func() {
@@ -77,16 +64,18 @@
 // the cluster is new.
 func TestRemovedReplicaJoinsAgain(t *testing.T) {
 	var out logBuffer
-	folders := make(map[string]string)
-	stops := make(map[string]func())
-	for _, ip := range []string{"127.0.22.1", "127.0.22.2", "127.0.22.3"} {
-		folders[ip] = t.TempDir()
-		stops[ip] = startReplica(t, &out, ip, folders[ip], true)
+	network := reserveNetwork(t)
+	folders := make(map[int]string)
+	stops := make(map[int]func())
+	for host := 1; host <= 3; host++ {
+		folders[host] = t.TempDir()
+		stops[host] = startReplica(t, &out, network, host, folders[host], true)
 	}
-	stops["127.0.22.3"]()
-	startReplica(t, &out, "127.0.22.4", t.TempDir(), false)
-	out.requireEvent(t, "voters_changed", "reason", "127.0.22.1 127.0.22.2 127.0.22.4")
-	startReplica(t, &out, "127.0.22.3", folders["127.0.22.3"], true)
-	out.requireEvent(t, "replica_retired", "self", "127.0.22.3")
-	out.requireEvent(t, "replica_replaced", "host", "127.0.22.3")
+	stops[3]()
+	startReplica(t, &out, network, 4, t.TempDir(), false)
+	voters := strings.Join([]string{network.IP(1), network.IP(2), network.IP(4)}, " ")
+	out.requireEvent(t, "voters_changed", "reason", voters)
+	startReplica(t, &out, network, 3, folders[3], true)
+	out.requireEvent(t, "replica_retired", "self", network.IP(3))
+	out.requireEvent(t, "replica_replaced", "host", network.IP(3))
 }
