daemon: the gateway is closed after the control loop has ended

Callers would see: nothing while a host runs or stops gracefully. A host that is killed, since another daemon of its process failed, could end with a panic or a data race: the control goroutine starts attempts while Close waits for the attempts to end, which a sync.WaitGroup does not allow when there are none. Cause: Daemon.Run closed the gateway before it ended its parts. After a graceful stop and a halt the control goroutine has ended by then, after a kill it has not. Change: Run closes the gateway after its parts.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -195,6 +195,7 @@
 	d.shutDown(err == nil)
 	parts.Kill(err)
 	result := parts.Wait()
+	d.gateway.Close() // after the control goroutine, which starts attempts
 	d.log.Emit(logevent.ProcessStopped, logevent.Err(result))
 	if errors.Is(err, errRetired) {
 		d.closeAll()
@@ -254,7 +255,6 @@
 		}
 		_ = s.http.Close()
 	}
-	d.gateway.Close()
 }
 
 func (d *Daemon) closeAll() {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -178,7 +178,8 @@
 }
 
 // Close ends the remaining requests, waits for attempts to end, and closes the
-// connections to targets. A graceful stop must be complete before it is called.
+// connections to targets. A graceful stop must be complete, and the control goroutine must
+// have ended, before it is called.
 func (s *Server) Close() {
 	s.cancel()
 	s.attempts.Wait()
