relay: calls that a new leader returns are sent again after 0.1 s

Callers saw: after an election, a call of an operator or a worker that a replica holds got a 504 though the new leader was there for most of its 850 ms, and the caller had to start over at another host. Cause: a replica forwards its calls as soon as its log names the new leader. That leader does not hold its lease yet and returns them, and a replica that knows no other leader sent them again only after resendTimeout (0.7 s), when their patience was over. Traced in a log of the test: leader at work at 18.63 s, call that was held since 18.23 s given up at 19.14 s. Change: a call that the leader itself has returned, and has not decided, is sent again after 0.1 s. Calls are idempotent and keep their horizon and stamp. Entry hosts wait for a contact of the leader as before. Measured: TestCallsReturnedByANewLeaderAreSentAgain fails before.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -26,6 +26,10 @@
 	// resendTimeout is how long an answer is awaited before a call is sent again. It is
 	// several times the duration of a commit on slow disks.
 	resendTimeout = 700 * model.Millisecond
+	// returnedPause is the time after which a call is sent again to a leader that has
+	// returned it, because it did not hold its lease yet. It is several round trips, and
+	// well below the 850 ms for which operators and workers are served.
+	returnedPause = 100 * model.Millisecond
 	// unsentTimeout is how long a call waits for a leader to become known. It is less
 	// than a quarter of the usual patience, so that the caller can still try another
 	// host.
@@ -70,6 +74,7 @@
 	arrivedAt model.Time
 	sentAt    model.Time // 0 if it was never sent
 	askFrom   model.Time // it is sent once the leader has answered a Contact of this time or later, 0 if at once
+	returned  bool       // the leader to which it was sent has not decided it
 	waited    bool       // it arrived before or during a pause of the process, or may have
 }
 
@@ -152,7 +157,7 @@
 	if !t.leaderReachable(now) || !t.heardSince(h) || now.Sub(h.arrivedAt) >= h.call.Patience {
 		return nil
 	}
-	h.sentAt, h.askFrom = now, 0
+	h.sentAt, h.askFrom, h.returned = now, 0, false
 	t.stampCall(h)
 	c := h.call
 	c.Patience -= now.Sub(h.arrivedAt)
@@ -211,6 +216,7 @@
 
 // HandleRedirect handles the reply of a process that does not lead. It forwards the call
 // to the leader that is known now; if there is none, an entry host contacts all replicas.
+// A replica that knows no other leader sends the call again after returnedPause.
 func (t *Table) HandleRedirect(now model.Time, from model.HostID, r *call.Redirect) []effect.Effect {
 	h := t.calls[r.Seq]
 	if h == nil || r.Incarnation != t.cfg.Incarnation {
@@ -230,7 +236,11 @@
 			return t.contactAll(now)
 		}
 	}
-	if t.leader == from || t.leader == "" {
+	switch t.leader {
+	case "":
+		return nil
+	case from:
+		h.returned = t.cfg.Replica
 		return nil
 	}
 	return t.forward(now, h)
@@ -246,13 +256,21 @@
 			out = append(out, t.expire(h)...)
 		case h.sentAt == 0 && now.Sub(h.arrivedAt) >= unsentTimeout && !t.waitsForElection(now):
 			out = append(out, t.expire(h)...)
-		case h.sentAt != 0 && now.Sub(h.sentAt) >= resendTimeout:
+		case h.sentAt != 0 && now.Sub(h.sentAt) >= h.resendAfter():
 			out = append(out, t.forward(now, h)...)
 		}
 	}
 	return out
 }
 
+// resendAfter returns how long after it was sent a call is sent again.
+func (h *heldCall) resendAfter() model.Duration {
+	if h.returned {
+		return returnedPause
+	}
+	return resendTimeout
+}
+
 // expire answers a call that got no answer in time.
 func (t *Table) expire(h *heldCall) []effect.Effect {
 	delete(t.calls, h.call.Seq)
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -73,6 +73,24 @@
 	require.Equal(t, []model.HostID{"c"}, sent(table.Advance(start.Add(resendTimeout+100*model.Millisecond))))
 }
 
+// Guards against operators' calls with an unknown outcome after each election: a leader that
+// does not hold its lease yet returns them, and their caller's patience of 850 ms was over
+// before they were sent to it again.
+func TestCallsReturnedByANewLeaderAreSentAgain(t *testing.T) {
+	table := New(Config{Host: "c", Incarnation: "i", Replica: true, Seeds: []model.HostID{"a", "b"}})
+	table.SetLeader(start, "a")
+	c := call.Call{Seq: 1, Patience: 850 * model.Millisecond, Leave: &call.Leave{}}
+	require.Equal(t, []model.HostID{"a"}, sent(table.Accept(start, c, false)))
+	elected := start.Add(300 * model.Millisecond)
+	require.Equal(t, []model.HostID{"b"}, sent(table.SetLeader(elected, "b")))
+	redirect := call.Redirect{Seq: 1, Incarnation: "i"}
+	require.Empty(t, sent(table.HandleRedirect(elected, "b", &redirect)), "calls go back and forth without a pause")
+	require.Empty(t, sent(table.Advance(elected.Add(returnedPause/2))))
+	again := elected.Add(returnedPause)
+	require.Equal(t, []model.HostID{"b"}, sent(table.Advance(again)))
+	require.Empty(t, sent(table.Advance(again.Add(returnedPause))), "a call that was not returned is sent again")
+}
+
 // Guards against an answer that reaches a caller of a later process of the host: the
 // sequence number of a call is unique only within a process.
 func TestAnswersOfAnotherIncarnationAreDropped(t *testing.T) {
