schedule: a run that an earlier version assigned counts as one whose order may arrive

Cause: versions before AssignedAt did not record when they assigned a run. A new leader took such a run for an old one, without an order under way, though it may have been assigned just before the term.

Weighed: to keep it so, for long-running tasks at least (a run is assigned long before an upgrade as a rule). But their orders are held like others, and a second run can't be taken back, while a delay ends.

The change: a run without the time of its assignment counts as one whose order has no answer, until its worker lists it in the answer to a poll that is sent when no order can arrive, 2.5 s after the beginning of the term.

--- a/core/schedule/held_test.go
+++ b/core/schedule/held_test.go
@@ -57,6 +57,38 @@
 	f.requireKept(sent.Add(maxCallDelay + longestLease))
 }
 
+// The same with an order of an earlier version, which did not record when it assigned the run.
+func TestOrderOfAnEarlierVersionHeldForAnUnreachableWorker(t *testing.T) {
+	f, _ := orderedFixture(t)
+	sent := f.now
+	f.startTermAfterUpgrade()
+	f.requireKept(sent.Add(maxCallDelay + longestLease))
+}
+
+// Guards against a run of an earlier version that is kept for the longest delay of a call, although
+// its worker has listed it when no order could arrive any more.
+func TestListedRunOfAnEarlierVersionIsNotHeld(t *testing.T) {
+	f, first := orderedFixture(t, jobs.Step{Tasks: 1, Size: cores(1), LongRunning: true})
+	f.startTermAfterUpgrade()
+	f.advance()
+	for began := f.now; f.now.Sub(began) < lateCallTime+2*pollWait; f.advanceBy(50 * ms) {
+		if f.lastPoll("a").Poll != nil {
+			f.answerPollWith("a", order.Reply{StartedAt: 1000, Running: []order.Running{runningFully(first.Start.RunRef)}})
+		}
+	}
+	for lost := f.now; f.s.runs[first.Start.RunRef] != nil; f.failPolls("a", order.NoAnswer, 50*ms) {
+		require.LessOrEqual(t, f.now.Sub(lost), runsEndAfter(simBounds.LeaseMax)+100*ms)
+	}
+}
+
+// startTermAfterUpgrade begins a term whose leader inherits the first run of the job j from an
+// earlier version.
+func (f *fixture) startTermAfterUpgrade() {
+	f.state.Task(ref("j", 0, 1).TaskRef).AssignedAt = 0
+	f.calls = nil
+	f.s = New(f.env())
+}
+
 // The same with a poll that extends the lease of a run which a later process has accepted.
 func TestPollHeldForAnUnreachableWorker(t *testing.T) {
 	f, start := orderedFixture(t)
--- a/core/schedule/orders.go
+++ b/core/schedule/orders.go
@@ -56,13 +56,14 @@
 func (o *orderRecord) answeredByLater() { o.strayed, o.confirmed = true, false }
 
 // inherit records that an earlier leader assigned the run of a task. If the order to start it
-// may still arrive, it counts as one without an answer.
+// may still arrive, it counts as one without an answer. Earlier versions did not record when
+// they assigned a run.
 func (r *run) inherit(env Env, t *jobs.Task) {
 	r.phase = inherited
 	r.transit.sent(env.Now)
 	r.confirmed, r.confirmProposed = t.Confirmed, t.Confirmed
-	age := env.Clock.Sub(t.AssignedAt)
-	if t.AssignedAt != 0 && !t.Confirmed && !r.step.Copies && age < maxCommitTime+startTimeout+maxCallDelay {
+	mayArrive := t.AssignedAt == 0 || env.Clock.Sub(t.AssignedAt) < maxCommitTime+startTimeout+maxCallDelay
+	if mayArrive && !t.Confirmed && !r.step.Copies {
 		r.unanswered = 1
 	}
 }
