schedule: another process on a host ends no run whose order may still arrive

A host has processes under the worker IDs a, b and a again within 13.5 s. The announcement of b gave up all runs of a, and their tasks started elsewhere, while the third process carried out an order of the first that had no answer. It also lost ends: the third process started tasks again whose later run had ended.

Cause: evidence that a process has ended (an announcement or a list of a process with another ID on its host, or a departure that the list of hosts, a move or maintenance brings) counted as the end of its runs. Paths for a later process under the same ID ask for orders that may still arrive; these did not.

Looked at: all callers of giveUp. The other ones ask isExcludedBy or endsBy, or are for runs that may have copies or were never ordered. Departures of core/hosts share giveUpRuns, so that nothing changes there.

Change: giveUpRuns keeps the runs that a later process under the first ID may have or start (mayOutlastProcess, the condition of endsBy). The process with the other ID ends them by answering a poll that was sent when no order could arrive any more: 2.5 s after its first answer if it has the same address, and 13.5 s after the order otherwise. Else endsBy holds. The replaced worker is removed at once in any case, so that it gets no new runs.

Four tests gave up runs whose order had no answer, which is the fault.

--- a/core/schedule/contact.go
+++ b/core/schedule/contact.go
@@ -133,7 +133,8 @@
 }
 
 // noteAnswer records the answer of a process of a worker to a call that was sent at sentAt. Orders
-// that were held for the worker arrive from now on.
+// that were held for the worker arrive from now on, also those to an earlier process with another ID that had
+// its address.
 func (s *Scheduler) noteAnswer(w *worker, reply *order.Reply, sentAt, now model.Time) {
 	since, wasHeld := w.contact.answered(reply, sentAt, now)
 	if !wasHeld {
@@ -150,4 +151,12 @@
 			r.held(since, now)
 		}
 	}
+	for _, old := range s.earlierProcesses(w.info) {
+		if !w.hasAddressOf(old) {
+			continue
+		}
+		for _, r := range old.runs {
+			r.held(since, now)
+		}
+	}
 }
--- a/core/schedule/detached.go
+++ b/core/schedule/detached.go
@@ -13,7 +13,8 @@
 //
 //   - when their lease has ended, and that of any later process that may run them,
 //   - when a later process is known to run on the host under another id, which refuses
-//     calls that name the earlier one,
+//     calls that name the earlier one, and no order can reach a process that starts after
+//     it under the id,
 //   - when a later process on the host under the same id has listed its runs in the answer
 //     to a poll with its own token, sent when no order could reach a process that starts
 //     after it: it refuses older orders from then on, and what it lists, it has started on
--- a/core/schedule/evidence.go
+++ b/core/schedule/evidence.go
@@ -1,8 +1,6 @@
 package schedule
 
 import (
-	"slices"
-
 	"primrosedale.example/primrosedale/core/jobs"
 	"primrosedale.example/primrosedale/core/model"
 	"primrosedale.example/primrosedale/core/order"
@@ -72,28 +70,66 @@
 }
 
 // endEarlierProcesses gives up the runs of the earlier processes on a worker's host that
-// had other IDs, and removes these workers. The caller has evidence that they have ended.
+// had other IDs, as far as giveUpRuns may, and removes these workers. The caller has evidence
+// that the processes have ended.
 func (s *Scheduler) endEarlierProcesses(env Env, out *Out, info *jobs.Worker) {
+	for _, w := range s.earlierProcesses(info) {
+		s.giveUpRuns(env, out, w, "a later process runs on its host")
+		if !w.gone {
+			s.proposeDeparture(out, w)
+		}
+	}
+}
+
+// earlierProcesses returns the workers with other IDs that ran on a worker's host before it.
+func (s *Scheduler) earlierProcesses(info *jobs.Worker) []*worker {
 	if info.Host == "" {
-		return
+		return nil
 	}
-	const reason = "a later process runs on its host"
-	for _, w := range slices.Clone(s.workersByHost[info.Host]) {
-		if w.info.ID == info.ID || !startedBefore(w.info, info) {
-			continue
-		}
-		s.giveUpRuns(env, out, w, reason)
-		if len(w.runs) == 0 {
-			s.proposeDeparture(out, w)
+	var list []*worker
+	for _, w := range s.workersByHost[info.Host] {
+		if w.info.ID != info.ID && startedBefore(w.info, info) {
+			list = append(list, w)
 		}
 	}
 	for _, w := range s.detached {
 		if w.info.ID != info.ID && w.info.Host == info.Host && startedBefore(w.info, info) {
-			s.giveUpRuns(env, out, w, reason)
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
+// giveUpReplaced gives up the runs that endEarlierProcesses has kept, once the process of a worker
+// has answered a poll that was sent at polledAt, when no order could start them any more. While it
+// is up, none of their processes is, and one that starts later gets no order.
+func (s *Scheduler) giveUpReplaced(env Env, out *Out, w *worker, polledAt model.Time) {
+	for _, old := range s.earlierProcesses(w.info) {
+		if !old.ended || polledAt < old.restartedAt {
+			continue
+		}
+		for _, r := range sortedRunsOf(old) {
+			if r.phase != assigned && polledAt >= w.excludesFrom(r) {
+				s.giveUp(env, out, r, jobs.OutcomeLost, "", "its order can't arrive any more and another process is up on its host")
+			}
 		}
 	}
 }
 
+// excludesFrom returns the time from which no order to start a run of an earlier process on the
+// host of w is carried out. w takes the calls to that process if it has its address.
+func (w *worker) excludesFrom(r *run) model.Time {
+	if r.unanswered > 0 && !w.hasAddressOf(r.worker) {
+		return r.heldUntil
+	}
+	return r.arrivesUntil()
+}
+
+// hasAddressOf reports whether an earlier process on its host had the address of w.
+func (w *worker) hasAddressOf(old *worker) bool {
+	return w.info.Address != "" && w.info.Address == old.info.Address
+}
+
 func startedBefore(a, b *jobs.Worker) bool { return a.StartedAt != 0 && a.StartedAt < b.StartedAt }
 
 // proposeDeparture proposes the removal of a worker, once.
--- a/core/schedule/evidence_test.go
+++ b/core/schedule/evidence_test.go
@@ -20,6 +20,7 @@
 	f.advanceBy(50 * ms)
 	f.submit("j", jobs.Step{Tasks: 1, Size: cores(1)})
 	require.Equal(t, model.WorkerID("a"), f.task("j").Worker)
+	f.answerPollWith("a", order.Reply{StartedAt: 1000, Running: []order.Running{runningFully(ref("j", 0, 1))}})
 	later = testWorker("c")
 	later.Host, later.StartedAt, later.Address = a.Host, 2000, "c"
 	return f, later
@@ -69,6 +70,8 @@
 	later.Service = "press"
 	f.commit(jobs.Command{Announce: &later})
 	require.Equal(t, 1, f.task("j").Run)
+	// Its order does not arrive any more.
+	f.task("j").AssignedAt = f.now.Add(-maxCommitTime - startTimeout - maxCallDelay)
 	f.s = New(f.env())
 	f.advance()
 	f.answerPollWith("b", order.Reply{StartedAt: 1000})
--- a/core/schedule/held_sim_test.go
+++ b/core/schedule/held_sim_test.go
@@ -25,6 +25,7 @@
 	stalls      bool           // the leader handles nothing for a while
 	slowCalls   bool           // some calls are executed late, or answered late
 	leaseLag    model.Duration // longest time from the end of a lease until its runs end
+	otherIDs    bool           // hosts have a process with another ID before some restarts of a worker
 }
 
 // heldCalls are the calls without an answer to workers that are down or cut off, and those
@@ -230,6 +231,9 @@
 	s.note(id, jobs.TaskRef{}, "crashes, down for %d ms", down/ms)
 	s.held.crashed[id] = s.now
 	s.crash(w, down)
+	if s.held.otherIDs && s.rng.IntN(2) == 0 {
+		s.announceOther(w, s.between(ms, down))
+	}
 	s.after(down, func() { s.byID(id).partitioned = s.now < s.held.cutUntil[id] })
 }
 
--- a/core/schedule/lease_test.go
+++ b/core/schedule/lease_test.go
@@ -164,6 +164,7 @@
 // worker, under another id, proves that the worker has ended.
 func TestLaterProcessUnderAnotherIDEndsRuns(t *testing.T) {
 	f := restartableFixture(t)
+	f.answerPoll("a", []order.Running{runningFully(ref("j", 0, 1))}, nil)
 	f.commit(jobs.Command{Announce: &jobs.Worker{
 		ID: "c", StartedAt: 6000, Host: "host-a", Service: "render", Address: "c", Capacity: cores(8),
 	}})
@@ -211,6 +212,9 @@
 	for _, ended := range []bool{false, true} {
 		f := restartableFixture(t)
 		leaseEndsBy := f.s.workers["a"].leaseEndsBy
+		if ended { // otherwise its order may still arrive
+			f.answerPoll("a", []order.Running{runningFully(ref("j", 0, 1))}, nil)
+		}
 		f.commit(jobs.Command{Depart: &jobs.Depart{Worker: "a", Incarnation: f.state.Workers["a"].Incarnation, Ended: ended}})
 		require.NotContains(t, f.s.workers, model.WorkerID("a"))
 		if ended {
--- a/core/schedule/orders.go
+++ b/core/schedule/orders.go
@@ -132,8 +132,12 @@
 }
 
 // mayHaveStrayed reports whether a later process of its worker may be running the run.
-func (r *run) mayHaveStrayed() bool {
-	return r.phase == ordered || r.strayed || !r.confirmed && (r.unanswered > 0 || r.worker.restarted)
+func (r *run) mayHaveStrayed() bool { return r.phase == ordered || r.mayOutlastProcess() }
+
+// mayOutlastProcess reports whether the end of the known process of its worker may leave the run
+// to a later process, which runs it or may yet carry out an order to start it.
+func (r *run) mayOutlastProcess() bool {
+	return r.strayed || !r.confirmed && (r.unanswered > 0 || r.worker.restarted)
 }
 
 // endsBy returns the time after which no process of its worker can be running the run, if
--- a/core/schedule/poll.go
+++ b/core/schedule/poll.go
@@ -69,6 +69,13 @@
 			return true
 		}
 	}
+	for _, old := range s.earlierProcesses(w.info) {
+		for _, r := range old.runs {
+			if old.ended && r.phase != assigned && soon >= w.excludesFrom(r) {
+				return true
+			}
+		}
+	}
 	return false
 }
 
@@ -209,6 +216,9 @@
 	if !reply.Partial {
 		s.giveUpUnadopted(env, out, w, sentAt)
 	}
+	if sentAt != 0 && w.isFromRecordedProcess(reply) {
+		s.giveUpReplaced(env, out, w, sentAt)
+	}
 	if !reply.Unparsed {
 		s.giveUpOvertaken(env, out, w, sentAt)
 	}
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -272,10 +272,12 @@
 	}
 }
 
-// giveUpRuns records all ordered runs of a worker as lost.
+// giveUpRuns records the ordered runs of a worker as lost whose process has ended. It keeps those
+// that a later process of the worker may run, see giveUpReplaced.
 func (s *Scheduler) giveUpRuns(env Env, out *Out, w *worker, reason string) {
+	w.ended = true
 	for _, r := range sortedRunsOf(w) {
-		if r.phase != assigned {
+		if r.phase != assigned && (r.step.Copies || !r.mayOutlastProcess()) {
 			s.giveUp(env, out, r, jobs.OutcomeLost, "", reason)
 		}
 	}
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -101,7 +101,8 @@
 	lostListed  map[jobs.RunRef]bool // runs that it listed though they count as ended
 	failures    map[model.JobID]bool // jobs with a failed run here since the latest success
 	suspectedAt model.Time
-	gone        bool // its process has ended
+	gone        bool // it has left or was replaced, see detachWorker
+	ended       bool // its process has ended, a later one may have its ID
 	// calledUntil is when the calls to a detached worker have been carried out, those to the
 	// processes before it included.
 	calledUntil model.Time
