schedule: a host has the runs of its worker's earlier processes until the present one lists

What callers would see: two tasks of a step that may have one away end together, since their host is moved or maintained while both are at work (AVAIL).

Cause: when a worker restarts under its ID, its runs stay with the earlier record until the later process has listed them. That process may be running them, on orders to the earlier one. PendingRuns, OnlyLongRunning and TimeUntilIdle looked at the present record only, so that the host counted as idle until the first list, and for as long as polls had no answer. The same holds for runs that a new leader knows by an earlier record.

Change: runsOnHost yields the runs of the earlier processes of a worker until the present one has answered a poll. After that a late order does not keep the host.

--- a/core/schedule/hosts.go
+++ b/core/schedule/hosts.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"iter"
 	"maps"
 	"slices"
 
@@ -21,11 +22,9 @@
 
 // OnlyLongRunning reports whether all runs on a host are those of long-running tasks.
 func (s *Scheduler) OnlyLongRunning(host model.HostID) bool {
-	for _, w := range s.workersByHost[host] {
-		for _, r := range w.runs {
-			if !r.step.LongRunning {
-				return false
-			}
+	for r := range s.runsOnHost(host) {
+		if !r.step.LongRunning {
+			return false
 		}
 	}
 	return true
@@ -48,28 +47,57 @@
 // returns false if one of them is that of a long-running task.
 func (s *Scheduler) TimeUntilIdle(env Env, host model.HostID) (model.Duration, bool) {
 	longest := model.Duration(0)
-	for _, w := range s.workersByHost[host] {
-		for _, r := range w.runs {
-			if r.step.LongRunning {
-				return 0, false
+	for r := range s.runsOnHost(host) {
+		if r.step.LongRunning {
+			return 0, false
+		}
+		left := s.durations(r.job.Queue).predict(r.step.Estimate).mean()
+		if r.phase != assigned {
+			left -= env.Now.Sub(r.sentAt)
+		}
+		longest = max(longest, left)
+	}
+	return longest, true
+}
+
+// runsOnHost yields the runs that may be running on a host. Until the present process of a
+// worker has answered a poll, it may be running those of the earlier ones: a late copy of an
+// order starts a run on any process under the ID, and a process may announce itself anew.
+func (s *Scheduler) runsOnHost(host model.HostID) iter.Seq[*run] {
+	return func(yield func(*run) bool) {
+		for _, w := range s.workersByHost[host] {
+			for _, r := range w.runs {
+				if !yield(r) {
+					return
+				}
 			}
-			left := s.durations(r.job.Queue).predict(r.step.Estimate).mean()
-			if r.phase != assigned {
-				left -= env.Now.Sub(r.sentAt)
+			if w.polled {
+				continue
+			}
+			for _, old := range s.detached {
+				if !w.isLaterThan(old) {
+					continue
+				}
+				for _, r := range old.runs {
+					if r.phase != assigned && !yield(r) {
+						return
+					}
+				}
 			}
-			longest = max(longest, left)
 		}
 	}
-	return longest, true
 }
 
-// PendingRuns counts the runs that may be running on the workers of a host, and the
-// commands with ends of their runs that are not committed yet. Until such a command is
-// committed, the worker may hold the only lasting record of these ends.
+// PendingRuns counts the runs that may be running on a host, and the commands with ends of
+// runs of its workers that are not committed yet. Until such a command is committed, the
+// worker may hold the only lasting record of these ends.
 func (s *Scheduler) PendingRuns(host model.HostID) int {
 	n := 0
+	for range s.runsOnHost(host) {
+		n++
+	}
 	for _, w := range s.workersByHost[host] {
-		n += len(w.runs) + w.pendingEndCommands
+		n += w.pendingEndCommands
 	}
 	return n
 }
