--- a/core/schedule/start.go
+++ b/core/schedule/start.go
@@ -12,27 +12,35 @@
 // start sends the first order to start a run.
 func (s *Scheduler) start(env Env, out *Out, r *run, checkpoint string) {
 	w := r.worker
-	s.raiseTokenForOrder(w)
-	deadline := w.extendLease(env.Now, startTimeout)
-	r.voidFrom = max(r.voidFrom, deadline)
-	r.phase, w.orderToken = ordered, w.token
-	r.sentAt = env.Now
-	r.sent(env.Now)
+	r.voidFrom = max(r.voidFrom, w.extendLease(env.Now, startTimeout))
+	r.phase = ordered
 	if w.orderedFrom < w.answeredAt {
 		w.orderedFrom = env.Now
 	}
 	s.load.starts++
 	s.logRepeated(env, out, r)
-	out.Effects = append(out.Effects, s.call(w, order.Call{Start: &order.Start{
-		RunRef: r.ref, Spec: r.job.Spec, Checkpoint: checkpoint, Ticket: s.ticket(env, r), Deadline: deadline,
-	}}))
+	s.sendOrder(env, out, r, checkpoint)
 	out.log(effect.RunOrdered, effect.Log{Request: model.RequestID(r.ref.Job), Task: runLabel(r.ref), Worker: w.info.ID,
 		Detail: fmt.Sprintf("clock %d of %d ms ago, deadline %d, claims %d of %d and %d of %d MB, used %d and %d MB, declared %d ms, predicted %d ms",
-			w.clock, env.Now.Sub(w.clockAt)/model.Millisecond, deadline,
+			w.clock, env.Now.Sub(w.clockAt)/model.Millisecond, r.voidFrom,
 			r.claim.MilliCPU, w.info.Capacity.MilliCPU, r.claim.MemoryMB, w.info.Capacity.MemoryMB, w.used.MilliCPU, w.used.MemoryMB,
 			r.step.Estimate/model.Millisecond, s.durations(r.job.Queue).predict(r.step.Estimate).mean()/model.Millisecond)})
 }
 
+// sendOrder sends an order to start a run, which the worker refuses once its clock has reached
+// voidFrom.
+func (s *Scheduler) sendOrder(env Env, out *Out, r *run, checkpoint string) {
+	w := r.worker
+	s.raiseTokenForOrder(w)
+	w.orderToken = w.token
+	w.contact.sent(env.Now)
+	r.sentAt = env.Now
+	r.sent(env.Now)
+	out.Effects = append(out.Effects, s.call(w, order.Call{Start: &order.Start{
+		RunRef: r.ref, Spec: r.job.Spec, Checkpoint: checkpoint, Ticket: s.ticket(env, r), Deadline: r.voidFrom,
+	}}))
+}
+
 // ticket returns the ticket for the order of a run, or an empty string.
 func (s *Scheduler) ticket(env Env, r *run) string {
 	job := s.active[r.ref.Job]
@@ -136,14 +144,7 @@
 			return
 		}
 		s.recordUnanswered(env, out, r.worker, "an order is sent again")
-		r.sentAt = env.Now
-		r.sent(env.Now)
-		s.raiseTokenForOrder(r.worker)
-		r.worker.orderToken = r.worker.token
-		r.worker.contact.sent(env.Now)
 		s.load.resends++
-		out.Effects = append(out.Effects, s.call(r.worker, order.Call{Start: &order.Start{
-			RunRef: r.ref, Spec: r.job.Spec, Checkpoint: t.Checkpoint, Ticket: s.ticket(env, r), Deadline: r.voidFrom,
-		}}))
+		s.sendOrder(env, out, r, t.Checkpoint)
 	}
 }
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -40,14 +40,6 @@
 	// maxRefusals is the number of consecutive refused connections after which a worker
 	// gets no new runs.
 	maxRefusals = 2
-	// minClockRate is the rate of the slowest worker clock that the platform allows.
-	minClockRate = 0.98
-	// leaseEndMargin is added to the time by which a lease must have ended. It is two
-	// ticks.
-	leaseEndMargin = 100 * model.Millisecond
-	// lateLeaseEnd is how late a worker that is short of processor time ends the runs of an
-	// expired lease.
-	lateLeaseEnd = 300 * model.Millisecond
 )
 
 // worker is the leader's view of one incarnation of a worker.
@@ -151,16 +143,6 @@
 	return 0
 }
 
-// maxElapsed returns the longest real time in which a worker's clock may advance by d,
-// plus a margin.
-func maxElapsed(d model.Duration) model.Duration {
-	return model.Duration(float64(d)/minClockRate) + leaseEndMargin
-}
-
-// runsEndAfter returns the longest real time after which the runs have ended whose lease
-// lasts for d of the worker's clock.
-func runsEndAfter(d model.Duration) model.Duration { return maxElapsed(d) + lateLeaseEnd }
-
 func (s *Scheduler) removeWorker(w *worker) {
 	w.gone = true
 	if s.workers[w.info.ID] == w {
@@ -222,36 +204,6 @@
 	return 0, false
 }
 
-// setClock records the worker's clock in an answer to a call that was sent at sentAt.
-func (w *worker) setClock(now model.Time, c order.ClockMS, sentAt model.Time) {
-	if c >= w.clock {
-		w.clock, w.clockAt, w.clockSince = c, now, sentAt
-	}
-}
-
-// clockNow estimates the worker's clock.
-func (w *worker) clockNow(now model.Time) order.ClockMS {
-	return w.clock + order.ClockMS(now.Sub(w.clockAt)/model.Millisecond)
-}
-
-// extendLease grants a lease of length d from now and returns its deadline by the
-// worker's clock. It records when the lease has ended even on the slowest clock.
-func (w *worker) extendLease(now model.Time, d model.Duration) order.ClockMS {
-	deadline := w.clockNow(now) + order.ClockMS(d/model.Millisecond)
-	w.leaseEndsBy = max(w.leaseEndsBy, w.clockReachedBy(deadline).Add(lateLeaseEnd))
-	w.contact.sent(now)
-	return deadline
-}
-
-// clockReachedBy returns the latest time at which the worker's clock reaches c.
-func (w *worker) clockReachedBy(c order.ClockMS) model.Time {
-	return w.clockAt.Add(maxElapsed(model.Duration(c-w.clock) * model.Millisecond))
-}
-
-// leaseDuration returns the lease that a poll grants: a part of the longest allowed
-// lease, so that the runs of an unreachable worker can soon be started elsewhere.
-func leaseDuration(b Bounds) model.Duration { return b.LeaseMax * 3 / 4 }
-
 func (s *Scheduler) advanceWorker(env Env, out *Out, w *worker) {
 	if w.pendingPoll != 0 && env.Now > w.pollDeadline {
 		w.pendingPoll, w.pollFailed, w.contact.missed = 0, true, true
