schedule: the lines of stops tell how many tasks of the step are not up

What operators saw: run_stopped names a reason, and lost_run_listed a run, but neither says whether others of the step were away, so a break of AVAIL can't be traced from the logs.

Change, with none of logic: both lines have the number of tasks of the step that are not up, how many may be, and the phase and latest run of the task, where a step has such a limit and its job is active; lost_run_listed also how far the run is. countUnavailable is a function of the scheduler, so that the drain of hosts and the lines use one count.

--- a/core/schedule/hosts.go
+++ b/core/schedule/hosts.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"fmt"
 	"iter"
 	"maps"
 	"slices"
@@ -194,25 +195,37 @@
 	}
 	step := r.ref.StepRef()
 	if _, known := d.unavailable[step]; !known {
-		d.unavailable[step] = d.countUnavailable(r)
+		d.unavailable[step] = d.s.countUnavailable(d.env, r.job, step, r.step.MaxUnavailable)
 	}
 	return d.unavailable[step] < r.step.MaxUnavailable
 }
 
-// countUnavailable counts the tasks of a run's step that are not up. It stops counting
-// at the step's MaxUnavailable.
-func (d *hostDrain) countUnavailable(r *run) int {
+// countUnavailable counts the tasks of a step that are not up: those whose run is not known, is
+// being stopped, or has not started completely, and those on silent workers. It stops counting
+// at a limit.
+func (s *Scheduler) countUnavailable(env Env, j *jobs.Job, step jobs.StepRef, limit int) int {
 	unavailable := 0
-	tasks := r.job.Rounds[r.ref.Round].Tasks[r.ref.Step]
+	tasks := j.Rounds[step.Round].Tasks[step.Step]
 	for i := range tasks {
-		ref := r.ref
-		ref.Index, ref.Run = i, tasks[i].Run
-		if other := d.s.runs[ref]; other == nil || !other.isUp(d.env) {
+		ref := jobs.RunRef{TaskRef: jobs.TaskRef{Job: step.Job, Round: step.Round, Step: step.Step, Index: i}, Run: tasks[i].Run}
+		if other := s.runs[ref]; other == nil || !other.isUp(env) {
 			unavailable++
 		}
-		if unavailable == r.step.MaxUnavailable {
+		if unavailable == limit {
 			break
 		}
 	}
 	return unavailable
 }
+
+// describeStep describes how many tasks of the step of a run that is stopped are not up. It
+// returns an empty string if any number may be.
+func (s *Scheduler) describeStep(env Env, ref jobs.RunRef) string {
+	j := env.State.Jobs[ref.Job]
+	if j == nil || j.Phase != jobs.Active || j.Task(ref.TaskRef) == nil || j.Steps[ref.Step].MaxUnavailable == 0 {
+		return ""
+	}
+	return fmt.Sprintf("; %d of its step are not up, %d may be, its task is in phase %q with run %d",
+		s.countUnavailable(env, j, ref.StepRef(), j.Steps[ref.Step].Tasks), j.Steps[ref.Step].MaxUnavailable,
+		j.Task(ref.TaskRef).Phase, j.Task(ref.TaskRef).Run)
+}
--- a/core/schedule/lost.go
+++ b/core/schedule/lost.go
@@ -6,6 +6,7 @@
 	"primrosedale.example/primrosedale/core/effect"
 	"primrosedale.example/primrosedale/core/jobs"
 	"primrosedale.example/primrosedale/core/model"
+	"primrosedale.example/primrosedale/core/order"
 )
 
 // lostRun is an ordered run that was recorded as ended without an end in a list of its
@@ -41,7 +42,8 @@
 
 // logLostRunListed logs, once per worker and run, that a worker lists a run which counts as
 // ended.
-func (s *Scheduler) logLostRunListed(env Env, out *Out, w *worker, ref jobs.RunRef) {
+func (s *Scheduler) logLostRunListed(env Env, out *Out, w *worker, listed *order.Running) {
+	ref := listed.RunRef
 	if w.lostListed[ref] {
 		return
 	}
@@ -55,5 +57,6 @@
 	} else if l := job.lost[ref.TaskRef]; l != nil {
 		detail = l.describe(env.Now)
 	}
+	detail += fmt.Sprintf("; it is at %d percent", listed.Percent) + s.describeStep(env, ref)
 	out.log(effect.LostRunListed, effect.Log{Request: model.RequestID(ref.Job), Task: runLabel(ref), Worker: w.info.ID, Detail: detail})
 }
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -190,7 +190,7 @@
 	if r == nil {
 		// The run was given up, or its assignment was never committed.
 		w.untracked = w.untracked.Add(claimOf(env, w, listed.RunRef))
-		s.logLostRunListed(env, out, w, listed.RunRef)
+		s.logLostRunListed(env, out, w, listed)
 		out.Effects = append(out.Effects, s.call(w, order.Call{Stop: &order.Stop{RunRef: listed.RunRef}}))
 		return
 	}
@@ -248,8 +248,9 @@
 	if r.stopping {
 		return
 	}
+	detail := reason + s.describeStep(env, r.ref)
 	r.stopping = true
-	out.log(effect.RunStopped, effect.Log{Request: model.RequestID(r.ref.Job), Task: runLabel(r.ref), Worker: r.worker.info.ID, Detail: reason})
+	out.log(effect.RunStopped, effect.Log{Request: model.RequestID(r.ref.Job), Task: runLabel(r.ref), Worker: r.worker.info.ID, Detail: detail})
 	if r.phase != assigned {
 		s.sendStop(env, out, r)
 	}
