schedule: tests that a gang waits for the orders to all of its members

No code is changed.

Looked at: recorded ends (failed, broken, stopped), lists without the run, leases that are over, stops, an assignment that is applied in part, changes of leader, detached and adopted runs.

--- a/core/schedule/held_sim_test.go
+++ b/core/schedule/held_sim_test.go
@@ -24,6 +24,7 @@
 	heard       bool           // workers that are cut off announce themselves
 	stalls      bool           // the leader handles nothing for a while
 	slowCalls   bool           // some calls are executed late, or answered late
+	gangs       bool           // the first step of each job is a gang
 	leaseLag    model.Duration // longest time from the end of a lease until its runs end
 	otherIDs    bool           // hosts have a process with another ID before some restarts of a worker
 }
@@ -412,6 +413,13 @@
 	})
 }
 
+// Guards against a gang that starts again while an order to start one of its members is held.
+func TestOrdersOfGangMembersHeld(t *testing.T) {
+	testHeld(t, []uint64{3, 4, 9, 17, 28}, heldOptions{
+		delay: maxCallDelay, restarts: true, leaders: true, answersLost: true, heard: true, slowCalls: true, gangs: true,
+	})
+}
+
 // simNote is an event of the simulation that concerns a task or a worker.
 type simNote struct {
 	at     model.Time
--- a/core/schedule/sim_test.go
+++ b/core/schedule/sim_test.go
@@ -261,7 +261,7 @@
 func (s *sim) submit(id string) {
 	steps := []jobs.Step{{Tasks: 1 + s.rng.IntN(4), Size: model.Resources{MilliCPU: 1000 + s.rng.Int64N(3000), MemoryMB: 500}, Estimate: model.Second}}
 	switch kind := s.rng.Float64(); {
-	case kind < 0.3:
+	case kind < 0.3 || s.held != nil && s.held.gangs:
 		steps[0].Gang = true
 	case kind < 0.5:
 		steps[0].Copies = true
