schedule: test that the next leader proposes a lost Confirm again

By reading, a proposal is lost only with its leader: core.propose defers what the log refuses during a transfer of the leadership, a leader doesn't drop entries of its own term, and the scheduler, with confirmProposed, ends with the term. The next leader takes confirmProposed from the replicated state. So no code is changed.

What remains: that leader can't know that the order was answered. It counts with it until the worker lists the run in the answer to a poll that is sent 2.5 s after the beginning of the term, or later. If the worker is lost before, the task waits for the order. The first leader proposes the record in the step that handles the answer.

Measured: TestLostConfirmIsProposedByTheNextLeader passes; it fails with an inherited run whose confirmation counts as proposed (tried and taken back). go test of core/schedule passes (231 s, load 40).

--- a/core/schedule/await_test.go
+++ b/core/schedule/await_test.go
@@ -141,3 +141,23 @@
 		})
 	}
 }
+
+// Guards against a long-running task that waits for the longest delay of a call after a second
+// change of leader: the record that its order was answered was lost with the first leader.
+func TestLostConfirmIsProposedByTheNextLeader(t *testing.T) {
+	f, start := orderedFixture(t, jobs.Step{Tasks: 1, Size: cores(1), LongRunning: true})
+	run := start.Start.RunRef
+	var lost Out
+	f.s.Replied(f.env(), &lost, &order.Reply{Call: start, Status: order.Accepted, Clock: order.ClockMS(f.now / model.Time(ms))})
+	require.Len(t, lost.Proposals, 1)
+	require.NotNil(t, lost.Proposals[0].Confirm)
+	f.calls = nil
+	f.s = New(f.env())
+	f.advance()
+	for began := f.now; !f.state.Task(run.TaskRef).Confirmed; f.advanceBy(50 * ms) {
+		require.LessOrEqual(t, f.now.Sub(began), lateCallTime+2*pollWait)
+		if f.lastPoll("a").Poll != nil {
+			f.answerPollWith("a", order.Reply{StartedAt: 1000, Running: []order.Running{runningFully(run)}})
+		}
+	}
+}
