schedule: a process under another ID is no answer of the worker

What callers would see: TWICE. The address of a worker that is down, paused or cut off is given to another host. Its process refuses the calls with status 421 (WrongProcess), and the run of an order without an answer is given up while the worker may still carry the order out.

Cause: such a refusal counted as an answer of the worker's host. It showed that earlier calls had been carried out (contact.takenAt), so that endsBy counted from it, and that the worker had taken calls ever since, so that its own next answer prolonged no wait. It names no host.

Looked at: handlePollReply also sets WrongProcess for lists of a later process with the same ID. The answer is recorded before that, with the status that was received, and counts as before. Refusals of an order still say that this copy of it is not carried out.

Change: a refusal with WrongProcess shows, as no answer does, that the worker may have taken no calls. A process with another ID on the same host and address shows more by its own polls.

--- a/core/schedule/contact.go
+++ b/core/schedule/contact.go
@@ -132,9 +132,16 @@
 	return c.leases.heldUntil
 }
 
+// isFromWorker reports whether a status shows that a process of the worker has answered a call. A
+// process with another ID may have the worker's address on another host, so that its answers show
+// nothing about the calls to the worker. See noteAnswer for one on the same host.
+func isFromWorker(s order.Status) bool {
+	return s != order.NoAnswer && s != order.Refused && s != order.WrongProcess
+}
+
 // noteAnswer records the answer of a process of a worker to a call that was sent at sentAt. Orders
-// that were held for the worker arrive from now on, also those to an earlier process with another ID that had
-// its address.
+// that were held for the worker arrive from now on, also those to an earlier process with another
+// ID that had its address on the host.
 func (s *Scheduler) noteAnswer(w *worker, reply *order.Reply, sentAt, now model.Time) {
 	since, wasHeld := w.contact.answered(reply, sentAt, now)
 	if !wasHeld {
