relay: the pause before a returned call is sent again doubles

Callers would see: nothing yet; a leader that returns calls because it is short of processor time got each of them again every 0.1 s. Change: the pause doubles with each return, up to resendTimeout. Measured: TestCallsReturnedByANewLeaderAreSentAgain fails with a fixed pause and passes; core/relay passes.

--- a/core/relay/relay.go
+++ b/core/relay/relay.go
@@ -26,10 +26,13 @@
 	// resendTimeout is how long an answer is awaited before a call is sent again. It is
 	// several times the duration of a commit on slow disks.
 	resendTimeout = 700 * model.Millisecond
-	// returnedPause is the time after which a call is sent again to a leader that has
-	// returned it, because it did not hold its lease yet. It is several round trips, and
-	// well below the 850 ms for which operators and workers are served.
+	// returnedPause is the time after which a replica sends a call again that the leader
+	// returned because it does not hold its lease. It doubles with each return, since the
+	// leader may be short of processor time.
 	returnedPause = 100 * model.Millisecond
+	// maxDoublings is the number of times that returnedPause doubles. More would exceed
+	// resendTimeout.
+	maxDoublings = 3
 	// unsentTimeout is how long a call waits for a leader to become known. It is less
 	// than a quarter of the usual patience, so that the caller can still try another
 	// host.
@@ -72,10 +75,11 @@
 type heldCall struct {
 	call      call.Call
 	arrivedAt model.Time
-	sentAt    model.Time // 0 if it was never sent
-	askFrom   model.Time // it is sent once the leader has answered a Contact of this time or later, 0 if at once
-	returned  bool       // the leader to which it was sent has not decided it
-	waited    bool       // it arrived before or during a pause of the process, or may have
+	sentAt    model.Time     // 0 if it was never sent
+	askFrom   model.Time     // it is sent once the leader has answered a Contact of this time or later, 0 if at once
+	pause     model.Duration // after sentAt, until it is sent again
+	returns   int            // times that a leader has returned it undecided
+	waited    bool           // it arrived before or during a pause of the process, or may have
 }
 
 // Table holds the calls of a process.
@@ -157,7 +161,7 @@
 	if !t.leaderReachable(now) || !t.heardSince(h) || now.Sub(h.arrivedAt) >= h.call.Patience {
 		return nil
 	}
-	h.sentAt, h.askFrom, h.returned = now, 0, false
+	h.sentAt, h.askFrom, h.pause = now, 0, resendTimeout
 	t.stampCall(h)
 	c := h.call
 	c.Patience -= now.Sub(h.arrivedAt)
@@ -240,7 +244,10 @@
 	case "":
 		return nil
 	case from:
-		h.returned = t.cfg.Replica
+		if t.cfg.Replica {
+			h.pause = min(returnedPause<<min(h.returns, maxDoublings), resendTimeout)
+			h.returns++
+		}
 		return nil
 	}
 	return t.forward(now, h)
@@ -256,21 +263,13 @@
 			out = append(out, t.expire(h)...)
 		case h.sentAt == 0 && now.Sub(h.arrivedAt) >= unsentTimeout && !t.waitsForElection(now):
 			out = append(out, t.expire(h)...)
-		case h.sentAt != 0 && now.Sub(h.sentAt) >= h.resendAfter():
+		case h.sentAt != 0 && now.Sub(h.sentAt) >= h.pause:
 			out = append(out, t.forward(now, h)...)
 		}
 	}
 	return out
 }
 
-// resendAfter returns how long after it was sent a call is sent again.
-func (h *heldCall) resendAfter() model.Duration {
-	if h.returned {
-		return returnedPause
-	}
-	return resendTimeout
-}
-
 // expire answers a call that got no answer in time.
 func (t *Table) expire(h *heldCall) []effect.Effect {
 	delete(t.calls, h.call.Seq)
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -89,6 +89,9 @@
 	again := elected.Add(returnedPause)
 	require.Equal(t, []model.HostID{"b"}, sent(table.Advance(again)))
 	require.Empty(t, sent(table.Advance(again.Add(returnedPause))), "a call that was not returned is sent again")
+	require.Empty(t, sent(table.HandleRedirect(again, "b", &redirect)))
+	require.Empty(t, sent(table.Advance(again.Add(returnedPause))), "the pause does not double")
+	require.Equal(t, []model.HostID{"b"}, sent(table.Advance(again.Add(2*returnedPause))))
 }
 
 // Guards against an answer that reaches a caller of a later process of the host: the
