schedule, tests: names and comments of the review

Cause: a reader who had not seen the work stopped at names that are used for two things (gone and ended, earlierProcesses) and at comments that say more than the code. A test guards the path on which a process under another ID answers polls and is no pool, which hostFixture covered only for runs that are listed. No change of behaviour. Measured: the new test and the tests of replaced workers pass.

--- a/core/schedule/contact.go
+++ b/core/schedule/contact.go
@@ -134,7 +134,8 @@
 
 // isFromWorker reports whether a status shows that a process of the worker has answered a call. A
 // process with another ID may have the worker's address on another host, so that its answers show
-// nothing about the calls to the worker. See noteAnswer for one on the same host.
+// nothing about the calls to the worker. One on the same host shows it by answering its own polls,
+// see noteAnswer.
 func isFromWorker(s order.Status) bool {
 	return s != order.NoAnswer && s != order.Refused && s != order.WrongProcess
 }
@@ -158,7 +159,7 @@
 			r.held(since, now)
 		}
 	}
-	for _, old := range s.earlierProcesses(w.info) {
+	for _, old := range s.earlierIDsOnHost(w.info) {
 		if !w.hasAddressOf(old) {
 			continue
 		}
--- a/core/schedule/evidence.go
+++ b/core/schedule/evidence.go
@@ -73,7 +73,7 @@
 // had other IDs, as far as giveUpRuns may, and removes these workers. The caller has evidence
 // that the processes have ended.
 func (s *Scheduler) endEarlierProcesses(env Env, out *Out, info *jobs.Worker) {
-	for _, w := range s.earlierProcesses(info) {
+	for _, w := range s.earlierIDsOnHost(info) {
 		s.giveUpRuns(env, out, w, "a later process runs on its host")
 		if !w.gone {
 			s.proposeDeparture(out, w)
@@ -81,8 +81,8 @@
 	}
 }
 
-// earlierProcesses returns the workers with other IDs that ran on a worker's host before it.
-func (s *Scheduler) earlierProcesses(info *jobs.Worker) []*worker {
+// earlierIDsOnHost returns the workers with other IDs that ran on a worker's host before it.
+func (s *Scheduler) earlierIDsOnHost(info *jobs.Worker) []*worker {
 	if info.Host == "" {
 		return nil
 	}
@@ -100,25 +100,25 @@
 	return list
 }
 
-// giveUpReplaced gives up the runs that endEarlierProcesses has kept, once the process of a worker
+// giveUpRunsOfEarlierIDs gives up the runs that endEarlierProcesses has kept, once the process of a worker
 // has answered a poll that was sent at polledAt, when no order could start them any more. While it
 // is up, none of their processes is, and one that starts later gets no order.
-func (s *Scheduler) giveUpReplaced(env Env, out *Out, w *worker, polledAt model.Time) {
-	for _, old := range s.earlierProcesses(w.info) {
-		if !old.ended || polledAt < old.restartedAt {
+func (s *Scheduler) giveUpRunsOfEarlierIDs(env Env, out *Out, w *worker, polledAt model.Time) {
+	for _, old := range s.earlierIDsOnHost(w.info) {
+		if !old.processEnded || polledAt < old.restartedAt {
 			continue
 		}
 		for _, r := range sortedRunsOf(old) {
-			if r.phase != assigned && polledAt >= w.excludesFrom(r) {
+			if r.phase != assigned && polledAt >= w.ordersArriveUntil(r) {
 				s.giveUp(env, out, r, jobs.OutcomeLost, "", "its order can't arrive any more and another process is up on its host")
 			}
 		}
 	}
 }
 
-// excludesFrom returns the time from which no order to start a run of an earlier process on the
-// host of w is carried out. w takes the calls to that process if it has its address.
-func (w *worker) excludesFrom(r *run) model.Time {
+// ordersArriveUntil returns the time after which no order to start r, a run of an earlier ID on
+// the host of w, is carried out. Calls to that ID reach w if the addresses are equal.
+func (w *worker) ordersArriveUntil(r *run) model.Time {
 	if r.unanswered > 0 && !w.hasAddressOf(r.worker) {
 		return r.heldUntil
 	}
--- a/core/schedule/held_sim_test.go
+++ b/core/schedule/held_sim_test.go
@@ -233,7 +233,7 @@
 	s.held.crashed[id] = s.now
 	s.crash(w, down)
 	if s.held.otherIDs && s.rng.IntN(2) == 0 {
-		s.announceOther(w, s.between(ms, down))
+		s.announceOtherLater(w, s.between(ms, down))
 	}
 	s.after(down, func() { s.byID(id).partitioned = s.now < s.held.cutUntil[id] })
 }
--- a/core/schedule/hosts.go
+++ b/core/schedule/hosts.go
@@ -62,8 +62,8 @@
 }
 
 // runsOnHost yields the runs that may be running on a host. Until the present process of a
-// worker has answered a poll, it may be running those of the earlier ones: a late copy of an
-// order starts a run on any process under the ID, and a process may announce itself anew.
+// worker has answered a poll, it may be running those of earlier records of the worker, on
+// orders that were sent to them.
 func (s *Scheduler) runsOnHost(host model.HostID) iter.Seq[*run] {
 	return func(yield func(*run) bool) {
 		for _, w := range s.workersByHost[host] {
@@ -219,7 +219,7 @@
 }
 
 // describeStep describes how many tasks of the step of a run that is stopped are not up. It
-// returns an empty string if any number may be.
+// returns an empty string if the step has no MaxUnavailable.
 func (s *Scheduler) describeStep(env Env, ref jobs.RunRef) string {
 	j := env.State.Jobs[ref.Job]
 	if j == nil || j.Phase != jobs.Active || j.Task(ref.TaskRef) == nil || j.Steps[ref.Step].MaxUnavailable == 0 {
--- a/core/schedule/poll.go
+++ b/core/schedule/poll.go
@@ -69,9 +69,9 @@
 			return true
 		}
 	}
-	for _, old := range s.earlierProcesses(w.info) {
+	for _, old := range s.earlierIDsOnHost(w.info) {
 		for _, r := range old.runs {
-			if old.ended && r.phase != assigned && soon >= w.excludesFrom(r) {
+			if old.processEnded && r.phase != assigned && soon >= w.ordersArriveUntil(r) {
 				return true
 			}
 		}
@@ -217,7 +217,7 @@
 		s.giveUpUnadopted(env, out, w, sentAt)
 	}
 	if sentAt != 0 && w.isFromRecordedProcess(reply) {
-		s.giveUpReplaced(env, out, w, sentAt)
+		s.giveUpRunsOfEarlierIDs(env, out, w, sentAt)
 	}
 	if !reply.Unparsed {
 		s.giveUpOvertaken(env, out, w, sentAt)
--- a/core/schedule/replaced_test.go
+++ b/core/schedule/replaced_test.go
@@ -141,22 +141,22 @@
 	require.Less(t, f.now, end.Add(500*ms))
 }
 
-// misdirect lets a process under another ID refuse all polls of worker a for a time. The host on
+// refuseAsOtherProcess lets a process under another ID refuse all polls of worker a for a time. The host on
 // which it runs is not known.
-func (f *fixture) misdirect(d model.Duration) { f.failPolls("a", order.WrongProcess, d) }
+func (f *fixture) refuseAsOtherProcess(d model.Duration) { f.failPolls("a", order.WrongProcess, d) }
 
 // Guards against the refusals of a process on another host, which has got the worker's address,
 // that count as proof that the worker has carried out its calls.
-func TestProcessOfAnotherHostAtTheAddressShowsNotThatCallsHaveArrived(t *testing.T) {
+func TestAnotherHostAtTheAddressDoesNotShowThatCallsArrived(t *testing.T) {
 	f, first := orderedFixture(t)
 	sent := f.now
 	f.unanswered(first)
 	for f.now.Sub(sent) < maxCallDelay+longestLease {
 		require.Contains(t, f.s.runs, ref("j", 0, 1), "given up %d ms after its order", f.now.Sub(sent)/ms)
 		require.Empty(t, f.takeCalls("a"))
-		f.misdirect(50 * ms)
+		f.refuseAsOtherProcess(50 * ms)
 	}
-	f.misdirect(500 * ms)
+	f.refuseAsOtherProcess(500 * ms)
 	require.NotContains(t, f.s.runs, ref("j", 0, 1))
 }
 
@@ -165,7 +165,7 @@
 func TestWorkerTakesNoCallsWhileAnotherProcessHasItsAddress(t *testing.T) {
 	f, first := orderedFixture(t)
 	f.unanswered(first)
-	f.misdirect(5 * model.Second)
+	f.refuseAsOtherProcess(5 * model.Second)
 	reachedAt := f.now
 	for f.now.Sub(reachedAt) < lateCallTime {
 		f.replyToPolls("a", order.Reply{Status: order.Accepted, Clock: order.ClockMS(f.now / model.Time(ms)), StartedAt: 1000})
@@ -175,9 +175,28 @@
 	}
 }
 
-// announceOther announces, after d, a process with another ID on the host of a worker whose process
+// Guards against an order without an answer that is forgotten on the answer of a process with another
+// ID, which was announced for a service that is no pool.
+func TestAnswerUnderAnotherIDKeepsRunsWhoseOrderMayArrive(t *testing.T) {
+	f, first := orderedFixture(t)
+	f.unanswered(first)
+	sent := f.now
+	f.advanceBy(50 * ms)
+	f.takeCalls("a")
+	other := testWorker("b")
+	other.Service, other.Host, other.StartedAt = "press", "host-a", 2000
+	f.commit(jobs.Command{Announce: &other})
+	for f.now.Sub(sent) < maxCallDelay {
+		require.Contains(t, f.s.runs, ref("j", 0, 1), "given up %d ms after its order", f.now.Sub(sent)/ms)
+		f.takeCalls("a")
+		f.replyToPolls("b", order.Reply{Status: order.Accepted, Clock: order.ClockMS(f.now / model.Time(ms)), StartedAt: 2000})
+		f.advanceBy(50 * ms)
+	}
+}
+
+// announceOtherLater announces, after d, a process with another ID on the host of a worker whose process
 // has ended. It takes no calls and ends before the next process of the worker starts.
-func (s *sim) announceOther(w *simWorker, d model.Duration) {
+func (s *sim) announceOtherLater(w *simWorker, d model.Duration) {
 	s.after(d, func() {
 		other := w.info
 		other.ID, other.StartedAt = w.info.ID+"+", int64(s.now/model.Time(ms))
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -273,10 +273,10 @@
 	}
 }
 
-// giveUpRuns records the ordered runs of a worker as lost whose process has ended. It keeps those
-// that a later process of the worker may run, see giveUpReplaced.
+// giveUpRuns records the ordered runs of a worker whose process has ended as lost, except those
+// that a later process under its ID may run, see giveUpRunsOfEarlierIDs.
 func (s *Scheduler) giveUpRuns(env Env, out *Out, w *worker, reason string) {
-	w.ended = true
+	w.processEnded = true
 	for _, r := range sortedRunsOf(w) {
 		if r.phase != assigned && (r.step.Copies || !r.mayOutlastProcess()) {
 			s.giveUp(env, out, r, jobs.OutcomeLost, "", reason)
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -94,7 +94,8 @@
 	failures    map[model.JobID]bool // jobs with a failed run here since the latest success
 	suspectedAt model.Time
 	gone        bool // it has left or was replaced, see detachWorker
-	ended       bool // its process has ended, a later one may have its ID
+	// processEnded means that its process is known to have ended. A later one may have its ID.
+	processEnded bool
 	// calledUntil is when the calls to a detached worker have been carried out, those to the
 	// processes before it included.
 	calledUntil model.Time
--- a/daemon/process_test.go
+++ b/daemon/process_test.go
@@ -34,13 +34,13 @@
 
 // startAndSend starts a process whose control goroutine sends messages at once, and stops
 // it after the first one.
-func startAndSend(t *testing.T) {
+func startAndSend(t *testing.T, ip string) {
 	p := newProcess(logevent.Logger{}, intake.Limits{})
 	p.peers = transport.New(transport.Config{
 		Cluster: "test", Host: "a", Incarnation: "1",
-		PeerAddress: func(model.HostID) string { return "127.0.22.9:1" },
+		PeerAddress: func(model.HostID) string { return ip + ":1" },
 	}, p.loop, p.log)
-	assert.NoError(t, p.listenPeers("127.0.22.9:0", net.KeepAliveConfig{}))
+	assert.NoError(t, p.listenPeers(ip+":0", net.KeepAliveConfig{}))
 	state, err := core.New(core.Config{Host: "a", Incarnation: "1", Replica: "1", Seeds: []model.HostID{"b"}}, core.Stored{}, p.loop.Now(), p.loop.Rand())
 	assert.NoError(t, err)
 	signal := &sendSignal{Executor: &executor{transport: p.peers, log: p.log}, sent: make(chan struct{})}
@@ -60,13 +60,14 @@
 
 // Guards against a control goroutine that sends messages while the transport is being
 // started: they are lost, and the two goroutines write the same map. Many processes start
-// at once, so that some are interrupted between the two steps.
+// at once, so that some are interrupted between the two steps; the race detector reports it.
 func TestTransportIsStartedBeforeTheControlLoop(t *testing.T) {
+	ip := reserveNetwork(t).IP(1)
 	var starts sync.WaitGroup
 	for range 32 {
 		starts.Go(func() {
 			for range 30 {
-				startAndSend(t)
+				startAndSend(t, ip)
 			}
 		})
 	}
