schedule: a list under another ID ends no run of a worker that is on another host

Callers would see: TWICE. A worker's ID moves to another host with its address, and its process there accepts an order to the earlier one. A process with another ID on the first host answers a poll, and the run is given up while it is at work. Cause: the list shows that no process under the first ID is up on its own host, and counted for other hosts too. Measured: TestListUnderAnotherIDEndsNoRunOnAnotherHost fails before (given up 50 ms after the run was accepted) and passes.

--- a/core/schedule/evidence.go
+++ b/core/schedule/evidence.go
@@ -105,7 +105,7 @@
 // is up, none of their processes is, and one that starts later gets no order.
 func (s *Scheduler) giveUpRunsOfEarlierIDs(env Env, out *Out, w *worker, polledAt model.Time) {
 	for _, old := range s.earlierIDsOnHost(w.info) {
-		if !old.processEnded || polledAt < old.restartedAt {
+		if !old.processEnded || polledAt < old.restartedAt || s.isElsewhere(old) {
 			continue
 		}
 		for _, r := range sortedRunsOf(old) {
@@ -116,6 +116,13 @@
 	}
 }
 
+// isElsewhere reports whether a later process of a worker runs on another host. Processes on the
+// first host show nothing about it.
+func (s *Scheduler) isElsewhere(old *worker) bool {
+	later := s.workers[old.info.ID]
+	return later != nil && later.info.Host != old.info.Host
+}
+
 // ordersArriveUntil returns the time after which no order to start r, a run of an earlier ID on
 // the host of w, is carried out. Calls to that ID reach w if the addresses are equal.
 func (w *worker) ordersArriveUntil(r *run) model.Time {
--- a/core/schedule/replaced_test.go
+++ b/core/schedule/replaced_test.go
@@ -175,6 +175,25 @@
 	}
 }
 
+// Guards against a run that a later process has accepted on another host, to which its ID has moved
+// with the address: a list of the process that is up on the first host ended it.
+func TestListUnderAnotherIDEndsNoRunOnAnotherHost(t *testing.T) {
+	f, first := orderedFixture(t)
+	f.advanceBy(50 * ms)
+	f.startAnswered(first, 20)
+	accepted := f.now
+	moved := testWorker("a")
+	moved.Service, moved.Host, moved.StartedAt, moved.Address = "render", "host-x", 3000, "a"
+	f.commit(jobs.Command{Announce: &moved})
+	f.announceOther("b", 2000, "b")
+	for f.now.Sub(accepted) < longestLease {
+		require.Contains(t, f.s.runs, ref("j", 0, 1), "given up %d ms after a later process has accepted it", f.now.Sub(accepted)/ms)
+		f.advanceBy(50 * ms)
+		f.replyToPolls("a", order.Reply{Status: order.NoAnswer})
+		f.replyToPolls("b", order.Reply{Status: order.Accepted, Clock: order.ClockMS(f.now / model.Time(ms)), StartedAt: 2000})
+	}
+}
+
 // Guards against an order without an answer that is forgotten on the answer of a process with another
 // ID, which was announced for a service that is no pool.
 func TestAnswerUnderAnotherIDKeepsRunsWhoseOrderMayArrive(t *testing.T) {
