schedule: no task is placed on a worker whose process has ended

Callers would see: a task that waits for an order to a process that has ended, up to 13.5 s since such orders wait for an answer. Cause: the announcement of another process on its host ends the runs of a worker and proposes its departure. Until the departure was committed, the worker got new runs. Change: isUsable asks processEnded. A process that continues nevertheless is recorded anew by its next heartbeat after the departure. Measured: TestNoTaskIsPlacedOnAnEndedProcess fails before and passes.

--- a/core/schedule/place.go
+++ b/core/schedule/place.go
@@ -177,7 +177,7 @@
 
 // isUsable reports whether a worker may be given new runs.
 func (s *Scheduler) isUsable(env Env, w *worker) bool {
-	return w.isFresh(env.Now) && !s.isSilent(env.Now, w) && !w.isSuspect(env.Now) && s.acceptsRuns(env, w)
+	return !w.processEnded && w.isFresh(env.Now) && !s.isSilent(env.Now, w) && !w.isSuspect(env.Now) && s.acceptsRuns(env, w)
 }
 
 // acceptsRuns reports whether a worker may get new runs: it is not draining, its data
--- a/core/schedule/replaced_test.go
+++ b/core/schedule/replaced_test.go
@@ -194,6 +194,32 @@
 	}
 }
 
+// Guards against a task that is placed on a worker whose process is known to have ended, before the
+// departure of the worker is committed.
+func TestNoTaskIsPlacedOnAnEndedProcess(t *testing.T) {
+	f, first := orderedFixture(t)
+	f.answerPollWith("a", order.Reply{StartedAt: 1000, Running: []order.Running{runningFully(first.Start.RunRef)}})
+	other := testWorker("b")
+	other.Service, other.Host, other.StartedAt = "render", "host-a", 2000
+	var end *jobs.End
+	announce := jobs.Command{Announce: &other}
+	var out Out
+	f.s.Committed(f.env(), &out, &announce, f.apply(announce))
+	for _, p := range out.Proposals {
+		if p.End != nil {
+			end = p.End
+		}
+	}
+	require.NotNil(t, end)
+	ended := jobs.Command{End: end}
+	out = Out{}
+	f.s.Committed(f.env(), &out, &ended, f.apply(ended))
+	f.s.Place(f.env(), &out)
+	for _, p := range out.Proposals {
+		require.Nil(t, p.Assign, "the departure of the worker is not committed")
+	}
+}
+
 // Guards against an order without an answer that is forgotten on the answer of a process with another
 // ID, which was announced for a service that is no pool.
 func TestAnswerUnderAnotherIDKeepsRunsWhoseOrderMayArrive(t *testing.T) {
