Revert "schedule: a process under another ID is no answer of the worker"

Cause: since a refusal by a process with another ID is no evidence, so that a run whose order has no answer waits for 20.05 s where it waited for 9.15 s (fixture).

--- a/core/schedule/contact.go
+++ b/core/schedule/contact.go
@@ -132,14 +132,6 @@
 	return c.leases.heldUntil
 }
 
-// isFromWorker reports whether a status shows that a process of the worker has answered a call. A
-// process with another ID may have the worker's address on another host, so that its answers show
-// nothing about the calls to the worker. One on the same host shows it by answering its own polls,
-// see noteAnswer.
-func isFromWorker(s order.Status) bool {
-	return s != order.NoAnswer && s != order.Refused && s != order.WrongProcess
-}
-
 // noteAnswer records the answer of a process of a worker to a call that was sent at sentAt. Orders
 // that were held for the worker arrive from now on, also those to an earlier process with another
 // ID that had its address on the host.
--- a/core/schedule/worker.go
+++ b/core/schedule/worker.go
@@ -288,9 +288,9 @@
 	}
 	sentAt, known := w.sendingOf(env.Now, &reply.Call)
 	switch {
-	case !isFromWorker(reply.Status):
-		w.contact.missed = w.contact.missed || reply.Call.Poll != nil || reply.Call.Start != nil
-	case known && reply.Clock != 0:
+	case (reply.Call.Poll != nil || reply.Call.Start != nil) && (reply.Status == order.NoAnswer || reply.Status == order.Refused):
+		w.contact.missed = true
+	case known && (reply.Clock != 0 || reply.Status == order.WrongProcess):
 		s.noteAnswer(w, reply, sentAt, env.Now)
 	}
 	if known && reply.Clock != 0 && reply.Status != order.WrongProcess {
